--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+$(STAMP): requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $(STAMP)
+
+.PHONY: env test demo lint format
+
+env: $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m tests
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 cassialever standins bench tests
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each prints a table with its baseline beside each figure."""
--- /dev/null
+++ b/cassialever/__init__.py
@@ -0,0 +1,1 @@
+"""Route requests to servers that own their keys exclusively."""
--- /dev/null
+++ b/cassialever/catalogue.py
@@ -0,0 +1,215 @@
+"""The catalogue: what operators edit, and all that they edit.
+
+Every entry names an owner, a class and limits, and carries the version of
+the catalogue that last changed it. Durations are whole milliseconds and say
+so in their names, since operators write them by hand.
+"""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from cassialever.errors import EntryRef
+from cassialever.types import (
+    CallerId,
+    CatalogueVersion,
+    ChangeId,
+    CutOffPolicy,
+    DataCentreId,
+    EntryKind,
+    RoutingClass,
+    ServiceName,
+    ServiceState,
+    TargetId,
+)
+
+
+class Entry(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """What every entry has; `version` is set when a change is accepted."""
+
+    owner: str
+    version: CatalogueVersion = CatalogueVersion(0)
+    reason: str = ''
+
+
+class ServiceLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of one service; `retry_share` is per fresh request."""
+
+    key_bytes: int = 256
+    body_bytes: int = 1_048_576
+    default_timeout_ms: int = 2_000
+    longest_timeout_ms: int = 30_000
+    attempt_timeout_ms: int = 1_000
+    queue_length: int = 64
+    retry_share: float = 0.1
+
+
+class KeyRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the key of a request stands.
+
+    Either a header's name or the index, from 0, of a path segment after the
+    service's prefix. The header goes first where both are given.
+    """
+
+    header: str = 'X-Cassialever-Key'
+    path_segment: int | None = None
+
+
+class ServiceEntry(Entry, frozen=True, kw_only=True):
+    """A service: what callers name by the first segment of the path."""
+
+    name: ServiceName
+    routing: RoutingClass = msgspec.field(name='class')
+    key_rule: KeyRule = KeyRule()
+    slices: int = 1024
+    when_cut_off: CutOffPolicy = CutOffPolicy.stay
+    repeatable_methods: tuple[str, ...] = ('GET', 'HEAD')
+    limits: ServiceLimits = ServiceLimits()
+
+    def ref(self) -> EntryRef:
+        """Name this entry."""
+        return EntryRef(EntryKind.service, self.name, self.version)
+
+
+class TargetLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of one target: requests at once, warm and cold."""
+
+    slots: int = 4
+    connections: int = 100
+    cold_slots: int = 1
+
+
+class TargetChecks(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Which orders a target checks or honours by itself."""
+
+    fence: bool = True
+    deadline: bool = True
+    cancel: bool = True
+
+
+class TargetEntry(Entry, frozen=True, kw_only=True):
+    """A target: one back end, reached at an IP address and port."""
+
+    target_id: TargetId = msgspec.field(name='name')
+    target_class: str = msgspec.field(name='class', default='worker')
+    service: ServiceName
+    data_centre: DataCentreId
+    address: str
+    state: ServiceState = ServiceState.in_service
+    limits: TargetLimits = TargetLimits()
+    checks: TargetChecks = TargetChecks()
+
+    def ref(self) -> EntryRef:
+        """Name this entry."""
+        return EntryRef(EntryKind.target, self.target_id, self.version)
+
+
+class DataCentreLimits(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """Limits of one data centre's return into service."""
+
+    return_ramp_ms: int = 10_000
+
+
+class DataCentreEntry(Entry, frozen=True, kw_only=True):
+    """A data centre, in service or taken out."""
+
+    data_centre_id: DataCentreId = msgspec.field(name='name')
+    data_centre_class: str = msgspec.field(name='class', default='standard')
+    state: ServiceState = ServiceState.in_service
+    limits: DataCentreLimits = DataCentreLimits()
+
+    def ref(self) -> EntryRef:
+        """Name this entry."""
+        return EntryRef(
+            EntryKind.data_centre,
+            self.data_centre_id,
+            self.version,
+        )
+
+
+class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of one caller on each instance."""
+
+    requests_at_once: int = 64
+    requests_per_second: int = 1_000
+
+
+class CallerEntry(Entry, frozen=True, kw_only=True):
+    """A caller; the entry named `default` holds for all the others."""
+
+    caller_id: CallerId = msgspec.field(name='name')
+    caller_class: str = msgspec.field(name='class', default='standard')
+    limits: CallerLimits = CallerLimits()
+
+    def ref(self) -> EntryRef:
+        """Name this entry."""
+        return EntryRef(EntryKind.caller, self.caller_id, self.version)
+
+
+DEFAULT_CALLER = CallerId('default')
+
+
+class Catalogue(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One version of the whole catalogue, and who made it and why."""
+
+    services: tuple[ServiceEntry, ...]
+    targets: tuple[TargetEntry, ...]
+    data_centres: tuple[DataCentreEntry, ...]
+    callers: tuple[CallerEntry, ...]
+    version: CatalogueVersion = CatalogueVersion(0)
+    author: str = ''
+    reason: str = ''
+    change_id: ChangeId = ChangeId('')
+
+
+class CatalogueIndex:
+    """The entries of one catalogue, each kind by its name."""
+
+    def __init__(self, catalogue: Catalogue) -> None:
+        """Index a catalogue whose names are unique within each kind."""
+        self.catalogue = catalogue
+        self.service_by_name: Mapping[ServiceName, ServiceEntry] = {
+            entry.name: entry for entry in catalogue.services
+        }
+        self.target_by_id: Mapping[TargetId, TargetEntry] = {
+            entry.target_id: entry for entry in catalogue.targets
+        }
+        self.data_centre_by_id: Mapping[DataCentreId, DataCentreEntry] = {
+            entry.data_centre_id: entry for entry in catalogue.data_centres
+        }
+        self.caller_by_id: Mapping[CallerId, CallerEntry] = {
+            entry.caller_id: entry for entry in catalogue.callers
+        }
+        self.targets_by_service: dict[ServiceName, list[TargetEntry]] = {}
+        for target in catalogue.targets:
+            self.targets_by_service.setdefault(target.service, []).append(
+                target,
+            )
+
+    @property
+    def version(self) -> CatalogueVersion:
+        """Return the catalogue's version."""
+        return self.catalogue.version
+
+    def caller(self, caller_id: CallerId) -> CallerEntry | None:
+        """Return a caller's own entry, or the default one."""
+        entry = self.caller_by_id.get(caller_id)
+        return entry or self.caller_by_id.get(DEFAULT_CALLER)
+
+    def is_out(self, target: TargetEntry) -> EntryRef | None:
+        """Return the entry that keeps a target from new work, if any does."""
+        if target.state is ServiceState.out:
+            return target.ref()
+        data_centre = self.data_centre_by_id.get(target.data_centre)
+        if data_centre and data_centre.state is ServiceState.out:
+            return data_centre.ref()
+        return None
--- /dev/null
+++ b/cassialever/clock.py
@@ -0,0 +1,23 @@
+"""The real clock and the real random source."""
+
+import random
+import time
+
+from cassialever.types import Seconds
+
+
+class SystemClock:
+    """Tell the time of this machine."""
+
+    def monotonic(self) -> Seconds:
+        """Return seconds that never go back."""
+        return time.monotonic()
+
+    def wall(self) -> Seconds:
+        """Return seconds since 1970, for display."""
+        return time.time()
+
+
+def seeded_random(seed: int | None) -> random.Random:
+    """Return a random source; `None` takes a seed from the system."""
+    return random.Random(seed)  # noqa: S311
--- /dev/null
+++ b/cassialever/errors.py
@@ -0,0 +1,240 @@
+"""The closed list of error kinds and the answer that each one gets.
+
+A function that can fail for a reason outside the program returns a `Failure`
+in place of its result. A `Failure` is a sentinel with a reason: it names its
+kind and, where one is behind it, the catalogue entry.
+"""
+
+import enum
+from collections.abc import Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+
+from cassialever.types import CatalogueVersion, EntryKind, Seconds
+
+
+#: What is logged for a caller that went away; no caller ever sees it.
+CLIENT_CLOSED_REQUEST: Final = 499
+
+
+class ErrorKind(enum.Enum):
+    """Every way in which a request or an operation can fail."""
+
+    bad_request = 'bad_request'
+    missing_key = 'missing_key'
+    key_too_long = 'key_too_long'
+    malformed_deadline = 'malformed_deadline'
+    malformed_request_id = 'malformed_request_id'
+    unknown_service = 'unknown_service'
+    unknown_caller = 'unknown_caller'
+    bad_credential = 'bad_credential'
+    body_too_large = 'body_too_large'
+    caller_over_limit = 'caller_over_limit'
+    target_busy = 'target_busy'
+    target_shed = 'target_shed'
+    target_leaving = 'target_leaving'
+    target_unreachable = 'target_unreachable'
+    target_failed = 'target_failed'
+    no_target = 'no_target'
+    no_owner = 'no_owner'
+    not_holder = 'not_holder'
+    lease_lapsed = 'lease_lapsed'
+    stale_fence = 'stale_fence'
+    data_centre_out = 'data_centre_out'
+    stopping = 'stopping'
+    deadline_passed = 'deadline_passed'
+    peer_unreachable = 'peer_unreachable'
+    outcome_unknown = 'outcome_unknown'
+    already_running = 'already_running'
+    already_run = 'already_run'
+    answer_cut = 'answer_cut'
+    cancelled = 'cancelled'
+    no_catalogue = 'no_catalogue'
+    catalogue_invalid = 'catalogue_invalid'
+    table_unavailable = 'table_unavailable'
+    table_conflict = 'table_conflict'
+    table_answer_lost = 'table_answer_lost'
+    internal = 'internal'
+
+
+class EntryRef(msgspec.Struct, frozen=True):
+    """Name one catalogue entry at one version of the catalogue."""
+
+    kind: EntryKind
+    name: str
+    version: CatalogueVersion
+
+    def __str__(self) -> str:
+        """Write the entry as people read it."""
+        kind = self.kind.value.replace('_', ' ')
+        return f'{kind} {self.name} (version {self.version})'
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """Stand in for a result that could not be had.
+
+    `retry_after` is in seconds; 0 means that no time can be named.
+    """
+
+    kind: ErrorKind
+    reason: str
+    entry: EntryRef | None = None
+    retry_after: Seconds = 0
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Say how a caller is told of an error kind.
+
+    `not_run` is a promise: the request was not run and never will be.
+    `repeatable_elsewhere` lets the router try another target by itself.
+    """
+
+    status: int
+    not_run: bool
+    sentence: str
+    repeatable_elsewhere: bool = False
+
+
+def _not_run(status: int, sentence: str) -> Answer:
+    return Answer(status=status, not_run=True, sentence=sentence)
+
+
+def _elsewhere(status: int, sentence: str) -> Answer:
+    return Answer(
+        status=status,
+        not_run=True,
+        sentence=sentence,
+        repeatable_elsewhere=True,
+    )
+
+
+def _may_have_run(status: int, sentence: str) -> Answer:
+    return Answer(status=status, not_run=False, sentence=sentence)
+
+
+ANSWER_BY_KIND: Final[Mapping[ErrorKind, Answer]] = MappingProxyType(
+    {
+        ErrorKind.bad_request: _not_run(
+            HTTPStatus.BAD_REQUEST, 'The request is malformed.'
+        ),
+        ErrorKind.missing_key: _not_run(
+            HTTPStatus.BAD_REQUEST, 'The request names no key.'
+        ),
+        ErrorKind.key_too_long: _not_run(
+            HTTPStatus.BAD_REQUEST, 'The key is over its limit.'
+        ),
+        ErrorKind.malformed_deadline: _not_run(
+            HTTPStatus.BAD_REQUEST,
+            'The deadline is not a whole number of milliseconds in range.',
+        ),
+        ErrorKind.malformed_request_id: _not_run(
+            HTTPStatus.BAD_REQUEST,
+            'The request id has characters or a length that is not allowed.',
+        ),
+        ErrorKind.unknown_service: _not_run(
+            HTTPStatus.NOT_FOUND, 'No service has this path.'
+        ),
+        ErrorKind.unknown_caller: _not_run(
+            HTTPStatus.FORBIDDEN, 'The caller has no entry.'
+        ),
+        ErrorKind.bad_credential: _not_run(
+            HTTPStatus.UNAUTHORIZED, 'The credential is not valid.'
+        ),
+        ErrorKind.body_too_large: _not_run(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'The body is over its limit.'
+        ),
+        ErrorKind.caller_over_limit: _not_run(
+            HTTPStatus.TOO_MANY_REQUESTS, 'The caller is at its limit.'
+        ),
+        ErrorKind.target_busy: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The target is at its limit.'
+        ),
+        ErrorKind.target_shed: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The target shed the request.'
+        ),
+        ErrorKind.target_leaving: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The target is leaving.'
+        ),
+        ErrorKind.target_unreachable: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'No connection to the target could be made.',
+        ),
+        ErrorKind.target_failed: _may_have_run(
+            HTTPStatus.BAD_GATEWAY, 'The target failed.'
+        ),
+        ErrorKind.no_target: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'No target can take the request.'
+        ),
+        ErrorKind.no_owner: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The key has no owner just now.'
+        ),
+        ErrorKind.not_holder: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Another instance holds the lease of this target.',
+        ),
+        ErrorKind.lease_lapsed: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The target lease has lapsed.'
+        ),
+        ErrorKind.stale_fence: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The target refused the fence.'
+        ),
+        ErrorKind.data_centre_out: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The data centre has been taken out of service.',
+        ),
+        ErrorKind.stopping: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The instance is stopping.'
+        ),
+        ErrorKind.deadline_passed: _not_run(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'The deadline passed before the request was sent.',
+        ),
+        ErrorKind.peer_unreachable: _elsewhere(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The instance that holds the target could not be reached.',
+        ),
+        ErrorKind.outcome_unknown: _may_have_run(
+            HTTPStatus.BAD_GATEWAY,
+            'The request was sent and it is not known whether it ran.',
+        ),
+        ErrorKind.already_running: _may_have_run(
+            HTTPStatus.CONFLICT,
+            'A request with this id is still running.',
+        ),
+        ErrorKind.already_run: _may_have_run(
+            HTTPStatus.CONFLICT,
+            'A request with this id has run and its answer is no longer kept.',
+        ),
+        ErrorKind.answer_cut: _may_have_run(
+            HTTPStatus.BAD_GATEWAY,
+            'The answer broke off before its end.',
+        ),
+        ErrorKind.cancelled: _may_have_run(
+            CLIENT_CLOSED_REQUEST, 'The caller went away.'
+        ),
+        ErrorKind.no_catalogue: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This instance has no catalogue yet.',
+        ),
+        ErrorKind.catalogue_invalid: _not_run(
+            HTTPStatus.UNPROCESSABLE_ENTITY, 'The catalogue has faults.'
+        ),
+        ErrorKind.table_unavailable: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The table service does not answer.',
+        ),
+        ErrorKind.table_conflict: _not_run(
+            HTTPStatus.CONFLICT, 'Another change came first.'
+        ),
+        ErrorKind.table_answer_lost: _may_have_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The write was sent and its answer was lost.',
+        ),
+        ErrorKind.internal: _may_have_run(
+            HTTPStatus.INTERNAL_SERVER_ERROR, 'The router has a fault.'
+        ),
+    }
+)
--- /dev/null
+++ b/cassialever/events.py
@@ -0,0 +1,58 @@
+"""The numbered log events, in one table; `docs/events.md` lists them.
+
+Numbers are never used again. Ranges: 100 life cycle, 200 request path,
+300 links and targets, 400 ownership, 500 table and slices, 600 catalogue
+and operators, 900 broken invariants.
+"""
+
+import enum
+from typing import Any
+
+import logbook
+
+
+class Event(enum.Enum):
+    """Every event: its number, its level and what it means."""
+
+    # Life cycle.
+    started = (101, logbook.NOTICE, 'The daemon takes requests.')
+    stopping = (102, logbook.NOTICE, 'The daemon has been told to stop.')
+    stopped = (103, logbook.NOTICE, 'The daemon has stopped.')
+    task_failed = (104, logbook.ERROR, 'A background task has failed.')
+
+    # Request path.
+    request_refused = (201, logbook.INFO, 'A request was refused.')
+
+    # Links and targets.
+    link_lost = (301, logbook.WARNING, 'A link to a peer has ended.')
+
+    # Ownership.
+    lease_granted = (401, logbook.INFO, 'A target lease was granted.')
+
+    # Table and slices.
+    table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
+
+    # Catalogue and operators.
+    catalogue_adopted = (601, logbook.NOTICE, 'A catalogue is in force.')
+
+    # Broken invariants.
+    invariant_broken = (901, logbook.CRITICAL, 'An invariant is broken.')
+
+    def __init__(self, number: int, level: int, sentence: str) -> None:
+        """Name the parts of the event's value."""
+        self.number = number
+        self.level = level
+        self.sentence = sentence
+
+
+_logger = logbook.Logger('cassialever')
+
+
+def record(event: Event, **fields: Any) -> None:
+    """Log an event with its fields; never pass a secret."""
+    words = [f'{name}={field}' for name, field in fields.items()]
+    _logger.log(
+        event.level,
+        ' '.join((str(event.number), event.name, *words)),
+        extra={'event': event.number, 'fields': fields},
+    )
--- /dev/null
+++ b/cassialever/types.py
@@ -0,0 +1,74 @@
+"""Ids, states and aliases that every module shares."""
+
+import enum
+from typing import NewType, TypeAlias
+
+InstanceId = NewType('InstanceId', str)
+DataCentreId = NewType('DataCentreId', str)
+TargetId = NewType('TargetId', str)
+ServiceName = NewType('ServiceName', str)
+CallerId = NewType('CallerId', str)
+RequestId = NewType('RequestId', str)
+ChangeId = NewType('ChangeId', str)
+RowName = NewType('RowName', str)
+Key = NewType('Key', str)
+
+SliceIndex = NewType('SliceIndex', int)
+GroupIndex = NewType('GroupIndex', int)
+Fence = NewType('Fence', int)
+Epoch = NewType('Epoch', int)
+Incarnation = NewType('Incarnation', int)
+CatalogueVersion = NewType('CatalogueVersion', int)
+RowVersion = NewType('RowVersion', int)
+
+# Durations and monotonic instants are seconds, as in the standard library.
+Seconds: TypeAlias = float
+Headers: TypeAlias = tuple[tuple[str, str], ...]
+
+
+class RoutingClass(enum.Enum):
+    """How a service's requests find their target."""
+
+    keyed = 'keyed'
+    any_target = 'any'
+
+
+class CutOffPolicy(enum.Enum):
+    """What becomes of a data centre's keys while it is cut off or lost."""
+
+    stay = 'stay'
+    move = 'move'
+
+
+class ServiceState(enum.Enum):
+    """Whether operators want a target or data centre to take new work."""
+
+    in_service = 'in_service'
+    out = 'out'
+
+
+class TargetState(enum.Enum):
+    """How much work a target can carry, as its leaseholder judges it."""
+
+    cold = 'cold'
+    ramping = 'ramping'
+    warm = 'warm'
+    draining = 'draining'
+    lost = 'lost'
+
+
+class AttemptState(enum.Enum):
+    """What is known of one attempt to run a request on a target."""
+
+    not_sent = 'not_sent'
+    outcome_unknown = 'outcome_unknown'
+    answered = 'answered'
+
+
+class EntryKind(enum.Enum):
+    """The kinds of catalogue entry."""
+
+    service = 'service'
+    target = 'target'
+    data_centre = 'data_centre'
+    caller = 'caller'
