Reach other daemons over framed links

One connection to each peer carries many requests and control messages. Both ends prove the fleet key before anything counts.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -25,6 +25,12 @@
 
     # Links and targets.
     link_lost = (301, logbook.WARNING, 'A link to a peer has ended.')
+    link_refused = (302, logbook.ERROR, 'A peer did not prove itself.')
+    link_rubbish = (303, logbook.ERROR, 'A peer sent what no peer sends.')
+    link_silent = (304, logbook.WARNING, 'A link had gone silent.')
+    link_ready = (305, logbook.INFO, 'A link to a peer is ready.')
+    message_unknown = (306, logbook.INFO, 'A newer peer sent a new message.')
+    peer_unreachable = (307, logbook.WARNING, 'A peer could not be reached.')
 
     # Ownership.
     lease_granted = (401, logbook.INFO, 'A target lease was granted.')
--- a/cassialever/settings.py
+++ b/cassialever/settings.py
@@ -57,6 +57,9 @@
     connect_timeout: Seconds = 0.5
     window_bytes: int = 262_144
     frame_bytes: int = 65_536
+    message_bytes: int = 4_194_304
+    reconnect_first: Seconds = 0.05
+    reconnect_longest: Seconds = 1
 
 
 class StopSettings(_Section, frozen=True):
