Read settings and catalogues with every fault named by line and column

JSON with comments is read by json5; its two rules for values and members are extended so that offsets are kept. msgspec stops at the first fault of a conversion, so its description of the type is walked beside the document. Fields carry their units and forms of text. The check of a catalogue adds references, unique names and limits that have to fit each other.

--- a/cassialever/catalogue.py
+++ b/cassialever/catalogue.py
@@ -6,10 +6,22 @@
 """
 
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 
 from cassialever.errors import EntryRef
+from cassialever.formats import (
+    HEADER,
+    NAME,
+    Amount,
+    ByteCount,
+    Count,
+    IpAndPort,
+    Milliseconds,
+    Owner,
+    Share,
+)
 from cassialever.types import (
     CallerId,
     CatalogueVersion,
@@ -32,7 +44,7 @@
 ):
     """What every entry has; `version` is set when a change is accepted."""
 
-    owner: str
+    owner: Owner
     version: CatalogueVersion = CatalogueVersion(0)
     reason: str = ''
 
@@ -40,13 +52,13 @@
 class ServiceLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits of one service; `retry_share` is per fresh request."""
 
-    key_bytes: int = 256
-    body_bytes: int = 1_048_576
-    default_timeout_ms: int = 2_000
-    longest_timeout_ms: int = 30_000
-    attempt_timeout_ms: int = 1_000
-    queue_length: int = 64
-    retry_share: float = 0.1
+    key_bytes: ByteCount = 256
+    body_bytes: ByteCount = 1_048_576
+    default_timeout_ms: Milliseconds = 2_000
+    longest_timeout_ms: Milliseconds = 30_000
+    attempt_timeout_ms: Milliseconds = 1_000
+    queue_length: Amount = 64
+    retry_share: Share = 0.1
 
 
 class KeyRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -56,17 +68,17 @@
     service's prefix. The header goes first where both are given.
     """
 
-    header: str = 'X-Cassialever-Key'
-    path_segment: int | None = None
+    header: Annotated[str, HEADER] = 'X-Cassialever-Key'
+    path_segment: Amount | None = None
 
 
 class ServiceEntry(Entry, frozen=True, kw_only=True):
     """A service: what callers name by the first segment of the path."""
 
-    name: ServiceName
+    name: Annotated[ServiceName, NAME]
     routing: RoutingClass = msgspec.field(name='class')
     key_rule: KeyRule = KeyRule()
-    slices: int = 1024
+    slices: Count = 1024
     when_cut_off: CutOffPolicy = CutOffPolicy.stay
     repeatable_methods: tuple[str, ...] = ('GET', 'HEAD')
     limits: ServiceLimits = ServiceLimits()
@@ -79,9 +91,9 @@
 class TargetLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits of one target: requests at once, warm and cold."""
 
-    slots: int = 4
-    connections: int = 100
-    cold_slots: int = 1
+    slots: Count = 4
+    connections: Count = 100
+    cold_slots: Count = 1
 
 
 class TargetChecks(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -95,11 +107,11 @@
 class TargetEntry(Entry, frozen=True, kw_only=True):
     """A target: one back end, reached at an IP address and port."""
 
-    target_id: TargetId = msgspec.field(name='name')
+    target_id: Annotated[TargetId, NAME] = msgspec.field(name='name')
     target_class: str = msgspec.field(name='class', default='worker')
     service: ServiceName
     data_centre: DataCentreId
-    address: str
+    address: IpAndPort
     state: ServiceState = ServiceState.in_service
     limits: TargetLimits = TargetLimits()
     checks: TargetChecks = TargetChecks()
@@ -116,13 +128,13 @@
 ):
     """Limits of one data centre's return into service."""
 
-    return_ramp_ms: int = 10_000
+    return_ramp_ms: Milliseconds = 10_000
 
 
 class DataCentreEntry(Entry, frozen=True, kw_only=True):
     """A data centre, in service or taken out."""
 
-    data_centre_id: DataCentreId = msgspec.field(name='name')
+    data_centre_id: Annotated[DataCentreId, NAME] = msgspec.field(name='name')
     data_centre_class: str = msgspec.field(name='class', default='standard')
     state: ServiceState = ServiceState.in_service
     limits: DataCentreLimits = DataCentreLimits()
@@ -139,14 +151,14 @@
 class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits of one caller on each instance."""
 
-    requests_at_once: int = 64
-    requests_per_second: int = 1_000
+    requests_at_once: Count = 64
+    requests_per_second: Count = 1_000
 
 
 class CallerEntry(Entry, frozen=True, kw_only=True):
     """A caller; the entry named `default` holds for all the others."""
 
-    caller_id: CallerId = msgspec.field(name='name')
+    caller_id: Annotated[CallerId, NAME] = msgspec.field(name='name')
     caller_class: str = msgspec.field(name='class', default='standard')
     limits: CallerLimits = CallerLimits()
 
--- /dev/null
+++ b/cassialever/catalogue_check.py
@@ -0,0 +1,208 @@
+"""The whole check that a catalogue has to pass before it is accepted.
+
+Types, units and forms of text come first; where those hold, references,
+unique names and limits that have to fit each other. Every fault is named at
+once, by line and column.
+"""
+
+import collections
+from collections.abc import Iterable, Iterator
+from typing import Final, TypeAlias
+
+from cassialever.catalogue import (
+    CallerEntry,
+    Catalogue,
+    ServiceEntry,
+    TargetEntry,
+)
+from cassialever.decoding import decode
+from cassialever.documents import Fault
+from cassialever.nodes import Path
+from cassialever.types import RoutingClass, ServiceName
+
+#: HTTP methods that may be called repeatable; a CONNECT is never forwarded.
+METHODS: Final = frozenset(
+    ('GET', 'HEAD', 'OPTIONS', 'POST', 'PUT', 'PATCH', 'DELETE'),
+)
+
+_SERVICES: Final = 'services'
+_TARGETS: Final = 'targets'
+_DATA_CENTRES: Final = 'data_centres'
+_CALLERS: Final = 'callers'
+_LIMITS: Final = 'limits'
+
+#: What one part of the check found wrong, and where.
+Finding: TypeAlias = tuple[Path, str]
+
+
+def load_catalogue(text: str) -> Catalogue | list[Fault]:
+    """Read and check a catalogue, or return every fault at once."""
+    decoding = decode(text, Catalogue)
+    if isinstance(decoding, list):
+        return decoding
+    faults = [
+        decoding.document.fault_at(path, sentence)
+        for path, sentence in find_faults(decoding.content)
+    ]
+    return sorted(faults) if faults else decoding.content
+
+
+def find_faults(catalogue: Catalogue) -> Iterator[Finding]:
+    """Check what a type can't say, for a catalogue from any source."""
+    yield from _name_findings(catalogue)
+    yield from _address_findings(catalogue.targets)
+    yield from _reference_findings(catalogue)
+    yield from _service_findings(catalogue)
+    for index, target in enumerate(catalogue.targets):
+        yield from _target_limit_findings(index, target)
+    yield from _caller_findings(catalogue)
+
+
+def _name_findings(catalogue: Catalogue) -> Iterator[Finding]:
+    yield from _twice(_SERVICES, [entry.name for entry in catalogue.services])
+    yield from _twice(
+        _TARGETS,
+        [entry.target_id for entry in catalogue.targets],
+    )
+    yield from _twice(
+        _DATA_CENTRES,
+        [entry.data_centre_id for entry in catalogue.data_centres],
+    )
+    yield from _twice(
+        _CALLERS,
+        [entry.caller_id for entry in catalogue.callers],
+    )
+
+
+def _twice(kind: str, names: Iterable[str]) -> Iterator[Finding]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield (kind, index, 'name'), f'The name "{name}" stands twice.'
+        seen.add(name)
+
+
+def _address_findings(targets: Iterable[TargetEntry]) -> Iterator[Finding]:
+    name_by_address: dict[str, str] = {}
+    for index, target in enumerate(targets):
+        other = name_by_address.setdefault(target.address, target.target_id)
+        if other != target.target_id:
+            yield (
+                (_TARGETS, index, 'address'),
+                f'Target "{other}" has the same address.',
+            )
+
+
+def _reference_findings(catalogue: Catalogue) -> Iterator[Finding]:
+    services = {entry.name for entry in catalogue.services}
+    data_centres = {entry.data_centre_id for entry in catalogue.data_centres}
+    for index, target in enumerate(catalogue.targets):
+        if target.service not in services:
+            yield (
+                (_TARGETS, index, 'service'),
+                f'No service is named "{target.service}".',
+            )
+        if target.data_centre not in data_centres:
+            yield (
+                (_TARGETS, index, 'data_centre'),
+                f'No data centre is named "{target.data_centre}".',
+            )
+
+
+def _service_findings(catalogue: Catalogue) -> Iterator[Finding]:
+    targets = collections.Counter(
+        target.service for target in catalogue.targets
+    )
+    for index, service in enumerate(catalogue.services):
+        yield from _timeout_findings(index, service)
+        yield from _method_findings(index, service)
+        yield from _slice_findings(index, service, targets)
+
+
+def _slice_findings(
+    index: int,
+    service: ServiceEntry,
+    targets: collections.Counter[ServiceName],
+) -> Iterator[Finding]:
+    count = targets[service.name]
+    if not count:
+        yield (
+            (_SERVICES, index, 'name'),
+            f'The service "{service.name}" has no target.',
+        )
+    if service.routing is RoutingClass.keyed and service.slices < count:
+        yield (
+            (_SERVICES, index, 'slices'),
+            f'{service.slices} slices are too few for {count} targets.',
+        )
+
+
+def _timeout_findings(index: int, service: ServiceEntry) -> Iterator[Finding]:
+    limits = service.limits
+    longest = limits.longest_timeout_ms
+    for name, timeout in (
+        ('default_timeout_ms', limits.default_timeout_ms),
+        ('attempt_timeout_ms', limits.attempt_timeout_ms),
+    ):
+        if timeout > longest:
+            yield (
+                (_SERVICES, index, _LIMITS, name),
+                f'{timeout} ms is over "longest_timeout_ms", {longest} ms.',
+            )
+
+
+def _method_findings(index: int, service: ServiceEntry) -> Iterator[Finding]:
+    for place, method in enumerate(service.repeatable_methods):
+        if method in METHODS:
+            continue
+        known = ', '.join(sorted(METHODS))
+        yield (
+            (_SERVICES, index, 'repeatable_methods', place),
+            f'"{method}" is no method that is forwarded; those are {known}.',
+        )
+
+
+def _target_limit_findings(
+    index: int,
+    target: TargetEntry,
+) -> Iterator[Finding]:
+    limits = target.limits
+    if limits.cold_slots > limits.slots:
+        yield (
+            (_TARGETS, index, _LIMITS, 'cold_slots'),
+            f'{limits.cold_slots} cold slots are more than the'
+            f' {limits.slots} slots of the warm target.',
+        )
+    if limits.slots > limits.connections:
+        yield (
+            (_TARGETS, index, _LIMITS, 'slots'),
+            f'{limits.slots} slots need as many connections, and only'
+            f' {limits.connections} are allowed.',
+        )
+
+
+def _caller_findings(catalogue: Catalogue) -> Iterator[Finding]:
+    places = _places(catalogue)
+    for index, caller in enumerate(catalogue.callers):
+        if _limits_nothing(caller, places):
+            yield (
+                (_CALLERS, index, _LIMITS, 'requests_at_once'),
+                f'This limits nothing: all targets together hold {places}'
+                ' requests, queues included.',
+            )
+
+
+def _limits_nothing(caller: CallerEntry, places: int) -> bool:
+    return bool(places) and caller.limits.requests_at_once > places
+
+
+def _places(catalogue: Catalogue) -> int:
+    """Count the requests that all targets and their queues can hold."""
+    queue_by_service = {
+        service.name: service.limits.queue_length
+        for service in catalogue.services
+    }
+    return sum(
+        target.limits.slots + queue_by_service.get(target.service, 0)
+        for target in catalogue.targets
+    )
--- /dev/null
+++ b/cassialever/documents.py
@@ -0,0 +1,155 @@
+"""Documents in JSON with comments, where every value knows its place.
+
+The text is read by json5; this module keeps the offset of every key and
+value beside them, so that a fault can be named by line and column.
+"""
+
+import bisect
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+import msgspec
+from json5.parser import Parser
+
+from cassialever.nodes import (
+    ListNode,
+    Member,
+    Node,
+    ObjectNode,
+    Path,
+    ScalarNode,
+    child,
+)
+
+#: json5's own switches: reject control characters and trailing text.
+_PARSER_SWITCHES: Final[Mapping[str, bool]] = MappingProxyType(
+    {'_strict': True, '_consume_trailing': True},
+)
+_LITERAL_BY_WORD: Final[Mapping[str, bool | None]] = MappingProxyType(
+    {'None': None, 'True': True, 'False': False},
+)
+_HEXADECIMAL: Final = 16
+
+
+class Fault(msgspec.Struct, frozen=True, order=True):
+    """One fault of a document; line and column count from 1."""
+
+    line: int
+    column: int
+    sentence: str
+
+    def __str__(self) -> str:
+        """Write the fault as a line for people."""
+        return f'line {self.line}, column {self.column}: {self.sentence}'
+
+
+class Document:
+    """A parsed text and the way from its offsets to lines and columns."""
+
+    def __init__(self, text: str, root: Node) -> None:
+        """Take a text and what stands in it."""
+        self.root = root
+        self._line_starts = _line_starts(text)
+
+    def fault(self, offset: int, sentence: str) -> Fault:
+        """Return a fault at an offset of the text."""
+        return _fault_at(self._line_starts, offset, sentence)
+
+    def fault_at(self, path: Path, sentence: str) -> Fault:
+        """Return a fault at a path, or at its nearest parent that exists."""
+        return self.fault(self.offset(path), sentence)
+
+    def offset(self, path: Path) -> int:
+        """Return where a path's value starts, or its nearest parent."""
+        node = self.root
+        for step in path:
+            below = child(node, step)
+            if below is None:
+                break
+            node = below
+        return node.offset
+
+
+def parse_document(text: str) -> Document | list[Fault]:
+    """Parse a text in JSON with comments."""
+    parser: Any = _OffsetParser
+    try:
+        root, problem, position = parser(text, '').parse(_PARSER_SWITCHES)
+    except RecursionError:
+        return [Fault(1, 1, 'The text is nested too deeply.')]
+    if problem:
+        sentence = _syntax_sentence(text, position)
+        return [_fault_at(_line_starts(text), position, sentence)]
+    return Document(text, root)
+
+
+class _OffsetParser(Parser):
+    """The json5 parser, returning nodes in place of its own tree.
+
+    The two rules overridden are those of json5's published grammar; the
+    version is pinned and tests/test_documents.py guards the assumption.
+    """
+
+    def _value_(self) -> None:  # noqa: WPS116, WPS120
+        start = self.pos
+        super()._value_()  # type: ignore[no-untyped-call]
+        if not self.failed:
+            node = _node(start, self.val)
+            self._succeed(node)  # type: ignore[no-untyped-call]
+
+    def _member_(self) -> None:  # noqa: WPS116, WPS120
+        start = self.pos
+        super()._member_()  # type: ignore[no-untyped-call]
+        if not self.failed:
+            member = _member(start, self.val)
+            self._succeed(member)  # type: ignore[no-untyped-call]
+
+
+def _node(offset: int, tree: Any) -> Node:
+    if isinstance(tree, str):
+        return ScalarNode(offset, _LITERAL_BY_WORD[tree])
+    kind, content = tree
+    if kind == 'object':
+        return ObjectNode(offset, tuple(content))
+    if kind == 'array':
+        return ListNode(offset, tuple(content))
+    if kind == 'number':
+        return ScalarNode(offset, _number(content))
+    return ScalarNode(offset, content)
+
+
+def _member(offset: int, pair: Any) -> Member:
+    name, node = pair
+    return Member(offset, name, node)
+
+
+def _number(text: str) -> int | float:
+    if 'x' in text.lower():
+        return int(text, base=_HEXADECIMAL)
+    try:
+        return int(text)
+    except ValueError:
+        return float(text.replace('Infinity', 'inf'))
+
+
+def _line_starts(text: str) -> list[int]:
+    return [0, *_after_newlines(text)]
+
+
+def _after_newlines(text: str) -> Iterator[int]:
+    for offset, letter in enumerate(text):
+        if letter == '\n':
+            yield offset + 1
+
+
+def _fault_at(line_starts: list[int], offset: int, sentence: str) -> Fault:
+    line = bisect.bisect_right(line_starts, offset)
+    column = offset - line_starts[line - 1] + 1
+    return Fault(line, column, sentence)
+
+
+def _syntax_sentence(text: str, position: int) -> str:
+    if position >= len(text):
+        return 'The text ends too early.'
+    return f'This is no JSON with comments: unexpected {text[position]!r}.'
--- /dev/null
+++ b/cassialever/formats.py
@@ -0,0 +1,160 @@
+"""Annotations for fields that operators write: units and forms of text."""
+
+import enum
+import ipaddress
+import re
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Annotated, Final, TypeAlias
+from urllib.parse import SplitResult, urlsplit
+
+from msgspec import Meta
+
+from cassialever.types import Seconds
+
+UNIT: Final = 'unit'
+FORMAT: Final = 'format'
+SECRET: Final = 'secret'
+
+HIGHEST_PORT: Final = 65_535
+LONGEST_NAME: Final = 64
+LONGEST_DURATION_SECONDS: Final = 600
+LONGEST_DURATION_MS: Final = 3_600_000
+SHORTEST_SECRET: Final = 16
+
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*')
+_HEADER = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+
+
+class Format(enum.Enum):
+    """Forms that a text can be held to."""
+
+    name = 'name'
+    header = 'header'
+    ip_address = 'ip_address'
+    ip_and_port = 'ip_and_port'
+    base_url = 'base_url'
+    optional_url = 'optional_url'
+
+
+def format_fault(text_format: Format | None, text: str) -> str:
+    """Return what is wrong with a text, or an empty text."""
+    if text_format is None or _ACCEPTS_BY_FORMAT[text_format](text):
+        return ''
+    return f'Expected {_NOUN_BY_FORMAT[text_format]}.'
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of an `ip_and_port` text."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def _is_name(text: str) -> bool:
+    return len(text) <= LONGEST_NAME and bool(_NAME.fullmatch(text))
+
+
+def _is_header(text: str) -> bool:
+    return len(text) <= LONGEST_NAME and bool(_HEADER.fullmatch(text))
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_ip_and_port(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    if not port.isascii() or not port.isdigit():
+        return False
+    if not 0 < int(port) <= HIGHEST_PORT:
+        return False
+    bare = host.removeprefix('[').removesuffix(']')
+    return _is_ip(bare) and (':' in bare) == (bare != host)
+
+
+def _is_base_url(text: str) -> bool:
+    try:
+        return _names_ip_number(urlsplit(text))
+    except ValueError:
+        return False
+
+
+def _names_ip_number(parts: SplitResult) -> bool:
+    if parts.scheme not in {'http', 'https'}:
+        return False
+    if parts.port == 0 or parts.username is not None:
+        return False
+    return _is_ip(parts.hostname or '')
+
+
+def _is_optional_url(text: str) -> bool:
+    return not text or _is_base_url(text)
+
+
+_Accepts: TypeAlias = Callable[[str], bool]
+_ACCEPTS_BY_FORMAT: Final[Mapping[Format, _Accepts]] = MappingProxyType(
+    {
+        Format.name: _is_name,
+        Format.header: _is_header,
+        Format.ip_address: _is_ip,
+        Format.ip_and_port: _is_ip_and_port,
+        Format.base_url: _is_base_url,
+        Format.optional_url: _is_optional_url,
+    }
+)
+_NOUN_BY_FORMAT: Final[Mapping[Format, str]] = MappingProxyType(
+    {
+        Format.name: (
+            'a name of at most 64 letters, digits, dots, dashes and underscores'
+        ),
+        Format.header: "a header's name, such as X-Certificate",
+        Format.ip_address: 'an IP number, such as 10.0.0.1',
+        Format.ip_and_port: 'an IP number and a port, such as 10.0.0.1:8080',
+        Format.base_url: 'a URL by IP number, such as http://10.0.0.1:9000',
+        Format.optional_url: (
+            'a URL by IP number, such as http://10.0.0.1:4318, or an empty text'
+        ),
+    }
+)
+
+#: The form of the names and ids in settings and in the catalogue.
+NAME: Final = Meta(extra={FORMAT: Format.name})
+#: The form of a header's name.
+HEADER: Final = Meta(extra={FORMAT: Format.header})
+
+Port: TypeAlias = Annotated[int, Meta(ge=0, le=HIGHEST_PORT)]
+Count: TypeAlias = Annotated[int, Meta(ge=1)]
+Amount: TypeAlias = Annotated[int, Meta(ge=0)]
+Share: TypeAlias = Annotated[float, Meta(ge=0, le=1)]
+ByteCount: TypeAlias = Annotated[int, Meta(ge=1, extra={UNIT: 'bytes'})]
+Milliseconds: TypeAlias = Annotated[
+    int,
+    Meta(ge=1, le=LONGEST_DURATION_MS, extra={UNIT: 'milliseconds'}),
+]
+Duration: TypeAlias = Annotated[
+    Seconds,
+    Meta(gt=0, le=LONGEST_DURATION_SECONDS, extra={UNIT: 'seconds'}),
+]
+Delay: TypeAlias = Annotated[
+    Seconds,
+    Meta(ge=0, le=LONGEST_DURATION_SECONDS, extra={UNIT: 'seconds'}),
+]
+Owner: TypeAlias = Annotated[str, Meta(min_length=1)]
+IpAddress: TypeAlias = Annotated[str, Meta(extra={FORMAT: Format.ip_address})]
+IpAndPort: TypeAlias = Annotated[
+    str,
+    Meta(extra={FORMAT: Format.ip_and_port}),
+]
+BaseUrl: TypeAlias = Annotated[str, Meta(extra={FORMAT: Format.base_url})]
+OptionalUrl: TypeAlias = Annotated[
+    str,
+    Meta(extra={FORMAT: Format.optional_url}),
+]
+Secret: TypeAlias = Annotated[
+    str,
+    Meta(min_length=SHORTEST_SECRET, extra={SECRET: True}),
+]
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,97 @@
+"""Tests of cassialever.settings and the reading of documents."""
+
+import pathlib
+import unittest
+
+from cassialever.documents import Document, parse_document
+from cassialever.nodes import plain
+from cassialever.settings import Settings, load_settings
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+
+FAULTY = """{
+  // Five faults, one of them a secret.
+  "instance": {
+    "id": "entry 1",
+    "data_centre": "karaganda-1",
+    "address": "host.example",
+    "colour": "red",
+  },
+  "platform": {
+    "table_url": "http://127.0.0.1:9100",
+    "instances_url": "http://127.0.0.1:9101",
+    "timeout_seconds": "1000ms",
+  },
+  "security": {"fleet_key": "hunter2", "operator_credential": "x" },
+  "leases": {"heartbeat": 250000},
+}
+"""
+
+
+class TestDocuments(unittest.TestCase):
+    """JSON with comments, and the places of its values."""
+
+    def test_values_and_their_places(self) -> None:
+        """The parser's own rules still give names and offsets."""
+        text = '{a: [1, 0x10, -2.5e1], // c\n "b": {c: null, d: true}}'
+        document = parse_document(text)
+        assert isinstance(document, Document)
+        self.assertEqual(
+            plain(document.root),
+            {'a': [1, 16, -25.0], 'b': {'c': None, 'd': True}},
+        )
+        place = document.fault_at(('b', 'd'), '')
+        self.assertEqual((place.line, place.column), (2, 20))
+        place = document.fault_at(('a', 2, 'gone'), '')
+        self.assertEqual((place.line, place.column), (1, 15))
+
+    def test_bad_text(self) -> None:
+        """Text that is no JSON gives one fault at its place."""
+        for text, line, column in (
+            ('{"a": 1,\n "b" 2}', 2, 6),
+            ('{"a": ', 1, 7),
+            ('', 1, 1),
+            ('{"a": 1} trailing', 1, 10),
+            ('[' * 5000, 1, 1),
+        ):
+            with self.subTest(text=text[:20]):
+                faults = parse_document(text)
+                assert isinstance(faults, list)
+                place = (faults[0].line, faults[0].column)
+                self.assertEqual(place, (line, column))
+
+
+class TestSettings(unittest.TestCase):
+    """Reading settings."""
+
+    def test_examples(self) -> None:
+        """Every example can be used."""
+        for path in EXAMPLES.glob('*.settings.jsonc'):
+            with self.subTest(path=path.name):
+                settings = load_settings(path.read_text())
+                self.assertIsInstance(settings, Settings)
+
+    def test_every_fault_at_once(self) -> None:
+        """Each fault has its line and column, and no secret is shown."""
+        faults = load_settings(FAULTY)
+        assert isinstance(faults, list)
+        places = [(fault.line, fault.column) for fault in faults]
+        self.assertEqual(
+            places,
+            [(4, 11), (6, 16), (7, 5), (12, 24), (14, 29), (14, 63), (15, 27)],
+        )
+        sentences = ' '.join(fault.sentence for fault in faults)
+        self.assertIn('a number of seconds, found a text', sentences)
+        self.assertIn('"colour" is not known here', sentences)
+        self.assertNotIn('hunter2', sentences)
+
+    def test_values_that_must_fit_each_other(self) -> None:
+        """A heartbeat longer than its term is named at the heartbeat."""
+        text = (EXAMPLES / 'qazaq-coldline.settings.jsonc').read_text()
+        text = text.replace('"caller_port": 8080', '"caller_port": 8081')
+        text = text.rstrip().removesuffix('}')
+        faults = load_settings(f'{text}"leases": {{"heartbeat": 0.9}}}}')
+        assert isinstance(faults, list)
+        self.assertEqual(len(faults), 2)
+        self.assertIn('same port', faults[0].sentence)
+        self.assertIn('heartbeat', faults[1].sentence)
