--- /dev/null
+++ b/cassialever/instances.py
@@ -0,0 +1,68 @@
+"""The client of the platform's list of live and leaving instances."""
+
+import asyncio
+import enum
+from collections.abc import Mapping
+
+import aiohttp
+import msgspec
+
+from cassialever.errors import ErrorKind, Failure
+from cassialever.settings import PlatformSettings
+from cassialever.types import DataCentreId, InstanceId
+
+INSTANCES_PATH = '/v1/instances'
+
+
+class InstanceState(enum.Enum):
+    """What the platform says of an instance; it lags behind reality."""
+
+    live = 'live'
+    leaving = 'leaving'
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """One entry instance, as the platform lists it."""
+
+    instance_id: InstanceId
+    data_centre: DataCentreId
+    address: str
+    peer_port: int
+    state: InstanceState = InstanceState.live
+    rack: str = ''
+
+
+class InstanceList:
+    """Ask the platform for its list over HTTP."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Take the settings; `start` opens the session."""
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session."""
+        timeout = aiohttp.ClientTimeout(total=self._settings.timeout_seconds)
+        self._session = aiohttp.ClientSession(
+            self._settings.instances_url,
+            timeout=timeout,
+        )
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self._session:
+            await self._session.close()
+            self._session = None
+
+    async def fetch(self) -> Mapping[InstanceId, Instance] | Failure:
+        """Return the platform's list."""
+        if self._session is None:
+            return Failure(ErrorKind.internal, 'the list is not started')
+        try:
+            async with self._session.get(INSTANCES_PATH) as response:
+                response.raise_for_status()
+                content = await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return Failure(ErrorKind.internal, repr(error))
+        instances = msgspec.json.decode(content, type=list[Instance])
+        return {instance.instance_id: instance for instance in instances}
--- /dev/null
+++ b/cassialever/intake.py
@@ -0,0 +1,193 @@
+"""Read a caller's request: its service, key, caller, deadline and id.
+
+No input or output here: the front passes in what aiohttp has parsed.
+"""
+
+import re
+import uuid
+from collections.abc import Mapping
+from typing import Final
+
+import msgspec
+
+from cassialever.catalogue import CallerEntry, CatalogueIndex, ServiceEntry
+from cassialever.errors import ErrorKind, Failure
+from cassialever.messages import NO_SLICE
+from cassialever.routing import slice_of
+from cassialever.types import (
+    CallerId,
+    Headers,
+    Key,
+    RequestId,
+    RoutingClass,
+    ServiceName,
+    SliceIndex,
+)
+
+CALLER_HEADER: Final = 'X-Cassialever-Caller'
+DEADLINE_HEADER: Final = 'X-Cassialever-Deadline-Ms'
+REQUEST_ID_HEADER: Final = 'X-Cassialever-Request-Id'
+
+_REQUEST_ID = re.compile('[A-Za-z0-9._-]{8,64}')
+_DEADLINE = re.compile('[0-9]{1,9}')
+
+
+class RawRequest(msgspec.Struct, frozen=True):
+    """What the front knows of a request before it reads the body."""
+
+    method: str
+    path: str
+    query: str
+    header_by_name: Mapping[str, str]
+    headers: Headers
+    body_length: int | None
+
+
+class Intake(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that is fit to be routed.
+
+    `id_minted` says that the caller sent no id, so that a second try of its
+    own can't be told from a new request.
+    """
+
+    service: ServiceEntry
+    caller: CallerEntry
+    request_id: RequestId
+    id_minted: bool
+    method: str
+    path: str
+    headers: Headers
+    timeout_ms: int
+    repeatable: bool
+    has_body: bool
+    key: Key = Key('')
+    slice_index: SliceIndex = NO_SLICE
+
+
+def mint_request_id() -> RequestId:
+    """Return a new request id."""
+    return RequestId(uuid.uuid4().hex)
+
+
+def request_id_of(raw: RawRequest) -> RequestId | Failure:
+    """Return the caller's request id, or a new one."""
+    given = raw.header_by_name.get(REQUEST_ID_HEADER)
+    if given is None:
+        return mint_request_id()
+    if _REQUEST_ID.fullmatch(given):
+        return RequestId(given)
+    return Failure(
+        ErrorKind.malformed_request_id,
+        'a request id is 8 to 64 letters, digits, dots, dashes or underscores',
+    )
+
+
+def read_request(
+    raw: RawRequest,
+    index: CatalogueIndex,
+    request_id: RequestId,
+) -> Intake | Failure:
+    """Return a request fit to be routed, or why it is refused."""
+    service = _service_of(raw, index)
+    if isinstance(service, Failure):
+        return service
+    caller = _caller_of(raw, index)
+    if isinstance(caller, Failure):
+        return caller
+    if raw.body_length and raw.body_length > service.limits.body_bytes:
+        return body_too_large(service)
+    timeout_ms = _timeout_of(raw, service)
+    if isinstance(timeout_ms, Failure):
+        return timeout_ms
+    key = _key_of(raw, service)
+    if isinstance(key, Failure):
+        return key
+    return Intake(
+        service=service,
+        caller=caller,
+        request_id=request_id,
+        id_minted=REQUEST_ID_HEADER not in raw.header_by_name,
+        method=raw.method,
+        path=f'{raw.path}?{raw.query}' if raw.query else raw.path,
+        headers=raw.headers,
+        timeout_ms=timeout_ms,
+        repeatable=raw.method in service.repeatable_methods,
+        has_body=raw.body_length != 0,
+        key=key,
+        slice_index=slice_of(key, service.slices) if key else NO_SLICE,
+    )
+
+
+def body_too_large(service: ServiceEntry) -> Failure:
+    """Refuse a body over the service's limit."""
+    return Failure(
+        ErrorKind.body_too_large,
+        f'a body may have {service.limits.body_bytes} bytes',
+        service.ref(),
+    )
+
+
+def _service_of(
+    raw: RawRequest,
+    index: CatalogueIndex,
+) -> ServiceEntry | Failure:
+    name = raw.path.removeprefix('/').partition('/')[0]
+    service = index.service_by_name.get(ServiceName(name))
+    if service:
+        return service
+    return Failure(
+        ErrorKind.unknown_service,
+        'the first part of the path names no service of the catalogue',
+    )
+
+
+def _caller_of(raw: RawRequest, index: CatalogueIndex) -> CallerEntry | Failure:
+    name = raw.header_by_name.get(CALLER_HEADER, '')
+    caller = index.caller(CallerId(name))
+    if caller:
+        return caller
+    return Failure(
+        ErrorKind.unknown_caller,
+        'neither this caller nor `default` has an entry in the catalogue',
+    )
+
+
+def _timeout_of(raw: RawRequest, service: ServiceEntry) -> int | Failure:
+    given = raw.header_by_name.get(DEADLINE_HEADER)
+    if given is None:
+        return service.limits.default_timeout_ms
+    if _DEADLINE.fullmatch(given) and int(given):
+        return min(int(given), service.limits.longest_timeout_ms)
+    return Failure(
+        ErrorKind.malformed_deadline,
+        'a deadline is a whole number of milliseconds from 1',
+    )
+
+
+def _key_of(raw: RawRequest, service: ServiceEntry) -> Key | Failure:
+    if service.routing is RoutingClass.any_target:
+        return Key('')
+    rule = service.key_rule
+    key = raw.header_by_name.get(rule.header, '')
+    if not key and rule.path_segment is not None:
+        key = _path_segment(raw.path, rule.path_segment)
+    if not key:
+        return Failure(
+            ErrorKind.missing_key,
+            f'the header {rule.header} is missing',
+            service.ref(),
+        )
+    if len(key.encode()) > service.limits.key_bytes:
+        return Failure(
+            ErrorKind.key_too_long,
+            f'a key may have {service.limits.key_bytes} bytes',
+            service.ref(),
+        )
+    return Key(key)
+
+
+def _path_segment(path: str, index: int) -> str:
+    segments = path.strip('/').split('/')[1:]
+    if index < len(segments):
+        return segments[index]
+    return ''
