--- a/cassialever/interfaces.py
+++ b/cassialever/interfaces.py
@@ -41,7 +41,7 @@
     def random(self) -> float:
         """Return a number of at least 0 and under 1."""
 
-    def randrange(self, stop: int) -> int:
+    def randrange(self, stop: int, /) -> int:
         """Return a whole number of at least 0 and under `stop`."""
 
 
--- /dev/null
+++ b/cassialever/placement.py
@@ -0,0 +1,93 @@
+"""What this daemon believes of the catalogue, of owners and of holders."""
+
+from collections.abc import Sequence
+
+from cassialever.catalogue import CatalogueIndex, ServiceEntry, TargetEntry
+from cassialever.errors import ErrorKind, Failure
+from cassialever.routing import RoutingMap
+from cassialever.types import (
+    DataCentreId,
+    InstanceId,
+    ServiceName,
+    SliceIndex,
+    TargetId,
+)
+
+#: When a key without an owner is likely to have one again, in seconds.
+OWNER_RETRY_SECONDS = 1
+
+
+class Placement:
+    """Answer where a request may go; every answer is a hint."""
+
+    def __init__(self, data_centre: DataCentreId) -> None:
+        """Start with no catalogue and no maps."""
+        self.data_centre = data_centre
+        self.index: CatalogueIndex | None = None
+        self.map_by_data_centre: dict[DataCentreId, RoutingMap] = {}
+
+    def adopt_catalogue(self, index: CatalogueIndex) -> bool:
+        """Take a catalogue with a higher version; say whether it was."""
+        if self.index and index.version <= self.index.version:
+            return False
+        self.index = index
+        return True
+
+    def adopt_map(
+        self,
+        data_centre: DataCentreId,
+        routing_map: RoutingMap,
+    ) -> bool:
+        """Take a map with a higher epoch; say whether it was."""
+        known = self.map_by_data_centre.get(data_centre)
+        if known and routing_map.epoch <= known.epoch:
+            return False
+        self.map_by_data_centre[data_centre] = routing_map
+        return True
+
+    def target(self, target_id: TargetId) -> TargetEntry | None:
+        """Return a target's entry."""
+        return self.index.target_by_id.get(target_id) if self.index else None
+
+    def holder(self, target_id: TargetId) -> InstanceId | None:
+        """Return the instance that holds a target's lease, if known."""
+        for routing_map in self.map_by_data_centre.values():
+            holder = routing_map.holder(target_id)
+            if holder is not None:
+                return holder
+        return None
+
+    def owner(
+        self,
+        service: ServiceEntry,
+        slice_index: SliceIndex,
+    ) -> TargetId | Failure:
+        """Return the target that owns a slice of a keyed service."""
+        for routing_map in self.map_by_data_centre.values():
+            owner = routing_map.owner(service.name, slice_index)
+            if owner is not None:
+                return owner
+        return Failure(
+            ErrorKind.no_owner,
+            f'slice {slice_index} of {service.name} has no owner just now',
+            service.ref(),
+            retry_after=OWNER_RETRY_SECONDS,
+        )
+
+    def candidates(self, service: ServiceName) -> Sequence[TargetEntry]:
+        """Return the targets that may take new work of a service.
+
+        Those of this data centre alone, as long as it has any.
+        """
+        if self.index is None:
+            return ()
+        able = [
+            target
+            for target in self.index.targets_by_service.get(service, ())
+            if self.index.is_out(target) is None
+            and self.holder(target.target_id)
+        ]
+        local = [
+            target for target in able if target.data_centre == self.data_centre
+        ]
+        return local or able
