--- a/cassialever/routing.py
+++ b/cassialever/routing.py
@@ -4,11 +4,12 @@
 only the holder of a target's lease sends to it.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
+from typing import Protocol
 
 import msgspec
-import xxhash
 
+from cassialever.slices import Place, SliceMap, hash_of, slice_of_hash
 from cassialever.types import (
     Epoch,
     Fence,
@@ -19,25 +20,41 @@
     TargetId,
 )
 
-HASH_BITS = 64
-
 
 def slice_of(key: Key, slices: int) -> SliceIndex:
-    """Return the slice of a key, out of a number of slices.
+    """Return the base slice of a key, out of a number of slices."""
+    return slice_of_hash(hash_of(key), slices)
 
-    The slice is the hash's share of the whole range, so that neighbouring
-    hashes share a slice and a split keeps its halves side by side.
-    """
-    digest = xxhash.xxh3_64_intdigest(key.encode())
-    return SliceIndex((digest * slices) >> HASH_BITS)
+
+class Owners(Protocol):
+    """The owner of each slice: a tuple, a list or a `SliceMap`."""
+
+    def __len__(self) -> int:
+        """Count the slices."""
+
+    def __getitem__(self, slice_index: int, /) -> TargetId | None:
+        """Return the owner of a slice, if it has one."""
 
 
 class ServiceMap(msgspec.Struct, frozen=True):
-    """Owners of one keyed service's slices, and the fence they stand under."""
+    """Owners of one keyed service's slices, and the fence they stand under.
 
-    owner_by_slice: Sequence[TargetId | None]
+    With a `SliceMap` as owners, hot keys and the fence of each group count;
+    with any other sequence, all slices are base slices under `fence`.
+    """
+
+    owner_by_slice: Owners
     fence: Fence
 
+    def locate(self, key: Key) -> Place:
+        """Return where a key stands, hot keys first."""
+        key_hash = hash_of(key)
+        owners = self.owner_by_slice
+        if isinstance(owners, SliceMap):
+            return owners.place(key_hash)
+        slice_index = slice_of_hash(key_hash, len(owners))
+        return Place(slice_index, owners[slice_index], self.fence)
+
 
 class RoutingMap(msgspec.Struct, frozen=True):
     """One data centre's view of owners and holders at one epoch."""
@@ -46,6 +63,11 @@
     map_by_service: Mapping[ServiceName, ServiceMap]
     holder_by_target: Mapping[TargetId, InstanceId]
 
+    def locate(self, service: ServiceName, key: Key) -> Place | None:
+        """Return where a key of a service stands, if its map is known."""
+        service_map = self.map_by_service.get(service)
+        return service_map.locate(key) if service_map else None
+
     def owner(
         self,
         service: ServiceName,
