Run the whole path, thin, from a caller to a target and back

A daemon is one application object; a thin fleet assigns holders and owners through one table row per data centre. The demo runs both deployments on embedded stand-ins; the daemon also runs alone against stand-ins in another shell.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 $(STAMP): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
 .PHONY: env test demo lint format
--- /dev/null
+++ b/cassialever/daemon.py
@@ -0,0 +1,50 @@
+"""The daemon's command line: `cassialeverd --settings FILE`."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import cyclopts
+
+from cassialever.application import Application
+from cassialever.settings import Settings, load_settings
+
+EXIT_SETTINGS = 2
+
+app = cyclopts.App(
+    name='cassialeverd',
+    help='Run one cassialever daemon until it is told to stop.',
+)
+
+
+@app.default
+def run(*, settings: Path) -> None:
+    """Run the daemon.
+
+    Parameters
+    ----------
+    settings
+        The settings file, JSON with comments.
+    """
+    loaded = load_settings(settings.read_text())
+    if not isinstance(loaded, Settings):
+        for fault in loaded:
+            sys.stderr.write(f'{settings}: {fault}\n')
+        sys.exit(EXIT_SETTINGS)
+    asyncio.run(serve(loaded))
+
+
+async def serve(settings: Settings) -> None:
+    """Run one daemon until SIGTERM or SIGINT; a second one ends at once."""
+    application = Application(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, application.ask_to_stop)
+    await application.start()
+    await application.run_until_stopped()
+
+
+def main() -> None:
+    """Enter the daemon."""
+    app()
--- a/cassialever/fleet.py
+++ b/cassialever/fleet.py
@@ -9,7 +9,13 @@
 
 import msgspec
 
-from cassialever.catalogue import Catalogue, CatalogueIndex, TargetEntry
+from cassialever.catalogue import (
+    Catalogue,
+    CatalogueIndex,
+    ServiceEntry,
+    TargetEntry,
+)
+from cassialever.dialling import PeerAddress
 from cassialever.errors import Failure
 from cassialever.events import Event, record
 from cassialever.instances import Instance, InstanceList, InstanceState
@@ -22,8 +28,8 @@
     TableClient,
     Transaction,
 )
-from cassialever.leases import HeldLeases, TargetLease
-from cassialever.placement import Placement
+from cassialever.leases import TargetLease
+from cassialever.request_path import RequestPath
 from cassialever.routing import RoutingMap, ServiceMap
 from cassialever.settings import Settings
 from cassialever.types import (
@@ -47,7 +53,22 @@
     """One data centre's coordinator, its holders and its owners."""
 
     coordinator: InstanceId
-    routing_map: RoutingMap
+    epoch: Epoch
+    holder_by_target: dict[TargetId, InstanceId]
+    owners_by_service: dict[ServiceName, tuple[TargetId | None, ...]]
+
+    def routing_map(self) -> RoutingMap:
+        """Return the row as requests are routed by it."""
+        fence = Fence(self.epoch)
+        maps = {
+            name: ServiceMap(owners, fence)
+            for name, owners in self.owners_by_service.items()
+        }
+        return RoutingMap(self.epoch, maps, self.holder_by_target)
+
+    def says_the_same(self, other: 'MapRow') -> bool:
+        """Say whether two rows differ in their epoch alone."""
+        return msgspec.structs.replace(self, epoch=other.epoch) == other
 
 
 class Fleet:
@@ -58,16 +79,16 @@
         settings: Settings,
         table: TableClient,
         instances: InstanceList,
-        placement: Placement,
-        leases: HeldLeases,
+        path: RequestPath,
         clock: Clock,
     ) -> None:
         """Take the platform's services and what is to be kept up to date."""
         self._settings = settings
         self._table = table
         self._instances = instances
-        self._placement = placement
-        self._leases = leases
+        self._placement = path.placement
+        self._leases = path.leases
+        self._addresses = path.peers.address_by_instance
         self._clock = clock
         self._task: asyncio.Task[None] | None = None
         self.instance_by_id: dict[InstanceId, Instance] = {}
@@ -87,7 +108,7 @@
         asked_at = self._clock.monotonic()
         listed = await self._instances.fetch()
         if not isinstance(listed, Failure):
-            self.instance_by_id = dict(listed)
+            self._adopt_instances(dict(listed))
         rows = await self._table.read([CATALOGUE_ROW])
         maps = await self._table.scan(MAP_PREFIX)
         if isinstance(rows, Failure) or isinstance(maps, Failure):
@@ -106,6 +127,12 @@
     def _map_row(self) -> RowName:
         return RowName(f'{MAP_PREFIX}{self._settings.instance.data_centre}')
 
+    def _adopt_instances(self, by_id: dict[InstanceId, Instance]) -> None:
+        self.instance_by_id = by_id
+        for instance_id, instance in by_id.items():
+            address = PeerAddress(instance.address, instance.peer_port)
+            self._addresses[instance_id] = address
+
     def _adopt_catalogue(self, row: Row | None) -> None:
         if row is None:
             return
@@ -116,10 +143,10 @@
     def _adopt_map(self, row: Row, asked_at: Seconds) -> None:
         map_row = msgspec.json.decode(row.body, type=MapRow)
         data_centre = DataCentreId(row.name.removeprefix(MAP_PREFIX))
-        self._placement.adopt_map(data_centre, map_row.routing_map)
+        self._placement.adopt_map(data_centre, map_row.routing_map())
         ends = asked_at + self._settings.leases.target_term
-        fence = Fence(map_row.routing_map.epoch)
-        for target_id, holder in map_row.routing_map.holder_by_target.items():
+        fence = Fence(map_row.epoch)
+        for target_id, holder in map_row.holder_by_target.items():
             if holder != self._settings.instance.instance_id:
                 continue
             lease = TargetLease(target_id, fence, ends)
@@ -129,31 +156,25 @@
         wanted = self._wanted_map(row)
         if wanted is None:
             return
-        body = msgspec.json.encode(
-            MapRow(self._settings.instance.instance_id, wanted),
-        )
+        body = msgspec.json.encode(wanted)
         write = RowWrite(self._map_row(), row.version if row else ABSENT, body)
         change_id = ChangeId(uuid.uuid4().hex)
         outcome = await self._table.commit(Transaction(change_id, (write,)))
         if isinstance(outcome, Committed):
             record(Event.lease_granted, row=write.name, epoch=wanted.epoch)
 
-    def _wanted_map(self, row: Row | None) -> RoutingMap | None:
+    def _wanted_map(self, row: Row | None) -> MapRow | None:
         index = self._placement.index
-        if index is None:
-            return None
+        own = self._settings.instance
         instances = self._local_instances()
-        if not instances or instances[0] != self._settings.instance.instance_id:
+        if index is None or not instances:
+            return None
+        if instances[0] != own.instance_id:
             return None
         epoch = Epoch(row.version + 1 if row else 1)
-        wanted = _assign(
-            index,
-            self._settings.instance.data_centre,
-            instances,
-            epoch,
-        )
+        wanted = _assign(index, own.data_centre, instances, epoch)
         known = msgspec.json.decode(row.body, type=MapRow) if row else None
-        if known and _same(known.routing_map, wanted):
+        if known and known.says_the_same(wanted):
             return None
         return wanted
 
@@ -166,23 +187,12 @@
         )
 
 
-def _same(known: RoutingMap, wanted: RoutingMap) -> bool:
-    same_holders = known.holder_by_target == wanted.holder_by_target
-    owners = {
-        name: part.owner_by_slice for name, part in known.map_by_service.items()
-    }
-    return same_holders and owners == {
-        name: part.owner_by_slice
-        for name, part in wanted.map_by_service.items()
-    }
-
-
 def _assign(
     index: CatalogueIndex,
     data_centre: DataCentreId,
     instances: list[InstanceId],
     epoch: Epoch,
-) -> RoutingMap:
+) -> MapRow:
     local = [
         target
         for target in index.catalogue.targets
@@ -192,34 +202,32 @@
         target.target_id: instances[place % len(instances)]
         for place, target in enumerate(local)
     }
-    maps = {
-        service.name: _service_map(index, service.name, data_centre, epoch)
+    owners = {
+        service.name: _owners(index, service, data_centre)
         for service in index.catalogue.services
         if service.routing is RoutingClass.keyed
     }
-    return RoutingMap(epoch, maps, holders)
+    return MapRow(instances[0], epoch, holders, owners)
 
 
-def _service_map(
+def _owners(
     index: CatalogueIndex,
-    service: ServiceName,
+    service: ServiceEntry,
     data_centre: DataCentreId,
-    epoch: Epoch,
-) -> ServiceMap:
-    slices = index.service_by_name[service].slices
+) -> tuple[TargetId | None, ...]:
     able = [
         target
-        for target in index.targets_by_service.get(service, ())
+        for target in index.targets_by_service.get(service.name, ())
         if index.is_out(target) is None
     ]
     owners: list[TargetId | None] = []
-    for slice_index in range(slices):
+    for slice_index in range(service.slices):
         if not able:
             owners.append(None)
             continue
-        place = slice_index * len(able) // slices
+        place = slice_index * len(able) // service.slices
         owners.append(_local_id(able[place], data_centre))
-    return ServiceMap(owners, Fence(epoch))
+    return tuple(owners)
 
 
 def _local_id(
--- a/cassialever/misc.py
+++ b/cassialever/misc.py
@@ -1,15 +1,43 @@
 """Small helpers that belong to no one module."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
 
 from aiohttp import web
 
+from cassialever.events import Event, record
+
 
 async def one_chunk(body: bytes) -> AsyncIterator[bytes]:
     """Yield a body that is already whole."""
     yield body
 
 
+class BackgroundTasks:
+    """Tasks that nobody awaits, kept until they have ended."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def add(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Start a task; a failure of it is logged."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def cancel(self) -> None:
+        """Cancel those that have not ended."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            record(Event.task_failed, error=repr(task.exception()))
+
+
 class ServerSite:
     """An aiohttp application or server, listening at one address."""
 
--- a/cassialever/placement.py
+++ b/cassialever/placement.py
@@ -49,6 +49,10 @@
         """Return a target's entry."""
         return self.index.target_by_id.get(target_id) if self.index else None
 
+    def service(self, name: ServiceName) -> ServiceEntry | None:
+        """Return a service's entry."""
+        return self.index.service_by_name.get(name) if self.index else None
+
     def holder(self, target_id: TargetId) -> InstanceId | None:
         """Return the instance that holds a target's lease, if known."""
         for routing_map in self.map_by_data_centre.values():
--- a/cassialever/router.py
+++ b/cassialever/router.py
@@ -109,19 +109,16 @@
         routed.target_id = target_id
         routed.holder = holder
         head = _head(intake, target_id, time_left, routed.attempts)
+        chunks = one_chunk(body) if intake.has_body else None
         if holder is None:
             routed.outcome = Failure(
                 ErrorKind.no_owner,
                 f'no instance holds the lease of {target_id}',
             )
         elif holder == self._instance_id:
-            routed.outcome = await self._local.handle(head, one_chunk(body))
+            routed.outcome = await self._local.handle(head, chunks)
         else:
-            routed.outcome = await self._peers.call(
-                holder,
-                head,
-                one_chunk(body),
-            )
+            routed.outcome = await self._peers.call(holder, head, chunks)
 
 
 def _goes_elsewhere(outcome: HolderAnswer | Failure) -> bool:
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,114 @@
+"""The demo: both deployments at their sizes of today, in one process."""
+
+import asyncio
+import sys
+from pathlib import Path
+from types import MappingProxyType
+
+from hdrh.histogram import HdrHistogram
+from rich.console import Console
+from rich.table import Table
+
+from cassialever.catalogue import Catalogue
+from cassialever.catalogue_check import load_catalogue
+from cassialever.types import ServiceName
+from standins.deployment import Deployment
+from standins.load import Load, LoadPlan, ServiceOutcome
+
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+MILLISECONDS = 1000
+REQUESTS = 4_000
+CALLERS = 24
+PLAN = LoadPlan(requests=REQUESTS, callers=CALLERS)
+DAEMONS_BY_DEPLOYMENT = MappingProxyType(
+    {
+        'qazaq-coldline': 3,
+        'tarifa-justa': 2,
+    }
+)
+
+WIDTH = 110
+#: Shares of the latency that are printed, in percent.
+SHARES = (50, 99, 100)
+console = Console(width=WIDTH)
+
+
+async def show(deployment_name: str) -> None:
+    """Run one deployment, send requests through it and print the outcome."""
+    path = EXAMPLES / f'{deployment_name}.catalogue.jsonc'
+    catalogue = load_catalogue(path.read_text())
+    if not isinstance(catalogue, Catalogue):
+        sys.exit('\n'.join(str(fault) for fault in catalogue))
+    deployment = Deployment(catalogue, DAEMONS_BY_DEPLOYMENT[deployment_name])
+    await deployment.start()
+    await deployment.settled()
+    console.rule(_title(deployment_name, deployment))
+    load = Load(catalogue, PLAN)
+    await load.run(
+        [
+            (instance_id, daemon.front.url)
+            for instance_id, daemon in deployment.daemon_by_id.items()
+        ]
+    )
+    console.print(outcome_table(load))
+    console.print(limits_line(deployment))
+    await deployment.stop()
+
+
+def outcome_table(load: Load) -> Table:
+    """Return the table of answers, owners, hops and latency."""
+    table = Table()
+    for title in ('service', 'answers', 'targets', 'hops', 'p50', 'p99', 'max'):
+        table.add_column(title)
+    for service, outcome in load.outcome_by_service.items():
+        table.add_row(*_row(service, outcome))
+    return table
+
+
+def limits_line(deployment: Deployment) -> str:
+    """Say whether any target was ever given more than its slots."""
+    over = [
+        target.target_id
+        for target in deployment.platform.target_by_id.values()
+        if target.peak > target.behaviour.slots
+    ]
+    if over:
+        return f'Targets over their limit: {", ".join(over)}'
+    return 'No target was given more than its slots.'
+
+
+def _title(deployment_name: str, deployment: Deployment) -> str:
+    catalogue = deployment.platform.catalogue
+    return (
+        f'{deployment_name}: {len(deployment.daemon_by_id)} daemons,'
+        f' {len(catalogue.targets)} targets,'
+        f' {len(catalogue.data_centres)} data centres'
+    )
+
+
+def _row(service: ServiceName, outcome: ServiceOutcome) -> list[str]:
+    answers = [f'{count} x {name}' for name, count in outcome.answers.items()]
+    hops = [f'{count} x {hop}' for hop, count in sorted(outcome.hops.items())]
+    quantiles = [_quantile(outcome.latency, share) for share in SHARES]
+    return [
+        service,
+        '\n'.join(answers),
+        f'{len(outcome.targets)} used, mixed up {outcome.mixed_up}',
+        '\n'.join(hops),
+        *quantiles,
+    ]
+
+
+def _quantile(latency: HdrHistogram, share: int) -> str:
+    micros = latency.get_value_at_percentile(share)
+    return f'{micros / MILLISECONDS:.1f} ms'
+
+
+async def main() -> None:
+    """Show both deployments, one after the other."""
+    for deployment_name in DAEMONS_BY_DEPLOYMENT:
+        await show(deployment_name)
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,109 @@
+"""A whole deployment in one process: platform, targets and daemons."""
+
+import asyncio
+from collections.abc import Collection
+
+from cassialever.application import Application
+from cassialever.catalogue import Catalogue
+from cassialever.instances import Instance, InstanceState
+from cassialever.settings import (
+    InstanceSettings,
+    PlatformSettings,
+    SecuritySettings,
+    Settings,
+)
+from cassialever.types import DataCentreId, InstanceId
+from standins.platform import StandInPlatform
+
+LOOPBACK = '127.0.0.1'
+SETTLE_TRIES = 200
+#: Between two looks at whether the daemons have settled, in seconds.
+SETTLE_PAUSE = 0.05
+
+
+class Deployment:
+    """Run a catalogue's platform and some daemons in each data centre."""
+
+    def __init__(self, catalogue: Catalogue, daemons_each: int) -> None:
+        """Take a catalogue and how many daemons each data centre has."""
+        self.platform = StandInPlatform(catalogue)
+        self.daemon_by_id: dict[InstanceId, Application] = {}
+        self._daemons_each = daemons_each
+
+    @property
+    def daemons(self) -> Collection[Application]:
+        """Return every daemon."""
+        return self.daemon_by_id.values()
+
+    async def start(self) -> None:
+        """Start the platform, then every daemon."""
+        await self.platform.start()
+        for data_centre in self.platform.catalogue.data_centres:
+            for number in range(self._daemons_each):
+                await self._start_daemon(data_centre.data_centre_id, number + 1)
+
+    async def stop(self) -> None:
+        """Stop every daemon, then the platform."""
+        for daemon in self.daemon_by_id.values():
+            await daemon.stop()
+        await self.platform.stop()
+
+    async def settled(self) -> None:
+        """Return once every daemon knows a holder for every target."""
+        for _ in range(SETTLE_TRIES):
+            if all(self._knows_all(daemon) for daemon in self.daemons):
+                return
+            await asyncio.sleep(SETTLE_PAUSE)
+        raise TimeoutError('the daemons have not settled')
+
+    async def _start_daemon(
+        self,
+        data_centre: DataCentreId,
+        number: int,
+    ) -> None:
+        instance_id = InstanceId(f'{data_centre}-{number}')
+        daemon = Application(self._settings(instance_id, data_centre))
+        await daemon.start()
+        self.daemon_by_id[instance_id] = daemon
+        self._list(daemon, InstanceState.live)
+
+    def _list(self, daemon: Application, state: InstanceState) -> None:
+        instance = daemon.settings.instance
+        self.platform.instances.instance_by_id[instance.instance_id] = Instance(
+            instance_id=instance.instance_id,
+            data_centre=instance.data_centre,
+            address=instance.address,
+            peer_port=daemon.peer_port,
+            state=state,
+        )
+
+    def _settings(
+        self,
+        instance_id: InstanceId,
+        data_centre: DataCentreId,
+    ) -> Settings:
+        return Settings(
+            instance=InstanceSettings(
+                instance_id=instance_id,
+                data_centre=data_centre,
+                address=LOOPBACK,
+                caller_port=0,
+                peer_port=0,
+                operator_port=0,
+            ),
+            platform=PlatformSettings(
+                table_url=self.platform.table_url,
+                instances_url=self.platform.instances_url,
+            ),
+            security=SecuritySettings(
+                fleet_key='a key for the demo only',
+                operator_credential='a credential for the demo only',
+            ),
+            random_seed=len(self.daemon_by_id),
+        )
+
+    def _knows_all(self, daemon: Application) -> bool:
+        return all(
+            daemon.placement.holder(target.target_id)
+            for target in self.platform.catalogue.targets
+        )
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,117 @@
+"""Callers: send a bounded number of requests and count what comes back."""
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+
+import aiohttp
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from cassialever.catalogue import Catalogue, ServiceEntry
+from cassialever.clock import seeded_random
+from cassialever.front import ERROR_HEADER, HOLDER_HEADER, TARGET_HEADER
+from cassialever.intake import REQUEST_ID_HEADER
+from cassialever.interfaces import RandomSource
+from cassialever.types import RoutingClass
+
+MICROSECONDS = 1_000_000
+LONGEST_MICROSECONDS = 60 * MICROSECONDS
+SIGNIFICANT_DIGITS = 3
+KEYS = 10_000
+
+
+class LoadPlan(msgspec.Struct, frozen=True):
+    """How many requests are sent, by how many callers at once."""
+
+    requests: int
+    callers: int
+    seed: int = 7
+
+
+class ServiceOutcome(msgspec.Struct):
+    """What came back from one service."""
+
+    answers: Counter[str]
+    targets: Counter[str]
+    hops: Counter[int]
+    latency: HdrHistogram
+    mixed_up: int = 0
+
+    def count(self, response: aiohttp.ClientResponse, daemon: str) -> None:
+        """Count one answer that a daemon gave."""
+        error = response.headers.get(ERROR_HEADER, 'whole answer')
+        self.answers[f'{response.status} {error}'] += 1
+        self.targets[response.headers.get(TARGET_HEADER, '')] += 1
+        holder = response.headers.get(HOLDER_HEADER)
+        self.hops[1 if holder == daemon else 2] += 1
+
+
+class Load:
+    """Send requests to daemons in turn, over every service."""
+
+    def __init__(self, catalogue: Catalogue, plan: LoadPlan) -> None:
+        """Take the services to be called."""
+        self._services = catalogue.services
+        self._plan = plan
+        self._random: RandomSource = seeded_random(plan.seed)
+        self.outcome_by_service = {
+            service.name: ServiceOutcome(
+                Counter(),
+                Counter(),
+                Counter(),
+                HdrHistogram(1, LONGEST_MICROSECONDS, SIGNIFICANT_DIGITS),
+            )
+            for service in catalogue.services
+        }
+
+    async def run(self, url_by_daemon: Sequence[tuple[str, str]]) -> None:
+        """Send every request; each daemon takes its turn."""
+        numbers = iter(range(self._plan.requests))
+        daemons = itertools.cycle(url_by_daemon)
+        async with aiohttp.ClientSession() as session:
+            await asyncio.gather(
+                *[
+                    self._caller(session, numbers, daemons)
+                    for _ in range(self._plan.callers)
+                ]
+            )
+
+    async def _caller(
+        self,
+        session: aiohttp.ClientSession,
+        numbers: Iterator[int],
+        daemons: Iterator[tuple[str, str]],
+    ) -> None:
+        for number in numbers:
+            service = self._services[number % len(self._services)]
+            await self._request(session, service, next(daemons), number)
+
+    async def _request(
+        self,
+        session: aiohttp.ClientSession,
+        service: ServiceEntry,
+        daemon: tuple[str, str],
+        number: int,
+    ) -> None:
+        name, url = daemon
+        path = f'/{service.name}/{number}'
+        headers = self._headers(service, number)
+        began = time.perf_counter()
+        response = await session.get(f'{url}{path}', headers=headers)
+        body = await response.read()
+        elapsed = time.perf_counter() - began
+        outcome = self.outcome_by_service[service.name]
+        outcome.latency.record_value(int(elapsed * MICROSECONDS))
+        outcome.count(response, name)
+        if ERROR_HEADER not in response.headers:
+            outcome.mixed_up += f' {path}\n'.encode() not in body
+
+    def _headers(self, service: ServiceEntry, number: int) -> dict[str, str]:
+        headers = {REQUEST_ID_HEADER: f'demo-{self._plan.seed}-{number:08d}'}
+        if service.routing is RoutingClass.keyed:
+            key = self._random.randrange(KEYS)
+            headers[service.key_rule.header] = f'key-{key}'
+        return headers
