--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,63 @@
+"""Tests of cassialever.callers."""
+
+import unittest
+
+from cassialever.callers import MOST_CALLERS, CallerLimiter
+from cassialever.catalogue import CallerEntry, CallerLimits
+from cassialever.errors import ErrorKind
+from cassialever.types import CallerId
+
+ENTRY = CallerEntry(
+    owner='o',
+    caller_id=CallerId('default'),
+    limits=CallerLimits(requests_at_once=3, requests_per_second=10),
+)
+ONE = CallerId('one')
+TWO = CallerId('two')
+
+
+class TestCallerLimiter(unittest.TestCase):
+    """Requests at once and requests a second."""
+
+    def setUp(self) -> None:
+        """Start without any caller."""
+        self.limiter = CallerLimiter()
+
+    def test_requests_at_once_are_exact_for_each_caller(self) -> None:
+        """One caller's use takes nothing from another."""
+        for _ in range(3):
+            self.assertIsNone(self.limiter.admit(ONE, ENTRY, 0))
+        refusal = self.limiter.admit(ONE, ENTRY, 0)
+        assert refusal is not None
+        self.assertEqual(refusal.kind, ErrorKind.caller_over_limit)
+        self.assertEqual(refusal.entry, ENTRY.ref())
+        self.assertIsNone(self.limiter.admit(TWO, ENTRY, 0))
+        self.limiter.finish(ONE)
+        self.assertIsNone(self.limiter.admit(ONE, ENTRY, 0))
+
+    def test_rate_is_held_and_the_refusal_says_when(self) -> None:
+        """A burst of one second, then the rate."""
+        admitted = 0
+        for index in range(1000):
+            if self.limiter.admit(ONE, ENTRY, index / 100) is None:
+                self.limiter.finish(ONE)
+                admitted += 1
+        self.assertAlmostEqual(admitted, 109, delta=1)
+        for _ in range(2):
+            refusal = self.limiter.admit(ONE, ENTRY, 10)
+        assert refusal is not None
+        self.assertGreater(refusal.retry_after, 0)
+        come_back = 10 + refusal.retry_after + 0.001
+        self.assertIsNone(self.limiter.admit(ONE, ENTRY, come_back))
+
+    def test_memory_of_idle_callers_is_bounded(self) -> None:
+        """Busy callers stay counted while idle ones are forgotten."""
+        for _ in range(3):
+            self.limiter.admit(ONE, ENTRY, 0)
+        for index in range(3 * MOST_CALLERS):
+            caller = CallerId(str(index))
+            now = index / 100
+            self.limiter.admit(caller, ENTRY, now)
+            self.limiter.finish(caller)
+        self.assertLessEqual(len(self.limiter._use_by_caller), MOST_CALLERS)
+        self.assertIsNotNone(self.limiter.admit(ONE, ENTRY, 1000))
