--- /dev/null
+++ b/bench/engine.py
@@ -0,0 +1,149 @@
+"""Virtual time for the benchmarks, and small fake targets behind gates."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import TypeAlias
+
+import msgspec
+
+from cassialever.catalogue import TargetEntry, TargetLimits
+from cassialever.errors import Failure
+from cassialever.limits import TargetGate
+from cassialever.tickets import Admitted, Ending, Queued, Step, Ticket
+from cassialever.types import (
+    DataCentreId,
+    Incarnation,
+    Seconds,
+    ServiceName,
+    TargetId,
+)
+
+Action: TypeAlias = Callable[[], None]
+Planned: TypeAlias = tuple[Seconds, int, Action]
+Done: TypeAlias = Callable[[Failure | None], None]
+
+QUEUE_LENGTH = 64
+
+
+class Engine:
+    """Run actions in the order of virtual time."""
+
+    def __init__(self) -> None:
+        """Start at 0 seconds."""
+        self.now: Seconds = 0
+        self._numbers = itertools.count()
+        self._heap: list[Planned] = []
+
+    def after(self, delay: Seconds, action: Action) -> None:
+        """Run an action after a delay, in seconds."""
+        planned = (self.now + delay, next(self._numbers), action)
+        heapq.heappush(self._heap, planned)
+
+    def run(self) -> None:
+        """Run until nothing is left to do."""
+        while self._heap:
+            planned = heapq.heappop(self._heap)
+            self.now = planned[0]
+            planned[2]()
+
+
+class TargetPlan(msgspec.Struct, frozen=True):
+    """How a fake target behaves; times in seconds."""
+
+    target_id: TargetId
+    slots: int = 4
+    cold_slots: int = 1
+    service_time: Seconds = 0.02
+
+
+class FakeTarget:
+    """A target whose service times are random, with a factor to slow it."""
+
+    def __init__(self, plan: TargetPlan, engine: Engine, seed: str) -> None:
+        """Start warm."""
+        self.plan = plan
+        self.factor = 1.0
+        self.running = 0
+        self.peak = 0
+        self.incarnation = Incarnation(1)
+        self._engine = engine
+        self._source = random.Random(seed)
+
+    def run(self, answered: Action) -> None:
+        """Take a request and call back once it has been answered."""
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        shape = 4.0
+        drawn = self._source.gammavariate(shape, 1 / shape)
+        delay = self.plan.service_time * drawn * self.factor
+        self._engine.after(delay, partial(self._answer, answered))
+
+    def _answer(self, answered: Action) -> None:
+        self.running -= 1
+        answered()
+
+
+def entry_of(plan: TargetPlan) -> TargetEntry:
+    """Return the catalogue entry of a fake target."""
+    return TargetEntry(
+        owner='bench',
+        target_id=plan.target_id,
+        service=ServiceName('bench'),
+        data_centre=DataCentreId('a'),
+        address='127.0.0.1:1',
+        limits=TargetLimits(
+            slots=plan.slots,
+            connections=100,
+            cold_slots=plan.cold_slots,
+        ),
+    )
+
+
+class GatedTarget:
+    """A fake target behind the real gate."""
+
+    def __init__(self, target: FakeTarget, engine: Engine) -> None:
+        """Start with a cold gate."""
+        self.target = target
+        self.gate = TargetGate(entry_of(target.plan), QUEUE_LENGTH)
+        self._engine = engine
+        self._done_by_ticket: dict[Ticket, Done] = {}
+
+    @property
+    def load(self) -> int:
+        """Return how many requests run or wait."""
+        load = self.gate.load()
+        return load.in_flight + load.queued
+
+    def submit(self, ticket: Ticket, done: Done) -> None:
+        """Offer a ticket; `done` gets `None` for an answer."""
+        offered = self.gate.offer(ticket, self._engine.now)
+        if isinstance(offered, Failure):
+            done(offered)
+            return
+        self._done_by_ticket[ticket] = done
+        if isinstance(offered, Admitted):
+            self._start(ticket)
+        if isinstance(offered, Queued) and offered.evicted:
+            evicted = offered.evicted
+            self._done_by_ticket.pop(evicted.ticket)(evicted.failure)
+
+    def _start(self, ticket: Ticket) -> None:
+        self.target.run(partial(self._answered, ticket))
+
+    def _answered(self, ticket: Ticket) -> None:
+        now = self._engine.now
+        incarnation = self.target.incarnation
+        self.gate.slots.answer_began(ticket, incarnation, now)
+        step = self.gate.finish(ticket, Ending.answered, now)
+        self._done_by_ticket.pop(ticket)(None)
+        self._follow(step)
+
+    def _follow(self, step: Step) -> None:
+        for ticket in step.started:
+            self._start(ticket)
+        for refusal in step.refused:
+            self._done_by_ticket.pop(refusal.ticket)(refusal.failure)
