--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,145 @@
+"""Tests of the whole path: callers, daemons, targets, on real sockets."""
+
+import asyncio
+import unittest
+import uuid
+
+import aiohttp
+import msgspec
+
+from cassialever.application import Application
+from cassialever.catalogue import Catalogue, TargetLimits
+from cassialever.clock import SystemClock, seeded_random
+from cassialever.minting import mint
+from cassialever.types import ServiceState, TargetId
+from standins.deployment import Deployment
+from tests.helpers import ISSUANCE, small_catalogue, target
+
+
+def catalogue() -> Catalogue:
+    """Make two targets of each service, of two slots each."""
+    entries = (
+        target('registry-1'),
+        target('registry-2'),
+        target('issuance-1', ISSUANCE),
+        target('issuance-2', ISSUANCE),
+    )
+    limits = TargetLimits(slots=2, connections=4, cold_slots=1)
+    return small_catalogue(
+        *(msgspec.structs.replace(entry, limits=limits) for entry in entries),
+    )
+
+
+class TestWholePath(unittest.IsolatedAsyncioTestCase):
+    """Two daemons and four targets of one data centre."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a deployment and a caller."""
+        self.deployment = Deployment(catalogue(), daemons_each=2)
+        await self.deployment.start()
+        await self.deployment.settled()
+        self.first, self.second = self.deployment.daemons
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self) -> None:
+        """Stop both."""
+        await self.session.close()
+        await self.deployment.stop()
+
+    def runs(self, request_id: str) -> int:
+        """Count how often targets ran a request."""
+        return sum(
+            stand_in.runs_by_request.get(request_id, 0)
+            for stand_in in self.deployment.platform.target_by_id.values()
+        )
+
+    async def post(
+        self,
+        daemon: Application,
+        path: str,
+        request_id: str,
+    ) -> tuple[int, bytes]:
+        """Send work that may not be repeated."""
+        async with self.session.post(
+            f'{daemon.front.url}{path}',
+            data=b'{"trainee": 7}',
+            headers={
+                'X-Cassialever-Request-Id': request_id,
+                'X-Cassialever-Key': 'KZ-7',
+            },
+        ) as response:
+            return response.status, await response.read()
+
+    async def test_each_caller_gets_its_own_answer(self) -> None:
+        """Forty requests at once through both daemons are never mixed up."""
+
+        async def ask(number: int) -> None:
+            daemon = (self.first, self.second)[number % 2]
+            url = f'{daemon.front.url}/registry/{number}'
+            headers = {'X-Cassialever-Key': f'key-{number}'}
+            async with self.session.get(url, headers=headers) as response:
+                self.assertEqual(response.status, 200)
+                body = await response.read()
+                self.assertIn(f' /registry/{number}\n'.encode(), body)
+
+        await asyncio.gather(*(ask(number) for number in range(40)))
+        for stand_in in self.deployment.platform.target_by_id.values():
+            self.assertLessEqual(stand_in.peak, 2)
+
+    async def test_second_try_finds_the_first(self) -> None:
+        """The same id through another daemon doesn't run the work twice."""
+        # An id from well after the start, since the memory began just now.
+        wall = SystemClock().wall() + 1.9
+        source = seeded_random(1)
+        for path in ('/registry/new', '/issuance/new'):
+            with self.subTest(path=path):
+                request_id = mint(wall, source)
+                await asyncio.sleep(0)
+                answers = [
+                    await self.post(daemon, path, request_id)
+                    for daemon in (self.first, self.second, self.first)
+                ]
+                if answers[0][0] == 200:
+                    self.assertEqual(answers[0], answers[1])
+                self.assertLessEqual(self.runs(request_id), 1)
+
+    async def test_unknown_opaque_id_is_not_run_after_a_start(self) -> None:
+        """What may have run before the memory began is refused, not run."""
+        request_id = uuid.uuid4().hex
+        status, body = await self.post(self.first, '/issuance/x', request_id)
+        self.assertEqual(status, 502)
+        self.assertIn(b'"outcome_unknown"', body)
+        self.assertEqual(self.runs(request_id), 0)
+
+    async def test_target_that_is_out_gets_no_new_work(self) -> None:
+        """An edit of the catalogue is in force within a few seconds."""
+        platform = self.deployment.platform
+        entries = tuple(
+            msgspec.structs.replace(entry, state=ServiceState.out)
+            if entry.target_id == 'issuance-1'
+            else entry
+            for entry in platform.catalogue.targets
+        )
+        platform.write_catalogue(
+            msgspec.structs.replace(platform.catalogue, targets=entries),
+        )
+        await self.in_force(platform.catalogue.version)
+        left = platform.target_by_id[TargetId('issuance-1')]
+        before = sum(left.runs_by_request.values())
+        for _ in range(10):
+            url = f'{self.second.front.url}/issuance/x'
+            async with self.session.get(url) as response:
+                self.assertEqual(response.status, 200)
+        self.assertEqual(sum(left.runs_by_request.values()), before)
+
+    async def in_force(self, version: int) -> None:
+        """Wait until every daemon has a version of the catalogue."""
+        for _ in range(100):
+            versions = [
+                daemon.placement.index and daemon.placement.index.version
+                for daemon in self.deployment.daemons
+            ]
+            if all(known == version for known in versions):
+                return
+            await asyncio.sleep(0.05)
+        self.fail('the catalogue is not in force within 5 s')
