--- a/cassialever/serving.py
+++ b/cassialever/serving.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack
 
 from cassialever import codec
+from cassialever.downloads import close_body
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
 from cassialever.exceptions import CodecError, LinkClosedError
@@ -139,10 +140,3 @@
 
     def _ignore(self) -> None:
         """Let the rest of the body be dropped when it comes."""
-
-
-async def close_body(body: AsyncIterator[bytes | Failure]) -> None:
-    """Give up what is left of a body whose kind allows it."""
-    aclose = getattr(body, 'aclose', None)
-    if aclose:
-        await aclose()
