--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import unittest
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 from cassialever import target_headers
 from cassialever.catalogue import TargetEntry, TargetLimits
@@ -20,6 +20,7 @@
 )
 from standins.targets import StandInTarget
 from standins.work import TargetBehaviour
+from tests.link_helpers import until
 
 T1 = TargetId('t1')
 
@@ -63,13 +64,6 @@
         raise error
 
 
-async def until(holds: Callable[[], bool]) -> None:
-    """Let the loop run until something holds; a test ends at the latest."""
-    async with asyncio.timeout(5):
-        while not holds():
-            await asyncio.sleep(0)
-
-
 class Directory:
     """Know one target."""
 
