--- a/cassialever/request_path.py
+++ b/cassialever/request_path.py
@@ -30,7 +30,7 @@
         self.incarnation = Incarnation(time.time_ns())
         self.placement = Placement(settings.instance.data_centre)
         self.claims = Claims(clock)
-        self.targets = HttpTargets(self.placement, clock)
+        self.targets = HttpTargets(self.placement)
         self.tools = RunTools(
             HeldLeases(),
             self.targets,
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -49,7 +49,7 @@
     def runs(self, request_id: str) -> int:
         """Count how often targets ran a request."""
         return sum(
-            stand_in.runs_by_request.get(request_id, 0)
+            stand_in.work.runs_by_request.get(request_id, 0)
             for stand_in in self.deployment.platform.target_by_id.values()
         )
 
@@ -125,12 +125,12 @@
         )
         await self.in_force(platform.catalogue.version)
         left = platform.target_by_id[TargetId('issuance-1')]
-        before = sum(left.runs_by_request.values())
+        before = sum(left.work.runs_by_request.values())
         for _ in range(10):
             url = f'{self.second.front.url}/issuance/x'
             async with self.session.get(url) as response:
                 self.assertEqual(response.status, 200)
-        self.assertEqual(sum(left.runs_by_request.values()), before)
+        self.assertEqual(sum(left.work.runs_by_request.values()), before)
 
     async def in_force(self, version: int) -> None:
         """Wait until every daemon has a version of the catalogue."""
