Keep the catalogue's versions and changes in the table

The present version is one row; each change is a row of its own that holds only the entries that differ, so that the history grows with the changes and not with the catalogue, and any version is had by undoing changes. A lost answer is resolved by sending the same transaction again, which can commit at most once, and by reading back the change id.

--- a/cassialever/catalogue.py
+++ b/cassialever/catalogue.py
@@ -48,6 +48,10 @@
     version: CatalogueVersion = CatalogueVersion(0)
     reason: str = ''
 
+    def ref(self) -> EntryRef:
+        """Name this entry; each kind of entry does so by itself."""
+        raise NotImplementedError
+
 
 class ServiceLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits of one service; `retry_share` is per fresh request."""
@@ -183,6 +187,9 @@
     change_id: ChangeId = ChangeId('')
 
 
+EMPTY_CATALOGUE = Catalogue((), (), (), ())
+
+
 class CatalogueIndex:
     """The entries of one catalogue, each kind by its name."""
 
--- /dev/null
+++ b/cassialever/edits.py
@@ -0,0 +1,71 @@
+"""Edits of one entry of the catalogue, as the tool's short commands make."""
+
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
+import msgspec
+
+from cassialever.catalogue import (
+    Catalogue,
+    DataCentreEntry,
+    TargetEntry,
+)
+from cassialever.errors import ErrorKind, Failure
+from cassialever.types import DataCentreId, ServiceState, TargetId
+
+
+def set_data_centre_state(
+    data_centre_id: DataCentreId,
+    state: ServiceState,
+) -> Callable[[Catalogue], Catalogue | Failure]:
+    """Return the edit that takes a data centre out or returns it."""
+
+    def edit(catalogue: Catalogue) -> Catalogue | Failure:  # noqa: WPS430
+        entries = _with_state(
+            catalogue.data_centres,
+            data_centre_id,
+            state,
+        )
+        if entries is None:
+            return _unknown('data centre', data_centre_id)
+        return msgspec.structs.replace(catalogue, data_centres=entries)
+
+    return edit
+
+
+def set_target_state(
+    target_id: TargetId,
+    state: ServiceState,
+) -> Callable[[Catalogue], Catalogue | Failure]:
+    """Return the edit that drains a target or returns it."""
+
+    def edit(catalogue: Catalogue) -> Catalogue | Failure:  # noqa: WPS430
+        entries = _with_state(catalogue.targets, target_id, state)
+        if entries is None:
+            return _unknown('target', target_id)
+        return msgspec.structs.replace(catalogue, targets=entries)
+
+    return edit
+
+
+_Stateful = TypeVar('_Stateful', DataCentreEntry, TargetEntry)
+
+
+def _with_state(
+    entries: Iterable[_Stateful],
+    name: str,
+    state: ServiceState,
+) -> tuple[_Stateful, ...] | None:
+    entry_by_name = {entry.ref().name: entry for entry in entries}
+    entry = entry_by_name.get(name)
+    if entry is None:
+        return None
+    entry_by_name[name] = msgspec.structs.replace(entry, state=state)
+    return tuple(entry_by_name.values())
+
+
+def _unknown(kind: str, name: str) -> Failure:
+    return Failure(
+        ErrorKind.catalogue_invalid,
+        f'the catalogue has no {kind} named "{name}"',
+    )
--- /dev/null
+++ b/tests/test_catalogue_store.py
@@ -0,0 +1,227 @@
+"""Tests of cassialever.catalogue_store, .catalogue_changes and .edits."""
+
+import unittest
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from cassialever.catalogue import Catalogue
+from cassialever.catalogue_changes import apply
+from cassialever.catalogue_store import (
+    Accepted,
+    CatalogueStore,
+    Conflict,
+    new_origin,
+)
+from cassialever.edits import set_data_centre_state, set_target_state
+from cassialever.errors import ErrorKind, Failure
+from cassialever.interfaces import Committed, Row, Transaction
+from cassialever.types import (
+    CatalogueVersion,
+    RowName,
+    Seconds,
+    ServiceState,
+    TargetId,
+)
+from standins.table import TableRows
+from tests.helpers import ISSUANCE, WEST, small_catalogue, target
+
+FIRST = CatalogueVersion(0)
+
+
+class ScriptedTable:
+    """A table that goes through a script of faults, then behaves."""
+
+    def __init__(self) -> None:
+        self.rows = TableRows()
+        self.script: list[str] = []
+        self.late: list[Transaction] = []
+
+    async def read(
+        self, names: Sequence[RowName]
+    ) -> Mapping[RowName, Row] | Failure:
+        return {row.name: row for row in self.rows.read(names)}
+
+    async def scan(self, prefix: str) -> Mapping[RowName, Row] | Failure:
+        return {row.name: row for row in self.rows.scan(prefix)}
+
+    async def commit(self, transaction: Transaction) -> Committed | Failure:
+        step = self.script.pop(0) if self.script else 'answer'
+        if step == 'down':
+            return Failure(ErrorKind.table_unavailable, 'scripted')
+        if step == 'late':
+            self.late.append(transaction)
+            return Failure(ErrorKind.table_answer_lost, 'scripted')
+        reply = self.rows.commit(transaction)
+        if step == 'lost':
+            return Failure(ErrorKind.table_answer_lost, 'scripted')
+        if reply.conflicts:
+            return Failure(ErrorKind.table_conflict, 'scripted')
+        return Committed(reply.version_by_name)
+
+
+class StoreCase(unittest.IsolatedAsyncioTestCase):
+    """A store whose first version is the small catalogue."""
+
+    async def asyncSetUp(self) -> None:
+        self.table = ScriptedTable()
+        self.pauses: list[Seconds] = []
+        self.store = CatalogueStore(self.table, self.pause)
+        targets = (
+            target('registry-1'),
+            target('i-1', ISSUANCE, '127.0.0.1:10'),
+        )
+        small = msgspec.structs.replace(
+            small_catalogue(*targets), version=FIRST
+        )
+        outcome = await self.store.submit(
+            small, FIRST, new_origin('ann', 'first', 0)
+        )
+        self.first = self.accepted(outcome)
+
+    async def pause(self, seconds: Seconds) -> None:
+        self.pauses.append(seconds)
+
+    def accepted(self, outcome: object) -> Catalogue:
+        assert isinstance(outcome, Accepted), outcome
+        return outcome.catalogue
+
+    async def drain(self, name: str = 'i-1') -> object:
+        edit = set_target_state(TargetId(name), ServiceState.out)
+        return await self.store.edit(edit, new_origin('bea', 'repair', 7))
+
+
+class TestChanges(StoreCase):
+    """Versions, history and reverting."""
+
+    async def test_only_changed_entries_get_the_version(self) -> None:
+        """A drained target is at version 2, all the rest stay at 1."""
+        second = self.accepted(await self.drain())
+        versions = {entry.target_id: entry.version for entry in second.targets}
+        self.assertEqual(versions, {'i-1': 2, 'registry-1': 1})
+        self.assertEqual(second.services, self.first.services)
+        self.assertEqual(second.targets[0].reason, 'repair')
+
+    async def test_history_leads_back_and_forth(self) -> None:
+        """Undoing changes gives each version; applying them the next."""
+        await self.drain()
+        edit = set_data_centre_state(WEST, ServiceState.out)
+        await self.store.edit(edit, new_origin('cyd', 'power', 9))
+        changes = await self.store.changes(
+            CatalogueVersion(1), CatalogueVersion(3)
+        )
+        assert isinstance(changes, list)
+        self.assertEqual(await self.store.at(CatalogueVersion(1)), self.first)
+        second = await self.store.at(CatalogueVersion(2))
+        assert isinstance(second, Catalogue)
+        self.assertEqual(second.author, 'bea')
+        stored = await self.store.current()
+        assert not isinstance(stored, Failure)
+        self.assertEqual(apply(second, changes[2]), stored.catalogue)
+        self.assertIsInstance(apply(self.first, changes[2]), Failure)
+
+    async def test_revert_is_a_new_version(self) -> None:
+        """A revert has the old content under a higher version."""
+        await self.drain()
+        outcome = await self.store.revert(
+            CatalogueVersion(1), new_origin('cyd', 'back', 9)
+        )
+        third = self.accepted(outcome)
+        self.assertEqual(third.version, 3)
+        states = {entry.state for entry in third.targets}
+        self.assertEqual(states, {ServiceState.in_service})
+        missing = await self.store.revert(
+            CatalogueVersion(9), new_origin('cyd', 'back', 9)
+        )
+        assert isinstance(missing, Failure)
+        self.assertIs(missing.kind, ErrorKind.catalogue_invalid)
+
+    async def test_bad_proposal_is_not_written(self) -> None:
+        """What the check refuses never reaches the table."""
+        bad = small_catalogue(target('a'), target('b'))
+        outcome = await self.store.submit(
+            bad, CatalogueVersion(1), new_origin('ann', 'x', 0)
+        )
+        assert isinstance(outcome, Failure)
+        self.assertIn('same address', outcome.reason)
+        self.assertEqual(self.table.rows.writes, 1)
+
+
+class TestRaces(StoreCase):
+    """Operators who race, and answers that are lost."""
+
+    async def test_conflict_shows_both_sides(self) -> None:
+        """The loser sees what it wanted and what came first."""
+        await self.drain()
+        ours = msgspec.structs.replace(self.first, callers=())
+        outcome = await self.store.submit(
+            ours, CatalogueVersion(1), new_origin('ann', 'no callers', 8)
+        )
+        assert isinstance(outcome, Conflict)
+        self.assertEqual([ref.name for ref in outcome.theirs.refs()], ['i-1'])
+        self.assertEqual([ref.name for ref in outcome.ours.refs()], ['default'])
+        self.assertFalse(outcome.overlaps())
+
+    async def test_racing_edits_of_one_entry(self) -> None:
+        """Of two edits of one target in between, the later one conflicts."""
+        store = self.store
+        raced = False
+
+        async def racing_edit() -> object:
+            def edit(catalogue: Catalogue) -> Catalogue | Failure:
+                first, *rest = catalogue.targets
+                changed = msgspec.structs.replace(first, owner='ann')
+                return msgspec.structs.replace(
+                    catalogue, targets=(changed, *rest)
+                )
+
+            return await store.edit(edit, new_origin('ann', 'owner', 3))
+
+        commit = self.table.commit
+
+        async def slow_commit(one: Transaction) -> Committed | Failure:
+            nonlocal raced
+            if not raced:
+                raced = True
+                await self.drain()
+            return await commit(one)
+
+        self.table.commit = slow_commit  # type: ignore[method-assign]
+        outcome = await racing_edit()
+        assert isinstance(outcome, Conflict), outcome
+        self.assertTrue(outcome.overlaps())
+
+    async def test_lost_answer_after_the_write(self) -> None:
+        """A change whose answer was lost is found and accepted once."""
+        for script in (['lost'], ['lost', 'down'], ['down', 'lost']):
+            with self.subTest(script=script):
+                self.table.script = list(script)
+                before = self.table.rows.writes
+                outcome = await self.drain()
+                if script[0] == 'down':
+                    assert isinstance(outcome, Failure)
+                    self.assertIs(outcome.kind, ErrorKind.table_unavailable)
+                    continue
+                self.accepted(outcome)
+                self.assertEqual(self.table.rows.writes, before + 1)
+                edit = set_target_state(
+                    TargetId('i-1'), ServiceState.in_service
+                )
+                origin = new_origin('ann', 'return', 0)
+                self.accepted(await self.store.edit(edit, origin))
+
+    async def test_late_write_commits_once(self) -> None:
+        """A sending that arrives after its repeat changes nothing."""
+        self.table.script = ['late']
+        self.accepted(await self.drain())
+        for transaction in self.table.late:
+            self.assertTrue(self.table.rows.commit(transaction).conflicts)
+
+    async def test_outcome_never_known(self) -> None:
+        """A table that never answers gives a failure that says so."""
+        self.table.script = ['late'] * 6
+        outcome = await self.drain()
+        assert isinstance(outcome, Failure)
+        self.assertIs(outcome.kind, ErrorKind.table_answer_lost)
+        self.assertEqual(len(self.pauses), 5)
+        self.assertIn('history', outcome.reason)
