--- a/cassialever/settings.py
+++ b/cassialever/settings.py
@@ -89,6 +89,9 @@
     connect_timeout: Duration = 0.5
     window_bytes: ByteCount = 262_144
     frame_bytes: ByteCount = 65_536
+    message_bytes: ByteCount = 4_194_304
+    reconnect_first: Duration = 0.05
+    reconnect_longest: Duration = 1
 
 
 class StopSettings(_Section, frozen=True):
