--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -40,6 +40,7 @@
 
     # Catalogue and operators.
     catalogue_adopted = (601, logbook.NOTICE, 'A catalogue is in force.')
+    operator_refused = (602, logbook.WARNING, 'An operator call was refused.')
 
     # Broken invariants.
     invariant_broken = (901, logbook.CRITICAL, 'An invariant is broken.')
--- /dev/null
+++ b/cassialever/explain.py
@@ -0,0 +1,150 @@
+"""Say why a decision was made, for a reader with no technical background."""
+
+import datetime
+import functools
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+
+from cassialever.catalogue import CatalogueIndex, Entry
+from cassialever.decisions import (
+    Decision,
+    Drained,
+    Limited,
+    MoveCause,
+    Moved,
+    Refused,
+    entry_path,
+)
+from cassialever.errors import ANSWER_BY_KIND, EntryRef
+from cassialever.types import (
+    CallerId,
+    DataCentreId,
+    EntryKind,
+    Seconds,
+    ServiceName,
+    TargetId,
+    TargetState,
+)
+
+_CAUSE_WORDS: Final[Mapping[MoveCause, str]] = MappingProxyType(
+    {
+        MoveCause.balance: 'to even out the work',
+        MoveCause.hot_key: 'because one key is asked for very often',
+        MoveCause.target_out: 'because its target is being taken out',
+        MoveCause.target_lost: 'because its target no longer answers',
+        MoveCause.data_centre_out: 'because its data centre is taken out',
+        MoveCause.returned: 'because a target has come back into service',
+    },
+)
+_STATE_WORDS: Final[Mapping[TargetState, str]] = MappingProxyType(
+    {
+        TargetState.cold: 'has just started and is cold',
+        TargetState.ramping: 'is warming up',
+        TargetState.warm: 'is warm',
+        TargetState.draining: 'is finishing its work',
+        TargetState.lost: 'does not answer',
+    },
+)
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """One decision in words; `entry` is empty where none led to it."""
+
+    at: Seconds
+    sentence: str
+    entry: str = ''
+    entry_version: int = 0
+
+
+def explain(
+    decision: Decision,
+    index: CatalogueIndex | None,
+) -> Explanation:
+    """Explain a decision and name the entry behind it."""
+    moment = datetime.datetime.fromtimestamp(decision.at, datetime.UTC)
+    head = f'At {moment:%Y-%m-%d %H:%M:%S} UTC'
+    what = _what(decision)
+    entry = decision.entry
+    if entry is None:
+        return Explanation(decision.at, f'{head} {what}')
+    why = _entry_words(entry, index)
+    return Explanation(
+        decision.at,
+        f'{head} {what} {why}',
+        entry_path(entry),
+        entry.version,
+    )
+
+
+def find_entry(index: CatalogueIndex, ref: EntryRef) -> Entry | None:
+    """Return the entry of a name as it is now, whatever its version."""
+    if ref.kind is EntryKind.service:
+        return index.service_by_name.get(ServiceName(ref.name))
+    if ref.kind is EntryKind.target:
+        return index.target_by_id.get(TargetId(ref.name))
+    if ref.kind is EntryKind.data_centre:
+        return index.data_centre_by_id.get(DataCentreId(ref.name))
+    return index.caller_by_id.get(CallerId(ref.name))
+
+
+@functools.singledispatch
+def _what(decision: Decision) -> str:
+    raise NotImplementedError(f'no words for {type(decision).__name__}')
+
+
+@_what.register
+def _what_was_refused(decision: Refused) -> str:
+    answer = ANSWER_BY_KIND[decision.kind]
+    ran = 'It was not run.' if answer.not_run else 'It may have been run.'
+    caller = f' of {decision.caller}' if decision.caller else ''
+    service = f' to {decision.service}' if decision.service else ''
+    return (
+        f'request {decision.request_id}{caller}{service} got no answer from a'
+        f' target: {answer.sentence} ({decision.reason}.) {ran}'
+    )
+
+
+@_what.register
+def _what_was_moved(decision: Moved) -> str:
+    before = ''
+    if decision.from_target:
+        before = f' from {decision.from_target}'
+    words = _CAUSE_WORDS[decision.cause]
+    noun = 'share' if decision.slices == 1 else 'shares'
+    return (
+        f'{decision.slices} {noun} of the keys of {decision.service} went'
+        f'{before} to {decision.target_id}, {words}.'
+    )
+
+
+@_what.register
+def _what_was_drained(decision: Drained) -> str:
+    return (
+        f'{decision.target_id} stopped getting new work;'
+        f' {decision.in_flight} requests were left to end in peace.'
+    )
+
+
+@_what.register
+def _what_was_limited(decision: Limited) -> str:
+    words = _STATE_WORDS[decision.state]
+    return (
+        f'{decision.target_id} was held to {decision.capacity} requests at'
+        f' once, since it {words}.'
+    )
+
+
+def _entry_words(ref: EntryRef, index: CatalogueIndex | None) -> str:
+    words = f'This follows from the catalogue entry {ref}'
+    entry = find_entry(index, ref) if index else None
+    if entry is None:
+        return f'{words}, which is no longer there.'
+    words = f'{words}, whose owner is {entry.owner}.'
+    if entry.version != ref.version:
+        return f'{words} It has been changed since, in {entry.version}.'
+    if entry.reason:
+        return f'{words} It was last changed for this reason: {entry.reason}.'
+    return words
--- /dev/null
+++ b/cassialever/operator_api.py
@@ -0,0 +1,166 @@
+"""The operators' endpoint of a daemon.
+
+Health, readiness and metrics are open, for the platform; all the rest needs
+the credential of the settings.
+"""
+
+import functools
+import hmac
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Final, TypeAlias
+
+import msgspec
+from aiohttp import web
+
+from cassialever.decisions import Question
+from cassialever.errors import ANSWER_BY_KIND, ErrorKind, Failure
+from cassialever.events import Event, record
+from cassialever.explain import Explanation
+from cassialever.misc import ServerSite
+from cassialever.operator_view import OperatorView
+from cassialever.settings import Settings
+from cassialever.types import Key, ServiceName
+
+HEALTH_PATH: Final = '/health'
+READY_PATH: Final = '/ready'
+METRICS_PATH: Final = '/metrics'
+STATUS_PATH: Final = '/status'
+EXPLAIN_PATH: Final = '/explain'
+OWNERS_PATH: Final = '/owners'
+DUMP_PATH: Final = '/dump'
+
+SCHEME: Final = 'Bearer '
+#: No call of an operator has a body; longer ones are refused.
+BODY_BYTES: Final = 1024
+#: Most explanations in one answer.
+MOST_EXPLANATIONS: Final = 200
+
+_Serve: TypeAlias = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """The body of an answer that refuses an operator's call."""
+
+    kind: str
+    sentence: str
+    reason: str
+
+
+class Explanations(msgspec.Struct, frozen=True):
+    """The answer to a question, the newest first."""
+
+    explanations: tuple[Explanation, ...]
+
+
+class OperatorApi:
+    """Serve the operators of one daemon."""
+
+    def __init__(self, settings: Settings, view: OperatorView) -> None:
+        """Make the server; nothing listens yet."""
+        self._settings = settings
+        self._view = view
+        self._site = ServerSite(self._application())
+        self.url = ''
+
+    async def start(self) -> None:
+        """Listen at the operator port of the settings."""
+        instance = self._settings.instance
+        self.url = await self._site.start(
+            instance.address,
+            instance.operator_port,
+        )
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._site.stop()
+
+    def _application(self) -> web.Application:
+        app = web.Application(
+            client_max_size=BODY_BYTES,
+        )
+        app.router.add_get(HEALTH_PATH, _health)
+        app.router.add_get(READY_PATH, self._ready)
+        app.router.add_get(METRICS_PATH, self._metrics)
+        for path, serve in (
+            (STATUS_PATH, self._status),
+            (EXPLAIN_PATH, self._explain),
+            (f'{OWNERS_PATH}/{{service}}/{{key:.+}}', self._owner),
+            (DUMP_PATH, self._dump),
+        ):
+            guarded = functools.partial(self._guarded, serve)
+            app.router.add_get(path, guarded)
+        return app
+
+    async def _guarded(
+        self,
+        serve: _Serve,
+        request: web.Request,
+    ) -> web.StreamResponse:
+        """Serve those alone who know the credential."""
+        if self._is_allowed(request):
+            return await serve(request)
+        record(Event.operator_refused, path=request.path)
+        reason = 'an Authorization header with the credential is needed'
+        return _refuse(Failure(ErrorKind.bad_credential, reason))
+
+    def _is_allowed(self, request: web.Request) -> bool:
+        given = request.headers.get('Authorization', '')
+        expected = f'{SCHEME}{self._settings.security.operator_credential}'
+        return hmac.compare_digest(given.encode(), expected.encode())
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        reason = self._view.not_ready()
+        if reason:
+            return web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE, text=f'{reason}\n'
+            )
+        return web.Response(text='ready\n')
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._view.metrics(),
+            headers={'Content-Type': 'text/plain; version=0.0.4'},
+        )
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return _answer(self._view.status())
+
+    async def _dump(self, request: web.Request) -> web.Response:
+        return _answer(self._view.dump())
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        try:
+            question = msgspec.convert(dict(request.query), Question)
+        except msgspec.ValidationError as error:
+            return _refuse(Failure(ErrorKind.bad_request, str(error)))
+        found = self._view.explain(question)[:MOST_EXPLANATIONS]
+        return _answer(Explanations(tuple(found)))
+
+    async def _owner(self, request: web.Request) -> web.Response:
+        owner = self._view.owner(
+            ServiceName(request.match_info['service']),
+            Key(request.match_info['key']),
+        )
+        return _refuse(owner) if isinstance(owner, Failure) else _answer(owner)
+
+
+async def _health(request: web.Request) -> web.Response:
+    return web.Response(text='alive\n')
+
+
+def _answer(content: msgspec.Struct) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(content),
+        content_type='application/json',
+    )
+
+
+def _refuse(failure: Failure) -> web.Response:
+    answer = ANSWER_BY_KIND[failure.kind]
+    refusal = Refusal(failure.kind.value, answer.sentence, failure.reason)
+    return web.Response(
+        status=answer.status,
+        body=msgspec.json.encode(refusal),
+        content_type='application/json',
+    )
