--- /dev/null
+++ b/cassialever/catalogue_rendering.py
@@ -0,0 +1,107 @@
+"""How results of the catalogue's commands read."""
+
+from collections.abc import Iterator
+
+import msgspec
+from rich.console import Group, RenderableType
+from rich.text import Text
+
+from cassialever.catalogue import Catalogue, Entry
+from cassialever.catalogue_changes import CatalogueChange
+from cassialever.catalogue_store import Conflict
+from cassialever.change_tables import change_table
+from cassialever.rendering import NONE, moment, new_table, render
+from cassialever.tool import Checked, History, Made
+
+#: How many entries of a change the history names.
+ENTRIES_NAMED = 3
+
+
+@render.register
+def _render_checked(outcome: Checked) -> RenderableType:
+    return Text(
+        f'{outcome.file} has no fault: {outcome.services} services,'
+        f' {outcome.targets} targets, {outcome.data_centres} data centres,'
+        f' {outcome.callers} callers.',
+    )
+
+
+@render.register
+def _render_made(outcome: Made) -> RenderableType:
+    if not outcome.change.refs():
+        return Text('Nothing differs; no version was made.')
+    head = f'Accepted as version {outcome.change.version}.'
+    if outcome.in_force:
+        head = f'{head} In force on {outcome.in_force}.'
+    return Group(Text(head), change_table(outcome.change))
+
+
+@render.register
+def _render_change(outcome: CatalogueChange) -> RenderableType:
+    if not outcome.refs():
+        return Text('Nothing differs.')
+    return change_table(outcome)
+
+
+@render.register
+def _render_conflict(outcome: Conflict) -> RenderableType:
+    theirs = outcome.theirs
+    return Group(
+        Text(
+            'Nothing was written: others changed the catalogue first. Look'
+            ' at both sides and edit the present version.',
+        ),
+        Text(f'\nTheirs, up to version {theirs.version}:'),
+        change_table(theirs),
+        Text('\nYours:'),
+        change_table(outcome.ours),
+    )
+
+
+@render.register
+def _render_history(outcome: History) -> RenderableType:
+    table = new_table('version', 'when', 'author', 'reason', 'entries')
+    for change in outcome.changes:
+        names = [f'{ref.kind.value}/{ref.name}' for ref in change.refs()]
+        table.add_row(
+            str(change.version),
+            moment(change.origin.made_at),
+            change.origin.author,
+            change.origin.reason,
+            _shortened(names),
+        )
+    return table
+
+
+@render.register
+def _render_catalogue(outcome: Catalogue) -> RenderableType:
+    head = Text(
+        f'Version {outcome.version}, by {outcome.author or NONE}:'
+        f' {outcome.reason or NONE}',
+    )
+    table = new_table('entry', 'owner', 'class', 'version', 'state', 'limits')
+    for entry in _entries(outcome):
+        words = msgspec.to_builtins(entry)
+        limits = [f'{name}={limit}' for name, limit in words['limits'].items()]
+        table.add_row(
+            f'{entry.ref().kind.value}/{entry.ref().name}',
+            entry.owner,
+            words['class'],
+            str(entry.version),
+            words.get('state', NONE),
+            ' '.join(limits),
+        )
+    return Group(head, table)
+
+
+def _entries(catalogue: Catalogue) -> Iterator[Entry]:
+    yield from catalogue.data_centres
+    yield from catalogue.services
+    yield from catalogue.targets
+    yield from catalogue.callers
+
+
+def _shortened(names: list[str]) -> str:
+    shown = ', '.join(names[:ENTRIES_NAMED])
+    more = len(names) - ENTRIES_NAMED
+    return f'{shown} and {more} more' if more > 0 else shown
--- /dev/null
+++ b/cassialever/cmdline.py
@@ -0,0 +1,39 @@
+"""The command-line tool `cassialever`."""
+
+import sys
+from collections.abc import Sequence
+from typing import Final
+
+import cyclopts
+
+from cassialever import catalogue_cmdline, daemon_cmdline
+from cassialever.exits import Exit
+
+PROGRAM: Final = 'cassialever'
+
+app = cyclopts.App(
+    name=PROGRAM,
+    help='Look at and change a cassialever fleet.',
+    result_action='return_value',
+)
+app.command(catalogue_cmdline.app, name='*')
+app.command(daemon_cmdline.app, name='*')
+app.command(catalogue_cmdline.data_centre_app)
+app.command(catalogue_cmdline.target_app)
+app.command(daemon_cmdline.settings_app)
+app.register_install_completion_command()
+
+
+def run(tokens: Sequence[str]) -> int:
+    """Run one command line and return its exit code."""
+    try:
+        code = app(tokens, exit_on_error=False)
+    except cyclopts.CycloptsError:
+        # The library has printed what is wrong.
+        return Exit.usage
+    return code if isinstance(code, int) else Exit.done
+
+
+def main() -> None:
+    """Run the tool on the arguments of the process."""
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/cassialever/daemon_rendering.py
@@ -0,0 +1,64 @@
+"""How a daemon's answers read."""
+
+from rich.console import Group, RenderableType
+from rich.table import Table
+from rich.text import Text
+
+from cassialever.operator_api import Explanations
+from cassialever.operator_view import KeyOwner, Status
+from cassialever.rendering import NONE, new_table, render
+
+
+@render.register
+def _render_status(outcome: Status) -> RenderableType:
+    ready = 'ready' if outcome.ready else outcome.not_ready_because
+    reachable = 'reachable' if outcome.table_reachable else 'NOT reachable'
+    head = Text(
+        f'{outcome.instance_id} in {outcome.data_centre}: {ready}; catalogue'
+        f' version {outcome.catalogue_version}; table {reachable};'
+        f' {outcome.in_progress} requests in progress',
+    )
+    instances = new_table('instance', 'data centre', 'state', 'catalogue')
+    for instance in outcome.instances:
+        instances.add_row(
+            instance.instance_id,
+            instance.data_centre,
+            instance.state,
+            str(instance.catalogue_version or NONE),
+        )
+    return Group(head, instances, _target_table(outcome))
+
+
+@render.register
+def _render_owner(outcome: KeyOwner) -> RenderableType:
+    owner = outcome.target_id or 'no target just now'
+    holder = outcome.holder or 'no instance just now'
+    return Text(
+        f'Key {outcome.key} of {outcome.service} is in slice'
+        f' {outcome.slice_index}, owned by {owner}, whose lease is held by'
+        f' {holder}. Entry: {outcome.entry}.',
+    )
+
+
+@render.register
+def _render_explanations(outcome: Explanations) -> RenderableType:
+    if not outcome.explanations:
+        return Text('This daemon has no record of that; ask another one.')
+    return Text('\n'.join(one.sentence for one in outcome.explanations))
+
+
+def _target_table(status: Status) -> Table:
+    table = new_table(
+        'target', 'service', 'data centre', 'state', 'load', 'holder'
+    )
+    for target in status.targets:
+        state = f'out by {target.out_by}' if target.out_by else target.state
+        table.add_row(
+            target.target_id,
+            target.service,
+            target.data_centre,
+            state,
+            f'{target.in_flight}/{target.capacity} +{target.queued}',
+            target.holder or NONE,
+        )
+    return table
--- a/cassialever/operator_api.py
+++ b/cassialever/operator_api.py
@@ -42,7 +42,7 @@
 class Refusal(msgspec.Struct, frozen=True):
     """The body of an answer that refuses an operator's call."""
 
-    kind: str
+    kind: ErrorKind
     sentence: str
     reason: str
 
@@ -158,7 +158,7 @@
 
 def _refuse(failure: Failure) -> web.Response:
     answer = ANSWER_BY_KIND[failure.kind]
-    refusal = Refusal(failure.kind.value, answer.sentence, failure.reason)
+    refusal = Refusal(failure.kind, answer.sentence, failure.reason)
     return web.Response(
         status=answer.status,
         body=msgspec.json.encode(refusal),
--- /dev/null
+++ b/cassialever/operator_client.py
@@ -0,0 +1,111 @@
+"""The tool's way to a daemon's operator endpoint."""
+
+import asyncio
+from typing import TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+
+from cassialever.decisions import Question
+from cassialever.errors import ErrorKind, Failure
+from cassialever.operator_api import (
+    DUMP_PATH,
+    EXPLAIN_PATH,
+    OWNERS_PATH,
+    SCHEME,
+    STATUS_PATH,
+    Explanations,
+    Refusal,
+)
+from cassialever.operator_view import KeyOwner, Status
+from cassialever.settings import Settings
+
+TIMEOUT_SECONDS = 5
+_FIRST_ERROR = 400
+
+_Reply = TypeVar('_Reply')
+
+
+class OperatorClient:
+    """Call one daemon's operator endpoint."""
+
+    def __init__(self, settings: Settings, url: str = '') -> None:
+        """Take the settings; an empty URL is that of their instance."""
+        instance = settings.instance
+        self.url = url or f'http://{instance.address}:{instance.operator_port}'
+        self._credential = settings.security.operator_credential
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session."""
+        self._session = aiohttp.ClientSession(
+            self.url,
+            headers={'Authorization': f'{SCHEME}{self._credential}'},
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT_SECONDS),
+        )
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self._session:
+            await self._session.close()
+            self._session = None
+
+    async def status(self) -> Status | Failure:
+        """Return the daemon's state."""
+        return await self._get(STATUS_PATH, Status)
+
+    async def owner(self, service: str, key: str) -> KeyOwner | Failure:
+        """Return who owns a key."""
+        path = f'{OWNERS_PATH}/{quote(service)}/{quote(key, safe="")}'
+        return await self._get(path, KeyOwner)
+
+    async def explain(self, question: Question) -> Explanations | Failure:
+        """Return what the daemon decided."""
+        asked = msgspec.structs.asdict(question)
+        query = {name: words for name, words in asked.items() if words}
+        return await self._get(EXPLAIN_PATH, Explanations, query)
+
+    async def dump(self) -> msgspec.Raw | Failure:
+        """Return the daemon's inner state as it is."""
+        return await self._get(DUMP_PATH, msgspec.Raw)
+
+    async def _get(
+        self,
+        path: str,
+        reply_type: type[_Reply],
+        query: dict[str, str] | None = None,
+    ) -> _Reply | Failure:
+        if self._session is None:
+            return self._unreachable('not started')
+        try:
+            async with self._session.get(path, params=query) as response:
+                return _reply(
+                    response.status,
+                    await response.read(),
+                    reply_type,
+                )
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return self._unreachable(str(error) or repr(error))
+
+    def _unreachable(self, reason: str) -> Failure:
+        return Failure(
+            ErrorKind.peer_unreachable,
+            f'the daemon at {self.url} does not answer ({reason}); is it'
+            ' running, and are instance.address and instance.operator_port'
+            ' in the settings its own?',
+        )
+
+
+def _reply(
+    status: int,
+    body: bytes,
+    reply_type: type[_Reply],
+) -> _Reply | Failure:
+    if status < _FIRST_ERROR:
+        return msgspec.json.decode(body, type=reply_type)
+    try:
+        refusal = msgspec.json.decode(body, type=Refusal)
+    except msgspec.DecodeError:
+        return Failure(ErrorKind.bad_request, f'the daemon answered {status}')
+    return Failure(refusal.kind, refusal.reason)
--- /dev/null
+++ b/cassialever/output.py
@@ -0,0 +1,19 @@
+"""Print what a command gave: tables for people, JSON for programs."""
+
+import msgspec
+from rich.console import Console
+
+from cassialever import catalogue_rendering, daemon_rendering
+from cassialever.rendering import render
+
+#: Importing these registers how their results read.
+REGISTERED = (catalogue_rendering, daemon_rendering)
+
+
+def print_result(outcome: object, console: Console, as_json: bool) -> None:
+    """Print a command's result."""
+    if as_json:
+        written = msgspec.json.format(msgspec.json.encode(outcome))
+        console.out(written.decode(), highlight=False)
+        return
+    console.print(render(outcome), highlight=False, soft_wrap=True)
--- /dev/null
+++ b/cassialever/tool.py
@@ -0,0 +1,118 @@
+"""What the commands of the tool share: settings, table, daemon, progress."""
+
+import pathlib
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import msgspec
+from rich.console import Console
+
+from cassialever.catalogue_changes import CatalogueChange
+from cassialever.catalogue_store import CatalogueStore
+from cassialever.documents import Fault
+from cassialever.operator_client import OperatorClient
+from cassialever.settings import Settings, load_settings
+from cassialever.table import HttpTable
+
+
+class Faults(msgspec.Struct, frozen=True):
+    """A file that can't be used, and why."""
+
+    file: str
+    faults: tuple[Fault, ...]
+
+
+class Checked(msgspec.Struct, frozen=True):
+    """A catalogue without a fault, and how many entries it has."""
+
+    file: str
+    services: int
+    targets: int
+    data_centres: int
+    callers: int
+
+
+class Made(msgspec.Struct, frozen=True, kw_only=True):
+    """A change that was accepted; `in_force` is where it was awaited."""
+
+    change: CatalogueChange
+    in_force: str = ''
+
+
+class History(msgspec.Struct, frozen=True):
+    """Changes, the newest first."""
+
+    changes: tuple[CatalogueChange, ...]
+
+
+class Tool:
+    """The way to the table and to one daemon, while a command runs."""
+
+    def __init__(self, settings: Settings, daemon_url: str = '') -> None:
+        """Take the settings; an empty URL is that of their instance."""
+        self.settings = settings
+        self.table = HttpTable(settings.platform)
+        self.store = CatalogueStore(self.table)
+        self.daemon = OperatorClient(settings, daemon_url)
+        self.progress = Console(stderr=True)
+
+    async def start(self) -> None:
+        """Open the sessions."""
+        await self.table.start()
+        await self.daemon.start()
+
+    async def stop(self) -> None:
+        """Close the sessions."""
+        await self.daemon.stop()
+        await self.table.stop()
+
+
+Command: TypeAlias = Callable[[Tool], Awaitable[object]]
+
+
+async def run_with_tool(
+    settings_path: pathlib.Path,
+    daemon_url: str,
+    message: str,
+    command: Command,
+) -> object:
+    """Run a command and return its result.
+
+    Where a message is given, people see it with a sign that work goes on.
+    """
+    settings = read_settings_file(settings_path)
+    if isinstance(settings, Faults):
+        return settings
+    tool = Tool(settings, daemon_url)
+    await tool.start()
+    try:
+        return await _shown(tool, message, command)
+    finally:
+        await tool.stop()
+
+
+async def _shown(tool: Tool, message: str, command: Command) -> object:
+    if not message:
+        return await command(tool)
+    with tool.progress.status(message):
+        return await command(tool)
+
+
+def read_settings_file(path: pathlib.Path) -> Settings | Faults:
+    """Read settings from a file."""
+    text = read_text(path)
+    if isinstance(text, Faults):
+        return text
+    settings = load_settings(text)
+    if isinstance(settings, list):
+        return Faults(str(path), tuple(settings))
+    return settings
+
+
+def read_text(path: pathlib.Path) -> str | Faults:
+    """Read a file; what can't be read is a fault at its start."""
+    try:
+        return path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        reason = f'The file cannot be read: {error}.'
+        return Faults(str(path), (Fault(1, 1, reason),))
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,196 @@
+"""Tests of the command-line tool, against a table and a daemon's endpoint."""
+
+import asyncio
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+from typing import Any
+
+import msgspec
+
+from cassialever.cmdline import run
+from cassialever.exits import Exit
+from cassialever.operator_api import OperatorApi
+from cassialever.settings import Settings
+from standins.table import TableServer
+from tests.test_operator_api import TARGET, FixedView, refused
+from tests.test_telemetry import EXAMPLE, example_settings
+
+EXAMPLES = EXAMPLE.parent
+CATALOGUE = EXAMPLES / 'qazaq-coldline.catalogue.jsonc'
+
+
+class TestCmdline(unittest.IsolatedAsyncioTestCase):
+    """Commands as an operator gives them."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = TableServer()
+        url = await self.server.start()
+        settings = example_settings()
+        platform = msgspec.structs.replace(settings.platform, table_url=url)
+        instance = msgspec.structs.replace(settings.instance, operator_port=0)
+        settings = msgspec.structs.replace(
+            settings, platform=platform, instance=instance
+        )
+        self.view = FixedView(settings)
+        self.api = OperatorApi(settings, self.view)
+        await self.api.start()
+        port = int(self.api.url.rpartition(':')[2])
+        instance = msgspec.structs.replace(instance, operator_port=port)
+        settings = msgspec.structs.replace(settings, instance=instance)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.settings_path = self.write_settings(settings)
+
+    async def asyncTearDown(self) -> None:
+        await self.api.stop()
+        await self.server.stop()
+
+    def write_settings(self, settings: Settings) -> pathlib.Path:
+        path = self.folder / 'settings.jsonc'
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+    async def tool(self, *words: str) -> tuple[int, str]:
+        """Run a command; return its exit code and all that it printed."""
+        printed = io.StringIO()
+        tokens = [*words]
+        if words[0] not in {'check', 'settings'}:
+            tokens.extend(('--settings', str(self.settings_path)))
+        with (
+            contextlib.redirect_stdout(printed),
+            contextlib.redirect_stderr(printed),
+        ):
+            code = await asyncio.to_thread(run, tokens)
+        return code, printed.getvalue()
+
+    async def json(self, *words: str) -> Any:
+        code, printed = await self.tool(*words, '--json')
+        self.assertEqual(code, Exit.done, printed)
+        return json.loads(printed)
+
+    async def apply_example(self) -> None:
+        code, printed = await self.tool(
+            'apply', str(CATALOGUE), '--reason', 'first', '--author', 'ann'
+        )
+        self.assertEqual(code, Exit.done, printed)
+
+    async def test_data_centre_out_and_back(self) -> None:
+        """Each step is a version with its reason; revert is one more."""
+        await self.apply_example()
+        for words, version in (
+            (('data-centre', 'out', 'saran-1', '--reason', 'power'), 2),
+            (('data-centre', 'return', 'saran-1', '--reason', 'back'), 3),
+            (('target', 'drain', 'audit-01', '--reason', 'disk'), 4),
+            (('target', 'return', 'audit-01', '--reason', 'new disk'), 5),
+            (('revert', '4', '--reason', 'wrong one'), 6),
+        ):
+            made = await self.json(*words)
+            self.assertEqual(made['change']['version'], version)
+        code, printed = await self.tool('history', '--limit', '3')
+        self.assertEqual(code, Exit.done)
+        self.assertIn('wrong one', printed)
+        self.assertNotIn('power', printed)
+        catalogue = await self.json('show')
+        states = [entry['state'] for entry in catalogue['targets']]
+        self.assertEqual(states.count('out'), 1)
+        _, printed = await self.tool('compare', '1')
+        self.assertIn('target/audit-01', printed)
+        self.assertNotIn('saran-1', printed)
+
+    async def test_file_edit_conflicts(self) -> None:
+        """A file of an older version shows both sides and exits with 4."""
+        await self.apply_example()
+        old = await self.json('show')
+        await self.tool('target', 'drain', 'audit-01', '--reason', 'disk')
+        old['callers'][0]['limits']['requests_at_once'] = 63
+        path = self.folder / 'old.jsonc'
+        path.write_text(json.dumps(old))
+        code, printed = await self.tool('diff', str(path))
+        self.assertEqual(code, Exit.done)
+        self.assertIn('limits.requests_at_once', printed)
+        code, printed = await self.tool('apply', str(path), '--reason', 'x')
+        self.assertEqual(code, Exit.conflict)
+        self.assertIn('target/audit-01', printed)
+        self.assertIn('limits.requests_at_once', printed)
+
+    async def test_ask_the_daemon(self) -> None:
+        """Status, owner, explanation, watch and dump come from a daemon."""
+        self.view.decisions.note(refused(1, TARGET.ref()))
+        for words, part in (
+            (('status',), 'entry-1 in west: ready'),
+            (('owners', 'registry', 'KZ/1'), 'Key KZ/1 of registry'),
+            (('explain', '--request-id', 'request-1'), 'It was not run.'),
+            (('explain', '--entry', 'target/registry-1'), 'request-1'),
+            (('explain', '--key', 'other'), 'no record of that'),
+            (('watch', '--count', '2', '--interval', '0.01'), 'entry-1'),
+            (('dump',), 'instance_id'),
+        ):
+            with self.subTest(words=words):
+                code, printed = await self.tool(*words)
+                self.assertEqual(code, Exit.done, printed)
+                self.assertIn(part, printed)
+
+    async def test_exit_codes(self) -> None:
+        """What goes wrong is told apart by the exit code, and said."""
+        faulty = self.folder / 'faulty.jsonc'
+        faulty.write_text('{"services": 1}')
+        for words, code, part in (
+            (('check', str(faulty)), Exit.faults, 'line 1, column 14'),
+            (('check', 'missing.jsonc'), Exit.faults, 'cannot be read'),
+            (('show', '--nonsense'), Exit.usage, 'Unknown option'),
+            (('drain',), Exit.usage, ''),
+            (('data-centre', 'out', 'saran-1'), Exit.usage, 'reason'),
+            (('owners', 'none', 'k'), Exit.unknown_name, 'no such service'),
+            (('revert', '7', '--reason', 'x'), Exit.faults, 'no version 7'),
+            (
+                ('target', 'drain', 'nobody', '--reason', 'x'),
+                Exit.faults,
+                'no target named "nobody"',
+            ),
+        ):
+            with self.subTest(words=words):
+                found, printed = await self.tool(*words)
+                self.assertEqual(found, code, printed)
+                self.assertIn(part, ' '.join(printed.split()))
+
+    async def test_nobody_answers(self) -> None:
+        """An unreachable daemon or table is named, with what to look at."""
+        await self.api.stop()
+        await self.server.stop()
+        for words, part in (
+            (('status',), 'instance.operator_port'),
+            (('show',), 'table service does not answer'),
+        ):
+            with self.subTest(words=words):
+                code, printed = await self.tool(*words)
+                self.assertEqual(code, Exit.unreachable, printed)
+                self.assertIn(part, printed)
+
+    async def test_wrong_credential(self) -> None:
+        """A wrong credential is refused, and no secret is printed."""
+        settings = example_settings()
+        security = msgspec.structs.replace(
+            settings.security, operator_credential='wrong-but-long-enough'
+        )
+        self.write_settings(
+            msgspec.structs.replace(settings, security=security)
+        )
+        code, printed = await self.tool('status', '--daemon', self.api.url)
+        self.assertEqual(code, Exit.refused, printed)
+        self.assertNotIn('wrong-but', printed)
+
+    async def test_settings_show(self) -> None:
+        """Values, sources, and no secret."""
+        code, printed = await self.tool('settings', 'show', str(EXAMPLE))
+        self.assertEqual(code, Exit.done)
+        self.assertIn('line 9, column 5', printed)
+        self.assertIn('default', printed)
+        security = example_settings().security
+        self.assertIn('[secret]', printed)
+        self.assertNotIn(security.fleet_key, printed)
+        self.assertNotIn(security.operator_credential, printed)
