--- a/cassialever/catalogue_store.py
+++ b/cassialever/catalogue_store.py
@@ -119,7 +119,7 @@
         first: CatalogueVersion,
         last: CatalogueVersion,
     ) -> list[CatalogueChange] | Failure:
-        """Return the changes of a range of versions, oldest first."""
+        """Return those of a range of changes that exist, oldest first."""
         found: list[CatalogueChange] = []
         for start in range(first, last + 1, ROWS_A_READ):
             stop = min(start + ROWS_A_READ, last + 1)
@@ -130,13 +130,9 @@
             rows = await self._table.read(names)
             if isinstance(rows, Failure):
                 return rows
-            missing = [name for name in names if name not in rows]
-            if missing:
-                return Failure(
-                    ErrorKind.catalogue_invalid,
-                    f'the table has no row {missing[0]}',
-                )
-            found.extend(_change_of(rows[name]) for name in names)
+            found.extend(
+                _change_of(rows[name]) for name in names if name in rows
+            )
         return found
 
     async def at(self, version: CatalogueVersion) -> Catalogue | Failure:
@@ -287,6 +283,12 @@
         changes = await self.changes(first, current.version)
         if isinstance(changes, Failure):
             return changes
+        needed = [change for change in changes if change.version > version]
+        if len(needed) < current.version - version:
+            return Failure(
+                ErrorKind.catalogue_invalid,
+                f'the table lacks some change after version {version}',
+            )
         return _undo_all(current, changes, version)
 
 
