--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -41,6 +41,11 @@
     # Catalogue and operators.
     catalogue_adopted = (601, logbook.NOTICE, 'A catalogue is in force.')
     operator_refused = (602, logbook.WARNING, 'An operator call was refused.')
+    catalogue_rubbish = (
+        603,
+        logbook.WARNING,
+        'A peer sent a catalogue that can not be read.',
+    )
 
     # Broken invariants.
     invariant_broken = (901, logbook.CRITICAL, 'An invariant is broken.')
