--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -28,6 +28,13 @@
 
     # Ownership.
     lease_granted = (401, logbook.INFO, 'A target lease was granted.')
+    lease_lapsed = (402, logbook.WARNING, 'A target lease has lapsed.')
+    authority_taken = (410, logbook.NOTICE, 'This daemon coordinates now.')
+    authority_lost = (411, logbook.WARNING, 'This daemon coordinates no more.')
+    target_lost = (420, logbook.WARNING, 'A target does not answer.')
+    move_started = (430, logbook.INFO, 'A move of slices has begun.')
+    move_done = (431, logbook.INFO, 'A move of slices is complete.')
+    move_given_up = (432, logbook.WARNING, 'A move of slices was undone.')
 
     # Table and slices.
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
--- /dev/null
+++ b/cassialever/rows.py
@@ -0,0 +1,146 @@
+"""What the ownership rows of the table hold, and their names."""
+
+import msgspec
+import numpy as np
+
+from cassialever.exceptions import CodecError
+from cassialever.types import (
+    ChangeId,
+    DataCentreId,
+    Epoch,
+    Fence,
+    GroupIndex,
+    Incarnation,
+    InstanceId,
+    RowName,
+    ServiceName,
+    SliceIndex,
+    TargetId,
+)
+
+#: A slice that no target owns yet.
+NO_OWNER = 0xFFFF
+#: How many slices one row holds at most.
+SLICES_PER_GROUP = 512
+#: How many digits a group's number has in its row's name.
+GROUP_DIGITS = 5
+#: How far the epoch stands above the serial within a fence, in bits.
+SERIAL_BITS = 32
+
+_OWNER_TYPE = np.dtype('<u2')
+_SLICE_TYPE = np.dtype('<u4')
+
+
+class Unresolved(msgspec.Struct, frozen=True):
+    """A coordinator and its successor that a third daemon superseded.
+
+    Neither has been heard of since, so they may still act for their epoch.
+    """
+
+    epoch: Epoch
+    holder: InstanceId
+    successor: InstanceId
+
+
+class CoordinatorRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Who coordinates a partition, and who alone may take over soon."""
+
+    epoch: Epoch
+    holder: InstanceId
+    holder_incarnation: Incarnation
+    successor: InstanceId
+    change_id: ChangeId
+    renewal: int = 0
+    unresolved: tuple[Unresolved, ...] = ()
+
+
+class GroupRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Owners of one group of a service's slices.
+
+    `owners` holds an index into `targets` per slice, packed in 16 bits.
+    """
+
+    service: ServiceName
+    group: GroupIndex
+    home: DataCentreId
+    fence: Fence
+    targets: tuple[TargetId, ...]
+    owners: bytes
+    change_id: ChangeId
+
+
+def coordinator_row(data_centre: DataCentreId) -> RowName:
+    """Name the row of a data centre's coordinator."""
+    return RowName(f'coordinator/{data_centre}')
+
+
+def group_prefix(data_centre: DataCentreId) -> str:
+    """Return the prefix of every group row at home in a data centre."""
+    return f'slices/{data_centre}/'
+
+
+def group_row(
+    data_centre: DataCentreId,
+    service: ServiceName,
+    group: GroupIndex,
+) -> RowName:
+    """Name the row of one group of slices."""
+    number = str(group).zfill(GROUP_DIGITS)
+    return RowName(f'slices/{data_centre}/{service}/{number}')
+
+
+def encode_row(row: CoordinatorRow | GroupRow) -> bytes:
+    """Write a row's body."""
+    return msgspec.msgpack.encode(row)
+
+
+def decode_coordinator(body: bytes) -> CoordinatorRow:
+    """Read a coordinator's row, or raise `CodecError`."""
+    try:
+        return msgspec.msgpack.decode(body, type=CoordinatorRow)
+    except msgspec.MsgspecError as fault:
+        raise CodecError(str(fault)) from fault
+
+
+def decode_group(body: bytes) -> GroupRow:
+    """Read a group's row, or raise `CodecError`."""
+    try:
+        return msgspec.msgpack.decode(body, type=GroupRow)
+    except msgspec.MsgspecError as fault:
+        raise CodecError(str(fault)) from fault
+
+
+def pack_slices(slices: frozenset[SliceIndex]) -> bytes:
+    """Write a set of slices as sorted 32 bit numbers."""
+    return np.array(sorted(slices), dtype=_SLICE_TYPE).tobytes()
+
+
+def unpack_slices(packed: bytes) -> frozenset[SliceIndex]:
+    """Read what `pack_slices` wrote, or raise `CodecError`."""
+    if len(packed) % _SLICE_TYPE.itemsize:
+        raise CodecError('packed slices of an odd length')
+    numbers = np.frombuffer(packed, dtype=_SLICE_TYPE)
+    return frozenset(SliceIndex(number) for number in numbers.tolist())
+
+
+def pack_owners(owners: list[int]) -> bytes:
+    """Write the owner index of each slice of a group."""
+    return np.array(owners, dtype=_OWNER_TYPE).tobytes()
+
+
+def unpack_owners(packed: bytes) -> list[int]:
+    """Read what `pack_owners` wrote, or raise `CodecError`."""
+    if len(packed) % _OWNER_TYPE.itemsize:
+        raise CodecError('packed owners of an odd length')
+    owners: list[int] = np.frombuffer(packed, dtype=_OWNER_TYPE).tolist()
+    return owners
+
+
+def make_fence(epoch: Epoch, serial: int) -> Fence:
+    """Return a fence above each one of every earlier epoch."""
+    return Fence((epoch << SERIAL_BITS) + serial)
+
+
+def epoch_of(fence: Fence) -> Epoch:
+    """Return the epoch in which a fence was made."""
+    return Epoch(fence >> SERIAL_BITS)
