--- a/cassialever/control_messages.py
+++ b/cassialever/control_messages.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from cassialever.types import (
-    CatalogueVersion,
     Epoch,
     Fence,
     Incarnation,
@@ -25,15 +24,19 @@
     """What a holder says of one of its leases.
 
     `live` says that the lease had not lapsed when the report was sent;
-    `settled` that what an earlier fence allowed and this one does not is
-    over: nothing of it runs any more, and the target refuses it.
-    `reachable` is false once the target's own grant has certainly lapsed.
+    `stopped` that the holder was told to stop, and sends nothing; `settled`
+    that what an earlier fence allowed and this one does not is over: nothing
+    of it runs any more, and the target refuses it. `accepted` says that the
+    target has taken a grant from this holder; `reachable` is false once the
+    target's grant has certainly lapsed.
     """
 
     target_id: TargetId
     fence: Fence
     live: bool = True
+    stopped: bool = False
     settled: bool = False
+    accepted: bool = False
     reachable: bool = True
     target_incarnation: Incarnation = Incarnation(0)
 
@@ -41,7 +44,8 @@
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
     """Ask the coordinator to renew every lease of the sender.
 
-    `sequence` rises with each heartbeat of one incarnation.
+    `sequence` rises with each heartbeat of one incarnation. `epoch` also
+    says that the sender serves no lower one any more.
     """
 
     sequence: int
@@ -55,10 +59,12 @@
     """One lease in an answer; `slices` are packed by `rows.pack_slices`.
 
     `slices` is sent only where the holder has not reported this fence.
+    `stop` ends the lease: the holder sends nothing more and reports so.
     """
 
     target_id: TargetId
     fence: Fence
+    stop: bool = False
     has_slices: bool = False
     slices: bytes = b''
 
@@ -66,11 +72,13 @@
 class HeartbeatAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """All leases of the recipient, for a term from when it asked.
 
-    A lease that is not named is over.
+    A lease that is not named is over. `incarnation` is the one that asked:
+    one that started since must not take the answer for its own.
     """
 
     sequence: int
     epoch: Epoch
+    incarnation: Incarnation
     term: Seconds
     grants: list[LeaseGrant] = []
 
@@ -100,12 +108,6 @@
     epoch: Epoch
 
 
-class EpochSeen(msgspec.Struct, frozen=True, kw_only=True):
-    """The sender serves no epoch below this one any more."""
-
-    epoch: Epoch
-
-
 class HandOver(msgspec.Struct, frozen=True, kw_only=True):
     """The coordinator has stopped; its successor may take over at once."""
 
@@ -113,19 +115,11 @@
     row_version: RowVersion
 
 
-class CatalogueSeen(msgspec.Struct, frozen=True, kw_only=True):
-    """Tell which catalogue the sender has in force."""
-
-    version: CatalogueVersion
-
-
 ControlMessage: TypeAlias = (
     Heartbeat
     | HeartbeatAnswer
     | HeartbeatWanted
     | PromiseWanted
     | Promise
-    | EpochSeen
     | HandOver
-    | CatalogueSeen
 )
--- /dev/null
+++ b/cassialever/coordinator.py
@@ -0,0 +1,263 @@
+"""The coordinator of one data centre's partition.
+
+It says which daemon holds which target and which target owns which slice.
+It may do so only while `Authority.holds`, and starts each epoch from the
+table's rows and from what leaseholders report, after waiting out the leases
+of those that it can't hear.
+"""
+
+import functools
+from collections.abc import Iterator
+from typing import Any
+
+from cassialever.assignment import Assign
+from cassialever.authority import Authority
+from cassialever.catalogue import CatalogueIndex
+from cassialever.control_messages import (
+    Heartbeat,
+    HeartbeatAnswer,
+    LeaseReport,
+)
+from cassialever.coordinator_plan import plan
+from cassialever.coordinator_state import CoordinatorState
+from cassialever.errors import ErrorKind, Failure
+from cassialever.events import Event
+from cassialever.interfaces import Committed
+from cassialever.invariants import Invariant, check
+from cassialever.membership import Membership
+from cassialever.ownership_effects import (
+    Effect,
+    LogEvent,
+    ReadRows,
+    ScanRows,
+    SendControl,
+)
+from cassialever.ownership_events import (
+    CatalogueAdopted,
+    ControlReceived,
+    OwnershipEvent,
+    RowsCommitted,
+    RowsRead,
+    Tick,
+)
+from cassialever.rows import epoch_of, group_prefix
+from cassialever.settings import Settings
+from cassialever.target_record import Former, Process, TargetRecord
+from cassialever.types import InstanceId, Seconds
+
+#: How long an answer of the table is waited for, in seconds.
+ANSWER_WAIT = 1.0
+
+
+class Coordinator:
+    """Run one epoch after another, as the authority comes and goes."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        membership: Membership,
+        authority: Authority,
+        tokens: Iterator[int],
+        assign: Assign,
+    ) -> None:
+        """Start without an epoch."""
+        self.settings = settings
+        self.membership = membership
+        self.authority = authority
+        self.tokens = tokens
+        self.assign = assign
+        self.index: CatalogueIndex | None = None
+        self.state: CoordinatorState | None = None
+
+    def handle(self, event: OwnershipEvent, now: Seconds) -> list[Effect]:
+        """Take in one event and return what is to be done."""
+        if isinstance(event, CatalogueAdopted):
+            self.index = event.index
+        if not self.authority.holds(now) or self.index is None:
+            return []
+        effects: list[Effect] = []
+        state = self.state
+        if state is None or state.epoch != self.authority.epoch:
+            state = CoordinatorState(
+                self.settings,
+                self.membership,
+                self.authority,
+                self.tokens,
+                self.assign,
+            )
+            self.state = state
+            effects.extend(_scan(state, now))
+        state.adopt(self.index)
+        effects.extend(_handle(event, state, now))
+        return effects
+
+
+def _scan(state: CoordinatorState, now: Seconds) -> list[Effect]:
+    """Read every row of this data centre's slices."""
+    state.scan_token = next(state.tokens)
+    state.scan_sent = now
+    data_centre = state.settings.instance.data_centre
+    return [ScanRows(state.scan_token, group_prefix(data_centre))]
+
+
+@functools.singledispatch
+def _handle(
+    event: Any,
+    state: CoordinatorState,
+    now: Seconds,
+) -> list[Effect]:
+    return []
+
+
+@_handle.register
+def _on_tick(
+    event: Tick,
+    state: CoordinatorState,
+    now: Seconds,
+) -> list[Effect]:
+    if not state.loaded:
+        if now < state.scan_sent + ANSWER_WAIT:
+            return []
+        return _scan(state, now)
+    effects: list[Effect] = []
+    pending = state.moves.pending
+    if pending and now >= pending.sent_at + ANSWER_WAIT:
+        effects.extend(state.moves.resend(next(state.tokens), now))
+    effects.extend(plan(state, now))
+    return effects
+
+
+@_handle.register
+def _on_read(
+    event: RowsRead,
+    state: CoordinatorState,
+    now: Seconds,
+) -> list[Effect]:
+    if event.token == state.probe_token:
+        if not isinstance(event.outcome, Failure):
+            state.table_answered_at = now
+        return plan(state, now)
+    if event.token != state.scan_token:
+        return []
+    if isinstance(event.outcome, Failure):
+        return []
+    state.table_answered_at = now
+    if state.loaded:
+        done = state.moves.read_back(event.outcome)
+        return [*state.moved(done), *plan(state, now)]
+    state.moves.rows.load(event.outcome)
+    state.loaded = True
+    return plan(state, now)
+
+
+@_handle.register
+def _on_committed(
+    event: RowsCommitted,
+    state: CoordinatorState,
+    now: Seconds,
+) -> list[Effect]:
+    pending = state.moves.pending
+    if pending is None or event.token != pending.token:
+        return []
+    if isinstance(event.outcome, Committed):
+        state.table_answered_at = now
+        done = state.moves.committed(event.outcome)
+        return [*state.moved(done), *plan(state, now)]
+    state.table_answered_at = -ANSWER_WAIT
+    if state.moves.not_written(event.outcome):
+        return [LogEvent(Event.move_given_up), *plan(state, now)]
+    if event.outcome.kind is not ErrorKind.table_conflict:
+        # It may have been written: the same write is sent again in a while.
+        return []
+    # A conflict for an earlier sending holds for every one of them, so the
+    # rows now tell for good whether the write was done.
+    state.scan_token = next(state.tokens)
+    names = tuple(write.name for write in pending.transaction.writes)
+    return [ReadRows(state.scan_token, names)]
+
+
+@_handle.register
+def _on_control(
+    event: ControlReceived,
+    state: CoordinatorState,
+    now: Seconds,
+) -> list[Effect]:
+    if not isinstance(event.message, Heartbeat) or not state.loaded:
+        return []
+    process = (event.sender, event.incarnation)
+    return _on_heartbeat(event.message, process, state, now)
+
+
+def _on_heartbeat(
+    heartbeat: Heartbeat,
+    process: Process,
+    state: CoordinatorState,
+    now: Seconds,
+) -> list[Effect]:
+    if heartbeat.epoch != state.epoch:
+        return []
+    if heartbeat.sequence <= state.sequence_by_process.get(process, 0):
+        return []
+    state.sequence_by_process[process] = heartbeat.sequence
+    for report in heartbeat.reports:
+        record = state.record_by_target.get(report.target_id)
+        if record:
+            _take_report(report, record, process, state, now)
+    effects = plan(state, now)
+    fence_by_target = {
+        report.target_id: report.fence for report in heartbeat.reports
+    }
+    check(
+        Invariant.lease_within_authority,
+        state.authority.holds(now),
+        epoch=state.epoch,
+    )
+    answer = HeartbeatAnswer(
+        sequence=heartbeat.sequence,
+        epoch=state.epoch,
+        incarnation=process[1],
+        term=state.settings.leases.target_term,
+        grants=state.grants(process, fence_by_target, now),
+    )
+    return [*effects, SendControl(process[0], answer)]
+
+
+def _take_report(
+    report: LeaseReport,
+    record: TargetRecord,
+    process: Process,
+    state: CoordinatorState,
+    now: Seconds,
+) -> None:
+    former = record.former_by_process.get(process)
+    if record.holder == process:
+        record.report = report
+        stopped = record.stopping and report.stopped
+        if stopped and report.fence == record.fence:
+            record.release(state.give_up_at(record, now), now)
+            former = record.former_by_process.get(process)
+    elif former is None and not (report.stopped and report.settled):
+        _take_claim(report, record, process, state, now)
+    if former and report.settled and report.fence >= former.fence:
+        record.former_by_process.pop(process)
+
+
+def _take_claim(
+    report: LeaseReport,
+    record: TargetRecord,
+    process: Process,
+    state: CoordinatorState,
+    now: Seconds,
+) -> None:
+    """Adopt a lease of an earlier epoch, or have its holder stop."""
+    earlier = epoch_of(report.fence) < state.epoch
+    adopts = earlier and report.live and not report.stopped
+    if adopts and record.holder is None and state.may_grant(record):
+        # Nobody else can hold the target while this lease is live.
+        record.free_at = min(record.free_at, now)
+        state.give(record, process, now)
+        return
+    record.former_by_process[process] = Former(
+        state.next_fence(),
+        state.give_up_at(record, now),
+    )
--- /dev/null
+++ b/cassialever/coordinator_state.py
@@ -0,0 +1,195 @@
+"""What a coordinator keeps for one epoch."""
+
+import itertools
+from collections.abc import Iterable, Iterator, Mapping
+
+from cassialever.assignment import Assign
+from cassialever.authority import Authority
+from cassialever.catalogue import CatalogueIndex
+from cassialever.control_messages import HeartbeatWanted, LeaseGrant
+from cassialever.events import Event
+from cassialever.invariants import Invariant, check
+from cassialever.leases import giver_term
+from cassialever.membership import Membership
+from cassialever.moves import Move, Moves
+from cassialever.ownership_effects import Effect, LogEvent, SendControl
+from cassialever.rows import make_fence
+from cassialever.settings import Settings
+from cassialever.slice_rows import SliceRows
+from cassialever.target_record import Process, TargetRecord
+from cassialever.types import (
+    Epoch,
+    Fence,
+    RoutingClass,
+    Seconds,
+    SliceIndex,
+    TargetId,
+)
+
+#: How many milliseconds a second has.
+MS_PER_SECOND = 1000
+
+
+class CoordinatorState:
+    """Targets, their holders, rows and moves in one epoch."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        membership: Membership,
+        authority: Authority,
+        tokens: Iterator[int],
+        assign: Assign,
+    ) -> None:
+        """Start an epoch with nothing but the wait for earlier leases."""
+        self.settings = settings
+        self.membership = membership
+        self.authority = authority
+        self.tokens = tokens
+        self.assign = assign
+        self.epoch: Epoch = authority.epoch
+        self.index: CatalogueIndex | None = None
+        self.moves = Moves(SliceRows(settings.instance.data_centre))
+        self.record_by_target: dict[TargetId, TargetRecord] = {}
+        self.sequence_by_process: dict[Process, int] = {}
+        self.load_by_slice: Mapping[SliceIndex, float] = {}
+        self.loaded = False
+        self.scan_token = 0
+        self.scan_sent: Seconds = 0
+        self.probe_token = 0
+        self.probe_sent: Seconds = 0
+        self.table_answered_at: Seconds = 0
+        self.next_greeting: Seconds = 0
+        self.announced: object = None
+        self._serial = itertools.count(1)
+
+    def adopt(self, index: CatalogueIndex) -> None:
+        """Keep a record of every target of this data centre."""
+        if self.index is index:
+            return
+        self.index = index
+        own = self.settings.instance.data_centre
+        free_at = self.wait_until()
+        for entry in index.catalogue.targets:
+            if entry.data_centre != own:
+                continue
+            known = self.record_by_target.get(entry.target_id)
+            if known:
+                known.entry = entry
+                continue
+            self.record_by_target[entry.target_id] = TargetRecord(
+                entry,
+                free_at,
+            )
+        for service in index.catalogue.services:
+            if service.routing is RoutingClass.keyed:
+                self.moves.rows.declare(service.name, service.slices)
+
+    def giver_term(self) -> Seconds:
+        """Return how long a lease given now may be in force."""
+        leases = self.settings.leases
+        return giver_term(leases.target_term, leases.drift_share)
+
+    def wait_until(self) -> Seconds:
+        """Return when the leases of every earlier epoch have ended."""
+        return self.authority.old_ended + self.giver_term()
+
+    def next_fence(self) -> Fence:
+        """Return a fence above every one before."""
+        return make_fence(self.epoch, next(self._serial))
+
+    def longest_request(self, record: TargetRecord) -> Seconds:
+        """Return how long a request to a target may run at most."""
+        if self.index is None:
+            return 0
+        service = self.index.service_by_name.get(record.entry.service)
+        if service is None:
+            return 0
+        return service.limits.longest_timeout_ms / MS_PER_SECOND
+
+    def give_up_at(self, record: TargetRecord, now: Seconds) -> Seconds:
+        """Return when a former holder's last request has surely ended."""
+        return now + self.longest_request(record)
+
+    def may_grant(self, record: TargetRecord) -> bool:
+        """Return whether a target's lease may be given at all.
+
+        While an earlier coordinator may act still, only targets that refuse
+        its fences are: they settle by themselves which side they obey.
+        """
+        return not self.authority.unresolved or record.entry.checks.fence
+
+    def give(
+        self,
+        record: TargetRecord,
+        process: Process,
+        now: Seconds,
+    ) -> None:
+        """Give a target to a process, with the slices its rows name."""
+        slices = self.moves.slices_of(record.target_id)
+        record.give(process, self.next_fence(), slices, now)
+
+    def grants(
+        self,
+        process: Process,
+        reported_by_target: Mapping[TargetId, Fence],
+        now: Seconds,
+    ) -> list[LeaseGrant]:
+        """Return every lease of a process, given now, and every stop."""
+        grants: list[LeaseGrant] = []
+        until = now + self.giver_term()
+        for target_id, record in sorted(self.record_by_target.items()):
+            former = record.former_by_process.get(process)
+            if former:
+                stop = LeaseGrant(
+                    target_id=target_id,
+                    fence=former.fence,
+                    stop=True,
+                )
+                grants.append(stop)
+            if record.holder != process:
+                continue
+            check(
+                Invariant.grant_has_row,
+                record.slices <= self.moves.rows.slices_of(target_id),
+                target=target_id,
+            )
+            reported = reported_by_target.get(target_id, Fence(0))
+            grants.append(record.grant(reported))
+            if not record.stopping:
+                record.until = until
+        return grants
+
+    def live_processes(self, now: Seconds) -> list[Process]:
+        """Return the processes that can hold targets."""
+        since = now - self.settings.leases.target_term
+        return [
+            (member.instance_id, member.incarnation)
+            for member in self.membership.live(since)
+            if (member.instance_id, member.incarnation)
+            in self.sequence_by_process
+        ]
+
+    def wake(self, processes: Iterable[Process]) -> list[Effect]:
+        """Ask processes for a heartbeat at once."""
+        wanted = HeartbeatWanted(
+            epoch=self.epoch,
+            coordinator=self.authority.me,
+        )
+        names = sorted({process[0] for process in processes})
+        return [SendControl(name, wanted) for name in names]
+
+    def moved(self, done: Iterable[Move]) -> list[Effect]:
+        """Log the moves that are complete."""
+        return [
+            LogEvent(
+                Event.move_done,
+                {
+                    'service': move.service,
+                    'source': str(move.source),
+                    'destination': move.destination,
+                    'slices': len(move.slices),
+                },
+            )
+            for move in done
+        ]
--- /dev/null
+++ b/cassialever/ownership.py
@@ -0,0 +1,94 @@
+"""The whole ownership core of one daemon: no I/O, time is passed in."""
+
+import itertools
+
+from cassialever.assignment import Assign, assign_evenly
+from cassialever.authority import Authority
+from cassialever.control_messages import Heartbeat
+from cassialever.coordinator import Coordinator
+from cassialever.holder import Holder
+from cassialever.interfaces import RandomSource
+from cassialever.leases import HeldLeases
+from cassialever.membership import Membership
+from cassialever.ownership_effects import Effect
+from cassialever.ownership_events import (
+    ControlReceived,
+    InstancesListed,
+    OwnershipEvent,
+)
+from cassialever.settings import Settings
+from cassialever.types import Incarnation, Seconds
+
+
+class Ownership:
+    """Authority, coordinator and leaseholder of one daemon.
+
+    `leases` is what the request path asks before it sends anything.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: Incarnation,
+        random: RandomSource,
+        assign: Assign = assign_evenly,
+    ) -> None:
+        """Start as a new incarnation, which must be above all before it."""
+        instance = settings.instance
+        tokens = itertools.count(1)
+        self.leases = HeldLeases()
+        self.membership = Membership(
+            instance.data_centre,
+            instance.instance_id,
+        )
+        self.authority = Authority(
+            settings,
+            incarnation,
+            self.membership,
+            random,
+            tokens,
+        )
+        self.coordinator = Coordinator(
+            settings,
+            self.membership,
+            self.authority,
+            tokens,
+            assign,
+        )
+        self.holder = Holder(
+            settings,
+            incarnation,
+            self.membership,
+            self.leases,
+            tokens,
+        )
+
+    def handle(self, event: OwnershipEvent, now: Seconds) -> list[Effect]:
+        """Take in one event and return what is to be done."""
+        if isinstance(event, InstancesListed):
+            self.membership.adopt_list(event.instances)
+        if isinstance(event, ControlReceived) and not self._hear(event, now):
+            return []
+        return [
+            *self.authority.handle(event, now),
+            *self.coordinator.handle(event, now),
+            *self.holder.handle(event, now),
+        ]
+
+    def idle(self) -> bool:
+        """Return whether a daemon that stops has handed everything over."""
+        holds = any(
+            not held.stopped for held in self.holder.held_by_target.values()
+        )
+        return not holds and not self.authority.epoch
+
+    def _hear(self, event: ControlReceived, now: Seconds) -> bool:
+        """Note who has written; past incarnations count no more."""
+        heard = self.membership.hear(event.sender, event.incarnation, now)
+        if heard and isinstance(event.message, Heartbeat):
+            self.membership.describe(
+                event.sender,
+                rack=event.message.rack,
+                stopping=event.message.stopping,
+            )
+        return heard
--- a/cassialever/settings.py
+++ b/cassialever/settings.py
@@ -39,10 +39,17 @@
 
 
 class LeaseSettings(_Section, frozen=True):
-    """Terms of leases, in seconds; their sum is in docs/design/ownership."""
+    """Terms of leases, in seconds; their sum is in docs/design/ownership.
 
-    coordinator_term: Seconds = 0.9
-    coordinator_renewal: Seconds = 0.3
+    `table_renewal` is how often a coordinator writes its row while its
+    successor's promises hold; `third_wait` how long the row has to be seen
+    unchanged before a daemon that it does not name may take over.
+    """
+
+    coordinator_term: Seconds = 0.5
+    coordinator_renewal: Seconds = 0.15
+    table_renewal: Seconds = 5
+    third_wait: Seconds = 12
     target_term: Seconds = 0.9
     heartbeat: Seconds = 0.25
     grant_term: Seconds = 0.9
