--- a/cassialever/authority.py
+++ b/cassialever/authority.py
@@ -279,22 +279,27 @@
     row = known.row
     if row is None:
         return _start(authority, now)
-    wait = authority.giver_term()
-    fresh = known.seen_at + wait
-    if row.epoch < authority.membership.epoch:
-        fresh = now + wait
+    free_at = _free_at(authority, known, row)
+    named = authority.me in {row.successor, row.holder}
+    if named and now >= free_at and row.epoch >= authority.membership.epoch:
+        return _take_over(authority, row, (), free_at, now)
+    return _watch_as_third(authority, row, now)
+
+
+def _free_at(
+    authority: Authority,
+    known: KnownRow,
+    row: CoordinatorRow,
+) -> Seconds:
+    """Return when the row's holder can't act any more, for its successor."""
     if authority.handed_epoch == row.epoch:
-        fresh = now
-    if row.successor == authority.me or row.holder == authority.me:
-        free = now >= max(fresh, authority.promised_until)
-        if free:
-            return _take_over(authority, row, (), max(fresh, 0), now)
-    return _watch_as_third(authority, known, row, now)
+        return authority.promised_until
+    written_ends = known.seen_at + authority.giver_term()
+    return max(written_ends, authority.promised_until)
 
 
 def _watch_as_third(
     authority: Authority,
-    known: KnownRow,
     row: CoordinatorRow,
     now: Seconds,
 ) -> list[Effect]:
