--- a/cassialever/limits.py
+++ b/cassialever/limits.py
@@ -19,7 +19,7 @@
     Step,
     Ticket,
 )
-from cassialever.types import Seconds
+from cassialever.types import Seconds, TargetState
 
 
 class TargetGate:
@@ -33,6 +33,13 @@
         self._queue = FairQueue()
         self._leaving: Failure | None = None
 
+    @property
+    def state(self) -> TargetState:
+        """Return how far the target has warmed up."""
+        if self._leaving is not None:
+            return TargetState.draining
+        return self.slots.ramp.state
+
     def load(self) -> TargetLoad:
         """Return the load to send along with an answer."""
         queued = len(self._queue)
