--- a/standins/grants.py
+++ b/standins/grants.py
@@ -33,9 +33,14 @@
             self.highest,
         )
 
-    def allow(self, fence: Fence) -> bool:
-        """Say whether a request under a fence may run now."""
+    def allow(self, fence: Fence, *, needs_grant: bool) -> bool:
+        """Say whether a request under a fence may run now.
+
+        A target that needs no grant goes by the highest fence alone.
+        """
         grant = self.grant
-        if grant is None or fence != grant.fence:
-            return False
-        return time.monotonic() < grant.ends
+        if grant is None:
+            allowed = not needs_grant and fence >= self.highest
+            self.highest = max(self.highest, fence)
+            return allowed
+        return fence == grant.fence and time.monotonic() < grant.ends
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -78,7 +78,11 @@
         *,
         as_listed: bool,
     ) -> TargetEntry:
-        behaviour = TargetBehaviour(slots=entry.limits.slots)
+        behaviour = TargetBehaviour(
+            slots=entry.limits.slots,
+            checks_fence=entry.checks.fence,
+            needs_grant=True,
+        )
         target = StandInTarget(entry.target_id, behaviour)
         port = int(entry.address.rpartition(':')[-1]) if as_listed else 0
         url = await target.start(port)
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -76,7 +76,11 @@
     def _refusal(self, request: web.BaseRequest) -> web.Response | None:
         headers = request.headers
         fence = int(headers.get(target_headers.FENCE, '0'))
-        if self.behaviour.checks_fence and not self.grants.allow(Fence(fence)):
+        allowed = self.grants.allow(
+            Fence(fence),
+            needs_grant=self.behaviour.needs_grant,
+        )
+        if self.behaviour.checks_fence and not allowed:
             stale = {target_headers.STALE_FENCE: target_headers.YES}
             return self._reply(HTTPStatus.CONFLICT, stale, b'')
         full = self.work.in_flight >= self.behaviour.slots
--- a/standins/work.py
+++ b/standins/work.py
@@ -23,6 +23,7 @@
     cold_slots: int = 1
     shed: bool = False
     checks_fence: bool = True
+    needs_grant: bool = False
     checks_deadline: bool = True
     checks_cancel: bool = True
     state: str = 'in_service'
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -121,7 +121,7 @@
         self.target.behaviour.shed = True
         await self.assert_fails(ErrorKind.target_shed)
         self.target.behaviour.shed = False
-        self.target.highest_fence = 4
+        self.target.grants.highest = 4
         await self.assert_fails(ErrorKind.stale_fence)
         self.assertEqual(self.target.work.runs_by_request, {})
 
@@ -273,13 +273,21 @@
 
     async def test_grant_is_fenced(self) -> None:
         """A grant under a lower fence is refused."""
-        grant = Grant(Fence(5), 900, ServiceName('s'), (SliceRange(0, 9),))
         orders = self.client.orders
-        self.assertIsNone(await orders.grant(T1, grant))
-        self.assertEqual(self.target.grant, grant)
-        stale = Grant(Fence(4), 900, ServiceName('s'))
-        failure = await orders.grant(T1, stale)
-        self.assertEqual(failure.kind, ErrorKind.stale_fence)
+        service = ServiceName('s')
+        asked = await orders.grant(T1, Grant(Fence(5), 0, 0, service))
+        self.assertFalse(asked.accepted)
+        ends = asked.clock + 60
+        ranges = (SliceRange(0, 9),)
+        grant = Grant(Fence(5), asked.incarnation, ends, service, ranges)
+        self.assertTrue((await orders.grant(T1, grant)).accepted)
+        self.assertEqual(self.target.grants.grant, grant)
+        stale = Grant(Fence(4), asked.incarnation, ends, service)
+        refused = await orders.grant(T1, stale)
+        self.assertFalse(refused.accepted)
+        self.assertEqual(refused.highest_fence, 5)
+        old = Grant(Fence(6), asked.incarnation - 1, ends, service)
+        self.assertFalse((await orders.grant(T1, old)).accepted)
 
     async def test_reports(self) -> None:
         """Health and load come as the target tells them."""
