--- a/cassialever/codec.py
+++ b/cassialever/codec.py
@@ -15,27 +15,16 @@
 import msgspec
 import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocol
-from thriftpy2.thrift import TType
 from thriftpy2.transport import TCyBufferedTransport, TCyMemoryBuffer
 
 from cassialever.exceptions import CodecError, InvariantError
+from cassialever.thrift_check import check_struct
 
 MessageT = TypeVar('MessageT', bound=msgspec.Struct)
 
 # The compiled classes have no types.
 _protocol: Final[Any] = TCyBinaryProtocol
 _NUMBER: Final = struct.Struct('!H')
-_PLAIN_TYPES: Final = frozenset(
-    (
-        TType.BOOL,
-        TType.BYTE,
-        TType.I16,
-        TType.I32,
-        TType.I64,
-        TType.DOUBLE,
-        TType.BINARY,
-    )
-)
 
 
 class UnknownMessage(msgspec.Struct, frozen=True):
@@ -51,6 +40,22 @@
     return thriftpy2.load(str(path), module_name=module_name)
 
 
+def _needs_lowering(part: Any) -> bool:
+    """Say whether a type holds what the thrift writer doesn't take."""
+    if isinstance(part, msgspec.inspect.StructType | msgspec.inspect.EnumType):
+        return True
+    if isinstance(part, msgspec.inspect.UnionType):
+        return any(map(_needs_lowering, part.types))
+    if isinstance(part, msgspec.inspect.DictType):
+        return _needs_lowering(part.key_type) or _needs_lowering(
+            part.value_type,
+        )
+    if isinstance(part, msgspec.inspect.TupleType):
+        return any(map(_needs_lowering, part.item_types))
+    inner = getattr(part, 'item_type', None)
+    return inner is not None and _needs_lowering(inner)
+
+
 def _lower(field: Any) -> Any:
     """Turn a message's field into what the thrift writer takes."""
     if isinstance(field, msgspec.Struct):
@@ -93,8 +98,9 @@
             raise InvariantError(
                 f'{self.name}: fields differ from the thrift file',
             )
+        info: Any = msgspec.inspect.type_info(message_type)
         self.lowered = tuple(
-            part[1] for part in spec.values() if part[0] not in _PLAIN_TYPES
+            part.name for part in info.fields if _needs_lowering(part.type)
         )
 
     def to_record(self, message: msgspec.Struct) -> _Record:
@@ -198,6 +204,7 @@
     # one of memory would go on to read what lies behind them.
     transport = TCyBufferedTransport(TCyMemoryBuffer(body))
     record = shape.record_type()
+    check_struct(body)
     try:
         _protocol(transport).read_struct(record)
     except Exception as error:  # The C code raises many unrelated types.
