--- a/cassialever/codec.py
+++ b/cassialever/codec.py
@@ -7,23 +7,28 @@
 
 import enum
 import struct
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from importlib import resources
+from itertools import chain
 from types import ModuleType
 from typing import Any, Final, TypeVar
 
 import msgspec
 import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocol
-from thriftpy2.transport import TCyBufferedTransport, TCyMemoryBuffer
+from thriftpy2.transport import TCyMemoryBuffer
 
 from cassialever.exceptions import CodecError, InvariantError
+from cassialever.field_types import is_pairs, needs_lowering
 from cassialever.thrift_check import check_struct
 
 MessageT = TypeVar('MessageT', bound=msgspec.Struct)
 
-# The compiled classes have no types.
-_protocol: Final[Any] = TCyBinaryProtocol
+# One buffer serves every message, since there is one thread and no message
+# is written or read in turns with another. The compiled classes lack types.
+_buffer: Final[Any] = TCyMemoryBuffer()
+_compiled: Final[Any] = TCyBinaryProtocol
+_protocol: Final[Any] = _compiled(_buffer)
 _NUMBER: Final = struct.Struct('!H')
 
 
@@ -40,22 +45,6 @@
     return thriftpy2.load(str(path), module_name=module_name)
 
 
-def _needs_lowering(part: Any) -> bool:
-    """Say whether a type holds what the thrift writer doesn't take."""
-    if isinstance(part, msgspec.inspect.StructType | msgspec.inspect.EnumType):
-        return True
-    if isinstance(part, msgspec.inspect.UnionType):
-        return any(map(_needs_lowering, part.types))
-    if isinstance(part, msgspec.inspect.DictType):
-        return _needs_lowering(part.key_type) or _needs_lowering(
-            part.value_type,
-        )
-    if isinstance(part, msgspec.inspect.TupleType):
-        return any(map(_needs_lowering, part.item_types))
-    inner = getattr(part, 'item_type', None)
-    return inner is not None and _needs_lowering(inner)
-
-
 def _lower(field: Any) -> Any:
     """Turn a message's field into what the thrift writer takes."""
     if isinstance(field, msgspec.Struct):
@@ -79,6 +68,12 @@
     thrift_spec: dict[int, tuple[Any, ...]] = {}
 
 
+def _pairs(flat: Sequence[str]) -> tuple[tuple[str, str], ...]:
+    if len(flat) % 2:
+        raise CodecError('a pair lacks its half')
+    return tuple(zip(flat[::2], flat[1::2], strict=True))
+
+
 class _Shape:
     """How one message type is written and read."""
 
@@ -100,7 +95,11 @@
             )
         info: Any = msgspec.inspect.type_info(message_type)
         self.lowered = tuple(
-            part.name for part in info.fields if _needs_lowering(part.type)
+            part.name for part in info.fields if needs_lowering(part.type)
+        )
+
+        self.paired = tuple(
+            part.name for part in info.fields if is_pairs(part.type)
         )
 
     def to_record(self, message: msgspec.Struct) -> _Record:
@@ -110,8 +109,24 @@
         fields.update(msgspec.structs.asdict(message))
         for name in self.lowered:
             fields[name] = _lower(fields[name])
+        for name in self.paired:
+            fields[name] = list(chain.from_iterable(fields[name]))
         return record
 
+    def to_message(self, record: _Record) -> msgspec.Struct:
+        """Make the message of what the thrift reader has read."""
+        fields = record.__dict__
+        for name in self.paired:
+            fields[name] = _pairs(fields.get(name, ()))
+        try:
+            return msgspec.convert(
+                fields,
+                self.message_type,
+                from_attributes=True,
+            )
+        except msgspec.ValidationError as error:
+            raise CodecError(str(error)) from error
+
 
 _shape_by_type: dict[type[msgspec.Struct], _Shape] = {}
 _number_by_type: dict[type[msgspec.Struct], int] = {}
@@ -168,12 +183,11 @@
 def encode(message: msgspec.Struct) -> bytes:
     """Write a registered message with its number."""
     message_type = type(message)
-    # The buffer is big enough for most messages, and grows for the others.
-    transport = TCyMemoryBuffer()
-    protocol = _protocol(transport)
-    protocol.write_struct(_shape_by_type[message_type].to_record(message))
+    record = _shape_by_type[message_type].to_record(message)
+    _buffer.clean()
+    _protocol.write_struct(record)
     number = _NUMBER.pack(_number_by_type[message_type])
-    return number + bytes(transport.getvalue())
+    return number + bytes(_buffer.getvalue())
 
 
 def decode(payload: bytes) -> msgspec.Struct:
@@ -200,20 +214,9 @@
 
 
 def _read(shape: _Shape, body: bytes) -> msgspec.Struct:
-    # The buffered transport raises at the end of the bytes, where the bare
-    # one of memory would go on to read what lies behind them.
-    transport = TCyBufferedTransport(TCyMemoryBuffer(body))
-    record = shape.record_type()
+    # The reader of memory goes on past the end, hence the check before it.
     check_struct(body)
-    try:
-        _protocol(transport).read_struct(record)
-    except Exception as error:  # The C code raises many unrelated types.
-        raise CodecError(f'a bad {shape.name}') from error
-    try:
-        return msgspec.convert(
-            record.__dict__,
-            shape.message_type,
-            from_attributes=True,
-        )
-    except msgspec.ValidationError as error:
-        raise CodecError(str(error)) from error
+    record = shape.record_type()
+    _buffer.setvalue(body)
+    _protocol.read_struct(record)
+    return shape.to_message(record)
--- a/cassialever/downloads.py
+++ b/cassialever/downloads.py
@@ -10,6 +10,7 @@
 from typing import Final, Protocol
 
 from cassialever.errors import Failure
+from cassialever.misc import close_body
 from cassialever.types import Headers
 
 _CONTENT_RANGE: Final = re.compile(r'bytes (\d+)-(\d+)/(\d+)')
@@ -115,10 +116,3 @@
 def is_strong(etag: str | None) -> bool:
     """Say whether a validator promises the same bytes."""
     return etag is not None and etag.startswith('"')
-
-
-async def close_body(body: AsyncIterator[bytes | Failure]) -> None:
-    """Give up what is left of a body whose kind allows it."""
-    aclose = getattr(body, 'aclose', None)
-    if aclose:
-        await aclose()
--- a/cassialever/peer.thrift
+++ b/cassialever/peer.thrift
@@ -1,6 +1,7 @@
 // Messages between daemons. A field is never renumbered or used again; an
 // older daemon skips the fields that it doesn't know. A trailing underscore
-// keeps a name apart from a word that thrift reserves.
+// keeps a name apart from a word that thrift reserves. Pairs of texts, such
+// as headers, are one list in which names and values take turns.
 
 namespace py cassialever.peer
 
@@ -11,7 +12,7 @@
   4: string target_id
   5: string method
   6: string path
-  7: list<list<string>> headers
+  7: list<string> headers
   8: i64 time_left_ms
   9: bool repeatable
   10: bool has_body
@@ -33,7 +34,7 @@
 
 struct AnswerHead {
   1: i32 status
-  2: list<list<string>> headers
+  2: list<string> headers
   3: TargetLoad load
 }
 
--- a/cassialever/serving.py
+++ b/cassialever/serving.py
@@ -2,16 +2,15 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack
 
 from cassialever import codec
-from cassialever.downloads import close_body
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
 from cassialever.exceptions import CodecError, LinkClosedError
 from cassialever.frames import Frame, FrameType, decode_credit, encode_credit
 from cassialever.links import Link
 from cassialever.messages import HolderAnswer, RequestHandler, RequestHead
+from cassialever.misc import close_body
 from cassialever.streams import (
     BodyReader,
     BodySender,
@@ -47,7 +46,6 @@
         """Serve the request in a task of its own and return the task."""
         task = asyncio.create_task(self._run(request_handler))
         self._task = task
-        task.add_done_callback(self._finish)
         return task
 
     def receive(self, frame: Frame) -> None:
@@ -82,9 +80,6 @@
         if self._task:
             self._task.cancel()
 
-    def _finish(self, _task: asyncio.Task[None]) -> None:
-        self._link.forget_stream(self._stream_id)
-
     async def _run(self, request_handler: RequestHandler) -> None:
         body = request_body(self._reader) if self._head.has_body else None
         try:
@@ -96,6 +91,8 @@
             self._write_failure(
                 Failure(ErrorKind.internal, 'the handler has a fault'),
             )
+        finally:
+            self._link.forget_stream(self._stream_id)
 
     async def _answer(
         self,
@@ -106,9 +103,10 @@
         if isinstance(answer, Failure):
             self._write_failure(answer)
             return
-        async with AsyncExitStack() as stack:
-            stack.push_async_callback(close_body, answer.body)
+        try:
             await self._send(answer)
+        finally:
+            await close_body(answer.body)
 
     async def _send(self, answer: HolderAnswer) -> None:
         head = codec.encode(
--- a/cassialever/streams.py
+++ b/cassialever/streams.py
@@ -29,6 +29,10 @@
         self._closed = True
         self._wake()
 
+    def is_open(self) -> bool:
+        """Say whether something may be sent at once."""
+        return self.left > 0 and not self._closed
+
     async def wait(self) -> None:
         """Wait for credit; raise `LinkClosedError` once closed."""
         while self.left <= 0 and not self._closed:
@@ -57,7 +61,8 @@
         """Send a chunk; raise `LinkClosedError` once the stream is over."""
         start = 0
         while start < len(chunk):
-            await self.credit.wait()
+            if not self.credit.is_open():
+                await self.credit.wait()
             await self._link.writable()
             stop = start + min(self._frame_bytes, self.credit.left)
             part = chunk[start:stop]
