--- a/bench/hops.py
+++ b/bench/hops.py
@@ -21,7 +21,8 @@
 
 ROUNDS = 25
 REQUESTS = 96
-CALLERS = 4
+#: Requests at once: few, so that little shares a write, and many.
+CALLERS = (4, 32)
 MICROSECONDS = 1_000_000
 HALF = 0.5
 MOST = 0.99
@@ -57,17 +58,22 @@
     return [await ask(session, url) for _ in range(requests)]
 
 
-async def round_of(sample: Sample, url: str, requests: int) -> None:
+async def round_of(
+    sample: Sample,
+    url: str,
+    requests: int,
+    callers: int,
+) -> None:
     """Send one round's requests along one path."""
-    each = requests // CALLERS
+    each = requests // callers
     async with ClientSession() as session:
-        await caller(session, url, CALLERS)
+        await caller(session, url, callers)
         started = time.process_time()
-        callers = [caller(session, url, each) for _ in range(CALLERS)]
-        for latencies in await asyncio.gather(*callers):
+        calling = [caller(session, url, each) for _ in range(callers)]
+        for latencies in await asyncio.gather(*calling):
             sample.latencies.extend(latencies)
         spent = time.process_time() - started
-    sample.cpu_by_round.append(spent / (each * CALLERS))
+    sample.cpu_by_round.append(spent / (each * callers))
 
 
 def report(sample_by_path: dict[str, Sample]) -> None:
@@ -91,6 +97,7 @@
     show('')
     show(f'router hop / bare hop: {router / bare:.2f}')
     show(f'link hop / second HTTP hop: {link / http:.2f}')
+    show('')
 
 
 def added(
@@ -103,25 +110,40 @@
     more = sample_by_path[longer]
     less = sample_by_path[shorter]
     cpu = more.cpu() - less.cpu()
-    cells: list[str | float] = [name, cpu]
-    for share in (HALF, MOST):
-        longer_latency = quantile(more.latencies, share)
-        cells.append(longer_latency - quantile(less.latencies, share))
-    show_row(cells)
+    half = added_latency(more, less, HALF)
+    show_row((name, cpu, half, added_latency(more, less, MOST)))
     return cpu
 
 
+def added_latency(more: Sample, less: Sample, share: float) -> float:
+    """Return by how much a quantile rises, in milliseconds."""
+    lower = quantile(less.latencies, share)
+    return quantile(more.latencies, share) - lower
+
+
 async def run(requests: int) -> None:
     """Run every round and print the tables."""
     paths = Paths()
     url_by_path = await paths.start()
+    for callers in CALLERS:
+        show(f'{callers} requests at once')
+        report(await sample_all(url_by_path, requests, callers))
+    await paths.stop()
+
+
+async def sample_all(
+    url_by_path: dict[str, str],
+    requests: int,
+    callers: int,
+) -> dict[str, Sample]:
+    """Run every round along every path in turn."""
     sample_by_path = {path: Sample([], []) for path in url_by_path}
     for _ in range(ROUNDS):
         for path, url in url_by_path.items():
-            await round_of(sample_by_path[path], url, requests)
-    await paths.stop()
-    report(sample_by_path)
+            await round_of(sample_by_path[path], url, requests, callers)
+    return sample_by_path
 
 
 if __name__ == '__main__':
-    asyncio.run(run(int(sys.argv[1]) if len(sys.argv) > 1 else REQUESTS))
+    arguments = sys.argv[1:] or [str(REQUESTS)]
+    asyncio.run(run(int(arguments[0])))
--- a/cassialever/target_bodies.py
+++ b/cassialever/target_bodies.py
@@ -9,6 +9,7 @@
 
 from cassialever.connectors import TargetConnector
 from cassialever.errors import ErrorKind, Failure
+from cassialever.types import Seconds
 
 _WITHOUT_BODY: Final = frozenset(
     (
@@ -38,10 +39,12 @@
         self,
         response: aiohttp.ClientResponse,
         connector: TargetConnector,
+        longest_wait: Seconds,
     ) -> None:
         """Take an answer whose head has been read."""
         self._response = response
         self._connector = connector
+        self._longest_wait = longest_wait
         self._over = False
 
     def __aiter__(self) -> AsyncIterator[bytes | Failure]:
@@ -53,7 +56,7 @@
         if self._over:
             raise StopAsyncIteration
         try:
-            chunk = await self._response.content.readany()
+            chunk = await self._next()
         except asyncio.CancelledError:
             self._break_off()
             raise
@@ -70,6 +73,15 @@
         if not self._over:
             self._break_off()
 
+    async def _next(self) -> bytes:
+        """Return the next chunk, empty at the end of a whole body."""
+        content = self._response.content
+        # Most answers are here whole by now and need no timer.
+        if content.is_eof():
+            return content.read_nowait()
+        async with asyncio.timeout(self._longest_wait):
+            return await content.readany()
+
     def _cut(self, error: Exception) -> Failure:
         self._break_off()
         if isinstance(error, TimeoutError):
--- a/cassialever/targets.py
+++ b/cassialever/targets.py
@@ -55,7 +55,6 @@
             ),
             data=body,
             allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(sock_read=request.time_left),
         )
 
     async def close(self) -> None:
@@ -145,7 +144,7 @@
             response.status,
             target_headers.to_caller(headers.items()),
             incarnation,
-            TargetBody(response, pool.connector),
+            TargetBody(response, pool.connector, request.time_left),
         )
 
 
--- a/standins/downloads.py
+++ b/standins/downloads.py
@@ -1,5 +1,6 @@
 """The long body of a stand-in target: it can break and be taken up again."""
 
+import asyncio
 from http import HTTPStatus
 from typing import Final
 
@@ -18,8 +19,15 @@
         self.etag = '"1"'
         #: Where each coming answer breaks, in bytes of it; none if empty.
         self.breaks: list[int] = []
+        #: Go silent where an answer would break, in place of breaking it.
+        self.stalls = False
         self.sent = 0
         self.ranges: list[str] = []
+        self._stopped = asyncio.Event()
+
+    def stop(self) -> None:
+        """Let go of what has stalled."""
+        self._stopped.set()
 
     def is_at(self, path: str) -> bool:
         """Say whether a path leads here."""
@@ -44,6 +52,8 @@
             piece = part[offset : min(offset + PIECE_BYTES, stop)]
             await response.write(piece)
             self.sent += len(piece)
+        if stop < len(part) and self.stalls:
+            await self._stopped.wait()
         if stop < len(part) and request.transport:
             request.transport.close()
         return response
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -50,13 +50,16 @@
     async def stop(self) -> None:
         """Stop listening."""
         self.faults.stop()
+        self.download.stop()
         await self.site.stop()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         # When the router has gone away there is nobody to be told.
         with suppress(ConnectionError):
             if await self.faults.lets_through(request.transport):
-                return await self._answer(request)
+                # Work goes on after the one who wanted it has gone away.
+                answering = asyncio.create_task(self._answer(request))
+                return await asyncio.shield(answering)
         return web.Response()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -207,6 +207,15 @@
         self.assertEqual(failure.kind, ErrorKind.answer_cut)
         self.assertTrue(self.long.startswith(b''.join(chunks)))
 
+    async def test_body_that_stalls_is_cut(self) -> None:
+        """A connection gone silent within a body costs one limit."""
+        self.target.download.body = self.long
+        self.target.download.breaks = [100_000]
+        self.target.download.stalls = True
+        answer = await self.send(path='/download', time_left=0.03)
+        *_, failure = await read(answer.body)
+        self.assertEqual(failure.kind, ErrorKind.answer_cut)
+
     async def test_slow_reader_holds_the_target_back(self) -> None:
         """What is not read stays at the target but for buffers."""
         self.target.download.body = self.long
