--- a/cassialever/connectors.py
+++ b/cassialever/connectors.py
@@ -34,6 +34,8 @@
     def __init__(self, limit: int, limit_per_host: int = 0) -> None:
         """Allow so many connections at once; 0 per host is any number."""
         super().__init__(limit=limit, limit_per_host=limit_per_host)
+        #: Connections that carry a request now.
+        self.in_use = 0
         self._generation = 0
         self._generation_by_protocol: weakref.WeakKeyDictionary[object, int] = (
             weakref.WeakKeyDictionary()
@@ -58,8 +60,13 @@
             connection.close()
             connection = await super().connect(req, traces, timeout)
         attempt.connected = True
+        self.in_use += 1
+        connection.add_callback(self._release_one)
         return connection
 
+    def _release_one(self) -> None:
+        self.in_use -= 1
+
     def _is_disowned(self, connection: Connection) -> bool:
         generation = self._generation_by_protocol.setdefault(
             connection.protocol,
--- a/cassialever/control.py
+++ b/cassialever/control.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cassialever import codec
+from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
 from cassialever.handshake import Hello
 from cassialever.links import Link
@@ -15,9 +16,14 @@
 ControlHandler = Callable[[InstanceId, Incarnation, MessageT], None]
 
 
-def send(link: Link, message: msgspec.Struct) -> None:
-    """Queue a control message on a link."""
-    link.write_control(codec.encode(message))
+def send(link: Link, message: msgspec.Struct) -> Failure | None:
+    """Queue a control message, if a peer takes one of its size."""
+    encoded = codec.encode(message)
+    if len(encoded) > link.settings.message_bytes:
+        name = type(message).__name__
+        return Failure(ErrorKind.internal, f'a {name} is too long to send')
+    link.write_control(encoded)
+    return None
 
 
 class ControlHandlers:
--- a/cassialever/links.py
+++ b/cassialever/links.py
@@ -64,7 +64,7 @@
         self._owner = owner
         self._last_stream = LINK_STREAM
         self._head_end_by_stream: dict[int, int] = {}
-        self._control = b''
+        self._control = bytearray()
 
     def open_stream(self, stream: Stream, head: bytes) -> int:
         """Send a request's head and return its stream's id."""
@@ -158,8 +158,8 @@
                 self._add_control(frame.payload)
             case FrameType.control:
                 self._add_control(frame.payload)
-                message = self._control
-                self._control = b''
+                message = bytes(self._control)
+                self._control.clear()
                 self._owner.receive_control(self, message)
             case FrameType.goaway:
                 self.drain()
--- a/cassialever/peers.py
+++ b/cassialever/peers.py
@@ -111,10 +111,7 @@
     ) -> Failure | None:
         """Send a control message; whether it arrives is not known."""
         link = await self._link_to(instance)
-        if isinstance(link, Failure):
-            return link
-        send(link, message)
-        return None
+        return link if isinstance(link, Failure) else send(link, message)
 
     async def _link_to(self, instance: InstanceId) -> Link | Failure:
         address = self.address_by_instance.get(instance)
@@ -148,5 +145,5 @@
         )
 
     def _tick_again(self) -> None:
-        self.tick()
         self._schedule_tick()
+        self.tick()
--- a/cassialever/targets.py
+++ b/cassialever/targets.py
@@ -13,6 +13,7 @@
 from cassialever.connectors import Sending, TargetConnector, sending
 from cassialever.errors import ErrorKind, Failure
 from cassialever.interfaces import TargetAnswer, TargetRequest
+from cassialever.misc import BackgroundTasks
 from cassialever.target_bodies import TargetBody, has_end
 from cassialever.target_orders import (
     ORDER_CONNECTIONS,
@@ -73,6 +74,7 @@
         self._directory = directory
         self._pool_by_target: dict[TargetId, TargetPool] = {}
         self._retired: list[TargetPool] = []
+        self._closing = BackgroundTasks()
 
     async def start(self) -> None:
         """Open the session for orders."""
@@ -114,12 +116,20 @@
         pool = self._pool_by_target.get(entry.target_id)
         if pool is None or not pool.fits(entry):
             if pool:
-                # What is in progress on it goes on.
-                self._retired.append(pool)
+                self._retire(pool)
             pool = TargetPool(entry)
             self._pool_by_target[entry.target_id] = pool
         return pool
 
+    def _retire(self, retired: TargetPool) -> None:
+        """Let a pool's requests finish; close those that have none."""
+        self._retired.append(retired)
+        for pool in tuple(self._retired):
+            if pool.connector.in_use:
+                continue
+            self._retired.remove(pool)
+            self._closing.add(pool.close())
+
     def _judge(
         self,
         pool: TargetPool,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -170,6 +170,12 @@
         self.assertIsNone(failure)
         self.assertEqual(await got, ('a', 7, message))
 
+    async def test_too_long(self) -> None:
+        """A message that the peer would drop the link for is not sent."""
+        message = Greeting('x' * 5_000_000)
+        failure = await self.a.send_control(InstanceId('b'), message)
+        self.assertEqual(failure.kind, ErrorKind.internal)
+
     async def test_unknown_instance(self) -> None:
         """A peer without an address can not be reached."""
         failure = await self.a.send_control(InstanceId('z'), Greeting('x'))
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -190,6 +190,19 @@
         await asyncio.gather(*bodies)
         self.assertLessEqual(self.target.faults.connections, 10)
 
+    async def test_changed_entry(self) -> None:
+        """New limits give new connections; an open answer is not cut."""
+        self.target.download.body = bytes(2_000_000)
+        answer = await self.send(path='/download')
+        self.directory.entry = make_entry(self.directory.entry.address, 5)
+        await read((await self.send('r2')).body)
+        self.assertEqual(self.target.faults.connections, 2)
+        whole = b''.join(await read(answer.body))
+        self.assertEqual(whole, self.target.download.body)
+        self.directory.entry = make_entry(self.directory.entry.address, 6)
+        await read((await self.send('r3')).body)
+        self.assertEqual(self.client._retired, [])
+
 
 class TestBodies(TargetCase):
     """Bodies of answers."""
