--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,8 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format .
+
+.PHONY: bench-hops
+
+bench-hops: $(STAMP)
+	$(BIN)/python -m bench.hops
