--- a/cassialever/channels.py
+++ b/cassialever/channels.py
@@ -106,7 +106,7 @@
             self._quiet_ticks += 1
         self._heard = False
         longest = self.settings.silent_after / self.settings.ping_interval
-        if self._quiet_ticks > math.ceil(longest):
+        if self._quiet_ticks >= math.ceil(longest):
             self.close('the peer went silent', Event.link_silent)
             return
         if self.state is not ChannelState.opening:
--- a/cassialever/target_headers.py
+++ b/cassialever/target_headers.py
@@ -66,20 +66,19 @@
 
 
 def _passing(headers: Headers, dropped: frozenset[str]) -> Headers:
-    lowered = [(name.lower(), value) for name, value in headers]
-    named = {
-        word.strip().lower()
-        for name, value in lowered
-        if name == 'connection'
-        for word in value.split(',')
-    }
+    passing = []
+    named: set[str] = set()
+    for header in headers:
+        name = header[0].lower()
+        if name not in dropped:
+            passing.append(header)
+        elif name == 'connection':
+            named.update(map(str.strip, header[1].lower().split(',')))
     # A connection can't own what frames the message.
-    without = dropped | (named - {CONTENT_LENGTH}) if named else dropped
-    return tuple(
-        header
-        for header, (name, _) in zip(headers, lowered, strict=True)
-        if name not in without
-    )
+    named.discard(CONTENT_LENGTH)
+    if not named:
+        return tuple(passing)
+    return tuple(header for header in passing if header[0].lower() not in named)
 
 
 def _is_length(lengths: Iterable[str]) -> bool:
