--- a/standins/downloads.py
+++ b/standins/downloads.py
@@ -1,5 +1,6 @@
 """The long body of a stand-in target: it can break and be taken up again."""
 
+import asyncio
 from http import HTTPStatus
 from typing import Final
 
@@ -18,8 +19,16 @@
         self.etag = '"1"'
         #: Where each coming answer breaks, in bytes of it; none if empty.
         self.breaks: list[int] = []
+        #: Go silent where an answer would break, in place of breaking it.
+        self.stalls = False
+        self.checks_if_range = True
         self.sent = 0
         self.ranges: list[str] = []
+        self._stopped = asyncio.Event()
+
+    def stop(self) -> None:
+        """Let go of what has stalled."""
+        self._stopped.set()
 
     def is_at(self, path: str) -> bool:
         """Say whether a path leads here."""
@@ -44,6 +53,8 @@
             piece = part[offset : min(offset + PIECE_BYTES, stop)]
             await response.write(piece)
             self.sent += len(piece)
+        if stop < len(part) and self.stalls:
+            await self._stopped.wait()
         if stop < len(part) and request.transport:
             request.transport.close()
         return response
@@ -51,6 +62,7 @@
     def _start(self, request: web.BaseRequest) -> int:
         wanted = request.headers.get('Range', '')
         self.ranges.append(wanted)
-        if not wanted or request.headers.get('If-Range') != self.etag:
+        same = request.headers.get('If-Range') == self.etag
+        if not wanted or (self.checks_if_range and not same):
             return 0
         return int(wanted.removeprefix('bytes=').removesuffix('-'))
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -190,6 +190,19 @@
         await asyncio.gather(*bodies)
         self.assertLessEqual(self.target.faults.connections, 10)
 
+    async def test_changed_entry(self) -> None:
+        """New limits give new connections; an open answer is not cut."""
+        self.target.download.body = bytes(2_000_000)
+        answer = await self.send(path='/download')
+        self.directory.entry = make_entry(self.directory.entry.address, 5)
+        await read((await self.send('r2')).body)
+        self.assertEqual(self.target.faults.connections, 2)
+        whole = b''.join(await read(answer.body))
+        self.assertEqual(whole, self.target.download.body)
+        self.directory.entry = make_entry(self.directory.entry.address, 6)
+        await read((await self.send('r3')).body)
+        self.assertEqual(self.client._retired, [])
+
 
 class TestBodies(TargetCase):
     """Bodies of answers."""
@@ -207,6 +220,15 @@
         self.assertEqual(failure.kind, ErrorKind.answer_cut)
         self.assertTrue(self.long.startswith(b''.join(chunks)))
 
+    async def test_body_that_stalls_is_cut(self) -> None:
+        """A connection gone silent within a body costs one limit."""
+        self.target.download.body = self.long
+        self.target.download.breaks = [100_000]
+        self.target.download.stalls = True
+        answer = await self.send(path='/download', time_left=0.03)
+        *_, failure = await read(answer.body)
+        self.assertEqual(failure.kind, ErrorKind.answer_cut)
+
     async def test_slow_reader_holds_the_target_back(self) -> None:
         """What is not read stays at the target but for buffers."""
         self.target.download.body = self.long
