--- a/bench/engine.py
+++ b/bench/engine.py
@@ -26,6 +26,12 @@
 Done: TypeAlias = Callable[[Failure | None], None]
 
 QUEUE_LENGTH = 64
+#: Work at twice the capacity takes four times as long.
+CROWDING_POWER = 2
+#: The shortest pause between two checks of a gate's deadlines.
+SHORTEST_WAKE: Seconds = 0.001
+#: Answers by which a cold target gains capacity for one more request.
+WARMING_ANSWERS = 50
 
 
 class Engine:
@@ -60,7 +66,10 @@
 
 
 class FakeTarget:
-    """A target whose service times are random, with a factor to slow it."""
+    """A target whose service times are random, with a factor to slow it.
+
+    Work over its capacity slows all of it by more than its share.
+    """
 
     def __init__(self, plan: TargetPlan, engine: Engine, seed: str) -> None:
         """Start warm."""
@@ -68,7 +77,9 @@
         self.factor = 1.0
         self.running = 0
         self.peak = 0
+        self.capacity = plan.slots
         self.incarnation = Incarnation(1)
+        self._answered_since_cold = 0
         self._engine = engine
         self._source = random.Random(seed)
 
@@ -78,11 +89,25 @@
         self.peak = max(self.peak, self.running)
         shape = 4.0
         drawn = self._source.gammavariate(shape, 1 / shape)
-        delay = self.plan.service_time * drawn * self.factor
+        crowding = max(1, self.running / self.capacity) ** CROWDING_POWER
+        delay = self.plan.service_time * drawn * self.factor * crowding
         self._engine.after(delay, partial(self._answer, answered))
 
+    def turn_cold(self, *, restarted: bool) -> None:
+        """Lose all warmth; only a restart shows by its incarnation."""
+        self.capacity = self.plan.cold_slots
+        self._answered_since_cold = 0
+        if restarted:
+            self.incarnation = Incarnation(self.incarnation + 1)
+
     def _answer(self, answered: Action) -> None:
         self.running -= 1
+        self._answered_since_cold += 1
+        steps = self._answered_since_cold // WARMING_ANSWERS
+        self.capacity = max(
+            self.capacity,
+            min(self.plan.slots, self.plan.cold_slots + steps),
+        )
         answered()
 
 
@@ -109,7 +134,9 @@
         """Start with a cold gate."""
         self.target = target
         self.gate = TargetGate(entry_of(target.plan), QUEUE_LENGTH)
+        self.most_over = -target.plan.slots
         self._engine = engine
+        self._next_wake: Seconds = 0
         self._done_by_ticket: dict[Ticket, Done] = {}
 
     @property
@@ -125,6 +152,7 @@
             done(offered)
             return
         self._done_by_ticket[ticket] = done
+        self._wake()
         if isinstance(offered, Admitted):
             self._start(ticket)
         if isinstance(offered, Queued) and offered.evicted:
@@ -132,6 +160,8 @@
             self._done_by_ticket.pop(evicted.ticket)(evicted.failure)
 
     def _start(self, ticket: Ticket) -> None:
+        over = self.gate.slots.in_flight - self.gate.slots.ramp.limit
+        self.most_over = max(self.most_over, over)
         self.target.run(partial(self._answered, ticket))
 
     def _answered(self, ticket: Ticket) -> None:
@@ -142,6 +172,19 @@
         self._done_by_ticket.pop(ticket)(None)
         self._follow(step)
 
+    def _wake(self) -> None:
+        """Expire what is due, whenever it is due."""
+        due = self.gate.next_expiry()
+        if due is None or self._next_wake > self._engine.now:
+            return
+        self._next_wake = max(due, self._engine.now + SHORTEST_WAKE)
+        self._engine.after(self._next_wake - self._engine.now, self._expire)
+
+    def _expire(self) -> None:
+        self._next_wake = 0
+        self._follow(self.gate.expire(self._engine.now))
+        self._wake()
+
     def _follow(self, step: Step) -> None:
         for ticket in step.started:
             self._start(ticket)
