Take back a ramp step that slows the target

Cause: the ramp grew by answers alone and ran away from targets that warm up more slowly, which crowding then kept cold.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -109,7 +109,7 @@
         self.targets[index].run(partial(done, None))
 
     def _done(self, began: Seconds, failure: Failure | None) -> None:
-        if began < COLD_AT:
+        if not COLD_AT <= self.engine.now < END:
             return
         elapsed = self.engine.now - began
         if failure is not None:
@@ -118,8 +118,7 @@
         if elapsed > DEADLINE:
             self.late += 1
             return
-        if self.engine.now < END:
-            self.answer_latencies.append(elapsed)
+        self.answer_latencies.append(elapsed)
 
 
 def possible_answers(*, cold: bool) -> float:
--- a/cassialever/ramp.py
+++ b/cassialever/ramp.py
@@ -1,20 +1,17 @@
 """How many requests at once a target can carry, judged by its answers.
 
-A target starts cold and is given more as it answers. A shed, a new
-incarnation or a jump in latency sends it back to its cold limit at once.
+A target starts cold and is given more as it answers. A step that slows it
+is taken back. A shed, a new incarnation or a jump in latency sends it back
+to its cold limit at once.
 """
 
-from typing import Final
-
 import msgspec
 
 from cassialever.catalogue import TargetLimits
+from cassialever.growth import Growth, Move
 from cassialever.latency import LatencyWatch
 from cassialever.types import Incarnation, Seconds, TargetState
 
-#: Good answers, in multiples of the limit, before the limit grows by one.
-ANSWERS_PER_STEP: Final = 2
-
 
 class Pace(msgspec.Struct, frozen=True):
     """The limit at the moment at which an attempt started.
@@ -36,7 +33,8 @@
         self._limits = limits
         self._generation = 0
         self._limit = self._coldest()
-        self._good_answers = 0
+        self._growth = Growth()
+        self._is_settled = False
         self._watch = LatencyWatch()
 
     @property
@@ -55,19 +53,24 @@
 
     def pace(self) -> Pace:
         """Return what an attempt that starts now has to remember."""
-        return Pace(limit=self._limit, generation=self._generation)
+        return Pace(self._limit, self._generation)
 
     def adopt(self, limits: TargetLimits) -> None:
         """Take over changed limits; a higher one is reached by the ramp."""
+        if limits == self._limits:
+            return
         self._limits = limits
         self._limit = max(self._limit, self._coldest())
         self._limit = min(self._limit, self._most())
+        self._growth = Growth()
+        self._is_settled = False
 
     def fall_back(self) -> None:
         """Go back to the cold limit and learn the latency anew."""
         self._generation += 1
         self._limit = self._coldest()
-        self._good_answers = 0
+        self._growth = Growth()
+        self._is_settled = False
         self._watch = LatencyWatch()
 
     def saw_incarnation(self, incarnation: Incarnation) -> bool:
@@ -92,12 +95,9 @@
         if self._watch.has_jumped:
             self.fall_back()
             return
-        if self._watch.is_slow:
+        if pace.limit != self._limit or self._is_settled:
             return
-        self._good_answers += 1
-        if self._good_answers >= self._limit * ANSWERS_PER_STEP:
-            self._good_answers = 0
-            self._limit = min(self._limit + 1, self._most())
+        self._step(self._growth.saw(latency))
 
     def saw_silence(self, elapsed: Seconds, pace: Pace) -> None:
         """Note how long an attempt went without an answer; no step up."""
@@ -107,6 +107,12 @@
         if self._watch.has_jumped:
             self.fall_back()
 
+    def _step(self, move: Move) -> None:
+        if move is Move.up and self._limit == self._most():
+            self._is_settled = True
+        limit = self._limit + move.value
+        self._limit = max(self._coldest(), min(limit, self._most()))
+
     def _coldest(self) -> int:
         return max(1, min(self._limits.cold_slots, self._most()))
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -33,6 +33,17 @@
         self.assertEqual(set(steps), {0, 1})
         self.assertEqual((ramp.limit, ramp.state), (6, TargetState.warm))
 
+    def test_step_that_slows_the_target_is_taken_back(self) -> None:
+        """The limit doesn't run away from what the target can carry."""
+        ramp = Ramp(LIMITS)
+        highest = 0
+        for _ in range(500):
+            highest = max(highest, ramp.limit)
+            crowding = max(1, ramp.limit / 3) ** 3
+            ramp.saw_latency(0.01 * crowding, ramp.pace())
+        self.assertEqual(highest, 4)
+        self.assertIn(ramp.limit, {3, 4})
+
     def test_new_incarnation_is_cold_and_old_answers_are_not_counted(
         self,
     ) -> None:
