See a cold target by its open attempts; judge a step up sooner

Cause: a target that turns cold without a new incarnation was only noticed by its slow answers, and a step too many cost eight of them.

--- a/cassialever/growth.py
+++ b/cassialever/growth.py
@@ -11,10 +11,12 @@
 
 #: Answers at one limit before it is judged.
 WINDOW: Final = 8
+#: Answers after which a step up may be taken back.
+SHORTEST_WINDOW: Final = 4
 #: A step up that slows answers by this factor is taken back.
 CROWDED_FACTOR: Final = 2.0
 #: The longest wait after steps that were taken back, in windows.
-MOST_PATIENCE: Final = 4
+MOST_PATIENCE: Final = 2
 
 
 class Move(enum.Enum):
@@ -51,7 +53,7 @@
         return Move.up
 
     def _is_crowded(self) -> bool:
-        if self._reference is None or self._count < WINDOW:
+        if self._reference is None or self._count < SHORTEST_WINDOW:
             return False
         return self._total > self._count * self._reference * CROWDED_FACTOR
 
--- a/cassialever/latency.py
+++ b/cassialever/latency.py
@@ -47,6 +47,17 @@
         """Say whether enough slow ones came in a row."""
         return self._run >= SLOW_RUN
 
+    @property
+    def bound(self) -> Seconds | None:
+        """Return what is slow; `None` until enough has been learned."""
+        if self._usual.count < LEARNING_ANSWERS:
+            return None
+        return self._usual.mean * SLOW_FACTOR
+
+    def would_jump(self, open_slow: int) -> bool:
+        """Say whether attempts that are slow already make it a jump."""
+        return self._run + open_slow >= SLOW_RUN
+
     def saw(self, latency: Seconds) -> None:
         """Compare a latency and, unless it is slow, learn from it."""
         self.saw_silence(latency)
@@ -57,8 +68,7 @@
 
     def saw_silence(self, elapsed: Seconds) -> None:
         """Compare how long an attempt went without an answer."""
-        has_learned = self._usual.count >= LEARNING_ANSWERS
-        bound = self._usual.mean * SLOW_FACTOR
-        self.is_slow = has_learned and elapsed > bound
+        bound = self.bound
+        self.is_slow = bound is not None and elapsed > bound
         if self.is_slow:
             self._run += 1
--- a/cassialever/limits.py
+++ b/cassialever/limits.py
@@ -63,6 +63,7 @@
             return self._leaving
         if now >= ticket.deadline:
             return too_late(self._entry.ref())
+        self.slots.check_ages(now)
         if self.slots.free and not self._queue:
             return self.slots.occupy(ticket, now)
         ahead = self._queue.ahead(ticket.caller)
@@ -130,6 +131,7 @@
 
     def _settle(self, now: Seconds) -> Step:
         """Refuse those that no longer fit, then start those that may."""
+        self.slots.check_ages(now)
         refused = refuse_late(self._queue, self.slots, self._entry.ref(), now)
         started: list[Ticket] = []
         while self._queue and self.slots.free:
--- a/cassialever/ramp.py
+++ b/cassialever/ramp.py
@@ -5,6 +5,8 @@
 to its cold limit at once.
 """
 
+from collections.abc import Sequence
+
 import msgspec
 
 from cassialever.catalogue import TargetLimits
@@ -24,6 +26,13 @@
     generation: int
 
 
+class Age(msgspec.Struct, frozen=True):
+    """How long an attempt has gone without an answer, in seconds."""
+
+    pace: Pace
+    elapsed: Seconds
+
+
 class Ramp:
     """The present limit of one target, in requests at once."""
 
@@ -32,7 +41,7 @@
         self.incarnation: Incarnation | None = None
         self._limits = limits
         self._generation = 0
-        self._limit = self._coldest()
+        self._limit = _coldest(self._limits)
         self._growth = Growth()
         self._is_settled = False
         self._watch = LatencyWatch()
@@ -45,9 +54,9 @@
     @property
     def state(self) -> TargetState:
         """Return how far the target has warmed up."""
-        if self._limit >= self._most():
+        if self._limit >= _most(self._limits):
             return TargetState.warm
-        if self._limit > self._coldest():
+        if self._limit > _coldest(self._limits):
             return TargetState.ramping
         return TargetState.cold
 
@@ -60,15 +69,15 @@
         if limits == self._limits:
             return
         self._limits = limits
-        self._limit = max(self._limit, self._coldest())
-        self._limit = min(self._limit, self._most())
+        self._limit = max(self._limit, _coldest(self._limits))
+        self._limit = min(self._limit, _most(self._limits))
         self._growth = Growth()
         self._is_settled = False
 
     def fall_back(self) -> None:
         """Go back to the cold limit and learn the latency anew."""
         self._generation += 1
-        self._limit = self._coldest()
+        self._limit = _coldest(self._limits)
         self._growth = Growth()
         self._is_settled = False
         self._watch = LatencyWatch()
@@ -107,14 +116,33 @@
         if self._watch.has_jumped:
             self.fall_back()
 
+    def saw_ages(self, ages: Sequence[Age]) -> None:
+        """Note how long the open attempts have gone without an answer.
+
+        Enough of them that are slow already are a jump before any answer.
+        """
+        bound = self._watch.bound
+        if bound is None:
+            return
+        open_slow = 0
+        for age in ages:
+            is_recent = age.pace.generation == self._generation
+            open_slow += is_recent and age.elapsed > bound
+        if open_slow and self._watch.would_jump(open_slow):
+            self.fall_back()
+
     def _step(self, move: Move) -> None:
-        if move is Move.up and self._limit == self._most():
+        if move is Move.up and self._limit == _most(self._limits):
             self._is_settled = True
         limit = self._limit + move.value
-        self._limit = max(self._coldest(), min(limit, self._most()))
+        self._limit = max(
+            _coldest(self._limits), min(limit, _most(self._limits))
+        )
+
+
+def _most(limits: TargetLimits) -> int:
+    return max(1, min(limits.slots, limits.connections))
 
-    def _coldest(self) -> int:
-        return max(1, min(self._limits.cold_slots, self._most()))
 
-    def _most(self) -> int:
-        return max(1, min(self._limits.slots, self._limits.connections))
+def _coldest(limits: TargetLimits) -> int:
+    return max(1, min(limits.cold_slots, _most(limits)))
--- a/cassialever/slots.py
+++ b/cassialever/slots.py
@@ -2,7 +2,7 @@
 
 from cassialever.exceptions import InvariantError
 from cassialever.latency import Average
-from cassialever.ramp import Ramp
+from cassialever.ramp import Age, Ramp
 from cassialever.tickets import Admitted, Ending, Slot, Ticket
 from cassialever.types import Incarnation, Seconds
 
@@ -63,6 +63,7 @@
         slot = self._slot_by_ticket.get(ticket)
         if slot is None:
             return
+        slot.has_answer = True
         if self.ramp.saw_incarnation(incarnation) and good:
             self.ramp.saw_latency(now - slot.since, slot.pace)
 
@@ -81,6 +82,15 @@
         if ending is Ending.answered:
             self._hold.add(now - slot.since)
 
+    def check_ages(self, now: Seconds) -> None:
+        """Let the ramp see how long the open attempts have been open."""
+        ages = [
+            Age(slot.pace, now - slot.since)
+            for slot in self._slot_by_ticket.values()
+            if not slot.has_answer and not slot.given_up
+        ]
+        self.ramp.saw_ages(ages)
+
     def expire(self, now: Seconds) -> None:
         """Free the slots of given up attempts whose deadline has passed."""
         for ticket, slot in list(self._slot_by_ticket.items()):
--- a/cassialever/tickets.py
+++ b/cassialever/tickets.py
@@ -7,7 +7,7 @@
 
 from cassialever.errors import Failure
 from cassialever.ramp import Pace
-from cassialever.types import CallerId, Incarnation, RequestId, Seconds
+from cassialever.types import CallerId, RequestId, Seconds
 
 
 class Ticket(msgspec.Struct, eq=False):
@@ -71,5 +71,5 @@
 
     since: Seconds
     pace: Pace
-    incarnation: Incarnation | None = None
+    has_answer: bool = False
     given_up: bool = False
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -170,6 +170,18 @@
         self.assertEqual(step.started, (waiting,))
         self.assertEqual(gate.load().capacity, 1)
 
+    def test_open_attempts_show_a_cold_target_before_any_answer(self) -> None:
+        """Attempts that are open for too long are a sign by themselves."""
+        gate = TargetGate(entry(4, 1), queue_length=8)
+        for _ in range(99):
+            gate.slots.ramp.saw_latency(0.01, gate.slots.ramp.pace())
+        for _ in range(3):
+            gate.offer(ticket(), 0)
+        self.assertIsInstance(gate.offer(ticket(), 0.02), Admitted)
+        self.assertEqual(gate.load().capacity, 4)
+        self.assertIsInstance(gate.offer(ticket(), 0.05), Queued)
+        self.assertEqual(gate.load().capacity, 1)
+
     def test_drain_refuses_the_queue_and_keeps_what_runs(self) -> None:
         """What waits hears that it was not run; what runs goes on."""
         gate = TargetGate(entry(1, 1), queue_length=4)
