--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from bench.engine import Engine, GatedTarget
+from cassialever.errors import ErrorKind
 from cassialever.messages import TargetLoad
 from cassialever.selection import Candidate, TargetChooser
 from cassialever.types import RequestId, Seconds, TargetId
@@ -49,6 +50,7 @@
         target_id: TargetId,
         request_id: RequestId,
         now: Seconds,
+        kind: ErrorKind | None = None,
     ) -> None:
         """Note an attempt without an answer."""
 
@@ -92,6 +94,7 @@
         target_id: TargetId,
         request_id: RequestId,
         now: Seconds,
+        kind: ErrorKind | None = None,
     ) -> None:
         """Learn nothing."""
 
--- a/bench/routers.py
+++ b/bench/routers.py
@@ -153,7 +153,12 @@
         if failure is None:
             policy.answered(load, attempt.attempt_id, now)
         else:
-            policy.gave_up(attempt.target_id, attempt.attempt_id, now)
+            policy.gave_up(
+                attempt.target_id,
+                attempt.attempt_id,
+                now,
+                failure.kind,
+            )
         if not self._is_open:
             return
         if failure is None:
--- a/cassialever/selection.py
+++ b/cassialever/selection.py
@@ -5,6 +5,7 @@
 never by the targets' own reports, which lag.
 """
 
+import math
 import statistics
 from collections import deque
 from collections.abc import Collection, Iterable, Sequence
@@ -12,6 +13,7 @@
 
 import msgspec
 
+from cassialever.errors import ErrorKind
 from cassialever.interfaces import RandomSource
 from cassialever.messages import TargetLoad
 from cassialever.types import RequestId, Seconds, TargetId
@@ -33,6 +35,17 @@
 #: Answers between two calculations of the hedge delay.
 HEDGE_REFRESH: Final = 16
 
+#: Failures that speak against a target, however fast they came.
+FAULTS: Final = frozenset(
+    (
+        ErrorKind.target_shed,
+        ErrorKind.target_unreachable,
+        ErrorKind.target_failed,
+        ErrorKind.peer_unreachable,
+        ErrorKind.outcome_unknown,
+    ),
+)
+
 
 class Candidate(msgspec.Struct, frozen=True):
     """A target that may take the service's requests."""
@@ -91,13 +104,13 @@
         views = self._near(tried)
         if not views:
             return None
-        bound = _median_latency(views, now) * STRAGGLER_FACTOR
-        quick = [view for view in views if view.latency(now) <= bound]
-        if len(quick) < len(views) and not tried:
-            probe = _due_for_probe(views, bound, now)
-            if probe is not None:
-                return probe.target_id
-        return self._best(quick, now).target_id
+        median = _median_latency(views, now)
+        bound = median * STRAGGLER_FACTOR or math.inf
+        quick = [view for view in views if _is_quick(view, bound, now)]
+        for view in views:
+            if view.is_avoided and not tried and view.probe(now):
+                return view.target_id
+        return self._best(quick or views, now).target_id
 
     def sent(
         self,
@@ -120,13 +133,13 @@
         view = self._view_by_target.get(load.target_id)
         if view is None:
             return
-        median = _median_latency(self._view_by_target.values(), now)
-        was_straggler = view.latency(now) > median * STRAGGLER_FACTOR
+        was_avoided = view.is_avoided
         latency = view.answered(request_id, load, now)
         if latency is None:
             return
         self.hedge.saw(latency)
-        if was_straggler and latency <= median * FORGIVEN_FACTOR:
+        median = _median_latency(self._view_by_target.values(), now)
+        if was_avoided and latency <= median * FORGIVEN_FACTOR:
             view.forgive(latency)
 
     def gave_up(
@@ -134,11 +147,15 @@
         target_id: TargetId,
         request_id: RequestId,
         now: Seconds,
+        kind: ErrorKind | None = None,
     ) -> None:
-        """Note an attempt that ended without an answer."""
+        """Note an attempt that ended without an answer, and its failure.
+
+        `None` is for attempts that this daemon gave up by itself.
+        """
         view = self._view_by_target.get(target_id)
         if view is not None:
-            view.gave_up(request_id, now)
+            view.gave_up(request_id, now, is_fault=kind in FAULTS)
 
     def _near(self, tried: Collection[TargetId]) -> list[TargetView]:
         """Return the local targets, or all if none of those has room."""
@@ -165,18 +182,16 @@
         return best
 
 
+def _is_quick(view: TargetView, bound: Seconds, now: Seconds) -> bool:
+    """Say whether a target is neither failing nor slow, and note it."""
+    if view.is_failing or view.latency(now) > bound:
+        view.avoid(now)
+        return False
+    view.is_avoided = False
+    return True
+
+
 def _median_latency(views: Iterable[TargetView], now: Seconds) -> Seconds:
-    return statistics.median_high([view.latency(now) for view in views])
-
-
-def _due_for_probe(
-    views: Iterable[TargetView],
-    bound: Seconds,
-    now: Seconds,
-) -> TargetView | None:
-    for view in views:
-        if view.latency(now) <= bound or now < view.next_probe:
-            continue
-        view.probed(now)
-        return view
-    return None
+    """Return the median of those that have answered; 0 if none has."""
+    latencies = [view.latency(now) for view in views if view.has_answered]
+    return statistics.median_low(latencies or [0])
--- a/cassialever/views.py
+++ b/cassialever/views.py
@@ -20,13 +20,20 @@
         """Start without having seen anything."""
         self.target_id = target_id
         self.is_local = is_local
-        self.next_probe: Seconds = 0
+        self.is_avoided = False
+        self.is_failing = False
+        self._next_probe: Seconds = 0
         self._load = TargetLoad(target_id)
         self._latency = Average(VIEW_WEIGHT)
         self._sent_since_load = 0
         self._sent_by_id: dict[RequestId, Seconds] = {}
         self._probe_pause = FIRST_PROBE_PAUSE
 
+    @property
+    def has_answered(self) -> bool:
+        """Say whether its latency is known."""
+        return self._latency.count > 0
+
     def sent(self, request_id: RequestId, now: Seconds) -> None:
         """Note a request that goes out."""
         self._sent_by_id[request_id] = now
@@ -47,14 +54,25 @@
         self._latency.add(now - sent)
         return now - sent
 
-    def gave_up(self, request_id: RequestId, now: Seconds) -> None:
+    def gave_up(
+        self,
+        request_id: RequestId,
+        now: Seconds,
+        *,
+        is_fault: bool,
+    ) -> None:
         """Note a request that ended without an answer.
 
-        Having waited for long is a sign, having been refused fast is none.
+        Having waited for long is a sign, having been refused fast is none,
+        but a fault is one however fast it came.
         """
         elapsed = now - self._sent_by_id.pop(request_id, now)
+        self._sent_since_load = max(0, self._sent_since_load - 1)
         if elapsed > self._latency.mean:
             self._latency.add(elapsed)
+        if is_fault:
+            self.is_failing = True
+            self.avoid(now)
 
     def latency(self, now: Seconds) -> Seconds:
         """Return the usual latency, or the age of an older open request."""
@@ -72,13 +90,24 @@
         """Return the expected time of one more request."""
         return self.latency(now) * self.usage()
 
-    def probed(self, now: Seconds) -> None:
-        """Note that a straggler gets a request, and wait longer each time."""
-        self.next_probe = now + self._probe_pause
+    def avoid(self, now: Seconds) -> None:
+        """Give it no more requests than probes, the first after a pause."""
+        if not self.is_avoided:
+            self.is_avoided = True
+            self._next_probe = now + self._probe_pause
+
+    def probe(self, now: Seconds) -> bool:
+        """Say whether a probe is due, and if so wait longer for the next."""
+        if now < self._next_probe:
+            return False
         self._probe_pause = min(self._probe_pause * 2, LONGEST_PROBE_PAUSE)
+        self._next_probe = now + self._probe_pause
+        return True
 
     def forgive(self, latency: Seconds) -> None:
-        """Start anew from a good answer of a straggler."""
+        """Start anew from a good answer."""
+        self.is_avoided = False
+        self.is_failing = False
         self._probe_pause = FIRST_PROBE_PAUSE
         self._latency = Average(VIEW_WEIGHT)
         self._latency.add(latency)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -4,6 +4,7 @@
 import unittest
 from collections import Counter
 
+from cassialever.errors import ErrorKind
 from cassialever.messages import TargetLoad
 from cassialever.selection import Candidate, TargetChooser
 from cassialever.types import RequestId, TargetId
@@ -23,6 +24,7 @@
         self.latencies: list[float] = []
         self.now = 0.0
         self.slow = 0.01
+        self.fails = False
 
     def send(self, count: int) -> Counter[TargetId]:
         """Send some, a hundred a second, and count them by target."""
@@ -37,6 +39,10 @@
             latency *= self.noise.uniform(0.8, 1.2)
             self.latencies.append(latency)
             self.chooser.sent(target_id, request_id, self.now)
+            if self.fails and target_id == SLOW:
+                kind = ErrorKind.target_shed
+                self.chooser.gave_up(SLOW, request_id, self.now, kind)
+                continue
             load = TargetLoad(target_id, capacity=4)
             self.chooser.answered(load, request_id, self.now + latency)
         return sent
@@ -71,6 +77,17 @@
         requests.now += 1
         self.assertLessEqual(requests.send(100)[SLOW], 4)
 
+    def test_target_that_fails_fast_is_avoided_and_comes_back(self) -> None:
+        """Being the first to refuse doesn't make it the quickest."""
+        requests = Requests(local(TARGETS))
+        requests.send(400)
+        requests.fails = True
+        requests.send(50)
+        self.assertLessEqual(requests.send(1000)[SLOW], 10)
+        requests.fails = False
+        requests.send(500)
+        self.assertGreater(requests.send(400)[SLOW], 40)
+
     def test_loaded_target_gets_less(self) -> None:
         """The load that came with its answers counts."""
         requests = Requests(local(TARGETS))
