Sort targets and scan queues now and then, not for each request

Cause: each request computed every target's latency twice, and each end of an attempt looked through the whole queue. Change: targets are sorted at most every 5 ms, queues scanned at most every 10 ms or when the limit changes; a ticket that gets a slot is checked by itself.

--- a/cassialever/admission.py
+++ b/cassialever/admission.py
@@ -10,6 +10,29 @@
 
 #: When to come back to a target that has not answered anything yet.
 UNSEEN_RETRY_AFTER: Final[Seconds] = 1.0
+#: The longest time until a queued ticket that no longer fits is refused.
+SCAN_PAUSE: Final[Seconds] = 0.01
+
+
+class LateScan:
+    """When to look through a queue: now and then, or for a new limit."""
+
+    def __init__(self) -> None:
+        """Start due."""
+        self._limit = 0
+        self._next: Seconds = 0
+
+    def force(self) -> None:
+        """Make a scan due at once."""
+        self._limit = 0
+
+    def is_due(self, limit: int, now: Seconds) -> bool:
+        """Say whether a scan is due; if so, it counts as done."""
+        if limit == self._limit and now < self._next:
+            return False
+        self._limit = limit
+        self._next = now + SCAN_PAUSE
+        return True
 
 
 def fits(ticket: Ticket, wait: Seconds, slots: Slots, now: Seconds) -> bool:
@@ -61,16 +84,17 @@
             behind += 1
             continue
         queue.remove(ticket)
-        refused.append(_refuse(ticket, entry, wait, now))
+        refused.append(refuse(ticket, entry, wait, now))
     return refused
 
 
-def _refuse(
+def refuse(
     ticket: Ticket,
     entry: EntryRef,
     wait: Seconds,
     now: Seconds,
 ) -> Refusal:
+    """Refuse a queued ticket that can't be served in time any more."""
     if now >= ticket.deadline:
         return Refusal(ticket, too_late(entry))
     reason = 'the wait would outlast the deadline'
--- a/cassialever/limits.py
+++ b/cassialever/limits.py
@@ -4,7 +4,15 @@
 requests, and holds a queue bounded by length and by deadline.
 """
 
-from cassialever.admission import busy, fits, leaving, refuse_late, too_late
+from cassialever.admission import (
+    LateScan,
+    busy,
+    fits,
+    leaving,
+    refuse,
+    refuse_late,
+    too_late,
+)
 from cassialever.catalogue import TargetEntry
 from cassialever.errors import EntryRef, Failure
 from cassialever.fairness import FairQueue
@@ -32,6 +40,7 @@
         self._queue_length = queue_length
         self._queue = FairQueue()
         self._leaving: Failure | None = None
+        self._scan = LateScan()
 
     def load(self) -> TargetLoad:
         """Return the load to send along with an answer."""
@@ -102,6 +111,7 @@
 
     def expire(self, now: Seconds) -> Step:
         """Free the slots and refuse the tickets whose time has come."""
+        self._scan.force()
         self.slots.expire(now)
         return self._settle(now)
 
@@ -132,10 +142,17 @@
     def _settle(self, now: Seconds) -> Step:
         """Refuse those that no longer fit, then start those that may."""
         self.slots.check_ages(now)
-        refused = refuse_late(self._queue, self.slots, self._entry.ref(), now)
+        refused: list[Refusal] = []
+        if self._scan.is_due(self.slots.ramp.limit, now):
+            refused = refuse_late(
+                self._queue, self.slots, self._entry.ref(), now
+            )
         started: list[Ticket] = []
         while self._queue and self.slots.free:
             ticket = self._queue.pop()
-            self.slots.occupy(ticket, now)
-            started.append(ticket)
+            if fits(ticket, 0, self.slots, now):
+                self.slots.occupy(ticket, now)
+                started.append(ticket)
+                continue
+            refused.append(refuse(ticket, self._entry.ref(), 0, now))
         return Step(started=tuple(started), refused=tuple(refused))
--- a/cassialever/selection.py
+++ b/cassialever/selection.py
@@ -27,6 +27,8 @@
 CHOICES: Final = 3
 #: Local targets are left only where each has this share of its capacity.
 SPILL_USAGE: Final = 4.0
+#: The longest time until a slow target is told from a quick one.
+SORTING_PAUSE: Final[Seconds] = 0.005
 #: Answers over which the hedge delay is taken.
 LATENCIES_KEPT: Final = 256
 LATENCIES_NEEDED: Final = 32
@@ -81,6 +83,10 @@
         """Start without candidates."""
         self.hedge = HedgeTimer()
         self._source = source
+        self._median: Seconds = 0
+        self._next_sorting: Seconds = 0
+        self._quick: list[TargetView] = []
+        self._avoided: list[TargetView] = []
         self._view_by_target: dict[TargetId, TargetView] = {}
 
     def adopt(self, candidates: Sequence[Candidate]) -> None:
@@ -94,6 +100,7 @@
                 view = TargetView(target_id, is_local=candidate.is_local)
             view.is_local = candidate.is_local
             self._view_by_target[target_id] = view
+        self._next_sorting = 0
 
     def choose(
         self,
@@ -101,16 +108,17 @@
         now: Seconds,
     ) -> TargetId | None:
         """Return the target for one attempt; `None` if all were tried."""
-        views = self._near(tried)
-        if not views:
-            return None
-        median = _median_latency(views, now)
-        bound = median * STRAGGLER_FACTOR or math.inf
-        quick = [view for view in views if _is_quick(view, bound, now)]
-        for view in views:
-            if view.is_avoided and not tried and view.probe(now):
-                return view.target_id
-        return self._best(quick or views, now).target_id
+        if now >= self._next_sorting:
+            self._sort(now)
+        if not tried:
+            for avoided in self._avoided:
+                if avoided.probe(now):
+                    return avoided.target_id
+        for views in (self._quick, self._view_by_target.values()):
+            left = [view for view in views if view.target_id not in tried]
+            if left:
+                return self._best(left, now).target_id
+        return None
 
     def sent(
         self,
@@ -138,9 +146,9 @@
         if latency is None:
             return
         self.hedge.saw(latency)
-        median = _median_latency(self._view_by_target.values(), now)
-        if was_avoided and latency <= median * FORGIVEN_FACTOR:
+        if was_avoided and latency <= self._median * FORGIVEN_FACTOR:
             view.forgive(latency)
+            self._next_sorting = now
 
     def gave_up(
         self,
@@ -156,14 +164,20 @@
         view = self._view_by_target.get(target_id)
         if view is not None:
             view.gave_up(request_id, now, is_fault=kind in FAULTS)
-
-    def _near(self, tried: Collection[TargetId]) -> list[TargetView]:
+            self._next_sorting = now
+
+    def _sort(self, now: Seconds) -> None:
+        """Tell the quick targets from those that only get probes."""
+        self._next_sorting = now + SORTING_PAUSE
+        views = self._near()
+        self._median = _median_latency(views, now)
+        bound = self._median * STRAGGLER_FACTOR or math.inf
+        self._quick = [view for view in views if _is_quick(view, bound, now)]
+        self._avoided = [view for view in views if view.is_avoided]
+
+    def _near(self) -> list[TargetView]:
         """Return the local targets, or all if none of those has room."""
-        views = [
-            view
-            for view in self._view_by_target.values()
-            if view.target_id not in tried
-        ]
+        views = list(self._view_by_target.values())
         local = [
             view
             for view in views
