--- a/cassialever/leaseholder.py
+++ b/cassialever/leaseholder.py
@@ -1,17 +1,14 @@
 """Run requests on the targets whose leases this daemon holds."""
 
-import asyncio
 from collections.abc import AsyncIterator
 
 from cassialever.catalogue import TargetEntry
+from cassialever.claims import Claims
 from cassialever.errors import EntryRef, ErrorKind, Failure
-from cassialever.interfaces import Clock, TargetClient, TargetRequest
-from cassialever.leases import HeldLeases
-from cassialever.messages import HolderAnswer, RequestHead, TargetLoad
+from cassialever.messages import HolderAnswer, RequestHead
 from cassialever.placement import Placement
-from cassialever.types import EntryKind, Fence, TargetId
-
-MILLISECONDS = 1000
+from cassialever.runs import RunTools, TargetRun
+from cassialever.types import EntryKind
 
 
 class Leaseholder:
@@ -20,16 +17,13 @@
     def __init__(
         self,
         placement: Placement,
-        leases: HeldLeases,
-        targets: TargetClient,
-        clock: Clock,
+        tools: RunTools,
+        claims: Claims,
     ) -> None:
         """Take what says whether a request may be sent, and the sender."""
         self._placement = placement
-        self._leases = leases
-        self._targets = targets
-        self._clock = clock
-        self._slots_by_target: dict[TargetId, asyncio.Semaphore] = {}
+        self._tools = tools
+        self._claims = claims
 
     async def handle(
         self,
@@ -38,76 +32,34 @@
     ) -> HolderAnswer | Failure:
         """Run a request, within the target's slots and under its lease."""
         entry = self._placement.target(head.target_id)
-        if entry is None:
+        service = self._placement.service(head.service)
+        if entry is None or service is None:
             return Failure(
                 ErrorKind.no_target,
-                f'{head.target_id} is not in this catalogue',
+                f'{head.target_id} is not in the catalogue of this instance',
             )
-        refusal = self._refusal(entry)
+        refusal = self._refusal(head, entry)
         if refusal:
             return refusal
-        slots = self._slots(entry)
-        await slots.acquire()
-        answer = await self._send(head, body)
-        if isinstance(answer, Failure):
-            slots.release()
-            return answer
-        answer.body = _released_after(answer.body, slots)
-        return answer
+        run = TargetRun(self._tools, head, entry, service)
+        if head.claims:
+            return await self._claims.run_once(run, body)
+        return await run.answer(body)
 
-    def _refusal(self, entry: TargetEntry) -> Failure | None:
+    def _refusal(self, head: RequestHead, entry: TargetEntry) -> Failure | None:
         index = self._placement.index
         out = index.is_out(entry) if index else None
-        if out is None:
-            return None
-        return Failure(_out_kind(out), f'{out} is out of service', out)
-
-    def _slots(self, entry: TargetEntry) -> asyncio.Semaphore:
-        slots = self._slots_by_target.get(entry.target_id)
-        if slots is None:
-            slots = asyncio.Semaphore(entry.limits.slots)
-            self._slots_by_target[entry.target_id] = slots
-        return slots
-
-    async def _send(
-        self,
-        head: RequestHead,
-        body: AsyncIterator[bytes] | None,
-    ) -> HolderAnswer | Failure:
-        fence = self._leases.fence(head.target_id, self._clock.monotonic())
-        if isinstance(fence, Failure):
-            return fence
-        answer = await self._targets.send(_target_request(head, fence), body)
-        if isinstance(answer, Failure):
-            return answer
-        load = TargetLoad(head.target_id)
-        return HolderAnswer(answer.status, answer.headers, load, answer.body)
+        if out:
+            return Failure(_out_kind(out), f'{out} is out of service', out)
+        fence = self._tools.leases.fence(
+            head.target_id,
+            self._tools.clock.monotonic(),
+            head.slice_index,
+        )
+        return fence if isinstance(fence, Failure) else None
 
 
 def _out_kind(out: EntryRef) -> ErrorKind:
     if out.kind is EntryKind.data_centre:
         return ErrorKind.data_centre_out
     return ErrorKind.target_leaving
-
-
-def _target_request(head: RequestHead, fence: Fence) -> TargetRequest:
-    return TargetRequest(
-        target_id=head.target_id,
-        request_id=head.request_id,
-        method=head.method,
-        path=head.path,
-        headers=head.headers,
-        time_left=head.time_left_ms / MILLISECONDS,
-        fence=fence,
-    )
-
-
-async def _released_after(
-    body: AsyncIterator[bytes | Failure],
-    slots: asyncio.Semaphore,
-) -> AsyncIterator[bytes | Failure]:
-    try:
-        async for chunk in body:
-            yield chunk
-    finally:
-        slots.release()
