Refuse ids whose home has moved; keep refusals between attempts true

Cause: a change of a service's targets moves the home of a share of the ids. The new home's memory may be old, so it took an id that had run at the former home for a first one.

Also: a refusal that comes up between attempts, say that no target is left, must not say not run once an attempt may have run: Attempts.truthful.

--- a/cassialever/attempts.py
+++ b/cassialever/attempts.py
@@ -145,6 +145,13 @@
             return False
         return self._draw(now)
 
+    def truthful(self, failure: Failure) -> Failure:
+        """Return a failure that came up between attempts, as it may be told.
+
+        It never says "not run" once an attempt may have run.
+        """
+        return self._final(failure, AttemptState.not_sent).failure
+
     def _redirect(self, failure: Failure, state: AttemptState) -> Decision:
         if self._redirects >= len(REDIRECT_PAUSES):
             return self._final(failure, state)
--- a/cassialever/once.py
+++ b/cassialever/once.py
@@ -144,9 +144,11 @@
         request_id: RequestId,
         wall: Seconds,
         slice_index: SliceIndex = NO_SLICE,
+        home_from: Seconds = 0,
     ) -> Claimed:
         """Claim an id before its first attempt, or learn of the first.
 
+        `home_from` says since when this is the id's only home; see `Homes`.
         Fails with `already_running` or `already_run`; with `outcome_unknown`
         where the first may have run or can't be known of; and, not run,
         with `malformed_request_id` for an id from the future or with
@@ -162,7 +164,7 @@
         if record is not None:
             return _second_try(record)
         since = self._known_from_by_slice.get(slice_index, self._known_from)
-        doubt = self._limits.doubt(request_id, since, wall)
+        doubt = self._limits.doubt(request_id, max(since, home_from), wall)
         if doubt is not None:
             return doubt
         count = len(self._record_by_id) + len(self._slice_by_running)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -121,6 +121,16 @@
         assert isinstance(decision, FinalAnswer)
         self.assertEqual(decision.failure.kind, ErrorKind.outcome_unknown)
 
+    def test_refusal_between_attempts_is_truthful(self) -> None:
+        """Finding no target for the next attempt doesn't undo the first."""
+        nowhere = Failure(ErrorKind.no_target, '')
+        request = attempts(repeatable=True)
+        self.assertEqual(request.truthful(nowhere), nowhere)
+        silence = Failure(ErrorKind.outcome_unknown, '')
+        request.failed(silence, UNKNOWN, 0)
+        told = request.truthful(nowhere)
+        self.assertEqual(told.kind, ErrorKind.outcome_unknown)
+
     def test_hedge_is_for_repeatable_work_with_budget_only(self) -> None:
         """One hedge at most, and a failure beside it waits for it."""
         self.assertFalse(attempts().may_hedge(0))
