--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,12 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format .
+
+.PHONY: bench bench-limits
+
+bench: bench-limits
+
+bench-limits: $(STAMP)
+	$(BIN)/python -m bench.tail
+	$(BIN)/python -m bench.overload
+	$(BIN)/python -m bench.retries
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -207,8 +207,15 @@
 class Measured:
     """The real chooser."""
 
-    def __init__(self, target_ids: Sequence[TargetId], seed: str) -> None:
+    def __init__(
+        self,
+        target_ids: Sequence[TargetId],
+        seed: str,
+        *,
+        hedges: bool = True,
+    ) -> None:
         """Take every target as local."""
+        self._hedges = hedges
         self._chooser = TargetChooser(random.Random(seed))
         self._chooser.adopt([Candidate(one, True) for one in target_ids])
         self.choose = self._chooser.choose
@@ -219,4 +226,4 @@
     @property
     def hedge_delay(self) -> Seconds | None:
         """Return the service's hedge delay."""
-        return self._chooser.hedge.delay
+        return self._chooser.hedge.delay if self._hedges else None
--- a/bench/tail.py
+++ b/bench/tail.py
@@ -128,6 +128,8 @@
         make = partial(RoundRobin, ids)
     if name == 'least reported':
         make = partial(LeastReported, ids, reports=world.reports)
+    if name == 'no hedges':
+        make = partial(Measured, ids, hedges=False)
     if name == 'oracle':
         make = partial(Oracle, ids, gated_by_id=world.gated_by_id)
     return [make(f'{seed}-{index}') for index in range(DAEMONS)]
@@ -149,7 +151,14 @@
     )
 
 
-NAMES = ('random', 'round robin', 'least reported', 'cassialever', 'oracle')
+NAMES = (
+    'random',
+    'round robin',
+    'least reported',
+    'no hedges',
+    'cassialever',
+    'oracle',
+)
 
 
 HEAD = ('policy', 'p50', 'p99', 'p99.9', 'p99 after', 'failed', 'sends/req')
