--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,12 @@
 
 bench-hops: $(STAMP)
 	$(BIN)/python -m bench.hops
+
+.PHONY: bench bench-limits
+
+bench: bench-limits
+
+bench-limits: $(STAMP)
+	$(BIN)/python -m bench.tail
+	$(BIN)/python -m bench.overload
+	$(BIN)/python -m bench.retries
--- a/cassialever/destinations.py
+++ b/cassialever/destinations.py
@@ -10,7 +10,6 @@
 from cassialever.intake import Intake
 from cassialever.interfaces import Clock
 from cassialever.messages import NO_SLICE
-from cassialever.once import home_of
 from cassialever.placement import Placement
 from cassialever.slices import Place
 from cassialever.traffic import ServiceTraffic
@@ -70,7 +69,7 @@
         if not self.is_any:
             return await self._owner(deadline)
         if self._intake.has_home:
-            target_id = home_of(self._intake.request_id, self._traffic.homes)
+            target_id = self._traffic.homes.home(self._intake.request_id)
         else:
             now = self._clock.monotonic()
             target_id = self._traffic.chooser.choose(tried, now)
--- a/cassialever/exchange.py
+++ b/cassialever/exchange.py
@@ -19,7 +19,7 @@
 from cassialever.intake import Intake
 from cassialever.interfaces import Clock
 from cassialever.messages import HolderAnswer, RequestHead
-from cassialever.misc import one_chunk
+from cassialever.misc import close_body, one_chunk
 from cassialever.placement import Placement
 from cassialever.sending import Sender
 from cassialever.traffic import ServiceTraffic
@@ -91,7 +91,7 @@
         while outcome is None:
             refusal = await self._send()
             if refusal and not self._sent_by_task:
-                return refusal
+                return self._attempts.truthful(refusal)
             finished = await self._next_finished()
             if finished is not None:
                 outcome = await self._take(finished)
@@ -195,10 +195,19 @@
 
     def _give_up_others(self) -> None:
         for task, sent in self._sent_by_task.items():
-            task.cancel()
+            if not task.cancel():
+                self._drop(task)
             self._note_gave_up(sent)
         self._sent_by_task.clear()
 
+    def _drop(self, finished: Attempt) -> None:
+        """Close an answer that came after another one was chosen."""
+        if finished.cancelled() or finished.exception():
+            return
+        outcome = finished.result()
+        if isinstance(outcome, HolderAnswer):
+            self._traffic.tasks.add(close_body(outcome.body))
+
     def _head(self, chosen: Destination, time_left: Seconds) -> RequestHead:
         intake = self._intake
         return RequestHead(
--- a/cassialever/selection.py
+++ b/cassialever/selection.py
@@ -5,6 +5,7 @@
 never by the targets' own reports, which lag.
 """
 
+import math
 import statistics
 from collections import deque
 from collections.abc import Collection, Iterable, Sequence
@@ -12,6 +13,7 @@
 
 import msgspec
 
+from cassialever.errors import ErrorKind
 from cassialever.interfaces import RandomSource
 from cassialever.messages import TargetLoad
 from cassialever.types import RequestId, Seconds, TargetId
@@ -25,6 +27,8 @@
 CHOICES: Final = 3
 #: Local targets are left only where each has this share of its capacity.
 SPILL_USAGE: Final = 4.0
+#: The longest time until a slow target is told from a quick one.
+SORTING_PAUSE: Final[Seconds] = 0.005
 #: Answers over which the hedge delay is taken.
 LATENCIES_KEPT: Final = 256
 LATENCIES_NEEDED: Final = 32
@@ -33,6 +37,17 @@
 #: Answers between two calculations of the hedge delay.
 HEDGE_REFRESH: Final = 16
 
+#: Failures that speak against a target, however fast they came.
+FAULTS: Final = frozenset(
+    (
+        ErrorKind.target_shed,
+        ErrorKind.target_unreachable,
+        ErrorKind.target_failed,
+        ErrorKind.peer_unreachable,
+        ErrorKind.outcome_unknown,
+    ),
+)
+
 
 class Candidate(msgspec.Struct, frozen=True):
     """A target that may take the service's requests."""
@@ -68,6 +83,10 @@
         """Start without candidates."""
         self.hedge = HedgeTimer()
         self._source = source
+        self._median: Seconds = 0
+        self._next_sorting: Seconds = 0
+        self._quick: list[TargetView] = []
+        self._avoided: list[TargetView] = []
         self._view_by_target: dict[TargetId, TargetView] = {}
 
     def adopt(self, candidates: Sequence[Candidate]) -> None:
@@ -81,6 +100,7 @@
                 view = TargetView(target_id, is_local=candidate.is_local)
             view.is_local = candidate.is_local
             self._view_by_target[target_id] = view
+        self._next_sorting = 0
 
     def choose(
         self,
@@ -88,16 +108,17 @@
         now: Seconds,
     ) -> TargetId | None:
         """Return the target for one attempt; `None` if all were tried."""
-        views = self._near(tried)
-        if not views:
-            return None
-        bound = _median_latency(views, now) * STRAGGLER_FACTOR
-        quick = [view for view in views if view.latency(now) <= bound]
-        if len(quick) < len(views) and not tried:
-            probe = _due_for_probe(views, bound, now)
-            if probe is not None:
-                return probe.target_id
-        return self._best(quick, now).target_id
+        if now >= self._next_sorting:
+            self._sort(now)
+        if not tried:
+            for avoided in self._avoided:
+                if avoided.probe(now):
+                    return avoided.target_id
+        for views in (self._quick, self._view_by_target.values()):
+            left = [view for view in views if view.target_id not in tried]
+            if left:
+                return self._best(left, now).target_id
+        return None
 
     def sent(
         self,
@@ -120,33 +141,43 @@
         view = self._view_by_target.get(load.target_id)
         if view is None:
             return
-        median = _median_latency(self._view_by_target.values(), now)
-        was_straggler = view.latency(now) > median * STRAGGLER_FACTOR
+        was_avoided = view.is_avoided
         latency = view.answered(request_id, load, now)
         if latency is None:
             return
         self.hedge.saw(latency)
-        if was_straggler and latency <= median * FORGIVEN_FACTOR:
+        if was_avoided and latency <= self._median * FORGIVEN_FACTOR:
             view.forgive(latency)
+            self._next_sorting = now
 
     def gave_up(
         self,
         target_id: TargetId,
         request_id: RequestId,
         now: Seconds,
+        kind: ErrorKind | None = None,
     ) -> None:
-        """Note an attempt that ended without an answer."""
+        """Note an attempt that ended without an answer, and its failure.
+
+        `None` is for attempts that this daemon gave up by itself.
+        """
         view = self._view_by_target.get(target_id)
         if view is not None:
-            view.gave_up(request_id, now)
-
-    def _near(self, tried: Collection[TargetId]) -> list[TargetView]:
+            view.gave_up(request_id, now, is_fault=kind in FAULTS)
+            self._next_sorting = now
+
+    def _sort(self, now: Seconds) -> None:
+        """Tell the quick targets from those that only get probes."""
+        self._next_sorting = now + SORTING_PAUSE
+        views = self._near()
+        self._median = _median_latency(views, now)
+        bound = self._median * STRAGGLER_FACTOR or math.inf
+        self._quick = [view for view in views if _is_quick(view, bound, now)]
+        self._avoided = [view for view in views if view.is_avoided]
+
+    def _near(self) -> list[TargetView]:
         """Return the local targets, or all if none of those has room."""
-        views = [
-            view
-            for view in self._view_by_target.values()
-            if view.target_id not in tried
-        ]
+        views = list(self._view_by_target.values())
         local = [
             view
             for view in views
@@ -165,18 +196,16 @@
         return best
 
 
+def _is_quick(view: TargetView, bound: Seconds, now: Seconds) -> bool:
+    """Say whether a target is neither failing nor slow, and note it."""
+    if view.is_failing or view.latency(now) > bound:
+        view.avoid(now)
+        return False
+    view.is_avoided = False
+    return True
+
+
 def _median_latency(views: Iterable[TargetView], now: Seconds) -> Seconds:
-    return statistics.median_high([view.latency(now) for view in views])
-
-
-def _due_for_probe(
-    views: Iterable[TargetView],
-    bound: Seconds,
-    now: Seconds,
-) -> TargetView | None:
-    for view in views:
-        if view.latency(now) <= bound or now < view.next_probe:
-            continue
-        view.probed(now)
-        return view
-    return None
+    """Return the median of those that have answered; 0 if none has."""
+    latencies = [view.latency(now) for view in views if view.has_answered]
+    return statistics.median_low(latencies or [0])
--- a/cassialever/traffic.py
+++ b/cassialever/traffic.py
@@ -2,8 +2,11 @@
 
 from cassialever.budget import RetryBudget
 from cassialever.catalogue import CatalogueIndex, ServiceEntry
-from cassialever.interfaces import RandomSource
+from cassialever.interfaces import Clock, RandomSource
+from cassialever.misc import BackgroundTasks
+from cassialever.once import OnceLimits
 from cassialever.placement import Placement
+from cassialever.request_homes import Homes
 from cassialever.selection import Candidate, TargetChooser
 from cassialever.types import RoutingClass, Seconds, ServiceName, TargetId
 
@@ -20,29 +23,40 @@
         """Start with the smallest budget and no candidates."""
         self.budget = RetryBudget(service.limits.retry_share, now)
         self.chooser = TargetChooser(source)
-        #: Every target of the service in the whole fleet that is in service,
-        #: in the same order on every daemon with the same catalogue.
-        self.homes: tuple[TargetId, ...] = ()
+        #: Every target of the service in the whole fleet that is in service:
+        #: the same on every daemon with the same catalogue.
+        self.homes = Homes(OnceLimits().retention)
+        self.tasks = BackgroundTasks()
 
 
 class Traffic:
     """Every service's traffic on this daemon, kept in step with placement."""
 
-    def __init__(self, placement: Placement, source: RandomSource) -> None:
+    def __init__(
+        self,
+        placement: Placement,
+        source: RandomSource,
+        clock: Clock,
+    ) -> None:
         """Start with none."""
+        self._clock = clock
         self._placement = placement
         self._source = source
         self._traffic_by_service: dict[ServiceName, ServiceTraffic] = {}
         self._seen_revision = 0
 
-    def of(self, service: ServiceEntry, now: Seconds) -> ServiceTraffic:
+    def of(self, service: ServiceEntry) -> ServiceTraffic:
         """Return the traffic of a service, under the present placement."""
         if self._seen_revision != self._placement.revision:
             self._seen_revision = self._placement.revision
             self._refresh()
         traffic = self._traffic_by_service.get(service.name)
         if traffic is None:
-            traffic = ServiceTraffic(service, self._source, now)
+            traffic = ServiceTraffic(
+                service,
+                self._source,
+                self._clock.monotonic(),
+            )
             self._traffic_by_service[service.name] = traffic
             self._adopt(service, traffic)
         return traffic
@@ -69,7 +83,10 @@
             ]
         )
         if self._placement.index:
-            traffic.homes = _homes(self._placement.index, service.name)
+            traffic.homes.adopt(
+                _homes(self._placement.index, service.name),
+                self._clock.wall(),
+            )
 
 
 def _homes(
