--- a/cassialever/slices.py
+++ b/cassialever/slices.py
@@ -95,12 +95,6 @@
         index = self._owner_view[slice_index]
         return None if index == NO_TARGET else self.targets[index]
 
-    def groups(self) -> Iterator[GroupIndex]:
-        """Give every group, the hot group last."""
-        for group in range(len(self.fence_by_group) - 1):
-            yield GroupIndex(group)
-        yield HOT_GROUP
-
     def group_of(self, slice_index: SliceIndex) -> GroupIndex:
         """Return the group whose row holds a slice."""
         if slice_index >= self.slices:
@@ -164,6 +158,16 @@
         self.slice_by_hot_hash[key_hash] = hot
         return HotKey(key_hash, hot)
 
+    def copy(self) -> 'SliceMap':
+        """Return a map that changes by itself."""
+        other = SliceMap(self.slices)
+        for target_id in self.targets:
+            other.index_of(target_id)
+        other.slice_by_hot_hash.update(self.slice_by_hot_hash)
+        np.copyto(other.owner_indexes, self.owner_indexes)
+        other.fence_by_group = list(self.fence_by_group)
+        return other
+
     def merge(self, key_hash: int) -> bool:
         """Give a hot key back to its base slice, if one target owns both."""
         hot = self.slice_by_hot_hash.get(key_hash)
@@ -175,3 +179,10 @@
         self.owner_indexes[hot] = NO_TARGET
         self.slice_by_hot_hash.pop(key_hash)
         return True
+
+
+def groups(slice_map: SliceMap) -> Iterator[GroupIndex]:
+    """Give every group of a map, the hot group last."""
+    for group in range(len(slice_map.fence_by_group) - 1):
+        yield GroupIndex(group)
+    yield HOT_GROUP
--- a/tests/test_slices.py
+++ b/tests/test_slices.py
@@ -15,7 +15,13 @@
     unpack_group,
 )
 from cassialever.routing import RoutingMap, ServiceMap, slice_of
-from cassialever.slices import HOT_GROUP, MAX_HOT_KEYS, SliceMap, hash_of
+from cassialever.slices import (
+    HOT_GROUP,
+    MAX_HOT_KEYS,
+    SliceMap,
+    groups,
+    hash_of,
+)
 from cassialever.types import (
     Epoch,
     Fence,
@@ -112,7 +118,7 @@
                 before = filled_map(targets)
                 before.raise_fence(HOT_GROUP, Fence(9))
                 after = SliceMap(SLICES)
-                for group in before.groups():
+                for group in groups(before):
                     body = encode_row(pack_group(before, group))
                     unpack_group(after, decode_row(body))
                 self.assertEqual(list(before), list(after))
