Balance keyed services by hot keys first and by the fewest slices

Leaseholders count an interval and report it; the coordinator smooths what is noise and takes at once what has changed, so that a slice that moves keeps its history. Hot keys get slices of their own, the balancer places those first and moves base slices only for what is left.

--- a/cassialever/balancer.py
+++ b/cassialever/balancer.py
@@ -12,20 +12,13 @@
 from numpy import typing as npt
 
 from cassialever.heat import HeatView, hottest
-from cassialever.rebalance import (
-    Assignment,
-    Budget,
-    Loads,
-    Move,
-    MoveCause,
-    Plan,
-    assign,
-)
+from cassialever.assignment import Assignment, Loads
+from cassialever.rebalance import Budget, Move, MoveCause, Plan, assign
 from cassialever.slices import SliceMap, TargetIndexes, slice_of_hash
 from cassialever.types import SliceIndex
 
 #: A key is hot from this share of the mean target's load.
-HOT_SHARE: Final = 0.01
+HOT_SHARE: Final = 0.006
 
 #: A hot key is merged again under this part of the load that made it hot.
 MERGE_SHARE: Final = 0.5
--- a/cassialever/heat.py
+++ b/cassialever/heat.py
@@ -1,12 +1,12 @@
-"""Which slices and keys are hot, as a daemon sees it while it serves them.
+"""Which slices and keys are hot, as daemons count and the coordinator sees.
 
-Counts decay by half each half-life. Slices have a counter each; keys share
-a sketch of bounded size, which finds every key above a known share of the
-requests. A report of a few hundred bytes goes to the coordinator, where the
-reports of all daemons are merged.
+A daemon counts the requests of one interval: each slice has a counter, and
+keys share a sketch of bounded size, which finds every key above a known share
+of the requests. A report of a few hundred bytes goes to the coordinator. That
+keeps the smoothed loads, since a slice that moves then keeps its history.
 """
 
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -30,6 +30,9 @@
 #: A report's loads start at this share of a request per second.
 LEAST_LOAD: Final = 0.0625
 
+#: Standard deviations beyond which a load has changed.
+SURPRISE: Final = 4
+
 _SLICE: Final = np.dtype('<u4')
 _HASH: Final = np.dtype('<u8')
 _COUNTED: Final = np.dtype([('number', _HASH), ('count', np.float64)])
@@ -66,17 +69,11 @@
         if len(self.count_by_hash) > self.size * 2:
             self._cut()
 
-    def decay(self, share: float) -> None:
-        """Multiply every count by a share."""
-        self.shortfall *= share
-        for key_hash in self.count_by_hash:
-            self.count_by_hash[key_hash] *= share
-
     def top(self, number: int) -> list[tuple[int, float]]:
         """Return keys and counts, the hottest first."""
         ordered = sorted(
             self.count_by_hash.items(),
-            key=lambda item: (-item[1], item[0]),
+            key=_coolness,
         )
         return ordered[:number]
 
@@ -108,65 +105,41 @@
 
 
 class ServiceHeat:
-    """Loads of one service's slices and keys at this daemon.
+    """Counters of one service's slices and keys at this daemon.
 
-    Only slices with load are kept, since a daemon serves few of them all.
+    Only slices with requests are kept, since a daemon serves few of them all.
     """
 
-    def __init__(self, half_life: Seconds) -> None:
-        """Start cold."""
-        self.half_life = half_life
-        self.sketch = KeySketch()
-        self._count_by_slice: dict[SliceIndex, float] = {}
-        self._age: float = 0
+    def __init__(self) -> None:
+        """Start the first interval."""
+        self._sketch = KeySketch()
+        self._count_by_slice: dict[SliceIndex, int] = {}
 
     def add(self, slice_index: SliceIndex, key_hash: int) -> None:
         """Count one request."""
         counts = self._count_by_slice
         counts[slice_index] = counts.get(slice_index, 0) + 1
-        self.sketch.add(key_hash)
-
-    def tick(self, elapsed: Seconds) -> None:
-        """Let counts decay for the time since the last tick."""
-        share = 0.5 ** (elapsed / self.half_life)
-        self._count_by_slice = {
-            slice_index: count * share
-            for slice_index, count in self._count_by_slice.items()
-            if count >= LEAST_LOAD
-        }
-        self.sketch.decay(share)
-        self._age = (self._age + elapsed) * share
-
-    def keep(self, slices: Container[SliceIndex]) -> None:
-        """Forget all slices but those that this daemon still serves."""
-        self._count_by_slice = {
-            slice_index: count
-            for slice_index, count in self._count_by_slice.items()
-            if slice_index in slices
-        }
+        self._sketch.add(key_hash)
 
-    def load(self, slice_index: SliceIndex) -> float:
-        """Return the requests per second of a slice."""
-        return self._count_by_slice.get(slice_index, 0) / (self._age or 1)
-
-    def report(self) -> HeatReport:
-        """Return the heaviest slices and keys."""
+    def report(self, elapsed: Seconds) -> HeatReport:
+        """Return the interval's heaviest slices and keys; start the next."""
         slices = _counted(list(self._count_by_slice.items()))
         slices.sort(order='count')
         kept = np.sort(slices[-REPORT_SLICES:], order='number')
-        keys = _counted(self.sketch.top(REPORT_KEYS))
-        age = self._age or 1
+        keys = _counted(self._sketch.top(REPORT_KEYS))
+        self._count_by_slice = {}
+        self._sketch = KeySketch()
         return HeatReport(
             slices=kept['number'].astype(_SLICE).tobytes(),
-            slice_steps=_steps(kept['count'] / age),
+            slice_steps=_steps(kept['count'] / elapsed),
             keys=keys['number'].tobytes(),
-            key_steps=_steps(keys['count'] / age),
-            rest=float(slices['count'][:-REPORT_SLICES].sum() / age),
+            key_steps=_steps(keys['count'] / elapsed),
+            rest=float(slices['count'][:-REPORT_SLICES].sum() / elapsed),
         )
 
 
-class HeatView:
-    """The loads of one service, merged from the reports of its daemons."""
+class Interval:
+    """The loads of one interval, merged from the reports of all daemons."""
 
     def __init__(self, slices: int) -> None:
         """Start without load; `slices` counts those of hot keys as well."""
@@ -192,17 +165,59 @@
             self.load_by_key[key_hash] = known + load
 
 
-def merged(slices: int, reports: Iterable[HeatReport]) -> HeatView:
-    """Return the view that several reports give together."""
-    view = HeatView(slices)
+class HeatView:
+    """The smoothed loads of one service, as its coordinator sees them.
+
+    A load inside the noise of counting is smoothed; one outside has changed
+    and is taken at once, so that new hot keys are seen within an interval.
+    """
+
+    def __init__(self, slices: int, half_life: Seconds) -> None:
+        """Start without load; `slices` counts those of hot keys as well."""
+        self.loads: npt.NDArray[np.float64] = np.zeros(slices)
+        self.load_by_key: dict[int, float] = {}
+        self._half_life = half_life
+
+    def fold(
+        self,
+        interval: Interval,
+        elapsed: Seconds,
+        heard: npt.NDArray[np.bool_] | bool = True,
+    ) -> None:
+        """Take in one interval.
+
+        `heard` marks the slices whose daemon has reported; the others keep
+        their loads.
+        """
+        change = interval.loads - self.loads
+        noise = np.sqrt(np.maximum(self.loads, LEAST_LOAD) / elapsed)
+        share = 0.5 ** (elapsed / self._half_life)
+        is_noise = np.abs(change) <= SURPRISE * noise
+        folded = self.loads + change * (1 - share * is_noise)
+        self.loads = np.where(heard, folded, self.loads)
+        self.load_by_key = dict(interval.load_by_key)
+
+    def replace(self, loads: npt.NDArray[np.float64]) -> None:
+        """Take the loads that a round of splits and merges has led to."""
+        self.loads = loads.copy()
+
+
+def merged(slices: int, reports: Iterable[HeatReport]) -> Interval:
+    """Return the interval that several reports give together."""
+    interval = Interval(slices)
     for report in reports:
-        view.merge(report)
-    return view
+        interval.merge(report)
+    return interval
 
 
 def hottest(load_by_key: Mapping[int, float]) -> list[tuple[int, float]]:
     """Return key hashes and loads, the hottest first."""
-    return sorted(load_by_key.items(), key=lambda item: (-item[1], item[0]))
+    return sorted(load_by_key.items(), key=_coolness)
+
+
+def _coolness(item: tuple[int, float]) -> tuple[float, int]:
+    key_hash, load = item
+    return -load, key_hash
 
 
 def _counted(
@@ -212,17 +227,17 @@
 
 
 def _steps(loads: npt.NDArray[np.float64]) -> bytes:
-    times_least = np.maximum(loads / LEAST_LOAD, 1)
-    steps = np.rint(np.log2(times_least) * STEPS_PER_DOUBLING)
-    bounded = np.minimum(steps, LONGEST_STEP).astype(np.uint8)
-    return bytes(bounded.tobytes())
+    doublings = np.log2(np.maximum(loads / LEAST_LOAD, 1))
+    steps = np.rint(doublings * STEPS_PER_DOUBLING)
+    bounded = np.minimum(steps, LONGEST_STEP)
+    return bytes(bounded.astype(np.uint8).tobytes())
 
 
 def _loads(steps: bytes, number: int) -> npt.NDArray[np.float64]:
     if len(steps) != number:
         raise CodecError('the heat report has numbers without loads')
-    exponents = np.frombuffer(steps, dtype=np.uint8) / STEPS_PER_DOUBLING
-    return np.exp2(exponents) * LEAST_LOAD
+    numbers = np.frombuffer(steps, dtype=np.uint8)
+    return np.exp2(numbers / STEPS_PER_DOUBLING) * LEAST_LOAD
 
 
 def _whole(numbers: bytes, form: np.dtype[np.generic]) -> bytes:
--- a/cassialever/rebalance.py
+++ b/cassialever/rebalance.py
@@ -8,21 +8,21 @@
 
 import enum
 import heapq
-from typing import Final
 
 import msgspec
 import numpy as np
-from numpy import typing as npt
 
+from cassialever.assignment import (
+    Assignment,
+    Ledger,
+    Loads,
+    forced_slices,
+    imbalance,
+    load_by_target,
+)
 from cassialever.slices import NO_TARGET, TargetIndexes
 from cassialever.types import SliceIndex
 
-Loads = npt.NDArray[np.float64]
-
-#: Load that every slice counts for at least, as a share of the mean slice,
-#: so that slices without load are spread by number.
-IDLE_SHARE: Final = 0.01
-
 
 class MoveCause(enum.Enum):
     """Why a slice moves; the order is the order of moves."""
@@ -51,26 +51,11 @@
     `hot_slices` the most hot keys; forced moves are not limited.
     """
 
-    bound: float = 1.1
+    bound: float = 1.08
     slices: int = 64
     hot_slices: int = 64
 
 
-class Assignment(msgspec.Struct, frozen=True):
-    """What the rebalancer is told of one service.
-
-    Arrays go by slice (owners, loads) or by target index (weights, lost).
-    Slices from `base_slices` on belong to hot keys, and those of them
-    without an owner are unused.
-    """
-
-    owners: TargetIndexes
-    loads: Loads
-    weights: Loads
-    lost: npt.NDArray[np.bool_]
-    base_slices: int
-
-
 class Plan(msgspec.Struct, frozen=True):
     """The wanted owners, the moves in order, and what they are to bring."""
 
@@ -80,39 +65,6 @@
     imbalance_after: float
 
 
-def imbalance(target_loads: Loads, weights: Loads) -> float:
-    """Return max/mean of load by weight; infinite if load has no target."""
-    usable = weights > 0
-    if not usable.any() or target_loads[~usable].sum() > 0:
-        return float('inf')
-    total = target_loads.sum()
-    if not total:
-        return 1
-    mean = total / weights.sum()
-    return float((target_loads[usable] / weights[usable]).max() / mean)
-
-
-def load_by_target(assignment: Assignment) -> Loads:
-    """Sum the loads of each target's slices; unowned load is left out."""
-    owned = assignment.owners != NO_TARGET
-    return np.bincount(
-        assignment.owners[owned],
-        weights=assignment.loads[owned],
-        minlength=len(assignment.weights),
-    ).astype(np.float64)
-
-
-def forced_slices(assignment: Assignment) -> npt.NDArray[np.int64]:
-    """Return the slices in use whose owner may not keep them."""
-    owners = assignment.owners
-    unowned = owners == NO_TARGET
-    unowned[assignment.base_slices :].fill(False)
-    # An index past the last target stands for no owner at all.
-    weights = np.append(assignment.weights, 1)
-    owner_weights = weights[np.minimum(owners, len(assignment.weights))]
-    return np.flatnonzero(unowned | (owner_weights <= 0))
-
-
 def assign(assignment: Assignment, budget: Budget) -> Plan:
     """Return the wanted owners and the moves that lead to them.
 
@@ -122,7 +74,7 @@
     before = imbalance(load_by_target(assignment), assignment.weights)
     if not assignment.weights.sum():
         return Plan(assignment.owners.copy(), (), before, before)
-    ledger = _Ledger(assignment, budget)
+    ledger = Ledger(assignment, budget.bound)
     _place_forced(ledger)
     _relieve(ledger, budget)
     wanted = ledger.wanted
@@ -130,121 +82,114 @@
         load_by_target(msgspec.structs.replace(assignment, owners=wanted)),
         assignment.weights,
     )
-    moves = sorted(ledger.moves, key=lambda move: move.cause.value)
-    return Plan(wanted, tuple(moves), before, after)
-
-
-class _Ledger:
-    """Loads of slices and targets while moves are chosen."""
-
-    def __init__(self, assignment: Assignment, budget: Budget) -> None:
-        self.assignment = assignment
-        self._weights = assignment.weights
-        self.wanted = assignment.owners.copy()
-        self.moves: list[Move] = []
-        idle = assignment.loads.mean() * IDLE_SHARE or 1
-        self.loads = np.maximum(assignment.loads, idle)
-        weighed = msgspec.structs.replace(assignment, loads=self.loads)
-        self.target_loads = load_by_target(weighed)
-        in_use = assignment.owners != NO_TARGET
-        in_use[: assignment.base_slices].fill(True)
-        mean = self.loads[in_use].sum() / assignment.weights.sum()
-        self.limits = mean * assignment.weights * budget.bound
-
-    def fullness(self, target: int) -> float:
-        """Return a target's load by weight."""
-        return float(self.target_loads[target] / self._weights[target])
-
-    def excess(self, target: int) -> float:
-        """Return the load of a target over its limit."""
-        return float(self.target_loads[target] - self.limits[target])
-
-    def emptiest(self) -> int:
-        """Return the target with the most room under its limit."""
-        return int(np.argmax(self.limits - self.target_loads))
-
-    def move(self, slice_index: int, receiver: int) -> None:
-        """Record one move."""
-        source = int(self.wanted[slice_index])
-        load = self.loads[slice_index]
-        if source != NO_TARGET:
-            self.target_loads[source] -= load
-        self.target_loads[receiver] += load
-        self.wanted[slice_index] = receiver
-        cause = self._cause(source)
-        move = Move(SliceIndex(slice_index), source, receiver, cause)
-        self.moves.append(move)
-
-    def _cause(self, source: int) -> MoveCause:
-        if source == NO_TARGET:
-            return MoveCause.unowned
-        if self.assignment.lost[source]:
-            return MoveCause.lost
-        if self._weights[source] <= 0:
-            return MoveCause.leaving
-        return MoveCause.overload
-
-
-def _place_forced(ledger: _Ledger) -> None:
+    return Plan(wanted, _moves(assignment, wanted), before, after)
+
+
+def _moves(assignment: Assignment, wanted: TargetIndexes) -> tuple[Move, ...]:
+    changed = np.flatnonzero(assignment.owners != wanted)
+    by_load = np.argsort(-assignment.loads[changed], kind='stable')
+    moves = [
+        _move(assignment, slice_index, int(wanted[slice_index]))
+        for slice_index in changed[by_load].tolist()
+    ]
+    return tuple(sorted(moves, key=lambda move: move.cause.value))
+
+
+def _move(assignment: Assignment, slice_index: int, receiver: int) -> Move:
+    source = int(assignment.owners[slice_index])
+    cause = _cause(assignment, source)
+    return Move(SliceIndex(slice_index), source, receiver, cause)
+
+
+def _cause(assignment: Assignment, source: int) -> MoveCause:
+    if source == NO_TARGET:
+        return MoveCause.unowned
+    if assignment.lost[source]:
+        return MoveCause.lost
+    if assignment.weights[source] <= 0:
+        return MoveCause.leaving
+    return MoveCause.overload
+
+
+def _place_forced(ledger: Ledger) -> None:
     """Place what has to move, the heaviest first on the least loaded."""
     forced = forced_slices(ledger.assignment)
     usable = np.flatnonzero(ledger.assignment.weights > 0).tolist()
     heap = [(ledger.fullness(target), target) for target in usable]
     heapq.heapify(heap)
-    for slice_index in forced[np.argsort(-ledger.loads[forced])].tolist():
+    for slice_index in ledger.heaviest_first(forced):
         receiver = heap[0][1]
         ledger.move(slice_index, receiver)
         heapq.heapreplace(heap, (ledger.fullness(receiver), receiver))
 
 
-def _relieve(ledger: _Ledger, budget: Budget) -> None:
-    """Move slices off targets over the bound, the fullest first."""
-    over = ledger.target_loads > ledger.limits
-    targets = np.flatnonzero(over & (ledger.assignment.weights > 0)).tolist()
-    targets.sort(key=ledger.fullness, reverse=True)
-    hot_left = budget.hot_slices
+def _relieve(ledger: Ledger, budget: Budget) -> None:
+    """Move slices off targets over their limits, the fullest first.
+
+    A hot key's slice carries one key, so that hot keys go first.
+    """
+    _relieve_by_hot_keys(ledger, budget.hot_slices)
     left = budget.slices
-    for target in targets:
-        # A hot key's slice carries one key, so that it is the least to move.
-        hot_left -= _shed(ledger, target, hot_left, hot=True)
+    for target in ledger.overloaded():
         left -= _shed(ledger, target, left, hot=False)
 
 
-def _shed(ledger: _Ledger, target: int, left: int, *, hot: bool) -> int:
+def _relieve_by_hot_keys(ledger: Ledger, budget: int) -> None:
+    """Move the fewest hot keys, or place them all anew if that's too few."""
+    wanted = ledger.wanted.copy()
+    target_loads = ledger.target_loads.copy()
+    left = budget
+    for target in ledger.overloaded():
+        left -= _shed(ledger, target, left, hot=True)
+    if ledger.overloaded():
+        np.copyto(ledger.wanted, wanted)
+        np.copyto(ledger.target_loads, target_loads)
+        _repack(ledger, budget)
+
+
+def _repack(ledger: Ledger, left: int) -> None:
+    """Place the hot keys anew, the heaviest first, most of them as before.
+
+    This finds room that moving one key after the other does not.
+    """
+    hot_keys = ledger.hot_keys()
+    owners = ledger.wanted[hot_keys]
+    np.subtract.at(ledger.target_loads, owners, ledger.loads[hot_keys])
+    for slice_index, owner in zip(hot_keys, owners.tolist()):
+        ledger.target_loads[owner] += ledger.loads[slice_index]
+        if left > 0:
+            left -= _replace(ledger, slice_index, owner)
+
+
+def _replace(ledger: Ledger, slice_index: int, owner: int) -> bool:
+    """Move a slice off a target over its limit, if another has more room."""
+    receiver = ledger.emptiest()
+    excess = ledger.excess(receiver) + ledger.loads[slice_index]
+    if ledger.excess(owner) <= 0 or excess >= ledger.excess(owner):
+        return False
+    ledger.move(slice_index, receiver)
+    return True
+
+
+def _shed(ledger: Ledger, target: int, left: int, *, hot: bool) -> int:
     """Move slices of one sort off a target; return how many were moved."""
-    candidates = _by_load(ledger, target, hot=hot)
+    candidates = ledger.slices_of(target, hot=hot)
     for moved in range(left):
         if ledger.excess(target) <= 0:
             return moved
         receiver = ledger.emptiest()
-        loads = ledger.loads[candidates]
         position = _choose(
-            loads,
+            ledger.loads[candidates],
             room=-ledger.excess(receiver),
             excess=ledger.excess(target),
         )
         if position >= len(candidates):
             return moved
-        ledger.move(int(candidates[position]), receiver)
-        candidates = np.delete(candidates, position)
+        ledger.move(candidates[position], receiver)
+        candidates.pop(position)
     return left
 
 
-def _by_load(
-    ledger: _Ledger,
-    target: int,
-    *,
-    hot: bool,
-) -> npt.NDArray[np.int64]:
-    """Return a target's slices of one sort, the heaviest first."""
-    slices = np.flatnonzero(ledger.wanted == target)
-    is_hot = slices >= ledger.assignment.base_slices
-    slices = slices[is_hot == hot]
-    by_load = np.argsort(-ledger.loads[slices], kind='stable')
-    ordered: npt.NDArray[np.int64] = slices[by_load]
-    return ordered
-
-
 def _choose(descending: Loads, *, room: float, excess: float) -> int:
     """Return the position of the slice to move, or the length if none fits.
 
