--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -37,6 +37,7 @@
 
     # Table and slices.
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
+    table_answers_again = (502, logbook.NOTICE, 'The table answers again.')
 
     # Catalogue and operators.
     catalogue_adopted = (601, logbook.NOTICE, 'A catalogue is in force.')
--- a/cassialever/rebalance.py
+++ b/cassialever/rebalance.py
@@ -51,7 +51,7 @@
     `hot_slices` the most hot keys; forced moves are not limited.
     """
 
-    bound: float = 1.08
+    bound: float = 1.065
     slices: int = 64
     hot_slices: int = 64
 
--- a/cassialever/settings.py
+++ b/cassialever/settings.py
@@ -61,6 +61,10 @@
     timeout_seconds: Duration = 1
     reads_per_second: Count = 50
     writes_per_second: Count = 20
+    resolve_seconds: Duration = 3
+    shortest_backoff_seconds: Duration = 0.1
+    longest_backoff_seconds: Duration = 2
+    unresolved_changes: Count = 1_000
 
 
 class SecuritySettings(_Section, frozen=True, kw_only=True):
--- a/standins/table.py
+++ b/standins/table.py
@@ -1,22 +1,26 @@
 """A stand-in for the platform's transactional table service, over HTTP."""
 
+import asyncio
+import time
 from collections.abc import Sequence
 
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from cassialever.interfaces import ABSENT, Row, RowWrite, Transaction
 from cassialever.misc import ServerSite
-from cassialever.table import (
+from cassialever.tablewire import (
     COMMIT_PATH,
     READ_PATH,
     SCAN_PATH,
     CommitReply,
     ReadOrder,
     RowsReply,
+    TOO_MANY_REQUESTS,
     ScanOrder,
 )
-from cassialever.types import RowName, RowVersion
+from cassialever.types import RowName, RowVersion, Seconds
 
 
 class TableRows:
@@ -78,13 +82,51 @@
         self.row_by_name[write.name] = Row(write.name, version, write.body)
 
 
+class TableFaults:
+    """What goes wrong with the table; all of it can be changed at any time.
+
+    `answers_lost` counts the commits still to be written without an answer,
+    `orders_lost` those to be dropped before they are written. `delay` is in
+    seconds. Writes over `writes_per_second` are refused.
+    """
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.is_down = False
+        self.delay: Seconds = 0
+        self.answers_lost = 0
+        self.orders_lost = 0
+        self.writes_per_second = 500
+        self._second = 0
+        self._writes = 0
+
+    def takes_write(self, now: Seconds) -> bool:
+        """Count a write; return whether it is within the limit."""
+        if int(now) != self._second:
+            self._second = int(now)
+            self._writes = 0
+        self._writes += 1
+        return self._writes <= self.writes_per_second
+
+    def loses_order(self) -> bool:
+        """Return whether this order is lost on its way."""
+        self.orders_lost -= 1
+        return self.orders_lost >= 0
+
+    def loses_answer(self) -> bool:
+        """Return whether this answer is lost on its way."""
+        self.answers_lost -= 1
+        return self.answers_lost >= 0
+
+
 class TableServer:
     """Serve the rows over HTTP on loopback."""
 
     def __init__(self) -> None:
         """Make the application; nothing listens yet."""
         self.rows = TableRows()
-        app = web.Application()
+        self.faults = TableFaults()
+        app = web.Application(middlewares=[self._meet_faults])
         app.router.add_post(READ_PATH, self._read)
         app.router.add_post(SCAN_PATH, self._scan)
         app.router.add_post(COMMIT_PATH, self._commit)
@@ -109,5 +151,32 @@
         return web.Response(body=msgspec.json.encode(RowsReply(rows)))
 
     async def _commit(self, request: web.Request) -> web.Response:
-        order = msgspec.json.decode(await request.read(), type=Transaction)
-        return web.Response(body=msgspec.json.encode(self.rows.commit(order)))
+        content = await request.read()
+        if not self.faults.takes_write(time.monotonic()):
+            return web.Response(status=TOO_MANY_REQUESTS)
+        if self.faults.loses_order():
+            return _hang_up(request)
+        order = msgspec.json.decode(content, type=Transaction)
+        reply = self.rows.commit(order)
+        if self.faults.loses_answer():
+            return _hang_up(request)
+        return web.Response(body=msgspec.json.encode(reply))
+
+    @web.middleware
+    async def _meet_faults(
+        self,
+        request: web.Request,
+        handler: Handler,  # noqa: WPS110, aiohttp passes it by this name.
+    ) -> web.StreamResponse:
+        if self.faults.is_down:
+            return _hang_up(request)
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        return await handler(request)
+
+
+def _hang_up(request: web.Request) -> web.Response:
+    """Close the connection, so that the answer never arrives."""
+    if request.transport:
+        request.transport.close()
+    return web.Response(status=TOO_MANY_REQUESTS)
