--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,11 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format .
+
+.PHONY: capacity bench-balance
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+bench-balance: $(STAMP)
+	$(BIN)/python -m bench.balance
