--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,11 @@
 	$(BIN)/python -m bench.tail
 	$(BIN)/python -m bench.overload
 	$(BIN)/python -m bench.retries
+
+.PHONY: capacity bench-balance
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+bench-balance: $(STAMP)
+	$(BIN)/python -m bench.balance
