Write the pages for operators and developers, checked against the code

Events, error kinds, commands, exit codes and the map of modules are written from the code by make docs; settings and catalogue fields are tables whose names the tests compare in both directions.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
-.PHONY: env test demo lint format
+.PHONY: env test demo lint format docs
 
 env: $(STAMP)
 
@@ -26,3 +26,6 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format .
+
+docs: $(STAMP)
+	$(BIN)/python -m cassialever.reference
--- a/cassialever/catalogue_cmdline.py
+++ b/cassialever/catalogue_cmdline.py
@@ -11,7 +11,6 @@
 from cassialever.running import finish, purpose_of, run_command
 from cassialever.types import DataCentreId, ServiceState, TargetId
 
-app = cyclopts.App(name='catalogue')
 data_centre_app = cyclopts.App(
     name='data-centre',
     help='Take a data centre out of service, or return it.',
@@ -22,7 +21,6 @@
 )
 
 
-@app.command
 def check(file: pathlib.Path, *, look: Look = LOOK) -> int:
     """Check a catalogue file whole, and name every fault.
 
@@ -34,7 +32,6 @@
     return finish(catalogue_commands.check(file), look)
 
 
-@app.command
 def show(*, version: int | None = None, access: Access = ACCESS) -> int:
     """Show the catalogue in force, or an earlier version.
 
@@ -50,7 +47,6 @@
     )
 
 
-@app.command
 def diff(file: pathlib.Path, *, access: Access = ACCESS) -> int:
     """Show what applying a file would change.
 
@@ -66,7 +62,6 @@
     )
 
 
-@app.command
 def compare(
     old: int,
     new: int | None = None,
@@ -89,7 +84,6 @@
     )
 
 
-@app.command
 def apply(file: pathlib.Path, *, change: Change) -> int:
     """Make a file the next version of the catalogue.
 
@@ -110,7 +104,6 @@
     )
 
 
-@app.command
 def history(*, limit: int = 20, access: Access = ACCESS) -> int:
     """Show the last changes, the newest first.
 
@@ -126,7 +119,6 @@
     )
 
 
-@app.command
 def revert(version: int, *, change: Change) -> int:
     """Make an earlier version's content the next version.
 
@@ -161,7 +153,7 @@
 
 @data_centre_app.command(name='return')
 def return_data_centre(name: str, *, change: Change) -> int:
-    """Return a data centre into service, by a ramp.
+    """Return a data centre into service.
 
     Parameters
     ----------
@@ -208,3 +200,6 @@
             purpose_of(change),
         ),
     )
+
+
+COMMANDS = (check, show, diff, compare, apply, history, revert)
--- a/cassialever/cmdline.py
+++ b/cassialever/cmdline.py
@@ -1,8 +1,8 @@
 """The command-line tool `cassialever`."""
 
 import sys
-from collections.abc import Sequence
-from typing import Final
+from collections.abc import Callable, Sequence
+from typing import Final, TypeAlias
 
 import cyclopts
 
@@ -11,13 +11,21 @@
 
 PROGRAM: Final = 'cassialever'
 
+Commands: TypeAlias = Sequence[Callable[..., int]]
+
+
+def _register(commands: Commands) -> None:
+    for command in commands:
+        app.command(command)
+
+
 app = cyclopts.App(
     name=PROGRAM,
     help='Look at and change a cassialever fleet.',
     result_action='return_value',
 )
-app.command(catalogue_cmdline.app, name='*')
-app.command(daemon_cmdline.app, name='*')
+_register(catalogue_cmdline.COMMANDS)
+_register(daemon_cmdline.COMMANDS)
 app.command(catalogue_cmdline.data_centre_app)
 app.command(catalogue_cmdline.target_app)
 app.command(daemon_cmdline.settings_app)
--- a/cassialever/daemon_cmdline.py
+++ b/cassialever/daemon_cmdline.py
@@ -18,11 +18,9 @@
 from cassialever.settings import read_settings
 from cassialever.tool import Faults, read_text
 
-app = cyclopts.App(name='daemon')
 settings_app = cyclopts.App(name='settings', help='Look at settings.')
 
 
-@app.command
 def status(*, access: Access = ACCESS) -> int:
     """Show a daemon's state and what it knows of the fleet."""
     return run_command(
@@ -32,7 +30,6 @@
     )
 
 
-@app.command
 def owners(service: str, key: str, *, access: Access = ACCESS) -> int:
     """Show which target owns a key and which instance holds the target.
 
@@ -50,7 +47,6 @@
     )
 
 
-@app.command
 def explain(*, asked: Asked = ANYTHING, access: Access = ACCESS) -> int:
     """Say why something happened, and which entry led to it."""
     return run_command(
@@ -60,7 +56,6 @@
     )
 
 
-@app.command
 def watch(
     *,
     interval: float = 1,
@@ -84,7 +79,6 @@
     )
 
 
-@app.command
 def dump(*, access: Access = ACCESS) -> int:
     """Print a daemon's inner state for debugging; no secret is in it."""
     return run_command(
@@ -114,3 +108,6 @@
     if isinstance(decoding, list):
         return Faults(str(file), tuple(decoding))
     return show_settings(str(file), decoding)
+
+
+COMMANDS = (status, owners, explain, watch, dump)
--- a/cassialever/exits.py
+++ b/cassialever/exits.py
@@ -26,6 +26,21 @@
     not_in_force = 9
 
 
+SENTENCE_BY_EXIT: Final[Mapping[Exit, str]] = MappingProxyType(
+    {
+        Exit.done: 'The command has done what it says.',
+        Exit.failed: 'It failed in a way that has no code of its own.',
+        Exit.usage: 'The command line is not understood.',
+        Exit.faults: 'A file, or the proposed catalogue, has faults.',
+        Exit.conflict: 'Others changed the catalogue first.',
+        Exit.unreachable: 'The table or the daemon does not answer.',
+        Exit.refused: 'The daemon refused the credential.',
+        Exit.unknown_name: 'No service has this name, or the key no owner.',
+        Exit.outcome_unknown: 'It is not known whether the change was made.',
+        Exit.not_in_force: 'The change was made, but is not in force in time.',
+    },
+)
+
 _EXIT_BY_KIND: Final[Mapping[ErrorKind, Exit]] = MappingProxyType(
     {
         ErrorKind.table_unavailable: Exit.unreachable,
--- /dev/null
+++ b/cassialever/reference.py
@@ -0,0 +1,126 @@
+"""Write the parts of the docs that follow from the code.
+
+`python -m cassialever.reference` renews them; a test compares them.
+"""
+
+import ast
+import pathlib
+import re
+import sys
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Final, TypeAlias
+
+import logbook
+
+import cassialever
+from cassialever.cmdline import app
+from cassialever.errors import ANSWER_BY_KIND, ErrorKind
+from cassialever.events import Event
+from cassialever.exits import SENTENCE_BY_EXIT, Exit
+
+_RUN_MODULE: Final = re.compile(r'(?<=[a-z]) -m [\w.]+')
+END: Final = '<!-- end of what is from the code -->'
+
+
+def events_table() -> str:
+    """Return the table of every log event."""
+    lines = ['| Number | Name | Level | Meaning |', '| --- | --- | --- | --- |']
+    for event in sorted(Event, key=lambda one: one.number):
+        level = logbook.get_level_name(event.level)
+        lines.append(
+            f'| {event.number} | `{event.name}` | {level} | {event.sentence} |',
+        )
+    return '\n'.join(lines)
+
+
+def errors_table() -> str:
+    """Return the table from every error kind to its answer."""
+    lines = [
+        '| Kind | Status | Not run | Tried elsewhere | Meaning |',
+        '| --- | --- | --- | --- | --- |',
+    ]
+    for kind in ErrorKind:
+        answer = ANSWER_BY_KIND[kind]
+        not_run = 'promised' if answer.not_run else 'not known'
+        elsewhere = 'yes' if answer.repeatable_elsewhere else 'no'
+        lines.append(
+            f'| `{kind.value}` | {int(answer.status)} | {not_run}'
+            f' | {elsewhere} | {answer.sentence} |',
+        )
+    return '\n'.join(lines)
+
+
+def exits_table() -> str:
+    """Return the table of the tool's exit codes."""
+    lines = ['| Code | Name | Meaning |', '| --- | --- | --- |']
+    for code in Exit:
+        sentence = SENTENCE_BY_EXIT[code]
+        lines.append(f'| {code.value} | `{code.name}` | {sentence} |')
+    return '\n'.join(lines)
+
+
+def commands_text() -> str:
+    """Return every command of the tool with its options."""
+    page = app.generate_docs(output_format='markdown')
+    _, _, commands = page.partition('**Commands**:')
+    # Where a module is run, the library adds its name to the usage lines.
+    return _RUN_MODULE.sub('', commands).strip()
+
+
+def modules_table() -> str:
+    """Return every module with the first line of its docstring."""
+    package = pathlib.Path(cassialever.__file__).parent
+    lines = ['| Module | What it does |', '| --- | --- |']
+    for path in sorted(package.glob('*.py')):
+        if path.stem == '__init__':
+            continue
+        docstring = ast.get_docstring(ast.parse(path.read_text())) or ''
+        lines.append(f'| `{path.stem}` | {_first_sentence(docstring)} |')
+    return '\n'.join(lines)
+
+
+def _first_sentence(docstring: str) -> str:
+    paragraph = docstring.partition('\n\n')[0]
+    return ' '.join(paragraph.split())
+
+
+#: A page and a mark on it.
+_Place: TypeAlias = tuple[str, str]
+_Writer: TypeAlias = Callable[[], str]
+#: Each part by its page and its mark there.
+PARTS: Final[Mapping[_Place, _Writer]] = MappingProxyType(
+    {
+        ('events.md', 'events'): events_table,
+        ('errors.md', 'errors'): errors_table,
+        ('architecture.md', 'modules'): modules_table,
+        ('operating/commands.md', 'exit codes'): exits_table,
+        ('operating/commands.md', 'commands'): commands_text,
+    },
+)
+
+
+def with_part(page: str, mark: str, part: str) -> str:
+    """Return a page with the part between two marks replaced."""
+    start = f'<!-- {mark}, from the code -->'
+    before, _, rest = page.partition(start)
+    _, _, after = rest.partition(END)
+    return f'{before}{start}\n\n{part}\n\n{END}{after}'
+
+
+def renew(docs: pathlib.Path) -> list[str]:
+    """Renew the parts of the pages in a folder; return those that changed."""
+    changed: list[str] = []
+    for (name, mark), write in PARTS.items():
+        path = docs / name
+        page = path.read_text()
+        renewed = with_part(page, mark, write())
+        if renewed != page:
+            path.write_text(renewed)
+            changed.append(f'{name}: {mark}')
+    return changed
+
+
+if __name__ == '__main__':
+    for changed_part in renew(pathlib.Path('docs')):
+        sys.stdout.write(f'{changed_part}\n')
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,100 @@
+"""Tests that the pages say what the code says, in both directions."""
+
+import pathlib
+import re
+import unittest
+
+from msgspec import inspect
+
+from cassialever.catalogue import Catalogue
+from cassialever.cmdline import app
+from cassialever.events import Event
+from cassialever.reference import PARTS, with_part
+from cassialever.settings import Settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+DOCS = ROOT / 'docs'
+LINK = re.compile(r'\]\(([^)#]+)(?:#[^)]*)?\)')
+
+
+def documented(page: str) -> set[str]:
+    """Return the names in the first column of a page's tables."""
+    text = (DOCS / page).read_text()
+    return set(re.findall(r'^\| `([^`]+)` \|', text, re.MULTILINE))
+
+
+def field_names(prefix: str, wanted: inspect.Type) -> set[str]:
+    """Return the dotted names of all fields of a struct."""
+    if isinstance(wanted, inspect.Metadata):
+        return field_names(prefix, wanted.type)
+    if isinstance(wanted, inspect.VarTupleType):
+        return field_names(prefix, wanted.item_type)
+    if not isinstance(wanted, inspect.StructType):
+        return {prefix}
+    names = set()
+    for field in wanted.fields:
+        dotted = (
+            f'{prefix}.{field.encode_name}' if prefix else field.encode_name
+        )
+        names |= field_names(dotted, field.type)
+    return names
+
+
+class TestDocs(unittest.TestCase):
+    """The pages under docs/."""
+
+    def test_parts_from_the_code(self) -> None:
+        """Events, error kinds, commands, exit codes, modules: none is stale."""
+        for (name, mark), write in PARTS.items():
+            with self.subTest(page=name, mark=mark):
+                page = (DOCS / name).read_text()
+                self.assertIn(f'<!-- {mark}, from the code -->', page)
+                self.assertTrue(
+                    page == with_part(page, mark, write()),
+                    f'{name} is stale: run `make docs`',
+                )
+
+    def test_event_numbers_are_unique(self) -> None:
+        """No number stands for two events, and each is in its range."""
+        numbers = [event.number for event in Event]
+        self.assertEqual(len(numbers), len(set(numbers)))
+        self.assertTrue(all(100 < number < 1000 for number in numbers))
+
+    def test_every_setting(self) -> None:
+        """Every setting is documented, and nothing else is."""
+        wanted = field_names('', inspect.type_info(Settings))
+        self.assertEqual(documented('operating/settings.md'), wanted)
+
+    def test_every_catalogue_field(self) -> None:
+        """Every field of the catalogue is documented, and nothing else."""
+        wanted = field_names('', inspect.type_info(Catalogue))
+        self.assertEqual(documented('operating/catalogue.md'), wanted)
+
+    def test_links_lead_somewhere(self) -> None:
+        """Each link to another page of the project finds it."""
+        pages = [*DOCS.rglob('*.md'), *ROOT.glob('*.md')]
+        for page in pages:
+            for link in LINK.findall(page.read_text()):
+                if '://' in link:
+                    continue
+                with self.subTest(page=page.name, link=link):
+                    self.assertTrue((page.parent / link).exists())
+
+    def test_every_page_is_in_the_index(self) -> None:
+        """The index names every page."""
+        index = (DOCS / 'index.md').read_text()
+        for page in DOCS.rglob('*.md'):
+            name = page.relative_to(DOCS).as_posix()
+            if name == 'index.md':
+                continue
+            with self.subTest(page=name):
+                self.assertIn(f'({name})', index)
+
+    def test_commands_named_in_pages_exist(self) -> None:
+        """Each `cassialever ...` that a page shows is a command."""
+        commands = {*app, *(f'target {one}' for one in app['target'])}
+        pattern = re.compile(r'^ +(?:\S*/)?cassialever ([a-z-]+)', re.MULTILINE)
+        for page in DOCS.rglob('*.md'):
+            for name in pattern.findall(page.read_text()):
+                with self.subTest(page=page.name, command=name):
+                    self.assertIn(name, commands)
