Send whole catalogues packed, and measure what a change costs

Cause: 12,000 targets make 3.8 MB of JSON, close under the limit of one message between daemons. Change: the whole travels compressed, its expanded size bounded.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
-.PHONY: env test demo lint format docs
+.PHONY: env test demo lint format docs bench-catalogue
 
 env: $(STAMP)
 
@@ -29,3 +29,6 @@
 
 docs: $(STAMP)
 	$(BIN)/python -m cassialever.reference
+
+bench-catalogue: $(STAMP)
+	$(BIN)/python -m bench.catalogue_cost
--- a/cassialever/catalogue_changes.py
+++ b/cassialever/catalogue_changes.py
@@ -5,7 +5,7 @@
 changes; any earlier version is had by undoing them one by one.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Generic, TypeVar
 
 import msgspec
@@ -205,9 +205,11 @@
 
 
 def _applied(
-    entries: Iterable[_Entry],
-    changes: Iterable[Changed[_Entry]],
+    entries: tuple[_Entry, ...],
+    changes: Sequence[Changed[_Entry]],
 ) -> tuple[_Entry, ...]:
+    if not changes:
+        return entries
     entry_by_name = _by_name(entries)
     for changed in changes:
         name = changed.ref.name
--- a/cassialever/spread_messages.py
+++ b/cassialever/spread_messages.py
@@ -4,6 +4,7 @@
 that both ways give the same bytes.
 """
 
+import zlib
 from collections.abc import Sequence
 from typing import Final
 
@@ -19,6 +20,8 @@
 WANTED_NUMBER: Final = 161
 CHANGES_NUMBER: Final = 162
 WHOLE_NUMBER: Final = 163
+#: Longest catalogue that is taken from a peer, in bytes of JSON.
+MOST_BYTES: Final = 67_108_864
 SPREAD_THRIFT: Final = codec.load_thrift('spread.thrift')
 
 
@@ -42,7 +45,11 @@
 
 
 class CatalogueWhole(msgspec.Struct, frozen=True):
-    """A whole catalogue, for a daemon that is far behind or has none."""
+    """A whole catalogue, for a daemon that is far behind or has none.
+
+    The body is compressed, so that one of many thousand entries stays under
+    the limit of one message.
+    """
 
     version: CatalogueVersion
     body: bytes
@@ -76,12 +83,21 @@
 
 def pack_whole(catalogue: Catalogue) -> CatalogueWhole:
     """Write a catalogue as a message."""
-    return CatalogueWhole(catalogue.version, msgspec.json.encode(catalogue))
+    body = zlib.compress(msgspec.json.encode(catalogue), level=1)
+    return CatalogueWhole(catalogue.version, body)
 
 
 def unpack_whole(message: CatalogueWhole) -> Catalogue:
     """Read a catalogue; raise `CodecError` if it is none."""
     try:
-        return msgspec.json.decode(message.body, type=Catalogue)
-    except msgspec.DecodeError as error:
+        return msgspec.json.decode(_expand(message.body), type=Catalogue)
+    except (zlib.error, msgspec.DecodeError) as error:
         raise CodecError(f'a whole catalogue: {error}') from error
+
+
+def _expand(body: bytes) -> bytes:
+    expander = zlib.decompressobj()
+    expanded = expander.decompress(body, MOST_BYTES)
+    if expander.unconsumed_tail:
+        raise CodecError(f'a catalogue of more than {MOST_BYTES} bytes')
+    return expanded
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,6 +4,7 @@
 import heapq
 import random
 import unittest
+import zlib
 from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
@@ -30,6 +31,7 @@
     Spread,
 )
 from cassialever.spread_messages import (
+    MOST_BYTES,
     CatalogueChanges,
     CatalogueHeld,
     CatalogueWhole,
@@ -361,7 +363,9 @@
     def test_rubbish(self) -> None:
         """What is no catalogue raises what the links expect."""
         version = CatalogueVersion(1)
-        with self.assertRaises(CodecError):
-            unpack_whole(CatalogueWhole(version, b'{'))
+        bomb = zlib.compress(bytes(MOST_BYTES + 1))
+        for body in (b'{', zlib.compress(b'{'), bomb):
+            with self.assertRaises(CodecError):
+                unpack_whole(CatalogueWhole(version, body))
         with self.assertRaises(CodecError):
             unpack_changes(CatalogueChanges(version, b'[1]'))
