--- a/cassialever/catalogue_cmdline.py
+++ b/cassialever/catalogue_cmdline.py
@@ -84,14 +84,15 @@
     )
 
 
-def apply(file: pathlib.Path, *, change: Change) -> int:
+def apply(file: pathlib.Path, *, base: int = 0, change: Change) -> int:
     """Make a file the next version of the catalogue.
 
     Parameters
     ----------
     file
-        A catalogue in JSON with comments. If it names a version, it is
-        taken as an edit of that one.
+        A catalogue in JSON with comments.
+    base
+        The version that the file is an edit of, if it names none itself.
     """
     return run_command(
         change,
@@ -99,6 +100,7 @@
         lambda tool: catalogue_commands.apply_file(
             tool,
             file,
+            base,
             purpose_of(change),
         ),
     )
--- a/cassialever/catalogue_commands.py
+++ b/cassialever/catalogue_commands.py
@@ -112,23 +112,30 @@
 async def apply_file(
     tool: Tool,
     path: pathlib.Path,
+    base: int,
     purpose: Purpose,
 ) -> object:
     """Make a file the next version.
 
-    A file that names a version is taken as an edit of that version, and
-    conflicts where others have changed the catalogue since.
+    The proposal is an edit of version `base`, or of the one that the file
+    names; it conflicts where others have changed the catalogue since. Only
+    the first catalogue of all needs neither.
     """
     proposed = read_catalogue(path)
     if isinstance(proposed, Faults):
         return proposed
-    base = proposed.version
-    if not base:
+    named = base or proposed.version
+    if not named:
         current = await show(tool, None)
         if isinstance(current, Failure):
             return current
-        base = current.version
-    outcome = await tool.store.submit(proposed, base, purpose.origin())
+        if current.version:
+            return _no_base(current.version)
+    outcome = await tool.store.submit(
+        proposed,
+        CatalogueVersion(named),
+        purpose.origin(),
+    )
     return await _finished(tool, outcome, purpose)
 
 
@@ -162,6 +169,15 @@
     return History(tuple(reversed(changes)))
 
 
+def _no_base(version: CatalogueVersion) -> Failure:
+    return Failure(
+        ErrorKind.catalogue_invalid,
+        'the file names no version, so that it could undo what others have'
+        f' changed; the present version is {version}: look at `diff`, then'
+        f' say --base {version}',
+    )
+
+
 async def _finished(tool: Tool, outcome: Outcome, purpose: Purpose) -> object:
     if not isinstance(outcome, Accepted):
         return outcome
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -118,6 +118,19 @@
         self.assertIn('target/audit-01', printed)
         self.assertIn('limits.requests_at_once', printed)
 
+    async def test_file_without_a_version(self) -> None:
+        """Only the first file of all needs no version to be an edit of."""
+        await self.apply_example()
+        await self.tool('target', 'drain', 'audit-01', '--reason', 'disk')
+        words = ('apply', str(CATALOGUE), '--reason', 'x')
+        code, printed = await self.tool(*words)
+        self.assertEqual(code, Exit.faults, printed)
+        self.assertIn('--base 2', ' '.join(printed.split()))
+        code, printed = await self.tool(*words, '--base', '1')
+        self.assertEqual(code, Exit.conflict, printed)
+        made = await self.json(*words, '--base', '2')
+        self.assertEqual(made['change']['version'], 3)
+
     async def test_ask_the_daemon(self) -> None:
         """Status, owner, explanation, watch and dump come from a daemon."""
         self.view.decisions.note(refused(1, TARGET.ref()))
