--- a/cassialever/logs.py
+++ b/cassialever/logs.py
@@ -9,7 +9,7 @@
 
 import logbook
 import msgspec
-from logbook.compat import redirect_logging
+from logbook.compat import redirected_logging
 
 from cassialever.settings import Settings
 
@@ -40,15 +40,20 @@
             level=logbook.lookup_level(telemetry.log_level.value),
         )
         self._stream_handler.formatter = self._format
-        self._redirect: Any = redirect_logging
+        # Other libraries log through the standard library; their level
+        # stays what it is, so that debug lines cost nothing.
+        self._redirection: Any = redirected_logging(
+            set_root_logger_level=False,
+        )
 
     def start(self) -> None:
         """Take every event, and what other libraries log."""
         self._stream_handler.push_application()
-        self._redirect()
+        self._redirection.start()
 
     def stop(self) -> None:
         """Take no more."""
+        self._redirection.end()
         self._stream_handler.pop_application()
 
     def _format(self, record: Any, _: logbook.Handler) -> str:
