Read large catalogues in plain JSON without the slow parser

Change: plain JSON is read by the standard library and checked; only a text with comments or faults goes through json5, which gives places. Texts with line breaks or control characters are refused, since they could forge log lines.

--- a/cassialever/catalogue_cmdline.py
+++ b/cassialever/catalogue_cmdline.py
@@ -3,6 +3,7 @@
 import pathlib
 
 import cyclopts
+from rich.console import Console
 
 from cassialever import catalogue_commands
 from cassialever.catalogue_store import Edit
@@ -29,7 +30,9 @@
     file
         A catalogue in JSON with comments.
     """
-    return finish(catalogue_commands.check(file), look)
+    with Console(stderr=True).status('Checking'):
+        checked = catalogue_commands.check(file)
+    return finish(checked, look)
 
 
 def show(*, version: int | None = None, access: Access = ACCESS) -> int:
--- a/cassialever/documents.py
+++ b/cassialever/documents.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import json
 from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Any, Final
@@ -84,6 +85,18 @@
     return Document(text, root)
 
 
+def parse_plain(text: str) -> Node | None:
+    """Return the nodes of a text in plain JSON, all at offset 0.
+
+    Some hundred times as fast as `parse_document`; `None` where the text has
+    comments or is no JSON.
+    """
+    try:
+        return _plain_node(json.loads(text, object_pairs_hook=_plain_object))
+    except (ValueError, RecursionError):
+        return None
+
+
 class _OffsetParser(Parser):
     """The json5 parser, returning nodes in place of its own tree.
 
@@ -124,6 +137,19 @@
     return Member(offset, name, node)
 
 
+def _plain_object(pairs: list[tuple[str, Any]]) -> ObjectNode:
+    members = [Member(0, name, _plain_node(value)) for name, value in pairs]
+    return ObjectNode(0, tuple(members))
+
+
+def _plain_node(value: Any) -> Node:
+    if isinstance(value, ObjectNode):
+        return value
+    if isinstance(value, list):
+        return ListNode(0, tuple(map(_plain_node, value)))
+    return ScalarNode(0, value)
+
+
 def _number(text: str) -> int | float:
     if 'x' in text.lower():
         return int(text, base=_HEXADECIMAL)
--- a/cassialever/type_check.py
+++ b/cassialever/type_check.py
@@ -197,6 +197,12 @@
             f'Expected a text of at least {shortest} characters.',
         )
         return
+    if not found.isprintable():
+        walk.add(
+            node.offset,
+            'Expected a text without line breaks or control characters.',
+        )
+        return
     sentence = format_fault(hints.text_format, found)
     if sentence:
         walk.add(node.offset, sentence)
--- a/tests/test_catalogue_check.py
+++ b/tests/test_catalogue_check.py
@@ -3,9 +3,12 @@
 import pathlib
 import unittest
 
+import msgspec
+
 from cassialever.catalogue import Catalogue, CatalogueIndex
 from cassialever.catalogue_check import load_catalogue
 from cassialever.types import RoutingClass
+from tests.helpers import ISSUANCE, small_catalogue, target
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 
@@ -94,3 +97,24 @@
             faults[0].sentence,
             'Expected a whole number of milliseconds, found a text.',
         )
+
+    def test_plain_json_is_checked_alike(self) -> None:
+        """What a program wrote gives the same catalogue and faults."""
+        catalogue = small_catalogue(
+            target('registry-1'),
+            target('i-1', ISSUANCE, '127.0.0.1:10'),
+        )
+        written = msgspec.json.encode(catalogue).decode()
+        self.assertEqual(load_catalogue(written), catalogue)
+        for old, new, part in (
+            ('"keyed"', '"key"', 'Expected one of "keyed", "any"'),
+            ('"name":"west"', '"name":"we st"', 'Expected a name'),
+            ('"name":"i-1"', '"name":"registry-1"', 'stands twice'),
+            ('"operations"', '"oper\\nations"', 'line breaks'),
+            ('"operations"', '"\\ud800"', 'control characters'),
+        ):
+            with self.subTest(new=new):
+                faults = load_catalogue(written.replace(old, new, 1))
+                assert isinstance(faults, list)
+                self.assertIn(part, faults[0].sentence)
+                self.assertGreater(faults[0].column, 1)
