--- a/cassialever/operator_api.py
+++ b/cassialever/operator_api.py
@@ -107,7 +107,9 @@
     def _is_allowed(self, request: web.Request) -> bool:
         given = request.headers.get('Authorization', '')
         expected = f'{SCHEME}{self._settings.security.operator_credential}'
-        return hmac.compare_digest(given.encode(), expected.encode())
+        # Bytes that are no text have been escaped by aiohttp.
+        given_bytes = given.encode(errors='surrogateescape')
+        return hmac.compare_digest(given_bytes, expected.encode())
 
     async def _ready(self, request: web.Request) -> web.Response:
         reason = self._view.not_ready()
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -1,5 +1,6 @@
 """Tests of cassialever.operator_api, .decisions and .explain."""
 
+import asyncio
 import unittest
 from collections.abc import Sequence
 
@@ -213,6 +214,17 @@
             self.assertEqual(status, 200)
             self.assertNotIn(self.headers['Authorization'][7:].encode(), body)
 
+    async def test_credential_that_is_no_text(self) -> None:
+        """Bytes that are no text are refused like any wrong credential."""
+        host, _, port = self.api.url.removeprefix('http://').partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b'GET /status HTTP/1.1\r\nHost: x\r\nAuthorization: \xff\r\n\r\n'
+        )
+        head = await reader.readline()
+        writer.close()
+        self.assertIn(b'401', head)
+
     async def test_explain_and_owner(self) -> None:
         """Questions come as query parameters; the owner names its entry."""
         self.view.decisions.note(refused(1, TARGET.ref()))
