--- a/cassialever/catalogue_commands.py
+++ b/cassialever/catalogue_commands.py
@@ -185,7 +185,7 @@
         return Made(change=outcome.change)
     waited = await _wait_in_force(tool, outcome.change.version)
     if isinstance(waited, Failure):
-        return waited
+        return Made(change=outcome.change, late_because=waited.reason)
     return Made(change=outcome.change, in_force=waited)
 
 
@@ -204,6 +204,6 @@
         await asyncio.sleep(POLL_SECONDS)
     return Failure(
         ErrorKind.deadline_passed,
-        f'version {version} was accepted, but the daemon at'
-        f' {tool.daemon.url} does not have it after {IN_FORCE_SECONDS} s',
+        f'the daemon at {tool.daemon.url} does not have it after'
+        f' {IN_FORCE_SECONDS} s',
     )
--- a/cassialever/catalogue_rendering.py
+++ b/cassialever/catalogue_rendering.py
@@ -33,6 +33,8 @@
     head = f'Accepted as version {outcome.change.version}.'
     if outcome.in_force:
         head = f'{head} In force on {outcome.in_force}.'
+    if outcome.late_because:
+        head = f'{head} Not seen in force: {outcome.late_because}.'
     return Group(Text(head), change_table(outcome.change))
 
 
--- a/cassialever/exits.py
+++ b/cassialever/exits.py
@@ -8,7 +8,7 @@
 
 from cassialever.catalogue_store import Conflict
 from cassialever.errors import ErrorKind, Failure
-from cassialever.tool import Faults
+from cassialever.tool import Faults, Made
 
 
 class Exit(enum.IntEnum):
@@ -37,7 +37,7 @@
         Exit.refused: 'The daemon refused the credential.',
         Exit.unknown_name: 'No service has this name, or the key no owner.',
         Exit.outcome_unknown: 'It is not known whether the change was made.',
-        Exit.not_in_force: 'The change was made, but is not in force in time.',
+        Exit.not_in_force: 'The change was made, but not seen in force.',
     },
 )
 
@@ -51,7 +51,6 @@
         ErrorKind.unknown_service: Exit.unknown_name,
         ErrorKind.no_owner: Exit.unknown_name,
         ErrorKind.table_answer_lost: Exit.outcome_unknown,
-        ErrorKind.deadline_passed: Exit.not_in_force,
     },
 )
 
@@ -75,3 +74,8 @@
 @exit_of.register
 def _exit_of_conflict(outcome: Conflict) -> Exit:
     return Exit.conflict
+
+
+@exit_of.register
+def _exit_of_made(outcome: Made) -> Exit:
+    return Exit.not_in_force if outcome.late_because else Exit.done
--- a/cassialever/rendering.py
+++ b/cassialever/rendering.py
@@ -2,18 +2,33 @@
 
 import datetime
 import functools
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
 
 import msgspec
 from rich.console import RenderableType
 from rich.table import Table
 from rich.text import Text
 
-from cassialever.errors import ANSWER_BY_KIND, Failure
+from cassialever.errors import ANSWER_BY_KIND, ErrorKind, Failure
 from cassialever.settings_view import SettingsShown
 from cassialever.tool import Faults
 
 NONE = '-'
 
+_HINT_BY_KIND: Final[Mapping[ErrorKind, str]] = MappingProxyType(
+    {
+        ErrorKind.table_unavailable: (
+            ' Is platform.table_url in the settings its address?'
+        ),
+        ErrorKind.bad_credential: (
+            ' Is security.operator_credential in the settings the one of that'
+            ' daemon?'
+        ),
+    },
+)
+
 
 @functools.singledispatch
 def render(outcome: object) -> RenderableType:
@@ -24,9 +39,14 @@
 
 @render.register
 def _render_failure(outcome: Failure) -> RenderableType:
-    sentence = ANSWER_BY_KIND[outcome.kind].sentence
     entry = f' Entry: {outcome.entry}.' if outcome.entry else ''
-    return Text(f'{sentence} {outcome.reason}{entry}')
+    reason = outcome.reason
+    if outcome.kind is ErrorKind.peer_unreachable:
+        # The kind's own sentence is for callers, of another instance.
+        return Text(f'{reason[:1].upper()}{reason[1:]}{entry}')
+    sentence = ANSWER_BY_KIND[outcome.kind].sentence
+    hint = _HINT_BY_KIND.get(outcome.kind, '')
+    return Text(f'{sentence} ({reason}){entry}{hint}')
 
 
 @render.register
--- a/cassialever/tool.py
+++ b/cassialever/tool.py
@@ -33,10 +33,15 @@
 
 
 class Made(msgspec.Struct, frozen=True, kw_only=True):
-    """A change that was accepted; `in_force` is where it was awaited."""
+    """A change that was accepted.
+
+    `in_force` is the instance where it was awaited, `late_because` why it is
+    not known to be in force there.
+    """
 
     change: CatalogueChange
     in_force: str = ''
+    late_because: str = ''
 
 
 class History(msgspec.Struct, frozen=True):
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -177,13 +177,24 @@
         await self.server.stop()
         for words, part in (
             (('status',), 'instance.operator_port'),
-            (('show',), 'table service does not answer'),
+            (('show',), 'platform.table_url'),
         ):
             with self.subTest(words=words):
                 code, printed = await self.tool(*words)
                 self.assertEqual(code, Exit.unreachable, printed)
                 self.assertIn(part, printed)
 
+    async def test_wait_in_vain(self) -> None:
+        """A change that was made is said to be, though no daemon answers."""
+        await self.apply_example()
+        await self.api.stop()
+        code, printed = await self.tool(
+            'target', 'drain', 'audit-01', '--reason', 'x', '--wait'
+        )
+        self.assertEqual(code, Exit.not_in_force, printed)
+        self.assertIn('Accepted as version 2', printed)
+        self.assertIn('does not answer', printed)
+
     async def test_wrong_credential(self) -> None:
         """A wrong credential is refused, and no secret is printed."""
         settings = example_settings()
