--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -5,19 +5,28 @@
 import logging
 import pathlib
 import unittest
+from unittest.mock import Mock
 
 import msgspec
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
     InMemorySpanExporter,
 )
 
+from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
 from cassialever.events import Event, record
+from cassialever.gauges import Gauges
 from cassialever.logs import HIDDEN, Log
 from cassialever.metrics import Metrics
+from cassialever.operator_view import Status, TargetStatus
 from cassialever.settings import Settings, load_settings
 from cassialever.tracing import Hop, Tracing, checked_traceparent
-from cassialever.types import ServiceName
+from cassialever.types import (
+    DataCentreId,
+    InstanceId,
+    ServiceName,
+    TargetId,
+)
 
 EXAMPLE = (
     pathlib.Path(__file__).parent.parent
@@ -109,6 +118,55 @@
         self.assertIn('invariant="single_holder"', text)
 
 
+class TestGauges(unittest.TestCase):
+    """What a daemon's status adds to /metrics."""
+
+    def test_gauges(self) -> None:
+        """Imbalance and loads count held targets alone."""
+        here = InstanceId('a')
+        service = ServiceName('registry')
+        targets = tuple(
+            TargetStatus(
+                target_id=TargetId(f't{number}'),
+                service=service,
+                data_centre=DataCentreId('west'),
+                state='warm',
+                holder=holder,
+                in_flight=in_flight,
+                queued=1,
+            )
+            for number, (holder, in_flight) in enumerate(
+                ((here, 3), (here, 1), (InstanceId('b'), 9))
+            )
+        )
+        view = Mock()
+        view.status.return_value = Status(
+            instance_id=here,
+            data_centre=DataCentreId('west'),
+            ready=True,
+            targets=targets,
+        )
+        metrics = Metrics(example_settings())
+        Gauges(metrics, view, SystemClock())
+        text = metrics.exposition().decode()
+        metrics.stop()
+        found = {
+            line.partition('{')[0]: line.rpartition(' ')[2]
+            for line in text.splitlines()
+            if 'label="registry"' in line
+        }
+        self.assertEqual(
+            found,
+            {
+                'cassialever_imbalance': '1.5',
+                'cassialever_in_flight': '4.0',
+                'cassialever_queued': '2.0',
+                'cassialever_targets_held': '2.0',
+            },
+        )
+        self.assertEqual(view.status.call_count, 1)
+
+
 class TestTracing(unittest.TestCase):
     """A span for each hop."""
 
