--- a/cassialever/explain.py
+++ b/cassialever/explain.py
@@ -98,12 +98,13 @@
 @_what.register
 def _what_was_refused(decision: Refused) -> str:
     answer = ANSWER_BY_KIND[decision.kind]
+    ending = 'was refused' if answer.not_run else 'failed'
     ran = 'It was not run.' if answer.not_run else 'It may have been run.'
     caller = f' of {decision.caller}' if decision.caller else ''
     service = f' to {decision.service}' if decision.service else ''
     return (
-        f'request {decision.request_id}{caller}{service} got no answer from a'
-        f' target: {answer.sentence} ({decision.reason}.) {ran}'
+        f'request {decision.request_id}{caller}{service} {ending}.'
+        f' {answer.sentence} ({_capitalised(decision.reason)}.) {ran}'
     )
 
 
@@ -137,6 +138,10 @@
     )
 
 
+def _capitalised(words: str) -> str:
+    return f'{words[:1].upper()}{words[1:]}'
+
+
 def _entry_words(ref: EntryRef, index: CatalogueIndex | None) -> str:
     words = f'This follows from the catalogue entry {ref}'
     entry = find_entry(index, ref) if index else None
--- a/cassialever/metrics.py
+++ b/cassialever/metrics.py
@@ -204,7 +204,11 @@
     settings: Settings,
     registry: CollectorRegistry,
 ) -> list[MetricReader]:
-    readers: list[MetricReader] = [PrometheusMetricReader(registry=registry)]
+    prometheus = PrometheusMetricReader(
+        scope_info_enabled=False,
+        registry=registry,
+    )
+    readers: list[MetricReader] = [prometheus]
     otlp_url = settings.telemetry.otlp_url
     if otlp_url:
         exporter = OTLPMetricExporter(endpoint=f'{otlp_url}{METRICS_PATH}')
