--- a/cassialever/reference.py
+++ b/cassialever/reference.py
@@ -20,6 +20,7 @@
 from cassialever.exits import SENTENCE_BY_EXIT, Exit
 
 _RUN_MODULE: Final = re.compile(r'(?<=[a-z]) -m [\w.]+')
+INDEX: Final = 'index.md'
 END: Final = '<!-- end of what is from the code -->'
 
 
@@ -80,6 +81,19 @@
     return '\n'.join(lines)
 
 
+def pages_list() -> str:
+    """Return a link to every page for developers, with its title."""
+    docs = pathlib.Path(cassialever.__file__).parent.parent / 'docs'
+    lines: list[str] = []
+    for path in sorted((*docs.glob('*.md'), *docs.glob('design/*.md'))):
+        name = path.relative_to(docs).as_posix()
+        if name == INDEX:
+            continue
+        title = path.read_text().partition('\n')[0].removeprefix('# ')
+        lines.append(f'- [{name}]({name}): {title}')
+    return '\n'.join(lines)
+
+
 def _first_sentence(docstring: str) -> str:
     paragraph = docstring.partition('\n\n')[0]
     return ' '.join(paragraph.split())
@@ -91,6 +105,7 @@
 #: Each part by its page and its mark there.
 PARTS: Final[Mapping[_Place, _Writer]] = MappingProxyType(
     {
+        (INDEX, 'pages'): pages_list,
         ('events.md', 'events'): events_table,
         ('errors.md', 'errors'): errors_table,
         ('architecture.md', 'modules'): modules_table,
