--- a/cassialever/daemon.py
+++ b/cassialever/daemon.py
@@ -8,6 +8,7 @@
 import cyclopts
 
 from cassialever.application import Application
+from cassialever.logs import Log
 from cassialever.settings import Settings, load_settings
 
 EXIT_SETTINGS = 2
@@ -37,12 +38,15 @@
 
 async def serve(settings: Settings) -> None:
     """Run one daemon until SIGTERM or SIGINT; a second one ends at once."""
+    log = Log(settings)
+    log.start()
     application = Application(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, application.ask_to_stop)
     await application.start()
     await application.run_until_stopped()
+    log.stop()
 
 
 def main() -> None:
