--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -2,16 +2,38 @@
 
 import asyncio
 import sys
+import time
+from typing import Protocol
 
-from cassialever.clock import SystemClock
+from cassialever.catalogue import Catalogue, CatalogueIndex
+from cassialever.catalogue_store import CatalogueStore
+from cassialever.clock import SystemClock, seeded_random
+from cassialever.daemon_view import DaemonView
 from cassialever.events import Event, record
-from cassialever.fleet import Fleet
 from cassialever.front import Front
+from cassialever.homes import HomeAssignment
+from cassialever.instance_watch import InstanceWatch
 from cassialever.instances import InstanceList
+from cassialever.operator_api import OperatorApi
+from cassialever.ownership import Ownership
+from cassialever.ownership_driver import OwnershipDriver
 from cassialever.placement import Placement
 from cassialever.request_path import RequestPath
 from cassialever.settings import Settings
+from cassialever.spreading import Spreading
 from cassialever.table import HttpTable
+from cassialever.telemetry import Telemetry
+from cassialever.types import Incarnation
+
+
+class Part(Protocol):
+    """A part of the daemon with a life cycle."""
+
+    async def start(self) -> None:
+        """Take up work."""
+
+    async def stop(self) -> None:
+        """Give work up."""
 
 
 class Application:
@@ -21,49 +43,67 @@
         """Make every part; nothing is started."""
         self.settings = settings
         clock = SystemClock()
-        self._table = HttpTable(settings.platform)
+        random_source = seeded_random(settings.random_seed)
+        homes = HomeAssignment(settings.instance.data_centre)
+        core = Ownership(
+            settings,
+            # The wall clock makes each incarnation higher than the last.
+            Incarnation(time.time_ns()),
+            random_source,
+            homes,
+        )
+        self.table = HttpTable(settings.platform)
         self._instances = InstanceList(settings.platform)
-        self._path = RequestPath(settings, clock)
-        self._fleet = Fleet(
+        self.telemetry = Telemetry(settings, clock)
+        self.path = RequestPath(settings, core, self.telemetry, clock)
+        self.driver = OwnershipDriver(self.table, self.path, core, homes, clock)
+        self._spreading = Spreading(
             settings,
-            self._table,
-            self._instances,
-            self._path,
+            CatalogueStore(self.table),
+            self.path.peers,
             clock,
+            random_source,
+            self._adopt,
         )
+        self.watch = InstanceWatch(
+            self._instances,
+            self.path.peers,
+            self.driver.adopt_instances,
+            self._spreading.members_changed,
+        )
+        self.view = DaemonView(self.path, self.driver, self.watch)
+        self.operator_api = OperatorApi(settings, self.view)
         self._stop_asked = asyncio.Event()
 
     @property
     def placement(self) -> Placement:
         """Return what this daemon believes of owners and holders."""
-        return self._path.placement
+        return self.path.placement
 
     @property
     def front(self) -> Front:
         """Return the server that callers reach."""
-        return self._path.front
-
-    @property
-    def peer_port(self) -> int:
-        """Return the port that peers reach, once started."""
-        return self._path.peer_port
+        return self.path.front
 
     async def start(self) -> None:
         """Start every part, the front last."""
-        await self._table.start()
-        await self._instances.start()
-        await self._path.start()
-        await self._fleet.start()
-        await self._path.front.start()
+        for part in self._parts():
+            await part.start()
         record(Event.started, instance=self.settings.instance.instance_id)
 
     async def stop(self) -> None:
-        """Stop every part, the front first."""
+        """Stop every part, so that no request in progress is cut.
+
+        The balancer is told first. Requests in progress end before leases
+        are handed over; the links go after them.
+        """
         record(Event.stopping, instance=self.settings.instance.instance_id)
-        await self._path.stop()
-        await self._fleet.stop()
-        await self._instances.stop()
-        await self._table.stop()
+        self.view.stopping = True
+        await asyncio.sleep(self.settings.stop.unready_for)
+        await self.path.front.drain(self.settings.stop.longest)
+        for part in reversed(self._parts()):
+            await part.stop()
+        self.telemetry.stop()
         record(Event.stopped, instance=self.settings.instance.instance_id)
 
     def ask_to_stop(self) -> None:
@@ -76,3 +116,21 @@
         """Return once the daemon has been asked to stop and has stopped."""
         await self._stop_asked.wait()
         await self.stop()
+
+    def _parts(self) -> list[Part]:
+        return [
+            self.table,
+            self._instances,
+            self.operator_api,
+            self.path,
+            self.watch,
+            self._spreading,
+            self.driver,
+            self.path.front,
+        ]
+
+    def _adopt(self, catalogue: Catalogue) -> None:
+        index = CatalogueIndex(catalogue)
+        if self.path.placement.adopt_catalogue(index):
+            record(Event.catalogue_adopted, version=catalogue.version)
+            self.driver.adopt_catalogue(index)
--- a/cassialever/front.py
+++ b/cassialever/front.py
@@ -1,16 +1,16 @@
 """The HTTP server that callers reach."""
 
+import asyncio
 from typing import Final
 
-import msgspec
 from aiohttp import web
 
+from cassialever.answers import refuse, stream
 from cassialever.callers import CallerLimiter
-from cassialever.catalogue import ServiceEntry
-from cassialever.errors import ANSWER_BY_KIND, ErrorKind, Failure
+from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
+from cassialever.exchange import Routed
 from cassialever.intake import (
-    REQUEST_ID_HEADER,
     Intake,
     RawRequest,
     body_too_large,
@@ -19,31 +19,19 @@
     request_id_of,
 )
 from cassialever.interfaces import Clock
-from cassialever.messages import HolderAnswer
-from cassialever.misc import ServerSite, close_body
+from cassialever.misc import ServerSite
 from cassialever.placement import Placement
-from cassialever.exchange import Routed
 from cassialever.router import Router
 from cassialever.settings import Settings
-from cassialever.types import RequestId
-
-ERROR_HEADER: Final = 'X-Cassialever-Error'
-TARGET_HEADER: Final = 'X-Cassialever-Target'
-HOLDER_HEADER: Final = 'X-Cassialever-Holder'
+from cassialever.telemetry import Telemetry
+from cassialever.tracing import Hop
+from cassialever.types import RequestId, Seconds, TargetId
 
 #: Longest header and request line that a caller may send, in bytes.
-HEADER_BYTES = 8_190
-
-
-class Refusal(msgspec.Struct, frozen=True):
-    """The body of an answer that the router gives by itself."""
-
-    request_id: RequestId
-    kind: str
-    sentence: str
-    reason: str
-    not_run: bool
-    entry: str = ''
+HEADER_BYTES: Final = 8_190
+MILLISECONDS: Final = 1000
+#: Between two looks at whether requests in progress have ended, in seconds.
+DRAIN_PAUSE: Final[Seconds] = 0.02
 
 
 class Front:
@@ -54,14 +42,17 @@
         settings: Settings,
         placement: Placement,
         router: Router,
+        telemetry: Telemetry,
         clock: Clock,
     ) -> None:
         """Make the server; nothing listens yet."""
         self._settings = settings
         self._placement = placement
         self._router = router
+        self._telemetry = telemetry
         self._clock = clock
         self._callers = CallerLimiter()
+        self._stopping = False
         self.in_progress = 0
         server = web.Server(
             self._serve,
@@ -79,6 +70,13 @@
             instance.caller_port,
         )
 
+    async def drain(self, longest: Seconds) -> None:
+        """Refuse new requests; return once those in progress have ended."""
+        self._stopping = True
+        give_up = self._clock.monotonic() + longest
+        while self.in_progress and self._clock.monotonic() < give_up:
+            await asyncio.sleep(DRAIN_PAUSE)
+
     async def stop(self) -> None:
         """Stop listening."""
         await self._site.stop()
@@ -94,51 +92,87 @@
         raw = _raw(request)
         request_id = request_id_of(raw)
         if isinstance(request_id, Failure):
-            return _refuse(mint_request_id(), request_id)
-        routed = await self._route(request, raw, request_id)
-        if isinstance(routed, Failure):
-            return _refuse(request_id, routed)
-        if isinstance(routed.outcome, Failure):
-            return _refuse(request_id, routed.outcome)
-        return await _stream(request, request_id, routed, routed.outcome)
-
-    async def _route(
+            return self._refuse(mint_request_id(), request_id)
+        intake = self._admit(raw, request_id)
+        if isinstance(intake, Failure):
+            return self._refuse(request_id, intake)
+        try:
+            return await self._answer_admitted(request, intake)
+        finally:
+            self._callers.finish(intake.caller_id)
+
+    def _admit(
         self,
-        request: web.BaseRequest,
         raw: RawRequest,
         request_id: RequestId,
-    ) -> Routed | Failure:
+    ) -> Intake | Failure:
+        """Count a request in at its caller, or say why it is refused."""
         index = self._placement.index
+        if self._stopping:
+            return Failure(ErrorKind.stopping, 'this instance is stopping')
         if index is None:
             return Failure(ErrorKind.no_catalogue, 'no catalogue was found yet')
         intake = read_request(raw, index, request_id)
         if isinstance(intake, Failure):
             return intake
-        over = self._callers.admit(
-            intake.caller_id,
-            intake.caller,
-            self._clock.monotonic(),
-        )
-        if over:
-            return over
-        try:
-            return await self._route_admitted(request, intake)
-        finally:
-            self._callers.finish(intake.caller_id)
+        now = self._clock.monotonic()
+        over = self._callers.admit(intake.caller_id, intake.caller, now)
+        return over or intake
 
-    async def _route_admitted(
+    async def _answer_admitted(
         self,
         request: web.BaseRequest,
         intake: Intake,
-    ) -> Routed | Failure:
-        body = await _read_body(request, intake.service)
+    ) -> web.StreamResponse:
+        began = self._clock.monotonic()
+        span = self._telemetry.tracing.hop(
+            Hop.caller,
+            intake.traceparent,
+            intake.request_id,
+        )
+        routed = await self._route(
+            request,
+            intake.under(span.traceparent),
+        )
+        outcome = routed.outcome
+        self._telemetry.ended(intake, routed, began)
+        if isinstance(outcome, Failure):
+            span.end(outcome.kind)
+            return self._refuse(
+                intake.request_id,
+                outcome,
+                intake,
+                routed.target_id,
+            )
+        try:
+            return await stream(request, intake.request_id, routed, outcome)
+        except ConnectionError:
+            # The caller has gone away, so that nobody is left to be told.
+            return web.Response()
+        finally:
+            span.end()
+
+    async def _route(self, request: web.BaseRequest, intake: Intake) -> Routed:
+        body = await _read_body(request, intake)
         if isinstance(body, Failure):
-            return body
+            return Routed(body)
         try:
             return await self._router.route(intake, body)
         except Exception as error:
             record(Event.task_failed, task='request', error=repr(error))
-            return Failure(ErrorKind.internal, 'the router has a fault')
+            return Routed(
+                Failure(ErrorKind.internal, 'the router has a fault'),
+            )
+
+    def _refuse(
+        self,
+        request_id: RequestId,
+        failure: Failure,
+        intake: Intake | None = None,
+        target_id: TargetId | None = None,
+    ) -> web.Response:
+        self._telemetry.refused(request_id, failure, intake, target_id)
+        return refuse(request_id, failure)
 
 
 def _raw(request: web.BaseRequest) -> RawRequest:
@@ -154,95 +188,29 @@
 
 async def _read_body(
     request: web.BaseRequest,
-    service: ServiceEntry,
+    intake: Intake,
 ) -> bytes | Failure:
+    """Read a body whole, so that it can be sent again."""
     if not request.can_read_body:
         return b''
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body.extend(chunk)
-        if len(body) > service.limits.body_bytes:
-            return body_too_large(service)
-    return bytes(body)
-
-
-def _refuse(request_id: RequestId, failure: Failure) -> web.Response:
-    answer = ANSWER_BY_KIND[failure.kind]
-    entry = str(failure.entry) if failure.entry else ''
-    refusal = Refusal(
-        request_id=request_id,
-        kind=failure.kind.value,
-        sentence=answer.sentence,
-        reason=failure.reason,
-        not_run=answer.not_run,
-        entry=entry,
-    )
-    record(
-        Event.request_refused,
-        request_id=request_id,
-        kind=failure.kind.value,
-        entry=entry,
-    )
-    headers = {
-        REQUEST_ID_HEADER: request_id,
-        ERROR_HEADER: failure.kind.value,
-    }
-    if failure.retry_after:
-        headers['Retry-After'] = str(max(1, round(failure.retry_after)))
-    return web.Response(
-        status=answer.status,
-        headers=headers,
-        body=msgspec.json.encode(refusal),
-        content_type='application/json',
-    )
-
-
-async def _stream(
-    request: web.BaseRequest,
-    request_id: RequestId,
-    routed: Routed,
-    answer: HolderAnswer,
-) -> web.StreamResponse:
-    response = web.StreamResponse(
-        status=answer.status,
-        headers=_answer_headers(request_id, routed, answer),
-    )
     try:
-        await response.prepare(request)
-        await _write_body(request, response, answer)
-    finally:
-        await close_body(answer.body)
-    return response
+        async with asyncio.timeout(intake.timeout_ms / MILLISECONDS):
+            return await _read_within_limit(request, intake)
+    except TimeoutError:
+        return Failure(
+            ErrorKind.deadline_passed,
+            'the deadline passed before the body had come',
+            intake.service.ref(),
+        )
 
 
-async def _write_body(
+async def _read_within_limit(
     request: web.BaseRequest,
-    response: web.StreamResponse,
-    answer: HolderAnswer,
-) -> None:
-    async for chunk in answer.body:
-        if isinstance(chunk, Failure):
-            # The head has gone out, so that only a broken connection can
-            # tell the caller that this body is not whole.
-            _break_off(request)
-            return
-        await response.write(chunk)
-    await response.write_eof()
-
-
-def _break_off(request: web.BaseRequest) -> None:
-    transport = request.transport
-    if transport:
-        transport.abort()
-
-
-def _answer_headers(
-    request_id: RequestId,
-    routed: Routed,
-    answer: HolderAnswer,
-) -> list[tuple[str, str]]:
-    headers = list(answer.headers)
-    headers.append((REQUEST_ID_HEADER, request_id))
-    headers.append((TARGET_HEADER, str(routed.target_id)))
-    headers.append((HOLDER_HEADER, str(routed.holder)))
-    return headers
+    intake: Intake,
+) -> bytes | Failure:
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body.extend(chunk)
+        if len(body) > intake.service.limits.body_bytes:
+            return body_too_large(intake.service)
+    return bytes(body)
--- a/cassialever/target_headers.py
+++ b/cassialever/target_headers.py
@@ -15,6 +15,7 @@
 SHED: Final = 'X-Cassialever-Shed'
 STALE_FENCE: Final = 'X-Cassialever-Stale-Fence'
 
+TRACEPARENT: Final = 'traceparent'
 CONTENT_LENGTH: Final = 'content-length'
 
 #: The value of a header that says yes.
@@ -55,6 +56,8 @@
         # Without a length of one meaning the body goes in chunks.
         headers.popall(CONTENT_LENGTH)
     headers[REQUEST_ID] = request.request_id
+    if request.traceparent:
+        headers[TRACEPARENT] = request.traceparent
     headers[FENCE] = str(request.fence)
     headers[DEADLINE] = str(max(int(request.time_left * _MILLISECONDS), 1))
     return headers
