--- a/cassialever/coordinator.py
+++ b/cassialever/coordinator.py
@@ -70,6 +70,14 @@
         effects.extend(_handle(event, state, now))
         return effects
 
+    def quiet(self) -> bool:
+        """Return whether every holder has what it was given last."""
+        state = self.state
+        if state is None or state.moves.moves:
+            return state is None
+        records = state.record_by_target.values()
+        return all(record.acknowledged() for record in records)
+
 
 def _scan(state: CoordinatorState, now: Seconds) -> list[Effect]:
     """Read every row of this data centre's slices."""
--- a/cassialever/ownership.py
+++ b/cassialever/ownership.py
@@ -16,10 +16,14 @@
     ControlReceived,
     InstancesListed,
     OwnershipEvent,
+    StopWanted,
 )
 from cassialever.settings import Settings
 from cassialever.types import Incarnation, Seconds
 
+#: How long a stopping coordinator waits for its changes to end, in seconds.
+HAND_OVER_WAIT = 1.0
+
 
 class Ownership:
     """Authority, coordinator and leaseholder of one daemon.
@@ -37,6 +41,7 @@
         """Start as a new incarnation, which must be above all before it."""
         instance = settings.instance
         tokens = itertools.count(1)
+        self._stop_asked_at: Seconds | None = None
         self.leases = HeldLeases()
         self.membership = Membership(
             instance.data_centre,
@@ -72,7 +77,11 @@
             self.membership.adopt_list(event.instances)
         if isinstance(event, ControlReceived) and not self._hear(event, now):
             return []
+        if isinstance(event, StopWanted):
+            self._stop_asked_at = now
+            return self.holder.handle(event, now)
         return [
+            *self._hand_over(now),
             *self.authority.handle(event, now),
             *self.coordinator.handle(event, now),
             *self.holder.handle(event, now),
@@ -80,10 +89,21 @@
 
     def idle(self) -> bool:
         """Return whether a daemon that stops has handed everything over."""
-        holds = any(
-            not held.stopped for held in self.holder.held_by_target.values()
-        )
-        return not holds and not self.authority.epoch
+        return not self._holds() and not self.authority.epoch
+
+    def _holds(self) -> bool:
+        held_by_target = self.holder.held_by_target
+        return any(not held.stopped for held in held_by_target.values())
+
+    def _hand_over(self, now: Seconds) -> list[Effect]:
+        """Give the authority up last, so that its successor waits for none."""
+        if self._stop_asked_at is None or self.authority.leaving:
+            return []
+        waited = now - self._stop_asked_at
+        busy = self._holds() or not self.coordinator.quiet()
+        if busy and waited < HAND_OVER_WAIT:
+            return []
+        return self.authority.handle(StopWanted(), now)
 
     def _hear(self, event: ControlReceived, now: Seconds) -> bool:
         """Note who has written; past incarnations count no more."""
