--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
-.PHONY: env test demo lint format
+.PHONY: prove env test demo lint format
 
 env: $(STAMP)
 
@@ -26,3 +26,10 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format .
+
+SEED ?= 1
+STEPS ?= 50
+RUNS ?= 50
+
+prove: $(STAMP)
+	$(BIN)/python -m tests.prove --seed $(SEED) --steps $(STEPS) --runs $(RUNS)
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -657,6 +657,22 @@
             )
         )
 
+    def heal_all(self) -> None:
+        """End every fault."""
+        self.cuts.clear()
+        self.table_up = True
+        self.drop = self.duplicate = self.slow = self.slow_work = 0.0
+        self.lose_answers = 0.0
+        for daemon in self.daemons.values():
+            daemon.resume()
+            if not daemon.alive or daemon.core.holder.stopping:
+                daemon.start()
+        for name, target in self.targets.items():
+            self.thaw(name)
+            if target.down:
+                target.restart()
+            self.set_out(name, False)
+
     def coordinator(self) -> str | None:
         for daemon in self.daemons.values():
             if daemon.alive and daemon.core.authority.holds(daemon.now()):
