--- a/cassialever/authority_watch.py
+++ b/cassialever/authority_watch.py
@@ -8,6 +8,8 @@
 
 #: After how many terms without an answer a coordinator counts as silent.
 SILENT_TERMS = 1.5
+#: After how many renewals without a question a successor looks at the row.
+LATE_RENEWALS = 2
 
 
 def watch(authority: AuthorityState, now: Seconds) -> list[Effect]:
@@ -23,6 +25,9 @@
     named = authority.membership.me in {row.successor, row.holder}
     if named and now >= free_at and row.epoch >= authority.membership.epoch:
         return _take_over(authority, row, (), free_at, now)
+    if named and _is_late(authority, now):
+        # The row may have been written since it was read last.
+        return authority.rows.read(now)
     return _watch_as_third(authority, row, now)
 
 
@@ -38,6 +43,13 @@
     return max(written_ends, authority.duty.promised_until)
 
 
+def _is_late(authority: AuthorityState, now: Seconds) -> bool:
+    """Return whether the coordinator has missed asking for a promise."""
+    left = authority.duty.promised_until - now
+    missed = LATE_RENEWALS * authority.settings.leases.coordinator_renewal
+    return left < authority.giver_term() - missed
+
+
 def _watch_as_third(
     authority: AuthorityState,
     row: CoordinatorRow,
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -291,6 +291,8 @@
         self.table_reads = 0
         self.table_writes = 0
         self.third_took_over = False
+        self.watched = ''
+        self.on_watched: Callable[[], None] = lambda: None
         self.slices = slices
         self.index = self.catalogue(targets, unchecking)
         self.targets = {
@@ -365,7 +367,19 @@
 
     # What the daemons ask for.
 
+    def watch(self, label: str, action: Callable[[], None]) -> None:
+        """Call once when something of this label happens next."""
+        self.watched = label
+        self.on_watched = action
+
+    def happens(self, label: str) -> None:
+        if label != self.watched:
+            return
+        self.watched = ''
+        self.after(0, self.on_watched)
+
     def run(self, daemon: Daemon, incarnation: int, effect: Effect) -> None:
+        self.happens(type(effect).__name__)
         if isinstance(effect, SendControl):
             self.post(daemon, effect.recipient, effect.message)
         elif isinstance(effect, (ReadRows, ScanRows)):
@@ -390,6 +404,7 @@
     def post(
         self, sender: Daemon, recipient: str, message: ControlMessage
     ) -> None:
+        self.happens(type(message).__name__)
         event = ControlReceived(
             sender.name, Incarnation(sender.incarnation), message
         )
@@ -481,6 +496,7 @@
             self.rows[write.name] = row
             versions[write.name] = version
             self.note(f'table {write.name} version {version}')
+            self.happens('written')
         done = Committed(versions)
         self.change_ids[transaction.change_id] = done
         return done
@@ -591,6 +607,8 @@
     def senders(self, target: FakeTarget) -> list[str]:
         names = []
         for daemon in self.daemons.values():
+            if target.name not in daemon.core.leases.lease_by_target:
+                continue
             fence = daemon.allowed(target.name)
             if fence is None:
                 continue
@@ -602,15 +620,19 @@
 
     def acceptors(self, number: int) -> set[TargetId]:
         """Return the targets that would take work for a slice just now."""
-        found = set()
+        return self.all_acceptors().get(number, set())
+
+    def all_acceptors(self) -> dict[int, set[TargetId]]:
+        found: dict[int, set[TargetId]] = {}
         for daemon in self.daemons.values():
             for target_id, lease in daemon.core.leases.lease_by_target.items():
-                if number not in lease.slices:
+                fence = daemon.allowed(target_id)
+                if fence is None:
                     continue
-                fence = daemon.allowed(target_id, number)
-                target = self.targets[target_id]
-                if fence is not None and target.takes(fence, self.now):
-                    found.add(target_id)
+                if not self.targets[target_id].takes(fence, self.now):
+                    continue
+                for number in lease.slices:
+                    found.setdefault(number, set()).add(target_id)
         return found
 
     def check(self) -> None:
@@ -619,8 +641,7 @@
             senders = self.senders(target)
             if len(senders) > 1:
                 raise Violation(f'{target.name} has senders {senders}')
-        for number in range(self.slices):
-            targets = self.acceptors(number)
+        for number, targets in self.all_acceptors().items():
             if len(targets) > 1:
                 raise Violation(f'slice {number} is at {sorted(targets)}')
 
@@ -684,7 +705,9 @@
         for daemon in self.daemons.values():
             if not daemon.alive or daemon.paused:
                 continue
-            for target_id in daemon.core.leases.lease_by_target:
+            for target_id, lease in daemon.core.leases.lease_by_target.items():
+                if number not in lease.slices:
+                    continue
                 fence = daemon.allowed(target_id, number)
                 target = self.targets[target_id]
                 if fence is None or target.frozen:
