--- a/cassialever/authority_renewal.py
+++ b/cassialever/authority_renewal.py
@@ -8,9 +8,12 @@
 
 #: The share of a term that promises have to leave, or the row is written.
 LOW_SHARE = 0.5
+#: How long a coordinator that hears nobody lets others go first, in seconds.
+GIVES_WAY_FOR = 2.0
 
 
 def renew(authority: AuthorityState, now: Seconds) -> list[Effect]:
+    """Ask for promises, and write the row where they run low."""
     leases = authority.settings.leases
     effects: list[Effect] = []
     known = authority.rows.known
@@ -26,7 +29,7 @@
             for name in sorted(authority.terms.successors)
             if name
         )
-    if authority.rows.pending:
+    if authority.rows.pending or _is_giving_way(authority, now):
         return effects
     promised = authority.terms.promises_end() - now
     low = promised < LOW_SHARE * leases.coordinator_term
@@ -40,6 +43,22 @@
     return effects
 
 
+def _is_giving_way(authority: AuthorityState, now: Seconds) -> bool:
+    """Return whether to let another coordinate that can reach the rest.
+
+    A coordinator that reaches the table and hears no other instance would
+    keep all the others from their callers' targets. It stops writing for a
+    while; if nobody has taken over by then, it is alone and goes on.
+    """
+    listed = authority.membership.listed_by_id.keys()
+    if not listed - {authority.membership.me}:
+        return False
+    heard_at = authority.membership.others_heard_at()
+    lonely_for = now - max(heard_at, authority.earlier.ended)
+    begin = authority.settings.leases.coordinator_term
+    return begin < lonely_for < begin + GIVES_WAY_FOR
+
+
 def _successor(authority: AuthorityState, now: Seconds) -> InstanceId:
     """Keep the successor while it answers, else name another."""
     known = authority.rows.known
--- a/cassialever/authority_watch.py
+++ b/cassialever/authority_watch.py
@@ -13,6 +13,7 @@
 
 
 def watch(authority: AuthorityState, now: Seconds) -> list[Effect]:
+    """Read the row, and take over once nobody can act under it."""
     if authority.rows.pending:
         return []
     known = authority.rows.known
--- a/cassialever/coordinator.py
+++ b/cassialever/coordinator.py
@@ -215,7 +215,7 @@
     now: Seconds,
 ) -> None:
     if record.holder == process:
-        record.report = report
+        record.take_report(report)
         stopped = record.stopping and report.stopped
         if stopped and report.fence == record.fence:
             record.release(now + state.longest_request(record), now)
--- a/cassialever/held_target.py
+++ b/cassialever/held_target.py
@@ -10,7 +10,7 @@
 #: How often a target's grant is renewed, as a share of its term.
 RENEWAL_SHARE = 0.25
 #: How long a target that was never granted may be silent, in seconds.
-SILENT_AFTER = 0.9
+SILENT_AFTER = 0.5
 
 
 def grant_length(
--- a/cassialever/membership.py
+++ b/cassialever/membership.py
@@ -110,6 +110,17 @@
             if member.heard_at >= since and not member.stopping
         ]
 
+    def others_heard_at(self) -> Seconds:
+        """Return when any other instance was heard of last."""
+        return max(
+            (
+                member.heard_at
+                for member in self.member_by_id.values()
+                if member.instance_id != self.me
+            ),
+            default=0,
+        )
+
     def everyone(self) -> list[InstanceId]:
         """Return all who are listed or were heard of, by name."""
         names = self.listed_by_id.keys() | self.member_by_id.keys()
--- a/cassialever/target_record.py
+++ b/cassialever/target_record.py
@@ -47,6 +47,7 @@
         # When what was given to former holders has no effect at the target.
         self._former_until = free_at
         self.stopping = False
+        self._lost = False
         self.former_by_process: dict[Process, Former] = {}
 
     @property
@@ -108,9 +109,17 @@
         self.holder = None
         self.report = None
 
+    def take_report(self, report: LeaseReport) -> None:
+        """Note what the holder says; a loss is over once a grant is taken."""
+        self.report = report
+        if not report.reachable:
+            self._lost = True
+        elif report.accepted or not self.entry.checks.fence:
+            self._lost = False
+
     def lost(self) -> bool:
-        """Return whether the holder can't reach the target."""
-        return self.report is not None and not self.report.reachable
+        """Return whether no holder has reached the target since its loss."""
+        return self._lost
 
     def acknowledged(self) -> bool:
         """Return whether the holder has the present fence in force."""
