--- a/cassialever/authority.py
+++ b/cassialever/authority.py
@@ -24,6 +24,7 @@
 from cassialever.ownership_effects import Effect, SendControl
 from cassialever.ownership_events import (
     ControlReceived,
+    InstancesDeclaredLost,
     OwnershipEvent,
     RowsCommitted,
     RowsRead,
@@ -60,6 +61,16 @@
     return _receive(event.message, event.sender, authority, now)
 
 
+@_handle.register
+def _on_declared_lost(
+    event: InstancesDeclaredLost,
+    authority: Authority,
+    now: Seconds,
+) -> list[Effect]:
+    _resolve(authority, event.instances, now)
+    return []
+
+
 @_handle.register
 def _on_stop(
     event: StopWanted,
@@ -215,14 +226,26 @@
     now: Seconds,
 ) -> list[Effect]:
     """Count an earlier coordinator or successor as heard of."""
-    if not authority.epoch or message.epoch != authority.epoch:
-        return []
+    if authority.epoch and message.epoch == authority.epoch:
+        _resolve(authority, frozenset((sender,)), now)
+    return []
+
+
+def _resolve(
+    authority: AuthorityState,
+    known: frozenset[InstanceId],
+    now: Seconds,
+) -> None:
+    """Settle what was left open by those of whom the state is known now.
+
+    Either of the two is enough: a coordinator that can't write its row acts
+    only on its successor's promises, and both end within a term.
+    """
     left = tuple(
         pair
         for pair in authority.earlier.unresolved
-        if sender not in {pair.holder, pair.successor}
+        if known.isdisjoint((pair.holder, pair.successor))
     )
     if len(left) < len(authority.earlier.unresolved):
         authority.earlier.unresolved = left
         authority.earlier.resolved_end = now + authority.giver_term()
-    return []
--- a/cassialever/authority_watch.py
+++ b/cassialever/authority_watch.py
@@ -7,7 +7,7 @@
 from cassialever.types import Epoch, Seconds
 
 #: After how many terms without an answer a coordinator counts as silent.
-SILENT_TERMS = 1.5
+SILENT_TERMS = 1
 #: After how many renewals without a question a successor looks at the row.
 LATE_RENEWALS = 2
 
--- a/cassialever/ownership_events.py
+++ b/cassialever/ownership_events.py
@@ -103,6 +103,15 @@
     instances: Sequence[ListedInstance]
 
 
+class InstancesDeclaredLost(msgspec.Struct, frozen=True):
+    """An operator's edit says that these instances run no more.
+
+    It settles what no daemon can tell by itself, so it has to be true.
+    """
+
+    instances: frozenset[InstanceId]
+
+
 class StopWanted(msgspec.Struct, frozen=True):
     """This daemon is stopping: hand over every lease and the authority."""
 
@@ -116,5 +125,6 @@
     | Drained
     | CatalogueAdopted
     | InstancesListed
+    | InstancesDeclaredLost
     | StopWanted
 )
--- a/cassialever/settings.py
+++ b/cassialever/settings.py
@@ -80,8 +80,8 @@
 
     coordinator_term: Duration = 0.5
     coordinator_renewal: Duration = 0.15
-    table_renewal: Duration = 5
-    third_wait: Duration = 12
+    table_renewal: Duration = 0.6
+    third_wait: Duration = 1.1
     target_term: Duration = 0.9
     heartbeat: Duration = 0.25
     grant_term: Duration = 0.9
