--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,8 @@
 from cassialever.types import CatalogueVersion, ChangeId, TargetId
 from standins.instances import InstanceListServer
 from standins.table import TableServer
-from standins.targets import StandInTarget, TargetBehaviour
+from standins.targets import StandInTarget
+from standins.work import TargetBehaviour
 
 
 class StandInPlatform:
