Keep serving through a table outage when the successor stops or restarts

The right to take over is now that of one run of the successor. One that stops renounces it, and one that is seen with a later incarnation has lost it; the coordinator then needs no promise.

--- a/cassialever/authority.py
+++ b/cassialever/authority.py
@@ -8,6 +8,7 @@
 """
 
 import functools
+from collections.abc import Iterable
 from typing import Any
 
 from cassialever.authority_renewal import renew
@@ -19,6 +20,7 @@
     Heartbeat,
     Promise,
     PromiseWanted,
+    Renounced,
 )
 from cassialever.interfaces import ABSENT, Committed
 from cassialever.ownership_effects import Effect, SendControl
@@ -31,6 +33,7 @@
     StopWanted,
     Tick,
 )
+from cassialever.rows import Unresolved
 from cassialever.types import InstanceId, Seconds
 
 
@@ -67,7 +70,12 @@
     authority: Authority,
     now: Seconds,
 ) -> list[Effect]:
-    _resolve(authority, event.instances, now)
+    settled = [
+        pair
+        for pair in authority.earlier.unresolved
+        if pair.holder in event.instances
+    ]
+    _resolve(authority, settled, now)
     return []
 
 
@@ -134,7 +142,15 @@
     if isinstance(event.outcome, Committed):
         authority.rows.committed(event.outcome, now)
         return _written(authority, pending, now)
-    return authority.rows.failed(event.outcome, now)
+    effects = authority.rows.failed(event.outcome, now)
+    known = authority.rows.known
+    if authority.rows.pending is None and authority.epoch:
+        row = known.row if known else None
+        if row and row.epoch == authority.epoch:
+            authority.terms.not_written(
+                (row.successor, row.successor_incarnation),
+            )
+    return effects
 
 
 def _written(
@@ -146,8 +162,9 @@
         return []
     if pending.row.epoch > authority.epoch:
         return authority.take(pending, now)
-    authority.terms.written(pending.asked_at, pending.row.successor)
     successor = pending.row.successor
+    named = (successor, pending.row.successor_incarnation)
+    authority.terms.written(pending.asked_at, named)
     if not authority.leaving or not successor:
         return []
     known = authority.rows.known
@@ -177,6 +194,8 @@
         return []
     if authority.epoch:
         return []
+    if authority.leaving and authority.rows.pending is None:
+        return [SendControl(sender, Renounced(epoch=message.epoch))]
     authority.duty.promised_until = max(
         authority.duty.promised_until,
         now + authority.giver_term(),
@@ -197,7 +216,20 @@
     now: Seconds,
 ) -> list[Effect]:
     if message.epoch == authority.epoch:
-        authority.terms.promised(sender, message.sequence)
+        promiser = authority.membership.process(sender)
+        authority.terms.promised(promiser, message.sequence)
+    return []
+
+
+@_receive.register
+def _on_renounced(
+    message: Renounced,
+    sender: InstanceId,
+    authority: Authority,
+    now: Seconds,
+) -> list[Effect]:
+    if message.epoch == authority.epoch:
+        authority.terms.release(authority.membership.process(sender))
     return []
 
 
@@ -210,6 +242,8 @@
 ) -> list[Effect]:
     if message.epoch != authority.membership.epoch or authority.epoch:
         return []
+    if authority.leaving:
+        return []
     authority.duty.handed_epoch = message.epoch
     authority.duty.promised_until = now
     known = authority.rows.known
@@ -226,26 +260,36 @@
     now: Seconds,
 ) -> list[Effect]:
     """Count an earlier coordinator or successor as heard of."""
-    if authority.epoch and message.epoch == authority.epoch:
-        _resolve(authority, frozenset((sender,)), now)
+    if not authority.epoch or message.epoch != authority.epoch:
+        return []
+    own = authority.membership.process(sender)
+    settled = [
+        pair
+        for pair in authority.earlier.unresolved
+        if pair.holder == sender
+        or (pair.successor, pair.successor_incarnation) == own
+    ]
+    if message.stopping:
+        # It may have renounced before, which binds the pair's holder no more.
+        settled = [pair for pair in settled if pair.holder == sender]
+    _resolve(authority, settled, now)
     return []
 
 
 def _resolve(
     authority: AuthorityState,
-    known: frozenset[InstanceId],
+    settled: Iterable[Unresolved],
     now: Seconds,
 ) -> None:
-    """Settle what was left open by those of whom the state is known now.
+    """Count pairs as settled: what they gave ends within a term.
 
-    Either of the two is enough: a coordinator that can't write its row acts
-    only on its successor's promises, and both end within a term.
+    The successor of that very run is enough: a coordinator that can't write
+    its row acts only on its promises, and it gives none any more.
     """
-    left = tuple(
-        pair
-        for pair in authority.earlier.unresolved
-        if known.isdisjoint((pair.holder, pair.successor))
+    gone = set(settled)
+    if not gone:
+        return
+    authority.earlier.unresolved = tuple(
+        pair for pair in authority.earlier.unresolved if pair not in gone
     )
-    if len(left) < len(authority.earlier.unresolved):
-        authority.earlier.unresolved = left
-        authority.earlier.resolved_end = now + authority.giver_term()
+    authority.earlier.resolved_end = now + authority.giver_term()
--- a/cassialever/authority_renewal.py
+++ b/cassialever/authority_renewal.py
@@ -2,9 +2,9 @@
 
 from cassialever.authority_state import AuthorityState
 from cassialever.control_messages import PromiseWanted
-from cassialever.membership import NOBODY
+from cassialever.membership import NO_PROCESS, Process
 from cassialever.ownership_effects import Effect, SendControl
-from cassialever.types import InstanceId, Seconds
+from cassialever.types import Seconds
 
 #: The share of a term that promises have to leave, or the row is written.
 LOW_SHARE = 0.5
@@ -24,11 +24,7 @@
             epoch=authority.epoch,
             row_version=known.version,
         )
-        effects.extend(
-            SendControl(name, wanted)
-            for name in sorted(authority.terms.successors)
-            if name
-        )
+        effects.extend(_ask(authority, wanted))
     if authority.rows.pending or _is_giving_way(authority, now):
         return effects
     promised = authority.terms.promises_end() - now
@@ -43,6 +39,22 @@
     return effects
 
 
+def _ask(
+    authority: AuthorityState,
+    wanted: PromiseWanted,
+) -> list[Effect]:
+    """Ask all who may take over; one that has restarted never will."""
+    effects: list[Effect] = []
+    for successor in sorted(authority.terms.successors):
+        name, incarnation = successor
+        latest = authority.membership.process(name)
+        if 0 < incarnation < latest[1]:
+            authority.terms.release(successor)
+        elif name:
+            effects.append(SendControl(name, wanted))
+    return effects
+
+
 def _is_giving_way(authority: AuthorityState, now: Seconds) -> bool:
     """Return whether to let another coordinate that can reach the rest.
 
@@ -59,13 +71,17 @@
     return begin < lonely_for < begin + GIVES_WAY_FOR
 
 
-def _successor(authority: AuthorityState, now: Seconds) -> InstanceId:
+def _successor(authority: AuthorityState, now: Seconds) -> Process:
     """Keep the successor while it answers, else name another."""
     known = authority.rows.known
-    named = known.row.successor if known and known.row else NOBODY
+    named = NO_PROCESS
+    if known and known.row:
+        named = (known.row.successor, known.row.successor_incarnation)
     silent_since = now - 2 * authority.giver_term()
     answers = authority.terms.last_promise > silent_since
-    member = authority.membership.member_by_id.get(named)
-    if named and answers and not (member and member.stopping):
+    member = authority.membership.member_by_id.get(named[0])
+    stays = member and not member.stopping and member.incarnation == named[1]
+    if answers and stays:
         return named
-    return authority.membership.pick_successor(silent_since) or named
+    picked = authority.membership.pick_successor(silent_since)
+    return picked if picked[0] else named
--- a/cassialever/authority_row.py
+++ b/cassialever/authority_row.py
@@ -12,6 +12,7 @@
     RowWrite,
     Transaction,
 )
+from cassialever.membership import Process
 from cassialever.ownership_effects import CommitRows, Effect, ReadRows
 from cassialever.ownership_events import RowsRead
 from cassialever.rows import (
@@ -26,7 +27,6 @@
     ChangeId,
     Epoch,
     Incarnation,
-    InstanceId,
     RowVersion,
     Seconds,
 )
@@ -119,7 +119,7 @@
 
     def write_again(
         self,
-        successor: InstanceId,
+        successor: Process,
         unresolved: tuple[Unresolved, ...],
         now: Seconds,
     ) -> list[Effect]:
@@ -138,7 +138,7 @@
     def write_over(
         self,
         epoch: Epoch,
-        successor: InstanceId,
+        successor: Process,
         unresolved: tuple[Unresolved, ...],
         old_ended: Seconds,
         now: Seconds,
@@ -192,7 +192,7 @@
     def _write(
         self,
         epoch: Epoch,
-        successor: InstanceId,
+        successor: Process,
         unresolved: tuple[Unresolved, ...],
         old_ended: Seconds,
         now: Seconds,
@@ -202,7 +202,8 @@
             epoch=epoch,
             holder=self._me,
             holder_incarnation=self._incarnation,
-            successor=successor,
+            successor=successor[0],
+            successor_incarnation=successor[1],
             unresolved=unresolved,
             change_id=ChangeId(f'{self._me}/{self._incarnation}/{token}'),
         )
--- a/cassialever/authority_state.py
+++ b/cassialever/authority_state.py
@@ -8,11 +8,11 @@
 from cassialever.interfaces import RandomSource
 from cassialever.invariants import Invariant, check
 from cassialever.leases import giver_term
-from cassialever.membership import Membership
+from cassialever.membership import Membership, Process
 from cassialever.ownership_effects import Effect, LogEvent
 from cassialever.rows import Unresolved
 from cassialever.settings import Settings
-from cassialever.types import Epoch, Incarnation, InstanceId, Seconds
+from cassialever.types import Epoch, Incarnation, Seconds
 
 
 class EarlierAuthority:
@@ -98,13 +98,14 @@
         self.epoch = row.epoch
         self.earlier.ended = max(pending.old_ended, self.duty.promised_until)
         self.earlier.unresolved = row.unresolved
-        self.terms.begin(pending.asked_at, row.successor)
+        successor = (row.successor, row.successor_incarnation)
+        self.terms.begin(pending.asked_at, successor)
         self.membership.follow(row.epoch, self.membership.me, now)
         return [LogEvent(Event.authority_taken, {'epoch': row.epoch})]
 
     def write(
         self,
-        successor: InstanceId,
+        successor: Process,
         now: Seconds,
     ) -> list[Effect]:
         """Write the row again, naming a successor."""
--- a/cassialever/authority_watch.py
+++ b/cassialever/authority_watch.py
@@ -23,7 +23,9 @@
     if row is None:
         return _start(authority, now)
     free_at = _free_at(authority, known, row)
-    named = authority.membership.me in {row.successor, row.holder}
+    own = authority.membership.own
+    named = own == (row.successor, row.successor_incarnation)
+    named = named or row.holder == own[0]
     if named and now >= free_at and row.epoch >= authority.membership.epoch:
         return _take_over(authority, row, (), free_at, now)
     if named and _is_late(authority, now):
@@ -63,7 +65,12 @@
     unchanged = authority.rows.unchanged_for(now)
     if unchanged < authority.settings.leases.third_wait:
         return authority.rows.read(now)
-    left = Unresolved(row.epoch, row.holder, row.successor)
+    left = Unresolved(
+        row.epoch,
+        row.holder,
+        row.successor,
+        row.successor_incarnation,
+    )
     return _take_over(authority, row, (left,), now, now)
 
 
--- a/cassialever/control_messages.py
+++ b/cassialever/control_messages.py
@@ -108,6 +108,12 @@
     epoch: Epoch
 
 
+class Renounced(msgspec.Struct, frozen=True, kw_only=True):
+    """The successor is stopping and will never take over in this run."""
+
+    epoch: Epoch
+
+
 class HandOver(msgspec.Struct, frozen=True, kw_only=True):
     """The coordinator has stopped; its successor may take over at once."""
 
@@ -121,5 +127,6 @@
     | HeartbeatWanted
     | PromiseWanted
     | Promise
+    | Renounced
     | HandOver
 )
--- a/cassialever/coordinator.py
+++ b/cassialever/coordinator.py
@@ -37,7 +37,8 @@
     Tick,
 )
 from cassialever.rows import epoch_of, group_prefix
-from cassialever.target_record import Former, Process, TargetRecord
+from cassialever.membership import Process
+from cassialever.target_record import Former, TargetRecord
 from cassialever.types import Seconds
 
 #: How long an answer of the table is waited for, in seconds.
--- a/cassialever/coordinator_holders.py
+++ b/cassialever/coordinator_holders.py
@@ -3,7 +3,8 @@
 import collections
 
 from cassialever.coordinator_state import CoordinatorState
-from cassialever.target_record import Process, TargetRecord
+from cassialever.membership import Process
+from cassialever.target_record import TargetRecord
 from cassialever.types import Seconds
 
 
--- a/cassialever/coordinator_plan.py
+++ b/cassialever/coordinator_plan.py
@@ -8,6 +8,7 @@
 from cassialever.coordinator_state import CoordinatorState
 from cassialever.events import Event
 from cassialever.interfaces import ABSENT
+from cassialever.membership import Process
 from cassialever.moves import Move, MoveStep
 from cassialever.ownership_effects import (
     AnnounceMap,
@@ -17,7 +18,6 @@
 )
 from cassialever.routing import RoutingMap, ServiceMap
 from cassialever.rows import coordinator_row
-from cassialever.target_record import Process
 from cassialever.types import (
     ChangeId,
     Epoch,
--- a/cassialever/coordinator_state.py
+++ b/cassialever/coordinator_state.py
@@ -11,13 +11,13 @@
 from cassialever.control_messages import HeartbeatWanted, LeaseGrant
 from cassialever.invariants import Invariant, check
 from cassialever.leases import giver_term
-from cassialever.membership import Membership
+from cassialever.membership import Membership, Process
 from cassialever.moves import Moves
 from cassialever.ownership_effects import Effect, SendControl
 from cassialever.rows import make_fence
 from cassialever.settings import Settings
 from cassialever.slice_rows import SliceRows
-from cassialever.target_record import Process, TargetRecord
+from cassialever.target_record import TargetRecord
 from cassialever.types import (
     Epoch,
     Fence,
--- a/cassialever/membership.py
+++ b/cassialever/membership.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+from typing import TypeAlias
 
 import msgspec
 
@@ -18,7 +19,11 @@
     Seconds,
 )
 
+#: One run of one instance.
+Process: TypeAlias = tuple[InstanceId, Incarnation]
+
 NOBODY = InstanceId('')
+NO_PROCESS: Process = (NOBODY, Incarnation(0))
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -34,9 +39,9 @@
 class Membership:
     """The instances of one data centre and its coordinator."""
 
-    def __init__(self, data_centre: DataCentreId, me: InstanceId) -> None:
-        """Start alone and without a coordinator."""
-        self.me = me
+    def __init__(self, data_centre: DataCentreId, own: Process) -> None:
+        """Start alone and without a coordinator; `own` is this daemon."""
+        self.own = own
         self.member_by_id: dict[InstanceId, Member] = {}
         self.listed_by_id: dict[InstanceId, ListedInstance] = {}
         self.coordinator = NOBODY
@@ -52,6 +57,18 @@
             if listed.data_centre == self._data_centre
         }
 
+    @property
+    def me(self) -> InstanceId:
+        """Return this daemon's instance."""
+        return self.own[0]
+
+    def process(self, instance_id: InstanceId) -> Process:
+        """Return the latest run of an instance that is known."""
+        member = self.member_by_id.get(instance_id)
+        if member is None:
+            return (instance_id, Incarnation(0))
+        return (instance_id, member.incarnation)
+
     def hear(
         self,
         instance_id: InstanceId,
@@ -126,7 +143,7 @@
         names = self.listed_by_id.keys() | self.member_by_id.keys()
         return sorted(names | {self.me})
 
-    def pick_successor(self, since: Seconds) -> InstanceId:
+    def pick_successor(self, since: Seconds) -> Process:
         """Name a live instance, in another rack where there is one."""
         own = self.member_by_id.get(self.me)
         own_rack = own.rack if own else ''
@@ -136,4 +153,4 @@
             if member.instance_id != self.me
         ]
         others.sort(key=lambda member: member.rack == own_rack)
-        return others[0].instance_id if others else NOBODY
+        return self.process(others[0].instance_id) if others else NO_PROCESS
--- a/cassialever/ownership.py
+++ b/cassialever/ownership.py
@@ -45,7 +45,7 @@
         self.leases = HeldLeases()
         self.membership = Membership(
             instance.data_centre,
-            instance.instance_id,
+            (instance.instance_id, incarnation),
         )
         self.authority = Authority(
             settings,
--- a/cassialever/rows.py
+++ b/cassialever/rows.py
@@ -40,17 +40,21 @@
     epoch: Epoch
     holder: InstanceId
     successor: InstanceId
+    successor_incarnation: Incarnation
 
 
 class CoordinatorRow(msgspec.Struct, frozen=True, kw_only=True):
-    """Who coordinates a partition, and who alone may take over soon."""
+    """Who coordinates a partition, and who alone may take over soon.
+
+    The right to take over is that of one run of the successor.
+    """
 
     epoch: Epoch
     holder: InstanceId
     holder_incarnation: Incarnation
     successor: InstanceId
+    successor_incarnation: Incarnation
     change_id: ChangeId
-    renewal: int = 0
     unresolved: tuple[Unresolved, ...] = ()
 
 
--- a/cassialever/target_record.py
+++ b/cassialever/target_record.py
@@ -1,25 +1,19 @@
 """What a coordinator knows of one target: its holder, lease and slices."""
 
-from typing import TypeAlias
-
 import msgspec
 
 from cassialever.catalogue import TargetEntry
 from cassialever.control_messages import LeaseGrant, LeaseReport
 from cassialever.invariants import Invariant, check
+from cassialever.membership import Process
 from cassialever.rows import pack_slices
 from cassialever.types import (
     Fence,
-    Incarnation,
-    InstanceId,
     Seconds,
     SliceIndex,
     TargetId,
 )
 
-#: One run of one instance.
-Process: TypeAlias = tuple[InstanceId, Incarnation]
-
 
 class Former(msgspec.Struct, frozen=True):
     """A process that was told to stop, and may have requests running."""
