--- a/cassialever/authority_row.py
+++ b/cassialever/authority_row.py
@@ -19,7 +19,7 @@
     CoordinatorRow,
     Unresolved,
     coordinator_row,
-    decode_coordinator,
+    decode_row,
     encode_row,
 )
 from cassialever.settings import Settings
@@ -104,7 +104,7 @@
         if self.known and version < self.known.version:
             return False
         if self.known is None or self.known.version != version:
-            row = decode_coordinator(found.body) if found else None
+            row = decode_row(found.body, CoordinatorRow) if found else None
             self.known = KnownRow(row, version, now)
             self._unbroken_since = now
         if self._unbroken_since is None:
--- a/cassialever/control_messages.py
+++ b/cassialever/control_messages.py
@@ -28,7 +28,8 @@
     that what an earlier fence allowed and this one does not is over: nothing
     of it runs any more, and the target refuses it. `accepted` says that the
     target has taken a grant from this holder; `reachable` is false once the
-    target's grant has certainly lapsed.
+    target's grant has certainly lapsed. `loads` is packed by
+    `rows.pack_loads`, and only sent where they were counted anew.
     """
 
     target_id: TargetId
@@ -39,6 +40,7 @@
     accepted: bool = False
     reachable: bool = True
     target_incarnation: Incarnation = Incarnation(0)
+    loads: bytes = b''
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
--- a/cassialever/coordinator.py
+++ b/cassialever/coordinator.py
@@ -217,6 +217,7 @@
 ) -> None:
     if record.holder == process:
         record.take_report(report)
+        state.take_loads(record, report)
         stopped = record.stopping and report.stopped
         if stopped and report.fence == record.fence:
             record.release(now + state.longest_request(record), now)
--- a/cassialever/coordinator_plan.py
+++ b/cassialever/coordinator_plan.py
@@ -69,11 +69,7 @@
     effects: list[Effect] = []
     for service in sorted(state.moves.rows.owners_by_service):
         targets = _usable(state, index, service)
-        current = state.moves.rows.owners_by_service[service]
-        if not targets:
-            continue
-        wanted = state.context.assign(current, targets, state.load_by_slice)
-        if list(wanted) == list(current):
+        if not targets or not _is_unsettled(service, targets, state):
             continue
         if now > state.table.answered_at + TABLE_FRESH:
             return [*effects, *_probe(state, now)]
@@ -81,12 +77,35 @@
             service,
             targets,
             state.context.assign,
-            state.load_by_slice,
+            state.loads.load_by_service.get(service, {}),
         )
         effects.extend(_told(Event.move_started, move) for move in begun)
     return effects
 
 
+def _is_unsettled(
+    service: ServiceName,
+    targets: list[TargetId],
+    state: CoordinatorState,
+) -> bool:
+    """Return whether slices are to move; asked again when something changed."""
+    basis = (
+        tuple(targets),
+        dict(state.moves.rows.fence_by_service),
+        state.loads.version,
+        tuple(state.moves.moves),
+    )
+    if state.loads.settled_by_service.get(service) == basis:
+        return False
+    current = state.moves.rows.owners_by_service[service]
+    loads = state.loads.load_by_service.get(service, {})
+    wanted = state.context.assign(current, targets, loads)
+    if list(wanted) != list(current):
+        return True
+    state.loads.settled_by_service[service] = basis
+    return False
+
+
 def _told(event: Event, move: Move) -> Effect:
     return LogEvent(
         event,
--- a/cassialever/coordinator_state.py
+++ b/cassialever/coordinator_state.py
@@ -5,16 +5,20 @@
 
 import msgspec
 
-from cassialever.assignment import Assign
+from cassialever.even_assignment import Assign
 from cassialever.authority_state import AuthorityState
 from cassialever.catalogue import CatalogueIndex, TargetEntry
-from cassialever.control_messages import HeartbeatWanted, LeaseGrant
+from cassialever.control_messages import (
+    HeartbeatWanted,
+    LeaseGrant,
+    LeaseReport,
+)
 from cassialever.invariants import Invariant, check
 from cassialever.leases import giver_term
 from cassialever.membership import Membership, Process
 from cassialever.moves import Moves
 from cassialever.ownership_effects import Effect, SendControl
-from cassialever.rows import make_fence
+from cassialever.rows import make_fence, unpack_loads
 from cassialever.settings import Settings
 from cassialever.slice_rows import SliceRows
 from cassialever.target_record import TargetRecord
@@ -23,6 +27,7 @@
     Fence,
     RoutingClass,
     Seconds,
+    ServiceName,
     SliceIndex,
     TargetId,
 )
@@ -54,6 +59,17 @@
         self.answered_at: Seconds = 0
 
 
+class LoadView:
+    """The loads that holders counted last; `version` rises with each."""
+
+    def __init__(self) -> None:
+        """Know of no load."""
+        self.version = 0
+        self.load_by_service: dict[ServiceName, dict[SliceIndex, float]] = {}
+        #: What an assignment that asked for no move was made from.
+        self.settled_by_service: dict[ServiceName, object] = {}
+
+
 class Spread:
     """What was told to others last."""
 
@@ -74,7 +90,7 @@
         self.moves = Moves(SliceRows(context.settings.instance.data_centre))
         self.record_by_target: dict[TargetId, TargetRecord] = {}
         self.sequence_by_process: dict[Process, int] = {}
-        self.load_by_slice: Mapping[SliceIndex, float] = {}
+        self.loads = LoadView()
         self.table = TableContact()
         self.spread = Spread()
         self._serial = itertools.count(1)
@@ -92,6 +108,15 @@
             if service.routing is RoutingClass.keyed:
                 self.moves.rows.declare(service.name, service.slices)
 
+    def take_loads(self, record: TargetRecord, report: LeaseReport) -> None:
+        """Keep the loads that a holder has counted."""
+        if not report.loads:
+            return
+        service = record.entry.service
+        loads = self.loads.load_by_service.setdefault(service, {})
+        loads.update(unpack_loads(report.loads))
+        self.loads.version += 1
+
     def giver_term(self) -> Seconds:
         """Return how long a lease given now may be in force."""
         leases = self.context.settings.leases
--- a/cassialever/held_target.py
+++ b/cassialever/held_target.py
@@ -57,6 +57,7 @@
         self._clock: Seconds = 0
         self._clock_read_at: Seconds | None = None
         self._draining = False
+        self._loads = b''
         self._unknown_until: Seconds = 0
         self._pending: GrantTarget | None = None
         self._pending_until: Seconds = 0
@@ -87,6 +88,10 @@
         self.slices = slices
         self.extend(ends, now)
 
+    def count(self, loads: bytes) -> None:
+        """Keep packed loads for the next report; empty after it was sent."""
+        self._loads = loads
+
     def drained(self, unknown_until: Seconds, now: Seconds) -> None:
         """Note that no request of a slice that left is known to run."""
         self._draining = False
@@ -189,6 +194,7 @@
             stopped=self.stopped,
             settled=self.settled(now),
             accepted=self.usable and self.checks.fence,
+            loads=self._loads,
             reachable=self.reachable(now),
             target_incarnation=self._incarnation,
         )
--- a/cassialever/holder.py
+++ b/cassialever/holder.py
@@ -28,12 +28,13 @@
     CatalogueAdopted,
     ControlReceived,
     Drained,
+    LoadsCounted,
     OwnershipEvent,
     StopWanted,
     TargetGrantResult,
     Tick,
 )
-from cassialever.rows import unpack_slices
+from cassialever.rows import pack_loads, unpack_slices
 from cassialever.settings import Settings
 from cassialever.types import (
     Incarnation,
@@ -89,6 +90,8 @@
         reports = [
             held.report(now) for _, held in sorted(self.held_by_target.items())
         ]
+        for held in self.held_by_target.values():
+            held.count(b'')
         message = Heartbeat(
             sequence=self._sequence,
             epoch=self.membership.epoch,
@@ -191,6 +194,18 @@
     return _receive(event.message, event.sender, holder, now)
 
 
+@_handle.register
+def _on_loads(
+    event: LoadsCounted,
+    holder: Holder,
+    now: Seconds,
+) -> list[Effect]:
+    held = holder.held_by_target.get(event.target_id)
+    if held:
+        held.count(pack_loads(event.load_by_slice))
+    return []
+
+
 @_handle.register
 def _on_grant_result(
     event: TargetGrantResult,
--- a/cassialever/moves.py
+++ b/cassialever/moves.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cassialever.assignment import Assign
+from cassialever.even_assignment import Assign
 from cassialever.errors import ErrorKind, Failure
 from cassialever.interfaces import Committed, Row, RowWrite, Transaction
 from cassialever.ownership_effects import CommitRows
--- a/cassialever/ownership.py
+++ b/cassialever/ownership.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from cassialever.assignment import Assign, assign_evenly
+from cassialever.even_assignment import Assign, assign_evenly
 from cassialever.authority import Authority
 from cassialever.control_messages import Heartbeat
 from cassialever.coordinator import Coordinator
--- a/cassialever/ownership_events.py
+++ b/cassialever/ownership_events.py
@@ -16,6 +16,7 @@
     InstanceId,
     RowName,
     Seconds,
+    SliceIndex,
     TargetId,
 )
 
@@ -82,6 +83,13 @@
     unknown_until: Seconds = 0
 
 
+class LoadsCounted(msgspec.Struct, frozen=True):
+    """The request path has counted the load of a held target's slices."""
+
+    target_id: TargetId
+    load_by_slice: Mapping[SliceIndex, float]
+
+
 class CatalogueAdopted(msgspec.Struct, frozen=True):
     """Another version of the catalogue is in force."""
 
@@ -123,6 +131,7 @@
     | RowsCommitted
     | TargetGrantResult
     | Drained
+    | LoadsCounted
     | CatalogueAdopted
     | InstancesListed
     | InstancesDeclaredLost
--- a/cassialever/rows.py
+++ b/cassialever/rows.py
@@ -1,5 +1,8 @@
 """What the ownership rows of the table hold, and their names."""
 
+from collections.abc import Mapping
+from typing import TypeVar
+
 import msgspec
 import numpy as np
 
@@ -29,6 +32,7 @@
 
 _OWNER_TYPE = np.dtype('<u2')
 _SLICE_TYPE = np.dtype('<u4')
+_LOAD_TYPE = np.dtype([('slice', '<u4'), ('load', '<f4')])
 
 
 class Unresolved(msgspec.Struct, frozen=True):
@@ -73,6 +77,9 @@
     change_id: ChangeId
 
 
+RowT = TypeVar('RowT', CoordinatorRow, GroupRow)
+
+
 def coordinator_row(data_centre: DataCentreId) -> RowName:
     """Name the row of a data centre's coordinator."""
     return RowName(f'coordinator/{data_centre}')
@@ -98,18 +105,10 @@
     return msgspec.msgpack.encode(row)
 
 
-def decode_coordinator(body: bytes) -> CoordinatorRow:
-    """Read a coordinator's row, or raise `CodecError`."""
-    try:
-        return msgspec.msgpack.decode(body, type=CoordinatorRow)
-    except msgspec.MsgspecError as fault:
-        raise CodecError(str(fault)) from fault
-
-
-def decode_group(body: bytes) -> GroupRow:
-    """Read a group's row, or raise `CodecError`."""
+def decode_row(body: bytes, row_type: type[RowT]) -> RowT:
+    """Read a row's body as one type of row, or raise `CodecError`."""
     try:
-        return msgspec.msgpack.decode(body, type=GroupRow)
+        return msgspec.msgpack.decode(body, type=row_type)
     except msgspec.MsgspecError as fault:
         raise CodecError(str(fault)) from fault
 
@@ -127,6 +126,22 @@
     return frozenset(SliceIndex(number) for number in numbers.tolist())
 
 
+def pack_loads(load_by_slice: Mapping[SliceIndex, float]) -> bytes:
+    """Write the load of each slice, in 64 bits each."""
+    return np.array(
+        sorted(load_by_slice.items()),
+        dtype=_LOAD_TYPE,
+    ).tobytes()
+
+
+def unpack_loads(packed: bytes) -> dict[SliceIndex, float]:
+    """Read what `pack_loads` wrote, or raise `CodecError`."""
+    if len(packed) % _LOAD_TYPE.itemsize:
+        raise CodecError('packed loads of an odd length')
+    pairs = np.frombuffer(packed, dtype=_LOAD_TYPE).tolist()
+    return {SliceIndex(number): load for number, load in pairs}
+
+
 def pack_owners(owners: list[int]) -> bytes:
     """Write the owner index of each slice of a group."""
     return np.array(owners, dtype=_OWNER_TYPE).tobytes()
--- a/cassialever/slice_rows.py
+++ b/cassialever/slice_rows.py
@@ -10,7 +10,7 @@
     NO_OWNER,
     SLICES_PER_GROUP,
     GroupRow,
-    decode_group,
+    decode_row,
     encode_row,
     group_row,
     pack_owners,
@@ -61,7 +61,7 @@
             if known and known.version >= row.version:
                 continue
             self._known_by_name[name] = KnownGroup(
-                decode_group(row.body),
+                decode_row(row.body, GroupRow),
                 row.version,
             )
         self._rebuild()
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -53,7 +53,7 @@
     Tick,
 )
 from cassialever.routing import RoutingMap
-from cassialever.rows import decode_coordinator, decode_group
+from cassialever.rows import CoordinatorRow, GroupRow, decode_row
 from cassialever.settings import (
     InstanceSettings,
     PlatformSettings,
@@ -513,16 +513,16 @@
     def check_row(self, old: Row | None, new: Row) -> None:
         """Epochs and fences in the table only rise."""
         if new.name.startswith('coordinator/'):
-            row = decode_coordinator(new.body)
+            row = decode_row(new.body, CoordinatorRow)
             self.note(f'coordinator row {row}')
-            before = decode_coordinator(old.body).epoch if old else 0
+            before = decode_row(old.body, CoordinatorRow).epoch if old else 0
             if row.epoch < before:
                 raise Violation(f'epoch fell from {before} to {row.epoch}')
             if row.unresolved:
                 self.third_took_over = True
             return
-        fence = decode_group(new.body).fence
-        before = decode_group(old.body).fence if old else 0
+        fence = decode_row(new.body, GroupRow).fence
+        before = decode_row(old.body, GroupRow).fence if old else 0
         if fence <= before:
             raise Violation(f'fence of {new.name} fell')
 
@@ -531,7 +531,7 @@
         for name, service in routing_map.map_by_service.items():
             stored = max(
                 (
-                    decode_group(row.body).fence
+                    decode_row(row.body, GroupRow).fence
                     for key, row in self.rows.items()
                     if key.startswith(f'slices/{CENTRE}/{name}/')
                 ),
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,8 +3,9 @@
 import unittest
 from collections.abc import Callable
 
-from cassialever.assignment import assign_evenly
+from cassialever.even_assignment import assign_evenly
 from cassialever.authority_terms import AuthorityTerms
+from cassialever.ownership_events import LoadsCounted
 from cassialever.rows import (
     epoch_of,
     make_fence,
@@ -12,7 +13,7 @@
     unpack_slices,
 )
 from cassialever.types import SliceIndex
-from tests.ownership_fakes import TABLE, World
+from tests.ownership_fakes import SERVICE, TABLE, World
 from tests.ownership_scenarios import isolate, parts, settle
 
 LOSS = 3.0
@@ -127,6 +128,21 @@
             self.assertNotIn(target, targets)
 
 
+class TestLoads(unittest.TestCase):
+    """What the request path counts."""
+
+    def test_loads_reach_the_coordinator(self) -> None:
+        """With the holder's next heartbeat."""
+        world = settle(1)
+        coordinator, _, holder, target = parts(world)
+        loads = {SliceIndex(2): 0.5, SliceIndex(3): 2.0}
+        holder.tell(LoadsCounted(target, loads))
+        world.run_for(0.5)
+        state = coordinator.core.coordinator.state
+        assert state
+        self.assertEqual(state.loads.load_by_service[SERVICE], loads)
+
+
 class TestParts(unittest.TestCase):
     """The small modules by themselves."""
 
