--- a/cassialever/coordinator_plan.py
+++ b/cassialever/coordinator_plan.py
@@ -127,6 +127,7 @@
         target_id
         for target_id, record in sorted(state.record_by_target.items())
         if record.entry.service == service
+        and target_id in index.target_by_id
         and not record.lost()
         and not index.is_out(record.entry)
     ]
--- a/cassialever/membership.py
+++ b/cassialever/membership.py
@@ -22,6 +22,9 @@
 #: One run of one instance.
 Process: TypeAlias = tuple[InstanceId, Incarnation]
 
+#: How long an instance that is not listed is remembered, in seconds.
+FORGET_AFTER = 60
+
 NOBODY = InstanceId('')
 NO_PROCESS: Process = (NOBODY, Incarnation(0))
 
@@ -49,13 +52,21 @@
         self.coordinator_heard_at: Seconds = 0
         self._data_centre = data_centre
 
-    def adopt_list(self, instances: Sequence[ListedInstance]) -> None:
-        """Take the platform's list in place of the last one."""
+    def adopt_list(
+        self,
+        instances: Sequence[ListedInstance],
+        now: Seconds,
+    ) -> None:
+        """Take the platform's list; forget who is neither listed nor heard."""
         self.listed_by_id = {
             listed.instance_id: listed
             for listed in instances
             if listed.data_centre == self._data_centre
         }
+        for name, member in list(self.member_by_id.items()):
+            heard = member.heard_at >= now - FORGET_AFTER
+            if not heard and name not in self.listed_by_id:
+                self.member_by_id.pop(name)
 
     @property
     def me(self) -> InstanceId:
--- a/cassialever/ownership.py
+++ b/cassialever/ownership.py
@@ -74,7 +74,7 @@
     def handle(self, event: OwnershipEvent, now: Seconds) -> list[Effect]:
         """Take in one event and return what is to be done."""
         if isinstance(event, InstancesListed):
-            self.membership.adopt_list(event.instances)
+            self.membership.adopt_list(event.instances, now)
         if isinstance(event, ControlReceived) and not self._hear(event, now):
             return []
         if isinstance(event, StopWanted):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,10 +1,12 @@
 """How long slices are unavailable, and what a table outage may cost."""
 
+import itertools
 import unittest
 from collections.abc import Callable
 
 from cassialever.even_assignment import assign_evenly
 from cassialever.authority_terms import AuthorityTerms
+from cassialever.membership import Membership
 from cassialever.ownership_events import LoadsCounted
 from cassialever.rows import (
     epoch_of,
@@ -13,6 +15,7 @@
     unpack_slices,
 )
 from cassialever.types import SliceIndex
+from tests import matrix
 from tests.ownership_fakes import SERVICE, TABLE, World
 from tests.ownership_scenarios import isolate, parts, settle
 
@@ -143,6 +146,39 @@
         self.assertEqual(state.loads.load_by_service[SERVICE], loads)
 
 
+class TestMatrix(unittest.TestCase):
+    """Some cells of the fault matrix; `make matrix` runs all."""
+
+    def test_some_cells(self) -> None:
+        """Every fault once, each at another step of another move."""
+        moves = itertools.cycle(matrix.MOVES)
+        steps = itertools.cycle(matrix.STEPS)
+        for fault, move, step in zip(matrix.FAULTS, moves, steps):
+            with self.subTest(fault=fault, move=move, step=step):
+                outcome = matrix.run_cell(move, step, fault)
+                self.assertIn(outcome, {'ok', '-'})
+
+
+class TestMembership(unittest.TestCase):
+    """Who is known, and in which run."""
+
+    def test_past_incarnations_count_no_more(self) -> None:
+        """A late message of an earlier run is dropped."""
+        members = Membership('dc1', ('a', 1))
+        self.assertTrue(members.hear('b', 2, 1.0))
+        self.assertFalse(members.hear('b', 1, 2.0))
+        self.assertEqual(members.process('b'), ('b', 2))
+
+    def test_unlisted_instances_are_forgotten(self) -> None:
+        """Once they have been silent for long."""
+        members = Membership('dc1', ('a', 1))
+        members.hear('b', 1, 1.0)
+        members.adopt_list([], 30.0)
+        self.assertIn('b', members.everyone())
+        members.adopt_list([], 100.0)
+        self.assertEqual(members.everyone(), ['a'])
+
+
 class TestParts(unittest.TestCase):
     """The small modules by themselves."""
 
