--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -43,6 +43,7 @@
     move_given_up = (432, logbook.WARNING, 'A move of slices was undone.')
 
     # Table and slices.
+    row_rubbish = (510, logbook.ERROR, 'A row of the table is rubbish.')
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
 
     # Catalogue and operators.
--- a/cassialever/exchange.py
+++ b/cassialever/exchange.py
@@ -216,4 +216,5 @@
             slice_index=chosen.slice_index,
             attempt=self._attempts.count,
             claims=intake.claims,
+            traceparent=intake.traceparent,
         )
--- a/cassialever/target_orders.py
+++ b/cassialever/target_orders.py
@@ -10,6 +10,7 @@
 from cassialever.catalogue import TargetEntry
 from cassialever.connectors import Sending, TargetConnector, sending
 from cassialever.errors import ErrorKind, Failure
+from cassialever.ownership_events import GrantAnswer
 from cassialever.types import (
     Fence,
     Incarnation,
@@ -46,14 +47,30 @@
 
 
 class Grant(msgspec.Struct, frozen=True):
-    """What a target may serve, under which fence and for how long."""
+    """What a target may serve, under which fence and until when.
+
+    `ends` is an instant of the target's own clock, in seconds, and counts
+    only in that `incarnation` of the target; 0 only asks for the clock.
+    """
 
     fence: Fence
-    term_ms: int
+    incarnation: Incarnation
+    ends: Seconds
     service: ServiceName
     slices: tuple[SliceRange, ...] = ()
 
 
+def ranges_of(slices: frozenset[SliceIndex]) -> tuple[SliceRange, ...]:
+    """Return a set of slices as sorted ranges."""
+    ranges: list[SliceRange] = []
+    for number in sorted(slices):
+        if ranges and ranges[-1].last == number - 1:
+            ranges[-1] = SliceRange(ranges[-1].first, number)
+            continue
+        ranges.append(SliceRange(number, number))
+    return tuple(ranges)
+
+
 class TargetHealth(msgspec.Struct, frozen=True):
     """What a target says of its health; it may lag or mislead."""
 
@@ -112,11 +129,15 @@
             path = f'/requests/{quote(request_id, safe="")}'
             await self._exchange(target_id, 'DELETE', path)
 
-    async def grant(self, target_id: TargetId, grant: Grant) -> Failure | None:
-        """Tell a target what it may serve.
+    async def grant(
+        self,
+        target_id: TargetId,
+        grant: Grant,
+    ) -> GrantAnswer | Failure:
+        """Tell a target what it may serve, and learn its clock.
 
-        Fails with `stale_fence` where it has seen a higher one, and with
-        `target_unreachable` or `outcome_unknown` as a request does.
+        Fails with `target_unreachable` or `outcome_unknown` as a request
+        does; a refused grant is an answer.
         """
         reply = await self._exchange(
             target_id,
@@ -126,11 +147,12 @@
         )
         if isinstance(reply, Failure):
             return reply
-        if reply.status == HTTPStatus.CONFLICT:
-            return Failure(ErrorKind.stale_fence, f'{target_id} refused it')
         if reply.status >= HTTPStatus.BAD_REQUEST:
             return _bad_answer(target_id, f'answered {reply.status}')
-        return None
+        try:
+            return msgspec.json.decode(reply.body, type=GrantAnswer)
+        except msgspec.MsgspecError as error:
+            return _bad_answer(target_id, str(error))
 
     async def health(self, target_id: TargetId) -> TargetHealth | Failure:
         """Ask a target for its health."""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -11,6 +11,7 @@
     PlatformSettings,
     SecuritySettings,
     Settings,
+    StopSettings,
 )
 from cassialever.types import DataCentreId, InstanceId
 from standins.platform import StandInPlatform
@@ -44,7 +45,8 @@
 
     async def stop(self) -> None:
         """Stop every daemon, then the platform."""
-        for daemon in self.daemon_by_id.values():
+        for instance_id, daemon in self.daemon_by_id.items():
+            self.platform.instances.instance_by_id.pop(instance_id, None)
             await daemon.stop()
         await self.platform.stop()
 
@@ -73,7 +75,7 @@
             instance_id=instance.instance_id,
             data_centre=instance.data_centre,
             address=instance.address,
-            peer_port=daemon.peer_port,
+            peer_port=daemon.path.peer_port,
             state=state,
         )
 
@@ -99,6 +101,7 @@
                 fleet_key='a key for the demo only',
                 operator_credential='a credential for the demo only',
             ),
+            stop=StopSettings(unready_for=0, longest=5),
             random_seed=len(self.daemon_by_id),
         )
 
