--- a/cassialever/control.thrift
+++ b/cassialever/control.thrift
@@ -12,6 +12,7 @@
   6: bool accepted
   7: bool reachable
   8: i64 target_incarnation
+  9: binary loads
 }
 
 struct Heartbeat {
@@ -54,6 +55,10 @@
   2: i64 epoch
 }
 
+struct Renounced {
+  1: i64 epoch
+}
+
 struct HandOver {
   1: i64 epoch
   2: i64 row_version
--- a/cassialever/control_wire.py
+++ b/cassialever/control_wire.py
@@ -12,6 +12,7 @@
     LeaseReport,
     Promise,
     PromiseWanted,
+    Renounced,
 )
 from cassialever.map_messages import MapAnnounced
 
@@ -24,6 +25,7 @@
 PROMISE_NUMBER: Final = 174
 HAND_OVER_NUMBER: Final = 175
 MAP_NUMBER: Final = 176
+RENOUNCED_NUMBER: Final = 177
 
 #: What the ownership core hears from other daemons.
 OWNERSHIP_MESSAGES: Final = (
@@ -32,6 +34,7 @@
     HeartbeatWanted,
     PromiseWanted,
     Promise,
+    Renounced,
     HandOver,
 )
 
@@ -54,5 +57,6 @@
     CONTROL_THRIFT.PromiseWanted,
 )
 codec.register(PROMISE_NUMBER, Promise, CONTROL_THRIFT.Promise)
+codec.register(RENOUNCED_NUMBER, Renounced, CONTROL_THRIFT.Renounced)
 codec.register(HAND_OVER_NUMBER, HandOver, CONTROL_THRIFT.HandOver)
 codec.register(MAP_NUMBER, MapAnnounced, CONTROL_THRIFT.MapAnnounced)
--- a/cassialever/coordinator_plan.py
+++ b/cassialever/coordinator_plan.py
@@ -34,7 +34,7 @@
 #: How often those that are listed but silent are written to, in seconds.
 GREETING_INTERVAL = 1.0
 #: The longest time without a plan, in seconds.
-LONGEST_PAUSE = 1.0
+LONGEST_PAUSE = 0.5
 
 
 def plan(state: CoordinatorState, now: Seconds) -> list[Effect]:
@@ -98,7 +98,7 @@
     effects: list[Effect] = []
     for service in sorted(state.moves.rows.owners_by_service):
         targets = _usable(state, index, service)
-        if not targets or not _is_unsettled(service, targets, state):
+        if not targets or not _is_unsettled(service, targets, state, now):
             continue
         if now > state.table.answered_at + TABLE_FRESH:
             return [*effects, *_probe(state, now)]
@@ -116,6 +116,7 @@
     service: ServiceName,
     targets: list[TargetId],
     state: CoordinatorState,
+    now: Seconds,
 ) -> bool:
     """Return whether slices are to move; asked again when something changed."""
     basis = (
@@ -123,6 +124,8 @@
         dict(state.moves.rows.fence_by_service),
         state.loads.version,
         tuple(state.moves.moves),
+        # The assignment may go by more than it is told here.
+        int(now / LONGEST_PAUSE),
     )
     if state.loads.settled_by_service.get(service) == basis:
         return False
--- a/cassialever/holder.py
+++ b/cassialever/holder.py
@@ -322,9 +322,11 @@
         return _start(grant, slices, ends, holder, now)
     held.change(grant.fence, slices, ends, now)
     holder.publish(held)
+    # The target learns its new slices before the next renewal.
+    effects = holder.renew_grant(held, now)
     if held.report(now).settled:
-        return holder.heartbeat(now)
-    return [Drain(grant.target_id, grant.fence, slices)]
+        return [*effects, *holder.heartbeat(now)]
+    return [*effects, Drain(grant.target_id, grant.fence, slices)]
 
 
 def _start(
--- a/cassialever/homes.py
+++ b/cassialever/homes.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cassialever.assignment import assign_evenly
+from cassialever.even_assignment import assign_evenly
 from cassialever.catalogue import CatalogueIndex, ServiceEntry
 from cassialever.exceptions import CodecError
 from cassialever.interfaces import ABSENT, Row, RowWrite
--- a/cassialever/leases.py
+++ b/cassialever/leases.py
@@ -20,14 +20,13 @@
     """A lease: until when this daemon alone may send to a target.
 
     `ends` is a monotonic instant of the holder, counted from before it asked.
-    `fence` is the one that the target knows; `slices` are those owned, or
-    `None` where the lease is not limited to any.
+    `fence` is the one that the target knows; `slices` are those owned.
     """
 
     target_id: TargetId
     fence: Fence
     ends: Seconds
-    slices: frozenset[SliceIndex] | None = None
+    slices: frozenset[SliceIndex] = frozenset()
 
 
 class HeldLeases:
@@ -55,15 +54,9 @@
                 ErrorKind.lease_lapsed,
                 f'the lease of {target_id} has lapsed',
             )
-        if not _owns(lease, slice_index):
+        if slice_index != NO_SLICE and slice_index not in lease.slices:
             return Failure(
                 ErrorKind.no_owner,
                 f'{target_id} does not own slice {slice_index}',
             )
         return lease.fence
-
-
-def _owns(lease: TargetLease, slice_index: SliceIndex) -> bool:
-    if slice_index == NO_SLICE or lease.slices is None:
-        return True
-    return slice_index in lease.slices
