--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 	touch $(STAMP)
 
 .PHONY: env test demo lint format docs bench-catalogue
+.PHONY: prove matrix bench-ownership env test demo lint format
 
 env: $(STAMP)
 
@@ -54,3 +55,16 @@
 
 bench-catalogue: $(STAMP)
 	$(BIN)/python -m bench.catalogue_cost
+
+SEED ?= 1
+STEPS ?= 50
+RUNS ?= 50
+
+prove: $(STAMP)
+	$(BIN)/python -m tests.prove --seed $(SEED) --steps $(STEPS) --runs $(RUNS)
+
+matrix: $(STAMP)
+	$(BIN)/python -m tests.matrix
+
+bench-ownership: $(STAMP)
+	$(BIN)/python -m bench.ownership
--- a/cassialever/authority_watch.py
+++ b/cassialever/authority_watch.py
@@ -7,10 +7,13 @@
 from cassialever.types import Epoch, Seconds
 
 #: After how many terms without an answer a coordinator counts as silent.
-SILENT_TERMS = 1.5
+SILENT_TERMS = 1
+#: After how many renewals without a question a successor looks at the row.
+LATE_RENEWALS = 2
 
 
 def watch(authority: AuthorityState, now: Seconds) -> list[Effect]:
+    """Read the row, and take over once nobody can act under it."""
     if authority.rows.pending:
         return []
     known = authority.rows.known
@@ -20,9 +23,14 @@
     if row is None:
         return _start(authority, now)
     free_at = _free_at(authority, known, row)
-    named = authority.membership.me in {row.successor, row.holder}
+    own = authority.membership.own
+    named = own == (row.successor, row.successor_incarnation)
+    named = named or row.holder == own[0]
     if named and now >= free_at and row.epoch >= authority.membership.epoch:
         return _take_over(authority, row, (), free_at, now)
+    if named and _is_late(authority, now):
+        # The row may have been written since it was read last.
+        return authority.rows.read(now)
     return _watch_as_third(authority, row, now)
 
 
@@ -38,6 +46,13 @@
     return max(written_ends, authority.duty.promised_until)
 
 
+def _is_late(authority: AuthorityState, now: Seconds) -> bool:
+    """Return whether the coordinator has missed asking for a promise."""
+    left = authority.duty.promised_until - now
+    missed = LATE_RENEWALS * authority.settings.leases.coordinator_renewal
+    return left < authority.giver_term() - missed
+
+
 def _watch_as_third(
     authority: AuthorityState,
     row: CoordinatorRow,
@@ -50,7 +65,12 @@
     unchanged = authority.rows.unchanged_for(now)
     if unchanged < authority.settings.leases.third_wait:
         return authority.rows.read(now)
-    left = Unresolved(row.epoch, row.holder, row.successor)
+    left = Unresolved(
+        row.epoch,
+        row.holder,
+        row.successor,
+        row.successor_incarnation,
+    )
     return _take_over(authority, row, (left,), now, now)
 
 
--- a/cassialever/coordinator.py
+++ b/cassialever/coordinator.py
@@ -15,7 +15,7 @@
     HeartbeatAnswer,
     LeaseReport,
 )
-from cassialever.coordinator_plan import moved, plan
+from cassialever.coordinator_plan import greet, is_due, moved, plan
 from cassialever.coordinator_state import Context, CoordinatorState
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event
@@ -37,7 +37,8 @@
     Tick,
 )
 from cassialever.rows import epoch_of, group_prefix
-from cassialever.target_record import Former, Process, TargetRecord
+from cassialever.membership import Process
+from cassialever.target_record import Former, TargetRecord
 from cassialever.types import Seconds
 
 #: How long an answer of the table is waited for, in seconds.
@@ -70,6 +71,14 @@
         effects.extend(_handle(event, state, now))
         return effects
 
+    def quiet(self) -> bool:
+        """Return whether every holder has what it was given last."""
+        state = self.state
+        if state is None or state.moves.moves:
+            return state is None
+        records = state.record_by_target.values()
+        return all(record.acknowledged() for record in records)
+
 
 def _scan(state: CoordinatorState, now: Seconds) -> list[Effect]:
     """Read every row of this data centre's slices."""
@@ -102,7 +111,9 @@
     pending = state.moves.pending
     if pending and now >= pending.sent_at + ANSWER_WAIT:
         effects.extend(state.moves.resend(next(state.context.tokens), now))
-    effects.extend(plan(state, now))
+    if is_due(state, now):
+        effects.extend(plan(state, now))
+    effects.extend(greet(state, now))
     return effects
 
 
@@ -177,12 +188,14 @@
         return []
     if heartbeat.sequence <= state.sequence_by_process.get(process, 0):
         return []
+    if process not in state.sequence_by_process or heartbeat.stopping:
+        state.upkeep.changed = True
     state.sequence_by_process[process] = heartbeat.sequence
     for report in heartbeat.reports:
         record = state.record_by_target.get(report.target_id)
         if record:
             _take_report(report, record, process, state, now)
-    effects = plan(state, now)
+    effects = plan(state, now) if state.upkeep.changed else []
     fence_by_target = {told.target_id: told.fence for told in heartbeat.reports}
     check(
         Invariant.lease_within_authority,
@@ -207,15 +220,19 @@
     now: Seconds,
 ) -> None:
     if record.holder == process:
-        record.report = report
+        if record.take_report(report):
+            state.upkeep.changed = True
+        state.take_loads(record, report)
         stopped = record.stopping and report.stopped
         if stopped and report.fence == record.fence:
+            state.upkeep.changed = True
             record.release(now + state.longest_request(record), now)
     elif process not in record.former_by_process:
         _take_claim(report, record, process, state, now)
     former = record.former_by_process.get(process)
     if former and report.settled and report.fence >= former.fence:
         record.former_by_process.pop(process)
+        state.upkeep.changed = True
 
 
 def _take_claim(
@@ -228,6 +245,7 @@
     """Adopt a lease of an earlier epoch, or have its holder stop."""
     if report.stopped and report.settled:
         return
+    state.upkeep.changed = True
     earlier = epoch_of(report.fence) < state.epoch
     adopts = earlier and report.live and not report.stopped
     if adopts and record.holder is None and state.may_grant(record):
--- a/cassialever/coordinator_plan.py
+++ b/cassialever/coordinator_plan.py
@@ -8,6 +8,7 @@
 from cassialever.coordinator_state import CoordinatorState
 from cassialever.events import Event
 from cassialever.interfaces import ABSENT
+from cassialever.membership import Process
 from cassialever.moves import Move, MoveStep
 from cassialever.ownership_effects import (
     AnnounceMap,
@@ -17,7 +18,7 @@
 )
 from cassialever.routing import RoutingMap, ServiceMap
 from cassialever.rows import coordinator_row
-from cassialever.target_record import Process
+from cassialever.target_record import TargetRecord
 from cassialever.types import (
     ChangeId,
     Epoch,
@@ -32,6 +33,8 @@
 TABLE_FRESH = 0.5
 #: How often those that are listed but silent are written to, in seconds.
 GREETING_INTERVAL = 1.0
+#: The longest time without a plan, in seconds.
+LONGEST_PAUSE = 0.5
 
 
 def plan(state: CoordinatorState, now: Seconds) -> list[Effect]:
@@ -47,12 +50,38 @@
     woken.update(_change_leases(state))
     if free:
         effects.extend(_write(state, now))
-    return [
-        *effects,
-        *state.wake(woken),
-        *_greet(state, now),
-        *_announce(state),
-    ]
+    _schedule(state, now)
+    return [*effects, *state.wake(woken), *_announce(state)]
+
+
+def is_due(state: CoordinatorState, now: Seconds) -> bool:
+    """Return whether anything can have become possible since the last plan."""
+    if state.upkeep.changed or now >= state.upkeep.next_plan:
+        return True
+    unresolved = state.context.authority.earlier.unresolved
+    return state.upkeep.unresolved != unresolved
+
+
+def _schedule(state: CoordinatorState, now: Seconds) -> None:
+    """Say when to plan again, and index the targets by process."""
+    upkeep = state.upkeep
+    upkeep.changed = False
+    upkeep.unresolved = state.context.authority.earlier.unresolved
+    records_by_process: dict[Process, list[TargetRecord]] = {}
+    next_plan = now + LONGEST_PAUSE
+    if state.moves.moves:
+        next_plan = now
+    for record in state.record_by_target.values():
+        processes = set(record.former_by_process)
+        if processes or record.holder is None or record.stopping:
+            next_plan = now
+        if record.holder:
+            processes.add(record.holder)
+            next_plan = min(next_plan, record.until)
+        for process in processes:
+            records_by_process.setdefault(process, []).append(record)
+    upkeep.records_by_process = records_by_process
+    upkeep.next_plan = next_plan
 
 
 def moved(done: Iterable[Move]) -> list[Effect]:
@@ -69,11 +98,7 @@
     effects: list[Effect] = []
     for service in sorted(state.moves.rows.owners_by_service):
         targets = _usable(state, index, service)
-        current = state.moves.rows.owners_by_service[service]
-        if not targets:
-            continue
-        wanted = state.context.assign(current, targets, state.load_by_slice)
-        if list(wanted) == list(current):
+        if not targets or not _is_unsettled(service, targets, state, now):
             continue
         if now > state.table.answered_at + TABLE_FRESH:
             return [*effects, *_probe(state, now)]
@@ -81,12 +106,38 @@
             service,
             targets,
             state.context.assign,
-            state.load_by_slice,
+            state.loads.load_by_service.get(service, {}),
         )
         effects.extend(_told(Event.move_started, move) for move in begun)
     return effects
 
 
+def _is_unsettled(
+    service: ServiceName,
+    targets: list[TargetId],
+    state: CoordinatorState,
+    now: Seconds,
+) -> bool:
+    """Return whether slices are to move; asked again when something changed."""
+    basis = (
+        tuple(targets),
+        dict(state.moves.rows.fence_by_service),
+        state.loads.version,
+        tuple(state.moves.moves),
+        # The assignment may go by more than it is told here.
+        int(now / LONGEST_PAUSE),
+    )
+    if state.loads.settled_by_service.get(service) == basis:
+        return False
+    current = state.moves.rows.owners_by_service[service]
+    loads = state.loads.load_by_service.get(service, {})
+    wanted = state.context.assign(current, targets, loads)
+    if list(wanted) != list(current):
+        return True
+    state.loads.settled_by_service[service] = basis
+    return False
+
+
 def _told(event: Event, move: Move) -> Effect:
     return LogEvent(
         event,
@@ -108,6 +159,7 @@
         target_id
         for target_id, record in sorted(state.record_by_target.items())
         if record.entry.service == service
+        and target_id in index.target_by_id
         and not record.lost()
         and not index.is_out(record.entry)
     ]
@@ -173,11 +225,11 @@
     )
 
 
-def _greet(state: CoordinatorState, now: Seconds) -> list[Effect]:
+def greet(state: CoordinatorState, now: Seconds) -> list[Effect]:
     """Tell those that are silent who the coordinator is."""
-    if now < state.spread.next_greeting:
+    if not state.table.loaded or now < state.upkeep.next_greeting:
         return []
-    state.spread.next_greeting = now + GREETING_INTERVAL
+    state.upkeep.next_greeting = now + GREETING_INTERVAL
     live = {process[0] for process in state.live_processes(now)}
     silent = [
         (name, Incarnation(0))
@@ -196,9 +248,9 @@
         if record.holder
     }
     shape = (dict(rows.fence_by_service), holder_by_target)
-    if shape == state.spread.announced:
+    if shape == state.upkeep.announced:
         return []
-    state.spread.announced = shape
+    state.upkeep.announced = shape
     map_by_service = {
         service: ServiceMap(
             tuple(owners),
--- a/cassialever/membership.py
+++ b/cassialever/membership.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+from typing import TypeAlias
 
 import msgspec
 
@@ -18,7 +19,14 @@
     Seconds,
 )
 
+#: One run of one instance.
+Process: TypeAlias = tuple[InstanceId, Incarnation]
+
+#: How long an instance that is not listed is remembered, in seconds.
+FORGET_AFTER = 60
+
 NOBODY = InstanceId('')
+NO_PROCESS: Process = (NOBODY, Incarnation(0))
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -34,9 +42,9 @@
 class Membership:
     """The instances of one data centre and its coordinator."""
 
-    def __init__(self, data_centre: DataCentreId, me: InstanceId) -> None:
-        """Start alone and without a coordinator."""
-        self.me = me
+    def __init__(self, data_centre: DataCentreId, own: Process) -> None:
+        """Start alone and without a coordinator; `own` is this daemon."""
+        self.own = own
         self.member_by_id: dict[InstanceId, Member] = {}
         self.listed_by_id: dict[InstanceId, ListedInstance] = {}
         self.coordinator = NOBODY
@@ -44,13 +52,33 @@
         self.coordinator_heard_at: Seconds = 0
         self._data_centre = data_centre
 
-    def adopt_list(self, instances: Sequence[ListedInstance]) -> None:
-        """Take the platform's list in place of the last one."""
+    def adopt_list(
+        self,
+        instances: Sequence[ListedInstance],
+        now: Seconds,
+    ) -> None:
+        """Take the platform's list; forget who is neither listed nor heard."""
         self.listed_by_id = {
             listed.instance_id: listed
             for listed in instances
             if listed.data_centre == self._data_centre
         }
+        for name, member in list(self.member_by_id.items()):
+            heard = member.heard_at >= now - FORGET_AFTER
+            if not heard and name not in self.listed_by_id:
+                self.member_by_id.pop(name)
+
+    @property
+    def me(self) -> InstanceId:
+        """Return this daemon's instance."""
+        return self.own[0]
+
+    def process(self, instance_id: InstanceId) -> Process:
+        """Return the latest run of an instance that is known."""
+        member = self.member_by_id.get(instance_id)
+        if member is None:
+            return (instance_id, Incarnation(0))
+        return (instance_id, member.incarnation)
 
     def hear(
         self,
@@ -110,12 +138,23 @@
             if member.heard_at >= since and not member.stopping
         ]
 
+    def others_heard_at(self) -> Seconds:
+        """Return when any other instance was heard of last."""
+        return max(
+            (
+                member.heard_at
+                for member in self.member_by_id.values()
+                if member.instance_id != self.me
+            ),
+            default=0,
+        )
+
     def everyone(self) -> list[InstanceId]:
         """Return all who are listed or were heard of, by name."""
         names = self.listed_by_id.keys() | self.member_by_id.keys()
         return sorted(names | {self.me})
 
-    def pick_successor(self, since: Seconds) -> InstanceId:
+    def pick_successor(self, since: Seconds) -> Process:
         """Name a live instance, in another rack where there is one."""
         own = self.member_by_id.get(self.me)
         own_rack = own.rack if own else ''
@@ -125,4 +164,4 @@
             if member.instance_id != self.me
         ]
         others.sort(key=lambda member: member.rack == own_rack)
-        return others[0].instance_id if others else NOBODY
+        return self.process(others[0].instance_id) if others else NO_PROCESS
