Weigh slow signs by how rare they are

Cause: a service with some slow requests among quick ones has three slow answers in a row, or three slow attempts open, all the time; its targets fell back to cold again and again.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bench.engine import (
+    SLOW_REQUEST,
     WARMING_ANSWERS,
     Engine,
     FakeTarget,
@@ -35,6 +36,8 @@
 CALM_UNTIL: Seconds = 3.0
 COLD_AT: Seconds = 4.0
 END: Seconds = 10.0
+#: The share of slow requests in the mixed scenarios.
+SLOW_SHARE = 0.05
 SEED = 5
 
 
@@ -45,11 +48,14 @@
     admission: bool
     cold: bool = False
     restarted: bool = False
+    slow_share: float = 0
 
 
 SCENARIOS = (
     Scenario('warm, none', admission=False),
     Scenario('warm, gate', admission=True),
+    Scenario('mixed, none', admission=False, slow_share=SLOW_SHARE),
+    Scenario('mixed, gate', admission=True, slow_share=SLOW_SHARE),
     Scenario('restart, none', admission=False, cold=True, restarted=True),
     Scenario('restart, gate', admission=True, cold=True, restarted=True),
     Scenario('cold, none', admission=False, cold=True),
@@ -70,7 +76,13 @@
         self.scenario = scenario
         self.source = random.Random(seed)
         plans = [
-            TargetPlan(TargetId(str(index)), SLOTS, COLD_SLOTS, SERVICE_TIME)
+            TargetPlan(
+                TargetId(str(index)),
+                SLOTS,
+                COLD_SLOTS,
+                SERVICE_TIME,
+                scenario.slow_share,
+            )
             for index in range(TARGETS)
         ]
         self.targets = [
@@ -150,6 +162,7 @@
     run = Run(scenario, seed)
     run.run()
     possible = possible_answers(cold=scenario.cold)
+    possible /= 1 + scenario.slow_share * (SLOW_REQUEST - 1)
     over = '-'
     if scenario.admission:
         over = str(max(gated.most_over for gated in run.gated))
--- a/cassialever/ramp.py
+++ b/cassialever/ramp.py
@@ -80,7 +80,7 @@
         self._limit = _coldest(self._limits)
         self._growth = Growth()
         self._is_settled = False
-        self._watch = LatencyWatch()
+        self._watch.start_over()
 
     def saw_incarnation(self, incarnation: Incarnation) -> bool:
         """Note an answer's incarnation; say whether the answer still counts.
@@ -104,7 +104,8 @@
         if self._watch.has_jumped:
             self.fall_back()
             return
-        if pace.limit != self._limit or self._is_settled:
+        is_test = pace.limit == self._limit and not self._watch.is_slow
+        if self._is_settled or not is_test:
             return
         self._step(self._growth.saw(latency))
 
