--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 	$(BIN)/python -m bench.tail
 	$(BIN)/python -m bench.overload
 	$(BIN)/python -m bench.retries
+
+.PHONY: bench-hops
+
+bench-hops: $(STAMP)
+	$(BIN)/python -m bench.hops
--- a/cassialever/interfaces.py
+++ b/cassialever/interfaces.py
@@ -115,6 +115,7 @@
     headers: Headers
     time_left: Seconds
     fence: Fence
+    traceparent: str = ''
 
 
 class TargetAnswer(msgspec.Struct):
--- a/cassialever/leaseholder.py
+++ b/cassialever/leaseholder.py
@@ -2,12 +2,15 @@
 
 from collections.abc import AsyncIterator
 
+import msgspec
+
 from cassialever.catalogue import TargetEntry
 from cassialever.claims import Claims
 from cassialever.errors import EntryRef, ErrorKind, Failure
 from cassialever.messages import HolderAnswer, RequestHead
 from cassialever.placement import Placement
 from cassialever.runs import RunTools, TargetRun
+from cassialever.tracing import Hop
 from cassialever.types import EntryKind
 
 
@@ -31,6 +34,23 @@
         body: AsyncIterator[bytes] | None,
     ) -> HolderAnswer | Failure:
         """Run a request, within the target's slots and under its lease."""
+        span = self._tools.tracing.hop(
+            Hop.holder,
+            head.traceparent,
+            head.request_id,
+            head.target_id,
+        )
+        if span.traceparent != head.traceparent:
+            head = msgspec.structs.replace(head, traceparent=span.traceparent)
+        outcome = await self._handle(head, body)
+        span.end(outcome.kind if isinstance(outcome, Failure) else None)
+        return outcome
+
+    async def _handle(
+        self,
+        head: RequestHead,
+        body: AsyncIterator[bytes] | None,
+    ) -> HolderAnswer | Failure:
         entry = self._placement.target(head.target_id)
         service = self._placement.service(head.service)
         if entry is None or service is None:
--- a/cassialever/runs.py
+++ b/cassialever/runs.py
@@ -22,6 +22,7 @@
 from cassialever.messages import HolderAnswer, RequestHead
 from cassialever.misc import BackgroundTasks, close_body
 from cassialever.tickets import Ending, Ticket
+from cassialever.tracing import Hop, Tracing
 from cassialever.types import Fence
 
 MILLISECONDS: Final = 1000
@@ -50,6 +51,7 @@
     flights: Flights
     clock: Clock
     tasks: BackgroundTasks
+    tracing: Tracing
 
 
 class TargetRun:
@@ -148,12 +150,21 @@
     ) -> TargetAnswer | Failure:
         longest = self._service.limits.attempt_timeout_ms / MILLISECONDS
         time_left = flight.deadline - self._tools.clock.monotonic()
+        span = self._tools.tracing.hop(
+            Hop.target,
+            self.head.traceparent,
+            self.head.request_id,
+            self.head.target_id,
+        )
         request = _target_request(
             self.head,
             flight.fence,
             min(time_left, longest),
+            span.traceparent,
         )
-        return await self._tools.targets.send(request, body)
+        outcome = await self._tools.targets.send(request, body)
+        span.end(outcome.kind if isinstance(outcome, Failure) else None)
+        return outcome
 
     async def _landing(
         self,
@@ -202,6 +213,7 @@
     head: RequestHead,
     fence: Fence,
     time_left: float,
+    traceparent: str,
 ) -> TargetRequest:
     return TargetRequest(
         target_id=head.target_id,
@@ -211,4 +223,5 @@
         headers=head.headers,
         time_left=time_left,
         fence=fence,
+        traceparent=traceparent,
     )
--- /dev/null
+++ b/cassialever/telemetry.py
@@ -0,0 +1,72 @@
+"""What a daemon tells of itself: metrics, traces and decisions."""
+
+from cassialever.decisions import Decisions, Refused
+from cassialever.errors import Failure
+from cassialever.events import Event, record
+from cassialever.exchange import Routed
+from cassialever.intake import Intake
+from cassialever.interfaces import Clock
+from cassialever.metrics import Metrics
+from cassialever.settings import Settings
+from cassialever.tracing import Tracing
+from cassialever.types import (
+    CallerId,
+    Key,
+    RequestId,
+    Seconds,
+    ServiceName,
+    TargetId,
+)
+
+
+class Telemetry:
+    """Metrics, traces and the record of decisions."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        """Make the three, with the exporters of the settings."""
+        self._clock = clock
+        self.metrics = Metrics(settings)
+        self.tracing = Tracing(settings)
+        self.decisions = Decisions(settings)
+
+    def stop(self) -> None:
+        """Send what has been gathered, and stop."""
+        self.metrics.stop()
+        self.tracing.stop()
+
+    def refused(
+        self,
+        request_id: RequestId,
+        failure: Failure,
+        intake: Intake | None,
+        target_id: TargetId | None,
+    ) -> None:
+        """Record a request that was refused, and the entry behind it."""
+        record(
+            Event.request_refused,
+            request_id=request_id,
+            kind=failure.kind.value,
+            entry=failure.entry or '',
+        )
+        self.decisions.note(
+            Refused(
+                at=self._clock.wall(),
+                entry=failure.entry,
+                service=intake.service.name if intake else ServiceName(''),
+                target_id=target_id or TargetId(''),
+                request_id=request_id,
+                kind=failure.kind,
+                reason=failure.reason,
+                caller=intake.caller_id if intake else CallerId(''),
+                key=intake.key if intake else Key(''),
+            ),
+        )
+
+    def ended(self, intake: Intake, routed: Routed, began: Seconds) -> None:
+        """Count a request that was routed."""
+        outcome = routed.outcome
+        kind = outcome.kind if isinstance(outcome, Failure) else None
+        elapsed = self._clock.monotonic() - began
+        service = intake.service.name
+        self.metrics.request_ended(service, kind, elapsed)
+        self.metrics.attempts[service] += routed.attempts
--- a/standins/load.py
+++ b/standins/load.py
@@ -12,7 +12,7 @@
 
 from cassialever.catalogue import Catalogue, ServiceEntry
 from cassialever.clock import seeded_random
-from cassialever.front import ERROR_HEADER, HOLDER_HEADER, TARGET_HEADER
+from cassialever.answers import ERROR_HEADER, HOLDER_HEADER, TARGET_HEADER
 from cassialever.intake import REQUEST_ID_HEADER
 from cassialever.interfaces import RandomSource
 from cassialever.types import RoutingClass
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -15,8 +15,9 @@
 from cassialever import target_headers
 from cassialever.misc import ServerSite
 from cassialever.target_orders import Grant, TargetHealth, TargetReport
-from cassialever.types import Incarnation, RequestId, TargetId
+from cassialever.types import Fence, Incarnation, RequestId, TargetId
 from standins.downloads import Download
+from standins.grants import Grants
 from standins.work import TargetBehaviour, Work
 
 ORDERS = '/_cassialever/'
@@ -33,8 +34,7 @@
         self.download = Download()
         self.faults = ConnectionFaults()
         self.work = Work()
-        self.highest_fence = 0
-        self.grant: Grant | None = None
+        self.grants = Grants()
         self.cancelled: list[RequestId] = []
         self.site = ServerSite(web.Server(self._serve))
 
@@ -50,13 +50,16 @@
     async def stop(self) -> None:
         """Stop listening."""
         self.faults.stop()
+        self.download.stop()
         await self.site.stop()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         # When the router has gone away there is nobody to be told.
         with suppress(ConnectionError):
             if await self.faults.lets_through(request.transport):
-                return await self._answer(request)
+                # Work goes on after the one who wanted it has gone away.
+                answering = asyncio.create_task(self._answer(request))
+                return await asyncio.shield(answering)
         return web.Response()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -76,10 +79,13 @@
     def _refusal(self, request: web.BaseRequest) -> web.Response | None:
         headers = request.headers
         fence = int(headers.get(target_headers.FENCE, '0'))
-        if self.behaviour.checks_fence and fence < self.highest_fence:
+        allowed = self.grants.allow(
+            Fence(fence),
+            needs_grant=self.behaviour.needs_grant,
+        )
+        if self.behaviour.checks_fence and not allowed:
             stale = {target_headers.STALE_FENCE: target_headers.YES}
             return self._reply(HTTPStatus.CONFLICT, stale, b'')
-        self.highest_fence = max(fence, self.highest_fence)
         full = self.work.in_flight >= self.behaviour.slots
         if self.behaviour.shed or full:
             self.work.note_refused()
@@ -114,12 +120,8 @@
         return self._cancel(RequestId(order.removeprefix('requests/')))
 
     def _take_grant(self, grant: Grant) -> web.Response:
-        if self.behaviour.checks_fence and grant.fence < self.highest_fence:
-            stale = {target_headers.STALE_FENCE: target_headers.YES}
-            return self._reply(HTTPStatus.CONFLICT, stale, b'')
-        self.highest_fence = max(grant.fence, self.highest_fence)
-        self.grant = grant
-        return self._reply(HTTPStatus.NO_CONTENT, {}, b'')
+        answer = self.grants.take(grant, self.behaviour.incarnation)
+        return self._reply(HTTPStatus.OK, {}, msgspec.json.encode(answer))
 
     def _cancel(self, request_id: RequestId) -> web.Response:
         self.cancelled.append(request_id)
--- a/tests/test_homes.py
+++ b/tests/test_id_homes.py
@@ -1,9 +1,9 @@
-"""Tests of cassialever.homes."""
+"""Tests of cassialever.id_homes."""
 
 import random
 import unittest
 
-from cassialever.homes import SPREAD, Homes
+from cassialever.id_homes import SPREAD, IdHomes
 from cassialever.minting import mint
 from cassialever.once import CLOCK_MARGIN, First, OnceLimits, OnceMemory
 from cassialever.types import RequestId, TargetId
@@ -24,7 +24,7 @@
 
     def setUp(self) -> None:
         """Start with all targets; each has a memory since long."""
-        self.homes = Homes(RETENTION)
+        self.homes = IdHomes(RETENTION)
         self.homes.adopt(TARGETS, START)
         limits = OnceLimits(retention=RETENTION)
         self.memory_by_target = {
