--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,11 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 
+.PHONY: bench-hops
+
+bench-hops: $(STAMP)
+	$(BIN)/python -m bench.hops
+
 .PHONY: bench bench-limits
 
 bench: bench-limits
@@ -36,7 +41,10 @@
 	$(BIN)/python -m bench.overload
 	$(BIN)/python -m bench.retries
 
-.PHONY: bench-hops
+.PHONY: capacity bench-balance
 
-bench-hops: $(STAMP)
-	$(BIN)/python -m bench.hops
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+bench-balance: $(STAMP)
+	$(BIN)/python -m bench.balance
--- a/cassialever/claims.py
+++ b/cassialever/claims.py
@@ -1,16 +1,18 @@
 """Run work that may not be repeated once, with the memory of its target."""
 
 import asyncio
+import functools
 from collections.abc import AsyncIterator
 
+from cassialever.bodies import WatchedBody
 from cassialever.errors import ANSWER_BY_KIND, Failure
 from cassialever.interfaces import Clock
 from cassialever.leases import HeldLeases
 from cassialever.messages import HolderAnswer, RequestHead, TargetLoad
-from cassialever.misc import close_body, one_chunk
+from cassialever.misc import one_chunk
 from cassialever.once import Finished, OnceLimits, OnceMemory, StoredAnswer
 from cassialever.runs import TargetRun
-from cassialever.types import SliceIndex, TargetId
+from cassialever.types import Seconds, SliceIndex, TargetId
 
 
 class Claims:
@@ -57,14 +59,19 @@
         self,
         run: TargetRun,
         body: AsyncIterator[bytes] | None,
+        home_from: Seconds,
     ) -> HolderAnswer | Failure:
-        """Run a request unless its id has come before."""
+        """Run a request unless its id has come before.
+
+        `home_from` says since when its id has had no other home.
+        """
         head = run.head
         memory = self.memory(head.target_id)
         claimed = memory.claim(
             head.request_id,
             self._clock.wall(),
             head.slice_index,
+            home_from,
         )
         if isinstance(claimed, Failure):
             return claimed
@@ -90,27 +97,48 @@
         else:
             memory.release(run.head.request_id)
 
-    async def _remembered(
+    def _remembered(
         self,
         answer: HolderAnswer,
         memory: OnceMemory,
         head: RequestHead,
-    ) -> AsyncIterator[bytes | Failure]:
-        whole = bytearray()
-        stored: StoredAnswer | None = None
-        inner = answer.body
-        try:
-            async for chunk in inner:
-                yield chunk
-                if isinstance(chunk, Failure):
-                    return
-                if len(whole) <= self._limits.answer_bytes:
-                    whole.extend(chunk)
-            stored = StoredAnswer(answer.status, answer.headers, bytes(whole))
-        finally:
-            # A body that outgrew the limit is refused by `finish` itself.
-            memory.finish(head.request_id, stored, self._clock.wall())
-            await close_body(inner)
+    ) -> WatchedBody:
+        gathered = GatheredAnswer(answer, self._limits)
+        remember = functools.partial(self._remember, memory, head, gathered)
+        return WatchedBody(answer.body, remember, gathered.keep)
+
+    def _remember(
+        self,
+        memory: OnceMemory,
+        head: RequestHead,
+        gathered: 'GatheredAnswer',
+        is_whole: bool,
+    ) -> None:
+        stored = gathered.stored() if is_whole else None
+        memory.finish(head.request_id, stored, self._clock.wall())
+
+
+class GatheredAnswer:
+    """An answer on its way to the caller, kept for a second try."""
+
+    def __init__(self, answer: HolderAnswer, limits: OnceLimits) -> None:
+        """Take the head; the body comes chunk by chunk."""
+        self._answer = answer
+        self._limits = limits
+        self._body = bytearray()
+
+    def keep(self, chunk: bytes) -> None:
+        """Add a chunk; a body over the limit is refused by the memory."""
+        if len(self._body) <= self._limits.answer_bytes:
+            self._body.extend(chunk)
+
+    def stored(self) -> StoredAnswer:
+        """Return the whole answer."""
+        return StoredAnswer(
+            self._answer.status,
+            self._answer.headers,
+            bytes(self._body),
+        )
 
 
 def _stored(answer: StoredAnswer, head: RequestHead) -> HolderAnswer:
--- a/cassialever/once.py
+++ b/cassialever/once.py
@@ -148,7 +148,7 @@
     ) -> Claimed:
         """Claim an id before its first attempt, or learn of the first.
 
-        `home_from` says since when this is the id's only home; see `IdHomes`.
+        `home_from` says since when this is the id's only home: see `Homes`.
         Fails with `already_running` or `already_run`; with `outcome_unknown`
         where the first may have run or can't be known of; and, not run,
         with `malformed_request_id` for an id from the future or with
--- a/cassialever/id_homes.py
+++ b/cassialever/request_homes.py
@@ -24,7 +24,7 @@
     until: Seconds
 
 
-class IdHomes:
+class Homes:
     """The targets of one service, now and a while back."""
 
     def __init__(self, retention: Seconds) -> None:
--- a/tests/test_id_homes.py
+++ b/tests/test_request_homes.py
@@ -1,9 +1,9 @@
-"""Tests of cassialever.id_homes."""
+"""Tests of cassialever.request_homes."""
 
 import random
 import unittest
 
-from cassialever.id_homes import SPREAD, IdHomes
+from cassialever.request_homes import SPREAD, Homes
 from cassialever.minting import mint
 from cassialever.once import CLOCK_MARGIN, First, OnceLimits, OnceMemory
 from cassialever.types import RequestId, TargetId
@@ -24,7 +24,7 @@
 
     def setUp(self) -> None:
         """Start with all targets; each has a memory since long."""
-        self.homes = IdHomes(RETENTION)
+        self.homes = Homes(RETENTION)
         self.homes.adopt(TARGETS, START)
         limits = OnceLimits(retention=RETENTION)
         self.memory_by_target = {
