--- a/cassialever/slots.py
+++ b/cassialever/slots.py
@@ -1,6 +1,6 @@
 """The slots of one target: who occupies them, and for how long."""
 
-from cassialever.exceptions import InvariantError
+from cassialever.invariants import Invariant, check
 from cassialever.latency import RecentMedian
 from cassialever.ramp import Age, Ramp
 from cassialever.tickets import Admitted, Ending, Slot, Ticket
@@ -40,10 +40,12 @@
         """Take a slot for a ticket; one has to be free."""
         pace = self.ramp.pace()
         self._slot_by_ticket[ticket] = Slot(since=now, pace=pace)
-        if self.in_flight > pace.limit:
-            raise InvariantError(
-                f'{self.in_flight} in flight over a limit of {pace.limit}',
-            )
+        check(
+            Invariant.in_flight_within_limit,
+            ok=self.in_flight <= pace.limit,
+            in_flight=self.in_flight,
+            limit=pace.limit,
+        )
         self.peak = max(self.peak, self.in_flight)
         return Admitted(pace)
 
