Hand a data centre's keys over when it is taken out, and back by and by

Cause: each coordinator assigned the slices of its own data centre for good, so that keys of a data centre that was out had no owner. Change: a block of slices is let go by its home's coordinator, which writes the new home with a check of its own rows; routers wait for the new owner. Before: every key of the data centre refused with no_owner.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -43,6 +43,7 @@
         """Make every part; nothing is started."""
         self.settings = settings
         clock = SystemClock()
+        self._clock = clock
         random_source = seeded_random(settings.random_seed)
         homes = HomeAssignment(settings.instance.data_centre)
         core = Ownership(
@@ -131,6 +132,6 @@
 
     def _adopt(self, catalogue: Catalogue) -> None:
         index = CatalogueIndex(catalogue)
-        if self.path.placement.adopt_catalogue(index):
+        if self.path.placement.adopt_catalogue(index, self._clock.monotonic()):
             record(Event.catalogue_adopted, version=catalogue.version)
             self.driver.adopt_catalogue(index)
--- a/cassialever/attempts.py
+++ b/cassialever/attempts.py
@@ -17,11 +17,12 @@
 #: Sends to targets for one request, hedge included.
 MOST_ATTEMPTS: Final = 3
 #: The pause before each further try to find who takes the request now.
-REDIRECT_PAUSES: Final[tuple[Seconds, ...]] = (0, 0.02, 0.1)
+REDIRECT_PAUSES: Final[tuple[Seconds, ...]] = (0, 0.02, 0.1, 0.2, 0.4)
 
 #: The request never got near a target: another daemon or target has it now.
 REDIRECTED: Final = frozenset(
     (
+        ErrorKind.no_owner,
         ErrorKind.not_holder,
         ErrorKind.lease_lapsed,
         ErrorKind.stopping,
--- a/cassialever/coordinator_plan.py
+++ b/cassialever/coordinator_plan.py
@@ -98,7 +98,7 @@
     effects: list[Effect] = []
     for service in sorted(state.moves.rows.owners_by_service):
         targets = _usable(state, index, service)
-        if not targets or not _is_unsettled(service, targets, state, now):
+        if not _is_unsettled(service, targets, state, now):
             continue
         if now > state.table.answered_at + TABLE_FRESH:
             return [*effects, *_probe(state, now)]
@@ -131,7 +131,7 @@
         return False
     current = state.moves.rows.owners_by_service[service]
     loads = state.loads.load_by_service.get(service, {})
-    wanted = state.context.assign(current, targets, loads)
+    wanted = state.context.assign(service, current, targets, loads)
     if list(wanted) != list(current):
         return True
     state.loads.settled_by_service[service] = basis
@@ -144,7 +144,7 @@
         {
             'service': move.service,
             'source': str(move.source),
-            'destination': move.destination,
+            'destination': str(move.destination),
             'slices': len(move.slices),
         },
     )
@@ -218,7 +218,12 @@
             ready,
             fence,
             ChangeId(f'{authority.membership.me}/{fence}'),
-            {name: known.version if known else ABSENT},
+            {
+                name: known.version if known else ABSENT,
+                **state.context.assign.checks(
+                    {move.service for move in state.moves.moves},
+                ),
+            },
             token,
             now,
         ),
--- a/cassialever/destinations.py
+++ b/cassialever/destinations.py
@@ -23,7 +23,7 @@
 
 #: How long a key that has no owner just now is waited for, in seconds; a
 #: planned move is over well within it.
-OWNER_WAIT: Final[Seconds] = 0.5
+OWNER_WAIT: Final[Seconds] = 2.0
 #: Between two looks for an owner, in seconds.
 OWNER_PAUSE: Final[Seconds] = 0.02
 #: When a caller may come back to a target without a holder, in seconds.
--- a/cassialever/even_assignment.py
+++ b/cassialever/even_assignment.py
@@ -1,10 +1,16 @@
 """The plainest rule for which target owns which slice: an even number each."""
 
 import collections
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Protocol
 
-from cassialever.types import SliceIndex, TargetId
+from cassialever.types import (
+    RowName,
+    RowVersion,
+    ServiceName,
+    SliceIndex,
+    TargetId,
+)
 
 
 class Assign(Protocol):
@@ -12,6 +18,7 @@
 
     def __call__(
         self,
+        service: ServiceName,
         current: Sequence[TargetId | None],
         targets: Sequence[TargetId],
         loads: Mapping[SliceIndex, float],
@@ -19,8 +26,39 @@
         """Return the owner wanted for each slice.
 
         `targets` are those that can own slices; `loads` is in any one unit.
+        No owner is wanted for a slice that this data centre is to let go.
         """
 
+    def checks(
+        self,
+        services: Iterable[ServiceName],
+    ) -> Mapping[RowName, RowVersion]:
+        """Return the rows that the wanted owners were worked out from.
+
+        A write of owners counts only while these rows stand unchanged.
+        """
+
+
+class EvenAssignment:
+    """Give each target an even number of slices, whatever their home."""
+
+    def __call__(
+        self,
+        service: ServiceName,
+        current: Sequence[TargetId | None],
+        targets: Sequence[TargetId],
+        loads: Mapping[SliceIndex, float],
+    ) -> Sequence[TargetId | None]:
+        """Return the owner wanted for each slice."""
+        return assign_evenly(current, targets, loads)
+
+    def checks(
+        self,
+        services: Iterable[ServiceName],
+    ) -> Mapping[RowName, RowVersion]:
+        """Return no rows, since the owners follow from none."""
+        return {}
+
 
 def assign_evenly(
     current: Sequence[TargetId | None],
--- a/cassialever/exchange.py
+++ b/cassialever/exchange.py
@@ -163,7 +163,7 @@
 
     def _decide(self, sent: Destination, failure: Failure) -> Decision:
         now = self._clock.monotonic()
-        self._note_gave_up(sent)
+        self._note_gave_up(sent, failure.kind)
         state = AttemptState.answered
         if failure.kind is ErrorKind.outcome_unknown:
             state = AttemptState.outcome_unknown
@@ -185,12 +185,17 @@
                 self._clock.monotonic(),
             )
 
-    def _note_gave_up(self, sent: Destination) -> None:
+    def _note_gave_up(
+        self,
+        sent: Destination,
+        kind: ErrorKind | None = None,
+    ) -> None:
         if self._places.is_any:
             self._traffic.chooser.gave_up(
                 sent.target_id,
                 self._intake.request_id,
                 self._clock.monotonic(),
+                kind,
             )
 
     def _give_up_others(self) -> None:
--- a/cassialever/homes.py
+++ b/cassialever/homes.py
@@ -1,13 +1,20 @@
 """Which data centre's coordinator a slice is at home with.
 
 The home of each block of slices stands in the table, one row a service. The
-row is written once, by whichever coordinator finds it missing, and spreads
+first row is written by whichever coordinator finds it missing, and spreads
 the blocks by the number of targets that each data centre has. Without the
 row, or with the row of another number of slices, nobody assigns a slice: a
 coordinator never works out by itself what is its own.
+
+A block changes its home only by the coordinator that has it: it lets the
+block's slices go, and then writes the new home in one transaction with a
+check of its own rows. Writes of owners check the homes in turn, so that of a
+change of home and a new owner at the old one only one can be written.
 """
 
-from collections.abc import Mapping, Sequence
+import collections
+import itertools
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -20,6 +27,7 @@
     DataCentreId,
     RoutingClass,
     RowName,
+    RowVersion,
     ServiceName,
     SliceIndex,
     TargetId,
@@ -27,6 +35,8 @@
 
 #: Slices that always share a home.
 BLOCK_SLICES: Final = 16
+#: Blocks that leave a data centre together while it stays in service.
+BLOCKS_AT_ONCE: Final = 2
 HOMES_PREFIX: Final = 'homes/'
 
 
@@ -71,49 +81,115 @@
     )
 
 
+class KnownHomes(msgspec.Struct, frozen=True):
+    """The homes of one service and the version of their row."""
+
+    row: HomesRow
+    version: RowVersion
+
+
+def wanted_homes(
+    row: HomesRow,
+    index: CatalogueIndex,
+) -> tuple[DataCentreId, ...]:
+    """Return the homes that the catalogue's targets in service ask for.
+
+    A block stays where it is unless its data centre has no target in
+    service, or more blocks than its share while another has less.
+    """
+    blocks = len(row.home_by_block)
+    room = _shares(row.service, blocks, index)
+    if not room:
+        return row.home_by_block
+    wanted: list[DataCentreId | None] = []
+    for home in row.home_by_block:
+        stays = room[home] > 0
+        room[home] -= int(stays)
+        wanted.append(home if stays else None)
+    spare = iter(sorted((+room).elements()))
+    return tuple(kept or next(spare) for kept in wanted)
+
+
+def _shares(
+    service: ServiceName,
+    blocks: int,
+    index: CatalogueIndex,
+) -> collections.Counter[DataCentreId]:
+    """Divide blocks by the targets that each data centre has in service."""
+    weights = sorted(
+        target.data_centre
+        for target in index.targets_by_service.get(service, ())
+        if index.is_out(target) is None
+    )
+    if not weights:
+        return collections.Counter()
+    return collections.Counter(
+        weights[block * len(weights) // blocks] for block in range(blocks)
+    )
+
+
 class HomeAssignment:
     """Assign the slices at home in one data centre, and no others."""
 
     def __init__(self, data_centre: DataCentreId) -> None:
         """Start without a catalogue and without homes."""
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._index: CatalogueIndex | None = None
-        self._row_by_service: dict[ServiceName, HomesRow] = {}
+        self._known_by_service: dict[ServiceName, KnownHomes] = {}
 
     def __call__(
         self,
+        service: ServiceName,
         current: Sequence[TargetId | None],
         targets: Sequence[TargetId],
         loads: Mapping[SliceIndex, float],
     ) -> Sequence[TargetId | None]:
         """Return the owner wanted for each slice, none for those away."""
-        row = self._row_of(targets)
-        if row is None or row.slices != len(current):
+        known = self._known_by_service.get(service)
+        if known is None or known.row.slices != len(current):
             return current
+        leaving = self.leaving(service)
         own = [
             number
             for number in range(len(current))
-            if row.home(number) == self._data_centre
+            if known.row.home(number) == self.data_centre
+            and number // BLOCK_SLICES not in leaving
         ]
         wanted = assign_evenly(
             [current[number] for number in own],
             targets,
             loads,
         )
-        merged = list(current)
+        merged: list[TargetId | None] = [None for _ in current]
         for number, owner in zip(own, wanted, strict=True):
             merged[number] = owner
         return merged
 
+    def checks(
+        self,
+        services: Iterable[ServiceName],
+    ) -> Mapping[RowName, RowVersion]:
+        """Return the rows of homes that the wanted owners follow from."""
+        return {
+            homes_row(service): self._known_by_service[service].version
+            for service in services
+            if service in self._known_by_service
+        }
+
     def adopt_catalogue(self, index: CatalogueIndex) -> None:
-        """Take the catalogue that says which service a target belongs to."""
+        """Take the catalogue that says which targets are in service."""
         self._index = index
 
     def adopt_rows(self, rows: Mapping[RowName, Row]) -> None:
         """Take the homes as the table has them."""
         for row in rows.values():
             decoded = decode_homes(row)
-            self._row_by_service[decoded.service] = decoded
+            known = self._known_by_service.get(decoded.service)
+            if known is None or known.version < row.version:
+                self._known_by_service[decoded.service] = KnownHomes(
+                    decoded,
+                    row.version,
+                )
 
     def missing(self) -> list[RowWrite]:
         """Return the writes of the rows that the table lacks."""
@@ -123,18 +199,64 @@
             first_homes(self._index, service)
             for service in self._index.catalogue.services
             if service.routing is RoutingClass.keyed
-            and service.name not in self._row_by_service
+            and service.name not in self._known_by_service
         ]
         return [
             RowWrite(
-                homes_row(row.service), ABSENT, msgspec.msgpack.encode(row)
+                homes_row(row.service),
+                ABSENT,
+                msgspec.msgpack.encode(row),
             )
             for row in rows
             if row.home_by_block
         ]
 
-    def _row_of(self, targets: Sequence[TargetId]) -> HomesRow | None:
-        if self._index is None or not targets:
+    def unsettled(self) -> list[ServiceName]:
+        """Return the services with a block that is to change its home."""
+        if self._index is None:
+            return []
+        index = self._index
+        return [
+            service
+            for service, known in self._known_by_service.items()
+            if wanted_homes(known.row, index) != known.row.home_by_block
+        ]
+
+    def leaving(self, service: ServiceName) -> dict[int, DataCentreId]:
+        """Return the blocks that are to leave now, and where they go.
+
+        Those of a data centre that is out leave together; else a few leave
+        at a time, so that a data centre returns by and by.
+        """
+        known = self._known_by_service.get(service)
+        if known is None or self._index is None:
+            return {}
+        wanted = wanted_homes(known.row, self._index)
+        leaving = {
+            block: wanted[block]
+            for block, home in enumerate(known.row.home_by_block)
+            if home == self.data_centre and wanted[block] != home
+        }
+        if self.data_centre not in wanted:
+            return leaving
+        return dict(itertools.islice(leaving.items(), BLOCKS_AT_ONCE))
+
+    def handed_over(
+        self,
+        service: ServiceName,
+        owners: Sequence[TargetId | None],
+    ) -> RowWrite | None:
+        """Return the write that gives away blocks without an owner."""
+        known = self._known_by_service.get(service)
+        if known is None:
+            return None
+        homes = list(known.row.home_by_block)
+        for block, home in self.leaving(service).items():
+            first = block * BLOCK_SLICES
+            if not any(owners[first : first + BLOCK_SLICES]):
+                homes[block] = home
+        row = msgspec.structs.replace(known.row, home_by_block=tuple(homes))
+        if row == known.row:
             return None
-        entry = self._index.target_by_id.get(targets[0])
-        return self._row_by_service.get(entry.service) if entry else None
+        body = msgspec.msgpack.encode(row)
+        return RowWrite(homes_row(service), known.version, body)
--- a/cassialever/moves.py
+++ b/cassialever/moves.py
@@ -37,11 +37,14 @@
 
 
 class Move(msgspec.Struct, frozen=True):
-    """Slices of one service on their way between two targets."""
+    """Slices of one service on their way between two targets.
+
+    Without a destination they are let go, for another data centre to take.
+    """
 
     service: ServiceName
     source: TargetId | None
-    destination: TargetId
+    destination: TargetId | None
     slices: frozenset[SliceIndex]
     step: MoveStep = MoveStep.stopping
 
@@ -81,7 +84,7 @@
     ) -> list[Move]:
         """Begin the moves from the owners there are to those wanted."""
         current = self.rows.owners_by_service[service]
-        wanted = assign(current, targets, loads)
+        wanted = assign(service, current, targets, loads)
         found = _differences(current, wanted, self._busy(service))
         begun = [
             Move(service, *ends, frozenset(slices))
@@ -205,12 +208,12 @@
     current: Sequence[TargetId | None],
     wanted: Sequence[TargetId | None],
     busy: set[int],
-) -> dict[tuple[TargetId | None, TargetId], set[SliceIndex]]:
+) -> dict[tuple[TargetId | None, TargetId | None], set[SliceIndex]]:
     """Return the slices to move by source and destination."""
-    found: dict[tuple[TargetId | None, TargetId], set[SliceIndex]] = {}
+    found: dict[tuple[TargetId | None, TargetId | None], set[SliceIndex]] = {}
     pairs = zip(current, wanted, strict=True)
     for number, (source, destination) in enumerate(pairs):
-        if destination is None or source == destination:
+        if source == destination:
             continue
         if number not in busy:
             group = found.setdefault((source, destination), set())
--- a/cassialever/ownership.py
+++ b/cassialever/ownership.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from cassialever.even_assignment import Assign, assign_evenly
+from cassialever.even_assignment import Assign, EvenAssignment
 from cassialever.authority import Authority
 from cassialever.control_messages import Heartbeat
 from cassialever.coordinator import Coordinator
@@ -36,7 +36,7 @@
         settings: Settings,
         incarnation: Incarnation,
         random: RandomSource,
-        assign: Assign = assign_evenly,
+        assign: Assign | None = None,
     ) -> None:
         """Start as a new incarnation, which must be above all before it."""
         instance = settings.instance
@@ -60,7 +60,7 @@
                 self.membership,
                 self.authority,
                 tokens,
-                assign,
+                assign or EvenAssignment(),
             ),
         )
         self.holder = Holder(
--- a/cassialever/ownership_driver.py
+++ b/cassialever/ownership_driver.py
@@ -79,7 +79,7 @@
         #: Whether the table gave an answer to the last question.
         self.table_answers = False
         self._homes = homes
-        self._keeper = HomesKeeper(table, homes, self.coordinates)
+        self._keeper = HomesKeeper(table, homes, core, clock)
 
     async def start(self) -> None:
         """Hear peers and keep time."""
--- a/cassialever/placement.py
+++ b/cassialever/placement.py
@@ -10,6 +10,7 @@
     DataCentreId,
     InstanceId,
     Key,
+    Seconds,
     ServiceName,
     TargetId,
 )
@@ -25,15 +26,22 @@
         """Start with no catalogue and no maps."""
         self.data_centre = data_centre
         self.index: CatalogueIndex | None = None
+        #: The monotonic instant at which the catalogue came into force.
+        self.adopted_at: Seconds = 0
         self.map_by_data_centre: dict[DataCentreId, RoutingMap] = {}
         #: Rises with each change, so that what is derived can be renewed.
         self.revision = 0
 
-    def adopt_catalogue(self, index: CatalogueIndex) -> bool:
+    def adopt_catalogue(
+        self,
+        index: CatalogueIndex,
+        now: Seconds = 0,
+    ) -> bool:
         """Take a catalogue with a higher version; say whether it was."""
         if self.index and index.version <= self.index.version:
             return False
         self.index = index
+        self.adopted_at = now
         self.revision += 1
         return True
 
--- a/cassialever/slice_rows.py
+++ b/cassialever/slice_rows.py
@@ -70,6 +70,20 @@
         """Return what the rows give to a target."""
         return self._slices_by_target.get(target_id, frozenset())
 
+    def versions(self, service: ServiceName) -> dict[RowName, RowVersion]:
+        """Return the version of every row of a service."""
+        slices = len(self.owners_by_service.get(service, ()))
+        groups = -(-slices // SLICES_PER_GROUP)
+        names = [
+            group_row(self._data_centre, service, GroupIndex(group))
+            for group in range(groups)
+        ]
+        known = self._known_by_name
+        return {
+            name: known[name].version if name in known else ABSENT
+            for name in names
+        }
+
     def change_id(self, name: RowName) -> ChangeId | None:
         """Return by which change a row was written last."""
         known = self._known_by_name.get(name)
@@ -77,7 +91,10 @@
 
     def changed(
         self,
-        owner_by_slice: Mapping[tuple[ServiceName, SliceIndex], TargetId],
+        owner_by_slice: Mapping[
+            tuple[ServiceName, SliceIndex],
+            TargetId | None,
+        ],
         fence: Fence,
         change_id: ChangeId,
     ) -> tuple[RowWrite, ...]:
@@ -143,7 +160,10 @@
         self,
         service: ServiceName,
         group: GroupIndex,
-        owner_by_slice: Mapping[tuple[ServiceName, SliceIndex], TargetId],
+        owner_by_slice: Mapping[
+            tuple[ServiceName, SliceIndex],
+            TargetId | None,
+        ],
     ) -> list[TargetId | None]:
         first = group * SLICES_PER_GROUP
         current = self.owners_by_service[service]
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection
 
 from cassialever.application import Application
-from cassialever.catalogue import Catalogue
+from cassialever.catalogue import Catalogue, ServiceEntry
 from cassialever.instances import Instance, InstanceState
 from cassialever.settings import (
     InstanceSettings,
@@ -13,7 +13,13 @@
     Settings,
     StopSettings,
 )
-from cassialever.types import DataCentreId, InstanceId
+from cassialever.placement import Placement
+from cassialever.types import (
+    DataCentreId,
+    InstanceId,
+    RoutingClass,
+    SliceIndex,
+)
 from standins.platform import StandInPlatform
 
 LOOPBACK = '127.0.0.1'
@@ -51,7 +57,7 @@
         await self.platform.stop()
 
     async def settled(self) -> None:
-        """Return once every daemon knows a holder for every target."""
+        """Return once every daemon knows every holder and owner."""
         for _ in range(SETTLE_TRIES):
             if all(self._knows_all(daemon) for daemon in self.daemons):
                 return
@@ -106,7 +112,23 @@
         )
 
     def _knows_all(self, daemon: Application) -> bool:
-        return all(
-            daemon.placement.holder(target.target_id)
+        placement = daemon.placement
+        has_holders = all(
+            placement.holder(target.target_id)
             for target in self.platform.catalogue.targets
         )
+        return has_holders and all(
+            _has_owners(placement, service)
+            for service in self.platform.catalogue.services
+            if service.routing is RoutingClass.keyed
+        )
+
+
+def _has_owners(placement: Placement, service: ServiceEntry) -> bool:
+    return all(
+        any(
+            routing_map.owner(service.name, SliceIndex(number))
+            for routing_map in placement.map_by_data_centre.values()
+        )
+        for number in range(service.slices)
+    )
