--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,25 @@
 
 bench-ownership: $(STAMP)
 	$(BIN)/python -m bench.ownership
+
+.PHONY: bench-hops
+
+bench-hops: $(STAMP)
+	$(BIN)/python -m bench.hops
+
+.PHONY: bench bench-limits
+
+bench: bench-limits
+
+bench-limits: $(STAMP)
+	$(BIN)/python -m bench.tail
+	$(BIN)/python -m bench.overload
+	$(BIN)/python -m bench.retries
+
+.PHONY: capacity bench-balance
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+bench-balance: $(STAMP)
+	$(BIN)/python -m bench.balance
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from bench.engine import Engine, GatedTarget
+from cassialever.errors import ErrorKind
 from cassialever.messages import TargetLoad
 from cassialever.selection import Candidate, TargetChooser
 from cassialever.types import RequestId, Seconds, TargetId
@@ -49,6 +50,7 @@
         target_id: TargetId,
         request_id: RequestId,
         now: Seconds,
+        kind: ErrorKind | None = None,
     ) -> None:
         """Note an attempt without an answer."""
 
@@ -92,6 +94,7 @@
         target_id: TargetId,
         request_id: RequestId,
         now: Seconds,
+        kind: ErrorKind | None = None,
     ) -> None:
         """Learn nothing."""
 
@@ -204,8 +207,15 @@
 class Measured:
     """The real chooser."""
 
-    def __init__(self, target_ids: Sequence[TargetId], seed: str) -> None:
+    def __init__(
+        self,
+        target_ids: Sequence[TargetId],
+        seed: str,
+        *,
+        hedges: bool = True,
+    ) -> None:
         """Take every target as local."""
+        self._hedges = hedges
         self._chooser = TargetChooser(random.Random(seed))
         self._chooser.adopt([Candidate(one, True) for one in target_ids])
         self.choose = self._chooser.choose
@@ -216,4 +226,4 @@
     @property
     def hedge_delay(self) -> Seconds | None:
         """Return the service's hedge delay."""
-        return self._chooser.hedge.delay
+        return self._chooser.hedge.delay if self._hedges else None
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -45,6 +45,7 @@
     # Table and slices.
     row_rubbish = (510, logbook.ERROR, 'A row of the table is rubbish.')
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
+    table_answers_again = (502, logbook.NOTICE, 'The table answers again.')
 
     # Catalogue and operators.
     catalogue_adopted = (601, logbook.NOTICE, 'A catalogue is in force.')
--- a/cassialever/latency.py
+++ b/cassialever/latency.py
@@ -1,5 +1,6 @@
 """Notice when a target's latency jumps."""
 
+from collections import deque
 from typing import Final
 
 from cassialever.types import Seconds
@@ -12,6 +13,8 @@
 LATENCY_WEIGHT: Final = 0.1
 #: Latency is only compared once this many answers have been seen.
 LEARNING_ANSWERS: Final = 8
+#: The answers by which the time in a slot is judged.
+RECENT_VALUES: Final = 17
 
 
 class Average:
@@ -30,6 +33,22 @@
         self.mean += (value - self.mean) * weight
 
 
+class RecentMedian:
+    """The median of the latest values; 0 until enough have been seen."""
+
+    def __init__(self) -> None:
+        """Start without any value."""
+        self.median: float = 0
+        self._recent: deque[float] = deque(maxlen=RECENT_VALUES)
+
+    def add(self, value: float) -> None:
+        """Count a value in."""
+        self._recent.append(value)
+        if len(self._recent) >= LEARNING_ANSWERS:
+            ranked = sorted(self._recent)
+            self.median = ranked[(len(ranked) - 1) // 2]
+
+
 class LatencyWatch:
     """Compare each latency with the usual one.
 
@@ -47,6 +66,17 @@
         """Say whether enough slow ones came in a row."""
         return self._run >= SLOW_RUN
 
+    @property
+    def bound(self) -> Seconds | None:
+        """Return what is slow; `None` until enough has been learned."""
+        if self._usual.count < LEARNING_ANSWERS:
+            return None
+        return self._usual.mean * SLOW_FACTOR
+
+    def would_jump(self, open_slow: int) -> bool:
+        """Say whether attempts that are slow already make it a jump."""
+        return self._run + open_slow >= SLOW_RUN
+
     def saw(self, latency: Seconds) -> None:
         """Compare a latency and, unless it is slow, learn from it."""
         self.saw_silence(latency)
@@ -57,8 +87,7 @@
 
     def saw_silence(self, elapsed: Seconds) -> None:
         """Compare how long an attempt went without an answer."""
-        has_learned = self._usual.count >= LEARNING_ANSWERS
-        bound = self._usual.mean * SLOW_FACTOR
-        self.is_slow = has_learned and elapsed > bound
+        bound = self.bound
+        self.is_slow = bound is not None and elapsed > bound
         if self.is_slow:
             self._run += 1
--- a/cassialever/leaseholder.py
+++ b/cassialever/leaseholder.py
@@ -11,6 +11,7 @@
 from cassialever.placement import Placement
 from cassialever.runs import RunTools, TargetRun
 from cassialever.tracing import Hop
+from cassialever.traffic import Traffic
 from cassialever.types import EntryKind
 
 
@@ -22,11 +23,13 @@
         placement: Placement,
         tools: RunTools,
         claims: Claims,
+        traffic: Traffic,
     ) -> None:
         """Take what says whether a request may be sent, and the sender."""
         self._placement = placement
         self._tools = tools
         self._claims = claims
+        self._traffic = traffic
 
     async def handle(
         self,
@@ -63,7 +66,9 @@
             return refusal
         run = TargetRun(self._tools, head, entry, service)
         if head.claims:
-            return await self._claims.run_once(run, body)
+            homes = self._traffic.of(service).homes
+            home_from = homes.known_from(head.request_id)
+            return await self._claims.run_once(run, body, home_from)
         return await run.answer(body)
 
     def _refusal(self, head: RequestHead, entry: TargetEntry) -> Failure | None:
--- a/cassialever/limits.py
+++ b/cassialever/limits.py
@@ -4,7 +4,15 @@
 requests, and holds a queue bounded by length and by deadline.
 """
 
-from cassialever.admission import busy, fits, leaving, refuse_late, too_late
+from cassialever.admission import (
+    LateScan,
+    busy,
+    fits,
+    leaving,
+    refuse,
+    refuse_late,
+    too_late,
+)
 from cassialever.catalogue import TargetEntry
 from cassialever.errors import EntryRef, Failure
 from cassialever.fairness import FairQueue
@@ -32,6 +40,7 @@
         self._queue_length = queue_length
         self._queue = FairQueue()
         self._leaving: Failure | None = None
+        self._scan = LateScan()
 
     @property
     def state(self) -> TargetState:
@@ -70,6 +79,7 @@
             return self._leaving
         if now >= ticket.deadline:
             return too_late(self._entry.ref())
+        self.slots.check_ages(now)
         if self.slots.free and not self._queue:
             return self.slots.occupy(ticket, now)
         ahead = self._queue.ahead(ticket.caller)
@@ -108,6 +118,7 @@
 
     def expire(self, now: Seconds) -> Step:
         """Free the slots and refuse the tickets whose time has come."""
+        self._scan.force()
         self.slots.expire(now)
         return self._settle(now)
 
@@ -137,10 +148,18 @@
 
     def _settle(self, now: Seconds) -> Step:
         """Refuse those that no longer fit, then start those that may."""
-        refused = refuse_late(self._queue, self.slots, self._entry.ref(), now)
+        self.slots.check_ages(now)
+        refused: list[Refusal] = []
+        if self._scan.is_due(self.slots.ramp.limit, now):
+            refused = refuse_late(
+                self._queue, self.slots, self._entry.ref(), now
+            )
         started: list[Ticket] = []
         while self._queue and self.slots.free:
             ticket = self._queue.pop()
-            self.slots.occupy(ticket, now)
-            started.append(ticket)
+            if fits(ticket, 0, self.slots, now):
+                self.slots.occupy(ticket, now)
+                started.append(ticket)
+                continue
+            refused.append(refuse(ticket, self._entry.ref(), 0, now))
         return Step(started=tuple(started), refused=tuple(refused))
--- a/cassialever/runs.py
+++ b/cassialever/runs.py
@@ -1,6 +1,7 @@
 """One request at its leaseholder: slot, lease, target, answer."""
 
 import asyncio
+import functools
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from types import MappingProxyType
@@ -8,6 +9,7 @@
 
 import msgspec
 
+from cassialever.bodies import WatchedBody
 from cassialever.catalogue import ServiceEntry, TargetEntry
 from cassialever.errors import ErrorKind, Failure
 from cassialever.flights import Flight, Flights
@@ -20,7 +22,7 @@
 )
 from cassialever.leases import HeldLeases
 from cassialever.messages import HolderAnswer, RequestHead
-from cassialever.misc import BackgroundTasks, close_body
+from cassialever.misc import BackgroundTasks
 from cassialever.tickets import Ending, Ticket
 from cassialever.tracing import Hop, Tracing
 from cassialever.types import Fence
@@ -117,7 +119,10 @@
             outcome.status,
             outcome.headers,
             gate.gate.load(),
-            self._landing(outcome, gate, flight),
+            WatchedBody(
+                outcome.body,
+                functools.partial(self._body_ended, gate, flight),
+            ),
         )
 
     def _flight(self) -> Flight | Failure:
@@ -166,22 +171,14 @@
         span.end(outcome.kind if isinstance(outcome, Failure) else None)
         return outcome
 
-    async def _landing(
+    def _body_ended(
         self,
-        answer: TargetAnswer,
         gate: WaitingGate,
         flight: Flight,
-    ) -> AsyncIterator[bytes | Failure]:
-        ending = Ending.unknown
-        try:
-            async for chunk in answer.body:
-                yield chunk
-                if isinstance(chunk, Failure):
-                    return
-            ending = Ending.answered
-        finally:
-            self._land(gate, flight, ending)
-            await close_body(answer.body)
+        is_whole: bool,
+    ) -> None:
+        ending = Ending.answered if is_whole else Ending.unknown
+        self._land(gate, flight, ending)
 
     def _land(
         self,
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -121,7 +121,7 @@
         self.target.behaviour.shed = True
         await self.assert_fails(ErrorKind.target_shed)
         self.target.behaviour.shed = False
-        self.target.highest_fence = 4
+        self.target.grants.highest = 4
         await self.assert_fails(ErrorKind.stale_fence)
         self.assertEqual(self.target.work.runs_by_request, {})
 
@@ -190,6 +190,19 @@
         await asyncio.gather(*bodies)
         self.assertLessEqual(self.target.faults.connections, 10)
 
+    async def test_changed_entry(self) -> None:
+        """New limits give new connections; an open answer is not cut."""
+        self.target.download.body = bytes(2_000_000)
+        answer = await self.send(path='/download')
+        self.directory.entry = make_entry(self.directory.entry.address, 5)
+        await read((await self.send('r2')).body)
+        self.assertEqual(self.target.faults.connections, 2)
+        whole = b''.join(await read(answer.body))
+        self.assertEqual(whole, self.target.download.body)
+        self.directory.entry = make_entry(self.directory.entry.address, 6)
+        await read((await self.send('r3')).body)
+        self.assertEqual(self.client._retired, [])
+
 
 class TestBodies(TargetCase):
     """Bodies of answers."""
@@ -207,6 +220,15 @@
         self.assertEqual(failure.kind, ErrorKind.answer_cut)
         self.assertTrue(self.long.startswith(b''.join(chunks)))
 
+    async def test_body_that_stalls_is_cut(self) -> None:
+        """A connection gone silent within a body costs one limit."""
+        self.target.download.body = self.long
+        self.target.download.breaks = [100_000]
+        self.target.download.stalls = True
+        answer = await self.send(path='/download', time_left=0.03)
+        *_, failure = await read(answer.body)
+        self.assertEqual(failure.kind, ErrorKind.answer_cut)
+
     async def test_slow_reader_holds_the_target_back(self) -> None:
         """What is not read stays at the target but for buffers."""
         self.target.download.body = self.long
@@ -273,13 +295,21 @@
 
     async def test_grant_is_fenced(self) -> None:
         """A grant under a lower fence is refused."""
-        grant = Grant(Fence(5), 900, ServiceName('s'), (SliceRange(0, 9),))
         orders = self.client.orders
-        self.assertIsNone(await orders.grant(T1, grant))
-        self.assertEqual(self.target.grant, grant)
-        stale = Grant(Fence(4), 900, ServiceName('s'))
-        failure = await orders.grant(T1, stale)
-        self.assertEqual(failure.kind, ErrorKind.stale_fence)
+        service = ServiceName('s')
+        asked = await orders.grant(T1, Grant(Fence(5), 0, 0, service))
+        self.assertFalse(asked.accepted)
+        ends = asked.clock + 60
+        ranges = (SliceRange(0, 9),)
+        grant = Grant(Fence(5), asked.incarnation, ends, service, ranges)
+        self.assertTrue((await orders.grant(T1, grant)).accepted)
+        self.assertEqual(self.target.grants.grant, grant)
+        stale = Grant(Fence(4), asked.incarnation, ends, service)
+        refused = await orders.grant(T1, stale)
+        self.assertFalse(refused.accepted)
+        self.assertEqual(refused.highest_fence, 5)
+        old = Grant(Fence(6), asked.incarnation - 1, ends, service)
+        self.assertFalse((await orders.grant(T1, old)).accepted)
 
     async def test_reports(self) -> None:
         """Health and load come as the target tells them."""
