--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,20 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 
+.PHONY: bench-hops
+
+bench-hops: $(STAMP)
+	$(BIN)/python -m bench.hops
+
+.PHONY: bench bench-limits
+
+bench: bench-limits
+
+bench-limits: $(STAMP)
+	$(BIN)/python -m bench.tail
+	$(BIN)/python -m bench.overload
+	$(BIN)/python -m bench.retries
+
 .PHONY: capacity bench-balance
 
 capacity: $(STAMP)
@@ -34,8 +48,3 @@
 
 bench-balance: $(STAMP)
 	$(BIN)/python -m bench.balance
-
-.PHONY: bench-hops
-
-bench-hops: $(STAMP)
-	$(BIN)/python -m bench.hops
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -172,7 +172,7 @@
         'head of a forwarded request, by headers',
         'bytes',
         headers,
-        message_loads.head_bytes,
+        lambda size: message_loads.size_of(message_loads.request_head(size)),
     )
     yield line(
         'encode and decode 1,000 heads, by headers',
@@ -190,17 +190,25 @@
 
 def ownership_lines() -> Iterator[Line]:
     """Measure the messages between a coordinator and its leaseholders."""
+    yield line(
+        'map announcement of 100 targets, by slices',
+        'bytes',
+        (1_000, 10_000, 100_000),
+        message_loads.map_bytes,
+    )
     yield line(
         'heartbeat, by leases',
         'bytes',
         (1, 10, 100),
-        message_loads.heartbeat_bytes,
+        lambda size: message_loads.size_of(message_loads.heartbeat(size)),
     )
     yield line(
         'answer to a heartbeat, by leases',
         'bytes',
         (1, 10, 100),
-        message_loads.heartbeat_answer_bytes,
+        lambda size: message_loads.size_of(
+            message_loads.heartbeat_answer(size)
+        ),
     )
     yield line(
         'encode and decode 1,000 heartbeats and answers, by leases',
--- a/bench/hop_paths.py
+++ b/bench/hop_paths.py
@@ -13,10 +13,11 @@
     TargetEntry,
     TargetLimits,
 )
-from cassialever.clock import SystemClock
+from cassialever.clock import SystemClock, seeded_random
 from cassialever.dialling import PeerAddress
 from cassialever.leases import TargetLease
 from cassialever.misc import ServerSite
+from cassialever.ownership import Ownership
 from cassialever.request_path import RequestPath
 from cassialever.routing import RoutingMap
 from cassialever.settings import (
@@ -25,11 +26,13 @@
     SecuritySettings,
     Settings,
 )
+from cassialever.telemetry import Telemetry
 from cassialever.types import (
     CatalogueVersion,
     DataCentreId,
     Epoch,
     Fence,
+    Incarnation,
     InstanceId,
     RoutingClass,
     ServiceName,
@@ -135,7 +138,12 @@
         instance_id: InstanceId,
         index: CatalogueIndex,
     ) -> RequestPath:
-        daemon = RequestPath(_settings(instance_id), SystemClock())
+        settings = _settings(instance_id)
+        clock = SystemClock()
+        # The core stands still: its lease is written by hand below.
+        core = Ownership(settings, Incarnation(1), seeded_random(1))
+        telemetry = Telemetry(settings, clock)
+        daemon = RequestPath(settings, core, telemetry, clock)
         daemon.placement.adopt_catalogue(index)
         routing_map = RoutingMap(Epoch(1), {}, {TARGET: HOLDER})
         daemon.placement.adopt_map(DATA_CENTRE, routing_map)
--- a/bench/message_loads.py
+++ b/bench/message_loads.py
@@ -16,7 +16,9 @@
     LeaseReport,
 )
 from cassialever.interfaces import RowWrite, Transaction
+from cassialever.map_messages import pack_map
 from cassialever.messages import RequestHead
+from cassialever.routing import RoutingMap, ServiceMap
 from cassialever.settings import PlatformSettings
 from cassialever.spread_messages import pack_changes
 from cassialever.table import HttpTable
@@ -27,6 +29,7 @@
     Epoch,
     Fence,
     Incarnation,
+    InstanceId,
     RequestId,
     RowName,
     RowVersion,
@@ -36,6 +39,7 @@
 from standins.table import TableServer
 
 HEADS = 1000
+MAP_TARGETS = 100
 
 _SERVICE = ServiceName('registry')
 
@@ -97,7 +101,8 @@
     return len(codec.encode(pack_changes(made)))
 
 
-def _head(headers: int) -> RequestHead:
+def request_head(headers: int) -> RequestHead:
+    """Return the head of a request with so many headers."""
     return RequestHead(
         request_id=RequestId('8c3258bf33904628bace721bbbfd3657'),
         caller=CallerId('centre-17'),
@@ -115,14 +120,9 @@
     )
 
 
-def head_bytes(headers: int) -> float:
-    """Return the size of a forwarded request's head."""
-    return len(codec.encode(_head(headers)))
-
-
 def head_coding(headers: int) -> Callable[[], None]:
     """Return work that writes and reads a thousand heads."""
-    head = _head(headers)
+    head = request_head(headers)
 
     def work() -> None:  # noqa: WPS430, what is set up stays outside.
         for _ in range(HEADS):
@@ -131,7 +131,8 @@
     return work
 
 
-def _heartbeat(leases: int) -> Heartbeat:
+def heartbeat(leases: int) -> Heartbeat:
+    """Return a heartbeat that reports so many leases."""
     reports = [
         LeaseReport(target_id=_target_id(number), fence=Fence(1_000_000))
         for number in range(leases)
@@ -144,7 +145,8 @@
     )
 
 
-def _heartbeat_answer(leases: int) -> HeartbeatAnswer:
+def heartbeat_answer(leases: int) -> HeartbeatAnswer:
+    """Return an answer that only renews."""
     grants = [
         LeaseGrant(target_id=_target_id(number), fence=Fence(1_000_000))
         for number in range(leases)
@@ -158,19 +160,28 @@
     )
 
 
-def heartbeat_bytes(leases: int) -> float:
-    """Return the size of a heartbeat."""
-    return len(codec.encode(_heartbeat(leases)))
+def map_bytes(slices: int) -> float:
+    """Return the size of a map of 100 targets, each at its own daemon."""
+    targets = [_target_id(number) for number in range(MAP_TARGETS)]
+    owners = [targets[number % MAP_TARGETS] for number in range(slices)]
+    holders = {name: InstanceId(f'daemon-{name}') for name in targets}
+    routing_map = RoutingMap(
+        Epoch(1),
+        {_SERVICE: ServiceMap(owners, Fence(1))},
+        holders,
+    )
+    packed = pack_map(DataCentreId('karaganda-1'), routing_map)
+    return len(codec.encode(packed))
 
 
-def heartbeat_answer_bytes(leases: int) -> float:
-    """Return the size of an answer that only renews."""
-    return len(codec.encode(_heartbeat_answer(leases)))
+def size_of(message: msgspec.Struct) -> float:
+    """Return a message's size between daemons."""
+    return len(codec.encode(message))
 
 
 def heartbeat_coding(leases: int) -> Callable[[], None]:
     """Return work that writes and reads heartbeats with their answers."""
-    messages = (_heartbeat(leases), _heartbeat_answer(leases))
+    messages = (heartbeat(leases), heartbeat_answer(leases))
 
     def work() -> None:  # noqa: WPS430, what is set up stays outside.
         for _ in range(HEADS):
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -6,7 +6,7 @@
 from numpy import typing as npt
 
 from bench.zipf import WINDOW_SECONDS, Load, Size
-from cassialever.ledger import Loads
+from cassialever.slice_loads import Loads
 from cassialever.balancer import Round, plan_round
 from cassialever.heat import HeatView, ServiceHeat, merged
 from cassialever.rebalance import Budget
--- a/cassialever/load_assignment.py
+++ b/cassialever/load_assignment.py
@@ -4,7 +4,7 @@
 
 import numpy as np
 
-from cassialever.ledger import Assignment
+from cassialever.slice_loads import Assignment
 from cassialever.rebalance import Budget, assign
 from cassialever.slices import NO_TARGET
 from cassialever.types import SliceIndex, TargetId
--- a/cassialever/rebalance.py
+++ b/cassialever/rebalance.py
@@ -12,7 +12,7 @@
 import msgspec
 import numpy as np
 
-from cassialever.ledger import (
+from cassialever.slice_loads import (
     Assignment,
     Ledger,
     Loads,
--- a/cassialever/request_path.py
+++ b/cassialever/request_path.py
@@ -46,13 +46,14 @@
             BackgroundTasks(),
             telemetry.tracing,
         )
+        traffic = Traffic(self.placement, random_source, clock)
         self.leaseholder = Leaseholder(
             self.placement,
             self.tools,
             self.claims,
+            traffic,
         )
         self.peers = Peers(settings, core.holder.incarnation, random_source)
-        traffic = Traffic(self.placement, random_source)
         sender = Sender(
             settings.instance.instance_id,
             self.leaseholder,
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -8,7 +8,7 @@
 
 from cassialever.balancer import plan_round
 from cassialever.heat import HeatView
-from cassialever.ledger import Assignment
+from cassialever.slice_loads import Assignment
 from cassialever.load_assignment import assign_by_load
 from cassialever.rebalance import Budget, MoveCause, Plan, assign
 from cassialever.slices import MAX_HOT_KEYS, NO_TARGET, SliceMap, hash_of
