--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -82,6 +82,11 @@
         moved = [move.slice_index for move in plan.moves]
         self.assertEqual([2], moved)
 
+    def test_nothing_moves_where_there_is_no_room(self) -> None:
+        """Trading one overloaded target for another is no help."""
+        plan = assign(assignment([0, 0, 1], [10, 9, 10], [1, 1]), BUDGET)
+        self.assertEqual((), plan.moves)
+
     def test_no_target_leaves_all_as_it_is(self) -> None:
         """Without any usable target nothing is decided."""
         stuck = assignment([0, 0], [1, 1], [0])
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -7,6 +7,7 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind, Failure
 from cassialever.interfaces import ABSENT, Committed, RowWrite, Transaction
+from cassialever.rowmarks import MARKS_KEPT
 from cassialever.settings import PlatformSettings
 from cassialever.table import HttpTable
 from cassialever.types import ChangeId, RowName
@@ -90,8 +91,8 @@
         self.assertEqual(Committed({NAME: 1}), outcome)
         self.assertEqual(1, self.server.rows.writes)
 
-    async def test_a_change_given_up_is_settled_later(self) -> None:
-        """Sent again after it was overwritten, it still counts as written."""
+    async def give_up(self, rivals: int) -> None:
+        """Give up a written change, and let others overwrite the row."""
         other = HttpTable(self.settings, SystemClock(), random.Random(2))
         await other.start()
         self.addAsyncCleanup(other.stop)
@@ -103,11 +104,20 @@
         self.assert_fails(ErrorKind.table_answer_lost, await sending)
         self.server.faults.is_down = False
         await other.read([NAME])
-        self.assertEqual(
-            Committed({NAME: 2}),
-            await other.commit(change('two', expected=1)),
-        )
+        for version in range(1, rivals + 1):
+            outcome = await other.commit(change('two', version))
+            self.assertEqual(Committed({NAME: version + 1}), outcome)
         await asyncio.sleep(0.02)
+
+    async def test_a_change_given_up_stays_unclear(self) -> None:
+        """Where the row has forgotten it, it is no conflict either."""
+        await self.give_up(rivals=MARKS_KEPT)
+        outcome = await self.table.commit(change('one'))
+        self.assert_fails(ErrorKind.table_answer_lost, outcome)
+
+    async def test_a_change_given_up_is_settled_later(self) -> None:
+        """Sent again after it was overwritten, it still counts as written."""
+        await self.give_up(rivals=1)
         outcome = await self.table.commit(change('one'))
         self.assertEqual(Committed({NAME: 1}), outcome)
         self.assertEqual(b'two', await self.body())
