--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
-.PHONY: env test demo lint format
+.PHONY: env test demo lint format docs bench-catalogue
+.PHONY: prove matrix bench-ownership env test demo lint format
 
 env: $(STAMP)
 
@@ -48,3 +49,22 @@
 
 bench-balance: $(STAMP)
 	$(BIN)/python -m bench.balance
+
+docs: $(STAMP)
+	$(BIN)/python -m cassialever.reference
+
+bench-catalogue: $(STAMP)
+	$(BIN)/python -m bench.catalogue_cost
+
+SEED ?= 1
+STEPS ?= 50
+RUNS ?= 50
+
+prove: $(STAMP)
+	$(BIN)/python -m tests.prove --seed $(SEED) --steps $(STEPS) --runs $(RUNS)
+
+matrix: $(STAMP)
+	$(BIN)/python -m tests.matrix
+
+bench-ownership: $(STAMP)
+	$(BIN)/python -m bench.ownership
--- a/cassialever/authority_row.py
+++ b/cassialever/authority_row.py
@@ -12,13 +12,14 @@
     RowWrite,
     Transaction,
 )
+from cassialever.membership import Process
 from cassialever.ownership_effects import CommitRows, Effect, ReadRows
 from cassialever.ownership_events import RowsRead
 from cassialever.rows import (
     CoordinatorRow,
     Unresolved,
     coordinator_row,
-    decode_coordinator,
+    decode_row,
     encode_row,
 )
 from cassialever.settings import Settings
@@ -26,7 +27,6 @@
     ChangeId,
     Epoch,
     Incarnation,
-    InstanceId,
     RowVersion,
     Seconds,
 )
@@ -104,7 +104,7 @@
         if self.known and version < self.known.version:
             return False
         if self.known is None or self.known.version != version:
-            row = decode_coordinator(found.body) if found else None
+            row = decode_row(found.body, CoordinatorRow) if found else None
             self.known = KnownRow(row, version, now)
             self._unbroken_since = now
         if self._unbroken_since is None:
@@ -119,7 +119,7 @@
 
     def write_again(
         self,
-        successor: InstanceId,
+        successor: Process,
         unresolved: tuple[Unresolved, ...],
         now: Seconds,
     ) -> list[Effect]:
@@ -138,7 +138,7 @@
     def write_over(
         self,
         epoch: Epoch,
-        successor: InstanceId,
+        successor: Process,
         unresolved: tuple[Unresolved, ...],
         old_ended: Seconds,
         now: Seconds,
@@ -192,7 +192,7 @@
     def _write(
         self,
         epoch: Epoch,
-        successor: InstanceId,
+        successor: Process,
         unresolved: tuple[Unresolved, ...],
         old_ended: Seconds,
         now: Seconds,
@@ -202,7 +202,8 @@
             epoch=epoch,
             holder=self._me,
             holder_incarnation=self._incarnation,
-            successor=successor,
+            successor=successor[0],
+            successor_incarnation=successor[1],
             unresolved=unresolved,
             change_id=ChangeId(f'{self._me}/{self._incarnation}/{token}'),
         )
--- a/cassialever/catalogue_cmdline.py
+++ b/cassialever/catalogue_cmdline.py
@@ -3,6 +3,7 @@
 import pathlib
 
 import cyclopts
+from rich.console import Console
 
 from cassialever import catalogue_commands
 from cassialever.catalogue_store import Edit
@@ -11,7 +12,6 @@
 from cassialever.running import finish, purpose_of, run_command
 from cassialever.types import DataCentreId, ServiceState, TargetId
 
-app = cyclopts.App(name='catalogue')
 data_centre_app = cyclopts.App(
     name='data-centre',
     help='Take a data centre out of service, or return it.',
@@ -22,7 +22,6 @@
 )
 
 
-@app.command
 def check(file: pathlib.Path, *, look: Look = LOOK) -> int:
     """Check a catalogue file whole, and name every fault.
 
@@ -31,10 +30,11 @@
     file
         A catalogue in JSON with comments.
     """
-    return finish(catalogue_commands.check(file), look)
+    with Console(stderr=True).status('Checking'):
+        checked = catalogue_commands.check(file)
+    return finish(checked, look)
 
 
-@app.command
 def show(*, version: int | None = None, access: Access = ACCESS) -> int:
     """Show the catalogue in force, or an earlier version.
 
@@ -50,7 +50,6 @@
     )
 
 
-@app.command
 def diff(file: pathlib.Path, *, access: Access = ACCESS) -> int:
     """Show what applying a file would change.
 
@@ -66,7 +65,6 @@
     )
 
 
-@app.command
 def compare(
     old: int,
     new: int | None = None,
@@ -89,15 +87,15 @@
     )
 
 
-@app.command
-def apply(file: pathlib.Path, *, change: Change) -> int:
+def apply(file: pathlib.Path, *, base: int = 0, change: Change) -> int:
     """Make a file the next version of the catalogue.
 
     Parameters
     ----------
     file
-        A catalogue in JSON with comments. If it names a version, it is
-        taken as an edit of that one.
+        A catalogue in JSON with comments.
+    base
+        The version that the file is an edit of, if it names none itself.
     """
     return run_command(
         change,
@@ -105,12 +103,12 @@
         lambda tool: catalogue_commands.apply_file(
             tool,
             file,
+            base,
             purpose_of(change),
         ),
     )
 
 
-@app.command
 def history(*, limit: int = 20, access: Access = ACCESS) -> int:
     """Show the last changes, the newest first.
 
@@ -126,7 +124,6 @@
     )
 
 
-@app.command
 def revert(version: int, *, change: Change) -> int:
     """Make an earlier version's content the next version.
 
@@ -161,7 +158,7 @@
 
 @data_centre_app.command(name='return')
 def return_data_centre(name: str, *, change: Change) -> int:
-    """Return a data centre into service, by a ramp.
+    """Return a data centre into service.
 
     Parameters
     ----------
@@ -208,3 +205,6 @@
             purpose_of(change),
         ),
     )
+
+
+COMMANDS = (check, show, diff, compare, apply, history, revert)
--- a/cassialever/exits.py
+++ b/cassialever/exits.py
@@ -8,7 +8,7 @@
 
 from cassialever.catalogue_store import Conflict
 from cassialever.errors import ErrorKind, Failure
-from cassialever.tool import Faults
+from cassialever.tool import Faults, Made
 
 
 class Exit(enum.IntEnum):
@@ -26,6 +26,21 @@
     not_in_force = 9
 
 
+SENTENCE_BY_EXIT: Final[Mapping[Exit, str]] = MappingProxyType(
+    {
+        Exit.done: 'The command has done what it says.',
+        Exit.failed: 'It failed in a way that has no code of its own.',
+        Exit.usage: 'The command line is not understood.',
+        Exit.faults: 'A file, or the proposed catalogue, has faults.',
+        Exit.conflict: 'Others changed the catalogue first.',
+        Exit.unreachable: 'The table or the daemon does not answer.',
+        Exit.refused: 'The daemon refused the credential.',
+        Exit.unknown_name: 'No service has this name, or the key no owner.',
+        Exit.outcome_unknown: 'It is not known whether the change was made.',
+        Exit.not_in_force: 'The change was made, but not seen in force.',
+    },
+)
+
 _EXIT_BY_KIND: Final[Mapping[ErrorKind, Exit]] = MappingProxyType(
     {
         ErrorKind.table_unavailable: Exit.unreachable,
@@ -36,7 +51,6 @@
         ErrorKind.unknown_service: Exit.unknown_name,
         ErrorKind.no_owner: Exit.unknown_name,
         ErrorKind.table_answer_lost: Exit.outcome_unknown,
-        ErrorKind.deadline_passed: Exit.not_in_force,
     },
 )
 
@@ -60,3 +74,8 @@
 @exit_of.register
 def _exit_of_conflict(outcome: Conflict) -> Exit:
     return Exit.conflict
+
+
+@exit_of.register
+def _exit_of_made(outcome: Made) -> Exit:
+    return Exit.not_in_force if outcome.late_because else Exit.done
--- a/cassialever/holder.py
+++ b/cassialever/holder.py
@@ -28,12 +28,13 @@
     CatalogueAdopted,
     ControlReceived,
     Drained,
+    LoadsCounted,
     OwnershipEvent,
     StopWanted,
     TargetGrantResult,
     Tick,
 )
-from cassialever.rows import unpack_slices
+from cassialever.rows import pack_loads, unpack_slices
 from cassialever.settings import Settings
 from cassialever.types import (
     Incarnation,
@@ -89,6 +90,8 @@
         reports = [
             held.report(now) for _, held in sorted(self.held_by_target.items())
         ]
+        for held in self.held_by_target.values():
+            held.count(b'')
         message = Heartbeat(
             sequence=self._sequence,
             epoch=self.membership.epoch,
@@ -191,6 +194,18 @@
     return _receive(event.message, event.sender, holder, now)
 
 
+@_handle.register
+def _on_loads(
+    event: LoadsCounted,
+    holder: Holder,
+    now: Seconds,
+) -> list[Effect]:
+    held = holder.held_by_target.get(event.target_id)
+    if held:
+        held.count(pack_loads(event.load_by_slice))
+    return []
+
+
 @_handle.register
 def _on_grant_result(
     event: TargetGrantResult,
@@ -307,9 +322,11 @@
         return _start(grant, slices, ends, holder, now)
     held.change(grant.fence, slices, ends, now)
     holder.publish(held)
+    # The target learns its new slices before the next renewal.
+    effects = holder.renew_grant(held, now)
     if held.report(now).settled:
-        return holder.heartbeat(now)
-    return [Drain(grant.target_id, grant.fence, slices)]
+        return [*effects, *holder.heartbeat(now)]
+    return [*effects, Drain(grant.target_id, grant.fence, slices)]
 
 
 def _start(
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -53,7 +53,7 @@
     Tick,
 )
 from cassialever.routing import RoutingMap
-from cassialever.rows import decode_coordinator, decode_group
+from cassialever.rows import CoordinatorRow, GroupRow, decode_row
 from cassialever.settings import (
     InstanceSettings,
     PlatformSettings,
@@ -61,18 +61,21 @@
     Settings,
 )
 from cassialever.types import (
+    DataCentreId,
     Fence,
     Incarnation,
     InstanceId,
     RoutingClass,
     RowName,
+    RowVersion,
+    ServiceName,
     ServiceState,
     SliceIndex,
     TargetId,
 )
 
-SERVICE = 'registry'
-CENTRE = 'dc1'
+SERVICE = ServiceName('registry')
+CENTRE = DataCentreId('dc1')
 TABLE = 'table'
 DEADLINE = 5.0
 ATTEMPT = 0.4
@@ -230,7 +233,7 @@
         """Send one request for a slice of one held target."""
         leases = self.core.leases.lease_by_target
         for target in sorted(leases):
-            for number in sorted(leases[target].slices):
+            for number in sorted(leases[target].slices or ()):
                 fence = self.allowed(target, number)
                 if fence is None or self.world.random.random() > 0.2:
                     continue
@@ -282,6 +285,8 @@
         self.table_up = True
         self.table_delay = 0.005
         self.lose_answers = 0.0
+        self.latest = 2.0
+        self.lose_prefix = ''
         self.delay = 0.001
         self.drop = 0.0
         self.duplicate = 0.0
@@ -291,6 +296,8 @@
         self.table_reads = 0
         self.table_writes = 0
         self.third_took_over = False
+        self.watched = ''
+        self.on_watched: Callable[[], None] = lambda: None
         self.slices = slices
         self.index = self.catalogue(targets, unchecking)
         self.targets = {
@@ -365,7 +372,19 @@
 
     # What the daemons ask for.
 
+    def watch(self, label: str, action: Callable[[], None]) -> None:
+        """Call once when something of this label happens next."""
+        self.watched = label
+        self.on_watched = action
+
+    def happens(self, label: str) -> None:
+        if label != self.watched:
+            return
+        self.watched = ''
+        self.after(0, self.on_watched)
+
     def run(self, daemon: Daemon, incarnation: int, effect: Effect) -> None:
+        self.happens(type(effect).__name__)
         if isinstance(effect, SendControl):
             self.post(daemon, effect.recipient, effect.message)
         elif isinstance(effect, (ReadRows, ScanRows)):
@@ -390,6 +409,7 @@
     def post(
         self, sender: Daemon, recipient: str, message: ControlMessage
     ) -> None:
+        self.happens(type(message).__name__)
         event = ControlReceived(
             sender.name, Incarnation(sender.incarnation), message
         )
@@ -443,8 +463,12 @@
         self, daemon: Daemon, incarnation: int, effect: CommitRows
     ) -> None:
         self.table_writes += 1
-        lost = self.random.random() < self.lose_answers
-        late = self.random.uniform(0, 2.0) if lost else 0.0
+        name = effect.transaction.writes[0].name
+        lost = (
+            name.startswith(self.lose_prefix)
+            and self.random.random() < self.lose_answers
+        )
+        late = self.random.uniform(0, self.latest) if lost else 0.0
 
         def serve() -> None:
             outcome: Committed | Failure
@@ -475,12 +499,13 @@
                 return Failure(ErrorKind.table_conflict, name)
         versions = {}
         for write in transaction.writes:
-            version = write.expected + 1
+            version = RowVersion(write.expected + 1)
             row = Row(write.name, version, write.body or b'')
             self.check_row(self.rows.get(write.name), row)
             self.rows[write.name] = row
             versions[write.name] = version
             self.note(f'table {write.name} version {version}')
+            self.happens('written')
         done = Committed(versions)
         self.change_ids[transaction.change_id] = done
         return done
@@ -488,16 +513,16 @@
     def check_row(self, old: Row | None, new: Row) -> None:
         """Epochs and fences in the table only rise."""
         if new.name.startswith('coordinator/'):
-            row = decode_coordinator(new.body)
+            row = decode_row(new.body, CoordinatorRow)
             self.note(f'coordinator row {row}')
-            before = decode_coordinator(old.body).epoch if old else 0
+            before = decode_row(old.body, CoordinatorRow).epoch if old else 0
             if row.epoch < before:
                 raise Violation(f'epoch fell from {before} to {row.epoch}')
             if row.unresolved:
                 self.third_took_over = True
             return
-        fence = decode_group(new.body).fence
-        before = decode_group(old.body).fence if old else 0
+        fence = decode_row(new.body, GroupRow).fence
+        before = decode_row(old.body, GroupRow).fence if old else 0
         if fence <= before:
             raise Violation(f'fence of {new.name} fell')
 
@@ -506,7 +531,7 @@
         for name, service in routing_map.map_by_service.items():
             stored = max(
                 (
-                    decode_group(row.body).fence
+                    decode_row(row.body, GroupRow).fence
                     for key, row in self.rows.items()
                     if key.startswith(f'slices/{CENTRE}/{name}/')
                 ),
@@ -589,8 +614,10 @@
                 )
 
     def senders(self, target: FakeTarget) -> list[str]:
-        names = []
+        names: list[str] = []
         for daemon in self.daemons.values():
+            if target.name not in daemon.core.leases.lease_by_target:
+                continue
             fence = daemon.allowed(target.name)
             if fence is None:
                 continue
@@ -602,15 +629,19 @@
 
     def acceptors(self, number: int) -> set[TargetId]:
         """Return the targets that would take work for a slice just now."""
-        found = set()
+        return self.all_acceptors().get(number, set())
+
+    def all_acceptors(self) -> dict[int, set[TargetId]]:
+        found: dict[int, set[TargetId]] = {}
         for daemon in self.daemons.values():
             for target_id, lease in daemon.core.leases.lease_by_target.items():
-                if number not in lease.slices:
+                fence = daemon.allowed(target_id)
+                if fence is None:
                     continue
-                fence = daemon.allowed(target_id, number)
-                target = self.targets[target_id]
-                if fence is not None and target.takes(fence, self.now):
-                    found.add(target_id)
+                if not self.targets[target_id].takes(fence, self.now):
+                    continue
+                for number in lease.slices or ():
+                    found.setdefault(number, set()).add(target_id)
         return found
 
     def check(self) -> None:
@@ -619,8 +650,7 @@
             senders = self.senders(target)
             if len(senders) > 1:
                 raise Violation(f'{target.name} has senders {senders}')
-        for number in range(self.slices):
-            targets = self.acceptors(number)
+        for number, targets in self.all_acceptors().items():
             if len(targets) > 1:
                 raise Violation(f'slice {number} is at {sorted(targets)}')
 
@@ -657,6 +687,22 @@
             )
         )
 
+    def heal_all(self) -> None:
+        """End every fault."""
+        self.cuts.clear()
+        self.table_up = True
+        self.drop = self.duplicate = self.slow = self.slow_work = 0.0
+        self.lose_answers = 0.0
+        for daemon in self.daemons.values():
+            daemon.resume()
+            if not daemon.alive or daemon.core.holder.stopping:
+                daemon.start()
+        for name, target in self.targets.items():
+            self.thaw(name)
+            if target.down:
+                target.restart()
+            self.set_out(name, False)
+
     def coordinator(self) -> str | None:
         for daemon in self.daemons.values():
             if daemon.alive and daemon.core.authority.holds(daemon.now()):
@@ -668,7 +714,9 @@
         for daemon in self.daemons.values():
             if not daemon.alive or daemon.paused:
                 continue
-            for target_id in daemon.core.leases.lease_by_target:
+            for target_id, lease in daemon.core.leases.lease_by_target.items():
+                if number not in (lease.slices or ()):
+                    continue
                 fence = daemon.allowed(target_id, number)
                 target = self.targets[target_id]
                 if fence is None or target.frozen:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -118,6 +118,19 @@
         self.assertIn('target/audit-01', printed)
         self.assertIn('limits.requests_at_once', printed)
 
+    async def test_file_without_a_version(self) -> None:
+        """Only the first file of all needs no version to be an edit of."""
+        await self.apply_example()
+        await self.tool('target', 'drain', 'audit-01', '--reason', 'disk')
+        words = ('apply', str(CATALOGUE), '--reason', 'x')
+        code, printed = await self.tool(*words)
+        self.assertEqual(code, Exit.faults, printed)
+        self.assertIn('--base 2', ' '.join(printed.split()))
+        code, printed = await self.tool(*words, '--base', '1')
+        self.assertEqual(code, Exit.conflict, printed)
+        made = await self.json(*words, '--base', '2')
+        self.assertEqual(made['change']['version'], 3)
+
     async def test_ask_the_daemon(self) -> None:
         """Status, owner, explanation, watch and dump come from a daemon."""
         self.view.decisions.note(refused(1, TARGET.ref()))
@@ -164,13 +177,24 @@
         await self.server.stop()
         for words, part in (
             (('status',), 'instance.operator_port'),
-            (('show',), 'table service does not answer'),
+            (('show',), 'platform.table_url'),
         ):
             with self.subTest(words=words):
                 code, printed = await self.tool(*words)
                 self.assertEqual(code, Exit.unreachable, printed)
                 self.assertIn(part, printed)
 
+    async def test_wait_in_vain(self) -> None:
+        """A change that was made is said to be, though no daemon answers."""
+        await self.apply_example()
+        await self.api.stop()
+        code, printed = await self.tool(
+            'target', 'drain', 'audit-01', '--reason', 'x', '--wait'
+        )
+        self.assertEqual(code, Exit.not_in_force, printed)
+        self.assertIn('Accepted as version 2', printed)
+        self.assertIn('does not answer', printed)
+
     async def test_wrong_credential(self) -> None:
         """A wrong credential is refused, and no secret is printed."""
         settings = example_settings()
