--- a/bench/message_loads.py
+++ b/bench/message_loads.py
@@ -1,14 +1,24 @@
 """Catalogues, messages and table operations of a given size."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
 
 from cassialever import codec
+from cassialever import control_wire, wire  # noqa: F401, for codecs
 from cassialever.catalogue import Catalogue, CatalogueIndex, TargetEntry
 from cassialever.catalogue_changes import Origin, apply, compare, stamp
+from cassialever.control_messages import (
+    Heartbeat,
+    HeartbeatAnswer,
+    LeaseGrant,
+    LeaseReport,
+)
 from cassialever.interfaces import RowWrite, Transaction
+from cassialever.map_messages import pack_map
 from cassialever.messages import RequestHead
+from cassialever.routing import RoutingMap, ServiceMap
 from cassialever.settings import PlatformSettings
 from cassialever.spread_messages import pack_changes
 from cassialever.table import HttpTable
@@ -16,6 +26,10 @@
     CallerId,
     ChangeId,
     DataCentreId,
+    Epoch,
+    Fence,
+    Incarnation,
+    InstanceId,
     RequestId,
     RowName,
     RowVersion,
@@ -25,16 +39,21 @@
 from standins.table import TableServer
 
 HEADS = 1000
+MAP_TARGETS = 100
 
 _SERVICE = ServiceName('registry')
 
 
+def _target_id(number: int) -> TargetId:
+    return TargetId(f'registry-{number:05}')
+
+
 def catalogue(targets: int) -> Catalogue:
     """Return a catalogue of so many targets."""
     entries = tuple(
         TargetEntry(
             owner='registry team',
-            target_id=TargetId(f'registry-{number:05}'),
+            target_id=_target_id(number),
             service=_SERVICE,
             data_centre=DataCentreId('karaganda-1'),
             address='10.20.30.40:8080',
@@ -82,7 +101,8 @@
     return len(codec.encode(pack_changes(made)))
 
 
-def _head(headers: int) -> RequestHead:
+def request_head(headers: int) -> RequestHead:
+    """Return the head of a request with so many headers."""
     return RequestHead(
         request_id=RequestId('8c3258bf33904628bace721bbbfd3657'),
         caller=CallerId('centre-17'),
@@ -100,14 +120,9 @@
     )
 
 
-def head_bytes(headers: int) -> float:
-    """Return the size of a forwarded request's head."""
-    return len(codec.encode(_head(headers)))
-
-
 def head_coding(headers: int) -> Callable[[], None]:
     """Return work that writes and reads a thousand heads."""
-    head = _head(headers)
+    head = request_head(headers)
 
     def work() -> None:  # noqa: WPS430, what is set up stays outside.
         for _ in range(HEADS):
@@ -116,8 +131,72 @@
     return work
 
 
-async def commits(number: int) -> None:
+def heartbeat(leases: int) -> Heartbeat:
+    """Return a heartbeat that reports so many leases."""
+    reports = [
+        LeaseReport(target_id=_target_id(number), fence=Fence(1_000_000))
+        for number in range(leases)
+    ]
+    return Heartbeat(
+        sequence=1_000_000,
+        epoch=Epoch(1000),
+        reports=reports,
+        rack='rack-1',
+    )
+
+
+def heartbeat_answer(leases: int) -> HeartbeatAnswer:
+    """Return an answer that only renews."""
+    grants = [
+        LeaseGrant(target_id=_target_id(number), fence=Fence(1_000_000))
+        for number in range(leases)
+    ]
+    return HeartbeatAnswer(
+        sequence=1_000_000,
+        epoch=Epoch(1000),
+        incarnation=Incarnation(1_000_000),
+        term=1,
+        grants=grants,
+    )
+
+
+def map_bytes(slices: int) -> float:
+    """Return the size of a map of 100 targets, each at its own daemon."""
+    targets = [_target_id(number) for number in range(MAP_TARGETS)]
+    owners = [targets[number % MAP_TARGETS] for number in range(slices)]
+    holders = {name: InstanceId(f'daemon-{name}') for name in targets}
+    routing_map = RoutingMap(
+        Epoch(1),
+        {_SERVICE: ServiceMap(owners, Fence(1))},
+        holders,
+    )
+    packed = pack_map(DataCentreId('karaganda-1'), routing_map)
+    return len(codec.encode(packed))
+
+
+def size_of(message: msgspec.Struct) -> float:
+    """Return a message's size between daemons."""
+    return len(codec.encode(message))
+
+
+def heartbeat_coding(leases: int) -> Callable[[], None]:
+    """Return work that writes and reads heartbeats with their answers."""
+    messages = (heartbeat(leases), heartbeat_answer(leases))
+
+    def work() -> None:  # noqa: WPS430, what is set up stays outside.
+        for _ in range(HEADS):
+            for message in messages:
+                codec.decode(codec.encode(message))
+
+    return work
+
+
+def commit(number: int) -> None:
     """Write one row so often, over a socket to the stand-in."""
+    asyncio.run(_commit(number))
+
+
+async def _commit(number: int) -> None:
     server = TableServer()
     server.faults.writes_per_second = number
     table = HttpTable(
