--- a/cassialever/metrics.py
+++ b/cassialever/metrics.py
@@ -24,6 +24,7 @@
 
 from cassialever.errors import ErrorKind
 from cassialever.histograms import LatencyHistogram
+from cassialever.invariants import Invariant, broken_by_invariant
 from cassialever.settings import Settings
 from cassialever.tracing import resource_of
 from cassialever.types import Seconds, ServiceName
@@ -78,10 +79,10 @@
             _SERVICE,
             'Time without an owner, summed over slices.',
         )
-        self.invariants_broken = self._labelled(
+        self._meter.create_observable_counter(
             'cassialever.invariants.broken',
-            'invariant',
-            'Promises that would have been broken and were stopped.',
+            callbacks=[_broken_invariants],
+            description='Promises that would have been broken.',
         )
         self._latency_by_service: dict[ServiceName, LatencyHistogram] = {}
 
@@ -200,6 +201,12 @@
         yield Observation(amount, {name: label})
 
 
+def _broken_invariants(options: CallbackOptions) -> Iterator[Observation]:
+    for invariant in Invariant:
+        count = broken_by_invariant[invariant]
+        yield Observation(count, {'invariant': invariant.name})
+
+
 def _readers(
     settings: Settings,
     registry: CollectorRegistry,
--- a/cassialever/spread.py
+++ b/cassialever/spread.py
@@ -19,6 +19,7 @@
 from cassialever.catalogue import EMPTY_CATALOGUE, Catalogue
 from cassialever.catalogue_changes import CatalogueChange, apply
 from cassialever.errors import Failure
+from cassialever.invariants import Invariant, check
 from cassialever.relay import Relay
 from cassialever.spread_messages import (
     CatalogueChanges,
@@ -149,7 +150,7 @@
             following = apply(self.catalogue, change)
             if isinstance(following, Failure):
                 break
-            self.catalogue = following
+            self._put_in_force(following)
             applied.append(change)
         if not applied:
             return []
@@ -168,7 +169,7 @@
         """Take a whole catalogue if it is a higher version."""
         if catalogue.version <= self.version:
             return []
-        self.catalogue = catalogue
+        self._put_in_force(catalogue)
         self._recent.clear()
         return [Adopt(catalogue), *self._tell(self._relay.told(sender))]
 
@@ -190,6 +191,15 @@
             return pack_changes(missing)
         return pack_whole(self.catalogue)
 
+    def _put_in_force(self, catalogue: Catalogue) -> None:
+        check(
+            Invariant.version_rises,
+            catalogue.version > self.version,
+            row='catalogue',
+            version=catalogue.version,
+        )
+        self.catalogue = catalogue
+
     def _tell(self, contacts: Sequence[InstanceId]) -> list[Effect]:
         held = CatalogueHeld(self.version)
         return [Send(contact, held) for contact in contacts]
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -15,7 +15,9 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
 from cassialever.events import Event, record
+from cassialever.exceptions import InvariantError
 from cassialever.gauges import Gauges
+from cassialever.invariants import Invariant, check
 from cassialever.logs import HIDDEN, Log
 from cassialever.metrics import Metrics
 from cassialever.operator_view import Status, TargetStatus
@@ -94,7 +96,8 @@
         metrics.request_ended(service, None, 0.004)
         metrics.request_ended(service, ErrorKind.target_busy, 0.2, moving=True)
         metrics.slices_moved[service] += 3
-        metrics.invariants_broken['single_holder'] += 1
+        with self.assertRaises(InvariantError):
+            check(Invariant.epoch_rises, ok=False, test=True)
         metrics.gauge(
             'cassialever.imbalance', 'Load.', lambda: {'registry': 1.25}
         )
@@ -115,7 +118,10 @@
         ):
             with self.subTest(part=part):
                 self.assertTrue(any(part in line for line in found), text)
-        self.assertIn('invariant="single_holder"', text)
+        (broken,) = [
+            line for line in text.splitlines() if 'epoch_rises' in line
+        ]
+        self.assertFalse(broken.endswith(' 0.0'))
 
 
 class TestGauges(unittest.TestCase):
