--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 	touch $(STAMP)
 
 .PHONY: env test demo lint format docs bench-catalogue
+.PHONY: prove matrix bench-ownership env test demo lint format
 
 env: $(STAMP)
 
@@ -27,8 +28,43 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 
+.PHONY: bench-hops
+
+bench-hops: $(STAMP)
+	$(BIN)/python -m bench.hops
+
+.PHONY: bench bench-limits
+
+bench: bench-limits
+
+bench-limits: $(STAMP)
+	$(BIN)/python -m bench.tail
+	$(BIN)/python -m bench.overload
+	$(BIN)/python -m bench.retries
+
+.PHONY: capacity bench-balance
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+bench-balance: $(STAMP)
+	$(BIN)/python -m bench.balance
+
 docs: $(STAMP)
 	$(BIN)/python -m cassialever.reference
 
 bench-catalogue: $(STAMP)
 	$(BIN)/python -m bench.catalogue_cost
+
+SEED ?= 1
+STEPS ?= 50
+RUNS ?= 50
+
+prove: $(STAMP)
+	$(BIN)/python -m tests.prove --seed $(SEED) --steps $(STEPS) --runs $(RUNS)
+
+matrix: $(STAMP)
+	$(BIN)/python -m tests.matrix
+
+bench-ownership: $(STAMP)
+	$(BIN)/python -m bench.ownership
--- a/cassialever/coordinator_state.py
+++ b/cassialever/coordinator_state.py
@@ -5,24 +5,29 @@
 
 import msgspec
 
-from cassialever.assignment import Assign
+from cassialever.even_assignment import Assign
 from cassialever.authority_state import AuthorityState
 from cassialever.catalogue import CatalogueIndex, TargetEntry
-from cassialever.control_messages import HeartbeatWanted, LeaseGrant
+from cassialever.control_messages import (
+    HeartbeatWanted,
+    LeaseGrant,
+    LeaseReport,
+)
 from cassialever.invariants import Invariant, check
 from cassialever.leases import giver_term
-from cassialever.membership import Membership
+from cassialever.membership import Membership, Process
 from cassialever.moves import Moves
 from cassialever.ownership_effects import Effect, SendControl
-from cassialever.rows import make_fence
+from cassialever.rows import Unresolved, make_fence, unpack_loads
 from cassialever.settings import Settings
 from cassialever.slice_rows import SliceRows
-from cassialever.target_record import Process, TargetRecord
+from cassialever.target_record import TargetRecord
 from cassialever.types import (
     Epoch,
     Fence,
     RoutingClass,
     Seconds,
+    ServiceName,
     SliceIndex,
     TargetId,
 )
@@ -54,13 +59,32 @@
         self.answered_at: Seconds = 0
 
 
-class Spread:
-    """What was told to others last."""
+class LoadView:
+    """The loads that holders counted last; `version` rises with each."""
+
+    def __init__(self) -> None:
+        """Know of no load."""
+        self.version = 0
+        self.load_by_service: dict[ServiceName, dict[SliceIndex, float]] = {}
+        #: What an assignment that asked for no move was made from.
+        self.settled_by_service: dict[ServiceName, object] = {}
+
+
+class Upkeep:
+    """When to plan again, and what was told to others last.
+
+    `changed` asks for a plan at once. `records_by_process` has the targets
+    that a process holds or has not let go yet, as the last plan left them.
+    """
 
     def __init__(self) -> None:
-        """Start having told nothing."""
+        """Start with a plan due and having told nothing."""
+        self.changed = True
+        self.next_plan: Seconds = 0
         self.next_greeting: Seconds = 0
         self.announced: object = None
+        self.unresolved: tuple[Unresolved, ...] = ()
+        self.records_by_process: dict[Process, list[TargetRecord]] = {}
 
 
 class CoordinatorState:
@@ -74,9 +98,9 @@
         self.moves = Moves(SliceRows(context.settings.instance.data_centre))
         self.record_by_target: dict[TargetId, TargetRecord] = {}
         self.sequence_by_process: dict[Process, int] = {}
-        self.load_by_slice: Mapping[SliceIndex, float] = {}
+        self.loads = LoadView()
         self.table = TableContact()
-        self.spread = Spread()
+        self.upkeep = Upkeep()
         self._serial = itertools.count(1)
 
     def adopt(self, index: CatalogueIndex) -> None:
@@ -84,6 +108,7 @@
         if self.index is index:
             return
         self.index = index
+        self.upkeep.changed = True
         own = self.context.settings.instance.data_centre
         for entry in index.catalogue.targets:
             if entry.data_centre == own:
@@ -92,6 +117,15 @@
             if service.routing is RoutingClass.keyed:
                 self.moves.rows.declare(service.name, service.slices)
 
+    def take_loads(self, record: TargetRecord, report: LeaseReport) -> None:
+        """Keep the loads that a holder has counted."""
+        if not report.loads:
+            return
+        service = record.entry.service
+        loads = self.loads.load_by_service.setdefault(service, {})
+        loads.update(unpack_loads(report.loads))
+        self.loads.version += 1
+
     def giver_term(self) -> Seconds:
         """Return how long a lease given now may be in force."""
         leases = self.context.settings.leases
@@ -145,7 +179,8 @@
         """Return every lease of a process, given now, and every stop."""
         grants: list[LeaseGrant] = []
         until = now + self.giver_term()
-        for target_id, record in sorted(self.record_by_target.items()):
+        for record in self.upkeep.records_by_process.get(process, ()):
+            target_id = record.target_id
             former = record.former_by_process.get(process)
             if former:
                 stop = LeaseGrant(
--- a/cassialever/moves.py
+++ b/cassialever/moves.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cassialever.assignment import Assign
+from cassialever.even_assignment import Assign
 from cassialever.errors import ErrorKind, Failure
 from cassialever.interfaces import Committed, Row, RowWrite, Transaction
 from cassialever.ownership_effects import CommitRows
@@ -68,8 +68,9 @@
 
     def slices_of(self, target_id: TargetId) -> frozenset[SliceIndex]:
         """Return what a target's lease is to name: owned and not leaving."""
-        leaving = self._leaving_by_target.get(target_id, set())
-        return self.rows.slices_of(target_id) - leaving
+        owned = self.rows.slices_of(target_id)
+        leaving = self._leaving_by_target.get(target_id)
+        return owned - leaving if leaving else owned
 
     def plan(
         self,
--- a/cassialever/ownership_events.py
+++ b/cassialever/ownership_events.py
@@ -16,6 +16,7 @@
     InstanceId,
     RowName,
     Seconds,
+    SliceIndex,
     TargetId,
 )
 
@@ -82,6 +83,13 @@
     unknown_until: Seconds = 0
 
 
+class LoadsCounted(msgspec.Struct, frozen=True):
+    """The request path has counted the load of a held target's slices."""
+
+    target_id: TargetId
+    load_by_slice: Mapping[SliceIndex, float]
+
+
 class CatalogueAdopted(msgspec.Struct, frozen=True):
     """Another version of the catalogue is in force."""
 
@@ -103,6 +111,15 @@
     instances: Sequence[ListedInstance]
 
 
+class InstancesDeclaredLost(msgspec.Struct, frozen=True):
+    """An operator's edit says that these instances run no more.
+
+    It settles what no daemon can tell by itself, so it has to be true.
+    """
+
+    instances: frozenset[InstanceId]
+
+
 class StopWanted(msgspec.Struct, frozen=True):
     """This daemon is stopping: hand over every lease and the authority."""
 
@@ -114,7 +131,9 @@
     | RowsCommitted
     | TargetGrantResult
     | Drained
+    | LoadsCounted
     | CatalogueAdopted
     | InstancesListed
+    | InstancesDeclaredLost
     | StopWanted
 )
--- a/cassialever/router.py
+++ b/cassialever/router.py
@@ -26,12 +26,11 @@
 
     async def route(self, intake: Intake, body: bytes) -> Routed:
         """Return the answer of the request's target, or a failure."""
-        now = self._clock.monotonic()
         exchange = Exchange(
             intake,
             body,
             self._placement,
-            self._traffic.of(intake.service, now),
+            self._traffic.of(intake.service),
             self._sender,
             self._clock,
         )
--- a/cassialever/settings.py
+++ b/cassialever/settings.py
@@ -61,6 +61,10 @@
     timeout_seconds: Duration = 1
     reads_per_second: Count = 50
     writes_per_second: Count = 20
+    resolve_seconds: Duration = 3
+    shortest_backoff_seconds: Duration = 0.1
+    longest_backoff_seconds: Duration = 2
+    unresolved_changes: Count = 1_000
 
 
 class SecuritySettings(_Section, frozen=True, kw_only=True):
@@ -80,8 +84,8 @@
 
     coordinator_term: Duration = 0.5
     coordinator_renewal: Duration = 0.15
-    table_renewal: Duration = 5
-    third_wait: Duration = 12
+    table_renewal: Duration = 0.6
+    third_wait: Duration = 1.1
     target_term: Duration = 0.9
     heartbeat: Duration = 0.25
     grant_term: Duration = 0.9
--- a/cassialever/target_record.py
+++ b/cassialever/target_record.py
@@ -1,25 +1,19 @@
 """What a coordinator knows of one target: its holder, lease and slices."""
 
-from typing import TypeAlias
-
 import msgspec
 
 from cassialever.catalogue import TargetEntry
 from cassialever.control_messages import LeaseGrant, LeaseReport
 from cassialever.invariants import Invariant, check
+from cassialever.membership import Process
 from cassialever.rows import pack_slices
 from cassialever.types import (
     Fence,
-    Incarnation,
-    InstanceId,
     Seconds,
     SliceIndex,
     TargetId,
 )
 
-#: One run of one instance.
-Process: TypeAlias = tuple[InstanceId, Incarnation]
-
 
 class Former(msgspec.Struct, frozen=True):
     """A process that was told to stop, and may have requests running."""
@@ -47,6 +41,7 @@
         # When what was given to former holders has no effect at the target.
         self._former_until = free_at
         self.stopping = False
+        self._lost = False
         self.former_by_process: dict[Process, Former] = {}
 
     @property
@@ -108,9 +103,22 @@
         self.holder = None
         self.report = None
 
+    def take_report(self, report: LeaseReport) -> bool:
+        """Note what the holder says; return whether it says anything new.
+
+        A loss is over once the target has taken a grant.
+        """
+        news = self.report is None or _essence(report) != _essence(self.report)
+        self.report = report
+        if not report.reachable:
+            self._lost = True
+        elif report.accepted or not self.entry.checks.fence:
+            self._lost = False
+        return news
+
     def lost(self) -> bool:
-        """Return whether the holder can't reach the target."""
-        return self.report is not None and not self.report.reachable
+        """Return whether no holder has reached the target since its loss."""
+        return self._lost
 
     def acknowledged(self) -> bool:
         """Return whether the holder has the present fence in force."""
@@ -142,3 +150,14 @@
             has_slices=not known,
             slices=b'' if known else pack_slices(self.slices),
         )
+
+
+def _essence(report: LeaseReport) -> tuple[object, ...]:
+    """Return what a plan depends on."""
+    return (
+        report.fence,
+        report.stopped,
+        report.settled,
+        report.accepted,
+        report.reachable,
+    )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -170,6 +170,12 @@
         self.assertIsNone(failure)
         self.assertEqual(await got, ('a', 7, message))
 
+    async def test_too_long(self) -> None:
+        """A message that the peer would drop the link for is not sent."""
+        message = Greeting('x' * 5_000_000)
+        failure = await self.a.send_control(InstanceId('b'), message)
+        self.assertEqual(failure.kind, ErrorKind.internal)
+
     async def test_unknown_instance(self) -> None:
         """A peer without an address can not be reached."""
         failure = await self.a.send_control(InstanceId('z'), Greeting('x'))
@@ -332,6 +338,9 @@
         answer = await calling
         self.assertEqual(await read(answer.body), [b'whole'])
         await stopping
+        # Told to go away, the dialler has ended the link after its last.
+        dialler = self.a._dialler_by_instance[InstanceId('b')]
+        await until(lambda: not dialler.links)
         self.assertEqual(
             [head.request_id for head in self.handler.heads], ['r1']
         )
