--- a/bench/message_loads.py
+++ b/bench/message_loads.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cassialever import codec, wire
+from cassialever import codec
 from cassialever.catalogue import Catalogue, CatalogueIndex, TargetEntry
 from cassialever.catalogue_changes import Origin, apply, compare, stamp
 from cassialever.interfaces import RowWrite, Transaction
@@ -102,7 +102,7 @@
 
 def head_bytes(headers: int) -> float:
     """Return the size of a forwarded request's head."""
-    return len(wire.codec.encode(_head(headers)))
+    return len(codec.encode(_head(headers)))
 
 
 def head_coding(headers: int) -> Callable[[], None]:
--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -52,7 +52,7 @@
             random_source,
             homes,
         )
-        self.table = HttpTable(settings.platform)
+        self.table = HttpTable(settings.platform, clock, random_source)
         self._instances = InstanceList(settings.platform)
         self.telemetry = Telemetry(settings, clock)
         self.path = RequestPath(settings, core, self.telemetry, clock)
