Stop, resume, cancel and fail truthfully over the whole path, with tests

Found by the tests: during a coordinator's hand-over the new map names no holder yet and any-target requests were refused at once with no_target. Routers now wait for a holder as they wait for an owner, at most 2 s. A broken repeatable download is resumed by range or breaks visibly, on the retry budget. A daemon whose core finds an invariant broken sends nothing more and ends.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -11,6 +11,7 @@
 from cassialever.daemon_view import DaemonView
 from cassialever.events import Event, record
 from cassialever.front import Front
+from cassialever.gauges import Gauges
 from cassialever.homes import HomeAssignment
 from cassialever.instance_watch import InstanceWatch
 from cassialever.instances import InstanceList
@@ -72,9 +73,17 @@
             self.driver.adopt_instances,
             self._spreading.members_changed,
         )
-        self.view = DaemonView(self.path, self.driver, self.watch)
+        self.view = DaemonView(
+            self.path,
+            self.driver,
+            self.watch,
+            self._spreading.is_current,
+        )
+        Gauges(self.telemetry.metrics, self.view, clock)
+        self.driver.on_broken = self._fail
         self.operator_api = OperatorApi(settings, self.view)
         self._stop_asked = asyncio.Event()
+        self._is_broken = False
 
     @property
     def placement(self) -> Placement:
@@ -113,10 +122,16 @@
             sys.exit(1)
         self._stop_asked.set()
 
-    async def run_until_stopped(self) -> None:
-        """Return once the daemon has been asked to stop and has stopped."""
+    async def run_until_stopped(self) -> bool:
+        """Return once the daemon has stopped; say whether it was asked to.
+
+        It also stops, at once, when an invariant was found broken: what it
+        believes can't be trusted any more.
+        """
         await self._stop_asked.wait()
-        await self.stop()
+        if not self._is_broken:
+            await self.stop()
+        return not self._is_broken
 
     def _parts(self) -> list[Part]:
         return [
@@ -130,6 +145,10 @@
             self.path.front,
         ]
 
+    def _fail(self) -> None:
+        self._is_broken = True
+        self._stop_asked.set()
+
     def _adopt(self, catalogue: Catalogue) -> None:
         index = CatalogueIndex(catalogue)
         if self.path.placement.adopt_catalogue(index, self._clock.monotonic()):
--- a/cassialever/daemon.py
+++ b/cassialever/daemon.py
@@ -12,6 +12,7 @@
 from cassialever.settings import Settings, load_settings
 
 EXIT_SETTINGS = 2
+EXIT_BROKEN = 3
 
 app = cyclopts.App(
     name='cassialeverd',
@@ -45,7 +46,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, application.ask_to_stop)
     await application.start()
-    await application.run_until_stopped()
+    if not await application.run_until_stopped():
+        sys.exit(EXIT_BROKEN)
     log.stop()
 
 
--- a/cassialever/daemon_view.py
+++ b/cassialever/daemon_view.py
@@ -1,6 +1,6 @@
 """What this daemon shows to its operators."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -56,8 +56,10 @@
         path: RequestPath,
         driver: OwnershipDriver,
         watch: InstanceWatch,
+        is_current: Callable[[], bool],
     ) -> None:
-        """Take the parts that are shown."""
+        """Take the parts that are shown; `is_current` is of the catalogue."""
+        self._is_current = is_current
         self.stopping = False
         self._path = path
         self._driver = driver
@@ -67,8 +69,8 @@
         """Return why the balancer should send nothing here, if so."""
         if self.stopping:
             return 'this instance is stopping'
-        if self._path.placement.index is None:
-            return 'this instance has no catalogue yet'
+        if not self._is_current():
+            return 'this instance has not checked its catalogue yet'
         if not self._path.placement.map_by_data_centre:
             return 'this instance knows no owner yet'
         return ''
--- a/cassialever/destinations.py
+++ b/cassialever/destinations.py
@@ -12,7 +12,7 @@
 from cassialever.messages import NO_SLICE
 from cassialever.placement import Placement
 from cassialever.slices import Place
-from cassialever.traffic import ServiceTraffic
+from cassialever.traffic import Traffic
 from cassialever.types import (
     InstanceId,
     RoutingClass,
@@ -21,8 +21,8 @@
     TargetId,
 )
 
-#: How long a key that has no owner just now is waited for, in seconds; a
-#: planned move is over well within it.
+#: How long an owner or holder that is lacking just now is waited for, in
+#: seconds; a planned move is over well within it.
 OWNER_WAIT: Final[Seconds] = 2.0
 #: Between two looks for an owner, in seconds.
 OWNER_PAUSE: Final[Seconds] = 0.02
@@ -45,7 +45,7 @@
         self,
         intake: Intake,
         placement: Placement,
-        traffic: ServiceTraffic,
+        traffic: Traffic,
         clock: Clock,
     ) -> None:
         """Take the request and what is known of targets."""
@@ -65,29 +65,37 @@
         tried: Collection[TargetId],
         deadline: Seconds,
     ) -> Destination | Failure:
-        """Return where the next attempt goes, or why there is nowhere."""
-        if not self.is_any:
-            return await self._owner(deadline)
-        if self._intake.has_home:
-            target_id = self._traffic.homes.home(self._intake.request_id)
-        else:
-            now = self._clock.monotonic()
-            target_id = self._traffic.chooser.choose(tried, now)
-        if target_id is None:
-            return self._no_target()
-        return self._held(target_id, NO_SLICE)
+        """Return where the next attempt goes, or why there is nowhere.
 
-    async def _owner(self, deadline: Seconds) -> Destination | Failure:
-        """Return the key's owner, waiting out a move if there is time."""
+        A target that has no owner or holder just now, as in a move, is
+        waited for if there is time.
+        """
         give_up = min(self._clock.monotonic() + OWNER_WAIT, deadline)
         while True:
-            found = self._place()
-            if isinstance(found, Destination):
+            found = self._look(tried)
+            if isinstance(found, Destination) or self._is_spent(tried):
                 return found
             if self._clock.monotonic() + OWNER_PAUSE >= give_up:
                 return found
             await asyncio.sleep(OWNER_PAUSE)
 
+    def _is_spent(self, tried: Collection[TargetId]) -> bool:
+        """Say whether every target has been tried already."""
+        return bool(tried) and not self.is_sole
+
+    def _look(self, tried: Collection[TargetId]) -> Destination | Failure:
+        if not self.is_any:
+            return self._place()
+        traffic = self._traffic.of(self._intake.service)
+        if self._intake.has_home:
+            target_id = traffic.homes.home(self._intake.request_id)
+        else:
+            now = self._clock.monotonic()
+            target_id = traffic.chooser.choose(tried, now)
+        if target_id is None:
+            return self._no_target()
+        return self._held(target_id, NO_SLICE)
+
     def _place(self) -> Destination | Failure:
         place = self._placement.place(self._intake.service, self._intake.key)
         if isinstance(place, Place) and place.owner:
--- a/cassialever/exchange.py
+++ b/cassialever/exchange.py
@@ -22,7 +22,7 @@
 from cassialever.misc import close_body, one_chunk
 from cassialever.placement import Placement
 from cassialever.sending import Sender
-from cassialever.traffic import ServiceTraffic
+from cassialever.traffic import Traffic
 from cassialever.types import AttemptState, InstanceId, Seconds, TargetId
 
 MILLISECONDS: Final = 1000
@@ -48,14 +48,14 @@
         intake: Intake,
         body: bytes,
         placement: Placement,
-        traffic: ServiceTraffic,
+        traffic: Traffic,
         sender: Sender,
         clock: Clock,
     ) -> None:
         """Take the request; the deadline counts from now."""
         self._intake = intake
         self._body = body
-        self._traffic = traffic
+        self._traffic = traffic.of(intake.service)
         self._sender = sender
         self._clock = clock
         self._deadline = clock.monotonic() + intake.timeout_ms / MILLISECONDS
@@ -66,14 +66,18 @@
                 self._places.is_sole,
                 self._deadline,
             ),
-            traffic.budget,
+            self._traffic.budget,
         )
         self._sent_by_task: dict[Attempt, Destination] = {}
         self._last: Destination | None = None
 
-    async def run(self) -> Routed:
-        """Return the answer, or the failure that the caller is told of."""
-        self._traffic.budget.fresh(self._clock.monotonic())
+    async def run(self, *, is_fresh: bool) -> Routed:
+        """Return the answer, or the failure that the caller is told of.
+
+        A request that is not fresh earns nothing for the retry budget.
+        """
+        if is_fresh:
+            self._traffic.budget.fresh(self._clock.monotonic())
         try:
             outcome = await self._run()
         finally:
--- a/cassialever/ownership_driver.py
+++ b/cassialever/ownership_driver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -10,7 +10,8 @@
 from cassialever.control_messages import ControlMessage
 from cassialever.control_wire import OWNERSHIP_MESSAGES
 from cassialever.errors import Failure
-from cassialever.events import record
+from cassialever.events import Event, record
+from cassialever.exceptions import InvariantError
 from cassialever.homes import HomeAssignment
 from cassialever.homes_keeper import HomesKeeper
 from cassialever.instances import Instance, InstanceState
@@ -78,6 +79,8 @@
         self.announcer = MapAnnouncer(path.placement, path.peers)
         #: Whether the table gave an answer to the last question.
         self.table_answers = False
+        #: Called when an invariant was found broken.
+        self.on_broken: Callable[[], None] = _ignore
         self._homes = homes
         self._keeper = HomesKeeper(table, homes, core, clock)
 
@@ -99,10 +102,6 @@
         await self.announcer.stop()
         await self._keeper.stop()
 
-    def coordinates(self) -> bool:
-        """Say whether this daemon is its data centre's coordinator now."""
-        return self.core.authority.holds(self.clock.monotonic())
-
     def adopt_catalogue(self, index: CatalogueIndex) -> None:
         """Take another version of the catalogue."""
         self._homes.adopt_catalogue(index)
@@ -127,7 +126,11 @@
 
     def handle(self, event: OwnershipEvent) -> None:
         """Give the core an event and carry out what it decides."""
-        effects = self.core.handle(event, self.clock.monotonic())
+        try:
+            effects = self.core.handle(event, self.clock.monotonic())
+        except InvariantError:
+            self._give_up()
+            raise
         self.path.claims.follow(self.core.leases)
         for effect in effects:
             _carry_out(effect, self)
@@ -177,6 +180,12 @@
         )
         self.handle(Drained(effect.target_id, effect.fence, unknown_until))
 
+    def _give_up(self) -> None:
+        """Send nothing more to any target, and have the daemon end."""
+        self.core.leases.lease_by_target.clear()
+        self.tasks.cancel()
+        self.on_broken()
+
     def _hands_over(self) -> bool:
         """Say whether a lease is still to be taken by somebody else."""
         if self.core.idle():
@@ -200,7 +209,7 @@
     async def _keep_time(self) -> None:
         while True:
             self.handle(Tick())
-            if not self.coordinates():
+            if not self.core.authority.holds(self.clock.monotonic()):
                 self.announcer.withdraw()
             await asyncio.sleep(TICK)
 
@@ -248,3 +257,11 @@
 @_carry_out.register
 def _log(effect: LogEvent, driver: OwnershipDriver) -> None:
     record(effect.event, **effect.fields)
+    if effect.event is Event.move_done:
+        service = str(effect.fields['service'])
+        moved = driver.path.telemetry.metrics.slices_moved
+        moved[service] += int(effect.fields['slices'])
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,117 @@
+"""Tests of the whole path under faults: stops, breaks, cancels, silence."""
+
+import asyncio
+from unittest import mock
+
+import aiohttp
+
+from cassialever.errors import ErrorKind
+from cassialever.exceptions import InvariantError
+from cassialever.ownership_events import Tick
+from standins.targets import StandInTarget
+from tests.test_whole_path import WholePathCase
+
+
+class TestFaults(WholePathCase):
+    """Each fault is brought about on real sockets."""
+
+    @property
+    def targets(self) -> list[StandInTarget]:
+        """Return every stand-in target."""
+        return list(self.deployment.platform.target_by_id.values())
+
+    def work_takes(self, seconds: float) -> None:
+        """Have every target take its time."""
+        for stand_in in self.targets:
+            stand_in.behaviour.work_time = seconds
+
+    async def test_graceful_stop_cuts_nothing(self) -> None:
+        """A request in progress ends whole; a new one is not run."""
+        self.work_takes(0.4)
+        url = f'{self.first.front.url}/issuance/slow'
+        running = asyncio.create_task(self.session.get(url))
+        while not self.first.front.in_progress:
+            await asyncio.sleep(0.01)
+        stopping = asyncio.create_task(self.first.stop())
+        await asyncio.sleep(0.05)
+        late = await self.session.get(url)
+        self.assertEqual(
+            late.headers['X-Cassialever-Error'],
+            ErrorKind.stopping.value,
+        )
+        self.assertTrue((await late.json())['not_run'])
+        response = await running
+        self.assertEqual(response.status, 200)
+        self.assertIn(b'/issuance/slow', await response.read())
+        await stopping
+        self.deployment.daemon_by_id.pop(
+            self.first.settings.instance.instance_id,
+        )
+        self.work_takes(0.002)
+        other = await self.session.get(f'{self.second.front.url}/issuance/x')
+        self.assertEqual(other.status, 200, await other.read())
+
+    async def test_broken_download_goes_on_where_it_broke(self) -> None:
+        """The caller gets the whole body, once, in one answer."""
+        body = bytes(range(256)) * 1_000
+        breaks = [100_000]
+        for stand_in in self.targets:
+            stand_in.download.body = body
+            stand_in.download.breaks = breaks
+        url = f'{self.first.front.url}/issuance/download'
+        response = await self.session.get(url)
+        self.assertEqual(await response.read(), body)
+        ranges = [
+            part for each in self.targets for part in each.download.ranges
+        ]
+        self.assertEqual(sorted(ranges), ['', 'bytes=100000-'])
+
+    async def test_changed_download_breaks_visibly(self) -> None:
+        """Where the body is another one by now, the connection breaks."""
+        for stand_in in self.targets:
+            stand_in.download.body = bytes(200_000)
+            stand_in.download.breaks = [100_000]
+            stand_in.download.etag = f'"{stand_in.target_id}"'
+        url = f'{self.first.front.url}/issuance/download'
+        response = await self.session.get(url)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await response.read()
+
+    async def test_cancel_of_the_caller_reaches_the_target(self) -> None:
+        """A caller that goes away has its work given up."""
+        self.work_takes(5)
+        url = f'{self.first.front.url}/registry/slow'
+        headers = {'X-Cassialever-Key': 'k'}
+        asking = asyncio.create_task(self.session.get(url, headers=headers))
+        while not any(each.work.in_flight for each in self.targets):
+            await asyncio.sleep(0.01)
+        asking.cancel()
+        for _ in range(200):
+            if any(each.cancelled for each in self.targets):
+                break
+            await asyncio.sleep(0.01)
+        self.assertTrue(any(each.cancelled for each in self.targets))
+
+    async def test_frozen_target_gives_an_honest_answer(self) -> None:
+        """Work sent to a target that froze is not said to have not run."""
+        url = f'{self.first.front.url}/registry/x'
+        headers = {'X-Cassialever-Key': 'k'}
+        before = await self.session.post(url, headers=headers, data=b'x')
+        self.assertEqual(before.status, 200)
+        for stand_in in self.targets:
+            stand_in.faults.freeze()
+        headers['X-Cassialever-Deadline-Ms'] = '300'
+        response = await self.session.post(url, headers=headers, data=b'x')
+        refusal = await response.json()
+        self.assertFalse(refusal['not_run'], refusal)
+        for stand_in in self.targets:
+            stand_in.faults.thaw()
+
+    async def test_broken_invariant_ends_the_daemon(self) -> None:
+        """Nothing is sent any more once a promise would be broken."""
+        core = self.second.driver.core
+        with mock.patch.object(core, 'handle', side_effect=InvariantError):
+            with self.assertRaises(InvariantError):
+                self.second.driver.handle(Tick())
+            self.assertFalse(await self.second.run_until_stopped())
+        self.assertEqual(core.leases.lease_by_target, {})
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -30,7 +30,7 @@
     )
 
 
-class TestWholePath(unittest.IsolatedAsyncioTestCase):
+class WholePathCase(unittest.IsolatedAsyncioTestCase):
     """Two daemons and four targets of one data centre."""
 
     async def asyncSetUp(self) -> None:
@@ -70,6 +70,10 @@
         ) as response:
             return response.status, await response.read()
 
+
+class TestWholePath(WholePathCase):
+    """What callers see while nothing is broken."""
+
     async def test_each_caller_gets_its_own_answer(self) -> None:
         """Forty requests at once through both daemons are never mixed up."""
 
@@ -92,20 +96,25 @@
 
     async def test_second_try_finds_the_first(self) -> None:
         """The same id through another daemon doesn't run the work twice."""
-        # An id from well after the start, since the memory began just now.
-        wall = SystemClock().wall() + 1.9
-        source = seeded_random(1)
         for path in ('/registry/new', '/issuance/new'):
             with self.subTest(path=path):
-                request_id = mint(wall, source)
-                await asyncio.sleep(0)
-                answers = [
-                    await self.post(daemon, path, request_id)
-                    for daemon in (self.first, self.second, self.first)
-                ]
-                if answers[0][0] == 200:
-                    self.assertEqual(answers[0], answers[1])
-                self.assertLessEqual(self.runs(request_id), 1)
+                request_id, first = await self.first_try(path)
+                for daemon in (self.second, self.first):
+                    again = await self.post(daemon, path, request_id)
+                    self.assertEqual(again, first)
+                self.assertEqual(self.runs(request_id), 1)
+
+    async def first_try(self, path: str) -> tuple[str, tuple[int, bytes]]:
+        """Send new ids until one is from after the memory's beginning."""
+        source = seeded_random(1)
+        for _ in range(100):
+            request_id = mint(SystemClock().wall(), source)
+            answer = await self.post(self.first, path, request_id)
+            if answer[0] == 200:
+                return request_id, answer
+            self.assertEqual(self.runs(request_id), 0)
+            await asyncio.sleep(0.1)
+        self.fail(f'no request was run within 10 s: {answer}')
 
     async def test_unknown_opaque_id_is_not_run_after_a_start(self) -> None:
         """What may have run before the memory began is refused, not run."""
