--- a/cassialever/front.py
+++ b/cassialever/front.py
@@ -135,7 +135,12 @@
             intake.under(span.traceparent),
         )
         outcome = routed.outcome
-        self._telemetry.ended(intake, routed, began)
+        self._telemetry.ended(
+            intake,
+            routed,
+            began,
+            moving=self._placement.is_moving,
+        )
         if isinstance(outcome, Failure):
             span.end(outcome.kind)
             return self._refuse(
--- a/cassialever/instances.py
+++ b/cassialever/instances.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cassialever.errors import ErrorKind, Failure
+from cassialever.platform_session import PlatformSession
 from cassialever.settings import PlatformSettings
 from cassialever.types import DataCentreId, InstanceId
 
@@ -32,34 +33,19 @@
     rack: str = ''
 
 
-class InstanceList:
+class InstanceList(PlatformSession):
     """Ask the platform for its list over HTTP."""
 
     def __init__(self, settings: PlatformSettings) -> None:
         """Take the settings; `start` opens the session."""
-        self._settings = settings
-        self._session: aiohttp.ClientSession | None = None
-
-    async def start(self) -> None:
-        """Open the session."""
-        timeout = aiohttp.ClientTimeout(total=self._settings.timeout_seconds)
-        self._session = aiohttp.ClientSession(
-            self._settings.instances_url,
-            timeout=timeout,
-        )
-
-    async def stop(self) -> None:
-        """Close the session."""
-        if self._session:
-            await self._session.close()
-            self._session = None
+        super().__init__(settings.instances_url, settings.timeout_seconds)
 
     async def fetch(self) -> Mapping[InstanceId, Instance] | Failure:
         """Return the platform's list."""
-        if self._session is None:
+        if self.session is None:
             return Failure(ErrorKind.internal, 'the list is not started')
         try:
-            async with self._session.get(INSTANCES_PATH) as response:
+            async with self.session.get(INSTANCES_PATH) as response:
                 response.raise_for_status()
                 content = await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
--- a/cassialever/metrics.py
+++ b/cassialever/metrics.py
@@ -74,11 +74,6 @@
             _SERVICE,
             'Slices whose owner changed: the churn of key ownership.',
         )
-        self.unavailable_seconds = self._labelled(
-            'cassialever.slices.unavailable_seconds',
-            _SERVICE,
-            'Time without an owner, summed over slices.',
-        )
         self._meter.create_observable_counter(
             'cassialever.invariants.broken',
             callbacks=[_broken_invariants],
--- a/cassialever/placement.py
+++ b/cassialever/placement.py
@@ -12,6 +12,7 @@
     Key,
     Seconds,
     ServiceName,
+    ServiceState,
     TargetId,
 )
 
@@ -28,6 +29,8 @@
         self.index: CatalogueIndex | None = None
         #: The monotonic instant at which the catalogue came into force.
         self.adopted_at: Seconds = 0
+        #: Whether a data centre is out just now.
+        self.is_moving = False
         self.map_by_data_centre: dict[DataCentreId, RoutingMap] = {}
         #: Rises with each change, so that what is derived can be renewed.
         self.revision = 0
@@ -42,6 +45,10 @@
             return False
         self.index = index
         self.adopted_at = now
+        self.is_moving = any(
+            entry.state is ServiceState.out
+            for entry in index.catalogue.data_centres
+        )
         self.revision += 1
         return True
 
--- a/cassialever/tablewire.py
+++ b/cassialever/tablewire.py
@@ -9,6 +9,7 @@
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.interfaces import Row
+from cassialever.platform_session import PlatformSession
 from cassialever.settings import PlatformSettings
 from cassialever.types import RowName, RowVersion
 
@@ -48,27 +49,12 @@
 Reply = TypeVar('Reply', RowsReply, CommitReply)
 
 
-class TableWire:
+class TableWire(PlatformSession):
     """Post orders and read replies."""
 
     def __init__(self, settings: PlatformSettings) -> None:
         """Take the settings; `start` opens the session."""
-        self._settings = settings
-        self._session: aiohttp.ClientSession | None = None
-
-    async def start(self) -> None:
-        """Open the session."""
-        timeout = aiohttp.ClientTimeout(total=self._settings.timeout_seconds)
-        self._session = aiohttp.ClientSession(
-            self._settings.table_url,
-            timeout=timeout,
-        )
-
-    async def stop(self) -> None:
-        """Close the session."""
-        if self._session:
-            await self._session.close()
-            self._session = None
+        super().__init__(settings.table_url, settings.timeout_seconds)
 
     async def post(
         self,
@@ -81,10 +67,10 @@
         Fails with `table_unavailable` only where the order was not carried
         out, and with `table_answer_lost` where it may have been.
         """
-        if self._session is None:
+        if self.session is None:
             return Failure(ErrorKind.table_unavailable, 'not started')
         try:
-            async with self._session.post(
+            async with self.session.post(
                 path,
                 data=msgspec.json.encode(order),
             ) as response:
--- a/cassialever/telemetry.py
+++ b/cassialever/telemetry.py
@@ -62,11 +62,18 @@
             ),
         )
 
-    def ended(self, intake: Intake, routed: Routed, began: Seconds) -> None:
-        """Count a request that was routed."""
+    def ended(
+        self,
+        intake: Intake,
+        routed: Routed,
+        began: Seconds,
+        *,
+        moving: bool,
+    ) -> None:
+        """Count a request that was routed; `moving` as in `RequestCount`."""
         outcome = routed.outcome
         kind = outcome.kind if isinstance(outcome, Failure) else None
         elapsed = self._clock.monotonic() - began
         service = intake.service.name
-        self.metrics.request_ended(service, kind, elapsed)
+        self.metrics.request_ended(service, kind, elapsed, moving)
         self.metrics.attempts[service] += routed.attempts
