Free the slot of a request that its target has given up

Cause: the slot of a cancelled request, such as the losing one of a hedge, stayed occupied until the deadline, up to 10 s, also where the target had said that it runs it no more; and a caller that went away was not noticed. Change: an acknowledged cancel frees the slot; the front notices callers that go away; a cancel is sent only where no retry can follow; a download of which nothing had come is taken up from a whole answer.

--- a/cassialever/bodies.py
+++ b/cassialever/bodies.py
@@ -1,12 +1,22 @@
 """Bodies that tell how they ended."""
 
+import enum
 from collections.abc import AsyncIterator, Callable
 from typing import TypeAlias
 
 from cassialever.errors import Failure
 from cassialever.misc import close_body
 
-OnEnd: TypeAlias = Callable[[bool], None]
+
+class BodyEnd(enum.Enum):
+    """How a body ended: whole, broken at its source, or left unread."""
+
+    whole = 'whole'
+    broken = 'broken'
+    given_up = 'given_up'
+
+
+OnEnd: TypeAlias = Callable[[BodyEnd], None]
 OnChunk: TypeAlias = Callable[[bytes], None]
 
 
@@ -23,7 +33,7 @@
         on_end: OnEnd,
         on_chunk: OnChunk | None = None,
     ) -> None:
-        """Take the body; `on_end` is told whether it came whole."""
+        """Take the body; `on_end` is told how it ended."""
         self._inner = inner
         self._on_end: OnEnd | None = on_end
         self._on_chunk = on_chunk
@@ -37,21 +47,21 @@
         try:
             chunk = await anext(self._inner)
         except StopAsyncIteration:
-            self._end(is_whole=True)
+            self._end(BodyEnd.whole)
             raise
         if isinstance(chunk, Failure):
-            self._end(is_whole=False)
+            self._end(BodyEnd.broken)
         elif self._on_chunk:
             self._on_chunk(chunk)
         return chunk
 
     async def aclose(self) -> None:
         """Give up what has not been read."""
-        self._end(is_whole=False)
+        self._end(BodyEnd.given_up)
         await close_body(self._inner)
 
-    def _end(self, *, is_whole: bool) -> None:
+    def _end(self, body_end: BodyEnd) -> None:
         on_end = self._on_end
         self._on_end = None
         if on_end:
-            on_end(is_whole)
+            on_end(body_end)
--- a/cassialever/claims.py
+++ b/cassialever/claims.py
@@ -4,7 +4,7 @@
 import functools
 from collections.abc import AsyncIterator
 
-from cassialever.bodies import WatchedBody
+from cassialever.bodies import BodyEnd, WatchedBody
 from cassialever.errors import ANSWER_BY_KIND, Failure
 from cassialever.interfaces import Clock
 from cassialever.leases import HeldLeases
@@ -112,9 +112,9 @@
         memory: OnceMemory,
         head: RequestHead,
         gathered: 'GatheredAnswer',
-        is_whole: bool,
+        body_end: BodyEnd,
     ) -> None:
-        stored = gathered.stored() if is_whole else None
+        stored = gathered.stored() if body_end is BodyEnd.whole else None
         memory.finish(head.request_id, stored, self._clock.wall())
 
 
--- a/cassialever/downloads.py
+++ b/cassialever/downloads.py
@@ -96,13 +96,22 @@
         return True
 
     def _goes_on(self, answer: Answer) -> bool:
+        same = header(answer.headers, 'etag') == self._etag
+        return same and (self._is_rest(answer) or self._is_whole(answer))
+
+    def _is_whole(self, answer: Answer) -> bool:
+        """Say whether it is all of the body, of which nothing has come."""
+        length = header(answer.headers, 'content-length')
+        is_all = answer.status == HTTPStatus.OK and length == str(self._length)
+        return is_all and not self._received
+
+    def _is_rest(self, answer: Answer) -> bool:
         span = header(answer.headers, 'content-range') or ''
         match = _CONTENT_RANGE.fullmatch(span)
         if match is None or answer.status != HTTPStatus.PARTIAL_CONTENT:
             return False
         wanted = (self._received, self._length - 1, self._length)
-        same = header(answer.headers, 'etag') == self._etag
-        return same and tuple(map(int, match.groups())) == wanted
+        return tuple(map(int, match.groups())) == wanted
 
 
 def header(headers: Headers, wanted: str) -> str | None:
--- a/cassialever/front.py
+++ b/cassialever/front.py
@@ -58,6 +58,8 @@
             self._serve,
             max_line_size=HEADER_BYTES,
             max_field_size=HEADER_BYTES,
+            # A caller that goes away has its work given up.
+            handler_cancellation=True,
         )
         self._site = ServerSite(server)
         self.url = ''
--- a/cassialever/interfaces.py
+++ b/cassialever/interfaces.py
@@ -144,5 +144,9 @@
         has left; with `outcome_unknown` where one may have.
         """
 
-    async def cancel(self, target_id: TargetId, request_id: RequestId) -> None:
-        """Ask a target to give up a request; says nothing of the outcome."""
+    async def cancel(self, target_id: TargetId, request_id: RequestId) -> bool:
+        """Ask a target to give up a request.
+
+        Returns whether it has said that it does not run it any more; that
+        says nothing of whether it ran before.
+        """
--- a/cassialever/misc.py
+++ b/cassialever/misc.py
@@ -80,8 +80,4 @@
                 access_log=None,
                 handler_cancellation=True,
             )
-        return web.ServerRunner(
-            self._app,
-            access_log=None,
-            handler_cancellation=True,
-        )
+        return web.ServerRunner(self._app, access_log=None)
--- a/cassialever/runs.py
+++ b/cassialever/runs.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cassialever.bodies import WatchedBody
+from cassialever.bodies import BodyEnd, WatchedBody
 from cassialever.catalogue import ServiceEntry, TargetEntry
 from cassialever.errors import ErrorKind, Failure
 from cassialever.flights import Flight, Flights
@@ -108,6 +108,7 @@
             outcome = await self._send(flight, body)
         except asyncio.CancelledError:
             self._land(gate, flight, Ending.unknown)
+            self._cancel(gate)
             raise
         if isinstance(outcome, Failure):
             ending = ENDING_BY_KIND.get(outcome.kind, Ending.unknown)
@@ -175,10 +176,13 @@
         self,
         gate: WaitingGate,
         flight: Flight,
-        is_whole: bool,
+        body_end: BodyEnd,
     ) -> None:
+        is_whole = body_end is BodyEnd.whole
         ending = Ending.answered if is_whole else Ending.unknown
         self._land(gate, flight, ending)
+        if body_end is BodyEnd.given_up:
+            self._cancel(gate)
 
     def _land(
         self,
@@ -192,18 +196,24 @@
             unknown=ending is Ending.unknown,
             now=self._tools.clock.monotonic(),
         )
-        if ending is Ending.unknown:
-            self._cancel()
 
-    def _cancel(self) -> None:
-        """Ask a target that may still be at work to give up."""
+    def _cancel(self, gate: WaitingGate) -> None:
+        """Ask a target to give up what nobody waits for any more.
+
+        Only then: after a failure the same request may be sent to the same
+        target again, and a cancel that is under way would hit the new try.
+        """
         if self._entry.checks.cancel:
-            self._tools.tasks.add(
-                self._tools.targets.cancel(
-                    self.head.target_id,
-                    self.head.request_id,
-                ),
-            )
+            self._tools.tasks.add(self._cancel_and_free(gate))
+
+    async def _cancel_and_free(self, gate: WaitingGate) -> None:
+        acknowledged = await self._tools.targets.cancel(
+            self.head.target_id,
+            self.head.request_id,
+        )
+        if acknowledged:
+            # Else the slot stays occupied until the attempt's deadline.
+            gate.leave(self._ticket, Ending.cancel_acknowledged)
 
 
 def _target_request(
--- a/cassialever/target_orders.py
+++ b/cassialever/target_orders.py
@@ -122,12 +122,16 @@
         if self._session:
             await self._session.close()
 
-    async def cancel(self, target_id: TargetId, request_id: RequestId) -> None:
-        """Ask a target to give up a request; says nothing of the outcome."""
+    async def cancel(self, target_id: TargetId, request_id: RequestId) -> bool:
+        """Ask a target to give up a request; say whether it has."""
         entry = self._directory.target(target_id)
-        if entry and entry.checks.cancel:
-            path = f'/requests/{quote(request_id, safe="")}'
-            await self._exchange(target_id, 'DELETE', path)
+        if entry is None or not entry.checks.cancel:
+            return False
+        path = f'/requests/{quote(request_id, safe="")}'
+        reply = await self._exchange(target_id, 'DELETE', path)
+        if isinstance(reply, Failure):
+            return False
+        return reply.status < HTTPStatus.BAD_REQUEST
 
     async def grant(
         self,
--- a/cassialever/targets.py
+++ b/cassialever/targets.py
@@ -108,9 +108,9 @@
             return response
         return self._judge(pool, request, response)
 
-    async def cancel(self, target_id: TargetId, request_id: RequestId) -> None:
-        """Ask a target to give up a request."""
-        await self.orders.cancel(target_id, request_id)
+    async def cancel(self, target_id: TargetId, request_id: RequestId) -> bool:
+        """Ask a target to give up a request; say whether it has."""
+        return await self.orders.cancel(target_id, request_id)
 
     def _pool(self, entry: TargetEntry) -> TargetPool:
         pool = self._pool_by_target.get(entry.target_id)
