--- a/cassialever/homes.py
+++ b/cassialever/homes.py
@@ -14,7 +14,7 @@
 
 import collections
 import itertools
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -91,14 +91,16 @@
 def wanted_homes(
     row: HomesRow,
     index: CatalogueIndex,
+    live: Collection[DataCentreId],
 ) -> tuple[DataCentreId, ...]:
     """Return the homes that the catalogue's targets in service ask for.
 
-    A block stays where it is unless its data centre has no target in
-    service, or more blocks than its share while another has less.
+    Only `live` data centres, whose coordinators are heard, count. A block
+    stays where it is unless its data centre has no target in service, or
+    more blocks than its share while another has less.
     """
     blocks = len(row.home_by_block)
-    room = _shares(row.service, blocks, index)
+    room = _shares(row.service, blocks, index, live)
     if not room:
         return row.home_by_block
     wanted: list[DataCentreId | None] = []
@@ -114,12 +116,13 @@
     service: ServiceName,
     blocks: int,
     index: CatalogueIndex,
+    live: Collection[DataCentreId],
 ) -> collections.Counter[DataCentreId]:
     """Divide blocks by the targets that each data centre has in service."""
     weights = sorted(
         target.data_centre
         for target in index.targets_by_service.get(service, ())
-        if index.is_out(target) is None
+        if index.is_out(target) is None and target.data_centre in live
     )
     if not weights:
         return collections.Counter()
@@ -134,6 +137,8 @@
     def __init__(self, data_centre: DataCentreId) -> None:
         """Start without a catalogue and without homes."""
         self.data_centre = data_centre
+        #: The data centres whose coordinators are heard, and the own one.
+        self.live: Collection[DataCentreId] = {data_centre}
         self._index: CatalogueIndex | None = None
         self._known_by_service: dict[ServiceName, KnownHomes] = {}
 
@@ -219,7 +224,8 @@
         return [
             service
             for service, known in self._known_by_service.items()
-            if wanted_homes(known.row, index) != known.row.home_by_block
+            if wanted_homes(known.row, index, self.live)
+            != known.row.home_by_block
         ]
 
     def leaving(self, service: ServiceName) -> dict[int, DataCentreId]:
@@ -231,7 +237,7 @@
         known = self._known_by_service.get(service)
         if known is None or self._index is None:
             return {}
-        wanted = wanted_homes(known.row, self._index)
+        wanted = wanted_homes(known.row, self._index, self.live)
         leaving = {
             block: wanted[block]
             for block, home in enumerate(known.row.home_by_block)
--- a/cassialever/map_announcer.py
+++ b/cassialever/map_announcer.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final
 
+from cassialever.interfaces import Clock
 from cassialever.map_messages import MapAnnounced, pack_map, unpack_map
 from cassialever.misc import BackgroundTasks
 from cassialever.peers import Peers
@@ -18,8 +19,15 @@
 class MapAnnouncer:
     """Tell every daemon of the own map, and take those of others."""
 
-    def __init__(self, placement: Placement, peers: Peers) -> None:
+    def __init__(
+        self,
+        placement: Placement,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
         """Take the placement that is kept up to date."""
+        self._clock = clock
+        self._heard_at: dict[DataCentreId, Seconds] = {}
         self.peer_ids: tuple[InstanceId, ...] = ()
         self._placement = placement
         self._peers = peers
@@ -46,6 +54,14 @@
         """Announce no more: another daemon coordinates."""
         self._own = None
 
+    def live_since(self, since: Seconds) -> set[DataCentreId]:
+        """Return the data centres whose coordinators were heard since."""
+        return {
+            data_centre
+            for data_centre, heard_at in self._heard_at.items()
+            if heard_at >= since
+        }
+
     def _tell(self) -> None:
         if self._own is None:
             return
@@ -58,6 +74,7 @@
         incarnation: Incarnation,
         message: MapAnnounced,
     ) -> None:
+        self._heard_at[message.data_centre] = self._clock.monotonic()
         self._take(message)
 
     def _take(self, message: MapAnnounced) -> None:
--- a/cassialever/ownership_driver.py
+++ b/cassialever/ownership_driver.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 from collections.abc import Callable, Iterable
+from typing import Final
 
 import msgspec
 
@@ -54,10 +55,16 @@
     Incarnation,
     InstanceId,
     RowName,
+    Seconds,
     ServiceName,
 )
 
 
+#: How lately a data centre's coordinator must have been heard to be given
+#: slices, in seconds.
+LIVE_WITHIN: Final[Seconds] = 3.0
+
+
 class OwnershipDriver:
     """Run the ownership core of one daemon."""
 
@@ -76,7 +83,7 @@
         self.core = core
         self.clock = clock
         self.tasks = BackgroundTasks()
-        self.announcer = MapAnnouncer(path.placement, path.peers)
+        self.announcer = MapAnnouncer(path.placement, path.peers, clock)
         #: Whether the table gave an answer to the last question.
         self.table_answers = False
         #: Called when an invariant was found broken.
@@ -211,6 +218,9 @@
             self.handle(Tick())
             if not self.core.authority.holds(self.clock.monotonic()):
                 self.announcer.withdraw()
+            since = self.clock.monotonic() - LIVE_WITHIN
+            heard = self.announcer.live_since(since)
+            self._homes.live = {self._homes.data_centre, *heard}
             await asyncio.sleep(TICK)
 
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -58,6 +58,7 @@
         """Write the first homes and have the west's coordinator know them."""
         self.rows = TableRows()
         self.homes = HomeAssignment(WEST)
+        self.homes.live = {WEST, EAST}
         self.homes.adopt_catalogue(index())
         (first,) = self.homes.missing()
         self.commit('first', first)
@@ -102,11 +103,12 @@
     def test_only_what_must_move_is_wanted_elsewhere(self) -> None:
         """A new target moves no more blocks than its share."""
         row = first_homes(index(), registry(index()))
-        self.assertEqual(wanted_homes(row, index()), row.home_by_block)
-        gone = wanted_homes(row, index(ServiceState.out))
+        both = {WEST, EAST}
+        self.assertEqual(wanted_homes(row, index(), both), row.home_by_block)
+        gone = wanted_homes(row, index(ServiceState.out), both)
         self.assertEqual(set(gone), {EAST})
         back = msgspec.structs.replace(row, home_by_block=gone)
-        again = wanted_homes(back, index())
+        again = wanted_homes(back, index(), both)
         moved = sum(home == WEST for home in again)
         self.assertEqual(moved, len(row.home_by_block) // 2)
 
@@ -123,6 +125,13 @@
         self.read()
         self.assertEqual(self.homes.unsettled(), [])
 
+    def test_nothing_goes_to_a_data_centre_that_is_not_heard(self) -> None:
+        """Blocks stay where they are rather than go where nobody is."""
+        self.homes.live = {WEST}
+        self.homes.adopt_catalogue(index(ServiceState.out))
+        self.assertEqual(self.homes.leaving(REGISTRY), {})
+        self.assertEqual(self.homes.unsettled(), [])
+
     def test_a_return_goes_by_and_by(self) -> None:
         """A data centre in service gives away a few blocks at a time."""
         self.homes.adopt_catalogue(index())
