--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -5,6 +5,9 @@
 import time
 from typing import Protocol
 
+from reactivex import operators
+from reactivex.subject import Subject
+
 from cassialever.catalogue import Catalogue, CatalogueIndex
 from cassialever.catalogue_store import CatalogueStore
 from cassialever.clock import SystemClock, seeded_random
@@ -13,7 +16,11 @@
 from cassialever.front import Front
 from cassialever.gauges import Gauges
 from cassialever.homes import HomeAssignment
-from cassialever.instance_watch import InstanceWatch
+from cassialever.instance_watch import (
+    InstanceWatch,
+    addresses_of,
+    members_of,
+)
 from cassialever.instances import InstanceList
 from cassialever.operator_api import OperatorApi
 from cassialever.ownership import Ownership
@@ -57,6 +64,8 @@
         self.table = HttpTable(settings.platform, clock, random_source)
         self._instances = InstanceList(settings.platform)
         self.telemetry = Telemetry(settings, clock)
+        #: Each catalogue that comes into force here.
+        self._catalogues: Subject[CatalogueIndex] = Subject()
         self.path = RequestPath(settings, core, self.telemetry, clock)
         self.driver = OwnershipDriver(self.table, self.path, core, homes, clock)
         self._spreading = Spreading(
@@ -67,12 +76,8 @@
             random_source,
             self._adopt,
         )
-        self.watch = InstanceWatch(
-            self._instances,
-            self.path.peers,
-            self.driver.adopt_instances,
-            self._spreading.members_changed,
-        )
+        self.watch = InstanceWatch(self._instances)
+        self._subscribe()
         self.view = DaemonView(
             self.path,
             self.driver,
@@ -145,6 +150,17 @@
             self.path.front,
         ]
 
+    def _subscribe(self) -> None:
+        """Let each part hear what concerns it."""
+        instances = self.watch.changes
+        addresses = self.path.peers.address_by_instance
+        instances.pipe(operators.map(addresses_of)).subscribe(addresses.update)
+        instances.subscribe(self.driver.adopt_instances)
+        instances.pipe(operators.map(members_of)).subscribe(
+            self._spreading.members_changed,
+        )
+        self._catalogues.subscribe(self.driver.adopt_catalogue)
+
     def _fail(self) -> None:
         self._is_broken = True
         self._stop_asked.set()
@@ -153,4 +169,4 @@
         index = CatalogueIndex(catalogue)
         if self.path.placement.adopt_catalogue(index, self._clock.monotonic()):
             record(Event.catalogue_adopted, version=catalogue.version)
-            self.driver.adopt_catalogue(index)
+            self._catalogues.on_next(index)
--- a/cassialever/instance_watch.py
+++ b/cassialever/instance_watch.py
@@ -1,41 +1,39 @@
 """Look at the platform's list of instances, again and again."""
 
 import asyncio
-from collections.abc import Callable, Iterable
-from typing import Final
+from collections.abc import Mapping
+from typing import Final, TypeAlias
+
+from reactivex import Observable, operators
+from reactivex.subject import Subject
 
 from cassialever.dialling import PeerAddress
 from cassialever.errors import Failure
 from cassialever.instances import Instance, InstanceList
 from cassialever.misc import BackgroundTasks
-from cassialever.peers import Peers
 from cassialever.relay import Members
 from cassialever.types import DataCentreId, InstanceId, Seconds
 
 #: Between two looks, in seconds; the list itself lags by more.
 LOOK_INTERVAL: Final[Seconds] = 1.0
 
-OnInstances = Callable[[Iterable[Instance]], None]
-OnMembers = Callable[[Members], None]
+Listed: TypeAlias = Mapping[InstanceId, Instance]
 
 
 class InstanceWatch:
-    """Keep the links' addresses and the members up to date."""
-
-    def __init__(
-        self,
-        instances: InstanceList,
-        peers: Peers,
-        on_instances: OnInstances,
-        on_members: OnMembers,
-    ) -> None:
-        """Take the list and those that have to know it."""
+    """The platform's list as a stream of its changes."""
+
+    def __init__(self, instances: InstanceList) -> None:
+        """Take the list; those that have to know it subscribe."""
         self._instances = instances
-        self._peers = peers
-        self._on_instances = on_instances
-        self._on_members = on_members
         self._tasks = BackgroundTasks()
-        self.instance_by_id: dict[InstanceId, Instance] = {}
+        self._looks: Subject[Listed] = Subject()
+        self.instance_by_id: Listed = {}
+        #: Each list that differs from the one before.
+        self.changes: Observable[Listed] = self._looks.pipe(
+            operators.distinct_until_changed(),
+        )
+        self.changes.subscribe(self._keep)
 
     async def start(self) -> None:
         """Look once, and go on in the background."""
@@ -49,14 +47,11 @@
     async def look(self) -> None:
         """Take the list as it now stands; a lost look changes nothing."""
         listed = await self._instances.fetch()
-        if isinstance(listed, Failure) or listed == self.instance_by_id:
-            return
-        self.instance_by_id = dict(listed)
-        for instance_id, instance in listed.items():
-            address = PeerAddress(instance.address, instance.peer_port)
-            self._peers.address_by_instance[instance_id] = address
-        self._on_instances(listed.values())
-        self._on_members(_members(listed.values()))
+        if not isinstance(listed, Failure):
+            self._looks.on_next(listed)
+
+    def _keep(self, listed: Listed) -> None:
+        self.instance_by_id = listed
 
     async def _run(self) -> None:
         while True:
@@ -64,9 +59,18 @@
             await self.look()
 
 
-def _members(instances: Iterable[Instance]) -> Members:
+def addresses_of(listed: Listed) -> dict[InstanceId, PeerAddress]:
+    """Return where each instance takes links."""
+    return {
+        instance_id: PeerAddress(instance.address, instance.peer_port)
+        for instance_id, instance in listed.items()
+    }
+
+
+def members_of(listed: Listed) -> Members:
+    """Return the members of each data centre, in order."""
     ids_by_data_centre: dict[DataCentreId, list[InstanceId]] = {}
-    for instance in instances:
+    for instance in listed.values():
         ids = ids_by_data_centre.setdefault(instance.data_centre, [])
         ids.append(instance.instance_id)
     return Members(
--- a/cassialever/ownership_driver.py
+++ b/cassialever/ownership_driver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
@@ -114,7 +114,10 @@
         self._homes.adopt_catalogue(index)
         self.handle(CatalogueAdopted(index))
 
-    def adopt_instances(self, instances: Iterable[Instance]) -> None:
+    def adopt_instances(
+        self,
+        by_id: Mapping[InstanceId, Instance],
+    ) -> None:
         """Take the platform's list."""
         own = self.settings.instance.instance_id
         listed = [
@@ -124,7 +127,7 @@
                 instance.rack,
                 instance.state is InstanceState.leaving,
             )
-            for instance in instances
+            for instance in by_id.values()
         ]
         self.announcer.peer_ids = tuple(
             name.instance_id for name in listed if name.instance_id != own
