--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -56,6 +56,24 @@
             await daemon.stop()
         await self.platform.stop()
 
+    async def lose(self, instance_id: InstanceId) -> None:
+        """Lose a daemon: it says nothing any more, and hands nothing over.
+
+        The platform's list goes on naming it, since it lags.
+        """
+        daemon = self.daemon_by_id.pop(instance_id)
+        daemon.driver.tasks.cancel()
+        daemon.path.peers.close()
+        for part in (
+            daemon.driver.announcer,
+            daemon.watch,
+            daemon.path.front,
+            daemon.path.targets,
+            daemon.operator_api,
+            daemon.table,
+        ):
+            await part.stop()
+
     async def settled(self) -> None:
         """Return once every daemon knows every holder and owner."""
         for _ in range(SETTLE_TRIES):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -121,6 +121,58 @@
         for stand_in in self.targets:
             stand_in.faults.thaw()
 
+    async def served(self, url: str) -> None:
+        """Ask for a key until it is answered whole; each refusal is true."""
+        headers = {'X-Cassialever-Key': 'k'}
+        for _ in range(300):
+            response = await self.session.get(url, headers=headers)
+            if response.status == 200:
+                return
+            refusal = await response.json()
+            self.assertNotEqual(refusal['kind'], 'internal', refusal)
+            await asyncio.sleep(0.05)
+        self.fail(f'the key is not served again: {refusal}')
+
+    async def test_lost_coordinator_is_replaced(self) -> None:
+        """Its targets are held by the other daemon, under higher fences."""
+        core = self.first.driver.core
+        now = self.first.driver.clock.monotonic()
+        first, second = self.first, self.second
+        if not core.authority.holds(now):
+            first, second = second, first
+        fences = {
+            target_id: stand_in.grants.highest
+            for target_id, stand_in in (
+                self.deployment.platform.target_by_id.items()
+            )
+        }
+        await self.deployment.lose(first.settings.instance.instance_id)
+        leases = second.driver.core.leases.lease_by_target
+        for _ in range(300):
+            if leases.keys() == fences.keys():
+                break
+            await asyncio.sleep(0.05)
+        self.assertEqual(leases.keys(), fences.keys())
+        for target_id, lease in leases.items():
+            self.assertGreaterEqual(lease.fence, fences[target_id])
+        self.assertGreater(second.driver.core.authority.epoch, 1)
+        await self.served(f'{second.front.url}/registry/x')
+
+    async def test_keys_are_served_while_the_table_is_away(self) -> None:
+        """For longer than every lease's term no request is refused."""
+        table = self.deployment.platform.table
+        port = int(self.deployment.platform.table_url.rpartition(':')[-1])
+        url = f'{self.first.front.url}/registry/x'
+        await self.served(url)
+        await table.stop()
+        for number in range(60):
+            headers = {'X-Cassialever-Key': f'k{number}'}
+            response = await self.session.get(url, headers=headers)
+            self.assertEqual(response.status, 200, await response.read())
+            await asyncio.sleep(0.05)
+        await table.start(port)
+        await self.served(url)
+
     async def test_broken_invariant_ends_the_daemon(self) -> None:
         """Nothing is sent any more once a promise would be broken."""
         core = self.second.driver.core
