--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from cassialever.catalogue import TargetLimits
 from cassialever.errors import ErrorKind
 from cassialever.exceptions import InvariantError
 from cassialever.ownership_events import Tick
@@ -15,6 +16,10 @@
 class TestFaults(WholePathCase):
     """Each fault is brought about on real sockets."""
 
+    # A broken attempt holds its slot until its deadline, and a slow machine
+    # can send a target back to cold: a second attempt still finds a slot.
+    limits = TargetLimits(slots=4, connections=8, cold_slots=3)
+
     @property
     def targets(self) -> list[StandInTarget]:
         """Return every stand-in target."""
