Name the milliseconds of a second once, and drop two unused names

Four modules each defined the constant; RoutingMap's empty instance and split_address had no user left.

--- a/cassialever/exchange.py
+++ b/cassialever/exchange.py
@@ -1,7 +1,6 @@
 """Carry one request through its attempts until it has its final answer."""
 
 import asyncio
-from typing import Final
 
 import msgspec
 
@@ -23,9 +22,14 @@
 from cassialever.placement import Placement
 from cassialever.sending import Sender
 from cassialever.traffic import Traffic
-from cassialever.types import AttemptState, InstanceId, Seconds, TargetId
+from cassialever.types import (
+    MILLISECONDS,
+    AttemptState,
+    InstanceId,
+    Seconds,
+    TargetId,
+)
 
-MILLISECONDS: Final = 1000
 
 Outcome = HolderAnswer | Failure
 Attempt = asyncio.Task[Outcome]
--- a/cassialever/formats.py
+++ b/cassialever/formats.py
@@ -44,12 +44,6 @@
     return f'Expected {_NOUN_BY_FORMAT[text_format]}.'
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP number and port of an `ip_and_port` text."""
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
-
-
 def _is_name(text: str) -> bool:
     return len(text) <= LONGEST_NAME and bool(_NAME.fullmatch(text))
 
--- a/cassialever/front.py
+++ b/cassialever/front.py
@@ -25,11 +25,10 @@
 from cassialever.settings import Settings
 from cassialever.telemetry import Telemetry
 from cassialever.tracing import Hop
-from cassialever.types import RequestId, Seconds, TargetId
+from cassialever.types import MILLISECONDS, RequestId, Seconds, TargetId
 
 #: Longest header and request line that a caller may send, in bytes.
 HEADER_BYTES: Final = 8_190
-MILLISECONDS: Final = 1000
 #: Between two looks at whether requests in progress have ended, in seconds.
 DRAIN_PAUSE: Final[Seconds] = 0.02
 
--- a/cassialever/minting.py
+++ b/cassialever/minting.py
@@ -4,9 +4,8 @@
 from typing import Final
 
 from cassialever.interfaces import RandomSource
-from cassialever.types import RequestId, Seconds
+from cassialever.types import MILLISECONDS, RequestId, Seconds
 
-MILLISECONDS: Final = 1000
 TIME_SHIFT: Final = 80
 VERSION: Final = 7
 VERSION_SHIFT: Final = 76
--- a/cassialever/routing.py
+++ b/cassialever/routing.py
@@ -82,6 +82,3 @@
     def holder(self, target_id: TargetId) -> InstanceId | None:
         """Return the instance that holds a target's lease, if known."""
         return self.holder_by_target.get(target_id)
-
-
-EMPTY_MAP = RoutingMap(Epoch(0), {}, {})
--- a/cassialever/runs.py
+++ b/cassialever/runs.py
@@ -25,9 +25,8 @@
 from cassialever.misc import BackgroundTasks
 from cassialever.tickets import Ending, Ticket
 from cassialever.tracing import Hop, Tracing
-from cassialever.types import Fence
+from cassialever.types import MILLISECONDS, Fence
 
-MILLISECONDS: Final = 1000
 
 #: How an attempt has ended, by the kind of its failure; else it is unknown.
 ENDING_BY_KIND: Final = MappingProxyType(
--- a/cassialever/types.py
+++ b/cassialever/types.py
@@ -1,7 +1,7 @@
 """Ids, states and aliases that every module shares."""
 
 import enum
-from typing import NewType, TypeAlias
+from typing import Final, NewType, TypeAlias
 
 InstanceId = NewType('InstanceId', str)
 DataCentreId = NewType('DataCentreId', str)
@@ -25,6 +25,9 @@
 Seconds: TypeAlias = float
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
+#: Milliseconds in a second, for the whole milliseconds of wire and entries.
+MILLISECONDS: Final = 1000
+
 
 class RoutingClass(enum.Enum):
     """How a service's requests find their target."""
