--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -22,13 +22,15 @@
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.platform.wire import ReportedLoad
 from cassialever.policy.loads import LoadTracker
-from cassialever.types import Seconds
+from cassialever.types import MS_PER_SECOND, Seconds
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
     add_targets,
     configured_view,
+    json_row,
     make_settings,
+    target_entry,
 )
 
 #: Slots of a target, and the longest queue per slot.
@@ -52,6 +54,7 @@
         #: Close every connection without an answer.
         self.resets = False
         self.received = 0
+        self.received_at: list[Seconds] = []
         self.ran = 0
         #: Requests that were reset because the queue was full.
         self.overflows = 0
@@ -61,6 +64,7 @@
 
     async def run(self, rng: random.Random) -> Attempt:
         self.received += 1
+        self.received_at.append(asyncio.get_running_loop().time())
         if self.sheds:
             return not_run('shed')
         if self.resets or self.queued >= SLOTS * QUEUE_PER_SLOT:
@@ -109,6 +113,14 @@
         return attempt
 
 
+def most_in_one_second(times: list[Seconds]) -> int:
+    """Return the highest number of events in any span of one second."""
+    return max(
+        (sum(start <= at <= start + 1 for at in times) for start in times),
+        default=0,
+    )
+
+
 class Tally(msgspec.Struct):
     """The outcomes of callers' requests, and their latencies."""
 
@@ -165,6 +177,16 @@
                 self.loop.create_task(self._call(tally, timeout, retries))
             )
 
+    def add_cold_target(self, name: str, cold_for: Seconds) -> None:
+        """Add a target that starts cold; every daemon sees it at once."""
+        self.targets[name] = SimTarget(name)
+        entry = target_entry('issuance', cold_ms=cold_for * MS_PER_SECOND)
+        for forwarder in self.forwarders:
+            view = forwarder._view
+            version = view.rows.version_by_table['servers'] + 1
+            row = json_row('servers', name, entry, version)
+            view.apply('servers', [row], version)
+
     async def settle(self) -> None:
         """Wait until every caller has its answer or has given up."""
         await asyncio.gather(*self.tasks)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -16,7 +16,8 @@
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.relay import Relay
 from standins.listening import LOOPBACK, free_ports
-from tests.fleet_helpers import ManualClock, configured_view, until
+from tests import fleet_helpers
+from tests.fleet_helpers import ManualClock, configured_view, json_row, until
 
 KEY = 'a key of the fleet'
 HELLO = messages.Hello('edge-1', 1, '127.0.0.1:1', {})
@@ -145,6 +146,50 @@
             task.cancel()
 
 
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A link that takes longer for a table than the leader may be silent."""
+
+    async def test_table_that_arrives_slowly_is_received(self) -> None:
+        """A configuration of 1,400 routes over a link of 200 kB/s."""
+        routes = {
+            f'r-{number}': {
+                **fleet_helpers.ROUTES['r-lookup'],
+                'hostname': f'registry-{number}.example',
+            }
+            for number in range(1400)
+        }
+        configuration = {
+            **fleet_helpers.CONFIGURATION,
+            'version': 'r9',
+            'routes': routes,
+        }
+        row = json_row('op', 'config', configuration, 90)
+        frame = messages.encode(messages.Whole('op', [row], 90))
+        chunk_bytes = 20_000
+        chunk_interval = 0.1
+        # The transfer takes longer than a silent leader is waited for.
+        self.assertGreater(
+            len(frame) / chunk_bytes * chunk_interval, 1.2 * LEADER_TIMEOUT
+        )
+
+        async def send_slowly(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await messages.receive(reader)
+            for start in range(0, len(frame), chunk_bytes):
+                writer.write(frame[start : start + chunk_bytes])
+                await asyncio.sleep(chunk_interval)
+            await reader.read()
+
+        server = await asyncio.start_server(send_slowly, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        link = follower('')
+        end = await link.follow(f'{host}:{port}')
+        self.assertIs(end, LinkEnd.timed_out)
+        self.assertEqual(link.view.configuration.version, 9)
+        server.close()
+
+
 class InvalidBytesTest(unittest.IsolatedAsyncioTestCase):
     """Bytes that are not a valid message or not expected."""
 
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from tests.fleet_helpers import VirtualLoop, run_virtually
-from tests.replay_helpers import SLOTS, Simulation
+from tests.replay_helpers import SLOTS, Simulation, most_in_one_second
 
 Scenario = Callable[[Simulation], Awaitable[None]]
 
@@ -191,6 +191,31 @@
 
         self.run_scenario(scenario)
 
+    def test_new_cold_target_is_not_flooded_by_a_large_fleet(self) -> None:
+        """59 daemons see a new target, which is the least loaded, at once."""
+
+        async def scenario(simulation: Simulation) -> None:
+            tally = simulation.new_tally()
+            load = 0.6 * simulation.capacity()
+            simulation.tasks.append(
+                simulation.loop.create_task(simulation.run_load(load, 6, tally))
+            )
+            await asyncio.sleep(2)
+            simulation.add_cold_target('cold', 3.0)
+            await simulation.settle()
+            started = simulation.targets['cold'].received_at[0]
+            while_cold = [
+                at
+                for at in simulation.targets['cold'].received_at
+                if at < started + 3
+            ]
+            # It takes 12 a second; the platform allows 1.5 times that and 5.
+            self.assertLessEqual(most_in_one_second(while_cold), 23)
+            # It is used, so that it takes its part of the load.
+            self.assertGreaterEqual(len(while_cold), 12)
+
+        self.run_scenario(scenario, daemons=59, targets=8)
+
     def test_target_that_slows_down(self) -> None:
         """A target that is ten times slower gets only what it can run."""
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,10 +1,13 @@
 """Tests of the store's client, also against a faulty store."""
 
 import asyncio
+import base64
 import contextlib
 import unittest
 from unittest import mock
 
+import msgspec
+
 from cassialever.errors import ErrorKind, Failure
 from cassialever.platform import rows, store
 from cassialever.platform.store import StoreClient
@@ -181,5 +184,45 @@
             self.assertIsInstance(result, Failure)
 
 
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Answers that keep arriving for longer than a silent store may take."""
+
+    async def test_large_answer_that_arrives_slowly_is_read(self) -> None:
+        value = base64.b64encode(b'x' * 60_000).decode()
+        row = {'table': 't', 'part': '', 'key': 'a', 'ver': 5, 'value': value}
+        body = msgspec.json.encode({'rows': [row], 'ver': 5, 'now_ms': 1})
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        reply = head.encode() + body
+        chunk_count = 16
+        chunk_bytes = len(reply) // chunk_count + 1
+
+        async def serve_slowly(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(
+                ConnectionError, asyncio.IncompleteReadError
+            ):
+                await reader.readuntil(b'\r\n\r\n')
+                for start in range(0, len(reply), chunk_bytes):
+                    writer.write(reply[start : start + chunk_bytes])
+                    await writer.drain()
+                    await asyncio.sleep(pause)
+            writer.close()
+
+        server = await asyncio.start_server(serve_slowly, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        client = StoreClient(f'{host}:{port}')
+        await client.start()
+        pause = 1.3 * store.CALL_TIMEOUT / chunk_count
+        read = await client.read_all('t')
+        pause = 1.1 * (store.LONG_POLL_WAIT + store.CALL_TIMEOUT) / chunk_count
+        waited = await client.wait_for_changes('t', 0)
+        for result in (read, waited):
+            assert isinstance(result, rows.Rows), result
+            self.assertEqual(len(result.rows[0].content or b''), 60_000)
+        await client.stop()
+        server.close()
+
+
 if __name__ == '__main__':
     unittest.main()
