Read large answers of the store over slow links

Cause: a read had 1.0 s and a wait for changes 2.5 s in all, whatever the size of the answer. A configuration of 1,400 routes is 0.4 MB as the store sends it; a link of 10 Mbit/s that also carries callers' answers needs longer, and the next call starts from the first byte.

Fix: the store must begin its answer within the same times as before, and then more must arrive within each second; the whole is limited to 10 s. Commits keep their limit, since the lease depends on it.

--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -11,9 +11,13 @@
 from cassialever.platform.sessions import open_session
 from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
 
-#: Timeout of calls other than long polls. The store usually answers in
-#: 4 ms; a slow answer takes 60 to 100 times that (site files).
+#: Time in which the store must begin its answer, and in which more of an answer
+#: must arrive. The store usually answers in 4 ms; a slow answer takes 60 to
+#: 100 times that (site files).
 CALL_TIMEOUT: Final[Seconds] = 1.0
+#: Limit of a whole read, which bounds an answer that arrives byte by byte; a
+#: link of 1 Mbit/s carries the largest page in it.
+MAX_READ_TIME: Final[Seconds] = 10.0
 CONNECT_TIMEOUT: Final[Seconds] = 0.5
 #: How long the store may hold a long poll. A poll that the store has lost
 #: times out early enough for the bounds on targets that go away, which must
@@ -22,13 +26,19 @@
 #: The most rows that the store returns for one read.
 ROWS_PER_PAGE: Final = 500
 
-_TIMEOUT: Final = aiohttp.ClientTimeout(
+_COMMIT_TIMEOUT: Final = aiohttp.ClientTimeout(
     total=CALL_TIMEOUT,
     connect=CONNECT_TIMEOUT,
 )
+_READ_TIMEOUT: Final = aiohttp.ClientTimeout(
+    total=MAX_READ_TIME,
+    connect=CONNECT_TIMEOUT,
+    sock_read=CALL_TIMEOUT,
+)
 _LONG_POLL_TIMEOUT: Final = aiohttp.ClientTimeout(
-    total=LONG_POLL_WAIT + CALL_TIMEOUT,
+    total=LONG_POLL_WAIT + MAX_READ_TIME,
     connect=CONNECT_TIMEOUT,
+    sock_read=LONG_POLL_WAIT + CALL_TIMEOUT,
 )
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
@@ -65,7 +75,7 @@
         answer = await self._call(
             'POST',
             rows.COMMIT_PATH,
-            _TIMEOUT,
+            _COMMIT_TIMEOUT,
             data=rows.encode_transaction(transaction),
             headers=_JSON_HEADERS,
         )
@@ -83,7 +93,12 @@
         query = {'table': table, 'part': '', 'limit': ROWS_PER_PAGE}
         if start:
             query['from'] = start
-        answer = await self._call('GET', rows.READ_PATH, _TIMEOUT, params=query)
+        answer = await self._call(
+            'GET',
+            rows.READ_PATH,
+            _READ_TIMEOUT,
+            params=query,
+        )
         return _decode_rows(answer)
 
     async def read_all(self, table: str) -> rows.Rows | Failure:
@@ -147,7 +162,7 @@
                 timeout=timeout,
                 **options,
             ) as response:
-                return response.status, await response.read()
+                return response.status, await _read_body(response)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -157,6 +172,15 @@
             return Failure(ErrorKind.table_answer_lost, repr(error))
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read a body; raise TimeoutError if nothing arrives for CALL_TIMEOUT."""
+    body = bytearray()
+    while not response.content.at_eof():
+        async with asyncio.timeout(CALL_TIMEOUT):
+            body += await response.content.readany()
+    return bytes(body)
+
+
 def _decode_rows(answer: tuple[int, bytes] | Failure) -> rows.Rows | Failure:
     if isinstance(answer, Failure):
         return answer
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -153,7 +153,8 @@
         client = StoreClient(f'{host}:{port}')
         await client.start()
         with (
-            mock.patch.object(store, '_TIMEOUT', SHORT_TIMEOUT),
+            mock.patch.object(store, '_COMMIT_TIMEOUT', SHORT_TIMEOUT),
+            mock.patch.object(store, '_READ_TIMEOUT', SHORT_TIMEOUT),
             mock.patch.object(store, '_LONG_POLL_TIMEOUT', SHORT_TIMEOUT),
         ):
             results = [
