Share limits by a complete list of daemons only

Cause: a daemon without a link counted itself alone and took the whole retry allowance and rate; a new leader told its followers a list that grew with each that came, so that all of them divided by 2, then 3, and so on. A follower that lost power stayed in the list as long as its connection looked open. Each joining follower was announced to all others at once: with N followers N x N messages with N entries, after each takeover.

Fix: the leader marks its list as complete 1.5 s after the start of its term, and limits are divided by complete lists only; until then the former leader's list is in force, and a daemon that has none takes no part of the retry allowance (its own requests' share remains) and no permits for cold targets. Followers report four times a second, also without content, and one silent for 2 s is no member. Changes of the list go out with the heartbeat.

Measured by tests that failed before: 59 fresh daemons that know no other spend no allowance; 40 followers that join together cause fewer than 8 announcements; a silent follower leaves the list. The stand-in's wait_until_settled and test_shed_request_goes_to_another_target wait for the list too, since retries depend on it: their checks are as before.

--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -56,7 +56,10 @@
         self.leader_address = ''
         #: Address of the daemon that is being followed.
         self.address = ''
+        #: Addresses of the daemons that the leader knows.
         self.addresses_by_id: dict[str, str] = {}
+        #: The last complete list of them; empty if there was none yet.
+        self.complete_addresses_by_id: dict[str, str] = {}
 
     async def follow(self, address: str) -> LinkEnd:
         """Follow the daemon at an address until the link ends."""
@@ -172,6 +175,8 @@
 @handle.register
 def _handle_members(message: messages.Members, link: LeaderLink) -> None:
     link.addresses_by_id = message.addresses_by_id
+    if message.is_complete:
+        link.complete_addresses_by_id = message.addresses_by_id
 
 
 @handle.register
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -112,6 +112,18 @@
             return self._relay.members()
         return self.link.addresses_by_id
 
+    def complete_peers(self) -> dict[str, str]:
+        """Return the addresses of all daemons, for limits that they share.
+
+        All daemons that follow the same leader have the same list, but for
+        the time that a change takes to reach them. It is empty until a list
+        is known that is complete.
+        """
+        announced = self._relay.announced
+        if self.state is MemberState.leading and announced.is_complete:
+            return announced.addresses_by_id
+        return self.link.complete_addresses_by_id
+
     def is_store_reachable(self) -> bool:
         """Return whether the store answers this daemon or its leader."""
         if self.leader_term is not None:
@@ -204,7 +216,7 @@
         self._direct_follower.stop()
         self.state = MemberState.leading
         self.leader_term = leader_term
-        self._relay.is_leader = True
+        self._relay.begin_term()
         self._relay.store_age = leader_term.store_age
         self._relay.on_hello = leader_term.note_follower
         self._relay.on_deposed = leader_term.depose_if_later
@@ -230,6 +242,7 @@
         for task in tasks:
             task.cancel()
         self._view.on_change = ignore_changes
+        self.link.complete_addresses_by_id = self.complete_peers()
         self._relay.disconnect_followers()
         self.leader_term = None
         self.state = MemberState.seeking
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -63,9 +63,13 @@
 
 
 class Members(Message, frozen=True, array_like=True, tag=True):
-    """Addresses, by instance id, of the leader and its followers."""
+    """Addresses, by instance id, of the leader and its followers.
+
+    The list is complete once all followers had time to find a new leader.
+    """
 
     addresses_by_id: dict[str, str]
+    is_complete: bool
 
 
 class Pulse(Message, frozen=True, array_like=True, tag=True):
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -17,6 +17,13 @@
 HEARTBEAT_INTERVAL: Final[Seconds] = 0.25
 #: Time limit for the first message after the proof.
 HELLO_TIMEOUT: Final[Seconds] = 1.0
+#: How long the followers of a former leader take to find a new one, which they
+#: seek before its lease may be taken over. Until then its list of daemons is
+#: not complete.
+RECONNECT_PERIOD: Final[Seconds] = 1.5
+#: A follower from which nothing arrives for this long does not count as alive:
+#: eight reports.
+FOLLOWER_TIMEOUT: Final[Seconds] = 2.0
 #: Unsent data for one follower above which it is disconnected; it then has to
 #: reconnect and catch up.
 MAX_BACKLOG_BYTES: Final = 4 * 1024 * 1024
@@ -33,6 +40,8 @@
         """Wrap a connection whose daemon greeted with `hello`."""
         self.hello = hello
         self._writer = writer
+        #: When it was last heard, in the loop's time.
+        self.heard_at: Seconds = asyncio.get_running_loop().time()
 
     def send(self, frame: bytes) -> None:
         """Send a frame; disconnect a follower that does not read."""
@@ -63,6 +72,9 @@
         self._server: asyncio.Server | None = None
         self.follower_by_id: dict[str, Follower] = {}
         self.is_leader = False
+        self._leads_since: Seconds = 0
+        #: The members that followers were last told of.
+        self.announced = messages.Members({}, is_complete=False)
         #: Returns the time since the leader heard from the store.
         self.store_age: Callable[[], Seconds] = float
         self.on_hello: Callable[[messages.Hello], None] = _ignore
@@ -82,6 +94,12 @@
             self._server.close()
         self.disconnect_followers()
 
+    def begin_term(self) -> None:
+        """Accept followers as the leader."""
+        self.is_leader = True
+        self._leads_since = asyncio.get_running_loop().time()
+        self.announced = messages.Members(self.members(), is_complete=False)
+
     def disconnect_followers(self, leader_address: str = '') -> None:
         """Stop acting as leader and refer all followers to another one."""
         self.is_leader = False
@@ -115,18 +133,35 @@
         self.broadcast(moving)
 
     def members(self) -> dict[str, str]:
-        """Return the addresses of this daemon and its followers."""
+        """Return the addresses of this daemon and its live followers."""
         addresses = {self._own_hello.instance_id: self._own_hello.address}
+        if not self.follower_by_id:
+            return addresses
+        heard_since = asyncio.get_running_loop().time() - FOLLOWER_TIMEOUT
         for follower in self.follower_by_id.values():
-            addresses[follower.hello.instance_id] = follower.hello.address
+            if follower.heard_at >= heard_since:
+                addresses[follower.hello.instance_id] = follower.hello.address
         return addresses
 
     async def send_heartbeats(self) -> None:
-        """Send heartbeats until cancelled."""
+        """Send heartbeats, and changes of the members, until cancelled."""
         while True:
             self.broadcast(messages.Pulse(self.is_leader, self.store_age()))
+            self._announce_members()
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
+    def _announce_members(self) -> None:
+        """Announce the members if they have changed.
+
+        Followers that join together are announced together: each change goes
+        to every follower.
+        """
+        age = asyncio.get_running_loop().time() - self._leads_since
+        members = messages.Members(self.members(), age >= RECONNECT_PERIOD)
+        if members != self.announced:
+            self.announced = members
+            self.broadcast(members)
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -179,16 +214,16 @@
     ) -> None:
         instance_id = follower.hello.instance_id
         self.follower_by_id[instance_id] = follower
-        self.broadcast(messages.Members(self.members()))
+        follower.send(messages.encode(self.announced))
         try:
             while self.is_leader:
                 message = await messages.receive(reader)
+                follower.heard_at = asyncio.get_running_loop().time()
                 if isinstance(message, messages.KeysAsked):
                     self.on_keys_asked(message)
         finally:
             if self.follower_by_id.get(instance_id) is follower:
                 self.follower_by_id.pop(instance_id)
-                self.broadcast(messages.Members(self.members()))
 
     def _catch_up_message(
         self,
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -32,8 +32,7 @@
 from cassialever.types import MS_PER_SECOND
 
 #: Samples of the number of daemons, of which the largest is used: those of
-#: the last 10 s. A new leader knows few followers at first, and a daemon that
-#: divided rates by that number would send cold targets more than its part.
+#: the last 10 s, the window of the retry budget.
 DAEMON_COUNT_SAMPLES: Final = 40
 
 
@@ -103,7 +102,7 @@
             self.view,
             self.forwarder.warm_up,
             self.clock,
-            self.membership.peers,
+            self.membership.complete_peers,
             self._socket,
         )
         self.membership.run_leader = self.key_assigner.run
@@ -171,7 +170,7 @@
         daemon_counts: deque[int] = deque(maxlen=DAEMON_COUNT_SAMPLES)
         while True:
             await asyncio.sleep(HEAT_UPDATE_INTERVAL)
-            daemon_counts.append(self.membership.daemon_count)
+            daemon_counts.append(len(self.membership.complete_peers()))
             self.forwarder.daemon_count = max(daemon_counts)
             self.loads.prune(self.view.targets.by_id)
             self._permits.prune()
@@ -182,5 +181,6 @@
             self.forwarder.keys_asked.clear()
             if self.membership.state is MemberState.leading:
                 self.key_assigner.add_report(report)
-            elif report.keys_by_service:
-                self.membership.link.report(report)
+                continue
+            # Sent without content too, since it shows that this daemon lives.
+            self.membership.link.report(report)
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -106,8 +106,9 @@
         )
         self.counters = Counters()
         self.tracing: HopTracer = NoopTracer()
-        #: Number of daemons among which retry budgets are divided.
-        self.daemon_count = 1
+        #: Number of daemons among which retry budgets are divided; 0 while it
+        #: is not known.
+        self.daemon_count = 0
         #: Keys requested since the last report, by service.
         self.keys_asked: dict[ServiceName, list[int]] = {}
 
--- a/cassialever/policy/budget.py
+++ b/cassialever/policy/budget.py
@@ -40,9 +40,15 @@
         self._requests += 1
 
     def try_spend(self, now: Seconds, daemon_count: int) -> bool:
-        """Spend one retry and return whether the budget allowed it."""
+        """Spend one retry and return whether the budget allowed it.
+
+        `daemon_count` is 0 while it is not known. The allowance is shared, so
+        a daemon that does not know its part takes none of it.
+        """
         bucket = self._current_bucket(now)
-        allowance = self._bounds.retry_allowance / max(daemon_count, 1)
+        allowance: float = 0
+        if daemon_count:
+            allowance = self._bounds.retry_allowance / daemon_count
         limit = SAFETY_FACTOR * (self.ratio * self._requests + allowance)
         if self._retries + 1 > limit:
             return False
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -54,7 +54,7 @@
         await self.daemon_by_id.pop(instance_id).abort()
 
     async def wait_until_settled(self) -> None:
-        """Wait until every daemon knows all targets and key owners."""
+        """Wait until every daemon knows all targets, key owners and peers."""
         for _ in range(SETTLE_ATTEMPTS):
             if all(self._is_settled(daemon) for daemon in self.daemons):
                 return
@@ -100,6 +100,8 @@
         view = daemon.core.view
         if view.targets.by_id.keys() != self.platform.target_by_id.keys():
             return False
+        if daemon.core.forwarder.daemon_count != len(self.daemons):
+            return False
         return all(
             service.name in view.keys_by_service
             and not view.moving_by_service.get(service.name)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -34,7 +34,7 @@
     address = f'{LOOPBACK}:{free_ports(1)[0]}'
     own_hello = messages.Hello('edge-0', 1, address, {})
     leader_relay = Relay(configured_view(ManualClock()), own_hello, key)
-    leader_relay.is_leader = True
+    leader_relay.begin_term()
     await leader_relay.start()
     try:
         yield leader_relay
@@ -146,6 +146,80 @@
             task.cancel()
 
 
+class MembersTest(unittest.IsolatedAsyncioTestCase):
+    """The list of daemons by which limits of the fleet are divided."""
+
+    async def test_list_of_a_new_leader_is_not_complete(self) -> None:
+        """Its followers keep the list of the former leader until it is."""
+        async with leader('') as leader_relay:
+            link = follower('')
+            former = {'edge-1': '', 'edge-2': '', 'edge-3': ''}
+            link.complete_addresses_by_id = former
+            beats = asyncio.create_task(leader_relay.send_heartbeats())
+            task = asyncio.create_task(link.follow(address_of(leader_relay)))
+            await until(lambda: 'edge-1' in link.addresses_by_id)
+            self.assertEqual(link.complete_addresses_by_id, former)
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            while link.complete_addresses_by_id is former:
+                leader_relay.follower_by_id['edge-1'].heard_at = loop.time()
+                await asyncio.sleep(0.01)
+                self.assertLess(loop.time() - started_at, 5)
+            self.assertGreater(
+                loop.time() - started_at, 0.8 * relay.RECONNECT_PERIOD
+            )
+            self.assertEqual(
+                set(link.complete_addresses_by_id), {'edge-0', 'edge-1'}
+            )
+            task.cancel()
+            beats.cancel()
+
+    async def test_follower_without_power_is_no_member(self) -> None:
+        """Its connection stays open, since nothing closes it."""
+        async with leader('') as leader_relay:
+            link = follower('')
+            beats = asyncio.create_task(leader_relay.send_heartbeats())
+            task = asyncio.create_task(link.follow(address_of(leader_relay)))
+            await until(lambda: 'edge-1' in leader_relay.members())
+            await until(
+                lambda: 'edge-1' not in leader_relay.members(),
+                relay.FOLLOWER_TIMEOUT + 1,
+            )
+            self.assertIn('edge-1', leader_relay.follower_by_id)
+            link.report(messages.KeysAsked({}, {}))
+            await until(lambda: 'edge-1' in leader_relay.members())
+            task.cancel()
+            beats.cancel()
+
+    async def test_followers_that_join_together_are_announced_together(
+        self,
+    ) -> None:
+        async with leader('') as leader_relay:
+            beats = asyncio.create_task(leader_relay.send_heartbeats())
+            host, port = address_of(leader_relay).rsplit(':')
+            writers = []
+            with mock.patch.object(
+                leader_relay, 'broadcast', wraps=leader_relay.broadcast
+            ) as broadcast:
+                for number in range(40):
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    hello = messages.Hello(f'edge-{number + 1}', 1, '', {})
+                    writer.write(messages.encode(hello))
+                    writers.append(writer)
+                await until(lambda: len(leader_relay.members()) == 41)
+                await asyncio.sleep(2 * relay.HEARTBEAT_INTERVAL)
+            announced = [
+                call.args[0]
+                for call in broadcast.call_args_list
+                if isinstance(call.args[0], messages.Members)
+            ]
+            self.assertLess(len(announced), 8)
+            self.assertEqual(len(announced[-1].addresses_by_id), 41)
+            for writer in writers:
+                writer.close()
+            beats.cancel()
+
+
 class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
     """A link that takes longer for a table than the leader may be silent."""
 
@@ -260,7 +334,7 @@
             _, writer = await asyncio.open_connection(host, int(port))
             writer.write(messages.encode(HELLO))
             await until(lambda: 'edge-1' in leader_relay.follower_by_id)
-            message = messages.Members({'x' * 100_000: ''})
+            message = messages.Members({'x' * 100_000: ''}, is_complete=True)
             sent = 0
             while 'edge-1' in leader_relay.follower_by_id:
                 leader_relay.broadcast(message)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -117,6 +117,8 @@
             await system.add_target(second)
             system.targets[-2].faults.shed_status = 503
             await until(lambda: 'i1' in gateway.view.targets.by_id)
+            # Retries need the number of daemons that share their budget.
+            await until(lambda: gateway.core.forwarder.daemon_count == 1)
             for number in range(6):
                 response = await send_request(
                     gateway,
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -271,3 +271,19 @@
             sent = [at for at in requests if start <= at < start + 10]
             self.assertLessEqual(len(window), 0.2 * len(sent) + 60)
         self.assertGreater(len(retries), 0.1 * len(requests))
+
+    def test_daemon_that_knows_no_other_takes_no_part_of_the_allowance(
+        self,
+    ) -> None:
+        """All daemons start anew together, and none knows how many there are.
+
+        Their requests fail at once; each may retry its share of them only.
+        """
+        bounds = make_settings('127.0.0.1:1', (1, 2, 3)).bounds
+        retries = 0
+        for _ in range(59):
+            budget = RetryBudget(bounds)
+            for step in range(20):
+                budget.count_request(step / 10)
+                retries += budget.try_spend(step / 10, 0)
+        self.assertLessEqual(retries, 0.2 * 59 * 20)
