Read the store while the leader's tables are old

Cause: followers judged the age of what a leader relays by the leader's lease. The lease is renewed by writes; the tables come by waits for changes, on other connections. While the waits fail or hang and the writes work, the followers of that leader never learn of a change and believe that they are up to date. Between heartbeats the reported age stood still, also while one was held up behind a large table.

Fix: the follower of the store notes when each table was last known to be complete. The leader reports that age beside that of its lease, a follower adds the time since the heartbeat, and from 2.0 s on it reads the store itself. A wait for changes is held for 1.0 s in place of 1.5 s, so that a lost one is noticed within the 2.5 s for a change; this makes 2 calls a second by the leader in place of 1.3.

tests.test_gateway_fleet.FleetTest.test_change_is_in_force_though_the_leader_ cannot_read_it failed before: no follower had the change after 6 s.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -51,6 +51,7 @@
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
     table_answers_again = (502, logbook.NOTICE, 'The table answers again.')
     history_lost = (503, logbook.WARNING, 'A table must be reread in full.')
+    store_followed = (504, logbook.NOTICE, 'The store is followed directly.')
     entry_rejected = (511, logbook.WARNING, 'An entry is invalid.')
     target_seen = (520, logbook.INFO, 'A target was added or changed.')
     target_gone = (521, logbook.INFO, 'A target was removed.')
--- a/cassialever/fleet/direct.py
+++ b/cassialever/fleet/direct.py
@@ -1,6 +1,7 @@
 """Follow the store directly while no leader relays its changes."""
 
 import asyncio
+import math
 from collections.abc import Collection
 
 from cassialever.events import Event, record
@@ -24,6 +25,7 @@
         self._store = store
         self._view = view
         self._random = random_source
+        self._follower: StoreFollower | None = None
         self._task: asyncio.Task[None] | None = None
         #: Tables whose last call to the store failed.
         self._failing_tables: Collection[str] = ()
@@ -37,7 +39,11 @@
         """Return whether the store is followed and answers for all tables."""
         return self.is_running and not self._failing_tables
 
-    def start(self, delay: Seconds = 0) -> None:
+    def age(self) -> Seconds:
+        """Return the time since all tables were known to be complete."""
+        return math.inf if self._follower is None else self._follower.age()
+
+    def start(self, reason: str, delay: Seconds = 0) -> None:
         """Follow every table after a delay, in which a leader may be found."""
         if self._task is not None:
             return
@@ -47,7 +53,8 @@
             self._random,
             self._view.tables,
         )
-        self._task = asyncio.create_task(_run_after(follower, delay))
+        self._follower = follower
+        self._task = asyncio.create_task(_run_after(follower, reason, delay))
         self._failing_tables = follower.failing_tables
 
     def stop_for_leader(self) -> None:
@@ -62,8 +69,12 @@
         if self._task is not None:
             self._task.cancel()
             self._task = None
+            self._follower = None
 
 
-async def _run_after(follower: StoreFollower, delay: Seconds) -> None:
+async def _run_after(
+    follower: StoreFollower, reason: str, delay: Seconds
+) -> None:
     await asyncio.sleep(delay)
+    record(Event.store_followed, reason=reason)
     await follower.run()
--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -1,13 +1,14 @@
 """Keep the view up to date from the platform's store."""
 
 import asyncio
+import math
 from typing import Final
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
-from cassialever.platform.store import StoreClient
+from cassialever.platform.store import LONG_POLL_WAIT, StoreClient
 from cassialever.types import Seconds
 
 #: Delay after the first failed call; it doubles up to the maximum.
@@ -35,6 +36,16 @@
         self._random = random_source
         #: Tables whose last call failed.
         self.failing_tables: set[str] = set()
+        #: When each table was last known to be complete, in the loop's time.
+        self._complete_at_by_table: dict[str, Seconds] = {}
+
+    def age(self) -> Seconds:
+        """Return the time since all tables were known to be complete."""
+        now = asyncio.get_running_loop().time()
+        return max(
+            now - self._complete_at_by_table.get(table, -math.inf)
+            for table in self._tables
+        )
 
     async def run(self) -> None:
         """Follow every table until cancelled."""
@@ -64,11 +75,14 @@
     async def _update_once(
         self, table: str, needs_snapshot: bool
     ) -> Failure | None:
+        loop = asyncio.get_running_loop()
+        called_at = loop.time()
         if needs_snapshot:
             snapshot = await self._store.read_all(table)
             if isinstance(snapshot, Failure):
                 return snapshot
             if self._view.replace(table, snapshot.rows, snapshot.version):
+                self._complete_at_by_table[table] = called_at
                 return None
             return Failure(
                 ErrorKind.table_unavailable,
@@ -79,6 +93,12 @@
         if isinstance(changed, Failure):
             return changed
         self._view.apply(table, changed.rows, changed.version)
+        # The store answers as soon as there is a change, so an empty answer
+        # tells that there was none while it waited.
+        waited = (
+            0 if changed.rows else min(loop.time() - called_at, LONG_POLL_WAIT)
+        )
+        self._complete_at_by_table[table] = called_at + waited
         if changed.rows:
             await asyncio.sleep(BATCH_DELAY)
         return None
--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -22,6 +22,10 @@
 #: A leader that has not heard from the store for this long does not count as
 #: reaching it, and its followers follow the store directly.
 MAX_STORE_AGE: Final[Seconds] = 1.5
+#: A leader whose tables are older than this does not relay the store's changes,
+#: and its followers read them themselves. Its age reaches LONG_POLL_WAIT and a
+#: slow answer; a change has to be in force 2.5 s after it was acknowledged.
+MAX_TABLES_AGE: Final[Seconds] = 2.0
 
 
 class LinkEnd(enum.Enum):
@@ -51,6 +55,9 @@
         self._writer: asyncio.StreamWriter | None = None
         #: Time since the leader heard from the store, as it last reported.
         self.store_age: Seconds = 0
+        #: The age of the leader's tables, as it last reported, and when.
+        self._tables_age: Seconds = 0
+        self._reported_at: Seconds = 0
         #: Whether the peer's last heartbeat on this link said that it leads.
         self.is_open = False
         #: The leader's address, if a peer that does not lead has reported it.
@@ -80,6 +87,25 @@
         finally:
             self._close(writer)
 
+    def tables_age(self) -> Seconds:
+        """Return the time since the leader's tables were complete."""
+        return self._tables_age + self._silence()
+
+    def is_relaying(self) -> bool:
+        """Return whether the leader relays the store's changes in time."""
+        return (
+            self.is_open
+            and self.store_age + self._silence() < MAX_STORE_AGE
+            and self.tables_age() < MAX_TABLES_AGE
+        )
+
+    def note_heartbeat(self, pulse: messages.Pulse) -> None:
+        """Adopt the state that the leader reports."""
+        self.store_age = pulse.store_age
+        self._tables_age = pulse.tables_age
+        self._reported_at = asyncio.get_running_loop().time()
+        self.is_open = pulse.is_leader
+
     def disconnect(self) -> None:
         """Close the link so that another leader can be followed."""
         if self._writer is not None:
@@ -112,6 +138,9 @@
             record(Event.link_refused, reason=failure.reason)
         return failure is None
 
+    def _silence(self) -> Seconds:
+        return asyncio.get_running_loop().time() - self._reported_at
+
     def _close(self, writer: asyncio.StreamWriter) -> None:
         self.is_open = False
         self._writer = None
@@ -191,5 +220,4 @@
 
 @handle.register
 def _handle_pulse(message: messages.Pulse, link: LeaderLink) -> None:
-    link.store_age = message.store_age
-    link.is_open = message.is_leader
+    link.note_heartbeat(message)
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -24,7 +24,7 @@
     LinkEnd,
 )
 from cassialever.fleet.leading import LeaderTerm
-from cassialever.fleet.relay import Relay
+from cassialever.fleet.relay import LeaderAges, Relay
 from cassialever.fleet.view import (
     OWN_TABLE,
     FleetView,
@@ -132,6 +132,14 @@
             return self._direct_follower.is_store_reachable()
         return self.link.is_open and self.link.store_age < MAX_STORE_AGE
 
+    def tables_age(self) -> Seconds:
+        """Return the time since this daemon's tables were complete."""
+        if self.state is MemberState.leading:
+            return self._relay.ages().tables_age
+        if self.link.is_relaying():
+            return self.link.tables_age()
+        return self._direct_follower.age()
+
     async def run(self) -> None:
         """Seek, follow and lead until cancelled."""
         watching = asyncio.create_task(self._watch_store())
@@ -180,7 +188,7 @@
             return await self.link.follow(address)
         finally:
             self.state = MemberState.seeking
-            self._direct_follower.start(FALLBACK_DELAY)
+            self._direct_follower.start('no link to a leader', FALLBACK_DELAY)
 
     async def _ask_peers(self) -> None:
         """Look for the leader through other daemons, without the store."""
@@ -203,7 +211,7 @@
             # In the first election of a fleet another daemon has usually won;
             # the next attempt to find the leader finds it.
             if self._view.leader is not None:
-                self._direct_follower.start()
+                self._direct_follower.start('no leader was found')
             return
         await self._lead(leader_term)
 
@@ -217,7 +225,6 @@
         self.state = MemberState.leading
         self.leader_term = leader_term
         self._relay.begin_term()
-        self._relay.store_age = leader_term.store_age
         self._relay.on_hello = leader_term.note_follower
         self._relay.on_deposed = leader_term.depose_if_later
         follower = StoreFollower(
@@ -226,6 +233,9 @@
             self._random,
             self._view.tables_of_other_writers,
         )
+        self._relay.ages = lambda: LeaderAges(
+            leader_term.store_age(), follower.age()
+        )
         self._view.on_change = self._relay.relay_changes
         tasks = [
             asyncio.create_task(follower.run()),
@@ -252,18 +262,13 @@
         """Follow the store directly while the leader is cut off from it."""
         while True:
             await asyncio.sleep(WATCH_INTERVAL)
-            is_relayed = (
-                self.link.is_open and self.link.store_age < MAX_STORE_AGE
-            )
-            if is_relayed or self.state is MemberState.leading:
+            is_leading = self.state is MemberState.leading
+            if is_leading or self.link.is_relaying():
                 self._direct_follower.stop_for_leader()
             elif self.link.is_open:
-                self._direct_follower.start()
+                self._direct_follower.start('the leader is late')
                 self._leave_cut_off_leader()
 
-    def _has_slow_link(self) -> bool:
-        return self.election_delay > MAX_ELECTION_DELAY / 2
-
     def _leave_cut_off_leader(self) -> None:
         """Disconnect from a leader that is cut off from the store.
 
@@ -273,8 +278,9 @@
         leader = self._view.leader
         has_successor = leader and leader[0].address != self.link.address
         is_within_grace = self.link.store_age < 2 * CUT_OFF_TIMEOUT
+        has_slow_link = self.election_delay > MAX_ELECTION_DELAY / 2
         share = 1.0
-        if is_within_grace and self._has_slow_link():
+        if is_within_grace and has_slow_link:
             share = SLOW_LINK_SHARE
         is_chosen = self._random.random() * len(self.peers()) < share
         has_timed_out = self.link.store_age > CUT_OFF_TIMEOUT
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -96,11 +96,13 @@
 class Pulse(Message, frozen=True, array_like=True, tag=True):
     """A heartbeat.
 
-    `store_age` is the time since the sender last heard from the store.
+    `store_age` is the time since the sender's lease was last confirmed, and
+    `tables_age` the time since its tables were last known to be complete.
     """
 
     is_leader: bool
     store_age: Seconds
+    tables_age: Seconds
 
 
 class Farewell(Message, frozen=True, array_like=True, tag=True):
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 import msgspec
 
@@ -31,6 +31,14 @@
 #: Encoded messages kept for followers that reconnect.
 MAX_CATCH_UP_FRAMES: Final = 32
 
+
+class LeaderAges(NamedTuple):
+    """How long ago a leader was confirmed, and its tables were complete."""
+
+    store_age: Seconds = 0
+    tables_age: Seconds = 0
+
+
 CatchUpKey: TypeAlias = tuple[str, RowVersion | None, RowVersion]
 
 
@@ -80,8 +88,8 @@
         self._leads_since: Seconds = 0
         #: The members that followers were last told of.
         self.announced = messages.Members({}, is_complete=False)
-        #: Returns the time since the leader heard from the store.
-        self.store_age: Callable[[], Seconds] = float
+        #: Returns the ages that the leader's heartbeats report.
+        self.ages: Callable[[], LeaderAges] = LeaderAges
         self.on_hello: Callable[[messages.Hello], None] = _ignore
         self.on_deposed: Callable[[RowVersion], None] = _ignore_term
         self.on_keys_asked: Callable[[messages.KeysAsked], None] = _ignore
@@ -165,7 +173,7 @@
     async def send_heartbeats(self) -> None:
         """Send heartbeats, and changes of the members, until cancelled."""
         while True:
-            self.broadcast(messages.Pulse(self.is_leader, self.store_age()))
+            self.broadcast(messages.Pulse(self.is_leader, *self.ages()))
             self._announce_members()
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
@@ -282,7 +290,7 @@
             )
         for moving in self.announced_moving_by_service.values():
             follower.send(messages.encode(moving))
-        pulse = messages.Pulse(self.is_leader, self.store_age())
+        pulse = messages.Pulse(self.is_leader, *self.ages())
         follower.send(messages.encode(pulse))
 
 
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -108,6 +108,7 @@
                 'configuration_version',
                 configuration.version if configuration else 0,
             ),
+            Reading('tables_age_seconds', self.core.membership.tables_age()),
             Reading('targets', len(self.view.targets.by_id)),
             Reading('requests_open', self.server.open_requests),
         ]
--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -20,9 +20,9 @@
 MAX_READ_TIME: Final[Seconds] = 10.0
 CONNECT_TIMEOUT: Final[Seconds] = 0.5
 #: How long the store may hold a long poll. A poll that the store has lost
-#: times out early enough for the bounds on targets that go away, which must
-#: hold 3 s after a fault.
-LONG_POLL_WAIT: Final[Seconds] = 1.5
+#: times out, and the next one is answered, within the 2.5 s for changes of the
+#: configuration.
+LONG_POLL_WAIT: Final[Seconds] = 1.0
 #: The most rows that the store returns for one read.
 ROWS_PER_PAGE: Final = 500
 
--- a/tests/test_fleet_following.py
+++ b/tests/test_fleet_following.py
@@ -5,9 +5,14 @@
 import unittest
 
 from cassialever.errors import ErrorKind, Failure
-from cassialever.fleet.following import BATCH_DELAY, StoreFollower
+from cassialever.fleet.following import (
+    BATCH_DELAY,
+    MAX_RETRY_DELAY,
+    StoreFollower,
+)
 from cassialever.fleet.view import FleetView
 from cassialever.platform import rows
+from cassialever.platform.store import LONG_POLL_WAIT
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
@@ -45,7 +50,7 @@
         self.follow_calls += 1
         if self.failures:
             return self.failures.pop(0)
-        ends_at = self.loop.time() + 1.5
+        ends_at = self.loop.time() + LONG_POLL_WAIT
         while len(self.rows) <= after and self.loop.time() < ends_at:
             await asyncio.sleep(0.001)
         changed = tuple(self.rows[after:])
@@ -63,6 +68,7 @@
             follower = StoreFollower(store, view, source, (TABLE,))
             task = loop.create_task(follower.run())
             await asyncio.sleep(0.01)
+            self.follower = follower
             await scenario(store, view)
             task.cancel()
 
@@ -98,6 +104,24 @@
 
         self.run_scenario(scenario)
 
+    def test_age_tells_whether_the_tables_are_complete(self) -> None:
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            for number in range(20):
+                if number % 3 == 0:
+                    store.change(number)
+                await asyncio.sleep(0.37)
+                self.assertLess(self.follower.age(), 1.6)
+            lost = Failure(ErrorKind.table_answer_lost, 'lost')
+            store.failures = [lost] * 100
+            await asyncio.sleep(5)
+            self.assertGreater(self.follower.age(), 3.4)
+            store.failures = []
+            # The longest delay after a failure, and one wait for changes.
+            await asyncio.sleep(2 * MAX_RETRY_DELAY + LONG_POLL_WAIT + 0.1)
+            self.assertLess(self.follower.age(), 1.6)
+
+        self.run_scenario(scenario)
+
     def test_calls_to_an_unreachable_store_back_off(self) -> None:
         async def scenario(store: ScriptedStore, view: FleetView) -> None:
             unreachable = Failure(ErrorKind.table_unavailable, 'unreachable')
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from cassialever.fleet import messages, relay
+from cassialever.fleet import following_leader, messages, relay
 from cassialever.fleet.following_leader import (
     LEADER_TIMEOUT,
     LeaderLink,
@@ -290,6 +290,29 @@
         server.close()
 
 
+class LateLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """When a follower knows that its leader's tables are old."""
+
+    async def test_age_grows_between_heartbeats(self) -> None:
+        """A heartbeat waits behind a table that is still arriving."""
+        link = follower('')
+        self.assertFalse(link.is_relaying())
+        link.note_heartbeat(messages.Pulse(True, 0, 0))
+        self.assertTrue(link.is_relaying())
+        with mock.patch.object(following_leader, 'MAX_TABLES_AGE', 0.2):
+            await asyncio.sleep(0.3)
+            self.assertFalse(link.is_relaying())
+            self.assertGreater(link.tables_age(), 0.2)
+
+    async def test_leader_with_old_tables_is_not_relaying(self) -> None:
+        """Its lease is renewed, so nothing else tells that it is late."""
+        link = follower('')
+        link.note_heartbeat(
+            messages.Pulse(True, 0, following_leader.MAX_TABLES_AGE + 0.1)
+        )
+        self.assertFalse(link.is_relaying())
+
+
 class CompressionTest(unittest.IsolatedAsyncioTestCase):
     """Large messages take little of a link."""
 
@@ -342,7 +365,7 @@
         frames = [
             b'\xff\xff\xff\xff',
             struct.pack('!I', 3) + b'\xc1\xc1\xc1',
-            messages.encode(messages.Pulse(True, 0)),
+            messages.encode(messages.Pulse(True, 0, 0)),
             *(hello_frame[:cut] for cut in range(0, len(hello_frame), 5)),
             *(
                 hello_frame[:position]
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import logbook
 
+from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.membership import MemberState
 from cassialever.gateway.application import Gateway
+from cassialever.platform.store import LONG_POLL_WAIT
 from standins.listening import free_ports
 from tests.fleet_helpers import (
     CONFIGURATION,
@@ -144,6 +147,33 @@
                 lambda: leader.core.membership.state is MemberState.following,
             )
 
+    async def test_change_is_in_force_though_the_leader_cannot_read_it(
+        self,
+    ) -> None:
+        """The leader renews its lease, but its waits for changes are lost."""
+        async with deployment(gateways=3) as system:
+            await until(lambda: len(_leaders(system)) == 1)
+            leader = _leaders(system)[0]
+            followers = [one for one in system.gateways if one is not leader]
+            for gateway in followers:
+                await until(
+                    lambda one=gateway: one.core.membership.link.is_open
+                )
+            lost = Failure(ErrorKind.table_answer_lost, 'lost')
+            with mock.patch.object(
+                leader.core.store, 'wait_for_changes', return_value=lost
+            ):
+                # A wait that was sent before may still be answered.
+                await asyncio.sleep(1.1 * LONG_POLL_WAIT)
+                changed = {**CONFIGURATION, 'version': 'r9'}
+                system.store.put('op', 'config', changed)
+                for gateway in followers:
+                    await until(
+                        lambda one=gateway: one.view.configuration.version == 9,
+                        6.0,
+                    )
+            self.assertIsNotNone(leader.core.membership.leader_term)
+
     async def test_store_lost_and_regained_is_logged(self) -> None:
         """A follower logs it too, though it gets its data from the leader."""
         async with deployment(gateways=2) as system:
