--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -15,7 +15,11 @@
 from cassialever.fleet.view import FleetView
 from cassialever.keys.assigner import KeyAssigner
 from cassialever.platform import rows
-from cassialever.platform.targets import CallOutcome, CallResult
+from cassialever.platform.targets import (
+    GRANT_TIMEOUT,
+    CallOutcome,
+    CallResult,
+)
 from standins.keyed_target import Grant
 from standins.rowstore import RowStore
 from tests.fleet_helpers import (
@@ -107,6 +111,9 @@
         #: Whether the duration of a delayed grant counts from when it is
         #: carried out rather than from its arrival.
         self.counts_from_execution = False
+        #: Time that a grant takes to arrive. It is carried out then, also if
+        #: its sender has given up waiting for the answer.
+        self.transit_time = 0.0
         self.violations: list[str] = []
         self.targets = {
             f'10.1.64.{number}:8707': FakeTarget(
@@ -284,9 +291,29 @@
             )
             await self.world.pause(0.3)
             return CallResult(CallOutcome.unknown)
-        is_done = self.world.grant(target, keys, duration, arrived)
+        is_done = await self._carry_out(target, keys, duration)
+        if is_done is None:
+            return CallResult(CallOutcome.unknown)
         return CallResult(CallOutcome.done if is_done else CallOutcome.outdated)
 
+    async def _carry_out(
+        self, target: FakeTarget, keys: KeyRange, duration: float
+    ) -> bool | None:
+        """Carry out a grant on arrival; None if the call timed out first."""
+        loop = self.world.loop
+        outcome: asyncio.Future[bool] = loop.create_future()
+
+        def arrive() -> None:
+            is_done = self.world.grant(target, keys, duration, loop.time())
+            if not outcome.done():
+                outcome.set_result(is_done)
+
+        loop.call_later(self.world.transit_time, arrive)
+        try:
+            return await asyncio.wait_for(outcome, GRANT_TIMEOUT)
+        except asyncio.TimeoutError:
+            return None
+
     async def can_connect(self, address: str) -> bool:
         await self.world.pause(0.001)
         return self.is_reached(address)
--- a/tests/test_keys_keeper.py
+++ b/tests/test_keys_keeper.py
@@ -221,6 +221,105 @@
         self.check(scenario)
 
 
+class GrantInTransitTest(unittest.TestCase):
+    """Grants that take up to the timeout of a call, and a little longer.
+
+    Reported as OWNER on scale-1 of the first deployment: a grant arrived 0.32 s
+    after it was sent, and its keys were granted to another target 0.2 s before
+    the first one's time was over.
+    """
+
+    #: What a call may take before it is given up, and 0.08 s on top, in which
+    #: what was sent may still arrive.
+    TRANSIT_TIMES = tuple(step * 0.04 for step in range(13))
+
+    def check_each(self, scenario) -> None:
+        for transit_time in self.TRANSIT_TIMES:
+            for phase in range(8):
+                violations = self.violations(scenario, transit_time, phase)
+                with self.subTest(transit_time=transit_time, phase=phase):
+                    self.assertEqual(violations, [])
+
+    def violations(
+        self, scenario, transit_time: float, phase: int
+    ) -> list[str]:
+        found: list[str] = []
+
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, phase + 1)
+            leader = await _settled_leader(world)
+            world.transit_time = transit_time
+            await asyncio.sleep(1 + phase / 8)
+            await scenario(world, leader)
+            await asyncio.sleep(8)
+            for daemon in world.daemons:
+                daemon.kill()
+            found.extend(world.violations)
+
+        run_virtually(main)
+        return found
+
+    def test_owner_that_cannot_be_reached_any_more(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.target_client.unreachable.add('10.1.64.1:8707')
+            await asyncio.sleep(0.5)
+            world.transit_time = 0
+
+        self.check_each(scenario)
+
+    def test_owner_that_releases_its_keys(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.targets['10.1.64.1:8707'].is_draining = True
+            world.publish_targets()
+            await asyncio.sleep(0.5)
+            world.transit_time = 0
+
+        self.check_each(scenario)
+
+    def test_owner_whose_keys_are_split_and_moved(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            assigner = leader.assigner.assigner_by_service['registry']
+            held = assigner.assignments.in_state(AssignmentState.held)[0]
+            part = assigner.assignments.split_off(
+                held, held.first + 9, held.first + 99
+            )
+            assigner._reclaim(part, 'test')
+            await asyncio.sleep(0.3)
+            leader.target_client.unreachable.add('10.1.64.0:8707')
+            world.transit_time = 0
+
+        self.check_each(scenario)
+
+    def test_leader_that_resigns_with_grants_on_their_way(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            assert leader.leader_term is not None
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            second.target_client.unreachable.add('10.1.64.1:8707')
+            await leader.leader_term.resign()
+            leader.kill()
+            assert await second.take_over()
+            world.transit_time = 0
+
+        self.check_each(scenario)
+
+    def test_leader_that_is_replaced_by_one_it_follows(self) -> None:
+        """It has granted until its link to the new leader says so."""
+
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            second.target_client.unreachable.add('10.1.64.1:8707')
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            leader.kill()
+            second.exchange_hello(leader)
+            world.transit_time = 0
+
+        self.check_each(scenario)
+
+
 class RandomFaultsTest(unittest.TestCase):
     """Many faults at once, drawn from a seed."""
 
