Count the time of a grant from what is known of its call

What callers would have seen: two targets that run requests for the same key.

Cause: the leader counted a grant from before its call and allowed 0.1 s for the call to arrive. A call takes up to 0.4 s, and what was written may arrive even after it was given up. A leader that takes over counted from its takeover, while a call of the former one was still on its way.

Fix: a bound is the sum of named parts: from the answer on if there is one, from the end of the call if there is none, from the sending of the longest call for another leader's. Keys with a grant in progress are not freed. The rule that the matrix removes to show that its checks bite sets the new constants to 0 too.

--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -12,18 +12,24 @@
 import msgspec
 
 from cassialever.fleet.model import KEY_COUNT, KeyMap, KeyRange, StartedAt
+from cassialever.platform.targets import GRANT_TIMEOUT
 from cassialever.types import Fence, Seconds, ServiceName, TargetId
 
-#: How long a grant lasts. With renewals at a third of it, the keys of a
-#: crashed target are free after at most this and one renewal, which leaves
-#: room for the new grant within the required 3 s.
-GRANT_DURATION: Final[Seconds] = 2.4
-GRANT_RENEWAL_INTERVAL: Final[Seconds] = 0.8
+#: How long a grant lasts. Renewals at a third of it leave room for a lost
+#: one, and for the election of a new leader.
+GRANT_DURATION: Final[Seconds] = 2.3
+GRANT_RENEWAL_INTERVAL: Final[Seconds] = 0.7
 #: A target's clock may run up to 2% slow, as the platform specifies.
 SLOW_CLOCK_RATIO: Final = 1.02
-#: Longest time from the sending of a grant until its keys are free: on a slow
-#: clock, and with 0.1 s for the call to reach the target.
-MAX_GRANT_DURATION: Final[Seconds] = GRANT_DURATION * SLOW_CLOCK_RATIO + 0.1
+#: Longest time for which a target holds keys after a grant has arrived.
+MAX_HOLD_TIME: Final[Seconds] = GRANT_DURATION * SLOW_CLOCK_RATIO
+#: How long a call may still be on its way after it was given up. Its socket is
+#: reset then, so that only what has left this machine arrives.
+MAX_TRANSIT_TIME: Final[Seconds] = 0.1
+#: The same for a call that ended without an answer, from its end on.
+MAX_UNANSWERED_HOLD_TIME: Final[Seconds] = MAX_TRANSIT_TIME + MAX_HOLD_TIME
+#: The same from the sending of a call on, if its end is not known.
+MAX_GRANT_DURATION: Final[Seconds] = GRANT_TIMEOUT + MAX_UNANSWERED_HOLD_TIME
 
 
 class AssignmentState(enum.Enum):
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -13,6 +13,8 @@
     GRANT_DURATION,
     GRANT_RENEWAL_INTERVAL,
     MAX_GRANT_DURATION,
+    MAX_HOLD_TIME,
+    MAX_UNANSWERED_HOLD_TIME,
     Assignment,
     AssignmentState,
 )
@@ -156,26 +158,32 @@
             self.has_authority(),
             first=assignment.first,
         )
-        now = self._clock.boot()
+        sent_at = self._clock.boot()
         previous_bound = assignment.may_be_held_until
         # Until the answer arrives the grant may have taken effect.
         assignment.may_be_held_until = max(
-            previous_bound, now + MAX_GRANT_DURATION
+            previous_bound, sent_at + MAX_GRANT_DURATION
         )
-        assignment.renew_at = now + GRANT_RENEWAL_INTERVAL
+        assignment.renew_at = sent_at + GRANT_RENEWAL_INTERVAL
         result = await self._target_client.grant(
             address, assignment.key_range(), GRANT_DURATION
         )
+        now = self._clock.boot()
         if result.outcome is CallOutcome.done:
             self._probe_at_by_id.pop(assignment.owner, None)
-            _mark_confirmed(assignment)
+            _mark_confirmed(
+                assignment, max(previous_bound, now + MAX_HOLD_TIME)
+            )
             return True
         self._record(Event.grant_failed, assignment, result)
         assignment.renew_at = now + GRANT_RETRY_DELAY
         for notify in self.on_failure:
             notify(assignment.owner)
         if result.outcome is CallOutcome.unknown:
-            assignment.unanswered_until = now + MAX_GRANT_DURATION
+            assignment.unanswered_until = now + MAX_UNANSWERED_HOLD_TIME
+            assignment.may_be_held_until = max(
+                previous_bound, assignment.unanswered_until
+            )
         else:
             assignment.may_be_held_until = previous_bound
         if result.outcome is CallOutcome.outdated:
@@ -205,9 +213,10 @@
         )
 
 
-def _mark_confirmed(assignment: Assignment) -> None:
+def _mark_confirmed(assignment: Assignment, held_until: Seconds) -> None:
     """Note that the owner now rejects grants with lower fences."""
     assignment.is_inherited = False
+    assignment.may_be_held_until = held_until
     assignment.unanswered_until = 0
 
 
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -155,7 +155,10 @@
             may_be_renewed = (
                 assignment.is_inherited and not earlier_leaders_expired
             )
-            if now >= assignment.may_be_held_until and not may_be_renewed:
+            # The end of a grant in progress is known with its answer.
+            is_pending = assignment.owner in self._granter.pending_owners
+            is_over = now >= assignment.may_be_held_until
+            if is_over and not may_be_renewed and not is_pending:
                 assignment.state = AssignmentState.free
 
     def _balance(self, now: Seconds) -> None:
--- a/tests/ownership_rules.py
+++ b/tests/ownership_rules.py
@@ -69,6 +69,8 @@
     ),
     'keys are not reassigned until the last grant has lapsed': (
         _replace(granting, 'MAX_GRANT_DURATION', 0),
+        _replace(granting, 'MAX_HOLD_TIME', 0),
+        _replace(granting, 'MAX_UNANSWERED_HOLD_TIME', 0),
         _replace(assignments, 'MAX_GRANT_DURATION', 0),
     ),
     'keys are not reassigned until earlier leaders have expired': (
