Check changes of targets and configuration at the end of each soak

A target that becomes cold must get at most 1.5 times its rate and the allowance in any second, and a route of a configuration of 1,400 more must be in force at every daemon after 6 s. Targets also become cold and routes are added as faults among the others, and connections may carry 200 kB/s only.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,6 +47,7 @@
             callers.violations.append(
                 'keys were not served after the last fault'
             )
+        await injector.check_changes()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,10 +4,14 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+import aiohttp
 
 from soak.fleet import DaemonProcess, SoakFleet
 from soak.proxy import FaultProxy, ProxyMode
 from standins.keyed_target import TargetServer
+from tests.replay_helpers import most_in_one_second
 
 #: Range of the duration of a fault, in seconds.
 MIN_FAULT_DURATION = 0.5
@@ -19,6 +23,20 @@
 #: period of the settings, the longest suspension of a process, and a margin of
 #: 1 s.
 MAX_STOP_DURATION = 6.0 + MAX_FAULT_DURATION + 1.0
+#: How long a target stays cold, in seconds.
+COLD_DURATION = 3.0
+#: Time after which a change of a target is known to all daemons, in seconds.
+CHANGE_DELAY = 0.5
+#: Requests that a cold target may get in one second: 1.5 times the 12 of the
+#: configuration, and the platform's allowance.
+MAX_COLD_REQUESTS = 1.5 * 12 + 5
+#: Routes added to the configuration at once.
+ADDED_ROUTES = 1400
+#: A change of the configuration must be in force within this time, in seconds.
+MAX_CHANGE_TIME = 6.0
+#: Bounds on changes hold for daemons that were not disrupted for this long
+#: before, in seconds.
+CALM_DURATION = 3.0
 
 
 class FaultInjector:
@@ -43,6 +61,8 @@
             self._disrupt_target,
             self._drain_target,
             self._restart_target,
+            self._chill_target,
+            self._add_routes,
         )
 
     async def run(self, seconds: float) -> None:
@@ -57,6 +77,15 @@
         # An exception in a fault is raised here and fails the soak test.
         await asyncio.gather(*self._tasks)
 
+    async def check_changes(self) -> None:
+        """Check the bounds on changes, which hold for undisrupted daemons."""
+        await asyncio.sleep(CALM_DURATION)
+        by_service = {one.service: one for one in self._fleet.targets}
+        await asyncio.gather(
+            self._check_added_route(),
+            *map(self._check_cold_target, by_service.values()),
+        )
+
     def _log_event(self, event: str) -> None:
         now = asyncio.get_running_loop().time()
         self.events.append(f'{now:.2f} {event}')
@@ -150,6 +179,46 @@
         proxy.set_mode(ProxyMode.forwarding)
         self._fleet.publish_target(target)
 
+    async def _chill_target(self) -> None:
+        target = self._choose_target()
+        self._log_event(f'{target.target_id} is cold')
+        self._fleet.publish_target(target, cold_ms=COLD_DURATION * 1000)
+        await asyncio.sleep(COLD_DURATION)
+
+    async def _add_routes(self) -> None:
+        self._log_event(f'{ADDED_ROUTES} routes are added')
+        self._fleet.add_routes(ADDED_ROUTES)
+
+    async def _check_cold_target(self, target: TargetServer) -> None:
+        """Check that a target that becomes cold gets no more than it takes."""
+        loop = asyncio.get_running_loop()
+        known_from = loop.time() + CHANGE_DELAY
+        self._fleet.publish_target(target, cold_ms=COLD_DURATION * 1000)
+        await asyncio.sleep(COLD_DURATION)
+        ends_at = loop.time()
+        most = most_in_one_second(
+            [at for at in target.work.received_at if known_from <= at < ends_at]
+        )
+        self._log_event(f'cold {target.target_id} got {most} in one second')
+        if most > MAX_COLD_REQUESTS:
+            self.violations.append(
+                f'cold {target.target_id} got {most} requests in one second'
+            )
+
+    async def _check_added_route(self) -> None:
+        """Check that a route of a large configuration is in force in time."""
+        host = self._fleet.add_routes(ADDED_ROUTES)
+        await asyncio.sleep(MAX_CHANGE_TIME)
+        async with aiohttp.ClientSession() as session:
+            for daemon in self._fleet.daemons:
+                async with session.get(
+                    f'{daemon.url}/lookup/x', headers={'Host': host}
+                ) as response:
+                    status = response.status
+                self._log_event(f'{daemon.name}: {status} on the new route')
+                if status == HTTPStatus.NOT_FOUND:
+                    self.violations.append(f'{daemon.name} lacks a new route')
+
     async def _disrupt_proxy(self, proxy: FaultProxy, name: str) -> None:
         mode = self._random.choice(
             (
@@ -157,13 +226,14 @@
                 ProxyMode.reset,
                 ProxyMode.silent,
                 ProxyMode.one_way,
+                ProxyMode.slow,
             ),
         )
         self._log_event(f'{name} {mode.value}')
         proxy.set_mode(mode)
         await self._wait_fault_duration()
         # Reset open connections, since bytes of their streams were discarded.
-        if mode is not ProxyMode.delayed:
+        if mode not in (ProxyMode.delayed, ProxyMode.slow):
             proxy.set_mode(ProxyMode.reset)
         proxy.set_mode(ProxyMode.forwarding)
         self._log_event(f'{name} is healthy')
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import sys
+from typing import Any
 
 from soak.proxy import FaultProxy
 from standins.keyed_target import TargetServer
@@ -95,6 +96,26 @@
         self.daemons = [
             DaemonProcess(f'edge-{number}', folder) for number in range(daemons)
         ]
+        self.configuration: dict[str, Any] = CONFIGURATION
+
+    def add_routes(self, count: int) -> str:
+        """Add routes to the configuration and return the host of one."""
+        version = int(self.configuration['version'].removeprefix('r')) + 1
+        lookup = CONFIGURATION['routes']['r-lookup']
+        added = {
+            f'r-{version}-{number}': {
+                **lookup,
+                'hostname': f'added-{version}-{number}.example',
+            }
+            for number in range(count)
+        }
+        self.configuration = {
+            **self.configuration,
+            'version': f'r{version}',
+            'routes': {**self.configuration['routes'], **added},
+        }
+        self.store.put('op', 'config', self.configuration)
+        return f'added-{version}-0.example'
 
     async def start(self) -> None:
         """Start the store, the targets, the proxies and the daemons."""
@@ -126,9 +147,9 @@
         await self.store.stop()
 
     def publish_target(
-        self, target: TargetServer, state: str = 'ready'
+        self, target: TargetServer, state: str = 'ready', cold_ms: float = 0
     ) -> None:
         """Write a target's entry with the address of its proxy."""
-        entry = target.entry(state)
+        entry = target.entry(state, cold_ms)
         entry['address'] = self.proxy_by_target[target.target_id].address
         self.store.put('servers', target.target_id, entry)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -22,6 +22,8 @@
     silent = 'silent'
     #: Forwards requests and discards responses.
     one_way = 'one way'
+    #: Forwards at a limited rate.
+    slow = 'slow'
 
 
 class FaultProxy:
@@ -29,6 +31,8 @@
 
     #: Delay of each chunk in the mode `delayed`, in seconds.
     delay = 0.3
+    #: Bytes per second of each connection in the mode `slow`.
+    slow_rate = 200_000
 
     def __init__(self, upstream: str) -> None:
         """Create a proxy to `upstream`; `address` is empty until it starts."""
@@ -99,6 +103,8 @@
             chunk = await reader.read(CHUNK_BYTES)
             if self._mode is ProxyMode.delayed:
                 await asyncio.sleep(self.delay)
+            if self._mode is ProxyMode.slow:
+                await asyncio.sleep(len(chunk) / self.slow_rate)
             is_discarded = self._mode is ProxyMode.silent or (
                 self._mode is ProxyMode.one_way and is_response
             )
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -117,6 +117,8 @@
     def __init__(self, slots: int) -> None:
         """Start without requests."""
         self.slots = slots
+        #: When each request arrived, in monotonic seconds.
+        self.received_at: list[float] = []
         #: IDs of the requests that ran, in order.
         self.executed_ids: list[str] = []
         self.running = 0
@@ -261,6 +263,7 @@
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get('Attempt-Id', '')
         self.received_headers.append(dict(request.headers))
+        self.work.received_at.append(time.monotonic())
         refusal = self._refusal(request)
         if refusal is not None:
             return refusal
