--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,33 +10,21 @@
 
 import msgspec
 
+from bench.fleet_capacity import print_fleet_costs
 from bench.report import print_line
+from bench.samples import SERVICE, make_key_map
 from bench.slopes import cpu_time, print_slope
 from cassialever.clock import SystemClock
 from cassialever.fleet import messages
 from cassialever.fleet.keyindex import KeyIndex
-from cassialever.fleet.model import (
-    KEY_COUNT,
-    KeyMap,
-    KeyRange,
-    RequestKind,
-    StartedAt,
-    StoreRow,
-)
+from cassialever.fleet.model import KEY_COUNT, RequestKind, StoreRow
 from cassialever.fleet.view import FleetView
 from cassialever.keys.heat import KeyHeat
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.placing import PlacementRequest, TargetSelector
 from cassialever.policy.warmup import WarmUpLimiter
-from cassialever.types import (
-    DataCentreId,
-    Fence,
-    RowVersion,
-    ServiceName,
-    TargetId,
-)
-
-SERVICE: Final = ServiceName('registry')
+from cassialever.types import DataCentreId, RowVersion
+
 CALL_COUNT: Final = 200
 LOOKUP_COUNT: Final = 20_000
 
@@ -70,24 +58,6 @@
     return view
 
 
-def make_key_map(ranges: int) -> KeyMap:
-    """Return a key map with a number of ranges."""
-    width = KEY_COUNT // ranges
-    return KeyMap(
-        SERVICE,
-        tuple(
-            KeyRange(
-                number * width,
-                number * width + width - 1,
-                TargetId(f'i-{number:010x}'),
-                StartedAt(1000),
-                Fence(7),
-            )
-            for number in range(ranges)
-        ),
-    )
-
-
 def view_memory(targets: int) -> float:
     """Return the memory of a view with a number of targets, in bytes."""
     rows = make_rows(targets)
@@ -232,6 +202,7 @@
     print_line('| --- | --- | --- | --- |')
     print_target_costs()
     print_key_costs()
+    print_fleet_costs()
 
 
 if __name__ == '__main__':
