--- a/tests/test_fleet_key_changes.py
+++ b/tests/test_fleet_key_changes.py
@@ -1,8 +1,10 @@
 """Tests of relaying changes of key maps."""
 
 import asyncio
+import contextlib
 import random
 import unittest
+from collections.abc import AsyncIterator
 
 import msgspec
 
@@ -139,6 +141,27 @@
         self.assertFalse(apply_key_changes(changed, view))
 
 
+@contextlib.asynccontextmanager
+async def linked(view: FleetView) -> AsyncIterator[tuple[Relay, LeaderLink]]:
+    """Run a leader with a view, and a follower that has its key map."""
+    address = f'{LOOPBACK}:{free_ports(1)[0]}'
+    relay = Relay(view, messages.Hello('edge-0', 1, address, {}))
+    relay.begin_term()
+    view.on_change = relay.relay_changes
+    await relay.start()
+    link = LeaderLink(
+        configured_view(ManualClock(), targets=0),
+        messages.Hello('edge-1', 1, '', {}),
+    )
+    task = asyncio.create_task(link.follow(address))
+    try:
+        await until(lambda: 'registry' in link.view.keys_by_service)
+        yield relay, link
+    finally:
+        task.cancel()
+        await relay.stop()
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     """Key maps over a link."""
 
@@ -148,62 +171,39 @@
         key_map = random_map(rng, RANGE_COUNT)
         view = configured_view(ManualClock(), targets=0)
         put(view, key_map, 50)
-        address = f'{LOOPBACK}:{free_ports(1)[0]}'
-        relay = Relay(view, messages.Hello('edge-0', 1, address, {}))
-        relay.begin_term()
-        view.on_change = relay.relay_changes
-        await relay.start()
-        link = LeaderLink(
-            configured_view(ManualClock(), targets=0),
-            messages.Hello('edge-1', 1, '', {}),
-        )
-        task = asyncio.create_task(link.follow(address))
-        await until(lambda: 'registry' in link.view.keys_by_service)
-        put(view, key_map, 51)
-        sent = []
-        follower = relay.follower_by_id['edge-1']
-        send = follower.send
-        follower.send = lambda frame: (sent.append(len(frame)), send(frame))
-        for version in range(52, 152):
-            position = rng.randrange(RANGE_COUNT)
-            ranges = list(key_map.ranges)
-            ranges[position] = msgspec.structs.replace(
-                ranges[position], fence=version
-            )
-            key_map = KeyMap('registry', tuple(ranges))
-            put(view, key_map, version)
-        await until(lambda: link.view.owners() == view.owners())
-        self.assertLess(sum(sent) / 10, 11_000)
-        task.cancel()
-        await relay.stop()
+        async with linked(view) as (relay, link):
+            put(view, key_map, 51)
+            sent: list[int] = []
+            follower = relay.follower_by_id['edge-1']
+            send = follower.send
+            follower.send = lambda frame: (sent.append(len(frame)), send(frame))
+            for version in range(52, 152):
+                position = rng.randrange(RANGE_COUNT)
+                ranges = list(key_map.ranges)
+                ranges[position] = msgspec.structs.replace(
+                    ranges[position], fence=version
+                )
+                key_map = KeyMap('registry', tuple(ranges))
+                put(view, key_map, version)
+            await until(lambda: link.view.owners() == view.owners())
+            self.assertLess(sum(sent) / 10, 11_000)
 
     async def test_follower_out_of_step_catches_up(self) -> None:
         rng = random.Random(7)
         key_map = random_map(rng, 20)
         view = configured_view(ManualClock(), targets=0)
         put(view, key_map, 50)
-        address = f'{LOOPBACK}:{free_ports(1)[0]}'
-        relay = Relay(view, messages.Hello('edge-0', 1, address, {}))
-        relay.begin_term()
-        view.on_change = relay.relay_changes
-        await relay.start()
-        link = LeaderLink(
-            configured_view(ManualClock(), targets=0),
-            messages.Hello('edge-1', 1, '', {}),
-        )
-        task = asyncio.create_task(link.follow(address))
-        await until(lambda: 'registry' in link.view.keys_by_service)
-        key_map = random_change(rng, key_map, 2)
-        put(view, key_map, 60)
-        # It reads another version of the row, written by this leader later.
-        put(link.view, random_change(rng, key_map, 9), 61)
-        key_map = random_change(rng, key_map, 3)
-        put(view, key_map, 62)
-        await asyncio.wait_for(task, 5)
-        task = asyncio.create_task(link.follow(address))
-        await until(lambda: link.view.owners() == view.owners())
-        task.cancel()
-        await relay.stop()
+        async with linked(view) as (relay, link):
+            key_map = random_change(rng, key_map, 2)
+            put(view, key_map, 60)
+            # It reads another version of the row, written by this leader later.
+            put(link.view, random_change(rng, key_map, 9), 61)
+            key_map = random_change(rng, key_map, 3)
+            put(view, key_map, 62)
+            await until(lambda: 'edge-1' not in relay.follower_by_id)
+            task = asyncio.create_task(link.follow(link.address))
+            await until(lambda: link.view.owners() == view.owners())
+            task.cancel()
 
 
 if __name__ == '__main__':
