Reproduce keys taken by a released owner through an earlier call

With logs: a grant of 51882 to 52791 with fence 182 ends without an answer at 28.229 s (450). The same keys are granted with the same fence at 28.289 and 28.339 s (453, by batches that were begun before), which counts as a confirmation, so that the release at 28.455 s frees the keys at once (451, free_in 0). They go elsewhere with fence 196 at 28.509 s, and at 29.412 s the first call is carried out.

The fakes now also report a grant whose fence the target knows if another target has had a higher one since.

--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -108,6 +108,8 @@
         self.lost_answers = 0.0
         #: Share of the calls to targets that are carried out late.
         self.delayed_calls = 0.0
+        #: Range of the time after which a delayed grant is carried out.
+        self.grant_delays = (2.0, 12.0)
         #: Whether the duration of a delayed grant counts from when it is
         #: carried out rather than from its arrival.
         self.counts_from_execution = False
@@ -231,7 +233,8 @@
                     not (last < keys.first or keys.last < first)
                     and fence >= keys.fence
                 ):
-                    is_known = any(
+                    # A renewal, unless another target had the keys since.
+                    is_known = fence == keys.fence and any(
                         seen == keys.fence
                         and not (high < keys.first or keys.last < low)
                         for low, high, seen in target.seen_fences
@@ -283,7 +286,7 @@
         await self.world.pause(0.001)
         arrived = self.world.loop.time()
         if self.world.draw(self.world.delayed_calls):
-            delay = self.world.random.uniform(2, 12)
+            delay = self.world.random.uniform(*self.world.grant_delays)
             if self.world.counts_from_execution:
                 arrived += delay
             self.world.call_later(
--- a/tests/test_keys_keeper.py
+++ b/tests/test_keys_keeper.py
@@ -320,6 +320,37 @@
         self.check_each(scenario)
 
 
+class LateGrantTest(unittest.TestCase):
+    """Grants without an answer that are carried out soon after."""
+
+    def test_released_owner_does_not_take_keys_by_an_earlier_call(self) -> None:
+        # Reported as OWNER on orders-late: a call that was carried out 1.2 s
+        # later gave an owner keys that it had released.
+        for seed in range(20):
+            found: list[str] = []
+
+            async def main(
+                loop: VirtualLoop, seed: int = seed, found: list[str] = found
+            ) -> None:
+                world = World(loop, seed)
+                world.grant_delays = (0.5, 2.2)
+                await _settled_leader(world)
+                for target in list(world.targets.values())[:2]:
+                    world.delayed_calls = 0.4
+                    await asyncio.sleep(3)
+                    target.is_draining = True
+                    world.publish_targets()
+                    world.delayed_calls = 0.0
+                    await asyncio.sleep(4)
+                for daemon in world.daemons:
+                    daemon.kill()
+                found.extend(world.violations)
+
+            run_virtually(main)
+            with self.subTest(seed=seed):
+                self.assertEqual(found, [])
+
+
 class RandomFaultsTest(unittest.TestCase):
     """Many faults at once, drawn from a seed."""
 
