Take only a higher fence as the end of an unanswered grant

What callers would have seen: two targets that run requests for the same key, after an order that was carried out late.

Cause: an answered grant was taken as the end of all unanswered ones before it, since the target then rejects lower fences. But it had the same fence: batches of grants overlap, and one that was begun before granted keys again, with the fence that a later batch had just raised, sometimes before that fence was in the store. The release then freed the keys at once, and the late call gave them back to their former owner.

Fix: an unanswered grant ends with its time, or with a confirmed fence above its own. A batch grants only what it has written, and no suspect owner is granted anything.

Without this, suspicion after a failed grant also covered what a restarted target must not get, which the fakes did not check: they now report a fence that the target had in an earlier life, and reset connections of a restarted target, as real ones are. test_removal_of_each_rule_is_detected needs that to detect the removal of suspicion. The test of a split waits until no grant to the owner is in progress, as the planner does.

--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -48,7 +48,8 @@
 
     From `may_be_held_until` on the owner can't hold the keys, whatever the
     outcome of the calls to it; `unanswered_until` is the same for grants
-    without an answer, which may take effect after a release.
+    without an answer, which may take effect after a release. A target rejects
+    them once it has seen a fence above `unanswered_fence`.
 
     While `is_suspect` is set, the owner may have restarted, and only a grant
     with a new fence may follow; the flag is cleared once that fence is in the
@@ -66,6 +67,7 @@
     state: AssignmentState = AssignmentState.held
     may_be_held_until: Seconds = 0
     unanswered_until: Seconds = 0
+    unanswered_fence: Fence = Fence(0)
     renew_at: Seconds = 0
     #: When the owner was assigned.
     owned_since: Seconds = 0
@@ -237,4 +239,5 @@
         right.may_be_held_until,
     )
     left.unanswered_until = max(left.unanswered_until, right.unanswered_until)
+    left.unanswered_fence = max(left.unanswered_fence, right.unanswered_fence)
     right.state = AssignmentState.replaced
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -142,8 +142,9 @@
         address: str,
     ) -> None:
         for assignment in assignments:
-            # It may have been reassigned while an earlier call was running.
-            if assignment.owner != owner or not _is_held(assignment):
+            # It may have been reassigned while an earlier call was running,
+            # or its owner may have become suspect.
+            if assignment.owner != owner or not _may_be_granted(assignment):
                 continue
             may_go_on = self.has_authority() and await self._grant_one(
                 assignment, address
@@ -181,6 +182,7 @@
             notify(assignment.owner)
         if result.outcome is CallOutcome.unknown:
             assignment.unanswered_until = now + MAX_UNANSWERED_HOLD_TIME
+            assignment.unanswered_fence = assignment.fence
             assignment.may_be_held_until = max(
                 previous_bound, assignment.unanswered_until
             )
@@ -217,8 +219,10 @@
     """Note that the owner now rejects grants with lower fences."""
     assignment.is_inherited = False
     assignment.may_be_held_until = held_until
-    assignment.unanswered_until = 0
+    if assignment.fence > assignment.unanswered_fence:
+        assignment.unanswered_until = 0
 
 
-def _is_held(assignment: Assignment) -> bool:
-    return assignment.state is AssignmentState.held
+def _may_be_granted(assignment: Assignment) -> bool:
+    is_held = assignment.state is AssignmentState.held
+    return is_held and not assignment.is_suspect
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -273,7 +273,10 @@
             )
             return
         _check_written(changed, written)
-        await self._grant_written(changed)
+        # Others have got a later fence meanwhile, which is not written yet.
+        await self._grant_written(
+            [one for one in changed if one.key_range() in written.ranges]
+        )
         self._context.view.apply(OWN_TABLE, [row], row.version)
         self._announce_moving()
 
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -91,6 +91,8 @@
         self.started_at = 1000
         self.grants: list[Grant] = []
         self.seen_fences: list[tuple[int, int, int]] = []
+        #: The fences that it had seen before it was restarted.
+        self.earlier_fences: list[tuple[int, int, int]] = []
         self.is_up = True
         self.is_draining = False
 
@@ -193,6 +195,7 @@
         """Restart a target: it loses its grants and the fences it has seen."""
         target.started_at += 1
         target.grants.clear()
+        target.earlier_fences.extend(target.seen_fences)
         target.seen_fences.clear()
 
     def release(self, target: FakeTarget, keys: KeyRange) -> None:
@@ -215,6 +218,13 @@
 
     def _check(self, target: FakeTarget, keys: KeyRange) -> None:
         now = self.loop.time()
+        for first, last, fence in target.earlier_fences:
+            overlaps = not (last < keys.first or keys.last < first)
+            if overlaps and fence >= keys.fence:
+                self.violations.append(
+                    f'{now:.3f} fence {keys.fence} of {target.name} is not '
+                    f'above {fence}, which it had before it was restarted',
+                )
         for other in self.targets.values():
             if other is target or not other.is_up:
                 continue
@@ -270,6 +280,8 @@
         self.is_cut = False
         #: Addresses of the targets that only this daemon can't reach.
         self.unreachable: set[str] = set()
+        #: The process of each target to which a connection is open.
+        self.connected_to: dict[str, int] = {}
 
     def is_reached(self, address: str) -> bool:
         """Return whether a call of this daemon can arrive at a target."""
@@ -284,6 +296,8 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
+        if self._is_connection_reset(target):
+            return CallResult(CallOutcome.unknown)
         arrived = self.world.loop.time()
         if self.world.draw(self.world.delayed_calls):
             delay = self.world.random.uniform(*self.world.grant_delays)
@@ -299,6 +313,15 @@
             return CallResult(CallOutcome.unknown)
         return CallResult(CallOutcome.done if is_done else CallOutcome.outdated)
 
+    def _is_connection_reset(self, target: FakeTarget) -> bool:
+        """Return whether the open connection ended with the target's restart.
+
+        The next call makes a new one.
+        """
+        known = self.connected_to.get(target.address, target.started_at)
+        self.connected_to[target.address] = target.started_at
+        return known != target.started_at
+
     async def _carry_out(
         self, target: FakeTarget, keys: KeyRange, duration: float
     ) -> bool | None:
--- a/tests/test_keys_keeper.py
+++ b/tests/test_keys_keeper.py
@@ -280,6 +280,9 @@
         async def scenario(world: World, leader: Daemon) -> None:
             assigner = leader.assigner.assigner_by_service['registry']
             held = assigner.assignments.in_state(AssignmentState.held)[0]
+            # Keys of owners to which a grant is in progress are not split.
+            while held.owner in assigner._granter.pending_owners:
+                await asyncio.sleep(0.01)
             part = assigner.assignments.split_off(
                 held, held.first + 9, held.first + 99
             )
@@ -326,7 +329,7 @@
     def test_released_owner_does_not_take_keys_by_an_earlier_call(self) -> None:
         # Reported as OWNER on orders-late: a call that was carried out 1.2 s
         # later gave an owner keys that it had released.
-        for seed in range(20):
+        for seed in range(40):
             found: list[str] = []
 
             async def main(
