--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,61 @@
+"""Tests of stopping a daemon process."""
+
+import asyncio
+import pathlib
+import signal
+import tempfile
+import unittest
+
+from soak.fleet import SoakFleet
+from soak.__main__ import START_TIMEOUT
+from soak.callers import Callers
+
+#: The answer, and the rate at which its caller reads it: within the grace
+#: period of a stop.
+BODY_BYTES = 12_000_000
+BYTES_PER_SECOND = 4_000_000
+CHUNK_BYTES = 100_000
+
+
+class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
+    """A caller whose link is slower than the daemon."""
+
+    async def test_answer_is_sent_whole_to_a_slow_caller(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = SoakFleet(pathlib.Path(folder), daemons=1)
+            await fleet.start()
+            try:
+                served = await Callers(fleet, 1).wait_until_served(
+                    START_TIMEOUT
+                )
+                self.assertTrue(served)
+                for target in fleet.targets:
+                    target.fixed_body = bytes(BODY_BYTES)
+                received = await self.read_slowly(fleet)
+            finally:
+                await fleet.stop()
+        self.assertEqual(received, BODY_BYTES)
+
+    async def read_slowly(self, fleet: SoakFleet) -> int:
+        """Return the size of the body that arrives around a stop."""
+        daemon = fleet.daemons[0]
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', daemon.ports[0], limit=CHUNK_BYTES
+        )
+        writer.write(
+            b'GET /lookup/x HTTP/1.1\r\nHost: registry.example\r\n'
+            b'Shard-Key: 1\r\nAttempt-Id: a1\r\nDeadline-Ms: 9000\r\n\r\n'
+        )
+        await reader.readuntil(b'\r\n\r\n')
+        daemon.send(signal.SIGTERM)
+        received = 0
+        while chunk := await reader.read(CHUNK_BYTES):
+            received += len(chunk)
+            await asyncio.sleep(len(chunk) / BYTES_PER_SECOND)
+        writer.close()
+        await daemon.wait_for_exit()
+        return received
+
+
+if __name__ == '__main__':
+    unittest.main()
