--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -271,7 +271,8 @@
         else:
             message = messages.Changed(table, changed, version)
         frame = messages.encode(message)
-        # Only a leader is told of changes, which make the frames outdated.
+        # A daemon that does not lead is not notified of changes, so its
+        # frames could be outdated.
         is_kept = len(self._catch_up_frames) < MAX_CATCH_UP_FRAMES
         if self.is_leader and is_kept:
             self._catch_up_frames[table, known, version] = frame
--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -23,8 +23,8 @@
 SLOW_CLOCK_RATIO: Final = 1.02
 #: Longest time for which a target holds keys after a grant has arrived.
 MAX_HOLD_TIME: Final[Seconds] = GRANT_DURATION * SLOW_CLOCK_RATIO
-#: How long a call may still be on its way after it was given up. Its socket is
-#: reset then, so that only what has left this machine arrives.
+#: How long after its timeout a call may still arrive. The timeout resets the
+#: socket, so only bytes that have left this machine can arrive.
 MAX_TRANSIT_TIME: Final[Seconds] = 0.1
 #: The same for a call that ended without an answer, from its end on.
 MAX_UNANSWERED_HOLD_TIME: Final[Seconds] = MAX_TRANSIT_TIME + MAX_HOLD_TIME
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -275,7 +275,7 @@
     def test_daemon_that_knows_no_other_takes_no_part_of_the_allowance(
         self,
     ) -> None:
-        """All daemons start anew together, and none knows how many there are.
+        """All daemons restart together, and none knows how many there are.
 
         Their requests fail at once; each may retry its share of them only.
         """
