Reproduce requests beyond the limit that a target names

What callers saw: targets in need got as many requests as before they asked for fewer.

The stand-in target names a limit in its answers and its refusals.

--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -109,6 +109,8 @@
         self.sends_wrong_id = False
         #: Carry out grant and release calls without answering them.
         self.drops_call_responses = False
+        #: Requests per second that all answers name as the most to be taken.
+        self.named_limit: float | None = None
 
 
 class TargetWork:
@@ -302,8 +304,14 @@
             'Attempt-Id': 'other' if self.faults.sends_wrong_id else request_id,
             'Response-Seal': f'seal.{request_id}',
             'Instance-Load': load,
+            **self._limit_header(),
         }
 
+    def _limit_header(self) -> dict[str, str]:
+        if self.faults.named_limit is None:
+            return {}
+        return {'Server-Limit': f'{self.faults.named_limit:g}'}
+
     def _refusal(self, request: web.Request) -> web.Response | None:
         if request.headers.get('Expect-Instance') != self.target_id:
             return web.Response(
@@ -314,12 +322,12 @@
             self.work.overflow_count += 1
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={'Not-Executed': '1'},
+                headers={'Not-Executed': '1', **self._limit_header()},
             )
         if self.faults.shed_status is not None:
             return web.Response(
                 status=self.faults.shed_status,
-                headers={'Not-Executed': '1'},
+                headers={'Not-Executed': '1', **self._limit_header()},
             )
         if not self.is_keyed:
             return None
--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -115,14 +115,19 @@
         return attempt
 
 
-def most_in_one_second(times: list[Seconds]) -> int:
-    """Return the highest number of events in any span of one second."""
+def most_in_span(times: list[Seconds], span: Seconds) -> int:
+    """Return the highest number of events in any span of that length."""
     return max(
-        (sum(start <= at <= start + 1 for at in times) for start in times),
+        (sum(start <= at <= start + span for at in times) for start in times),
         default=0,
     )
 
 
+def most_in_one_second(times: list[Seconds]) -> int:
+    """Return the highest number of events in any span of one second."""
+    return most_in_span(times, 1)
+
+
 class SimSocket(DatagramSocket):
     """Passes datagrams to the sockets of other daemons, 1 ms later."""
 
