Read and log the limits that targets name

Answers are decoded at the platform's boundary; what is known is kept with the targets as a pair of times, so that neither an answer that was under way nor one read late can end or revive a limit; 523 says that one began, changed or ended, and targets_limited counts those in force. Nothing acts on it yet.

policy.warmup is called policy.permits, since its permits will serve limits too.

--- a/bench/fleet_capacity.py
+++ b/bench/fleet_capacity.py
@@ -13,7 +13,7 @@
 from cassialever.fleet.key_changes import apply_key_changes
 from cassialever.fleet.model import KeyMap, StoreRow
 from cassialever.fleet.view import KEY_MAP_PREFIX, OWN_TABLE, FleetView
-from cassialever.policy.warmup import KeeperDirectory
+from cassialever.policy.permits import KeeperDirectory
 from cassialever.types import Fence, RowVersion, TargetId
 
 #: Changes, and targets, over which a time is averaged.
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -55,6 +55,11 @@
     entry_rejected = (511, logbook.WARNING, 'An entry is invalid.')
     target_seen = (520, logbook.INFO, 'A target was added or changed.')
     target_gone = (521, logbook.INFO, 'A target was removed.')
+    target_limit_changed = (
+        523,
+        logbook.NOTICE,
+        'A limit that a target named began, changed or ended.',
+    )
     data_centre_changed = (522, logbook.NOTICE, 'Data centre states changed.')
 
     # Catalogue and operators.
--- a/cassialever/fleet/permits.py
+++ b/cassialever/fleet/permits.py
@@ -10,7 +10,7 @@
     encode,
 )
 from cassialever.fleet.view import FleetView
-from cassialever.policy.warmup import (
+from cassialever.policy.permits import (
     KeeperDirectory,
     PermitIssuer,
     WarmUpLimiter,
--- a/cassialever/fleet/target_registry.py
+++ b/cassialever/fleet/target_registry.py
@@ -6,6 +6,7 @@
 
 from cassialever.clock import SystemClock
 from cassialever.fleet.model import Target, TargetState
+from cassialever.policy.limits import TargetLimits
 from cassialever.types import DataCentreId, Seconds, ServiceName, TargetId
 
 
@@ -21,6 +22,8 @@
         self.evacuated: set[DataCentreId] = set()
         #: Targets that operators have taken out of service.
         self.taken_out: set[TargetId] = set()
+        #: The limits that targets name in their answers.
+        self.limits = TargetLimits()
         self._cold_until_by_id: dict[TargetId, Seconds] = {}
         #: Targets as reported, without operators' limits.
         self._reported_by_id: dict[TargetId, Target] = {}
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -111,6 +111,9 @@
             Reading('tables_age_seconds', self.core.membership.tables_age()),
             Reading('targets', len(self.view.targets.by_id)),
             Reading('requests_open', self.server.open_requests),
+            Reading(
+                'targets_limited', len(self.view.targets.limits.in_force())
+            ),
         ]
 
     async def _watch_readiness(self) -> None:
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -11,6 +11,7 @@
 from cassialever.fleet.datagrams import DatagramSocket
 from cassialever.fleet.following_leader import LeaderLink
 from cassialever.fleet.gossip import LoadGossip
+from cassialever.fleet.limits import log_change
 from cassialever.fleet.membership import (
     Membership,
     MemberState,
@@ -50,9 +51,12 @@
         self.clock = SystemClock()
         random_source = seeded_random(seed)
         self.view = FleetView(self.clock, operators)
+        self.view.targets.limits.on_change = log_change
         self.store = StoreClient(settings.store)
         self.loads = LoadTracker()
-        self._sender = TargetSender(self.loads, self.clock)
+        self._sender = TargetSender(
+            self.loads, self.view.targets.limits, self.clock
+        )
         self.forwarder = Forwarder(
             settings,
             self.view,
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -28,7 +28,7 @@
     TargetSelector,
 )
 from cassialever.policy.shares import WeightedSplit
-from cassialever.policy.warmup import WarmUpLimiter
+from cassialever.policy.permits import WarmUpLimiter
 from cassialever.telemetry.spans import Hop, HopTracer, NoopTracer
 from cassialever.types import Seconds, ServiceName, TargetId
 
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -11,7 +11,8 @@
 from yarl import URL
 
 from cassialever.clock import SystemClock
-from cassialever.errors import ErrorKind
+from cassialever.errors import ErrorKind, Failure
+from cassialever.events import Event, record
 from cassialever.fleet.model import Target
 from cassialever.gateway.outcomes import (
     Answer,
@@ -21,7 +22,9 @@
     unknown,
 )
 from cassialever.platform import wire
+from cassialever.platform.named_limit import parse_named_limit
 from cassialever.platform.sessions import open_session
+from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker, TargetLoad
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
 from cassialever.types import Seconds
@@ -50,8 +53,14 @@
 class TargetSender:
     """Sends requests to targets over pooled connections."""
 
-    def __init__(self, loads: LoadTracker, clock: SystemClock) -> None:
+    def __init__(
+        self,
+        loads: LoadTracker,
+        limits: TargetLimits,
+        clock: SystemClock,
+    ) -> None:
         self._loads = loads
+        self._limits = limits
         self._clock = clock
         self._session: aiohttp.ClientSession | None = None
 
@@ -106,6 +115,7 @@
     ) -> Attempt:
         if self._session is None:
             return not_run('not started', ErrorKind.stopping)
+        sent_at = self._clock.boot()
         timeout = aiohttp.ClientTimeout(
             total=time_left + RESPONSE_MARGIN,
             connect=min(CONNECT_TIMEOUT, time_left),
@@ -121,7 +131,13 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                return await self._read(request, target, response)
+                if not wire.matches_request(
+                    response.headers, request.request_id
+                ):
+                    _close_connection(response)
+                    return unknown('the answer belongs to another request')
+                self._record_limit(target, response, sent_at)
+                return await self._read(target, response)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -132,16 +148,32 @@
         except (aiohttp.ClientError, OSError) as error:
             return unknown(repr(error))
 
+    def _record_limit(
+        self,
+        target: Target,
+        response: aiohttp.ClientResponse,
+        sent_at: Seconds,
+    ) -> None:
+        """Record the limit that a target names; `sent_at` is in boot time."""
+        named = parse_named_limit(response.status, response.headers)
+        if isinstance(named, Failure):
+            if named.kind is ErrorKind.bad_request:
+                record(
+                    Event.entry_rejected,
+                    entry=target.target_id,
+                    reason=named.reason,
+                )
+            return
+        self._limits.record_answer(
+            target, named.rate, sent_at, self._clock.boot()
+        )
+
     async def _read(
         self,
-        request: TargetRequest,
         target: Target,
         response: aiohttp.ClientResponse,
     ) -> Attempt:
         headers = response.headers
-        if not wire.matches_request(headers, request.request_id):
-            _close_connection(response)
-            return unknown('the answer belongs to another request')
         load = self._loads.of(target.target_id)
         load.record_report(
             wire.parse_reported_load(headers), self._clock.monotonic()
--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -19,6 +19,7 @@
 _SIGNATURE: Final = 'Response-Seal'
 _KEY: Final = 'Shard-Key'
 _LOAD: Final = 'Instance-Load'
+LIMIT_HEADER: Final = 'Server-Limit'
 _HANDOVER: Final = 'Handover'
 _GRANT_PATH: Final = '/cassialever/grant'
 _RELEASE_PATH: Final = '/cassialever/release'
@@ -40,7 +41,8 @@
 )
 #: Headers of the platform in a target's answer.
 _ANSWER_HEADERS: Final = frozenset(
-    name.lower() for name in (_ATTEMPT_ID, _LOAD, _NOT_RUN, _SIGNATURE)
+    name.lower()
+    for name in (_ATTEMPT_ID, LIMIT_HEADER, _LOAD, _NOT_RUN, _SIGNATURE)
 )
 #: Headers of a request that the router replaces by its own.
 _REPLACED_HEADERS: Final = frozenset(
--- /dev/null
+++ b/cassialever/policy/limits.py
@@ -0,0 +1,163 @@
+"""Remember the limits that targets name in their answers.
+
+A target in need names the number of requests per second that it takes from
+all daemons together. An answer without a limit ends it. Daemons exchange what
+they have read, in any order and more than once, so what is known of a target is
+a pair of times of which each only rises (a state-based replicated data type,
+after Shapiro et al.): when the limit was last named, and when the latest
+request was sent that was answered without one. The limit is in force while
+the first is later. An answer that was under way while the limit was named
+thus can't end it.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+import msgspec
+
+from cassialever.fleet.model import StartedAt, Target
+from cassialever.types import Seconds, TargetId
+
+#: Lowest rate that is applied, in requests per second. A target is asked at
+#: least this often, since only an answer tells that the limit has ended.
+MIN_RATE: Final = 0.1
+
+
+class TargetLimit(msgspec.Struct, frozen=True):
+    """What is known of the limit of one life of a target.
+
+    `rate` is in requests per second; `named_at` and `ended_at` are in seconds
+    of this daemon's boot clock.
+    """
+
+    target_id: TargetId
+    started_at: StartedAt
+    rate: float = 0
+    #: When an answer was read that named the rate.
+    named_at: Seconds = -math.inf
+    #: When the latest request was sent that was answered without a limit.
+    ended_at: Seconds = -math.inf
+
+    @property
+    def is_in_force(self) -> bool:
+        """Return whether the limit was named after it last ended."""
+        return self.named_at > self.ended_at
+
+    def merge(self, other: 'TargetLimit') -> 'TargetLimit':
+        """Return what two states of the same target together say."""
+        if other.started_at != self.started_at:
+            return max(self, other, key=_started_at)
+        latest = max(self, other, key=_naming)
+        return TargetLimit(
+            self.target_id,
+            self.started_at,
+            latest.rate,
+            latest.named_at,
+            max(self.ended_at, other.ended_at),
+        )
+
+    def says_the_same(self, other: 'TargetLimit') -> bool:
+        """Return whether the same rate, or none, is in force in both."""
+        if not self.is_in_force:
+            return not other.is_in_force
+        return other.is_in_force and self.rate == other.rate
+
+
+class LimitSource(msgspec.Struct, frozen=True):
+    """Where a daemon learned of a limit; an empty peer is an own answer."""
+
+    peer: str = ''
+
+
+OWN_ANSWER: Final = LimitSource()
+
+
+class TargetLimits:
+    """The limits of all targets, as far as this daemon knows."""
+
+    def __init__(self) -> None:
+        """Start without any limit."""
+        self._limit_by_id: dict[TargetId, TargetLimit] = {}
+        #: Called when a limit has begun, changed or ended.
+        self.on_change: Callable[[TargetLimit, LimitSource], None] = (
+            _ignore_change
+        )
+
+    def record_answer(
+        self,
+        target: Target,
+        rate: float | None,
+        sent_at: Seconds,
+        now: Seconds,
+    ) -> None:
+        """Record an answer, which names a rate or, with None, no limit.
+
+        `sent_at` is when the answered request was sent, by the boot clock.
+        """
+        known = self._limit_by_id.get(target.target_id)
+        if rate is None and known is None:
+            return
+        limit = TargetLimit(target.target_id, target.started_at)
+        if rate is None:
+            limit = msgspec.structs.replace(limit, ended_at=sent_at)
+        else:
+            limit = msgspec.structs.replace(limit, rate=rate, named_at=now)
+        self.merge(limit, OWN_ANSWER)
+
+    def merge(self, limit: TargetLimit, source: LimitSource) -> TargetLimit:
+        """Merge what an answer or a peer says; return what is known now."""
+        known = self._limit_by_id.get(limit.target_id)
+        if known is None:
+            known = TargetLimit(limit.target_id, limit.started_at)
+        merged = known.merge(limit)
+        self._limit_by_id[limit.target_id] = merged
+        if not merged.says_the_same(known):
+            self.on_change(merged, source)
+        return merged
+
+    def of(self, target_id: TargetId) -> TargetLimit | None:
+        """Return what is known of a target's limit, in force or not."""
+        return self._limit_by_id.get(target_id)
+
+    def rate_of(self, target: Target) -> float | None:
+        """Return the requests per second that a target takes, if limited."""
+        limit = self._limit_by_id.get(target.target_id)
+        if limit is None or limit.started_at != target.started_at:
+            # A target that has restarted has no limit until it names one.
+            return None
+        return max(limit.rate, MIN_RATE) if limit.is_in_force else None
+
+    def in_force(self) -> list[TargetLimit]:
+        """Return the limits that are in force."""
+        return [one for one in self._limit_by_id.values() if one.is_in_force]
+
+    def prune(self, target_by_id: Mapping[TargetId, Target]) -> None:
+        """Forget the limits of targets that are gone or have restarted."""
+        for target_id in _outdated(self._limit_by_id.values(), target_by_id):
+            self._limit_by_id.pop(target_id)
+
+
+def _outdated(
+    limits: Iterable[TargetLimit],
+    target_by_id: Mapping[TargetId, Target],
+) -> list[TargetId]:
+    outdated = []
+    for limit in limits:
+        target = target_by_id.get(limit.target_id)
+        if target is None or target.started_at > limit.started_at:
+            outdated.append(limit.target_id)
+    return outdated
+
+
+def _started_at(limit: TargetLimit) -> StartedAt:
+    return limit.started_at
+
+
+def _naming(limit: TargetLimit) -> tuple[Seconds, float]:
+    # Of two rates named at the same time the lower one applies.
+    return limit.named_at, -limit.rate
+
+
+def _ignore_change(limit: TargetLimit, source: LimitSource) -> None:
+    """Ignore a change; the default until a handler is set."""
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -15,7 +15,7 @@
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
 from cassialever.policy.loads import LoadTracker
-from cassialever.policy.warmup import WarmUpLimiter
+from cassialever.policy.permits import WarmUpLimiter
 from cassialever.types import DataCentreId, Seconds, ServiceName, TargetId
 
 #: Cost of using another data centre, in requests queued at the target.
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -304,14 +304,9 @@
             'Attempt-Id': 'other' if self.faults.sends_wrong_id else request_id,
             'Response-Seal': f'seal.{request_id}',
             'Instance-Load': load,
-            **self._limit_header(),
+            **_limit_header(self.faults),
         }
 
-    def _limit_header(self) -> dict[str, str]:
-        if self.faults.named_limit is None:
-            return {}
-        return {'Server-Limit': f'{self.faults.named_limit:g}'}
-
     def _refusal(self, request: web.Request) -> web.Response | None:
         if request.headers.get('Expect-Instance') != self.target_id:
             return web.Response(
@@ -322,12 +317,12 @@
             self.work.overflow_count += 1
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={'Not-Executed': '1', **self._limit_header()},
+                headers={'Not-Executed': '1', **_limit_header(self.faults)},
             )
         if self.faults.shed_status is not None:
             return web.Response(
                 status=self.faults.shed_status,
-                headers={'Not-Executed': '1', **self._limit_header()},
+                headers={'Not-Executed': '1', **_limit_header(self.faults)},
             )
         if not self.is_keyed:
             return None
@@ -339,6 +334,12 @@
         )
 
 
+def _limit_header(faults: TargetFaults) -> dict[str, str]:
+    if faults.named_limit is None:
+        return {}
+    return {'Server-Limit': f'{faults.named_limit:g}'}
+
+
 async def _send_truncated(
     request: web.Request,
     content: bytes,
--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -23,6 +23,7 @@
 )
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.platform.wire import ReportedLoad
+from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker
 from cassialever.types import MS_PER_SECOND, Seconds
 from tests.fleet_helpers import (
@@ -55,6 +56,8 @@
         self.sheds = False
         #: Close every connection without an answer.
         self.resets = False
+        #: Requests per second that it names in its answers, if any.
+        self.named_limit: float | None = None
         self.received = 0
         self.received_at: list[Seconds] = []
         self.ran = 0
@@ -94,15 +97,22 @@
 class SimSender(TargetSender):
     """Sends to simulated targets and records their load as usual."""
 
-    def __init__(self, simulation: 'Simulation', loads: LoadTracker) -> None:
-        super().__init__(loads, simulation.clock)
+    def __init__(
+        self,
+        simulation: 'Simulation',
+        loads: LoadTracker,
+        limits: TargetLimits,
+    ) -> None:
+        super().__init__(loads, limits, simulation.clock)
         self.simulation = simulation
         self.tracker = loads
+        self.limits = limits
 
     async def _exchange(
         self, request: TargetRequest, target: Target, time_left: Seconds
     ) -> Attempt:
         sim = self.simulation.targets[target.target_id]
+        sent_at = self.simulation.clock.boot()
         try:
             async with asyncio.timeout(time_left):
                 attempt = await sim.run(self.simulation.rng)
@@ -112,6 +122,7 @@
             reported = ReportedLoad(sim.running, sim.queued, SLOTS, 1)
             now = self.simulation.clock.monotonic()
             self.tracker.of(target.target_id).record_report(reported, now)
+            self.limits.record_answer(target, sim.named_limit, sent_at, now)
         return attempt
 
 
@@ -261,7 +272,7 @@
         forwarder = Forwarder(
             SETTINGS,
             view,
-            SimSender(self, loads),
+            SimSender(self, loads, view.targets.limits),
             loads,
             self.clock,
             self.rng,
--- a/tests/test_fleet_permits.py
+++ b/tests/test_fleet_permits.py
@@ -8,7 +8,7 @@
 from cassialever.clock import SystemClock
 from cassialever.fleet.datagrams import DatagramSocket
 from cassialever.fleet.permits import PermitExchange
-from cassialever.policy.warmup import WarmUpLimiter
+from cassialever.policy.permits import WarmUpLimiter
 from standins.listening import LOOPBACK, free_ports
 from tests.fleet_helpers import configured_view
 from tests.replay_helpers import most_in_one_second
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -10,6 +10,7 @@
 from cassialever.fleet.model import Target, TargetState
 from cassialever.gateway.outcomes import Attempt, AttemptOutcome
 from cassialever.gateway.sender import TargetRequest, TargetSender
+from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker
 from standins.listening import LOOPBACK
 
@@ -52,7 +53,8 @@
             1, 0,
         )  # fmt: skip
         self.loads = LoadTracker()
-        self.sender = TargetSender(self.loads, SystemClock())
+        self.limits = TargetLimits()
+        self.sender = TargetSender(self.loads, self.limits, SystemClock())
         await self.sender.start()
 
     async def asyncTearDown(self) -> None:
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -60,9 +60,7 @@
     ) -> None:
         """Check the windows that begin once the limit has to be kept."""
         judged = [
-            at
-            for at in target.work.received_at
-            if at >= named_at + STABLE_TIME
+            at for at in target.work.received_at if at >= named_at + STABLE_TIME
         ]
         self.assertLessEqual(
             most_in_span(judged, WINDOW), allowed_requests(limit)
--- /dev/null
+++ b/tests/test_policy_limits.py
@@ -0,0 +1,107 @@
+"""Tests of what daemons remember of the limits that targets name."""
+
+import itertools
+import random
+import unittest
+
+from cassialever.fleet.model import Target, TargetState
+from cassialever.policy.limits import (
+    MIN_RATE,
+    OWN_ANSWER,
+    TargetLimit,
+    TargetLimits,
+)
+
+
+def make_target(started_at: int = 1) -> Target:
+    return Target(
+        't0', 'registry', '10.1.64.9:1', 'west', 6, TargetState.ready,
+        started_at, 0,
+    )  # fmt: skip
+
+
+class TargetLimitsTest(unittest.TestCase):
+    """Limits that begin, change and end."""
+
+    def setUp(self) -> None:
+        self.limits = TargetLimits()
+        self.changes: list[float | None] = []
+        self.limits.on_change = lambda limit, _: self.changes.append(
+            limit.rate if limit.is_in_force else None
+        )
+        self.target = make_target()
+
+    def rate(self) -> float | None:
+        return self.limits.rate_of(self.target)
+
+    def test_limit_begins_changes_and_ends(self) -> None:
+        self.limits.record_answer(self.target, None, 1, 1.1)
+        self.limits.record_answer(self.target, 2.4, 2, 2.1)
+        self.assertEqual(self.rate(), 2.4)
+        self.limits.record_answer(self.target, 2.4, 2.2, 2.3)
+        self.limits.record_answer(self.target, 5.0, 2.4, 2.5)
+        self.assertEqual(self.rate(), 5.0)
+        self.limits.record_answer(self.target, None, 3, 3.1)
+        self.assertIsNone(self.rate())
+        self.assertEqual(self.changes, [2.4, 5.0, None])
+
+    def test_answer_under_way_when_it_was_named_does_not_end_it(self) -> None:
+        self.limits.record_answer(self.target, 2.4, 2, 2.5)
+        self.limits.record_answer(self.target, None, 2.4, 2.6)
+        self.assertEqual(self.rate(), 2.4)
+
+    def test_limit_read_before_it_ended_is_outdated(self) -> None:
+        self.limits.record_answer(self.target, 2.4, 2, 2.5)
+        self.limits.record_answer(self.target, None, 3, 3.1)
+        late = TargetLimit('t0', 1, 2.4, named_at=2.9)
+        self.limits.merge(late, OWN_ANSWER)
+        self.assertIsNone(self.rate())
+
+    def test_target_that_restarted_has_no_limit(self) -> None:
+        self.limits.record_answer(self.target, 2.4, 2, 2.5)
+        self.target = make_target(started_at=2)
+        self.assertIsNone(self.rate())
+        # What is said of the former life comes late.
+        self.limits.record_answer(make_target(), 2.4, 2.6, 2.7)
+        self.assertIsNone(self.rate())
+        self.limits.record_answer(self.target, 1.5, 3, 3.1)
+        self.limits.record_answer(make_target(), 9.0, 3, 3.2)
+        self.assertEqual(self.rate(), 1.5)
+
+    def test_target_that_takes_nothing_is_still_asked(self) -> None:
+        self.limits.record_answer(self.target, 0, 2, 2.5)
+        self.assertEqual(self.rate(), MIN_RATE)
+
+    def test_limits_of_gone_and_restarted_targets_are_forgotten(self) -> None:
+        for by_id in ({}, {'t0': make_target(started_at=2)}):
+            self.limits.record_answer(self.target, 2.4, 2, 2.5)
+            self.limits.prune({'t0': self.target})
+            self.assertIsNotNone(self.limits.of('t0'))
+            self.limits.prune(by_id)
+            self.assertIsNone(self.limits.of('t0'))
+
+    def test_daemons_agree_whatever_the_order(self) -> None:
+        """Each daemon gets the same reports, in another order and repeated."""
+        rng = random.Random(3)
+        for _ in range(50):
+            reports = [
+                TargetLimit(
+                    't0',
+                    rng.randrange(1, 3),
+                    rng.choice((1.5, 2.4)),
+                    rng.choice((-1.0, rng.random())),
+                    rng.choice((-1.0, rng.random())),
+                )
+                for _ in range(4)
+            ]
+            known = set()
+            for order in itertools.permutations(reports):
+                limits = TargetLimits()
+                for report in (*order, *rng.choices(reports, k=3)):
+                    limits.merge(report, OWN_ANSWER)
+                known.add(limits.of('t0'))
+            self.assertEqual(len(known), 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_policy_warmup.py
+++ b/tests/test_policy_permits.py
@@ -4,7 +4,7 @@
 import unittest
 from collections.abc import Callable
 
-from cassialever.policy.warmup import (
+from cassialever.policy.permits import (
     KEEPER_CHANGE_DELAY,
     MAX_REQUESTS_PER_SECOND,
     PERMIT_LIFETIME,
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -13,7 +13,7 @@
     PlacementRequest,
     TargetSelector,
 )
-from cassialever.policy.warmup import WarmUpLimiter
+from cassialever.policy.permits import WarmUpLimiter
 from tests.fleet_helpers import (
     ManualClock,
     configured_view,
@@ -21,7 +21,7 @@
     make_settings,
     target_entry,
 )
-from tests.test_policy_warmup import recorder
+from tests.test_policy_permits import recorder
 
 REQUEST = PlacementRequest('issuance', RequestKind.unsafe, -1, 0.6)
 
