Move keys away from an owner that names a limit

What callers saw: with its limit kept, 27 in 100 callers of a service with three owners were refused (test_named_limits), since the limited owner kept keys that get ten requests a second.

Cause: the planner took an owner's capacity from its slots and latency alone. Fix: a limit bounds the capacity, so that the excess moves to the least busy owners within the same budget of moves; a limited owner is overloaded above 0.8 of its limit, as requests do not arrive evenly. While all owners are limited nothing moves for it, since nothing would be gained.

In simulated load of 13 requests a second and owner, demand falls below 0.9 of limits of 0.5, 2.4, 8 and 14 within 3 s, for less than three owners' parts of the keys, and the keys return when the limit has ended.

--- a/cassialever/keys/planning.py
+++ b/cassialever/keys/planning.py
@@ -1,10 +1,11 @@
 """Decide which target owns which keys.
 
 The plan is made for hot keys that lie close together and change within
-seconds, for targets that join without keys and for targets that drain. Each
-target first gets several ranges, so that neighbouring ranges have different
-owners. Later the hottest part of the busiest target's keys moves to the least
-busy target, until no target is far above the mean.
+seconds, for targets that join without keys, for targets that drain and for
+targets that name a limit. Each target first gets several ranges, so that
+neighbouring ranges have different owners. Later the hottest part of the busiest
+target's keys moves to the least busy target, until no target is far above the
+mean.
 """
 
 import math
@@ -29,6 +30,9 @@
 #: Below this usage a target is never overloaded, whatever the others have: a
 #: move makes requests for its keys wait, and gains nothing there.
 MIN_OVERLOAD_USAGE: Final = 0.6
+#: Above this share of the limit that it named a target is overloaded. Requests
+#: do not arrive evenly, and what exceeds the limit is refused.
+MAX_LIMIT_USAGE: Final = 0.8
 #: Usage of a target up to which keys are moved to it.
 FILL_USAGE: Final = 0.45
 #: Deviation of a measured load, in standard deviations, that is put down to
@@ -197,6 +201,9 @@
 
 def _is_overloaded(owner: OwnerLoad, mean: float) -> bool:
     """Return whether a target has more load than chance explains."""
+    if owner.is_limited and mean < MAX_LIMIT_USAGE:
+        # Callers are refused what exceeds a limit, by chance or not.
+        return owner.usage > MAX_LIMIT_USAGE
     noise = NOISE_DEVIATIONS * math.sqrt(owner.load / HEAT_TIME_CONSTANT)
     limit = max(mean * OVERLOAD_RATIO, MIN_OVERLOAD_USAGE)
     return owner.usage > limit + noise / owner.capacity
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -76,6 +76,7 @@
             self._candidates.eligible,
             self.heat,
             context.latencies,
+            context.view.targets.limits,
         )
         self._update_heat_at: Seconds = 0
         self._retry_write_at: Seconds = 0
--- a/cassialever/keys/targetloads.py
+++ b/cassialever/keys/targetloads.py
@@ -8,6 +8,7 @@
 from cassialever.fleet.model import Target
 from cassialever.keys.assignments import Assignments, AssignmentState
 from cassialever.keys.heat import KeyHeat, TargetLatencies
+from cassialever.policy.limits import TargetLimits
 from cassialever.types import Seconds, TargetId
 
 #: Latency assumed while none is known.
@@ -21,12 +22,14 @@
 class OwnerLoad(msgspec.Struct, eq=False):
     """A target that may own keys, and the load of those it has or gets.
 
-    `capacity` is the requests per second that keep all its slots busy.
+    `capacity` is the requests per second that keep all its slots busy, or
+    fewer if the target has named a limit.
     """
 
     target: Target
     capacity: float
     load: float = 0
+    is_limited: bool = False
 
     @property
     def usage(self) -> float:
@@ -43,20 +46,21 @@
         candidates: Callable[[], Sequence[Target]],
         heat: KeyHeat,
         latencies: TargetLatencies,
+        limits: TargetLimits,
     ) -> None:
         self._assignments = assignments
         self._candidates = candidates
         self._heat = heat
         self._latencies = latencies
+        self._limits = limits
 
     def current(self) -> dict[TargetId, OwnerLoad]:
         """Return the load of each candidate."""
         targets = self._candidates()
         latency_by_id = _bounded_latencies(targets, self._latencies)
         load_by_id = {
-            target.target_id: OwnerLoad(
-                target,
-                target.slots / latency_by_id[target.target_id],
+            target.target_id: self._without_load(
+                target, target.slots / latency_by_id[target.target_id]
             )
             for target in targets
         }
@@ -66,6 +70,12 @@
                 owner.load += self._heat.of(assignment.first, assignment.last)
         return load_by_id
 
+    def _without_load(self, target: Target, capacity: float) -> OwnerLoad:
+        limit = self._limits.rate_of(target)
+        if limit is None:
+            return OwnerLoad(target, capacity)
+        return OwnerLoad(target, min(capacity, limit), is_limited=True)
+
 
 def _bounded_latencies(
     targets: Sequence[Target],
--- a/tests/test_keys_planning.py
+++ b/tests/test_keys_planning.py
@@ -18,6 +18,7 @@
     TargetLatencies,
 )
 from cassialever.keys.targetloads import OwnerLoads
+from cassialever.policy.limits import TargetLimits
 
 SERVICE = 'registry'
 
@@ -49,6 +50,7 @@
         )
         self.heat = KeyHeat()
         self.latencies = TargetLatencies()
+        self.limits = TargetLimits()
         # Long enough after the first assignment for its keys to move.
         self.now = 10.0
         self.loads = OwnerLoads(
@@ -56,6 +58,7 @@
             lambda: self.targets,
             self.heat,
             self.latencies,
+            self.limits,
         )
         self.moved_keys = 0
 
@@ -82,6 +85,9 @@
             self.moved_keys += assignment.key_count
         return moving
 
+    def random_keys(self, number: int) -> list[int]:
+        return [self.random.randrange(KEY_COUNT) for _ in range(number)]
+
     def counts_by_owner(self, keys: list[int]) -> dict[str, int]:
         counts = {target.target_id: 0 for target in self.targets}
         for key in keys:
@@ -171,6 +177,44 @@
         others = sum(counts.values()) - counts['t0']
         self.assertLess(counts['t0'], 0.6 * others / 5)
 
+    def test_keys_leave_an_owner_that_named_a_limit(self) -> None:
+        """Each owner gets 13 requests a second."""
+        for limit in (0.5, 2.4, 8.0, 14.0):
+            simulation = Simulation(_targets(18))
+            for _ in range(20):
+                simulation.step(simulation.random_keys(60))
+            limited = simulation.targets[3]
+            simulation.limits.record_answer(limited, limit, 1, 1.1)
+            before = simulation.moved_keys
+            for _ in range(int(3 / HEAT_UPDATE_INTERVAL)):
+                simulation.step(simulation.random_keys(60))
+            demand = 0
+            for _ in range(int(10 / HEAT_UPDATE_INTERVAL)):
+                keys = simulation.random_keys(60)
+                demand += simulation.counts_by_owner(keys)['t3']
+                simulation.step(keys)
+            with self.subTest(limit=limit):
+                # Requests do not arrive evenly, so that some room is left.
+                self.assertLessEqual(demand / 10, 0.9 * limit)
+                self.assertLess(
+                    simulation.moved_keys - before, 3 * KEY_COUNT / 18
+                )
+            simulation.limits.record_answer(limited, None, 2, 2.1)
+            for _ in range(40):
+                simulation.step(simulation.random_keys(60))
+            counts = simulation.counts_by_owner(list(range(0, KEY_COUNT, 64)))
+            with self.subTest(limit=limit, has_ended=True):
+                self.assertGreater(counts['t3'], 0.5 * KEY_COUNT / 64 / 18)
+
+    def test_limits_of_all_owners_move_few_keys(self) -> None:
+        """No other owner has room, so that moves would gain nothing."""
+        simulation = Simulation(_targets(18))
+        for target in simulation.targets:
+            simulation.limits.record_answer(target, 2.4, 1, 1.1)
+        for _ in range(int(10 / HEAT_UPDATE_INTERVAL)):
+            simulation.step(simulation.random_keys(60))
+        self.assertLess(simulation.moved_keys, 0.1 * KEY_COUNT)
+
     def test_new_target_gets_keys(self) -> None:
         simulation = Simulation(_targets(5))
         simulation.targets = _targets(6)
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -20,6 +20,8 @@
 WINDOW = 4.0
 ALLOWED_RATIO = 1.5
 ALLOWANCE = 5
+#: About that of the users' targets, in seconds.
+SERVICE_TIME = 0.1
 
 
 def allowed_requests(limit: float) -> float:
@@ -34,6 +36,8 @@
         self, system: Deployment, duration: float, interval: float, issue: bool
     ) -> list[int]:
         """Send at an interval from every daemon; return the statuses."""
+        for target in system.targets:
+            target.faults.service_time = SERVICE_TIME
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + duration
         sending = []
@@ -105,6 +109,9 @@
                 system, STABLE_TIME + WINDOW + 1, 0.1, issue=True
             )
         self.check_limit(limited, limit, named_at)
+        self.assertGreater(
+            most_in_span(limited.work.received_at, WINDOW), limit
+        )
         self.assertEqual(set(statuses), {200})
 
 
