Explain refusals by limits; name limits in the soak

The soak names limits at random, and checks at its end that a limited target of each service gets no more than the platform allows in windows of 4 s, counted at the target.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -77,6 +77,8 @@
     #: The label under which the metrics count it, one of a fixed set.
     cause: str = 'attempts_failed'
     kind: ErrorKind = ErrorKind.target_shed
+    #: The only target that could have served it, if there is just one.
+    target_id: TargetId | None = None
 
 
 class Forwarder:
@@ -207,13 +209,30 @@
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
-                return _no_target(decision)
+                return self._no_target(decision, placement)
             self.selector.waiting_by_service[service] += 1
             try:
                 await asyncio.sleep(decision.pause)
             finally:
                 self.selector.waiting_by_service[service] -= 1
 
+    def _no_target(
+        self, decision: refusal.Refuse, placement: PlacementRequest
+    ) -> Refusal:
+        sentence = decision.reason.value
+        owner = self.selector.owner_of(placement)
+        rate = self._view.targets.limits.rate_of(owner) if owner else None
+        if rate is not None and decision.reason is NoTargetReason.limited:
+            sentence = f'the owner of the key takes {rate:g} requests a second'
+        return Refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            sentence,
+            decision.retry_after,
+            decision.reason.name,
+            _KIND_BY_REASON[decision.reason],
+            owner.target_id if owner else None,
+        )
+
     def _permit_delay(
         self,
         reason: NoTargetReason,
@@ -281,6 +300,7 @@
             request=routed.request.request_id,
             route=routed.route.name,
             key=routed.key,
+            target=answer.target_id,
             status=answer.status,
             reason=answer.sentence,
             waited=round(self._clock.monotonic() - routed.received_at, 3),
@@ -355,13 +375,3 @@
         reason,
         refusal.FixedRetryAfter.default.value,
     )
-
-
-def _no_target(decision: refusal.Refuse) -> Refusal:
-    return Refusal(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        decision.reason.value,
-        decision.retry_after,
-        decision.reason.name,
-        _KIND_BY_REASON[decision.reason],
-    )
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -136,6 +136,13 @@
         ]
         return PermitDelay(min(delays, default=0))
 
+    def owner_of(self, request: PlacementRequest) -> Target | None:
+        """Return the target that owns the request's key, if one is known."""
+        keys = self.key_range_of(request)
+        if keys is None:
+            return None
+        return self._view.targets.by_id.get(keys.owner)
+
     def key_range_of(self, request: PlacementRequest) -> KeyRange | None:
         """Return the key range that contains the request's key."""
         index = self._view.keys_by_service.get(request.service)
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -142,6 +142,10 @@
         'target_seen': (
             'target {target} reported {state}, cold for {cold_for} s'
         ),
+        'target_limit_changed': (
+            'target {target} was known to take {rate} requests a second from'
+            ' all daemons (learned from {learned_from})'
+        ),
         'leader_taken': 'this daemon became leader',
         'leader_lost': 'this daemon lost leadership',
         'table_unavailable': 'table {table} of the store did not answer',
@@ -149,6 +153,10 @@
         'data_centre_changed': 'data centres out of service: {taken_out}',
     },
 )
+#: Events that may affect the requests for a target.
+_TARGET_EVENTS: Final = frozenset(
+    ('target_gone', 'target_seen', 'target_limit_changed'),
+)
 #: Events that may affect any request.
 _GLOBAL_EVENTS: Final = frozenset(
     (
@@ -172,7 +180,7 @@
     """Return whether an event may have affected a request."""
     if line.name in _GLOBAL_EVENTS:
         return True
-    if line.name in {'target_gone', 'target_seen'}:
+    if line.name in _TARGET_EVENTS:
         return line.fields.get('target') in targets
     first, last = line.fields.get('first'), line.fields.get('last')
     if isinstance(first, int) and isinstance(last, int):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,7 @@
 from soak.fleet import DaemonProcess, SoakFleet
 from soak.proxy import FaultProxy, ProxyMode
 from standins.keyed_target import TargetServer
-from tests.replay_helpers import most_in_one_second
+from tests.replay_helpers import most_in_one_second, most_in_span
 
 #: Range of the duration of a fault, in seconds.
 MIN_FAULT_DURATION = 0.5
@@ -30,6 +30,14 @@
 #: Requests that a cold target may get in one second: 1.5 times the 12 of the
 #: configuration, and the platform's allowance.
 MAX_COLD_REQUESTS = 1.5 * 12 + 5
+#: Limits that targets name, in requests per second.
+NAMED_LIMITS = (0.5, 2.4, 8.0)
+#: The platform judges a limit from this time after it was named, over windows
+#: of four seconds, by 1.5 times what it allows, plus five.
+LIMIT_STABLE_TIME = 3.0
+LIMIT_WINDOW = 4.0
+#: How long a limit is named for the check, in seconds.
+LIMIT_DURATION = LIMIT_STABLE_TIME + LIMIT_WINDOW + 1.0
 #: Routes added to the configuration at once.
 ADDED_ROUTES = 1400
 #: A change of the configuration must be in force within this time, in seconds.
@@ -62,6 +70,7 @@
             self._drain_target,
             self._restart_target,
             self._chill_target,
+            self._limit_target,
             self._add_routes,
         )
 
@@ -85,6 +94,9 @@
             self._check_added_route(),
             *map(self._check_cold_target, by_service.values()),
         )
+        await asyncio.gather(
+            *map(self._check_limited_target, by_service.values()),
+        )
 
     def _log_event(self, event: str) -> None:
         now = asyncio.get_running_loop().time()
@@ -185,6 +197,16 @@
         self._fleet.publish_target(target, cold_ms=COLD_DURATION * 1000)
         await asyncio.sleep(COLD_DURATION)
 
+    async def _limit_target(self) -> None:
+        target = self._choose_target()
+        target.faults.named_limit = self._random.choice(NAMED_LIMITS)
+        self._log_event(
+            f'{target.target_id} names a limit of {target.faults.named_limit}'
+        )
+        await self._wait_fault_duration()
+        target.faults.named_limit = None
+        self._log_event(f'{target.target_id} names no limit')
+
     async def _add_routes(self) -> None:
         self._log_event(f'{ADDED_ROUTES} routes are added')
         self._fleet.add_routes(ADDED_ROUTES)
@@ -205,6 +227,25 @@
                 f'cold {target.target_id} got {most} requests in one second'
             )
 
+    async def _check_limited_target(self, target: TargetServer) -> None:
+        """Check that a target gets no more than the limit it names allows."""
+        limit = self._random.choice(NAMED_LIMITS)
+        judged_from = asyncio.get_running_loop().time() + LIMIT_STABLE_TIME
+        target.faults.named_limit = limit
+        await asyncio.sleep(LIMIT_DURATION)
+        target.faults.named_limit = None
+        arrivals = [at for at in target.work.received_at if at >= judged_from]
+        most = most_in_span(arrivals, LIMIT_WINDOW)
+        self._log_event(
+            f'{target.target_id}, limited to {limit} a second, got {most} in'
+            f' {LIMIT_WINDOW:g} s'
+        )
+        if most > 1.5 * limit * LIMIT_WINDOW + 5:
+            self.violations.append(
+                f'{target.target_id} got {most} requests in {LIMIT_WINDOW:g} s'
+                f' beyond its limit of {limit} a second'
+            )
+
     async def _check_added_route(self) -> None:
         """Check that a route of a large configuration is in force in time."""
         host = self._fleet.add_routes(ADDED_ROUTES)
--- a/tests/test_tool_platform.py
+++ b/tests/test_tool_platform.py
@@ -114,6 +114,28 @@
             )
             self.assertEqual(code, ExitCode.faults)
 
+    async def test_limit_explains_a_refusal(self) -> None:
+        lines = (
+            {'time': 8.1, 'name': 'target_limit_changed', 'target': 't1',
+             'rate': 2.4, 'learned_from': 'the leader'},
+            {'time': 8.2, 'name': 'target_limit_changed', 'target': 't2',
+             'rate': 9.0, 'learned_from': 'the leader'},
+            {'time': 9.0, 'name': 'request_refused', 'request': 'a1',
+             'target': 't1', 'key': 7, 'status': 503, 'retry_after': 0.4,
+             'reason': 'the owner of the key takes 2.4 requests a second'},
+        )  # fmt: skip
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'log'
+            path.write_text('\n'.join(map(json.dumps, lines)))
+            code, printed = await self.run_tool(
+                'platform', 'explain', 'a1', str(path)
+            )
+        self.assertEqual(code, ExitCode.done, printed)
+        words = ' '.join(printed.split())
+        self.assertIn('t1 was known to take 2.4 requests a second', words)
+        self.assertIn('the owner of the key takes 2.4', words)
+        self.assertNotIn('t2', words)
+
     async def test_show(self) -> None:
         store = RowStoreServer()
         await store.start()
