End a drain only when callers have received their answers

Cause: a request counted as ended when its handler returned, while up to the whole of a socket's buffer was still to be sent; the process then closed the connections and ended.

Fix: the sockets of callers are held over the drain, and it ends when their peers have confirmed every byte, or 0.3 s after its timeout, with a log line (107).

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -20,6 +20,11 @@
     stopped = (103, logbook.NOTICE, 'The daemon has stopped.')
     reloaded = (105, logbook.NOTICE, 'The settings were reloaded.')
     reload_failed = (106, logbook.ERROR, 'The new settings were rejected.')
+    answers_unsent = (
+        107,
+        logbook.WARNING,
+        'Connections may be closed before their answers are sent.',
+    )
     task_failed = (104, logbook.ERROR, 'A background task has failed.')
 
     # Request path.
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -10,6 +10,7 @@
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
+from cassialever.gateway.flushing import UnsentAnswers
 from cassialever.gateway.forwarder import Forwarder, Refusal
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.sender import TargetRequest
@@ -27,6 +28,9 @@
 #: up to 15 s, a limit set by the operators.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 75.0
 
+#: Time after the timeout of a drain in which answers may still be sent.
+SENDING_TIME: Final[Seconds] = 0.3
+
 _RequestHandler: TypeAlias = Callable[
     [web.BaseRequest],
     Awaitable[web.StreamResponse],
@@ -58,12 +62,23 @@
         await self._listen(listen.callers, self._handle)
 
     async def drain(self, timeout: Seconds) -> None:
-        """Stop listening, finish open requests and close each connection."""
+        """Stop listening, finish open requests and close each connection.
+
+        Answers may be sent until `SENDING_TIME` after the timeout.
+        """
+        ends_at = self._clock.monotonic() + timeout + SENDING_TIME
         for site in self._sites:
             await site.stop()
+        unsent = UnsentAnswers(
+            connection
+            for runner in self._runners
+            if runner.server is not None
+            for connection in runner.server.connections
+        )
         await asyncio.gather(
             *(_drain(runner.server, timeout) for runner in self._runners),
         )
+        await unsent.wait(ends_at - self._clock.monotonic())
 
     async def stop(self) -> None:
         """Close every connection."""
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -3,18 +3,25 @@
 import asyncio
 import pathlib
 import signal
+import socket
 import tempfile
 import unittest
 
 from soak.fleet import SoakFleet
 from soak.__main__ import START_TIMEOUT
 from soak.callers import Callers
+from tests.fleet_helpers import deployment
+from tests.gateway_helpers import wait_for_keys
 
 #: The answer, and the rate at which its caller reads it: within the grace
 #: period of a stop.
 BODY_BYTES = 12_000_000
 BYTES_PER_SECOND = 4_000_000
 CHUNK_BYTES = 100_000
+REQUEST = (
+    b'GET /lookup/x HTTP/1.1\r\nHost: registry.example\r\n'
+    b'Shard-Key: 1\r\nAttempt-Id: a1\r\nDeadline-Ms: 9000\r\n\r\n'
+)
 
 
 class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
@@ -42,10 +49,7 @@
         reader, writer = await asyncio.open_connection(
             '127.0.0.1', daemon.ports[0], limit=CHUNK_BYTES
         )
-        writer.write(
-            b'GET /lookup/x HTTP/1.1\r\nHost: registry.example\r\n'
-            b'Shard-Key: 1\r\nAttempt-Id: a1\r\nDeadline-Ms: 9000\r\n\r\n'
-        )
+        writer.write(REQUEST)
         await reader.readuntil(b'\r\n\r\n')
         daemon.send(signal.SIGTERM)
         received = 0
@@ -57,5 +61,32 @@
         return received
 
 
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """What is left to send when open requests have ended."""
+
+    async def test_drain_ends_after_the_last_byte_was_sent(self) -> None:
+        """The handler ends while a part of its answer is still buffered."""
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            system.targets[0].fixed_body = bytes(BODY_BYTES)
+            host, port = gateway.settings.listen.callers.split(':')
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(caller, (host, int(port)))
+            await loop.sock_sendall(caller, REQUEST)
+            received = len(await loop.sock_recv(caller, CHUNK_BYTES))
+            draining = asyncio.create_task(gateway.server.drain(6))
+            while not draining.done():
+                received += len(await loop.sock_recv(caller, CHUNK_BYTES))
+                await asyncio.sleep(0.0005)
+            # What the socket has taken is sent by the system.
+            unsent = caller.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            caller.close()
+        self.assertGreaterEqual(received, BODY_BYTES - unsent)
+
+
 if __name__ == '__main__':
     unittest.main()
