Give an owner that has named a limit some keys when it falls silent

What an operator would see: a limited owner whose hot keys had moved away got no request for 9 s and more, so that nothing told of the end of its limit, and it stayed without keys (trial of ten daemons and 18 owners: 0 requests in each second from the second on).

Cause: the planner moves what exceeds a limit, hottest ranges first, and gives keys to the owners with the lowest usage, which a limited one rarely has. Fix: an owner with a limit that has answered nothing for 3 s, by the latencies that daemons report, gets hot keys up to 0.8 of its limit.

What tells whether an owner has too much or too little is in keys.balance. The tests of limits share one bound.

--- a/cassialever/keys/assigner.py
+++ b/cassialever/keys/assigner.py
@@ -62,8 +62,9 @@
                 assigner.heat.count(keys)
         if self._context is None:
             return
+        now = self._clock.boot()
         for target_id, (count, total) in report.times_by_target.items():
-            self._context.latencies.report(target_id, count, total)
+            self._context.latencies.report(target_id, count, total, now)
 
     def _tick(self, context: TermContext) -> None:
         configuration = self._view.configuration
--- a/cassialever/keys/heat.py
+++ b/cassialever/keys/heat.py
@@ -79,14 +79,26 @@
 
     def __init__(self) -> None:
         self._latency_by_id: dict[TargetId, Seconds] = {}
-
-    def report(self, target_id: TargetId, count: int, total: Seconds) -> None:
+        self._answered_at_by_id: dict[TargetId, Seconds] = {}
+
+    def report(
+        self,
+        target_id: TargetId,
+        count: int,
+        total: Seconds,
+        now: Seconds = 0,
+    ) -> None:
         """Add a number of answers and the sum of their latencies."""
+        self._answered_at_by_id[target_id] = now
         mean = total / max(count, 1)
         known = self._latency_by_id.get(target_id, mean)
         weight = 1 - (1 - LATENCY_WEIGHT) ** count
         self._latency_by_id[target_id] = known + weight * (mean - known)
 
+    def answered_at(self, target_id: TargetId) -> Seconds:
+        """Return when an answer was last reported; 0 if none was."""
+        return self._answered_at_by_id.get(target_id, 0)
+
     def of(self, target_id: TargetId) -> Seconds:
         """Return a target's average latency; 0 if none is known."""
         return self._latency_by_id.get(target_id, 0)
--- a/cassialever/keys/planning.py
+++ b/cassialever/keys/planning.py
@@ -8,36 +8,28 @@
 mean.
 """
 
-import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 import msgspec
 
 from cassialever.fleet.model import KEY_COUNT, Target
 from cassialever.keys.assignments import Assignment, Assignments
-from cassialever.keys.heat import HEAT_TIME_CONSTANT, KeyHeat
+from cassialever.keys.balance import (
+    MAX_LIMIT_USAGE,
+    is_silent,
+    is_unbalanced,
+    mean_usage,
+    usage_of,
+)
+from cassialever.keys.heat import KeyHeat
 from cassialever.keys.targetloads import OwnerLoad
 from cassialever.types import Fence, Seconds, TargetId
 
 #: Key ranges that a target gets in the first assignment.
 RANGES_PER_TARGET: Final = 4
-#: A target is overloaded above this multiple of the mean usage.
-OVERLOAD_RATIO: Final = 1.3
-#: A target is underloaded, and gets keys of busier ones, below this multiple
-#: of the mean usage.
-UNDERLOAD_RATIO: Final = 0.75
-#: Below this usage a target is never overloaded, whatever the others have: a
-#: move makes requests for its keys wait, and gains nothing there.
-MIN_OVERLOAD_USAGE: Final = 0.6
-#: Above this share of the limit that it named a target is overloaded. Requests
-#: do not arrive evenly, and what exceeds the limit is refused.
-MAX_LIMIT_USAGE: Final = 0.8
 #: Usage of a target up to which keys are moved to it.
 FILL_USAGE: Final = 0.45
-#: Deviation of a measured load, in standard deviations, that is put down to
-#: chance.
-NOISE_DEVIATIONS: Final = 1.5
 #: Maximum number of moves that one round begins.
 MAX_MOVES_PER_ROUND: Final = 6
 #: How long keys stay with an owner before they may move again for load.
@@ -90,14 +82,18 @@
     free: Sequence[Assignment],
     load_by_id: dict[TargetId, OwnerLoad],
     heat: KeyHeat,
+    now: Seconds,
 ) -> list[tuple[Assignment, Target]]:
     """Choose an owner for each free assignment, the hottest first."""
     heated = [(heat.of(one.first, one.last), one) for one in free]
     heated.sort(key=_by_heat, reverse=True)
     chosen = []
     for load, assignment in heated:
-        owner = _least_busy_with(load, load_by_id.values())
+        owner = _silent_with_room(load, load_by_id.values(), now)
+        if owner is None:
+            owner = _least_busy_with(load, load_by_id.values())
         owner.load += load
+        owner.active_at = now
         chosen.append((assignment, owner.target))
     return chosen
 
@@ -112,28 +108,46 @@
     if len(load_by_id) < 2:
         return []
     chosen: list[Assignment] = []
-    mean = _mean_usage(load_by_id)
+    mean = mean_usage(load_by_id)
     for _ in range(MAX_MOVES_PER_ROUND + len(load_by_id)):
-        busiest = max(load_by_id.values(), key=_usage)
-        least_busy = min(load_by_id.values(), key=_usage)
-        is_enough = len(chosen) >= MAX_MOVES_PER_ROUND
-        if is_enough or not _is_unbalanced(busiest, least_busy, mean):
+        busiest = max(load_by_id.values(), key=usage_of)
+        gaining = _gaining_owner(
+            busiest, load_by_id.values(), mean, planning_round.now
+        )
+        if gaining is None or len(chosen) >= MAX_MOVES_PER_ROUND:
             break
         owned = planning_round.movable(
             assignments, busiest.target.target_id, chosen
         )
-        wanted = _load_to_move(busiest, least_busy, mean)
+        wanted = _load_to_move(busiest, gaining, mean)
         part = _split_off_hottest(assignments, owned, wanted, heat)
         if part is None:
             # None of its keys can move now: count it as having the mean
             # usage, and go on with the next busiest.
             busiest.load = mean * busiest.capacity
             continue
-        _shift_load(heat.of(part.first, part.last), busiest, least_busy)
+        _shift_load(heat.of(part.first, part.last), busiest, gaining)
+        gaining.active_at = planning_round.now
         chosen.append(part)
     return chosen
 
 
+def _gaining_owner(
+    busiest: OwnerLoad,
+    owners: Collection[OwnerLoad],
+    mean: float,
+    now: Seconds,
+) -> OwnerLoad | None:
+    """Return the target that should get keys of the busiest, if one should."""
+    for owner in owners:
+        if owner is not busiest and is_silent(owner, now):
+            return owner
+    least_busy = min(owners, key=usage_of)
+    if is_unbalanced(busiest, least_busy, mean):
+        return least_busy
+    return None
+
+
 def _shift_load(load: float, source: OwnerLoad, destination: OwnerLoad) -> None:
     source.load -= load
     destination.load += load
@@ -159,27 +173,6 @@
     )
 
 
-def _mean_usage(load_by_id: dict[TargetId, OwnerLoad]) -> float:
-    load = sum(one.load for one in load_by_id.values())
-    return load / sum(one.capacity for one in load_by_id.values())
-
-
-def _is_unbalanced(
-    busiest: OwnerLoad,
-    least_busy: OwnerLoad,
-    mean: float,
-) -> bool:
-    return _is_overloaded(busiest, mean) or _is_underloaded(least_busy, mean)
-
-
-def _is_underloaded(owner: OwnerLoad, mean: float) -> bool:
-    """Return whether a target has no load, or less than chance explains."""
-    expected = mean * owner.capacity
-    noise = NOISE_DEVIATIONS * math.sqrt(expected / HEAT_TIME_CONSTANT)
-    has_none = not owner.load
-    return has_none or owner.load < expected * UNDERLOAD_RATIO - noise
-
-
 def _split_off_hottest(
     assignments: Assignments,
     owned: list[Assignment],
@@ -199,16 +192,6 @@
     return assignments.split_off(hottest, hottest.first, last)
 
 
-def _is_overloaded(owner: OwnerLoad, mean: float) -> bool:
-    """Return whether a target has more load than chance explains."""
-    if owner.is_limited and mean < MAX_LIMIT_USAGE:
-        # Callers are refused what exceeds a limit, by chance or not.
-        return owner.usage > MAX_LIMIT_USAGE
-    noise = NOISE_DEVIATIONS * math.sqrt(owner.load / HEAT_TIME_CONSTANT)
-    limit = max(mean * OVERLOAD_RATIO, MIN_OVERLOAD_USAGE)
-    return owner.usage > limit + noise / owner.capacity
-
-
 def _assignment(
     first: int, last: int, target: Target, fence: Fence
 ) -> Assignment:
@@ -221,6 +204,19 @@
     )
 
 
+def _silent_with_room(
+    load: float,
+    owners: Iterable[OwnerLoad],
+    now: Seconds,
+) -> OwnerLoad | None:
+    """Return a limited target that needs requests and takes that load."""
+    for owner in owners:
+        usage = (owner.load + load) / owner.capacity
+        if is_silent(owner, now) and usage <= MAX_LIMIT_USAGE:
+            return owner
+    return None
+
+
 def _least_busy_with(
     load: float,
     owners: Iterable[OwnerLoad],
@@ -229,9 +225,5 @@
     return min(owners, key=lambda owner: (owner.load + load) / owner.capacity)
 
 
-def _usage(owner: OwnerLoad) -> float:
-    return owner.usage
-
-
 def _by_heat(heated: tuple[float, Assignment]) -> float:
     return heated[0]
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -230,7 +230,7 @@
             return
         fence = self.assignments.highest_fence + 1
         for assignment, target in planning.choose_owners(
-            free, load_by_id, self.heat
+            free, load_by_id, self.heat, now
         ):
             check(
                 Invariant.fence_rises,
--- a/cassialever/keys/targetloads.py
+++ b/cassialever/keys/targetloads.py
@@ -30,6 +30,8 @@
     capacity: float
     load: float = 0
     is_limited: bool = False
+    #: When it last answered a request or got keys.
+    active_at: Seconds = 0
 
     @property
     def usage(self) -> float:
@@ -68,13 +70,19 @@
             owner = load_by_id.get(assignment.owner)
             if owner is not None:
                 owner.load += self._heat.of(assignment.first, assignment.last)
+                owner.active_at = max(owner.active_at, assignment.owned_since)
         return load_by_id
 
     def _without_load(self, target: Target, capacity: float) -> OwnerLoad:
         limit = self._limits.rate_of(target)
         if limit is None:
             return OwnerLoad(target, capacity)
-        return OwnerLoad(target, min(capacity, limit), is_limited=True)
+        return OwnerLoad(
+            target,
+            min(capacity, limit),
+            is_limited=True,
+            active_at=self._latencies.answered_at(target.target_id),
+        )
 
 
 def _bounded_latencies(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,13 @@
 from soak.fleet import DaemonProcess, SoakFleet
 from soak.proxy import FaultProxy, ProxyMode
 from standins.keyed_target import TargetServer
-from tests.replay_helpers import most_in_one_second, most_in_span
+from tests.replay_helpers import (
+    LIMIT_STABLE_TIME,
+    LIMIT_WINDOW,
+    allowed_requests,
+    most_in_one_second,
+    most_in_span,
+)
 
 #: Range of the duration of a fault, in seconds.
 MIN_FAULT_DURATION = 0.5
@@ -32,10 +38,6 @@
 MAX_COLD_REQUESTS = 1.5 * 12 + 5
 #: Limits that targets name, in requests per second.
 NAMED_LIMITS = (0.5, 2.4, 8.0)
-#: The platform judges a limit from this time after it was named, over windows
-#: of four seconds, by 1.5 times what it allows, plus five.
-LIMIT_STABLE_TIME = 3.0
-LIMIT_WINDOW = 4.0
 #: How long a limit is named for the check, in seconds.
 LIMIT_DURATION = LIMIT_STABLE_TIME + LIMIT_WINDOW + 1.0
 #: Routes added to the configuration at once.
@@ -240,7 +242,7 @@
             f'{target.target_id}, limited to {limit} a second, got {most} in'
             f' {LIMIT_WINDOW:g} s'
         )
-        if most > 1.5 * limit * LIMIT_WINDOW + 5:
+        if most > allowed_requests(limit):
             self.violations.append(
                 f'{target.target_id} got {most} requests in {LIMIT_WINDOW:g} s'
                 f' beyond its limit of {limit} a second'
--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -55,6 +55,19 @@
 PATH = '/issue/1'
 
 
+#: The platform judges a limit from this time after it was first named, over
+#: windows of four seconds, by one and a half times what it allows, plus five.
+LIMIT_STABLE_TIME: Seconds = 3.0
+LIMIT_WINDOW: Seconds = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_ALLOWANCE = 5
+
+
+def allowed_requests(limit: float) -> float:
+    """Return how many requests a limited target may get in one window."""
+    return LIMIT_RATIO * limit * LIMIT_WINDOW + LIMIT_ALLOWANCE
+
+
 class SimTarget:
     """A target with slots, a queue, a service time and faults."""
 
--- a/tests/test_fleet_permits.py
+++ b/tests/test_fleet_permits.py
@@ -11,7 +11,13 @@
 from cassialever.policy.permits import KeeperDirectory, PermitLimiter
 from standins.listening import LOOPBACK, free_ports
 from tests.fleet_helpers import configured_view
-from tests.replay_helpers import KnownPeers, most_in_one_second, most_in_span
+from tests.replay_helpers import (
+    LIMIT_WINDOW,
+    KnownPeers,
+    allowed_requests,
+    most_in_one_second,
+    most_in_span,
+)
 
 #: Requests per second that a cold target of the test configuration takes, and
 #: what the platform allows in one second.
@@ -155,7 +161,9 @@
             others = [name for name in running.addresses if name != keeper]
             running.split([keeper, others[0]])
             sent = await running.send_for(5, 0.005)
-        self.assertLessEqual(most_in_span(sent, 4), 1.5 * limit * 4 + 5)
+        self.assertLessEqual(
+            most_in_span(sent, LIMIT_WINDOW), allowed_requests(limit)
+        )
         self.assertGreater(len(sent), 0.6 * limit * 5)
 
     async def test_keeper_keeps_a_limit_that_it_had_not_heard_of(self) -> None:
@@ -170,7 +178,9 @@
             running.limiters.pop(keeper)
             sent = await running.send_for(5, 0.005)
             self.assertIsNotNone(limits.of(TARGET))
-        self.assertLessEqual(most_in_span(sent, 4), 1.5 * limit * 4 + 5)
+        self.assertLessEqual(
+            most_in_span(sent, LIMIT_WINDOW), allowed_requests(limit)
+        )
         self.assertGreater(len(sent), 0.6 * limit * 5)
 
     async def test_nothing_is_sent_without_a_list_of_daemons(self) -> None:
--- a/tests/test_keys_planning.py
+++ b/tests/test_keys_planning.py
@@ -1,5 +1,6 @@
 """Tests of the planning of key ownership with simulated loads."""
 
+import itertools
 import random
 import unittest
 
@@ -77,7 +78,7 @@
             assignment.state = AssignmentState.free
         load_by_id = self.loads.current()
         for assignment, target in planning.choose_owners(
-            moving, load_by_id, self.heat
+            moving, load_by_id, self.heat, self.now
         ):
             assignment.owner = target.target_id
             assignment.state = AssignmentState.held
@@ -206,12 +207,39 @@
             with self.subTest(limit=limit, has_ended=True):
                 self.assertGreater(counts['t3'], 0.5 * KEY_COUNT / 64 / 18)
 
+    def test_limited_owner_goes_on_getting_requests(self) -> None:
+        """Only an answer tells that a limit has ended."""
+        for seed in range(4):
+            simulation = Simulation(_targets(18), seed)
+            for _ in range(20):
+                simulation.step(simulation.random_keys(60))
+            simulation.limits.record_answer(simulation.targets[3], 1.8, 1, 1.1)
+            requested_at = [simulation.now]
+            for _ in range(int(40 / HEAT_UPDATE_INTERVAL)):
+                # Requests are for few of the keys.
+                keys = [key % 3000 for key in simulation.random_keys(60)]
+                if simulation.counts_by_owner(keys)['t3']:
+                    requested_at.append(simulation.now)
+                    simulation.latencies.report('t3', 1, 0.15, simulation.now)
+                simulation.step(keys)
+            requested_at.append(simulation.now)
+            silences = [
+                later - earlier
+                for earlier, later in itertools.pairwise(requested_at)
+            ]
+            with self.subTest(seed=seed):
+                self.assertLess(max(silences), 10)
+
     def test_limits_of_all_owners_move_few_keys(self) -> None:
         """No other owner has room, so that moves would gain nothing."""
         simulation = Simulation(_targets(18))
         for target in simulation.targets:
             simulation.limits.record_answer(target, 2.4, 1, 1.1)
         for _ in range(int(10 / HEAT_UPDATE_INTERVAL)):
+            for target in simulation.targets:
+                simulation.latencies.report(
+                    target.target_id, 1, 0.15, simulation.now
+                )
             simulation.step(simulation.random_keys(60))
         self.assertLess(simulation.moved_keys, 0.1 * KEY_COUNT)
 
--- a/tests/test_limit_replays.py
+++ b/tests/test_limit_replays.py
@@ -7,17 +7,13 @@
 from collections.abc import Awaitable, Callable
 
 from tests.fleet_helpers import VirtualLoop, run_virtually
-from tests.replay_helpers import Simulation, most_in_span
-
-#: The platform's bound: see tests/test_named_limits.py.
-STABLE_TIME = 3.0
-WINDOW = 4.0
-ALLOWED_RATIO = 1.5
-ALLOWANCE = 5
-
-
-def allowed_requests(limit: float) -> float:
-    return ALLOWED_RATIO * limit * WINDOW + ALLOWANCE
+from tests.replay_helpers import (
+    LIMIT_STABLE_TIME,
+    LIMIT_WINDOW,
+    Simulation,
+    allowed_requests,
+    most_in_span,
+)
 
 
 class LimitReplayTest(unittest.TestCase):
@@ -37,7 +33,7 @@
         self, simulation: Simulation, named_at: float, until: float
     ) -> None:
         """Check what each limited target got, and that its limit was used."""
-        judged_from = named_at + STABLE_TIME
+        judged_from = named_at + LIMIT_STABLE_TIME
         for target in simulation.targets.values():
             if target.named_limit is None:
                 continue
@@ -45,7 +41,7 @@
                 at for at in target.received_at if judged_from <= at < until
             ]
             self.assertLessEqual(
-                most_in_span(arrivals, WINDOW),
+                most_in_span(arrivals, LIMIT_WINDOW),
                 allowed_requests(target.named_limit),
             )
             expected = target.named_limit * (until - judged_from)
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -12,23 +12,17 @@
     send_request,
     wait_for_keys,
 )
-from tests.replay_helpers import most_in_span
+from tests.replay_helpers import (
+    LIMIT_STABLE_TIME,
+    LIMIT_WINDOW,
+    allowed_requests,
+    most_in_span,
+)
 
-#: The platform judges a limit from this time after it was first named, over
-#: windows of four seconds, by one and a half times what it allows, plus five.
-STABLE_TIME = 3.0
-WINDOW = 4.0
-ALLOWED_RATIO = 1.5
-ALLOWANCE = 5
 #: About that of the users' targets, in seconds.
 SERVICE_TIME = 0.1
 
 
-def allowed_requests(limit: float) -> float:
-    """Return how many requests a target may get in one window."""
-    return ALLOWED_RATIO * limit * WINDOW + ALLOWANCE
-
-
 class NamedLimitTest(unittest.IsolatedAsyncioTestCase):
     """Targets that name the requests per second that they take."""
 
@@ -64,10 +58,12 @@
     ) -> None:
         """Check the windows that begin once the limit has to be kept."""
         judged = [
-            at for at in target.work.received_at if at >= named_at + STABLE_TIME
+            at
+            for at in target.work.received_at
+            if at >= named_at + LIMIT_STABLE_TIME
         ]
         self.assertLessEqual(
-            most_in_span(judged, WINDOW), allowed_requests(limit)
+            most_in_span(judged, LIMIT_WINDOW), allowed_requests(limit)
         )
 
     async def test_owner_gets_no_more_than_the_limit_it_named(self) -> None:
@@ -80,12 +76,12 @@
             limited.faults.named_limit = limit
             named_at = asyncio.get_running_loop().time()
             statuses = await self.send_for(
-                system, STABLE_TIME + WINDOW + 2, 0.1, issue=False
+                system, LIMIT_STABLE_TIME + LIMIT_WINDOW + 2, 0.1, issue=False
             )
         self.check_limit(limited, limit, named_at)
         # It is not cut off: only its requests tell when the limit ends.
         self.assertGreater(
-            most_in_span(limited.work.received_at, WINDOW), limit
+            most_in_span(limited.work.received_at, LIMIT_WINDOW), limit
         )
         self.assertGreater(statuses.count(200) / len(statuses), 0.8)
 
@@ -106,11 +102,11 @@
             limited.faults.named_limit = limit
             named_at = asyncio.get_running_loop().time()
             statuses = await self.send_for(
-                system, STABLE_TIME + WINDOW + 1, 0.1, issue=True
+                system, LIMIT_STABLE_TIME + LIMIT_WINDOW + 1, 0.1, issue=True
             )
         self.check_limit(limited, limit, named_at)
         self.assertGreater(
-            most_in_span(limited.work.received_at, WINDOW), limit
+            most_in_span(limited.work.received_at, LIMIT_WINDOW), limit
         )
         self.assertEqual(set(statuses), {200})
 
