Reject reports and permits with impossible numbers

What could happen: one malformed datagram with a rate that is not a number was merged into what is known of a target's limit, and from then on each request for that target raised an error at its keeper; a delay that is not a number kept a daemon from ever requesting a permit again.

Cause: numbers from other daemons were taken as they came, and datagrams may come from anywhere. Fix: ranges on the fields, so that the decoder rejects the message with its usual line (303).

--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -7,16 +7,23 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Final, TypeAlias
+from typing import Annotated, Any, Final, TypeAlias
 
 import msgspec
 
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
 from cassialever.fleet.limit_reports import LimitReport
+from cassialever.policy.permits import MAX_BATCH
 from cassialever.types import Seconds, TargetId
 
 
+#: Longest delay of a permit, and between two: at the lowest rate of a target.
+MAX_DELAY: Final[Seconds] = 3600.0
+# Numbers out of range are rejected with the datagram.
+_Delay: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY)]
+
+
 class OpenRequests(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """The number of open requests of one daemon at each target."""
 
@@ -44,9 +51,9 @@
     """
 
     target_id: TargetId
-    delay: Seconds
-    count: int
-    interval: Seconds
+    delay: _Delay
+    count: Annotated[int, msgspec.Meta(ge=0, le=MAX_BATCH)]
+    interval: _Delay
     limit: LimitReport | None
 
 
--- a/cassialever/fleet/limit_reports.py
+++ b/cassialever/fleet/limit_reports.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from typing import Annotated, Final, TypeAlias
 
 import msgspec
 
@@ -12,6 +13,17 @@
 from cassialever.types import Seconds, TargetId
 
 
+#: Longest age in a report: a month, for limits that are reported to daemons
+#: which begin to follow.
+MAX_AGE: Final[Seconds] = 2.6e6
+#: Highest rate in a report, in requests per second: more than any target takes.
+MAX_RATE: Final = 1e9
+
+# Numbers out of range are rejected with the message.
+_Age: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE)]
+_Rate: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+
+
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """What a daemon knows of a target's limit; ages are None if unknown.
 
@@ -20,9 +32,9 @@
 
     target_id: TargetId
     started_at: StartedAt
-    rate: float
-    named_age: Seconds | None
-    ended_age: Seconds | None
+    rate: _Rate
+    named_age: _Age | None
+    ended_age: _Age | None
 
 
 def make_report(limit: TargetLimit, now: Seconds) -> LimitReport:
@@ -30,7 +42,7 @@
     return LimitReport(
         limit.target_id,
         limit.started_at,
-        limit.rate,
+        min(limit.rate, MAX_RATE),
         _age(limit.named_at, now),
         _age(limit.reported_end, now),
     )
@@ -46,10 +58,10 @@
     """
     limit = TargetLimit(report.target_id, report.started_at, report.rate)
     if report.named_age is not None:
-        named_at = now - _not_negative(report.named_age)
+        named_at = now - report.named_age
         limit = msgspec.structs.replace(limit, named_at=named_at)
     if report.ended_age is not None:
-        ended_at = now - _not_negative(report.ended_age)
+        ended_at = now - report.ended_age
         limit = msgspec.structs.replace(
             limit, ended_at=ended_at, reported_end=ended_at
         )
@@ -60,10 +72,7 @@
     """Ignore reports; the default until a handler is set."""
 
 
-def _not_negative(age: Seconds) -> Seconds:
-    # In this order NaN becomes 0 too.
-    return max(0, age)
-
-
 def _age(at: Seconds, now: Seconds) -> Seconds | None:
-    return now - at if math.isfinite(at) else None
+    if not math.isfinite(at):
+        return None
+    return min(max(now - at, 0), MAX_AGE)
--- a/tests/test_fleet_permits.py
+++ b/tests/test_fleet_permits.py
@@ -6,7 +6,13 @@
 from collections.abc import AsyncIterator
 
 from cassialever.clock import SystemClock
-from cassialever.fleet.datagrams import DatagramSocket
+from cassialever.fleet.datagrams import (
+    DatagramSocket,
+    PermitRequest,
+    Permits,
+    encode,
+)
+from cassialever.fleet.limit_reports import LimitReport
 from cassialever.fleet.permits import PermitExchange
 from cassialever.policy.permits import KeeperDirectory, PermitLimiter
 from standins.listening import LOOPBACK, free_ports
@@ -183,6 +189,46 @@
         )
         self.assertGreater(len(sent), 0.6 * limit * 5)
 
+    async def test_malformed_datagrams_change_nothing(self) -> None:
+        limit = 30.0
+        numbers = (float('nan'), float('inf'), -1.0, 1e300)
+        async with fleet(2) as running:
+            running.name_limit(limit)
+            sender, receiver = running.sockets.values()
+            known = [
+                view.targets.limits.of(TARGET)
+                for view in running.views.values()
+            ]
+            for number in numbers:
+                for report in (
+                    LimitReport(TARGET, 1000, number, 0.0, None),
+                    LimitReport(TARGET, 1000, 1.0, number, None),
+                    LimitReport(TARGET, 1000, 1.0, None, number),
+                ):
+                    receiver.datagram_received(
+                        encode(PermitRequest(TARGET, 1, False, report)),
+                        ('127.0.0.1', 9),
+                    )
+                for permits in (
+                    Permits(TARGET, number, 1, 0.1, None),
+                    Permits(TARGET, 0.1, 2, number, None),
+                    Permits(TARGET, 0.1, 10**9, 0.1, None),
+                    Permits(TARGET, 0.1, -1, 0.1, None),
+                ):
+                    receiver.datagram_received(
+                        encode(permits), ('127.0.0.1', 9)
+                    )
+            self.assertEqual(
+                known,
+                [
+                    view.targets.limits.of(TARGET)
+                    for view in running.views.values()
+                ],
+            )
+            sent = await running.send_for(2, 0.01)
+        self.assertLessEqual(most_in_one_second(sent), 1.5 * limit + 1)
+        self.assertGreater(len(sent), 0.6 * limit * 2)
+
     async def test_nothing_is_sent_without_a_list_of_daemons(self) -> None:
         async with fleet(3) as running:
             for known in running.known.values():
