--- a/cassialever/fleet/limit_reports.py
+++ b/cassialever/fleet/limit_reports.py
@@ -49,7 +49,7 @@
 
 
 def read_report(report: LimitReport, now: Seconds) -> TargetLimit:
-    """Return the limit that a report tells of, in this daemon's boot time.
+    """Return the limit of a report, in this daemon's boot time.
 
     Ages do not include the time that the report was under way. A limit that
     seems to be named later than it was ends later; one that seemed to have
