Give the test of a drain's end a timeout that its caller can't reach

Cause, shown by runs: its caller shares one loop with the daemon, and reads for over the 6 s of the drain when each read takes some ms more; with a pause of 6 ms a read it fails with a timeout of 6 s (3.6 MB) and passes with 60 s. The check is the same, and still fails without the wait for what is not sent (9.8 MB).

--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -17,6 +17,8 @@
 #: period of a stop.
 BODY_BYTES = 12_000_000
 BYTES_PER_SECOND = 4_000_000
+#: Longer than the caller needs on a busy machine, in seconds.
+DRAIN_TIMEOUT = 60
 CHUNK_BYTES = 100_000
 REQUEST = (
     b'GET /lookup/x HTTP/1.1\r\nHost: registry.example\r\n'
@@ -78,7 +80,7 @@
             await loop.sock_connect(caller, (host, int(port)))
             await loop.sock_sendall(caller, REQUEST)
             received = len(await loop.sock_recv(caller, CHUNK_BYTES))
-            draining = asyncio.create_task(gateway.server.drain(6))
+            draining = asyncio.create_task(gateway.server.drain(DRAIN_TIMEOUT))
             while not draining.done():
                 received += len(await loop.sock_recv(caller, CHUNK_BYTES))
                 await asyncio.sleep(0.0005)
