Answer every request that has arrived when a drain begins

Callers saw: a request that had been accepted 2.2 to 2.3 s after SIGTERM was read and never answered; its connection was closed with the last others.

Cause: the drain took for idle what only had no handler yet. The listening socket was closed with connections in its queue, which the system resets; a connection accepted in the turn before had no transport yet, and creating one for a closed server fails; aiohttp's server discards what it reads after its first step of closing, so that a request received in part, or just read, was dropped.

Change: the daemon listens by itself (gateway.connections). A stop of the listener accepts what waits, then closes; a connection is closed only while it waits for a request, no part of one was received and nothing is unread in its socket, and is looked at until it is idle or gone.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -25,6 +25,11 @@
         logbook.WARNING,
         'Connections may be closed before their answers are sent.',
     )
+    accept_failed = (
+        108,
+        logbook.ERROR,
+        'A connection of a caller could not be accepted.',
+    )
     task_failed = (104, logbook.ERROR, 'A background task has failed.')
 
     # Request path.
--- /dev/null
+++ b/cassialever/gateway/connections.py
@@ -0,0 +1,202 @@
+"""Listen for callers, and close their connections when they are idle."""
+
+import asyncio
+import select
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeAlias, cast
+
+from aiohttp import web
+
+from cassialever.events import Event, record
+from cassialever.gateway.flushing import UnsentAnswers
+from cassialever.types import Seconds
+
+#: Connections that may wait to be accepted; the load balancer opens as many
+#: as a burst needs.
+BACKLOG: Final = 1024
+#: Pause before connections are accepted again after a failure to do so, which
+#: is usually a lack of descriptors.
+ACCEPT_RETRY_DELAY: Final[Seconds] = 0.1
+#: Time between two looks for idle connections during a drain.
+DRAIN_POLL_INTERVAL: Final[Seconds] = 0.02
+#: How long cancelled requests may take to end.
+CANCEL_TIMEOUT: Final[Seconds] = 0.1
+
+RequestHandler: TypeAlias = Callable[
+    [web.BaseRequest],
+    Awaitable[web.StreamResponse],
+]
+
+
+class CallerConnection(web.RequestHandler):
+    """The connection of one caller."""
+
+    __slots__ = ('_awaits_rest', '_connections', '_plain_transport')
+
+    def __init__(
+        self,
+        server: web.Server,
+        connections: set['CallerConnection'],
+        **options: Any,
+    ) -> None:
+        """Create a connection that is in `connections` while it is open."""
+        super().__init__(server, loop=asyncio.get_running_loop(), **options)
+        self._connections = connections
+        self._plain_transport: asyncio.Transport | None = None
+        #: Whether a part of a request has been received.
+        self._awaits_rest = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Add the connection to the open ones."""
+        plain_transport = cast(asyncio.Transport, transport)
+        self._plain_transport = plain_transport
+        self._connections.add(self)
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        super().data_received(data)
+        self._awaits_rest = bool(data) and self._awaits_request()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Remove the connection from the open ones."""
+        self._connections.discard(self)
+        super().connection_lost(exc)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request has arrived or begun to.
+
+        A request that arrives later is not read, so its caller may repeat it.
+        """
+        transport = self._plain_transport
+        if transport is None or transport.is_closing() or self._awaits_rest:
+            return
+        if self._awaits_request() and not _is_readable(transport):
+            # Ends the task that waits for a request.
+            self.force_close()
+
+    def abort(self) -> None:
+        """Close the connection immediately."""
+        if self._plain_transport is not None:
+            self._plain_transport.abort()
+
+    def _awaits_request(self) -> bool:
+        """Return whether no request has been received completely."""
+        return self._waiter is not None and not self._waiter.done()
+
+
+class CallerListener:
+    """Accepts the connections of callers and serves them."""
+
+    def __init__(self, request_handler: RequestHandler, **options: Any) -> None:
+        """Set the listener up; options are those of aiohttp's server."""
+        self._request_handler = request_handler
+        self._options = options
+        self._server: web.Server | None = None
+        self._socket: socket.socket | None = None
+        self._accepting: set[asyncio.Task[Any]] = set()
+        self.connections: set[CallerConnection] = set()
+        #: When a connection was last accepted, in the loop's time.
+        self.accepted_at: Seconds = 0
+
+    async def start(self, host: str, port: int) -> tuple[str, int]:
+        """Listen and return the address; port 0 selects any free port."""
+        self._server = web.Server(
+            self._request_handler, handler_cancellation=True
+        )
+        listening = socket.create_server((host, port), backlog=BACKLOG)
+        listening.setblocking(False)
+        self._socket = listening
+        self._accept_from_now()
+        name = listening.getsockname()
+        return name[0], name[1]
+
+    async def stop_listening(self) -> None:
+        """Stop listening; connections that wait are still accepted."""
+        listening = self._socket
+        if listening is None:
+            return
+        self._socket = None
+        asyncio.get_running_loop().remove_reader(listening)
+        self._accept(listening)
+        listening.close()
+        if self._accepting:
+            await asyncio.wait(self._accepting)
+
+    async def drain(self, timeout: Seconds) -> None:
+        """Stop listening, answer what has arrived, close each connection.
+
+        Every answer has to close its connection from now on. Returns when
+        all callers have closed theirs too, or at the timeout.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout
+        await self.stop_listening()
+        unsent = UnsentAnswers(self.connections)
+        while self.connections and loop.time() < ends_at:
+            # Not in one pass: a connection may become idle later.
+            for connection in list(self.connections):
+                connection.close_if_idle()
+            await asyncio.sleep(DRAIN_POLL_INTERVAL)
+        await unsent.wait(ends_at - loop.time())
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection immediately."""
+        await self.stop_listening()
+        if self._server is not None:
+            await self._server.shutdown(CANCEL_TIMEOUT)
+        for connection in list(self.connections):
+            connection.abort()
+
+    def _accept_from_now(self) -> None:
+        if self._socket is not None:
+            asyncio.get_running_loop().add_reader(
+                self._socket, self._accept, self._socket
+            )
+
+    def _accept(self, listening: socket.socket) -> None:
+        """Accept every connection that waits."""
+        while True:
+            try:
+                accepted = listening.accept()[0]
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                self._retry_accepting(error)
+                return
+            accepted.setblocking(False)
+            self.accepted_at = asyncio.get_running_loop().time()
+            task = asyncio.create_task(self._connect(accepted))
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
+
+    def _retry_accepting(self, error: OSError) -> None:
+        record(Event.accept_failed, reason=repr(error))
+        loop = asyncio.get_running_loop()
+        if self._socket is not None:
+            loop.remove_reader(self._socket)
+            loop.call_later(ACCEPT_RETRY_DELAY, self._accept_from_now)
+
+    async def _connect(self, accepted: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._make_connection, accepted
+            )
+        except OSError as error:
+            record(Event.accept_failed, reason=repr(error))
+            accepted.close()
+
+    def _make_connection(self) -> CallerConnection:
+        if self._server is None:
+            raise RuntimeError('the listener has not been started')
+        return CallerConnection(self._server, self.connections, **self._options)
+
+
+def _is_readable(transport: asyncio.Transport) -> bool:
+    """Return whether bytes, or the end of the connection, are unread."""
+    poller = select.poll()
+    poller.register(transport.get_extra_info('socket'), select.POLLIN)
+    return bool(poller.poll(0))
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -1,16 +1,14 @@
 """The HTTP servers for callers and for the load balancer."""
 
-import asyncio
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Final, TypeAlias
+from typing import Final
 
 from aiohttp import web
 
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
-from cassialever.gateway.flushing import UnsentAnswers
+from cassialever.gateway.connections import CallerListener, RequestHandler
 from cassialever.gateway.forwarder import Forwarder, Refusal
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.sender import TargetRequest
@@ -18,9 +16,6 @@
 from cassialever.platform import wire
 from cassialever.types import Seconds
 
-#: Connections that may wait to be accepted; the load balancer opens as many
-#: as a burst needs.
-BACKLOG: Final = 1024
 #: Longest request line or header field that is read; the operators limit all
 #: headers of a request together to 16384 bytes.
 MAX_FIELD_BYTES: Final = 16384
@@ -28,14 +23,6 @@
 #: up to 15 s, a limit set by the operators.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 75.0
 
-#: Time after the timeout of a drain in which answers may still be sent.
-SENDING_TIME: Final[Seconds] = 0.3
-
-_RequestHandler: TypeAlias = Callable[
-    [web.BaseRequest],
-    Awaitable[web.StreamResponse],
-]
-
 
 class GatewayServer:
     """Serves callers, and the load balancer's readiness checks."""
@@ -49,8 +36,8 @@
         self._settings = settings
         self._forwarder = forwarder
         self._clock = clock
-        self._runners: list[web.ServerRunner] = []
-        self._sites: list[web.TCPSite] = []
+        self._callers = _listener(self._handle)
+        self._readiness = _listener(self._handle_readiness)
         self.is_ready = False
         self.is_stopping = False
         self.open_requests = 0
@@ -58,52 +45,20 @@
     async def start(self) -> None:
         """Listen for callers and for the load balancer."""
         listen = self._settings.listen
-        await self._listen(listen.readiness, self._handle_readiness)
-        await self._listen(listen.callers, self._handle)
+        await self._readiness.start(*split_address(listen.readiness))
+        await self._callers.start(*split_address(listen.callers))
 
     async def drain(self, timeout: Seconds) -> None:
-        """Stop listening, finish open requests and close each connection.
+        """Stop listening, answer what has arrived, close each connection.
 
-        Answers may be sent until `SENDING_TIME` after the timeout.
+        Readiness checks are answered until `stop`.
         """
-        ends_at = self._clock.monotonic() + timeout + SENDING_TIME
-        for site in self._sites:
-            await site.stop()
-        unsent = UnsentAnswers(
-            connection
-            for runner in self._runners
-            if runner.server is not None
-            for connection in runner.server.connections
-        )
-        await asyncio.gather(
-            *(_drain(runner.server, timeout) for runner in self._runners),
-        )
-        await unsent.wait(ends_at - self._clock.monotonic())
+        await self._callers.drain(timeout)
 
     async def stop(self) -> None:
-        """Close every connection."""
-        for runner in self._runners:
-            await runner.cleanup()
-
-    async def _listen(
-        self, address: str, request_handler: _RequestHandler
-    ) -> None:
-        host, port = split_address(address)
-        server = web.Server(
-            request_handler,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_TIMEOUT,
-            max_line_size=MAX_FIELD_BYTES,
-            max_field_size=MAX_FIELD_BYTES,
-            auto_decompress=False,
-        )
-        runner = web.ServerRunner(server)
-        await runner.setup()
-        self._runners.append(runner)
-        site = web.TCPSite(runner, host, port, backlog=BACKLOG)
-        await site.start()
-        self._sites.append(site)
+        """Close every connection immediately."""
+        await self._callers.stop()
+        await self._readiness.stop()
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path != wire.READINESS_PATH:
@@ -163,15 +118,15 @@
         )
 
 
-async def _drain(server: web.Server | None, timeout: Seconds) -> None:
-    if server is None:
-        return
-    # Without this call aiohttp would wait for a next request on connections
-    # that are idle.
-    server.pre_shutdown()
-    await asyncio.sleep(0)
-    # aiohttp applies the timeout twice: to the answer and to its task.
-    await server.shutdown(timeout / 2)
+def _listener(request_handler: RequestHandler) -> CallerListener:
+    return CallerListener(
+        request_handler,
+        access_log=None,
+        keepalive_timeout=KEEPALIVE_TIMEOUT,
+        max_line_size=MAX_FIELD_BYTES,
+        max_field_size=MAX_FIELD_BYTES,
+        auto_decompress=False,
+    )
 
 
 async def _body(request: web.BaseRequest) -> bytes:
