Close connections without losing what callers have not received

Callers saw: a connection closed in the middle of an answer (200) by a daemon that was being stopped.

Cause: a socket that is closed while bytes of its caller are unread, or arrive afterwards, is reset by the system, and what the caller has not received is lost. After SIGTERM each answer closes its connection, and callers send further requests before they can know that. The drain held the sockets of idle connections, too, until the last answer was sent, and did not see answers that ended before it began; it also relied on a system that tells unsent bytes.

Change: a connection that has carried an answer is closed in two steps (RFC 9112, 9.6): the sending side, then, when the caller has closed too, the rest; what comes meanwhile is discarded. It holds before the drain, in it, and for each close in daily work. A drain ends when all callers have closed.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -1,15 +1,23 @@
-"""Listen for callers, and close their connections when they are idle."""
+"""Listen for callers, and end their connections without losing an answer.
+
+A socket that is closed while bytes of its peer are unread, or arrive later, is
+reset, and the peer loses what it has not received yet. A connection that has
+carried an answer is therefore closed as RFC 9112, section 9.6, describes: the
+sending side first, the receiving side when the peer has closed its own.
+"""
 
 import asyncio
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, TypeAlias, cast
 
 from aiohttp import web
 
 from cassialever.events import Event, record
-from cassialever.gateway.flushing import UnsentAnswers
 from cassialever.types import Seconds
 
 #: Connections that may wait to be accepted; the load balancer opens as many
@@ -18,10 +26,17 @@
 #: Pause before connections are accepted again after a failure to do so, which
 #: is usually a lack of descriptors.
 ACCEPT_RETRY_DELAY: Final[Seconds] = 0.1
+#: How long a peer may go on without receiving more of what was sent.
+STALL_TIMEOUT: Final[Seconds] = 5.0
+#: How long a peer that has received everything may take to close.
+LINGER_TIME: Final[Seconds] = 1.0
+#: Time between two checks of a connection that is being closed.
+LINGER_CHECK_INTERVAL: Final[Seconds] = 0.5
 #: Time between two looks for idle connections during a drain.
 DRAIN_POLL_INTERVAL: Final[Seconds] = 0.02
 #: How long cancelled requests may take to end.
 CANCEL_TIMEOUT: Final[Seconds] = 0.1
+_INT: Final = struct.Struct('i')
 
 RequestHandler: TypeAlias = Callable[
     [web.BaseRequest],
@@ -29,6 +44,81 @@
 ]
 
 
+class LingeringTransport:
+    """A transport whose `close` waits for the peer to close as well.
+
+    Everything else is passed on to the transport that it wraps.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._is_closing = False
+        self._unsent_bytes: int | None = 0
+        self._unchanged_for: Seconds = 0
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the wrapped transport."""
+        return getattr(self._transport, name)
+
+    def is_closing(self) -> bool:
+        """Return whether nothing more can be written."""
+        return self._is_closing or self._transport.is_closing()
+
+    def close(self) -> None:
+        """Send what was written, and close when the peer has closed.
+
+        What the peer still sends is discarded.
+        """
+        if self.is_closing():
+            return
+        self._is_closing = True
+        protocol = self._transport.get_protocol()
+        self._transport.set_protocol(_DiscardingProtocol(protocol))
+        self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The peer has reset the connection.
+            self._transport.abort()
+            return
+        self._check_later()
+
+    def _check_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_CHECK_INTERVAL, self._check)
+
+    def _check(self) -> None:
+        """Close the connection of a peer that neither reads nor closes."""
+        if self._transport.is_closing():
+            return
+        unsent_bytes = _count_unsent_bytes(self._transport)
+        self._unchanged_for += LINGER_CHECK_INTERVAL
+        if unsent_bytes != self._unsent_bytes:
+            self._unchanged_for = 0
+        self._unsent_bytes = unsent_bytes
+        timeout = STALL_TIMEOUT if unsent_bytes else LINGER_TIME
+        if self._unchanged_for >= timeout:
+            self._transport.close()
+            return
+        self._check_later()
+
+
+class _DiscardingProtocol(asyncio.Protocol):
+    """Discards what a peer sends while its connection is being closed."""
+
+    def __init__(self, protocol: asyncio.BaseProtocol) -> None:
+        self._protocol = protocol
+
+    def pause_writing(self) -> None:
+        self._protocol.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._protocol.resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._protocol.connection_lost(exc)
+
+
 class CallerConnection(web.RequestHandler):
     """The connection of one caller."""
 
@@ -52,7 +142,9 @@
         plain_transport = cast(asyncio.Transport, transport)
         self._plain_transport = plain_transport
         self._connections.add(self)
-        super().connection_made(transport)
+        super().connection_made(
+            cast(asyncio.Transport, LingeringTransport(plain_transport))
+        )
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -67,12 +159,16 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request has arrived or begun to.
 
-        A request that arrives later is not read, so its caller may repeat it.
+        If an answer is still being sent, its connection is closed after it.
+        Otherwise a request that arrives later is not read, so its caller may
+        repeat it.
         """
         transport = self._plain_transport
         if transport is None or transport.is_closing() or self._awaits_rest:
             return
         if self._awaits_request() and not _is_readable(transport):
+            if _count_unsent_bytes(transport) == 0:
+                transport.close()
             # Ends the task that waits for a request.
             self.force_close()
 
@@ -133,13 +229,13 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + timeout
         await self.stop_listening()
-        unsent = UnsentAnswers(self.connections)
         while self.connections and loop.time() < ends_at:
             # Not in one pass: a connection may become idle later.
             for connection in list(self.connections):
                 connection.close_if_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
-        await unsent.wait(ends_at - loop.time())
+        if self.connections:
+            record(Event.answers_unsent, connections=len(self.connections))
 
     async def stop(self) -> None:
         """Stop listening and close every connection immediately."""
@@ -200,3 +296,17 @@
     poller = select.poll()
     poller.register(transport.get_extra_info('socket'), select.POLLIN)
     return bool(poller.poll(0))
+
+
+def _count_unsent_bytes(transport: asyncio.Transport) -> int | None:
+    """Return the bytes that the peer has not confirmed; None if not known."""
+    buffered = transport.get_write_buffer_size()
+    if buffered:
+        return buffered
+    sock = transport.get_extra_info('socket')
+    try:
+        answer = fcntl.ioctl(sock, termios.TIOCOUTQ, _INT.pack(0))
+    except OSError:
+        # Not all systems tell.
+        return None
+    return int(_INT.unpack(answer)[0])
