Accept requests until the load balancer has noticed a stop

Callers saw requests accepted late in the drain cut off or refused: it began 2.3 s after SIGTERM whatever the balancer knew. It checks once a second and takes an instance out after two failed checks, so that a late check left 0.3 s, and a balancer without enough other daemons goes on sending.

Change: requests are accepted until two failed checks were answered and no connection has come for 0.3 s, at most for half of the grace period. A request that would outlast the stop has its time limit cut to it, so that its caller gets 504 (may have run) in place of a closed connection.

Measured: BalancerTest (late checks: over 2.5 s; balancer that goes on: over 1.5 s; two checks in time: under 2 s; silent: under 3.5 s) and StopDeadlineTest hold; without the two rules they can't be asked.

--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -18,9 +18,9 @@
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.types import Seconds
 
-#: Time until the load balancer sends no more requests: it checks readiness
-#: every second and takes an instance out after two failed checks.
-BALANCER_DRAIN_TIME: Final[Seconds] = 2.3
+#: Largest share of the grace period in which requests are still accepted; the
+#: rest is for answering them.
+ACCEPTING_SHARE: Final = 0.5
 #: Poll interval while waiting to become ready.
 READINESS_POLL_INTERVAL: Final[Seconds] = 0.05
 #: Part of the grace period that is reserved for closing connections.
@@ -80,12 +80,12 @@
         """Stop gracefully: become unready, finish open requests, close."""
         record(Event.stopping, instance=self.settings.instance.instance_id)
         self.server.is_stopping = True
+        grace = self.settings.bounds.grace_s
+        answered_by = self.core.clock.monotonic() + grace - CLOSE_RESERVE
+        self.server.answers_until = answered_by
         await self.core.membership.resign()
-        await asyncio.sleep(BALANCER_DRAIN_TIME)
-        grace = (
-            self.settings.bounds.grace_s - BALANCER_DRAIN_TIME - CLOSE_RESERVE
-        )
-        await self.server.drain(grace)
+        await self.server.wait_until_taken_out(grace * ACCEPTING_SHARE)
+        await self.server.drain(answered_by - self.core.clock.monotonic())
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
 
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -1,8 +1,11 @@
 """The HTTP servers for callers and for the load balancer."""
 
+import asyncio
+import math
 from http import HTTPStatus
 from typing import Final
 
+import msgspec
 from aiohttp import web
 
 from cassialever.clock import SystemClock
@@ -23,6 +26,15 @@
 #: up to 15 s, a limit set by the operators.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 75.0
 
+#: Failed readiness checks after which the load balancer opens no more
+#: connections to a daemon.
+FAILED_CHECKS_UNTIL_OUT: Final = 2
+#: A balancer that has opened no connection for this long has taken the daemon
+#: out. It goes on if too few other daemons are ready.
+QUIET_TIME: Final[Seconds] = 0.3
+#: Time between two checks whether the balancer has taken the daemon out.
+BALANCER_POLL_INTERVAL: Final[Seconds] = 0.05
+
 
 class GatewayServer:
     """Serves callers, and the load balancer's readiness checks."""
@@ -41,6 +53,10 @@
         self.is_ready = False
         self.is_stopping = False
         self.open_requests = 0
+        #: Until when answers are waited for; set when a stop begins.
+        self.answers_until: Seconds = math.inf
+        self._failed_checks = 0
+        self._last_check_at: Seconds = 0
 
     async def start(self) -> None:
         """Listen for callers and for the load balancer."""
@@ -48,6 +64,21 @@
         await self._readiness.start(*split_address(listen.readiness))
         await self._callers.start(*split_address(listen.callers))
 
+    async def wait_until_taken_out(self, timeout: Seconds) -> None:
+        """Serve until the load balancer opens no more connections.
+
+        This is so when it has seen enough failed checks and no connection
+        has come since, at the latest at the timeout.
+        """
+        now = self._clock.monotonic()
+        ends_at = now + timeout
+        while now < ends_at:
+            used_at = max(self._last_check_at, self._callers.accepted_at)
+            if self._is_taken_out() and now - used_at >= QUIET_TIME:
+                return
+            await asyncio.sleep(BALANCER_POLL_INTERVAL)
+            now = self._clock.monotonic()
+
     async def drain(self, timeout: Seconds) -> None:
         """Stop listening, answer what has arrived, close each connection.
 
@@ -60,11 +91,17 @@
         await self._callers.stop()
         await self._readiness.stop()
 
+    def _is_taken_out(self) -> bool:
+        return self._failed_checks >= FAILED_CHECKS_UNTIL_OUT
+
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path != wire.READINESS_PATH:
             return web.Response(status=HTTPStatus.NOT_FOUND)
         if self.is_ready and not self.is_stopping:
             return web.Response()
+        if self.is_stopping and not self._is_taken_out():
+            self._failed_checks += 1
+            self._last_check_at = self._clock.monotonic()
         return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -93,7 +130,11 @@
         if isinstance(routed, Refusal):
             self._record_unrouted(target_request, host, routed)
             return _refusal_response(routed, target_request.request_id)
-        answer = await self._forwarder.serve(routed)
+        answer = await self._forwarder.serve(
+            msgspec.structs.replace(
+                routed, deadline=min(routed.deadline, self.answers_until)
+            )
+        )
         if isinstance(answer, Refusal):
             return _refusal_response(answer, target_request.request_id)
         self._forwarder.counters.record_answer(
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -8,7 +8,7 @@
 from cassialever.gateway.application import Gateway
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import deployment
-from tests.gateway_helpers import wait_for_keys
+from tests.gateway_helpers import readiness_status, wait_for_keys
 
 #: Longer than a request takes on a busy computer, in seconds.
 TIMEOUT = 20.0
@@ -215,6 +215,74 @@
         await self.check(drain)
 
 
+class BalancerTest(unittest.IsolatedAsyncioTestCase):
+    """Requests are accepted until the load balancer sends no more."""
+
+    async def accepting_time(
+        self, check_times: list[float], new_until: float = 0
+    ) -> float:
+        """Return how long a daemon accepts requests after SIGTERM.
+
+        Its readiness is checked at the given times after that, and new
+        connections are opened until another one.
+        """
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            server = gateway.server
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            server.is_stopping = True
+            waiting = asyncio.create_task(server.wait_until_taken_out(3.0))
+            while not waiting.done():
+                elapsed = loop.time() - started_at
+                if check_times and elapsed >= check_times[0]:
+                    check_times.pop(0)
+                    self.assertEqual(await readiness_status(gateway), 503)
+                if elapsed < new_until:
+                    connect(gateway).close()
+                await asyncio.sleep(0.02)
+            return loop.time() - started_at
+
+    async def test_late_readiness_checks_prolong_it(self) -> None:
+        self.assertGreater(await self.accepting_time([1.5, 2.5]), 2.5)
+
+    async def test_balancer_without_other_daemons_prolongs_it(self) -> None:
+        accepting = await self.accepting_time([0.1, 0.4], new_until=1.5)
+        self.assertGreater(accepting, 1.5)
+        self.assertLess(accepting, 2.5)
+
+    async def test_two_failed_checks_end_it(self) -> None:
+        accepting = await self.accepting_time([0.1, 1.1])
+        self.assertGreater(accepting, 1.1)
+        self.assertLess(accepting, 2.0)
+
+    async def test_a_silent_balancer_does_not_prolong_it(self) -> None:
+        self.assertLess(await self.accepting_time([]), 3.5)
+
+
+class StopDeadlineTest(unittest.IsolatedAsyncioTestCase):
+    """A request that a stop can't wait for gets an answer all the same."""
+
+    async def test_request_that_outlasts_a_stop_is_answered(self) -> None:
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            system.targets[0].faults.service_time = 30
+            clock = gateway.core.clock
+            gateway.server.is_stopping = True
+            gateway.server.answers_until = clock.monotonic() + 0.5
+            caller = connect(gateway)
+            caller.sendall(request('a1'))
+            answer = await read_to_end(caller)
+            # The route's time limit is 1 s.
+            self.assertLess(
+                clock.monotonic(), gateway.server.answers_until + 0.4
+            )
+        # It may have run.
+        self.assertTrue(answer.startswith(b'HTTP/1.1 504'), answer[:80])
+
+
 def prepare_answer(target: TargetServer) -> None:
     """Make a target give a long answer."""
     target.fixed_body = bytes(BODY_BYTES)
