Give each daemon of the soak its own path to the targets

One proxy a target, shared by all daemons, can't cut off one daemon. The new setting instance.target_host, empty in operation, replaces the host in the addresses of all targets, so that a daemon of a test system reaches them through proxies at a loopback address of its own, on the targets' ports.

Decoding the entries with it covers requests, grants and probes at one place. Alternative: an address from which the daemon connects, by which one proxy tells daemons apart; it needs a change at each place that connects, and a listening socket can't refuse some callers and accept others.

New modes of the proxy: refused (open connections reset, new ones refused by the system), refuse new, hang and no answers (packets dropped by a socket filter, so that connecting hangs and nothing is acknowledged), lossy (3 in 10 packets dropped one way, chunks delayed the other way). Without privileges acknowledgements of requests can't be dropped in the mode no answers.

--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -58,8 +58,13 @@
         self,
         clock: SystemClock,
         row_handler: OperatorRowHandler | None = None,
+        target_host: str = '',
     ) -> None:
-        """Start empty; by default operators' rows are the platform's."""
+        """Start empty; by default operators' rows are the platform's.
+
+        Unless `target_host` is empty, it replaces the host of all targets.
+        """
+        self._target_host = target_host
         self._row_handler = row_handler or PlatformRowHandler()
         #: All tables that are followed.
         self.tables = (
@@ -182,7 +187,7 @@
             if self.targets.remove(target_id):
                 record(Event.target_gone, target=target_id, version=row.version)
             return
-        target = records.decode_target(row.name, row.content)
+        target = records.decode_target(row.name, row.content, self._target_host)
         if isinstance(target, Failure):
             self.reject(row.name, target.reason)
             self.targets.remove(target_id)
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -50,7 +50,9 @@
         self.settings = settings
         self.clock = SystemClock()
         random_source = seeded_random(seed)
-        self.view = FleetView(self.clock, operators)
+        self.view = FleetView(
+            self.clock, operators, settings.instance.target_host
+        )
         self.store = StoreClient(settings.store)
         self.loads = LoadTracker()
         self._sender = TargetSender(
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -22,6 +22,10 @@
     address: str
     memory_mb: float = 0
     link_mbps: float = 0
+    #: Host at which this daemon reaches all targets, in place of those in
+    #: their entries; empty to use theirs. It gives each daemon on a test
+    #: system a path of its own to the targets.
+    target_host: str = ''
 
 
 class ListenSettings(msgspec.Struct, frozen=True):
--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -128,8 +128,13 @@
     )
 
 
-def decode_target(target_id: str, content: bytes) -> Target | Failure:
-    """Decode the entry that a target writes about itself."""
+def decode_target(
+    target_id: str, content: bytes, host: str = ''
+) -> Target | Failure:
+    """Decode the entry that a target writes about itself.
+
+    Unless `host` is empty, it replaces the host in the entry's address.
+    """
     try:
         wire = msgspec.json.decode(content, type=_Target)
     except msgspec.DecodeError as error:
@@ -138,6 +143,7 @@
         return _invalid_entry(
             ValueError('address is not IPv4:port, or capacity is below 1')
         )
+    port = wire.address.rpartition(':')[2]
     try:
         state = TargetState(wire.status.state)
     except ValueError as unknown_state:
@@ -145,7 +151,7 @@
     return Target(
         target_id=TargetId(target_id),
         service=ServiceName(wire.info.upstream),
-        address=wire.address,
+        address=f'{host}:{port}' if host else wire.address,
         data_centre=DataCentreId(wire.info.zone),
         slots=wire.info.capacity,
         state=state,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from soak.fleet import DaemonProcess, SoakFleet
-from soak.proxy import FaultProxy, ProxyMode
+from soak.proxy import ProxyMode
 from standins.keyed_target import TargetServer
 from tests.replay_helpers import (
     LIMIT_STABLE_TIME,
@@ -154,8 +154,8 @@
         daemon = self._choose_daemon()
         if daemon.store_proxy is not None:
             daemon.mark_disrupted()
-            await self._disrupt_proxy(
-                daemon.store_proxy, f'store of {daemon.name}'
+            await self._disrupt(
+                daemon.store_proxy.set_mode, f'store of {daemon.name}'
             )
 
     async def _disrupt_store(self) -> None:
@@ -173,8 +173,10 @@
 
     async def _disrupt_target(self) -> None:
         target = self._choose_target()
-        proxy = self._fleet.proxy_by_target[target.target_id]
-        await self._disrupt_proxy(proxy, target.target_id)
+        await self._disrupt(
+            lambda mode: self._fleet.set_target_mode(target.target_id, mode),
+            target.target_id,
+        )
 
     async def _drain_target(self) -> None:
         target = self._choose_target()
@@ -187,10 +189,11 @@
         target = self._choose_target()
         self._log_event(f'{target.target_id} restarts')
         target.simulate_restart()
-        proxy = self._fleet.proxy_by_target[target.target_id]
-        proxy.set_mode(ProxyMode.reset)
+        await self._fleet.set_target_mode(target.target_id, ProxyMode.reset)
         await asyncio.sleep(self._random.uniform(0, 1))
-        proxy.set_mode(ProxyMode.forwarding)
+        await self._fleet.set_target_mode(
+            target.target_id, ProxyMode.forwarding
+        )
         self._fleet.publish_target(target)
 
     async def _chill_target(self) -> None:
@@ -262,7 +265,9 @@
                 if status == HTTPStatus.NOT_FOUND:
                     self.violations.append(f'{daemon.name} lacks a new route')
 
-    async def _disrupt_proxy(self, proxy: FaultProxy, name: str) -> None:
+    async def _disrupt(
+        self, set_mode: Callable[[ProxyMode], Awaitable[None]], name: str
+    ) -> None:
         mode = self._random.choice(
             (
                 ProxyMode.delayed,
@@ -273,12 +278,12 @@
             ),
         )
         self._log_event(f'{name} {mode.value}')
-        proxy.set_mode(mode)
+        await set_mode(mode)
         await self._wait_fault_duration()
         # Reset open connections, since bytes of their streams were discarded.
         if mode not in (ProxyMode.delayed, ProxyMode.slow):
-            proxy.set_mode(ProxyMode.reset)
-        proxy.set_mode(ProxyMode.forwarding)
+            await set_mode(ProxyMode.reset)
+        await set_mode(ProxyMode.forwarding)
         self._log_event(f'{name} is healthy')
 
     def _choose_daemon(self) -> DaemonProcess:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,13 +1,18 @@
 """Daemon processes of a soak test, with their store, targets and proxies."""
 
 import asyncio
+import base64
 import os
 import pathlib
 import signal
 import sys
+from collections.abc import Collection, Iterable
 from typing import Any
 
-from soak.proxy import FaultProxy
+import msgspec
+
+from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
+from soak.proxy import FaultProxy, ProxyMode
 from standins.keyed_target import TargetServer
 from standins.listening import free_ports
 from standins.rowstore import RowStoreServer
@@ -15,14 +20,37 @@
 
 KEYED_TARGET_COUNT = 4
 UNKEYED_TARGET_COUNT = 2
+DATA_CENTRES = ('astana-a', 'astana-b')
+#: The last number of the first daemon's `target_host`. Targets listen at
+#: 127.0.0.1.
+FIRST_TARGET_HOST = 2
 
 
 class DaemonProcess:
-    """A daemon process that can be restarted."""
+    """A daemon process that can be restarted.
+
+    It reaches the store and each target through proxies of its own.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        target_host: str,
+        data_centre: str,
+    ) -> None:
+        """Choose ports, and files for settings and log in `folder`.
 
-    def __init__(self, name: str, folder: pathlib.Path) -> None:
-        """Choose ports, and files for settings and log in `folder`."""
+        Proxies to all targets listen at `target_host`.
+        """
         self.name = name
+        self.target_host = target_host
+        self.data_centre = data_centre
+        self.path_by_target: dict[str, FaultProxy] = {}
+        #: When the daemon was last cut off from targets or reached them
+        #: again, by the loop's clock.
+        self.cut_changed_at = 0.0
+        self.is_cut_off = False
         self.ports = free_ports(3)
         self.store_proxy: FaultProxy | None = None
         self._settings = folder / f'{name}.jsonc'
@@ -40,7 +68,13 @@
         """Start the process, with a proxy as its store."""
         self.store_proxy = store_proxy
         ports = (self.ports[0], self.ports[1], self.ports[2])
-        text = settings_text(store_proxy.address, ports, self.name)
+        text = settings_text(
+            store_proxy.address,
+            ports,
+            self.name,
+            self.data_centre,
+            self.target_host,
+        )
         self._settings.write_text(text)
         with self._log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -71,16 +105,39 @@
         """Record that the daemon was disrupted now."""
         self.disrupted_at = asyncio.get_running_loop().time()
 
+    async def open_paths(self, targets: Iterable[TargetServer]) -> None:
+        """Start a proxy to each target, on the target's port."""
+        for target in targets:
+            port = int(target.address.rpartition(':')[2])
+            path = FaultProxy(target.address, self.target_host, port)
+            await path.start()
+            self.path_by_target[target.target_id] = path
+
+    async def set_paths(
+        self, mode: ProxyMode, target_ids: Collection[str] = ()
+    ) -> None:
+        """Set the mode of the paths to some targets, by default to all."""
+        for target_id in target_ids or self.path_by_target:
+            await self.path_by_target[target_id].set_mode(mode)
+
+    def request_count(self) -> int:
+        """Return how many chunks of requests took the paths to targets."""
+        return sum(path.request_count for path in self.path_by_target.values())
+
 
 class SoakFleet:
-    """A store, targets and daemons.
+    """A store, targets and daemons in several data centres."""
 
-    Each target is behind a proxy, and each daemon reaches the store through a
-    proxy of its own.
-    """
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        daemons: int,
+        unkeyed: int = UNKEYED_TARGET_COUNT,
+    ) -> None:
+        """Prepare the servers and daemons; `start` runs them.
 
-    def __init__(self, folder: pathlib.Path, daemons: int) -> None:
-        """Prepare the servers and daemons; `start` runs them."""
+        There are `unkeyed` targets that own no keys.
+        """
         self.store = RowStoreServer()
         self.targets = [
             *(
@@ -89,12 +146,17 @@
             ),
             *(
                 TargetServer(f'i{number}', 'issuance', is_keyed=False)
-                for number in range(UNKEYED_TARGET_COUNT)
+                for number in range(unkeyed)
             ),
         ]
-        self.proxy_by_target: dict[str, FaultProxy] = {}
         self.daemons = [
-            DaemonProcess(f'edge-{number}', folder) for number in range(daemons)
+            DaemonProcess(
+                f'edge-{number}',
+                folder,
+                f'127.0.0.{number + FIRST_TARGET_HOST}',
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+            )
+            for number in range(daemons)
         ]
         self.configuration: dict[str, Any] = CONFIGURATION
 
@@ -124,11 +186,9 @@
         for target in self.targets:
             target.faults.service_time = 0.01
             await target.start()
-            proxy = FaultProxy(target.address)
-            await proxy.start()
-            self.proxy_by_target[target.target_id] = proxy
             self.publish_target(target)
         for daemon in self.daemons:
+            await daemon.open_paths(self.targets)
             proxy = FaultProxy(self.store.address)
             await proxy.start()
             await daemon.start(proxy)
@@ -141,15 +201,33 @@
             await daemon.wait_for_exit()
             if daemon.store_proxy is not None:
                 await daemon.store_proxy.stop()
+            for path in daemon.path_by_target.values():
+                await path.stop()
         for target in self.targets:
-            await self.proxy_by_target[target.target_id].stop()
             await target.stop()
         await self.store.stop()
 
     def publish_target(
         self, target: TargetServer, state: str = 'ready', cold_ms: float = 0
     ) -> None:
-        """Write a target's entry with the address of its proxy."""
+        """Write a target's entry."""
         entry = target.entry(state, cold_ms)
-        entry['address'] = self.proxy_by_target[target.target_id].address
         self.store.put('servers', target.target_id, entry)
+
+    async def set_target_mode(self, target_id: str, mode: ProxyMode) -> None:
+        """Set the mode of all paths to a target."""
+        for daemon in self.daemons:
+            await daemon.path_by_target[target_id].set_mode(mode)
+
+    def leader(self) -> DaemonProcess | None:
+        """Return the daemon that the store names as the leader."""
+        row = self.store.rows.row_by_name.get((OWN_TABLE, LEADER_ROW))
+        if row is None or row.value is None:
+            return None
+        leadership = msgspec.msgpack.decode(
+            base64.b64decode(row.value), type=Leadership
+        )
+        return next(
+            (one for one in self.daemons if one.name == leadership.instance_id),
+            None,
+        )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,15 +1,32 @@
 """A TCP proxy on the loopback interface that injects network faults."""
 
 import asyncio
+import ctypes
 import enum
+import random
 import socket
 import struct
+from collections.abc import Sequence
+from typing import Any
 
 from standins.listening import LOOPBACK
 
 CHUNK_BYTES = 65536
 #: SO_LINGER on, with a timeout of 0: closing the socket sends a TCP reset.
 _RESET_AT_CLOSE = struct.pack('ii', 1, 0)
+#: Options of Linux that the socket module does not name.
+_SO_ATTACH_FILTER = 26
+_SO_DETACH_FILTER = 27
+#: Classic BPF programs, as (code, jump if true, jump if false, operand).
+_DROP_ALL = ((0x06, 0, 0, 0),)
+#: Loads a random number of 32 bits and drops the packet if it is below 30% of
+#: the range.
+_DROP_THREE_IN_TEN = (
+    (0x20, 0, 0, 0xFFFFF000 + 56),
+    (0x35, 0, 1, int(0.3 * 2**32)),
+    (0x06, 0, 0, 0xFFFFFFFF),
+    (0x06, 0, 0, 0),
+)
 
 
 class ProxyMode(enum.Enum):
@@ -17,6 +34,7 @@
 
     forwarding = 'forwarding'
     delayed = 'delayed'
+    #: Resets connections; new ones are accepted and then reset.
     reset = 'reset'
     #: Discards requests and responses without closing the connections.
     silent = 'silent'
@@ -24,49 +42,110 @@
     one_way = 'one way'
     #: Forwards at a limited rate.
     slow = 'slow'
+    #: Resets connections and refuses new ones.
+    refused = 'refused'
+    #: Refuses new connections; open ones live on.
+    refuse_new = 'refuse new'
+    #: Drops all packets from clients and holds back all responses.
+    hang = 'hang'
+    #: Forwards requests and holds back responses; since the answer to a new
+    #: connection is lost too, none is established.
+    no_answers = 'no answers'
+    #: Drops 3 in 10 packets from clients, and delays as many of the chunks of
+    #: responses.
+    lossy = 'lossy'
+
+
+#: Modes without a listening socket.
+_REFUSING = (ProxyMode.refused, ProxyMode.refuse_new)
+#: Modes that keep responses until the next mode.
+_HOLDING = (ProxyMode.hang, ProxyMode.no_answers)
+_FILTER_BY_MODE = {
+    ProxyMode.hang: _DROP_ALL,
+    ProxyMode.lossy: _DROP_THREE_IN_TEN,
+}
 
 
 class FaultProxy:
-    """Forwards connections to one address."""
+    """Forwards connections to one address.
+
+    What Linux does not allow without privileges: its acknowledgements of
+    requests can't be dropped in the mode `no_answers`.
+    """
 
     #: Delay of each chunk in the mode `delayed`, in seconds.
     delay = 0.3
     #: Bytes per second of each connection in the mode `slow`.
     slow_rate = 200_000
+    #: Part of the chunks that are delayed in the mode `lossy`, and the range
+    #: of the delay, in seconds: that of one or two retransmissions.
+    loss = 0.3
+    loss_delays = (0.2, 1.0)
 
-    def __init__(self, upstream: str) -> None:
-        """Create a proxy to `upstream`; `address` is empty until it starts."""
+    def __init__(
+        self, upstream: str, host: str = LOOPBACK, port: int = 0
+    ) -> None:
+        """Create a proxy to `upstream`; port 0 selects any free port."""
         self.upstream = upstream
-        self.address = ''
+        self.address = f'{host}:{port}'
+        #: Number of chunks of requests that were forwarded.
+        self.request_count = 0
         self._mode = ProxyMode.forwarding
+        self._mode_changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._client_writers: set[asyncio.StreamWriter] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Start listening on a free port."""
-        self._server = await asyncio.start_server(self._forward, LOOPBACK, 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
+        """Start listening."""
+        host, port = self.address.rsplit(':')
+        self._server = await asyncio.start_server(
+            self._forward, host, int(port)
+        )
+        port = self._server.sockets[0].getsockname()[1]
         self.address = f'{host}:{port}'
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
         if self._server is not None:
             self._server.close()
-        self.set_mode(ProxyMode.reset)
+        self._apply(ProxyMode.reset)
 
-    def set_mode(self, mode: ProxyMode) -> None:
+    async def set_mode(self, mode: ProxyMode) -> None:
         """Set the mode, which applies to open connections too."""
+        self._apply(mode)
+        if mode in _REFUSING and self._server is not None:
+            self._server.close()
+            self._server = None
+        if mode not in _REFUSING and self._server is None:
+            await self.start()
+        if self._server is None:
+            return
+        # Without an answer to their first packet, clients wait to connect.
+        is_deaf = mode is ProxyMode.no_answers
+        for listening in self._server.sockets:
+            _set_filter(listening, _DROP_ALL if is_deaf else self._filter())
+
+    def _apply(self, mode: ProxyMode) -> None:
+        """Set the mode of open connections."""
         self._mode = mode
-        if mode is ProxyMode.reset:
+        self._mode_changed.set()
+        self._mode_changed = asyncio.Event()
+        if mode in {ProxyMode.reset, ProxyMode.refused}:
             for writer in list(self._writers):
                 _reset(writer)
+        for client_writer in self._client_writers:
+            _set_filter(client_writer.get_extra_info('socket'), self._filter())
+
+    def _filter(self) -> Sequence[tuple[int, int, int, int]] | None:
+        return _FILTER_BY_MODE.get(self._mode)
 
     async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if self._mode is ProxyMode.reset:
+        if self._mode in {ProxyMode.reset, ProxyMode.refused}:
             _reset(writer)
             return
         host, port = self.upstream.rsplit(':')
@@ -79,6 +158,8 @@
             return
         writers = {writer, upstream_writer}
         self._writers |= writers
+        self._client_writers.add(writer)
+        _set_filter(writer.get_extra_info('socket'), self._filter())
         try:
             await asyncio.gather(
                 self._copy(reader, upstream_writer, is_response=False),
@@ -89,6 +170,7 @@
             pass
         finally:
             self._writers -= writers
+            self._client_writers.discard(writer)
             for open_writer in writers:
                 open_writer.transport.abort()
 
@@ -101,6 +183,8 @@
     ) -> None:
         while True:
             chunk = await reader.read(CHUNK_BYTES)
+            if is_response:
+                await self._hold_response()
             if self._mode is ProxyMode.delayed:
                 await asyncio.sleep(self.delay)
             if self._mode is ProxyMode.slow:
@@ -114,12 +198,39 @@
                 if writer.can_write_eof():
                     writer.write_eof()
                 return
+            self.request_count += not is_response
             writer.write(chunk)
             await writer.drain()
 
+    async def _hold_response(self) -> None:
+        """Wait for as long as the mode keeps a response from its client."""
+        if self._mode is ProxyMode.lossy and random.random() < self.loss:
+            await asyncio.sleep(random.uniform(*self.loss_delays))
+        while self._mode in _HOLDING:
+            await self._mode_changed.wait()
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info('socket')
     if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
     writer.transport.abort()
+
+
+def _set_filter(
+    sock: Any, program: Sequence[tuple[int, int, int, int]] | None
+) -> None:
+    """Set the filter of the packets that a socket receives, or remove it."""
+    if sock is None or sock.fileno() < 0:
+        return
+    if program is None:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
+        except FileNotFoundError:
+            # No filter was set.
+            pass
+        return
+    code = b''.join(struct.pack('HBBI', *step) for step in program)
+    memory = ctypes.create_string_buffer(code)
+    option = struct.pack('HP', len(program), ctypes.addressof(memory))
+    sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, option)
--- a/tests/fleet_helpers.py
+++ b/tests/fleet_helpers.py
@@ -205,6 +205,8 @@
     store: str,
     ports: tuple[int, int, int],
     name: str = 'edge-1',
+    data_centre: str = 'astana-a',
+    target_host: str = '',
 ) -> str:
     """Return the text of a settings file for `make_settings`."""
     callers, readiness, internal = ports
@@ -213,8 +215,9 @@
     {{
       "instance": {{
         "instance_id": "{name}",
-        "data_centre": "astana-a",
+        "data_centre": "{data_centre}",
         "address": "127.0.0.1",
+        "target_host": "{target_host}",
       }},
       "listen": {{
         "callers": "127.0.0.1:{callers}",
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -70,6 +70,12 @@
         self.assertEqual(decoded.state, TargetState.ready)
         self.assertEqual((decoded.slots, decoded.cold_for), (6, 1.5))
 
+    def test_host_of_a_test_system_replaces_that_of_the_entry(self) -> None:
+        content = msgspec.json.encode(target_entry(address='10.1.64.9:8707'))
+        decoded = records.decode_target('t1', content, '127.0.0.3')
+        assert not isinstance(decoded, Failure)
+        self.assertEqual(decoded.address, '127.0.0.3:8707')
+
     def test_malformed_entries_are_rejected(self) -> None:
         valid = target_entry()
         for entry in (
