--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,6 +20,8 @@
 
 KEYED_TARGET_COUNT = 4
 UNKEYED_TARGET_COUNT = 2
+#: Service time of the targets, in seconds.
+SERVICE_TIME = 0.01
 DATA_CENTRES = ('astana-a', 'astana-b')
 #: The last number of the first daemon's `target_host`. Targets listen at
 #: 127.0.0.1.
@@ -184,7 +186,7 @@
         await self.store.start()
         self.store.put('op', 'config', CONFIGURATION)
         for target in self.targets:
-            target.faults.service_time = 0.01
+            target.faults.service_time = SERVICE_TIME
             await target.start()
             self.publish_target(target)
         for daemon in self.daemons:
