Tell a fault of the own path to targets from a fault of targets

A daemon takes its own failed connections for the targets' fault: one that loses the path to all targets refuses although others reach them. TargetPaths weighs the failures of a daemon with the reports of the others: a target that most others miss too has crashed, one that others reach is to be reached through them.

Pure, not yet in use.

--- /dev/null
+++ b/cassialever/policy/paths.py
@@ -0,0 +1,109 @@
+"""Tell whether a fault lies in a target or in this daemon's path to it.
+
+A connection that fails looks the same in both cases, so the reports of the
+other daemons decide: one that reaches the target shows that the target lives,
+and can pass requests on to it.
+"""
+
+from collections.abc import Container
+
+from cassialever.interfaces import RandomSource
+from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
+from cassialever.policy.peer_reports import Helper, PeerReports
+from cassialever.types import DataCentreId, Seconds, TargetId
+
+
+class TargetPaths:
+    """The direct paths to all targets, and who reaches which target."""
+
+    def __init__(
+        self, data_centre: DataCentreId, random_source: RandomSource
+    ) -> None:
+        """Start with every path taken as usable, and without reports."""
+        self.direct = DirectPaths()
+        self.reports = PeerReports(data_centre, random_source)
+
+    def record_answer(self, target_id: TargetId, now: Seconds) -> None:
+        """Note that bytes came from a target over a direct connection."""
+        self.direct.record_answer(target_id, now)
+
+    def record_failure(self, target_id: TargetId, now: Seconds) -> None:
+        """Note that a new connection to a target failed."""
+        self.direct.record_failure(target_id, now)
+
+    def is_reachable(self, target_id: TargetId, now: Seconds) -> bool:
+        """Return whether the direct path to a target may be used.
+
+        While this daemon is cut off, targets not tried yet are not tried.
+        """
+        if self.direct.is_down(target_id, now):
+            return False
+        return not self.is_cut_off(now)
+
+    def is_cut_off(self, now: Seconds) -> bool:
+        """Return whether this daemon reaches no target, of several tried.
+
+        Those that most other daemons miss too don't count.
+        """
+        failed = self.direct.failed_without_answer(now)
+        return len(self._missed_alone(failed, now)) >= MIN_FAILED_TARGETS
+
+    def helpers_for(self, target_id: TargetId, now: Seconds) -> list[Helper]:
+        """Return the daemons that can pass a request on, best first.
+
+        There are none unless this daemon's own path is at fault: it is down,
+        and a daemon that is not cut off doesn't say the same of its own.
+        """
+        is_at_fault = self.direct.is_confirmed_down(target_id, now)
+        if is_at_fault or self.is_cut_off(now):
+            return self.reports.helpers_for(target_id, now)
+        return []
+
+    def record_helper_refusal(
+        self, instance_id: str, target_id: TargetId, now: Seconds
+    ) -> None:
+        """Note that a daemon can't pass requests on to a target now."""
+        self.reports.record_refusal(instance_id, target_id, now)
+
+    def is_confirmed_unreachable(
+        self, target_id: TargetId, now: Seconds
+    ) -> bool:
+        """Return whether most daemons that reach targets miss this one too."""
+        return self.reports.is_listed_by_most(target_id, now)
+
+    def should_yield(self, now: Seconds) -> bool:
+        """Return whether another daemon should lead in place of this one.
+
+        That is so if this daemon is cut off and another is not, or if it
+        misses several targets that others reach. The daemon that reaches more
+        must miss less than half as many, so that of daemons with like faults
+        none gives way to another.
+        """
+        least = min(
+            (
+                len(report.unreachable)
+                for report in self.reports.reaching(now)
+                if not report.is_stopping
+            ),
+            default=None,
+        )
+        if least is None:
+            return False
+        if self.is_cut_off(now):
+            return True
+        missed = self._missed_alone(self.direct.down(now), now)
+        return len(missed) >= max(MIN_FAILED_TARGETS, 2 * least + 1)
+
+    def prune(self, known: Container[TargetId], now: Seconds) -> None:
+        """Forget targets that are gone and what has expired."""
+        self.direct.prune(known)
+        self.reports.prune(now)
+
+    def _missed_alone(
+        self, target_ids: list[TargetId], now: Seconds
+    ) -> list[TargetId]:
+        return [
+            target_id
+            for target_id in target_ids
+            if not self.is_confirmed_unreachable(target_id, now)
+        ]
