Probe the paths to targets that fail or fall silent

A connection that hangs gives no evidence: requests on it waited until their deadlines, and one failed connection ended the use of a target for 1 s, whoever was at fault. The prober opens one new connection to a target that has been silent for 0.25 s, or twice its latency, while a request waits, and to one whose path is down, at most 8 at a time. A reset only raises a doubt, since full targets reset connections too.

A daemon logs when it is cut off (530, 531), with the targets that failed and the daemons that reach some; metrics targets_unreachable and cut_off_from_targets. Neither asyncio nor aiohttp sets TCP_USER_TIMEOUT, so the kernel's keepalive decides alone; a test holds that.

tests/test_path_probe.py, in virtual time: a cut by hang is known after 0.9 s at most, one by reset after 0.35 s, and nothing is probed while targets answer.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -67,6 +67,17 @@
     )
     data_centre_changed = (522, logbook.NOTICE, 'Data centre states changed.')
 
+    cut_off_from_targets = (
+        530,
+        logbook.WARNING,
+        'This daemon reaches no target, of several tried.',
+    )
+    targets_reached_again = (
+        531,
+        logbook.NOTICE,
+        'This daemon reaches targets again.',
+    )
+
     # Catalogue and operators.
     catalogue_adopted = (601, logbook.NOTICE, 'A new catalogue is in force.')
     operator_refused = (602, logbook.WARNING, 'An operator call was refused.')
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -110,6 +110,13 @@
             ),
             Reading('tables_age_seconds', self.core.membership.tables_age()),
             Reading('targets', len(self.view.targets.by_id)),
+            Reading(
+                'targets_unreachable',
+                self.core.reachability.unreachable_count(),
+            ),
+            Reading(
+                'cut_off_from_targets', self.core.reachability.is_cut_off()
+            ),
             Reading('requests_open', self.server.open_requests),
             Reading(
                 'targets_limited', len(self.view.targets.limits.in_force())
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -56,8 +56,12 @@
             settings, self.view, self.loads, self.clock, random_source
         )
         self._sender = TargetSender(
-            self.loads, self.view.targets.limits, self.clock
+            self.loads,
+            self.view.targets.limits,
+            self._reachability.paths,
+            self.clock,
         )
+        self._reachability.prober.on_down = self._sender.close_idle
         self.forwarder = Forwarder(
             settings,
             self.view,
--- /dev/null
+++ b/cassialever/gateway/path_probe.py
@@ -0,0 +1,179 @@
+"""Probe the paths to targets that failed or fell silent.
+
+A connection that hangs tells nothing by itself: the target may be slow. A new
+connection tells whether the path is there. Nothing is sent over it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from cassialever.clock import SystemClock
+from cassialever.errors import Failure
+from cassialever.events import Event, record
+from cassialever.fleet.connecting import connect
+from cassialever.fleet.target_registry import TargetRegistry
+from cassialever.policy.loads import LoadTracker
+from cassialever.policy.paths import TargetPaths
+from cassialever.policy.placing import DEFAULT_LATENCY
+from cassialever.tasks import BackgroundTasks
+from cassialever.types import Seconds, TargetId
+
+#: Time between two checks for silent targets and due probes.
+CHECK_INTERVAL: Final[Seconds] = 0.1
+#: The same while a path is down or in doubt.
+URGENT_CHECK_INTERVAL: Final[Seconds] = 0.05
+#: Silence after which a target with an open request is probed.
+MIN_SILENCE: Final[Seconds] = 0.25
+#: The same as a multiple of the target's latency, if that is longer.
+SILENCE_LATENCIES: Final = 2.0
+#: Time between two probes of a target that stays silent but can be reached.
+SILENCE_PROBE_INTERVAL: Final[Seconds] = 1.0
+#: Probes in progress at a time, over all targets.
+MAX_PROBES: Final = 8
+#: Daemons that a log line names.
+MAX_NAMED_DAEMONS: Final = 8
+
+
+class PathProber:
+    """Probes paths and tells when this daemon is cut off from targets."""
+
+    def __init__(
+        self,
+        paths: TargetPaths,
+        targets: TargetRegistry,
+        loads: LoadTracker,
+        clock: SystemClock,
+    ) -> None:
+        """Create without probes; `run` starts them."""
+        self._paths = paths
+        self._targets = targets
+        self._loads = loads
+        self._clock = clock
+        self._tasks = BackgroundTasks()
+        self._in_progress: set[TargetId] = set()
+        self._silence_probed_at: dict[TargetId, Seconds] = {}
+        self._was_cut_off = False
+        self._cut_off_at: Seconds = 0
+        self._known_changes = 0
+        self._down: frozenset[TargetId] = frozenset()
+        #: Called when a path went down or came back.
+        self.on_change: Callable[[], None] = _ignore
+        #: Called with the address of a target whose path went down.
+        self.on_down: Callable[[str], None] = _ignore_address
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        try:
+            while True:
+                self.check()
+                has_probes = self._paths.direct.has_probes()
+                await asyncio.sleep(
+                    URGENT_CHECK_INTERVAL if has_probes else CHECK_INTERVAL
+                )
+        finally:
+            self._tasks.stop()
+
+    def check(self) -> None:
+        """Start the probes that are due and report what has changed."""
+        now = self._clock.monotonic()
+        self._doubt_silent(now)
+        if self._paths.direct.has_probes():
+            room = MAX_PROBES - len(self._in_progress)
+            for target_id in self._paths.direct.due_probes(now, room):
+                self._start_probe(target_id)
+        self._report_changes(now)
+
+    def _doubt_silent(self, now: Seconds) -> None:
+        silent_since = self._paths.unanswered.silent_since()
+        for target_id, since in silent_since.items():
+            if now - since < self._longest_silence(target_id, now):
+                continue
+            probed_at = self._silence_probed_at.get(target_id, since)
+            if probed_at > since and now < probed_at + SILENCE_PROBE_INTERVAL:
+                continue
+            self._silence_probed_at[target_id] = now
+            self._paths.direct.record_doubt(target_id, now)
+        for target_id in self._silence_probed_at.keys() - silent_since.keys():
+            self._silence_probed_at.pop(target_id)
+
+    def _longest_silence(self, target_id: TargetId, now: Seconds) -> Seconds:
+        latency = self._loads.of(target_id).average_latency(
+            now, DEFAULT_LATENCY
+        )
+        return max(MIN_SILENCE, SILENCE_LATENCIES * latency)
+
+    def _start_probe(self, target_id: TargetId) -> None:
+        if target_id in self._in_progress:
+            return
+        self._in_progress.add(target_id)
+        self._tasks.start(self._probe(target_id))
+
+    async def _probe(self, target_id: TargetId) -> None:
+        try:
+            await self._connect(target_id)
+        finally:
+            self._in_progress.discard(target_id)
+
+    async def _connect(self, target_id: TargetId) -> None:
+        target = self._targets.by_id.get(target_id)
+        if target is None:
+            return
+        connected = await connect(target.address)
+        now = self._clock.monotonic()
+        if isinstance(connected, Failure):
+            self._paths.record_failure(target_id, now)
+        else:
+            connected[1].close()
+            self._paths.direct.record_probe_success(target_id, now)
+        self._report_changes(now)
+
+    def _report_changes(self, now: Seconds) -> None:
+        is_cut_off = self._paths.is_cut_off(now)
+        changes = self._paths.direct.change_count
+        if is_cut_off == self._was_cut_off and changes == self._known_changes:
+            return
+        self._known_changes = changes
+        down = frozenset(self._paths.direct.down(now))
+        dropped = down - self._down
+        if is_cut_off != self._was_cut_off:
+            self._was_cut_off = is_cut_off
+            self._record_cut(now)
+            # Connections to targets that weren't tried hang as well.
+            dropped = frozenset(self._targets.by_id)
+        self._down = down
+        for target_id in dropped:
+            target = self._targets.by_id.get(target_id)
+            if target is not None:
+                self.on_down(target.address)
+        self.on_change()
+
+    def _record_cut(self, now: Seconds) -> None:
+        reaching = [
+            report.helper.instance_id
+            for report in self._paths.reports.reaching(now)
+        ]
+        if not self._was_cut_off:
+            record(
+                Event.targets_reached_again,
+                cut_off_for=round(now - self._cut_off_at, 2),
+                unreachable=len(self._paths.direct.down(now)),
+                daemons_reaching=len(reaching),
+            )
+            return
+        self._cut_off_at = now
+        record(
+            Event.cut_off_from_targets,
+            failed=sorted(self._paths.direct.failed_without_answer(now)),
+            targets=len(self._targets.by_id),
+            daemons_reaching=sorted(reaching)[:MAX_NAMED_DAEMONS],
+            daemons_heard=self._paths.reports.count(now),
+        )
+
+
+def _ignore() -> None:
+    """Ignore a change; the default until a handler is set."""
+
+
+def _ignore_address(address: str) -> None:
+    """Ignore an address; the default until a handler is set."""
--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -1,5 +1,6 @@
 """Know which targets this daemon reaches, and which ones others reach."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 
 from cassialever.clock import SystemClock
@@ -7,6 +8,7 @@
 from cassialever.fleet.gossip import LoadGossip
 from cassialever.fleet.path_reports import PathReporter
 from cassialever.fleet.view import FleetView
+from cassialever.gateway.path_probe import PathProber
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.interfaces import RandomSource
 from cassialever.policy.loads import LoadTracker
@@ -46,6 +48,7 @@
         self.peers: Callable[[], Mapping[str, str]] = dict
         #: The socket for all datagrams between daemons.
         self.socket = DatagramSocket()
+        self.prober = PathProber(self.paths, view.targets, loads, clock)
         self._gossip = LoadGossip(
             self._reporter,
             loads,
@@ -53,10 +56,22 @@
             lambda: self.peers(),  # noqa: WPS506
             self.socket,
         )
+        self.prober.on_change = self._gossip.report_now
 
     async def run(self) -> None:
-        """Exchange reports until cancelled; the socket must be open."""
-        await self._gossip.run()
+        """Probe paths and exchange reports until cancelled.
+
+        The socket must be open.
+        """
+        await asyncio.gather(self.prober.run(), self._gossip.run())
+
+    def unreachable_count(self) -> int:
+        """Return the number of targets that can't be reached directly."""
+        return len(self.paths.direct.down(self._clock.monotonic()))
+
+    def is_cut_off(self) -> bool:
+        """Return whether this daemon reaches no target, of several tried."""
+        return self.paths.is_cut_off(self._clock.monotonic())
 
     async def start(self) -> None:
         """Open the socket."""
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -23,9 +23,10 @@
 )
 from cassialever.platform import wire
 from cassialever.platform.named_limit import parse_named_limit
-from cassialever.platform.sessions import open_session
+from cassialever.platform.sessions import close_idle, open_session
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker, TargetLoad
+from cassialever.policy.paths import TargetPaths
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
 from cassialever.types import Seconds
 
@@ -57,10 +58,12 @@
         self,
         loads: LoadTracker,
         limits: TargetLimits,
+        paths: TargetPaths,
         clock: SystemClock,
     ) -> None:
         self._loads = loads
         self._limits = limits
+        self._paths = paths
         self._clock = clock
         self._session: aiohttp.ClientSession | None = None
 
@@ -86,6 +89,11 @@
         if self._session is not None:
             await self._session.close()
 
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to a target that can't be reached."""
+        if self._session is not None:
+            close_idle(self._session, address)
+
     async def send(
         self,
         request: TargetRequest,
@@ -100,10 +108,13 @@
         sent_at = self._clock.monotonic()
         queueing_factor = load.queueing_factor(target.slots, sent_at)
         load.record_open()
+        unanswered = self._paths.unanswered
+        unanswered.record_sent(target.target_id, request.request_id, sent_at)
         try:
             attempt = await self._exchange(request, target, time_left)
         finally:
             load.record_close()
+            unanswered.record_end(target.target_id, request.request_id)
         self._record_outcome(attempt, load, sent_at, queueing_factor)
         return attempt
 
@@ -131,6 +142,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
+                self._record_answer(request, target)
                 if not wire.matches_request(
                     response.headers, request.request_id
                 ):
@@ -142,12 +154,23 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
+            self._paths.record_failure(
+                target.target_id, self._clock.monotonic()
+            )
             return not_run(repr(error), ErrorKind.target_unreachable)
         except asyncio.TimeoutError as error:
             return unknown(repr(error), ErrorKind.deadline_passed)
         except (aiohttp.ClientError, OSError) as error:
+            self._paths.direct.record_doubt(
+                target.target_id, self._clock.monotonic()
+            )
             return unknown(repr(error))
 
+    def _record_answer(self, request: TargetRequest, target: Target) -> None:
+        """Note that the head of an answer has come."""
+        self._paths.unanswered.record_end(target.target_id, request.request_id)
+        self._paths.record_answer(target.target_id, self._clock.monotonic())
+
     def _record_limit(
         self,
         target: Target,
--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -42,6 +42,22 @@
     return session
 
 
+def close_idle(session: aiohttp.ClientSession, address: str) -> None:
+    """Close the idle connections to an address, so that none is used again.
+
+    Connections with a request in progress stay open.
+    """
+    connector = session.connector
+    if connector is None:
+        return
+    idle_by_key = connector._conns  # noqa: SLF001, WPS437
+    for key in list(idle_by_key):
+        if f'{key.host}:{key.port}' != address:
+            continue
+        for protocol, _ in idle_by_key.pop(key):
+            protocol.close()
+
+
 def keepalive_socket(address_info: tuple[Any, ...]) -> socket.socket:
     """Return a socket that detects a dead peer by keepalive probes.
 
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -10,6 +10,7 @@
 from cassialever.interfaces import RandomSource
 from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
 from cassialever.policy.peer_reports import Helper, PeerReports
+from cassialever.policy.silence import UnansweredRequests
 from cassialever.types import DataCentreId, Seconds, TargetId
 
 
@@ -22,10 +23,12 @@
         """Start with every path taken as usable, and without reports."""
         self.direct = DirectPaths()
         self.reports = PeerReports(data_centre, random_source)
+        self.unanswered = UnansweredRequests()
 
     def record_answer(self, target_id: TargetId, now: Seconds) -> None:
         """Note that bytes came from a target over a direct connection."""
         self.direct.record_answer(target_id, now)
+        self.unanswered.record_heard(target_id, now)
 
     def record_failure(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target failed."""
--- a/cassialever/policy/peer_reports.py
+++ b/cassialever/policy/peer_reports.py
@@ -72,6 +72,12 @@
             if report.reaches_targets(now)
         ]
 
+    def count(self, now: Seconds) -> int:
+        """Return the number of daemons with a fresh report."""
+        return sum(
+            now < report.expires_at for report in self._report_by_peer.values()
+        )
+
     def helpers_for(self, target_id: TargetId, now: Seconds) -> list[Helper]:
         """Return the daemons that can pass a request on, best first."""
         ranked = [
--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -36,6 +36,7 @@
     TargetLimits,
 )
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.paths import TargetPaths
 from cassialever.types import MS_PER_SECOND, Seconds
 from tests.fleet_helpers import (
     LoopClock,
@@ -127,7 +128,8 @@
         loads: LoadTracker,
         limits: TargetLimits,
     ) -> None:
-        super().__init__(loads, limits, simulation.clock)
+        paths = TargetPaths('west', simulation.rng)
+        super().__init__(loads, limits, paths, simulation.clock)
         self.simulation = simulation
         self.tracker = loads
         self.limits = limits
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -1,6 +1,7 @@
 """Tests of the sender, against a target that misbehaves on purpose."""
 
 import asyncio
+import random
 import socket
 import struct
 import unittest
@@ -12,6 +13,7 @@
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.paths import TargetPaths
 from standins.listening import LOOPBACK
 
 SIGNED_HEADERS = (
@@ -54,7 +56,10 @@
         )  # fmt: skip
         self.loads = LoadTracker()
         self.limits = TargetLimits()
-        self.sender = TargetSender(self.loads, self.limits, SystemClock())
+        self.paths = TargetPaths('west', random.Random(1))
+        self.sender = TargetSender(
+            self.loads, self.limits, self.paths, SystemClock()
+        )
         await self.sender.start()
 
     async def asyncTearDown(self) -> None:
@@ -218,6 +223,102 @@
         self.assertEqual(self.loads.of('t0').open_requests, 0)
 
 
+class PathsTest(SenderCase):
+    """What attempts tell of the path to the target."""
+
+    def is_in_doubt(self) -> bool:
+        """Return whether the path is up but to be probed."""
+        now = SystemClock().monotonic()
+        is_up = self.paths.is_reachable('t0', now)
+        return is_up and self.paths.direct.due_probes(now, 1) == ['t0']
+
+    async def test_refused_connection_is_a_failure_of_the_path(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+        await self.send()
+        now = SystemClock().monotonic()
+        self.assertFalse(self.paths.is_reachable('t0', now))
+        self.assertEqual(self.paths.unanswered.silent_since(), {})
+
+    async def test_reset_connection_is_to_be_probed(self) -> None:
+        """A target that is full resets connections too."""
+        self.reply = b''
+        self.resets_connection = True
+        await self.send()
+        self.assertTrue(self.is_in_doubt())
+
+    async def test_answer_clears_a_doubt(self) -> None:
+        self.paths.direct.record_doubt('t0', 0)
+        await self.send()
+        self.assertFalse(self.paths.direct.has_probes())
+
+    async def test_request_is_waiting_until_the_head_of_its_answer(
+        self,
+    ) -> None:
+        """A long body is no silence."""
+        self.reply = b''
+        sending = asyncio.create_task(self.send())
+        while not self.request_heads:
+            await asyncio.sleep(0.01)
+        self.assertIn('t0', self.paths.unanswered.silent_since())
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        self.assertEqual(self.paths.unanswered.silent_since(), {})
+        self.reply = raw_answer(f'{SIGNED_HEADERS}Content-Length: 9\r\n', 'ok')
+        sending = asyncio.create_task(self.send())
+        while len(self.request_heads) < 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.paths.unanswered.silent_since(), {})
+        await sending
+
+    async def test_idle_connections_are_closed_and_others_stay(self) -> None:
+        """Requests that may run once wait for their answers."""
+        await self.send()
+        self.reply = b''
+        waiting = asyncio.create_task(self.send())
+        while len(self.request_heads) < 2:
+            await asyncio.sleep(0.01)
+        self.reply = raw_answer(f'{SIGNED_HEADERS}Content-Length: 2\r\n', 'ok')
+        await self.send()
+        self.assertEqual(self.connections, 2)
+        self.sender.close_idle('127.0.0.1:1')
+        await self.send()
+        self.assertEqual(self.connections, 2)
+        self.sender.close_idle(self.target.address)
+        async with asyncio.timeout(0.2):
+            while not self.closed_by_peer:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.closed_by_peer, 1)
+        self.assertFalse(waiting.done())
+        await self.send()
+        self.assertEqual(self.connections, 3)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+
+    async def test_keepalive_alone_decides_when_a_silent_peer_is_lost(
+        self,
+    ) -> None:
+        """A user timeout would end probes of the kernel sooner or later."""
+        await self.send()
+        sockets = [
+            protocol.transport.get_extra_info('socket')
+            for idle in self.sender._session.connector._conns.values()
+            for protocol, _ in idle
+        ]
+        self.assertEqual(len(sockets), 1)
+        for option, expected in (
+            (socket.TCP_USER_TIMEOUT, 0),
+            (socket.TCP_KEEPIDLE, 1),
+            (socket.TCP_KEEPINTVL, 1),
+            (socket.TCP_KEEPCNT, 2),
+        ):
+            with self.subTest(option=option):
+                self.assertEqual(
+                    sockets[0].getsockopt(socket.IPPROTO_TCP, option), expected
+                )
+
+
 class HeadersTest(SenderCase):
     """Which headers are forwarded to a target."""
 
--- /dev/null
+++ b/tests/test_path_probe.py
@@ -0,0 +1,270 @@
+"""Tests of the probes of paths that failed or fell silent."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+from unittest import mock
+
+from cassialever.errors import ErrorKind, Failure
+from cassialever.events import Event
+from cassialever.gateway import path_probe
+from cassialever.gateway.path_probe import MAX_PROBES, PathProber
+from cassialever.policy.loads import LoadTracker
+from cassialever.policy.paths import TargetPaths
+from cassialever.policy.peer_reports import Helper, PathReport
+from tests.fleet_helpers import (
+    LoopClock,
+    VirtualLoop,
+    configured_view,
+    run_virtually,
+)
+
+TARGET_COUNT = 20
+
+
+class Network:
+    """Stands in for connections to targets."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        #: How connections fail: None, "reset" or "hang".
+        self.fault: str | None = None
+        #: Addresses with the fault; all if empty.
+        self.faulty: set[str] = set()
+        self.probed: list[tuple[float, str]] = []
+        self.most_at_once = 0
+        self._open = 0
+
+    async def connect(self, address: str) -> object:
+        self.probed.append((self.loop.time(), address))
+        self._open += 1
+        self.most_at_once = max(self.most_at_once, self._open)
+        try:
+            if self.fault is None or (
+                self.faulty and address not in self.faulty
+            ):
+                await asyncio.sleep(0.002)
+                return mock.Mock(), mock.Mock()
+            if self.fault == 'hang':
+                await asyncio.sleep(0.3)
+            return Failure(ErrorKind.peer_unreachable, self.fault)
+        finally:
+            self._open -= 1
+
+
+class Scene:
+    """A daemon with a prober, and requests that it sends."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.clock = LoopClock(loop)
+        self.network = Network(loop)
+        self.view = configured_view(self.clock, targets=TARGET_COUNT)
+        self.loads = LoadTracker()
+        self.paths = TargetPaths('astana-a', random.Random(1))
+        self.prober = PathProber(
+            self.paths, self.view.targets, self.loads, self.clock
+        )
+        self.dropped: list[str] = []
+        self.changes = 0
+        self.prober.on_down = self.dropped.append
+        self.prober.on_change = self.count_change
+
+    def count_change(self) -> None:
+        self.changes += 1
+
+    def is_reachable(self, target_id: str) -> bool:
+        return self.paths.is_reachable(target_id, self.clock.monotonic())
+
+    def is_cut_off(self) -> bool:
+        return self.paths.is_cut_off(self.clock.monotonic())
+
+    def send(self, target_id: str, request_id: str = 'r') -> None:
+        """Send a request that gets no answer."""
+        self.paths.unanswered.record_sent(
+            target_id, request_id, self.clock.monotonic()
+        )
+
+    def send_to_all(self) -> None:
+        for number in range(TARGET_COUNT):
+            self.send(f't{number}')
+
+    async def serve(self, duration: float) -> None:
+        """Answer a request of each target every 0.2 s."""
+        for _ in range(round(duration / 0.2)):
+            self.send_to_all()
+            await asyncio.sleep(0.2)
+            for number in range(TARGET_COUNT):
+                self.paths.record_answer(f't{number}', self.clock.monotonic())
+                self.paths.unanswered.record_end(f't{number}', 'r')
+
+
+class PathProberTest(unittest.TestCase):
+    """When paths are probed, and what follows."""
+
+    def run_scene(self, scenario: Callable[[Scene], Awaitable[None]]) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            scene = Scene(loop)
+            with mock.patch.object(
+                path_probe, 'connect', scene.network.connect
+            ):
+                probing = asyncio.ensure_future(scene.prober.run())
+                await scenario(scene)
+            self.assertFalse(probing.done())
+
+        run_virtually(main)
+
+    def test_nothing_is_probed_on_a_calm_day(self) -> None:
+        """Targets answer after 0.2 s each."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.serve(20)
+            self.assertEqual(scene.network.probed, [])
+            self.assertEqual(scene.changes, 0)
+
+        self.run_scene(scenario)
+
+    def test_hanging_connections_are_noticed_within_a_second(self) -> None:
+        """Requests hang; no error comes."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.serve(2)
+            scene.network.fault = 'hang'
+            scene.send_to_all()
+            with mock.patch.object(path_probe, 'record') as record:
+                await asyncio.sleep(0.9)
+            self.assertTrue(scene.is_cut_off())
+            self.assertFalse(scene.is_reachable('t0'))
+            self.assertLessEqual(scene.network.most_at_once, MAX_PROBES)
+            self.assertGreater(scene.changes, 0)
+            self.assertEqual(
+                [call.args[0] for call in record.call_args_list],
+                [Event.cut_off_from_targets],
+            )
+
+        self.run_scene(scenario)
+
+    def test_reset_connections_are_noticed_at_once(self) -> None:
+        """Doubts of three targets are enough."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.serve(2)
+            scene.network.fault = 'reset'
+            for number in range(3):
+                scene.paths.direct.record_doubt(
+                    f't{number}', scene.clock.monotonic()
+                )
+            await asyncio.sleep(0.35)
+            self.assertTrue(scene.is_cut_off())
+            # Connections to all targets are dropped, tried or not.
+            self.assertEqual(len(set(scene.dropped)), TARGET_COUNT)
+
+        self.run_scene(scenario)
+
+    def test_a_slow_target_stays_in_use(self) -> None:
+        """It is probed about once a second, and the probes succeed."""
+
+        async def scenario(scene: Scene) -> None:
+            scene.send('t0')
+            await asyncio.sleep(5)
+            self.assertTrue(scene.is_reachable('t0'))
+            self.assertLessEqual(len(scene.network.probed), 5)
+            self.assertGreaterEqual(len(scene.network.probed), 3)
+            self.assertEqual(scene.dropped, [])
+
+        self.run_scene(scenario)
+
+    def test_silence_is_relative_to_the_usual_latency(self) -> None:
+        """Where answers take 2 s, half a second is no silence."""
+
+        async def scenario(scene: Scene) -> None:
+            load = scene.loads.of('t0')
+            load.record_success(2.0, 1, scene.clock.monotonic())
+            scene.send('t0')
+            scene.send('t1')
+            await asyncio.sleep(0.6)
+            self.assertEqual(
+                {address for _, address in scene.network.probed},
+                {scene.view.targets.by_id['t1'].address},
+            )
+
+        self.run_scene(scenario)
+
+    def test_answers_of_other_requests_end_a_silence(self) -> None:
+        """One long request among others shows no fault."""
+
+        async def scenario(scene: Scene) -> None:
+            scene.send('t0', 'long')
+            await scene.serve(3)
+            self.assertEqual(scene.network.probed, [])
+
+        self.run_scene(scenario)
+
+    def test_only_the_target_that_crashed_is_dropped(self) -> None:
+        """The others answer, so that this daemon is not cut off."""
+
+        async def scenario(scene: Scene) -> None:
+            crashed = scene.view.targets.by_id['t3'].address
+            scene.network.fault = 'reset'
+            scene.network.faulty = {crashed}
+            scene.paths.direct.record_doubt('t3', scene.clock.monotonic())
+            await scene.serve(4)
+            self.assertEqual(scene.dropped, [crashed])
+            self.assertFalse(scene.is_reachable('t3'))
+            self.assertTrue(scene.is_reachable('t4'))
+            self.assertLessEqual(len(scene.network.probed), 6)
+
+        self.run_scene(scenario)
+
+    def test_direct_paths_are_back_soon_after_the_cut(self) -> None:
+        """All of them, without flapping."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.serve(1)
+            scene.network.fault = 'hang'
+            scene.send_to_all()
+            await asyncio.sleep(6)
+            self.assertTrue(scene.is_cut_off())
+            probed_at = [at for at, _ in scene.network.probed]
+            now = scene.clock.monotonic()
+            in_a_second = sum(at > now - 1 for at in probed_at)
+            self.assertLessEqual(in_a_second, MAX_PROBES / 0.3 + 1)
+            scene.network.fault = None
+            changes = scene.paths.direct.change_count
+            with mock.patch.object(path_probe, 'record') as record:
+                await asyncio.sleep(1.5)
+            for number in range(TARGET_COUNT):
+                self.assertTrue(scene.is_reachable(f't{number}'))
+            self.assertEqual(
+                scene.paths.direct.change_count - changes, TARGET_COUNT
+            )
+            self.assertEqual(
+                [call.args[0] for call in record.call_args_list],
+                [Event.targets_reached_again],
+            )
+
+        self.run_scene(scenario)
+
+    def test_what_all_miss_is_no_cut_of_this_daemon(self) -> None:
+        """Reports of the others decide, whatever fails here."""
+
+        async def scenario(scene: Scene) -> None:
+            targets = frozenset(scene.view.targets.by_id)
+            for number in range(5):
+                scene.paths.reports.record(
+                    PathReport(
+                        Helper(f'd{number}', '10.1.0.1:7', 'astana-a'),
+                        10,
+                        is_cut_off=False,
+                        is_stopping=False,
+                        unreachable=targets,
+                        expires_at=2000,
+                    )
+                )
+            scene.network.fault = 'reset'
+            scene.send_to_all()
+            await asyncio.sleep(1)
+            self.assertFalse(scene.is_cut_off())
+            self.assertFalse(scene.is_reachable('t0'))
+
+        self.run_scene(scenario)
