--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -83,7 +83,7 @@
         grace = self.settings.bounds.grace_s
         answered_by = self.core.clock.monotonic() + grace - CLOSE_RESERVE
         self.server.answers_until = answered_by
-        await self.core.membership.resign()
+        await self.core.hand_over()
         await self.server.wait_until_taken_out(grace * ACCEPTING_SHARE)
         await self.server.drain(answered_by - self.core.clock.monotonic())
         await self.abort()
@@ -110,6 +110,13 @@
             ),
             Reading('tables_age_seconds', self.core.membership.tables_age()),
             Reading('targets', len(self.view.targets.by_id)),
+            Reading(
+                'targets_unreachable',
+                self.core.reachability.unreachable_count(),
+            ),
+            Reading(
+                'cut_off_from_targets', self.core.reachability.is_cut_off()
+            ),
             Reading('requests_open', self.server.open_requests),
             Reading(
                 'targets_limited', len(self.view.targets.limits.in_force())
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -15,7 +15,10 @@
 
 
 class InstanceSettings(msgspec.Struct, frozen=True):
-    """The identity of this daemon and the resources of its machine."""
+    """The identity of this daemon and the resources of its machine.
+
+    Resources of 0 are unknown.
+    """
 
     instance_id: InstanceId
     data_centre: DataCentreId
@@ -26,6 +29,7 @@
     #: their entries; empty to use theirs. It gives each daemon on a test
     #: system a path of its own to the targets.
     target_host: str = ''
+    cores: float = 0
 
 
 class ListenSettings(msgspec.Struct, frozen=True):
