Handle signals from the first line of a process to its last

Handlers were set once the loop ran, after the imports, and asyncio sets the default action again when it closes its loop.

The process notes the signals itself, before it imports anything large, and ignores them in the end. The loop is woken for those noted. A stop that comes before the loop runs opens nothing and exits with status 0. One reading of the settings answers all hang-ups within 0.1 s, so that a hang-up each millisecond blocks neither start nor stop. Settings that are not UTF-8 are invalid settings and no failure of a task.

test_settings_are_reloaded_while_serving sets the handlers itself, since parts that are started in a test no longer do; it checks the same.

--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -16,6 +16,8 @@
     counter_readings,
 )
 from cassialever.gateway.settings import GatewaySettings, load_settings
+from cassialever.process_signals import ProcessSignals
+from cassialever.signal_watcher import SignalWatcher
 from cassialever.types import Seconds
 
 #: Time until the load balancer sends no more requests: it checks readiness
@@ -25,6 +27,9 @@
 READINESS_POLL_INTERVAL: Final[Seconds] = 0.05
 #: Part of the grace period that is reserved for closing connections.
 CLOSE_RESERVE: Final[Seconds] = 0.5
+#: Minimum time between two readings of the settings. Hang-ups within it are
+#: answered by one reading, so that no number of them keeps the daemon busy.
+RELOAD_INTERVAL: Final[Seconds] = 0.1
 
 
 class Gateway:
@@ -39,23 +44,36 @@
         )
         self._metrics = MetricsServer(settings, self._readings)
         self._stop_requested = asyncio.Event()
+        self._reload_requested = asyncio.Event()
 
     @property
     def view(self) -> FleetView:
         """Return this daemon's view of its deployment."""
         return self.core.view
 
-    async def run(self) -> bool:
+    async def run(self, signals: ProcessSignals) -> bool:
         """Serve until asked to stop; return false if a part has failed."""
-        await self.start()
-        return await self.core.run_until(self._stop_requested, self.stop)
+        watcher = self.signal_watcher(signals)
+        watcher.start()
+        try:
+            return await self._run_until_stopped()
+        finally:
+            watcher.stop()
+
+    def signal_watcher(self, signals: ProcessSignals) -> SignalWatcher:
+        """Return the watcher that stops this daemon or reloads its settings."""
+        return SignalWatcher(
+            signals,
+            {
+                signal.SIGTERM: self._stop_requested.set,
+                signal.SIGHUP: self._reload_requested.set,
+            },
+        )
 
     async def start(self) -> None:
         """Start every part, the server for callers last."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.core.start()
+        self.core.tasks.start(self._reload_when_requested())
         self.core.tasks.start(self._watch_readiness())
         await self._metrics.start()
         await self.server.start()
@@ -95,6 +113,21 @@
         await self._metrics.stop()
         await self.core.abort()
 
+    async def _run_until_stopped(self) -> bool:
+        if self._stop_requested.is_set():
+            # Nothing is open yet that a stop would have to close.
+            record(Event.stopped, instance=self.settings.instance.instance_id)
+            return True
+        await self.start()
+        return await self.core.run_until(self._stop_requested, self.stop)
+
+    async def _reload_when_requested(self) -> None:
+        while True:
+            await self._reload_requested.wait()
+            self._reload_requested.clear()
+            self.reload()
+            await asyncio.sleep(RELOAD_INTERVAL)
+
     def _readings(self) -> list[Reading]:
         """Return the metrics' current values."""
         configuration = self.view.configuration
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -78,7 +78,7 @@
         raise SettingsError(f'{PATH_VARIABLE} is not set')
     try:
         text = Path(path).read_text(encoding='utf-8')
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f'settings file {path}: {error}') from error
     return parse_settings(text)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from cassialever.gateway.settings import PATH_VARIABLE
+from cassialever.process_signals import ProcessSignals
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import (
     deployment,
@@ -255,6 +256,13 @@
         async with deployment() as system:
             gateway = system.gateways[0]
             await wait_for_keys(gateway)
+            signals = ProcessSignals([signal.SIGHUP])
+            self.addCleanup(
+                signal.signal, signal.SIGHUP, signal.getsignal(signal.SIGHUP)
+            )
+            signals.install()
+            watcher = gateway.signal_watcher(signals)
+            watcher.start()
             with tempfile.NamedTemporaryFile('w', suffix='.jsonc') as file:
                 with mock.patch.dict(os.environ, {PATH_VARIABLE: file.name}):
                     os.kill(os.getpid(), signal.SIGHUP)
@@ -272,6 +280,7 @@
                             gateway.core.store.address == system.store.address
                         ),
                     )
+            watcher.stop()
             response = await send_request(gateway, '/lookup/', LOOKUP_HEADERS)
             self.assertEqual(response.status, 200)
 
