End each task that is cancelled while it connects

Until Python 3.12 `asyncio.wait_for` returns the result if it is cancelled when the result has just come, and the cancellation is lost. The task that seeks a leader connects to one peer after the other, so that it can lose both the cancellation of the stop and that of `asyncio.run`, and then follows a leader for good.

`asyncio.timeout` does not lose it.

--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -27,10 +27,8 @@
     """
     host, port = split_address(address)
     try:
-        return await asyncio.wait_for(
-            asyncio.open_connection(host, port),
-            CONNECT_TIMEOUT,
-        )
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            return await asyncio.open_connection(host, port)
     except ConnectionRefusedError as refusal:
         return Failure(ErrorKind.target_unreachable, repr(refusal))
     except (OSError, asyncio.TimeoutError) as error:
--- a/cassialever/fleet/proof.py
+++ b/cassialever/fleet/proof.py
@@ -75,10 +75,8 @@
     reader: asyncio.StreamReader,
 ) -> messages.Proof | Failure:
     try:
-        message = await asyncio.wait_for(
-            messages.receive(reader, messages.MAX_PROOF_BYTES),
-            PROOF_TIMEOUT,
-        )
+        async with asyncio.timeout(PROOF_TIMEOUT):
+            message = await messages.receive(reader, messages.MAX_PROOF_BYTES)
     except (OSError, EOFError, asyncio.TimeoutError) as error:
         return Failure(ErrorKind.peer_unreachable, repr(error))
     except msgspec.DecodeError as invalid:
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -250,7 +250,8 @@
             if failure is not None:
                 record(Event.link_refused, reason=failure.reason)
                 return
-        hello = await asyncio.wait_for(messages.receive(reader), HELLO_TIMEOUT)
+        async with asyncio.timeout(HELLO_TIMEOUT):
+            hello = await messages.receive(reader)
         if isinstance(hello, messages.Deposed):
             self.on_deposed(hello.term)
             return
