Handle signals of `cassialeverd` from its first line to its last

The daemon with the project's own interface set its handlers in the loop, as the other one did, and none for the hang-up signal, which ended it.

OwnDaemonTest on the code before: status -15 at each of the five moments of the start, and an end at the first hang-up; the test of a second SIGTERM held. Now all 3 pass.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -86,6 +86,15 @@
         """Return the catalogue that this daemon uses."""
         return self.view.index
 
+    async def run(self) -> bool:
+        """Serve until asked to stop; return false if a part has failed."""
+        if self._stop_requested.is_set():
+            # Nothing is open yet that a stop would have to close.
+            record(Event.stopped, instance=self.settings.instance.instance_id)
+            return True
+        await self.start()
+        return await self.run_until_stopped()
+
     async def start(self) -> None:
         """Start every part, the server for callers last."""
         await self.core.start()
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -10,12 +10,15 @@
 from collections.abc import AsyncIterator
 from unittest import mock
 
+import msgspec
+
 from cassialever.gateway.application import Gateway
 from cassialever.gateway.settings import PATH_VARIABLE
 from cassialever.process_signals import ProcessSignals
 from standins.listening import free_ports
 from standins.rowstore import RowStoreServer
 from tests.fleet_helpers import CONFIGURATION, make_settings, settings_text
+from tests.test_telemetry import example_settings
 
 #: The module whose import marks the beginning of the start. Most of the imports
 #: come after it.
@@ -31,6 +34,10 @@
 STORM_INTERVAL = 0.001
 
 
+#: Runs the daemon with the own interface, whose entry point is a script.
+OWN_DAEMON = 'import cassialever.daemon; cassialever.daemon.main()'
+
+
 class StartedProcess:
     """A daemon process, and what it has written so far."""
 
@@ -77,6 +84,46 @@
             self.lines.append(line.decode().rstrip())
 
 
+async def run_python(
+    *arguments: str, **variables: str
+) -> asyncio.subprocess.Process:
+    """Start an interpreter that traces its imports to its output."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-X',
+        'importtime',
+        *arguments,
+        env={**os.environ, **variables},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+
+
+@contextlib.asynccontextmanager
+async def started_own_daemon() -> AsyncIterator[StartedProcess]:
+    """Run a daemon with the project's own interface, without a store."""
+    ports = free_ports(3)
+    settings = example_settings()
+    instance = msgspec.structs.replace(
+        settings.instance,
+        caller_port=ports[0],
+        peer_port=ports[1],
+        operator_port=ports[2],
+    )
+    settings = msgspec.structs.replace(settings, instance=instance)
+    with tempfile.NamedTemporaryFile('wb', suffix='.jsonc') as file:
+        file.write(msgspec.json.encode(settings))
+        file.flush()
+        process = await run_python('-c', OWN_DAEMON, '--settings', file.name)
+        daemon = StartedProcess(process)
+        try:
+            await daemon.wait_for_import(FIRST_IMPORT)
+            yield daemon
+        finally:
+            daemon.send(signal.SIGKILL)
+            await process.wait()
+
+
 @contextlib.asynccontextmanager
 async def started_process() -> AsyncIterator[StartedProcess]:
     """Run a daemon from the first line of its program on."""
@@ -87,15 +134,8 @@
     with tempfile.NamedTemporaryFile('w', suffix='.jsonc') as file:
         file.write(settings_text(store.address, (ports[0], ports[1], ports[2])))
         file.flush()
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-X',
-            'importtime',
-            '-m',
-            'cassialever',
-            env={**os.environ, PATH_VARIABLE: file.name},
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
+        process = await run_python(
+            '-m', 'cassialever', **{PATH_VARIABLE: file.name}
         )
         daemon = StartedProcess(process)
         try:
@@ -185,6 +225,36 @@
             self.assertLessEqual(readings, 11)
 
 
+class OwnDaemonTest(unittest.IsolatedAsyncioTestCase):
+    """The same for the daemon with the project's own interface."""
+
+    async def test_stop_during_the_start_is_no_death_by_signal(self) -> None:
+        for moment in MOMENTS:
+            async with started_own_daemon() as daemon:
+                await asyncio.sleep(moment)
+                daemon.send(signal.SIGTERM)
+                with self.subTest(moment=moment):
+                    self.assertEqual(await daemon.status(), 0, daemon.output())
+                    self.assertIn(' stopped ', daemon.output())
+
+    async def test_hangups_do_not_end_the_process(self) -> None:
+        async with started_own_daemon() as daemon:
+            storm = asyncio.create_task(send_hangups(daemon))
+            await daemon.wait_for_line(' started ')
+            daemon.send(signal.SIGTERM)
+            self.assertEqual(await daemon.status(), 0, daemon.output())
+            storm.cancel()
+
+    async def test_second_stop_signal_ends_the_process_at_once(self) -> None:
+        async with started_own_daemon() as daemon:
+            await daemon.wait_for_line(' started ')
+            daemon.send(signal.SIGTERM)
+            await daemon.wait_for_line(' stopping ')
+            daemon.send(signal.SIGTERM)
+            self.assertEqual(await daemon.status(), 1, daemon.output())
+            self.assertNotIn(' stopped ', daemon.output())
+
+
 async def send_hangups(daemon: StartedProcess) -> None:
     while daemon.process.returncode is None:
         daemon.send(signal.SIGHUP)
