Start the drain on time while the store does not answer

Cause: a leader that was asked to stop waited for the store to take its resignation, and only then for the load balancer. A call that is in progress and its own take 1 s each, and writes that queue at the lease one more each. The drain, whose time limit was counted from its own start, could so end after the process was killed, and the answers that were open then were cut.

Without RESIGN_TIMEOUT the test of writes that wait fails, without the resignation that of a slow store does. The other tests of the new module hold on the old code.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -102,8 +102,11 @@
         """
         record(Event.stopping, instance=self.settings.instance.instance_id)
         self.view.is_stopping = True
-        await self.core.membership.resign()
-        await asyncio.sleep(self.settings.stop.unready_for)
+        # The store may take as long to answer as the balancer to notice.
+        await asyncio.gather(
+            self.core.membership.resign(),
+            asyncio.sleep(self.settings.stop.unready_for),
+        )
         await self.caller_server.drain(self.settings.stop.longest)
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -104,8 +104,10 @@
     async def resign(self) -> None:
         """Release the lease so that another daemon can take over."""
         self._is_resigning = True
-        await self._renew(is_resigned=True)
-        self._ended.set()
+        try:
+            await self._renew(is_resigned=True)
+        finally:
+            self._ended.set()
 
     async def commit(
         self,
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -32,7 +32,7 @@
     ignore_changes,
 )
 from cassialever.interfaces import RandomSource
-from cassialever.platform.store import StoreClient
+from cassialever.platform.store import CALL_TIMEOUT, StoreClient
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import Seconds
 
@@ -56,6 +56,9 @@
 #: after it the store is followed directly. Together with LEADER_TIMEOUT this
 #: stays within the 2.5 s for changes of the configuration.
 FALLBACK_DELAY: Final[Seconds] = 0.6
+#: Time limit for resigning: a call to the store that is in progress, then one
+#: of its own, each of which ends after at most CALL_TIMEOUT.
+RESIGN_TIMEOUT: Final[Seconds] = 2 * CALL_TIMEOUT
 #: Time between checks whether the link still relays the store's changes.
 WATCH_INTERVAL: Final[Seconds] = 0.2
 
@@ -142,10 +145,19 @@
             self._direct_follower.stop()
 
     async def resign(self) -> None:
-        """Step down so that another daemon can take over at once."""
+        """Step down so that another daemon can take over at once.
+
+        Takes at most `RESIGN_TIMEOUT`; the lease then lapses instead.
+        """
         self._is_stopping = True
-        if self.leader_term is not None:
-            await self.leader_term.resign()
+        if self.leader_term is None:
+            return
+        try:
+            async with asyncio.timeout(RESIGN_TIMEOUT):
+                await self.leader_term.resign()
+        except TimeoutError:
+            record(Event.resign_late, timeout=RESIGN_TIMEOUT)
+        finally:
             self._relay.disconnect_followers()
 
     async def _seek_once(self) -> None:
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -80,8 +80,11 @@
         """Stop gracefully: become unready, finish open requests, close."""
         record(Event.stopping, instance=self.settings.instance.instance_id)
         self.server.is_stopping = True
-        await self.core.membership.resign()
-        await asyncio.sleep(BALANCER_DRAIN_TIME)
+        # The store may take as long to answer as the balancer to notice.
+        await asyncio.gather(
+            self.core.membership.resign(),
+            asyncio.sleep(BALANCER_DRAIN_TIME),
+        )
         grace = (
             self.settings.bounds.grace_s - BALANCER_DRAIN_TIME - CLOSE_RESERVE
         )
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -128,6 +128,8 @@
         self.error_status: int | None = None
         #: Commit transactions without answering them.
         self.drops_responses = False
+        #: Delay of every call, in seconds.
+        self.call_delay: float = 0
         self._changed = asyncio.Event()
         self._listener = Listener()
 
@@ -171,6 +173,7 @@
         )
         if self.error_status is not None:
             return web.Response(status=self.error_status)
+        await asyncio.sleep(self.call_delay)
         response: web.StreamResponse = await handler(request)
         if self.drops_responses and request.method == 'POST':
             if request.transport is not None:
--- /dev/null
+++ b/tests/test_stop_moments.py
@@ -0,0 +1,227 @@
+"""Tests of a planned stop, from its signal to the end of the process."""
+
+import asyncio
+import base64
+import os
+import signal
+import unittest
+from collections.abc import Awaitable, Callable
+from unittest import mock
+
+import aiohttp
+import msgspec
+
+from cassialever.exceptions import InvariantError
+from cassialever.fleet.lease import (
+    EMPTY_TRANSACTION,
+    LEASE_ROW,
+    LEASE_TABLE,
+    Lease,
+)
+from cassialever.fleet.membership import MemberState
+from cassialever.gateway.application import BALANCER_DRAIN_TIME, Gateway
+from tests.fleet_helpers import (
+    CONFIGURATION,
+    ROUTES,
+    Deployment,
+    deployment,
+    until,
+)
+from tests.gateway_helpers import (
+    ISSUE_HEADERS,
+    send_request,
+    wait_for_keys,
+)
+
+#: Time from the signal to the kill, as in the settings of the tests.
+GRACE = 6.0
+#: What a busy computer may add to a wait, in seconds.
+SLACK = 0.5
+#: Longer than any stop that works, in seconds.
+STOP_TIMEOUT = 3 * GRACE
+#: Service time of a request that is open until the drain has begun.
+LONG_SERVICE_TIME = BALANCER_DRAIN_TIME + 0.5
+#: Time between two signals of a series, in seconds.
+SIGNAL_INTERVAL = 0.02
+
+
+def run_until_stopped(gateway: Gateway) -> asyncio.Task[bool]:
+    """Do what `Gateway.run` does after the start."""
+    return asyncio.create_task(
+        gateway.core.run_until(
+            gateway._stop_requested,
+            gateway.stop,
+        )
+    )
+
+
+def request_stop(gateway: Gateway) -> None:
+    """Do what the handler of SIGTERM does."""
+    gateway._stop_requested.set()
+
+
+async def open_request(
+    system: Deployment, service_time: float
+) -> asyncio.Task[aiohttp.ClientResponse]:
+    """Send a request that may run once, and wait until it runs."""
+    gateway = system.gateways[0]
+    target = system.targets[-1]
+    target.faults.service_time = service_time
+    await until(lambda: gateway.server.is_ready)
+    pending = asyncio.create_task(
+        send_request(
+            gateway,
+            '/issue/',
+            {**ISSUE_HEADERS, 'Deadline-Ms': '9000'},
+            method='POST',
+        )
+    )
+    await until(lambda: bool(target.executed_ids))
+    return pending
+
+
+async def extend_route(system: Deployment) -> None:
+    """Let requests that may run once take longer than a stop."""
+    route = {**ROUTES['r-issue'], 'timeout_ms': 9000}
+    routes = {**ROUTES, 'r-issue': route}
+    system.store.put(
+        'op', 'config', {**CONFIGURATION, 'version': 'r8', 'routes': routes}
+    )
+    view = system.gateways[0].view
+    await until(
+        lambda: (
+            view.configuration is not None and view.configuration.version == 8
+        )
+    )
+
+
+async def raise_fault(*_: object) -> None:
+    """Fail as a part with a fault does."""
+    raise InvariantError('a part has a fault')
+
+
+class StopCase(unittest.IsolatedAsyncioTestCase):
+    """A daemon that leads, with a request that runs until it drains."""
+
+    async def assert_answered(
+        self,
+        system: Deployment,
+        after_signal: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Assert that an open request is answered and the daemon stops."""
+        gateway = system.gateways[0]
+        pending = await open_request(system, LONG_SERVICE_TIME)
+        running = run_until_stopped(gateway)
+        request_stop(gateway)
+        await until(lambda: gateway.server.is_stopping)
+        await after_signal()
+        response = await asyncio.wait_for(pending, STOP_TIMEOUT)
+        self.assertEqual(response.status, 200)
+        self.assertTrue(await asyncio.wait_for(running, STOP_TIMEOUT))
+
+
+class ResignTest(StopCase):
+    """A leader that stops while the store does not do its part."""
+
+    async def drain_delay(self, system: Deployment) -> float:
+        """Return the time from the signal to the start of the drain."""
+        gateway = system.gateways[0]
+        loop = asyncio.get_running_loop()
+        started: list[float] = []
+
+        async def note_drain(timeout: float) -> None:
+            started.append(loop.time())
+
+        with mock.patch.object(gateway.server, 'drain', note_drain):
+            stopped_at = loop.time()
+            async with asyncio.timeout(STOP_TIMEOUT):
+                await gateway.stop()
+        return started[0] - stopped_at
+
+    async def test_store_that_hangs_does_not_delay_the_drain(self) -> None:
+        async with deployment() as system:
+            await wait_for_keys(system.gateways[0])
+            system.store.call_delay = 60
+            # A renewal of the lease is in progress by then.
+            await asyncio.sleep(SLACK)
+            delay = await self.drain_delay(system)
+        self.assertLess(delay, BALANCER_DRAIN_TIME + SLACK)
+
+    async def test_writes_that_wait_do_not_delay_the_drain(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            system.store.call_delay = 60
+            term = gateway.core.membership.leader_term
+            assert term is not None
+            writes = [
+                asyncio.create_task(term.commit(EMPTY_TRANSACTION))
+                for _ in range(4)
+            ]
+            await asyncio.sleep(0)
+            delay = await self.drain_delay(system)
+            # The store's session is closed by now.
+            await asyncio.gather(*writes, return_exceptions=True)
+        self.assertLess(delay, BALANCER_DRAIN_TIME + SLACK)
+
+    async def test_slow_store_still_gets_the_resignation(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            self.assertIs(gateway.core.membership.state, MemberState.leading)
+            system.store.call_delay = 0.5
+            await gateway.stop()
+            row = system.store.rows.row_by_name[LEASE_TABLE, LEASE_ROW]
+        assert row.value is not None
+        lease = msgspec.msgpack.decode(base64.b64decode(row.value), type=Lease)
+        self.assertTrue(lease.is_resigned)
+
+
+class FailingPartTest(StopCase):
+    """A part that fails while the daemon stops."""
+
+    async def test_failed_background_task_does_not_cut_answers(self) -> None:
+        async with deployment() as system:
+            await extend_route(system)
+
+            async def fail() -> None:
+                system.gateways[0].core.tasks.start(raise_fault())
+
+            await self.assert_answered(system, fail)
+
+
+class SignalTest(StopCase):
+    """Signals before and during a stop."""
+
+    async def test_signal_before_the_daemon_listens_stops_it(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await gateway.abort()
+            changed = Gateway(gateway.settings)
+            system.gateways[0] = changed
+            start = changed.core.start
+
+            async def start_slowly() -> None:
+                os.kill(os.getpid(), signal.SIGTERM)
+                await asyncio.sleep(0.1)
+                await start()
+
+            with mock.patch.object(changed.core, 'start', start_slowly):
+                self.assertTrue(
+                    await asyncio.wait_for(changed.run(), STOP_TIMEOUT)
+                )
+
+    async def test_further_signals_do_not_cut_answers(self) -> None:
+        async with deployment() as system:
+            await extend_route(system)
+
+            async def send_more() -> None:
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                    os.kill(os.getpid(), number)
+                    await asyncio.sleep(SIGNAL_INTERVAL)
+
+            await self.assert_answered(system, send_more)
+
+
+if __name__ == '__main__':
+    unittest.main()
