Finish a stop although one of its steps fails

Cause: an exception in the resignation, in the drain or in the stop of any part left Gateway.stop: the process ended at once with every open answer cut, or without stopping the parts behind the one that failed.

Change: each step's failure is logged (event 110) and the next step is taken. The same in the daemon of the project's own interface and in the core.

Measured: tests.test_stop_moments, the tests of a resignation, a drain and each of four parts that fail: all failed on the code before (InvariantError out of run_until or abort; the request that was open got no answer), all hold now.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -18,6 +18,7 @@
 from cassialever.operators.api import OperatorApi
 from cassialever.operators.daemon_view import DaemonView
 from cassialever.settings import Settings, store_address
+from cassialever.tasks import log_failure
 from cassialever.telemetry.gauges import StatusGauges
 from cassialever.telemetry.metrics import SERVICE
 from cassialever.telemetry.telemetry import Telemetry
@@ -104,17 +105,19 @@
         self.view.is_stopping = True
         # The store may take as long to answer as the balancer to notice.
         await asyncio.gather(
-            self.core.membership.resign(),
+            log_failure('resign', self.core.membership.resign()),
             asyncio.sleep(self.settings.stop.unready_for),
         )
-        await self.caller_server.drain(self.settings.stop.longest)
+        await log_failure(
+            'drain', self.caller_server.drain(self.settings.stop.longest)
+        )
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
 
     async def abort(self) -> None:
         """Close everything immediately, without notifying anyone."""
         for part in reversed(self._servers()):
-            await part.stop()
+            await log_failure(type(part).__name__, part.stop())
         await self.core.abort()
         self.telemetry.stop()
 
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -30,6 +30,7 @@
         logbook.ERROR,
         'A connection of a caller could not be accepted.',
     )
+    stop_failed = (110, logbook.ERROR, 'A step of the stop has failed.')
     task_failed = (104, logbook.ERROR, 'A background task has failed.')
 
     # Request path.
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -16,6 +16,7 @@
     counter_readings,
 )
 from cassialever.gateway.settings import GatewaySettings, load_settings
+from cassialever.tasks import log_failure
 from cassialever.types import Seconds
 
 #: Time until the load balancer sends no more requests: it checks readiness
@@ -82,20 +83,20 @@
         self.server.is_stopping = True
         # The store may take as long to answer as the balancer to notice.
         await asyncio.gather(
-            self.core.membership.resign(),
+            log_failure('resign', self.core.membership.resign()),
             asyncio.sleep(BALANCER_DRAIN_TIME),
         )
         grace = (
             self.settings.bounds.grace_s - BALANCER_DRAIN_TIME - CLOSE_RESERVE
         )
-        await self.server.drain(grace)
+        await log_failure('drain', self.server.drain(grace))
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
 
     async def abort(self) -> None:
         """Close everything immediately, without notifying anyone."""
-        await self.server.stop()
-        await self._metrics.stop()
+        await log_failure('callers', self.server.stop())
+        await log_failure('metrics', self._metrics.stop())
         await self.core.abort()
 
     def _readings(self) -> list[Reading]:
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -29,7 +29,7 @@
 from cassialever.platform.store import StoreClient
 from cassialever.platform.targets import TargetClient
 from cassialever.policy.loads import LoadTracker
-from cassialever.tasks import BackgroundTasks
+from cassialever.tasks import BackgroundTasks, log_failure
 from cassialever.types import MS_PER_SECOND
 
 #: Samples of the number of daemons, of which the largest is used: those of
@@ -153,7 +153,7 @@
             self._sender,
             self.store,
         ):
-            await part.stop()
+            await log_failure(type(part).__name__, part.stop())
 
     async def run_until(
         self,
--- a/cassialever/tasks.py
+++ b/cassialever/tasks.py
@@ -1,7 +1,7 @@
 """Background tasks that log their failures."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from cassialever.events import Event, record
@@ -35,3 +35,11 @@
             record(Event.task_failed, reason=repr(task.exception()))
             if self._on_failure is not None:
                 self._on_failure()
+
+
+async def log_failure(step: str, work: Awaitable[None]) -> None:
+    """Await a step of a stop; log its failure, so that the rest is done."""
+    try:
+        await work
+    except Exception as error:
+        record(Event.stop_failed, step=step, reason=repr(error))
--- a/tests/test_stop_moments.py
+++ b/tests/test_stop_moments.py
@@ -100,6 +100,10 @@
     raise InvariantError('a part has a fault')
 
 
+async def add_no_fault() -> None:
+    """Let the stop go on."""
+
+
 class StopCase(unittest.IsolatedAsyncioTestCase):
     """A daemon that leads, with a request that runs until it drains."""
 
@@ -176,6 +180,15 @@
         lease = msgspec.msgpack.decode(base64.b64decode(row.value), type=Lease)
         self.assertTrue(lease.is_resigned)
 
+    async def test_failed_resignation_does_not_end_the_stop(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            await extend_route(system)
+            membership = gateway.core.membership
+            with mock.patch.object(membership, 'resign', raise_fault):
+                await self.assert_answered(system, add_no_fault)
+
 
 class FailingPartTest(StopCase):
     """A part that fails while the daemon stops."""
@@ -189,6 +202,35 @@
 
             await self.assert_answered(system, fail)
 
+    async def test_part_that_fails_to_stop_does_not_keep_others(self) -> None:
+        """Each part in turn; the session to the targets is the witness."""
+        for find_part in (
+            lambda gateway: gateway.server,
+            lambda gateway: gateway._metrics,
+            lambda gateway: gateway.core._relay,
+            lambda gateway: gateway.core._target_client,
+        ):
+            async with deployment() as system:
+                gateway = system.gateways[0]
+                await until(lambda: gateway.server.is_ready)
+                part = find_part(gateway)
+                with (
+                    self.subTest(part=type(part).__name__),
+                    mock.patch.object(part, 'stop', raise_fault),
+                ):
+                    await gateway.abort()
+                    self.assertTrue(gateway.core._sender._session.closed)
+                    self.assertTrue(gateway.core.store._session.closed)
+                await gateway.abort()
+
+    async def test_failed_drain_does_not_keep_parts_from_stopping(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await until(lambda: gateway.server.is_ready)
+            with mock.patch.object(gateway.server, 'drain', raise_fault):
+                await gateway.stop()
+            self.assertTrue(gateway.core._sender._session.closed)
+
 
 class SignalTest(StopCase):
     """Signals before and during a stop."""
