Count the grace period of a stop from its signal

Cause: the drain's time limit was the grace period less the planned wait for the load balancer. If the loop was late in that wait, the drain ended after the kill, and answers that were open then were cut.

Change: the drain gets what is left until CLOSE_RESERVE before the grace ends.

--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -80,16 +80,20 @@
     async def stop(self) -> None:
         """Stop gracefully: become unready, finish open requests, close."""
         record(Event.stopping, instance=self.settings.instance.instance_id)
+        close_at = (
+            self.core.clock.monotonic()
+            + self.settings.bounds.grace_s
+            - CLOSE_RESERVE
+        )
         self.server.is_stopping = True
         # The store may take as long to answer as the balancer to notice.
         await asyncio.gather(
             log_failure('resign', self.core.membership.resign()),
             asyncio.sleep(BALANCER_DRAIN_TIME),
         )
-        grace = (
-            self.settings.bounds.grace_s - BALANCER_DRAIN_TIME - CLOSE_RESERVE
-        )
-        await log_failure('drain', self.server.drain(grace))
+        # The time that is left, as the loop may be late.
+        timeout = max(0, close_at - self.core.clock.monotonic())
+        await log_failure('drain', self.server.drain(timeout))
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
 
--- a/tests/test_stop_moments.py
+++ b/tests/test_stop_moments.py
@@ -4,6 +4,7 @@
 import base64
 import os
 import signal
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -232,6 +233,26 @@
             self.assertTrue(gateway.core._sender._session.closed)
 
 
+class TimeTest(StopCase):
+    """The grace period is kept, also by a daemon that is late."""
+
+    async def test_late_loop_leaves_less_time_for_the_drain(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await until(lambda: gateway.server.is_ready)
+            drain = mock.AsyncMock()
+            with mock.patch.object(gateway.server, 'drain', drain):
+                started_at = time.monotonic()
+                stopping = asyncio.create_task(gateway.stop())
+                await asyncio.sleep(0.1)
+                time.sleep(BALANCER_DRAIN_TIME + 1)
+                while not drain.called:
+                    await asyncio.sleep(0.01)
+                begun = time.monotonic() - started_at
+                await stopping
+            self.assertLess(begun + drain.call_args.args[0], GRACE)
+
+
 class SignalTest(StopCase):
     """Signals before and during a stop."""
 
