--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -18,6 +18,7 @@
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.process_signals import ProcessSignals
 from cassialever.signal_watcher import SignalWatcher
+from cassialever.tasks import log_failure
 from cassialever.types import Seconds
 
 #: Largest share of the grace period in which requests are still accepted; the
@@ -101,16 +102,21 @@
         grace = self.settings.bounds.grace_s
         answered_by = self.core.clock.monotonic() + grace - CLOSE_RESERVE
         self.server.answers_until = answered_by
-        await self.core.hand_over()
-        await self.server.wait_until_taken_out(grace * ACCEPTING_SHARE)
-        await self.server.drain(answered_by - self.core.clock.monotonic())
+        # The store may take as long to answer as the balancer to notice.
+        await asyncio.gather(
+            log_failure('resign', self.core.hand_over()),
+            self.server.wait_until_taken_out(grace * ACCEPTING_SHARE),
+        )
+        # The time that is left, as the loop may be late.
+        timeout = max(0, answered_by - self.core.clock.monotonic())
+        await log_failure('drain', self.server.drain(timeout))
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
 
     async def abort(self) -> None:
         """Close everything immediately, without notifying anyone."""
-        await self.server.stop()
-        await self._metrics.stop()
+        await log_failure('callers', self.server.stop())
+        await log_failure('metrics', self._metrics.stop())
         await self.core.abort()
 
     async def _run_until_stopped(self) -> bool:
