Wait for the 504 of a request whose time limit a stop has cut

Callers saw a closed connection in place of the 504: the limit was the end of the drain, but the answer comes up to RESPONSE_MARGIN (0.15 s) after it, so that the drain always ended first (answers_unsent) and only the time for cancelling left it a chance.

--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -15,6 +15,7 @@
     Reading,
     counter_readings,
 )
+from cassialever.gateway.sender import RESPONSE_MARGIN
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.types import Seconds
 
@@ -25,6 +26,9 @@
 READINESS_POLL_INTERVAL: Final[Seconds] = 0.05
 #: Part of the grace period that is reserved for closing connections.
 CLOSE_RESERVE: Final[Seconds] = 0.5
+#: Part of the grace period that is reserved for answering requests whose time
+#: limit a stop has cut; the answer of a target may come RESPONSE_MARGIN late.
+TIMEOUT_ANSWER_RESERVE: Final[Seconds] = 2 * RESPONSE_MARGIN
 
 
 class Gateway:
@@ -83,7 +87,8 @@
         grace = self.settings.bounds.grace_s
         began_at = self.core.clock.monotonic()
         answered_by = began_at + grace - CLOSE_RESERVE
-        self.server.answers_until = answered_by
+        # The 504 comes later than the time limit of its request.
+        self.server.answers_until = answered_by - TIMEOUT_ANSWER_RESERVE
         await self.core.membership.resign()
         # The store may take long to confirm that.
         waited = self.core.clock.monotonic() - began_at
