Treat unsent bytes that are not known like unsent ones

Where the system does not tell, a connection was closed 1 to 1.5 s after its answer was written, and reset if its caller had sent a request: a slow caller lost the rest of the answer.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -96,7 +96,9 @@
         if unsent_bytes != self._unsent_bytes:
             self._unchanged_for = 0
         self._unsent_bytes = unsent_bytes
-        timeout = STALL_TIMEOUT if unsent_bytes else LINGER_TIME
+        # They are not known on all systems.
+        has_received_all = unsent_bytes == 0
+        timeout = LINGER_TIME if has_received_all else STALL_TIMEOUT
         if self._unchanged_for >= timeout:
             self._transport.close()
             return
