End the connection of a caller that stops reading

The transport's `close` waits until its buffer is sent, without a limit: a caller that stopped reading kept its connection, its descriptor and up to 64 KiB, and held each drain until its time limit.

Measured: test_caller_that_stops_reading_does_not_keep_its_connection (open after 7 s before; STALL_TIMEOUT is 5 s) holds.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -100,7 +100,8 @@
         has_received_all = unsent_bytes == 0
         timeout = LINGER_TIME if has_received_all else STALL_TIMEOUT
         if self._unchanged_for >= timeout:
-            self._transport.close()
+            # `close` would wait until everything has been sent.
+            self._transport.abort()
             return
         self._check_later()
 
