Don't take a blank line for the begin of a request

Some callers send a line end behind a request. The connection then counted as one that has received a part of a request, and a drain waited for the rest until its time limit.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -152,7 +152,11 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         super().data_received(data)
-        self._awaits_rest = bool(data) and self._awaits_request()
+        if not self._awaits_request():
+            self._awaits_rest = False
+        elif data.strip():
+            # Blank lines may stand before a request.
+            self._awaits_rest = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Remove the connection from the open ones."""
