Answer a request that was received in part behind another

A connection counted as idle after the answer to its first request, although a part of the next had come with it: the parser holds it, and only bytes that complete no request were looked at. A drain closed it. What follows a body is still not known.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -16,6 +16,7 @@
 from typing import Any, Final, TypeAlias, cast
 
 from aiohttp import web
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from cassialever.events import Event, record
 from cassialever.types import Seconds
@@ -36,6 +37,8 @@
 DRAIN_POLL_INTERVAL: Final[Seconds] = 0.02
 #: How long cancelled requests may take to end.
 CANCEL_TIMEOUT: Final[Seconds] = 0.1
+#: What the head of a request ends with.
+HEAD_END: Final = b'\r\n\r\n'
 _INT: Final = struct.Struct('i')
 
 RequestHandler: TypeAlias = Callable[
@@ -125,7 +128,12 @@
 class CallerConnection(web.RequestHandler):
     """The connection of one caller."""
 
-    __slots__ = ('_awaits_rest', '_connections', '_plain_transport')
+    __slots__ = (
+        '_awaits_rest',
+        '_connections',
+        '_last_bytes',
+        '_plain_transport',
+    )
 
     def __init__(
         self,
@@ -139,6 +147,7 @@
         self._plain_transport: asyncio.Transport | None = None
         #: Whether a part of a request has been received.
         self._awaits_rest = False
+        self._last_bytes = b''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to the open ones."""
@@ -151,9 +160,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
+        received_before = self._request_count
         super().data_received(data)
-        if not self._awaits_request():
-            self._awaits_rest = False
+        self._last_bytes = (self._last_bytes + data)[-len(HEAD_END) :]
+        if self._request_count > received_before:
+            payload = self._messages[-1][1]
+            # Where a body ends, and what follows it, is not known here.
+            self._awaits_rest = (
+                payload is EMPTY_PAYLOAD and self._last_bytes != HEAD_END
+            )
+        elif not self._awaits_request():
+            return
         elif data.strip():
             # Blank lines may stand before a request.
             self._awaits_rest = True
