Accept what waits when a drain begins without descriptors

A failure to accept at the begin of a drain was not tried again: the listening socket was closed and every connection in its queue reset.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -232,14 +232,20 @@
         name = listening.getsockname()
         return name[0], name[1]
 
-    async def stop_listening(self) -> None:
-        """Stop listening; connections that wait are still accepted."""
+    async def stop_listening(self, timeout: Seconds = 0) -> None:
+        """Stop listening; connections that wait are still accepted.
+
+        If that fails, it is tried again until the timeout.
+        """
         listening = self._socket
         if listening is None:
             return
         self._socket = None
-        asyncio.get_running_loop().remove_reader(listening)
-        self._accept(listening)
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(listening)
+        ends_at = loop.time() + timeout
+        while not self._accept(listening) and loop.time() < ends_at:
+            await asyncio.sleep(ACCEPT_RETRY_DELAY)
         listening.close()
         if self._accepting:
             await asyncio.wait(self._accepting)
@@ -252,11 +258,11 @@
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + timeout
-        await self.stop_listening()
+        self._close_idle()
+        await self.stop_listening(timeout)
         while self.connections and loop.time() < ends_at:
             # Not in one pass: a connection may become idle later.
-            for connection in list(self.connections):
-                connection.close_if_idle()
+            self._close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         if self.connections:
             record(Event.answers_unsent, connections=len(self.connections))
@@ -269,24 +275,28 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def _close_idle(self) -> None:
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
     def _accept_from_now(self) -> None:
         if self._socket is not None:
             asyncio.get_running_loop().add_reader(
                 self._socket, self._accept, self._socket
             )
 
-    def _accept(self, listening: socket.socket) -> None:
-        """Accept every connection that waits."""
+    def _accept(self, listening: socket.socket) -> bool:
+        """Accept every connection that waits; return false on a failure."""
         while True:
             try:
                 accepted = listening.accept()[0]
             except BlockingIOError:
-                return
+                return True
             except ConnectionAbortedError:
                 continue
             except OSError as error:
                 self._retry_accepting(error)
-                return
+                return False
             accepted.setblocking(False)
             self.accepted_at = asyncio.get_running_loop().time()
             task = asyncio.create_task(self._connect(accepted))
