--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -15,6 +15,7 @@
     Reading,
     counter_readings,
 )
+from cassialever.gateway.sender import RESPONSE_MARGIN
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.process_signals import ProcessSignals
 from cassialever.signal_watcher import SignalWatcher
@@ -31,6 +32,9 @@
 #: Minimum time between two readings of the settings. Hang-ups within it are
 #: answered by one reading, so that no number of them keeps the daemon busy.
 RELOAD_INTERVAL: Final[Seconds] = 0.1
+#: Part of the grace period that is reserved for answering requests whose time
+#: limit a stop has cut; the answer of a target may come RESPONSE_MARGIN late.
+TIMEOUT_ANSWER_RESERVE: Final[Seconds] = 2 * RESPONSE_MARGIN
 
 
 class Gateway:
@@ -101,7 +105,8 @@
         self.server.is_stopping = True
         grace = self.settings.bounds.grace_s
         answered_by = self.core.clock.monotonic() + grace - CLOSE_RESERVE
-        self.server.answers_until = answered_by
+        # The 504 comes later than the time limit of its request.
+        self.server.answers_until = answered_by - TIMEOUT_ANSWER_RESERVE
         # The store may take as long to answer as the balancer to notice.
         await asyncio.gather(
             log_failure('resign', self.core.hand_over()),
--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -16,6 +16,7 @@
 from typing import Any, Final, TypeAlias, cast
 
 from aiohttp import web
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from cassialever.events import Event, record
 from cassialever.types import Seconds
@@ -36,6 +37,8 @@
 DRAIN_POLL_INTERVAL: Final[Seconds] = 0.02
 #: How long cancelled requests may take to end.
 CANCEL_TIMEOUT: Final[Seconds] = 0.1
+#: What the head of a request ends with.
+HEAD_END: Final = b'\r\n\r\n'
 _INT: Final = struct.Struct('i')
 
 RequestHandler: TypeAlias = Callable[
@@ -96,9 +99,12 @@
         if unsent_bytes != self._unsent_bytes:
             self._unchanged_for = 0
         self._unsent_bytes = unsent_bytes
-        timeout = STALL_TIMEOUT if unsent_bytes else LINGER_TIME
+        # They are not known on all systems.
+        has_received_all = unsent_bytes == 0
+        timeout = LINGER_TIME if has_received_all else STALL_TIMEOUT
         if self._unchanged_for >= timeout:
-            self._transport.close()
+            # `close` would wait until everything has been sent.
+            self._transport.abort()
             return
         self._check_later()
 
@@ -122,7 +128,12 @@
 class CallerConnection(web.RequestHandler):
     """The connection of one caller."""
 
-    __slots__ = ('_awaits_rest', '_connections', '_plain_transport')
+    __slots__ = (
+        '_awaits_rest',
+        '_connections',
+        '_last_bytes',
+        '_plain_transport',
+    )
 
     def __init__(
         self,
@@ -136,6 +147,7 @@
         self._plain_transport: asyncio.Transport | None = None
         #: Whether a part of a request has been received.
         self._awaits_rest = False
+        self._last_bytes = b''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to the open ones."""
@@ -148,8 +160,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
+        received_before = self._request_count
         super().data_received(data)
-        self._awaits_rest = bool(data) and self._awaits_request()
+        self._last_bytes = (self._last_bytes + data)[-len(HEAD_END) :]
+        if self._request_count > received_before:
+            payload = self._messages[-1][1]
+            # Where a body ends, and what follows it, is not known here.
+            self._awaits_rest = (
+                payload is EMPTY_PAYLOAD and self._last_bytes != HEAD_END
+            )
+        elif not self._awaits_request():
+            return
+        elif data.strip():
+            # Blank lines may stand before a request.
+            self._awaits_rest = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Remove the connection from the open ones."""
@@ -208,14 +232,20 @@
         name = listening.getsockname()
         return name[0], name[1]
 
-    async def stop_listening(self) -> None:
-        """Stop listening; connections that wait are still accepted."""
+    async def stop_listening(self, timeout: Seconds = 0) -> None:
+        """Stop listening; connections that wait are still accepted.
+
+        If that fails, it is tried again until the timeout.
+        """
         listening = self._socket
         if listening is None:
             return
         self._socket = None
-        asyncio.get_running_loop().remove_reader(listening)
-        self._accept(listening)
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(listening)
+        ends_at = loop.time() + timeout
+        while not self._accept(listening) and loop.time() < ends_at:
+            await asyncio.sleep(ACCEPT_RETRY_DELAY)
         listening.close()
         if self._accepting:
             await asyncio.wait(self._accepting)
@@ -228,11 +258,11 @@
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + timeout
-        await self.stop_listening()
+        self._close_idle()
+        await self.stop_listening(timeout)
         while self.connections and loop.time() < ends_at:
             # Not in one pass: a connection may become idle later.
-            for connection in list(self.connections):
-                connection.close_if_idle()
+            self._close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         if self.connections:
             record(Event.answers_unsent, connections=len(self.connections))
@@ -245,24 +275,28 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def _close_idle(self) -> None:
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
     def _accept_from_now(self) -> None:
         if self._socket is not None:
             asyncio.get_running_loop().add_reader(
                 self._socket, self._accept, self._socket
             )
 
-    def _accept(self, listening: socket.socket) -> None:
-        """Accept every connection that waits."""
+    def _accept(self, listening: socket.socket) -> bool:
+        """Accept every connection that waits; return false on a failure."""
         while True:
             try:
                 accepted = listening.accept()[0]
             except BlockingIOError:
-                return
+                return True
             except ConnectionAbortedError:
                 continue
             except OSError as error:
                 self._retry_accepting(error)
-                return
+                return False
             accepted.setblocking(False)
             self.accepted_at = asyncio.get_running_loop().time()
             task = asyncio.create_task(self._connect(accepted))
