Pass requests on through daemons that reach their targets

A daemon that lost its paths to all targets refused its callers, though other daemons reached the same targets.

- The first daemon chooses the target and counts the attempt, the retry budget, the permit, the key and the open request.
Its room, which it reports, counts what it carries.
Bodies above 64 KiB are copied in chunks; one that breaks off resets the link.
A repeatable request that hangs on a path known to be down is given up after at most 0.3 s and retried.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -112,13 +112,21 @@
         """
         record(Event.stopping, instance=self.settings.instance.instance_id)
         self.view.is_stopping = True
+        hop_server = self.core.exchanges.hop_server
+        hop_server.announce_stop(
+            self.core.clock.monotonic()
+            + self.settings.stop.unready_for
+            + self.settings.stop.longest
+        )
         # The store may take as long to answer as the balancer to notice.
         await asyncio.gather(
             log_failure('resign', self.core.hand_over()),
             asyncio.sleep(self.settings.stop.unready_for),
         )
-        await log_failure(
-            'drain', self.caller_server.drain(self.settings.stop.longest)
+        longest = self.settings.stop.longest
+        await asyncio.gather(
+            log_failure('drain', self.caller_server.drain(longest)),
+            log_failure('drain of carried requests', hop_server.drain(longest)),
         )
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -37,6 +37,18 @@
     request_refused = (201, logbook.INFO, 'A request was refused.')
     attempt_failed = (202, logbook.INFO, 'A target did not serve a request.')
 
+    helper_failed = (204, logbook.INFO, 'A helper did not pass a request on.')
+    carrying_refused = (
+        205,
+        logbook.INFO,
+        'A request of another daemon was refused.',
+    )
+    carrying_failed = (
+        206,
+        logbook.INFO,
+        'A request of another daemon got no whole answer.',
+    )
+
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
     link_rubbish = (303, logbook.ERROR, 'A peer sent an invalid message.')
--- a/cassialever/fleet/path_reports.py
+++ b/cassialever/fleet/path_reports.py
@@ -1,5 +1,6 @@
 """Report this daemon's paths to the targets, and keep what others report."""
 
+from collections.abc import Callable
 from typing import Final
 
 from cassialever.clock import SystemClock
@@ -33,11 +34,14 @@
         self._clock = clock
         #: Set once this daemon takes no more requests of others.
         self.is_stopping = False
+        #: Returns the number of requests that are carried for others now.
+        self.count_carried: Callable[[], int] = int
 
     def describe(self, open_by_target: dict[str, int]) -> OpenRequests:
         """Return the report of this daemon; no targets if it is cut off."""
         now = self._clock.monotonic()
-        room = self._capacity - sum(open_by_target.values())
+        own_requests = sum(open_by_target.values())
+        room = self._capacity - own_requests - self.count_carried()
         is_cut_off = self._paths.is_cut_off(now)
         down = [] if is_cut_off else self._paths.direct.down(now)
         return OpenRequests(
--- a/cassialever/fleet/proof.py
+++ b/cassialever/fleet/proof.py
@@ -33,6 +33,17 @@
     connector = b'connector'
 
 
+def keyed_hash(key: str, text: str) -> str:
+    """Return the keyed hash of a text, in hexadecimal digits."""
+    return hmac.digest(key.encode(), text.encode(), hashlib.sha256).hex()
+
+
+def is_keyed_hash(answer: str, key: str, text: str) -> bool:
+    """Return whether an answer is the keyed hash of a text."""
+    expected = keyed_hash(key, text).encode()
+    return hmac.compare_digest(answer.encode(errors='replace'), expected)
+
+
 async def prove_as_acceptor(
     streams: Streams,
     key: str,
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -14,6 +14,7 @@
     MetricsServer,
     Reading,
     counter_readings,
+    hop_readings,
 )
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.process_signals import ProcessSignals
@@ -102,6 +103,8 @@
         grace = self.settings.bounds.grace_s
         answered_by = self.core.clock.monotonic() + grace - CLOSE_RESERVE
         self.server.answers_until = answered_by
+        hop_server = self.core.exchanges.hop_server
+        hop_server.announce_stop(answered_by)
         # The store may take as long to answer as the balancer to notice.
         await asyncio.gather(
             log_failure('resign', self.core.hand_over()),
@@ -109,7 +112,10 @@
         )
         # The time that is left, as the loop may be late.
         timeout = max(0, answered_by - self.core.clock.monotonic())
-        await log_failure('drain', self.server.drain(timeout))
+        await asyncio.gather(
+            log_failure('drain', self.server.drain(timeout)),
+            log_failure('drain of carried requests', hop_server.drain(timeout)),
+        )
         await self.abort()
         record(Event.stopped, instance=self.settings.instance.instance_id)
 
@@ -139,6 +145,7 @@
         configuration = self.view.configuration
         return [
             *counter_readings(self.core.forwarder.counters),
+            *hop_readings(self.core.exchanges.dispatcher.counters),
             Reading('store_calls', self.core.store.calls),
             Reading('entries_rejected', self.view.rejected_count),
             Reading('daemons', self.core.membership.daemon_count),
@@ -156,7 +163,11 @@
             Reading(
                 'cut_off_from_targets', self.core.reachability.is_cut_off()
             ),
-            Reading('requests_open', self.server.open_requests),
+            Reading(
+                'requests_open',
+                self.server.open_requests
+                + self.core.exchanges.hop_server.open_requests,
+            ),
             Reading(
                 'targets_limited', len(self.view.targets.limits.in_force())
             ),
--- /dev/null
+++ b/cassialever/gateway/carrying.py
@@ -0,0 +1,133 @@
+"""Decide whether this daemon carries a request for another one."""
+
+from cassialever.clock import SystemClock
+from cassialever.errors import ErrorKind, Failure
+from cassialever.events import Event, record
+from cassialever.fleet.model import Target
+from cassialever.fleet.view import FleetView
+from cassialever.gateway.counters import HopCounters
+from cassialever.gateway.hop_messages import HopRequest
+from cassialever.gateway.outcomes import Attempt
+from cassialever.gateway.settings import InstanceSettings
+from cassialever.policy.loads import LoadTracker
+from cassialever.policy.reach import TargetReach
+from cassialever.policy.room import request_capacity
+
+
+class CarryingPolicy:
+    """Admits requests of other daemons, and counts them.
+
+    What this daemon knows of a target may be stricter than what the other one
+    knows, and then holds.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceSettings,
+        view: FleetView,
+        loads: LoadTracker,
+        reach: TargetReach,
+        counters: HopCounters,
+        clock: SystemClock,
+    ) -> None:
+        self._view = view
+        self._loads = loads
+        self._counters = counters
+        self._reach = reach
+        self.clock = clock
+        #: Number of requests that may be open, those of own callers included.
+        self.capacity = request_capacity(instance.cores, instance.link_mbps)
+        self.open_requests = 0
+        #: Whether this daemon stops and takes no more requests.
+        self.is_draining = False
+
+    def admit(
+        self, hop: HopRequest, body_bytes: int | None
+    ) -> Target | Failure:
+        """Return the target of a request, or why it is refused.
+
+        `body_bytes` is the length of its body; None if it is not known.
+        """
+        if self.is_draining:
+            return Failure(ErrorKind.stopping, 'this daemon is stopping')
+        own_requests = sum(self._loads.open_by_target().values())
+        if self.open_requests + own_requests >= self.capacity:
+            return Failure(
+                ErrorKind.caller_over_limit,
+                f'{own_requests} requests are open here, and'
+                f' {self.open_requests} for other daemons',
+            )
+        if not self._is_body_allowed(body_bytes):
+            return Failure(
+                ErrorKind.body_too_large, f'body of {body_bytes} bytes'
+            )
+        return self._usable_target(hop)
+
+    def count_open(self) -> int:
+        """Return the number of requests that are carried now."""
+        return self.open_requests
+
+    def count_carried(self) -> None:
+        """Count a request that is sent to its target."""
+        self._counters.carried += 1
+
+    def count_refusal(self, failure: Failure) -> None:
+        """Count a request that was not sent to its target."""
+        self._counters.refusals_by_kind[failure.kind.value] += 1
+
+    def record_failure(
+        self, hop: HopRequest, request_id: str, attempt: Attempt
+    ) -> None:
+        """Record that a request got no whole answer of its target."""
+        failure = attempt.failure
+        if failure and failure.kind is ErrorKind.target_unreachable:
+            load = self._loads.of(hop.target_id)
+            load.record_unreachable(self.clock.monotonic())
+        record(
+            Event.carrying_failed,
+            request=request_id,
+            origin=hop.origin,
+            target=hop.target_id,
+            end=attempt.outcome.value,
+            reason=attempt.reason,
+        )
+
+    def _is_body_allowed(self, body_bytes: int | None) -> bool:
+        configuration = self._view.configuration
+        if body_bytes is None or configuration is None:
+            return False
+        return body_bytes <= configuration.max_body_bytes
+
+    def _usable_target(self, hop: HopRequest) -> Target | Failure:
+        targets = self._view.targets
+        target = targets.by_id.get(hop.target_id)
+        if target is None:
+            return _no_target('the target is not known here')
+        if target.started_at != hop.started_at:
+            return _no_target(
+                f'the target is known here as started at {target.started_at}'
+            )
+        if not targets.is_usable(target):
+            return _no_target(
+                f'the target takes no new work ({target.state.value})'
+            )
+        if self._is_service_removed(target, hop):
+            return _no_target(f'service {target.service} was removed')
+        now = self.clock.monotonic()
+        if not self._reach.is_direct(target.target_id, now):
+            return Failure(
+                ErrorKind.target_unreachable,
+                'the target is not reached from here either',
+            )
+        return target
+
+    def _is_service_removed(self, target: Target, hop: HopRequest) -> bool:
+        """Return whether a later configuration has no such service."""
+        configuration = self._view.configuration
+        if configuration is None or configuration.version < hop.configuration:
+            return False
+        return target.service not in configuration.service_by_name
+
+
+def _no_target(reason: str) -> Failure:
+    return Failure(ErrorKind.no_target, reason)
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -19,9 +19,9 @@
 from cassialever.fleet.permits import PermitExchange
 from cassialever.fleet.relay import Relay
 from cassialever.fleet.view import FleetView
+from cassialever.gateway.exchanges import TargetExchanges
 from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.reachability import Reachability
-from cassialever.gateway.sender import TargetSender
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.keys.assigner import KeyAssigner
 from cassialever.keys.heat import HEAT_UPDATE_INTERVAL
@@ -57,21 +57,18 @@
         self._reachability = Reachability(
             settings, self.view, self.loads, self.clock, random_source
         )
-        self._sender = TargetSender(
-            self.loads,
-            self.view.targets.limits,
-            self._reachability.paths,
-            self.clock,
+        self._exchanges = TargetExchanges(
+            settings, self.view, self.loads, self._reachability, self.clock
         )
-        self._reachability.prober.on_down = self._sender.close_idle
         self.forwarder = Forwarder(
             settings,
             self.view,
-            self._sender,
+            self._exchanges.dispatcher,
             self.loads,
             self.clock,
             random_source,
         )
+        self.forwarder.selector.reach = self._exchanges.reach
         max_grant_duration = settings.bounds.hold_max_ms / MS_PER_SECOND
         self._target_client = TargetClient(max_grant_duration)
         own = messages.Hello(
@@ -121,6 +118,11 @@
         self.failed = asyncio.Event()
         self.tasks = BackgroundTasks(self.failed.set)
 
+    @property
+    def exchanges(self) -> TargetExchanges:
+        """Return the parts that exchange requests with targets."""
+        return self._exchanges
+
     @property
     def permits(self) -> PermitExchange:
         """Return the exchange of permits with other daemons."""
@@ -135,7 +137,7 @@
         """Start every part."""
         for part in (
             self.store,
-            self._sender,
+            self._exchanges,
             self._target_client,
             self._relay,
             self._reachability,
@@ -156,7 +158,7 @@
             self._reachability,
             self._relay,
             self._target_client,
-            self._sender,
+            self._exchanges,
             self.store,
         ):
             await log_failure(type(part).__name__, part.stop())
--- a/cassialever/gateway/counters.py
+++ b/cassialever/gateway/counters.py
@@ -12,6 +12,18 @@
 _SIGNIFICANT_DIGITS: Final = 2
 
 
+class HopCounters:
+    """Requests passed on to other daemons, and carried for them."""
+
+    def __init__(self) -> None:
+        #: Requests that another daemon has sent to their targets.
+        self.passed_on = 0
+        self.helper_failures_by_kind: Counter[str] = Counter()
+        #: Requests of other daemons that were sent to their targets.
+        self.carried = 0
+        self.refusals_by_kind: Counter[str] = Counter()
+
+
 class Counters:
     """The outcomes of this daemon's requests since its start."""
 
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -14,8 +14,9 @@
 from cassialever.fleet.model import Configuration, Route, Target
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.counters import Counters
+from cassialever.gateway.dispatcher import TargetDispatcher
 from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
-from cassialever.gateway.sender import TargetRequest, TargetSender
+from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.interfaces import RandomSource
 from cassialever.platform import wire
@@ -88,7 +89,7 @@
         self,
         settings: GatewaySettings,
         view: FleetView,
-        sender: TargetSender,
+        sender: TargetDispatcher,
         loads: LoadTracker,
         clock: SystemClock,
         random_source: RandomSource,
@@ -245,18 +246,17 @@
 
     async def _send(self, routed: RoutedRequest, target: Target) -> Attempt:
         remaining = routed.deadline - self._clock.monotonic()
-        request = routed.request
         span = self.tracing.start_span(
             Hop.target,
-            request.traceparent,
-            request.request_id,
+            routed.request.traceparent,
+            routed.request.request_id,
             target.target_id,
         )
-        if span.traceparent != request.traceparent:
-            request = msgspec.structs.replace(
-                request,
-                traceparent=span.traceparent,
-            )
+        request = msgspec.structs.replace(
+            routed.request,
+            traceparent=span.traceparent,
+            is_idempotent=routed.route.kind.is_idempotent,
+        )
         self.counters.sent_by_service[target.service] += 1
         attempt = await self._sender.send(
             request,
@@ -321,6 +321,7 @@
             request=routed.request.request_id,
             route=routed.route.name,
             target=target.target_id,
+            helper=attempt.helper or None,
             key=routed.key,
             end=attempt.outcome.value,
             reason=attempt.reason,
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -12,7 +12,7 @@
 import msgspec
 from aiohttp import web
 
-from cassialever.gateway.counters import Counters
+from cassialever.gateway.counters import Counters, HopCounters
 from cassialever.gateway.settings import GatewaySettings
 
 if TYPE_CHECKING:
@@ -136,3 +136,16 @@
             ),
         )
     return readings
+
+
+def hop_readings(counters: HopCounters) -> list[Reading]:
+    """Return readings of the requests that daemons carry for each other."""
+    readings = [
+        Reading('requests_passed_on', counters.passed_on),
+        Reading('requests_carried', counters.carried),
+    ]
+    for kind, failed in counters.helper_failures_by_kind.items():
+        readings.append(Reading('helper_failures', failed, {'kind': kind}))
+    for kind, refused in counters.refusals_by_kind.items():
+        readings.append(Reading('carrying_refused', refused, {'kind': kind}))
+    return readings
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -36,6 +36,10 @@
     outcome: AttemptOutcome
     answer: Answer | None = None
     failure: Failure | None = None
+    #: The daemon that carried the request; empty if it was sent directly.
+    helper: str = ''
+    #: Whether the helper, or the way to it, failed and not the target.
+    is_helper_failure: bool = False
 
     @property
     def reason(self) -> str:
--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -34,7 +34,7 @@
         self._view = view
         self._clock = clock
         self.paths = TargetPaths(instance.data_centre, random_source)
-        self._reporter = PathReporter(
+        self.reporter = PathReporter(
             Helper(
                 instance.instance_id,
                 settings.internal_address,
@@ -50,7 +50,7 @@
         self.socket = DatagramSocket()
         self.prober = PathProber(self.paths, view.targets, loads, clock)
         self._gossip = LoadGossip(
-            self._reporter,
+            self.reporter,
             loads,
             clock,
             lambda: self.peers(),  # noqa: WPS506
@@ -83,7 +83,7 @@
 
     def announce_stop(self) -> None:
         """Tell the other daemons to pass no requests on to this one."""
-        self._reporter.is_stopping = True
+        self.reporter.is_stopping = True
         self._gossip.report_now()
 
     def prune(self) -> None:
--- /dev/null
+++ b/cassialever/gateway/receiving.py
@@ -0,0 +1,138 @@
+"""Read the answer of a target, received directly or from another daemon."""
+
+from http import HTTPStatus
+
+import aiohttp
+
+from cassialever.clock import SystemClock
+from cassialever.errors import ErrorKind, Failure
+from cassialever.events import Event, record
+from cassialever.fleet.model import Target
+from cassialever.gateway.hop_messages import (
+    HOP_HEADERS,
+)
+from cassialever.gateway.outcomes import (
+    Answer,
+    Attempt,
+    AttemptOutcome,
+    not_run,
+    unknown,
+)
+from cassialever.platform import wire
+from cassialever.platform.named_limit import parse_named_limit
+from cassialever.policy.limits import TargetLimits
+from cassialever.policy.loads import LoadTracker
+from cassialever.types import Seconds
+
+
+class AnswerReader:
+    """Reads answers, and records what targets say of themselves in them."""
+
+    def __init__(
+        self,
+        loads: LoadTracker,
+        limits: TargetLimits,
+        clock: SystemClock,
+    ) -> None:
+        self._loads = loads
+        self._limits = limits
+        self._clock = clock
+
+    async def read(
+        self,
+        target: Target,
+        request_id: str,
+        response: aiohttp.ClientResponse,
+        status: int,
+        sent_at: Seconds,
+    ) -> Attempt:
+        """Read an answer with its body; `sent_at` is in boot time.
+
+        `status` is the target's, which another daemon passes on in a header.
+        """
+        headers = response.headers
+        if not wire.matches_request(headers, request_id):
+            close_connection(response)
+            return unknown('the answer belongs to another request')
+        self._record_limit(target, response, status, sent_at)
+        self._loads.of(target.target_id).record_report(
+            wire.parse_reported_load(headers), self._clock.monotonic()
+        )
+        if wire.reports_not_run(status, headers):
+            return not_run(f'the target refused with {status}')
+        body = await read_body(response)
+        if not wire.is_signed(headers):
+            return unknown(f'an unsigned answer {status}')
+        answer = Answer(
+            target.target_id,
+            status,
+            wire.end_to_end_headers(headers, HOP_HEADERS),
+            body,
+        )
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return Attempt(AttemptOutcome.failed, answer)
+        return Attempt(AttemptOutcome.answered, answer)
+
+    def _record_limit(
+        self,
+        target: Target,
+        response: aiohttp.ClientResponse,
+        status: int,
+        sent_at: Seconds,
+    ) -> None:
+        """Record the limit that a target names; `sent_at` is in boot time."""
+        named = parse_named_limit(status, response.headers)
+        if isinstance(named, Failure):
+            if named.kind is ErrorKind.bad_request:
+                record(
+                    Event.entry_rejected,
+                    entry=target.target_id,
+                    reason=named.reason,
+                )
+            return
+        self._limits.record_answer(
+            target, named.rate, sent_at, self._clock.boot()
+        )
+
+
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close a connection whose answers don't match its requests.
+
+    aiohttp returns a connection to its pool as soon as the answer is
+    complete, which may be before it was checked here.
+    """
+    protocol = response._protocol  # noqa: SLF001, WPS437
+    if protocol is not None:
+        protocol.close()
+    response.close()
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read a body, and fail if its connection is reset before its end."""
+    end = BodyEnd(response)
+    body = await response.read()
+    await end.wait()
+    return body
+
+
+class BodyEnd:
+    """Tells the end of a body from a connection that was reset.
+
+    aiohttp takes any end of the connection, a reset too, for the end of a
+    body that has neither a length nor chunks.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        """Remember the connection, before the body is read."""
+        self._closed = None
+        is_framed = response.content_length is not None or (
+            response.headers.get('Transfer-Encoding') is not None
+        )
+        if not is_framed and response.connection is not None:
+            protocol = response.connection.protocol
+            self._closed = None if protocol is None else protocol.closed
+
+    async def wait(self) -> None:
+        """Raise the error that ended the connection, if any."""
+        if self._closed is not None:
+            await self._closed
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -12,6 +12,8 @@
 
 #: The environment variable with the path of the settings file.
 PATH_VARIABLE: Final = 'CASSIALEVER_SETTINGS'
+#: The port for requests that are passed on, counted from the internal port.
+HOP_PORT_OFFSET: Final = 2
 
 
 class InstanceSettings(msgspec.Struct, frozen=True):
@@ -35,7 +37,8 @@
 class ListenSettings(msgspec.Struct, frozen=True):
     """The addresses on which this daemon listens.
 
-    Links between daemons use `internal_port`, the metrics the port above it.
+    Links between daemons use `internal_port`, the metrics the port above it,
+    and requests that are passed on the one above that.
     """
 
     callers: str
@@ -70,12 +73,26 @@
         """Return the address at which other daemons reach this one."""
         return f'{self.instance.address}:{self.listen.internal_port}'
 
+    @property
+    def hop_address(self) -> str:
+        """Return the address at which other daemons pass requests on."""
+        return hop_address(self.internal_address)
+
     @property
     def metrics_port(self) -> int:
         """Return the port that serves the metrics."""
         return self.listen.internal_port + 1
 
 
+def hop_address(internal_address: str) -> str:
+    """Return the address at which a daemon is passed requests on.
+
+    `internal_address` is that of its links with other daemons.
+    """
+    host, port = internal_address.rsplit(':', 1)
+    return f'{host}:{int(port) + HOP_PORT_OFFSET}'
+
+
 def load_settings() -> GatewaySettings:
     """Read the settings file that the environment variable points to.
 
--- a/cassialever/interfaces.py
+++ b/cassialever/interfaces.py
@@ -1,11 +1,12 @@
-"""Protocols of what the core depends on: a clock and a random source.
+"""Protocols of what the core depends on: clocks, randomness, evidence.
 
 Tests replace each with a small fake.
 """
 
+from collections.abc import Sequence
 from typing import Protocol
 
-from cassialever.types import Seconds
+from cassialever.types import DataCentreId, Seconds, TargetId
 
 
 class Clock(Protocol):
@@ -26,3 +27,39 @@
 
     def randrange(self, stop: int, /) -> int:
         """Return an integer in [0, `stop`)."""
+
+
+class HelperDaemon(Protocol):
+    """Another daemon that reaches a target which this one does not."""
+
+    @property
+    def instance_id(self) -> str:
+        """Return the daemon's id."""
+
+    @property
+    def address(self) -> str:
+        """Return the host and port for links between daemons."""
+
+    @property
+    def data_centre(self) -> DataCentreId:
+        """Return the daemon's data centre."""
+
+
+class PathEvidence(Protocol):
+    """What is known of the paths from daemons to targets."""
+
+    def is_reachable(self, target_id: TargetId, now: Seconds) -> bool:
+        """Return whether this daemon's own path to a target is in order."""
+
+    def helpers_for(
+        self, target_id: TargetId, now: Seconds
+    ) -> Sequence[HelperDaemon]:
+        """Return the daemons that reach a target, the best first.
+
+        There are none if this daemon's own path may be in order.
+        """
+
+    def record_helper_refusal(
+        self, instance_id: str, target_id: TargetId, now: Seconds
+    ) -> None:
+        """Record that a daemon did not exchange with a target."""
--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -58,6 +58,26 @@
             protocol.close()
 
 
+def open_forwarding_session(keepalive_timeout: float) -> aiohttp.ClientSession:
+    """Return a session that sends requests and answers as they came.
+
+    Retries by aiohttp would bypass the retry budget.
+    """
+    return open_session(
+        disable_retries=True,
+        keepalive_timeout=keepalive_timeout,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=(
+            'Accept',
+            'Accept-Encoding',
+            'Content-Type',
+            'User-Agent',
+        ),
+        requote_redirect_url=False,
+    )
+
+
 def keepalive_socket(address_info: tuple[Any, ...]) -> socket.socket:
     """Return a socket that detects a dead peer by keepalive probes.
 
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -18,6 +18,7 @@
 from cassialever.interfaces import RandomSource
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.permits import PermitLimiter
+from cassialever.policy.reach import SoundPaths, TargetReach
 from cassialever.types import DataCentreId, Seconds, ServiceName, TargetId
 
 #: Cost of using another data centre, in requests queued at the target.
@@ -41,6 +42,9 @@
 #: its objective: late answers for all are worth less than answers in time for
 #: some.
 MAX_OBJECTIVE_SHARE: Final = 1.1
+#: Targets without a direct path for which a way through another daemon is
+#: looked up, which takes longer than a comparison of loads.
+MAX_REACH_CHECKS: Final = 8
 
 
 class NoTargetReason(enum.Enum):
@@ -99,6 +103,7 @@
         self._limiter = limiter
         self._data_centre = data_centre
         self._random = random_source
+        self.reach = TargetReach(loads, SoundPaths())
         #: Number of requests that wait for a target.
         self.waiting_by_service: Counter[ServiceName] = Counter()
 
@@ -165,6 +170,8 @@
             return NoTargetReason.no_owner
         if target.started_at != keys.owner_started_at:
             return NoTargetReason.no_owner
+        if not self.reach.is_reached(target.target_id, now):
+            return NoTargetReason.unreachable
         rejection = self._rejection(target, request, now)
         if rejection in NEEDS_PERMIT:
             self._limiter.request(target.target_id, now)
@@ -180,24 +187,47 @@
             return NoTargetReason.no_service
         untried = _without(usable, request.tried) or usable
         if len(untried) > SAMPLE_SIZE:
-            chosen = self._choose_among(self._sample(untried), request, now)
+            chosen = self._choose_among(
+                _sample(untried, self._random), request, now
+            )
             if isinstance(chosen, Target):
                 return chosen
         return self._choose_among(untried, request, now)
 
-    def _sample(self, targets: list[Target]) -> list[Target]:
-        """Draw evenly spaced targets from a random offset on.
-
-        Targets that are neighbours in the list were started together, so
-        the sampled ones should be far apart.
-        """
-        step = len(targets) / SAMPLE_SIZE
-        start = self._random.random() * step
-        return [
-            targets[int(start + step * number)] for number in range(SAMPLE_SIZE)
+    def _choose_among(
+        self,
+        targets: list[Target],
+        request: PlacementRequest,
+        now: Seconds,
+    ) -> Target | NoTargetReason:
+        direct = [
+            target
+            for target in targets
+            if self.reach.is_direct(target.target_id, now)
         ]
+        if len(direct) == len(targets):
+            return self._choose_by_load(targets, request, now)
+        # A target that has just ended may still count as reached by others,
+        # so that those which are reached directly are preferred.
+        with_slot = [
+            target
+            for target in direct
+            if _has_free_slot(target, self._loads, now)
+        ]
+        chosen = self._choose_by_load(with_slot, request, now)
+        if isinstance(chosen, Target):
+            return chosen
+        remaining = targets
+        for _ in range(min(MAX_REACH_CHECKS, len(targets))):
+            chosen = self._choose_by_load(remaining, request, now)
+            if not isinstance(chosen, Target):
+                return chosen
+            if self.reach.is_reached(chosen.target_id, now):
+                return chosen
+            remaining = _without(remaining, [chosen.target_id])
+        return NoTargetReason.unreachable
 
-    def _choose_among(
+    def _choose_by_load(
         self,
         targets: list[Target],
         request: PlacementRequest,
@@ -250,8 +280,6 @@
     ) -> NoTargetReason | None:
         """Return why a target can't take a request, or None if it can."""
         load = self._loads.of(target.target_id)
-        if not load.is_reachable(now):
-            return NoTargetReason.unreachable
         is_full = load.estimated_requests(now) >= self._max_requests(target)
         # The objective only matters if the request would be queued.
         is_queued = load.estimated_requests(now) >= target.slots
@@ -334,3 +362,20 @@
     tried: Collection[TargetId],
 ) -> list[Target]:
     return [target for target in targets if target.target_id not in tried]
+
+
+def _sample(targets: list[Target], random_source: RandomSource) -> list[Target]:
+    """Draw evenly spaced targets from a random offset on.
+
+    Targets that are neighbours in the list were started together, so the
+    sampled ones should be far apart.
+    """
+    step = len(targets) / SAMPLE_SIZE
+    start = random_source.random() * step
+    return [
+        targets[int(start + step * number)] for number in range(SAMPLE_SIZE)
+    ]
+
+
+def _has_free_slot(target: Target, loads: LoadTracker, now: Seconds) -> bool:
+    return loads.of(target.target_id).estimated_requests(now) < target.slots
--- a/standins/listening.py
+++ b/standins/listening.py
@@ -12,10 +12,12 @@
 FIRST_PORT = 12_000
 PORT_BLOCKS = 500
 PORTS_PER_BLOCK = 40
+#: Ports in a row that a daemon uses from its internal port on.
+PORTS_PER_DAEMON = 3
 #: Candidate ports, starting at the block chosen by the process ID.
 _PORTS = itertools.count(
     FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK,
-    2,
+    PORTS_PER_DAEMON,
 )
 
 #: How long open requests may take when a server stops, in seconds.
@@ -51,14 +53,14 @@
 def free_ports(count: int) -> tuple[int, ...]:
     """Return free ports of the loopback interface.
 
-    The port after each of them is free too, since the gateway listens on its
-    internal port and the next one. They lie below the system's ephemeral
+    The two ports after each of them are free too, since the gateway listens on
+    its internal port and the next two. They lie below the system's ephemeral
     ports, so that no other test gets them in the meantime.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = next(_PORTS)
-        if _is_free(port) and _is_free(port + 1):
+        if all(_is_free(port + offset) for offset in range(PORTS_PER_DAEMON)):
             ports.append(port)
     return tuple(ports)
 
