Hand over leadership if others reach targets that the leader misses

A leader that is cut off now resigns as at a stop, if a daemon that is not cut off reports; so does one that has missed several targets alone for 0.5 s. A daemon in that state leaves elections to others for 2 s. Without a recent answer of the store the leader stays. Keys of unreachable owners that the other daemons don't miss too may leave them for a third of a service at most in 12 s; none while this daemon is cut off. Calls that grant keys count as evidence, as requests do.

A daemon is cut off by its own failures alone: the reports of daemons that are cut off together said of all targets that most daemons miss them. Failures of paths that were down before count no more, and some other targets are probed before a cut is inferred, as a daemon that had lost half of the targets seemed cut off for a moment each second.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -45,6 +45,11 @@
     authority_lost = (411, logbook.WARNING, 'This daemon lost the lease.')
     leader_taken = (440, logbook.NOTICE, 'This daemon became leader.')
     leader_lost = (441, logbook.WARNING, 'This daemon lost leadership.')
+    leader_handed_over = (
+        444,
+        logbook.NOTICE,
+        'A leader gave way to daemons that reach more targets.',
+    )
     leader_silent = (443, logbook.WARNING, 'Contact with the leader was lost.')
     grant_failed = (450, logbook.WARNING, 'A target did not accept keys.')
     keys_leaving = (454, logbook.INFO, 'Keys are moved away from a target.')
--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -19,6 +19,15 @@
     return host, int(port)
 
 
+async def can_connect(address: str) -> bool:
+    """Return whether an address accepts a connection."""
+    connected = await connect(address)
+    if isinstance(connected, Failure):
+        return False
+    connected[1].close()
+    return True
+
+
 async def connect(address: str) -> Streams | Failure:
     """Open a connection.
 
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -33,6 +33,7 @@
 )
 from cassialever.interfaces import RandomSource
 from cassialever.platform.store import StoreClient
+from cassialever.policy.candidacy import Candidacy
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import Seconds
 
@@ -56,6 +57,9 @@
 #: after it the store is followed directly. Together with LEADER_TIMEOUT this
 #: stays within the 2.5 s for changes of the configuration.
 FALLBACK_DELAY: Final[Seconds] = 0.6
+#: Age of the store's last answer up to which a leader hands over: two renewals
+#: of the lease and a slow answer.
+MAX_STORE_AGE_FOR_HANDOVER: Final[Seconds] = 1.2
 #: Time between checks whether the link still relays the store's changes.
 WATCH_INTERVAL: Final[Seconds] = 0.2
 
@@ -93,6 +97,9 @@
         self._election = Election(store, view, link.own_hello, clock)
         #: Delay before this daemon tries to lead; see `election_delay`.
         self.election_delay: Seconds = 0
+        #: Tells whether this daemon reaches the targets, as a leader must.
+        self.candidacy: Candidacy | None = None
+        self._clock = clock
         self.state = MemberState.seeking
         self.leader_term: LeaderTerm | None = None
         #: Runs a leader's work until cancelled.
@@ -195,6 +202,11 @@
     async def _try_to_lead(self) -> None:
         if self._is_stopping:
             return
+        if self.candidacy and not self.candidacy.may_lead(
+            self._clock.monotonic()
+        ):
+            self._direct_follower.start('no leader was found', FALLBACK_DELAY)
+            return
         await asyncio.sleep(self.election_delay)
         leader_term = await self._election.attempt()
         if leader_term is None:
@@ -252,6 +264,7 @@
         """Follow the store directly while the leader is cut off from it."""
         while True:
             await asyncio.sleep(WATCH_INTERVAL)
+            await self._hand_over_if_cut_off()
             is_leading = self.state is MemberState.leading
             if is_leading or self.link.is_relaying():
                 self._direct_follower.stop_for_leader()
@@ -259,6 +272,22 @@
                 self._direct_follower.start('the leader is late')
                 self._leave_cut_off_leader()
 
+    async def _hand_over_if_cut_off(self) -> None:
+        """Resign as leader if others reach targets that this one misses.
+
+        Without the store no other daemon could take over.
+        """
+        leader_term = self.leader_term
+        if leader_term is None or self.candidacy is None:
+            return
+        if leader_term.store_age() > MAX_STORE_AGE_FOR_HANDOVER:
+            return
+        if not self.candidacy.should_hand_over(self._clock.monotonic()):
+            return
+        record(Event.leader_handed_over, term=leader_term.term)
+        await leader_term.resign()
+        self._relay.disconnect_followers()
+
     def _leave_cut_off_leader(self) -> None:
         """Disconnect from a leader that is cut off from the store.
 
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -27,6 +27,7 @@
 from cassialever.keys.heat import HEAT_UPDATE_INTERVAL
 from cassialever.platform.store import StoreClient
 from cassialever.platform.targets import TargetClient
+from cassialever.policy.candidacy import Candidacy
 from cassialever.policy.loads import LoadTracker
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import MS_PER_SECOND
@@ -88,6 +89,7 @@
             self.clock,
             random_source,
         )
+        self.membership.candidacy = Candidacy(self._reachability.paths)
         self.membership.seeds = settings.seeds
         self.membership.election_delay = election_delay(
             settings.instance.link_mbps,
@@ -97,6 +99,7 @@
             self._relay,
             self._target_client,
             self.clock,
+            self._reachability.paths,
         )
         self._reachability.peers = self.membership.peers
         self._limits = LimitExchange(
--- a/cassialever/gateway/path_probe.py
+++ b/cassialever/gateway/path_probe.py
@@ -5,13 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from cassialever.clock import SystemClock
-from cassialever.errors import Failure
 from cassialever.events import Event, record
-from cassialever.fleet.connecting import connect
+from cassialever.fleet.connecting import can_connect
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.paths import TargetPaths
@@ -31,6 +30,8 @@
 SILENCE_PROBE_INTERVAL: Final[Seconds] = 1.0
 #: Probes in progress at a time, over all targets.
 MAX_PROBES: Final = 8
+#: Targets probed to tell a cut from a fault of several targets.
+WITNESS_COUNT: Final = 4
 #: Daemons that a log line names.
 MAX_NAMED_DAEMONS: Final = 8
 
@@ -57,6 +58,8 @@
         self._cut_off_at: Seconds = 0
         self._known_changes = 0
         self._down: frozenset[TargetId] = frozenset()
+        #: Returns whether an address accepts a connection.
+        self.can_connect: Callable[[str], Awaitable[bool]] = can_connect
         #: Called when a path went down or came back.
         self.on_change: Callable[[], None] = _ignore
         #: Called with the address of a target whose path went down.
@@ -78,6 +81,7 @@
         """Start the probes that are due and report what has changed."""
         now = self._clock.monotonic()
         self._doubt_silent(now)
+        self._doubt_witnesses(now)
         if self._paths.direct.has_probes():
             room = MAX_PROBES - len(self._in_progress)
             for target_id in self._paths.direct.due_probes(now, room):
@@ -97,6 +101,20 @@
         for target_id in self._silence_probed_at.keys() - silent_since.keys():
             self._silence_probed_at.pop(target_id)
 
+    def _doubt_witnesses(self, now: Seconds) -> None:
+        """Probe targets that nothing was sent to before a cut is inferred."""
+        direct = self._paths.direct
+        if not direct.needs_witness(now):
+            return
+        others = [
+            target_id
+            for target_id in self._targets.by_id
+            if not direct.is_down(target_id, now)
+        ]
+        step = max(len(others) // WITNESS_COUNT, 1)
+        for target_id in others[::step]:
+            direct.record_doubt(target_id, now)
+
     def _longest_silence(self, target_id: TargetId, now: Seconds) -> Seconds:
         latency = self._loads.of(target_id).average_latency(
             now, DEFAULT_LATENCY
@@ -119,13 +137,12 @@
         target = self._targets.by_id.get(target_id)
         if target is None:
             return
-        connected = await connect(target.address)
+        is_connected = await self.can_connect(target.address)
         now = self._clock.monotonic()
-        if isinstance(connected, Failure):
-            self._paths.record_failure(target_id, now)
-        else:
-            connected[1].close()
+        if is_connected:
             self._paths.direct.record_probe_success(target_id, now)
+        else:
+            self._paths.record_failure(target_id, now)
         self._report_changes(now)
 
     def _report_changes(self, now: Seconds) -> None:
--- a/cassialever/keys/assigner.py
+++ b/cassialever/keys/assigner.py
@@ -11,6 +11,7 @@
 from cassialever.keys.granting import Granter
 from cassialever.keys.service import ServiceAssigner, TermContext
 from cassialever.platform.targets import TargetClient
+from cassialever.policy.paths import TargetPaths
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import Seconds, ServiceName, TargetId
 
@@ -27,8 +28,10 @@
         relay: Relay,
         target_client: TargetClient,
         clock: SystemClock,
+        paths: TargetPaths,
     ) -> None:
         """Start without a term; `run` begins one."""
+        self._paths = paths
         self._view = view
         self._relay = relay
         self._target_client = target_client
@@ -42,7 +45,13 @@
         context = TermContext(
             self._view,
             self._relay,
-            Granter(self._view, self._target_client, leader_term, self._clock),
+            Granter(
+                self._view,
+                self._target_client,
+                leader_term,
+                self._clock,
+                self._paths,
+            ),
             leader_term,
             self._clock,
         )
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -19,6 +19,7 @@
     AssignmentState,
 )
 from cassialever.platform.targets import CallOutcome, CallResult, TargetClient
+from cassialever.policy.paths import TargetPaths
 from cassialever.types import Fence, Seconds, TargetId
 
 #: Delay before a failed renewal is retried.
@@ -30,6 +31,10 @@
 PENDING_POLL_INTERVAL: Final[Seconds] = 0.01
 
 
+#: Names grants among the requests to a target that have no answer yet.
+GRANT_ID: Final = 'grant'
+
+
 class Granter:
     """The grant and release calls of one term of this daemon as the leader."""
 
@@ -39,8 +44,11 @@
         target_client: TargetClient,
         leader_term: LeaderTerm,
         clock: SystemClock,
+        paths: TargetPaths,
     ) -> None:
         """Start with all targets taken as reachable."""
+        #: What calls tell of this daemon's paths to the targets.
+        self.paths = paths
         self._view = view
         self._target_client = target_client
         self._leader_term = leader_term
@@ -110,8 +118,12 @@
             address
         ):
             self._probe_at_by_id.pop(owner, None)
+            self.paths.direct.record_probe_success(
+                owner, self._clock.monotonic()
+            )
             return True
         self._mark_unreachable(owner)
+        self.paths.record_failure(owner, self._clock.monotonic())
         return False
 
     async def release(self, assignment: Assignment, address: str) -> None:
@@ -166,9 +178,7 @@
             previous_bound, sent_at + MAX_GRANT_DURATION
         )
         assignment.renew_at = sent_at + GRANT_RENEWAL_INTERVAL
-        result = await self._target_client.grant(
-            address, assignment.key_range(), GRANT_DURATION
-        )
+        result = await self._call_grant(assignment, address)
         now = self._clock.boot()
         if result.outcome is CallOutcome.done:
             self._probe_at_by_id.pop(assignment.owner, None)
@@ -196,6 +206,28 @@
         self._mark_unreachable(assignment.owner)
         return False
 
+    async def _call_grant(
+        self, assignment: Assignment, address: str
+    ) -> CallResult:
+        """Grant an assignment; record what the call tells of the path."""
+        owner = assignment.owner
+        unanswered = self.paths.unanswered
+        unanswered.record_sent(owner, GRANT_ID, self._clock.monotonic())
+        try:
+            result = await self._target_client.grant(
+                address, assignment.key_range(), GRANT_DURATION
+            )
+        finally:
+            unanswered.record_end(owner, GRANT_ID)
+        now = self._clock.monotonic()
+        if result.outcome is CallOutcome.not_sent:
+            self.paths.record_failure(owner, now)
+        elif result.outcome is CallOutcome.unknown:
+            self.paths.direct.record_doubt(owner, now)
+        else:
+            self.paths.record_answer(owner, now)
+        return result
+
     def _mark_unreachable(self, target_id: TargetId) -> None:
         self._probe_at_by_id[target_id] = self._clock.boot() + PROBE_INTERVAL
 
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -28,6 +28,7 @@
 )
 from cassialever.keys.mapwriter import MapWriter, row_name
 from cassialever.keys.suspects import SuspectOwners
+from cassialever.keys.suspicion import SuspicionLimit
 from cassialever.keys.targetloads import OwnerLoads
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import Fence, RowVersion, Seconds, ServiceName, TargetId
@@ -83,6 +84,7 @@
         self._is_writing = False
         self._writer = MapWriter(service, context.leader_term, RowVersion(0))
         self._inherit()
+        self._suspicion = SuspicionLimit(context.granter.paths)
         self._suspects = SuspectOwners(
             self.assignments, context.granter, self._tasks, context.clock
         )
@@ -185,7 +187,13 @@
             return True
         # The grant has lapsed, and an unreachable owner gets no renewal.
         is_unreachable = self._granter.is_unreachable(assignment.owner)
-        return is_unreachable and now >= assignment.may_be_held_until
+        if not is_unreachable or now < assignment.may_be_held_until:
+            return False
+        return self._suspicion.claim(
+            assignment.owner,
+            assignment.key_count,
+            self._context.clock.monotonic(),
+        )
 
     def _reclaim(self, assignment: Assignment, reason: str) -> None:
         check(
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -9,8 +9,7 @@
 import aiohttp
 import msgspec
 
-from cassialever.errors import Failure
-from cassialever.fleet.connecting import CONNECT_TIMEOUT, connect
+from cassialever.fleet.connecting import CONNECT_TIMEOUT, can_connect
 from cassialever.fleet.model import KeyRange
 from cassialever.platform import wire
 from cassialever.platform.sessions import open_session
@@ -81,11 +80,7 @@
 
     async def can_connect(self, address: str) -> bool:
         """Return whether an address accepts a connection."""
-        connected = await connect(address)
-        if isinstance(connected, Failure):
-            return False
-        connected[1].close()
-        return True
+        return await can_connect(address)
 
     async def _call(
         self,
--- a/cassialever/policy/direct_paths.py
+++ b/cassialever/policy/direct_paths.py
@@ -80,12 +80,8 @@
 
     def record_failure(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target failed."""
-        failures = self._failures_by_id.get(target_id)
-        if failures is None or not failures.count(now):
-            failures = _Failures(first=now, last=now)
-            self._failures_by_id[target_id] = failures
-        failures.last = now
         state = self._state_by_id.setdefault(target_id, _PathState(now))
+        self._count_failure(target_id, now, was_down=state.is_down(now))
         state.successes = 0
         if not state.is_down(now):
             state.down_since = now
@@ -106,13 +102,12 @@
         state = self._state_by_id.get(target_id)
         if state is None:
             return
+        self._failures_by_id.clear()
         state.successes += 1
         if state.down_since is None or state.successes >= SUCCESSES_UNTIL_UP:
             self._mark_up(target_id)
             return
         state.probe_at = now + FAST_PROBE_INTERVAL
-        if state.successes > 1:
-            return
         # The other paths have probably come back too.
         for other in self._state_by_id.values():
             if other.successes == 0:
@@ -160,18 +155,18 @@
 
         None are returned if they are few or the first failed just now.
         """
-        if len(self._failures_by_id) < MIN_FAILED_TARGETS:
-            return []
-        failures_by_id = {
-            target_id: failures
-            for target_id, failures in self._failures_by_id.items()
-            if failures.count(now)
-        }
+        failures_by_id = self._recent_failures(now)
         if len(failures_by_id) < MIN_FAILED_TARGETS:
             return []
         first = min(failures.first for failures in failures_by_id.values())
         return list(failures_by_id) if now >= first + CONFIRMATION_DELAY else []
 
+    def needs_witness(self, now: Seconds) -> bool:
+        """Return whether a probe of another target should tell of a cut."""
+        is_cut_off = bool(self.failed_without_answer(now))
+        has_failed = len(self._recent_failures(now)) >= MIN_FAILED_TARGETS
+        return has_failed and not is_cut_off
+
     def prune(self, known: Container[TargetId]) -> None:
         """Forget targets that are gone."""
         for target_id in list(self._state_by_id):
@@ -183,5 +178,26 @@
     def _mark_up(self, target_id: TargetId) -> None:
         state = self._state_by_id.pop(target_id)
         if state.down_since is not None:
-            self._failures_by_id.clear()
             self.change_count += 1
+
+    def _count_failure(
+        self, target_id: TargetId, now: Seconds, *, was_down: bool
+    ) -> None:
+        """Count a failure since the last answer of any target.
+
+        A path that was down before that answer shows no cut by failing again.
+        """
+        failures = self._failures_by_id.get(target_id)
+        if failures is not None and failures.count(now):
+            failures.last = now
+        elif not was_down:
+            self._failures_by_id[target_id] = _Failures(first=now, last=now)
+
+    def _recent_failures(self, now: Seconds) -> dict[TargetId, _Failures]:
+        if len(self._failures_by_id) < MIN_FAILED_TARGETS:
+            return {}
+        return {
+            target_id: failures
+            for target_id, failures in self._failures_by_id.items()
+            if failures.count(now)
+        }
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -46,10 +46,10 @@
     def is_cut_off(self, now: Seconds) -> bool:
         """Return whether this daemon reaches no target, of several tried.
 
-        Those that most other daemons miss too don't count.
+        What others report doesn't count here: daemons that are cut off
+        together would confirm to each other that the targets are lost.
         """
-        failed = self.direct.failed_without_answer(now)
-        return len(self._missed_alone(failed, now)) >= MIN_FAILED_TARGETS
+        return bool(self.direct.failed_without_answer(now))
 
     def helpers_for(self, target_id: TargetId, now: Seconds) -> list[Helper]:
         """Return the daemons that can pass a request on, best first.
@@ -78,9 +78,19 @@
         """Return whether another daemon should lead in place of this one.
 
         That is so if this daemon is cut off and another is not, or if it
-        misses several targets that others reach. The daemon that reaches more
-        must miss less than half as many, so that of daemons with like faults
-        none gives way to another.
+        misses too many targets that others reach.
+        """
+        if self.is_cut_off(now):
+            return any(
+                not report.is_stopping for report in self.reports.reaching(now)
+            )
+        return self.misses_many_alone(now)
+
+    def misses_many_alone(self, now: Seconds) -> bool:
+        """Return whether this daemon misses several targets that others reach.
+
+        The daemon that reaches more must miss less than half as many, so that
+        of daemons with like faults none gives way to another.
         """
         least = min(
             (
@@ -92,21 +102,14 @@
         )
         if least is None:
             return False
-        if self.is_cut_off(now):
-            return True
-        missed = self._missed_alone(self.direct.down(now), now)
+        missed = [
+            target_id
+            for target_id in self.direct.down(now)
+            if not self.is_confirmed_unreachable(target_id, now)
+        ]
         return len(missed) >= max(MIN_FAILED_TARGETS, 2 * least + 1)
 
     def prune(self, known: Container[TargetId], now: Seconds) -> None:
         """Forget targets that are gone and what has expired."""
         self.direct.prune(known)
         self.reports.prune(now)
-
-    def _missed_alone(
-        self, target_ids: list[TargetId], now: Seconds
-    ) -> list[TargetId]:
-        return [
-            target_id
-            for target_id in target_ids
-            if not self.is_confirmed_unreachable(target_id, now)
-        ]
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -8,6 +8,7 @@
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet import messages
+from cassialever.fleet.connecting import CONNECT_TIMEOUT
 from cassialever.fleet.election import Election
 from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.model import KeyRange
@@ -15,6 +16,9 @@
 from cassialever.fleet.view import FleetView
 from cassialever.keys.assigner import KeyAssigner
 from cassialever.platform import rows
+from cassialever.policy.candidacy import Candidacy
+from cassialever.policy.paths import TargetPaths
+from cassialever.types import DataCentreId
 from cassialever.platform.targets import (
     GRANT_TIMEOUT,
     CallOutcome,
@@ -278,6 +282,8 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.is_cut = False
+        #: Whether calls that can't arrive hang rather than fail.
+        self.hangs = False
         #: Addresses of the targets that only this daemon can't reach.
         self.unreachable: set[str] = set()
         #: The process of each target to which a connection is open.
@@ -292,6 +298,9 @@
         self, address: str, keys: KeyRange, duration: float
     ) -> CallResult:
         target = self.world.targets[address]
+        if self.hangs and not self.is_reached(address):
+            await asyncio.sleep(GRANT_TIMEOUT)
+            return CallResult(CallOutcome.unknown)
         if not self.is_reached(address):
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
@@ -342,6 +351,8 @@
 
     async def can_connect(self, address: str) -> bool:
         await self.world.pause(0.001)
+        if self.hangs and not self.is_reached(address):
+            await asyncio.sleep(CONNECT_TIMEOUT)
         return self.is_reached(address)
 
     async def release(self, address: str, keys: KeyRange) -> CallResult:
@@ -376,8 +387,10 @@
         )
         self.relay = Relay(self.view, own)
         self.election = Election(self.store, self.view, own, world.clock)
+        self.paths = TargetPaths(DataCentreId('here'), world.random)
+        self.candidacy = Candidacy(self.paths)
         self.assigner = KeyAssigner(
-            self.view, self.relay, self.target_client, world.clock
+            self.view, self.relay, self.target_client, world.clock, self.paths
         )
         self.leader_term: LeaderTerm | None = None
         self.tasks: list[Any] = []
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -7,7 +7,10 @@
 import logbook
 
 from cassialever.errors import ErrorKind, Failure
-from cassialever.fleet.membership import MemberState
+from cassialever.fleet.membership import (
+    MAX_STORE_AGE_FOR_HANDOVER,
+    MemberState,
+)
 from cassialever.gateway.application import Gateway
 from cassialever.platform.store import LONG_POLL_WAIT
 from standins.listening import free_ports
@@ -130,6 +133,45 @@
                 lambda: follower.core.membership.leader_term is not None, 3
             )
 
+    async def test_leader_that_misses_targets_hands_over(self) -> None:
+        """It goes on as a follower, and one that misses them doesn't lead."""
+        async with deployment(gateways=3) as system:
+            await until(lambda: len(_leaders(system)) == 1)
+            leader = _leaders(system)[0]
+            followers = [one for one in system.gateways if one is not leader]
+            for follower in followers:
+                await until(
+                    lambda one=follower: one.core.membership.link.is_open
+                )
+            for gateway in (leader, followers[0]):
+                gateway.core.membership.candidacy = mock.Mock(
+                    should_hand_over=lambda _: True, may_lead=lambda _: False
+                )
+            await until(
+                lambda: followers[1].core.membership.leader_term is not None, 3
+            )
+            for gateway in (leader, followers[0]):
+                await until(
+                    lambda one=gateway: (
+                        one.core.membership.state is MemberState.following
+                    ),
+                    3,
+                )
+            self.assertEqual(_leaders(system), [followers[1]])
+
+    async def test_leader_cut_from_the_store_stays(self) -> None:
+        """No other daemon could take over."""
+        async with deployment(gateways=2) as system:
+            await until(lambda: len(_leaders(system)) == 1)
+            leader = _leaders(system)[0]
+            system.store.error_status = 503
+            await asyncio.sleep(MAX_STORE_AGE_FOR_HANDOVER)
+            leader.core.membership.candidacy = mock.Mock(
+                should_hand_over=lambda _: True, may_lead=lambda _: True
+            )
+            await asyncio.sleep(0.6)
+            self.assertEqual(_leaders(system), [leader])
+
     async def test_leader_cut_from_the_store_is_replaced(self) -> None:
         async with deployment(gateways=2) as system:
             await until(lambda: len(_leaders(system)) == 1)
--- a/tests/test_path_probe.py
+++ b/tests/test_path_probe.py
@@ -6,13 +6,11 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
-from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event
 from cassialever.gateway import path_probe
 from cassialever.gateway.path_probe import MAX_PROBES, PathProber
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.paths import TargetPaths
-from cassialever.policy.peer_reports import Helper, PathReport
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
@@ -36,7 +34,7 @@
         self.most_at_once = 0
         self._open = 0
 
-    async def connect(self, address: str) -> object:
+    async def can_connect(self, address: str) -> bool:
         self.probed.append((self.loop.time(), address))
         self._open += 1
         self.most_at_once = max(self.most_at_once, self._open)
@@ -45,10 +43,10 @@
                 self.faulty and address not in self.faulty
             ):
                 await asyncio.sleep(0.002)
-                return mock.Mock(), mock.Mock()
+                return True
             if self.fault == 'hang':
                 await asyncio.sleep(0.3)
-            return Failure(ErrorKind.peer_unreachable, self.fault)
+            return False
         finally:
             self._open -= 1
 
@@ -105,11 +103,9 @@
     def run_scene(self, scenario: Callable[[Scene], Awaitable[None]]) -> None:
         async def main(loop: VirtualLoop) -> None:
             scene = Scene(loop)
-            with mock.patch.object(
-                path_probe, 'connect', scene.network.connect
-            ):
-                probing = asyncio.ensure_future(scene.prober.run())
-                await scenario(scene)
+            scene.prober.can_connect = scene.network.can_connect
+            probing = asyncio.ensure_future(scene.prober.run())
+            await scenario(scene)
             self.assertFalse(probing.done())
 
         run_virtually(main)
@@ -245,26 +241,23 @@
 
         self.run_scene(scenario)
 
-    def test_what_all_miss_is_no_cut_of_this_daemon(self) -> None:
-        """Reports of the others decide, whatever fails here."""
+    def test_crashed_targets_are_no_cut_of_a_daemon_without_requests(
+        self,
+    ) -> None:
+        """It probes some of the others before it infers one."""
 
         async def scenario(scene: Scene) -> None:
-            targets = frozenset(scene.view.targets.by_id)
-            for number in range(5):
-                scene.paths.reports.record(
-                    PathReport(
-                        Helper(f'd{number}', '10.1.0.1:7', 'astana-a'),
-                        10,
-                        is_cut_off=False,
-                        is_stopping=False,
-                        unreachable=targets,
-                        expires_at=2000,
-                    )
-                )
+            crashed = [f't{number}' for number in range(5)]
             scene.network.fault = 'reset'
-            scene.send_to_all()
-            await asyncio.sleep(1)
-            self.assertFalse(scene.is_cut_off())
+            scene.network.faulty = {
+                scene.view.targets.by_id[name].address for name in crashed
+            }
+            for name in crashed:
+                scene.paths.direct.record_doubt(name, scene.clock.monotonic())
+            for _ in range(40):
+                await asyncio.sleep(0.05)
+                self.assertFalse(scene.is_cut_off())
             self.assertFalse(scene.is_reachable('t0'))
+            self.assertTrue(scene.is_reachable('t9'))
 
         self.run_scene(scenario)
--- a/tests/test_policy_paths.py
+++ b/tests/test_policy_paths.py
@@ -155,6 +155,41 @@
         self.assertTrue(paths.is_cut_off(10.5))
         self.assertNotIn(TARGETS[0], paths.direct.down(10.5))
 
+    def test_daemons_cut_off_together_do_not_mistake_it_for_crashes(
+        self,
+    ) -> None:
+        """Before they know that they are, they list the targets."""
+        paths = new_paths()
+        fail_all(paths, 10)
+        for number in range(8):
+            paths.reports.record(
+                report(f'd{number}', unreachable=tuple(TARGETS))
+            )
+        paths.reports.record(report('d8'))
+        self.assertTrue(paths.is_cut_off(10.2))
+        self.assertEqual(helper_ids(paths, TARGETS[0], 10.2), {'d8'})
+
+    def test_paths_that_fail_again_show_no_cut(self) -> None:
+        """Probes of half of the targets fail together once a second."""
+        paths = new_paths()
+        for target_id in TARGETS[:19]:
+            paths.record_failure(target_id, 10)
+        paths.record_answer(TARGETS[30], 10.1)
+        for target_id in TARGETS[:19]:
+            paths.record_failure(target_id, 11)
+        self.assertFalse(paths.is_cut_off(11.5))
+
+    def test_a_witness_that_is_reached_shows_no_cut(self) -> None:
+        """Nothing was sent to targets that are well."""
+        paths = new_paths()
+        for target_id in TARGETS[:5]:
+            paths.record_failure(target_id, 10)
+        self.assertTrue(paths.direct.needs_witness(10))
+        paths.direct.record_doubt(TARGETS[20], 10.05)
+        paths.direct.record_probe_success(TARGETS[20], 10.06)
+        self.assertFalse(paths.is_cut_off(10.2))
+        self.assertFalse(paths.direct.needs_witness(10.2))
+
 
 class HelperTest(unittest.TestCase):
     """Which daemons are asked to pass requests on."""
@@ -337,6 +372,7 @@
         crashed = tuple(TARGETS[:10])
         for target_id in crashed:
             paths.record_failure(target_id, 10)
+        paths.record_answer(TARGETS[30], 10.1)
         for number in range(9):
             paths.reports.record(report(f'd{number}', unreachable=crashed))
         self.assertFalse(paths.should_yield(10.2))
