--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -68,6 +68,11 @@
         logbook.WARNING,
         'The lease was not resigned in time and will lapse.',
     )
+    leader_handed_over = (
+        444,
+        logbook.NOTICE,
+        'A leader gave way to daemons that reach more targets.',
+    )
     leader_silent = (443, logbook.WARNING, 'Contact with the leader was lost.')
     grant_failed = (450, logbook.WARNING, 'A target did not accept keys.')
     keys_leaving = (454, logbook.INFO, 'Keys are moved away from a target.')
