Test what the tests of the connection layer let pass

Taken out one at a time, three rules of gateway.connections failed no test: waiting for connections that are being accepted, reading again when a paused connection is closed, closing an idle connection at once only if nothing is unsent. Each has a test now.

--- a/tests/test_gateway_connections_review.py
+++ b/tests/test_gateway_connections_review.py
@@ -8,13 +8,14 @@
 
 from aiohttp import web
 
+from cassialever.callers.front import CallerServer
+from cassialever.clock import SystemClock
 from cassialever.gateway.application import Gateway
 from cassialever.gateway.connections import (
     LINGER_CHECK_INTERVAL,
     STALL_TIMEOUT,
     LingeringTransport,
 )
-from cassialever.serving import ServerSite
 from tests.fleet_helpers import (
     CONFIGURATION,
     ROUTES,
@@ -27,7 +28,6 @@
     BODY_BYTES,
     DRAIN_TIMEOUT,
     connect,
-    read_and_send,
     read_to_end,
     read_until,
     request,
@@ -95,6 +95,28 @@
         async with asyncio.timeout(STALL_TIMEOUT + 4 * LINGER_CHECK_INTERVAL):
             await self.connection.is_lost.wait()
 
+    async def test_caller_that_half_closes_and_stops_reading_does_neither(
+        self,
+    ) -> None:
+        while not self.transport.get_write_buffer_size():
+            self.transport.write(bytes(CHUNK_BYTES))
+        LingeringTransport(self.transport).close()
+        self.caller.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(STALL_TIMEOUT + 4 * LINGER_CHECK_INTERVAL):
+            await self.connection.is_lost.wait()
+
+    async def test_close_while_reading_is_paused_sees_the_caller_close(
+        self,
+    ) -> None:
+        self.transport.pause_reading()
+        self.caller.sendall(request('b1'))
+        LingeringTransport(self.transport).close()
+        self.assertEqual(self.caller.recv(1), b'')
+        self.caller.close()
+        # Not only at the first check.
+        async with asyncio.timeout(LINGER_CHECK_INTERVAL / 2):
+            await self.connection.is_lost.wait()
+
     async def test_slow_caller_loses_nothing_where_unsent_bytes_are_unknown(
         self,
     ) -> None:
@@ -255,6 +277,43 @@
                 self.assertLess(elapsed, 0.2, turns)
                 self.assertNotIn('a1', system.targets[0].executed_ids)
 
+    async def test_drain_does_not_end_before_connections_are_accepted(
+        self,
+    ) -> None:
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            caller = connect(gateway)
+            caller.sendall(request('a1'))
+            gateway.server.is_stopping = True
+
+            async def stop() -> None:
+                await gateway.server.drain(DRAIN_TIMEOUT)
+                await gateway.server.stop()
+
+            stopping = asyncio.create_task(stop())
+            answer = await read_to_end(caller)
+            await stopping
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer[:80])
+
+    async def test_answer_unsent_on_an_idle_connection_is_whole(self) -> None:
+        """Its caller sends requests behind it when the drain begins."""
+        size = 400_000
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            system.targets[0].fixed_body = bytes(size)
+            caller = connect(gateway, window=4096)
+            caller.sendall(request('a1'))
+            await asyncio.sleep(0.3)
+            gateway.server.is_stopping = True
+            draining = asyncio.create_task(gateway.server.drain(DRAIN_TIMEOUT))
+            await asyncio.sleep(0.05)
+            await read_until(caller, b'\r\n\r\n')
+            body = await read_slowly_and_send(caller)
+            await draining
+        self.assertEqual(len(body), size)
+
     async def test_blank_line_after_a_request_does_not_hold_the_drain(
         self,
     ) -> None:
@@ -314,35 +373,52 @@
 class OwnInterfaceTest(unittest.IsolatedAsyncioTestCase):
     """The server of the project's own interface."""
 
-    async def test_long_answer_with_requests_behind_it_is_whole(self) -> None:
-        async def respond(request: web.BaseRequest) -> web.Response:
-            return web.Response(body=bytes(BODY_BYTES))
+    async def asyncSetUp(self) -> None:
+        settings = mock.Mock()
+        settings.instance.address = '127.0.0.1'
+        settings.instance.caller_port = 0
+        self.server = CallerServer(
+            settings, mock.Mock(), mock.Mock(), SystemClock()
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
 
-        site = ServerSite(web.Server(respond))
-        url = await site.start('127.0.0.1', 0)
+    def connect(self, window: int = 0) -> socket.socket:
         caller = socket.socket()
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        caller.connect(('127.0.0.1', int(url.rsplit(':', 1)[1])))
+        if window:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        port = self.server.url.rsplit(':', 1)[1]
+        caller.connect(('127.0.0.1', int(port)))
         caller.sendall(request('a1'))
-        await read_until(caller, b'\r\n\r\n')
-        stopping = asyncio.create_task(site.stop())
-        body = await read_and_send(caller)
-        await stopping
+        return caller
+
+    async def stop(self) -> None:
+        await self.server.drain(DRAIN_TIMEOUT)
+        await self.server.stop()
+
+    async def test_long_answer_with_requests_behind_it_is_whole(self) -> None:
+        async def respond(_: web.BaseRequest) -> web.Response:
+            await asyncio.sleep(0.2)
+            return web.Response(body=bytes(BODY_BYTES))
+
+        with mock.patch.object(self.server, '_answer', respond):
+            caller = self.connect(window=4096)
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(self.stop())
+            await read_until(caller, b'\r\n\r\n')
+            body = await read_slowly_and_send(caller)
+            await stopping
         self.assertEqual(len(body), BODY_BYTES)
 
     async def test_request_in_the_listening_queue_is_answered(self) -> None:
-        async def respond(request: web.BaseRequest) -> web.Response:
+        async def respond(_: web.BaseRequest) -> web.Response:
             return web.Response()
 
-        site = ServerSite(web.Server(respond))
-        url = await site.start('127.0.0.1', 0)
-        caller = socket.create_connection(
-            ('127.0.0.1', int(url.rsplit(':', 1)[1]))
-        )
-        caller.sendall(request('a1'))
-        stopping = asyncio.create_task(site.stop())
-        answer = await read_to_end(caller)
-        await stopping
+        with mock.patch.object(self.server, '_answer', respond):
+            caller = self.connect()
+            stopping = asyncio.create_task(self.stop())
+            answer = await read_to_end(caller)
+            await stopping
         self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer[:80])
 
 
