End the connection of a caller that half-closes and stops reading

Its connection counted as closed when the end of its requests was read, and was no longer looked at, although a part of its answer was still in the buffer.

Measured: the test of this caller in tests.test_gateway_connections_review.ClosingTest (open after 7 s before) holds.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -93,7 +93,9 @@
     def _check(self) -> None:
         """Close the connection of a peer that neither reads nor closes."""
         if self._transport.is_closing():
-            return
+            # The peer has closed at least its sending side.
+            if not self._transport.get_write_buffer_size():
+                return
         unsent_bytes = _count_unsent_bytes(self._transport)
         self._unchanged_for += LINGER_CHECK_INTERVAL
         if unsent_bytes != self._unsent_bytes:
