--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -93,7 +93,9 @@
     def _check(self) -> None:
         """Close the connection of a peer that neither reads nor closes."""
         if self._transport.is_closing():
-            return
+            # The peer has closed at least its sending side.
+            if not self._transport.get_write_buffer_size():
+                return
         unsent_bytes = _count_unsent_bytes(self._transport)
         self._unchanged_for += LINGER_CHECK_INTERVAL
         if unsent_bytes != self._unsent_bytes:
@@ -162,7 +164,8 @@
         """Parse received bytes."""
         received_before = self._request_count
         super().data_received(data)
-        self._last_bytes = (self._last_bytes + data)[-len(HEAD_END) :]
+        last_bytes = self._last_bytes + data[-len(HEAD_END) :]
+        self._last_bytes = last_bytes[-len(HEAD_END) :]
         if self._request_count > received_before:
             payload = self._messages[-1][1]
             # Where a body ends, and what follows it, is not known here.
