Soak daemons that are cut off from targets, and connections that stay open

New faults: one daemon, several, those of a data centre or the leader lose the path to all targets or to half of them, at once or in series. Daemons and targets are in two data centres. Daemons that are cut off for 3 s have to serve two thirds of what calm ones do, or fail at most ten requests and one in 50.

The soak also reports daemons that end by themselves, and exceptions of its own tasks.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,11 +2,13 @@
 
 import argparse
 import asyncio
+import contextlib
 import pathlib
 import sys
 import tempfile
 
 from soak.callers import Callers
+from soak.connections import ConnectionCallers
 from soak.faults import FaultInjector
 from soak.fleet import SoakFleet
 
@@ -33,6 +35,7 @@
     """
     fleet = SoakFleet(folder, daemons)
     callers = Callers(fleet, seed)
+    connections = ConnectionCallers(callers, seed)
     injector = FaultInjector(fleet, seed)
     await fleet.start()
     try:
@@ -40,6 +43,7 @@
             callers.violations.append('keys were not served after the start')
         tasks = [
             asyncio.create_task(callers.run()),
+            asyncio.create_task(connections.run(fleet.daemons)),
             asyncio.create_task(_check_owners_periodically(callers)),
         ]
         await injector.run(seconds)
@@ -50,8 +54,11 @@
         await injector.check_changes()
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+            with contextlib.suppress(asyncio.CancelledError):
+                # Raises the exception of a task that has failed.
+                await task
         callers.check_runs()
+        callers.check_shares()
         callers.violations.extend(injector.violations)
     finally:
         await fleet.stop()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,9 +1,11 @@
 """Callers of a soak test, and the violations they find."""
 
 import asyncio
+import enum
 import itertools
 import random
 from collections import Counter
+from collections.abc import Mapping
 
 import aiohttp
 
@@ -17,6 +19,21 @@
 REQUEST_INTERVAL = 0.02
 #: Longest wait for an answer, in seconds.
 REQUEST_TIMEOUT = 4.0
+#: From this time after the beginning of a cut, a daemon that is cut off from
+#: all targets has to serve like the others, in seconds.
+CUT_OFF_GRACE = 3.0
+#: It serves at least this part of what others do, unless few requests fail: ten
+#: and one in 50 of all.
+MIN_RELATIVE_SHARE = 2 / 3
+MAX_FAILED_COUNT = 10
+MAX_FAILED_PART = 1 / 50
+
+
+class Group(enum.Enum):
+    """Groups of daemons whose requests are compared."""
+
+    calm = 'calm'
+    cut_off = 'cut off'
 
 
 class Callers:
@@ -30,6 +47,9 @@
         self._prefix = f's{seed}'
         self.violations: list[str] = []
         self.outcome_counts: Counter[str] = Counter()
+        self._outcomes_by_group: dict[Group, list[str]] = {
+            group: [] for group in Group
+        }
         #: IDs of the requests that a daemon reported as not run. They must not
         #: run later either.
         self.not_run_ids: set[str] = set()
@@ -79,6 +99,50 @@
             if len(holders) > 1:
                 self.violations.append(f'key {key} is held by {holders}')
 
+    def check_shares(self) -> None:
+        """Check that daemons that are cut off served like calm ones."""
+        share_by_group = {
+            group: outcomes.count('200') / max(len(outcomes), 1)
+            for group, outcomes in self._outcomes_by_group.items()
+        }
+        outcomes = self._outcomes_by_group[Group.cut_off]
+        failed = len(outcomes) - outcomes.count('200')
+        total = sum(map(len, self._outcomes_by_group.values()))
+        if (
+            failed > MAX_FAILED_COUNT + MAX_FAILED_PART * total
+            and share_by_group[Group.cut_off]
+            < MIN_RELATIVE_SHARE * share_by_group[Group.calm]
+        ):
+            self.violations.append(
+                f'daemons cut off from targets served'
+                f' {outcomes.count("200")} of {len(outcomes)} requests, others'
+                f' {share_by_group[Group.calm]:.2f} of theirs'
+            )
+
+    def next_request_id(self, *, is_safe: bool) -> str:
+        """Return the ID of a new request."""
+        request_id = f'{self._prefix}-{next(self._request_numbers)}'
+        if not is_safe:
+            self.unsafe_ids.add(request_id)
+        return request_id
+
+    def record_answer(
+        self,
+        request_id: str,
+        status: int,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> None:
+        """Count and check an answer."""
+        self.outcome_counts[str(status)] += 1
+        self._check_answer(request_id, status, headers, body)
+
+    def was_run(self, request_id: str) -> bool:
+        """Return whether a target ran a request."""
+        return any(
+            request_id in target.executed_ids for target in self._fleet.targets
+        )
+
     async def wait_until_served(self, timeout: float) -> bool:
         """Wait until every daemon serves a sample of the keys.
 
@@ -104,14 +168,33 @@
         daemon: DaemonProcess,
     ) -> None:
         while True:
+            group = self._group(daemon)
             if self._random.random() < 0.3:
                 outcome = await self._issue(session, daemon)
             else:
                 key = self._random.randrange(65536)
                 outcome = await self._lookup(session, daemon, key)
             self.outcome_counts[outcome] += 1
+            if group is not None:
+                self._outcomes_by_group[group].append(outcome)
             await asyncio.sleep(REQUEST_INTERVAL)
 
+    def _group(self, daemon: DaemonProcess) -> Group | None:
+        """Return the group of a daemon whose requests are compared now.
+
+        The daemons of a group are not disrupted. Requests are compared only
+        while there are daemons in both groups.
+        """
+        now = asyncio.get_running_loop().time()
+        group_by_name = {
+            one.name: Group.cut_off if one.is_cut_off else Group.calm
+            for one in self._fleet.daemons
+            if max(one.cut_changed_at, one.disrupted_at) < now - CUT_OFF_GRACE
+        }
+        if len(set(group_by_name.values())) < len(Group):
+            return None
+        return group_by_name.get(daemon.name)
+
     async def _lookup(
         self,
         session: aiohttp.ClientSession,
@@ -137,9 +220,7 @@
         path: str,
         headers: dict[str, str],
     ) -> str:
-        request_id = f'{self._prefix}-{next(self._request_numbers)}'
-        if method == 'POST':
-            self.unsafe_ids.add(request_id)
+        request_id = self.next_request_id(is_safe=method == 'GET')
         headers.update({'Attempt-Id': request_id, 'Deadline-Ms': '2000'})
         url = f'{daemon.url}{path}/{request_id}'
         try:
@@ -152,7 +233,8 @@
                 body = await response.read()
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             return self._handle_connection_error(daemon, request_id, error)
-        return self._check_response(request_id, response, body)
+        self._check_answer(request_id, response.status, response.headers, body)
+        return str(response.status)
 
     def _handle_connection_error(
         self,
@@ -167,18 +249,18 @@
             )
         return type(error).__name__
 
-    def _check_response(
+    def _check_answer(
         self,
         request_id: str,
-        response: aiohttp.ClientResponse,
+        status: int,
+        headers: Mapping[str, str],
         body: bytes,
-    ) -> str:
-        if response.status == 200 and f'/{request_id} '.encode() not in body:
+    ) -> None:
+        if status == 200 and f'/{request_id} '.encode() not in body:
             self.violations.append(
                 f'{request_id}: unexpected body {body[:80]!r}'
             )
-        if response.headers.get('Attempt-Id') != request_id:
+        if headers.get('Attempt-Id') != request_id:
             self.violations.append(f'{request_id}: answer has another ID')
-        if response.status == 503 and 'Retry-After' in response.headers:
+        if status == 503 and 'Retry-After' in headers:
             self.not_run_ids.add(request_id)
-        return str(response.status)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from soak.fleet import DaemonProcess, SoakFleet
+from soak.fleet import CUTTING_MODES, DaemonProcess, SoakFleet
 from soak.proxy import ProxyMode
 from standins.keyed_target import TargetServer
 from tests.replay_helpers import (
@@ -29,6 +29,13 @@
 #: period of the settings, the longest suspension of a process, and a margin of
 #: 1 s.
 MAX_STOP_DURATION = 6.0 + MAX_FAULT_DURATION + 1.0
+#: Longest time for which daemons are cut off from targets, in seconds.
+MAX_CUT_DURATION = 5.0
+#: Number of cuts in a series, and range of their lengths and of the pauses
+#: between them, in seconds.
+SERIES_LENGTH = 3
+SERIES_INTERVALS = (0.1, 0.8)
+CUT_MODES = (*CUTTING_MODES, ProxyMode.reset, ProxyMode.lossy)
 #: How long a target stays cold, in seconds.
 COLD_DURATION = 3.0
 #: Time after which a change of a target is known to all daemons, in seconds.
@@ -74,6 +81,8 @@
             self._chill_target,
             self._limit_target,
             self._add_routes,
+            self._cut_off,
+            self._cut_off_in_series,
         )
 
     async def run(self, seconds: float) -> None:
@@ -90,6 +99,12 @@
 
     async def check_changes(self) -> None:
         """Check the bounds on changes, which hold for undisrupted daemons."""
+        for daemon in self._fleet.daemons:
+            if daemon.exit_status is not None:
+                self.violations.append(
+                    f'{daemon.name} ended by itself with status'
+                    f' {daemon.exit_status}'
+                )
         await asyncio.sleep(CALM_DURATION)
         by_service = {one.service: one for one in self._fleet.targets}
         await asyncio.gather(
@@ -185,6 +200,36 @@
         await self._wait_fault_duration()
         self._fleet.publish_target(target)
 
+    async def _cut_off(self) -> None:
+        """Cut daemons off from all targets, at times from half of them."""
+        daemons = self._choose_group()
+        target_ids = [one.target_id for one in self._fleet.targets]
+        if self._random.random() < 0.7:
+            target_ids = []
+        else:
+            self._random.shuffle(target_ids)
+        mode = self._random.choice(CUT_MODES)
+        half = target_ids[: len(target_ids) // 2]
+        names = ' '.join(one.name for one in daemons)
+        self._log_event(f'{names}: {mode.value} to {half or "all targets"}')
+        await self._fleet.cut(daemons, mode, half)
+        await asyncio.sleep(
+            self._random.uniform(MIN_FAULT_DURATION, MAX_CUT_DURATION)
+        )
+        await self._fleet.heal(daemons)
+        self._log_event(f'{names}: a cut ends')
+
+    async def _cut_off_in_series(self) -> None:
+        """Cut a daemon off from all targets again and again, for moments."""
+        daemons = [self._choose_daemon()]
+        mode = self._random.choice(CUT_MODES)
+        self._log_event(f'{daemons[0].name}: {mode.value} in series')
+        for _ in range(SERIES_LENGTH):
+            await self._fleet.cut(daemons, mode)
+            await asyncio.sleep(self._random.uniform(*SERIES_INTERVALS))
+            await self._fleet.heal(daemons)
+            await asyncio.sleep(self._random.uniform(*SERIES_INTERVALS))
+
     async def _restart_target(self) -> None:
         target = self._choose_target()
         self._log_event(f'{target.target_id} restarts')
@@ -257,10 +302,14 @@
         await asyncio.sleep(MAX_CHANGE_TIME)
         async with aiohttp.ClientSession() as session:
             for daemon in self._fleet.daemons:
-                async with session.get(
-                    f'{daemon.url}/lookup/x', headers={'Host': host}
-                ) as response:
-                    status = response.status
+                try:
+                    async with session.get(
+                        f'{daemon.url}/lookup/x', headers={'Host': host}
+                    ) as response:
+                        status = response.status
+                except aiohttp.ClientError as error:
+                    self.violations.append(f'{daemon.name}: {error!r}')
+                    continue
                 self._log_event(f'{daemon.name}: {status} on the new route')
                 if status == HTTPStatus.NOT_FOUND:
                     self.violations.append(f'{daemon.name} lacks a new route')
@@ -286,6 +335,23 @@
         await set_mode(ProxyMode.forwarding)
         self._log_event(f'{name} is healthy')
 
+    def _choose_group(self) -> list[DaemonProcess]:
+        """Return one daemon, several, those of a data centre or the leader."""
+        daemons = self._fleet.daemons
+        chosen = self._choose_daemon()
+        return self._random.choice(
+            (
+                [chosen],
+                self._random.sample(daemons, len(daemons) - 1),
+                [
+                    one
+                    for one in daemons
+                    if one.data_centre == chosen.data_centre
+                ],
+                [self._fleet.leader() or chosen],
+            )
+        )
+
     def _choose_daemon(self) -> DaemonProcess:
         return self._random.choice(self._fleet.daemons)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,6 +20,13 @@
 
 KEYED_TARGET_COUNT = 4
 UNKEYED_TARGET_COUNT = 2
+#: Modes in which a target can't be reached, or only over old connections.
+CUTTING_MODES = (
+    ProxyMode.refused,
+    ProxyMode.refuse_new,
+    ProxyMode.hang,
+    ProxyMode.no_answers,
+)
 #: Service time of the targets, in seconds.
 SERVICE_TIME = 0.01
 DATA_CENTRES = ('astana-a', 'astana-b')
@@ -49,9 +56,11 @@
         self.target_host = target_host
         self.data_centre = data_centre
         self.path_by_target: dict[str, FaultProxy] = {}
-        #: When the daemon was last cut off from targets or reached them
-        #: again, by the loop's clock.
+        #: When the paths to targets last changed, by the loop's clock.
         self.cut_changed_at = 0.0
+        #: Number of cuts between the daemon and targets that are in force.
+        self.cut_count = 0
+        #: Whether the daemon reaches no target at all.
         self.is_cut_off = False
         self.ports = free_ports(3)
         self.store_proxy: FaultProxy | None = None
@@ -60,6 +69,9 @@
         self._process: asyncio.subprocess.Process | None = None
         #: When the daemon was last disrupted, by the loop's clock.
         self.disrupted_at = 0.0
+        #: When it was last killed, suspended or resumed, by the loop's clock.
+        self.harmed_at = 0.0
+        self._is_suspended = False
 
     @property
     def url(self) -> str:
@@ -92,9 +104,21 @@
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process, if it is running."""
         self.mark_disrupted()
+        if signal_number is signal.SIGKILL or self._is_suspended:
+            self.harmed_at = self.disrupted_at
+        if signal_number is signal.SIGSTOP:
+            self.harmed_at = self.disrupted_at
+            self._is_suspended = True
+        if signal_number is signal.SIGCONT:
+            self._is_suspended = False
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(signal_number)
 
+    @property
+    def exit_status(self) -> int | None:
+        """Return the status of a process that has ended, None of others."""
+        return None if self._process is None else self._process.returncode
+
     async def wait_for_exit(self) -> int:
         """Wait until the process exits and return its status."""
         if self._process is None:
@@ -143,11 +167,16 @@
         self.store = RowStoreServer()
         self.targets = [
             *(
-                TargetServer(f'k{number}')
+                TargetServer(f'k{number}', data_centre=data_centre_of(number))
                 for number in range(KEYED_TARGET_COUNT)
             ),
             *(
-                TargetServer(f'i{number}', 'issuance', is_keyed=False)
+                TargetServer(
+                    f'i{number}',
+                    'issuance',
+                    is_keyed=False,
+                    data_centre=data_centre_of(number),
+                )
                 for number in range(unkeyed)
             ),
         ]
@@ -156,7 +185,7 @@
                 f'edge-{number}',
                 folder,
                 f'127.0.0.{number + FIRST_TARGET_HOST}',
-                DATA_CENTRES[number % len(DATA_CENTRES)],
+                data_centre_of(number),
             )
             for number in range(daemons)
         ]
@@ -217,9 +246,35 @@
         self.store.put('servers', target.target_id, entry)
 
     async def set_target_mode(self, target_id: str, mode: ProxyMode) -> None:
-        """Set the mode of all paths to a target."""
+        """Set the mode of all paths to a target, except of daemons cut off."""
         for daemon in self.daemons:
-            await daemon.path_by_target[target_id].set_mode(mode)
+            if not daemon.cut_count:
+                await daemon.set_paths(mode, [target_id])
+
+    async def cut(
+        self,
+        daemons: Collection[DaemonProcess],
+        mode: ProxyMode,
+        target_ids: Collection[str] = (),
+    ) -> None:
+        """Cut daemons off from some targets, by default from all."""
+        now = asyncio.get_running_loop().time()
+        for daemon in daemons:
+            daemon.cut_count += 1
+            daemon.cut_changed_at = now
+            daemon.is_cut_off = mode in CUTTING_MODES and not target_ids
+            await daemon.set_paths(ProxyMode.forwarding)
+            await daemon.set_paths(mode, target_ids)
+
+    async def heal(self, daemons: Collection[DaemonProcess]) -> None:
+        """End one cut of each daemon."""
+        for daemon in daemons:
+            daemon.cut_count -= 1
+            if daemon.cut_count:
+                continue
+            daemon.cut_changed_at = asyncio.get_running_loop().time()
+            daemon.is_cut_off = False
+            await daemon.set_paths(ProxyMode.forwarding)
 
     def leader(self) -> DaemonProcess | None:
         """Return the daemon that the store names as the leader."""
@@ -233,3 +288,8 @@
             (one for one in self.daemons if one.name == leadership.instance_id),
             None,
         )
+
+
+def data_centre_of(number: int) -> str:
+    """Return the data centre of a daemon or target."""
+    return DATA_CENTRES[number % len(DATA_CENTRES)]
