--- a/soak/connections.py
+++ b/soak/connections.py
@@ -148,8 +148,8 @@
             if not has_crossed:
                 self._callers.violations.append(
                     f'{now:.2f} {request.request_id} at {daemon.name},'
-                    f' {place} of {depth}: {request.arrived} bytes of an answer in'
-                    f' {now - request.sent_at:.2f} s, then the end'
+                    f' {place} of {depth}: {request.arrived} bytes of an answer'
+                    f' in {now - request.sent_at:.2f} s, then the end'
                 )
 
 
