Give each test run enough ports for 30 daemons

A soak test of 30 daemons takes 270 ports, while the blocks of parallel runs lay 40 apart: of two soak tests side by side one could not start its daemons (address in use, ports 29164, 29170 and 29176 of the other). Blocks have 300 ports now.

--- a/standins/listening.py
+++ b/standins/listening.py
@@ -10,8 +10,9 @@
 #: Candidate ports start here, below the system's ephemeral ports. They are
 #: divided into blocks, so that parallel test runs try different ones.
 FIRST_PORT = 12_000
-PORT_BLOCKS = 500
-PORTS_PER_BLOCK = 40
+PORT_BLOCKS = 66
+#: Enough for a soak test of 30 daemons.
+PORTS_PER_BLOCK = 300
 #: Ports in a row that a daemon uses from its internal port on.
 PORTS_PER_DAEMON = 3
 #: Candidate ports, starting at the block chosen by the process ID.
