Explain requests that were passed on, from the lines of both daemons

tests.test_tool_platform: the new test fails on the code before (no cut and no reasons in the sentences), 8 passed now.

--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -98,7 +98,11 @@
     template = _TEMPLATE_BY_EVENT.get(line.name)
     if template is None:
         return line.name.replace('_', ' ')
-    return template.format_map(_LineFields(line.fields))
+    sentence = template.format_map(_LineFields(line.fields))
+    helper = line.fields.get('helper')
+    if helper and line.name == 'attempt_failed':
+        return f'{sentence}, passed on through daemon {helper}'
+    return sentence
 
 
 class _LineHeader(msgspec.Struct):
@@ -125,6 +129,25 @@
             'target {target} did not serve request {request} ({end}:'
             ' {reason}), {after} s after arrival'
         ),
+        'helper_failed': (
+            'daemon {helper} did not pass request {request} on to target'
+            ' {target} ({end}: {reason})'
+        ),
+        'carrying_refused': (
+            'request {request} of daemon {origin} for target {target} was'
+            ' refused here: {reason}'
+        ),
+        'carrying_failed': (
+            'target {target} did not answer request {request}, which was'
+            ' carried for daemon {origin} ({end}: {reason})'
+        ),
+        'cut_off_from_targets': (
+            'this daemon reached no target of {targets}; daemons that did:'
+            ' {daemons_reaching}'
+        ),
+        'targets_reached_again': (
+            'this daemon reached targets again, after {cut_off_for} s'
+        ),
         'keys_leaving': (
             'keys {first} to {last} were moved away from {target}: {reason}'
         ),
@@ -165,6 +188,8 @@
         'table_unavailable',
         'table_answers_again',
         'data_centre_changed',
+        'cut_off_from_targets',
+        'targets_reached_again',
     ),
 )
 
--- a/tests/test_tool_platform.py
+++ b/tests/test_tool_platform.py
@@ -74,6 +74,56 @@
             ],
         )
 
+    def test_request_that_was_passed_on(self) -> None:
+        """The lines of both daemons, and why the request was passed on."""
+        logs = [
+            log_line(8, 'cut_off_from_targets', 'edge-1', targets=3,
+                     failed=['t1'], daemons_reaching=['edge-2']),
+            log_line(10, 'carrying_refused', 'edge-2', request='b',
+                     origin='edge-1', target='t5', reason='draining'),
+            log_line(10.1, 'helper_failed', 'edge-1', request='b', target='t5',
+                     helper='edge-2', end='not_run', reason='draining'),
+            log_line(10.2, 'carrying_failed', 'edge-3', request='b',
+                     origin='edge-1', target='t5', end='unknown',
+                     reason='reset'),
+            log_line(10.3, 'attempt_failed', 'edge-1', request='b',
+                     target='t5', helper='edge-3', key=-1, end='unknown',
+                     reason='reset', after=0.3),
+            log_line(10.3, 'carrying_failed', 'edge-3', request='c',
+                     origin='edge-1', target='t5'),
+        ]  # fmt: skip
+        timeline = build_timeline(read_lines(logs), 'b')
+        self.assertEqual(
+            [(step.instance, step.sentence) for step in timeline.steps],
+            [
+                (
+                    'edge-1',
+                    'this daemon reached no target of 3; daemons that did:'
+                    " ['edge-2']",
+                ),
+                (
+                    'edge-2',
+                    'request b of daemon edge-1 for target t5 was refused'
+                    ' here: draining',
+                ),
+                (
+                    'edge-1',
+                    'daemon edge-2 did not pass request b on to target t5'
+                    ' (not_run: draining)',
+                ),
+                (
+                    'edge-3',
+                    'target t5 did not answer request b, which was carried'
+                    ' for daemon edge-1 (unknown: reset)',
+                ),
+                (
+                    'edge-1',
+                    'target t5 did not serve request b (unknown: reset), 0.3'
+                    ' s after arrival, passed on through daemon edge-3',
+                ),
+            ],
+        )
+
     def test_unknown_request(self) -> None:
         self.assertEqual(build_timeline(read_lines(LOGS), 'nobody').steps, ())
 
