--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -90,7 +90,9 @@
     `internal_address` is that of its links with other daemons.
     """
     host, port = internal_address.rsplit(':', 1)
-    return f'{host}:{int(port) + HOP_PORT_OFFSET}'
+    # Port 0 stands for any free port.
+    hop_port = int(port) + HOP_PORT_OFFSET if int(port) else 0
+    return f'{host}:{hop_port}'
 
 
 def load_settings() -> GatewaySettings:
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -14,6 +14,7 @@
     TargetSelector,
 )
 from cassialever.policy.permits import PermitBatch, PermitLimiter
+from cassialever.policy.reach import SoundPaths
 from tests.fleet_helpers import (
     ManualClock,
     configured_view,
@@ -26,6 +27,20 @@
 REQUEST = PlacementRequest('issuance', RequestKind.unsafe, -1, 0.6)
 
 
+class PartialPaths(SoundPaths):
+    """Evidence of paths to some targets, and of helpers for others."""
+
+    def __init__(self, direct: set[str], helped: set[str]) -> None:
+        self.direct = direct
+        self.helped = helped
+
+    def is_reachable(self, target_id: str, now: float) -> bool:
+        return target_id in self.direct
+
+    def helpers_for(self, target_id: str, now: float) -> list[str]:
+        return ['edge-2'] if target_id in self.helped else []
+
+
 class TargetSelectorTest(unittest.TestCase):
     """The choice of a target for a service without keys."""
 
@@ -104,6 +119,31 @@
         self.clock.now += 20
         self.assertIn('t0', self.choice_counts())
 
+    def test_target_reached_through_a_helper_is_chosen_last(self) -> None:
+        paths = PartialPaths({'t0'}, helped={'t1'})
+        self.selector.reach.paths = paths
+        for _ in range(6):
+            self.assertEqual(self.choose(), 't0')
+            self.loads.of('t0').record_open()
+        # No slot of t0 is free now.
+        self.assertEqual(self.choose(), 't1')
+
+    def test_target_that_nobody_reaches_is_not_chosen(self) -> None:
+        self.selector.reach.paths = PartialPaths(set(), helped={'t2'})
+        self.assertEqual(set(self.choice_counts(20)), {'t2'})
+        self.selector.reach.paths = PartialPaths(set(), helped=set())
+        self.assertIs(
+            self.selector.choose(REQUEST, self.clock.now),
+            NoTargetReason.unreachable,
+        )
+
+    def test_connection_that_just_failed_needs_a_helper(self) -> None:
+        everywhere = {'t0', 't1', 't2', 't3'}
+        self.selector.reach.paths = PartialPaths(everywhere, helped={'t3'})
+        for name in everywhere:
+            self.loads.of(name).record_unreachable(self.clock.now)
+        self.assertEqual(set(self.choice_counts(20)), {'t3'})
+
     def test_new_target_is_tried(self) -> None:
         # A target without a known latency got no request all day (seen on
         # scale-2 of the second deployment).
