Stop as planned when a part fails together with the signal

Cause: a background task that failed in the turn of the loop in which SIGTERM came made the daemon exit at once, although one that fails a turn later doesn't.

Change: once a stop is requested, it is carried out.

Measured: tests.test_stop_moments, the test of a task that fails with the signal: run_until returned false before, with a request open; it is answered now.

--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -178,7 +178,8 @@
     ) -> bool:
         """Wait for a stop request, then stop.
 
-        Return false at once, without stopping, if a part fails first.
+        Return false at once, without stopping, if a part fails first. One that
+        fails later does not end the stop, which is limited in time.
         """
         waits = [
             asyncio.ensure_future(event.wait())
@@ -187,7 +188,7 @@
         await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         for wait in waits:
             wait.cancel()
-        if self.failed.is_set():
+        if not stop_requested.is_set():
             return False
         await stop()
         return True
--- a/tests/test_stop_moments.py
+++ b/tests/test_stop_moments.py
@@ -235,6 +235,21 @@
                 await gateway.stop()
             self.assertTrue(gateway.core._sender._session.closed)
 
+    async def test_task_that_fails_with_the_signal_does_not_cut_answers(
+        self,
+    ) -> None:
+        async with deployment() as system:
+            await extend_route(system)
+            gateway = system.gateways[0]
+            pending = await open_request(system, LONG_SERVICE_TIME)
+            running = run_until_stopped(gateway)
+            await asyncio.sleep(0)
+            request_stop(gateway)
+            gateway.core.failed.set()
+            response = await asyncio.wait_for(pending, STOP_TIMEOUT)
+            self.assertEqual(response.status, 200)
+            self.assertTrue(await asyncio.wait_for(running, STOP_TIMEOUT))
+
 
 class TimeTest(StopCase):
     """The grace period is kept, also by a daemon that is late."""
