Don't wait a minute for an open request of the metrics

Cause: aiohttp's server waits 60 s, twice, for open requests when it stops, so that the process outlasted its grace and was killed while it stopped.

Change: 0.1 s. No caller is affected: their connections end before.

Measured: tests.test_stop_moments, the test of a request of metrics that hangs: the stop had not ended 6 s after it began; it does now.

--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -14,6 +14,7 @@
 
 from cassialever.gateway.counters import Counters, HopCounters
 from cassialever.gateway.settings import GatewaySettings
+from cassialever.types import Seconds
 
 if TYPE_CHECKING:
     from opentelemetry.metrics import CallbackOptions, Observation
@@ -21,6 +22,9 @@
 METRICS_PATH: Final = '/metrics'
 #: Percentiles of the latency that are exported.
 PERCENTILES: Final = (50, 90, 99, 99.9)
+#: How long an open request may take when the server stops; aiohttp waits twice
+#: as long, within what a stop reserves for closing connections.
+SHUTDOWN_TIMEOUT: Final[Seconds] = 0.1
 
 
 class Reading(msgspec.Struct, frozen=True):
@@ -50,6 +54,7 @@
         """Listen on the metrics port."""
         self._runner = web.ServerRunner(
             web.Server(self._handle, access_log=None),
+            shutdown_timeout=SHUTDOWN_TIMEOUT,
         )
         await self._runner.setup()
         site = web.TCPSite(
--- a/tests/test_stop_moments.py
+++ b/tests/test_stop_moments.py
@@ -270,6 +270,25 @@
                 await stopping
             self.assertLess(begun + drain.call_args.args[0], GRACE)
 
+    async def test_request_of_metrics_does_not_outlast_the_grace(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await until(lambda: gateway.server.is_ready)
+            hanging = asyncio.Event()
+
+            async def hang(_: object) -> None:
+                hanging.set()
+                await asyncio.sleep(60)
+
+            gateway._metrics._runner.server.request_handler = hang
+            port = gateway.settings.metrics_port
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n')
+            await hanging.wait()
+            async with asyncio.timeout(GRACE):
+                await gateway.stop()
+            writer.close()
+
 
 class SignalTest(StopCase):
     """Signals before and during a stop."""
