--- a/tests/test_stop_moments.py
+++ b/tests/test_stop_moments.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import base64
+import contextlib
 import os
+import pathlib
 import signal
+import tempfile
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -22,6 +25,9 @@
 from cassialever.fleet.membership import MemberState
 from cassialever.gateway.application import ACCEPTING_SHARE, Gateway
 from cassialever.process_signals import ProcessSignals
+from soak.__main__ import START_TIMEOUT
+from soak.callers import Callers
+from soak.fleet import SoakFleet
 from tests.fleet_helpers import (
     CONFIGURATION,
     ROUTES,
@@ -336,6 +342,30 @@
             finally:
                 watcher.stop()
 
+    async def test_signals_until_the_end_do_not_end_the_process(self) -> None:
+        """Both signals, each millisecond, from the first to the exit."""
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = SoakFleet(pathlib.Path(folder), daemons=1)
+            await fleet.start()
+            try:
+                callers = Callers(fleet, 1)
+                self.assertTrue(await callers.wait_until_served(START_TIMEOUT))
+                daemon = fleet.daemons[0]
+                assert daemon._process is not None
+                # Popen's own method would collect the exit status.
+                process = os.pidfd_open(daemon._process.pid)
+                self.addCleanup(os.close, process)
+                waiting = asyncio.create_task(daemon.wait_for_exit())
+                async with asyncio.timeout(GRACE):
+                    while not waiting.done():
+                        with contextlib.suppress(ProcessLookupError):
+                            signal.pidfd_send_signal(process, signal.SIGTERM)
+                            signal.pidfd_send_signal(process, signal.SIGHUP)
+                        await asyncio.sleep(0.001)
+                self.assertEqual(waiting.result(), 0)
+            finally:
+                await fleet.stop()
+
 
 if __name__ == '__main__':
     unittest.main()
