Stop the own interface without losing an answer

The daemon closed the listening socket with connections in its queue, dropped a request on a connection that was idle or just accepted, and ended with answers in its buffers or with unread bytes behind them, which resets the connection.

Change: it listens by gateway.connections, so that there is one copy of it. While it refuses new requests with 'stopping' it goes on listening; each answer closes its connection. Once no request is in progress the listener drains.

Measured: tests.test_callers_stop on the code before, 6 of 8 fail: ConnectionReset from the queue, on a connection just accepted and behind a long answer; no bytes on an idle connection; 1,842,949 of 4,000,000 bytes received when the stop had ended; no 'Connection: close'.

--- a/cassialever/callers/front.py
+++ b/cassialever/callers/front.py
@@ -21,12 +21,12 @@
 from cassialever.errors import EntryRef, ErrorKind, Failure
 from cassialever.events import Event, record
 from cassialever.fleet.model import NO_KEY
+from cassialever.gateway.connections import CallerListener
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.sender import TargetRequest
 from cassialever.interfaces import Clock
 from cassialever.platform import wire
-from cassialever.serving import ServerSite
 from cassialever.settings import Settings
 from cassialever.telemetry.spans import TRACEPARENT_HEADER, Hop
 from cassialever.telemetry.telemetry import Telemetry
@@ -59,14 +59,12 @@
         self._limiter = CallerLimiter()
         self._stopping = False
         self.in_progress = 0
-        server = web.Server(
+        self._listener = CallerListener(
             self._serve,
+            access_log=None,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
-            # Stops work for a caller that has disconnected.
-            handler_cancellation=True,
         )
-        self._site = ServerSite(server)
         self.url = ''
 
     def adopt(self, index: CatalogueIndex) -> None:
@@ -76,28 +74,36 @@
     async def start(self) -> None:
         """Listen on the configured address."""
         instance = self._settings.instance
-        self.url = await self._site.start(
-            instance.address,
-            instance.caller_port,
+        host, port = await self._listener.start(
+            instance.address, instance.caller_port
         )
+        self.url = f'http://{host}:{port}'
 
     async def drain(self, timeout: Seconds) -> None:
-        """Refuse new requests; wait up to `timeout` for those in progress."""
+        """Refuse new requests and finish those in progress, then close.
+
+        Stops listening once none is in progress. Returns when all callers
+        have received their answers, at the latest at the timeout.
+        """
         self._stopping = True
         deadline = self._clock.monotonic() + timeout
         while self.in_progress and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
+        await self._listener.drain(deadline - self._clock.monotonic())
 
     async def stop(self) -> None:
-        """Stop listening."""
-        await self._site.stop()
+        """Stop listening and close every connection immediately."""
+        await self._listener.stop()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_progress += 1
         try:
-            return await self._answer(request)
+            response = await self._answer(request)
         finally:
             self.in_progress -= 1
+        if self._stopping:
+            response.force_close()
+        return response
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         raw = _raw_request(request)
