Reuse no connection on which something came while it was idle

Cause: aiohttp's pool checks a connection when it is returned, not when it is taken again. An answer that came in between, or lay in the socket unread, was taken for that of the next request: a signed one without id reached the next caller, a refusal without id was reported as 'not run' for a request that runs, and one with an id cost the next request its outcome. A connection that its peer had closed, unread, did the same.

Change: the sessions to targets and the store close such a connection and take another one.

Not closed: an answer that comes after the next request was sent. Its id tells it; a refusal without id on the same connection can't be told from that request's own.

--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -1,5 +1,6 @@
 """Open HTTP sessions that detect dead peers and reset what they close."""
 
+import select
 import socket
 import struct
 from typing import Any, Final
@@ -18,6 +19,23 @@
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
 
+class _CheckingConnector(aiohttp.TCPConnector):
+    """A connection pool that reuses only connections without unread bytes.
+
+    aiohttp takes bytes that came while a connection was idle for the answer
+    to the next request on it.
+    """
+
+    async def _get(
+        self, key: Any, traces: list[Any]
+    ) -> aiohttp.connector.Connection | None:
+        while True:
+            connection = await super()._get(key, traces)
+            if connection is None or _is_unused(connection):
+                return connection
+            connection.close()
+
+
 def open_session(
     *,
     disable_retries: bool = False,
@@ -30,7 +48,7 @@
     Other options are passed to the session.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=_CheckingConnector(
             limit=0,
             keepalive_timeout=keepalive_timeout,
             socket_factory=keepalive_socket,
@@ -98,3 +116,13 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBE_COUNT
     )
     return sock
+
+
+def _is_unused(connection: aiohttp.connector.Connection) -> bool:
+    """Return whether nothing came, also not its end, while it was idle."""
+    protocol = connection.protocol
+    if protocol is None or protocol.transport is None or protocol.should_close:
+        return False
+    poller = select.poll()
+    poller.register(protocol.transport.get_extra_info('socket'), select.POLLIN)
+    return not poller.poll(0)
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -45,6 +45,7 @@
         self.resets_connection = False
         self.request_heads: list[bytes] = []
         self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.closed_by_peer = 0
         self.server = await asyncio.start_server(
             self.serve_connection, LOOPBACK, 0
@@ -70,6 +71,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self.writers.append(writer)
         try:
             while True:
                 self.request_heads.append(await reader.readuntil(b'\r\n\r\n'))
@@ -190,6 +192,47 @@
         self.assertIs((await self.send()).outcome, AttemptOutcome.unknown)
 
 
+class LateAnswerTest(SenderCase):
+    """Bytes that arrive when no request is open on a connection."""
+
+    async def send_after(self, late: bytes, pause: float) -> Attempt:
+        """Return a second attempt, after surplus bytes on its connection."""
+        await self.send()
+        self.reply = raw_answer(f'{SIGNED_HEADERS}Content-Length: 2\r\n', '2.')
+        self.writers[0].write(late)
+        await asyncio.sleep(pause)
+        return await self.send()
+
+    async def test_late_answer_never_reaches_the_next_caller(self) -> None:
+        without_id = SIGNED_HEADERS.replace('Attempt-Id: a1\r\n', '')
+        other = SIGNED_HEADERS.replace('a1', 'a0')
+        for late in (
+            raw_answer(f'{other}Content-Length: 4\r\n', 'late'),
+            raw_answer(f'{without_id}Content-Length: 4\r\n', 'late'),
+            # States that a request has not run.
+            raw_answer(
+                'Not-Executed: 1\r\nContent-Length: 0\r\n', status='503 Busy'
+            ),
+            b'no answer at all',
+        ):
+            # Read before the next request is sent, or still in the socket.
+            for pause in (0.05, 0):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                with self.subTest(late=late, pause=pause):
+                    attempt = await self.send_after(late, pause)
+                    assert attempt.answer is not None, attempt
+                    self.assertEqual(attempt.answer.body, b'2.')
+                    self.assertEqual(self.connections, 2)
+
+    async def test_connection_closed_while_idle_is_not_reused(self) -> None:
+        """A request is not sent to a connection that has ended."""
+        await self.send()
+        self.writers[0].get_extra_info('socket').shutdown(socket.SHUT_WR)
+        attempt = await self.send()
+        self.assertIs(attempt.outcome, AttemptOutcome.answered)
+
+
 class ConnectionsTest(SenderCase):
     """Connections that are lost, refused or cancelled."""
 
