Accept no signed answer without the id of its request

Cause: a target omits the id in refusals, so that an answer without one counted as matching, also if it was signed. A late one, on a connection in use again, would have reached another caller.

Change: a signed answer has to repeat the id that the caller sent; without it the outcome is unknown and the connection is closed.

Measured: test_signed_answer_without_id_is_not_accepted failed before (answered) and holds now.

--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -155,10 +155,13 @@
 def matches_request(headers: Mapping[str, str], request_id: str) -> bool:
     """Return whether an answer belongs to a request.
 
-    An answer without an id matches, since targets omit it when they refuse a
-    request.
+    A refusal without an id matches, since targets omit it there. A signed
+    answer has one; without, it may belong to an earlier request.
     """
-    return headers.get(_ATTEMPT_ID, request_id) == request_id
+    answered_id = headers.get(_ATTEMPT_ID)
+    if answered_id is None:
+        return not request_id or not is_signed(headers)
+    return answered_id == request_id
 
 
 def parse_reported_load(headers: Mapping[str, str]) -> ReportedLoad | None:
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -225,6 +225,13 @@
                     self.assertEqual(attempt.answer.body, b'2.')
                     self.assertEqual(self.connections, 2)
 
+    async def test_signed_answer_without_id_is_not_accepted(self) -> None:
+        """It may be a late answer to another request."""
+        without_id = SIGNED_HEADERS.replace('Attempt-Id: a1\r\n', '')
+        self.reply = raw_answer(f'{without_id}Content-Length: 4\r\n', 'late')
+        attempt = await self.send()
+        self.assertIs(attempt.outcome, AttemptOutcome.unknown)
+
     async def test_connection_closed_while_idle_is_not_reused(self) -> None:
         """A request is not sent to a connection that has ended."""
         await self.send()
