Count a number of hundreds of digits as missing

Cause: a deadline of 400 digits overflows a division, one of 5000 can't be converted by Python; either raised in the handler and gave 500.

Measured: tests.test_malformed_messages: 500 before, 200 now. Its other tests (bytes that are no request; a fault of the router after the work ran gives 500 without a promise) hold on the code before.

--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -23,6 +23,8 @@
 _HANDOVER: Final = 'Handover'
 _GRANT_PATH: Final = '/cassialever/grant'
 _RELEASE_PATH: Final = '/cassialever/release'
+#: Longest number that is read; Python fails on very long ones.
+_MAX_DIGITS: Final = 15
 #: Targets report their slowdown in percent.
 _PERCENT: Final = 100
 
@@ -207,6 +209,6 @@
 
 def _parse_digits(text: str) -> int | None:
     # `isdigit` alone also accepts the digits of other scripts.
-    if not (text.isascii() and text.isdigit()):
+    if not (text.isascii() and text.isdigit()) or len(text) > _MAX_DIGITS:
         return None
     return int(text)
--- /dev/null
+++ b/tests/test_malformed_messages.py
@@ -0,0 +1,96 @@
+"""Tests that one malformed message costs no answer and ends no daemon."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from cassialever.exceptions import InvariantError
+from cassialever.gateway.application import Gateway
+from tests.fleet_helpers import deployment
+from tests.gateway_helpers import (
+    ISSUE_HEADERS,
+    LOOKUP_HEADERS,
+    send_request,
+    wait_for_keys,
+)
+
+#: Longer than a request takes on a busy computer, in seconds.
+TIMEOUT = 20.0
+
+
+class CallerMessageTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that are malformed."""
+
+    async def assert_serves(self, gateway: Gateway) -> None:
+        """Assert that the daemon still serves and no part has failed."""
+        response = await send_request(gateway, '/lookup/', LOOKUP_HEADERS)
+        self.assertEqual(response.status, 200)
+        self.assertFalse(gateway.core.failed.is_set())
+
+    async def test_numbers_without_end_count_as_missing(self) -> None:
+        """Python refuses to convert more than 4300 digits."""
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            for digits in (400, 5000):
+                response = await send_request(
+                    gateway,
+                    '/lookup/',
+                    {**LOOKUP_HEADERS, 'Deadline-Ms': '9' * digits},
+                )
+                self.assertEqual(response.status, 200)
+                response = await send_request(
+                    gateway,
+                    '/issue/',
+                    {**ISSUE_HEADERS, 'Shard-Key': '9' * digits},
+                    method='POST',
+                )
+                self.assertEqual(response.status, 200)
+            await self.assert_serves(gateway)
+
+    async def test_bytes_that_are_no_request_end_their_connection(
+        self,
+    ) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            for sent in (
+                b'\x00\xff\r\n\r\n',
+                b'GET / HTTP/9.9\r\n\r\n',
+                b'GET / HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n\r\n',
+                b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+                b'GET http://[bad/ HTTP/1.1\r\nHost: [\r\n\r\n',
+            ):
+                host, port = gateway.settings.listen.callers.split(':')
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(sent)
+                writer.write_eof()
+                async with asyncio.timeout(TIMEOUT):
+                    answer = await reader.read()
+                writer.close()
+                with self.subTest(sent=sent):
+                    # Neither a success nor the promise of a 503.
+                    self.assertRegex(answer, b'^(HTTP/1.[01] (4|500)|$)')
+            await self.assert_serves(gateway)
+
+    async def test_fault_of_the_router_is_no_promise(self) -> None:
+        """The request may have run when the fault shows."""
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            with mock.patch.object(
+                gateway.core.forwarder.counters,
+                'record_answer',
+                side_effect=InvariantError('a fault'),
+            ):
+                response = await send_request(
+                    gateway, '/issue/', ISSUE_HEADERS, method='POST'
+                )
+            self.assertEqual(response.status, 500)
+            self.assertNotIn('Retry-After', response.headers)
+            self.assertEqual(len(system.targets[-1].executed_ids), 1)
+            await self.assert_serves(gateway)
+
+
+if __name__ == '__main__':
+    unittest.main()
