Lose no answer to a malformed report of its target's load

Cause: a load of 'nan' or infinity raised when it was converted, after the target had run the request: the caller got 500 in place of the whole answer. A slowdown of 'nan' was stored and compared.

Change: figures that are not between 0 and a million make the report malformed, which counts as none.

Measured: test_malformed_load_does_not_cost_the_answer: three of four loads gave 500 before; 200 each now.

--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -25,6 +25,8 @@
 _RELEASE_PATH: Final = '/cassialever/release'
 #: Longest number that is read; Python fails on very long ones.
 _MAX_DIGITS: Final = 15
+#: Larger figures of a load are malformed, as is "nan".
+_MAX_LOAD_FIGURE: Final = 10**6
 #: Targets report their slowdown in percent.
 _PERCENT: Final = 100
 
@@ -175,7 +177,9 @@
         numbers = [float(number) for number in text.split(',')]
     except ValueError:
         return None
-    if len(numbers) < 3:
+    if len(numbers) < 3 or not all(
+        0 <= number <= _MAX_LOAD_FIGURE for number in numbers
+    ):
         return None
     running, queued, slots, *rest = numbers
     slowdown = rest[0] / _PERCENT if rest else 1
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -6,7 +6,7 @@
 
 from cassialever.exceptions import InvariantError
 from cassialever.gateway.application import Gateway
-from tests.fleet_helpers import deployment
+from tests.fleet_helpers import deployment, until
 from tests.gateway_helpers import (
     ISSUE_HEADERS,
     LOOKUP_HEADERS,
@@ -92,5 +92,32 @@
             await self.assert_serves(gateway)
 
 
+class TargetMessageTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of targets with malformed headers."""
+
+    async def test_malformed_load_does_not_cost_the_answer(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await until(lambda: gateway.server.is_ready)
+            target = system.targets[-1]
+            headers = target._response_headers('a1')
+            for load in ('nan,0,6', '1,inf,6', '1e999,0,6,100', '1,0,6,nan'):
+                headers['Instance-Load'] = load
+                with (
+                    self.subTest(load=load),
+                    mock.patch.object(
+                        target, '_response_headers', return_value=headers
+                    ),
+                ):
+                    response = await send_request(
+                        gateway, '/issue/', ISSUE_HEADERS, method='POST'
+                    )
+                    self.assertEqual(response.status, 200)
+            response = await send_request(
+                gateway, '/issue/', ISSUE_HEADERS, method='POST'
+            )
+            self.assertEqual(response.status, 200)
+
+
 if __name__ == '__main__':
     unittest.main()
