--- a/cassialever/callers/front.py
+++ b/cassialever/callers/front.py
@@ -75,15 +75,15 @@
         """Listen on the configured address."""
         instance = self._settings.instance
         host, port = await self._listener.start(
-            instance.address,
-            instance.caller_port,
+            instance.address, instance.caller_port
         )
         self.url = f'http://{host}:{port}'
 
     async def drain(self, timeout: Seconds) -> None:
-        """Refuse new requests; wait up to `timeout` for those in progress.
+        """Refuse new requests and finish those in progress, then close.
 
-        Then listen no longer, and wait until the answers have been received.
+        Stops listening once none is in progress. Returns when all callers
+        have received their answers, at the latest at the timeout.
         """
         self._stopping = True
         deadline = self._clock.monotonic() + timeout
--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -23,6 +23,10 @@
 _HANDOVER: Final = 'Handover'
 _GRANT_PATH: Final = '/cassialever/grant'
 _RELEASE_PATH: Final = '/cassialever/release'
+#: Longest number that is read; Python fails on very long ones.
+_MAX_DIGITS: Final = 15
+#: Larger figures of a load are malformed, as is "nan".
+_MAX_LOAD_FIGURE: Final = 10**6
 #: Targets report their slowdown in percent.
 _PERCENT: Final = 100
 
@@ -155,10 +159,13 @@
 def matches_request(headers: Mapping[str, str], request_id: str) -> bool:
     """Return whether an answer belongs to a request.
 
-    An answer without an id matches, since targets omit it when they refuse a
-    request.
+    A refusal without an id matches, since targets omit it there. A signed
+    answer has one; without, it may belong to an earlier request.
     """
-    return headers.get(_ATTEMPT_ID, request_id) == request_id
+    answered_id = headers.get(_ATTEMPT_ID)
+    if answered_id is None:
+        return not request_id or not is_signed(headers)
+    return answered_id == request_id
 
 
 def parse_reported_load(headers: Mapping[str, str]) -> ReportedLoad | None:
@@ -170,7 +177,9 @@
         numbers = [float(number) for number in text.split(',')]
     except ValueError:
         return None
-    if len(numbers) < 3:
+    if len(numbers) < 3 or not all(
+        0 <= number <= _MAX_LOAD_FIGURE for number in numbers
+    ):
         return None
     running, queued, slots, *rest = numbers
     slowdown = rest[0] / _PERCENT if rest else 1
@@ -204,6 +213,6 @@
 
 def _parse_digits(text: str) -> int | None:
     # `isdigit` alone also accepts the digits of other scripts.
-    if not (text.isascii() and text.isdigit()):
+    if not (text.isascii() and text.isdigit()) or len(text) > _MAX_DIGITS:
         return None
     return int(text)
--- a/tests/test_stop_moments.py
+++ b/tests/test_stop_moments.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import base64
+import contextlib
 import os
+import pathlib
 import signal
+import tempfile
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -22,6 +25,9 @@
 from cassialever.fleet.membership import MemberState
 from cassialever.gateway.application import ACCEPTING_SHARE, Gateway
 from cassialever.process_signals import ProcessSignals
+from soak.__main__ import START_TIMEOUT
+from soak.callers import Callers
+from soak.fleet import SoakFleet
 from tests.fleet_helpers import (
     CONFIGURATION,
     ROUTES,
@@ -235,6 +241,21 @@
                 await gateway.stop()
             self.assertTrue(gateway.core._sender._session.closed)
 
+    async def test_task_that_fails_with_the_signal_does_not_cut_answers(
+        self,
+    ) -> None:
+        async with deployment() as system:
+            await extend_route(system)
+            gateway = system.gateways[0]
+            pending = await open_request(system, LONG_SERVICE_TIME)
+            running = run_until_stopped(gateway)
+            await asyncio.sleep(0)
+            request_stop(gateway)
+            gateway.core.failed.set()
+            response = await asyncio.wait_for(pending, STOP_TIMEOUT)
+            self.assertEqual(response.status, 200)
+            self.assertTrue(await asyncio.wait_for(running, STOP_TIMEOUT))
+
 
 class TimeTest(StopCase):
     """The grace period is kept, also by a daemon that is late."""
@@ -255,6 +276,25 @@
                 await stopping
             self.assertLess(begun + drain.call_args.args[0], GRACE)
 
+    async def test_request_of_metrics_does_not_outlast_the_grace(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await until(lambda: gateway.server.is_ready)
+            hanging = asyncio.Event()
+
+            async def hang(_: object) -> None:
+                hanging.set()
+                await asyncio.sleep(60)
+
+            gateway._metrics._runner.server.request_handler = hang
+            port = gateway.settings.metrics_port
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n')
+            await hanging.wait()
+            async with asyncio.timeout(GRACE):
+                await gateway.stop()
+            writer.close()
+
 
 class SignalTest(StopCase):
     """Signals before and during a stop."""
@@ -302,6 +342,30 @@
             finally:
                 watcher.stop()
 
+    async def test_signals_until_the_end_do_not_end_the_process(self) -> None:
+        """Both signals, each millisecond, from the first to the exit."""
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = SoakFleet(pathlib.Path(folder), daemons=1)
+            await fleet.start()
+            try:
+                callers = Callers(fleet, 1)
+                self.assertTrue(await callers.wait_until_served(START_TIMEOUT))
+                daemon = fleet.daemons[0]
+                assert daemon._process is not None
+                # Popen's own method would collect the exit status.
+                process = os.pidfd_open(daemon._process.pid)
+                self.addCleanup(os.close, process)
+                waiting = asyncio.create_task(daemon.wait_for_exit())
+                async with asyncio.timeout(GRACE):
+                    while not waiting.done():
+                        with contextlib.suppress(ProcessLookupError):
+                            signal.pidfd_send_signal(process, signal.SIGTERM)
+                            signal.pidfd_send_signal(process, signal.SIGHUP)
+                        await asyncio.sleep(0.001)
+                self.assertEqual(waiting.result(), 0)
+            finally:
+                await fleet.stop()
+
 
 if __name__ == '__main__':
     unittest.main()
