Test the room that carried requests take, and the end of a stop

Both rules had no test. Without the carried requests in the reported room, test_target_is_counted_at_the_first_daemon_only fails; without the end of the stop as a deadline, test_target_is_not_waited_for_past_the_end_of_a_stop.

--- a/tests/test_gateway_hop.py
+++ b/tests/test_gateway_hop.py
@@ -181,6 +181,8 @@
             self.assertEqual(helper.core.forwarder.keys_asked, {})
             self.assertEqual(helper.core.forwarder.counters.sent_by_service, {})
             self.assertEqual(helper.core.exchanges.hop_server.open_requests, 1)
+            reporter = helper.core.reachability.reporter
+            self.assertEqual(reporter.describe({}).room, reporter._capacity - 1)
             await asking
 
     async def test_first_daemon_learns_load_and_limit(self) -> None:
@@ -629,6 +631,19 @@
             self.assertIs(refused.outcome, AttemptOutcome.not_run)
             self.assertEqual(system.targets[1].executed_ids, ['a1'])
 
+    async def test_target_is_not_waited_for_past_the_end_of_a_stop(
+        self,
+    ) -> None:
+        async with cut_off_daemon() as (system, first, helper):
+            system.targets[1].faults.service_time = 5
+            server = helper.core.exchanges.hop_server
+            server.announce_stop(time.monotonic() + 0.3)
+            started_at = time.monotonic()
+            attempt = await exchange(first, helper_of(helper), time_left=4)
+            self.assertIs(attempt.outcome, AttemptOutcome.unknown)
+            self.assertIs(attempt.failure.kind, ErrorKind.deadline_passed)
+            self.assertLess(time.monotonic() - started_at, 1.3)
+
     async def test_whole_stop_waits_for_carried_requests(self) -> None:
         async with cut_off_daemon() as (system, first, helper):
             target = system.targets[1]
