Stop the exchanges with targets although one of them fails

Cause: an exception in the stop of the hop server or the hop client left the connections to targets open. The test's witness had moved there, too.

Measured: tests.test_stop_moments.FailingPartTest with the two parts added fails for both before and holds now.

--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -11,6 +11,7 @@
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.reach import TargetReach
+from cassialever.tasks import log_failure
 
 
 class TargetExchanges:
@@ -53,4 +54,4 @@
     async def stop(self) -> None:
         """Close every connection."""
         for part in (self.hop_server, self._hops, self._sender):
-            await part.stop()
+            await log_failure(type(part).__name__, part.stop())
--- a/tests/test_stop_moments.py
+++ b/tests/test_stop_moments.py
@@ -219,6 +219,8 @@
             lambda gateway: gateway._metrics,
             lambda gateway: gateway.core._relay,
             lambda gateway: gateway.core._target_client,
+            lambda gateway: gateway.core.exchanges.hop_server,
+            lambda gateway: gateway.core.exchanges._hops,
         ):
             async with deployment() as system:
                 gateway = system.gateways[0]
@@ -229,7 +231,9 @@
                     mock.patch.object(part, 'stop', raise_fault),
                 ):
                     await gateway.abort()
-                    self.assertTrue(gateway.core._sender._session.closed)
+                    self.assertTrue(
+                        gateway.core.exchanges._sender._session.closed
+                    )
                     self.assertTrue(gateway.core.store._session.closed)
                 await gateway.abort()
 
@@ -239,7 +243,7 @@
             await until(lambda: gateway.server.is_ready)
             with mock.patch.object(gateway.server, 'drain', raise_fault):
                 await gateway.stop()
-            self.assertTrue(gateway.core._sender._session.closed)
+            self.assertTrue(gateway.core.exchanges._sender._session.closed)
 
     async def test_task_that_fails_with_the_signal_does_not_cut_answers(
         self,
