--- a/cassialever/policy/peer_reports.py
+++ b/cassialever/policy/peer_reports.py
@@ -11,6 +11,8 @@
 REFUSAL_PERIOD: Final[Seconds] = 1.0
 #: Daemons returned for one request; more are never tried.
 MAX_HELPERS: Final = 4
+#: Reports compared for one request; the cost of all grows with the fleet.
+HELPER_SAMPLE_SIZE: Final = 64
 #: Targets listed in a report, so that it fits into one packet.
 MAX_LISTED_TARGETS: Final = 64
 
@@ -79,14 +81,18 @@
         )
 
     def helpers_for(self, target_id: TargetId, now: Seconds) -> list[Helper]:
-        """Return the daemons that can pass a request on, best first."""
-        ranked = [
-            (self._rank(report), report.helper)
-            for report in self.reaching(now)
-            if self._can_help(report, target_id, now)
-        ]
-        ranked.sort(key=_rank_of)
-        return [helper for _, helper in ranked[:MAX_HELPERS]]
+        """Return the daemons that can pass a request on, best first.
+
+        Of a large fleet a sample is asked first.
+        """
+        reports = list(self._report_by_peer.values())
+        if len(reports) > HELPER_SAMPLE_SIZE:
+            step = len(reports) // HELPER_SAMPLE_SIZE + 1
+            sample = reports[self._random.randrange(step) :: step]
+            helpers = self._best(sample, target_id, now)
+            if helpers:
+                return helpers
+        return self._best(reports, target_id, now)
 
     def is_listed_by_most(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether most daemons that reach targets miss this one."""
@@ -107,9 +113,22 @@
             if now < until
         }
 
+    def _best(
+        self, reports: list[PathReport], target_id: TargetId, now: Seconds
+    ) -> list[Helper]:
+        ranked = [
+            (self._rank(report), report.helper)
+            for report in reports
+            if self._can_help(report, target_id, now)
+        ]
+        ranked.sort(key=_rank_of)
+        return [helper for _, helper in ranked[:MAX_HELPERS]]
+
     def _can_help(
         self, report: PathReport, target_id: TargetId, now: Seconds
     ) -> bool:
+        if not report.reaches_targets(now):
+            return False
         if report.is_stopping or report.room <= 0:
             return False
         if target_id in report.unreachable:
--- a/tests/test_policy_paths.py
+++ b/tests/test_policy_paths.py
@@ -269,6 +269,28 @@
             paths.reports.record(report(f'd{number}'))
         self.assertEqual(len(paths.helpers_for(TARGETS[0], 10.2)), MAX_HELPERS)
 
+    def test_the_only_helper_of_a_large_fleet_is_found(self) -> None:
+        """A sample of the reports leaves it out at times."""
+        paths = new_paths()
+        fail_all(paths, 10)
+        for number in range(1090):
+            paths.reports.record(report(f'd{number}', is_cut_off=True))
+        paths.reports.record(report('last'))
+        for _ in range(20):
+            self.assertEqual(helper_ids(paths, TARGETS[0], 10.2), {'last'})
+
+    def test_load_is_spread_over_a_large_fleet(self) -> None:
+        """Each sample is another one."""
+        paths = new_paths()
+        fail_all(paths, 10)
+        for number in range(1090):
+            paths.reports.record(report(f'd{number}'))
+        first = {
+            paths.helpers_for(TARGETS[0], 10.2)[0].instance_id
+            for _ in range(400)
+        }
+        self.assertGreater(len(first), 300)
+
 
 class ReturnTest(unittest.TestCase):
     """The way back to the direct path."""
