--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -321,10 +321,10 @@
         self.play(scenario, count=9)
 
     def test_keys_of_crashed_owners_move_as_fast_as_ever(self) -> None:
-        """Six of 18 crash at once, and all daemons miss them."""
+        """Eight of 18 crash at once, and all daemons miss them."""
 
         async def scenario(fleet: Fleet) -> None:
-            for target in list(fleet.world.targets.values())[:6]:
+            for target in list(fleet.world.targets.values())[:8]:
                 target.is_up = False
             await asyncio.sleep(3.6)
             self.assertGreaterEqual(await fleet.lowest_share(3), HELD_SHARE)
