--- a/cassialever/gateway/path_probe.py
+++ b/cassialever/gateway/path_probe.py
@@ -112,7 +112,7 @@
             if not direct.is_down(target_id, now)
         ]
         step = max(len(others) // WITNESS_COUNT, 1)
-        for target_id in others[::step][:WITNESS_COUNT]:
+        for target_id in others[: step * WITNESS_COUNT : step]:
             direct.record_doubt(target_id, now)
 
     def _longest_silence(self, target_id: TargetId, now: Seconds) -> Seconds:
