--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -143,9 +143,12 @@
                 await until(
                     lambda one=follower: one.core.membership.link.is_open
                 )
+            # Otherwise the first would win the election.
+            followers[1].core.membership.election_delay = 0.3
             for gateway in (leader, followers[0]):
                 gateway.core.membership.candidacy = mock.Mock(
-                    should_hand_over=lambda _: True, may_lead=lambda _: False
+                    should_hand_over=lambda _, one=gateway: one is leader,
+                    may_lead=lambda _: False,
                 )
             await until(
                 lambda: followers[1].core.membership.leader_term is not None, 3
