Don't take the daemon's own lateness for a target that can't be reached

The loop's lateness is measured while connections are made, by a tick each 0.03 s; a connection that is made before the first tick costs no wake-up. An attempt that was given up while the loop was late for over a quarter of its time is no evidence, neither in the target's load nor on the path to it, and is made again once. It is not, where the target needs a permit, which may have expired. The next failure within 1 s counts, so that a late daemon notices a target that can't be reached. A refused connection always counts.

Probes of paths and links between daemons (fleet.connecting) don't use it yet.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -263,6 +263,15 @@
             target,
             min(remaining, routed.route.longest_attempt),
         )
+        # Nothing was sent, so this is not a retry. A permit may have expired.
+        remaining = routed.deadline - self._clock.monotonic()
+        may_repeat = attempt.is_own_delay and remaining > MIN_RETRY_TIME
+        if may_repeat and self.selector.needed_permit(target) is None:
+            attempt = await self._sender.send(
+                request,
+                target,
+                min(remaining, routed.route.longest_attempt),
+            )
         span.end(attempt.failure.kind if attempt.failure else None)
         return attempt
 
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -40,6 +40,9 @@
     helper: str = ''
     #: Whether the helper, or the way to it, failed and not the target.
     is_helper_failure: bool = False
+    #: Whether no connection was made because this daemon was late itself. That
+    #: is no evidence against the target.
+    is_own_delay: bool = False
 
     @property
     def reason(self) -> str:
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -13,6 +13,7 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import Target
+from cassialever.gateway.loop_watch import LoopWatch
 from cassialever.gateway.outcomes import (
     Attempt,
     AttemptOutcome,
@@ -22,11 +23,12 @@
 from cassialever.gateway.receiving import AnswerReader
 from cassialever.platform import wire
 from cassialever.platform.sessions import close_idle, open_forwarding_session
+from cassialever.policy.lateness import OwnDelays
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker, TargetLoad
 from cassialever.policy.paths import TargetPaths
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
-from cassialever.types import Seconds
+from cassialever.types import Seconds, TargetId
 
 #: A new connection to a target takes 1 ms; a data centre that is cut off does
 #: not answer at all.
@@ -58,6 +60,10 @@
     is_idempotent: bool = False
 
 
+class OwnDelayError(aiohttp.ConnectionTimeoutError):
+    """No connection was made in time because this daemon was late itself."""
+
+
 class TargetSender:
     """Sends requests to targets over pooled connections."""
 
@@ -72,11 +78,15 @@
         self._paths = paths
         self._clock = clock
         self.answers = AnswerReader(loads, limits, clock)
+        self._own_delays = OwnDelays()
+        self._loop_watch = LoopWatch(self._own_delays.lateness)
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Open the connection pool."""
-        self._session = open_forwarding_session(KEEPALIVE_TIMEOUT)
+        self._session = open_forwarding_session(
+            KEEPALIVE_TIMEOUT, self._loop_watch.watching
+        )
 
     async def stop(self) -> None:
         """Close every connection."""
@@ -141,8 +151,8 @@
                 unanswered.record_end(target_id, request.request_id)
                 self._paths.record_answer(target_id, self._clock.monotonic())
                 yield response
-        except CONNECT_ERRORS:
-            self._paths.record_failure(target_id, self._clock.monotonic())
+        except CONNECT_ERRORS as error:
+            self._record_unconnected(target_id, error, sent_at)
             raise
         except asyncio.TimeoutError:
             raise
@@ -152,6 +162,17 @@
         finally:
             unanswered.record_end(target_id, request.request_id)
 
+    def _record_unconnected(
+        self, target_id: TargetId, error: Exception, begun_at: Seconds
+    ) -> None:
+        """Record a failed connection; raise OwnDelayError if it is excused."""
+        now = self._clock.monotonic()
+        # A connection that was refused is evidence, however late.
+        was_given_up = isinstance(error, aiohttp.ConnectionTimeoutError)
+        if was_given_up and self._own_delays.excuses(target_id, begun_at, now):
+            raise OwnDelayError(str(error)) from error
+        self._paths.record_failure(target_id, now)
+
     def _open(
         self,
         request: TargetRequest,
@@ -209,7 +230,7 @@
         if attempt.outcome is AttemptOutcome.answered:
             load.record_success(now - sent_at, queueing_factor, now)
             return
-        if attempt.is_helper_failure:
+        if attempt.is_helper_failure or attempt.is_own_delay:
             return
         failure = attempt.failure
         if failure and failure.kind is ErrorKind.target_unreachable:
@@ -227,7 +248,10 @@
     `kind` is that of a connection which could not be made.
     """
     if isinstance(error, CONNECT_ERRORS):
-        return not_run(repr(error), kind)
+        return msgspec.structs.replace(
+            not_run(repr(error), kind),
+            is_own_delay=isinstance(error, OwnDelayError),
+        )
     if isinstance(error, asyncio.TimeoutError):
         return unknown(repr(error), ErrorKind.deadline_passed)
     return unknown(repr(error))
--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -1,8 +1,10 @@
 """Open HTTP sessions that detect dead peers and reset what they close."""
 
 import select
+import contextlib
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any, Final
 
 import aiohttp
@@ -23,9 +25,21 @@
     """A connection pool that reuses only connections without unread bytes.
 
     aiohttp takes bytes that came while a connection was idle for the answer
-    to the next request on it.
+    to the next request on it. Each new connection is made in a context.
     """
 
+    def __init__(
+        self,
+        connecting: Callable[[], contextlib.AbstractContextManager[None]],
+        **options: Any,
+    ) -> None:
+        super().__init__(**options)
+        self._connecting = connecting
+
+    async def _create_connection(self, *arguments: Any) -> Any:
+        with self._connecting():
+            return await super()._create_connection(*arguments)
+
     async def _get(
         self, key: Any, traces: list[Any]
     ) -> aiohttp.connector.Connection | None:
@@ -40,15 +54,20 @@
     *,
     disable_retries: bool = False,
     keepalive_timeout: float = DEFAULT_KEEPALIVE_TIMEOUT_SECONDS,
+    connecting: Callable[
+        [], contextlib.AbstractContextManager[None]
+    ] = contextlib.nullcontext,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session without a limit of connections.
 
-    `disable_retries` turns off the retries that aiohttp makes on its own.
+    `disable_retries` turns off the retries that aiohttp makes on its own, and
+    `connecting` returns the context in which each new connection is made.
     Other options are passed to the session.
     """
     session = aiohttp.ClientSession(
         connector=_CheckingConnector(
+            connecting,
             limit=0,
             keepalive_timeout=keepalive_timeout,
             socket_factory=keepalive_socket,
@@ -76,12 +95,18 @@
             protocol.close()
 
 
-def open_forwarding_session(keepalive_timeout: float) -> aiohttp.ClientSession:
+def open_forwarding_session(
+    keepalive_timeout: float,
+    connecting: Callable[
+        [], contextlib.AbstractContextManager[None]
+    ] = contextlib.nullcontext,
+) -> aiohttp.ClientSession:
     """Return a session that sends requests and answers as they came.
 
     Retries by aiohttp would bypass the retry budget.
     """
     return open_session(
+        connecting=connecting,
         disable_retries=True,
         keepalive_timeout=keepalive_timeout,
         auto_decompress=False,
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -118,6 +118,15 @@
             return self._choose_owner(request, now)
         return self._choose_any(request, now)
 
+    def needed_permit(self, target: Target) -> NoTargetReason | None:
+        """Return why a target gets requests with a permit only, if so."""
+        targets = self._view.targets
+        if targets.limits.rate_of(target) is not None:
+            return NoTargetReason.limited
+        if targets.is_cold(target.target_id):
+            return NoTargetReason.cold
+        return None
+
     def permit_delay(
         self, request: PlacementRequest, now: Seconds
     ) -> PermitDelay:
@@ -288,20 +297,11 @@
             is_queued and latency > MAX_OBJECTIVE_SHARE * request.objective
         ):
             return NoTargetReason.full
-        reason = self._needed_permit(target)
+        reason = self.needed_permit(target)
         if reason is None or self._limiter.allows(target.target_id, now):
             return None
         return reason
 
-    def _needed_permit(self, target: Target) -> NoTargetReason | None:
-        """Return why a target gets requests with a permit only, if so."""
-        targets = self._view.targets
-        if targets.limits.rate_of(target) is not None:
-            return NoTargetReason.limited
-        if targets.is_cold(target.target_id):
-            return NoTargetReason.cold
-        return None
-
     def _max_requests(self, target: Target) -> float:
         """Return the number of requests at which a target is full."""
         limit = MAX_REQUESTS_PER_SLOT * target.slots
--- /dev/null
+++ b/tests/test_policy_lateness.py
@@ -0,0 +1,167 @@
+"""Tests of connections that fail because the daemon itself is late."""
+
+import asyncio
+import contextlib
+import socket
+import time
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from cassialever.errors import ErrorKind
+from cassialever.gateway.sender import CONNECT_TIMEOUT
+from cassialever.policy.lateness import (
+    EXCUSE_PERIOD,
+    MAX_LATE_SHARE,
+    LoopLateness,
+    OwnDelays,
+)
+from cassialever.types import TargetId
+from standins.listening import LOOPBACK
+from tests.fleet_helpers import deployment
+from tests.gateway_helpers import LOOKUP_HEADERS, send_request, wait_for_keys
+from tests.test_gateway_sender import SenderCase
+
+TARGET = TargetId('t0')
+#: Duration of each iteration of a loop that is late, in seconds. A connection
+#: takes several of them, and so more than its timeout.
+ITERATION = 0.2
+
+
+@contextlib.asynccontextmanager
+async def late_loop() -> AsyncIterator[None]:
+    """Delay each iteration of the running loop."""
+
+    async def delay() -> None:
+        while True:
+            time.sleep(ITERATION)
+            await asyncio.sleep(0)
+
+    delaying = asyncio.create_task(delay())
+    try:
+        yield
+    finally:
+        delaying.cancel()
+
+
+class LoopLatenessTest(unittest.TestCase):
+    """The share of a span for which the loop was late."""
+
+    def test_ticks_on_time_show_no_lateness(self) -> None:
+        lateness = LoopLateness()
+        for tick in range(10):
+            lateness.record_tick(tick, tick)
+        self.assertEqual(lateness.late_share(0, 10), 0)
+
+    def test_lateness_before_the_span_does_not_count(self) -> None:
+        lateness = LoopLateness()
+        lateness.record_tick(0, 5)
+        self.assertEqual(lateness.late_share(5, 10), 0)
+        self.assertEqual(lateness.late_share(4, 8), 0.25)
+
+    def test_empty_span_has_none(self) -> None:
+        self.assertEqual(LoopLateness().late_share(1, 1), 0)
+
+
+class OwnDelaysTest(unittest.TestCase):
+    """Which failures to connect are excused."""
+
+    def setUp(self) -> None:
+        self.delays = OwnDelays()
+
+    def record_lateness(self, share: float, since: float, now: float) -> None:
+        self.delays.lateness.record_tick(now - share * (now - since), now)
+
+    def test_failure_on_time_is_evidence(self) -> None:
+        self.record_lateness(MAX_LATE_SHARE - 0.01, 0, 0.3)
+        self.assertFalse(self.delays.excuses(TARGET, 0, 0.3))
+
+    def test_failures_of_a_late_loop_are_excused_together(self) -> None:
+        self.record_lateness(MAX_LATE_SHARE + 0.1, 0, 0.3)
+        self.assertTrue(self.delays.excuses(TARGET, 0, 0.3))
+        self.assertTrue(self.delays.excuses(TARGET, 0, 0.3))
+
+    def test_next_failure_of_a_late_loop_is_evidence(self) -> None:
+        self.record_lateness(1, 0, 0.3)
+        self.assertTrue(self.delays.excuses(TARGET, 0, 0.3))
+        self.record_lateness(1, 0.3, 0.6)
+        self.assertFalse(self.delays.excuses(TARGET, 0.3, 0.6))
+        self.assertTrue(self.delays.excuses(TargetId('t1'), 0.3, 0.6))
+
+    def test_failure_long_after_an_excused_one_is_excused(self) -> None:
+        self.record_lateness(1, 0, 0.3)
+        self.assertTrue(self.delays.excuses(TARGET, 0, 0.3))
+        later = 0.3 + EXCUSE_PERIOD
+        self.record_lateness(1, later, later + 0.3)
+        self.assertTrue(self.delays.excuses(TARGET, later, later + 0.3))
+
+
+class LateSenderTest(SenderCase):
+    """A sender whose loop is late."""
+
+    def is_held_against_target(self) -> bool:
+        now = time.monotonic()
+        load = self.loads.of(self.target.target_id)
+        is_path_down = self.paths.direct.is_down(self.target.target_id, now)
+        return is_path_down or not load.is_reachable(now)
+
+    async def test_own_lateness_is_not_held_against_the_target(self) -> None:
+        async with late_loop():
+            attempt = await self.send()
+        self.assertTrue(attempt.is_own_delay, attempt.reason)
+        self.assertFalse(self.is_held_against_target())
+
+    async def test_target_that_does_not_accept_is_unreachable(self) -> None:
+        with socket.socket() as full, contextlib.ExitStack() as stack:
+            full.bind((LOOPBACK, 0))
+            full.listen(0)
+            for _ in range(3):
+                caller = stack.enter_context(socket.socket())
+                caller.setblocking(False)
+                caller.connect_ex(full.getsockname())
+            host, port = full.getsockname()
+            self.target = msgspec.structs.replace(
+                self.target, address=f'{host}:{port}'
+            )
+            started = time.monotonic()
+            attempt = await self.send()
+        self.assertGreater(time.monotonic() - started, CONNECT_TIMEOUT)
+        assert attempt.failure is not None
+        self.assertIs(attempt.failure.kind, ErrorKind.target_unreachable)
+        self.assertFalse(attempt.is_own_delay)
+        self.assertTrue(self.is_held_against_target())
+
+
+class LateDaemonTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon whose loop is late while connections are made."""
+
+    blocked = False
+
+    async def test_request_is_served_after_the_loop_was_late(self) -> None:
+        # Reported as 503 in place of 200 beside load (test_whole_path).
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            sender = gateway.core.forwarder._sender
+            with mock.patch.object(sender, 'send', wraps=sender.send) as send:
+                send.side_effect = self.block_loop
+                response = await send_request(
+                    gateway, '/lookup/', LOOKUP_HEADERS
+                )
+            self.assertEqual(response.status, 200)
+
+    def block_loop(self, *_: Any) -> Any:
+        """Block the loop twice, and only for the first attempt."""
+        if not self.blocked:
+            self.blocked = True
+            loop = asyncio.get_running_loop()
+            loop.call_soon(time.sleep, ITERATION)
+            loop.call_soon(loop.call_soon, time.sleep, ITERATION)
+        return mock.DEFAULT
+
+
+if __name__ == '__main__':
+    unittest.main()
