Choose the follower of a test once there is a leader

test_store_lost_and_regained_is_logged took the first daemon that did not lead for a follower, and began as soon as its link was open.

The test waits for a leader, and for a follower that gets its data from it, as it says.

--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -219,12 +219,16 @@
     async def test_store_lost_and_regained_is_logged(self) -> None:
         """A follower logs it too, though it gets its data from the leader."""
         async with deployment(gateways=2) as system:
+            memberships = [one.core.membership for one in system.gateways]
+            await until(lambda: any(one.leader_term for one in memberships))
             follower = next(
                 one
                 for one in system.gateways
                 if one.core.membership.leader_term is None
             )
-            await until(lambda: follower.core.membership.link.is_open)
+            membership = follower.core.membership
+            await until(membership.link.is_relaying)
+            await until(lambda: not membership._direct_follower.is_running)
             handler = logbook.TestHandler(level=logbook.INFO)
 
             def count_lines(event_number: str) -> int:
