Reproduce a daemon that is cut off although it can connect to targets

Connecting to targets works and each connection is then reset, as a device between the two may do.

Suspected, not traced: paths are judged by connecting alone.

--- a/tests/test_cut_off_daemon.py
+++ b/tests/test_cut_off_daemon.py
@@ -215,6 +215,12 @@
     mode = ProxyMode.refused
 
 
+class AcceptedResetTest(ShareChecks, unittest.TestCase):
+    """Connections to targets are established, and then reset."""
+
+    mode = ProxyMode.reset
+
+
 class HangCutTest(ReturnChecks, unittest.TestCase):
     """All packets vanish, both ways."""
 
