--- a/cassialever/fleet/gossip.py
+++ b/cassialever/fleet/gossip.py
@@ -72,7 +72,8 @@
     async def _wait_for_period(self) -> None:
         """Wait until the next report is due, or urgent."""
         try:
-            await asyncio.wait_for(self._is_urgent.wait(), self._period)
+            async with asyncio.timeout(self._period):
+                await self._is_urgent.wait()
         except asyncio.TimeoutError:
             return
         self._is_urgent.clear()
