--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -139,7 +139,7 @@
         """Send a request directly, and receive the head of its answer.
 
         `time_left` is the target's time limit for the request. The context
-        raises what `failed_attempt` takes, and records what it tells of the
+        raises what `failed_attempt` takes, and records what it shows of the
         path.
         """
         target_id = target.target_id
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -90,7 +90,7 @@
     `internal_address` is that of its links with other daemons.
     """
     host, port = internal_address.rsplit(':', 1)
-    # Port 0 stands for any free port.
+    # Port 0 selects any free port.
     hop_port = int(port) + HOP_PORT_OFFSET if int(port) else 0
     return f'{host}:{hop_port}'
 
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -47,7 +47,7 @@
         paths: TargetPaths,
     ) -> None:
         """Start with all targets taken as reachable."""
-        #: What calls tell of this daemon's paths to the targets.
+        #: This daemon's paths to the targets, by the calls made to them.
         self.paths = paths
         self._view = view
         self._target_client = target_client
@@ -209,7 +209,7 @@
     async def _call_grant(
         self, assignment: Assignment, address: str
     ) -> CallResult:
-        """Grant an assignment; record what the call tells of the path."""
+        """Grant an assignment; record whether the target was reached."""
         owner = assignment.owner
         unanswered = self.paths.unanswered
         unanswered.record_sent(owner, GRANT_ID, self._clock.monotonic())
--- a/cassialever/keys/suspicion.py
+++ b/cassialever/keys/suspicion.py
@@ -38,7 +38,7 @@
         """Start without moves."""
         self._paths = paths
         self._moves: deque[_Move] = deque()
-        #: Until when failed grants tell of an earlier cut.
+        #: Until when failed grants belong to an earlier cut.
         self._stale_until: Seconds = 0
 
     def claim(self, owner: TargetId, key_count: int, now: Seconds) -> bool:
--- a/cassialever/policy/direct_paths.py
+++ b/cassialever/policy/direct_paths.py
@@ -162,7 +162,7 @@
         return list(failures_by_id) if now >= first + CONFIRMATION_DELAY else []
 
     def needs_witness(self, now: Seconds) -> bool:
-        """Return whether a probe of another target should tell of a cut."""
+        """Return whether a probe of another target should confirm a cut."""
         is_cut_off = bool(self.failed_without_answer(now))
         has_failed = len(self._recent_failures(now)) >= MIN_FAILED_TARGETS
         return has_failed and not is_cut_off
--- a/tests/test_fleet_gossip.py
+++ b/tests/test_fleet_gossip.py
@@ -177,8 +177,8 @@
 
         async def scenario(first: Daemon, second: Daemon, _: Daemon) -> None:
             first.fail([TARGETS[0]])
-            stranger = OpenRequests('d9', {}, 'dc', 100)
-            first.wire.datagram_received(encode(stranger), ('10.9.9.9', 1))
+            unknown_peer = OpenRequests('d9', {}, 'dc', 100)
+            first.wire.datagram_received(encode(unknown_peer), ('10.9.9.9', 1))
             await asyncio.sleep(CONFIRMATION_DELAY)
             helpers = {one.instance_id for one in first.helpers(TARGETS[0])}
             self.assertEqual(helpers, {'d1', 'd2'})
--- a/tests/test_gateway_hop.py
+++ b/tests/test_gateway_hop.py
@@ -285,7 +285,7 @@
             'older daemon': (
                 'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
             ),
-            'stranger': f'{head}{seal}\r\nok',
+            'other': f'{head}{seal}\r\nok',
             'no HTTP': 'SSH-2.0-x\r\n\r\n',
             'other request': f'{head}{hop}{seal}\r\nok'.replace('NONCE', '0'),
             'other outcome': f'{head}{hop}{seal}\r\nok'.replace(
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -128,7 +128,7 @@
         # No slot of t0 is free now.
         self.assertEqual(self.choose(), 't1')
 
-    def test_target_that_nobody_reaches_is_not_chosen(self) -> None:
+    def test_target_that_no_daemon_reaches_is_not_chosen(self) -> None:
         self.selector.reach.paths = PartialPaths(set(), helped={'t2'})
         self.assertEqual(set(self.choice_counts(20)), {'t2'})
         self.selector.reach.paths = PartialPaths(set(), helped=set())
