Run three test modules at a time

Each module runs in a process of its own now, with a time limit; the same tests run, and the closing line has the sum. A module that ends without a result counts as a failure.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,7 +1,10 @@
 """Run the tests and print the totals."""
 
+import concurrent.futures
 import functools
 import pathlib
+import re
+import subprocess
 import sys
 
 from nose2 import events
@@ -9,6 +12,15 @@
 
 #: Prefix of the lines in KNOWN-RED.txt that name a test.
 RED_PREFIX = 'red: '
+#: Test modules that run at the same time, each in a process of its own. Most
+#: of their time passes in waits.
+PARALLEL_MODULES = 3
+#: Longest time for one module, in seconds.
+MODULE_TIMEOUT = 400
+#: The last line that a run of a module prints.
+COUNTS = re.compile(
+    r'^(\d+) passed, (\d+) failed(?:, (\d+) skipped)?$', re.MULTILINE
+)
 
 
 class OutcomeCounter(events.Plugin):
@@ -46,7 +58,22 @@
 
 
 def run() -> int:
-    """Run nose2 over the tests and print `N passed, N failed`."""
+    """Run the named tests, or all; print `N passed, N failed`."""
+    counts = OutcomeCounter.count_by_outcome
+    if sys.argv[1:]:
+        _run_here()
+    else:
+        _run_all_modules()
+    tail = f', {counts["skipped"]} skipped' if counts['skipped'] else ''
+    print(
+        f'{counts["passed"]} passed, {counts["failed"]} failed{tail}',
+        flush=True,
+    )
+    return 0 if counts['passed'] and not counts['failed'] else 1
+
+
+def _run_here() -> None:
+    """Run the tests named on the command line in this process."""
     discover(
         argv=['nose2', '-s', 'tests', '-t', '.', *sys.argv[1:]],
         plugins=['tests.__main__'],
@@ -54,13 +81,48 @@
     )
     for test_id in OutcomeCounter.red_tests:
         print(f'known red, passed over: {test_id}')
-    counts = OutcomeCounter.count_by_outcome
-    tail = f', {counts["skipped"]} skipped' if counts['skipped'] else ''
-    print(
-        f'{counts["passed"]} passed, {counts["failed"]} failed{tail}',
-        flush=True,
+
+
+def _run_all_modules() -> None:
+    """Run each test module in a process, the largest modules first."""
+    paths = sorted(
+        pathlib.Path('tests').glob('test_*.py'),
+        key=lambda path: path.stat().st_size,
+        reverse=True,
     )
-    return 0 if counts['passed'] and not counts['failed'] else 1
+    modules = [f'tests.{path.stem}' for path in paths]
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_MODULES) as pool:
+        for module, output in zip(modules, pool.map(_run_module, modules)):
+            _add_counts(module, output)
+
+
+def _run_module(module: str) -> str:
+    """Return what a run of one module prints."""
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'tests', module],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors='replace',
+    )
+    try:
+        return process.communicate(timeout=MODULE_TIMEOUT)[0]
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return f'{process.communicate()[0]}\nnot ended in {MODULE_TIMEOUT} s'
+
+
+def _add_counts(module: str, output: str) -> None:
+    """Print a module's output and add its counts; none is a failure."""
+    print(f'{module}:\n{COUNTS.sub("", output).rstrip()}', flush=True)
+    printed = COUNTS.findall(output)
+    counts = OutcomeCounter.count_by_outcome
+    if not printed:
+        print(f'{module} ended without a result')
+        counts['failed'] += 1
+        return
+    for outcome, number in zip(counts, printed[-1]):
+        counts[outcome] += int(number or 0)
 
 
 if __name__ == '__main__':
