End running work only by an answer, never by a belief about its path

Callers got 502, or a closed connection, for requests at which targets were at work.

Now the first try stays open. A second try that fails leaves the first as it is.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -48,6 +48,11 @@
         logbook.INFO,
         'A request of another daemon got no whole answer.',
     )
+    request_duplicated = (
+        207,
+        logbook.INFO,
+        'A request is also passed on, since its path is down.',
+    )
 
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -4,9 +4,7 @@
 of them, the helper. This is one attempt at that target, whichever way it takes.
 """
 
-import asyncio
-from collections.abc import Callable, Container
-from types import TracebackType
+from collections.abc import Container
 from typing import Final
 
 from cassialever.clock import SystemClock
@@ -14,13 +12,9 @@
 from cassialever.events import Event, record
 from cassialever.fleet.model import Target
 from cassialever.gateway.counters import HopCounters
+from cassialever.gateway.duplicates import DuplicateTry, MayDuplicate, never
 from cassialever.gateway.hop_client import HopClient
-from cassialever.gateway.outcomes import (
-    Attempt,
-    AttemptOutcome,
-    not_run,
-    unknown,
-)
+from cassialever.gateway.outcomes import Attempt, AttemptOutcome, not_run
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.interfaces import HelperDaemon
 from cassialever.policy.reach import TargetReach
@@ -28,9 +22,6 @@
 
 #: Helpers that are asked, one after another, in one attempt.
 MAX_HELPERS: Final = 2
-#: How long an exchange is open until its path is checked, and then the
-#: interval between checks.
-PATH_CHECK_INTERVAL: Final[Seconds] = 0.3
 #: A request with less time left than this is not passed on.
 MIN_HOP_TIME: Final[Seconds] = 0.01
 
@@ -56,18 +47,21 @@
         request: TargetRequest,
         target: Target,
         time_left: Seconds,
+        may_duplicate: MayDuplicate = never,
     ) -> Attempt:
         """Have a target serve a request once.
 
-        A request that may run more than once is given up when its path turns
-        out to be down, so that it can be retried.
+        A repeatable request whose path turns out to be down meanwhile is also
+        passed on, if `may_duplicate` allows it, and the first answer counts.
         """
         now = self._clock.monotonic()
         attempt = not_run(
             'the target is not reached from here', ErrorKind.target_unreachable
         )
         if self._reach.is_direct(target.target_id, now):
-            attempt = await self._send_directly(request, target, time_left)
+            attempt = await self._send_directly(
+                request, target, time_left, may_duplicate
+            )
         if not _is_unreached(attempt):
             return attempt
         return await self._pass_on(request, target, now + time_left, attempt)
@@ -77,15 +71,29 @@
         request: TargetRequest,
         target: Target,
         time_left: Seconds,
+        may_duplicate: MayDuplicate,
     ) -> Attempt:
         if not request.is_idempotent:
             return await self._sender.send(request, target, time_left)
-        try:
-            async with asyncio.timeout(None) as limit:
-                with _PathWatch(limit, lambda: self._should_give_up(target)):
-                    return await self._sender.send(request, target, time_left)
-        except TimeoutError:
-            return unknown('given up, since the path to the target is down')
+        deadline = self._clock.monotonic() + time_left
+        duplicate = DuplicateTry(
+            lambda: self._needs_helper(target) and may_duplicate(),
+            lambda: self._duplicate(request, target, deadline),
+        )
+        return await duplicate.race(
+            self._sender.send(request, target, time_left)
+        )
+
+    async def _duplicate(
+        self, request: TargetRequest, target: Target, deadline: Seconds
+    ) -> Attempt:
+        record(
+            Event.request_duplicated,
+            request=request.request_id,
+            target=target.target_id,
+        )
+        unreached = not_run('no helper sent it', ErrorKind.target_unreachable)
+        return await self._pass_on(request, target, deadline, unreached)
 
     async def _pass_on(
         self,
@@ -144,7 +152,7 @@
             reason=attempt.reason,
         )
 
-    def _should_give_up(self, target: Target) -> bool:
+    def _needs_helper(self, target: Target) -> bool:
         """Return whether a path is down while another daemon's is not."""
         now = self._clock.monotonic()
         if self._reach.paths.is_reachable(target.target_id, now):
@@ -161,39 +169,6 @@
         return None
 
 
-class _PathWatch:
-    """Lets a time limit expire once a path is down."""
-
-    def __init__(
-        self, limit: asyncio.Timeout, is_down: Callable[[], bool]
-    ) -> None:
-        self._limit = limit
-        self._is_down = is_down
-        self._loop = asyncio.get_running_loop()
-        self._timer: asyncio.TimerHandle | None = None
-
-    def __enter__(self) -> None:
-        self._schedule()
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _schedule(self) -> None:
-        self._timer = self._loop.call_later(PATH_CHECK_INTERVAL, self._check)
-
-    def _check(self) -> None:
-        if self._is_down():
-            self._limit.reschedule(self._loop.time())
-            return
-        self._schedule()
-
-
 def _is_unreached(attempt: Attempt) -> bool:
     """Return whether no connection to the target could be made."""
     if attempt.outcome is not AttemptOutcome.not_run:
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Serve one request: route it, choose a target, send it, retry it."""
 
 import asyncio
+import functools
 from collections.abc import Mapping
 from http import HTTPStatus
 from types import MappingProxyType
@@ -82,6 +83,16 @@
     target_id: TargetId | None = None
 
 
+class _Progress(msgspec.Struct):
+    """The attempts at one request."""
+
+    #: Targets that were tried, and how each try ended.
+    tried: list[TargetId] = msgspec.field(default_factory=list)
+    failed: list[Attempt] = msgspec.field(default_factory=list)
+    #: Attempts begun, also the second one at the same target.
+    count: int = 0
+
+
 class Forwarder:
     """Forwards requests to targets, by the configuration in the view."""
 
@@ -159,24 +170,23 @@
         self._budget(service).count_request(self._clock.monotonic())
         if routed.key >= 0:
             self.keys_asked.setdefault(service, []).append(routed.key)
-        tried: list[TargetId] = []
-        failed: list[Attempt] = []
+        progress = _Progress()
         while True:
-            placed = await self._place(routed, service, tried)
+            placed = await self._place(routed, service, progress.tried)
             if isinstance(placed, Refusal):
-                return self._finish_unserved(routed, placed, failed)
-            last = await self._send(routed, placed)
+                return self._finish_unserved(routed, placed, progress.failed)
+            last = await self._send(routed, placed, progress)
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
             ):
                 return last.answer
-            tried.append(placed.target_id)
-            failed.append(last)
+            progress.tried.append(placed.target_id)
+            progress.failed.append(last)
             self._record_failed_attempt(routed, placed, last)
-            if not self._may_retry(routed, service, tried, last):
+            if not self._may_retry(routed, service, progress, last):
                 return self._finish_unserved(
-                    routed, _attempts_failed(last.reason), failed
+                    routed, _attempts_failed(last.reason), progress.failed
                 )
 
     async def _place(
@@ -244,7 +254,10 @@
             return PermitDelay()
         return self.selector.permit_delay(placement, now)
 
-    async def _send(self, routed: RoutedRequest, target: Target) -> Attempt:
+    async def _send(
+        self, routed: RoutedRequest, target: Target, progress: _Progress
+    ) -> Attempt:
+        progress.count += 1
         remaining = routed.deadline - self._clock.monotonic()
         span = self.tracing.start_span(
             Hop.target,
@@ -257,11 +270,15 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
         )
+        may_duplicate = functools.partial(
+            self._may_duplicate, routed, target, progress
+        )
         self.counters.sent_by_service[target.service] += 1
         attempt = await self._sender.send(
             request,
             target,
             min(remaining, routed.route.longest_attempt),
+            may_duplicate,
         )
         # Nothing was sent, so this is not a retry. A permit may have expired.
         remaining = routed.deadline - self._clock.monotonic()
@@ -271,25 +288,46 @@
                 request,
                 target,
                 min(remaining, routed.route.longest_attempt),
+                may_duplicate,
             )
         span.end(attempt.failure.kind if attempt.failure else None)
         return attempt
 
+    def _may_duplicate(
+        self, routed: RoutedRequest, target: Target, progress: _Progress
+    ) -> bool:
+        """Return whether a request may also go another way; count that.
+
+        A target that needs permits gets one request for each.
+        """
+        if self.selector.needed_permit(target) is not None:
+            return False
+        if not self._spend_attempt(routed, target.service, progress):
+            return False
+        progress.count += 1
+        return True
+
     def _may_retry(
         self,
         routed: RoutedRequest,
         service: ServiceName,
-        tried: list[TargetId],
+        progress: _Progress,
         last: Attempt,
     ) -> bool:
         """Return whether a request may be retried, and spend the budget."""
         if last.outcome is not AttemptOutcome.not_run:
             if not routed.route.kind.is_idempotent:
                 return False
+        return self._spend_attempt(routed, service, progress)
+
+    def _spend_attempt(
+        self, routed: RoutedRequest, service: ServiceName, progress: _Progress
+    ) -> bool:
+        """Spend the budget for one more attempt, if there is one."""
         now = self._clock.monotonic()
         if routed.deadline - now < MIN_RETRY_TIME:
             return False
-        if len(tried) >= max(routed.route.attempts, 1):
+        if progress.count >= max(routed.route.attempts, 1):
             return False
         return self._budget(service).try_spend(now, self.daemon_count)
 
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -133,6 +133,10 @@
             'daemon {helper} did not pass request {request} on to target'
             ' {target} ({end}: {reason})'
         ),
+        'request_duplicated': (
+            'request {request} is also passed on to target {target}, since'
+            ' its path is down; its first try stays open'
+        ),
         'carrying_refused': (
             'request {request} of daemon {origin} for target {target} was'
             ' refused here: {reason}'
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -12,6 +12,7 @@
 
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import RequestKind, Target
+from cassialever.gateway.duplicates import MayDuplicate
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import (
     Answer,
@@ -57,15 +58,26 @@
 class ScriptedSender:
     """Ends each attempt with the next outcome of a script."""
 
-    def __init__(self, script: tuple[str, ...]) -> None:
+    def __init__(
+        self, script: tuple[str, ...], duplicates_wanted: int = 0
+    ) -> None:
         self.script = list(script)
         self.outcomes: list[str] = []
         self.targets: list[str] = []
+        #: Second tries asked for in each attempt, and those that were allowed.
+        self.duplicates_wanted = duplicates_wanted
+        self.duplicates = 0
 
     async def send(
-        self, request: TargetRequest, target: Target, time_left: Seconds
+        self,
+        request: TargetRequest,
+        target: Target,
+        time_left: Seconds,
+        may_duplicate: MayDuplicate,
     ) -> Attempt:
         await asyncio.sleep(ATTEMPT_TIME)
+        for _ in range(self.duplicates_wanted):
+            self.duplicates += may_duplicate()
         outcome = self.script.pop(0) if self.script else 'shed'
         self.outcomes.append(outcome)
         self.targets.append(target.target_id)
@@ -82,6 +94,7 @@
         targets: int = 4,
         *,
         is_budget_exhausted: bool = False,
+        duplicates_wanted: int = 0,
     ) -> tuple[ScriptedSender, Answer | Refusal, Seconds]:
         """Serve one request; return its sender, answer and duration."""
         results = []
@@ -91,7 +104,7 @@
             view = configured_view(clock, targets=0)
             names = [f'i{number}' for number in range(targets)]
             add_targets(view, names, 'issuance')
-            sender = ScriptedSender(script)
+            sender = ScriptedSender(script, duplicates_wanted)
             forwarder = Forwarder(
                 make_settings('127.0.0.1:9', (1, 2, 3)),
                 view,
@@ -174,6 +187,23 @@
                 assert isinstance(answer, Refusal)
                 self.assertIsNotNone(answer.retry_after)
 
+    def test_second_tries_count_as_attempts(self) -> None:
+        script = ('reset',) * ATTEMPTS
+        for wanted in range(1, ATTEMPTS + 1):
+            sender, _, _ = self.serve_scripted(
+                RequestKind.safe, script, duplicates_wanted=wanted
+            )
+            self.assertEqual(len(sender.outcomes) + sender.duplicates, ATTEMPTS)
+
+    def test_without_budget_there_is_no_second_try(self) -> None:
+        sender, _, _ = self.serve_scripted(
+            RequestKind.safe,
+            ('reset',),
+            is_budget_exhausted=True,
+            duplicates_wanted=1,
+        )
+        self.assertEqual(sender.duplicates, 0)
+
     def test_only_target_gets_no_more_attempts_than_allowed(self) -> None:
         script = ('shed',) * 9
         sender, _, _ = self.serve_scripted(RequestKind.safe, script, targets=1)
