--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -1,7 +1,6 @@
 """Serve one request: route it, choose a target, send it, retry it."""
 
 import asyncio
-import functools
 from collections.abc import Mapping
 from http import HTTPStatus
 from types import MappingProxyType
@@ -270,9 +269,10 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
         )
-        may_duplicate = functools.partial(
-            self._may_duplicate, routed, target, progress
-        )
+
+        def may_duplicate() -> bool:
+            return self._may_duplicate(routed, target, progress)
+
         self.counters.sent_by_service[target.service] += 1
         attempt = await self._sender.send(
             request,
