--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -257,7 +257,6 @@
         self, routed: RoutedRequest, target: Target, progress: _Progress
     ) -> Attempt:
         progress.count += 1
-        remaining = routed.deadline - self._clock.monotonic()
         span = self.tracing.start_span(
             Hop.target,
             routed.request.traceparent,
@@ -269,30 +268,28 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
         )
-
-        def may_duplicate() -> bool:
-            return self._may_duplicate(routed, target, progress)
-
         self.counters.sent_by_service[target.service] += 1
-        attempt = await self._sender.send(
-            request,
-            target,
-            min(remaining, routed.route.longest_attempt),
-            may_duplicate,
-        )
+        sent = msgspec.structs.replace(routed, request=request)
+        attempt = await self._send_once(sent, target, progress)
         # Nothing was sent, so this is not a retry. A permit may have expired.
         remaining = routed.deadline - self._clock.monotonic()
         may_repeat = attempt.is_own_delay and remaining > MIN_RETRY_TIME
         if may_repeat and self.selector.needed_permit(target) is None:
-            attempt = await self._sender.send(
-                request,
-                target,
-                min(remaining, routed.route.longest_attempt),
-                may_duplicate,
-            )
+            attempt = await self._send_once(sent, target, progress)
         span.end(attempt.failure.kind if attempt.failure else None)
         return attempt
 
+    async def _send_once(
+        self, routed: RoutedRequest, target: Target, progress: _Progress
+    ) -> Attempt:
+        remaining = routed.deadline - self._clock.monotonic()
+        return await self._sender.send(
+            routed.request,
+            target,
+            min(remaining, routed.route.longest_attempt),
+            lambda: self._may_duplicate(routed, target, progress),
+        )
+
     def _may_duplicate(
         self, routed: RoutedRequest, target: Target, progress: _Progress
     ) -> bool:
