Reproduce a fleet that reads the store after each change of leader

A new leader reports tables of infinite age until its first long poll has ended, although it has followed all tables until then. Its followers take that for a late leader, and all read the store themselves 0.6 s later: on 59 daemons with thin links, in the middle of planned restarts.

--- a/tests/test_fleet_following.py
+++ b/tests/test_fleet_following.py
@@ -45,12 +45,12 @@
         return rows.Rows(tuple(self.rows), len(self.rows), self.loop.time())
 
     async def wait_for_changes(
-        self, table: str, after: int
+        self, table: str, after: int, wait: float = LONG_POLL_WAIT
     ) -> rows.Rows | Failure:
         self.follow_calls += 1
         if self.failures:
             return self.failures.pop(0)
-        ends_at = self.loop.time() + LONG_POLL_WAIT
+        ends_at = self.loop.time() + wait
         while len(self.rows) <= after and self.loop.time() < ends_at:
             await asyncio.sleep(0.001)
         changed = tuple(self.rows[after:])
@@ -122,6 +122,30 @@
 
         self.run_scenario(scenario)
 
+    def test_age_is_unknown_until_a_long_poll_ends(self) -> None:
+        """The tables are known already when this daemon begins to lead."""
+
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            await asyncio.sleep(0.5)
+            following = StoreFollower(store, view, random.Random(1), (TABLE,))
+            task = asyncio.ensure_future(following.run())
+            await asyncio.sleep(0.05)
+            self.assertLess(following.age(), 0.1)
+            task.cancel()
+
+        self.run_scenario(scenario)
+
+    def test_age_stays_high_after_an_outage(self) -> None:
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            lost = Failure(ErrorKind.table_answer_lost, 'lost')
+            store.failures = [lost] * 8
+            while store.failures:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(2 * MAX_RETRY_DELAY + 0.05)
+            self.assertLess(self.follower.age(), 2 * MAX_RETRY_DELAY)
+
+        self.run_scenario(scenario)
+
     def test_calls_to_an_unreachable_store_back_off(self) -> None:
         async def scenario(store: ScriptedStore, view: FleetView) -> None:
             unreachable = Failure(ErrorKind.table_unavailable, 'unreachable')
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -7,6 +7,7 @@
 import logbook
 
 from cassialever.errors import ErrorKind, Failure
+from cassialever.fleet import direct
 from cassialever.fleet.membership import (
     MAX_STORE_AGE_FOR_HANDOVER,
     MemberState,
@@ -133,6 +134,24 @@
                 lambda: follower.core.membership.leader_term is not None, 3
             )
 
+    async def test_whole_fleet_reads_the_store_after_a_planned_stop(
+        self,
+    ) -> None:
+        """The next leader leads at once and knows the tables already."""
+        async with deployment(gateways=4) as system:
+            await until(lambda: len(_leaders(system)) == 1)
+            leader = _leaders(system)[0]
+            followers = [one for one in system.gateways if one is not leader]
+            for follower in followers:
+                await until(
+                    lambda one=follower: one.core.membership.link.is_relaying()
+                )
+            with mock.patch.object(direct, 'record') as record:
+                stopping = asyncio.create_task(leader.stop())
+                await asyncio.sleep(2)
+                await stopping
+            self.assertEqual(record.call_args_list, [])
+
     async def test_leader_that_misses_targets_hands_over(self) -> None:
         """It goes on as a follower, and one that misses them doesn't lead."""
         async with deployment(gateways=3) as system:
