Reproduce a full link that is taken for targets that are gone

A connection that takes over 0.3 s is given up, whatever the others take, and its target counts as unreachable.

--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -5,6 +5,9 @@
 import socket
 import struct
 import unittest
+from unittest import mock
+
+import aiohttp
 
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
@@ -21,6 +24,8 @@
 )
 #: Time limit of a request, in seconds.
 TIME_LIMIT = 0.5
+#: How long each connection takes over a full link, in seconds.
+CONNECT_TIME = 0.4
 
 
 def raw_answer(head: str, body: str = '', status: str = '200 OK') -> bytes:
@@ -192,6 +197,32 @@
         self.assertIs((await self.send()).outcome, AttemptOutcome.unknown)
 
 
+class FullLinkTest(SenderCase):
+    """Every connection takes longer than usual, since the own link is full."""
+
+    async def test_full_link_is_taken_for_targets_that_are_gone(self) -> None:
+        self.closes_connection = True
+        create = aiohttp.TCPConnector._create_connection
+
+        async def create_late(*arguments):
+            await asyncio.sleep(CONNECT_TIME)
+            return await create(*arguments)
+
+        with mock.patch.object(
+            aiohttp.TCPConnector, '_create_connection', create_late
+        ):
+            attempts = [await self.send_in(2) for _ in range(6)]
+        # The first may be given up before the delay is known.
+        self.assertEqual(
+            {attempt.outcome for attempt in attempts[1:]},
+            {AttemptOutcome.answered},
+        )
+
+    async def send_in(self, time_left: float) -> Attempt:
+        request = TargetRequest('a1', 'GET', '/x', {}, b'')
+        return await self.sender.send(request, self.target, time_left)
+
+
 class LateAnswerTest(SenderCase):
     """Bytes that arrive when no request is open on a connection."""
 
