Give new connections as long as recent ones took

Callers at daemons with thin links were refused since no target could be reached, or had their requests passed on in vain, while their own downloads filled the link. Cause: a fixed limit of 0.3 s for every connection, and the belief that its target is gone when it passes. Now the limit is a retransmission timeout over all connections to targets (RFC 6298), 0.3 to 1.0 s: after a first round that was given up it is doubled, and it follows the mean and the deviation. Requests with a permit keep 0.3 s, so that the sum for limited targets holds.

--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -19,16 +19,18 @@
     return host, int(port)
 
 
-async def can_connect(address: str) -> bool:
-    """Return whether an address accepts a connection."""
-    connected = await connect(address)
+async def can_connect(address: str, timeout: Seconds = CONNECT_TIMEOUT) -> bool:
+    """Return whether an address accepts a connection in time."""
+    connected = await connect(address, timeout)
     if isinstance(connected, Failure):
         return False
     connected[1].close()
     return True
 
 
-async def connect(address: str) -> Streams | Failure:
+async def connect(
+    address: str, timeout: Seconds = CONNECT_TIMEOUT
+) -> Streams | Failure:
     """Open a connection.
 
     A failure of kind `target_unreachable` means that the connection was
@@ -36,7 +38,7 @@
     """
     host, port = split_address(address)
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT):
+        async with asyncio.timeout(timeout):
             return await asyncio.open_connection(host, port)
     except ConnectionRefusedError as refusal:
         return Failure(ErrorKind.target_unreachable, repr(refusal))
--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -30,7 +30,13 @@
         self._sender = TargetSender(
             loads, view.targets.limits, reachability.paths, clock
         )
-        self._hops = HopClient(settings, view, self._sender.answers, clock)
+        self._hops = HopClient(
+            settings,
+            view,
+            self._sender.answers,
+            clock,
+            reachability.paths.connect_times,
+        )
         self.dispatcher = TargetDispatcher(
             self._sender, self._hops, self.reach, clock
         )
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -267,6 +267,7 @@
             routed.request,
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
+            has_permit=self.selector.needed_permit(target) is not None,
         )
         self.counters.sent_by_service[target.service] += 1
         sent = msgspec.structs.replace(routed, request=request)
--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -38,11 +38,10 @@
 from cassialever.interfaces import HelperDaemon
 from cassialever.platform import wire
 from cassialever.platform.sessions import open_forwarding_session
+from cassialever.policy.connect_times import ConnectTimes
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
 from cassialever.types import Seconds
 
-#: A daemon that is cut off does not answer at all.
-CONNECT_TIMEOUT: Final[Seconds] = 0.3
 #: How long an idle connection to a helper is kept. Helpers that stop close
 #: none that may still be used.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 1.0
@@ -57,7 +56,9 @@
         view: FleetView,
         answers: AnswerReader,
         clock: SystemClock,
+        connect_times: ConnectTimes,
     ) -> None:
+        self._connect_times = connect_times
         self._settings = settings
         self._view = view
         self._answers = answers
@@ -105,12 +106,15 @@
         if request.traceparent:
             headers.append((TRACEPARENT_HEADER, request.traceparent))
         address = hop_address(helper.address)
+        connect_timeout = self._connect_times.timeout_for(
+            has_permit=request.has_permit
+        )
         sent_at = self._clock.boot()
         async with self._session.post(
             URL(f'http://{address}{request.raw_path}', encoded=True),
             headers=headers + encode_request(hop, key),
             data=request.body or None,
-            timeout=_timeout(time_left),
+            timeout=_timeout(time_left, connect_timeout),
             allow_redirects=False,
         ) as response:
             reply = _decode_reply(response, hop, key)
@@ -181,10 +185,12 @@
     return msgspec.structs.replace(attempt, is_helper_failure=True)
 
 
-def _timeout(time_left: Seconds) -> aiohttp.ClientTimeout:
+def _timeout(
+    time_left: Seconds, connect_timeout: Seconds
+) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(
         total=time_left + RESPONSE_MARGIN,
-        connect=min(CONNECT_TIMEOUT, time_left),
+        connect=min(connect_timeout, time_left),
         # By default aiohttp rounds timeouts above 5 s up to full seconds.
         ceil_threshold=math.inf,
     )
--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 
 from cassialever.clock import SystemClock
+from cassialever.fleet.connecting import can_connect
 from cassialever.fleet.datagrams import DatagramSocket
 from cassialever.fleet.gossip import LoadGossip
 from cassialever.fleet.path_reports import PathReporter
@@ -57,6 +58,7 @@
             self.socket,
         )
         self.prober.on_change = self._gossip.report_now
+        self.prober.can_connect = self._can_connect
 
     async def run(self) -> None:
         """Probe paths and exchange reports until cancelled.
@@ -89,3 +91,16 @@
     def prune(self) -> None:
         """Forget targets that are gone and reports that have expired."""
         self.paths.prune(self._view.targets.by_id, self._clock.monotonic())
+
+    async def _can_connect(self, address: str) -> bool:
+        """Return whether a target accepts a connection in time."""
+        times = self.paths.connect_times
+        limit = times.timeout
+        begun_at = self._clock.monotonic()
+        is_connected = await can_connect(address, limit)
+        now = self._clock.monotonic()
+        if is_connected:
+            times.record_made(now - begun_at)
+        elif now - begun_at >= limit:
+            times.record_timeout(begun_at, now)
+        return is_connected
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Awaitable, Mapping
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Iterator, Mapping
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    contextmanager,
+)
 from typing import Final
 
 import aiohttp
@@ -30,9 +34,6 @@
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
 from cassialever.types import Seconds, TargetId
 
-#: A new connection to a target takes 1 ms; a data centre that is cut off does
-#: not answer at all.
-CONNECT_TIMEOUT: Final[Seconds] = 0.3
 #: How long an idle connection is kept; targets close theirs after 10 s.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 4.0
 #: Time allowed for transmitting the answer, beyond the target's time limit.
@@ -58,6 +59,8 @@
     traceparent: str = ''
     #: Whether it may run more than once.
     is_idempotent: bool = False
+    #: Whether it uses a permit of its target.
+    has_permit: bool = False
 
 
 class OwnDelayError(aiohttp.ConnectionTimeoutError):
@@ -85,7 +88,7 @@
     async def start(self) -> None:
         """Open the connection pool."""
         self._session = open_forwarding_session(
-            KEEPALIVE_TIMEOUT, self._loop_watch.watching
+            KEEPALIVE_TIMEOUT, self._connecting
         )
 
     async def stop(self) -> None:
@@ -162,6 +165,16 @@
         finally:
             unanswered.record_end(target_id, request.request_id)
 
+    @contextmanager
+    def _connecting(self) -> Iterator[None]:
+        """Record how long a connection takes that is made in the context."""
+        begun_at = self._clock.monotonic()
+        with self._loop_watch.watching():
+            yield
+        self._paths.connect_times.record_made(
+            self._clock.monotonic() - begun_at
+        )
+
     def _record_unconnected(
         self, target_id: TargetId, error: Exception, begun_at: Seconds
     ) -> None:
@@ -171,6 +184,8 @@
         was_given_up = isinstance(error, aiohttp.ConnectionTimeoutError)
         if was_given_up and self._own_delays.excuses(target_id, begun_at, now):
             raise OwnDelayError(str(error)) from error
+        if was_given_up:
+            self._paths.connect_times.record_timeout(begun_at, now)
         self._paths.record_failure(target_id, now)
 
     def _open(
@@ -181,9 +196,12 @@
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         if self._session is None:
             raise aiohttp.ClientConnectionError('not started')
+        connect_timeout = self._paths.connect_times.timeout_for(
+            has_permit=request.has_permit
+        )
         timeout = aiohttp.ClientTimeout(
             total=time_left + RESPONSE_MARGIN,
-            connect=min(CONNECT_TIMEOUT, time_left),
+            connect=min(connect_timeout, time_left),
             # By default aiohttp rounds timeouts above 5 s up to full seconds.
             ceil_threshold=math.inf,
         )
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -8,6 +8,7 @@
 from collections.abc import Container
 
 from cassialever.interfaces import RandomSource
+from cassialever.policy.connect_times import ConnectTimes
 from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
 from cassialever.policy.peer_reports import Helper, PeerReports
 from cassialever.policy.silence import UnansweredRequests
@@ -24,6 +25,8 @@
         self.direct = DirectPaths()
         self.reports = PeerReports(data_centre, random_source)
         self.unanswered = UnansweredRequests()
+        #: Of connections to targets and helpers, all over the own link.
+        self.connect_times = ConnectTimes()
 
     def record_answer(self, target_id: TargetId, now: Seconds) -> None:
         """Note that bytes came from a target over a direct connection."""
