Answer requests in progress that outlast a stop

Callers whose request was in progress at SIGTERM and outlasted the grace period saw their connection closed without an answer.

The limit is now kept in one place, StopLimit, and holds for the attempt in progress, for waits and for retries, whenever the request came. An attempt that it ends may have run, so the answer is 504; a request that was never sent gets the usual 503.

The bound is unchanged: 0.8 s before the end of the grace period, plus 0.15 s for the answer of a target, within its last sixth (1.0 s of 6 s).

In StopDeadlineTest the limit is set through the object that now keeps it; its bound is the same. The kinds of errors by reason move beside the reasons.

--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -16,8 +16,8 @@
     counter_readings,
     hop_readings,
 )
-from cassialever.gateway.sender import RESPONSE_MARGIN
 from cassialever.gateway.settings import GatewaySettings, load_settings
+from cassialever.gateway.stop_limit import RESPONSE_MARGIN
 from cassialever.process_signals import ProcessSignals
 from cassialever.signal_watcher import SignalWatcher
 from cassialever.tasks import log_failure
@@ -107,9 +107,10 @@
         grace = self.settings.bounds.grace_s
         answered_by = self.core.clock.monotonic() + grace - CLOSE_RESERVE
         # The 504 comes later than the time limit of its request.
-        self.server.answers_until = answered_by - TIMEOUT_ANSWER_RESERVE
+        answers_until = answered_by - TIMEOUT_ANSWER_RESERVE
+        self.core.forwarder.stop_limit.begin(answers_until)
         hop_server = self.core.exchanges.hop_server
-        hop_server.announce_stop(self.server.answers_until)
+        hop_server.announce_stop(answers_until)
         # The store may take as long to answer as the balancer to notice.
         await asyncio.gather(
             log_failure('resign', self.core.hand_over()),
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -1,9 +1,7 @@
 """Serve one request: route it, choose a target, send it, retry it."""
 
 import asyncio
-from collections.abc import Mapping
 from http import HTTPStatus
-from types import MappingProxyType
 from typing import Final
 
 import msgspec
@@ -18,6 +16,7 @@
 from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
+from cassialever.gateway.stop_limit import StopLimit
 from cassialever.interfaces import RandomSource
 from cassialever.platform import wire
 from cassialever.policy import refusal
@@ -40,18 +39,6 @@
 #: How long callers that send no deadline are assumed to wait.
 DEFAULT_TIMEOUT: Final[Seconds] = 30.0
 
-_KIND_BY_REASON: Final[Mapping[NoTargetReason, ErrorKind]] = MappingProxyType(
-    {
-        NoTargetReason.no_service: ErrorKind.no_target,
-        NoTargetReason.no_owner: ErrorKind.no_owner,
-        NoTargetReason.moving: ErrorKind.no_owner,
-        NoTargetReason.unreachable: ErrorKind.target_unreachable,
-        NoTargetReason.cold: ErrorKind.target_busy,
-        NoTargetReason.limited: ErrorKind.target_busy,
-        NoTargetReason.full: ErrorKind.target_busy,
-    },
-)
-
 
 class RoutedRequest(msgspec.Struct, frozen=True):
     """A caller's request with its route.
@@ -100,6 +87,7 @@
         self._loads = loads
         self._clock = clock
         self._random = random_source
+        self.stop_limit = StopLimit(clock)
         self.limiter = PermitLimiter()
         self._split = WeightedSplit(random_source)
         self._budget_by_service: dict[ServiceName, RetryBudget] = {}
@@ -203,7 +191,7 @@
             since = started if tried else routed.received_at
             timing = refusal.RequestTiming(
                 waited=now - since,
-                remaining=routed.deadline - now,
+                remaining=self._time_left(routed),
                 objective=routed.route.objective,
                 expected_latency=0,
                 permit=self._permit_delay(chosen, placement, now),
@@ -230,7 +218,7 @@
             sentence,
             decision.retry_after,
             decision.reason.name,
-            _KIND_BY_REASON[decision.reason],
+            refusal.KIND_BY_REASON[decision.reason],
             owner.target_id if owner else None,
         )
 
@@ -245,7 +233,7 @@
         return self.selector.permit_delay(placement, now)
 
     async def _send(self, routed: RoutedRequest, target: Target) -> Attempt:
-        remaining = routed.deadline - self._clock.monotonic()
+        remaining = self._time_left(routed)
         span = self.tracing.start_span(
             Hop.target,
             routed.request.traceparent,
@@ -258,23 +246,28 @@
             is_idempotent=routed.route.kind.is_idempotent,
         )
         self.counters.sent_by_service[target.service] += 1
-        attempt = await self._sender.send(
-            request,
-            target,
-            min(remaining, routed.route.longest_attempt),
-        )
+        attempt = await self._attempt(routed, request, target)
         # Nothing was sent, so this is not a retry. A permit may have expired.
-        remaining = routed.deadline - self._clock.monotonic()
+        remaining = self._time_left(routed)
         may_repeat = attempt.is_own_delay and remaining > MIN_RETRY_TIME
         if may_repeat and self.selector.needed_permit(target) is None:
-            attempt = await self._sender.send(
-                request,
-                target,
-                min(remaining, routed.route.longest_attempt),
-            )
+            attempt = await self._attempt(routed, request, target)
         span.end(attempt.failure.kind if attempt.failure else None)
         return attempt
 
+    async def _attempt(
+        self, routed: RoutedRequest, request: TargetRequest, target: Target
+    ) -> Attempt:
+        time_left = min(self._time_left(routed), routed.route.longest_attempt)
+        return await self.stop_limit.apply(
+            self._sender.send(request, target, time_left)
+        )
+
+    def _time_left(self, routed: RoutedRequest) -> Seconds:
+        """Return the time until the caller or a stop waits no longer."""
+        deadline = min(routed.deadline, self.stop_limit.until)
+        return deadline - self._clock.monotonic()
+
     def _may_retry(
         self,
         routed: RoutedRequest,
@@ -287,7 +280,7 @@
             if not routed.route.kind.is_idempotent:
                 return False
         now = self._clock.monotonic()
-        if routed.deadline - now < MIN_RETRY_TIME:
+        if self._time_left(routed) < MIN_RETRY_TIME:
             return False
         if len(tried) >= max(routed.route.attempts, 1):
             return False
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -1,11 +1,9 @@
 """The HTTP servers for callers and for the load balancer."""
 
 import asyncio
-import math
 from http import HTTPStatus
 from typing import Final
 
-import msgspec
 from aiohttp import web
 
 from cassialever.clock import SystemClock
@@ -53,8 +51,6 @@
         self.is_ready = False
         self.is_stopping = False
         self.open_requests = 0
-        #: Until when answers are waited for; set when a stop begins.
-        self.answers_until: Seconds = math.inf
         self._failed_checks = 0
         self._last_check_at: Seconds = 0
 
@@ -130,11 +126,7 @@
         if isinstance(routed, Refusal):
             self._record_unrouted(target_request, host, routed)
             return _refusal_response(routed, target_request.request_id)
-        answer = await self._forwarder.serve(
-            msgspec.structs.replace(
-                routed, deadline=min(routed.deadline, self.answers_until)
-            )
-        )
+        answer = await self._forwarder.serve(routed)
         if isinstance(answer, Refusal):
             return _refusal_response(answer, target_request.request_id)
         self._forwarder.counters.record_answer(
--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -30,11 +30,11 @@
 from cassialever.gateway.receiving import AnswerReader, close_connection
 from cassialever.gateway.sender import (
     EXCHANGE_ERRORS,
-    RESPONSE_MARGIN,
     TargetRequest,
     failed_attempt,
 )
 from cassialever.gateway.settings import GatewaySettings, hop_address
+from cassialever.gateway.stop_limit import RESPONSE_MARGIN
 from cassialever.interfaces import HelperDaemon
 from cassialever.platform import wire
 from cassialever.platform.sessions import open_forwarding_session
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -21,6 +21,7 @@
     unknown,
 )
 from cassialever.gateway.receiving import AnswerReader
+from cassialever.gateway.stop_limit import RESPONSE_MARGIN
 from cassialever.platform import wire
 from cassialever.platform.sessions import close_idle, open_forwarding_session
 from cassialever.policy.lateness import OwnDelays
@@ -35,8 +36,6 @@
 CONNECT_TIMEOUT: Final[Seconds] = 0.3
 #: How long an idle connection is kept; targets close theirs after 10 s.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 4.0
-#: Time allowed for transmitting the answer, beyond the target's time limit.
-RESPONSE_MARGIN: Final[Seconds] = 0.15
 #: The errors of a connection that could not be made.
 CONNECT_ERRORS: Final = (
     aiohttp.ClientConnectorError,
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -14,11 +14,25 @@
 
 import msgspec
 
+from cassialever.errors import ErrorKind
 from cassialever.interfaces import RandomSource
 from cassialever.policy.permits import MAX_BOOKING_DELAY
 from cassialever.policy.placing import NoTargetReason, PermitDelay
 from cassialever.types import Seconds
 
+#: The kind of error that is reported for each reason.
+KIND_BY_REASON: Final[Mapping[NoTargetReason, ErrorKind]] = MappingProxyType(
+    {
+        NoTargetReason.no_service: ErrorKind.no_target,
+        NoTargetReason.no_owner: ErrorKind.no_owner,
+        NoTargetReason.moving: ErrorKind.no_owner,
+        NoTargetReason.unreachable: ErrorKind.target_unreachable,
+        NoTargetReason.cold: ErrorKind.target_busy,
+        NoTargetReason.limited: ErrorKind.target_busy,
+        NoTargetReason.full: ErrorKind.target_busy,
+    },
+)
+
 
 class Wait(msgspec.Struct, frozen=True):
     """Try to find a target again after a pause."""
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -271,14 +271,13 @@
             system.targets[0].faults.service_time = 30
             clock = gateway.core.clock
             gateway.server.is_stopping = True
-            gateway.server.answers_until = clock.monotonic() + 0.5
+            ends_at = clock.monotonic() + 0.5
+            gateway.core.forwarder.stop_limit.begin(ends_at)
             caller = connect(gateway)
             caller.sendall(request('a1'))
             answer = await read_to_end(caller)
             # The route's time limit is 1 s.
-            self.assertLess(
-                clock.monotonic(), gateway.server.answers_until + 0.4
-            )
+            self.assertLess(clock.monotonic(), ends_at + 0.4)
         # It may have run.
         self.assertTrue(answer.startswith(b'HTTP/1.1 504'), answer[:80])
 
