--- /dev/null
+++ b/tests/test_two_builds.py
@@ -0,0 +1,306 @@
+"""Tests that daemons of this build and of the one before understand each other.
+
+`tests/two_builds` has the record of that build's messages and its definitions.
+"""
+
+import asyncio
+import json
+import pathlib
+import typing
+import unittest
+from typing import Any
+
+import msgspec
+
+from cassialever.errors import ErrorKind, Failure
+from cassialever.fleet import datagrams, limit_reports, messages
+from cassialever.fleet import lease as leases
+from cassialever.fleet.model import KeyMap, StoreRow
+from cassialever.fleet.view import Leadership
+from cassialever.gateway import hop_messages
+from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
+from cassialever.policy.permits import MAX_BATCH
+from cassialever.types import RowVersion
+from tests.two_builds import earlier_build as earlier
+from tests.two_builds import recording
+
+RECORD = json.loads(
+    (pathlib.Path(__file__).parent / 'two_builds' / 'cf39707.json').read_text()
+)
+LINK_TYPES = typing.get_args(messages.AnyMessage)
+DATAGRAM_TYPES = typing.get_args(datagrams.Datagram)
+ROW_TYPES: dict[str, type[Any]] = {
+    'Lease': leases.Lease,
+    'Leadership': Leadership,
+    'KeyMap': KeyMap,
+}
+
+
+def read_frame(frame: bytes) -> messages.AnyMessage:
+    """Read a frame with today's code."""
+    return asyncio.run(recording.read_back(frame))  # type: ignore[return-value]
+
+
+def read_datagram(datagram: bytes) -> Any:
+    """Read a datagram with today's code."""
+    received: list[Any] = []
+    socket = datagrams.DatagramSocket()
+    for kind in DATAGRAM_TYPES:
+        socket.handler_by_type[kind] = lambda one, _: received.append(one)
+    socket.datagram_received(datagram, ('10.1.0.9', 7620))
+    return received[0]
+
+
+def common(fields: Any, known: Any) -> Any:
+    """Return those of `fields` that are in `known`, at every depth."""
+    if isinstance(known, dict) and isinstance(fields, dict):
+        return {
+            key: common(value, known[key])
+            for key, value in fields.items()
+            if key in known
+        }
+    if isinstance(known, list) and isinstance(fields, list):
+        pairs = zip(fields, known, strict=True)
+        return [common(one, other) for one, other in pairs]
+    return fields
+
+
+class RecordTest(unittest.TestCase):
+    """Today's code reads what the build before wrote."""
+
+    def test_record_has_each_type(self) -> None:
+        self.assertEqual(
+            {name.split()[0] for name in RECORD['links']},
+            {one.__name__ for one in earlier.LINK_TYPES},
+        )
+        self.assertEqual(
+            set(RECORD['datagrams']),
+            {one.__name__ for one in earlier.DATAGRAM_TYPES},
+        )
+        self.assertEqual(
+            set(RECORD['rows']),
+            {one.__name__ for one in earlier.ROW_BY_TYPE},
+        )
+
+    def test_frozen_definitions_are_those_of_the_record(self) -> None:
+        for one in RECORD['links'].values():
+            read = earlier.read_frame(bytes.fromhex(one['bytes']))
+            self.assertEqual(recording.fields_of(read), one['fields'])
+        for one in RECORD['datagrams'].values():
+            read = earlier.read_datagram(bytes.fromhex(one['bytes']))
+            self.assertEqual(recording.fields_of(read), one['fields'])
+        for kind, (table, name) in earlier.ROW_BY_TYPE.items():
+            one = RECORD['rows'][kind.__name__]
+            self.assertEqual((table, name), (one['table'], one['name']))
+            read = msgspec.msgpack.decode(
+                bytes.fromhex(one['bytes']), type=kind
+            )
+            self.assertEqual(recording.fields_of(read), one['fields'])
+
+    def test_links_are_read(self) -> None:
+        for name, one in RECORD['links'].items():
+            with self.subTest(message=name):
+                read = read_frame(bytes.fromhex(one['bytes']))
+                self.assertEqual(type(read).__name__, name.split()[0])
+                fields = recording.fields_of(read)
+                self.assertEqual(common(fields, one['fields']), one['fields'])
+
+    def test_datagrams_are_read(self) -> None:
+        for name, one in RECORD['datagrams'].items():
+            with self.subTest(datagram=name):
+                read = read_datagram(bytes.fromhex(one['bytes']))
+                self.assertEqual(type(read).__name__, name)
+                fields = recording.fields_of(read)
+                self.assertEqual(common(fields, one['fields']), one['fields'])
+
+    def test_rows_are_read(self) -> None:
+        for name, one in RECORD['rows'].items():
+            with self.subTest(row=name):
+                content = bytes.fromhex(one['bytes'])
+                read = msgspec.msgpack.decode(content, type=ROW_TYPES[name])
+                fields = recording.fields_of(read)
+                self.assertEqual(common(fields, one['fields']), one['fields'])
+
+    def test_lease_of_the_build_before_is_found(self) -> None:
+        """An unreadable one would count as not held."""
+        one = RECORD['rows']['Lease']
+        row = StoreRow(
+            one['table'],
+            one['name'],
+            bytes.fromhex(one['bytes']),
+            RowVersion(8),
+        )
+        lease, version = leases.find_lease((row,))
+        self.assertEqual(version, 8)
+        assert lease is not None
+        self.assertEqual(lease.instance_id, 'edge-1')
+
+    def test_hop_requests_are_read(self) -> None:
+        one = RECORD['hop_request']
+        for key, headers in one['headers_by_key'].items():
+            with self.subTest(key=key):
+                read = hop_messages.decode_request(
+                    headers, one['raw_path'], key, recording.SENT_AT
+                )
+                self.assertIsInstance(read, hop_messages.HopRequest)
+                fields = recording.fields_of(read)
+                self.assertEqual(common(fields, one['fields']), one['fields'])
+
+    def test_hop_replies_are_read(self) -> None:
+        for name, one in RECORD['hop_replies'].items():
+            for key, headers in one['headers_by_key'].items():
+                with self.subTest(reply=name, key=key):
+                    read = hop_messages.decode_reply(headers, one['nonce'], key)
+                    assert isinstance(read, hop_messages.HopReply)
+                    self.assertEqual(read.outcome.value, one['outcome'])
+                    self.assertEqual(read.status, one['status'])
+                    self.assertEqual(read.failure.kind.value, one['kind'])
+                    self.assertEqual(read.failure.reason, one['reason'])
+
+
+class EarlierReaderTest(unittest.TestCase):
+    """The build before reads what today's code writes."""
+
+    def test_fields_are_only_added_at_the_end_with_defaults(self) -> None:
+        earlier_by_name = {
+            one.__name__: one
+            for one in (
+                *earlier.LINK_TYPES,
+                *earlier.DATAGRAM_TYPES,
+                *earlier.ROW_BY_TYPE,
+                earlier.StoreRow,
+                earlier.KeyRange,
+                earlier.LimitReport,
+            )
+        }
+        today = (
+            *LINK_TYPES,
+            *DATAGRAM_TYPES,
+            *ROW_TYPES.values(),
+            StoreRow,
+            recording.KeyRange,
+            recording.LimitReport,
+        )
+        compared = set()
+        for one in today:
+            known = earlier_by_name.get(one.__name__)
+            if known is None:
+                continue
+            compared.add(one.__name__)
+            count = len(known.__struct_fields__)
+            with self.subTest(message=one.__name__):
+                self.assertEqual(
+                    one.__struct_fields__[:count], known.__struct_fields__
+                )
+                self.assertEqual(
+                    one.__struct_config__.tag, known.__struct_config__.tag
+                )
+                for field in msgspec.structs.fields(one)[count:]:
+                    self.assertFalse(field.required, field.name)
+        self.assertEqual(compared, set(earlier_by_name))
+
+    def test_links_are_read(self) -> None:
+        for name, message in recording.LINK_MESSAGES.items():
+            with self.subTest(message=name):
+                read = earlier.read_frame(messages.encode(message))
+                self.assertEqual(
+                    recording.fields_of(read), RECORD['links'][name]['fields']
+                )
+
+    def test_datagrams_are_read(self) -> None:
+        for name, datagram in recording.DATAGRAMS.items():
+            with self.subTest(datagram=name):
+                read = earlier.read_datagram(datagrams.encode(datagram))
+                self.assertEqual(
+                    recording.fields_of(read),
+                    RECORD['datagrams'][name]['fields'],
+                )
+
+    def test_largest_numbers_and_lengths_are_read(self) -> None:
+        limit = limit_reports.LimitReport(
+            recording.TargetId('k1'),
+            recording.StartedAt(1),
+            limit_reports.MAX_RATE,
+            limit_reports.MAX_AGE,
+            limit_reports.MAX_AGE,
+        )
+        name = 'n' * datagrams.MAX_ID_LENGTH
+        for datagram in (
+            datagrams.OpenRequests(
+                name,
+                {name: datagrams.MAX_REQUESTS},
+                name,
+                datagrams.MAX_REQUESTS,
+                unreachable=(name,) * MAX_LISTED_TARGETS,
+            ),
+            datagrams.Permits(
+                recording.TargetId('k1'),
+                datagrams.MAX_DELAY,
+                MAX_BATCH,
+                datagrams.MAX_DELAY,
+                limit,
+            ),
+        ):
+            earlier.read_datagram(datagrams.encode(datagram))
+        earlier.read_frame(messages.encode(messages.Limits([limit])))
+        self.assertLessEqual(messages.MAX_FRAME_BYTES, earlier.MAX_FRAME_BYTES)
+
+    def test_rows_are_read(self) -> None:
+        for kind, (table, name) in earlier.ROW_BY_TYPE.items():
+            with self.subTest(row=name):
+                row = recording.STORE_ROWS[kind.__name__]
+                self.assertEqual(row[:2], (table, name))
+                content = recording.content_of(*row)
+                read = msgspec.msgpack.decode(content, type=kind)
+                self.assertEqual(
+                    recording.fields_of(read),
+                    RECORD['rows'][kind.__name__]['fields'],
+                )
+
+    def test_hop_requests_are_read(self) -> None:
+        one = RECORD['hop_request']
+        for key in one['headers_by_key']:
+            with self.subTest(key=key):
+                headers = dict(
+                    hop_messages.encode_request(recording.HOP_REQUEST, key)
+                )
+                self.assertEqual(
+                    earlier.read_hop_request(headers, one['raw_path'], key),
+                    one['fields'],
+                )
+
+    def test_hop_replies_are_read(self) -> None:
+        for name, reply in recording.HOP_REPLIES.items():
+            for key in ('', recording.KEY):
+                with self.subTest(reply=name, key=key):
+                    headers = dict(hop_messages.encode_reply(reply, key))
+                    expected = {
+                        field: RECORD['hop_replies'][name][field]
+                        for field in (
+                            'nonce',
+                            'outcome',
+                            'status',
+                            'kind',
+                            'reason',
+                        )
+                    }
+                    self.assertEqual(
+                        earlier.read_hop_reply(headers, key), expected
+                    )
+
+    def test_hop_reply_with_any_kind_of_error_is_read(self) -> None:
+        """The build before takes one that it can't read for an unknown end."""
+        for kind in ErrorKind:
+            reply = hop_messages.HopReply(
+                'n',
+                hop_messages.HopOutcome.not_run,
+                failure=Failure(kind, 'reason'),
+            )
+            with self.subTest(kind=kind):
+                headers = dict(hop_messages.encode_reply(reply, ''))
+                read = earlier.read_hop_reply(headers, '')
+                self.assertEqual(read['outcome'], 'not_run')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/two_builds/__init__.py
@@ -0,0 +1,1 @@
+"""The messages of an earlier build: definitions, and bytes it wrote."""
