Show that a message of an unknown type ends a link

Cause: the decoder of links knows a closed list of types, and a message of any other is treated like bytes that are no message.

--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -6,21 +6,27 @@
 import asyncio
 import json
 import pathlib
+import struct
 import typing
 import unittest
 from typing import Any
 
+import logbook
 import msgspec
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet import datagrams, limit_reports, messages
 from cassialever.fleet import lease as leases
+from cassialever.fleet.following_leader import LinkEnd
 from cassialever.fleet.model import KeyMap, StoreRow
 from cassialever.fleet.view import Leadership
 from cassialever.gateway import hop_messages
 from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
 from cassialever.policy.permits import MAX_BATCH
 from cassialever.types import RowVersion
+from standins.listening import LOOPBACK
+from tests.fleet_helpers import until
+from tests.test_fleet_links import HELLO, address_of, follower, leader
 from tests.two_builds import earlier_build as earlier
 from tests.two_builds import recording
 
@@ -302,5 +308,93 @@
                 self.assertEqual(read['outcome'], 'not_run')
 
 
+def raw_frame(*fields: Any) -> bytes:
+    """Return the frame of a message of any type."""
+    body = msgspec.msgpack.encode(fields)
+    return struct.pack('!I', len(body)) + body
+
+
+class UnknownTypeTest(unittest.IsolatedAsyncioTestCase):
+    """A type of message that a later build has added."""
+
+    def setUp(self) -> None:
+        self.log = logbook.TestHandler(level=logbook.INFO)
+        self.log.push_application()
+        self.addCleanup(self.log.pop_application)
+
+    def logged(self) -> list[str]:
+        """Return the names of the events, without those of other parts."""
+        names = [one.extra.get('name') for one in self.log.records]
+        return [
+            name for name in names if name in ('link_rubbish', 'type_skipped')
+        ]
+
+    async def test_unknown_type_ends_the_link_of_a_follower(self) -> None:
+        async def lead(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await messages.receive(reader)
+            for _ in range(5):
+                writer.write(raw_frame('NotKnownYet', 'x', {'y': 3}))
+                writer.write(messages.encode(messages.Pulse(True, 0, 0)))
+            writer.write(messages.encode(messages.Members({'a': 'b'}, True)))
+            await reader.read()
+
+        server = await asyncio.start_server(lead, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        link = follower('')
+        self.assertIs(await link.follow(f'{host}:{port}'), LinkEnd.timed_out)
+        self.assertEqual(link.addresses_by_id, {'a': 'b'})
+        self.assertEqual(self.logged(), ['type_skipped'])
+        server.close()
+
+    async def test_unknown_type_ends_the_link_of_a_leader(self) -> None:
+        async with leader('') as leader_relay:
+            reports: list[messages.KeysAsked] = []
+            leader_relay.on_keys_asked = reports.append
+            host, port = address_of(leader_relay).rsplit(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(messages.encode(HELLO))
+            for _ in range(5):
+                writer.write(raw_frame('NotKnownYet'))
+                writer.write(messages.encode(messages.KeysAsked({}, {})))
+            await until(lambda: len(reports) == 5, 2.0)
+            self.assertIn('edge-1', leader_relay.follower_by_id)
+            self.assertEqual(self.logged(), ['type_skipped'])
+            writer.close()
+
+    async def test_unknown_type_of_datagram_is_logged_as_invalid(self) -> None:
+        """Once a peer and minute, however many come."""
+        socket = datagrams.DatagramSocket()
+        unknown = msgspec.msgpack.encode([77, 'edge-1', {}])
+        for _ in range(5):
+            socket.datagram_received(unknown, ('10.1.0.9', 7620))
+        self.assertEqual(self.logged(), ['type_skipped'])
+        socket.datagram_received(unknown, ('10.1.0.8', 7620))
+        self.assertEqual(self.logged(), ['type_skipped'] * 2)
+
+    async def test_invalid_messages_are_still_rejected(self) -> None:
+        """Only a message that names an unknown type is skipped."""
+        for body in (
+            b'',
+            b'\xc1',
+            msgspec.msgpack.encode([]),
+            msgspec.msgpack.encode('Pulse'),
+            msgspec.msgpack.encode([None, 1]),
+            msgspec.msgpack.encode([7, 1]),
+            msgspec.msgpack.encode(['Pulse', 'no', 0, 0]),
+            msgspec.msgpack.encode(['NotKnownYet'])[:-1],
+        ):
+            with (
+                self.subTest(body=body),
+                self.assertRaises(msgspec.DecodeError),
+            ):
+                await recording.read_back(struct.pack('!I', len(body)) + body)
+        socket = datagrams.DatagramSocket()
+        for body in (b'', b'\xc1', b'\x90', msgspec.msgpack.encode(['x'])):
+            socket.datagram_received(body, ('10.1.0.9', 7620))
+        self.assertEqual(self.logged(), ['link_rubbish'] * 4)
+
+
 if __name__ == '__main__':
     unittest.main()
