Skip messages of types that this build does not know

Cause: links and datagrams were decoded as a closed union, so that a type which a later build adds was invalid: it ended its link, and each such datagram wrote a line. Change: MessageDecoder tells a well-formed message with an unknown tag from an invalid one. The first message of a link still has to be a known one, and a known type with invalid fields is still refused. The whole suite was not run.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -57,6 +57,11 @@
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
     link_rubbish = (303, logbook.ERROR, 'A peer sent an invalid message.')
+    type_skipped = (
+        309,
+        logbook.NOTICE,
+        'Messages of a type that this build does not know are skipped.',
+    )
     link_out_of_step = (
         308,
         logbook.WARNING,
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -14,6 +14,11 @@
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
 from cassialever.fleet.limit_reports import LimitReport
+from cassialever.fleet.unknown_types import (
+    MessageDecoder,
+    SkipLog,
+    UnknownMessage,
+)
 from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
 from cassialever.policy.permits import MAX_BATCH
 from cassialever.types import Seconds, TargetId
@@ -81,7 +86,7 @@
 #: Called with a datagram and the address of its sender.
 DatagramHandler: TypeAlias = Callable[[Any, str], None]
 
-_decoder: Final = msgspec.msgpack.Decoder(Datagram)
+_decoder: Final = MessageDecoder(Datagram)
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -96,6 +101,7 @@
         """Start without a socket and without handlers."""
         self.handler_by_type: dict[type[Any], DatagramHandler] = {}
         self._transport: asyncio.DatagramTransport | None = None
+        self._skip_log = SkipLog()
 
     async def start(self, address: str) -> None:
         """Listen on the address at which other daemons reach this one."""
@@ -124,6 +130,9 @@
         except msgspec.DecodeError as error:
             record(Event.link_rubbish, reason=repr(error), peer=sender)
             return
+        if isinstance(datagram, UnknownMessage):
+            self._skip_log.note(sender, datagram)
+            return
         handle = self.handler_by_type.get(type(datagram))
         if handle is not None:
             handle(datagram, sender)
--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -16,6 +16,7 @@
 from cassialever.fleet.key_changes import apply_key_changes
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
 from cassialever.fleet.proof import prove_as_connector
+from cassialever.fleet.unknown_types import SkipLog, UnknownMessage
 from cassialever.fleet.view import FleetView
 from cassialever.types import RowVersion, Seconds
 
@@ -67,6 +68,7 @@
         self.leader_address = ''
         #: Address of the daemon that is being followed.
         self.address = ''
+        self._skip_log = SkipLog()
         #: Counts the connections; each may be to another leader.
         self.number = 0
         self.on_limits: Callable[[list[LimitReport]], None] = ignore_reports
@@ -192,12 +194,15 @@
             if isinstance(message, messages.Farewell):
                 self.leader_address = message.leader_address
                 return LinkEnd.not_leader
+            if isinstance(message, UnknownMessage):
+                self._skip_log.note(self.address, message)
+                continue
             handle(message, self)
 
 
 async def _receive(
     reader: asyncio.StreamReader,
-) -> messages.AnyMessage | LinkEnd:
+) -> messages.Received | LinkEnd:
     """Return the next message, or why the link has ended."""
     try:
         return await messages.receive(reader, max_silence=LEADER_TIMEOUT)
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -14,6 +14,7 @@
 from cassialever.fleet.framing import decompress, read_exactly
 from cassialever.fleet.limit_reports import LimitReport
 from cassialever.fleet.model import KeyRange, StoreRow
+from cassialever.fleet.unknown_types import MessageDecoder, UnknownMessage
 from cassialever.types import RowVersion, Seconds, ServiceName, TargetId
 
 #: Longer frames are rejected; the largest supported table fits in one.
@@ -152,7 +153,10 @@
     | Limits
 )
 
-_decoder: Final = msgspec.msgpack.Decoder(AnyMessage)
+#: What a link can carry; unknown messages are skipped.
+Received: TypeAlias = AnyMessage | UnknownMessage
+
+_decoder: Final = MessageDecoder(AnyMessage)
 _encoder: Final = msgspec.msgpack.Encoder()
 
 
@@ -169,7 +173,7 @@
     reader: asyncio.StreamReader,
     max_bytes: int = MAX_FRAME_BYTES,
     max_silence: Seconds | None = None,
-) -> AnyMessage:
+) -> Received:
     """Read a message of at most `max_bytes` bytes.
 
     `max_silence` limits the time in which no byte arrives. The time for the
@@ -186,4 +190,5 @@
     body = await read_exactly(reader, length, max_silence)
     if length_and_flag & _COMPRESSED_FLAG:
         body = decompress(body, max_bytes)
-    return _decoder.decode(body)
+    received: Received = _decoder.decode(body)
+    return received
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -13,6 +13,7 @@
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.proof import prove_as_acceptor
+from cassialever.fleet.unknown_types import SkipLog, UnknownMessage
 from cassialever.fleet.view import FleetView
 from cassialever.types import RowVersion, Seconds
 
@@ -122,6 +123,7 @@
         #: Returns the limits in force, for new followers.
         self.limit_reports: Callable[[], list[LimitReport]] = list
         self._key_history = KeyMapHistory()
+        self._skip_log = SkipLog()
         #: Encoded tables or changes, by table, the follower's version and the
         #: own one.
         self._catch_up_frames: dict[CatchUpKey, bytes] = {}
@@ -284,6 +286,8 @@
                     self.on_keys_asked(message)
                 if isinstance(message, messages.Limits):
                     self.on_limits(message.reports)
+                if isinstance(message, UnknownMessage):
+                    self._skip_log.note(instance_id, message)
         finally:
             if self.follower_by_id.get(instance_id) is follower:
                 self.follower_by_id.pop(instance_id)
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -384,6 +384,7 @@
             msgspec.msgpack.encode([7, 1]),
             msgspec.msgpack.encode(['Pulse', 'no', 0, 0]),
             msgspec.msgpack.encode(['NotKnownYet'])[:-1],
+            b'\x91\x81\x81\x01\x02\x03',
         ):
             with (
                 self.subTest(body=body),
