Run the soak with daemons of two builds

Change: `make soak OTHER=DIR` starts every second daemon from another checkout, and replaces all by one of the two builds, a quarter at a time, among the faults. Log lines on messages that were not understood are counted; an invalid one is a violation, unless it is the silence of a peer. The short soak of the tests was not run on this change.

--- a/Makefile
+++ b/Makefile
@@ -51,4 +51,4 @@
 SECONDS ?= 30
 
 soak: $(STAMP)
-	$(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS) --runs $(RUNS)
+	$(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS) --runs $(RUNS) $(if $(OTHER),--other $(OTHER))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,13 +27,14 @@
     seed: int,
     seconds: float,
     daemons: int,
+    other: pathlib.Path | None = None,
 ) -> tuple[Callers, FaultInjector]:
-    """Run one soak test.
+    """Run one soak test; some daemons run the build of the checkout `other`.
 
     Returns the callers, which hold all violations, and the injector, which
     holds the log of its faults.
     """
-    fleet = SoakFleet(folder, daemons)
+    fleet = SoakFleet(folder, daemons, other=other)
     callers = Callers(fleet, seed)
     connections = ConnectionCallers(callers, seed)
     injector = FaultInjector(fleet, seed)
@@ -60,6 +61,7 @@
         callers.check_runs()
         callers.check_shares()
         callers.violations.extend(injector.violations)
+        _check_messages(fleet, callers)
     finally:
         await fleet.stop()
     return callers, injector
@@ -71,6 +73,15 @@
         await asyncio.sleep(OWNER_CHECK_INTERVAL)
 
 
+def _check_messages(fleet: SoakFleet, callers: Callers) -> None:
+    """Count log lines on messages; an invalid one is a violation."""
+    for daemon in fleet.daemons:
+        for line, count in daemon.message_faults().items():
+            callers.outcome_counts[line] += count
+            if line.startswith('link_rubbish'):
+                callers.violations.append(f'{daemon.name}: {count} x {line}')
+
+
 def main() -> int:
     """Run one soak test per seed and return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -78,12 +89,16 @@
     parser.add_argument('--runs', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
     parser.add_argument('--daemons', type=int, default=3)
+    parser.add_argument(
+        '--other', type=pathlib.Path, help='the checkout of another build'
+    )
     options = parser.parse_args()
+    other = options.other.resolve() if options.other else None
     failed = 0
     for seed in range(options.seed, options.seed + options.runs):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         callers, injector = asyncio.run(
-            soak(folder, seed, options.seconds, options.daemons),
+            soak(folder, seed, options.seconds, options.daemons, other),
         )
         outcome_counts = dict(callers.outcome_counts.most_common())
         sys.stdout.write(f'seed {seed}: {outcome_counts}, logs in {folder}\n')
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults that a soak test injects, chosen at random from its seed."""
 
 import asyncio
+import pathlib
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -56,6 +57,11 @@
 CALM_DURATION = 3.0
 
 
+#: The daemons that are replaced at the same time by those of another build, as
+#: a part of all.
+REPLACED_PART = 1 / 4
+
+
 class FaultInjector:
     """Starts random faults and ends them."""
 
@@ -89,6 +95,8 @@
         """Start faults for a number of seconds, then wait until all end."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
+        if len(set(self._fleet.checkouts)) > 1:
+            self._tasks.add(asyncio.ensure_future(self._replace_build()))
         while loop.time() < deadline:
             await asyncio.sleep(self._random.uniform(*FAULT_INTERVALS))
             fault = self._random.choice(self._faults)
@@ -125,13 +133,14 @@
         )
 
     async def _kill(self) -> None:
-        await self._restart(signal.SIGKILL)
+        await self._restart(signal.SIGKILL, self._choose_daemon())
 
     async def _stop_gracefully(self) -> None:
-        await self._restart(signal.SIGTERM)
+        await self._restart(signal.SIGTERM, self._choose_daemon())
 
-    async def _restart(self, signal_number: signal.Signals) -> None:
-        daemon = self._choose_daemon()
+    async def _restart(
+        self, signal_number: signal.Signals, daemon: DaemonProcess
+    ) -> None:
         if daemon.name in self._restarting or daemon.store_proxy is None:
             return
         self._restarting.add(daemon.name)
@@ -154,6 +163,29 @@
         await daemon.start(daemon.store_proxy)
         self._restarting.discard(daemon.name)
 
+    async def _replace_build(self) -> None:
+        """Replace all daemons by those of one build, some at a time."""
+        await self._wait_fault_duration()
+        checkout = self._random.choice(self._fleet.checkouts)
+        count = max(1, int(len(self._fleet.daemons) * REPLACED_PART))
+        replaced = [
+            one for one in self._fleet.daemons if one.checkout != checkout
+        ]
+        for start in range(0, len(replaced), count):
+            await asyncio.gather(
+                *(
+                    self._replace(one, checkout)
+                    for one in replaced[start : start + count]
+                )
+            )
+
+    async def _replace(
+        self, daemon: DaemonProcess, checkout: pathlib.Path
+    ) -> None:
+        daemon.checkout = checkout
+        self._log_event(f'{daemon.name} is replaced from {checkout.name}')
+        await self._restart(signal.SIGTERM, daemon)
+
     async def _suspend(self) -> None:
         daemon = self._choose_daemon()
         self._log_event(f'STOP {daemon.name}')
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import sys
+from collections import Counter
 from collections.abc import Collection, Iterable
 from typing import Any
 
@@ -33,6 +34,10 @@
 #: The last number of the first daemon's `target_host`. Targets listen at
 #: 127.0.0.1.
 FIRST_TARGET_HOST = 2
+#: The folder of the build that is tested.
+OWN_CHECKOUT = pathlib.Path(__file__).parent.parent
+#: Log lines on messages between daemons that were not understood.
+MESSAGE_EVENTS = ('link_rubbish', 'link_out_of_step', 'type_skipped')
 
 
 class DaemonProcess:
@@ -60,6 +65,8 @@
         self.cut_changed_at = 0.0
         #: Number of cuts between the daemon and targets that are in force.
         self.cut_count = 0
+        #: The folder of the build that the next start runs.
+        self.checkout = OWN_CHECKOUT
         #: Whether the daemon reaches no target at all.
         self.is_cut_off = False
         self.ports = free_ports(3)
@@ -95,12 +102,32 @@
                 sys.executable,
                 '-m',
                 'cassialever',
+                cwd=self.checkout,
                 env={**os.environ, 'CASSIALEVER_SETTINGS': str(self._settings)},
                 stdout=log,
                 stderr=log,
             )
         self.mark_disrupted()
 
+    def message_faults(self) -> Counter[str]:
+        """Count the log lines on messages that were not understood.
+
+        A peer that is suspended or cut off sends nothing, which is no fault of
+        its messages.
+        """
+        counts: Counter[str] = Counter()
+        for line in self._log.read_bytes().splitlines():
+            try:
+                fields = msgspec.json.decode(line, type=dict[str, Any])
+            except msgspec.DecodeError:
+                # A traceback, or a line that a kill has cut.
+                continue
+            reason = fields.get('reason', fields.get('type', ''))
+            is_known = fields.get('name') in MESSAGE_EVENTS
+            if is_known and reason != repr(TimeoutError()):
+                counts[f'{fields["name"]} {reason}'] += 1
+        return counts
+
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process, if it is running."""
         self.mark_disrupted()
@@ -159,11 +186,14 @@
         folder: pathlib.Path,
         daemons: int,
         unkeyed: int = UNKEYED_TARGET_COUNT,
+        other: pathlib.Path | None = None,
     ) -> None:
         """Prepare the servers and daemons; `start` runs them.
 
-        There are `unkeyed` targets that own no keys.
+        There are `unkeyed` targets that own no keys. If there is the checkout
+        of another build, every second daemon runs it.
         """
+        self.checkouts = (OWN_CHECKOUT, other or OWN_CHECKOUT)
         self.store = RowStoreServer()
         self.targets = [
             *(
@@ -189,6 +219,8 @@
             )
             for number in range(daemons)
         ]
+        for number, daemon in enumerate(self.daemons):
+            daemon.checkout = self.checkouts[number % len(self.checkouts)]
         self.configuration: dict[str, Any] = CONFIGURATION
 
     def add_routes(self, count: int) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import unittest
 
 from soak.__main__ import soak
+from soak.fleet import OWN_CHECKOUT, SoakFleet
 
 
 class SoakTest(unittest.TestCase):
@@ -19,6 +20,27 @@
         self.assertEqual(callers.violations, [], injector.events)
         self.assertTrue(callers.outcome_counts['200'])
 
+    def test_two_checkouts(self) -> None:
+        """Half of the daemons run each; invalid messages are counted."""
+        with tempfile.TemporaryDirectory() as folder:
+            other = pathlib.Path('other')
+            fleet = SoakFleet(pathlib.Path(folder), 4, other=other)
+            self.assertEqual(
+                [one.checkout for one in fleet.daemons],
+                [OWN_CHECKOUT, other, OWN_CHECKOUT, other],
+            )
+            (pathlib.Path(folder) / 'edge-1.log').write_text(
+                '{"name":"link_rubbish","reason":"TimeoutError()"}\n'
+                '{"name":"link_rubbish","reason":"Expected `int`"}\n'
+                'Traceback\n'
+                '{"name":"type_skipped","type":"Novel"}\n'
+                '{"name":"started"}\n'
+            )
+            self.assertEqual(
+                fleet.daemons[1].message_faults(),
+                {'link_rubbish Expected `int`': 1, 'type_skipped Novel': 1},
+            )
+
 
 if __name__ == '__main__':
     unittest.main()
