Reproduce probes that load the targets they ask about

Each daemon connects to every target whose request is open for 0.25 s or twice its latency, and to each target that resets a connection, as often as that happens. Callers pay by targets that reach their cap and by links that are full.

Two further tests hold already and guard the change: a target that hangs beside others that answer, and a data centre that is cut off, must be noticed.

--- a/tests/test_path_probe.py
+++ b/tests/test_path_probe.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
+import msgspec
+
 from cassialever.events import Event
 from cassialever.gateway import path_probe
 from cassialever.gateway.path_probe import MAX_PROBES, PathProber
@@ -54,10 +56,10 @@
 class Scene:
     """A daemon with a prober, and requests that it sends."""
 
-    def __init__(self, loop: VirtualLoop) -> None:
+    def __init__(self, loop: VirtualLoop, targets: int = TARGET_COUNT) -> None:
         self.clock = LoopClock(loop)
         self.network = Network(loop)
-        self.view = configured_view(self.clock, targets=TARGET_COUNT)
+        self.view = configured_view(self.clock, targets=targets)
         self.loads = LoadTracker()
         self.paths = TargetPaths('astana-a', random.Random(1))
         self.prober = PathProber(
@@ -261,3 +263,127 @@
             self.assertTrue(scene.is_reachable('t9'))
 
         self.run_scene(scenario)
+
+
+class ProbeLoadTest(unittest.TestCase):
+    """How many connections probes cost beside requests that are slow."""
+
+    def run_scene(
+        self,
+        scenario: Callable[[Scene], Awaitable[None]],
+        targets: int = TARGET_COUNT,
+    ) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            scene = Scene(loop, targets)
+            scene.prober.can_connect = scene.network.can_connect
+            probing = asyncio.ensure_future(scene.prober.run())
+            await scenario(scene)
+            self.assertFalse(probing.done())
+
+        run_virtually(main)
+
+    def test_slow_targets_are_probed_while_others_answer(self) -> None:
+        """Half of the targets take 0.8 s for each request."""
+
+        async def scenario(scene: Scene) -> None:
+            for _ in range(10):
+                for number in range(10):
+                    scene.send(f't{number}')
+                for _ in range(4):
+                    await asyncio.sleep(0.2)
+                    scene.paths.record_answer('t15', scene.clock.monotonic())
+                for number in range(10):
+                    target_id = f't{number}'
+                    scene.paths.unanswered.record_end(target_id, 'r')
+                    scene.paths.record_answer(
+                        target_id, scene.clock.monotonic()
+                    )
+            self.assertEqual(scene.network.probed, [])
+
+        self.run_scene(scenario)
+
+    def test_target_that_hangs_while_others_answer_is_not_noticed(
+        self,
+    ) -> None:
+        """It is noticed within 1.5 s."""
+
+        async def scenario(scene: Scene) -> None:
+            hanging = scene.view.targets.by_id['t15'].address
+            scene.network.fault = 'hang'
+            scene.network.faulty = {hanging}
+            scene.send('t15', 'long')
+            for _ in range(15):
+                await asyncio.sleep(0.1)
+                scene.paths.record_answer('t0', scene.clock.monotonic())
+            self.assertFalse(scene.is_reachable('t15'))
+            self.assertEqual(scene.dropped, [hanging])
+            self.assertTrue(scene.is_reachable('t0'))
+
+        self.run_scene(scenario)
+
+    def test_resets_have_a_target_probed_more_than_once_a_second(self) -> None:
+        """Each request to a full target ends with a reset."""
+
+        async def scenario(scene: Scene) -> None:
+            for _ in range(100):
+                scene.paths.direct.record_doubt('t0', scene.clock.monotonic())
+                await asyncio.sleep(0.1)
+            self.assertLessEqual(len(scene.network.probed), 11)
+            self.assertGreaterEqual(len(scene.network.probed), 5)
+
+        self.run_scene(scenario)
+
+    def test_probes_of_many_targets_are_not_bounded(self) -> None:
+        """190 targets reset connections all the time."""
+
+        async def scenario(scene: Scene) -> None:
+            for _ in range(40):
+                for number in range(190):
+                    scene.paths.direct.record_doubt(
+                        f't{number}', scene.clock.monotonic()
+                    )
+                await asyncio.sleep(0.25)
+            # Two a second, and eight at once at the beginning.
+            self.assertLessEqual(len(scene.network.probed), 28)
+            # Each gets its turn.
+            addresses = {address for _, address in scene.network.probed}
+            self.assertEqual(len(addresses), len(scene.network.probed))
+
+        self.run_scene(scenario, targets=190)
+
+    def test_silent_targets_that_accept_are_probed_by_hundreds(self) -> None:
+        """All targets are slow at the same time, and can be reached."""
+
+        async def scenario(scene: Scene) -> None:
+            for number in range(190):
+                scene.send(f't{number}')
+            await asyncio.sleep(10)
+            # Those that would show a cut, and two a second from 1 s on.
+            self.assertLessEqual(len(scene.network.probed), 40)
+            self.assertEqual(scene.dropped, [])
+
+        self.run_scene(scenario, targets=190)
+
+    def test_cut_data_centre_is_noticed_as_late_as_one_target(self) -> None:
+        """Requests to it hang, while the other data centre answers."""
+
+        async def scenario(scene: Scene) -> None:
+            by_id = scene.view.targets.by_id
+            cut = [f't{number}' for number in range(10)]
+            for target_id in cut:
+                by_id[target_id] = msgspec.structs.replace(
+                    by_id[target_id], data_centre='karaganda-c'
+                )
+            scene.network.fault = 'hang'
+            scene.network.faulty = {by_id[name].address for name in cut}
+            for target_id in cut:
+                scene.send(target_id)
+            for _ in range(9):
+                await asyncio.sleep(0.1)
+                scene.paths.record_answer('t15', scene.clock.monotonic())
+            noticed = [name for name in cut if not scene.is_reachable(name)]
+            self.assertGreaterEqual(len(noticed), 6)
+            self.assertTrue(scene.is_reachable('t15'))
+            self.assertFalse(scene.is_cut_off())
+
+        self.run_scene(scenario)
