Bound the probes of targets that are slow or reset connections

A probe is one of the connections that a full target is short of.

Now a daemon makes 1 probe a second for doubts, and 8 at once after a calm time, over all targets; each target is probed at most once a second. Silence is a doubt where nothing came from any target, or from any of a data centre, since several were sent to (probed at once, with a reserve of 8), where several targets are silent (three are asked for all), or where one is silent for 1 s or four times its latency.

--- a/cassialever/gateway/path_probe.py
+++ b/cassialever/gateway/path_probe.py
@@ -1,7 +1,9 @@
 """Probe the paths to targets that failed or fell silent.
 
 A connection that hangs tells nothing by itself: the target may be slow. A new
-connection tells whether the path is there. Nothing is sent over it.
+connection tells whether the path is there. Nothing is sent over it. It costs
+the target and the link one more connection, so that few are made beside
+requests that are merely slow.
 """
 
 import asyncio
@@ -12,9 +14,9 @@
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import can_connect
 from cassialever.fleet.target_registry import TargetRegistry
+from cassialever.gateway.silence_watch import SilenceWatch
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.paths import TargetPaths
-from cassialever.policy.placing import DEFAULT_LATENCY
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import Seconds, TargetId
 
@@ -22,12 +24,6 @@
 CHECK_INTERVAL: Final[Seconds] = 0.1
 #: The same while a path is down or in doubt.
 URGENT_CHECK_INTERVAL: Final[Seconds] = 0.05
-#: Silence after which a target with an open request is probed.
-MIN_SILENCE: Final[Seconds] = 0.25
-#: The same as a multiple of the target's latency, if that is longer.
-SILENCE_LATENCIES: Final = 2.0
-#: Time between two probes of a target that stays silent but can be reached.
-SILENCE_PROBE_INTERVAL: Final[Seconds] = 1.0
 #: Probes in progress at a time, over all targets.
 MAX_PROBES: Final = 8
 #: Targets probed to tell a cut from a fault of several targets.
@@ -49,11 +45,10 @@
         """Create without probes; `run` starts them."""
         self._paths = paths
         self._targets = targets
-        self._loads = loads
         self._clock = clock
         self._tasks = BackgroundTasks()
         self._in_progress: set[TargetId] = set()
-        self._silence_probed_at: dict[TargetId, Seconds] = {}
+        self._silence = SilenceWatch(paths, targets, loads)
         self._was_cut_off = False
         self._cut_off_at: Seconds = 0
         self._known_changes = 0
@@ -80,7 +75,7 @@
     def check(self) -> None:
         """Start the probes that are due and report what has changed."""
         now = self._clock.monotonic()
-        self._doubt_silent(now)
+        self._silence.check(now)
         self._doubt_witnesses(now)
         if self._paths.direct.has_probes():
             room = MAX_PROBES - len(self._in_progress)
@@ -88,19 +83,6 @@
                 self._start_probe(target_id)
         self._report_changes(now)
 
-    def _doubt_silent(self, now: Seconds) -> None:
-        silent_since = self._paths.unanswered.silent_since()
-        for target_id, since in silent_since.items():
-            if now - since < self._longest_silence(target_id, now):
-                continue
-            probed_at = self._silence_probed_at.get(target_id, since)
-            if probed_at > since and now < probed_at + SILENCE_PROBE_INTERVAL:
-                continue
-            self._silence_probed_at[target_id] = now
-            self._paths.direct.record_doubt(target_id, now)
-        for target_id in self._silence_probed_at.keys() - silent_since.keys():
-            self._silence_probed_at.pop(target_id)
-
     def _doubt_witnesses(self, now: Seconds) -> None:
         """Probe targets that nothing was sent to before a cut is inferred."""
         direct = self._paths.direct
@@ -113,13 +95,7 @@
         ]
         step = max(len(others) // WITNESS_COUNT, 1)
         for target_id in others[: step * WITNESS_COUNT : step]:
-            direct.record_doubt(target_id, now)
-
-    def _longest_silence(self, target_id: TargetId, now: Seconds) -> Seconds:
-        latency = self._loads.of(target_id).average_latency(
-            now, DEFAULT_LATENCY
-        )
-        return max(MIN_SILENCE, SILENCE_LATENCIES * latency)
+            direct.record_doubt(target_id, now, is_urgent=True)
 
     def _start_probe(self, target_id: TargetId) -> None:
         if target_id in self._in_progress:
@@ -140,7 +116,7 @@
         is_connected = await self.can_connect(target.address)
         now = self._clock.monotonic()
         if is_connected:
-            self._paths.direct.record_probe_success(target_id, now)
+            self._paths.record_probe_success(target_id, now)
         else:
             self._paths.record_failure(target_id, now)
         self._report_changes(now)
--- a/cassialever/policy/direct_paths.py
+++ b/cassialever/policy/direct_paths.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from cassialever.policy.doubts import DoubtAllowance
 from cassialever.types import Seconds, TargetId
 
 #: How long a failed connection counts; a path that is down is probed more
@@ -38,9 +39,13 @@
 
 
 class _PathState(msgspec.Struct):
-    """A path that is down or in doubt; `down_since` is None while in doubt."""
+    """A path that is down or in doubt; `down_since` is None while in doubt.
+
+    A doubt is urgent if it may show that this daemon is cut off.
+    """
 
     probe_at: Seconds
+    is_urgent: bool = False
     down_since: Seconds | None = None
     failed_at: Seconds = 0
     successes: int = 0
@@ -64,6 +69,7 @@
     def __init__(self) -> None:
         self._state_by_id: dict[TargetId, _PathState] = {}
         self._failures_by_id: dict[TargetId, _Failures] = {}
+        self._doubt_allowance = DoubtAllowance()
         #: Rises with each change of the paths that are down.
         self.change_count = 0
 
@@ -89,13 +95,24 @@
             self.change_count += 1
         state.failed_at = now
 
-    def record_doubt(self, target_id: TargetId, now: Seconds) -> None:
-        """Have a path probed at once.
+    def record_doubt(
+        self, target_id: TargetId, now: Seconds, *, is_urgent: bool = False
+    ) -> None:
+        """Have a path probed, at once if that is urgent.
 
         A target may reset connections when it is full, or be slow: the path
-        counts as down only if the probe fails.
+        counts as down only if the probe fails. Other probes of doubts wait for
+        DOUBT_PROBE_INTERVAL after the target's last one, and all of them for
+        the allowance of this daemon.
         """
-        self._state_by_id.setdefault(target_id, _PathState(now))
+        state = self._state_by_id.get(target_id)
+        if state is None:
+            probe_at = self._doubt_allowance.next_probe_at(target_id, now)
+            state = _PathState(probe_at)
+            self._state_by_id[target_id] = state
+        if is_urgent and state.down_since is None and not state.is_urgent:
+            state.is_urgent = True
+            state.probe_at = now
 
     def record_probe_success(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target was opened by a probe."""
@@ -123,9 +140,19 @@
             for target_id, state in self._state_by_id.items()
             if state.probe_at <= now
         )
-        chosen = [target_id for _, target_id in due[:limit]]
-        for target_id in chosen:
-            self._state_by_id[target_id].probe_at = now + PROBE_INTERVAL
+        chosen: list[TargetId] = []
+        for _, target_id in due:
+            if len(chosen) == limit:
+                break
+            state = self._state_by_id[target_id]
+            # Paths that failed have no such limit: they carry no requests.
+            is_doubt = state.down_since is None
+            if is_doubt and not self._doubt_allowance.try_take(
+                target_id, now, is_urgent=state.is_urgent
+            ):
+                continue
+            state.probe_at = now + PROBE_INTERVAL
+            chosen.append(target_id)
         return chosen
 
     def has_probes(self) -> bool:
@@ -169,6 +196,7 @@
 
     def prune(self, known: Container[TargetId]) -> None:
         """Forget targets that are gone."""
+        self._doubt_allowance.prune(known)
         for target_id in list(self._state_by_id):
             if target_id not in known:
                 self._state_by_id.pop(target_id)
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -34,6 +34,11 @@
         """Note that a new connection to a target failed."""
         self.direct.record_failure(target_id, now)
 
+    def record_probe_success(self, target_id: TargetId, now: Seconds) -> None:
+        """Note that a new connection to a target was opened by a probe."""
+        self.direct.record_probe_success(target_id, now)
+        self.unanswered.record_accepted(target_id, now)
+
     def is_reachable(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether the direct path to a target may be used.
 
@@ -112,4 +117,5 @@
     def prune(self, known: Container[TargetId], now: Seconds) -> None:
         """Forget targets that are gone and what has expired."""
         self.direct.prune(known)
+        self.unanswered.prune(known)
         self.reports.prune(now)
