Reproduce paths that are taken down by this daemon's own lateness

Two tests fail on the present code: connections to targets of three data centres that time out together while another target answers, and a probe that times out while the loop is late. Four more hold and guard the change: a target or a data centre that is gone, and a cut from all targets, are still noticed.

--- a/tests/test_policy_lateness.py
+++ b/tests/test_policy_lateness.py
@@ -5,21 +5,23 @@
 import socket
 import time
 import unittest
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 from unittest import mock
 
 import msgspec
 
 from cassialever.errors import ErrorKind
-from cassialever.gateway.sender import CONNECT_TIMEOUT
+from cassialever.fleet.connecting import can_connect
+from cassialever.fleet.model import Target
+from cassialever.gateway.sender import CONNECT_TIMEOUT, TargetRequest
 from cassialever.policy.lateness import (
     EXCUSE_PERIOD,
     MAX_LATE_SHARE,
     LoopLateness,
     OwnDelays,
 )
-from cassialever.types import TargetId
+from cassialever.types import DataCentreId, TargetId
 from standins.listening import LOOPBACK
 from tests.fleet_helpers import deployment
 from tests.gateway_helpers import LOOKUP_HEADERS, send_request, wait_for_keys
@@ -135,6 +137,119 @@
         self.assertTrue(self.is_held_against_target())
 
 
+class LateLinkTest(SenderCase):
+    """A sender whose link is late, while answers still come."""
+
+    def setUp(self) -> None:
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+
+    def unreached(self, name: str, data_centre: str) -> Target:
+        """Return a target that connections hang to."""
+        full = self.stack.enter_context(socket.socket())
+        full.bind((LOOPBACK, 0))
+        full.listen(0)
+        for _ in range(3):
+            caller = self.stack.enter_context(socket.socket())
+            caller.setblocking(False)
+            caller.connect_ex(full.getsockname())
+        host, port = full.getsockname()
+        return msgspec.structs.replace(
+            self.target,
+            target_id=TargetId(name),
+            address=f'{host}:{port}',
+            data_centre=DataCentreId(data_centre),
+        )
+
+    async def connect(self, *targets: Target, is_answered: bool) -> set[str]:
+        """Send to all targets at once; return those whose paths are down."""
+        answering = asyncio.ensure_future(self.answer(is_answered))
+        request = TargetRequest('a1', 'GET', '/x', {}, b'')
+        await asyncio.gather(
+            *(self.sender.send(request, target, 0.5) for target in targets)
+        )
+        answering.cancel()
+        return set(self.paths.direct.down(time.monotonic()))
+
+    async def answer(self, is_answered: bool) -> None:
+        """Have another target answer all the time."""
+        while is_answered:
+            await self.send()
+            await asyncio.sleep(0.02)
+
+    async def test_late_link_takes_paths_down(self) -> None:
+        # LOST: five paths went down by connections begun within 0.02 s.
+        targets = [
+            self.unreached(f't{number}', data_centre)
+            for number, data_centre in enumerate(('east', 'west', 'north'), 1)
+        ]
+        self.assertEqual(await self.connect(*targets, is_answered=True), set())
+        # Targets that are gone are noticed at the second try.
+        down = await self.connect(*targets, is_answered=True)
+        self.assertEqual(down, {'t1', 't2', 't3'})
+
+    async def test_data_centre_that_is_gone_is_a_late_link(self) -> None:
+        targets = [self.unreached(f't{n}', 'east') for n in (1, 2, 3)]
+        down = await self.connect(*targets, is_answered=True)
+        self.assertEqual(down, {'t1', 't2', 't3'})
+
+    async def test_cut_from_all_targets_is_a_late_link(self) -> None:
+        await self.send()
+        targets = [
+            self.unreached(f't{number}', data_centre)
+            for number, data_centre in enumerate(('east', 'west', 'north'), 1)
+        ]
+        down = await self.connect(*targets, is_answered=False)
+        self.assertEqual(down, {'t1', 't2', 't3'})
+
+    async def test_one_target_that_is_gone_is_a_late_link(self) -> None:
+        down = await self.connect(
+            self.unreached('t1', 'east'), is_answered=True
+        )
+        self.assertEqual(down, {'t1'})
+
+
+class LateProbeTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon whose loop is late while it probes a path."""
+
+    async def probe(self, later: Callable[[str], Awaitable[bool]]) -> bool:
+        """Probe once with a late loop; return whether the path is down."""
+        probed: list[str] = []
+
+        async def connect(address: str) -> bool:
+            probed.append(address)
+            if len(probed) > 1:
+                return await later(address)
+            for _ in range(3):
+                time.sleep(ITERATION)
+                await asyncio.sleep(0)
+            return False
+
+        async with deployment(keyed=1) as system:
+            await wait_for_keys(system.gateways[0])
+            reachability = system.gateways[0].core.reachability
+            reachability.prober.can_connect = connect
+            target_id = TargetId('k0')
+            direct = reachability.paths.direct
+            direct.record_doubt(target_id, time.monotonic())
+            was_down = False
+            for _ in range(30):
+                await asyncio.sleep(0.05)
+                was_down |= direct.is_down(target_id, time.monotonic())
+            self.assertGreater(len(probed), 1)
+        return was_down
+
+    async def test_late_probe_takes_a_path_down(self) -> None:
+        self.assertFalse(await self.probe(can_connect))
+
+    async def test_target_that_is_gone_is_a_late_probe(self) -> None:
+        async def hang(_: str) -> bool:
+            await asyncio.sleep(CONNECT_TIMEOUT)
+            return False
+
+        self.assertTrue(await self.probe(hang))
+
+
 class LateDaemonTest(unittest.IsolatedAsyncioTestCase):
     """A daemon whose loop is late while connections are made."""
 
