--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,253 @@
+"""Sums of the waits by design that each time bound of the platform contains."""
+
+import pathlib
+import unittest
+from collections.abc import Mapping
+
+import msgspec
+
+from cassialever.fleet import connecting, following, following_leader
+from cassialever.fleet import lease, membership, relay
+from cassialever.gateway import application, connections, sender
+from cassialever.keys import assignments
+from cassialever.platform import store, targets
+from cassialever.policy import budget, permits
+
+PAGE = pathlib.Path(__file__).parent.parent / 'docs/design/bounds.md'
+
+#: Time until a change is in force, from its acknowledgement: `config_apply_ms`
+#: and `drain_ms`, and the time that the platform allows to carry it out.
+CHANGE_LIMIT = 2.0 + 0.5
+GRACE = 6.0
+#: Slowest answers of a store that is slow, and usual ones.
+SLOW_ANSWER = 0.4
+ANSWER = 0.004
+#: A configuration of 1,280 routes as the store sends it (base64 of 0.25 MB),
+#: and compressed as a daemon sends it.
+STORE_BYTES = 250_000 * 4 / 3
+RELAYED_BYTES = 35_000
+#: Bytes a second of the slowest link, and of the slowest that usually leads.
+SLOWEST_LINK = 5e6 / 8
+LEADER_LINK = 100e6 / 8
+FOLLOWERS = 58
+#: Processor time to apply a configuration, and the smallest share of a core.
+APPLY_TIME = 0.007
+SMALLEST_CORE = 0.43
+COLD_RATE = 12.0
+
+READ = {
+    'answer of the store': ANSWER,
+    'transfer from the store, 5 Mbit/s': STORE_BYTES / SLOWEST_LINK,
+    'apply, 0.43 core': APPLY_TIME / SMALLEST_CORE,
+}
+RELAY = {
+    'leader sends to 58, 100 Mbit/s': FOLLOWERS * RELAYED_BYTES / LEADER_LINK,
+    'transfer to a follower, 5 Mbit/s': RELAYED_BYTES / SLOWEST_LINK,
+    'apply, 0.43 core': APPLY_TIME / SMALLEST_CORE,
+}
+
+
+class BoundSum(msgspec.Struct, frozen=True):
+    """A bound and the parts that are spent of it, by name."""
+
+    limit: float
+    parts: Mapping[str, float]
+
+    @property
+    def total(self) -> float:
+        """Return the sum of the parts."""
+        return sum(self.parts.values())
+
+
+SUMS = {
+    'change, calm': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'slow answer': SLOW_ANSWER,
+            'BATCH_DELAY': following.BATCH_DELAY,
+            **RELAY,
+        },
+    ),
+    'change, leader killed': BoundSum(
+        CHANGE_LIMIT,
+        {'FALLBACK_DELAY': membership.FALLBACK_DELAY, **READ},
+    ),
+    'change, leader silent': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'LEADER_TIMEOUT': following_leader.LEADER_TIMEOUT,
+            'FALLBACK_DELAY': membership.FALLBACK_DELAY,
+            **READ,
+        },
+    ),
+    'change, leader cut off from the store': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'MAX_STORE_AGE': following_leader.MAX_STORE_AGE,
+            'WATCH_INTERVAL': membership.WATCH_INTERVAL,
+            **READ,
+        },
+    ),
+    'change, tables of the leader old': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'MAX_TABLES_AGE': following_leader.MAX_TABLES_AGE,
+            'WATCH_INTERVAL': membership.WATCH_INTERVAL,
+            **READ,
+        },
+    ),
+    'change, leader with old tables lost': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'MAX_TABLES_AGE': following_leader.MAX_TABLES_AGE,
+            'FALLBACK_DELAY': membership.FALLBACK_DELAY,
+            **READ,
+        },
+    ),
+    'change, answer to the leader lost': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'LONG_POLL_WAIT': store.LONG_POLL_WAIT,
+            'CALL_TIMEOUT': store.CALL_TIMEOUT,
+            '2 INITIAL_RETRY_DELAY': 2 * following.INITIAL_RETRY_DELAY,
+            'answer of the store': ANSWER,
+            **RELAY,
+        },
+    ),
+    'entries, after the store is back': BoundSum(
+        2.0,
+        {
+            '2 MAX_RETRY_DELAY': 2 * following.MAX_RETRY_DELAY,
+            'answer of the store': ANSWER,
+            **RELAY,
+        },
+    ),
+    'grace': BoundSum(
+        GRACE,
+        {
+            'ACCEPTING_SHARE': application.ACCEPTING_SHARE * GRACE,
+            'answers': (1 - application.ACCEPTING_SHARE) * GRACE
+            - application.CLOSE_RESERVE,
+            'CANCEL_TIMEOUT': connections.CANCEL_TIMEOUT,
+        },
+    ),
+    'grace, leader that resigns': BoundSum(
+        GRACE,
+        {
+            'RESIGN_TIMEOUT': membership.RESIGN_TIMEOUT,
+            'TIMEOUT_ANSWER_RESERVE': application.TIMEOUT_ANSWER_RESERVE,
+            'CLOSE_RESERVE': application.CLOSE_RESERVE,
+        },
+    ),
+    'keys, owner that refuses': BoundSum(
+        3.0, {'MAX_HOLD_TIME': assignments.MAX_HOLD_TIME}
+    ),
+    'keys, owner that is silent': BoundSum(
+        3.0,
+        {
+            'GRANT_RENEWAL_INTERVAL': assignments.GRANT_RENEWAL_INTERVAL,
+            'GRANT_TIMEOUT': targets.GRANT_TIMEOUT,
+            'MAX_UNANSWERED_HOLD_TIME': assignments.MAX_UNANSWERED_HOLD_TIME,
+        },
+    ),
+    'permits of a cold target, requests in 1 s': BoundSum(
+        1.5 * COLD_RATE + 5,
+        {
+            'permits that start': COLD_RATE + 1,
+            'PERMIT_LIFETIME': permits.PERMIT_LIFETIME * COLD_RATE,
+            'CONNECT_TIMEOUT': sender.CONNECT_TIMEOUT * COLD_RATE,
+        },
+    ),
+    'permits of a limited target, requests in 4 s': BoundSum(
+        4 * 1.5 * COLD_RATE + 5,
+        {
+            'permits that start': 4 * COLD_RATE + 1,
+            'PERMIT_LIFETIME': permits.PERMIT_LIFETIME * COLD_RATE,
+            'CONNECT_TIMEOUT': sender.CONNECT_TIMEOUT * COLD_RATE,
+            'OUTDATED_LIST_SHARE': 4 * permits.OUTDATED_LIST_SHARE * COLD_RATE
+            + 1,
+            'clocks 2% fast': 0.12 * COLD_RATE,
+        },
+    ),
+    'retries, share of the budget': BoundSum(
+        1.0,
+        {
+            'SAFETY_FACTOR': budget.SAFETY_FACTOR,
+            'a bucket of WINDOW_BUCKETS': budget.SAFETY_FACTOR
+            / budget.WINDOW_BUCKETS,
+        },
+    ),
+}
+
+
+class BoundsTest(unittest.TestCase):
+    """Each sum stays within its bound."""
+
+    def check(self, name: str) -> None:
+        """Fail if the waits of a sum exceed its bound."""
+        added = SUMS[name]
+        self.assertLessEqual(added.total, added.limit, added.parts)
+
+    def test_calm_change(self) -> None:
+        self.check('change, calm')
+
+    def test_change_beside_a_killed_leader(self) -> None:
+        self.check('change, leader killed')
+
+    def test_change_beside_a_silent_leader(self) -> None:
+        self.check('change, leader silent')
+
+    def test_change_beside_a_leader_without_the_store(self) -> None:
+        self.check('change, leader cut off from the store')
+
+    def test_change_beside_a_leader_with_old_tables(self) -> None:
+        self.check('change, tables of the leader old')
+
+    def test_change_beside_the_loss_of_a_leader_with_old_tables(self) -> None:
+        self.check('change, leader with old tables lost')
+
+    def test_change_whose_answer_to_the_leader_is_lost(self) -> None:
+        self.check('change, answer to the leader lost')
+
+    def test_entries_after_the_store_is_back(self) -> None:
+        self.check('entries, after the store is back')
+
+    def test_grace(self) -> None:
+        self.check('grace')
+        self.check('grace, leader that resigns')
+
+    def test_keys_of_an_owner_that_refuses(self) -> None:
+        self.check('keys, owner that refuses')
+
+    def test_keys_of_an_owner_that_is_silent(self) -> None:
+        self.check('keys, owner that is silent')
+
+    def test_permits(self) -> None:
+        self.check('permits of a cold target, requests in 1 s')
+        self.check('permits of a limited target, requests in 4 s')
+
+    def test_retries(self) -> None:
+        self.check('retries, share of the budget')
+
+    def test_waits_that_contain_each_other(self) -> None:
+        """A lease is stale before its holder counts as cut off."""
+        self.assertLess(lease.STALE_AFTER, membership.CUT_OFF_TIMEOUT)
+        self.assertLess(
+            3 * relay.HEARTBEAT_INTERVAL, following_leader.LEADER_TIMEOUT
+        )
+        self.assertLess(connecting.CONNECT_TIMEOUT, membership.FALLBACK_DELAY)
+
+    def test_page_has_each_sum(self) -> None:
+        """The figures of the page are those of the constants."""
+        page = PAGE.read_text()
+        for name, added in SUMS.items():
+            left = added.limit - added.total
+            row = (
+                f'| {name} | {added.limit:g} | {added.total:.2f} | {left:.2f} |'
+            )
+            with self.subTest(row=row):
+                self.assertIn(row, page)
+
+
+if __name__ == '__main__':
+    unittest.main()
