Reproduce requests to targets that said in an answer that they leave

A target whose answers say that it leaves gets requests from the daemon that read them and from all others, and keeps its keys; a request that waits 0.25 s for its connection is sent though the target's entry says draining by then.

--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -111,6 +111,10 @@
         self.drops_call_responses = False
         #: Requests per second that all answers name as the most to be taken.
         self.named_limit: float | None = None
+        #: Say in all answers that the target is about to leave.
+        self.says_leaving = False
+        #: Text of the `Retry-After` of refusals, if they have one.
+        self.retry_after: str | None = None
 
 
 class TargetWork:
@@ -304,7 +308,7 @@
             'Attempt-Id': 'other' if self.faults.sends_wrong_id else request_id,
             'Response-Seal': f'seal.{request_id}',
             'Instance-Load': load,
-            **_limit_header(self.faults),
+            **_stated_headers(self.faults),
         }
 
     def _refusal(self, request: web.Request) -> web.Response | None:
@@ -317,12 +321,12 @@
             self.work.overflow_count += 1
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={'Not-Executed': '1', **_limit_header(self.faults)},
+                headers=_refusal_headers(self.faults),
             )
         if self.faults.shed_status is not None:
             return web.Response(
                 status=self.faults.shed_status,
-                headers={'Not-Executed': '1', **_limit_header(self.faults)},
+                headers=_refusal_headers(self.faults),
             )
         if not self.is_keyed:
             return None
@@ -334,10 +338,21 @@
         )
 
 
-def _limit_header(faults: TargetFaults) -> dict[str, str]:
-    if faults.named_limit is None:
-        return {}
-    return {'Server-Limit': f'{faults.named_limit:g}'}
+def _stated_headers(faults: TargetFaults) -> dict[str, str]:
+    """Return what the target says of itself in its answers."""
+    stated = {}
+    if faults.named_limit is not None:
+        stated['Server-Limit'] = f'{faults.named_limit:g}'
+    if faults.says_leaving:
+        stated['Server-Leaving'] = '1'
+    return stated
+
+
+def _refusal_headers(faults: TargetFaults) -> dict[str, str]:
+    headers = {'Not-Executed': '1', **_stated_headers(faults)}
+    if faults.retry_after is not None:
+        headers['Retry-After'] = faults.retry_after
+    return headers
 
 
 async def _send_truncated(
