Reproduce followers that find the next leader late after a planned stop

Daemons with slow links leave an election to others for up to 0.4 s; then they lose it, wait up to 0.2 s more, read the store again and follow.

--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -9,7 +9,9 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet import direct
 from cassialever.fleet.membership import (
+    MAX_ELECTION_DELAY,
     MAX_STORE_AGE_FOR_HANDOVER,
+    SEEK_DELAY,
     MemberState,
 )
 from cassialever.gateway.application import Gateway
@@ -152,6 +154,25 @@
                 await stopping
             self.assertEqual(record.call_args_list, [])
 
+    async def test_followers_with_slow_links_are_late_after_a_planned_stop(
+        self,
+    ) -> None:
+        """They leave the election to others, and then follow at once."""
+        async with deployment(gateways=4) as system:
+            await until(lambda: len(_leaders(system)) == 1)
+            leader = _leaders(system)[0]
+            followers = [one for one in system.gateways if one is not leader]
+            links = [one.core.membership.link for one in followers]
+            for link in links:
+                await until(lambda one=link: one.is_relaying())
+            for follower in followers[1:]:
+                follower.core.membership.election_delay = MAX_ELECTION_DELAY
+            await leader.core.membership.resign()
+            await asyncio.sleep(MAX_ELECTION_DELAY + SEEK_DELAY)
+            self.assertEqual(
+                [link.is_relaying() for link in links[1:]], [True, True]
+            )
+
     async def test_leader_that_misses_targets_hands_over(self) -> None:
         """It goes on as a follower, and one that misses them doesn't lead."""
         async with deployment(gateways=3) as system:
