Follow the winner of an election at once

Cause: a daemon that lost an election waited and read the store again to learn who leads, though the lease that it had just read names the winner, whose address its last leader had told it. It follows the winner now; where the winner does not lead yet, it seeks as before.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -26,6 +26,8 @@
         self._view = view
         self._own_hello = own_hello
         self._clock = clock
+        #: The daemon that held the lease in the last attempt; empty if none.
+        self.holder_id = ''
 
     async def attempt(self) -> LeaderTerm | None:
         """Take over the lease; return the new term, or None on failure."""
@@ -33,7 +35,9 @@
         if isinstance(lease_table, Failure):
             return None
         lease, lease_version = leases.find_lease(lease_table.rows)
+        self.holder_id = ''
         if not self._may_take_over(lease, lease_table.store_time):
+            self.holder_id = lease.instance_id if lease else ''
             return None
         new_lease = leases.Lease(
             self._own_hello.instance_id,
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -222,6 +222,12 @@
         await asyncio.sleep(self.election_delay)
         leader_term = await self._election.attempt()
         if leader_term is None:
+            winner_id = self._election.holder_id
+            winner_address = self.link.addresses_by_id.get(winner_id)
+            if winner_address is not None:
+                end = await self._follow(winner_address)
+                record(Event.leader_silent, leader=winner_id, reason=end.value)
+                return
             # In the first election of a fleet another daemon has usually won;
             # the next attempt to find the leader finds it.
             if self._view.leader is not None:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -7,11 +7,10 @@
 import logbook
 
 from cassialever.errors import ErrorKind, Failure
-from cassialever.fleet import direct
+from cassialever.fleet import direct, membership
 from cassialever.fleet.membership import (
     MAX_ELECTION_DELAY,
     MAX_STORE_AGE_FOR_HANDOVER,
-    SEEK_DELAY,
     MemberState,
 )
 from cassialever.gateway.application import Gateway
@@ -167,11 +166,22 @@
                 await until(lambda one=link: one.is_relaying())
             for follower in followers[1:]:
                 follower.core.membership.election_delay = MAX_ELECTION_DELAY
-            await leader.core.membership.resign()
-            await asyncio.sleep(MAX_ELECTION_DELAY + SEEK_DELAY)
-            self.assertEqual(
-                [link.is_relaying() for link in links[1:]], [True, True]
-            )
+            slow = [one.core for one in followers[1:]]
+            for core in slow:
+                await until(
+                    lambda one=core: (
+                        not one.membership._direct_follower.is_running
+                    )
+                )
+            calls = [one.store.calls for one in slow]
+            with mock.patch.object(membership, 'FALLBACK_DELAY', 5):
+                await leader.core.membership.resign()
+                for link in links[1:]:
+                    await until(lambda one=link: not one.is_open)
+                for link in links[1:]:
+                    await until(lambda one=link: one.is_relaying())
+            # Only the lease is read, not who leads.
+            self.assertEqual([one.store.calls - 1 for one in slow], calls)
 
     async def test_leader_that_misses_targets_hands_over(self) -> None:
         """It goes on as a follower, and one that misses them doesn't lead."""
