Name the version of the messages in greetings and datagrams

Cause: a daemon could not know whether its peer reads a type of message. Each type has the version `since` which it is read. A leader and a follower send each other only types that the other reads, and `can_read` tells the same of datagrams. A peer of another version is logged (310). The gossip's test of a later build's fields appended them where this field is now; it appends them to all present fields.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -62,6 +62,11 @@
         logbook.NOTICE,
         'Messages of a type that this build does not know are skipped.',
     )
+    peer_version_changed = (
+        310,
+        logbook.NOTICE,
+        'A peer runs a build with another version of the messages, or did.',
+    )
     link_out_of_step = (
         308,
         logbook.WARNING,
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -7,13 +7,18 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Annotated, Any, Final, TypeAlias
+from typing import Annotated, Any, ClassVar, Final, TypeAlias
 
 import msgspec
 
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
 from cassialever.fleet.limit_reports import LimitReport
+from cassialever.fleet.message_version import (
+    FIRST_VERSION,
+    MESSAGE_VERSION,
+    MessageVersion,
+)
 from cassialever.fleet.unknown_types import (
     MessageDecoder,
     SkipLog,
@@ -28,6 +33,8 @@
 MAX_DELAY: Final[Seconds] = 3600.0
 #: Most requests that a daemon can say to have open, or to have room for.
 MAX_REQUESTS: Final = 100_000
+#: Most peers whose version is kept.
+MAX_PEERS: Final = 1000
 #: Longest id of an instance, a data centre or a target.
 MAX_ID_LENGTH: Final = 255
 # Numbers and lengths out of range are rejected with the datagram.
@@ -39,7 +46,13 @@
 ]
 
 
-class OpenRequests(msgspec.Struct, frozen=True, array_like=True, tag=1):
+class _Versioned(msgspec.Struct, frozen=True, array_like=True):
+    """Base class of datagrams; daemons from `since` on read the type."""
+
+    since: ClassVar[MessageVersion] = FIRST_VERSION
+
+
+class OpenRequests(_Versioned, frozen=True, array_like=True, tag=1):
     """The number of open requests of one daemon at each target.
 
     The other fields tell whether it can pass requests on for others: its room
@@ -54,9 +67,10 @@
     is_cut_off: bool = False
     is_stopping: bool = False
     unreachable: _ListedTargets = ()
+    message_version: MessageVersion = FIRST_VERSION
 
 
-class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag=4):
+class PermitRequest(_Versioned, frozen=True, array_like=True, tag=4):
     """Asks the keeper of a target for up to `wanted` permits for requests.
 
     It tells whether its sender knows the target as cold, and of a limit.
@@ -66,9 +80,10 @@
     wanted: int
     is_cold: bool
     limit: LimitReport | None
+    message_version: MessageVersion = FIRST_VERSION
 
 
-class Permits(msgspec.Struct, frozen=True, array_like=True, tag=5):
+class Permits(_Versioned, frozen=True, array_like=True, tag=5):
     """A keeper's answer, with what it knows of a limit.
 
     The first of `count` permits starts `delay` after the arrival, and each
@@ -80,6 +95,7 @@
     count: Annotated[int, msgspec.Meta(ge=0, le=MAX_BATCH)]
     interval: _Delay
     limit: LimitReport | None
+    message_version: MessageVersion = FIRST_VERSION
 
 
 Datagram: TypeAlias = OpenRequests | PermitRequest | Permits
@@ -90,8 +106,11 @@
 
 
 def encode(datagram: Datagram) -> bytes:
-    """Encode a datagram."""
-    return msgspec.msgpack.encode(datagram)
+    """Encode a datagram, with the version of this build's messages."""
+    versioned = msgspec.structs.replace(
+        datagram, message_version=MESSAGE_VERSION
+    )
+    return msgspec.msgpack.encode(versioned)
 
 
 class DatagramSocket(asyncio.DatagramProtocol):
@@ -102,6 +121,7 @@
         self.handler_by_type: dict[type[Any], DatagramHandler] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._skip_log = SkipLog()
+        self._message_version_by_address: dict[str, MessageVersion] = {}
 
     async def start(self, address: str) -> None:
         """Listen on the address at which other daemons reach this one."""
@@ -122,6 +142,14 @@
         if self._transport is not None:
             self._transport.sendto(datagram, split_address(address))
 
+    def can_read(self, address: str, kind: type[_Versioned]) -> bool:
+        """Return whether the daemon at an address knows a type of datagram.
+
+        One that has sent nothing yet counts as of the first version.
+        """
+        version = self._message_version_by_address.get(address, FIRST_VERSION)
+        return kind.since <= version
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass a datagram on to the handler of its type."""
         sender = f'{addr[0]}:{addr[1]}'
@@ -133,9 +161,28 @@
         if isinstance(datagram, UnknownMessage):
             self._skip_log.note(sender, datagram)
             return
+        self._note_version(sender, datagram.message_version)
         handle = self.handler_by_type.get(type(datagram))
         if handle is not None:
             handle(datagram, sender)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore errors: a peer that has ended refuses datagrams."""
+
+    def _note_version(self, sender: str, version: MessageVersion) -> None:
+        """Keep a peer's version; log it if it is new and not the own one."""
+        known = self._message_version_by_address.get(sender)
+        if version == known:
+            return
+        if len(self._message_version_by_address) >= MAX_PEERS:
+            # Datagrams are not authenticated.
+            self._message_version_by_address.clear()
+        self._message_version_by_address[sender] = version
+        if known is None and version == MESSAGE_VERSION:
+            return
+        record(
+            Event.peer_version_changed,
+            peer=sender,
+            version=version,
+            own_version=MESSAGE_VERSION,
+        )
--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -15,6 +15,7 @@
 from cassialever.fleet.connecting import Streams, connect
 from cassialever.fleet.key_changes import apply_key_changes
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
+from cassialever.fleet.message_version import FIRST_VERSION, MESSAGE_VERSION
 from cassialever.fleet.proof import prove_as_connector
 from cassialever.fleet.unknown_types import SkipLog, UnknownMessage
 from cassialever.fleet.view import FleetView
@@ -62,6 +63,7 @@
         #: The age of the leader's tables, as it last reported, and when.
         self._tables_age: Seconds = 0
         self._reported_at: Seconds = 0
+        self._leader_message_version = FIRST_VERSION
         #: Whether the peer's last heartbeat on this link said that it leads.
         self.is_open = False
         #: The leader's address, if a peer that does not lead has reported it.
@@ -117,6 +119,7 @@
         """Adopt the state that the leader reports."""
         self.store_age = pulse.store_age
         self._tables_age = pulse.tables_age
+        self._leader_message_version = pulse.message_version
         self._reported_at = asyncio.get_running_loop().time()
         self.is_open = pulse.is_leader
         self._confirm_list()
@@ -139,7 +142,9 @@
             self._writer.close()
 
     def report(self, report: messages.KeysAsked | messages.Limits) -> None:
-        """Report to the leader, if the link is open; else drop the report."""
+        """Report to the leader if it reads that; else drop the report."""
+        if report.since > self._leader_message_version:
+            return
         if self._writer is not None and self.is_open:
             self._writer.write(messages.encode(report))
 
@@ -185,6 +190,7 @@
         hello = msgspec.structs.replace(
             self.own_hello,
             version_by_table=dict(self.view.rows.version_by_table),
+            message_version=MESSAGE_VERSION,
         )
         writer.write(messages.encode(hello))
         while True:
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -7,12 +7,13 @@
 import asyncio
 import struct
 import zlib
-from typing import Final, TypeAlias
+from typing import ClassVar, Final, TypeAlias
 
 import msgspec
 
 from cassialever.fleet.framing import decompress, read_exactly
 from cassialever.fleet.limit_reports import LimitReport
+from cassialever.fleet.message_version import FIRST_VERSION, MessageVersion
 from cassialever.fleet.model import KeyRange, StoreRow
 from cassialever.fleet.unknown_types import MessageDecoder, UnknownMessage
 from cassialever.types import RowVersion, Seconds, ServiceName, TargetId
@@ -31,7 +32,9 @@
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Base class of all messages."""
+    """Base class of all messages; daemons from `since` on read the type."""
+
+    since: ClassVar[MessageVersion] = FIRST_VERSION
 
 
 class Hello(Message, frozen=True, array_like=True, tag=True):
@@ -41,6 +44,7 @@
     incarnation: int
     address: str
     version_by_table: dict[str, int]
+    message_version: MessageVersion = FIRST_VERSION
 
 
 class Proof(Message, frozen=True, array_like=True, tag=True):
@@ -108,6 +112,7 @@
     is_leader: bool
     store_age: Seconds
     tables_age: Seconds
+    message_version: MessageVersion = FIRST_VERSION
 
 
 class Farewell(Message, frozen=True, array_like=True, tag=True):
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -11,6 +11,7 @@
 from cassialever.fleet.connecting import split_address
 from cassialever.fleet.key_changes import KeyMapHistory
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
+from cassialever.fleet.message_version import MESSAGE_VERSION
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.proof import prove_as_acceptor
 from cassialever.fleet.unknown_types import SkipLog, UnknownMessage
@@ -70,6 +71,10 @@
             return
         self._writer.write(frame)
 
+    def can_read(self, message: messages.Message) -> bool:
+        """Return whether its build knows the type of a message."""
+        return message.since <= self.hello.message_version
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
@@ -158,10 +163,11 @@
         self.follower_by_id.clear()
 
     def broadcast(self, message: messages.Message) -> None:
-        """Send a message to every follower."""
+        """Send a message to every follower that can read it."""
         frame = messages.encode(message)
         for follower in list(self.follower_by_id.values()):
-            follower.send(frame)
+            if follower.can_read(message):
+                follower.send(frame)
 
     def relay_changes(
         self,
@@ -203,7 +209,7 @@
     async def send_heartbeats(self) -> None:
         """Send heartbeats, and changes of the members, until cancelled."""
         while True:
-            self.broadcast(messages.Pulse(self.is_leader, *self.ages()))
+            self.broadcast(_pulse(self.is_leader, self.ages()))
             self._announce_members()
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
@@ -334,8 +340,11 @@
         limit_reports = self.limit_reports()
         if limit_reports:
             follower.send(messages.encode(messages.Limits(limit_reports)))
-        pulse = messages.Pulse(self.is_leader, *self.ages())
-        follower.send(messages.encode(pulse))
+        follower.send(messages.encode(_pulse(self.is_leader, self.ages())))
+
+
+def _pulse(is_leader: bool, ages: LeaderAges) -> messages.Pulse:
+    return messages.Pulse(is_leader, *ages, MESSAGE_VERSION)
 
 
 def _ignore(_: messages.Message) -> None:
--- a/tests/test_fleet_gossip.py
+++ b/tests/test_fleet_gossip.py
@@ -214,9 +214,9 @@
     def test_builds_without_and_with_more_fields_are_understood(self) -> None:
         """An older build gives no room and so is never asked."""
         old = msgspec.msgpack.encode([1, 'd1', {'t0': 3}])
-        new = msgspec.msgpack.encode(
-            [1, 'd1', {'t0': 3}, 'dc', 7, False, True, ['t1'], 'later', 4]
-        )
+        known = OpenRequests('d1', {'t0': 3}, 'dc', 7, False, True, ('t1',))
+        fields = msgspec.structs.astuple(known)
+        new = msgspec.msgpack.encode([1, *fields, 'later', 4])
         received = []
         wire = DatagramSocket()
         wire.handler_by_type[OpenRequests] = lambda one, _: received.append(one)
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -10,6 +10,7 @@
 import typing
 import unittest
 from typing import Any
+from unittest import mock
 
 import logbook
 import msgspec
@@ -18,14 +19,16 @@
 from cassialever.fleet import datagrams, limit_reports, messages
 from cassialever.fleet import lease as leases
 from cassialever.fleet.following_leader import LinkEnd
+from cassialever.fleet.message_version import MESSAGE_VERSION, MessageVersion
 from cassialever.fleet.model import KeyMap, StoreRow
+from cassialever.fleet.unknown_types import UnknownMessage
 from cassialever.fleet.view import Leadership
 from cassialever.gateway import hop_messages
 from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
 from cassialever.policy.permits import MAX_BATCH
-from cassialever.types import RowVersion
+from cassialever.types import RowVersion, ServiceName
 from standins.listening import LOOPBACK
-from tests.fleet_helpers import until
+from tests.fleet_helpers import deployment, until
 from tests.test_fleet_links import HELLO, address_of, follower, leader
 from tests.two_builds import earlier_build as earlier
 from tests.two_builds import recording
@@ -314,6 +317,116 @@
     return struct.pack('!I', len(body)) + body
 
 
+class Novel(messages.Message, frozen=True, array_like=True, tag=True):
+    """A type of message that a later build may add."""
+
+    since: typing.ClassVar[MessageVersion] = MessageVersion(MESSAGE_VERSION + 1)
+    text: str = ''
+
+
+class NovelDatagram(
+    datagrams.OpenRequests, frozen=True, array_like=True, tag=9
+):
+    """A type of datagram that a later build may add."""
+
+    since: typing.ClassVar[MessageVersion] = MESSAGE_VERSION
+
+
+class VersionTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon sends its peers what their build can read."""
+
+    def setUp(self) -> None:
+        self.log = logbook.TestHandler(level=logbook.INFO)
+        self.log.push_application()
+        self.addCleanup(self.log.pop_application)
+
+    def test_types_that_the_build_before_lacks_have_a_version(self) -> None:
+        known = {
+            one.__name__
+            for one in (*earlier.LINK_TYPES, *earlier.DATAGRAM_TYPES)
+        }
+        for one in (*LINK_TYPES, *DATAGRAM_TYPES):
+            with self.subTest(message=one.__name__):
+                self.assertEqual(one.since == 0, one.__name__ in known)
+                self.assertLessEqual(one.since, MESSAGE_VERSION)
+
+    async def test_leader_sends_a_follower_what_it_reads(self) -> None:
+        async with leader('') as leader_relay:
+            host, port = address_of(leader_relay).rsplit(':')
+            received = {}
+            for version in (0, MESSAGE_VERSION, MESSAGE_VERSION + 1):
+                name = f'v{version}'
+                hello = messages.Hello(name, 1, '', {}, MessageVersion(version))
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(messages.encode(hello))
+                await until(
+                    lambda name=name: name in leader_relay.follower_by_id
+                )
+                received[version] = (reader, writer)
+            leader_relay.broadcast(Novel('x'))
+            leader_relay.broadcast(messages.Moving(ServiceName('last'), []))
+            for version, (reader, writer) in received.items():
+                types = []
+                while types[-1:] != ['Moving']:
+                    message = await messages.receive(reader)
+                    types.append(
+                        message.type_name
+                        if isinstance(message, UnknownMessage)
+                        else type(message).__name__
+                    )
+                self.assertEqual('Novel' in types, version > MESSAGE_VERSION)
+                writer.close()
+
+    async def test_follower_reports_what_its_leader_reads(self) -> None:
+        link = follower('')
+        link._writer = mock.Mock()
+        for version in (0, MESSAGE_VERSION + 1):
+            pulse = messages.Pulse(True, 0, 0, MessageVersion(version))
+            link.note_heartbeat(pulse)
+            link.report(Novel('x'))  # type: ignore[arg-type]
+            link.report(messages.KeysAsked({}, {}))
+        sent = [call.args[0] for call in link._writer.write.call_args_list]
+        self.assertEqual(
+            [b'Novel' in one for one in sent], [False, True, False]
+        )
+
+    async def test_peers_of_other_versions_are_known_and_logged(self) -> None:
+        socket = datagrams.DatagramSocket()
+        own = datagrams.encode(datagrams.OpenRequests('edge-1', {}))
+        old = bytes.fromhex(RECORD['datagrams']['OpenRequests']['bytes'])
+        self.assertFalse(socket.can_read('10.1.0.9:7620', NovelDatagram))
+        readable = []
+        for datagram in (own, own, old, old, own):
+            socket.datagram_received(datagram, ('10.1.0.9', 7620))
+            readable.append(socket.can_read('10.1.0.9:7620', NovelDatagram))
+        self.assertEqual(readable, [True, True, False, False, True])
+        versions = [
+            one.extra['fields']['version']
+            for one in self.log.records
+            if one.extra.get('name') == 'peer_version_changed'
+        ]
+        self.assertEqual(versions, [0, MESSAGE_VERSION])
+        self.assertTrue(
+            socket.can_read('10.1.0.8:7620', datagrams.OpenRequests)
+        )
+
+    async def test_daemon_names_its_version(self) -> None:
+        async with deployment(gateways=2) as system:
+            await until(
+                lambda: any(
+                    one.core._relay.follower_by_id for one in system.gateways
+                )
+            )
+            for gateway in system.gateways:
+                for one in gateway.core._relay.follower_by_id.values():
+                    self.assertEqual(one.hello.message_version, MESSAGE_VERSION)
+                link = gateway.core.membership.link
+                if link.is_open:
+                    self.assertEqual(
+                        link._leader_message_version, MESSAGE_VERSION
+                    )
+
+
 class UnknownTypeTest(unittest.IsolatedAsyncioTestCase):
     """A type of message that a later build has added."""
 
