Show calls to the store that raise at a stop

Cause: a stop closes the session in the step in which it cancels the tasks. Tasks of a group are cancelled a step or two later than their parent, and one whose answer comes in between calls again; aiohttp then raises a RuntimeError that is no ClientError. So the present code can still print it.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,16 +3,20 @@
 import asyncio
 import base64
 import contextlib
+import random
 import unittest
 from unittest import mock
 
 import msgspec
 
 from cassialever.errors import ErrorKind, Failure
+from cassialever.fleet.following import StoreFollower
+from cassialever.fleet.view import FleetView
 from cassialever.platform import rows, store
 from cassialever.platform.store import StoreClient
 from standins.listening import LOOPBACK
 from standins.rowstore import PAGE_SIZE, RowStoreServer
+from tests.fleet_helpers import LoopClock, until
 
 TRANSACTION = rows.Transaction(
     (rows.Precondition('t', 'a', 0),),
@@ -40,6 +44,53 @@
         return result.kind
 
 
+class AnsweredStore(StoreClient):
+    """A client whose first waits for changes end when a test says so."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
+        self.answered = asyncio.Event()
+
+    async def wait_for_changes(
+        self, table: str, after: int, *arguments: float, **options: float
+    ) -> rows.Rows | Failure:
+        if self.answered.is_set():
+            return await super().wait_for_changes(
+                table, after, *arguments, **options
+            )
+        await self.answered.wait()
+        return rows.Rows((), after, 0)
+
+
+class StopTest(StoreCase):
+    """Calls of parts that end after the client was stopped."""
+
+    async def test_call_after_the_stop_raises(self) -> None:
+        await self.client.stop()
+        for call in (
+            self.client.read_all('t'),
+            self.client.wait_for_changes('t', 1),
+            self.client.commit(TRANSACTION),
+        ):
+            self.assertIs(
+                self.failure_kind(await call), ErrorKind.table_unavailable
+            )
+
+    async def test_answer_at_the_stop_fails_the_follower(self) -> None:
+        """Its tables are followed by tasks that are cancelled a step later."""
+        client = AnsweredStore(self.server.address)
+        await client.start()
+        view = FleetView(LoopClock(asyncio.get_running_loop()))
+        follower = StoreFollower(client, view, random.Random(1), view.tables)
+        following = asyncio.create_task(follower.run())
+        await until(lambda: len(view.rows.version_by_table) == len(view.tables))
+        client.answered.set()
+        await client.stop()
+        following.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await following
+
+
 class TransactionTest(StoreCase):
     """Outcomes of commits."""
 
