Answer calls to the store after a stop with a failure

Change: a closed session is a failure of kind table_unavailable, like one that is not open yet, so that the task goes on to its cancellation. Measured: both tests of StopTest, which failed before, hold; 15 tests of the module pass.

--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -153,7 +153,8 @@
         timeout: aiohttp.ClientTimeout,
         **options: Any,
     ) -> tuple[int, bytes] | Failure:
-        if self._session is None:
+        # A task that a stop cancels may still call once after it.
+        if self._session is None or self._session.closed:
             return Failure(
                 ErrorKind.table_unavailable, 'the session is not open'
             )
