Show that two faults of the soak open a path twice

Cause: opening a path again awaits; a second fault that ends meanwhile finds it closed too, and its listener finds the address in use.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from soak.__main__ import soak
 from soak.fleet import OWN_CHECKOUT, SoakFleet
+from soak.proxy import FaultProxy, ProxyMode
 
 
 class SoakTest(unittest.TestCase):
@@ -41,6 +42,24 @@
                 {'link_rubbish Expected `int`': 1, 'type_skipped Novel': 1},
             )
 
+    def test_path_that_two_faults_open_again(self) -> None:
+        """Faults overlap, and each ends with an open path."""
+
+        async def overlap() -> None:
+            proxy = FaultProxy('127.0.0.1:9')
+            await proxy.start()
+            try:
+                for _ in range(20):
+                    await proxy.set_mode(ProxyMode.refused)
+                    await asyncio.gather(
+                        proxy.set_mode(ProxyMode.forwarding),
+                        proxy.set_mode(ProxyMode.forwarding),
+                    )
+            finally:
+                await proxy.stop()
+
+        asyncio.run(overlap())
+
 
 if __name__ == '__main__':
     unittest.main()
