--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -93,6 +93,8 @@
         self._mode = ProxyMode.forwarding
         self._mode_changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        #: Faults overlap; one at a time changes whether the proxy listens.
+        self._listening = asyncio.Lock()
         self._client_writers: set[asyncio.StreamWriter] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -114,15 +116,21 @@
     async def set_mode(self, mode: ProxyMode) -> None:
         """Set the mode, which applies to open connections too."""
         self._apply(mode)
-        if mode in _REFUSING and self._server is not None:
+        async with self._listening:
+            await self._listen_as_set()
+
+    async def _listen_as_set(self) -> None:
+        """Listen, or not, by the mode that was set last."""
+        is_refusing = self._mode in _REFUSING
+        if is_refusing and self._server is not None:
             self._server.close()
             self._server = None
-        if mode not in _REFUSING and self._server is None:
+        if not is_refusing and self._server is None:
             await self.start()
         if self._server is None:
             return
         # Without an answer to their first packet, clients wait to connect.
-        is_deaf = mode is ProxyMode.no_answers
+        is_deaf = self._mode is ProxyMode.no_answers
         for listening in self._server.sockets:
             _set_filter(listening, _DROP_ALL if is_deaf else self._filter())
 
