Hold what daemons of two builds rely on without a message

Cause: keepers are chosen, and grants, permits and silences are waited for, by rules that no message names; a build with other ones has two keepers or moves keys too early beside the build before.

--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -311,6 +311,51 @@
                 self.assertEqual(read['outcome'], 'not_run')
 
 
+#: How a number may differ from that of the build before.
+SAME = 'the same'
+NOT_HIGHER = 'not higher'
+NOT_LOWER = 'not lower'
+RULE_BY_NAME = {
+    # A keeper of one build follows one of the other.
+    'PERMIT_LIFETIME': NOT_HIGHER,
+    'MAX_BOOKING_DELAY': NOT_HIGHER,
+    'KEEPER_CHANGE_DELAY': NOT_LOWER,
+    # A leader of one build waits for what one of the other may still grant.
+    'AUTHORITY_TERM': SAME,
+    'MAX_GRANT_DURATION': SAME,
+    'RENEWAL_INTERVAL': NOT_HIGHER,
+    'STALE_AFTER': NOT_LOWER,
+    # Silence between a leader and a follower.
+    'HEARTBEAT_INTERVAL': NOT_HIGHER,
+    'LEADER_TIMEOUT': NOT_LOWER,
+    'HEAT_UPDATE_INTERVAL': NOT_HIGHER,
+    'FOLLOWER_TIMEOUT': NOT_LOWER,
+    'RECONNECT_PERIOD': NOT_LOWER,
+    'HOP_PORT_OFFSET': SAME,
+    'MAX_MESSAGE_AGE': NOT_LOWER,
+}
+
+
+class AgreementTest(unittest.TestCase):
+    """What daemons of both builds rely on without a message."""
+
+    def test_numbers(self) -> None:
+        agreed = recording.agreed()
+        self.assertEqual(set(agreed), set(RULE_BY_NAME))
+        for name, value in agreed.items():
+            earlier_value = RECORD['agreed'][name]
+            rule = RULE_BY_NAME[name]
+            with self.subTest(number=name, rule=rule):
+                if rule is not NOT_LOWER:
+                    self.assertLessEqual(value, earlier_value)
+                if rule is not NOT_HIGHER:
+                    self.assertGreaterEqual(value, earlier_value)
+
+    def test_keepers(self) -> None:
+        """Two builds that choose another keeper have two for a target."""
+        self.assertEqual(recording.keepers(), RECORD['keepers'])
+
+
 def raw_frame(*fields: Any) -> bytes:
     """Return the frame of a message of any type."""
     body = msgspec.msgpack.encode(fields)
--- a/tests/two_builds/recording.py
+++ b/tests/two_builds/recording.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import base64
+import importlib
 import sys
 from typing import Any
 
@@ -26,6 +27,7 @@
 from cassialever.gateway import hop_messages
 from cassialever.keys.mapwriter import row_name
 from cassialever.platform import rows
+from cassialever.policy.permits import KeeperDirectory
 from cassialever.types import (
     Fence,
     InstanceId,
@@ -164,6 +166,46 @@
     return message
 
 
+#: Numbers on which daemons of both builds rely, by module.
+AGREED_BY_MODULE = {
+    'policy.permits': (
+        'PERMIT_LIFETIME',
+        'MAX_BOOKING_DELAY',
+        'KEEPER_CHANGE_DELAY',
+    ),
+    'fleet.lease': ('RENEWAL_INTERVAL', 'STALE_AFTER', 'AUTHORITY_TERM'),
+    'keys.assignments': ('MAX_GRANT_DURATION',),
+    'fleet.relay': (
+        'HEARTBEAT_INTERVAL',
+        'FOLLOWER_TIMEOUT',
+        'RECONNECT_PERIOD',
+    ),
+    'fleet.following_leader': ('LEADER_TIMEOUT',),
+    'keys.heat': ('HEAT_UPDATE_INTERVAL',),
+    'gateway.settings': ('HOP_PORT_OFFSET',),
+    'gateway.hop_messages': ('MAX_MESSAGE_AGE',),
+}
+
+
+def agreed() -> dict[str, float]:
+    """Return the numbers on which daemons of both builds rely."""
+    return {
+        name: getattr(importlib.import_module(f'cassialever.{module}'), name)
+        for module, names in AGREED_BY_MODULE.items()
+        for name in names
+    }
+
+
+def keepers() -> dict[str, str | None]:
+    """Return the keepers of some targets among nine daemons."""
+    directory = KeeperDirectory()
+    directory.update({f'edge-{number}' for number in range(9)}, 0)
+    return {
+        target_id: directory.keeper_of(TargetId(target_id))
+        for target_id in (f'target-{number}' for number in range(30))
+    }
+
+
 def record(commit: str) -> dict[str, Any]:
     """Return the record of the build that is imported."""
     links = {}
@@ -173,6 +215,8 @@
         links[name] = {'bytes': frame.hex(), 'fields': fields_of(read)}
     return {
         'build': commit,
+        'agreed': agreed(),
+        'keepers': keepers(),
         'links': links,
         'datagrams': {
             name: {
