Tell a cut from full targets where connections are made and then reset

Cause: paths were judged by connecting alone. A reset had a path probed, the probe connected, and the path counted as sound, since full targets reset connections too.

A daemon now counts as cut off also if exchanges with three targets of two data centres broke with no answer of any target since, the first 0.3 s ago, no exchange begun before that is still open, and a daemon that isn't cut off reports that it reaches those targets. A full target goes on answering what it has accepted, and a lost data centre breaks exchanges in one of them only, so neither is taken for a cut. The belief steers requests that were not sent yet: nothing in progress is ended, no connection is closed. Once a second one request that may be repeated tries a target; the first answer ends the cut.

--- a/cassialever/fleet/path_reports.py
+++ b/cassialever/fleet/path_reports.py
@@ -42,7 +42,7 @@
         now = self._clock.monotonic()
         own_requests = sum(open_by_target.values())
         room = self._capacity - own_requests - self.count_carried()
-        is_cut_off = self._paths.is_cut_off(now)
+        is_cut_off = bool(self._paths.failed_without_answer(now))
         down = [] if is_cut_off else self._paths.direct.down(now)
         return OpenRequests(
             self.own.instance_id,
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -58,7 +58,7 @@
         attempt = not_run(
             'the target is not reached from here', ErrorKind.target_unreachable
         )
-        if self._reach.is_direct(target.target_id, now):
+        if self._goes_directly(request, target, now):
             attempt = await self._send_directly(
                 request, target, time_left, may_duplicate
             )
@@ -66,6 +66,20 @@
             return attempt
         return await self._pass_on(request, target, now + time_left, attempt)
 
+    def _goes_directly(
+        self, request: TargetRequest, target: Target, now: Seconds
+    ) -> bool:
+        """Return whether a request takes the direct path.
+
+        One that may be repeated also tries paths that may be back.
+        """
+        target_id = target.target_id
+        if self._reach.is_direct(target_id, now):
+            return True
+        return request.is_idempotent and self._reach.is_trial_due(
+            target_id, now
+        )
+
     async def _send_directly(
         self,
         request: TargetRequest,
--- a/cassialever/gateway/path_probe.py
+++ b/cassialever/gateway/path_probe.py
@@ -156,8 +156,9 @@
         if is_cut_off != self._was_cut_off:
             self._was_cut_off = is_cut_off
             self._record_cut(now)
-            # Connections to targets that weren't tried hang as well.
-            dropped = frozenset(self._targets.by_id)
+            if not self._paths.exchanges.broken_without_answer(now):
+                # Connections to targets that weren't tried hang as well.
+                dropped = frozenset(self._targets.by_id)
         self._down = down
         for target_id in dropped:
             target = self._targets.by_id.get(target_id)
@@ -181,7 +182,7 @@
         self._cut_off_at = now
         record(
             Event.cut_off_from_targets,
-            failed=sorted(self._paths.direct.failed_without_answer(now)),
+            failed=sorted(self._paths.failed_without_answer(now)),
             targets=len(self._targets.by_id),
             daemons_reaching=sorted(reaching)[:MAX_NAMED_DAEMONS],
             daemons_heard=self._paths.reports.count(now),
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -142,12 +142,11 @@
         path.
         """
         target_id = target.target_id
-        unanswered = self._paths.unanswered
         sent_at = self._clock.monotonic()
-        unanswered.record_sent(target_id, request.request_id, sent_at)
+        self._paths.record_sent(target_id, request.request_id, sent_at)
         try:
             async with self._open(request, target, time_left) as response:
-                unanswered.record_end(target_id, request.request_id)
+                self._paths.record_end(target_id, request.request_id)
                 self._paths.record_answer(target_id, self._clock.monotonic())
                 yield response
         except CONNECT_ERRORS as error:
@@ -156,10 +155,12 @@
         except asyncio.TimeoutError:
             raise
         except (aiohttp.ClientError, OSError):
-            self._paths.direct.record_doubt(target_id, self._clock.monotonic())
+            self._paths.record_broken(
+                target_id, target.data_centre, self._clock.monotonic()
+            )
             raise
         finally:
-            unanswered.record_end(target_id, request.request_id)
+            self._paths.record_end(target_id, request.request_id)
 
     def _record_unconnected(
         self, target_id: TargetId, error: Exception, begun_at: Seconds
--- a/cassialever/interfaces.py
+++ b/cassialever/interfaces.py
@@ -51,6 +51,9 @@
     def is_reachable(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether this daemon's own path to a target is in order."""
 
+    def is_trial_due(self, target_id: TargetId, now: Seconds) -> bool:
+        """Return whether a request may try if a path is in order again."""
+
     def helpers_for(
         self, target_id: TargetId, now: Seconds
     ) -> Sequence[HelperDaemon]:
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -9,6 +9,7 @@
 
 from cassialever.interfaces import RandomSource
 from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
+from cassialever.policy.exchange_evidence import ExchangeEvidence
 from cassialever.policy.peer_reports import Helper, PeerReports
 from cassialever.policy.silence import UnansweredRequests
 from cassialever.types import DataCentreId, Seconds, TargetId
@@ -24,16 +25,37 @@
         self.direct = DirectPaths()
         self.reports = PeerReports(data_centre, random_source)
         self.unanswered = UnansweredRequests()
+        self.exchanges = ExchangeEvidence()
+
+    def record_sent(
+        self, target_id: TargetId, request_id: str, now: Seconds
+    ) -> None:
+        """Note that a request is being sent directly."""
+        self.unanswered.record_sent(target_id, request_id, now)
+        self.exchanges.record_sent(target_id, request_id, now)
+
+    def record_end(self, target_id: TargetId, request_id: str) -> None:
+        """Note that a request waits no longer for an answer, if it did."""
+        self.unanswered.record_end(target_id, request_id)
+        self.exchanges.record_end(target_id, request_id)
 
     def record_answer(self, target_id: TargetId, now: Seconds) -> None:
         """Note that bytes came from a target over a direct connection."""
         self.direct.record_answer(target_id, now)
+        self.exchanges.record_answer()
         self.unanswered.record_heard(target_id, now)
 
     def record_failure(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target failed."""
         self.direct.record_failure(target_id, now)
 
+    def record_broken(
+        self, target_id: TargetId, data_centre: DataCentreId, now: Seconds
+    ) -> None:
+        """Note that a connection ended after it was made, with no answer."""
+        self.direct.record_doubt(target_id, now)
+        self.exchanges.record_broken(target_id, data_centre, now)
+
     def is_reachable(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether the direct path to a target may be used.
 
@@ -46,10 +68,38 @@
     def is_cut_off(self, now: Seconds) -> bool:
         """Return whether this daemon reaches no target, of several tried.
 
-        What others report doesn't count here: daemons that are cut off
-        together would confirm to each other that the targets are lost.
+        What others report doesn't count where connecting failed: daemons that
+        are cut off together would confirm to each other that the targets are
+        lost. Where exchanges broke, another has to reach the targets.
         """
-        return bool(self.direct.failed_without_answer(now))
+        if self.direct.failed_without_answer(now):
+            return True
+        broken = self.exchanges.broken_without_answer(now)
+        return bool(broken) and any(
+            report.unreachable.isdisjoint(broken)
+            for report in self.reports.reaching(now)
+            if not report.is_stopping
+        )
+
+    def failed_without_answer(self, now: Seconds) -> list[TargetId]:
+        """Return the targets whose failures may show that this is cut off.
+
+        Others are not asked, so that daemons which are cut off together take
+        none of them for one that reaches the targets.
+        """
+        failed = self.direct.failed_without_answer(now)
+        return failed or self.exchanges.broken_without_answer(now)
+
+    def is_trial_due(self, target_id: TargetId, now: Seconds) -> bool:
+        """Return whether a request may try if targets answer again.
+
+        Only an exchange shows that; connections are made all the time.
+        """
+        if self.direct.is_down(target_id, now):
+            return False
+        if self.direct.failed_without_answer(now):
+            return False
+        return self.exchanges.is_trial_due(now)
 
     def helpers_for(self, target_id: TargetId, now: Seconds) -> list[Helper]:
         """Return the daemons that can pass a request on, best first.
@@ -112,4 +162,5 @@
     def prune(self, known: Container[TargetId], now: Seconds) -> None:
         """Forget targets that are gone and what has expired."""
         self.direct.prune(known)
+        self.exchanges.prune(known)
         self.reports.prune(now)
--- a/cassialever/policy/reach.py
+++ b/cassialever/policy/reach.py
@@ -14,6 +14,10 @@
         """Return whether the path to a target is in order: always."""
         return True
 
+    def is_trial_due(self, target_id: TargetId, now: Seconds) -> bool:
+        """Return whether a request may try a path: no path needs it."""
+        return False
+
     def helpers_for(
         self, target_id: TargetId, now: Seconds
     ) -> Sequence[HelperDaemon]:
@@ -40,6 +44,13 @@
             target_id, now
         )
 
+    def is_trial_due(self, target_id: TargetId, now: Seconds) -> bool:
+        """Return whether a request may try if a path is in order again."""
+        load = self._loads.of(target_id)
+        return load.is_reachable(now) and self.paths.is_trial_due(
+            target_id, now
+        )
+
     def is_reached(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether a target is reached in any way."""
         if self.is_direct(target_id, now):
--- a/tests/hop_helpers.py
+++ b/tests/hop_helpers.py
@@ -43,6 +43,9 @@
     def is_reachable(self, target_id: str, now: float) -> bool:
         return self.is_path_up
 
+    def is_trial_due(self, target_id: str, now: float) -> bool:
+        return False
+
     def helpers_for(self, target_id: str, now: float) -> list[Helper]:
         return self.helpers
 
