--- a/cassialever/policy/exchange_evidence.py
+++ b/cassialever/policy/exchange_evidence.py
@@ -15,6 +15,7 @@
     EVIDENCE_LIFETIME,
     MIN_FAILED_TARGETS,
 )
+from cassialever.policy.silence import UnansweredRequests
 from cassialever.types import DataCentreId, Seconds, TargetId
 
 #: Data centres in which exchanges must break; one that is lost looks the same.
@@ -36,26 +37,18 @@
 class ExchangeEvidence:
     """The direct exchanges that broke since the last answer of any target."""
 
-    def __init__(self) -> None:
-        """Start without exchanges."""
+    def __init__(self, unanswered: UnansweredRequests) -> None:
+        """Start without broken exchanges; those in progress are given."""
+        self._unanswered = unanswered
         self._broken_by_id: dict[TargetId, _BrokenTarget] = {}
         self._broke_last_at: Seconds = -math.inf
-        #: When the exchanges began that wait for the head of an answer.
-        self._sent_at_by_id: dict[tuple[TargetId, str], Seconds] = {}
         self._trial_at: Seconds = -math.inf
 
-    def record_sent(
-        self, target_id: TargetId, request_id: str, now: Seconds
-    ) -> None:
+    def record_sent(self, now: Seconds) -> None:
         """Note that a request is being sent, which also serves as a trial."""
-        self._sent_at_by_id[target_id, request_id] = now
         if now >= self._trial_at:
             self._trial_at = now + TRIAL_INTERVAL
 
-    def record_end(self, target_id: TargetId, request_id: str) -> None:
-        """Note that a request waits no longer, if it did."""
-        self._sent_at_by_id.pop((target_id, request_id), None)
-
     def record_answer(self) -> None:
         """Note that bytes came from a target."""
         self._broken_by_id.clear()
@@ -86,7 +79,7 @@
         first = min(target.broke_at for target in broken)
         if now < first + CONFIRMATION_DELAY:
             return []
-        if any(sent_at < first for sent_at in self._sent_at_by_id.values()):
+        if self._unanswered.oldest_sent_at() < first:
             return []
         return list(self._broken_by_id)
 
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -8,6 +8,7 @@
 from collections.abc import Container
 
 from cassialever.interfaces import RandomSource
+from cassialever.policy.connect_times import ConnectTimes
 from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
 from cassialever.policy.exchange_evidence import ExchangeEvidence
 from cassialever.policy.peer_reports import Helper, PeerReports
@@ -25,19 +26,16 @@
         self.direct = DirectPaths()
         self.reports = PeerReports(data_centre, random_source)
         self.unanswered = UnansweredRequests()
-        self.exchanges = ExchangeEvidence()
+        self.exchanges = ExchangeEvidence(self.unanswered)
+        #: Of connections to targets and helpers, all over the own link.
+        self.connect_times = ConnectTimes()
 
     def record_sent(
         self, target_id: TargetId, request_id: str, now: Seconds
     ) -> None:
         """Note that a request is being sent directly."""
         self.unanswered.record_sent(target_id, request_id, now)
-        self.exchanges.record_sent(target_id, request_id, now)
-
-    def record_end(self, target_id: TargetId, request_id: str) -> None:
-        """Note that a request waits no longer for an answer, if it did."""
-        self.unanswered.record_end(target_id, request_id)
-        self.exchanges.record_end(target_id, request_id)
+        self.exchanges.record_sent(now)
 
     def record_answer(self, target_id: TargetId, now: Seconds) -> None:
         """Note that bytes came from a target over a direct connection."""
@@ -56,6 +54,11 @@
         self.direct.record_doubt(target_id, now)
         self.exchanges.record_broken(target_id, data_centre, now)
 
+    def record_probe_success(self, target_id: TargetId, now: Seconds) -> None:
+        """Note that a new connection to a target was opened by a probe."""
+        self.direct.record_probe_success(target_id, now)
+        self.unanswered.record_accepted(target_id, now)
+
     def is_reachable(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether the direct path to a target may be used.
 
@@ -163,4 +166,5 @@
         """Forget targets that are gone and what has expired."""
         self.direct.prune(known)
         self.exchanges.prune(known)
+        self.unanswered.prune(known)
         self.reports.prune(now)
--- a/tests/test_policy_exchange_evidence.py
+++ b/tests/test_policy_exchange_evidence.py
@@ -59,7 +59,7 @@
         self.paths.record_sent(TARGETS[30], 'a1', BROKEN_AT - 1)
         self.break_exchanges(count=20)
         self.assertFalse(self.paths.is_cut_off(CONFIRMED_AT))
-        self.paths.record_end(TARGETS[30], 'a1')
+        self.paths.unanswered.record_end(TARGETS[30], 'a1')
         self.paths.record_answer(TARGETS[30], CONFIRMED_AT)
         self.assertFalse(self.paths.is_cut_off(CONFIRMED_AT))
 
@@ -98,7 +98,7 @@
                 trials += 1
                 self.paths.record_sent(TARGETS[4], 'a1', now)
                 self.assertFalse(self.paths.is_trial_due(TARGETS[5], now))
-                self.paths.record_end(TARGETS[4], 'a1')
+                self.paths.unanswered.record_end(TARGETS[4], 'a1')
                 self.paths.record_broken(TARGETS[4], HERE, now)
         self.assertEqual(trials, 5 / TRIAL_INTERVAL)
         self.paths.record_answer(TARGETS[4], now)
