--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -34,7 +34,13 @@
             loads, view.targets.limits, reachability.paths, clock
         )
         self._sender.has_left = functools.partial(has_left, view)
-        self._hops = HopClient(settings, view, self._sender.answers, clock)
+        self._hops = HopClient(
+            settings,
+            view,
+            self._sender.answers,
+            clock,
+            reachability.paths.connect_times,
+        )
         self.dispatcher = TargetDispatcher(
             self._sender, self._hops, self.reach, clock
         )
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -1,7 +1,6 @@
 """Serve one request: route it, choose a target, send it, retry it."""
 
 import asyncio
-import functools
 from collections.abc import Mapping
 from http import HTTPStatus
 from types import MappingProxyType
@@ -172,18 +171,15 @@
             self.keys_asked.setdefault(service, []).append(routed.key)
         progress = _Progress()
         while True:
-            placed = await self._place(routed, service, progress.tried)
-            if isinstance(placed, Refusal):
-                return self._finish_unserved(routed, placed, progress.failed)
-            last = await self._send(routed, placed, progress)
+            sent = await self._place_and_send(routed, service, progress)
+            if isinstance(sent, Refusal):
+                return self._finish_unserved(routed, sent, progress.failed)
+            placed, last = sent
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
             ):
                 return last.answer
-            if last.is_withdrawn and self._may_place_again(routed):
-                progress.count -= 1
-                continue
             progress.tried.append(placed.target_id)
             progress.failed.append(last)
             self._record_failed_attempt(routed, placed, last)
@@ -192,6 +188,21 @@
                     routed, _attempts_failed(last.reason), progress.failed
                 )
 
+    async def _place_and_send(
+        self, routed: RoutedRequest, service: ServiceName, progress: _Progress
+    ) -> tuple[Target, Attempt] | Refusal:
+        """Choose a target and send, again if the choice was withdrawn."""
+        while True:
+            placed = await self._place(routed, service, progress.tried)
+            if isinstance(placed, Refusal):
+                return placed
+            attempt = await self._send(routed, placed, progress)
+            time_left = routed.deadline - self._clock.monotonic()
+            if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
+                return placed, attempt
+            # Nothing was sent, so this is not a retry.
+            progress.count -= 1
+
     async def _place(
         self,
         routed: RoutedRequest,
@@ -261,7 +272,6 @@
         self, routed: RoutedRequest, target: Target, progress: _Progress
     ) -> Attempt:
         progress.count += 1
-        remaining = routed.deadline - self._clock.monotonic()
         span = self.tracing.start_span(
             Hop.target,
             routed.request.traceparent,
@@ -272,33 +282,29 @@
             routed.request,
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
-        )
-        may_duplicate = functools.partial(
-            self._may_duplicate, routed, target, progress
+            has_permit=self.selector.needed_permit(target) is not None,
         )
         self.counters.sent_by_service[target.service] += 1
-        attempt = await self._sender.send(
-            request,
-            target,
-            min(remaining, routed.route.longest_attempt),
-            may_duplicate,
-        )
+        sent = msgspec.structs.replace(routed, request=request)
+        attempt = await self._send_once(sent, target, progress)
         # Nothing was sent, so this is not a retry. A permit may have expired.
         remaining = routed.deadline - self._clock.monotonic()
         may_repeat = attempt.is_own_delay and remaining > MIN_RETRY_TIME
         if may_repeat and self.selector.needed_permit(target) is None:
-            attempt = await self._sender.send(
-                request,
-                target,
-                min(remaining, routed.route.longest_attempt),
-                may_duplicate,
-            )
+            attempt = await self._send_once(sent, target, progress)
         span.end(attempt.failure.kind if attempt.failure else None)
         return attempt
 
-    def _may_place_again(self, routed: RoutedRequest) -> bool:
-        """Return whether time is left for another target; none was tried."""
-        return routed.deadline - self._clock.monotonic() > MIN_RETRY_TIME
+    async def _send_once(
+        self, routed: RoutedRequest, target: Target, progress: _Progress
+    ) -> Attempt:
+        remaining = routed.deadline - self._clock.monotonic()
+        return await self._sender.send(
+            routed.request,
+            target,
+            min(remaining, routed.route.longest_attempt),
+            lambda: self._may_duplicate(routed, target, progress),
+        )
 
     def _may_duplicate(
         self, routed: RoutedRequest, target: Target, progress: _Progress
