Count keys as moving until a map with their new owner is known

Beside a planned move callers got 503 after two refusals of the former owner (421): from the next check of the leader on, 0.05 s after the write, keys counted as arrived, while their grant was still under way and every daemon's map had the former owner. Requests that waited for the move were then sent to it.

Now they count as moving until the leader has applied the map.

--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -81,6 +81,8 @@
         )
         self._update_heat_at: Seconds = 0
         self._retry_write_at: Seconds = 0
+        #: Keys that are granted to an owner which no daemon has in its map.
+        self._arriving: list[tuple[int, int]] = []
         self._is_writing = False
         self._writer = MapWriter(service, context.leader_term, RowVersion(0))
         self._inherit()
@@ -224,6 +226,7 @@
 
     def _announce_moving(self) -> None:
         moving = [(one.first, one.last) for one in self.assignments.moving()]
+        moving.extend(self._arriving)
         self._context.relay.announce_moving(
             messages.Moving(self.service, moving),
         )
@@ -282,10 +285,21 @@
             )
             return
         _check_written(changed, written)
-        # Others have got a later fence meanwhile, which is not written yet.
-        await self._grant_written(
-            [one for one in changed if one.key_range() in written.ranges]
-        )
+        arriving = [
+            (one.first, one.last)
+            for one in changed
+            if one.state is AssignmentState.free
+        ]
+        self._arriving.extend(arriving)
+        try:
+            # Others have got a later fence meanwhile, not written yet.
+            await self._grant_written(
+                [one for one in changed if one.key_range() in written.ranges]
+            )
+        finally:
+            self._arriving = [
+                keys for keys in self._arriving if keys not in arriving
+            ]
         self._context.view.apply(OWN_TABLE, [row], row.version)
         self._announce_moving()
 
