Let the sender of the replays take the check of second tries

Since requests pass a further argument, so that all replays of limits and of load ended with a TypeError (17 in one run of test_limit_replays).

--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -19,6 +19,7 @@
 )
 from cassialever.fleet.model import Target
 from cassialever.fleet.permits import PermitExchange
+from cassialever.gateway.duplicates import MayDuplicate, never
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import (
     Answer,
@@ -134,6 +135,16 @@
         self.tracker = loads
         self.limits = limits
 
+    async def send(
+        self,
+        request: TargetRequest,
+        target: Target,
+        time_left: Seconds,
+        may_duplicate: MayDuplicate = never,
+    ) -> Attempt:
+        """Send a request once; all paths are in order here."""
+        return await super().send(request, target, time_left)
+
     async def _exchange(
         self, request: TargetRequest, target: Target, time_left: Seconds
     ) -> Attempt:
