Reproduce a cold target that two keepers issue permits for

The keeper of a cold target starts again, and half of the other daemons learn of it 1 s later, as behind thin links. The former keeper issues permits to those, the new one to itself at once and to the others after 0.75 s: 25 requests in a second of 23 allowed, in virtual time with 10 daemons (with 59 it holds).

--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -7,7 +7,8 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
 
 import msgspec
 
@@ -19,6 +20,7 @@
 )
 from cassialever.fleet.model import Target
 from cassialever.fleet.permits import PermitExchange
+from cassialever.fleet.view import FleetView
 from cassialever.gateway.duplicates import MayDuplicate, never
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import (
@@ -150,6 +152,9 @@
     ) -> Attempt:
         sim = self.simulation.targets[target.target_id]
         sent_at = self.simulation.clock.boot()
+        # A new connection, and then the way of the request.
+        await asyncio.sleep(self.simulation.link_delay())
+        await asyncio.sleep(self.simulation.link_delay())
         try:
             async with asyncio.timeout(time_left):
                 attempt = await sim.run(self.simulation.rng)
@@ -190,10 +195,17 @@
         if receiver is None or self.simulation.is_lost():
             return
         self.simulation.loop.call_later(
-            0.001, receiver.datagram_received, datagram, (host, int(port))
+            0.001 + self.simulation.link_delay(),
+            receiver.datagram_received,
+            datagram,
+            (host, int(port)),
         )
 
 
+#: The id of a daemon, and the time after which it knows of a change.
+Lag: TypeAlias = tuple[str, Seconds]
+
+
 class KnownPeers:
     """The daemons that one daemon knows, as a test sets them."""
 
@@ -234,12 +246,16 @@
         self.targets = {name: SimTarget(name) for name in names}
         #: Decides whether a datagram is lost.
         self.is_lost: Callable[[], bool] = bool
+        #: How long links hold up what is sent now.
+        self.link_delay: Callable[[], Seconds] = float
         #: Time after which every daemon learns what one has read of a limit.
         self.report_delay: Seconds = 0.15
         #: The addresses of the daemons that run, by id.
         self.addresses = {
             f'edge-{one}': f'10.1.0.1:{one}' for one in range(daemons)
         }
+        #: What each daemon knows of the others, by id; by default the truth.
+        self.peers: dict[str, KnownPeers] = {}
         #: Datagrams between daemons pass directly, by address.
         self.sockets: dict[str, SimSocket] = {}
         self.forwarders = [
@@ -301,6 +317,21 @@
         self.sockets.pop(address)
         self.forwarders.pop(0)
 
+    def restart_daemon(self, number: int, lists: Iterable[Lag]) -> None:
+        """Have a daemon start again, which the others learn of later.
+
+        `lists` gives the ids of daemons and the time after which they know.
+        """
+        name = f'edge-{number}'
+        for other, lag in lists:
+            known = self.peers[other].addresses_by_id
+            self.loop.call_later(
+                lag, known.__setitem__, name, self.addresses[name]
+            )
+        view = self.forwarders[number]._view
+        daemons = len(self.forwarders)
+        self.forwarders[number] = self._forwarder(number, daemons, view)
+
     async def settle(self) -> None:
         """Wait until every caller has its answer or has given up."""
         await asyncio.gather(*self.tasks)
@@ -355,9 +386,13 @@
             return 'refused' if answer.retry_after else 'failed'
         return 'served' if answer.status == 200 else 'failed'
 
-    def _forwarder(self, number: int, daemons: int) -> Forwarder:
-        view = configured_view(self.clock, targets=0)
-        add_targets(view, self.targets, 'issuance')
+    def _forwarder(
+        self, number: int, daemons: int, known: FleetView | None = None
+    ) -> Forwarder:
+        view = known
+        if view is None:
+            view = configured_view(self.clock, targets=0)
+            add_targets(view, self.targets, 'issuance')
         route = view.routes.find(HOST, PATH)
         assert route is not None
         self.route = route
@@ -379,7 +414,7 @@
             view,
             forwarder.limiter,
             self.clock,
-            KnownPeers(self.addresses),
+            self.peers.setdefault(f'edge-{number}', KnownPeers(self.addresses)),
             self.sockets[address],
         )
         return forwarder
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -4,9 +4,13 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+from cassialever.policy.permits import KeeperDirectory
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.replay_helpers import SLOTS, Simulation, most_in_one_second
 
+#: How long a new target is cold, in seconds.
+COLD_TIME = 6.0
+
 Scenario = Callable[[Simulation], Awaitable[None]]
 
 
@@ -191,6 +195,41 @@
 
         self.run_scenario(scenario)
 
+    def test_cold_target_is_not_flooded_while_lists_of_daemons_differ(
+        self,
+    ) -> None:
+        """Its keeper starts again; half of the daemons know 1 s later."""
+        for daemons in (10, 59):
+
+            async def scenario(simulation: Simulation) -> None:
+                keepers = KeeperDirectory()
+                keepers.update(simulation.addresses, 0)
+                keeper = keepers.keeper_of('cold')
+                number = int(keeper.removeprefix('edge-'))
+                others = [
+                    name for name in simulation.addresses if name != keeper
+                ]
+                for name in others:
+                    peers = simulation.peers[name]
+                    peers.addresses_by_id = dict(simulation.addresses)
+                    peers.addresses_by_id.pop(keeper)
+                tally = simulation.new_tally()
+                load = 1.2 * simulation.capacity()
+                await simulation.run_load(load, 1, tally)
+                simulation.add_cold_target('cold', COLD_TIME)
+                await simulation.run_load(load, 1.5, tally)
+                simulation.restart_daemon(
+                    number,
+                    [(name, place % 2) for place, name in enumerate(others)],
+                )
+                await simulation.run_load(load, 3.5, tally)
+                received = simulation.targets['cold'].received_at
+                self.assertLessEqual(most_in_one_second(received), 23)
+                self.assertGreaterEqual(len(received), 12)
+
+            with self.subTest(daemons=daemons):
+                self.run_scenario(scenario, daemons=daemons)
+
     def test_new_cold_target_is_not_flooded_by_a_large_fleet(self) -> None:
         """59 daemons see a new target, which is the least loaded, at once."""
 
