--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -159,10 +159,10 @@
             self.keys_asked.setdefault(service, []).append(routed.key)
         progress = _Progress()
         while True:
-            placed = await self._place(routed, service, progress.tried)
-            if isinstance(placed, Refusal):
-                return self._finish_unserved(routed, placed, progress.failed)
-            last = await self._send(routed, placed, progress)
+            sent = await self._place_and_send(routed, service, progress)
+            if isinstance(sent, Refusal):
+                return self._finish_unserved(routed, sent, progress.failed)
+            placed, last = sent
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
@@ -176,6 +176,21 @@
                     routed, _attempts_failed(last.reason), progress.failed
                 )
 
+    async def _place_and_send(
+        self, routed: RoutedRequest, service: ServiceName, progress: _Progress
+    ) -> tuple[Target, Attempt] | Refusal:
+        """Choose a target and send, again if the choice was withdrawn."""
+        while True:
+            placed = await self._place(routed, service, progress.tried)
+            if isinstance(placed, Refusal):
+                return placed
+            attempt = await self._send(routed, placed, progress)
+            time_left = routed.deadline - self._clock.monotonic()
+            if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
+                return placed, attempt
+            # Nothing was sent, so this is not a retry.
+            progress.count -= 1
+
     async def _place(
         self,
         routed: RoutedRequest,
