Reproduce late changes on a fleet of small machines with thin links

Each change is acknowledged right after the leader's tables were complete, which is the worst moment.

--- /dev/null
+++ b/tests/test_fleet_rig.py
@@ -0,0 +1,121 @@
+"""When changes are in force on a fleet of small machines with thin links."""
+
+import asyncio
+import os
+import unittest
+from collections.abc import Awaitable, Callable
+
+from cassialever.fleet.model import TargetState
+from cassialever.types import TargetId
+from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.fleet_rig import Rig, RigDaemon, run_scenario
+
+#: Daemons, and by when each has a change in force, in seconds.
+DAEMONS = 59
+CHANGE_LIMIT = 2.5
+#: Longest time that is measured, in seconds.
+MEASURED = 6.0
+#: Seeds of the machines and of all delays; more with RIG_SEEDS=COUNT.
+SEEDS = range(int(os.environ.get('RIG_SEEDS', '2')))
+LEAVING = TargetId('t0')
+
+
+def has_configuration(daemon: RigDaemon) -> bool:
+    configuration = daemon.view.configuration
+    return configuration is not None and configuration.version == 9
+
+
+def knows_leaving(daemon: RigDaemon) -> bool:
+    return daemon.view.targets.by_id[LEAVING].state is TargetState.draining
+
+
+class ChangeTest(unittest.TestCase):
+    """A configuration and a target that leaves, beside faults of the leader."""
+
+    def play(
+        self,
+        fault: Callable[[Rig, RigDaemon], Awaitable[None]],
+        is_leader_in_touch: bool = True,
+    ) -> None:
+        """Let a fault begin, then acknowledge both changes at once."""
+        for seed in SEEDS:
+            run_virtually(
+                lambda loop, seed=seed: self._play(
+                    loop, seed, fault, is_leader_in_touch
+                )
+            )
+
+    async def _play(
+        self,
+        loop: VirtualLoop,
+        seed: int,
+        fault: Callable[[Rig, RigDaemon], Awaitable[None]],
+        is_leader_in_touch: bool,
+    ) -> None:
+        async def scenario(rig: Rig) -> None:
+            leader = rig.leader()
+            fault_task = asyncio.create_task(fault(rig, leader))
+            await asyncio.sleep(0.02)
+            rig.configure(9)
+            rig.put_target(0, 'draining')
+            left_out = None if is_leader_in_touch else leader
+            configured, left = await asyncio.gather(
+                rig.measure(has_configuration, MEASURED, left_out),
+                rig.measure(knows_leaving, MEASURED, left_out),
+            )
+            await fault_task
+            calls = sum(one.store.calls for one in rig.daemons)
+            figures = [
+                f'{times[len(times) * 99 // 100]:.2f} {times[-1]:.2f}'
+                for times in (configured, left)
+            ]
+            print(f'{self.id()} {seed}: {figures}, {calls} calls')
+            for times in (configured, left):
+                self.assertLessEqual(times[-1], CHANGE_LIMIT, f'seed {seed}')
+
+        await run_scenario(loop, seed, scenario, DAEMONS)
+
+    def test_calm(self) -> None:
+        async def fault(rig: Rig, leader: RigDaemon) -> None:
+            return
+
+        self.play(fault)
+
+    def test_leader_that_stops(self) -> None:
+        async def fault(rig: Rig, leader: RigDaemon) -> None:
+            await leader.member.resign()
+
+        self.play(fault)
+
+    def test_leader_that_is_killed(self) -> None:
+        async def fault(rig: Rig, leader: RigDaemon) -> None:
+            await asyncio.sleep(0.025)
+            leader.kill()
+
+        self.play(fault)
+
+    def test_leader_that_is_cut_off_from_the_store(self) -> None:
+        async def fault(rig: Rig, leader: RigDaemon) -> None:
+            leader.store.is_cut = True
+
+        self.play(fault, is_leader_in_touch=False)
+
+    def test_leader_whose_tables_are_old(self) -> None:
+        """It renews its lease, and its calls for changes are not answered."""
+
+        async def fault(rig: Rig, leader: RigDaemon) -> None:
+            leader.store.loses_polls = True
+
+        self.play(fault, is_leader_in_touch=False)
+
+    def test_leader_whose_tables_are_old_and_that_is_killed(self) -> None:
+        async def fault(rig: Rig, leader: RigDaemon) -> None:
+            leader.store.loses_polls = True
+            await asyncio.sleep(1.7)
+            leader.kill()
+
+        self.play(fault)
+
+
+if __name__ == '__main__':
+    unittest.main()
