Ask for changes sooner where a table is older

Cause: each wait for changes lasted up to LONG_POLL_WAIT, whatever the table's age. After a wait that was held and ended with a change, the next one let the table grow to nearly 2.0 s; slow answers added to it. A daemon that began to lead counted as late until its first wait had ended, for up to 1.0 s, so that all followers read the store themselves. Change: the wait is what the table's age and the time of the last answer leave of LONG_POLL_WAIT. A table that was just adopted is asked for at once.

Result: two new tests, which fail on the code before (age infinite in place of under 0.1 s, and 1.06 s reached where 1.054 s is the limit).

test_platform_store replaced a constant that is now a function of the wait; it replaces the function with the same limits.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -38,14 +38,12 @@
         self.failing_tables: set[str] = set()
         #: When each table was last known to be complete, in the loop's time.
         self._complete_at_by_table: dict[str, Seconds] = {}
+        #: How long the last answer without a change was under way.
+        self._answer_time_by_table: dict[str, Seconds] = {}
 
     def age(self) -> Seconds:
         """Return the time since all tables were known to be complete."""
-        now = asyncio.get_running_loop().time()
-        return max(
-            now - self._complete_at_by_table.get(table, -math.inf)
-            for table in self._tables
-        )
+        return max(self._age_of(table) for table in self._tables)
 
     async def run(self) -> None:
         """Follow every table until cancelled."""
@@ -89,20 +87,37 @@
                 f'the store returned outdated version {snapshot.version}',
             )
         after = self._view.rows.version_by_table[table]
-        changed = await self._store.wait_for_changes(table, after)
+        wait = self._longest_wait(table)
+        changed = await self._store.wait_for_changes(table, after, wait)
         if isinstance(changed, Failure):
             return changed
         self._view.apply(table, changed.rows, changed.version)
+        if changed.rows:
+            self._complete_at_by_table[table] = called_at
+            await asyncio.sleep(BATCH_DELAY)
+            return None
         # The store answers as soon as there is a change, so an empty answer
         # tells that there was none while it waited.
-        waited = (
-            0 if changed.rows else min(loop.time() - called_at, LONG_POLL_WAIT)
-        )
+        waited = min(loop.time() - called_at, wait)
         self._complete_at_by_table[table] = called_at + waited
-        if changed.rows:
-            await asyncio.sleep(BATCH_DELAY)
+        self._answer_time_by_table[table] = self._age_of(table)
         return None
 
+    def _age_of(self, table: str) -> Seconds:
+        now = asyncio.get_running_loop().time()
+        return now - self._complete_at_by_table.get(table, -math.inf)
+
+    def _longest_wait(self, table: str) -> Seconds:
+        """Return how long the store may hold a call for changes.
+
+        The answer is here before the table is older than LONG_POLL_WAIT, if it
+        takes as long as the last one. A table that is older is asked for at
+        once: one that was just adopted, or one whose last call was held for
+        long until there was a change.
+        """
+        answer_time = self._answer_time_by_table.get(table, 0)
+        return max(0, LONG_POLL_WAIT - self._age_of(table) - answer_time)
+
     def _note_failure(self, table: str, failure: Failure) -> None:
         if table not in self.failing_tables:
             record(Event.table_unavailable, table=table, reason=failure.reason)
--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -21,7 +21,7 @@
 CONNECT_TIMEOUT: Final[Seconds] = 0.5
 #: How long the store may hold a long poll. A poll that the store has lost
 #: times out, and the next one is answered, within the 2.5 s for changes of the
-#: configuration.
+#: configuration. Also the age of its tables that a follower aims at.
 LONG_POLL_WAIT: Final[Seconds] = 1.0
 #: The most rows that the store returns for one read.
 ROWS_PER_PAGE: Final = 500
@@ -35,11 +35,6 @@
     connect=CONNECT_TIMEOUT,
     sock_read=CALL_TIMEOUT,
 )
-_LONG_POLL_TIMEOUT: Final = aiohttp.ClientTimeout(
-    total=LONG_POLL_WAIT + MAX_READ_TIME,
-    connect=CONNECT_TIMEOUT,
-    sock_read=LONG_POLL_WAIT + CALL_TIMEOUT,
-)
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
@@ -124,21 +119,23 @@
         self,
         table: str,
         after: RowVersion,
+        wait: Seconds = LONG_POLL_WAIT,
     ) -> rows.Rows | Failure:
         """Wait for rows of a table that changed after a version.
 
+        The store holds the call for `wait` if there is no change.
         A failure of kind `table_conflict` means that the store no longer has
         all changes since that version, and the table must be read whole.
         """
         query = {
             'table': table,
             'after': after,
-            'wait_ms': int(LONG_POLL_WAIT * MS_PER_SECOND),
+            'wait_ms': int(wait * MS_PER_SECOND),
         }
         answer = await self._call(
             'GET',
             rows.CHANGES_PATH,
-            _LONG_POLL_TIMEOUT,
+            _long_poll_timeout(wait),
             params=query,
         )
         return _decode_rows(answer)
@@ -172,6 +169,15 @@
             return Failure(ErrorKind.table_answer_lost, repr(error))
 
 
+def _long_poll_timeout(wait: Seconds) -> aiohttp.ClientTimeout:
+    """Return the time limits of a call that the store holds for `wait`."""
+    return aiohttp.ClientTimeout(
+        total=wait + MAX_READ_TIME,
+        connect=CONNECT_TIMEOUT,
+        sock_read=wait + CALL_TIMEOUT,
+    )
+
+
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     """Read a body; raise TimeoutError if nothing arrives for CALL_TIMEOUT."""
     body = bytearray()
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -206,10 +206,12 @@
             decode(stored), RowVersion(version), self._machine.loop.time()
         )
 
-    async def wait_for_changes(self, table: str, after: int) -> Any:
+    async def wait_for_changes(
+        self, table: str, after: int, wait: float = store.LONG_POLL_WAIT
+    ) -> Any:
         self.calls += 1
         await asyncio.sleep(STORE_DELAY)
-        ends_at = self._machine.loop.time() + store.LONG_POLL_WAIT
+        ends_at = self._machine.loop.time() + wait
         changed = self._rig.rows.changes_after(table, after)
         while not changed and self._machine.loop.time() < ends_at:
             await self._rig.wait_for_change(ends_at)
--- a/tests/test_fleet_following.py
+++ b/tests/test_fleet_following.py
@@ -34,6 +34,8 @@
         self.read_calls = 0
         #: Failures that the next calls return, in order.
         self.failures: list[Failure] = []
+        #: How long an answer takes, in seconds.
+        self.answer_time = 0.0
 
     def change(self, number: int) -> None:
         version = len(self.rows) + 1
@@ -45,16 +47,18 @@
         return rows.Rows(tuple(self.rows), len(self.rows), self.loop.time())
 
     async def wait_for_changes(
-        self, table: str, after: int
+        self, table: str, after: int, wait: float = LONG_POLL_WAIT
     ) -> rows.Rows | Failure:
         self.follow_calls += 1
         if self.failures:
             return self.failures.pop(0)
-        ends_at = self.loop.time() + LONG_POLL_WAIT
+        ends_at = self.loop.time() + wait
         while len(self.rows) <= after and self.loop.time() < ends_at:
             await asyncio.sleep(0.001)
         changed = tuple(self.rows[after:])
-        return rows.Rows(changed, len(self.rows), self.loop.time())
+        version = len(self.rows)
+        await asyncio.sleep(self.answer_time)
+        return rows.Rows(changed, version, self.loop.time())
 
 
 class FollowingTest(unittest.TestCase):
@@ -122,6 +126,41 @@
 
         self.run_scenario(scenario)
 
+    def test_tables_that_were_just_adopted_are_confirmed_at_once(self) -> None:
+        """A daemon that begins to lead has them from its former leader."""
+
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            source = random.Random(1)
+            successor = StoreFollower(store, view, source, (TABLE,))
+            task = asyncio.create_task(successor.run())
+            await asyncio.sleep(0.01)
+            self.assertLess(successor.age(), 0.1)
+            task.cancel()
+
+        self.run_scenario(scenario)
+
+    def test_tables_stay_young_beside_changes_and_slow_answers(self) -> None:
+        """A wait that ends late or with a change shortens the next one."""
+
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            for answer_time in (0.004, 0.4):
+                store.answer_time = answer_time
+                # The first answer that is late was not foreseen.
+                await asyncio.sleep(2)
+                calls_before = store.follow_calls
+                for number in range(3000):
+                    if number % 130 == 0:
+                        store.change(number)
+                    await asyncio.sleep(0.01)
+                    self.assertLess(
+                        self.follower.age(),
+                        LONG_POLL_WAIT + BATCH_DELAY + answer_time,
+                    )
+                calls = store.follow_calls - calls_before
+                self.assertLess(calls, 80 if answer_time == 0.4 else 60)
+
+        self.run_scenario(scenario)
+
     def test_calls_to_an_unreachable_store_back_off(self) -> None:
         async def scenario(store: ScriptedStore, view: FleetView) -> None:
             unreachable = Failure(ErrorKind.table_unavailable, 'unreachable')
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -155,7 +155,9 @@
         with (
             mock.patch.object(store, '_COMMIT_TIMEOUT', SHORT_TIMEOUT),
             mock.patch.object(store, '_READ_TIMEOUT', SHORT_TIMEOUT),
-            mock.patch.object(store, '_LONG_POLL_TIMEOUT', SHORT_TIMEOUT),
+            mock.patch.object(
+                store, '_long_poll_timeout', return_value=SHORT_TIMEOUT
+            ),
         ):
             results = [
                 await client.commit(TRANSACTION),
