--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -124,6 +124,7 @@
         """Wait for rows of a table that changed after a version.
 
         The store holds the call for `wait` if there is no change.
+
         A failure of kind `table_conflict` means that the store no longer has
         all changes since that version, and the table must be read whole.
         """
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -8,6 +8,7 @@
 from collections.abc import Container
 
 from cassialever.interfaces import RandomSource
+from cassialever.policy.connect_times import ConnectTimes
 from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
 from cassialever.policy.peer_reports import Helper, PeerReports
 from cassialever.policy.silence import UnansweredRequests
@@ -24,6 +25,8 @@
         self.direct = DirectPaths()
         self.reports = PeerReports(data_centre, random_source)
         self.unanswered = UnansweredRequests()
+        #: Of connections to targets and helpers, all over the own link.
+        self.connect_times = ConnectTimes()
 
     def record_answer(self, target_id: TargetId, now: Seconds) -> None:
         """Note that bytes came from a target over a direct connection."""
@@ -34,6 +37,11 @@
         """Note that a new connection to a target failed."""
         self.direct.record_failure(target_id, now)
 
+    def record_probe_success(self, target_id: TargetId, now: Seconds) -> None:
+        """Note that a new connection to a target was opened by a probe."""
+        self.direct.record_probe_success(target_id, now)
+        self.unanswered.record_accepted(target_id, now)
+
     def is_reachable(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether the direct path to a target may be used.
 
@@ -112,4 +120,5 @@
     def prune(self, known: Container[TargetId], now: Seconds) -> None:
         """Forget targets that are gone and what has expired."""
         self.direct.prune(known)
+        self.unanswered.prune(known)
         self.reports.prune(now)
--- a/tests/test_fleet_following.py
+++ b/tests/test_fleet_following.py
@@ -139,6 +139,19 @@
 
         self.run_scenario(scenario)
 
+    def test_age_is_unknown_until_a_long_poll_ends(self) -> None:
+        """The tables are known already when this daemon begins to lead."""
+
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            await asyncio.sleep(0.5)
+            following = StoreFollower(store, view, random.Random(1), (TABLE,))
+            task = asyncio.ensure_future(following.run())
+            await asyncio.sleep(0.05)
+            self.assertLess(following.age(), 0.1)
+            task.cancel()
+
+        self.run_scenario(scenario)
+
     def test_tables_stay_young_beside_changes_and_slow_answers(self) -> None:
         """A wait that ends late or with a change shortens the next one."""
 
@@ -161,6 +174,17 @@
 
         self.run_scenario(scenario)
 
+    def test_age_stays_high_after_an_outage(self) -> None:
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            lost = Failure(ErrorKind.table_answer_lost, 'lost')
+            store.failures = [lost] * 8
+            while store.failures:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(2 * MAX_RETRY_DELAY + 0.05)
+            self.assertLess(self.follower.age(), 2 * MAX_RETRY_DELAY)
+
+        self.run_scenario(scenario)
+
     def test_calls_to_an_unreachable_store_back_off(self) -> None:
         async def scenario(store: ScriptedStore, view: FleetView) -> None:
             unreachable = Failure(ErrorKind.table_unavailable, 'unreachable')
