--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -358,7 +358,7 @@
             reason=answer.sentence,
             waited=round(self._clock.monotonic() - routed.received_at, 3),
             retry_after=answer.retry_after,
-            configuration=self._configuration_version(),
+            configuration=_version_of(self._view.configuration),
         )
         return answer
 
@@ -391,10 +391,6 @@
             budget.ratio = service.repeat_share
         return budget
 
-    def _configuration_version(self) -> int:
-        configuration: Configuration | None = self._view.configuration
-        return configuration.version if configuration else 0
-
 
 def final_answer(
     refused: Refusal,
@@ -423,6 +419,11 @@
     return Refusal(status, last.reason, kind=ErrorKind.outcome_unknown)
 
 
+def _version_of(configuration: Configuration | None) -> int:
+    """Return a configuration's version; 0 if none is known."""
+    return configuration.version if configuration else 0
+
+
 def _attempts_failed(reason: str) -> Refusal:
     return Refusal(
         HTTPStatus.SERVICE_UNAVAILABLE,
