--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -86,6 +86,8 @@
         self.resets = False
         #: Requests per second that it names in its answers, if any.
         self.named_limit: float | None = None
+        #: Say in each answer that the target leaves.
+        self.says_leaving = False
         self.received = 0
         self.received_at: list[Seconds] = []
         self.ran = 0
@@ -165,6 +167,8 @@
             now = self.simulation.clock.monotonic()
             self.tracker.of(target.target_id).record_report(reported, now)
             self.limits.record_answer(target, sim.named_limit, sent_at, now)
+            if sim.says_leaving:
+                self.limits.record_leaving(target, now)
         return attempt
 
 
--- a/tests/test_limit_replays.py
+++ b/tests/test_limit_replays.py
@@ -16,6 +16,11 @@
 )
 
 
+#: Time in which all daemons leave a target that has said that it leaves: its
+#: next answer, the report of it, and a margin, in seconds.
+TIME_TO_LEAVE = 0.5
+
+
 class LimitReplayTest(unittest.TestCase):
     """Daemons that share the limits of the targets of one service."""
 
@@ -112,6 +117,28 @@
 
         self.run_scenario(scenario, daemons=10, targets=4)
 
+    def test_target_that_says_it_leaves_is_left_by_fleets_of_any_size(
+        self,
+    ) -> None:
+        """All daemons know once one has read an answer, and none fails."""
+        for daemons in (1, 10, 59):
+
+            async def scenario(simulation: Simulation) -> None:
+                tally = simulation.new_tally()
+                load = 0.5 * simulation.capacity()
+                await simulation.run_load(load, 1, tally)
+                leaving = simulation.targets['i1']
+                leaving.says_leaving = True
+                await simulation.run_load(load, TIME_TO_LEAVE, tally)
+                received = leaving.received
+                await simulation.run_load(load, 3, tally)
+                await simulation.settle()
+                self.assertEqual(leaving.received, received)
+                self.assertEqual(tally.share('served'), 1)
+
+            with self.subTest(daemons=daemons):
+                self.run_scenario(scenario, daemons=daemons, targets=4)
+
     def test_limit_that_ends_is_lifted_soon(self) -> None:
         """The trickle that the limit allows tells every daemon of its end."""
 
