--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -160,13 +160,12 @@
         path.
         """
         target_id = target.target_id
-        unanswered = self._paths.unanswered
         self._target.set(target)
         sent_at = self._clock.monotonic()
-        unanswered.record_sent(target_id, request.request_id, sent_at)
+        self._paths.record_sent(target_id, request.request_id, sent_at)
         try:
             async with self._open(request, target, time_left) as response:
-                unanswered.record_end(target_id, request.request_id)
+                self._paths.unanswered.record_end(target_id, request.request_id)
                 self._paths.record_answer(target_id, self._clock.monotonic())
                 yield response
         except CONNECT_ERRORS as error:
@@ -175,10 +174,12 @@
         except (asyncio.TimeoutError, WithdrawnError):
             raise
         except (aiohttp.ClientError, OSError):
-            self._paths.direct.record_doubt(target_id, self._clock.monotonic())
+            self._paths.record_broken(
+                target_id, target.data_centre, self._clock.monotonic()
+            )
             raise
         finally:
-            unanswered.record_end(target_id, request.request_id)
+            self._paths.unanswered.record_end(target_id, request.request_id)
 
     def _check_target(self) -> None:
         """Raise WithdrawnError if the target may get no request any more."""
--- a/cassialever/policy/silence.py
+++ b/cassialever/policy/silence.py
@@ -44,6 +44,16 @@
         """Note that a target accepted a connection."""
         self._reached_at[target_id] = now
 
+    def oldest_sent_at(self) -> Seconds:
+        """Return when the oldest waiting request was sent; inf if none is."""
+        return min(
+            (
+                next(iter(requests.values()))
+                for requests in self._sent_at_by_id.values()
+            ),
+            default=math.inf,
+        )
+
     def silent_since(self) -> dict[TargetId, Seconds]:
         """Return since when each target with waiting requests is silent."""
         return {
--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -146,7 +146,7 @@
         time_left: Seconds,
         may_duplicate: MayDuplicate = never,
     ) -> Attempt:
-        """Send a request once; all paths are in order here."""
+        """Send a request; every path is in order, so that none is doubled."""
         return await super().send(request, target, time_left)
 
     async def _exchange(
