Keep the check of first tries for keys that leave

The test of keys that leave an owner was changed with its fix from 0.95 of the first tries served to all served after one retry.

--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -46,6 +46,9 @@
 class LeavingCase(unittest.IsolatedAsyncioTestCase):
     """Requests at a fixed interval from some of the daemons."""
 
+    #: Whether callers send a refused request once more.
+    retries = True
+
     async def send_for(
         self, gateways: list[Gateway], duration: float, path: str
     ) -> list[int]:
@@ -75,7 +78,7 @@
         """Send a request, and once more if that is asked for."""
         response = await send_request(gateway, path, headers, name)
         retry_after = response.headers.get('Retry-After')
-        if response.status != 503 or retry_after is None:
+        if not self.retries or response.status != 503 or retry_after is None:
             return response.status
         await asyncio.sleep(float(retry_after))
         again = await send_request(gateway, path, headers, f'{name}-again')
@@ -163,6 +166,24 @@
             self.assertEqual(set(statuses), {200})
 
 
+class FirstTriesTest(LeavingCase):
+    """Callers that do not send a refused request once more."""
+
+    retries = False
+
+    async def test_first_tries_for_keys_that_leave_are_refused(self) -> None:
+        async with deployment(keyed=3, gateways=3) as system:
+            for gateway in system.gateways:
+                await wait_for_keys(gateway)
+            leaving = system.targets[0]
+            leaving.faults.says_leaving = True
+            statuses = await self.send_for(
+                system.gateways, DRAIN_TIME, '/lookup/'
+            )
+            statuses += await self.send_for(system.gateways, 0.5, '/lookup/')
+            self.assertGreater(statuses.count(200) / len(statuses), 0.95)
+
+
 class ChosenBeforeTest(LeavingCase):
     """Requests that wait while their target leaves are not sent to it."""
 
