Reproduce followers out of step by writes relayed in another order

Cause: KeyService applies and relays a key map after its grants, which may take 0.4 s, and a later write may be done before. Followers that follow the store too, as after each change of leader, have read the first; the changes that are relayed then begin at an older version, and each of them drops its link. Not mended: the changes could apply to versions between the two, which changes what two tests state.

--- a/tests/test_fleet_key_changes.py
+++ b/tests/test_fleet_key_changes.py
@@ -205,6 +205,37 @@
             await until(lambda: link.view.owners() == view.owners())
             task.cancel()
 
+    async def test_write_relayed_late_puts_followers_out_of_step(self) -> None:
+        """A leader's later write is relayed before an earlier one.
+
+        The earlier one waits for its grants, while followers that follow the
+        store too have read it there.
+        """
+        rng = random.Random(8)
+        key_map = random_map(rng, 20)
+        view = configured_view(ManualClock(), targets=0)
+        put(view, key_map, 50)
+        async with linked(view) as (relay, link):
+            put(view, key_map, 51)
+            await until(
+                lambda: (
+                    link.view.rows.by_table_and_name[
+                        OWN_TABLE, ROW_NAME
+                    ].version
+                    == 51
+                )
+            )
+            number = link.number
+            earlier = random_change(rng, key_map, 52)
+            later = random_change(rng, earlier, 53)
+            put(link.view, earlier, 52)
+            put(view, later, 53)
+            put(view, earlier, 52)
+            await asyncio.sleep(0.1)
+            self.assertIn('edge-1', relay.follower_by_id)
+            self.assertEqual(link.number, number)
+            self.assertEqual(link.view.owners(), view.owners())
+
 
 if __name__ == '__main__':
     unittest.main()
