--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -159,10 +159,10 @@
             self.keys_asked.setdefault(service, []).append(routed.key)
         progress = _Progress()
         while True:
-            placed = await self._place(routed, service, progress.tried)
-            if isinstance(placed, Refusal):
-                return self._finish_unserved(routed, placed, progress.failed)
-            last = await self._send(routed, placed, progress)
+            sent = await self._place_and_send(routed, service, progress)
+            if isinstance(sent, Refusal):
+                return self._finish_unserved(routed, sent, progress.failed)
+            placed, last = sent
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
@@ -176,6 +176,21 @@
                     routed, _attempts_failed(last.reason), progress.failed
                 )
 
+    async def _place_and_send(
+        self, routed: RoutedRequest, service: ServiceName, progress: _Progress
+    ) -> tuple[Target, Attempt] | Refusal:
+        """Choose a target and send, again if the choice was withdrawn."""
+        while True:
+            placed = await self._place(routed, service, progress.tried)
+            if isinstance(placed, Refusal):
+                return placed
+            attempt = await self._send(routed, placed, progress)
+            time_left = routed.deadline - self._clock.monotonic()
+            if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
+                return placed, attempt
+            # Nothing was sent, so this is not a retry.
+            progress.count -= 1
+
     async def _place(
         self,
         routed: RoutedRequest,
@@ -343,7 +358,7 @@
             reason=answer.sentence,
             waited=round(self._clock.monotonic() - routed.received_at, 3),
             retry_after=answer.retry_after,
-            configuration=self._configuration_version(),
+            configuration=_version_of(self._view.configuration),
         )
         return answer
 
@@ -376,10 +391,6 @@
             budget.ratio = service.repeat_share
         return budget
 
-    def _configuration_version(self) -> int:
-        configuration: Configuration | None = self._view.configuration
-        return configuration.version if configuration else 0
-
 
 def final_answer(
     refused: Refusal,
@@ -408,6 +419,11 @@
     return Refusal(status, last.reason, kind=ErrorKind.outcome_unknown)
 
 
+def _version_of(configuration: Configuration | None) -> int:
+    """Return a configuration's version; 0 if none is known."""
+    return configuration.version if configuration else 0
+
+
 def _attempts_failed(reason: str) -> Refusal:
     return Refusal(
         HTTPStatus.SERVICE_UNAVAILABLE,
