Count keys that move on suspicion over all leaders, by the lease

At most a third of a service's keys may move within 12 s on the word of a leader that alone can't reach their owners. Owners that were well lost their keys, and callers waited for keys on the move.

The moves are now part of the lease, which each transaction of the leader renews anyway, so that they are stored in the same transaction as the owners that they change, and the next leader reads them when it takes over. They count by the store's clock.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -44,6 +44,7 @@
                 self._own_hello.instance_id,
                 lease_table.store_time,
             ),
+            suspected_moves=lease.suspected_moves if lease else (),
         )
         sent_at = self._clock.boot()
         committed = await self._store.commit(
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -10,6 +10,7 @@
 from cassialever.events import Event, record
 from cassialever.fleet import lease as leases
 from cassialever.fleet import messages
+from cassialever.fleet.suspected_moves import SuspectedMoves
 from cassialever.keys.assignments import MAX_GRANT_DURATION
 from cassialever.platform import rows
 from cassialever.platform.store import StoreClient
@@ -39,6 +40,11 @@
         self._lease_version = committed.version
         self._store_time = committed.store_time
         self._confirmed_at = sent_at
+        #: The keys that earlier leaders and this one moved on suspicion.
+        self.suspected_moves = SuspectedMoves(
+            lease.suspected_moves,
+            lambda: self._store_time + self.store_age(),
+        )
         #: Until when grants of earlier leaders may be in force, by this
         #: daemon's clock.
         self._grants_until_by_id = {
@@ -160,6 +166,7 @@
                 # The store's time at sending, estimated by the local clock.
                 renewed_at=self._store_time + sent_at - self._confirmed_at,
                 is_resigned=is_resigned,
+                suspected_moves=self.suspected_moves.recent(),
             )
             answer = await self._store.commit(
                 leases.with_renewal(transaction, renewed, self._lease_version),
--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cassialever.fleet.model import StoreRow
+from cassialever.fleet.model import StoreRow, SuspectedMove
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
 from cassialever.platform import rows
 from cassialever.types import RowVersion, Seconds
@@ -30,7 +30,8 @@
 class Lease(msgspec.Struct, frozen=True, array_like=True):
     """The content of the lease row; times are by the store's clock.
 
-    `authority_until_by_id` holds earlier leaders that may still renew grants.
+    `authority_until_by_id` holds earlier leaders that may still renew grants,
+    `suspected_moves` what this leader and earlier ones moved.
     """
 
     instance_id: str
@@ -38,6 +39,7 @@
     renewed_at: Seconds
     is_resigned: bool = False
     authority_until_by_id: dict[str, Seconds] = {}
+    suspected_moves: tuple[SuspectedMove, ...] = ()
 
 
 def find_lease(
--- a/cassialever/fleet/model.py
+++ b/cassialever/fleet/model.py
@@ -145,6 +145,18 @@
     handover: str = ''
 
 
+class SuspectedMove(msgspec.Struct, frozen=True, array_like=True):
+    """Keys that left an owner which the leader alone could not reach.
+
+    `moved_at` is when the last of them did, by the store's clock.
+    """
+
+    service: ServiceName
+    owner: TargetId
+    key_count: int
+    moved_at: Seconds
+
+
 class KeyMap(msgspec.Struct, frozen=True, array_like=True):
     """The owners of a service's keys, in ascending, disjoint ranges."""
 
--- /dev/null
+++ b/cassialever/fleet/suspected_moves.py
@@ -0,0 +1,60 @@
+"""Count the keys that leaders moved because they could not reach the owner.
+
+The lease carries the moves from one leader to the next. They count by the
+store's clock, which all leaders know.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from cassialever.fleet.lease import AUTHORITY_TERM
+from cassialever.fleet.model import SuspectedMove
+from cassialever.types import Seconds, ServiceName, TargetId
+
+#: Time for which a move counts: the longest that a leader stays in office
+#: without the store.
+SUSPICION_PERIOD: Final[Seconds] = AUTHORITY_TERM
+
+
+class SuspectedMoves:
+    """The moves on suspicion of the present leader and of earlier ones."""
+
+    def __init__(
+        self,
+        earlier: tuple[SuspectedMove, ...],
+        store_time: Callable[[], Seconds],
+    ) -> None:
+        """Start with those of earlier leaders.
+
+        `store_time` returns the store's time, as this daemon estimates it.
+        """
+        self._moves = earlier
+        self._store_time = store_time
+
+    def recent(self) -> tuple[SuspectedMove, ...]:
+        """Return the moves that count."""
+        since = self._store_time() - SUSPICION_PERIOD
+        return tuple(move for move in self._moves if move.moved_at >= since)
+
+    def count_by_owner(self, service: ServiceName) -> dict[TargetId, int]:
+        """Return how many keys of a service left each owner."""
+        return {
+            move.owner: move.key_count
+            for move in self.recent()
+            if move.service == service
+        }
+
+    def note(
+        self, service: ServiceName, owner: TargetId, key_count: int
+    ) -> None:
+        """Count a move; the transaction that carries it out stores it."""
+        earlier = self.count_by_owner(service).get(owner, 0)
+        others = [
+            move
+            for move in self.recent()
+            if (move.service, move.owner) != (service, owner)
+        ]
+        noted = SuspectedMove(
+            service, owner, earlier + key_count, self._store_time()
+        )
+        self._moves = (*others, noted)
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -84,7 +84,11 @@
         self._is_writing = False
         self._writer = MapWriter(service, context.leader_term, RowVersion(0))
         self._inherit()
-        self._suspicion = SuspicionLimit(context.granter.paths)
+        self._suspicion = SuspicionLimit(
+            service,
+            context.leader_term.suspected_moves,
+            context.granter.paths,
+        )
         self._suspects = SuspectOwners(
             self.assignments, context.granter, self._tasks, context.clock
         )
--- a/cassialever/keys/suspicion.py
+++ b/cassialever/keys/suspicion.py
@@ -4,40 +4,35 @@
 owner is well then, and others would have to carry its load.
 """
 
-from collections import deque
 from typing import Final
 
-import msgspec
-
-from cassialever.fleet.lease import AUTHORITY_TERM
 from cassialever.fleet.model import KEY_COUNT
+from cassialever.fleet.suspected_moves import SuspectedMoves
 from cassialever.policy.paths import TargetPaths
-from cassialever.types import Seconds, TargetId
+from cassialever.types import Seconds, ServiceName, TargetId
 
-#: Share of a service's keys that may move on this daemon's word alone: the
+#: Share of a service's keys that may move on the word of leaders alone: the
 #: keys of one data centre of three.
 MAX_SUSPECTED_SHARE: Final = 1 / 3
-#: Time for which moved keys count: the longest that a leader stays in office
-#: without the store.
-SUSPICION_PERIOD: Final[Seconds] = AUTHORITY_TERM
 #: Time after a cut of this daemon in which it reaches owners again: their next
 #: probe, and the grant that follows.
 STALE_PERIOD: Final[Seconds] = 1.5
 
 
-class _Move(msgspec.Struct, frozen=True):
-    owner: TargetId
-    key_count: int
-    moved_at: Seconds
-
-
 class SuspicionLimit:
-    """The keys of one service that moved on suspicion lately."""
+    """The keys of one service that moved on suspicion lately.
+
+    Those that earlier leaders moved count too, since each leader may miss other
+    owners.
+    """
 
-    def __init__(self, paths: TargetPaths) -> None:
-        """Start without moves."""
+    def __init__(
+        self, service: ServiceName, moves: SuspectedMoves, paths: TargetPaths
+    ) -> None:
+        """Start with the moves that are known from earlier terms."""
+        self._service = service
+        self._moves = moves
         self._paths = paths
-        self._moves: deque[_Move] = deque()
         #: Until when failed grants belong to an earlier cut.
         self._stale_until: Seconds = 0
 
@@ -53,15 +48,13 @@
             return False
         if self._is_confirmed(owner, now):
             return True
-        while self._moves and now > self._moves[0].moved_at + SUSPICION_PERIOD:
-            self._moves.popleft()
-        others = sum(
-            move.key_count for move in self._moves if move.owner != owner
-        )
-        moved = sum(move.key_count for move in self._moves)
-        if others and moved + key_count > MAX_SUSPECTED_SHARE * KEY_COUNT:
+        count_by_owner = self._moves.count_by_owner(self._service)
+        moved = sum(count_by_owner.values())
+        is_first_owner = moved == count_by_owner.get(owner, 0)
+        is_too_many = moved + key_count > MAX_SUSPECTED_SHARE * KEY_COUNT
+        if is_too_many and not is_first_owner:
             return False
-        self._moves.append(_Move(owner, key_count, now))
+        self._moves.note(self._service, owner, key_count)
         return True
 
     def _is_confirmed(self, owner: TargetId, now: Seconds) -> bool:
--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -320,6 +320,32 @@
 
         self.play(scenario, count=9)
 
+    def test_each_leader_moves_another_third_of_the_keys(self) -> None:
+        """Three leaders follow each other within the time of the limit."""
+
+        async def scenario(fleet: Fleet) -> None:
+            before = fleet.owned_ranges()
+            addresses = list(fleet.world.targets)
+            for number, member in enumerate(fleet.members):
+                start = 2 * number
+                lost = (addresses + addresses)[start : start + TARGETS // 2]
+                fleet.cut([member], lost, hangs=False)
+            for _ in range(2):
+                await asyncio.sleep(5)
+                leader = fleet.leader()
+                assert leader is not None
+                assert leader.daemon.leader_term is not None
+                await leader.daemon.leader_term.resign()
+                leader.daemon.kill()
+            await asyncio.sleep(3)
+            moved = moved_count(before, fleet.owned_ranges())
+            self.assertLessEqual(moved, KEY_COUNT / 3)
+            fleet.heal()
+            await asyncio.sleep(4)
+            self.assertEqual(fleet.world.unheld_count(), 0)
+
+        self.play(scenario, count=9)
+
     def test_keys_of_crashed_owners_move_as_fast_as_ever(self) -> None:
         """Eight of 18 crash at once, and all daemons miss them."""
 
