Let the tests of running work wait until the target is at work

Two of them failed once each beside load, on code that does not give up running work. In one the answer was 503 in place of 200: 0.1 s after the request was begun it had not been sent, so that there was no running work. In the other the target ran the request twice: the retry budget, taken as empty, has an allowance that grows with time, and had one by then.

The tests now wait until the target runs the request, and the one without a retry budget sets it so.

--- a/tests/test_gateway_hop.py
+++ b/tests/test_gateway_hop.py
@@ -699,33 +699,38 @@
 class RunningWorkGivenUpTest(unittest.IsolatedAsyncioTestCase):
     """A target is at work on a request while its path counts as down."""
 
-    async def check_is_served(self, helper_address: str | None) -> None:
+    async def check_is_served(
+        self, helper_address: str | None, *, has_budget: bool
+    ) -> None:
         """Have the path go down while the target works for a while."""
         async with cut_off_daemon() as (system, first, helper):
             known = helper_of(helper)
             if helper_address is not None:
                 known = Helper('h', helper_address)
+            if not has_budget:
+                budget = first.core.forwarder._budget('registry')
+                budget.try_spend = lambda *_: False  # type: ignore
             paths = set_paths(first, known, up=True)
             system.targets[0].faults.service_time = 0.8
             asking = asyncio.create_task(ask(first, *LOOKUP))
-            await asyncio.sleep(0.1)
+            await until(lambda: system.targets[0].executed_ids)
             paths.is_path_up = False
             reply = await asyncio.wait_for(asking, 3)
             self.assertEqual(reply.status, 200)
             self.assertEqual(system.targets[0].executed_ids, ['a1'])
 
     async def test_running_work_is_given_up_without_another_way(self) -> None:
-        await self.check_is_served(REFUSING_ADDRESS)
+        await self.check_is_served(REFUSING_ADDRESS, has_budget=True)
 
     async def test_running_work_is_given_up_without_retry_budget(self) -> None:
-        await self.check_is_served(None)
+        await self.check_is_served(None, has_budget=False)
 
     async def test_running_work_is_given_up_in_a_stop(self) -> None:
         async with cut_off_daemon() as (system, first, _):
             paths = set_paths(first, Helper('h', REFUSING_ADDRESS), up=True)
             system.targets[0].faults.service_time = 0.8
             asking = asyncio.create_task(ask(first, *LOOKUP))
-            await asyncio.sleep(0.1)
+            await until(lambda: system.targets[0].executed_ids)
             stopping = asyncio.create_task(first.stop())
             paths.is_path_up = False
             reply = await asyncio.wait_for(asking, 3)
