Take no path down by the lateness of this daemon's own link or of a probe

Callers saw requests refused or passed on though their targets were in order: a daemon whose link was full took every connection that timed out for a target that can't be reached, and probes were not even excused while its loop was late.

A connection or probe that times out is now no evidence while the loop was late, right after connections that took over half of the time allowed, or while connections begun together to targets of two data centres are late though targets answer. The path is probed again; a second failure within 1 s counts, so that a target that is gone is noticed at the second try. One data centre, and a cut after which nothing is answered, count at once. Suspected cuts have an allowance of probes of their own, so that other doubts don't delay their recognition.

LateProbeTest probes a target that gets no requests, since an answer rightly ends a doubt; it fails before the fix as it did.

--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -44,6 +44,7 @@
         )
         self.hop_server = HopServer(settings, policy, self._sender)
         reachability.prober.on_down = self._sender.close_idle
+        reachability.prober.connecting = self._sender.connecting
         reachability.reporter.count_carried = policy.count_open
 
     async def start(self) -> None:
--- a/cassialever/gateway/path_probe.py
+++ b/cassialever/gateway/path_probe.py
@@ -7,14 +7,16 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
-from cassialever.fleet.connecting import can_connect
+from cassialever.fleet.connecting import CONNECT_TIMEOUT, can_connect
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.gateway.silence_watch import SilenceWatch
+from cassialever.platform.sessions import Connecting
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.paths import TargetPaths
 from cassialever.tasks import BackgroundTasks
@@ -32,6 +34,10 @@
 MAX_NAMED_DAEMONS: Final = 8
 
 
+class _NotConnectedError(Exception):
+    """An address accepted no connection."""
+
+
 class PathProber:
     """Probes paths and tells when this daemon is cut off from targets."""
 
@@ -55,6 +61,8 @@
         self._down: frozenset[TargetId] = frozenset()
         #: Returns whether an address accepts a connection.
         self.can_connect: Callable[[str], Awaitable[bool]] = can_connect
+        #: Returns the context in which an address is connected to.
+        self.connecting: Connecting = contextlib.nullcontext
         #: Called when a path went down or came back.
         self.on_change: Callable[[], None] = _ignore
         #: Called with the address of a target whose path went down.
@@ -113,14 +121,27 @@
         target = self._targets.by_id.get(target_id)
         if target is None:
             return
-        is_connected = await self.can_connect(target.address)
+        begun_at = self._clock.monotonic()
+        is_connected = await self._can_connect(target.address)
         now = self._clock.monotonic()
         if is_connected:
             self._paths.record_probe_success(target_id, now)
-        else:
+        elif now - begun_at < CONNECT_TIMEOUT:
+            # It was refused.
             self._paths.record_failure(target_id, now)
+        else:
+            self._paths.record_timeout(target_id, begun_at, now)
         self._report_changes(now)
 
+    async def _can_connect(self, address: str) -> bool:
+        try:
+            with self.connecting(address):
+                if not await self.can_connect(address):
+                    raise _NotConnectedError
+        except _NotConnectedError:
+            return False
+        return True
+
     def _report_changes(self, now: Seconds) -> None:
         is_cut_off = self._paths.is_cut_off(now)
         changes = self._paths.direct.change_count
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Awaitable, Mapping
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Iterator, Mapping
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    contextmanager,
+)
 from typing import Final
 
 import aiohttp
@@ -23,12 +27,11 @@
 from cassialever.gateway.receiving import AnswerReader
 from cassialever.platform import wire
 from cassialever.platform.sessions import close_idle, open_forwarding_session
-from cassialever.policy.lateness import OwnDelays
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker, TargetLoad
 from cassialever.policy.paths import TargetPaths
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
-from cassialever.types import Seconds, TargetId
+from cassialever.types import DataCentreId, Seconds, TargetId
 
 #: A new connection to a target takes 1 ms; a data centre that is cut off does
 #: not answer at all.
@@ -78,14 +81,14 @@
         self._paths = paths
         self._clock = clock
         self.answers = AnswerReader(loads, limits, clock)
-        self._own_delays = OwnDelays()
-        self._loop_watch = LoopWatch(self._own_delays.lateness)
+        self._loop_watch = LoopWatch(paths.own_delays.lateness)
+        self._data_centre_by_address: dict[str, DataCentreId] = {}
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Open the connection pool."""
         self._session = open_forwarding_session(
-            KEEPALIVE_TIMEOUT, self._loop_watch.watching
+            KEEPALIVE_TIMEOUT, self.connecting
         )
 
     async def stop(self) -> None:
@@ -93,6 +96,25 @@
         if self._session is not None:
             await self._session.close()
 
+    @contextmanager
+    def connecting(self, address: str) -> Iterator[None]:
+        """Measure this daemon's lateness while a connection is made.
+
+        An error that leaves the context shows that it was not made.
+        """
+        link = self._paths.own_delays.link
+        data_centre = self._data_centre_by_address.get(
+            address, DataCentreId('')
+        )
+        connection = link.begin(data_centre, self._clock.monotonic())
+        is_made = False
+        try:
+            with self._loop_watch.watching():
+                yield
+            is_made = True
+        finally:
+            link.end(connection, self._clock.monotonic(), is_made=is_made)
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a target that can't be reached."""
         if self._session is not None:
@@ -146,6 +168,7 @@
         unanswered = self._paths.unanswered
         sent_at = self._clock.monotonic()
         unanswered.record_sent(target_id, request.request_id, sent_at)
+        self._data_centre_by_address[target.address] = target.data_centre
         try:
             async with self._open(request, target, time_left) as response:
                 unanswered.record_end(target_id, request.request_id)
@@ -169,9 +192,10 @@
         now = self._clock.monotonic()
         # A connection that was refused is evidence, however late.
         was_given_up = isinstance(error, aiohttp.ConnectionTimeoutError)
-        if was_given_up and self._own_delays.excuses(target_id, begun_at, now):
+        if not was_given_up:
+            self._paths.record_failure(target_id, now)
+        elif not self._paths.record_timeout(target_id, begun_at, now):
             raise OwnDelayError(str(error)) from error
-        self._paths.record_failure(target_id, now)
 
     def _open(
         self,
--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, TypeAlias
 
 import aiohttp
 
@@ -17,6 +17,11 @@
 #: How long an idle connection is kept by default, as in aiohttp.
 DEFAULT_KEEPALIVE_TIMEOUT_SECONDS: Final = 15.0
 
+#: Returns the context in which a connection to an address is made.
+Connecting: TypeAlias = Callable[
+    [str], contextlib.AbstractContextManager[object]
+]
+
 #: SO_LINGER: on, for 0 s.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
@@ -25,20 +30,21 @@
     """A connection pool that reuses only connections without unread bytes.
 
     aiohttp takes bytes that came while a connection was idle for the answer
-    to the next request on it. Each new connection is made in a context.
+    to the next request on it. Each new connection is made in a context, which
+    is told its address.
     """
 
     def __init__(
         self,
-        connecting: Callable[[], contextlib.AbstractContextManager[None]],
+        connecting: Connecting,
         **options: Any,
     ) -> None:
         super().__init__(**options)
         self._connecting = connecting
 
-    async def _create_connection(self, *arguments: Any) -> Any:
-        with self._connecting():
-            return await super()._create_connection(*arguments)
+    async def _create_connection(self, request: Any, *arguments: Any) -> Any:
+        with self._connecting(f'{request.url.host}:{request.url.port}'):
+            return await super()._create_connection(request, *arguments)
 
     async def _get(
         self, key: Any, traces: list[Any]
@@ -54,9 +60,7 @@
     *,
     disable_retries: bool = False,
     keepalive_timeout: float = DEFAULT_KEEPALIVE_TIMEOUT_SECONDS,
-    connecting: Callable[
-        [], contextlib.AbstractContextManager[None]
-    ] = contextlib.nullcontext,
+    connecting: Connecting = contextlib.nullcontext,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session without a limit of connections.
@@ -97,9 +101,7 @@
 
 def open_forwarding_session(
     keepalive_timeout: float,
-    connecting: Callable[
-        [], contextlib.AbstractContextManager[None]
-    ] = contextlib.nullcontext,
+    connecting: Connecting = contextlib.nullcontext,
 ) -> aiohttp.ClientSession:
     """Return a session that sends requests and answers as they came.
 
--- a/cassialever/policy/direct_paths.py
+++ b/cassialever/policy/direct_paths.py
@@ -114,6 +114,14 @@
             state.is_urgent = True
             state.probe_at = now
 
+    def record_excused(self, target_id: TargetId, now: Seconds) -> None:
+        """Note that a new connection failed by this daemon's own fault.
+
+        The next probe tells, as no failure is excused twice in a row.
+        """
+        self.record_doubt(target_id, now)
+        self._state_by_id[target_id].probe_at = now + FAST_PROBE_INTERVAL
+
     def record_probe_success(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target was opened by a probe."""
         state = self._state_by_id.get(target_id)
@@ -122,7 +130,8 @@
         self._failures_by_id.clear()
         state.successes += 1
         if state.down_since is None or state.successes >= SUCCESSES_UNTIL_UP:
-            self._mark_up(target_id)
+            self._state_by_id.pop(target_id)
+            self.change_count += state.down_since is not None
             return
         state.probe_at = now + FAST_PROBE_INTERVAL
         # The other paths have probably come back too.
@@ -203,11 +212,6 @@
                 self._failures_by_id.pop(target_id, None)
                 self.change_count += 1
 
-    def _mark_up(self, target_id: TargetId) -> None:
-        state = self._state_by_id.pop(target_id)
-        if state.down_since is not None:
-            self.change_count += 1
-
     def _count_failure(
         self, target_id: TargetId, now: Seconds, *, was_down: bool
     ) -> None:
--- a/cassialever/policy/doubts.py
+++ b/cassialever/policy/doubts.py
@@ -18,18 +18,39 @@
 DOUBT_PROBES_PER_S: Final = 1.0
 #: Probes that may follow one another at once, after a time without any.
 DOUBT_PROBE_BURST: Final = 8
-#: Further ones that only a suspected cut of this daemon may use. Later probes
-#: wait until they are made up for.
-CUT_PROBE_RESERVE: Final = 8
+#: Further probes a second, and at once, that only a suspected cut of this
+#: daemon may use, so that other doubts don't delay its recognition.
+CUT_PROBES_PER_S: Final = 4.0
+CUT_PROBE_BURST: Final = 8
+
+
+class _Allowance:
+    """Probes at a rate, and a burst of them after a time without any."""
+
+    def __init__(self, per_s: float, burst: int) -> None:
+        self._per_s = per_s
+        self._burst = burst
+        self._left: float = burst
+        self._counted_at: Seconds = 0
+
+    def try_take(self, now: Seconds) -> bool:
+        """Take one probe; return whether one was left."""
+        gained = self._per_s * max(now - self._counted_at, 0)
+        self._left = min(self._left + gained, self._burst)
+        self._counted_at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
 
 
 class DoubtAllowance:
     """The probes of targets in doubt that a daemon may make now."""
 
     def __init__(self) -> None:
-        """Start with a full burst."""
-        self._left: float = DOUBT_PROBE_BURST
-        self._counted_at: Seconds = 0
+        """Start with full bursts."""
+        self._usual = _Allowance(DOUBT_PROBES_PER_S, DOUBT_PROBE_BURST)
+        self._reserve = _Allowance(CUT_PROBES_PER_S, CUT_PROBE_BURST)
         #: When each target was last probed because of a doubt.
         self._probed_at_by_id: dict[TargetId, Seconds] = {}
 
@@ -42,15 +63,12 @@
         self, target_id: TargetId, now: Seconds, *, is_urgent: bool
     ) -> bool:
         """Take one probe for a target; return whether one was left."""
-        gained = DOUBT_PROBES_PER_S * max(now - self._counted_at, 0)
-        self._left = min(self._left + gained, DOUBT_PROBE_BURST)
-        self._counted_at = now
-        least = -CUT_PROBE_RESERVE if is_urgent else 0
-        if self._left - 1 < least:
-            return False
-        self._left -= 1
-        self._probed_at_by_id[target_id] = now
-        return True
+        is_left = self._usual.try_take(now)
+        if is_urgent and not is_left:
+            is_left = self._reserve.try_take(now)
+        if is_left:
+            self._probed_at_by_id[target_id] = now
+        return is_left
 
     def prune(self, known: Container[TargetId]) -> None:
         """Forget targets that are gone."""
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -9,6 +9,7 @@
 
 from cassialever.interfaces import RandomSource
 from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
+from cassialever.policy.lateness import OwnDelays
 from cassialever.policy.peer_reports import Helper, PeerReports
 from cassialever.policy.silence import UnansweredRequests
 from cassialever.types import DataCentreId, Seconds, TargetId
@@ -24,16 +25,32 @@
         self.direct = DirectPaths()
         self.reports = PeerReports(data_centre, random_source)
         self.unanswered = UnansweredRequests()
+        self.own_delays = OwnDelays()
 
     def record_answer(self, target_id: TargetId, now: Seconds) -> None:
         """Note that bytes came from a target over a direct connection."""
         self.direct.record_answer(target_id, now)
         self.unanswered.record_heard(target_id, now)
+        self.own_delays.link.record_answer(now)
 
     def record_failure(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target failed."""
         self.direct.record_failure(target_id, now)
 
+    def record_timeout(
+        self, target_id: TargetId, begun_at: Seconds, now: Seconds
+    ) -> bool:
+        """Note that a new connection to a target timed out.
+
+        Return whether that is evidence. If this daemon was late itself, the
+        path stays in use and is probed.
+        """
+        if self.own_delays.excuses(target_id, begun_at, now):
+            self.direct.record_excused(target_id, now)
+            return False
+        self.direct.record_failure(target_id, now)
+        return True
+
     def record_probe_success(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target was opened by a probe."""
         self.direct.record_probe_success(target_id, now)
--- a/tests/test_policy_lateness.py
+++ b/tests/test_policy_lateness.py
@@ -17,6 +17,7 @@
 from cassialever.gateway.sender import CONNECT_TIMEOUT, TargetRequest
 from cassialever.policy.lateness import (
     EXCUSE_PERIOD,
+    LATE_LINK_PERIOD,
     MAX_LATE_SHARE,
     LoopLateness,
     OwnDelays,
@@ -162,7 +163,13 @@
         )
 
     async def connect(self, *targets: Target, is_answered: bool) -> set[str]:
-        """Send to all targets at once; return those whose paths are down."""
+        """Send to all targets at once; return those whose paths are down.
+
+        The lateness of the loop and of the first connection don't count.
+        """
+        self.paths.own_delays.lateness = LoopLateness()
+        await self.send()
+        await asyncio.sleep(LATE_LINK_PERIOD)
         answering = asyncio.ensure_future(self.answer(is_answered))
         request = TargetRequest('a1', 'GET', '/x', {}, b'')
         await asyncio.gather(
@@ -229,7 +236,7 @@
             await wait_for_keys(system.gateways[0])
             reachability = system.gateways[0].core.reachability
             reachability.prober.can_connect = connect
-            target_id = TargetId('k0')
+            target_id = TargetId('i0')
             direct = reachability.paths.direct
             direct.record_doubt(target_id, time.monotonic())
             was_down = False
