--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -94,13 +94,4 @@
 
     async def _can_connect(self, address: str) -> bool:
         """Return whether a target accepts a connection in time."""
-        times = self.paths.connect_times
-        limit = times.timeout
-        begun_at = self._clock.monotonic()
-        is_connected = await can_connect(address, limit)
-        now = self._clock.monotonic()
-        if is_connected:
-            times.record_made(now - begun_at)
-        elif now - begun_at >= limit:
-            times.record_timeout(begun_at, now)
-        return is_connected
+        return await can_connect(address, self.paths.connect_times.timeout)
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -35,12 +35,11 @@
 from cassialever.gateway.stop_limit import RESPONSE_MARGIN
 from cassialever.platform import wire
 from cassialever.platform.sessions import close_idle, open_forwarding_session
-from cassialever.policy.lateness import OwnDelays
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker, TargetLoad
 from cassialever.policy.paths import TargetPaths
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
-from cassialever.types import Seconds, TargetId
+from cassialever.types import DataCentreId, Seconds, TargetId
 
 #: How long an idle connection is kept; targets close theirs after 10 s.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 4.0
@@ -91,8 +90,8 @@
         self._paths = paths
         self._clock = clock
         self.answers = AnswerReader(loads, limits, clock)
-        self._own_delays = OwnDelays()
-        self._loop_watch = LoopWatch(self._own_delays.lateness)
+        self._loop_watch = LoopWatch(paths.own_delays.lateness)
+        self._data_centre_by_address: dict[str, DataCentreId] = {}
         self._session: aiohttp.ClientSession | None = None
         #: Returns whether a target has left since it was chosen.
         self.has_left: Callable[[Target], bool] = _never
@@ -102,7 +101,7 @@
     async def start(self) -> None:
         """Open the connection pool."""
         self._session = open_forwarding_session(
-            KEEPALIVE_TIMEOUT, self._connecting, self._check_target
+            KEEPALIVE_TIMEOUT, self.connecting, self._check_target
         )
 
     async def stop(self) -> None:
@@ -110,6 +109,28 @@
         if self._session is not None:
             await self._session.close()
 
+    @contextmanager
+    def connecting(self, address: str) -> Iterator[None]:
+        """Measure this daemon's lateness while a connection is made.
+
+        An error that leaves the context shows that it was not made.
+        """
+        link = self._paths.own_delays.link
+        data_centre = self._data_centre_by_address.get(
+            address, DataCentreId('')
+        )
+        begun_at = self._clock.monotonic()
+        connection = link.begin(data_centre, begun_at)
+        is_made = False
+        try:
+            with self._loop_watch.watching():
+                yield
+            is_made = True
+        finally:
+            now = self._clock.monotonic()
+            link.end(connection, now, is_made=is_made)
+        self._paths.connect_times.record_made(now - begun_at)
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a target that can't be reached."""
         if self._session is not None:
@@ -163,6 +184,7 @@
         self._target.set(target)
         sent_at = self._clock.monotonic()
         self._paths.record_sent(target_id, request.request_id, sent_at)
+        self._data_centre_by_address[target.address] = target.data_centre
         try:
             async with self._open(request, target, time_left) as response:
                 self._paths.unanswered.record_end(target_id, request.request_id)
@@ -174,8 +196,10 @@
         except (asyncio.TimeoutError, WithdrawnError):
             raise
         except (aiohttp.ClientError, OSError):
-            self._paths.record_broken(
-                target_id, target.data_centre, self._clock.monotonic()
+            now = self._clock.monotonic()
+            self._paths.direct.record_doubt(target_id, now)
+            self._paths.exchanges.record_broken(
+                target_id, target.data_centre, now
             )
             raise
         finally:
@@ -187,16 +211,6 @@
         if self.has_left(target):
             raise WithdrawnError(f'{target.target_id} has left')
 
-    @contextmanager
-    def _connecting(self) -> Iterator[None]:
-        """Record how long a connection takes that is made in the context."""
-        begun_at = self._clock.monotonic()
-        with self._loop_watch.watching():
-            yield
-        self._paths.connect_times.record_made(
-            self._clock.monotonic() - begun_at
-        )
-
     def _record_unconnected(
         self, target_id: TargetId, error: Exception, begun_at: Seconds
     ) -> None:
@@ -204,11 +218,10 @@
         now = self._clock.monotonic()
         # A connection that was refused is evidence, however late.
         was_given_up = isinstance(error, aiohttp.ConnectionTimeoutError)
-        if was_given_up and self._own_delays.excuses(target_id, begun_at, now):
+        if not was_given_up:
+            self._paths.record_failure(target_id, now)
+        elif not self._paths.record_timeout(target_id, begun_at, now):
             raise OwnDelayError(str(error)) from error
-        if was_given_up:
-            self._paths.connect_times.record_timeout(begun_at, now)
-        self._paths.record_failure(target_id, now)
 
     def _open(
         self,
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -11,6 +11,7 @@
 from cassialever.policy.connect_times import ConnectTimes
 from cassialever.policy.direct_paths import MIN_FAILED_TARGETS, DirectPaths
 from cassialever.policy.exchange_evidence import ExchangeEvidence
+from cassialever.policy.lateness import OwnDelays
 from cassialever.policy.peer_reports import Helper, PeerReports
 from cassialever.policy.silence import UnansweredRequests
 from cassialever.types import DataCentreId, Seconds, TargetId
@@ -27,6 +28,7 @@
         self.reports = PeerReports(data_centre, random_source)
         self.unanswered = UnansweredRequests()
         self.exchanges = ExchangeEvidence(self.unanswered)
+        self.own_delays = OwnDelays()
         #: Of connections to targets and helpers, all over the own link.
         self.connect_times = ConnectTimes()
 
@@ -42,17 +44,26 @@
         self.direct.record_answer(target_id, now)
         self.exchanges.record_answer()
         self.unanswered.record_heard(target_id, now)
+        self.own_delays.link.record_answer(now)
 
     def record_failure(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target failed."""
         self.direct.record_failure(target_id, now)
 
-    def record_broken(
-        self, target_id: TargetId, data_centre: DataCentreId, now: Seconds
-    ) -> None:
-        """Note that a connection ended after it was made, with no answer."""
-        self.direct.record_doubt(target_id, now)
-        self.exchanges.record_broken(target_id, data_centre, now)
+    def record_timeout(
+        self, target_id: TargetId, begun_at: Seconds, now: Seconds
+    ) -> bool:
+        """Note that a new connection to a target timed out.
+
+        Return whether that is evidence. If this daemon was late itself, the
+        path stays in use and is probed.
+        """
+        self.connect_times.record_timeout(begun_at, now)
+        if self.own_delays.excuses(target_id, begun_at, now):
+            self.direct.record_excused(target_id, now)
+            return False
+        self.direct.record_failure(target_id, now)
+        return True
 
     def record_probe_success(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target was opened by a probe."""
--- a/tests/test_policy_exchange_evidence.py
+++ b/tests/test_policy_exchange_evidence.py
@@ -32,7 +32,7 @@
         """Break an exchange with each of some targets of two data centres."""
         for number, target_id in enumerate(TARGETS[:count]):
             data_centre = THERE if number % 2 else HERE
-            self.paths.record_broken(target_id, data_centre, now)
+            self.paths.exchanges.record_broken(target_id, data_centre, now)
 
     def test_a_daemon_whose_connections_are_reset_is_not_cut_off(self) -> None:
         self.break_exchanges()
@@ -51,7 +51,7 @@
 
     def test_a_lost_data_centre_is_taken_for_a_cut(self) -> None:
         for target_id in TARGETS[:9]:
-            self.paths.record_broken(target_id, THERE, BROKEN_AT)
+            self.paths.exchanges.record_broken(target_id, THERE, BROKEN_AT)
         self.assertFalse(self.paths.is_cut_off(CONFIRMED_AT))
 
     def test_full_targets_are_taken_for_a_cut(self) -> None:
@@ -67,7 +67,7 @@
         self.break_exchanges(count=2)
         self.paths.record_answer(TARGETS[30], BROKEN_AT + 0.1)
         self.break_exchanges(count=2, now=BROKEN_AT + 0.2)
-        self.paths.record_broken(TARGETS[5], HERE, BROKEN_AT + 0.2)
+        self.paths.exchanges.record_broken(TARGETS[5], HERE, BROKEN_AT + 0.2)
         self.assertFalse(self.paths.is_cut_off(CONFIRMED_AT + 0.1))
         self.assertTrue(self.paths.is_cut_off(CONFIRMED_AT + 0.2))
 
@@ -82,8 +82,8 @@
         """What a daemon reports does not wait for reports of others."""
         alone = new_paths()
         for target_id in TARGETS[:3]:
-            alone.record_broken(target_id, HERE, BROKEN_AT)
-        alone.record_broken(TARGETS[3], THERE, BROKEN_AT)
+            alone.exchanges.record_broken(target_id, HERE, BROKEN_AT)
+        alone.exchanges.record_broken(TARGETS[3], THERE, BROKEN_AT)
         self.assertFalse(alone.is_cut_off(CONFIRMED_AT))
         self.assertTrue(alone.failed_without_answer(CONFIRMED_AT))
 
@@ -99,7 +99,7 @@
                 self.paths.record_sent(TARGETS[4], 'a1', now)
                 self.assertFalse(self.paths.is_trial_due(TARGETS[5], now))
                 self.paths.unanswered.record_end(TARGETS[4], 'a1')
-                self.paths.record_broken(TARGETS[4], HERE, now)
+                self.paths.exchanges.record_broken(TARGETS[4], HERE, now)
         self.assertEqual(trials, 5 / TRIAL_INTERVAL)
         self.paths.record_answer(TARGETS[4], now)
         self.assertFalse(self.paths.is_cut_off(now))
