Reproduce a leader whose heartbeats are late

The age of a leader's tables is that at which a heartbeat was sent; the time under way is left out. Where the leader's link is full (packets wait 2.6 s), heartbeats keep coming and say that the tables are young.

--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -82,6 +82,10 @@
         self._free_at_by_part[part] = starts_at + duration
         return starts_at + duration
 
+    def fill_link(self, delay: float) -> None:
+        """Let other traffic hold up what is sent from now on by a delay."""
+        self._free_at_by_part['up'] = self.loop.time() + delay
+
     def send(self, size: int) -> float:
         return self.occupy('up', size / self.bytes_per_second)
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -8,7 +8,7 @@
 from cassialever.fleet.model import TargetState
 from cassialever.types import TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
-from tests.fleet_rig import Rig, RigDaemon, run_scenario
+from tests.fleet_rig import CHECK_INTERVAL, Rig, RigDaemon, run_scenario
 
 #: Daemons, and by when each has a change in force, in seconds.
 DAEMONS = 59
@@ -17,6 +17,8 @@
 MEASURED = 6.0
 #: Seeds of the machines and of all delays; more with RIG_SEEDS=COUNT.
 SEEDS = range(int(os.environ.get('RIG_SEEDS', '2')))
+#: How long packets wait at a link that is full, in seconds.
+FULL_LINK_DELAY = 2.6
 LEAVING = TargetId('t0')
 
 
@@ -36,12 +38,13 @@
         self,
         fault: Callable[[Rig, RigDaemon], Awaitable[None]],
         is_leader_in_touch: bool = True,
+        lead_time: float = 0.02,
     ) -> None:
         """Let a fault begin, then acknowledge both changes at once."""
         for seed in SEEDS:
             run_virtually(
                 lambda loop, seed=seed: self._play(
-                    loop, seed, fault, is_leader_in_touch
+                    loop, seed, fault, is_leader_in_touch, lead_time
                 )
             )
 
@@ -51,11 +54,12 @@
         seed: int,
         fault: Callable[[Rig, RigDaemon], Awaitable[None]],
         is_leader_in_touch: bool,
+        lead_time: float,
     ) -> None:
         async def scenario(rig: Rig) -> None:
             leader = rig.leader()
             fault_task = asyncio.create_task(fault(rig, leader))
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(lead_time)
             rig.configure(9)
             rig.put_target(0, 'draining')
             left_out = None if is_leader_in_touch else leader
@@ -100,6 +104,17 @@
 
         self.play(fault, is_leader_in_touch=False)
 
+    def test_leader_whose_link_is_full(self) -> None:
+        """Its heartbeats keep coming, each of them late."""
+
+        async def fault(rig: Rig, leader: RigDaemon) -> None:
+            for step in range(1200):
+                # The queue grows by half a second in each second.
+                leader.machine.fill_link(min(0.005 * step, FULL_LINK_DELAY))
+                await asyncio.sleep(CHECK_INTERVAL)
+
+        self.play(fault, is_leader_in_touch=False, lead_time=5.0)
+
     def test_leader_whose_tables_are_old(self) -> None:
         """It renews its lease, and its calls for changes are not answered."""
 
