Count the time that a heartbeat is under way

Cause: a leader whose link is full sends heartbeats that arrive late, but keep coming; followers took the age in them for that at their arrival. A link that is full from its first heartbeat on is not noticed.

--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -31,6 +31,9 @@
 #: a follower learns a heartbeat later that they are new again. The rest of the
 #: 2.5 s for a change is for reading it (docs/design/bounds.md).
 MAX_TABLES_AGE: Final[Seconds] = 1.5
+#: Heartbeats are compared with the fastest one of this time, and of as long
+#: before. In it clocks drift apart by 6 ms at 100 parts in a million.
+TRANSIT_PERIOD: Final[Seconds] = 60.0
 
 
 class LinkEnd(enum.Enum):
@@ -44,6 +47,36 @@
     not_leader = 'the peer is not the leader'
 
 
+class TransitTimes:
+    """How much longer than the fastest one each heartbeat was under way.
+
+    The clocks of both ends differ by an unknown time, and run on while a
+    machine is suspended. The least difference is that of the fastest heartbeat
+    of late; older ones are forgotten, since clocks drift apart.
+    """
+
+    def __init__(self) -> None:
+        """Start without a heartbeat."""
+        self._former_least: Seconds = math.inf
+        self._least: Seconds = math.inf
+        self._began_at: Seconds = -math.inf
+
+    def excess(self, pulse: messages.Pulse, now: Seconds) -> Seconds:
+        """Return how long a heartbeat was under way beyond the fastest one.
+
+        It is 0 for a sender that doesn't send its clock.
+        """
+        if not pulse.sent_at:
+            return 0
+        if now - self._began_at > TRANSIT_PERIOD:
+            self._began_at = now
+            self._former_least = self._least
+            self._least = math.inf
+        difference = now - pulse.sent_at
+        self._least = min(self._least, difference)
+        return difference - min(self._least, self._former_least)
+
+
 class LeaderLink:
     """A connection to the leader and the state received over it."""
 
@@ -63,6 +96,7 @@
         #: The age of the leader's tables, as it last reported, and when.
         self._tables_age: Seconds = 0
         self._reported_at: Seconds = 0
+        self._transit = TransitTimes()
         #: Whether the peer's last heartbeat on this link said that it leads.
         self.is_open = False
         #: The leader's address, if a peer that does not lead has reported it.
@@ -86,6 +120,7 @@
         """Follow the daemon at an address until the link ends."""
         self.leader_address = ''
         self.address = address
+        self._transit = TransitTimes()
         self._is_list_confirmed = False
         connected = await connect(address)
         if isinstance(connected, Failure):
@@ -118,7 +153,9 @@
         """Adopt the state that the leader reports."""
         self.store_age = pulse.store_age
         self._tables_age = pulse.tables_age
-        self._reported_at = asyncio.get_running_loop().time()
+        under_way = self._transit.excess(pulse, self.view.targets.clock.boot())
+        now = asyncio.get_running_loop().time()
+        self._reported_at = now - under_way
         self.is_open = pulse.is_leader
         self._confirm_list()
 
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -251,7 +251,7 @@
             self._view.tables_of_other_writers,
         )
         self._relay.ages = lambda: LeaderAges(
-            leader_term.store_age(), follower.age()
+            leader_term.store_age(), follower.age(), self._clock.boot()
         )
         self._view.on_change = self._relay.relay_changes
         tasks = [
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -103,11 +103,13 @@
 
     `store_age` is the time since the sender's lease was last confirmed, and
     `tables_age` the time since its tables were last known to be complete.
+    `sent_at` is the sender's clock; 0 if it is not sent.
     """
 
     is_leader: bool
     store_age: Seconds
     tables_age: Seconds
+    sent_at: Seconds = 0
 
 
 class Farewell(Message, frozen=True, array_like=True, tag=True):
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -39,10 +39,14 @@
 
 
 class LeaderAges(NamedTuple):
-    """How long ago a leader was confirmed, and its tables were complete."""
+    """How long ago a leader was confirmed, and its tables were complete.
+
+    `told_at` is the leader's clock at that moment; 0 if there is no leader.
+    """
 
     store_age: Seconds = 0
     tables_age: Seconds = 0
+    told_at: Seconds = 0
 
 
 CatchUpKey: TypeAlias = tuple[str, RowVersion | None, RowVersion]
--- a/cassialever/fleet/target_registry.py
+++ b/cassialever/fleet/target_registry.py
@@ -15,7 +15,8 @@
 
     def __init__(self, clock: SystemClock) -> None:
         """Start without targets."""
-        self._clock = clock
+        #: The clock of this daemon.
+        self.clock = clock
         self.by_id: dict[TargetId, Target] = {}
         self.by_service: dict[ServiceName, list[Target]] = {}
         #: Data centres whose targets get no new requests.
@@ -33,7 +34,7 @@
         """Add a target, or replace it by its newest report."""
         self._reported_by_id[target.target_id] = target
         self.by_id[target.target_id] = self._with_slot_limit(target)
-        cold_until = self._clock.monotonic() + target.cold_for
+        cold_until = self.clock.monotonic() + target.cold_for
         self._cold_until_by_id[target.target_id] = cold_until
 
     def remove(self, target_id: TargetId) -> bool:
@@ -51,7 +52,7 @@
 
     def mark_cold(self, data_centre: DataCentreId, duration: Seconds) -> None:
         """Treat the targets of a data centre as cold for a duration."""
-        cold_until = self._clock.monotonic() + duration
+        cold_until = self.clock.monotonic() + duration
         for target in self.by_id.values():
             if target.data_centre != data_centre:
                 continue
@@ -84,7 +85,7 @@
     def is_cold(self, target_id: TargetId) -> bool:
         """Return whether a target is still in its cold start."""
         cold_until = self._cold_until_by_id.get(target_id, 0)
-        return self._clock.monotonic() < cold_until
+        return self.clock.monotonic() < cold_until
 
     def _with_slot_limit(self, target: Target) -> Target:
         max_slots = self._max_slots_by_id.get(target.target_id, target.slots)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -304,6 +304,38 @@
             self.assertFalse(link.is_relaying())
             self.assertGreater(link.tables_age(), 0.2)
 
+    async def test_time_under_way_is_part_of_the_age(self) -> None:
+        """Heartbeats keep coming over a full link; clocks differ."""
+        clock = ManualClock(5000.0)
+        view = configured_view(clock, targets=0)
+        link = LeaderLink(view, HELLO)
+        for sent_at, under_way in ((70.0, 0.01), (70.25, 1.2), (70.5, 1.9)):
+            clock.now = 5000.0 + sent_at + under_way
+            link.note_heartbeat(messages.Pulse(True, 0, 0.1, sent_at))
+            self.assertAlmostEqual(link.tables_age(), 0.09 + under_way, 2)
+        self.assertFalse(link.is_relaying())
+        clock.now = 5000.0 + 71.02
+        link.note_heartbeat(messages.Pulse(True, 0, 0.1, 71.0))
+        self.assertTrue(link.is_relaying())
+
+    async def test_earlier_build_does_not_send_its_clock(self) -> None:
+        """Its heartbeats count as before."""
+        clock = ManualClock(5000.0)
+        link = LeaderLink(configured_view(clock, targets=0), HELLO)
+        for _ in range(3):
+            clock.now += 7
+            link.note_heartbeat(messages.Pulse(True, 0, 0.1))
+            self.assertAlmostEqual(link.tables_age(), 0.1, 2)
+
+    async def test_clocks_that_drift_apart_are_no_lateness(self) -> None:
+        """For an hour, one clock gains 100 parts in a million."""
+        clock = ManualClock(5000.0)
+        link = LeaderLink(configured_view(clock, targets=0), HELLO)
+        for step in range(3600 * 4):
+            clock.now = 5000.0 + 0.25 * step * 1.0001
+            link.note_heartbeat(messages.Pulse(True, 0, 0, 70 + 0.25 * step))
+            self.assertLess(link.tables_age(), 0.05)
+
     async def test_leader_with_old_tables_is_not_relaying(self) -> None:
         """Its lease is renewed, so nothing else tells that it is late."""
         link = follower('')
