--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -62,6 +62,11 @@
         logbook.NOTICE,
         'Messages of a type that this build does not know are skipped.',
     )
+    peer_version_changed = (
+        310,
+        logbook.NOTICE,
+        'A peer runs a build with another version of the messages, or did.',
+    )
     link_out_of_step = (
         308,
         logbook.WARNING,
@@ -103,6 +108,11 @@
         logbook.NOTICE,
         'A limit that a target named began, changed or ended.',
     )
+    target_leaving = (
+        524,
+        logbook.NOTICE,
+        'A target said in an answer that it leaves.',
+    )
     data_centre_changed = (522, logbook.NOTICE, 'Data centre states changed.')
 
     cut_off_from_targets = (
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -311,11 +311,11 @@
         link = LeaderLink(view, HELLO)
         for sent_at, under_way in ((70.0, 0.01), (70.25, 1.2), (70.5, 1.9)):
             clock.now = 5000.0 + sent_at + under_way
-            link.note_heartbeat(messages.Pulse(True, 0, 0.1, sent_at))
+            link.note_heartbeat(messages.Pulse(True, 0, 0.1, sent_at=sent_at))
             self.assertAlmostEqual(link.tables_age(), 0.09 + under_way, 2)
         self.assertFalse(link.is_relaying())
         clock.now = 5000.0 + 71.02
-        link.note_heartbeat(messages.Pulse(True, 0, 0.1, 71.0))
+        link.note_heartbeat(messages.Pulse(True, 0, 0.1, sent_at=71.0))
         self.assertTrue(link.is_relaying())
 
     async def test_earlier_build_does_not_send_its_clock(self) -> None:
@@ -333,7 +333,8 @@
         link = LeaderLink(configured_view(clock, targets=0), HELLO)
         for step in range(3600 * 4):
             clock.now = 5000.0 + 0.25 * step * 1.0001
-            link.note_heartbeat(messages.Pulse(True, 0, 0, 70 + 0.25 * step))
+            sent_at = 70 + 0.25 * step
+            link.note_heartbeat(messages.Pulse(True, 0, 0, sent_at=sent_at))
             self.assertLess(link.tables_age(), 0.05)
 
     async def test_leader_with_old_tables_is_not_relaying(self) -> None:
