--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -196,15 +196,19 @@
         except (asyncio.TimeoutError, WithdrawnError):
             raise
         except (aiohttp.ClientError, OSError):
-            now = self._clock.monotonic()
-            self._paths.direct.record_doubt(target_id, now)
-            self._paths.exchanges.record_broken(
-                target_id, target.data_centre, now
-            )
+            self._record_broken(target)
             raise
         finally:
             self._paths.unanswered.record_end(target_id, request.request_id)
 
+    def _record_broken(self, target: Target) -> None:
+        """Record that a connection ended after it was made, unanswered."""
+        now = self._clock.monotonic()
+        self._paths.direct.record_doubt(target.target_id, now)
+        self._paths.exchanges.record_broken(
+            target.target_id, target.data_centre, now
+        )
+
     def _check_target(self) -> None:
         """Raise WithdrawnError if the target may get no request any more."""
         target = self._target.get()
