--- a/tests/test_fleet_permits.py
+++ b/tests/test_fleet_permits.py
@@ -229,6 +229,22 @@
         self.assertLessEqual(most_in_one_second(sent), 1.5 * limit + 1)
         self.assertGreater(len(sent), 0.6 * limit * 2)
 
+    async def test_datagram_without_a_proof_takes_a_target_out(self) -> None:
+        """That a target leaves can't be taken back, unlike a limit."""
+        async with fleet(2) as running:
+            report = LimitReport(TARGET, 1000, 0.0, None, None, 0.0)
+            for socket, view in zip(
+                running.sockets.values(), running.views.values(), strict=True
+            ):
+                target = view.targets.by_id[TARGET]
+                self.assertEqual(target.started_at, 1000)
+                for datagram in (
+                    PermitRequest(TARGET, 1, False, report),
+                    Permits(TARGET, 0.1, 1, 0.1, report),
+                ):
+                    socket.datagram_received(encode(datagram), ('127.0.0.1', 9))
+                    self.assertFalse(view.targets.limits.is_leaving(target))
+
     async def test_nothing_is_sent_without_a_list_of_daemons(self) -> None:
         async with fleet(3) as running:
             for known in running.known.values():
--- a/tests/test_gateway_hop.py
+++ b/tests/test_gateway_hop.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import unittest
 import unittest.mock
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import aiohttp
 import msgspec
@@ -27,6 +28,8 @@
 from cassialever.gateway.outcomes import Attempt, AttemptOutcome
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import HOP_PORT_OFFSET
+from cassialever.policy.connect_times import MIN_TIMEOUT
+from standins.listening import LOOPBACK
 from tests.fleet_helpers import until
 from tests.gateway_helpers import ISSUE_HEADERS, LOOKUP_HEADERS
 from tests.hop_helpers import (
@@ -49,6 +52,11 @@
 LEAVING_BOUND = 0.5
 #: An answer that does not fit into the buffers of sockets.
 LONG_BODY = 64_000_000
+#: An answer that belongs to no request and says that its target leaves.
+STRAY_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n'
+    b'Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok'
+)
 #: What the kernel and the daemons may hold of an answer that is not read.
 MAX_BUFFERED = 24_000_000
 
@@ -101,6 +109,21 @@
         yield Helper('fake', internal), received
 
 
+@contextlib.contextmanager
+def full_target() -> Iterator[str]:
+    """Yield an address that connections hang to."""
+    with contextlib.ExitStack() as stack:
+        full = stack.enter_context(socket.socket())
+        full.bind((LOOPBACK, 0))
+        full.listen(0)
+        for _ in range(3):
+            caller = stack.enter_context(socket.socket())
+            caller.setblocking(False)
+            caller.connect_ex(full.getsockname())
+        host, port = full.getsockname()
+        yield f'{host}:{port}'
+
+
 def nonce_in(head: bytes) -> bytes:
     """Return the nonce of a request, from its head."""
     for line in head.split(b'\r\n'):
@@ -359,6 +382,66 @@
             attempt = await exchange(first, helper_of(helper))
             self.assertIs(attempt.outcome, AttemptOutcome.answered)
 
+    async def test_owner_that_leaves_is_refused_by_the_helper_only(
+        self,
+    ) -> None:
+        """It serves its keys until they have moved, on every path."""
+        async with cut_off_daemon() as (system, first, helper):
+            targets = helper.view.targets
+            targets.limits.record_leaving(
+                targets.by_id['k0'], helper.core.clock.boot()
+            )
+            attempt = await exchange(first, helper_of(helper), 'k0', 'a2')
+            # The key of this request is missing, which its target says.
+            self.assertEqual(len(system.targets[0].work.received_at), 1)
+            self.assertFalse(attempt.is_helper_failure)
+            reply = await ask(first, *LOOKUP)
+            self.assertEqual(reply.status, 200)
+
+    async def test_request_with_a_permit_waits_long_for_a_connection_there(
+        self,
+    ) -> None:
+        """The helper's link is late, and the target cold."""
+        async with cut_off_daemon() as (_, first, helper):
+            times = helper.core.reachability.paths.connect_times
+            for _ in range(20):
+                times.record_made(0.9)
+            self.assertGreater(times.timeout, 2 * MIN_TIMEOUT)
+            helper.view.targets.mark_cold('astana-a', 60)
+            with full_target() as address:
+                readdress(helper, 'i0', address)
+                started_at = time.monotonic()
+                attempt = await exchange(first, helper_of(helper), time_left=3)
+                took = time.monotonic() - started_at
+            self.assertIs(attempt.outcome, AttemptOutcome.not_run)
+            self.assertGreaterEqual(took, MIN_TIMEOUT)
+            self.assertLess(took, 2 * MIN_TIMEOUT)
+
+    async def test_answer_to_another_request_counts_as_said_by_the_target(
+        self,
+    ) -> None:
+        """Directly it counts for nothing either."""
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(STRAY_ANSWER)
+            await writer.drain()
+
+        async with (
+            cut_off_daemon() as (_, first, helper),
+            raw_server(serve) as address,
+        ):
+            readdress(helper, 'i0', address)
+            targets = helper.view.targets
+            target = targets.by_id['i0']
+            named_at = helper.core.clock.boot()
+            targets.limits.record_answer(target, 2.0, named_at, named_at)
+            attempt = await exchange(first, helper_of(helper))
+            self.assertIs(attempt.outcome, AttemptOutcome.unknown)
+            self.assertFalse(targets.limits.is_leaving(target))
+            # It names no limit, which would end the one in force.
+            self.assertEqual(targets.limits.rate_of(target), 2.0)
+
     async def test_service_removed_by_a_later_version(self) -> None:
         async with cut_off_daemon() as (_, first, helper):
             current = helper.view.configuration
@@ -696,6 +779,34 @@
             self.assertEqual(system.targets[0].executed_ids, ['a1'])
 
 
+class LeftMeanwhileTest(unittest.IsolatedAsyncioTestCase):
+    """A target that is taken out after a request was first sent to it."""
+
+    async def test_second_try_reaches_a_target_that_has_left(self) -> None:
+        async with cut_off_daemon() as (system, first, helper):
+            await wait_for_budget(first)
+            paths = set_paths(first, helper_of(helper), up=True)
+            system.targets[0].faults.service_time = 0.8
+            asking = asyncio.create_task(ask(first, *LOOKUP))
+            await until(lambda: system.targets[0].executed_ids)
+            first.view.targets.taken_out.add('k0')
+            paths.is_path_up = False
+            reply = await asyncio.wait_for(asking, 3)
+            self.assertEqual(reply.status, 200)
+            self.assertEqual(len(system.targets[0].work.received_at), 1)
+
+    async def test_next_helper_reaches_a_target_that_has_left(self) -> None:
+        async with cut_off_daemon() as (system, first, helper):
+            refusing = Helper('h', REFUSING_ADDRESS)
+            paths = set_paths(first, refusing, helper_of(helper))
+            paths.record_helper_refusal = lambda *_: (
+                first.view.targets.taken_out.add('i0')
+            )
+            reply = await ask(first, *ISSUE)
+            self.assertEqual(reply.status, 503)
+            self.assertEqual(system.targets[1].work.received_at, [])
+
+
 class RunningWorkGivenUpTest(unittest.IsolatedAsyncioTestCase):
     """A target is at work on a request while its path counts as down."""
 
--- a/tests/test_policy_lateness.py
+++ b/tests/test_policy_lateness.py
@@ -203,6 +203,28 @@
         down = await self.connect(*targets, is_answered=False)
         self.assertEqual(down, {'t1', 't2', 't3'})
 
+    async def test_connection_with_less_than_the_limit_takes_a_path_down(
+        self,
+    ) -> None:
+        """The limit allows for a late link; a permit or a caller does not."""
+        for _ in range(20):
+            self.paths.connect_times.record_made(0.8)
+        limit = self.paths.connect_times.timeout
+        self.assertGreater(limit, MIN_TIMEOUT)
+        late = self.unreached('t1', 'east')
+        for has_permit, time_left in ((True, 2), (False, 0.02)):
+            request = TargetRequest(
+                'a1', 'GET', '/x', {}, b'', has_permit=has_permit
+            )
+            attempt = await self.sender.send(request, late, time_left)
+            assert attempt.failure is not None
+            self.assertIs(attempt.failure.kind, ErrorKind.target_unreachable)
+            now = time.monotonic()
+            self.assertEqual(self.paths.direct.down(now), [])
+            self.assertEqual(self.paths.connect_times.timeout, limit)
+            # A probe has the whole time.
+            self.assertTrue(self.paths.direct.has_probes())
+
     async def test_one_target_that_is_gone_is_a_late_link(self) -> None:
         down = await self.connect(
             self.unreached('t1', 'east'), is_answered=True
