--- a/cassialever/fleet/permits.py
+++ b/cassialever/fleet/permits.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+import msgspec
+
 from cassialever.clock import SystemClock
 from cassialever.fleet.datagrams import (
     DatagramSocket,
@@ -155,5 +157,9 @@
     def _merge(self, report: LimitReport | None, peer: str) -> None:
         if report is None or report.target_id not in self._view.targets.by_id:
             return
-        limit = read_report(report, self._clock.boot())
+        # Datagrams have no proof, and a target that leaves does so for good.
+        limit = read_report(
+            msgspec.structs.replace(report, leaving_age=None),
+            self._clock.boot(),
+        )
         self._view.targets.limits.merge(limit, LimitSource(peer))
