--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -167,10 +167,9 @@
             async with self._sender.open_exchange(
                 target_request, target, time_left
             ) as response:
-                self._sender.answers.record_statements(
-                    target, response, response.status, sent_at
+                return await self._relay(
+                    request, hop, target, response, sent_at
                 )
-                return await self._relay(request, hop, response)
         except EXCHANGE_ERRORS as error:
             attempt = failed_attempt(error)
             return self._reply_unanswered(request, hop, attempt)
@@ -179,14 +178,22 @@
         self,
         request: web.BaseRequest,
         hop: HopRequest,
+        target: Target,
         response: ClientResponse,
+        sent_at: Seconds,
     ) -> web.StreamResponse:
-        """Send a target's answer on; raise if it ends before its head is."""
+        """Send a target's answer on; raise if it ends before its head is.
+
+        `sent_at` is when its request was sent, in boot time.
+        """
         request_id = wire.parse_request_metadata(request.headers).request_id
         if not wire.matches_request(response.headers, request_id):
             close_connection(response)
             attempt = unknown('the answer belongs to another request')
             return self._reply_unanswered(request, hop, attempt)
+        self._sender.answers.record_statements(
+            target, response, response.status, sent_at
+        )
         length = response.content_length
         if length is not None and length <= MAX_WHOLE_BODY:
             body = await read_body(response)
