--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -14,7 +14,12 @@
 from cassialever.gateway.counters import HopCounters
 from cassialever.gateway.duplicates import DuplicateTry, MayDuplicate, never
 from cassialever.gateway.hop_client import HopClient
-from cassialever.gateway.outcomes import Attempt, AttemptOutcome, not_run
+from cassialever.gateway.outcomes import (
+    Attempt,
+    AttemptOutcome,
+    not_run,
+    withdrawn,
+)
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.interfaces import HelperDaemon
 from cassialever.policy.reach import TargetReach
@@ -116,15 +121,20 @@
         deadline: Seconds,
         last: Attempt,
     ) -> Attempt:
-        """Send a request through helpers until one has sent it on."""
+        """Send a request through helpers until one has sent it on.
+
+        A target may leave meanwhile, and then gets no request of this daemon.
+        """
         asked: set[str] = set()
         while len(asked) < MAX_HELPERS:
-            now = self._clock.monotonic()
-            helper = self._next_helper(target, now, asked)
-            if helper is None or deadline - now < MIN_HOP_TIME:
+            if self._sender.has_left(target):
+                return withdrawn(target.target_id)
+            time_left = deadline - self._clock.monotonic()
+            helper = self._next_helper(target, time_left, asked)
+            if helper is None:
                 break
             asked.add(helper.instance_id)
-            last = await self._ask(request, target, helper, deadline - now)
+            last = await self._ask(request, target, helper, time_left)
             if not _was_refused(last):
                 break
         return last
@@ -167,16 +177,24 @@
         )
 
     def _needs_helper(self, target: Target) -> bool:
-        """Return whether a path is down while another daemon's is not."""
+        """Return whether a path is down while another daemon's is not.
+
+        No one's path leads to a target that has left.
+        """
+        if self._sender.has_left(target):
+            return False
         now = self._clock.monotonic()
         if self._reach.paths.is_reachable(target.target_id, now):
             return False
         return bool(self._reach.paths.helpers_for(target.target_id, now))
 
     def _next_helper(
-        self, target: Target, now: Seconds, asked: Container[str]
+        self, target: Target, time_left: Seconds, asked: Container[str]
     ) -> HelperDaemon | None:
         """Return the best helper for a target that was not asked yet."""
+        if time_left < MIN_HOP_TIME:
+            return None
+        now = self._clock.monotonic()
         for helper in self._reach.paths.helpers_for(target.target_id, now):
             if helper.instance_id not in asked:
                 return helper
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -66,3 +66,10 @@
 def not_run(reason: str, kind: ErrorKind = ErrorKind.target_shed) -> Attempt:
     """Return an attempt after which the request has not run."""
     return Attempt(AttemptOutcome.not_run, failure=Failure(kind, reason))
+
+
+def withdrawn(target_id: TargetId) -> Attempt:
+    """Return an attempt that sent nothing, since its target has left."""
+    return msgspec.structs.replace(
+        not_run(f'{target_id} has left', ErrorKind.no_target), is_withdrawn=True
+    )
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -30,6 +30,7 @@
     AttemptOutcome,
     not_run,
     unknown,
+    withdrawn,
 )
 from cassialever.gateway.receiving import AnswerReader
 from cassialever.gateway.stop_limit import RESPONSE_MARGIN
@@ -54,7 +55,7 @@
 
 
 class WithdrawnError(aiohttp.ClientError):
-    """Nothing was sent, since the choice of the target no longer holds."""
+    """Nothing was sent, since the target, which it names, has left."""
 
 
 class TargetRequest(msgspec.Struct, frozen=True):
@@ -185,7 +186,7 @@
         """Raise WithdrawnError if the target may get no request any more."""
         target = self._target.get()
         if self.has_left(target):
-            raise WithdrawnError(f'{target.target_id} has left')
+            raise WithdrawnError(target.target_id)
 
     @contextmanager
     def _connecting(self) -> Iterator[None]:
@@ -295,9 +296,7 @@
             is_own_delay=isinstance(error, OwnDelayError),
         )
     if isinstance(error, WithdrawnError):
-        return msgspec.structs.replace(
-            not_run(str(error), ErrorKind.no_target), is_withdrawn=True
-        )
+        return withdrawn(TargetId(str(error)))
     if isinstance(error, asyncio.TimeoutError):
         return unknown(repr(error), ErrorKind.deadline_passed)
     return unknown(repr(error))
