--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -10,6 +10,7 @@
 from cassialever.gateway.outcomes import Attempt
 from cassialever.gateway.settings import InstanceSettings
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.placing import has_left
 from cassialever.policy.reach import TargetReach
 from cassialever.policy.room import request_capacity
 
@@ -107,7 +108,7 @@
             return _no_target(
                 f'the target is known here as started at {target.started_at}'
             )
-        if not targets.is_usable(target):
+        if has_left(self._view, target):
             return _no_target(
                 f'the target takes no new work ({target.state.value})'
             )
