--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -64,6 +64,15 @@
             )
         return self._usable_target(hop)
 
+    def needs_permit(self, target: Target) -> bool:
+        """Return whether a target gets requests with a permit only.
+
+        The daemon that passes a request on has used one.
+        """
+        targets = self._view.targets
+        is_limited = targets.limits.rate_of(target) is not None
+        return is_limited or targets.is_cold(target.target_id)
+
     def count_open(self) -> int:
         """Return the number of requests that are carried now."""
         return self.open_requests
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -160,7 +160,12 @@
         if body is None or time_left <= 0:
             late = Failure(ErrorKind.deadline_passed, 'no time was left')
             return self._refuse(request, hop, late)
-        target_request = _target_request(request.headers, hop, body)
+        target_request = _target_request(
+            request.headers,
+            hop,
+            body,
+            has_permit=self._policy.needs_permit(target),
+        )
         self._policy.count_carried()
         sent_at = self._clock.boot()
         try:
@@ -275,7 +280,11 @@
 
 
 def _target_request(
-    headers: Mapping[str, str], hop: HopRequest, body: bytes
+    headers: Mapping[str, str],
+    hop: HopRequest,
+    body: bytes,
+    *,
+    has_permit: bool,
 ) -> TargetRequest:
     forwarded = wire.end_to_end_headers(headers, HOP_HEADERS)
     return TargetRequest(
@@ -284,6 +293,7 @@
         hop.raw_path,
         CIMultiDict(forwarded),
         body,
+        has_permit=has_permit,
     )
 
 
