--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -163,14 +163,20 @@
         target_id = target.target_id
         self._target.set(target)
         sent_at = self._clock.monotonic()
+        connect_time = self._connect_time(request, time_left)
+        is_short = connect_time < self._paths.connect_times.timeout
         self._paths.record_sent(target_id, request.request_id, sent_at)
         try:
-            async with self._open(request, target, time_left) as response:
+            async with self._open(
+                request, target, time_left, connect_time
+            ) as response:
                 self._paths.unanswered.record_end(target_id, request.request_id)
                 self._paths.record_answer(target_id, self._clock.monotonic())
                 yield response
         except CONNECT_ERRORS as error:
-            self._record_unconnected(target_id, error, sent_at)
+            self._record_unconnected(
+                target_id, error, sent_at, is_short=is_short
+            )
             raise
         except (asyncio.TimeoutError, WithdrawnError):
             raise
@@ -199,32 +205,50 @@
         )
 
     def _record_unconnected(
-        self, target_id: TargetId, error: Exception, begun_at: Seconds
+        self,
+        target_id: TargetId,
+        error: Exception,
+        begun_at: Seconds,
+        *,
+        is_short: bool,
     ) -> None:
-        """Record a failed connection; raise OwnDelayError if it is excused."""
+        """Record a failed connection; raise OwnDelayError if it is excused.
+
+        One that had less time than late links need is a reason to probe.
+        """
         now = self._clock.monotonic()
         # A connection that was refused is evidence, however late.
         was_given_up = isinstance(error, aiohttp.ConnectionTimeoutError)
         if was_given_up and self._own_delays.excuses(target_id, begun_at, now):
             raise OwnDelayError(str(error)) from error
+        if was_given_up and is_short:
+            self._paths.direct.record_doubt(target_id, now)
+            return
         if was_given_up:
             self._paths.connect_times.record_timeout(begun_at, now)
         self._paths.record_failure(target_id, now)
 
+    def _connect_time(
+        self, request: TargetRequest, time_left: Seconds
+    ) -> Seconds:
+        """Return how long a request may wait for a new connection."""
+        limit = self._paths.connect_times.timeout_for(
+            has_permit=request.has_permit
+        )
+        return min(limit, time_left)
+
     def _open(
         self,
         request: TargetRequest,
         target: Target,
         time_left: Seconds,
+        connect_time: Seconds,
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         if self._session is None:
             raise aiohttp.ClientConnectionError('not started')
-        connect_timeout = self._paths.connect_times.timeout_for(
-            has_permit=request.has_permit
-        )
         timeout = aiohttp.ClientTimeout(
             total=time_left + RESPONSE_MARGIN,
-            connect=min(connect_timeout, time_left),
+            connect=connect_time,
             # By default aiohttp rounds timeouts above 5 s up to full seconds.
             ceil_threshold=math.inf,
         )
