--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -4,7 +4,10 @@
 import unittest
 from unittest import mock
 
+from cassialever.errors import ErrorKind, Failure
+from cassialever.fleet import lease as leases
 from cassialever.fleet import membership
+from cassialever.fleet.election import Election
 from cassialever.fleet.following_leader import LeaderLink
 from cassialever.fleet.membership import (
     MAX_ELECTION_DELAY,
@@ -13,6 +16,7 @@
 )
 from cassialever.fleet.messages import Hello
 from cassialever.fleet.relay import Relay
+from cassialever.platform.rows import Rows
 from tests.fleet_helpers import ManualClock, configured_view
 
 PEERS = 59
@@ -88,5 +92,29 @@
         self.fail('no daemon leaves the leader')
 
 
+class ElectionTest(unittest.IsolatedAsyncioTestCase):
+    """What a daemon learns of the holder of the lease."""
+
+    async def test_holder_of_an_earlier_attempt_is_followed(self) -> None:
+        """The store does not answer the next attempt."""
+        view = configured_view(ManualClock(), targets=0)
+        held = leases.Lease('edge-2', 1, 10.0)
+        row = mock.Mock()
+        store = mock.Mock()
+        store.read = mock.AsyncMock(
+            side_effect=[
+                Rows((row,), 1, 10.1),
+                Failure(ErrorKind.table_unavailable, 'no answer'),
+            ]
+        )
+        own = Hello('edge-1', 1, '10.1.0.1:7', {})
+        election = Election(store, view, own, ManualClock())
+        with mock.patch.object(leases, 'find_lease', return_value=(held, 1)):
+            self.assertIsNone(await election.attempt())
+            self.assertEqual(election.holder_id, 'edge-2')
+            self.assertIsNone(await election.attempt())
+        self.assertEqual(election.holder_id, '')
+
+
 if __name__ == '__main__':
     unittest.main()
