--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -31,11 +31,11 @@
 
     async def attempt(self) -> LeaderTerm | None:
         """Take over the lease; return the new term, or None on failure."""
+        self.holder_id = ''
         lease_table = await self._store.read(leases.LEASE_TABLE)
         if isinstance(lease_table, Failure):
             return None
         lease, lease_version = leases.find_lease(lease_table.rows)
-        self.holder_id = ''
         if not self._may_take_over(lease, lease_table.store_time):
             self.holder_id = lease.instance_id if lease else ''
             return None
