--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -10,6 +10,7 @@
 from cassialever.gateway.outcomes import Attempt
 from cassialever.gateway.settings import InstanceSettings
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.placing import has_left
 from cassialever.policy.reach import TargetReach
 from cassialever.policy.room import request_capacity
 
@@ -63,6 +64,15 @@
             )
         return self._usable_target(hop)
 
+    def needs_permit(self, target: Target) -> bool:
+        """Return whether a target gets requests with a permit only.
+
+        The daemon that passes a request on has used one.
+        """
+        targets = self._view.targets
+        is_limited = targets.limits.rate_of(target) is not None
+        return is_limited or targets.is_cold(target.target_id)
+
     def count_open(self) -> int:
         """Return the number of requests that are carried now."""
         return self.open_requests
@@ -107,7 +117,7 @@
             return _no_target(
                 f'the target is known here as started at {target.started_at}'
             )
-        if not targets.is_usable(target):
+        if has_left(self._view, target):
             return _no_target(
                 f'the target takes no new work ({target.state.value})'
             )
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -160,17 +160,21 @@
         if body is None or time_left <= 0:
             late = Failure(ErrorKind.deadline_passed, 'no time was left')
             return self._refuse(request, hop, late)
-        target_request = _target_request(request.headers, hop, body)
+        target_request = _target_request(
+            request.headers,
+            hop,
+            body,
+            has_permit=self._policy.needs_permit(target),
+        )
         self._policy.count_carried()
         sent_at = self._clock.boot()
         try:
             async with self._sender.open_exchange(
                 target_request, target, time_left
             ) as response:
-                self._sender.answers.record_statements(
-                    target, response, response.status, sent_at
+                return await self._relay(
+                    request, hop, target, response, sent_at
                 )
-                return await self._relay(request, hop, response)
         except EXCHANGE_ERRORS as error:
             attempt = failed_attempt(error)
             return self._reply_unanswered(request, hop, attempt)
@@ -179,14 +183,22 @@
         self,
         request: web.BaseRequest,
         hop: HopRequest,
+        target: Target,
         response: ClientResponse,
+        sent_at: Seconds,
     ) -> web.StreamResponse:
-        """Send a target's answer on; raise if it ends before its head is."""
+        """Send a target's answer on; raise if it ends before its head is.
+
+        `sent_at` is when its request was sent, in boot time.
+        """
         request_id = wire.parse_request_metadata(request.headers).request_id
         if not wire.matches_request(response.headers, request_id):
             close_connection(response)
             attempt = unknown('the answer belongs to another request')
             return self._reply_unanswered(request, hop, attempt)
+        self._sender.answers.record_statements(
+            target, response, response.status, sent_at
+        )
         length = response.content_length
         if length is not None and length <= MAX_WHOLE_BODY:
             body = await read_body(response)
@@ -268,7 +280,11 @@
 
 
 def _target_request(
-    headers: Mapping[str, str], hop: HopRequest, body: bytes
+    headers: Mapping[str, str],
+    hop: HopRequest,
+    body: bytes,
+    *,
+    has_permit: bool,
 ) -> TargetRequest:
     forwarded = wire.end_to_end_headers(headers, HOP_HEADERS)
     return TargetRequest(
@@ -277,6 +293,7 @@
         hop.raw_path,
         CIMultiDict(forwarded),
         body,
+        has_permit=has_permit,
     )
 
 
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -30,6 +30,7 @@
     AttemptOutcome,
     not_run,
     unknown,
+    withdrawn,
 )
 from cassialever.gateway.receiving import AnswerReader
 from cassialever.gateway.stop_limit import RESPONSE_MARGIN
@@ -53,7 +54,7 @@
 
 
 class WithdrawnError(aiohttp.ClientError):
-    """Nothing was sent, since the choice of the target no longer holds."""
+    """Nothing was sent, since the target, which it names, has left."""
 
 
 class TargetRequest(msgspec.Struct, frozen=True):
@@ -183,15 +184,21 @@
         target_id = target.target_id
         self._target.set(target)
         sent_at = self._clock.monotonic()
+        connect_time = self._connect_time(request, time_left)
+        is_short = connect_time < self._paths.connect_times.timeout
         self._paths.record_sent(target_id, request.request_id, sent_at)
         self._data_centre_by_address[target.address] = target.data_centre
         try:
-            async with self._open(request, target, time_left) as response:
+            async with self._open(
+                request, target, time_left, connect_time
+            ) as response:
                 self._paths.unanswered.record_end(target_id, request.request_id)
                 self._paths.record_answer(target_id, self._clock.monotonic())
                 yield response
         except CONNECT_ERRORS as error:
-            self._record_unconnected(target_id, error, sent_at)
+            self._record_unconnected(
+                target_id, error, sent_at, is_short=is_short
+            )
             raise
         except (asyncio.TimeoutError, WithdrawnError):
             raise
@@ -213,34 +220,53 @@
         """Raise WithdrawnError if the target may get no request any more."""
         target = self._target.get()
         if self.has_left(target):
-            raise WithdrawnError(f'{target.target_id} has left')
+            raise WithdrawnError(target.target_id)
 
     def _record_unconnected(
-        self, target_id: TargetId, error: Exception, begun_at: Seconds
+        self,
+        target_id: TargetId,
+        error: Exception,
+        begun_at: Seconds,
+        *,
+        is_short: bool,
     ) -> None:
-        """Record a failed connection; raise OwnDelayError if it is excused."""
+        """Record a failed connection; raise OwnDelayError if it is excused.
+
+        One that had less time than late links need is a reason to probe.
+        """
         now = self._clock.monotonic()
         # A connection that was refused is evidence, however late.
         was_given_up = isinstance(error, aiohttp.ConnectionTimeoutError)
         if not was_given_up:
             self._paths.record_failure(target_id, now)
-        elif not self._paths.record_timeout(target_id, begun_at, now):
+            return
+        if is_short:
+            self._paths.direct.record_doubt(target_id, now)
+            return
+        if not self._paths.record_timeout(target_id, begun_at, now):
             raise OwnDelayError(str(error)) from error
 
+    def _connect_time(
+        self, request: TargetRequest, time_left: Seconds
+    ) -> Seconds:
+        """Return how long a request may wait for a new connection."""
+        limit = self._paths.connect_times.timeout_for(
+            has_permit=request.has_permit
+        )
+        return min(limit, time_left)
+
     def _open(
         self,
         request: TargetRequest,
         target: Target,
         time_left: Seconds,
+        connect_time: Seconds,
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         if self._session is None:
             raise aiohttp.ClientConnectionError('not started')
-        connect_timeout = self._paths.connect_times.timeout_for(
-            has_permit=request.has_permit
-        )
         timeout = aiohttp.ClientTimeout(
             total=time_left + RESPONSE_MARGIN,
-            connect=min(connect_timeout, time_left),
+            connect=connect_time,
             # By default aiohttp rounds timeouts above 5 s up to full seconds.
             ceil_threshold=math.inf,
         )
@@ -312,9 +338,7 @@
             is_own_delay=isinstance(error, OwnDelayError),
         )
     if isinstance(error, WithdrawnError):
-        return msgspec.structs.replace(
-            not_run(str(error), ErrorKind.no_target), is_withdrawn=True
-        )
+        return withdrawn(TargetId(str(error)))
     if isinstance(error, asyncio.TimeoutError):
         return unknown(repr(error), ErrorKind.deadline_passed)
     return unknown(repr(error))
