Keep the keys of a last owner that leaves while it serves

Callers were refused (503, the key moves to another owner) from the moment at which the only target of a keyed service said that it leaves: its keys were released with no target to get them.

An owner that says that it leaves now counts as unusable only if another target may get its keys, or once it gets no new requests at all (1.2 s after its statement).

--- a/cassialever/keys/candidates.py
+++ b/cassialever/keys/candidates.py
@@ -50,11 +50,18 @@
         return eligible if now >= self._settled_at else []
 
     def is_disqualified(self, owner: TargetId, started_at: int) -> bool:
-        """Return whether an owner is gone, unusable or has restarted."""
-        target = self._view.targets.by_id.get(owner)
-        if target is None or not self._view.targets.is_usable(target):
+        """Return whether an owner is gone, unusable or has restarted.
+
+        One that says that it leaves, and still serves its keys, is unusable
+        only if another target may get them.
+        """
+        targets = self._view.targets
+        target = targets.by_id.get(owner)
+        if target is None or target.started_at != started_at:
+            return True
+        if not targets.is_usable_owner(target):
             return True
-        return target.started_at != started_at
+        return not targets.is_usable(target) and bool(self.eligible())
 
 
 def _target_id(target: Target) -> TargetId:
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -7,6 +7,7 @@
 from typing import Any
 from unittest import mock
 
+from cassialever.fleet.target_registry import MAX_OWNER_LEAVING_TIME
 from cassialever.gateway.application import Gateway
 from cassialever.platform import sessions
 from standins.keyed_target import TargetServer
@@ -184,6 +185,28 @@
             self.assertGreater(statuses.count(200) / len(statuses), 0.95)
 
 
+class LastOwnerTest(LeavingCase):
+    """The only target of a keyed service says that it leaves."""
+
+    retries = False
+
+    async def test_keys_stay_with_the_last_owner_while_it_serves(self) -> None:
+        async with deployment(keyed=1, gateways=3) as system:
+            for gateway in system.gateways:
+                await wait_for_keys(gateway)
+            leaving = system.targets[0]
+            leaving.faults.says_leaving = True
+            statuses = await self.send_for(
+                system.gateways, MAX_OWNER_LEAVING_TIME / 2, '/lookup/'
+            )
+            self.assertEqual(set(statuses), {200})
+            await self.send_for(system.gateways, DRAIN_TIME, '/lookup/')
+            ran = len(leaving.executed_ids)
+            statuses = await self.send_for(system.gateways, 0.5, '/lookup/')
+            self.assertEqual(len(leaving.executed_ids), ran)
+            self.assertEqual(set(statuses), {503})
+
+
 class ChosenBeforeTest(LeavingCase):
     """Requests that wait while their target leaves are not sent to it."""
 
