Read the store twice a second at most without a leader

Cause: a daemon without a leader in time reads each table again 0.05 s after each change. Beside a release and moves of keys that is ten calls a second for each table and each daemon, and whole key maps each time, over the link and the processor that are short then.

Change: it pauses for 0.5 s after a change (DIRECT_BATCH_DELAY). The leader, one of the fleet, keeps 0.05 s. The first reading is not delayed.

--- a/cassialever/fleet/direct.py
+++ b/cassialever/fleet/direct.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Collection
+from typing import Final
 
 from cassialever.events import Event, record
 from cassialever.fleet.following import StoreFollower
@@ -11,6 +12,11 @@
 from cassialever.platform.store import StoreClient
 from cassialever.types import Seconds
 
+#: Delay after a change. All daemons may follow the store at the same time, so
+#: that each reads a table that changes all the time twice a second
+#: (docs/design/bounds.md).
+DIRECT_BATCH_DELAY: Final[Seconds] = 0.5
+
 
 class DirectFollower:
     """A daemon's fallback to the store's tables while it has no leader."""
@@ -54,6 +60,7 @@
             self._view,
             self._random,
             self._view.tables,
+            DIRECT_BATCH_DELAY,
         )
         self._follower = follower
         self._begins_at = asyncio.get_running_loop().time() + delay
--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -28,9 +28,14 @@
         view: FleetView,
         random_source: RandomSource,
         tables: tuple[str, ...],
+        batch_delay: Seconds = BATCH_DELAY,
     ) -> None:
-        """Start with no table followed."""
+        """Start with no table followed.
+
+        `batch_delay` is the pause after an answer with changes.
+        """
         self._tables = tables
+        self._batch_delay = batch_delay
         self._store = store
         self._view = view
         self._random = random_source
@@ -94,7 +99,7 @@
         self._view.apply(table, changed.rows, changed.version)
         if changed.rows:
             self._complete_at_by_table[table] = called_at
-            await asyncio.sleep(BATCH_DELAY)
+            await asyncio.sleep(self._batch_delay)
             return None
         # The store answers as soon as there is a change, so an empty answer
         # tells that there was none while it waited.
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from cassialever.fleet import connecting, following, following_leader
+from cassialever.fleet import connecting, direct, following
+from cassialever.fleet import following_leader
 from cassialever.fleet import lease, membership, relay
 from cassialever.gateway import application, connections
 from cassialever.keys import assignments
@@ -106,6 +107,14 @@
             **READ,
         },
     ),
+    'change, each daemon follows the store': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'DIRECT_BATCH_DELAY': direct.DIRECT_BATCH_DELAY,
+            'slow answer': SLOW_ANSWER,
+            **READ,
+        },
+    ),
     'age of tables that are relayed in time': BoundSum(
         following_leader.MAX_TABLES_AGE,
         {
@@ -217,6 +226,9 @@
     def test_change_beside_the_loss_of_a_leader_with_old_tables(self) -> None:
         self.check('change, leader with old tables lost')
 
+    def test_change_while_each_daemon_follows_the_store(self) -> None:
+        self.check('change, each daemon follows the store')
+
     def test_age_of_a_leader_in_time(self) -> None:
         self.check('age of tables that are relayed in time')
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -19,6 +19,9 @@
 SEEDS = range(int(os.environ.get('RIG_SEEDS', '2')))
 #: How long packets wait at a link that is full, in seconds.
 FULL_LINK_DELAY = 2.6
+#: Calls to the store by each daemon that follows it, in a second: one for a
+#: table at rest, two for each of the two that change, and a margin.
+MAX_CALLS_PER_DAEMON = 6
 LEAVING = TargetId('t0')
 
 
@@ -132,5 +135,36 @@
         self.play(fault)
 
 
+class StoreCallsTest(unittest.TestCase):
+    """How often a fleet reads the store that every daemon follows."""
+
+    def test_daemons_that_follow_the_store_read_it_seldom(self) -> None:
+        """Targets and keys change, and the leader's link is full for 12 s."""
+        for seed in SEEDS:
+            run_virtually(lambda loop, seed=seed: self._play(loop, seed))
+
+    async def _play(self, loop: VirtualLoop, seed: int) -> None:
+        async def scenario(rig: Rig) -> None:
+            changing = asyncio.create_task(self._change_keys(rig))
+            machine = rig.leader().machine
+            before = 0
+            for step in range(1200):
+                machine.fill_link(min(0.005 * step, FULL_LINK_DELAY))
+                await asyncio.sleep(CHECK_INTERVAL)
+                if step == 500:
+                    before = sum(one.store.calls for one in rig.daemons)
+            changing.cancel()
+            calls = sum(one.store.calls for one in rig.daemons) - before
+            print(f'{self.id()} {seed}: {calls} calls in 7 s')
+            self.assertLess(calls, MAX_CALLS_PER_DAEMON * 7 * DAEMONS)
+
+        await run_scenario(loop, seed, scenario, DAEMONS)
+
+    async def _change_keys(self, rig: Rig) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            rig.put('cassialever', 'changing', {})
+
+
 if __name__ == '__main__':
     unittest.main()
