Replace a leader without the store sooner, by a daemon that reaches it

Cause: each follower drew with a chance of 1 in 59 each 0.2 s, and those with slow links, 49 of 59, not for another 2 s. Then all drew alike. The draws of those that did not reach the store themselves were lost.

Change: the chance doubles every 0.2 s, for slow links from a 50th. Only daemons for which the store answers draw.

The test set-up of the older ones now says that the daemons reach the store.

--- a/cassialever/fleet/direct.py
+++ b/cassialever/fleet/direct.py
@@ -47,6 +47,10 @@
         """Return whether the store is followed and answers for all tables."""
         return self.is_running and not self._failing_tables
 
+    def reaches(self, table: str) -> bool:
+        """Return whether the store is followed and answers for a table."""
+        return self.is_running and table not in self._failing_tables
+
     def age(self) -> Seconds:
         """Return the time since all tables were known to be complete."""
         return math.inf if self._follower is None else self._follower.age()
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -51,9 +51,14 @@
 #: targets and a thousand routes takes such a link 0.2 s for each follower.
 SLOW_LINK_MBPS: Final = 20.0
 #: How often a daemon with a slow link tries to replace a cut-off leader, as
-#: a share of how often others try. If the fleet has slow links only, no
-#: other daemon tries, so the share applies only for another CUT_OFF_TIMEOUT.
+#: a share of how often others try.
 SLOW_LINK_SHARE: Final = 0.02
+#: Time in which daemons become twice as likely to try to replace a cut-off
+#: leader. How many can is not known: most may have slow links, or be cut off
+#: from the store too.
+REPLACEMENT_DOUBLING_TIME: Final[Seconds] = 0.2
+#: Doublings after which every daemon of a large fleet of slow links tries.
+MAX_REPLACEMENT_DOUBLINGS: Final = 20
 #: Time from detecting the loss of a leader until there usually is a new one;
 #: after it the store is followed directly, and sooner if the tables are older
 #: than MAX_TABLES_AGE before.
@@ -327,19 +332,15 @@
     def _leave_cut_off_leader(self) -> None:
         """Disconnect from a leader that is cut off from the store.
 
-        Each daemon draws at random whether to do so, so that about one at a
-        time tries to replace the leader.
+        Each daemon that reaches the store draws at random whether to do so.
         """
         leader = self._view.leader
         has_successor = leader and leader[0].address != self.link.address
-        is_within_grace = self.link.store_age < 2 * CUT_OFF_TIMEOUT
-        has_slow_link = self.election_delay > MAX_ELECTION_DELAY / 2
-        share = 1.0
-        if is_within_grace and has_slow_link:
-            share = SLOW_LINK_SHARE
+        share = replacement_share(self.link.store_age, self.election_delay)
         is_chosen = self._random.random() * len(self.peers()) < share
-        has_timed_out = self.link.store_age > CUT_OFF_TIMEOUT
-        if has_successor or (is_chosen and has_timed_out):
+        if has_successor or (
+            is_chosen and self._direct_follower.reaches(OWN_TABLE)
+        ):
             self.link.disconnect()
 
 
@@ -389,6 +390,19 @@
     return fallback_delay(link.tables_age())
 
 
+def replacement_share(store_age: Seconds, delay: Seconds) -> float:
+    """Return how many daemons try to replace a cut-off leader at one check.
+
+    It is their number if all reach the store and have the same election delay.
+    """
+    cut_off_for = store_age - CUT_OFF_TIMEOUT
+    if cut_off_for <= 0:
+        return 0
+    doublings = cut_off_for / REPLACEMENT_DOUBLING_TIME
+    share = 2 ** min(doublings, MAX_REPLACEMENT_DOUBLINGS)
+    return share * SLOW_LINK_SHARE if delay > MAX_ELECTION_DELAY / 2 else share
+
+
 def election_delay(link_mbps: float) -> Seconds:
     """Return how long a candidate waits before it tries to lead.
 
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -22,8 +22,13 @@
 PEERS = 59
 
 
-def member(link_mbps: float, seed: int) -> Membership:
-    """Return a follower whose leader has long been cut off from the store."""
+def member(
+    link_mbps: float, seed: int, *, reaches_store: bool = True
+) -> Membership:
+    """Return a follower whose leader has long been cut off from the store.
+
+    It follows the store itself.
+    """
     view = configured_view(ManualClock(), targets=0)
     own = Hello(f'edge-{seed}', 1, f'10.1.0.{seed}:7', {})
     link = LeaderLink(view, own)
@@ -38,6 +43,8 @@
         random.Random(seed),
     )
     daemon.election_delay = election_delay(link_mbps)
+    daemon._direct_follower = mock.Mock()
+    daemon._direct_follower.reaches.return_value = reaches_store
     return daemon
 
 
@@ -82,6 +89,49 @@
                 has_left = has_left or disconnect.called
         self.assertLess(draws, 6)
 
+    def test_few_fast_links_replace_a_cut_off_leader_soon(self) -> None:
+        """Four of 59; the other fast ones are cut off from the store too."""
+        in_time = 0
+        fast_first = 0
+        for trial in range(40):
+            daemons = [
+                member(
+                    200 if number < 10 else 10,
+                    100 * trial + number,
+                    reaches_store=6 <= number < 10 or number >= 25,
+                )
+                for number in range(PEERS)
+            ]
+            age = membership.CUT_OFF_TIMEOUT + membership.WATCH_INTERVAL / 2
+            first = None
+            while first is None:
+                age += membership.WATCH_INTERVAL
+                first = self.first_of_a_draw(daemons, age)
+            in_time += age < membership.CUT_OFF_TIMEOUT + 1.5
+            fast_first += first < 10
+        self.assertEqual(in_time, 40)
+        self.assertGreater(fast_first, 25)
+
+    def test_daemon_without_the_store_stays_with_a_cut_off_leader(self) -> None:
+        """It could not take over, and would have to find the leader again."""
+        daemons = [
+            member(200, number, reaches_store=False) for number in range(PEERS)
+        ]
+        for age in (3 * membership.CUT_OFF_TIMEOUT, 3600):
+            self.assertIsNone(self.first_of_a_draw(daemons, age))
+
+    def first_of_a_draw(
+        self, daemons: list[Membership], store_age: float
+    ) -> int | None:
+        """Return which daemon leaves a leader without the store, if any."""
+        for number, daemon in enumerate(daemons):
+            daemon.link.store_age = store_age
+            with mock.patch.object(daemon.link, 'disconnect') as disconnect:
+                daemon._leave_cut_off_leader()
+            if disconnect.called:
+                return number
+        return None
+
     def first_to_leave(self, daemons: list[Membership]) -> int:
         for _ in range(500):
             for number, daemon in enumerate(daemons):
