Let a leader give way only where a part of the others reach more

Of the fast daemons that left the leader without the store, three (at 19.4, 20.0 and 20.2 s) did not take over and followed it again, and of seven later leaders four handed over within 3 s.

Cause: a daemon gave way if a single other one missed less than half as many targets. When a fifth of 150 targets go down at once, each daemon misses those that it has tried, 3 to 15 in 2 s, different ones, so that most do not list them; the one with the fewest requests misses the fewest. That the fast daemons gave way for this is suspected: it is not logged.

Change: a quarter of the others must miss less than half as many.

Test: failed before (eight daemons that miss eight targets each and one that misses one: it gave way).

--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Container
+from typing import Final
 
 from cassialever.interfaces import RandomSource
 from cassialever.policy.connect_times import ConnectTimes
@@ -16,6 +17,9 @@
 from cassialever.policy.silence import UnansweredRequests
 from cassialever.types import DataCentreId, Seconds, TargetId
 
+#: Share of the daemons that must reach more targets before one gives way.
+BETTER_SHARE: Final = 0.25
+
 
 class TargetPaths:
     """The direct paths to all targets, and who reaches which target."""
@@ -153,25 +157,25 @@
     def misses_many_alone(self, now: Seconds) -> bool:
         """Return whether this daemon misses several targets that others reach.
 
-        The daemon that reaches more must miss less than half as many, so that
-        of daemons with like faults none gives way to another.
+        A part of the others must miss less than half as many, so that of
+        daemons with like faults none gives way to another. A single one does
+        not do: when many targets crash, each daemon misses those that it has
+        tried, and one with few requests misses the fewest.
         """
-        least = min(
-            (
-                len(report.unreachable)
-                for report in self.reports.reaching(now)
-                if not report.is_stopping
-            ),
-            default=None,
+        counts = sorted(
+            len(report.unreachable)
+            for report in self.reports.reaching(now)
+            if not report.is_stopping
         )
-        if least is None:
+        if not counts:
             return False
         missed = [
             target_id
             for target_id in self.direct.down(now)
             if not self.is_confirmed_unreachable(target_id, now)
         ]
-        return len(missed) >= max(MIN_FAILED_TARGETS, 2 * least + 1)
+        usual = counts[int(len(counts) * BETTER_SHARE)]
+        return len(missed) >= max(MIN_FAILED_TARGETS, 2 * usual + 1)
 
     def prune(self, known: Container[TargetId], now: Seconds) -> None:
         """Forget targets that are gone and what has expired."""
--- a/tests/test_policy_paths.py
+++ b/tests/test_policy_paths.py
@@ -399,6 +399,20 @@
             paths.reports.record(report(f'd{number}', unreachable=crashed))
         self.assertFalse(paths.should_yield(10.2))
 
+    def test_no_daemon_gives_way_while_each_misses_other_crashed_targets(
+        self,
+    ) -> None:
+        """Each has tried other ones of many, and one daemon hardly any."""
+        paths = new_paths()
+        for target_id in TARGETS[:8]:
+            paths.record_failure(target_id, 10)
+        paths.record_answer(TARGETS[30], 10.1)
+        paths.reports.record(report('d0', unreachable=tuple(TARGETS[:1])))
+        for number in range(1, 9):
+            missed = tuple(TARGETS[2 * number : 2 * number + 8])
+            paths.reports.record(report(f'd{number}', unreachable=missed))
+        self.assertFalse(paths.should_yield(10.2))
+
     def test_most_daemons_confirm_that_a_target_is_unreachable(self) -> None:
         """Those that are cut off or silent don't count."""
         paths = new_paths()
