Test that an older row does not bring a removed target back (red)

A daemon that follows the store directly, while its leader is late, reads that a row was removed; the late leader then relays an older version of that row, and the daemon takes it as new: the replica forgets the version at which a row was removed. A target that has left, or an evacuation that was taken back, is in use again until the leader relays the removal, and for good if another daemon leads before: it sends only what is later than the version that the follower has.

Failed on: the removed row is there again (both tests).

--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -61,6 +61,34 @@
         self.assertIsNone(view.rows.changes_since('servers', 30))
         self.assertEqual(view.rows.changes_since('servers', 100), [])
 
+    def test_older_row_does_not_bring_a_removed_one_back(self) -> None:
+        """A late leader relays a row whose removal was read in the store."""
+        store = RowReplica()
+        follower = RowReplica()
+        for replica in (store, follower):
+            replica.apply('servers', [self.row('t0', 50)], 50)
+            replica.apply('servers', [self.row('t0', 90, None)], 90)
+        follower.apply('servers', [self.row('t0', 85)], 85)
+        self.assertEqual(follower.rows_of('servers'), [])
+        # The next leader has nothing later to send.
+        changes = store.changes_since('servers', 90)
+        assert changes is not None
+        follower.apply('servers', changes, 90)
+        self.assertEqual(follower.rows_of('servers'), [])
+        follower.apply('servers', [self.row('t0', 91)], 91)
+        self.assertEqual(len(follower.rows_of('servers')), 1)
+
+    def test_older_row_does_not_come_back_after_a_whole_read(self) -> None:
+        view = configured_view(ManualClock(), targets=0)
+        view.replace('servers', [], 90)
+        for version in (85, 90):
+            row = json_row('servers', 't0', target_entry(), version)
+            view.apply('servers', [row], version)
+            self.assertEqual(view.targets.by_id, {})
+        row = json_row('servers', 't0', target_entry(), 91)
+        view.apply('servers', [row], 91)
+        self.assertEqual(list(view.targets.by_id), ['t0'])
+
     def test_history_of_removals_is_bounded(self) -> None:
         replica = RowReplica()
         version = 0
