Don't take a row that is older than its removal

What callers could see (from reading): requests to a target that had left (421), or a data centre taken for evacuated, after the daemon's leader was late; until the next whole read of the table if another daemon led meanwhile.

Cause: a replica compared versions only with rows that it has. Now also with the removals that it remembers, and with the version of its last whole read, before which a row that it lacks was removed.

The two tests failed before (the removed row was back); tests.test_fleet_view, test_fleet_key_changes, test_fleet_following, test_fleet_links, test_keys_keeper: 79 passed.

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -23,6 +23,8 @@
         self._removed_by_table: dict[str, dict[str, StoreRow]] = {}
         #: The version since which every removal is remembered.
         self._since_by_table: dict[str, RowVersion] = {}
+        #: The latest version at which each table was read whole.
+        self._whole_at_by_table: dict[str, RowVersion] = {}
 
     def rows_of(self, table: str) -> list[StoreRow]:
         """Return the current rows of a table."""
@@ -57,6 +59,8 @@
         """
         self._removed_by_table.pop(table, None)
         self._since_by_table[table] = version
+        known = self._whole_at_by_table.get(table, RowVersion(0))
+        self._whole_at_by_table[table] = max(known, version)
 
     def removals_of_missing(
         self,
@@ -103,7 +107,18 @@
     def _is_newer(self, row: StoreRow) -> bool:
         known = self.by_table_and_name.get((row.table, row.name))
         if known is None:
-            return row.content is not None
+            return row.content is not None and not self._is_removed(row)
         if row.content is None:
             return row.version >= known.version
         return row.version > known.version
+
+    def _is_removed(self, row: StoreRow) -> bool:
+        """Return whether an unknown row is older than its removal.
+
+        A daemon may read of a removal in the store before a late leader relays
+        an earlier version of the row.
+        """
+        if row.version <= self._whole_at_by_table.get(row.table, 0):
+            return True
+        removed = self._removed_by_table.get(row.table, {}).get(row.name)
+        return removed is not None and row.version <= removed.version
