Test that a daemon that is asked to stop does not begin to lead (red)

A daemon that gets SIGTERM while it takes the lease (three calls to the store, after a delay of up to 0.4 s) had nothing to resign at that moment, then led: for the rest of its grace it sends the tables to all followers and grants keys, and it ends without resigning, so that its successor moves no keys until its authority has lapsed (12 s).

Failed on: the attempt is made, and the term is led and not resigned.

--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -1,5 +1,6 @@
 """Tests of which daemon becomes the leader on unequal machines."""
 
+import asyncio
 import random
 import unittest
 from unittest import mock
@@ -116,5 +117,37 @@
         self.assertEqual(election.holder_id, '')
 
 
+class StopInElectionTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon that is asked to stop while it tries to lead."""
+
+    async def asyncSetUp(self) -> None:
+        self.daemon = member(200, 1)
+        self.daemon._election = mock.Mock(holder_id='')
+        self.term = mock.Mock(resign=mock.AsyncMock())
+        self.lead = mock.AsyncMock()
+        self.daemon._lead = self.lead
+
+    async def attempt(self) -> mock.Mock:
+        """Win the election, and be asked to stop meanwhile."""
+        await self.daemon.resign()
+        return self.term
+
+    async def test_stop_while_the_lease_is_taken(self) -> None:
+        """Others would wait for its lease and grants to lapse."""
+        self.daemon._election.attempt = self.attempt
+        await self.daemon._try_to_lead()
+        self.lead.assert_not_awaited()
+        self.term.resign.assert_awaited_once()
+
+    async def test_stop_before_the_lease_is_taken(self) -> None:
+        self.daemon.election_delay = 0.05
+        self.daemon._election.attempt = mock.AsyncMock()
+        trying = asyncio.create_task(self.daemon._try_to_lead())
+        await asyncio.sleep(0)
+        await self.daemon.resign()
+        await trying
+        self.daemon._election.attempt.assert_not_awaited()
+
+
 if __name__ == '__main__':
     unittest.main()
