Don't begin to lead once a stop was asked for

What callers could see (from reading, not measured): keys that could not move for up to 12 s after a daemon ended that was asked to stop while it took the lease: it led without resigning, so that its successor waited for its authority to lapse; and its link was loaded with tables for all followers during the stop.

Cause: resign() found no term, and the election went on. A stop is now looked at after the delay before an election, and a lease that was taken meanwhile is resigned.

StopInElectionTest failed before (led, not resigned) and holds now; tests.test_fleet_membership, test_stop_moments: 20 passed.

--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -114,7 +114,7 @@
             _no_leader_work
         )
         self._direct_follower = DirectFollower(store, view, random_source)
-        self._is_stopping = False
+        self._stop_asked = asyncio.Event()
         self._background = BackgroundTasks()
 
     @property
@@ -152,7 +152,7 @@
                 # A stop needs no more than a leader that others know.
                 await (
                     self._ask_peers()
-                    if self._is_stopping
+                    if self._stop_asked.is_set()
                     else self._seek_once()
                 )
                 await asyncio.sleep(SEEK_DELAY * (1 + self._random.random()))
@@ -165,7 +165,7 @@
 
         Takes at most `RESIGN_TIMEOUT`; the lease then lapses instead.
         """
-        self._is_stopping = True
+        self._stop_asked.set()
         self._direct_follower.begin_nothing()
         if self.leader_term is None:
             return
@@ -220,7 +220,7 @@
         addresses.update(seed_addresses(self.seeds, own))
         addresses.discard(own)
         others = sorted(addresses)
-        if self._is_stopping:
+        if self._stop_asked.is_set():
             others = _draw_few(others, self._random)
         leader = self._view.leader
         first = [leader[0].address] if leader else []
@@ -230,7 +230,7 @@
                 await self._follow(self.link.leader_address)
 
     async def _try_to_lead(self) -> None:
-        if self._is_stopping:
+        if self._stop_asked.is_set():
             return
         if self.candidacy and not self.candidacy.may_lead(
             self._clock.monotonic()
@@ -238,6 +238,8 @@
             self._direct_follower.start('no leader was found', FALLBACK_DELAY)
             return
         await asyncio.sleep(self.election_delay)
+        if self._stop_asked.is_set():
+            return
         leader_term = await self._election.attempt()
         if leader_term is None:
             winner_id = self._election.holder_id
@@ -251,6 +253,10 @@
             if self._view.leader is not None:
                 self._direct_follower.start('no leader was found')
             return
+        if self._stop_asked.is_set():
+            # The stop began while the lease was taken.
+            await leader_term.resign()
+            return
         await self._lead(leader_term)
 
     async def _lead(self, leader_term: LeaderTerm) -> None:
@@ -304,7 +310,7 @@
             is_leading = self.state is MemberState.leading
             if is_leading or self.link.is_relaying():
                 self._direct_follower.stop_for_leader()
-            elif self.link.is_open and not self._is_stopping:
+            elif self.link.is_open and not self._stop_asked.is_set():
                 self._direct_follower.start('the leader is late')
                 self._leave_cut_off_leader()
 
