Test that a request without time left is not sent (red)

A request whose time has passed when its target is chosen (its body came late, or this daemon's loop was late) is sent all the same, with Deadline-Ms 1. aiohttp takes a time limit that is not positive for none, so that neither the connection nor the answer has one, and the caller of a silent target is held without end.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -24,6 +24,7 @@
     send_request,
     wait_for_keys,
 )
+from tests.hop_helpers import hang, raw_server, readdress
 
 
 class RequestTest(unittest.IsolatedAsyncioTestCase):
@@ -219,6 +220,30 @@
             self.assertEqual(response.status, 200)
 
 
+class LateBodyTest(unittest.IsolatedAsyncioTestCase):
+    """A body that arrives when its caller waits no longer."""
+
+    async def test_late_body_does_not_hold_a_request_for_ever(self) -> None:
+        """Its target, which is silent, would be waited for without limit."""
+        async with deployment() as system, raw_server(hang) as address:
+            gateway = system.gateways[0]
+            await until(lambda: gateway.server.is_ready)
+            readdress(gateway, 'i0', address)
+            host, port = gateway.settings.listen.callers.split(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            headers = {
+                **ISSUE_HEADERS, 'Deadline-Ms': '200', 'Content-Length': '4'
+            }  # fmt: skip
+            lines = [f'{name}: {text}' for name, text in headers.items()]
+            head = '\r\n'.join(['POST /issue/1 HTTP/1.1', *lines])
+            writer.write(f'{head}\r\n\r\n'.encode())
+            await asyncio.sleep(0.5)
+            writer.write(b'body')
+            status_line = await asyncio.wait_for(reader.readline(), 1)
+            self.assertIn(b'503', status_line)
+            writer.close()
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """Stopping and reloading a daemon."""
 
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -95,6 +95,7 @@
         *,
         is_budget_exhausted: bool = False,
         duplicates_wanted: int = 0,
+        time_left: Seconds = TIMEOUT,
     ) -> tuple[ScriptedSender, Answer | Refusal, Seconds]:
         """Serve one request; return its sender, answer and duration."""
         results = []
@@ -128,7 +129,7 @@
                 msgspec.structs.replace(route, kind=kind, attempts=ATTEMPTS),
                 -1,
                 now,
-                now + TIMEOUT,
+                now + time_left,
             )
             answer = await forwarder.serve(routed)
             results.append((sender, answer, clock.monotonic() - now))
@@ -209,6 +210,19 @@
         sender, _, _ = self.serve_scripted(RequestKind.safe, script, targets=1)
         self.assertLessEqual(len(sender.outcomes), ATTEMPTS)
 
+    def test_request_without_time_left_is_not_sent(self) -> None:
+        """Its body, or this daemon, was late; it would have no time limit."""
+        for kind in RequestKind:
+            for time_left in (0, -0.1, -1):
+                sender, answer, elapsed = self.serve_scripted(
+                    kind, ('answer',), time_left=time_left
+                )
+                self.assertEqual(sender.outcomes, [])
+                assert isinstance(answer, Refusal)
+                self.assertEqual(answer.status, 503)
+                self.assertIsNotNone(answer.retry_after)
+                self.assertLess(elapsed, 0.05)
+
     def test_request_without_any_target_is_refused_at_once(self) -> None:
         sender, answer, elapsed = self.serve_scripted(
             RequestKind.safe, (), targets=0
