Refuse a request whose time has passed before it is sent

Requests that may run only once were run for callers that had left.

Cause: nothing looked at the time left before the first attempt; time limits of 0 or less are none for aiohttp. Such a request is now refused (503, not run) before a target is chosen.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -208,6 +208,9 @@
         )
         while True:
             now = self._clock.monotonic()
+            if self._time_left(routed) <= 0:
+                # A time limit of 0 or less would be none.
+                return _attempts_failed('no time was left')
             chosen = self.selector.choose(placement, now)
             if isinstance(chosen, Target):
                 self.limiter.use_permit(chosen.target_id)
