Test which keys count as moving after a change of leaders (red)

A leader keeps what it last announced of moving keys over the end of its term. If another leader announces moves and ends during them, and this daemon leads again, its first announcement (no moves) is the same as that of its last term and is dropped: its own view goes on with the moves of the other leader. A daemon that leads no more also sends its last announcement to each daemon that asks it for the leader.

Failed on: the keys count as moving (both tests).

--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -174,6 +174,33 @@
                     task.cancel()
 
 
+class MovingKeysTest(unittest.IsolatedAsyncioTestCase):
+    """Which keys count as moving after a change of leaders."""
+
+    async def test_second_term_corrects_what_came_between(self) -> None:
+        """The leader between two terms of this daemon ended during a move."""
+        async with leader('') as leader_relay:
+            still = messages.Moving('registry', [])
+            leader_relay.announce_moving(still)
+            leader_relay.disconnect_followers()
+            view = leader_relay._view
+            view.set_moving('registry', [(0, 9)])
+            leader_relay.begin_term()
+            leader_relay.announce_moving(still)
+            self.assertFalse(view.is_moving('registry', 5))
+
+    async def test_former_leader_does_not_announce_its_moves(self) -> None:
+        """Callers' requests for these keys would wait, and be refused."""
+        async with leader('') as leader_relay:
+            moving = messages.Moving('registry', [(0, 9)])
+            leader_relay.announce_moving(moving)
+            address = address_of(leader_relay)
+            leader_relay.disconnect_followers()
+            link = follower('')
+            self.assertIs(await link.follow(address), LinkEnd.not_leader)
+            self.assertFalse(link.view.is_moving('registry', 5))
+
+
 class MembersTest(unittest.IsolatedAsyncioTestCase):
     """The list of daemons by which limits of the fleet are divided."""
 
