Let announcements of moving keys end with the leader's term

What callers could see (inferred): requests for keys that do not move wait, and are refused (503, the key moves) at a daemon that leads again after another leader ended during a move, for its whole term or until its next move; and, with no leader in reach, at daemons that asked a former one.

Cause: the last announcement of each service outlived the term, so that the first one of the next term was dropped as known, and was sent to each daemon that greeted a former leader. It is now forgotten when a term begins, and sent by a leader only.

--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -157,6 +157,7 @@
         self.announced = messages.Members(self.members(), is_complete=False)
         self._key_history = KeyMapHistory()
         self._catch_up_frames.clear()
+        self.announced_moving_by_service.clear()
 
     def disconnect_followers(self, leader_address: str = '') -> None:
         """Stop acting as leader and refer all followers to another one."""
@@ -277,6 +278,9 @@
             follower.send(messages.encode(messages.Farewell(address)))
             await writer.drain()
             return
+        # Only a leader moves keys.
+        for moving in self.announced_moving_by_service.values():
+            follower.send(messages.encode(moving))
         self.on_hello(hello)
         await self._listen(follower, reader)
 
@@ -339,8 +343,6 @@
                     table, None if known is None else RowVersion(known)
                 )
             )
-        for moving in self.announced_moving_by_service.values():
-            follower.send(messages.encode(moving))
         limit_reports = self.limit_reports()
         if limit_reports:
             follower.send(messages.encode(messages.Limits(limit_reports)))
