Reject entries of targets with an address that can't be connected to

What callers saw: 500 for each request whose target's entry, written by another writer, has a port above 65535, and 502 without a retry for one with a host such as 999.1.1.1.

Cause: the pattern counted digits, also those of other scripts; the URL of the request then raised ValueError, which nothing between the sender and the server expects.

The added cases of test_malformed_entries_are_rejected failed before (taken for targets); a trial of TargetSender.send with port 99999 raised ValueError. tests.test_platform_records, test_malformed_messages, test_fleet_view: held.

--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -1,5 +1,6 @@
 """Decode the rows that operators and targets write to the store."""
 
+import ipaddress
 import re
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -35,7 +36,8 @@
 EVACUATION_PREFIX: Final = 'evacuate/'
 
 _VERSION: Final = re.compile(r'r(\d{1,18})')
-_ADDRESS: Final = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
+_PORT: Final = re.compile('[1-9][0-9]{0,4}')
+_MAX_PORT: Final = 65535
 
 _KIND_BY_ROUTE_TYPE: Final[Mapping[str, RequestKind]] = MappingProxyType(
     {kind.value: kind for kind in RequestKind},
@@ -139,7 +141,7 @@
         wire = msgspec.json.decode(content, type=_Target)
     except msgspec.DecodeError as error:
         return _invalid_entry(error)
-    if not _ADDRESS.fullmatch(wire.address) or wire.info.capacity < 1:
+    if not _is_address(wire.address) or wire.info.capacity < 1:
         return _invalid_entry(
             ValueError('address is not IPv4:port, or capacity is below 1')
         )
@@ -167,6 +169,19 @@
     return DataCentreId(name.removeprefix(EVACUATION_PREFIX))
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text is IPv4:port, to which one can connect.
+
+    Any other one would fail each request that is sent to it.
+    """
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return _PORT.fullmatch(port) is not None and int(port) <= _MAX_PORT
+
+
 def _decode_route(name: str, wire: _Route) -> Route:
     kind = _KIND_BY_ROUTE_TYPE.get(wire.route_type)
     if kind is None:
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -84,6 +84,11 @@
             {**valid, 'status': {'state': 'perhaps'}},
             {**valid, 'address': 'localhost'},
             {**valid, 'address': 7},
+            {**valid, 'address': '10.0.0.1:0'},
+            {**valid, 'address': '10.0.0.1:65536'},
+            {**valid, 'address': '999.1.1.1:80'},
+            {**valid, 'address': '10.0.0.\uff11:80'},
+            {**valid, 'address': '10.0.0.1:8\uff10'},
             {**valid, 'born': 'today'},
         ):
             with self.subTest(entry=entry):
