Don't end a follower's process for a key map that it can't read

What callers saw: nothing yet; from reading. If the row with a service's key map can't be read, it is rejected, but the next change of it that the leader relays raised KeyError in each follower's link, outside of what a link catches, and ended its process. Such changes now count as out of step, so that the table is sent whole.

test_changes_of_an_unreadable_map_are_not_applied failed before (KeyError); tests.test_fleet_key_changes, test_fleet_view, test_fleet_rig: held.

--- a/cassialever/fleet/key_changes.py
+++ b/cassialever/fleet/key_changes.py
@@ -59,7 +59,12 @@
     if row is None or service is None or row.version < changed.earlier_version:
         view.rows.version_by_table.pop(OWN_TABLE, None)
         return False
-    known = view.keys_by_service[service].key_map
+    index = view.keys_by_service.get(service)
+    if index is None:
+        # The row that is known can't be read.
+        view.rows.version_by_table.pop(OWN_TABLE, None)
+        return False
+    known = index.key_map
     key_map = replace_ranges(known, changed.ranges)
     if not covers_same_keys(known, key_map):
         view.rows.version_by_table.pop(OWN_TABLE, None)
--- a/tests/test_fleet_key_changes.py
+++ b/tests/test_fleet_key_changes.py
@@ -230,6 +230,14 @@
         changed = messages.KeysChanged(ROW_NAME, 50, [], 52)
         self.assertFalse(apply_key_changes(changed, view))
 
+    def test_changes_of_an_unreadable_map_are_not_applied(self) -> None:
+        """An error here would end the process of each follower."""
+        view = configured_view(ManualClock(), targets=0)
+        row = StoreRow(OWN_TABLE, ROW_NAME, b'\xff', 50)
+        view.apply(OWN_TABLE, [row], 50)
+        changed = messages.KeysChanged(ROW_NAME, 50, [], 52)
+        self.assertFalse(apply_key_changes(changed, view))
+
 
 @contextlib.asynccontextmanager
 async def linked(view: FleetView) -> AsyncIterator[tuple[Relay, LeaderLink]]:
