Test that permits that come late do not exceed a target's rate (red)

A permit counts from the arrival of the keeper's answer, however long that was under way: behind other traffic on a full link, or in the socket of a daemon whose loop is late. The keeper has issued others for that time by then, and the sum of permits in design/bounds.md has no part for it.

--- a/tests/test_fleet_permits.py
+++ b/tests/test_fleet_permits.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import unittest
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from cassialever.clock import SystemClock
 from cassialever.fleet.datagrams import (
@@ -116,6 +116,28 @@
                 if other not in names
             }
 
+    def hold_answers(self) -> Callable[[], None]:
+        """Hold the answers of keepers; return how to let them arrive."""
+        held = []
+        arrive_by_name = {
+            name: socket.handler_by_type[Permits]
+            for name, socket in self.sockets.items()
+        }
+        for name, socket in self.sockets.items():
+            socket.handler_by_type[Permits] = (
+                lambda permits, sender, name=name: held.append(
+                    (name, permits, sender)
+                )
+            )
+
+        def release() -> None:
+            for name, permits, sender in held:
+                arrive_by_name[name](permits, sender)
+            for name, socket in self.sockets.items():
+                socket.handler_by_type[Permits] = arrive_by_name[name]
+
+        return release
+
     def forget(self, gone: str) -> None:
         """Have every daemon learn that one has gone."""
         for known in self.known.values():
@@ -146,6 +168,16 @@
                 self.assertLessEqual(most_in_one_second(sent), ALLOWED)
                 self.assertGreater(len(sent), 0.5 * RATE * 2.5)
 
+    async def test_rate_is_kept_though_answers_come_late(self) -> None:
+        """They wait behind other traffic on the links of those that asked."""
+        async with fleet(6) as running:
+            release = running.hold_answers()
+            sent = await running.send_for(2, 0.01)
+            release()
+            sent += await running.send_for(2, 0.01)
+        self.assertLessEqual(most_in_one_second(sent), ALLOWED)
+        self.assertGreater(len(sent), RATE)
+
     async def test_rate_is_kept_while_the_keeper_changes(self) -> None:
         """Each daemon stops in turn, among them the keeper."""
         async with fleet(5) as running:
