End a permit by the time at which it was asked for

What callers could see (inferred): a cold target that crashes, as it gets too much: permits that came late, over a full link or to a late daemon, counted from their arrival, beside those that the keeper had issued for that time.

Cause: a belief about the present, read from an answer of the past, while the own link or loop was late. A request for permits now has its time, which the answer repeats; a permit ends PERMIT_LIFETIME after its start counted from the request, and starts as before, counted from the arrival.

--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -39,6 +39,7 @@
 MAX_ID_LENGTH: Final = 255
 # Numbers and lengths out of range are rejected with the datagram.
 _Delay: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY)]
+_Moment: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 _Requests: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_REQUESTS)]
 _Id: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_ID_LENGTH)]
 _ListedTargets: TypeAlias = Annotated[
@@ -73,7 +74,8 @@
 class PermitRequest(_Versioned, frozen=True, array_like=True, tag=4):
     """Asks the keeper of a target for up to `wanted` permits for requests.
 
-    It tells whether its sender knows the target as cold, and of a limit.
+    It tells whether its sender knows the target as cold, and of a limit, and
+    when it was sent, by the sender's clock.
     """
 
     target_id: TargetId
@@ -81,6 +83,7 @@
     is_cold: bool
     limit: LimitReport | None
     message_version: MessageVersion = FIRST_VERSION
+    asked_at: _Moment = 0
 
 
 class Permits(_Versioned, frozen=True, array_like=True, tag=5):
@@ -88,6 +91,7 @@
 
     The first of `count` permits starts `delay` after the arrival, and each
     other one `interval` later. Without permits, none is to be had until then.
+    `asked_at` is that of the request; an earlier build sends none.
     """
 
     target_id: TargetId
@@ -96,6 +100,7 @@
     interval: _Delay
     limit: LimitReport | None
     message_version: MessageVersion = FIRST_VERSION
+    asked_at: _Moment = 0
 
 
 Datagram: TypeAlias = OpenRequests | PermitRequest | Permits
--- a/cassialever/fleet/permits.py
+++ b/cassialever/fleet/permits.py
@@ -80,6 +80,7 @@
             wanted,
             self._view.targets.is_cold(target_id),
             self._limit_report(target_id),
+            asked_at=self._clock.monotonic(),
         )
         if keeper == self._instance_id:
             # Others wait until they know that there is no other keeper; one
@@ -110,15 +111,24 @@
             batch.count,
             batch.interval,
             self._limit_report(request.target_id),
+            asked_at=request.asked_at,
         )
         self._socket.send(sender, encode(permits))
 
     def _handle_permits(self, permits: Permits, sender: str) -> None:
         self._merge(permits.limit, sender)
+        now = self._clock.monotonic()
+        # A keeper of an earlier build does not send back when it was asked.
+        asked_at = permits.asked_at or now
         self._limiter.add_permits(
             permits.target_id,
-            PermitBatch(permits.delay, permits.count, permits.interval),
-            self._clock.monotonic(),
+            PermitBatch(
+                permits.delay,
+                permits.count,
+                permits.interval,
+                max(now - asked_at, 0),
+            ),
+            now,
         )
 
     def _issue(
--- a/cassialever/policy/permits.py
+++ b/cassialever/policy/permits.py
@@ -52,12 +52,21 @@
 class PermitBatch(msgspec.Struct, frozen=True):
     """Permits of which the first starts after `delay`, the others in turn.
 
-    Without permits, `delay` is the time until the next one may start.
+    Without permits, `delay` is the time until the next one may start. `age` is
+    the time since they were asked for.
     """
 
     delay: Seconds
     count: int = 0
     interval: Seconds = 0
+    age: Seconds = 0
+
+
+class _Permit(msgspec.Struct, frozen=True):
+    """When a permit that is not used is valid."""
+
+    start: Seconds
+    ends_at: Seconds
 
 
 class PermitIssuer:
@@ -158,8 +167,8 @@
     """The permits of this daemon for one target."""
 
     def __init__(self) -> None:
-        #: Starts of the permits that are not used, in ascending order.
-        self.starts: deque[Seconds] = deque()
+        #: The permits that are not used, in ascending order of their starts.
+        self.unused: deque[_Permit] = deque()
         self.request_at: Seconds = 0
         #: Until when the keeper has no permit.
         self.denied_until: Seconds = 0
@@ -167,11 +176,11 @@
         self.used = 0
 
     def drop_expired(self, now: Seconds) -> None:
-        while self.starts and now >= self.starts[0] + PERMIT_LIFETIME:
-            self.starts.popleft()
+        while self.unused and now >= self.unused[0].ends_at:
+            self.unused.popleft()
 
     def is_idle(self, now: Seconds) -> bool:
-        return not self.starts and now >= max(
+        return not self.unused and now >= max(
             self.request_at, self.denied_until
         )
 
@@ -192,7 +201,7 @@
         if permits is None:
             return False
         permits.drop_expired(now)
-        return bool(permits.starts) and permits.starts[0] <= now
+        return bool(permits.unused) and permits.unused[0].start <= now
 
     def permit_count(self, target_id: TargetId, now: Seconds) -> int:
         """Return the number of permits that are valid or will be."""
@@ -200,13 +209,13 @@
         if permits is None:
             return 0
         permits.drop_expired(now)
-        return len(permits.starts)
+        return len(permits.unused)
 
     def request(self, target_id: TargetId, now: Seconds) -> None:
         """Request permits unless there are some or it is too soon."""
         permits = self._of(target_id)
         permits.drop_expired(now)
-        if permits.starts or now < permits.request_at:
+        if permits.unused or now < permits.request_at:
             return
         # A daemon that has used all of its permits gets twice as many.
         wanted = min(2 * permits.used + 1, MAX_BATCH)
@@ -226,7 +235,8 @@
     ) -> None:
         """Add the permits that the keeper has issued, or note that it denied.
 
-        `now` is when its answer arrived.
+        `now` is when its answer arrived. The keeper has issued them since they
+        were asked for, so that none counts longer for an answer that came late.
         """
         permits = self._of(target_id)
         start = now + batch.delay
@@ -236,15 +246,16 @@
                 permits.request_at, start - MAX_BOOKING_DELAY
             )
             return
-        permits.starts.extend(
-            start + number * batch.interval for number in range(batch.count)
-        )
+        for number in range(batch.count):
+            begins = start + number * batch.interval
+            ends_at = begins + PERMIT_LIFETIME - batch.age
+            permits.unused.append(_Permit(begins, ends_at))
 
     def use_permit(self, target_id: TargetId) -> None:
         """Use up a permit for a target, if there is one."""
         permits = self._permits_by_id.get(target_id)
-        if permits is not None and permits.starts:
-            permits.starts.popleft()
+        if permits is not None and permits.unused:
+            permits.unused.popleft()
             permits.used += 1
 
     def available_in(self, target_id: TargetId, now: Seconds) -> Seconds:
@@ -253,7 +264,9 @@
         if permits is None:
             return 0
         permits.drop_expired(now)
-        start = permits.starts[0] if permits.starts else permits.denied_until
+        start = permits.denied_until
+        if permits.unused:
+            start = permits.unused[0].start
         return max(start - now, 0)
 
     def prune(self, now: Seconds) -> None:
