Refuse a daemon that greets with an address that can't be used

One greeting with a malformed address made its sender a member, and each daemon sends datagrams to all members: the error (ValueError, or a closed socket for a port out of range) ended the process of every daemon of the fleet.

test_daemon_with_a_malformed_address_is_no_member failed before (it was a member).

--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -1,6 +1,7 @@
 """Open connections to other instances and to targets."""
 
 import asyncio
+import re
 from typing import Final, TypeAlias
 
 from cassialever.errors import ErrorKind, Failure
@@ -10,9 +11,20 @@
 #: cut off is never answered.
 CONNECT_TIMEOUT: Final[Seconds] = 0.3
 
+_PORT: Final = re.compile('[1-9][0-9]{0,4}')
+_MAX_PORT: Final = 65535
+
 Streams: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is a host and a port to which one can connect."""
+    host, _, port = text.rpartition(':')
+    if not host or _PORT.fullmatch(port) is None:
+        return False
+    return int(port) <= _MAX_PORT
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of an address."""
     host, port = address.rsplit(':', 1)
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -8,7 +8,7 @@
 
 from cassialever.events import Event, record
 from cassialever.fleet import messages
-from cassialever.fleet.connecting import split_address
+from cassialever.fleet.connecting import is_address, split_address
 from cassialever.fleet.key_changes import KeyMapHistory
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
 from cassialever.fleet.message_version import MESSAGE_VERSION
@@ -270,6 +270,9 @@
             return
         if not isinstance(hello, messages.Hello):
             raise msgspec.DecodeError('the first message is not a Hello')
+        if not is_address(hello.address):
+            # All daemons would send to it.
+            raise msgspec.DecodeError(f'no address: {hello.address!r}')
         follower = Follower(hello, writer)
         self._send_tables(follower)
         if not self.is_leader:
--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cassialever.errors import ErrorKind, Failure
+from cassialever.fleet.connecting import is_address
 from cassialever.fleet.model import (
     Configuration,
     ConfigurationVersion,
@@ -36,8 +37,6 @@
 EVACUATION_PREFIX: Final = 'evacuate/'
 
 _VERSION: Final = re.compile(r'r(\d{1,18})')
-_PORT: Final = re.compile('[1-9][0-9]{0,4}')
-_MAX_PORT: Final = 65535
 
 _KIND_BY_ROUTE_TYPE: Final[Mapping[str, RequestKind]] = MappingProxyType(
     {kind.value: kind for kind in RequestKind},
@@ -174,12 +173,11 @@
 
     Any other one would fail each request that is sent to it.
     """
-    host, _, port = text.rpartition(':')
     try:
-        ipaddress.IPv4Address(host)
+        ipaddress.IPv4Address(text.rpartition(':')[0])
     except ValueError:
         return False
-    return _PORT.fullmatch(port) is not None and int(port) <= _MAX_PORT
+    return is_address(text)
 
 
 def _decode_route(name: str, wire: _Route) -> Route:
--- a/tests/test_fleet_key_changes.py
+++ b/tests/test_fleet_key_changes.py
@@ -249,7 +249,7 @@
     await relay.start()
     link = LeaderLink(
         configured_view(ManualClock(), targets=0),
-        messages.Hello('edge-1', 1, '', {}),
+        messages.Hello('edge-1', 1, '10.1.0.9:7', {}),
     )
     task = asyncio.create_task(link.follow(address))
     try:
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -258,7 +258,9 @@
             ) as broadcast:
                 for number in range(40):
                     _, writer = await asyncio.open_connection(host, int(port))
-                    hello = messages.Hello(f'edge-{number + 1}', 1, '', {})
+                    hello = messages.Hello(
+                        f'edge-{number + 1}', 1, '10.1.0.9:7', {}
+                    )
                     writer.write(messages.encode(hello))
                     writers.append(writer)
                 await until(lambda: len(leader_relay.members()) == 41)
@@ -464,6 +466,22 @@
         server.close()
 
 
+class AddressTest(unittest.IsolatedAsyncioTestCase):
+    """Daemons that greet with an address that can't be used."""
+
+    async def test_daemon_with_a_malformed_address_is_no_member(self) -> None:
+        """All others would send to it, and end by the error."""
+        for address in ('', 'x', 'x:', ':7', '10.0.0.1:-1', '10.0.0.1:70000'):
+            async with leader('') as leader_relay:
+                greeting = msgspec.structs.replace(HELLO, address=address)
+                link = LeaderLink(follower('').view, greeting)
+                end = await asyncio.wait_for(
+                    link.follow(address_of(leader_relay)), 0.5
+                )
+                self.assertIs(end, LinkEnd.closed)
+                self.assertEqual(list(leader_relay.members()), ['edge-0'])
+
+
 class UnresponsivePeerTest(unittest.IsolatedAsyncioTestCase):
     """Peers that neither answer nor read."""
 
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -401,7 +401,9 @@
             received = {}
             for version in (0, MESSAGE_VERSION, MESSAGE_VERSION + 1):
                 name = f'v{version}'
-                hello = messages.Hello(name, 1, '', {}, MessageVersion(version))
+                hello = messages.Hello(
+                    name, 1, '10.1.0.9:7', {}, MessageVersion(version)
+                )
                 reader, writer = await asyncio.open_connection(host, int(port))
                 writer.write(messages.encode(hello))
                 await until(
