Log failures of the watch on the store and of the direct follower

What callers saw: nothing yet; from reading.

A failed direct follower is logged and can be started again, which the watch does 0.2 s later; a failed watch ends the membership, and so the daemon, as any other part does.

FailingTaskTest failed before (still counted as running; run() did not end) and holds now; tests.test_fleet_membership, test_fleet_peers, test_fleet_rig: 20 passed; test_stop_moments, test_gateway_fleet: 32 passed.

--- a/cassialever/fleet/direct.py
+++ b/cassialever/fleet/direct.py
@@ -58,6 +58,7 @@
         self._follower = follower
         self._begins_at = asyncio.get_running_loop().time() + delay
         self._task = asyncio.create_task(_run_after(follower, reason, delay))
+        self._task.add_done_callback(self._note_end)
         self._failing_tables = follower.failing_tables
 
     def stop_for_leader(self) -> None:
@@ -80,6 +81,15 @@
             self._task = None
             self._follower = None
 
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Log a failure, after which the store can be followed again."""
+        if task.cancelled() or task.exception() is None:
+            return
+        record(Event.task_failed, reason=repr(task.exception()))
+        if self._task is task:
+            self._task = None
+            self._follower = None
+
 
 async def _run_after(
     follower: StoreFollower, reason: str, delay: Seconds
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -33,6 +33,7 @@
     ignore_changes,
 )
 from cassialever.interfaces import RandomSource
+from cassialever.platform.rows import Rows
 from cassialever.platform.store import CALL_TIMEOUT, StoreClient
 from cassialever.policy.candidacy import Candidacy
 from cassialever.tasks import BackgroundTasks
@@ -146,18 +147,14 @@
 
     async def run(self) -> None:
         """Seek, follow and lead until cancelled."""
-        watching = asyncio.create_task(self._watch_store())
+        tasks = [
+            asyncio.create_task(self._watch_store()),
+            asyncio.create_task(_repeat(self._seek_once, self._random)),
+        ]
         try:
-            while True:
-                # A stop needs no more than a leader that others know.
-                await (
-                    self._ask_peers()
-                    if self._stop_asked.is_set()
-                    else self._seek_once()
-                )
-                await asyncio.sleep(SEEK_DELAY * (1 + self._random.random()))
+            await asyncio.gather(*tasks)
         finally:
-            watching.cancel()
+            _cancel(tasks)
             self._direct_follower.stop()
 
     async def resign(self) -> None:
@@ -181,8 +178,11 @@
 
     async def _seek_once(self) -> None:
         """Look for the leader once, then follow or replace it."""
-        snapshot = await self._store.read_all(OWN_TABLE)
-        if isinstance(snapshot, Failure):
+        snapshot: Rows | Failure | None = None
+        if not self._stop_asked.is_set():
+            snapshot = await self._store.read_all(OWN_TABLE)
+        if snapshot is None or isinstance(snapshot, Failure):
+            # A stop needs no more than a leader that others know.
             await self._ask_peers()
             return
         self._view.replace(OWN_TABLE, snapshot.rows, snapshot.version)
@@ -293,8 +293,7 @@
             self._stop_leading([lease_task, *tasks])
 
     def _stop_leading(self, tasks: Sequence[asyncio.Future[None]]) -> None:
-        for task in tasks:
-            task.cancel()
+        _cancel(tasks)
         self._view.on_change = ignore_changes
         self.link.complete_addresses_by_id = self.shared_peers.complete_peers()
         self._relay.disconnect_followers()
@@ -349,6 +348,19 @@
             self.link.disconnect()
 
 
+async def _repeat(
+    seek: Callable[[], Awaitable[None]], random_source: RandomSource
+) -> None:
+    while True:
+        await seek()
+        await asyncio.sleep(SEEK_DELAY * (1 + random_source.random()))
+
+
+def _cancel(tasks: Sequence[asyncio.Future[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+
+
 async def _wait_for_term_end(
     lease_task: asyncio.Task[None],
     tasks: Sequence[asyncio.Future[None]],
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -8,6 +8,7 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet import lease as leases
 from cassialever.fleet import membership
+from cassialever.fleet.direct import DirectFollower
 from cassialever.fleet.election import Election
 from cassialever.fleet.following_leader import LeaderLink
 from cassialever.fleet.membership import (
@@ -18,7 +19,8 @@
 from cassialever.fleet.messages import Hello
 from cassialever.fleet.relay import Relay
 from cassialever.platform.rows import Rows
-from tests.fleet_helpers import ManualClock, configured_view
+from tests.fleet_helpers import ManualClock, configured_view, until
+from tests.hop_helpers import LoggedEvents
 
 PEERS = 59
 
@@ -117,6 +119,32 @@
         self.assertEqual(election.holder_id, '')
 
 
+class FailingTaskTest(unittest.IsolatedAsyncioTestCase):
+    """Errors that nothing expects, in tasks beside the main one."""
+
+    async def test_failed_direct_follower_can_be_started_again(self) -> None:
+        """Otherwise the daemon would serve by ever older tables."""
+        store = mock.Mock(read_all=mock.AsyncMock(side_effect=KeyError('x')))
+        view = configured_view(ManualClock(), targets=0)
+        view.rows.version_by_table.clear()
+        direct = DirectFollower(store, view, random.Random(1))
+        with LoggedEvents() as logged:
+            for _ in range(2):
+                direct.start('no leader was found')
+                await until(lambda: not direct.is_running)
+        self.assertEqual(len(logged.fields('task_failed')), 2)
+        self.assertGreaterEqual(store.read_all.await_count, 2)
+
+    async def test_failed_watch_ends_the_membership(self) -> None:
+        """Its daemon exits, as after the failure of another part."""
+        daemon = member(200, 1)
+        failing = mock.AsyncMock(side_effect=KeyError('x'))
+        daemon._hand_over_if_cut_off = failing
+        daemon._seek_once = mock.AsyncMock()
+        with self.assertRaises(KeyError):
+            await asyncio.wait_for(daemon.run(), 2)
+
+
 class StopInElectionTest(unittest.IsolatedAsyncioTestCase):
     """A daemon that is asked to stop while it tries to lead."""
 
