--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -8,7 +8,7 @@
 
 from cassialever.events import Event, record
 from cassialever.fleet import messages
-from cassialever.fleet.connecting import split_address
+from cassialever.fleet.connecting import is_address, split_address
 from cassialever.fleet.key_changes import KeyMapHistory
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
 from cassialever.fleet.message_version import MESSAGE_VERSION
@@ -157,6 +157,7 @@
         self.announced = messages.Members(self.members(), is_complete=False)
         self._key_history = KeyMapHistory()
         self._catch_up_frames.clear()
+        self.announced_moving_by_service.clear()
 
     def disconnect_followers(self, leader_address: str = '') -> None:
         """Stop acting as leader and refer all followers to another one."""
@@ -269,6 +270,9 @@
             return
         if not isinstance(hello, messages.Hello):
             raise msgspec.DecodeError('the first message is not a Hello')
+        if not is_address(hello.address):
+            # All daemons would send to it.
+            raise msgspec.DecodeError(f'no address: {hello.address!r}')
         follower = Follower(hello, writer)
         self._send_tables(follower)
         if not self.is_leader:
@@ -277,6 +281,9 @@
             follower.send(messages.encode(messages.Farewell(address)))
             await writer.drain()
             return
+        # Only a leader moves keys.
+        for moving in self.announced_moving_by_service.values():
+            follower.send(messages.encode(moving))
         self.on_hello(hello)
         await self._listen(follower, reader)
 
@@ -339,8 +346,6 @@
                     table, None if known is None else RowVersion(known)
                 )
             )
-        for moving in self.announced_moving_by_service.values():
-            follower.send(messages.encode(moving))
         limit_reports = self.limit_reports()
         if limit_reports:
             follower.send(messages.encode(messages.Limits(limit_reports)))
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -174,6 +174,33 @@
                     task.cancel()
 
 
+class MovingKeysTest(unittest.IsolatedAsyncioTestCase):
+    """Which keys count as moving after a change of leaders."""
+
+    async def test_second_term_corrects_what_came_between(self) -> None:
+        """The leader between two terms of this daemon ended during a move."""
+        async with leader('') as leader_relay:
+            still = messages.Moving('registry', [])
+            leader_relay.announce_moving(still)
+            leader_relay.disconnect_followers()
+            view = leader_relay._view
+            view.set_moving('registry', [(0, 9)])
+            leader_relay.begin_term()
+            leader_relay.announce_moving(still)
+            self.assertFalse(view.is_moving('registry', 5))
+
+    async def test_former_leader_does_not_announce_its_moves(self) -> None:
+        """Callers' requests for these keys would wait, and be refused."""
+        async with leader('') as leader_relay:
+            moving = messages.Moving('registry', [(0, 9)])
+            leader_relay.announce_moving(moving)
+            address = address_of(leader_relay)
+            leader_relay.disconnect_followers()
+            link = follower('')
+            self.assertIs(await link.follow(address), LinkEnd.not_leader)
+            self.assertFalse(link.view.is_moving('registry', 5))
+
+
 class MembersTest(unittest.IsolatedAsyncioTestCase):
     """The list of daemons by which limits of the fleet are divided."""
 
@@ -231,7 +258,9 @@
             ) as broadcast:
                 for number in range(40):
                     _, writer = await asyncio.open_connection(host, int(port))
-                    hello = messages.Hello(f'edge-{number + 1}', 1, '', {})
+                    hello = messages.Hello(
+                        f'edge-{number + 1}', 1, '10.1.0.9:7', {}
+                    )
                     writer.write(messages.encode(hello))
                     writers.append(writer)
                 await until(lambda: len(leader_relay.members()) == 41)
@@ -437,6 +466,22 @@
         server.close()
 
 
+class AddressTest(unittest.IsolatedAsyncioTestCase):
+    """Daemons that greet with an address that can't be used."""
+
+    async def test_daemon_with_a_malformed_address_is_no_member(self) -> None:
+        """All others would send to it, and end by the error."""
+        for address in ('', 'x', 'x:', ':7', '10.0.0.1:-1', '10.0.0.1:70000'):
+            async with leader('') as leader_relay:
+                greeting = msgspec.structs.replace(HELLO, address=address)
+                link = LeaderLink(follower('').view, greeting)
+                end = await asyncio.wait_for(
+                    link.follow(address_of(leader_relay)), 0.5
+                )
+                self.assertIs(end, LinkEnd.closed)
+                self.assertEqual(list(leader_relay.members()), ['edge-0'])
+
+
 class UnresponsivePeerTest(unittest.IsolatedAsyncioTestCase):
     """Peers that neither answer nor read."""
 
