Shorten grants by the silence of their owner

A grant now lasts 2.3 s less the time since the last call or probe was sent that its owner answered, so that it ends 2.85 s after that sign of life, answered or not. The first renewal of a round is short, no shorter than what is left, and the same keys are granted in full after it. Nothing else about the bounds of holds changes; a hold is counted by what its call granted. MAX_GRANT_DURATION, which leaders of two builds share, stays.

The rule "keys are not reassigned until the last grant has lapsed" of the checks is removed by other names now, since the bounds moved into functions. The sums of keys also contain the next check and the write.

--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -15,8 +15,8 @@
 from cassialever.platform.targets import GRANT_TIMEOUT
 from cassialever.types import Fence, Seconds, ServiceName, TargetId
 
-#: How long a grant lasts. Renewals at a third of it leave room for a lost
-#: one, and for the election of a new leader.
+#: How long a grant lasts unless its owner has been silent. Renewals at a third
+#: of it leave room for a lost one, and for the election of a new leader.
 GRANT_DURATION: Final[Seconds] = 2.3
 GRANT_RENEWAL_INTERVAL: Final[Seconds] = 0.7
 #: A target's clock may run up to 2% slow, as the platform specifies.
@@ -26,10 +26,16 @@
 #: How long after its timeout a call may still arrive. The timeout resets the
 #: socket, so only bytes that have left this machine can arrive.
 MAX_TRANSIT_TIME: Final[Seconds] = 0.1
-#: The same for a call that ended without an answer, from its end on.
-MAX_UNANSWERED_HOLD_TIME: Final[Seconds] = MAX_TRANSIT_TIME + MAX_HOLD_TIME
 #: The same from the sending of a call on, if its end is not known.
-MAX_GRANT_DURATION: Final[Seconds] = GRANT_TIMEOUT + MAX_UNANSWERED_HOLD_TIME
+MAX_GRANT_DURATION: Final[Seconds] = (
+    GRANT_TIMEOUT + MAX_TRANSIT_TIME + MAX_HOLD_TIME
+)
+#: Shortest grant, to an owner that has been silent for long. It shows whether
+#: the owner answers, and a longer one follows.
+MIN_GRANT_DURATION: Final[Seconds] = 0.3
+#: An owner that was silent for longer before a grant is granted the same keys
+#: again once it has answered.
+MAX_SIGN_AGE: Final[Seconds] = 0.15
 
 
 class AssignmentState(enum.Enum):
@@ -202,6 +208,22 @@
     )
 
 
+def grant_duration(silence: Seconds) -> Seconds:
+    """Return how long a grant to an owner that was silent so far may last.
+
+    It ends `MAX_GRANT_DURATION` after the owner's last sign of life, also if
+    it is not answered: a renewal to an owner that has been lost meanwhile
+    does not prolong the time for which its keys have to wait.
+    """
+    remaining = GRANT_DURATION - silence / SLOW_CLOCK_RATIO
+    return max(remaining, MIN_GRANT_DURATION)
+
+
+def max_hold_time(duration: Seconds) -> Seconds:
+    """Return the longest time of a grant from its arrival on."""
+    return duration * SLOW_CLOCK_RATIO
+
+
 def covers_all(assignments: Iterable[Assignment]) -> bool:
     """Return whether assignments cover every key once, in order."""
     expected = 0
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -10,15 +10,21 @@
 from cassialever.fleet.view import FleetView
 from cassialever.invariants import Invariant, check
 from cassialever.keys.assignments import (
-    GRANT_DURATION,
     GRANT_RENEWAL_INTERVAL,
-    MAX_GRANT_DURATION,
-    MAX_HOLD_TIME,
-    MAX_UNANSWERED_HOLD_TIME,
+    MAX_SIGN_AGE,
+    MAX_TRANSIT_TIME,
     Assignment,
     AssignmentState,
+    grant_duration,
+    max_hold_time,
+)
+from cassialever.keys.signs import SignsOfLife
+from cassialever.platform.targets import (
+    GRANT_TIMEOUT,
+    CallOutcome,
+    CallResult,
+    TargetClient,
 )
-from cassialever.platform.targets import CallOutcome, CallResult, TargetClient
 from cassialever.policy.paths import TargetPaths
 from cassialever.types import Fence, Seconds, TargetId
 
@@ -60,6 +66,7 @@
         #: Called with a target whose grant failed: it may have restarted.
         self.on_failure: list[Callable[[TargetId], None]] = []
         self._address_by_id: dict[TargetId, str] = {}
+        self._signs = SignsOfLife(clock)
 
     def has_authority(self) -> bool:
         """Return whether this daemon may grant and release keys."""
@@ -72,6 +79,7 @@
     def forget(self, target_id: TargetId) -> None:
         """Stop probing a target that has been removed."""
         self._probe_at_by_id.pop(target_id, None)
+        self._signs.forget(target_id)
 
     def due_probes(self) -> list[TargetId]:
         """Return the unreachable targets to probe now; schedule the next."""
@@ -105,6 +113,10 @@
         if address is None:
             return
         await self._wait_until_idle(owner)
+        if self._signs.silence_of(owner) > MAX_SIGN_AGE:
+            # The first grant is short. Its answer is a sign of life, so that
+            # the others are not, and the same keys are granted once more.
+            assignments = [assignments[-1], *assignments]
         self.pending_owners.add(owner)
         try:
             await self._grant_each(owner, assignments, address)
@@ -114,9 +126,11 @@
     async def probe(self, owner: TargetId) -> bool:
         """Return whether a connection to a target can be made."""
         address = self.address_of(owner)
+        sent_at = self._clock.boot()
         if address is not None and await self._target_client.can_connect(
             address
         ):
+            self._signs.record(owner, sent_at)
             self._probe_at_by_id.pop(owner, None)
             self.paths.direct.record_probe_success(
                 owner, self._clock.monotonic()
@@ -172,26 +186,29 @@
             first=assignment.first,
         )
         sent_at = self._clock.boot()
+        duration = grant_duration(self._signs.silence_of(assignment.owner))
+        hold_time = max_hold_time(duration)
+        unanswered_hold_time = MAX_TRANSIT_TIME + hold_time
         previous_bound = assignment.may_be_held_until
         # Until the answer arrives the grant may have taken effect.
         assignment.may_be_held_until = max(
-            previous_bound, sent_at + MAX_GRANT_DURATION
+            previous_bound, sent_at + GRANT_TIMEOUT + unanswered_hold_time
         )
         assignment.renew_at = sent_at + GRANT_RENEWAL_INTERVAL
-        result = await self._call_grant(assignment, address)
+        result = await self._call_grant(assignment, address, duration)
         now = self._clock.boot()
         if result.outcome is CallOutcome.done:
             self._probe_at_by_id.pop(assignment.owner, None)
-            _mark_confirmed(
-                assignment, max(previous_bound, now + MAX_HOLD_TIME)
-            )
+            _mark_confirmed(assignment, max(previous_bound, now + hold_time))
             return True
         self._record(Event.grant_failed, assignment, result)
         assignment.renew_at = now + GRANT_RETRY_DELAY
         for notify in self.on_failure:
             notify(assignment.owner)
         if result.outcome is CallOutcome.unknown:
-            assignment.unanswered_until = now + MAX_UNANSWERED_HOLD_TIME
+            assignment.unanswered_until = max(
+                assignment.unanswered_until, now + unanswered_hold_time
+            )
             assignment.unanswered_fence = assignment.fence
             assignment.may_be_held_until = max(
                 previous_bound, assignment.unanswered_until
@@ -207,15 +224,16 @@
         return False
 
     async def _call_grant(
-        self, assignment: Assignment, address: str
+        self, assignment: Assignment, address: str, duration: Seconds
     ) -> CallResult:
         """Grant an assignment; record whether the target was reached."""
         owner = assignment.owner
+        sent_at = self._clock.boot()
         unanswered = self.paths.unanswered
         unanswered.record_sent(owner, GRANT_ID, self._clock.monotonic())
         try:
             result = await self._target_client.grant(
-                address, assignment.key_range(), GRANT_DURATION
+                address, assignment.key_range(), duration
             )
         finally:
             unanswered.record_end(owner, GRANT_ID)
@@ -226,6 +244,7 @@
             self.paths.direct.record_doubt(owner, now)
         else:
             self.paths.record_answer(owner, now)
+            self._signs.record(owner, sent_at)
         return result
 
     def _mark_unreachable(self, target_id: TargetId) -> None:
--- a/tests/ownership_rules.py
+++ b/tests/ownership_rules.py
@@ -52,6 +52,10 @@
     return False
 
 
+def _no_time(duration: float) -> float:
+    return 0
+
+
 def _replace(owner: object, name: str, new: object) -> Callable[[], Any]:
     return lambda: mock.patch.object(owner, name, new)
 
@@ -68,9 +72,9 @@
         _replace(leading.LeaderTerm, 'commit', _commit_unconditionally),
     ),
     'keys are not reassigned until the last grant has lapsed': (
-        _replace(granting, 'MAX_GRANT_DURATION', 0),
-        _replace(granting, 'MAX_HOLD_TIME', 0),
-        _replace(granting, 'MAX_UNANSWERED_HOLD_TIME', 0),
+        _replace(granting, 'GRANT_TIMEOUT', 0),
+        _replace(granting, 'MAX_TRANSIT_TIME', 0),
+        _replace(granting, 'max_hold_time', _no_time),
         _replace(assignments, 'MAX_GRANT_DURATION', 0),
     ),
     'keys are not reassigned until earlier leaders have expired': (
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -9,7 +9,7 @@
 from cassialever.fleet import connecting, following, following_leader
 from cassialever.fleet import lease, membership, relay
 from cassialever.gateway import application, connections
-from cassialever.keys import assignments
+from cassialever.keys import assigner, assignments
 from cassialever.platform import store, targets
 from cassialever.policy import budget, connect_times, permits
 
@@ -45,6 +45,27 @@
     'transfer to a follower, 5 Mbit/s': RELAYED_BYTES / SLOWEST_LINK,
     'apply, 0.43 core': APPLY_TIME / SMALLEST_CORE,
 }
+REASSIGN = {
+    'TICK_INTERVAL': assigner.TICK_INTERVAL,
+    'answer of the store': ANSWER,
+}
+#: Times without a sign of life of an owner before a grant to it: up to that of
+#: a renewal that is late by as much as a call may take.
+SILENCES = tuple(
+    step / 100
+    for step in range(
+        round(
+            100 * (assignments.GRANT_RENEWAL_INTERVAL + targets.GRANT_TIMEOUT)
+        )
+    )
+)
+
+
+def silent_hold_time(silence: float) -> float:
+    """Return the time from a sign of life to the end of a grant sent later."""
+    hold_time = assignments.max_hold_time(assignments.grant_duration(silence))
+    arrival = targets.GRANT_TIMEOUT + assignments.MAX_TRANSIT_TIME
+    return silence + arrival + hold_time
 
 
 class BoundSum(msgspec.Struct, frozen=True):
@@ -151,14 +172,13 @@
         },
     ),
     'keys, owner that refuses': BoundSum(
-        3.0, {'MAX_HOLD_TIME': assignments.MAX_HOLD_TIME}
+        3.0, {'MAX_HOLD_TIME': assignments.MAX_HOLD_TIME, **REASSIGN}
     ),
     'keys, owner that is silent': BoundSum(
         3.0,
         {
-            'GRANT_RENEWAL_INTERVAL': assignments.GRANT_RENEWAL_INTERVAL,
-            'GRANT_TIMEOUT': targets.GRANT_TIMEOUT,
-            'MAX_UNANSWERED_HOLD_TIME': assignments.MAX_UNANSWERED_HOLD_TIME,
+            'MAX_GRANT_DURATION': max(map(silent_hold_time, SILENCES)),
+            **REASSIGN,
         },
     ),
     'permits of a cold target, requests in 1 s': BoundSum(
--- a/tests/test_keys_keeper.py
+++ b/tests/test_keys_keeper.py
@@ -11,6 +11,7 @@
 from cassialever.fleet.lease import AUTHORITY_TERM, STALE_AFTER
 from cassialever.keys.assignments import (
     GRANT_DURATION,
+    GRANT_RENEWAL_INTERVAL,
     MAX_GRANT_DURATION,
     AssignmentState,
 )
@@ -205,6 +206,68 @@
         self.check(scenario)
 
 
+class SilentOwnerTest(unittest.TestCase):
+    """Owners whose machine is gone: calls to them hang until given up."""
+
+    #: By when their keys must be held again after the loss, in seconds.
+    LIMIT = 3.0
+    #: Moments of the loss, over a renewal of all grants.
+    PHASES = tuple(step * 0.045 for step in range(18))
+
+    def longest(self, transit_time: float) -> float:
+        """Return the longest time without a holder of all phases."""
+        return max(self.outage(phase, transit_time) for phase in self.PHASES)
+
+    def outage(self, phase: float, transit_time: float) -> float:
+        """Return for how long some keys have no holder after a loss."""
+        times: list[float] = []
+
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed=1)
+            leader = await _settled_leader(world)
+            world.transit_time = transit_time
+            await asyncio.sleep(1 + phase)
+            leader.target_client.hangs = True
+            next(iter(world.targets.values())).is_up = False
+            lost_at = loop.time()
+            while world.unheld_count():
+                await asyncio.sleep(0.01)
+            times.append(loop.time() - lost_at)
+            await asyncio.sleep(1)
+            leader.kill()
+            self.assertEqual(world.violations, [])
+
+        run_virtually(main)
+        return times[0]
+
+    def test_keys_are_held_again_in_time(self) -> None:
+        # A renewal that was sent to a lost owner in vain prolonged the time
+        # for which its keys had to wait: up to 3.6 s.
+        for transit_time in (0.0, 0.03):
+            with self.subTest(transit_time=transit_time):
+                self.assertLess(self.longest(transit_time), self.LIMIT)
+
+    def test_keys_stay_held_while_a_leader_is_replaced(self) -> None:
+        """As long after a killed leader as its last renewals last."""
+        for phase in self.PHASES:
+            with self.subTest(phase=phase):
+                self.check_replaced_leader(phase)
+
+    def check_replaced_leader(self, phase: float) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed=1)
+            leader = await _settled_leader(world)
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            await asyncio.sleep(1 + phase)
+            leader.kill()
+            await asyncio.sleep(GRANT_DURATION - GRANT_RENEWAL_INTERVAL - 0.05)
+            self.assertEqual(world.unheld_count(), 0)
+            second.kill()
+
+        run_virtually(main)
+
+
 class GrantInTransitTest(unittest.TestCase):
     """Grants that take up to the timeout of a call, and a little longer.
 
