Bound the whole way of a request with a permit by one deadline

That this was its cause is suspected, not shown.

A permit now carries the time until which its request may be written, 0.7 s after its start (PERMIT_LIFETIME, MAX_SENDING_DELAY). It bounds each connection and is asked again right before the request is written; a request whose permit has run out is placed again, with another permit, or refused. The fleet key does not sign it, since that build signs without it.

--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -1,5 +1,7 @@
 """Decide whether this daemon carries a request for another one."""
 
+import math
+
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
@@ -9,10 +11,12 @@
 from cassialever.gateway.hop_messages import HopRequest
 from cassialever.gateway.outcomes import Attempt
 from cassialever.gateway.settings import InstanceSettings
+from cassialever.policy.connect_times import MIN_TIMEOUT
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.placing import has_left
 from cassialever.policy.reach import TargetReach
 from cassialever.policy.room import request_capacity
+from cassialever.types import Seconds
 
 
 class CarryingPolicy:
@@ -64,14 +68,21 @@
             )
         return self._usable_target(hop)
 
-    def needs_permit(self, target: Target) -> bool:
-        """Return whether a target gets requests with a permit only.
+    def send_before(
+        self, hop: HopRequest, target: Target, arrived_at: Seconds
+    ) -> Seconds:
+        """Return until when a request may be written, in monotonic time.
 
-        The daemon that passes a request on has used one.
+        The daemon that passes it on has used a permit if one is needed. The
+        build before does not say until when that may be used.
         """
+        if math.isfinite(hop.send_within):
+            return arrived_at + hop.send_within
         targets = self._view.targets
         is_limited = targets.limits.rate_of(target) is not None
-        return is_limited or targets.is_cold(target.target_id)
+        if is_limited or targets.is_cold(target.target_id):
+            return arrived_at + MIN_TIMEOUT
+        return math.inf
 
     def count_open(self) -> int:
         """Return the number of requests that are carried now."""
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -128,13 +128,14 @@
         asked: set[str] = set()
         while len(asked) < MAX_HELPERS:
             if self._sender.has_left(target):
-                return withdrawn(target.target_id)
-            time_left = deadline - self._clock.monotonic()
+                return withdrawn(f'{target.target_id} has left')
+            now = self._clock.monotonic()
+            time_left = min(deadline, request.send_before) - now
             helper = self._next_helper(target, time_left, asked)
             if helper is None:
                 break
             asked.add(helper.instance_id)
-            last = await self._ask(request, target, helper, time_left)
+            last = await self._ask(request, target, helper, deadline - now)
             if not _was_refused(last):
                 break
         return last
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -69,6 +69,13 @@
     target_id: TargetId | None = None
 
 
+class _Placement(msgspec.Struct, frozen=True):
+    """The target of one attempt, and until when the request may be written."""
+
+    target: Target
+    send_before: Seconds
+
+
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
 
@@ -187,7 +194,7 @@
             attempt = await self._send(routed, placed, progress)
             time_left = routed.deadline - self._clock.monotonic()
             if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
-                return placed, attempt
+                return placed.target, attempt
             # Nothing was sent, so this is not a retry.
             progress.count -= 1
 
@@ -196,7 +203,7 @@
         routed: RoutedRequest,
         service: ServiceName,
         tried: list[TargetId],
-    ) -> Target | Refusal:
+    ) -> _Placement | Refusal:
         """Choose a target, waiting for one if the policy allows it."""
         started = self._clock.monotonic()
         placement = PlacementRequest(
@@ -210,8 +217,8 @@
             now = self._clock.monotonic()
             chosen = self.selector.choose(placement, now)
             if isinstance(chosen, Target):
-                self.limiter.use_permit(chosen.target_id)
-                return chosen
+                send_before = self.limiter.use_permit(chosen.target_id)
+                return _Placement(chosen, send_before)
             since = started if tried else routed.received_at
             timing = refusal.RequestTiming(
                 waited=now - since,
@@ -247,8 +254,9 @@
         )
 
     async def _send(
-        self, routed: RoutedRequest, target: Target, progress: _Progress
+        self, routed: RoutedRequest, placed: _Placement, progress: _Progress
     ) -> Attempt:
+        target = placed.target
         progress.count += 1
         span = self.tracing.start_span(
             Hop.target,
@@ -260,7 +268,7 @@
             routed.request,
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
-            has_permit=self.selector.needed_permit(target) is not None,
+            send_before=placed.send_before,
         )
         self.counters.sent_by_service[target.service] += 1
         sent = msgspec.structs.replace(routed, request=request)
--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -100,15 +100,13 @@
     ) -> Attempt:
         if self._session is None:
             return not_run('not started', ErrorKind.stopping)
-        hop = self._hop_request(request, target, time_left)
+        connect_timeout = self._connect_timeout(request)
+        hop = self._hop_request(request, target, time_left, connect_timeout)
         key = self._settings.fleet_key
         headers = wire.end_to_end_headers(request.headers, HOP_HEADERS)
         if request.traceparent:
             headers.append((TRACEPARENT_HEADER, request.traceparent))
         address = hop_address(helper.address)
-        connect_timeout = self._connect_times.timeout_for(
-            has_permit=request.has_permit
-        )
         sent_at = self._clock.boot()
         async with self._session.post(
             URL(f'http://{address}{request.raw_path}', encoded=True),
@@ -132,11 +130,21 @@
             await response.read()
             return _unanswered(reply)
 
+    def _connect_timeout(self, request: TargetRequest) -> Seconds:
+        """Return how long the connection to a helper may take.
+
+        A helper has at least as long to reach the target.
+        """
+        limit = self._connect_times.timeout_for(has_permit=request.has_permit)
+        permit_left = request.send_before - self._clock.monotonic()
+        return min(limit, permit_left / 2)
+
     def _hop_request(
         self,
         request: TargetRequest,
         target: Target,
         time_left: Seconds,
+        connect_timeout: Seconds,
     ) -> HopRequest:
         configuration = self._view.configuration
         return HopRequest(
@@ -149,6 +157,10 @@
             configuration=configuration.version if configuration else 0,
             sent_at=self._clock.wall(),
             nonce=new_nonce(),
+            # The helper does not know how long the connection to it took.
+            send_within=request.send_before
+            - self._clock.monotonic()
+            - connect_timeout,
         )
 
 
--- a/cassialever/gateway/hop_messages.py
+++ b/cassialever/gateway/hop_messages.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 import secrets
 from collections.abc import Mapping
 from typing import Final
@@ -27,6 +28,7 @@
 _TIME_LEFT: Final = f'{_PREFIX}Time-Left-Ms'
 _ORIGIN: Final = f'{_PREFIX}Origin'
 _CONFIGURATION: Final = f'{_PREFIX}Configuration'
+_SEND_WITHIN: Final = f'{_PREFIX}Send-Within-Ms'
 _SENT_AT: Final = f'{_PREFIX}Sent-Ms'
 _NONCE: Final = f'{_PREFIX}Nonce'
 _PROOF: Final = f'{_PREFIX}Proof'
@@ -47,7 +49,8 @@
 _REPLY_HEADERS: Final = (_NONCE, _OUTCOME, _STATUS, _KIND, _REASON)
 #: All headers between daemons, in lower case.
 HOP_HEADERS: Final = frozenset(
-    name.lower() for name in (*_REQUEST_HEADERS, *_REPLY_HEADERS, _PROOF)
+    name.lower()
+    for name in (*_REQUEST_HEADERS, *_REPLY_HEADERS, _SEND_WITHIN, _PROOF)
 )
 _NONCE_BYTES: Final = 8
 #: Longest reason in a reply, in characters.
@@ -73,6 +76,8 @@
     `sent_at` is in seconds of the wall clock. `time_left` is the target's time
     limit, from the arrival of the request on. `configuration` is the version
     in force at the origin, the daemon that has the caller's request.
+    `send_within` is how long after its arrival the request may be written;
+    infinity if it uses no permit, or if the origin is of the build before.
     """
 
     method: str
@@ -84,6 +89,7 @@
     configuration: int
     sent_at: Seconds
     nonce: str
+    send_within: Seconds = math.inf
 
 
 class HopReply(msgspec.Struct, frozen=True):
@@ -112,6 +118,12 @@
         (_SENT_AT, str(int(hop.sent_at * MS_PER_SECOND))),
         (_NONCE, hop.nonce),
     ]
+    if math.isfinite(hop.send_within):
+        within = max(0, int(hop.send_within * MS_PER_SECOND))
+        # The build before does not know the field, and signs without it: named
+        # here, it is not passed on to the target.
+        headers.append((_SEND_WITHIN, str(within)))
+        headers.append(('Connection', _SEND_WITHIN))
     return _with_proof(headers, _REQUEST_HEADERS, hop.raw_path, key)
 
 
@@ -133,6 +145,7 @@
             configuration=_digits(headers[_CONFIGURATION]),
             sent_at=_digits(headers[_SENT_AT]) / MS_PER_SECOND,
             nonce=headers[_NONCE],
+            send_within=_send_within(headers),
         )
     except (KeyError, ValueError) as error:
         return Failure(ErrorKind.bad_request, f'malformed: {error!r}')
@@ -221,6 +234,11 @@
     return '\n'.join((raw_path, *(headers[name] for name in signed_names)))
 
 
+def _send_within(headers: Mapping[str, str]) -> Seconds:
+    text = headers.get(_SEND_WITHIN)
+    return math.inf if text is None else _digits(text) / MS_PER_SECOND
+
+
 def _digits(text: str) -> int:
     """Parse a whole number; `int` alone also accepts signs and spaces."""
     if not (text.isascii() and text.isdigit()):
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -164,7 +164,7 @@
             request.headers,
             hop,
             body,
-            has_permit=self._policy.needs_permit(target),
+            send_before=self._policy.send_before(hop, target, arrived_at),
         )
         self._policy.count_carried()
         sent_at = self._clock.boot()
@@ -284,7 +284,7 @@
     hop: HopRequest,
     body: bytes,
     *,
-    has_permit: bool,
+    send_before: Seconds,
 ) -> TargetRequest:
     forwarded = wire.end_to_end_headers(headers, HOP_HEADERS)
     return TargetRequest(
@@ -293,7 +293,7 @@
         hop.raw_path,
         CIMultiDict(forwarded),
         body,
-        has_permit=has_permit,
+        send_before=send_before,
     )
 
 
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -68,8 +68,8 @@
     return Attempt(AttemptOutcome.not_run, failure=Failure(kind, reason))
 
 
-def withdrawn(target_id: TargetId) -> Attempt:
-    """Return an attempt that sent nothing, since its target has left."""
+def withdrawn(reason: str) -> Attempt:
+    """Return an attempt that sent nothing, since its choice does not hold."""
     return msgspec.structs.replace(
-        not_run(f'{target_id} has left', ErrorKind.no_target), is_withdrawn=True
+        not_run(reason, ErrorKind.no_target), is_withdrawn=True
     )
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -54,7 +54,7 @@
 
 
 class WithdrawnError(aiohttp.ClientError):
-    """Nothing was sent, since the target, which it names, has left."""
+    """Nothing was sent; the message is the reason."""
 
 
 class TargetRequest(msgspec.Struct, frozen=True):
@@ -69,8 +69,21 @@
     traceparent: str = ''
     #: Whether it may run more than once.
     is_idempotent: bool = False
-    #: Whether it uses a permit of its target.
-    has_permit: bool = False
+    #: Until when it may be written, in monotonic time; infinity if it needs no
+    #: permit of its target.
+    send_before: Seconds = math.inf
+
+    @property
+    def has_permit(self) -> bool:
+        """Return whether it uses a permit of its target."""
+        return math.isfinite(self.send_before)
+
+
+class _Sending(msgspec.Struct, frozen=True):
+    """A request whose connection is made, with its target."""
+
+    target: Target
+    send_before: Seconds
 
 
 class OwnDelayError(aiohttp.ConnectionTimeoutError):
@@ -96,8 +109,8 @@
         self._session: aiohttp.ClientSession | None = None
         #: Returns whether a target has left since it was chosen.
         self.has_left: Callable[[Target], bool] = _never
-        #: The target of the request that the current task sends.
-        self._target: ContextVar[Target] = ContextVar('target')
+        #: The request that the current task sends.
+        self._sending: ContextVar[_Sending] = ContextVar('sending')
 
     async def start(self) -> None:
         """Open the connection pool."""
@@ -182,7 +195,7 @@
         path.
         """
         target_id = target.target_id
-        self._target.set(target)
+        self._sending.set(_Sending(target, request.send_before))
         sent_at = self._clock.monotonic()
         connect_time = self._connect_time(request, time_left)
         is_short = connect_time < self._paths.connect_times.timeout
@@ -217,10 +230,13 @@
         )
 
     def _check_target(self) -> None:
-        """Raise WithdrawnError if the target may get no request any more."""
-        target = self._target.get()
-        if self.has_left(target):
-            raise WithdrawnError(target.target_id)
+        """Raise WithdrawnError if the target may not get the request now."""
+        sending = self._sending.get()
+        target_id = sending.target.target_id
+        if self.has_left(sending.target):
+            raise WithdrawnError(f'{target_id} has left')
+        if self._clock.monotonic() >= sending.send_before:
+            raise WithdrawnError(f'the permit of {target_id} has run out')
 
     def _record_unconnected(
         self,
@@ -249,11 +265,18 @@
     def _connect_time(
         self, request: TargetRequest, time_left: Seconds
     ) -> Seconds:
-        """Return how long a request may wait for a new connection."""
+        """Return how long a request may wait for a new connection.
+
+        Raise WithdrawnError if it may not wait at all.
+        """
         limit = self._paths.connect_times.timeout_for(
             has_permit=request.has_permit
         )
-        return min(limit, time_left)
+        permit_left = request.send_before - self._clock.monotonic()
+        connect_time = min(limit, time_left, permit_left)
+        if connect_time <= 0:
+            raise WithdrawnError('no time is left to connect')
+        return connect_time
 
     def _open(
         self,
@@ -338,7 +361,7 @@
             is_own_delay=isinstance(error, OwnDelayError),
         )
     if isinstance(error, WithdrawnError):
-        return withdrawn(TargetId(str(error)))
+        return withdrawn(str(error))
     if isinstance(error, asyncio.TimeoutError):
         return unknown(repr(error), ErrorKind.deadline_passed)
     return unknown(repr(error))
--- a/cassialever/policy/permits.py
+++ b/cassialever/policy/permits.py
@@ -8,6 +8,7 @@
 never one too many.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Collection
 from typing import Final, TypeAlias
@@ -21,6 +22,9 @@
 #: rate and one are used in any second, and 1.125 times the rate and one in any
 #: four seconds; the platform allows 1.5 times and five or more.
 PERMIT_LIFETIME: Final[Seconds] = 0.5
+#: By how much later the request that uses a permit has to be written, by this
+#: daemon or by a helper. The rest of what the platform allows is for its way.
+MAX_SENDING_DELAY: Final[Seconds] = 0.2
 #: How far ahead permits are issued. A request waits about as long for a target;
 #: a permit that starts after it was refused is lost.
 MAX_BOOKING_DELAY: Final[Seconds] = 0.25
@@ -240,12 +244,16 @@
             start + number * batch.interval for number in range(batch.count)
         )
 
-    def use_permit(self, target_id: TargetId) -> None:
-        """Use up a permit for a target, if there is one."""
+    def use_permit(self, target_id: TargetId) -> Seconds:
+        """Use up a permit for a target, if there is one.
+
+        Return until when its request may be written; infinity without one.
+        """
         permits = self._permits_by_id.get(target_id)
-        if permits is not None and permits.starts:
-            permits.starts.popleft()
-            permits.used += 1
+        if permits is None or not permits.starts:
+            return math.inf
+        permits.used += 1
+        return permits.starts.popleft() + PERMIT_LIFETIME + MAX_SENDING_DELAY
 
     def available_in(self, target_id: TargetId, now: Seconds) -> Seconds:
         """Return the time until a request may be sent; 0 if not known."""
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -11,7 +11,7 @@
 from cassialever.gateway import application, connections
 from cassialever.keys import assignments
 from cassialever.platform import store, targets
-from cassialever.policy import budget, connect_times, permits
+from cassialever.policy import budget, permits
 
 PAGE = pathlib.Path(__file__).parent.parent / 'docs/design/bounds.md'
 
@@ -166,7 +166,7 @@
         {
             'permits that start': COLD_RATE + 1,
             'PERMIT_LIFETIME': permits.PERMIT_LIFETIME * COLD_RATE,
-            'MIN_TIMEOUT': connect_times.MIN_TIMEOUT * COLD_RATE,
+            'MAX_SENDING_DELAY': permits.MAX_SENDING_DELAY * COLD_RATE,
         },
     ),
     'permits of a limited target, requests in 4 s': BoundSum(
@@ -174,7 +174,7 @@
         {
             'permits that start': 4 * COLD_RATE + 1,
             'PERMIT_LIFETIME': permits.PERMIT_LIFETIME * COLD_RATE,
-            'MIN_TIMEOUT': connect_times.MIN_TIMEOUT * COLD_RATE,
+            'MAX_SENDING_DELAY': permits.MAX_SENDING_DELAY * COLD_RATE,
             'OUTDATED_LIST_SHARE': 4 * permits.OUTDATED_LIST_SHARE * COLD_RATE
             + 1,
             'clocks 2% fast': 0.12 * COLD_RATE,
--- a/tests/test_gateway_hop.py
+++ b/tests/test_gateway_hop.py
@@ -28,10 +28,13 @@
 from cassialever.gateway.outcomes import Attempt, AttemptOutcome
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import HOP_PORT_OFFSET
+from cassialever.platform import wire
 from cassialever.policy.connect_times import MIN_TIMEOUT
+from cassialever.policy.permits import PermitBatch
 from standins.listening import LOOPBACK
 from tests.fleet_helpers import until
 from tests.gateway_helpers import ISSUE_HEADERS, LOOKUP_HEADERS
+from tests.test_leaving_targets import slow_connections
 from tests.hop_helpers import (
     REFUSING_ADDRESS,
     Helper,
@@ -48,6 +51,8 @@
 
 LOOKUP = ('/lookup/x?a=%2F', LOOKUP_HEADERS)
 ISSUE = ('/issue/1', ISSUE_HEADERS)
+#: Time from the start of a permit to the arrival of its request, in seconds.
+MAX_PERMIT_USE = 0.7
 #: A caller that leaves ends its work at the target within this, in seconds.
 LEAVING_BOUND = 0.5
 #: An answer that does not fit into the buffers of sockets.
@@ -515,6 +520,18 @@
                         continue
                     self.assertIs(decoded.kind, ErrorKind.bad_request)
 
+    def test_time_of_a_permit_is_read_and_not_passed_on(self) -> None:
+        hop = msgspec.structs.replace(self.hop, send_within=0.25)
+        headers = dict(encode_request(hop, 'key'))
+        self.assertEqual(decode_request(headers, '/x', 'key', 1001.0), hop)
+        # As the build before does, which does not know its name.
+        passed_on = dict(wire.end_to_end_headers(headers))
+        self.assertNotIn('Daemon-Hop-Send-Within-Ms', passed_on)
+        for text in ('', '-1', 'inf', '1e9', 'nan'):
+            headers['Daemon-Hop-Send-Within-Ms'] = text
+            refused = decode_request(headers, '/x', 'key', 1001.0)
+            self.assertIs(refused.kind, ErrorKind.bad_request)
+
     def test_reply_is_accepted_with_its_proof_only(self) -> None:
         headers = dict(
             encode_reply(HopReply('n1', HopOutcome.relayed, 200), 'key')
@@ -807,6 +824,42 @@
             self.assertEqual(system.targets[1].work.received_at, [])
 
 
+class PermitTest(unittest.IsolatedAsyncioTestCase):
+    """Requests to a cold target that are passed on."""
+
+    async def send_with_permit(self, first, age: float) -> None:
+        """Send a request by a permit that started some time ago."""
+        first.view.targets.mark_cold('astana-a', 60)
+        limiter = first.core.forwarder.limiter
+        limiter.request_permits = lambda target_id, wanted: 1
+        self.permit_started_at = time.monotonic() - age
+        limiter.add_permits('i0', PermitBatch(-age, 1, 1.0), time.monotonic())
+        await ask(first, *ISSUE)
+
+    async def test_request_arrives_after_its_permit_has_run_out(self) -> None:
+        """Its own connection takes as long as one with a permit may."""
+        for age in (0.0, 0.45):
+            with self.subTest(age=age), full_target() as address:
+                async with cut_off_daemon() as (system, first, helper):
+                    set_paths(first, helper_of(helper), up=True)
+                    helper.view.targets.mark_cold('astana-a', 60)
+                    readdress(first, 'i0', address)
+                    await self.send_with_permit(first, age)
+                    latest = self.permit_started_at + MAX_PERMIT_USE
+                    arrivals = system.targets[-1].work.received_at
+                    self.assertEqual([at for at in arrivals if at > latest], [])
+                    # A young permit leaves time for the way by a helper.
+                    self.assertEqual(len(arrivals), 0 if age else 1)
+
+    async def test_helper_does_not_know_how_old_a_permit_is(self) -> None:
+        """The connection from the helper is late."""
+        async with cut_off_daemon() as (system, first, helper):
+            helper.view.targets.mark_cold('astana-a', 60)
+            with slow_connections(system.targets[-1].address):
+                await self.send_with_permit(first, 0.45)
+            self.assertEqual(system.targets[-1].work.received_at, [])
+
+
 class RunningWorkGivenUpTest(unittest.IsolatedAsyncioTestCase):
     """A target is at work on a request while its path counts as down."""
 
--- a/tests/test_policy_lateness.py
+++ b/tests/test_policy_lateness.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import math
 import time
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -219,9 +220,14 @@
         limit = self.paths.connect_times.timeout
         self.assertGreater(limit, MIN_TIMEOUT)
         late = self.unreached('t1', 'east')
-        for has_permit, time_left in ((True, 2), (False, 0.02)):
+        for permit_time, time_left in ((0.7, 2), (math.inf, 0.02)):
             request = TargetRequest(
-                'a1', 'GET', '/x', {}, b'', has_permit=has_permit
+                'a1',
+                'GET',
+                '/x',
+                {},
+                b'',
+                send_before=time.monotonic() + permit_time,
             )
             attempt = await self.sender.send(request, late, time_left)
             assert attempt.failure is not None
