--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -100,8 +100,7 @@
         self, hop: HopRequest, request_id: str, attempt: Attempt
     ) -> None:
         """Record that a request got no whole answer of its target."""
-        failure = attempt.failure
-        if failure and failure.kind is ErrorKind.target_unreachable:
+        if attempt.is_unreached and not attempt.is_own_delay:
             load = self._loads.of(hop.target_id)
             load.record_unreachable(self.clock.monotonic())
         record(
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -46,6 +46,12 @@
     #: Whether nothing was sent, since the choice of the target no longer holds.
     is_withdrawn: bool = False
 
+    @property
+    def is_unreached(self) -> bool:
+        """Return whether no connection to the target could be made."""
+        kind = self.failure.kind if self.failure else None
+        return kind is ErrorKind.target_unreachable
+
     @property
     def reason(self) -> str:
         """Return why the attempt did not serve the request."""
--- a/tests/test_gateway_hop.py
+++ b/tests/test_gateway_hop.py
@@ -422,6 +422,28 @@
             self.assertGreaterEqual(took, MIN_TIMEOUT)
             self.assertLess(took, 2 * MIN_TIMEOUT)
 
+    async def test_own_lateness_of_a_helper_is_held_against_its_target(
+        self,
+    ) -> None:
+        """Its own callers' requests would be refused or passed on."""
+        async with cut_off_daemon() as (_, first, helper):
+            for excused in (True, False):
+                with (
+                    self.subTest(excused=excused),
+                    full_target() as address,
+                    unittest.mock.patch.object(
+                        type(helper.core.reachability.paths),
+                        'record_timeout',
+                        lambda *_, excused=excused: not excused,
+                    ),
+                ):
+                    readdress(helper, 'i0', address)
+                    attempt = await exchange(first, helper_of(helper))
+                    self.assertIs(attempt.outcome, AttemptOutcome.not_run)
+                    load = helper.core.exchanges.reach._loads.of('i0')
+                    now = helper.core.clock.monotonic()
+                    self.assertEqual(load.is_reachable(now), excused)
+
     async def test_answer_to_another_request_counts_as_said_by_the_target(
         self,
     ) -> None:
