Send nothing to a target in a pause that it asked this daemon for

A target that refused with 503 and Retry-After got the next requests as before: nothing read the header of targets. With three daemons 11 requests reached it in 1.5 s, and the owner of a key got each request for it.

Requests without a key go to other targets as far as these have room; those for an owner's keys, or while all targets are in a pause, are refused at once with the rest of the pause as Retry-After.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -113,6 +113,11 @@
         logbook.NOTICE,
         'A target said in an answer that it leaves.',
     )
+    target_paused = (
+        525,
+        logbook.NOTICE,
+        'A target asked this daemon for a pause.',
+    )
     data_centre_changed = (522, logbook.NOTICE, 'Data centre states changed.')
 
     cut_off_from_targets = (
--- a/cassialever/fleet/target_registry.py
+++ b/cassialever/fleet/target_registry.py
@@ -96,6 +96,10 @@
         leaving_for = self.clock.boot() - self.limits.leaving_since(target)
         return leaving_for < MAX_OWNER_LEAVING_TIME
 
+    def pause_left(self, target: Target) -> Seconds:
+        """Return for how long a target wants no request of this daemon."""
+        return max(self.limits.pauses.until(target) - self.clock.boot(), 0)
+
     def is_cold(self, target_id: TargetId) -> bool:
         """Return whether a target is still in its cold start."""
         cold_until = self._cold_until_by_id.get(target_id, 0)
--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -13,7 +13,7 @@
 from cassialever.gateway.settings import InstanceSettings
 from cassialever.policy.connect_times import MIN_TIMEOUT
 from cassialever.policy.loads import LoadTracker
-from cassialever.policy.placing import has_left
+from cassialever.policy.placing import withdrawal_reason
 from cassialever.policy.reach import TargetReach
 from cassialever.policy.room import request_capacity
 from cassialever.types import Seconds
@@ -128,10 +128,9 @@
             return _no_target(
                 f'the target is known here as started at {target.started_at}'
             )
-        if has_left(self._view, target):
-            return _no_target(
-                f'the target takes no new work ({target.state.value})'
-            )
+        reason = withdrawal_reason(self._view, target)
+        if reason:
+            return _no_target(reason)
         if self._is_service_removed(target, hop):
             return _no_target(f'service {target.service} was removed')
         now = self.clock.monotonic()
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -127,8 +127,9 @@
         """
         asked: set[str] = set()
         while len(asked) < MAX_HELPERS:
-            if self._sender.has_left(target):
-                return withdrawn(f'{target.target_id} has left')
+            reason = self._sender.withdrawal_reason(target)
+            if reason:
+                return withdrawn(reason)
             now = self._clock.monotonic()
             time_left = min(deadline, request.send_before) - now
             helper = self._next_helper(target, time_left, asked)
@@ -180,9 +181,9 @@
     def _needs_helper(self, target: Target) -> bool:
         """Return whether a path is down while another daemon's is not.
 
-        No one's path leads to a target that has left.
+        No one's path leads to a target that takes no more requests.
         """
-        if self._sender.has_left(target):
+        if self._sender.withdrawal_reason(target):
             return False
         now = self._clock.monotonic()
         if self._reach.paths.is_reachable(target.target_id, now):
--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -12,7 +12,7 @@
 from cassialever.gateway.sender import TargetSender
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.policy.loads import LoadTracker
-from cassialever.policy.placing import has_left
+from cassialever.policy.placing import withdrawal_reason
 from cassialever.policy.reach import TargetReach
 from cassialever.tasks import log_failure
 
@@ -33,7 +33,9 @@
         self._sender = TargetSender(
             loads, view.targets.limits, reachability.paths, clock
         )
-        self._sender.has_left = functools.partial(has_left, view)
+        self._sender.withdrawal_reason = functools.partial(
+            withdrawal_reason, view
+        )
         self._hops = HopClient(
             settings,
             view,
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from cassialever.errors import ErrorKind
 from cassialever.events import Event, record
 from cassialever.fleet.model import Configuration, Route, Target
+from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.counters import Counters
 from cassialever.gateway.dispatcher import TargetDispatcher
@@ -226,6 +227,7 @@
                 objective=routed.route.objective,
                 expected_latency=0,
                 permit=_permit_delay(self.selector, chosen, placement, now),
+                pause=self._pause_left(chosen, placement),
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
@@ -236,6 +238,14 @@
             finally:
                 self.selector.waiting_by_service[service] -= 1
 
+    def _pause_left(
+        self, reason: NoTargetReason, placement: PlacementRequest
+    ) -> Seconds:
+        if reason is not NoTargetReason.paused:
+            return 0
+        owner = self.selector.owner_of(placement)
+        return _pause_left(self._view.targets, placement, owner)
+
     def _no_target(
         self, decision: refusal.Refuse, placement: PlacementRequest
     ) -> Refusal:
@@ -401,6 +411,16 @@
     return selector.permit_delay(placement, now)
 
 
+def _pause_left(
+    targets: TargetRegistry, placement: PlacementRequest, owner: Target | None
+) -> Seconds:
+    """Return the time until a target that has asked for a pause may be used."""
+    if owner is not None:
+        return targets.pause_left(owner)
+    usable = targets.usable(placement.service)
+    return min(map(targets.pause_left, usable), default=0)
+
+
 def final_answer(
     refused: Refusal,
     attempts: list[Attempt],
--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -81,12 +81,14 @@
         sent_at: Seconds,
     ) -> None:
         """Record what a target says of itself; `sent_at` is in boot time."""
-        said = parse_statements(status, response.headers)
+        said = parse_statements(status, response.headers, self._clock.wall())
         if isinstance(said, Failure):
             return
         now = self._clock.boot()
         if said.is_leaving:
             self._limits.record_leaving(target, now)
+        if said.pause > 0:
+            self._record_pause(target, said.pause, now)
         if isinstance(said.limit, Failure):
             record(
                 Event.entry_rejected,
@@ -96,6 +98,17 @@
             return
         self._limits.record_answer(target, said.limit.rate, sent_at, now)
 
+    def _record_pause(
+        self, target: Target, pause: Seconds, now: Seconds
+    ) -> None:
+        if self._limits.pauses.record(target, pause, now):
+            record(
+                Event.target_paused,
+                target=target.target_id,
+                started_at=target.started_at,
+                seconds=pause,
+            )
+
 
 def close_connection(response: aiohttp.ClientResponse) -> None:
     """Close a connection whose answers don't match its requests.
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -107,8 +107,9 @@
         self._loop_watch = LoopWatch(paths.own_delays.lateness)
         self._data_centre_by_address: dict[str, DataCentreId] = {}
         self._session: aiohttp.ClientSession | None = None
-        #: Returns whether a target has left since it was chosen.
-        self.has_left: Callable[[Target], bool] = _never
+        #: Returns why a target may get no request, though it was chosen; an
+        #: empty text if it may.
+        self.withdrawal_reason: Callable[[Target], str] = _no_reason
         #: The request that the current task sends.
         self._sending: ContextVar[_Sending] = ContextVar('sending')
 
@@ -232,11 +233,11 @@
     def _check_target(self) -> None:
         """Raise WithdrawnError if the target may not get the request now."""
         sending = self._sending.get()
-        target_id = sending.target.target_id
-        if self.has_left(sending.target):
-            raise WithdrawnError(f'{target_id} has left')
+        reason = self.withdrawal_reason(sending.target)
         if self._clock.monotonic() >= sending.send_before:
-            raise WithdrawnError(f'the permit of {target_id} has run out')
+            reason = f'the permit of {sending.target.target_id} has run out'
+        if reason:
+            raise WithdrawnError(reason)
 
     def _record_unconnected(
         self,
@@ -367,9 +368,9 @@
     return unknown(repr(error))
 
 
-def _never(_: Target) -> bool:
-    """Take every target as still there; the default until one is set."""
-    return False
+def _no_reason(_: Target) -> str:
+    """Take every choice as still right; the default until one is set."""
+    return ''
 
 
 def _headers(
--- a/cassialever/policy/limits.py
+++ b/cassialever/policy/limits.py
@@ -8,7 +8,8 @@
 request was sent that was answered without one. The limit is in force while
 the first is later. An answer that was under way while the limit was named
 thus can't end it. A target that says that it leaves does so until it starts
-again; the earliest time at which it said so is kept.
+again; the earliest time at which it said so is kept. A pause that a target asks
+for concerns the daemon that it answers alone, and is not exchanged.
 """
 
 import math
@@ -18,6 +19,7 @@
 import msgspec
 
 from cassialever.fleet.model import StartedAt, Target
+from cassialever.policy.pauses import TargetPauses
 from cassialever.types import Seconds, TargetId
 
 #: By how much later than a limit was named a request has to be sent for its
@@ -106,6 +108,8 @@
     def __init__(self) -> None:
         """Start without any limit."""
         self._limit_by_id: dict[TargetId, TargetLimit] = {}
+        #: The pauses that targets asked this daemon for.
+        self.pauses = TargetPauses()
         #: Called with the state before and after a change that others need to
         #: know of.
         self.on_change: LimitChangeHandler = _ignore_change
@@ -186,6 +190,7 @@
 
     def prune(self, target_by_id: Mapping[TargetId, Target]) -> None:
         """Forget the limits of targets that are gone or have restarted."""
+        self.pauses.prune(target_by_id)
         for target_id in _outdated(self._limit_by_id.values(), target_by_id):
             self._limit_by_id.pop(target_id)
 
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -57,6 +57,7 @@
     cold = 'every target that has room is in its cold start'
     limited = 'every target that has room has named a limit'
     full = 'every target of the service is full'
+    paused = 'every target of the service has asked for a pause'
 
 
 #: Reasons that permits of the target's keeper remove.
@@ -238,7 +239,7 @@
         request: PlacementRequest,
         now: Seconds,
     ) -> Target | NoTargetReason:
-        refusal = NoTargetReason.full
+        refusal = NoTargetReason.paused if targets else NoTargetReason.full
         available = []
         without_permit = []
         for target in targets:
@@ -246,7 +247,8 @@
             if reason is None:
                 available.append(target)
                 continue
-            refusal = reason
+            if reason is not NoTargetReason.paused:
+                refusal = reason
             if reason in NEEDS_PERMIT:
                 without_permit.append(target)
         self._request_permit(without_permit, available, now)
@@ -284,6 +286,8 @@
         now: Seconds,
     ) -> NoTargetReason | None:
         """Return why a target can't take a request, or None if it can."""
+        if self._view.targets.pause_left(target):
+            return NoTargetReason.paused
         load = self._loads.of(target.target_id)
         is_full = load.estimated_requests(now) >= self._max_requests(target)
         # The objective only matters if the request would be queued.
@@ -353,18 +357,23 @@
         return requests * latency * jitter / target.slots
 
 
-def has_left(view: FleetView, target: Target) -> bool:
-    """Return whether a request that waited may not go to its target.
+def withdrawal_reason(view: FleetView, target: Target) -> str:
+    """Return why a request that waited may not go to its target.
 
-    `target` is as it was when it was chosen.
+    `target` is as it was when it was chosen. The text is empty if it may go.
     """
     known = view.targets.by_id.get(target.target_id)
     if known is None or known.started_at != target.started_at:
-        return True
+        return f'{target.target_id} is gone'
     service = view.service(known.service)
+    is_usable = view.targets.is_usable(known)
     if service is not None and service.is_keyed:
-        return not view.targets.is_usable_owner(known)
-    return not view.targets.is_usable(known)
+        is_usable = view.targets.is_usable_owner(known)
+    if not is_usable:
+        return f'{target.target_id} takes no new work ({known.state.value})'
+    if view.targets.pause_left(known):
+        return f'{target.target_id} has asked for a pause'
+    return ''
 
 
 def _usable_owner(
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -30,6 +30,7 @@
         NoTargetReason.cold: ErrorKind.target_busy,
         NoTargetReason.limited: ErrorKind.target_busy,
         NoTargetReason.full: ErrorKind.target_busy,
+        NoTargetReason.paused: ErrorKind.target_busy,
     },
 )
 
@@ -60,6 +61,8 @@
     expected_latency: Seconds
     #: Time until a permit for a target may be used, if one is needed.
     permit: PermitDelay = PermitDelay()
+    #: Time until the end of a pause that a target has asked for.
+    pause: Seconds = 0
 
 
 #: Share of the objective that a request may wait, by reason. A wait of up to
@@ -74,6 +77,7 @@
         NoTargetReason.cold: 0.5,
         NoTargetReason.limited: 0.5,
         NoTargetReason.full: 0.5,
+        NoTargetReason.paused: 0,
     },
 )
 #: Time from a refusal until a target is expected, by reason.
@@ -86,6 +90,7 @@
         NoTargetReason.cold: 0.3,
         NoTargetReason.limited: 0.3,
         NoTargetReason.full: 0.25,
+        NoTargetReason.paused: 0.3,
     },
 )
 #: Time between two attempts to find a target.
@@ -108,7 +113,7 @@
         return Wait(POLL_INTERVAL)
     # Spread between the expected time and twice that.
     expected = max(_RETRY_AFTER[reason], timing.permit.delay)
-    retry_after = expected * (1 + random_source.random())
+    retry_after = timing.pause + expected * (1 + random_source.random())
     return Refuse(reason, retry_after)
 
 
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -176,6 +176,9 @@
         'target_leaving': (
             'target {target} was known to leave (learned from {learned_from})'
         ),
+        'target_paused': (
+            'target {target} asked this daemon for a pause of {seconds} s'
+        ),
         'leader_taken': 'this daemon became leader',
         'leader_lost': 'this daemon lost leadership',
         'table_unavailable': 'table {table} of the store did not answer',
@@ -190,6 +193,7 @@
         'target_seen',
         'target_limit_changed',
         'target_leaving',
+        'target_paused',
     ),
 )
 #: Events that may affect any request.
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -19,6 +19,7 @@
 from cassialever.policy.reach import SoundPaths
 from tests.fleet_helpers import (
     ManualClock,
+    add_targets,
     configured_view,
     json_row,
     make_settings,
@@ -245,6 +246,51 @@
         )
 
 
+class PausedSelectorTest(unittest.TestCase):
+    """Targets that have asked this daemon for a pause."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.view = configured_view(self.clock, targets=0)
+        add_targets(self.view, ['t0', 't1'], 'issuance')
+        self.loads = LoadTracker()
+        self.selector = TargetSelector(
+            self.view,
+            self.loads,
+            PermitLimiter(),
+            'astana-a',
+            random.Random(4),
+        )
+
+    def choose(self) -> Target | NoTargetReason:
+        return self.selector.choose(REQUEST, self.clock.now)
+
+    def pause(self, name: str, seconds: float) -> None:
+        targets = self.view.targets
+        targets.limits.pauses.record(
+            targets.by_id[name], seconds, self.clock.boot()
+        )
+
+    def test_others_get_the_requests_until_they_are_full(self) -> None:
+        self.pause('t0', 5)
+        other = self.view.targets.by_id['t1']
+        for _ in range(30):
+            chosen = self.choose()
+            if chosen is not other:
+                break
+            self.loads.of('t1').record_open()
+        self.assertIs(chosen, NoTargetReason.full)
+        self.clock.now += 5
+        self.assertEqual(self.choose().target_id, 't0')
+
+    def test_requests_are_refused_while_all_are_paused(self) -> None:
+        self.pause('t0', 5)
+        self.pause('t1', 3)
+        self.assertIs(self.choose(), NoTargetReason.paused)
+        self.clock.now += 3
+        self.assertEqual(self.choose().target_id, 't1')
+
+
 class KeyedSelectorTest(unittest.TestCase):
     """The reason why a request with a key has no target."""
 
@@ -302,7 +348,11 @@
         return refusal.decide(reason, request_timing, random.Random(1))
 
     def test_what_can_not_be_served_is_refused_at_once(self) -> None:
-        for reason in (NoTargetReason.no_service, NoTargetReason.unreachable):
+        for reason in (
+            NoTargetReason.no_service,
+            NoTargetReason.unreachable,
+            NoTargetReason.paused,
+        ):
             self.assertIsInstance(self.decide(reason), refusal.Refuse)
 
     def test_requests_wait_for_moving_keys(self) -> None:
@@ -314,6 +364,11 @@
             refusal.Refuse,
         )
 
+    def test_callers_come_back_after_the_pause(self) -> None:
+        decision = self.decide(NoTargetReason.paused, pause=7.0)
+        self.assertGreater(decision.retry_after, 7.0)
+        self.assertLess(decision.retry_after, 8.0)
+
     def test_no_request_waits_past_its_deadline(self) -> None:
         for reason in NoTargetReason:
             decision = self.decide(reason, remaining=0.01)
