Wait for the drain, not for 0.05 s, in the test of a planned stop

test_graceful_stop_completes_open_requests once found no X-Cassialever-Error in the answer to a request sent 0.05 s after the stop began. It was answered 200: new requests are refused once the drain begins, and the drain waits for the store to take the resignation. So the 0.05 s measured the test's own loop.

Now the request in progress ends when the test lets it, and the later request is sent when the drain has begun; that it does not run is checked at the targets too. A second test states that requests are served during the handover.

--- a/cassialever/callers/front.py
+++ b/cassialever/callers/front.py
@@ -57,7 +57,8 @@
         self._telemetry = telemetry
         self._clock = clock
         self._limiter = CallerLimiter()
-        self._stopping = False
+        #: Whether new requests are refused.
+        self.is_draining = False
         self.in_progress = 0
         self._listener = CallerListener(
             self._serve,
@@ -85,7 +86,7 @@
         Stops listening once none is in progress. Returns when all callers
         have received their answers, at the latest at the timeout.
         """
-        self._stopping = True
+        self.is_draining = True
         deadline = self._clock.monotonic() + timeout
         while self.in_progress and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
@@ -101,7 +102,7 @@
             response = await self._answer(request)
         finally:
             self.in_progress -= 1
-        if self._stopping:
+        if self.is_draining:
             response.force_close()
         return response
 
@@ -125,7 +126,7 @@
     ) -> ParsedRequest | Failure:
         """Parse a request and count it against its caller's limits."""
         index = self._index
-        if self._stopping:
+        if self.is_draining:
             return Failure(ErrorKind.stopping, 'this instance is stopping')
         if index is None:
             return Failure(ErrorKind.no_catalogue, 'no catalogue was found yet')
--- a/tests/test_callers_stop.py
+++ b/tests/test_callers_stop.py
@@ -143,7 +143,7 @@
         await stopping
 
     async def test_refusal_while_stopping_closes_its_connection(self) -> None:
-        self.first.caller_server._stopping = True
+        self.first.caller_server.is_draining = True
         caller = self.connect()
         caller.send(request())
         received = await read_to_end(caller)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,8 +3,10 @@
 import asyncio
 from unittest import mock
 
+import aiohttp
+
 from cassialever.application import Application
-from cassialever.catalogue.entries import TargetLimits
+from cassialever.catalogue.entries import ServiceLimits, TargetLimits
 from cassialever.errors import ErrorKind
 from cassialever.exceptions import InvariantError
 from cassialever.fleet.membership import MemberState
@@ -28,34 +30,6 @@
         for stand_in in self.targets:
             stand_in.faults.service_time = seconds
 
-    async def test_graceful_stop_completes_open_requests(self) -> None:
-        """A request in progress completes; a new one is not run."""
-        self.set_service_time(0.4)
-        url = f'{self.first.caller_server.url}/issuance/slow'
-        pending_response = asyncio.create_task(self.session.get(url))
-        while not self.first.caller_server.in_progress:
-            await asyncio.sleep(0.01)
-        stopping = asyncio.create_task(self.first.stop())
-        await asyncio.sleep(0.05)
-        late_response = await self.session.get(url)
-        self.assertEqual(
-            late_response.headers['X-Cassialever-Error'],
-            ErrorKind.stopping.value,
-        )
-        self.assertTrue((await late_response.json())['not_run'])
-        response = await pending_response
-        self.assertEqual(response.status, 200)
-        self.assertIn(b'/issuance/slow', await response.read())
-        await stopping
-        self.deployment.daemon_by_id.pop(
-            self.first.settings.instance.instance_id,
-        )
-        self.set_service_time(0.002)
-        other = await self.session.get(
-            f'{self.second.caller_server.url}/issuance/x'
-        )
-        self.assertEqual(other.status, 200, await other.read())
-
     async def test_interrupted_download_is_retried(self) -> None:
         """The caller receives one answer with the complete body."""
         body = bytes(range(256)) * 1_000
@@ -195,3 +169,84 @@
             async with asyncio.timeout(5):
                 self.assertFalse(await leader.run_until_stopped())
         self.assertEqual(leader.core.key_assigner.assigner_by_service, {})
+
+
+class TestPlannedStop(WholePathCase):
+    """Requests at targets that answer when the test has them do so."""
+
+    limits = TargetLimits(slots=4, connections=8, cold_slots=3)
+    service_limits = ServiceLimits(attempt_timeout_ms=20_000)
+    headers = {'X-Cassialever-Deadline-Ms': '20000'}
+
+    @property
+    def url(self) -> str:
+        """Return the address of a request to the first daemon."""
+        return f'{self.first.caller_server.url}/issuance/slow'
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that run at targets."""
+        return sum(
+            target.work.running
+            for target in self.deployment.platform.target_by_id.values()
+        )
+
+    def freeze(self, is_frozen: bool) -> None:
+        """Have all targets answer nothing, or go on."""
+        for target in self.deployment.platform.target_by_id.values():
+            target.faults.is_frozen = is_frozen
+
+    def begin_request(self) -> asyncio.Task[aiohttp.ClientResponse]:
+        """Send a request that runs until targets go on."""
+        return asyncio.create_task(
+            self.session.get(self.url, headers=self.headers)
+        )
+
+    def begin_stop(self) -> asyncio.Task[None]:
+        """Stop the first daemon as SIGTERM does."""
+        instance_id = self.first.settings.instance.instance_id
+        self.deployment.daemon_by_id.pop(instance_id)
+        return asyncio.create_task(self.first.stop())
+
+    async def test_graceful_stop_completes_open_requests(self) -> None:
+        """A request in progress completes; a new one is not run."""
+        self.freeze(True)
+        pending_response = self.begin_request()
+        await until(lambda: self.running)
+        stopping = self.begin_stop()
+        await until(lambda: self.first.caller_server.is_draining)
+        late_response = await self.session.get(self.url)
+        self.assertEqual(
+            late_response.headers['X-Cassialever-Error'],
+            ErrorKind.stopping.value,
+        )
+        self.assertTrue((await late_response.json())['not_run'])
+        self.assertEqual(self.running, 1)
+        self.freeze(False)
+        response = await pending_response
+        self.assertEqual(response.status, 200)
+        self.assertIn(b'/issuance/slow', await response.read())
+        await stopping
+        other = await self.session.get(
+            f'{self.second.caller_server.url}/issuance/x'
+        )
+        self.assertEqual(other.status, 200, await other.read())
+
+    async def test_request_during_the_handover_is_served(self) -> None:
+        """A leader serves while the store takes its time for the lease."""
+        self.first = next(
+            daemon
+            for daemon in self.deployment.daemons
+            if daemon.core.membership.state is MemberState.leading
+        )
+        self.deployment.platform.store.call_delay = 0.5
+        self.freeze(True)
+        stopping = self.begin_stop()
+        pending_response = self.begin_request()
+        await until(lambda: self.running)
+        self.assertFalse(self.first.caller_server.is_draining)
+        await until(lambda: self.first.caller_server.is_draining)
+        self.freeze(False)
+        response = await pending_response
+        self.assertEqual(response.status, 200, await response.read())
+        await stopping
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from cassialever.application import Application
-from cassialever.catalogue.entries import Catalogue, TargetLimits
+from cassialever.catalogue.entries import Catalogue, ServiceLimits, TargetLimits
 from cassialever.types import AdminState, TargetId
 from standins.deployment import Deployment
 from tests.helpers import ISSUANCE, make_catalogue, make_target
 
 
-def catalogue(limits: TargetLimits) -> Catalogue:
+def catalogue(limits: TargetLimits, service_limits: ServiceLimits) -> Catalogue:
     """Return a catalogue with two targets of each service."""
     entries = (
         make_target('registry-1'),
@@ -21,20 +21,27 @@
         make_target('issuance-1', ISSUANCE),
         make_target('issuance-2', ISSUANCE),
     )
-    return make_catalogue(
+    made = make_catalogue(
         *(msgspec.structs.replace(entry, limits=limits) for entry in entries),
     )
+    services = tuple(
+        msgspec.structs.replace(service, limits=service_limits)
+        for service in made.services
+    )
+    return msgspec.structs.replace(made, services=services)
 
 
 class WholePathCase(unittest.IsolatedAsyncioTestCase):
     """Two daemons and four targets in one data centre."""
 
     limits = TargetLimits(slots=2, connections=4, cold_slots=1)
+    service_limits = ServiceLimits()
 
     async def asyncSetUp(self) -> None:
         """Start a deployment and open a caller's session."""
         self.deployment = Deployment(
-            catalogue(self.limits), daemons_per_data_centre=2
+            catalogue(self.limits, self.service_limits),
+            daemons_per_data_centre=2,
         )
         await self.deployment.start()
         await self.deployment.wait_until_settled()
