Answer requests that outlast the stop of the own interface

A caller of cassialeverd whose request was still in progress stop.longest after the drain began got no answer: its connection was closed. The daemon on the platform cuts the wait for targets to the time of its stop (StopLimit); that of the own interface never began this limit, so the end of the drain cancelled the request.

--- a/cassialever/callers/front.py
+++ b/cassialever/callers/front.py
@@ -25,6 +25,7 @@
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.sender import TargetRequest
+from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.interfaces import Clock
 from cassialever.platform import wire
 from cassialever.settings import Settings
@@ -84,10 +85,12 @@
         """Refuse new requests and finish those in progress, then close.
 
         Stops listening once none is in progress. Returns when all callers
-        have received their answers, at the latest at the timeout.
+        have received their answers, at the latest at the timeout. Targets
+        are waited for until shortly before it.
         """
         self.is_draining = True
         deadline = self._clock.monotonic() + timeout
+        self._forwarder.stop_limit.begin(deadline - TIMEOUT_ANSWER_RESERVE)
         while self.in_progress and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         await self._listener.drain(deadline - self._clock.monotonic())
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -17,7 +17,7 @@
     hop_readings,
 )
 from cassialever.gateway.settings import GatewaySettings, load_settings
-from cassialever.gateway.stop_limit import RESPONSE_MARGIN
+from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.process_signals import ProcessSignals
 from cassialever.signal_watcher import SignalWatcher
 from cassialever.tasks import log_failure
@@ -33,9 +33,6 @@
 #: Minimum time between two readings of the settings. Hang-ups within it are
 #: answered by one reading, so that no number of them keeps the daemon busy.
 RELOAD_INTERVAL: Final[Seconds] = 0.1
-#: Part of the grace period that is reserved for answering requests whose time
-#: limit a stop has cut; the answer of a target may come RESPONSE_MARGIN late.
-TIMEOUT_ANSWER_RESERVE: Final[Seconds] = 2 * RESPONSE_MARGIN
 
 
 class Gateway:
--- a/cassialever/gateway/stop_limit.py
+++ b/cassialever/gateway/stop_limit.py
@@ -12,6 +12,9 @@
 
 #: Time allowed for transmitting the answer, beyond the target's time limit.
 RESPONSE_MARGIN: Final[Seconds] = 0.15
+#: Part of the time for a stop that is reserved for answering requests whose
+#: time limit it has cut; the answer of a target may come RESPONSE_MARGIN late.
+TIMEOUT_ANSWER_RESERVE: Final[Seconds] = 2 * RESPONSE_MARGIN
 
 
 class StopLimit:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -8,7 +8,7 @@
 
 from cassialever.fleet import connecting, following, following_leader
 from cassialever.fleet import lease, membership, relay
-from cassialever.gateway import application, connections
+from cassialever.gateway import application, connections, stop_limit
 from cassialever.keys import assignments
 from cassialever.platform import store, targets
 from cassialever.policy import budget, connect_times, permits
@@ -146,7 +146,7 @@
         GRACE,
         {
             'RESIGN_TIMEOUT': membership.RESIGN_TIMEOUT,
-            'TIMEOUT_ANSWER_RESERVE': application.TIMEOUT_ANSWER_RESERVE,
+            'TIMEOUT_ANSWER_RESERVE': stop_limit.TIMEOUT_ANSWER_RESERVE,
             'CLOSE_RESERVE': application.CLOSE_RESERVE,
         },
     ),
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import aiohttp
+import msgspec
 
 from cassialever.application import Application
 from cassialever.catalogue.entries import ServiceLimits, TargetLimits
@@ -250,3 +251,22 @@
         response = await pending_response
         self.assertEqual(response.status, 200, await response.read())
         await stopping
+
+    async def test_request_that_outlasts_the_stop_is_answered(self) -> None:
+        """It may have run."""
+        stop = msgspec.structs.replace(self.first.settings.stop, longest=1)
+        self.first.settings = msgspec.structs.replace(
+            self.first.settings, stop=stop
+        )
+        self.freeze(True)
+        pending_response = self.begin_request()
+        await until(lambda: self.running)
+        stopping = self.begin_stop()
+        response = await pending_response
+        self.assertEqual(
+            response.headers['X-Cassialever-Error'],
+            ErrorKind.outcome_unknown.value,
+        )
+        self.assertFalse((await response.json())['not_run'])
+        await stopping
+        self.freeze(False)
