List keys that lapse after one unanswered grant while the store is down

No grant follows, and all keys are refused 2.0 s later, though targets and leader are well.

test_grant_without_answer_while_the_store_is_down shows it in virtual time, each time: one unanswered renewal, then every call would be answered. Listed, not mended: to renew with the same fence takes proof that the owner has not restarted in between.

--- a/tests/test_keys_keeper.py
+++ b/tests/test_keys_keeper.py
@@ -11,9 +11,11 @@
 from cassialever.fleet.lease import AUTHORITY_TERM, STALE_AFTER
 from cassialever.keys.assignments import (
     GRANT_DURATION,
+    GRANT_RENEWAL_INTERVAL,
     MAX_GRANT_DURATION,
     AssignmentState,
 )
+from cassialever.platform.targets import GRANT_TIMEOUT
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.ownership_fakes import Daemon, World
 from tests.ownership_faults import RECOVERY_LIMIT, run_random_faults
@@ -125,6 +127,20 @@
 
         self.check(scenario)
 
+    def test_grant_without_answer_while_the_store_is_down(self) -> None:
+        # Its owner runs on, and every later call would be answered.
+        async def scenario(world: World) -> None:
+            first = await _settled_leader(world)
+            first.store.is_cut = True
+            world.grant_delays = (0.0, 0.1)
+            world.delayed_calls = 1.0
+            await asyncio.sleep(GRANT_RENEWAL_INTERVAL + GRANT_TIMEOUT)
+            world.delayed_calls = 0.0
+            await asyncio.sleep(GRANT_DURATION * 1.1)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
     def test_keys_move_only_after_the_earlier_leader_has_expired(self) -> None:
         # The first leader is cut from the store only and goes on renewing;
         # a target is removed as soon as the second leader has taken over.
