Read the answer to a grant before a late leader gives the call up

A leader whose own loop did not run for 0.4 s gave up grants whose answers waited in its sockets. The owners then count as suspect and get no keys before a new fence is written: during an outage of the store all their keys lapse, and callers are refused (421, 503 target_shed). Its own lateness was taken for the targets' failure.

--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -1,8 +1,10 @@
 """Grant keys to targets and have targets release them."""
 
 import asyncio
+import contextlib
 import enum
 import math
+from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import Final
 
@@ -17,8 +19,14 @@
 
 #: How long a target may take to answer a grant.
 GRANT_TIMEOUT: Final[Seconds] = 0.4
+#: Part of a call's time in which a daemon reads what has arrived. If its loop
+#: is late, it finds an answer only when the rest of that time is over.
+READ_TIME: Final[Seconds] = 0.05
 #: How long a target may take to finish its work on keys that it releases.
 RELEASE_TIMEOUT: Final[Seconds] = 2.5
+_CONNECT_LIMIT: Final = aiohttp.ClientTimeout(
+    total=None, connect=CONNECT_TIMEOUT
+)
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
@@ -94,15 +102,15 @@
                 CallOutcome.not_sent, reason='the session is not open'
             )
         try:
-            async with self._session.post(
-                f'http://{address}{path}',
-                data=body,
-                headers=_JSON_HEADERS,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout,
-                    connect=CONNECT_TIMEOUT,
-                ),
-            ) as response:
+            async with (
+                _time_limit(timeout),
+                self._session.post(
+                    f'http://{address}{path}',
+                    data=body,
+                    headers=_JSON_HEADERS,
+                    timeout=_CONNECT_LIMIT,
+                ) as response,
+            ):
                 await response.read()
                 return _call_result(response)
         except (
@@ -114,6 +122,24 @@
             return CallResult(CallOutcome.unknown, reason=repr(error))
 
 
+@contextlib.asynccontextmanager
+async def _time_limit(limit: Seconds) -> AsyncIterator[None]:
+    """Raise TimeoutError at a limit, the last READ_TIME counted in the loop.
+
+    Its first part may be over when a late loop runs again.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as timeout:
+        timer = loop.call_later(
+            limit - READ_TIME,
+            lambda: timeout.reschedule(loop.time() + READ_TIME),
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
 def _call_result(response: aiohttp.ClientResponse) -> CallResult:
     reason = f'the target answered {response.status}'
     if response.status == HTTPStatus.OK:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,6 +1,7 @@
 """Test the encoding and decoding of headers and calls."""
 
 import asyncio
+import time
 import unittest
 
 import msgspec
@@ -8,8 +9,14 @@
 
 from cassialever.fleet.model import KeyRange
 from cassialever.platform import wire
-from cassialever.platform.targets import CallOutcome, TargetClient
+from cassialever.platform.targets import (
+    GRANT_TIMEOUT,
+    CallOutcome,
+    TargetClient,
+)
 from standins.keyed_target import TargetServer
+from standins.listening import LOOPBACK
+from tests.fleet_helpers import until
 
 
 class HeaderTest(unittest.TestCase):
@@ -121,3 +128,52 @@
         self.assertLess(target.keys.grants[0].until - now, 0.6)
         await client.stop()
         await target.stop()
+
+    async def test_answer_that_waits_in_the_socket_of_a_late_daemon(
+        self,
+    ) -> None:
+        """A grant without an answer takes the keys from its owner."""
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'}')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+            # The loop is also that of the caller.
+            time.sleep(GRANT_TIMEOUT + 0.1)
+            writer.close()
+
+        server = await asyncio.start_server(answer, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        client = TargetClient()
+        await client.start()
+        keys = KeyRange(0, 99, 't0', 1, 1)
+        result = await client.grant(f'{host}:{port}', keys, 2.4)
+        self.assertIs(result.outcome, CallOutcome.done, result)
+        await client.stop()
+        server.close()
+
+    async def test_grant_ends_though_the_target_does_not_answer(self) -> None:
+        async def hang(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+            ends.append(loop.time())
+            writer.close()
+
+        loop = asyncio.get_running_loop()
+        ends: list[float] = []
+        server = await asyncio.start_server(hang, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        client = TargetClient()
+        await client.start()
+        sent_at = loop.time()
+        keys = KeyRange(0, 99, 't0', 1, 1)
+        result = await client.grant(f'{host}:{port}', keys, 2.4)
+        self.assertIs(result.outcome, CallOutcome.unknown, result)
+        self.assertGreaterEqual(loop.time() - sent_at, 0.95 * GRANT_TIMEOUT)
+        # Nothing that was sent arrives after a reset.
+        await until(lambda: ends)
+        await client.stop()
+        server.close()
