--- a/cassialever/callers/front.py
+++ b/cassialever/callers/front.py
@@ -25,6 +25,7 @@
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.sender import TargetRequest
+from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.interfaces import Clock
 from cassialever.platform import wire
 from cassialever.settings import Settings
@@ -57,7 +58,8 @@
         self._telemetry = telemetry
         self._clock = clock
         self._limiter = CallerLimiter()
-        self._stopping = False
+        #: Whether new requests are refused.
+        self.is_draining = False
         self.in_progress = 0
         self._listener = CallerListener(
             self._serve,
@@ -83,10 +85,12 @@
         """Refuse new requests and finish those in progress, then close.
 
         Stops listening once none is in progress. Returns when all callers
-        have received their answers, at the latest at the timeout.
+        have received their answers, at the latest at the timeout. Targets
+        are waited for until shortly before it.
         """
-        self._stopping = True
+        self.is_draining = True
         deadline = self._clock.monotonic() + timeout
+        self._forwarder.stop_limit.begin(deadline - TIMEOUT_ANSWER_RESERVE)
         while self.in_progress and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         await self._listener.drain(deadline - self._clock.monotonic())
@@ -101,7 +105,7 @@
             response = await self._answer(request)
         finally:
             self.in_progress -= 1
-        if self._stopping:
+        if self.is_draining:
             response.force_close()
         return response
 
@@ -125,7 +129,7 @@
     ) -> ParsedRequest | Failure:
         """Parse a request and count it against its caller's limits."""
         index = self._index
-        if self._stopping:
+        if self.is_draining:
             return Failure(ErrorKind.stopping, 'this instance is stopping')
         if index is None:
             return Failure(ErrorKind.no_catalogue, 'no catalogue was found yet')
