--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -25,8 +25,13 @@
 PEERS = 59
 
 
-def member(link_mbps: float, seed: int) -> Membership:
-    """Return a follower whose leader has long been cut off from the store."""
+def member(
+    link_mbps: float, seed: int, *, reaches_store: bool = True
+) -> Membership:
+    """Return a follower whose leader has long been cut off from the store.
+
+    It follows the store itself.
+    """
     view = configured_view(ManualClock(), targets=0)
     own = Hello(f'edge-{seed}', 1, f'10.1.0.{seed}:7', {})
     link = LeaderLink(view, own)
@@ -41,6 +46,8 @@
         random.Random(seed),
     )
     daemon.election_delay = election_delay(link_mbps)
+    daemon._direct_follower = mock.Mock()
+    daemon._direct_follower.reaches.return_value = reaches_store
     return daemon
 
 
@@ -85,6 +92,49 @@
                 has_left = has_left or disconnect.called
         self.assertLess(draws, 6)
 
+    def test_few_fast_links_replace_a_cut_off_leader_soon(self) -> None:
+        """Four of 59; the other fast ones are cut off from the store too."""
+        in_time = 0
+        fast_first = 0
+        for trial in range(40):
+            daemons = [
+                member(
+                    200 if number < 10 else 10,
+                    100 * trial + number,
+                    reaches_store=6 <= number < 10 or number >= 25,
+                )
+                for number in range(PEERS)
+            ]
+            age = membership.CUT_OFF_TIMEOUT + membership.WATCH_INTERVAL / 2
+            first = None
+            while first is None:
+                age += membership.WATCH_INTERVAL
+                first = self.first_of_a_draw(daemons, age)
+            in_time += age < membership.CUT_OFF_TIMEOUT + 1.5
+            fast_first += first < 10
+        self.assertEqual(in_time, 40)
+        self.assertGreater(fast_first, 25)
+
+    def test_daemon_without_the_store_stays_with_a_cut_off_leader(self) -> None:
+        """It could not take over, and would have to find the leader again."""
+        daemons = [
+            member(200, number, reaches_store=False) for number in range(PEERS)
+        ]
+        for age in (3 * membership.CUT_OFF_TIMEOUT, 3600):
+            self.assertIsNone(self.first_of_a_draw(daemons, age))
+
+    def first_of_a_draw(
+        self, daemons: list[Membership], store_age: float
+    ) -> int | None:
+        """Return which daemon leaves a leader without the store, if any."""
+        for number, daemon in enumerate(daemons):
+            daemon.link.store_age = store_age
+            with mock.patch.object(daemon.link, 'disconnect') as disconnect:
+                daemon._leave_cut_off_leader()
+            if disconnect.called:
+                return number
+        return None
+
     def first_to_leave(self, daemons: list[Membership]) -> int:
         for _ in range(500):
             for number, daemon in enumerate(daemons):
@@ -113,11 +163,28 @@
         own = Hello('edge-1', 1, '10.1.0.1:7', {})
         election = Election(store, view, own, ManualClock())
         with mock.patch.object(leases, 'find_lease', return_value=(held, 1)):
-            self.assertIsNone(await election.attempt())
+            self.assertIsNone(await election.attempt(0))
             self.assertEqual(election.holder_id, 'edge-2')
-            self.assertIsNone(await election.attempt())
+            self.assertIsNone(await election.attempt(0))
         self.assertEqual(election.holder_id, '')
 
+    async def test_lease_that_is_stale_soon_is_awaited(self) -> None:
+        """Its holder missed a renewal; one with a fresh lease is not lost."""
+        held = leases.Lease('edge-2', 1, 10.0)
+        for store_time, reads in ((11.45, 2), (10.1, 1)):
+            store = mock.Mock()
+            store.read = mock.AsyncMock(
+                return_value=Rows((mock.Mock(),), 1, store_time)
+            )
+            own = Hello('edge-1', 1, '10.1.0.1:7', {})
+            view = configured_view(ManualClock(), targets=0)
+            election = Election(store, view, own, ManualClock())
+            with mock.patch.object(
+                leases, 'find_lease', return_value=(held, 1)
+            ):
+                self.assertIsNone(await election.run(0.1))
+            self.assertEqual(store.read.await_count, reads)
+
 
 class FailingTaskTest(unittest.IsolatedAsyncioTestCase):
     """Errors that nothing expects, in tasks beside the main one."""
@@ -155,26 +222,26 @@
         self.lead = mock.AsyncMock()
         self.daemon._lead = self.lead
 
-    async def attempt(self) -> mock.Mock:
+    async def attempt(self, patience: float) -> mock.Mock:
         """Win the election, and be asked to stop meanwhile."""
         await self.daemon.resign()
         return self.term
 
     async def test_stop_while_the_lease_is_taken(self) -> None:
         """Others would wait for its lease and grants to lapse."""
-        self.daemon._election.attempt = self.attempt
+        self.daemon._election.run = self.attempt
         await self.daemon._try_to_lead()
         self.lead.assert_not_awaited()
         self.term.resign.assert_awaited_once()
 
     async def test_stop_before_the_lease_is_taken(self) -> None:
         self.daemon.election_delay = 0.05
-        self.daemon._election.attempt = mock.AsyncMock()
+        self.daemon._election.run = mock.AsyncMock()
         trying = asyncio.create_task(self.daemon._try_to_lead())
         await asyncio.sleep(0)
         await self.daemon.resign()
         await trying
-        self.daemon._election.attempt.assert_not_awaited()
+        self.daemon._election.run.assert_not_awaited()
 
 
 if __name__ == '__main__':
