--- a/cassialever/fleet/target_registry.py
+++ b/cassialever/fleet/target_registry.py
@@ -80,6 +80,10 @@
             if self.is_usable(target)
         ]
 
+    def has_usable(self, service: ServiceName) -> bool:
+        """Return whether a service has a target that may get new requests."""
+        return any(map(self.is_usable, self.by_service.get(service, ())))
+
     def is_usable(self, target: Target) -> bool:
         """Return whether a target may get new requests."""
         return self._is_in_service(target) and not self.limits.is_leaving(
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -172,7 +172,7 @@
     ) -> Target | NoTargetReason:
         target = _usable_owner(self._view, request, self.key_range_of(request))
         if not isinstance(target, Target):
-            if self._view.targets.usable(request.service):
+            if self._view.targets.has_usable(request.service):
                 return target
             # No target is left to get the key.
             return NoTargetReason.no_service
