Bound the attempts of requests that wait for a target

Callers were refused for want of processor time.

All requests of a daemon that wait make 1,000 attempts a second for each core now. Those with a permit keep 0.015 s, as it is valid for a short time.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -231,6 +231,8 @@
                 expected_latency=0,
                 permit=_permit_delay(self.selector, chosen, placement, now),
                 pause=self._pause_left(chosen, placement),
+                waiting=self.selector.waiting_by_service.total(),
+                cores=self._settings.instance.cores,
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -63,6 +63,10 @@
     permit: PermitDelay = PermitDelay()
     #: Time until the end of a pause that a target has asked for.
     pause: Seconds = 0
+    #: Number of requests of this daemon that wait for a target.
+    waiting: int = 0
+    #: Cores that this daemon may use; 0 if that is not known.
+    cores: float = 0
 
 
 #: Share of the objective that a request may wait, by reason. A wait of up to
@@ -93,8 +97,11 @@
         NoTargetReason.paused: 0.3,
     },
 )
-#: Time between two attempts to find a target.
+#: Minimum time between two attempts of a request to find a target.
 POLL_INTERVAL: Final[Seconds] = 0.015
+#: Attempts a second of all requests that wait, for each core: about a tenth of
+#: it, so that requests that wait leave a small daemon the time to serve others.
+MAX_POLLS_PER_CORE: Final = 1000.0
 
 
 def decide(
@@ -107,10 +114,11 @@
     if timing.permit.is_issued:
         # The permit would be lost if the request did not wait for it.
         max_wait += MAX_BOOKING_DELAY
-    pause = max(POLL_INTERVAL, timing.permit.delay)
+    interval = _poll_interval(timing)
+    pause = max(interval, timing.permit.delay)
     still_useful = timing.remaining - pause > timing.expected_latency
     if timing.waited + pause <= max_wait and still_useful:
-        return Wait(POLL_INTERVAL)
+        return Wait(interval)
     # Spread between the expected time and twice that.
     expected = max(_RETRY_AFTER[reason], timing.permit.delay)
     retry_after = timing.pause + expected * (1 + random_source.random())
@@ -122,3 +130,12 @@
 
     default = 0.5
     stopping = 0.1
+
+
+def _poll_interval(timing: RequestTiming) -> Seconds:
+    """Return the time between two attempts of each request that waits."""
+    if timing.permit.is_issued:
+        # Its permit is valid for a short time only.
+        return POLL_INTERVAL
+    max_polls = MAX_POLLS_PER_CORE * (timing.cores or 1)
+    return max(POLL_INTERVAL, timing.waiting / max_polls)
--- a/tests/test_load_replays.py
+++ b/tests/test_load_replays.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from cassialever.policy.permits import KeeperDirectory
+from cassialever.policy.refusal import MAX_POLLS_PER_CORE
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.replay_helpers import SLOTS, Simulation, most_in_one_second
 
@@ -77,6 +78,29 @@
 
         self.run_scenario(scenario)
 
+    def test_requests_that_wait_take_the_processor_of_a_daemon(self) -> None:
+        """Each one tried to find a target every 0.015 s."""
+
+        async def scenario(simulation: Simulation) -> None:
+            tries = 0
+            for forwarder in simulation.forwarders:
+                choose = forwarder.selector.choose
+
+                def count_and_choose(*arguments, choose=choose):
+                    nonlocal tries
+                    tries += 1
+                    return choose(*arguments)
+
+                forwarder.selector.choose = count_and_choose
+            tally = simulation.new_tally()
+            await simulation.run_load(8 * simulation.capacity(), 2, tally)
+            arrived = tally.attempts
+            # Their cores are not known, so that one is assumed.
+            per_second = (tries - arrived) / 2 / len(simulation.forwarders)
+            self.assertLessEqual(per_second, MAX_POLLS_PER_CORE)
+
+        self.run_scenario(scenario)
+
     def test_target_that_fails_half_of_its_requests(self) -> None:
         """A grey failure: one target of four fails but reports good health."""
 
