--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -39,7 +39,7 @@
 
     aiohttp takes bytes that came while a connection was idle for the answer
     to the next request on it. Each new connection is made in a context, which
-    is told its address.
+    gets its address.
     """
 
     def __init__(
--- a/cassialever/policy/pauses.py
+++ b/cassialever/policy/pauses.py
@@ -1,7 +1,7 @@
 """Remember the pauses that targets asked this daemon for.
 
 A target that refuses a request may say for how long it wants nothing more from
-the daemon that sent it. Other daemons aren't meant, and are not told.
+the daemon that sent it. It does not concern other daemons.
 """
 
 import math
--- a/tests/test_paused_targets.py
+++ b/tests/test_paused_targets.py
@@ -81,7 +81,7 @@
                         if TIME_TO_KNOW < at - told_at < PAUSE
                     ]
                     self.assertLessEqual(len(late), MAX_ARRIVALS * daemons)
-                    # Each daemon is told by its own request.
+                    # Each daemon learns of it by a request of its own.
                     self.assertLessEqual(
                         len(arrivals), (MAX_ARRIVALS + 1) * daemons
                     )
@@ -133,7 +133,7 @@
         async with cut_off_daemon() as (system, first, helper):
             paused = system.targets[-1]
             ask_for_pause(paused)
-            # The helper is told by a request of its own caller.
+            # The helper learns of it by a request of its own caller.
             self.assertEqual(await send_one(helper, 1), 503)
             arrived = len(paused.work.received_at)
             self.assertEqual(await send_one(first, 2), 503)
