Take a refusal only for the request that it names, and not on the same connection twice

Cause: a refusal without an id was taken for the answer to whatever request was open on its connection, so that a late copy of an earlier refusal told a caller 'not run' for work that ran, or sent it to a second target. A copy with its id did the same to the second try of that request at the same target over the kept connection.

Change: an answer without an id matches no request that has one; the connection is closed and the request counts as possibly run. A request that was refused on a connection gets another one.

--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -27,7 +27,7 @@
     not_run,
     unknown,
 )
-from cassialever.gateway.receiving import AnswerReader, close_connection
+from cassialever.gateway.receiving import AnswerReader
 from cassialever.gateway.sender import (
     EXCHANGE_ERRORS,
     TargetRequest,
@@ -37,7 +37,10 @@
 from cassialever.gateway.stop_limit import RESPONSE_MARGIN
 from cassialever.interfaces import HelperDaemon
 from cassialever.platform import wire
-from cassialever.platform.sessions import open_forwarding_session
+from cassialever.platform.sessions import (
+    close_connection,
+    open_forwarding_session,
+)
 from cassialever.policy.connect_times import ConnectTimes
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
 from cassialever.types import Seconds
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -30,7 +30,7 @@
     nonce_of,
 )
 from cassialever.gateway.outcomes import Attempt, AttemptOutcome, unknown
-from cassialever.gateway.receiving import BodyEnd, close_connection, read_body
+from cassialever.gateway.receiving import BodyEnd, read_body
 from cassialever.gateway.sender import (
     EXCHANGE_ERRORS,
     TargetRequest,
@@ -39,6 +39,7 @@
 )
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.platform import wire
+from cassialever.platform.sessions import close_connection
 from cassialever.types import Seconds
 
 #: Longest header field that is read. Callers' fields may have 16384 bytes.
--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -19,6 +19,7 @@
     unknown,
 )
 from cassialever.platform import wire
+from cassialever.platform.sessions import close_connection, record_refused
 from cassialever.platform.statements import parse_statements
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker
@@ -58,7 +59,7 @@
         self._loads.of(target.target_id).record_report(
             wire.parse_reported_load(headers), self._clock.monotonic()
         )
-        if wire.reports_not_run(status, headers):
+        if request_id and wire.reports_not_run(status, headers):
             return not_run(f'the target refused with {status}')
         body = await read_body(response)
         if not wire.is_signed(headers):
@@ -80,7 +81,13 @@
         status: int,
         sent_at: Seconds,
     ) -> None:
-        """Record what a target says of itself; `sent_at` is in boot time."""
+        """Record what a target says of itself; `sent_at` is in boot time.
+
+        A request that it refuses is kept off the same connection.
+        """
+        if wire.reports_not_run(status, response.headers):
+            refused = wire.parse_request_metadata(response.headers)
+            record_refused(response, refused.request_id)
         said = parse_statements(status, response.headers, self._clock.wall())
         if isinstance(said, Failure):
             return
@@ -110,18 +117,6 @@
             )
 
 
-def close_connection(response: aiohttp.ClientResponse) -> None:
-    """Close a connection whose answers don't match its requests.
-
-    aiohttp returns a connection to its pool as soon as the answer is
-    complete, which may be before it was checked here.
-    """
-    protocol = response._protocol  # noqa: SLF001, WPS437
-    if protocol is not None:
-        protocol.close()
-    response.close()
-
-
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
     """Read a body, and fail if its connection is reset before its end."""
     end = BodyEnd(response)
--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -5,10 +5,14 @@
 import socket
 import struct
 from collections.abc import Callable, MutableMapping
+from contextvars import ContextVar
 from typing import Any, Final, TypeAlias
 
 import aiohttp
 
+from cassialever.platform import wire
+from cassialever.platform.refused_requests import RefusedRequests
+
 #: The kernel detects a silent connection after 3 s: 1 s without traffic, then
 #: two probes of 1 s each. The platform's bounds must hold 3 s after a fault.
 TCP_KEEPALIVE_IDLE_SECONDS: Final = 1
@@ -26,6 +30,9 @@
 #: change them; an error that it raises ends the request.
 BeforeSending: TypeAlias = Callable[[MutableMapping[str, str]], None]
 
+_refused_requests: Final = RefusedRequests()
+#: The id of the request that gets a connection in the current task.
+_connecting_id: Final[ContextVar[str]] = ContextVar('connecting_id', default='')
 #: SO_LINGER: on, for 0 s.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
@@ -38,7 +45,8 @@
     """A connection pool that reuses only connections without unread bytes.
 
     aiohttp takes bytes that came while a connection was idle for the answer
-    to the next request on it. Each new connection is made in a context, which
+    to the next request on it. A request that was refused on a connection does
+    not get that one again. Each new connection is made in a context, which
     gets its address.
     """
 
@@ -56,8 +64,10 @@
         self, *arguments: Any, **options: Any
     ) -> aiohttp.connector.Connection:
         """Return a connection, unless `before_sending` raises by then."""
-        connection = await super().connect(*arguments, **options)
         request = arguments[0]
+        metadata = wire.parse_request_metadata(request.headers)
+        _connecting_id.set(metadata.request_id)
+        connection = await super().connect(*arguments, **options)
         try:
             self._before_sending(request.headers)
         except BaseException:
@@ -72,11 +82,17 @@
     async def _get(
         self, key: Any, traces: list[Any]
     ) -> aiohttp.connector.Connection | None:
-        while True:
+        set_aside: list[aiohttp.connector.Connection] = []
+        connection = await super()._get(key, traces)
+        while connection is not None and not _is_usable(connection):
+            if _is_unused(connection):
+                set_aside.append(connection)
+            else:
+                connection.close()
             connection = await super()._get(key, traces)
-            if connection is None or _is_unused(connection):
-                return connection
-            connection.close()
+        for other in set_aside:
+            other.release()
+        return connection
 
 
 def open_session(
@@ -151,6 +167,27 @@
     )
 
 
+def record_refused(response: aiohttp.ClientResponse, request_id: str) -> None:
+    """Keep a request that was refused off the connection of its refusal."""
+    protocol = response._protocol  # noqa: SLF001, WPS437
+    if protocol is None:
+        return
+    if not _refused_requests.add(protocol, request_id):
+        close_connection(response)
+
+
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close a connection that no further request may use.
+
+    aiohttp returns a connection to its pool as soon as the answer is
+    complete, which may be before it was checked.
+    """
+    protocol = response._protocol  # noqa: SLF001, WPS437
+    if protocol is not None:
+        protocol.close()
+    response.close()
+
+
 def keepalive_socket(address_info: tuple[Any, ...]) -> socket.socket:
     """Return a socket that detects a dead peer by keepalive probes.
 
@@ -173,6 +210,13 @@
     return sock
 
 
+def _is_usable(connection: aiohttp.connector.Connection) -> bool:
+    """Return whether an idle connection may get the current request."""
+    return _is_unused(connection) and _refused_requests.may_send(
+        connection.protocol, _connecting_id.get()
+    )
+
+
 def _is_unused(connection: aiohttp.connector.Connection) -> bool:
     """Return whether nothing came, also not its end, while it was idle."""
     protocol = connection.protocol
--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -151,7 +151,10 @@
 
 
 def reports_not_run(status: int, headers: Mapping[str, str]) -> bool:
-    """Return whether a target reports that it did not run the request."""
+    """Return whether a target reports that it did not run a request.
+
+    Which request it refuses, only the id in the answer tells.
+    """
     return _NOT_RUN in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
 
@@ -166,15 +169,11 @@
 
 
 def matches_request(headers: Mapping[str, str], request_id: str) -> bool:
-    """Return whether an answer belongs to a request.
+    """Return whether an answer names a request, as targets do.
 
-    A refusal without an id matches, since targets omit it there. A signed
-    answer has one; without, it may belong to an earlier request.
+    An answer without an id may belong to an earlier request.
     """
-    answered_id = headers.get(_ATTEMPT_ID)
-    if answered_id is None:
-        return not request_id or not is_signed(headers)
-    return answered_id == request_id
+    return headers.get(_ATTEMPT_ID, '') == request_id
 
 
 def parse_reported_load(headers: Mapping[str, str]) -> ReportedLoad | None:
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -270,7 +270,7 @@
         request_id = request.headers.get('Attempt-Id', '')
         self.received_headers.append(dict(request.headers))
         self.work.received_at.append(time.monotonic())
-        refusal = self._refusal(request)
+        refusal = self._refusal(request, request_id)
         if refusal is not None:
             return refusal
         body = await request.read()
@@ -311,22 +311,27 @@
             **_stated_headers(self.faults),
         }
 
-    def _refusal(self, request: web.Request) -> web.Response | None:
+    def _refusal(
+        self, request: web.Request, request_id: str
+    ) -> web.Response | None:
         if request.headers.get('Expect-Instance') != self.target_id:
             return web.Response(
                 status=HTTPStatus.MISDIRECTED_REQUEST,
-                headers={'Instance-Id': self.target_id},
+                headers={
+                    'Attempt-Id': request_id,
+                    'Instance-Id': self.target_id,
+                },
             )
         if self.work.is_full():
             self.work.overflow_count += 1
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers=_refusal_headers(self.faults),
+                headers=_refusal_headers(self.faults, request_id),
             )
         if self.faults.shed_status is not None:
             return web.Response(
                 status=self.faults.shed_status,
-                headers=_refusal_headers(self.faults),
+                headers=_refusal_headers(self.faults, request_id),
             )
         if not self.is_keyed:
             return None
@@ -334,7 +339,7 @@
             return None
         return web.Response(
             status=HTTPStatus.MISDIRECTED_REQUEST,
-            headers={'Not-Executed': '1'},
+            headers={'Attempt-Id': request_id, 'Not-Executed': '1'},
         )
 
 
@@ -348,8 +353,12 @@
     return stated
 
 
-def _refusal_headers(faults: TargetFaults) -> dict[str, str]:
-    headers = {'Not-Executed': '1', **_stated_headers(faults)}
+def _refusal_headers(faults: TargetFaults, request_id: str) -> dict[str, str]:
+    headers = {
+        'Attempt-Id': request_id,
+        'Not-Executed': '1',
+        **_stated_headers(faults),
+    }
     if faults.retry_after is not None:
         headers['Retry-After'] = faults.retry_after
     return headers
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -185,7 +185,8 @@
             ('409 Conflict', 'Not-Executed: 1\r\n'),
         ):
             self.reply = raw_answer(
-                f'{head}Content-Length: 0\r\n', status=status
+                f'Attempt-Id: a1\r\n{head}Content-Length: 0\r\n',
+                status=status,
             )
             with self.subTest(status=status):
                 self.assertIs(
@@ -193,8 +194,14 @@
                 )
 
     async def test_refusal_that_does_not_state_not_run(self) -> None:
-        self.reply = raw_answer('Content-Length: 0\r\n', status='503 Busy')
-        self.assertIs((await self.send()).outcome, AttemptOutcome.unknown)
+        for head in ('', 'Attempt-Id: a1\r\n'):
+            self.reply = raw_answer(
+                f'{head}Content-Length: 0\r\n', status='503 Busy'
+            )
+            with self.subTest(head=head):
+                self.assertIs(
+                    (await self.send()).outcome, AttemptOutcome.unknown
+                )
 
 
 class FullLinkTest(SenderCase):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -82,7 +82,10 @@
 
     def test_answer_of_another_request_does_not_match(self) -> None:
         self.assertTrue(wire.matches_request({'Attempt-Id': 'a'}, 'a'))
-        self.assertTrue(wire.matches_request({}, 'a'))
+        self.assertFalse(wire.matches_request({}, 'a'))
+        self.assertFalse(wire.matches_request({'Attempt-Id': ''}, 'a'))
+        self.assertFalse(wire.matches_request({'Attempt-Id': 'a'}, ''))
+        self.assertTrue(wire.matches_request({}, ''))
         self.assertFalse(wire.matches_request({'Attempt-Id': 'b'}, 'a'))
 
 
