Refuse what would outlast a planned stop before it is passed on

Cause: a stopping daemon passed everything on that came while it still accepted, up to half of the grace period, and cut at its end what was still at work: with a grace of 10 s and works of 5.5 s a once-only request sent 4.68 s after the signal was cut by a 504 at 9.45 s, while its target was at work.

Change: policy.stopping decides, without I/O, from the time since the signal, the time left for answers, the request's own limit and the target's expected latency. A request that can not end in time is refused at once, truthfully, and its caller turns to another daemon.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -221,8 +221,7 @@
                 return _attempts_failed('no time was left')
             chosen = self.selector.choose(placement, now)
             if isinstance(chosen, Target):
-                send_before = self.limiter.use_permit(chosen.target_id)
-                return _Placement(chosen, send_before)
+                return self._use(routed, chosen, now)
             since = started if tried else routed.received_at
             timing = refusal.RequestTiming(
                 waited=now - since,
@@ -230,7 +229,9 @@
                 objective=routed.route.objective,
                 expected_latency=0,
                 permit=_permit_delay(self.selector, chosen, placement, now),
-                pause=self._pause_left(chosen, placement),
+                pause=_pause_left(
+                    chosen, self._view.targets, self.selector, placement
+                ),
                 waiting=self.selector.waiting_by_service.total(),
                 cores=self._settings.instance.cores,
             )
@@ -243,13 +244,17 @@
             finally:
                 self.selector.waiting_by_service[service] -= 1
 
-    def _pause_left(
-        self, reason: NoTargetReason, placement: PlacementRequest
-    ) -> Seconds:
-        if reason is not NoTargetReason.paused:
-            return 0
-        owner = self.selector.owner_of(placement)
-        return _pause_left(self._view.targets, placement, owner)
+    def _use(
+        self, routed: RoutedRequest, target: Target, now: Seconds
+    ) -> _Placement | Refusal:
+        """Place a request, unless it would outlast a stop that has begun."""
+        time_limit = min(routed.deadline - now, routed.route.longest_attempt)
+        load = self._loads.of(target.target_id)
+        latency = load.expected_latency(target.slots, now)
+        if not self.stop_limit.admits(time_limit, latency):
+            return _stopping(target)
+        send_before = self.limiter.use_permit(target.target_id)
+        return _Placement(target, send_before)
 
     def _no_target(
         self, decision: refusal.Refuse, placement: PlacementRequest
@@ -417,9 +422,15 @@
 
 
 def _pause_left(
-    targets: TargetRegistry, placement: PlacementRequest, owner: Target | None
+    reason: NoTargetReason,
+    targets: TargetRegistry,
+    selector: TargetSelector,
+    placement: PlacementRequest,
 ) -> Seconds:
     """Return the time until a target that has asked for a pause may be used."""
+    if reason is not NoTargetReason.paused:
+        return 0
+    owner = selector.owner_of(placement)
     if owner is not None:
         return targets.pause_left(owner)
     usable = targets.usable(placement.service)
@@ -458,6 +469,17 @@
     return configuration.version if configuration else 0
 
 
+def _stopping(target: Target) -> Refusal:
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'this daemon stops before the request would end',
+        refusal.FixedRetryAfter.stopping.value,
+        ErrorKind.stopping.name,
+        ErrorKind.stopping,
+        target.target_id,
+    )
+
+
 def _attempts_failed(reason: str) -> Refusal:
     return Refusal(
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/cassialever/gateway/stop_limit.py
+++ b/cassialever/gateway/stop_limit.py
@@ -8,6 +8,7 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
 from cassialever.gateway.outcomes import Attempt, unknown
+from cassialever.policy.stopping import StopTiming, ends_in_time
 from cassialever.types import Seconds
 
 #: Time allowed for transmitting the answer, beyond the target's time limit.
@@ -25,6 +26,7 @@
         self._timeouts: set[asyncio.Timeout] = set()
         #: The end, by the monotonic clock.
         self.until: Seconds = math.inf
+        self._begun_at: Seconds = math.inf
 
     def begin(self, until: Seconds) -> None:
         """Set the end, also for the attempts in progress.
@@ -32,10 +34,28 @@
         An answer may take RESPONSE_MARGIN longer to arrive.
         """
         self.until = until
+        self._begun_at = self._clock.monotonic()
         for timeout in self._timeouts:
             if not timeout.expired():
                 timeout.reschedule(self._expires_at())
 
+    def admits(self, time_limit: Seconds, expected_latency: Seconds) -> bool:
+        """Return whether a request that is sent now ends before the stop.
+
+        `time_limit` is how long its target may take.
+        """
+        if math.isinf(self.until):
+            return True
+        now = self._clock.monotonic()
+        return ends_in_time(
+            StopTiming(
+                since_stop=now - self._begun_at,
+                time_left=self.until - now,
+                time_limit=time_limit,
+                expected_latency=expected_latency,
+            )
+        )
+
     async def apply(self, attempt: Awaitable[Attempt]) -> Attempt:
         """Await an attempt; one that outlasts the stop may have run."""
         timeout = asyncio.timeout_at(self._expires_at())
