Read datagrams together and wake for limits only when they change

Change: the socket is read once in 0.04 s at most, all that has arrived at a time; a first datagram is read at once. Changes of limits wake their exchange; a new link is looked for every 0.15 s (0.05 s).

--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import select
+import socket
 from collections.abc import Callable
 from typing import Annotated, Any, ClassVar, Final, TypeAlias
 
@@ -33,6 +35,12 @@
 MAX_DELAY: Final[Seconds] = 3600.0
 #: Most requests that a daemon can say to have open, or to have room for.
 MAX_REQUESTS: Final = 100_000
+#: Shortest time between two reads of the socket. Permits may wait that long
+#: twice, of the half second in which they are used.
+READ_INTERVAL: Final[Seconds] = 0.04
+#: Datagrams read at a time; other work is done before any more are.
+MAX_READ: Final = 256
+MAX_DATAGRAM_BYTES: Final = 65536
 #: Most peers whose version is kept.
 MAX_PEERS: Final = 1000
 #: Longest id of an instance, a data centre or a target.
@@ -118,34 +126,53 @@
     return msgspec.msgpack.encode(versioned)
 
 
-class DatagramSocket(asyncio.DatagramProtocol):
-    """The socket for datagrams; handlers are set by type of datagram."""
+class DatagramSocket:
+    """The socket for datagrams; handlers are set by type of datagram.
+
+    Datagrams of a large fleet arrive one by one. They are read together once
+    in READ_INTERVAL, since waking up costs more than reading one.
+    """
 
     def __init__(self) -> None:
         """Start without a socket and without handlers."""
         self.handler_by_type: dict[type[Any], DatagramHandler] = {}
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        #: Datagrams that could not be sent, or that a peer refused.
+        self.unsent_count = 0
         self._skip_log = SkipLog()
         self._message_version_by_address: dict[str, MessageVersion] = {}
 
     async def start(self, address: str) -> None:
         """Listen on the address at which other daemons reach this one."""
-        loop = asyncio.get_running_loop()
-        endpoint = await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=split_address(address),
-        )
-        self._transport = endpoint[0]
+        listening = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        listening.setblocking(False)
+        try:
+            listening.bind(split_address(address))
+        except OSError:
+            listening.close()
+            raise
+        self._socket = listening
+        self._await_datagrams()
 
     def stop(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
 
     def send(self, address: str, datagram: bytes) -> None:
-        """Send an encoded datagram; drop it if the socket is not open."""
-        if self._transport is not None:
-            self._transport.sendto(datagram, split_address(address))
+        """Send an encoded datagram; drop it if that is not possible now."""
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(datagram, split_address(address))
+        except OSError:
+            # The link is full, or the peer has ended: as if it were lost.
+            self.unsent_count += 1
 
     def can_read(self, address: str, kind: type[_Versioned]) -> bool:
         """Return whether the daemon at an address knows a type of datagram.
@@ -171,8 +198,63 @@
         if handle is not None:
             handle(datagram, sender)
 
-    def error_received(self, exc: Exception) -> None:
-        """Ignore errors: a peer that has ended refuses datagrams."""
+    def _await_datagrams(self) -> None:
+        """Have the loop read as soon as there is a datagram."""
+        if self._socket is not None:
+            asyncio.get_running_loop().add_reader(
+                self._socket, self._read_first
+            )
+
+    def _read_first(self) -> None:
+        """Read after a time without datagrams."""
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+        self._read_all()
+
+    def _read_all(self) -> None:
+        """Read what has arrived; look again later if there was anything.
+
+        A handler that fails ends this look only.
+        """
+        try:
+            for _ in range(MAX_READ):
+                if not self._read_one():
+                    break
+        finally:
+            self._look_again()
+
+    def _look_again(self) -> None:
+        """Read again after READ_INTERVAL."""
+        if self._socket is not None:
+            self._timer = asyncio.get_running_loop().call_later(
+                READ_INTERVAL, self._read_later
+            )
+
+    def _read_later(self) -> None:
+        """Read what has arrived since, or wait until something arrives."""
+        if self._socket is None:
+            return
+        poller = select.poll()
+        poller.register(self._socket, select.POLLIN)
+        if poller.poll(0):
+            self._read_all()
+        else:
+            self._await_datagrams()
+
+    def _read_one(self) -> bool:
+        """Read a datagram; return false if there is none."""
+        if self._socket is None:
+            return False
+        try:
+            received, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # A peer that has ended refuses datagrams; others may follow.
+            self.unsent_count += 1
+            return True
+        self.datagram_received(received, sender)
+        return True
 
     def _note_version(self, sender: str, version: MessageVersion) -> None:
         """Keep a peer's version; log it if it is new and not the own one."""
--- a/cassialever/fleet/limits.py
+++ b/cassialever/fleet/limits.py
@@ -26,6 +26,9 @@
 #: two daemons they take twice that and the way, of the half second that the
 #: platform allows.
 REPORT_INTERVAL: Final[Seconds] = 0.05
+#: Time between two looks for a new link, over which all is reported. Two of
+#: them and the messages take less than the half second, too.
+LINK_CHECK_INTERVAL: Final[Seconds] = 0.15
 
 
 class LimitExchange:
@@ -45,6 +48,7 @@
         self._clock = clock
         #: Targets whose limits are not reported yet.
         self._unsent: set[TargetId] = set()
+        self._has_unsent = asyncio.Event()
         #: The number of the link over which the leader was last told.
         self._told_link = 0
         limits.on_change = self._note_change
@@ -55,7 +59,9 @@
     async def run(self) -> None:
         """Report changes until cancelled."""
         while True:
+            await self._wait_for_changes()
             await asyncio.sleep(REPORT_INTERVAL)
+            self._has_unsent.clear()
             self.send_changes()
 
     def send_changes(self) -> None:
@@ -73,7 +79,7 @@
             merged.rate_in_force != limit.rate_in_force
             or merged.is_leaving != limit.is_leaving
         ):
-            self._unsent.add(merged.target_id)
+            self._note_unsent(merged.target_id)
 
     def report_on(self, target_id: TargetId) -> LimitReport | None:
         """Return the report on a target, or None if nothing is known."""
@@ -95,6 +101,18 @@
         if reports:
             self._link.report(messages.Limits(reports))
 
+    async def _wait_for_changes(self) -> None:
+        """Wait for a change, or until a new link is looked for."""
+        try:
+            async with asyncio.timeout(LINK_CHECK_INTERVAL):
+                await self._has_unsent.wait()
+        except asyncio.TimeoutError:
+            return
+
+    def _note_unsent(self, target_id: TargetId) -> None:
+        self._unsent.add(target_id)
+        self._has_unsent.set()
+
     def _take_unsent(self) -> list[LimitReport]:
         reports = [self.report_on(target_id) for target_id in self._unsent]
         self._unsent.clear()
@@ -132,4 +150,4 @@
             )
         # What came from the leader goes to the others without this daemon.
         if self._relay.is_leader or source.peer != 'the leader':
-            self._unsent.add(merged.target_id)
+            self._note_unsent(merged.target_id)
