--- a/soak/faults.py
+++ b/soak/faults.py
@@ -48,6 +48,8 @@
 NAMED_LIMITS = (0.5, 2.4, 8.0)
 #: How long a limit is named for the check, in seconds.
 LIMIT_DURATION = LIMIT_STABLE_TIME + LIMIT_WINDOW + 1.0
+#: Answers that a target breaks off within their head.
+CUT_HEADS = 3
 #: Routes added to the configuration at once.
 ADDED_ROUTES = 1400
 #: A change of the configuration must be in force within this time, in seconds.
@@ -86,6 +88,7 @@
             self._restart_target,
             self._chill_target,
             self._limit_target,
+            self._spoil_answers,
             self._add_routes,
             self._cut_off,
             self._cut_off_in_series,
@@ -289,6 +292,21 @@
         target.faults.named_limit = None
         self._log_event(f'{target.target_id} names no limit')
 
+    async def _spoil_answers(self) -> None:
+        """Have a target repeat refusals and break answers off."""
+        target = self._choose_target()
+        self._log_event(f'{target.target_id} spoils answers')
+        # Its connections are kept, so that each has a refusal to repeat.
+        target.faults.shed_status = 503
+        await asyncio.sleep(MIN_FAULT_DURATION)
+        target.faults.shed_status = None
+        target.faults.repeats_refusals = True
+        target.faults.cut_heads_left = CUT_HEADS
+        await self._wait_fault_duration()
+        target.faults.repeats_refusals = False
+        target.faults.cut_heads_left = 0
+        self._log_event(f'{target.target_id} spoils no more answers')
+
     async def _add_routes(self) -> None:
         self._log_event(f'{ADDED_ROUTES} routes are added')
         self._fleet.add_routes(ADDED_ROUTES)
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from standins.listening import Listener
+from standins.spoiled_answers import SpoiledAnswers
 
 #: The highest key.
 LAST_KEY: Final = 65535
@@ -90,11 +91,12 @@
         )
 
 
-class TargetFaults:
+class TargetFaults(SpoiledAnswers):
     """Faults that tests inject into a target."""
 
     def __init__(self) -> None:
         """Start without faults, with a service time of zero."""
+        super().__init__()
         #: Service time of each request, in seconds.
         self.service_time: float = 0
         #: If set, refuse requests with this status and `Not-Executed`.
@@ -270,8 +272,10 @@
         request_id = request.headers.get('Attempt-Id', '')
         self.received_headers.append(dict(request.headers))
         self.work.received_at.append(time.monotonic())
+        self.faults.repeat_refusal(request)
         refusal = self._refusal(request, request_id)
         if refusal is not None:
+            self.faults.note_refused(request, request_id)
             return refusal
         body = await request.read()
         if self.faults.resets_connections and request.transport is not None:
@@ -290,6 +294,8 @@
                 body,
             )
         headers = self._response_headers(request_id)
+        if self.faults.cuts_head(request, request_id):
+            return web.Response()
         if self.faults.truncations_left:
             self.faults.truncations_left -= 1
             return await _send_truncated(request, content, headers)
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -1,6 +1,7 @@
 """A target that breaks its answer off within the head, at any byte."""
 
 import asyncio
+import os
 import random
 import unittest
 
@@ -29,8 +30,9 @@
 }
 ENDS = ('close', 'half-close', 'reset')
 SEED = 352
-#: Positions that are drawn for each framing and end.
-DRAWN_POSITIONS = 4
+#: Positions that are drawn for each framing and end; more with
+#: SPOILED_ANSWERS=COUNT.
+DRAWN_POSITIONS = int(os.environ.get('SPOILED_ANSWERS', '4'))
 #: How long a caller waits for an answer, in seconds.
 TIMEOUT = 5.0
 
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -1,6 +1,7 @@
 """A target that writes an earlier refusal once more on a kept connection."""
 
 import asyncio
+import os
 import random
 import re
 import unittest
@@ -20,9 +21,10 @@
 )
 from tests.test_gateway_sender import SenderCase, raw_answer
 
-#: Requests per drawn sequence, and sequences that are drawn.
+#: Requests per drawn sequence, and sequences that are drawn; more with
+#: SPOILED_ANSWERS=COUNT.
 SEQUENCE_LENGTH = 12
-SEQUENCES = 6
+SEQUENCES = int(os.environ.get('SPOILED_ANSWERS', '6'))
 SEED = 35
 #: How long a target takes for a request, in seconds.
 SERVICE_TIME = 0.01
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -113,6 +113,42 @@
                 self.assertEqual(response.status, 200)
         self.assertEqual(len(drained.executed_ids), before)
 
+    async def test_answers_that_targets_spoil(self) -> None:
+        """Refusals written twice, and heads that break off."""
+        stand_ins = self.deployment.platform.target_by_id.values()
+        for stand_in in stand_ins:
+            stand_in.faults.shed_status = 503
+        for number in range(4):
+            await self.post(self.first, '/issuance/x', f'refused-{number}')
+        for stand_in in stand_ins:
+            stand_in.faults.shed_status = None
+            stand_in.faults.repeats_refusals = True
+        for number in range(8):
+            request_id = f'repeated-{number}'
+            status, body = await self.post(
+                self.first, '/issuance/x', request_id
+            )
+            self.assertLessEqual(self.run_count(request_id), 1)
+            if status == 503:
+                self.assertEqual(self.run_count(request_id), 0, body)
+        for stand_in in stand_ins:
+            stand_in.faults.repeats_refusals = False
+            stand_in.faults.cut_heads_left = 2
+        statuses = set()
+        for number in range(4):
+            request_id = f'broken-off-{number}'
+            status, body = await self.post(
+                self.second, '/issuance/x', request_id
+            )
+            statuses.add(status)
+            runs = self.run_count(request_id)
+            if status == 200:
+                self.assertIn(b'/issuance/x', body)
+            # A target whose connections break may count as out of reach.
+            allowed = {503: (0,), 502: (0, 1), 200: (1,)}
+            self.assertIn(runs, allowed.get(status, ()), (status, body))
+        self.assertIn(502, statuses)
+
     async def test_refusal_names_the_entry_that_led_to_it(self) -> None:
         """The refusal names a target that was taken out."""
         await self.take_out('issuance-1', 'issuance-2')
