Count datagrams that could not be sent

Cause: the socket is read and written by hand since datagrams are read together, and what it can't send was dropped without a sign. Change: the metric datagrams_unsent. Measured: a datagram of 70,000 bytes is counted, and the next one is read (tests/test_fleet_datagrams.py).

--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -174,6 +174,9 @@
             Reading(
                 'targets_limited', len(self.view.targets.limits.in_force())
             ),
+            Reading(
+                'datagrams_unsent', self.core.reachability.socket.unsent_count
+            ),
             Reading('permits_issued', self.core.permits.issuer.issued_count),
             Reading('permits_denied', self.core.permits.issuer.denied_count),
         ]
--- a/tests/test_fleet_datagrams.py
+++ b/tests/test_fleet_datagrams.py
@@ -93,6 +93,13 @@
         await asyncio.sleep(2 * READ_INTERVAL)
         self.assertEqual(self.received, ['edge-1'])
 
+    async def test_datagram_that_can_not_be_sent_is_counted(self) -> None:
+        self.wire.send(self.address, bytes(70_000))
+        self.assertEqual(self.wire.unsent_count, 1)
+        self.send('edge-1')
+        await asyncio.sleep(2 * READ_INTERVAL)
+        self.assertEqual(self.received, ['edge-1'])
+
     async def test_nothing_is_read_or_sent_after_a_stop(self) -> None:
         self.send('edge-1')
         await asyncio.sleep(READ_INTERVAL / 2)
