Give answers that are due at the end of a drain the time by which the loop is late

Change: the drain looks for 0.2 s longer for answers that are due, and three times if the loop is later than that.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -35,6 +35,10 @@
 LINGER_CHECK_INTERVAL: Final[Seconds] = 0.5
 #: Time between two looks for idle connections during a drain.
 DRAIN_POLL_INTERVAL: Final[Seconds] = 0.02
+#: How long answers may be late that are due at the end of a drain, and how
+#: often they are looked for if the loop is later than that.
+LATE_ANSWERS_TIME: Final[Seconds] = 0.2
+MIN_LATE_LOOKS: Final = 3
 #: How long cancelled requests may take to end.
 CANCEL_TIMEOUT: Final[Seconds] = 0.1
 #: What the head of a request ends with.
@@ -267,6 +271,7 @@
             # Not in one pass: a connection may become idle later.
             self._close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
+        await self._await_late_answers(ends_at + LATE_ANSWERS_TIME)
         if self.connections:
             record(Event.answers_unsent, connections=len(self.connections))
 
@@ -278,6 +283,21 @@
         for connection in list(self.connections):
             connection.abort()
 
+    async def _await_late_answers(self, ends_at: Seconds) -> None:
+        """Wait for answers that were due at the timeout of a drain.
+
+        They come as late as the loop, which may have noticed the timeout only
+        after this end too: it looks a few times in any case.
+        """
+        loop = asyncio.get_running_loop()
+        looks = 0
+        while self.connections:
+            if looks >= MIN_LATE_LOOKS and loop.time() >= ends_at:
+                return
+            looks += 1
+            self._close_idle()
+            await asyncio.sleep(DRAIN_POLL_INTERVAL)
+
     def _close_idle(self) -> None:
         for connection in list(self.connections):
             connection.close_if_idle()
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -169,6 +169,7 @@
             'ACCEPTING_SHARE': application.ACCEPTING_SHARE * GRACE,
             'answers': (1 - application.ACCEPTING_SHARE) * GRACE
             - application.CLOSE_RESERVE,
+            'LATE_ANSWERS_TIME': connections.LATE_ANSWERS_TIME,
             'CANCEL_TIMEOUT': connections.CANCEL_TIMEOUT,
         },
     ),
--- a/tests/test_gateway_connections_review.py
+++ b/tests/test_gateway_connections_review.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -189,6 +190,15 @@
         answer = await self.answer_of_long_request(-0.2)
         self.assertTrue(answer.startswith(b'HTTP/1.1 504'), answer[:80])
 
+    async def test_late_loop_answers_a_request_that_outlasts_the_stop(
+        self,
+    ) -> None:
+        """The loop is busy with other work four times in five."""
+        busy = asyncio.create_task(keep_loop_late(0.4, 0.1))
+        answer = await self.answer_of_long_request(-0.2)
+        busy.cancel()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 504'), answer[:80])
+
     async def test_slow_store_does_not_prolong_accepting(self) -> None:
         async def resign() -> None:
             # As long as the store's client waits for an answer.
@@ -212,6 +222,13 @@
         self.assertLess(accepting, gateway.settings.bounds.grace_s * 0.5 + 0.2)
 
 
+async def keep_loop_late(blocked: float, free: float) -> None:
+    """Block the loop again and again, with pauses of a length."""
+    while True:
+        time.sleep(blocked)
+        await asyncio.sleep(free)
+
+
 async def read_slowly_and_send(caller: socket.socket) -> bytes:
     """Read until the daemon closes; a request goes out with each chunk."""
     loop = asyncio.get_running_loop()
