--- a/cassialever/policy/loads.py
+++ b/cassialever/policy/loads.py
@@ -36,6 +36,8 @@
 
     def __init__(self) -> None:
         self.open_requests = 0
+        #: Whether it has answered this daemon before.
+        self.was_used = False
         #: Open requests of the other daemons, as they report them.
         self.open_elsewhere = 0
         #: The target's latest report, and this daemon's open requests then.
@@ -153,6 +155,7 @@
             service_time - self._service_time
         )
         self._failure_rate *= 1 - SMOOTHING_FACTOR
+        self.was_used = True
         self._answer_count += 1
         self._latency_sum += latency
         if not self._latency:
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -30,9 +30,10 @@
 #: costs the operators half of what the answer is worth (prices of the site
 #: files).
 REMOTE_DOWNLOAD_COST_REQUESTS: Final = 5.0
-#: Cost of a target to which no idle connection is open. It is less than what
-#: breaks ties, so that targets which have just joined are used, too.
-NEW_CONNECTION_COST_REQUESTS: Final = 0.2
+#: Cost of a target to which no idle connection is open any more. One that this
+#: daemon has not used yet costs no more than others, so that targets which have
+#: just joined get requests.
+NEW_CONNECTION_COST_REQUESTS: Final = 0.1
 #: Targets compared for one request. The best of this sample is about as good
 #: as the best of all, at a cost that does not grow with their number.
 SAMPLE_SIZE: Final = 16
@@ -374,7 +375,7 @@
         requests = load.estimated_requests(now) + 1
         if target.data_centre != self.subsets.data_centre:
             requests += remote_cost
-        if not self.has_connection(target.address):
+        if load.was_used and not self.has_connection(target.address):
             requests += NEW_CONNECTION_COST_REQUESTS
         latency = load.slowdown(now) * load.average_latency(now, usual)
         # Ties are broken at random, so that daemons choose differently.
--- a/tests/test_policy_subsets.py
+++ b/tests/test_policy_subsets.py
@@ -5,6 +5,8 @@
 import unittest
 from collections import Counter
 
+import msgspec
+
 from cassialever.fleet.model import RequestKind, Target
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.permits import PermitLimiter
@@ -29,6 +31,10 @@
 INTERVAL = 1.0
 SERVICE_TIME = 0.8
 KEPT = 8.0
+#: Requests a second of one daemon, and the time in which a target that has
+#: joined has to get some, in seconds.
+RATE = 5
+JOINED_TIME = 4
 
 
 class FleetCase(unittest.TestCase):
@@ -117,24 +123,46 @@
         selector = self.selector()
         targets = self.view.targets
         for number, target_id in enumerate(self.subset(0)):
-            targets.by_id[target_id] = targets.by_id[target_id].__class__(
-                target_id,
-                'issuance',
-                f'10.1.64.{number}:1',
-                ZONES[0],
-                6,
-                targets.by_id[target_id].state,
-                1000,
-                0,
+            targets.by_id[target_id] = msgspec.structs.replace(
+                targets.by_id[target_id],
+                address=f'10.1.64.{number}:1',
+                data_centre=ZONES[0],
             )
+            selector._loads.of(target_id).record_success(0.1, 1, 0)
         selector.has_connection = lambda address: address == '10.1.64.3:1'
         chosen = Counter(
             selector.choose(REQUEST, 0).address for _ in range(400)
         )
         self.assertGreater(chosen['10.1.64.3:1'], 150)
-        # Targets that have just joined get some, too.
+        # The others get some, too.
         self.assertEqual(len(chosen), SUBSET_SIZE)
 
+    def test_target_that_has_just_joined_gets_requests_in_time(self) -> None:
+        """Calm load: each daemon that covers it has five requests a second."""
+        subset = self.subset(0)
+        targets = self.view.targets
+        for target_id in subset:
+            targets.by_id[target_id] = msgspec.structs.replace(
+                targets.by_id[target_id],
+                address=f'{target_id}:1',
+                data_centre=ZONES[0],
+            )
+        mean_cover = DAEMONS * SUBSET_SIZE // TARGETS
+        joined = f'{subset[5]}:1'
+        chosen: Counter[str] = Counter()
+        for number in range(mean_cover):
+            selector = self.selector()
+            selector._random.seed(number)
+            for target_id in subset:
+                if f'{target_id}:1' != joined:
+                    selector._loads.of(target_id).record_success(0.1, 1, 0)
+            selector.has_connection = lambda address: address != joined
+            chosen.update(
+                selector.choose(REQUEST, 0).address
+                for _ in range(JOINED_TIME * RATE)
+            )
+        self.assertGreater(chosen[joined], mean_cover)
+
     def test_others_are_used_while_a_subset_has_no_free_slot(self) -> None:
         selector = self.selector()
         subset = set(self.subset(0))
