Know the idle connections of an address by those that were given back

Cause: the key of an address was noted when a connection was made and forgotten when its idle ones were closed, so that a connection which was in use then, and was given back later, was not closed when the path went down again.

Change: the key is noted when a connection is given back.

Measured: tests/test_platform_sessions.py, a path that goes down twice around a request.

--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -71,7 +71,7 @@
         super().__init__(**options)
         self._connecting = connecting
         self._before_sending = before_sending
-        #: The keys of aiohttp's pool, by address.
+        #: The keys of aiohttp's pool, by address, of idle connections.
         self._key_by_address: dict[str, Any] = {}
         #: When each idle connection was used last.
         self._used_at: WeakKeyDictionary[object, Seconds] = WeakKeyDictionary()
@@ -110,9 +110,7 @@
         return connection
 
     async def _create_connection(self, request: Any, *arguments: Any) -> Any:
-        address = f'{request.url.host}:{request.url.port}'
-        self._note_key(address, request.connection_key)
-        with self._connecting(address):
+        with self._connecting(f'{request.url.host}:{request.url.port}'):
             return await super()._create_connection(request, *arguments)
 
     def _release(self, key: Any, protocol: Any, **options: Any) -> None:
@@ -125,6 +123,7 @@
         if not idle or idle[-1][0] is not protocol:
             return
         self._used_at[protocol] = time.monotonic()
+        self._note_key(f'{key.host}:{key.port}', key)
         idle.rotate()
         while len(idle) > MAX_IDLE_PER_ADDRESS:
             idle.pop()[0].close()
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -63,6 +63,24 @@
             self.sender.close_idle(address)
             self.assertFalse(self.sender.has_connection(address))
 
+    async def test_connection_that_was_in_use_is_closed_the_next_time(
+        self,
+    ) -> None:
+        """A path goes down twice, and a request ends in between."""
+        target = RepeatingTarget(lambda _: False)
+        target.repeats_on_arrival = lambda sent: []
+        async with raw_server(target.serve) as address:
+            sending = asyncio.create_task(self.send_at_once(1, address))
+            while not target.executed_ids:
+                await asyncio.sleep(0.001)
+            self.sender.close_idle(address)
+            await sending
+            self.assertTrue(self.sender.has_connection(address))
+            self.sender.close_idle(address)
+            self.assertFalse(self.sender.has_connection(address))
+            await self.send_at_once(1, address)
+        self.assertEqual(target.connections, 2)
+
     async def test_connection_in_use_is_not_idle(self) -> None:
         target = RepeatingTarget(lambda _: False)
         target.repeats_on_arrival = lambda sent: []
