Show by tests what happens where processes follow one another at an address

An owner of keys crashes and another process has its address within the time of a renewal, under a new id or under the same one. The fake targets can do that now, and their client may find a connection that was closed while it rested and open a new one, as the real one does; the stand-in target refuses calls that name another one. The checks of fences include those of processes that have ended.

--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -247,6 +247,8 @@
         return len(held) * KEY_SAMPLE_STEP
 
     async def _handle_grant(self, request: web.Request) -> web.Response:
+        if _names_another(request, self.target_id):
+            return _misdirected(request, self.target_id)
         call = msgspec.json.decode(await request.read())
         until = time.monotonic() + call['hold_ms'] / 1000
         requested = Grant(call['from'], call['target'], call['fence'], until)
@@ -255,6 +257,8 @@
         return self._call_response(request, {})
 
     async def _handle_release(self, request: web.Request) -> web.Response:
+        if _names_another(request, self.target_id):
+            return _misdirected(request, self.target_id)
         call = msgspec.json.decode(await request.read())
         self.keys.remove_range(call['from'], call['target'])
         return self._call_response(request, {'Handover': 'h'})
@@ -321,13 +325,7 @@
         self, request: web.Request, request_id: str
     ) -> web.Response | None:
         if request.headers.get('Expect-Instance') != self.target_id:
-            return web.Response(
-                status=HTTPStatus.MISDIRECTED_REQUEST,
-                headers={
-                    'Attempt-Id': request_id,
-                    'Instance-Id': self.target_id,
-                },
-            )
+            return _misdirected(request, self.target_id)
         if self.work.is_full():
             self.work.overflow_count += 1
             return web.Response(
@@ -349,6 +347,21 @@
         )
 
 
+def _names_another(request: web.Request, target_id: str) -> bool:
+    """Return whether a call about keys is meant for another target."""
+    return request.headers.get('Expect-Instance', target_id) != target_id
+
+
+def _misdirected(request: web.Request, target_id: str) -> web.Response:
+    return web.Response(
+        status=HTTPStatus.MISDIRECTED_REQUEST,
+        headers={
+            'Attempt-Id': request.headers.get('Attempt-Id', ''),
+            'Instance-Id': target_id,
+        },
+    )
+
+
 def _stated_headers(faults: TargetFaults) -> dict[str, str]:
     """Return what the target says of itself in its answers."""
     stated = {}
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -119,7 +119,14 @@
         #: Time that a grant takes to arrive. It is carried out then, also if
         #: its sender has given up waiting for the answer.
         self.transit_time = 0.0
+        #: Whether clients open a new connection where a target that was
+        #: restarted has closed theirs, before they send the next call.
+        self.replaces_closed = False
         self.violations: list[str] = []
+        #: Releases that were carried out by another target than was meant.
+        self.misdirected_releases = 0
+        #: Targets whose addresses belong to others now.
+        self.ended: list[FakeTarget] = []
         self.targets = {
             f'10.1.64.{number}:8707': FakeTarget(
                 f't{number}', f'10.1.64.{number}:8707'
@@ -199,6 +206,16 @@
         target.earlier_fences.extend(target.seen_fences)
         target.seen_fences.clear()
 
+    def replace_target(self, address: str, name: str) -> FakeTarget:
+        """End a target and start another process at its address."""
+        ended = self.targets[address]
+        ended.is_up = False
+        self.ended.append(ended)
+        started = FakeTarget(name, address)
+        started.started_at = ended.started_at + 1
+        self.targets[address] = started
+        return started
+
     def release(self, target: FakeTarget, keys: KeyRange) -> None:
         self._cut_out(target, keys)
 
@@ -226,10 +243,15 @@
                     f'{now:.3f} fence {keys.fence} of {target.name} is not '
                     f'above {fence}, which it had before it was restarted',
                 )
-        for other in self.targets.values():
-            if other is target or not other.is_up:
-                continue
+        others = [
+            other
+            for other in (*self.targets.values(), *self.ended)
+            if other is not target and (other.is_up or other in self.ended)
+        ]
+        for other in others:
             for grant in other.grants:
+                if not other.is_up:
+                    continue
                 overlaps = not (
                     grant.last < keys.first or keys.last < grant.first
                 )
@@ -324,6 +346,8 @@
         """
         known = self.connected_to.get(target.address, target.started_at)
         self.connected_to[target.address] = target.started_at
+        if self.world.replaces_closed:
+            return False
         return known != target.started_at
 
     async def _carry_out(
@@ -360,6 +384,7 @@
             self.world.call_later(3, self.world.release, target, keys)
             await self.world.pause(1)
             return CallResult(CallOutcome.unknown)
+        self.world.misdirected_releases += target.name != keys.owner
         self.world.release(target, keys)
         await self.world.pause(0.2)
         return CallResult(CallOutcome.done, 'handover')
--- /dev/null
+++ b/tests/test_keys_lives.py
@@ -0,0 +1,174 @@
+"""Tests of key ownership where processes follow one another at an address.
+
+Everything runs in virtual time. The checks are those of `World`.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from cassialever.fleet.model import KeyRange
+from cassialever.keys.assignments import GRANT_RENEWAL_INTERVAL
+from cassialever.platform.targets import CallOutcome, TargetClient
+from standins.keyed_target import TargetServer
+from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.ownership_fakes import Daemon, World
+
+ADDRESS = '10.1.64.1:8707'
+#: By when the keys of a process that has ended are held again, in seconds: a
+#: renewal, and what follows the answer of the next process.
+LIMIT = GRANT_RENEWAL_INTERVAL + 0.5
+#: Moments at which a process ends, over a renewal of all grants.
+PHASES = tuple(step * 0.09 for step in range(8))
+SEEDS = range(4)
+
+Scenario = Callable[[World, Daemon], Awaitable[None]]
+
+
+async def _settled_leader(world: World) -> Daemon:
+    """Return a leader that has granted all keys."""
+    leader = world.add_daemon('edge-1')
+    world.publish_targets()
+    assert await leader.take_over()
+    await asyncio.sleep(2)
+    assert not world.unheld_count()
+    return leader
+
+
+class LivesTest(unittest.TestCase):
+    """Runs scenarios for several seeds and moments of a renewal."""
+
+    def check_each(self, scenario: Scenario) -> None:
+        for seed in SEEDS:
+            for phase in PHASES:
+                with self.subTest(seed=seed, phase=phase):
+                    self.check(scenario, seed, phase)
+
+    def check(self, scenario: Scenario, seed: int, phase: float) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed)
+            world.replaces_closed = True
+            leader = await _settled_leader(world)
+            await asyncio.sleep(phase)
+            await scenario(world, leader)
+            for daemon in world.daemons:
+                daemon.kill()
+            self.assertEqual(world.violations, [])
+
+        run_virtually(main)
+
+
+class NewIdTest(LivesTest):
+    """A target crashes, and another one has its address at once."""
+
+    def test_next_target_at_the_address_gets_no_renewal(self) -> None:
+        # It took the renewal that was meant for the earlier one.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(1)
+            world.publish_targets()
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_next_target_gets_no_renewal_while_the_store_is_down(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(5)
+            leader.store.is_cut = False
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_keys_of_the_ended_target_are_held_again_in_time(self) -> None:
+        # They waited for the end of a grant that nobody held any more.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(LIMIT)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_inherited_keys_of_the_ended_target_are_held_again(self) -> None:
+        # The earlier leader lives on and could renew what it had granted.
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            leader.is_isolated = True
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            world.replace_target(ADDRESS, 'next')
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(LIMIT)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_release_for_the_ended_target_reaches_no_other(self) -> None:
+        # The next process answered in its place, with a handover of its own.
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.targets[ADDRESS].is_draining = True
+            world.publish_targets()
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(0.5)
+            self.assertEqual(world.unheld_count(), 0)
+            self.assertEqual(world.misdirected_releases, 0)
+
+        self.check_each(scenario)
+
+
+class SameIdTest(LivesTest):
+    """A target starts again under its id, which its entry tells later."""
+
+    def test_next_life_gets_no_renewal(self) -> None:
+        # It took the renewal of a fence that only its earlier life had seen.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.restart_target(world.targets[ADDRESS])
+            await asyncio.sleep(LIMIT)
+            self.assertEqual(world.unheld_count(), 0)
+            world.publish_targets()
+            await asyncio.sleep(3)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_next_life_gets_no_renewal_while_the_store_is_down(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            world.restart_target(world.targets[ADDRESS])
+            await asyncio.sleep(5)
+            leader.store.is_cut = False
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+
+class TargetClientTest(unittest.IsolatedAsyncioTestCase):
+    """Calls over sockets to an address that another target has."""
+
+    async def test_calls_for_another_target_are_not_carried_out(self) -> None:
+        # The process at the address took keys that were granted to another.
+        target = TargetServer('next')
+        await target.start()
+        self.addAsyncCleanup(target.stop)
+        client = TargetClient()
+        await client.start()
+        self.addAsyncCleanup(client.stop)
+        keys = KeyRange(0, 99, 'ended', 1000, 7)
+        granted = await client.grant(target.address, keys, 2.3)
+        self.assertFalse(target.holds(50))
+        self.assertEqual(granted.outcome.name, 'ended')
+        own = KeyRange(0, 99, 'next', 1000, 8)
+        accepted = await client.grant(target.address, own, 2.3)
+        self.assertIs(accepted.outcome, CallOutcome.done)
+        released = await client.release(target.address, keys)
+        self.assertTrue(target.holds(50))
+        self.assertEqual(released.outcome.name, 'ended')
+
+
+if __name__ == '__main__':
+    unittest.main()
