Name the owner in calls about keys, and free the keys of one that has ended

Seen: two targets held the same keys with the same fence, and callers were served by both.

Cause: grants and releases said to whom they were meant by an address alone. An owner that crashed between two renewals left its address to the next process, which knew no fence and took the renewal of the earlier one.

Change: the calls name their target, so that any other one refuses them (421). That answer is a fact: the process that was called has ended. Its keys are free at once, those that an earlier leader granted too, since nobody can renew them any more; no call and no probe follows, and the target owns nothing until its entry shows a later start. One line tells (455). If the process has accepted keys at another address since, nothing is concluded.

Not covered: an owner that starts again under its id (SameIdTest, still listed).

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -93,6 +93,11 @@
     keys_leaving = (454, logbook.INFO, 'Keys are moved away from a target.')
     keys_released = (451, logbook.INFO, 'A target released keys.')
     release_failed = (452, logbook.WARNING, 'A target did not release keys.')
+    owner_ended = (
+        455,
+        logbook.NOTICE,
+        'Another target has the address of an owner of keys, which has ended.',
+    )
     keys_assigned = (453, logbook.INFO, 'Keys were assigned to targets.')
 
     # Table and targets.
--- a/cassialever/keys/candidates.py
+++ b/cassialever/keys/candidates.py
@@ -40,6 +40,9 @@
             target
             for target in targets.usable(self._service)
             if not self._granter.is_unreachable(target.target_id)
+            and not self._granter.lives.is_over(
+                target.target_id, target.started_at
+            )
         ]
         warm = [one for one in usable if not targets.is_cold(one.target_id)]
         return warm or usable
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -7,6 +7,7 @@
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
 from cassialever.fleet.leading import LeaderTerm
+from cassialever.fleet.model import Target
 from cassialever.fleet.view import FleetView
 from cassialever.invariants import Invariant, check
 from cassialever.keys.assignments import (
@@ -18,6 +19,7 @@
     grant_duration,
     max_hold_time,
 )
+from cassialever.keys.lives import EndedLives
 from cassialever.keys.signs import SignsOfLife
 from cassialever.platform.targets import (
     GRANT_TIMEOUT,
@@ -65,7 +67,9 @@
         self._probe_at_by_id: dict[TargetId, Seconds] = {}
         #: Called with a target whose grant failed: it may have restarted.
         self.on_failure: list[Callable[[TargetId], None]] = []
-        self._address_by_id: dict[TargetId, str] = {}
+        #: The newest report of each target that was called.
+        self._reported_by_id: dict[TargetId, Target] = {}
+        self.lives = EndedLives()
         self._signs = SignsOfLife(clock)
 
     def has_authority(self) -> bool:
@@ -89,12 +93,12 @@
             self._probe_at_by_id[target_id] = now + PROBE_INTERVAL
         return due
 
-    def address_of(self, target_id: TargetId) -> str | None:
-        """Return a target's current or last known address."""
+    def reported(self, target_id: TargetId) -> Target | None:
+        """Return a target's current or last known report."""
         target = self._view.targets.by_id.get(target_id)
         if target is not None:
-            self._address_by_id[target_id] = target.address
-        return self._address_by_id.get(target_id)
+            self._reported_by_id[target_id] = target
+        return self._reported_by_id.get(target_id)
 
     def grants_by_owner(
         self, assignments: list[Assignment]
@@ -109,8 +113,8 @@
         self, owner: TargetId, assignments: list[Assignment]
     ) -> None:
         """Grant or renew one target's assignments, one call at a time."""
-        address = self.address_of(owner)
-        if address is None:
+        called = self.reported(owner)
+        if called is None:
             return
         await self._wait_until_idle(owner)
         if self._signs.silence_of(owner) > MAX_SIGN_AGE:
@@ -119,16 +123,16 @@
             assignments = [assignments[-1], *assignments]
         self.pending_owners.add(owner)
         try:
-            await self._grant_each(owner, assignments, address)
+            await self._grant_each(called, assignments)
         finally:
             self.pending_owners.discard(owner)
 
     async def probe(self, owner: TargetId) -> bool:
         """Return whether a connection to a target can be made."""
-        address = self.address_of(owner)
+        called = self.reported(owner)
         sent_at = self._clock.boot()
-        if address is not None and await self._target_client.can_connect(
-            address
+        if called is not None and await self._target_client.can_connect(
+            called.address
         ):
             self._signs.record(owner, sent_at)
             self._probe_at_by_id.pop(owner, None)
@@ -140,21 +144,27 @@
         self.paths.record_failure(owner, self._clock.monotonic())
         return False
 
-    async def release(self, assignment: Assignment, address: str) -> None:
+    async def release(self, assignment: Assignment, called: Target) -> None:
         """Have the owner release keys; the assignment then lapses."""
         # A renewal that is in progress must not arrive after the release.
         await self._wait_until_idle(assignment.owner)
+        if self.lives.has_owner_ended(assignment):
+            assignment.state = AssignmentState.lapsing
+            return
         result = await self._target_client.release(
-            address, assignment.key_range()
+            called.address, assignment.key_range()
         )
+        now = self._clock.boot()
+        if result.outcome is CallOutcome.ended:
+            self.lives.end(called)
         if result.outcome is CallOutcome.done:
             assignment.handover = result.handover
             # Unanswered grants may still take effect after the release.
             assignment.may_be_held_until = assignment.unanswered_until
-            self._record(Event.keys_released, assignment, result)
+            _record_call(Event.keys_released, assignment, result, now)
         else:
             assignment.handover = ''
-            self._record(Event.release_failed, assignment, result)
+            _record_call(Event.release_failed, assignment, result, now)
         assignment.state = AssignmentState.lapsing
 
     async def _wait_until_idle(self, owner: TargetId) -> None:
@@ -163,22 +173,28 @@
 
     async def _grant_each(
         self,
-        owner: TargetId,
+        called: Target,
         assignments: list[Assignment],
-        address: str,
     ) -> None:
         for assignment in assignments:
-            # It may have been reassigned while an earlier call was running,
-            # or its owner may have become suspect.
-            if assignment.owner != owner or not _may_be_granted(assignment):
+            # It may have been reassigned while an earlier call was running.
+            if not self._may_be_granted(assignment, called.target_id):
                 continue
             may_go_on = self.has_authority() and await self._grant_one(
-                assignment, address
+                assignment, called
             )
             if not may_go_on:
                 break
 
-    async def _grant_one(self, assignment: Assignment, address: str) -> bool:
+    def _may_be_granted(self, assignment: Assignment, owner: TargetId) -> bool:
+        """Return whether keys are its owner's, which runs and is no suspect."""
+        is_held = assignment.state is AssignmentState.held
+        if not is_held or assignment.owner != owner:
+            return False
+        has_ended = self.lives.has_owner_ended(assignment)
+        return not has_ended and not assignment.is_suspect
+
+    async def _grant_one(self, assignment: Assignment, called: Target) -> bool:
         """Grant one assignment; return whether to go on with the next."""
         check(
             Invariant.grant_within_term,
@@ -195,36 +211,32 @@
             previous_bound, sent_at + GRANT_TIMEOUT + unanswered_hold_time
         )
         assignment.renew_at = sent_at + GRANT_RENEWAL_INTERVAL
-        result = await self._call_grant(assignment, address, duration)
+        result = await self._call_grant(assignment, called, duration)
         now = self._clock.boot()
         if result.outcome is CallOutcome.done:
             self._probe_at_by_id.pop(assignment.owner, None)
             _mark_confirmed(assignment, max(previous_bound, now + hold_time))
             return True
-        self._record(Event.grant_failed, assignment, result)
+        _record_call(Event.grant_failed, assignment, result, now)
         assignment.renew_at = now + GRANT_RETRY_DELAY
         for notify in self.on_failure:
             notify(assignment.owner)
+        assignment.may_be_held_until = previous_bound
         if result.outcome is CallOutcome.unknown:
-            assignment.unanswered_until = max(
-                assignment.unanswered_until, now + unanswered_hold_time
-            )
-            assignment.unanswered_fence = assignment.fence
-            assignment.may_be_held_until = max(
-                previous_bound, assignment.unanswered_until
-            )
-        else:
-            assignment.may_be_held_until = previous_bound
+            _mark_unanswered(assignment, now + unanswered_hold_time)
         if result.outcome is CallOutcome.outdated:
             # The target has seen a higher fence: reassign above it.
             assignment.fence = Fence(assignment.fence + 1)
             assignment.state = AssignmentState.lapsing
             return True
+        if self.lives.has_owner_ended(assignment):
+            self._probe_at_by_id.pop(assignment.owner, None)
+            return False
         self._mark_unreachable(assignment.owner)
         return False
 
     async def _call_grant(
-        self, assignment: Assignment, address: str, duration: Seconds
+        self, assignment: Assignment, called: Target, duration: Seconds
     ) -> CallResult:
         """Grant an assignment; record whether the target was reached."""
         owner = assignment.owner
@@ -233,7 +245,7 @@
         unanswered.record_sent(owner, GRANT_ID, self._clock.monotonic())
         try:
             result = await self._target_client.grant(
-                address, assignment.key_range(), duration
+                called.address, assignment.key_range(), duration
             )
         finally:
             unanswered.record_end(owner, GRANT_ID)
@@ -244,27 +256,17 @@
             self.paths.direct.record_doubt(owner, now)
         else:
             self.paths.record_answer(owner, now)
-            self._signs.record(owner, sent_at)
+            if result.outcome is not CallOutcome.ended:
+                self._signs.record(owner, sent_at)
+        if result.outcome is CallOutcome.done:
+            self.lives.confirm(called)
+        elif result.outcome is CallOutcome.ended:
+            self.lives.end(called)
         return result
 
     def _mark_unreachable(self, target_id: TargetId) -> None:
         self._probe_at_by_id[target_id] = self._clock.boot() + PROBE_INTERVAL
 
-    def _record(
-        self, event: Event, assignment: Assignment, result: CallResult
-    ) -> None:
-        free_in = assignment.may_be_held_until - self._clock.boot()
-        record(
-            event,
-            target=assignment.owner,
-            first=assignment.first,
-            last=assignment.last,
-            fence=assignment.fence,
-            end=result.outcome.value,
-            reason=result.reason,
-            free_in=round(max(free_in, 0), 3),
-        )
-
 
 def _mark_confirmed(assignment: Assignment, held_until: Seconds) -> None:
     """Note that the owner now rejects grants with lower fences."""
@@ -274,6 +276,26 @@
         assignment.unanswered_until = 0
 
 
-def _may_be_granted(assignment: Assignment) -> bool:
-    is_held = assignment.state is AssignmentState.held
-    return is_held and not assignment.is_suspect
+def _mark_unanswered(assignment: Assignment, until: Seconds) -> None:
+    """Note that a grant without an answer may give the owner keys."""
+    assignment.unanswered_until = max(assignment.unanswered_until, until)
+    assignment.unanswered_fence = assignment.fence
+    assignment.may_be_held_until = max(
+        assignment.may_be_held_until, assignment.unanswered_until
+    )
+
+
+def _record_call(
+    event: Event, assignment: Assignment, result: CallResult, now: Seconds
+) -> None:
+    free_in = assignment.may_be_held_until - now
+    record(
+        event,
+        target=assignment.owner,
+        first=assignment.first,
+        last=assignment.last,
+        fence=assignment.fence,
+        end=result.outcome.value,
+        reason=result.reason,
+        free_in=round(max(free_in, 0), 3),
+    )
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -177,8 +177,10 @@
             )
             # The end of a grant in progress is known with its answer.
             is_pending = assignment.owner in self._granter.pending_owners
-            is_over = now >= assignment.may_be_held_until
-            if is_over and not may_be_renewed and not is_pending:
+            is_over = (
+                now >= assignment.may_be_held_until and not may_be_renewed
+            ) or self._granter.lives.has_owner_ended(assignment)
+            if is_over and not is_pending:
                 assignment.state = AssignmentState.free
 
     def _balance(self, now: Seconds) -> None:
@@ -198,6 +200,8 @@
             self._reclaim(assignment, 'its owner is too busy')
 
     def _must_leave_owner(self, assignment: Assignment, now: Seconds) -> bool:
+        if self._granter.lives.has_owner_ended(assignment):
+            return True
         if self._candidates.is_disqualified(
             assignment.owner, assignment.owner_started_at
         ):
@@ -232,12 +236,15 @@
         assignment.handover = ''
         # A restarted target is called too: its keys may have been renewed
         # before its restart was known.
-        address = self._granter.address_of(assignment.owner)
-        if address is None or self._granter.is_unreachable(assignment.owner):
+        called = self._granter.reported(assignment.owner)
+        is_lost = self._granter.lives.has_owner_ended(
+            assignment
+        ) or self._granter.is_unreachable(assignment.owner)
+        if called is None or is_lost:
             assignment.state = AssignmentState.lapsing
             return
         assignment.state = AssignmentState.releasing
-        self._steps.start_after(self._granter.release(assignment, address))
+        self._steps.start_after(self._granter.release(assignment, called))
 
     def _announce_moving(self) -> None:
         moving = [(one.first, one.last) for one in self.assignments.moving()]
@@ -344,6 +351,7 @@
             for assignment in self.assignments.in_state(AssignmentState.held)
             if assignment.renew_at <= now
             and not assignment.is_suspect
+            and not self._granter.lives.has_owner_ended(assignment)
             and assignment.owner not in self._granter.pending_owners
         ]
         for work in self._granter.grants_by_owner(due):
--- a/cassialever/keys/suspects.py
+++ b/cassialever/keys/suspects.py
@@ -49,7 +49,9 @@
         due = [
             assignment
             for assignment in self._assignments.in_state(AssignmentState.held)
-            if assignment.is_suspect and assignment.renew_at <= now
+            if assignment.is_suspect
+            and assignment.renew_at <= now
+            and not self._granter.lives.has_owner_ended(assignment)
         ]
         for owner in {assignment.owner for assignment in due} - self._probing:
             self._probing.add(owner)
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -14,8 +14,12 @@
 from cassialever.fleet.connecting import CONNECT_TIMEOUT, can_connect
 from cassialever.fleet.model import KeyRange
 from cassialever.platform import wire
+from cassialever.platform.identity import (
+    call_headers,
+    names_another_target,
+)
 from cassialever.platform.sessions import open_session
-from cassialever.types import Seconds
+from cassialever.types import Seconds, TargetId
 
 #: How long a target may take to answer a grant.
 GRANT_TIMEOUT: Final[Seconds] = 0.4
@@ -27,7 +31,6 @@
 _CONNECT_LIMIT: Final = aiohttp.ClientTimeout(
     total=None, connect=CONNECT_TIMEOUT
 )
-_JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
 class CallOutcome(enum.Enum):
@@ -39,6 +42,8 @@
     refused = 'refused'
     #: The call never reached the target.
     not_sent = 'not sent'
+    #: Another target has the address; it has not carried out the call.
+    ended = 'ended'
     #: The target may have carried out the call, or may still do so.
     unknown = 'unknown'
 
@@ -76,15 +81,16 @@
     ) -> CallResult:
         """Grant keys, or renew them, for a time from the call's arrival.
 
-        The duration is cut to the longest that targets accept.
+        The duration is cut to the longest that targets accept. Only the owner
+        carries the call out, also if another target has its address.
         """
-        path, body = wire.encode_grant(keys, min(duration, self._max_duration))
-        return await self._call(address, path, body, GRANT_TIMEOUT)
+        call = wire.encode_grant(keys, min(duration, self._max_duration))
+        return await self._call(address, keys.owner, call, GRANT_TIMEOUT)
 
     async def release(self, address: str, keys: KeyRange) -> CallResult:
         """Take keys back; the call is done when the work on them has ended."""
-        path, body = wire.encode_release(keys)
-        return await self._call(address, path, body, RELEASE_TIMEOUT)
+        call = wire.encode_release(keys)
+        return await self._call(address, keys.owner, call, RELEASE_TIMEOUT)
 
     async def can_connect(self, address: str) -> bool:
         """Return whether an address accepts a connection."""
@@ -93,10 +99,11 @@
     async def _call(
         self,
         address: str,
-        path: str,
-        body: bytes,
+        owner: TargetId,
+        call: tuple[str, bytes],
         timeout: Seconds,
     ) -> CallResult:
+        path, body = call
         if self._session is None:
             return CallResult(
                 CallOutcome.not_sent, reason='the session is not open'
@@ -107,12 +114,12 @@
                 self._session.post(
                     f'http://{address}{path}',
                     data=body,
-                    headers=_JSON_HEADERS,
+                    headers=call_headers(owner),
                     timeout=_CONNECT_LIMIT,
                 ) as response,
             ):
                 await response.read()
-                return _call_result(response)
+                return _call_result(response, owner)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -140,10 +147,14 @@
             timer.cancel()
 
 
-def _call_result(response: aiohttp.ClientResponse) -> CallResult:
+def _call_result(
+    response: aiohttp.ClientResponse, owner: TargetId
+) -> CallResult:
     reason = f'the target answered {response.status}'
     if response.status == HTTPStatus.OK:
         return CallResult(CallOutcome.done, wire.handover_of(response.headers))
     if response.status == HTTPStatus.CONFLICT:
         return CallResult(CallOutcome.outdated, reason=reason)
+    if names_another_target(response.status, response.headers, owner):
+        return CallResult(CallOutcome.ended, reason=reason)
     return CallResult(CallOutcome.refused, reason=reason)
--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -8,13 +8,13 @@
 from multidict import CIMultiDict
 
 from cassialever.fleet.model import KEY_COUNT, KeyRange
+from cassialever.platform.identity import EXPECTED_TARGET
 from cassialever.types import MS_PER_SECOND, Seconds, TargetId
 
 READINESS_PATH: Final = '/cassialever/readyz'
 
 _ATTEMPT_ID: Final = 'Attempt-Id'
 DEADLINE_HEADER: Final = 'Deadline-Ms'
-_EXPECTED_TARGET: Final = 'Expect-Instance'
 _NOT_RUN: Final = 'Not-Executed'
 _SIGNATURE: Final = 'Response-Seal'
 _KEY: Final = 'Shard-Key'
@@ -58,7 +58,7 @@
 )
 #: Headers of a request that the router replaces by its own.
 _REPLACED_HEADERS: Final = frozenset(
-    name.lower() for name in (DEADLINE_HEADER, _EXPECTED_TARGET)
+    name.lower() for name in (DEADLINE_HEADER, EXPECTED_TARGET)
 )
 
 
@@ -106,7 +106,7 @@
     The time left is set when the request is written.
     """
     forwarded = end_to_end_headers(headers, _REPLACED_HEADERS)
-    forwarded.append((_EXPECTED_TARGET, target_id))
+    forwarded.append((EXPECTED_TARGET, target_id))
     return forwarded
 
 
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -123,6 +123,8 @@
         #: restarted has closed theirs, before they send the next call.
         self.replaces_closed = False
         self.violations: list[str] = []
+        #: When calls about keys reached another target than was meant.
+        self.misdirected_at: list[float] = []
         #: Releases that were carried out by another target than was meant.
         self.misdirected_releases = 0
         #: Targets whose addresses belong to others now.
@@ -217,6 +219,7 @@
         return started
 
     def release(self, target: FakeTarget, keys: KeyRange) -> None:
+        self.misdirected_releases += target.name != keys.owner
         self._cut_out(target, keys)
 
     def holders(self, key: int) -> list[str]:
@@ -324,6 +327,9 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
+        if target.name != keys.owner:
+            self.world.misdirected_at.append(self.world.loop.time())
+            return CallResult(CallOutcome.ended)
         if self._is_connection_reset(target):
             return CallResult(CallOutcome.unknown)
         arrived = self.world.loop.time()
@@ -380,11 +386,13 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
+        if target.name != keys.owner:
+            self.world.misdirected_at.append(self.world.loop.time())
+            return CallResult(CallOutcome.ended)
         if self.world.draw(self.world.delayed_calls):
             self.world.call_later(3, self.world.release, target, keys)
             await self.world.pause(1)
             return CallResult(CallOutcome.unknown)
-        self.world.misdirected_releases += target.name != keys.owner
         self.world.release(target, keys)
         await self.world.pause(0.2)
         return CallResult(CallOutcome.done, 'handover')
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -7,11 +7,16 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from cassialever.fleet.model import KeyRange
+import msgspec
+
+from cassialever.fleet.model import KeyRange, StartedAt, Target
 from cassialever.keys.assignments import GRANT_RENEWAL_INTERVAL
+from cassialever.keys.lives import EndedLives
+from cassialever.platform.records import decode_target
 from cassialever.platform.targets import CallOutcome, TargetClient
+from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
-from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
 from tests.ownership_fakes import Daemon, World
 
 ADDRESS = '10.1.64.1:8707'
@@ -92,6 +97,32 @@
 
         self.check_each(scenario)
 
+    def test_keys_are_held_again_soon_after_the_first_answer(self) -> None:
+        # A call is refused once; its keys need not wait any more.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.replace_target(ADDRESS, 'next')
+            while not world.misdirected_at:
+                await asyncio.sleep(0.01)
+            while world.unheld_count():
+                await asyncio.sleep(0.01)
+            outage = world.loop.time() - world.misdirected_at[0]
+            self.assertLess(outage, 0.1)
+            world.publish_targets()
+            await asyncio.sleep(3)
+            self.assertEqual(len(world.misdirected_at), 1)
+
+        self.check_each(scenario)
+
+    def test_ended_target_is_called_once_while_the_store_is_down(self) -> None:
+        # Call after call reached the next process, each renewal and probe.
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(5)
+            self.assertEqual(len(world.misdirected_at), 1)
+
+        self.check_each(scenario)
+
     def test_inherited_keys_of_the_ended_target_are_held_again(self) -> None:
         # The earlier leader lives on and could renew what it had granted.
         async def scenario(world: World, leader: Daemon) -> None:
@@ -147,6 +178,37 @@
         self.check_each(scenario)
 
 
+class EndedLivesTest(unittest.TestCase):
+    """What follows from the answer of another target at an address."""
+
+    def test_process_that_was_called_and_earlier_ones_are_over(self) -> None:
+        lives = EndedLives()
+        self.assertTrue(lives.end(_target(started_at=2000)))
+        self.assertTrue(lives.end(_target(started_at=2000)))
+        self.assertTrue(lives.is_over(TargetId('t1'), StartedAt(2000)))
+        self.assertTrue(lives.is_over(TargetId('t1'), StartedAt(1000)))
+        self.assertFalse(lives.is_over(TargetId('t1'), StartedAt(2001)))
+        self.assertFalse(lives.is_over(TargetId('t2'), StartedAt(1000)))
+
+    def test_process_that_accepted_keys_elsewhere_is_not_over(self) -> None:
+        lives = EndedLives()
+        lives.confirm(_target(address='10.1.64.2:8707'))
+        self.assertFalse(lives.end(_target()))
+        self.assertFalse(lives.is_over(TargetId('t1'), StartedAt(1000)))
+
+    def test_next_process_that_moved_is_over(self) -> None:
+        lives = EndedLives()
+        lives.confirm(_target(address='10.1.64.2:8707'))
+        self.assertTrue(lives.end(_target(started_at=2000)))
+
+
+def _target(started_at: int = 1000, address: str = ADDRESS) -> Target:
+    entry = target_entry(address=address, born=started_at)
+    target = decode_target('t1', msgspec.json.encode(entry))
+    assert isinstance(target, Target)
+    return target
+
+
 class TargetClientTest(unittest.IsolatedAsyncioTestCase):
     """Calls over sockets to an address that another target has."""
 
@@ -161,13 +223,13 @@
         keys = KeyRange(0, 99, 'ended', 1000, 7)
         granted = await client.grant(target.address, keys, 2.3)
         self.assertFalse(target.holds(50))
-        self.assertEqual(granted.outcome.name, 'ended')
+        self.assertIs(granted.outcome, CallOutcome.ended)
         own = KeyRange(0, 99, 'next', 1000, 8)
         accepted = await client.grant(target.address, own, 2.3)
         self.assertIs(accepted.outcome, CallOutcome.done)
         released = await client.release(target.address, keys)
         self.assertTrue(target.holds(50))
-        self.assertEqual(released.outcome.name, 'ended')
+        self.assertIs(released.outcome, CallOutcome.ended)
 
 
 if __name__ == '__main__':
