--- /dev/null
+++ b/tests/test_keys_lives.py
@@ -0,0 +1,236 @@
+"""Tests of key ownership where processes follow one another at an address.
+
+Everything runs in virtual time. The checks are those of `World`.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from cassialever.fleet.model import KeyRange, StartedAt, Target
+from cassialever.keys.assignments import GRANT_RENEWAL_INTERVAL
+from cassialever.keys.lives import EndedLives
+from cassialever.platform.records import decode_target
+from cassialever.platform.targets import CallOutcome, TargetClient
+from cassialever.types import TargetId
+from standins.keyed_target import TargetServer
+from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
+from tests.ownership_fakes import Daemon, World
+
+ADDRESS = '10.1.64.1:8707'
+#: By when the keys of a process that has ended are held again, in seconds: a
+#: renewal, and what follows the answer of the next process.
+LIMIT = GRANT_RENEWAL_INTERVAL + 0.5
+#: Moments at which a process ends, over a renewal of all grants.
+PHASES = tuple(step * 0.09 for step in range(8))
+SEEDS = range(4)
+
+Scenario = Callable[[World, Daemon], Awaitable[None]]
+
+
+async def _settled_leader(world: World) -> Daemon:
+    """Return a leader that has granted all keys."""
+    leader = world.add_daemon('edge-1')
+    world.publish_targets()
+    assert await leader.take_over()
+    await asyncio.sleep(2)
+    assert not world.unheld_count()
+    return leader
+
+
+class LivesTest(unittest.TestCase):
+    """Runs scenarios for several seeds and moments of a renewal."""
+
+    def check_each(self, scenario: Scenario) -> None:
+        for seed in SEEDS:
+            for phase in PHASES:
+                with self.subTest(seed=seed, phase=phase):
+                    self.check(scenario, seed, phase)
+
+    def check(self, scenario: Scenario, seed: int, phase: float) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed)
+            world.replaces_closed = True
+            leader = await _settled_leader(world)
+            await asyncio.sleep(phase)
+            await scenario(world, leader)
+            for daemon in world.daemons:
+                daemon.kill()
+            self.assertEqual(world.violations, [])
+
+        run_virtually(main)
+
+
+class NewIdTest(LivesTest):
+    """A target crashes, and another one has its address at once."""
+
+    def test_next_target_at_the_address_gets_no_renewal(self) -> None:
+        # It took the renewal that was meant for the earlier one.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(1)
+            world.publish_targets()
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_next_target_gets_no_renewal_while_the_store_is_down(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(5)
+            leader.store.is_cut = False
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_keys_of_the_ended_target_are_held_again_in_time(self) -> None:
+        # They waited for the end of a grant that nobody held any more.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(LIMIT)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_keys_are_held_again_soon_after_the_first_answer(self) -> None:
+        # A call is refused once; its keys need not wait any more.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.replace_target(ADDRESS, 'next')
+            while not world.misdirected_at:
+                await asyncio.sleep(0.01)
+            while world.unheld_count():
+                await asyncio.sleep(0.01)
+            outage = world.loop.time() - world.misdirected_at[0]
+            self.assertLess(outage, 0.1)
+            world.publish_targets()
+            await asyncio.sleep(3)
+            self.assertEqual(len(world.misdirected_at), 1)
+
+        self.check_each(scenario)
+
+    def test_ended_target_is_called_once_while_the_store_is_down(self) -> None:
+        # Call after call reached the next process, each renewal and probe.
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(5)
+            self.assertEqual(len(world.misdirected_at), 1)
+
+        self.check_each(scenario)
+
+    def test_inherited_keys_of_the_ended_target_are_held_again(self) -> None:
+        # The earlier leader lives on and could renew what it had granted.
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            leader.is_isolated = True
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            world.replace_target(ADDRESS, 'next')
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(LIMIT)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_release_for_the_ended_target_reaches_no_other(self) -> None:
+        # The next process answered in its place, with a handover of its own.
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.targets[ADDRESS].is_draining = True
+            world.publish_targets()
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(0.5)
+            self.assertEqual(world.unheld_count(), 0)
+            self.assertEqual(world.misdirected_releases, 0)
+
+        self.check_each(scenario)
+
+
+class SameIdTest(LivesTest):
+    """A target starts again under its id, which its entry tells later."""
+
+    def test_next_life_gets_no_renewal(self) -> None:
+        # It took the renewal of a fence that only its earlier life had seen.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.restart_target(world.targets[ADDRESS])
+            await asyncio.sleep(LIMIT)
+            self.assertEqual(world.unheld_count(), 0)
+            world.publish_targets()
+            await asyncio.sleep(3)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_next_life_gets_no_renewal_while_the_store_is_down(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            world.restart_target(world.targets[ADDRESS])
+            await asyncio.sleep(5)
+            leader.store.is_cut = False
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+
+class EndedLivesTest(unittest.TestCase):
+    """What follows from the answer of another target at an address."""
+
+    def test_process_that_was_called_and_earlier_ones_are_over(self) -> None:
+        lives = EndedLives()
+        self.assertTrue(lives.end(_target(started_at=2000)))
+        self.assertTrue(lives.end(_target(started_at=2000)))
+        self.assertTrue(lives.is_over(TargetId('t1'), StartedAt(2000)))
+        self.assertTrue(lives.is_over(TargetId('t1'), StartedAt(1000)))
+        self.assertFalse(lives.is_over(TargetId('t1'), StartedAt(2001)))
+        self.assertFalse(lives.is_over(TargetId('t2'), StartedAt(1000)))
+
+    def test_process_that_accepted_keys_elsewhere_is_not_over(self) -> None:
+        lives = EndedLives()
+        lives.confirm(_target(address='10.1.64.2:8707'))
+        self.assertFalse(lives.end(_target()))
+        self.assertFalse(lives.is_over(TargetId('t1'), StartedAt(1000)))
+
+    def test_next_process_that_moved_is_over(self) -> None:
+        lives = EndedLives()
+        lives.confirm(_target(address='10.1.64.2:8707'))
+        self.assertTrue(lives.end(_target(started_at=2000)))
+
+
+def _target(started_at: int = 1000, address: str = ADDRESS) -> Target:
+    entry = target_entry(address=address, born=started_at)
+    target = decode_target('t1', msgspec.json.encode(entry))
+    assert isinstance(target, Target)
+    return target
+
+
+class TargetClientTest(unittest.IsolatedAsyncioTestCase):
+    """Calls over sockets to an address that another target has."""
+
+    async def test_calls_for_another_target_are_not_carried_out(self) -> None:
+        # The process at the address took keys that were granted to another.
+        target = TargetServer('next')
+        await target.start()
+        self.addAsyncCleanup(target.stop)
+        client = TargetClient()
+        await client.start()
+        self.addAsyncCleanup(client.stop)
+        keys = KeyRange(0, 99, 'ended', 1000, 7)
+        granted = await client.grant(target.address, keys, 2.3)
+        self.assertFalse(target.holds(50))
+        self.assertIs(granted.outcome, CallOutcome.ended)
+        own = KeyRange(0, 99, 'next', 1000, 8)
+        accepted = await client.grant(target.address, own, 2.3)
+        self.assertIs(accepted.outcome, CallOutcome.done)
+        released = await client.release(target.address, keys)
+        self.assertTrue(target.holds(50))
+        self.assertIs(released.outcome, CallOutcome.ended)
+
+
+if __name__ == '__main__':
+    unittest.main()
