Take a refused call about keys as the end of its owner, whether or not the target names itself

Cause: the answer counted as the end of the owner only if it named the target that gave it. The targets played leave that out where a call is about keys.

Change: only an answer that names the called target itself is another refusal. To a call about keys this status has no other meaning; a caller's request is refused with it for its key, too, and is not concerned.

Measured: test_refusal_without_an_id_shows_that_the_owner_ended failed before (refused in place of ended).

--- a/cassialever/platform/identity.py
+++ b/cassialever/platform/identity.py
@@ -22,6 +22,10 @@
 def names_another_target(
     status: int, headers: Mapping[str, str], target_id: TargetId
 ) -> bool:
-    """Return whether an answer says that another target has the address."""
-    answering = headers.get(_ANSWERING_TARGET, target_id)
-    return status == HTTPStatus.MISDIRECTED_REQUEST and answering != target_id
+    """Return whether a call about keys was refused by another target.
+
+    A target refuses such a call for no other reason with this status, and need
+    not name itself.
+    """
+    is_itself = headers.get(_ANSWERING_TARGET) == target_id
+    return status == HTTPStatus.MISDIRECTED_REQUEST and not is_itself
--- a/standins/spoiled_answers.py
+++ b/standins/spoiled_answers.py
@@ -15,6 +15,8 @@
         self.repeats_refusals = False
         #: Number of answers to break off within their head.
         self.cut_heads_left = 0
+        #: Refuse calls about keys for another target without the own id.
+        self.hides_id = False
         #: The last request that was refused on each connection.
         self._refused_by_connection: WeakKeyDictionary[object, str] = (
             WeakKeyDictionary()
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -212,9 +212,10 @@
 class TargetClientTest(unittest.IsolatedAsyncioTestCase):
     """Calls over sockets to an address that another target has."""
 
-    async def test_calls_for_another_target_are_not_carried_out(self) -> None:
-        # The process at the address took keys that were granted to another.
+    async def check_calls(self, *, hides_id: bool) -> None:
+        """Call a target, and another one that is gone, at one address."""
         target = TargetServer('next')
+        target.faults.hides_id = hides_id
         await target.start()
         self.addAsyncCleanup(target.stop)
         client = TargetClient()
@@ -231,6 +232,16 @@
         self.assertTrue(target.holds(50))
         self.assertIs(released.outcome, CallOutcome.ended)
 
+    async def test_calls_for_another_target_are_not_carried_out(self) -> None:
+        # The process at the address took keys that were granted to another.
+        await self.check_calls(hides_id=False)
+
+    async def test_refusal_without_an_id_shows_that_the_owner_ended(
+        self,
+    ) -> None:
+        # Its keys waited for the end of their grant, and it was called again.
+        await self.check_calls(hides_id=True)
+
 
 if __name__ == '__main__':
     unittest.main()
