Log by which tables and when a request is decided and sent

A request that was handled by an old configuration left no trace: the logs did not tell whether the daemon did not know the change, knew it and was late itself, or had decided before the change and sent after it.

Refusals and failed attempts (201, 202) now name the version of the configuration and the age of the tables.

Routing and the daemon's own refusals move to modules of their own, as the forwarder had too many imports.

--- a/cassialever/callers/front.py
+++ b/cassialever/callers/front.py
@@ -22,8 +22,10 @@
 from cassialever.events import Event, record
 from cassialever.fleet.model import NO_KEY
 from cassialever.gateway.connections import CallerListener
-from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
+from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
+from cassialever.gateway.refusals import Refusal
+from cassialever.gateway.routing import RoutedRequest
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.interfaces import Clock
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -53,6 +53,11 @@
         logbook.INFO,
         'A request is also passed on, since its path is down.',
     )
+    request_sent_late = (
+        208,
+        logbook.INFO,
+        'A request is sent long after it came, or by old tables.',
+    )
 
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
--- a/cassialever/fleet/model.py
+++ b/cassialever/fleet/model.py
@@ -105,6 +105,11 @@
     max_body_bytes: int
 
 
+def version_of(configuration: Configuration | None) -> int:
+    """Return a configuration's version; 0 if none is known."""
+    return configuration.version if configuration else 0
+
+
 class Target(msgspec.Struct, frozen=True):
     """A target as it reports itself in the store.
 
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -89,6 +89,7 @@
             self.clock,
             random_source,
         )
+        self.forwarder.tables_age = self.membership.tables_age
         self.membership.candidacy = Candidacy(self._reachability.paths)
         self.membership.seeds = settings.seeds
         self.membership.election_delay = election_delay(
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -1,28 +1,35 @@
 """Serve one request: route it, choose a target, send it, retry it."""
 
 import asyncio
-from http import HTTPStatus
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
 
 from cassialever.clock import SystemClock
-from cassialever.errors import ErrorKind
 from cassialever.events import Event, record
-from cassialever.fleet.model import Configuration, Route, Target
-from cassialever.fleet.target_registry import TargetRegistry
+from cassialever.fleet.model import Target, version_of
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.counters import Counters
 from cassialever.gateway.dispatcher import TargetDispatcher
+from cassialever.gateway.late_sendings import Decision
 from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
+from cassialever.gateway.refusals import (
+    Refusal,
+    attempts_failed,
+    final_answer,
+    no_target,
+    stopping,
+)
+from cassialever.gateway.routing import RoutedRequest, route_request
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.stop_limit import StopLimit
 from cassialever.interfaces import RandomSource
-from cassialever.platform import wire
 from cassialever.policy import refusal, subsets
 from cassialever.policy.budget import RetryBudget
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.permits import PermitLimiter
 from cassialever.policy.placing import (
     NEEDS_PERMIT,
     NoTargetReason,
@@ -31,43 +38,11 @@
     TargetSelector,
 )
 from cassialever.policy.shares import WeightedSplit
-from cassialever.policy.permits import PermitLimiter
 from cassialever.telemetry.spans import Hop, HopTracer, NoopTracer
 from cassialever.types import Seconds, ServiceName, TargetId
 
 #: A request with less time left than this is not retried.
 MIN_RETRY_TIME: Final[Seconds] = 0.02
-#: How long callers that send no deadline are assumed to wait.
-DEFAULT_TIMEOUT: Final[Seconds] = 30.0
-
-
-class RoutedRequest(msgspec.Struct, frozen=True):
-    """A caller's request with its route.
-
-    `deadline` is when its caller or its route stops waiting.
-    """
-
-    request: TargetRequest
-    route: Route
-    key: int
-    received_at: Seconds
-    deadline: Seconds
-
-
-class Refusal(msgspec.Struct, frozen=True):
-    """An answer by this daemon instead of a target.
-
-    If it has a time to retry after, the request has not run and never will.
-    """
-
-    status: int
-    sentence: str
-    retry_after: Seconds | None = None
-    #: The label under which the metrics count it, one of a fixed set.
-    cause: str = 'attempts_failed'
-    kind: ErrorKind = ErrorKind.target_shed
-    #: The only target that could have served it, if there is just one.
-    target_id: TargetId | None = None
 
 
 class _Placement(msgspec.Struct, frozen=True):
@@ -75,6 +50,7 @@
 
     target: Target
     send_before: Seconds
+    decision: Decision
 
 
 class _Progress(msgspec.Struct):
@@ -125,6 +101,8 @@
         self.daemon_count = 0
         #: Keys requested since the last report, by service.
         self.keys_asked: dict[ServiceName, list[int]] = {}
+        #: Returns the age of this daemon's tables.
+        self.tables_age: Callable[[], Seconds] = float
 
     def route_request(
         self,
@@ -133,33 +111,7 @@
         received_at: Seconds,
     ) -> RoutedRequest | Refusal:
         """Find the route of a request, or refuse it if there is none."""
-        if self._view.configuration is None:
-            return Refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'no configuration is known yet',
-                refusal.FixedRetryAfter.default.value,
-                'no_configuration',
-                ErrorKind.no_catalogue,
-            )
-        route = self._view.routes.find(host, request.raw_path)
-        if route is None:
-            return Refusal(
-                HTTPStatus.NOT_FOUND,
-                'no route matches',
-                cause='no_route',
-                kind=ErrorKind.unknown_service,
-            )
-        metadata = wire.parse_request_metadata(request.headers)
-        timeout = metadata.timeout
-        if timeout is None:
-            timeout = DEFAULT_TIMEOUT
-        return RoutedRequest(
-            request=request,
-            route=route,
-            key=metadata.key,
-            received_at=received_at,
-            deadline=received_at + min(timeout, route.time_limit),
-        )
+        return route_request(self._view, request, host, received_at)
 
     async def serve(self, routed: RoutedRequest) -> Answer | Refusal:
         """Send a request, with retries, and return its final answer."""
@@ -183,7 +135,9 @@
             self._record_failed_attempt(routed, placed, last)
             if not self._may_retry(routed, service, progress, last):
                 return self._finish_unserved(
-                    routed, _attempts_failed(last.reason), progress.failed
+                    routed,
+                    attempts_failed(last.reason),
+                    progress.failed,
                 )
 
     async def _place_and_send(
@@ -220,7 +174,7 @@
             now = self._clock.monotonic()
             if self._time_left(routed) <= 0:
                 # A time limit of 0 or less would be none.
-                return _attempts_failed('no time was left')
+                return attempts_failed('no time was left')
             chosen = self.selector.choose(placement, now)
             if isinstance(chosen, Target):
                 return self._use(routed, chosen, now)
@@ -231,9 +185,7 @@
                 objective=routed.route.objective,
                 expected_latency=0,
                 permit=_permit_delay(self.selector, chosen, placement, now),
-                pause=_pause_left(
-                    chosen, self._view.targets, self.selector, placement
-                ),
+                pause=_pause_left(chosen, self._view, self.selector, placement),
                 waiting=self.selector.waiting_by_service.total(),
                 cores=self._settings.instance.cores,
             )
@@ -254,9 +206,15 @@
         load = self._loads.of(target.target_id)
         latency = load.expected_latency(target.slots, now)
         if not self.stop_limit.admits(time_limit, latency):
-            return _stopping(target)
+            return stopping(target)
         send_before = self.limiter.use_permit(target.target_id)
-        return _Placement(target, send_before)
+        decision = Decision(
+            routed.received_at,
+            now,
+            version_of(self._view.configuration),
+            self.tables_age(),
+        )
+        return _Placement(target, send_before, decision)
 
     def _no_target(
         self, decision: refusal.Refuse, placement: PlacementRequest
@@ -266,14 +224,7 @@
         rate = self._view.targets.limits.rate_of(owner) if owner else None
         if rate is not None and decision.reason is NoTargetReason.limited:
             sentence = f'the owner of the key takes {rate:g} requests a second'
-        return Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            sentence,
-            decision.retry_after,
-            decision.reason.name,
-            refusal.KIND_BY_REASON[decision.reason],
-            owner.target_id if owner else None,
-        )
+        return no_target(decision, sentence, owner)
 
     async def _send(
         self, routed: RoutedRequest, placed: _Placement, progress: _Progress
@@ -291,6 +242,7 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
             send_before=placed.send_before,
+            decision=placed.decision,
         )
         self.counters.sent_by_service[target.service] += 1
         sent = msgspec.structs.replace(routed, request=request)
@@ -378,7 +330,8 @@
             reason=answer.sentence,
             waited=round(self._clock.monotonic() - routed.received_at, 3),
             retry_after=answer.retry_after,
-            configuration=_version_of(self._view.configuration),
+            configuration=version_of(self._view.configuration),
+            tables_age=round(self.tables_age(), 3),
         )
         return answer
 
@@ -399,6 +352,8 @@
             end=attempt.outcome.value,
             reason=attempt.reason,
             after=round(self._clock.monotonic() - routed.received_at, 3),
+            configuration=version_of(self._view.configuration),
+            tables_age=round(self.tables_age(), 3),
         )
 
     def _budget(self, name: ServiceName) -> RetryBudget:
@@ -425,7 +380,7 @@
 
 def _pause_left(
     reason: NoTargetReason,
-    targets: TargetRegistry,
+    view: FleetView,
     selector: TargetSelector,
     placement: PlacementRequest,
 ) -> Seconds:
@@ -434,57 +389,6 @@
         return 0
     owner = selector.owner_of(placement)
     if owner is not None:
-        return targets.pause_left(owner)
-    usable = targets.usable(placement.service)
-    return min(map(targets.pause_left, usable), default=0)
-
-
-def final_answer(
-    refused: Refusal,
-    attempts: list[Attempt],
-) -> Answer | Refusal:
-    """Return the answer to a request that no attempt has served.
-
-    The refusal promises that the request has not run. It is returned only if
-    the request was sent to no target, or every target stated that it did not
-    run it.
-    """
-    may_have_run = [
-        attempt
-        for attempt in attempts
-        if attempt.outcome is not AttemptOutcome.not_run
-    ]
-    if not may_have_run:
-        return refused
-    last = may_have_run[-1]
-    if last.answer is not None:
-        return last.answer
-    kind = last.failure.kind if last.failure else None
-    status = HTTPStatus.BAD_GATEWAY
-    if kind is ErrorKind.deadline_passed:
-        status = HTTPStatus.GATEWAY_TIMEOUT
-    return Refusal(status, last.reason, kind=ErrorKind.outcome_unknown)
-
-
-def _version_of(configuration: Configuration | None) -> int:
-    """Return a configuration's version; 0 if none is known."""
-    return configuration.version if configuration else 0
-
-
-def _stopping(target: Target) -> Refusal:
-    return Refusal(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'this daemon stops before the request would end',
-        refusal.FixedRetryAfter.stopping.value,
-        ErrorKind.stopping.name,
-        ErrorKind.stopping,
-        target.target_id,
-    )
-
-
-def _attempts_failed(reason: str) -> Refusal:
-    return Refusal(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        reason,
-        refusal.FixedRetryAfter.default.value,
-    )
+        return view.targets.pause_left(owner)
+    usable = view.targets.usable(placement.service)
+    return min(map(view.targets.pause_left, usable), default=0)
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -10,8 +10,9 @@
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
 from cassialever.gateway.connections import CallerListener, RequestHandler
-from cassialever.gateway.forwarder import Forwarder, Refusal
+from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
+from cassialever.gateway.refusals import Refusal
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.platform import wire
--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -10,7 +10,7 @@
 
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind, Failure
-from cassialever.fleet.model import Target
+from cassialever.fleet.model import Target, version_of
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.hop_messages import (
     HOP_HEADERS,
@@ -149,7 +149,6 @@
         time_left: Seconds,
         connect_timeout: Seconds,
     ) -> HopRequest:
-        configuration = self._view.configuration
         return HopRequest(
             method=request.method,
             raw_path=request.raw_path,
@@ -157,7 +156,7 @@
             started_at=target.started_at,
             time_left=time_left,
             origin=self._settings.instance.instance_id,
-            configuration=configuration.version if configuration else 0,
+            configuration=version_of(self._view.configuration),
             sent_at=self._clock.wall(),
             nonce=new_nonce(),
             # The helper does not know how long the connection to it took.
--- /dev/null
+++ b/cassialever/gateway/refusals.py
@@ -0,0 +1,110 @@
+"""The answers that a daemon gives in place of a target's."""
+
+from http import HTTPStatus
+
+import msgspec
+
+from cassialever.errors import ErrorKind
+from cassialever.fleet.model import Target
+from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
+from cassialever.policy import refusal
+from cassialever.types import Seconds, TargetId
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """An answer by this daemon instead of a target.
+
+    If it has a time to retry after, the request has not run and never will.
+    """
+
+    status: int
+    sentence: str
+    retry_after: Seconds | None = None
+    #: The label under which the metrics count it, one of a fixed set.
+    cause: str = 'attempts_failed'
+    kind: ErrorKind = ErrorKind.target_shed
+    #: The only target that could have served it, if there is just one.
+    target_id: TargetId | None = None
+
+
+def no_configuration() -> Refusal:
+    """Refuse a request of a daemon that knows no configuration yet."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'no configuration is known yet',
+        refusal.FixedRetryAfter.default.value,
+        'no_configuration',
+        ErrorKind.no_catalogue,
+    )
+
+
+def no_route() -> Refusal:
+    """Refuse a request that no route matches."""
+    return Refusal(
+        HTTPStatus.NOT_FOUND,
+        'no route matches',
+        cause='no_route',
+        kind=ErrorKind.unknown_service,
+    )
+
+
+def no_target(
+    decision: refusal.Refuse, sentence: str, owner: Target | None
+) -> Refusal:
+    """Refuse a request that no target takes; `owner` is that of its key."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        sentence,
+        decision.retry_after,
+        decision.reason.name,
+        refusal.KIND_BY_REASON[decision.reason],
+        owner.target_id if owner else None,
+    )
+
+
+def stopping(target: Target) -> Refusal:
+    """Refuse a request that would outlast a stop."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'this daemon stops before the request would end',
+        refusal.FixedRetryAfter.stopping.value,
+        ErrorKind.stopping.name,
+        ErrorKind.stopping,
+        target.target_id,
+    )
+
+
+def attempts_failed(reason: str) -> Refusal:
+    """Refuse a request that no attempt has run."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        reason,
+        refusal.FixedRetryAfter.default.value,
+    )
+
+
+def final_answer(
+    refused: Refusal,
+    attempts: list[Attempt],
+) -> Answer | Refusal:
+    """Return the answer to a request that no attempt has served.
+
+    The refusal promises that the request has not run. It is returned only if
+    the request was sent to no target, or every target stated that it did not
+    run it.
+    """
+    may_have_run = [
+        attempt
+        for attempt in attempts
+        if attempt.outcome is not AttemptOutcome.not_run
+    ]
+    if not may_have_run:
+        return refused
+    last = may_have_run[-1]
+    if last.answer is not None:
+        return last.answer
+    kind = last.failure.kind if last.failure else None
+    status = HTTPStatus.BAD_GATEWAY
+    if kind is ErrorKind.deadline_passed:
+        status = HTTPStatus.GATEWAY_TIMEOUT
+    return Refusal(status, last.reason, kind=ErrorKind.outcome_unknown)
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -25,6 +25,7 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import Target
+from cassialever.gateway.late_sendings import Decision, LateSendings
 from cassialever.gateway.loop_watch import LoopWatch
 from cassialever.gateway.outcomes import (
     Attempt,
@@ -79,6 +80,8 @@
     #: Until when it may be written, in monotonic time; infinity if it needs no
     #: permit of its target.
     send_before: Seconds = math.inf
+    #: By what its target was chosen; None if another daemon has chosen it.
+    decision: Decision | None = None
 
     @property
     def has_permit(self) -> bool:
@@ -89,8 +92,8 @@
 class _Sending(msgspec.Struct, frozen=True):
     """A request whose connection is made, with its target."""
 
+    request: TargetRequest
     target: Target
-    send_before: Seconds
     #: Until when its answer is waited for, in monotonic time.
     deadline: Seconds
 
@@ -121,6 +124,7 @@
         self.withdrawal_reason: Callable[[Target], str] = _no_reason
         #: The request that the current task sends.
         self._sending: ContextVar[_Sending] = ContextVar('sending')
+        self._late_sendings = LateSendings()
 
     async def start(self) -> None:
         """Open the connection pool."""
@@ -210,9 +214,7 @@
         """
         target_id = target.target_id
         sent_at = self._clock.monotonic()
-        self._sending.set(
-            _Sending(target, request.send_before, sent_at + time_left)
-        )
+        self._sending.set(_Sending(request, target, sent_at + time_left))
         connect_time = self._connect_time(request, time_left)
         is_short = connect_time < self._paths.connect_times.timeout
         self._paths.record_sent(target_id, request.request_id, sent_at)
@@ -253,12 +255,17 @@
         Raise WithdrawnError if its target may not get it now.
         """
         sending = self._sending.get()
+        request = sending.request
+        target_id = sending.target.target_id
         reason = self.withdrawal_reason(sending.target)
         now = self._clock.monotonic()
-        if now >= sending.send_before:
-            reason = f'the permit of {sending.target.target_id} has run out'
+        if now >= request.send_before:
+            reason = f'the permit of {target_id} has run out'
         if reason:
             raise WithdrawnError(reason)
+        self._late_sendings.note(
+            request.request_id, target_id, request.decision, now
+        )
         set_time_left(headers, sending.deadline - now)
 
     def _record_unconnected(
--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -22,7 +22,7 @@
 from cassialever.fleet.permits import PermitExchange
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.duplicates import MayDuplicate, never
-from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
+from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import (
     Answer,
     Attempt,
@@ -30,6 +30,8 @@
     not_run,
     unknown,
 )
+from cassialever.gateway.refusals import Refusal
+from cassialever.gateway.routing import RoutedRequest
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.platform.wire import ReportedLoad
 from cassialever.policy.limits import (
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -13,7 +13,7 @@
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import RequestKind, Target
 from cassialever.gateway.duplicates import MayDuplicate
-from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
+from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import (
     Answer,
     Attempt,
@@ -21,6 +21,8 @@
     not_run,
     unknown,
 )
+from cassialever.gateway.refusals import Refusal
+from cassialever.gateway.routing import RoutedRequest
 from cassialever.gateway.sender import TargetRequest
 from cassialever.policy.loads import LoadTracker
 from cassialever.types import Seconds
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -3,7 +3,6 @@
 import unittest
 
 from cassialever.errors import ErrorKind
-from cassialever.gateway.forwarder import Refusal, final_answer
 from cassialever.gateway.outcomes import (
     Answer,
     Attempt,
@@ -11,6 +10,7 @@
     not_run,
     unknown,
 )
+from cassialever.gateway.refusals import Refusal, final_answer
 from cassialever.types import TargetId
 
 REFUSED = Refusal(503, 'full', 0.3)
