Show that a request that waits is sent by an outdated route

Two tests that fail: a request is routed, waits 0.25 s for its connection, and is sent to the service of its old route, or by a route that was dropped, though the daemon has adopted the change meanwhile.

--- /dev/null
+++ b/tests/test_route_changes.py
@@ -0,0 +1,83 @@
+"""Tests of requests whose route changes while they wait."""
+
+import asyncio
+import copy
+import unittest
+from typing import Any
+
+from standins.keyed_target import TargetServer
+from tests.fleet_helpers import (
+    CONFIGURATION,
+    SERVICES,
+    Deployment,
+    deployment,
+    until,
+)
+from tests.gateway_helpers import ISSUE_HEADERS, send_request
+from tests.test_leaving_targets import slow_connections
+
+
+def configuration(version: int, upstream: str = '') -> dict[str, Any]:
+    """Return one whose route leads to a service; without the route if empty."""
+    changed = copy.deepcopy(CONFIGURATION)
+    changed['version'] = f'r{version}'
+    changed['services'] = {**SERVICES, 'later': SERVICES['issuance']}
+    if upstream:
+        changed['routes']['r-issue']['upstream'] = upstream
+    else:
+        changed['routes'].pop('r-issue')
+    return changed
+
+
+class RouteChangeTest(unittest.IsolatedAsyncioTestCase):
+    """A configuration is adopted while a request waits for its connection."""
+
+    async def change_while_connecting(
+        self, system: Deployment, changed: dict[str, Any]
+    ) -> int:
+        """Return the status of a request that was routed before a change."""
+        gateway = system.gateways[0]
+        first = system.targets[-1]
+        await until(lambda: len(gateway.view.targets.by_id) == 2)
+        later = TargetServer('l0', 'later', is_keyed=False)
+        await system.add_target(later)
+        await until(lambda: len(gateway.view.targets.by_id) == 3)
+        with slow_connections(first.address) as begun:
+            sending = asyncio.create_task(
+                send_request(gateway, '/issue/', ISSUE_HEADERS)
+            )
+            await asyncio.wait_for(begun.wait(), 5)
+            system.store.put('op', 'config', changed)
+            await until(lambda: gateway.view.configuration.version == 9)
+            return (await sending).status
+
+    async def test_request_routed_before_a_change_is_sent_by_it(self) -> None:
+        """It was sent to the old service after the new one was in force."""
+        async with deployment(keyed=1) as system:
+            status = await self.change_while_connecting(
+                system, configuration(9, 'later')
+            )
+            self.assertEqual(status, 200)
+            self.assertEqual(system.targets[1].executed_ids, [])
+            self.assertEqual(system.targets[2].executed_ids, ['a1'])
+
+    async def test_request_whose_route_was_dropped_is_not_sent(self) -> None:
+        """It was sent by the dropped route after the change was in force."""
+        async with deployment(keyed=1) as system:
+            status = await self.change_while_connecting(
+                system, configuration(9)
+            )
+            self.assertEqual(status, 404)
+            self.assertEqual(system.targets[1].executed_ids, [])
+
+    async def test_change_of_other_routes_delays_nothing(self) -> None:
+        async with deployment(keyed=1) as system:
+            status = await self.change_while_connecting(
+                system, configuration(9, 'issuance')
+            )
+            self.assertEqual(status, 200)
+            self.assertEqual(system.targets[1].executed_ids, ['a1'])
+
+
+if __name__ == '__main__':
+    unittest.main()
