Route a request again when its route changes before it is sent

A request that waited for its connection, a permit, room or a key was sent by the configuration in which it had been routed, though the daemon had adopted another one meanwhile: to a service that its route no longer leads to, or by a route that was dropped. Targets that leave were asked about right before the write; the route was not.

The route is now found again whenever a request is placed, and asked about in the same step as the target, right before the write. A request whose route differs is withdrawn, which costs no attempt, and placed by the configuration in force. Other changes of the configuration delay nothing.

--- a/cassialever/gateway/counters.py
+++ b/cassialever/gateway/counters.py
@@ -1,7 +1,9 @@
 """Count the outcomes of requests for the metrics."""
 
 from collections import Counter
-from typing import Final
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final, TypeVar
 
 from hdrh.histogram import HdrHistogram
 
@@ -11,6 +13,8 @@
 _HIGHEST_MS: Final = 60000
 _SIGNIFICANT_DIGITS: Final = 2
 
+_Name = TypeVar('_Name', bound=str)
+
 
 class HopCounters:
     """Requests passed on to other daemons, and carried for them."""
@@ -49,3 +53,13 @@
     def record_failed_attempt(self, outcome: str) -> None:
         """Count an attempt that did not serve its request."""
         self.failed_by_outcome[outcome] += 1
+
+
+@contextmanager
+def counted(counter: Counter[_Name], name: _Name) -> Iterator[None]:
+    """Count something under a name for as long as it lasts."""
+    counter[name] += 1
+    try:
+        yield
+    finally:
+        counter[name] -= 1
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -127,7 +127,10 @@
         """
         asked: set[str] = set()
         while len(asked) < MAX_HELPERS:
-            reason = self._sender.withdrawal_reason(target)
+            reason = (
+                self._sender.withdrawal_reason(target)
+                or request.withdrawal_reason()
+            )
             if reason:
                 return withdrawn(reason)
             now = self._clock.monotonic()
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -10,7 +10,7 @@
 from cassialever.events import Event, record
 from cassialever.fleet.model import Target, version_of
 from cassialever.fleet.view import FleetView
-from cassialever.gateway.counters import Counters
+from cassialever.gateway.counters import Counters, counted
 from cassialever.gateway.dispatcher import TargetDispatcher
 from cassialever.gateway.late_sendings import Decision
 from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
@@ -21,7 +21,13 @@
     no_target,
     stopping,
 )
-from cassialever.gateway.routing import RoutedRequest, route_request
+from cassialever.gateway.routing import (
+    RoutedRequest,
+    has_other_route,
+    route_again,
+    route_request,
+    route_withdrawal,
+)
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.stop_limit import StopLimit
@@ -56,6 +62,8 @@
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
 
+    #: The service of its route that was chosen.
+    service: ServiceName
     #: Targets that were tried, and how each try ended.
     tried: list[TargetId] = msgspec.field(default_factory=list)
     failed: list[Attempt] = msgspec.field(default_factory=list)
@@ -115,53 +123,85 @@
 
     async def serve(self, routed: RoutedRequest) -> Answer | Refusal:
         """Send a request, with retries, and return its final answer."""
-        service = self._split.choose(routed.route)
-        self._budget(service).count_request(self._clock.monotonic())
-        if routed.key >= 0:
-            self.keys_asked.setdefault(service, []).append(routed.key)
-        progress = _Progress()
+        progress = _Progress(self._choose_service(routed))
         while True:
-            sent = await self._place_and_send(routed, service, progress)
+            sent = await self._place_and_send(routed, progress)
             if isinstance(sent, Refusal):
                 return self._finish_unserved(routed, sent, progress.failed)
-            placed, last = sent
+            routed, placed, last = sent
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
             ):
                 return last.answer
-            progress.tried.append(placed.target_id)
+            progress.tried.append(placed.target.target_id)
             progress.failed.append(last)
-            self._record_failed_attempt(routed, placed, last)
-            if not self._may_retry(routed, service, progress, last):
+            self.counters.record_failed_attempt(last.outcome.value)
+            _record_failed_attempt(
+                routed, placed, last, self._clock.monotonic()
+            )
+            if not self._may_retry(routed, progress, last):
                 return self._finish_unserved(
                     routed,
                     attempts_failed(last.reason),
                     progress.failed,
                 )
 
+    def _choose_service(self, routed: RoutedRequest) -> ServiceName:
+        """Choose a service of a request's route, and count the request."""
+        service = self._split.choose(routed.route)
+        self._budget(service).count_request(self._clock.monotonic())
+        if routed.key >= 0:
+            self.keys_asked.setdefault(service, []).append(routed.key)
+        return service
+
     async def _place_and_send(
-        self, routed: RoutedRequest, service: ServiceName, progress: _Progress
-    ) -> tuple[Target, Attempt] | Refusal:
-        """Choose a target and send, again if the choice was withdrawn."""
+        self, routed: RoutedRequest, progress: _Progress
+    ) -> tuple[RoutedRequest, _Placement, Attempt] | Refusal:
+        """Choose a target and send, again if the choice was withdrawn.
+
+        Return the request as it was routed last.
+        """
         while True:
-            placed = await self._place(routed, service, progress.tried)
-            if isinstance(placed, Refusal):
-                return placed
+            chosen = await self._place_by_route(routed, progress)
+            if isinstance(chosen, Refusal):
+                return chosen
+            routed, placed = chosen
             attempt = await self._send(routed, placed, progress)
             time_left = routed.deadline - self._clock.monotonic()
             if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
-                return placed.target, attempt
+                return routed, placed, attempt
             # Nothing was sent, so this is not a retry.
             progress.count -= 1
 
+    async def _place_by_route(
+        self, routed: RoutedRequest, progress: _Progress
+    ) -> tuple[RoutedRequest, _Placement] | Refusal:
+        """Choose a target by the request's present route."""
+        while True:
+            current = route_again(self._view, routed)
+            if isinstance(current, Refusal):
+                return current
+            if current is not routed:
+                progress.service = self._choose_service(current)
+                routed = current
+            placed = await self._place(routed, progress)
+            if isinstance(placed, Refusal):
+                return placed
+            if placed is not None:
+                return routed, placed
+
     async def _place(
         self,
         routed: RoutedRequest,
-        service: ServiceName,
-        tried: list[TargetId],
-    ) -> _Placement | Refusal:
-        """Choose a target, waiting for one if the policy allows it."""
+        progress: _Progress,
+    ) -> _Placement | Refusal | None:
+        """Choose a target, waiting for one if the policy allows it.
+
+        Return None if the request's route has changed meanwhile.
+        """
+        service = progress.service
+        tried = progress.tried
         started = self._clock.monotonic()
         placement = PlacementRequest(
             service,
@@ -191,12 +231,13 @@
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
-                return self._no_target(decision, placement)
-            self.selector.waiting_by_service[service] += 1
-            try:
+                return _no_target(
+                    decision, placement, self._view, self.selector
+                )
+            with counted(self.selector.waiting_by_service, service):
                 await asyncio.sleep(decision.pause)
-            finally:
-                self.selector.waiting_by_service[service] -= 1
+            if has_other_route(self._view, routed):
+                return None
 
     def _use(
         self, routed: RoutedRequest, target: Target, now: Seconds
@@ -216,16 +257,6 @@
         )
         return _Placement(target, send_before, decision)
 
-    def _no_target(
-        self, decision: refusal.Refuse, placement: PlacementRequest
-    ) -> Refusal:
-        sentence = decision.reason.value
-        owner = self.selector.owner_of(placement)
-        rate = self._view.targets.limits.rate_of(owner) if owner else None
-        if rate is not None and decision.reason is NoTargetReason.limited:
-            sentence = f'the owner of the key takes {rate:g} requests a second'
-        return no_target(decision, sentence, owner)
-
     async def _send(
         self, routed: RoutedRequest, placed: _Placement, progress: _Progress
     ) -> Attempt:
@@ -242,6 +273,7 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
             send_before=placed.send_before,
+            withdrawal_reason=lambda: route_withdrawal(self._view, routed),
             decision=placed.decision,
         )
         self.counters.sent_by_service[target.service] += 1
@@ -286,17 +318,13 @@
         return True
 
     def _may_retry(
-        self,
-        routed: RoutedRequest,
-        service: ServiceName,
-        progress: _Progress,
-        last: Attempt,
+        self, routed: RoutedRequest, progress: _Progress, last: Attempt
     ) -> bool:
         """Return whether a request may be retried, and spend the budget."""
         if last.outcome is not AttemptOutcome.not_run:
             if not routed.route.kind.is_idempotent:
                 return False
-        return self._spend_attempt(routed, service, progress)
+        return self._spend_attempt(routed, progress.service, progress)
 
     def _spend_attempt(
         self, routed: RoutedRequest, service: ServiceName, progress: _Progress
@@ -335,27 +363,6 @@
         )
         return answer
 
-    def _record_failed_attempt(
-        self,
-        routed: RoutedRequest,
-        target: Target,
-        attempt: Attempt,
-    ) -> None:
-        self.counters.record_failed_attempt(attempt.outcome.value)
-        record(
-            Event.attempt_failed,
-            request=routed.request.request_id,
-            route=routed.route.name,
-            target=target.target_id,
-            helper=attempt.helper or None,
-            key=routed.key,
-            end=attempt.outcome.value,
-            reason=attempt.reason,
-            after=round(self._clock.monotonic() - routed.received_at, 3),
-            configuration=version_of(self._view.configuration),
-            tables_age=round(self.tables_age(), 3),
-        )
-
     def _budget(self, name: ServiceName) -> RetryBudget:
         budget = self._budget_by_service.get(name)
         if budget is None:
@@ -392,3 +399,35 @@
         return view.targets.pause_left(owner)
     usable = view.targets.usable(placement.service)
     return min(map(view.targets.pause_left, usable), default=0)
+
+
+def _no_target(
+    decision: refusal.Refuse,
+    placement: PlacementRequest,
+    view: FleetView,
+    selector: TargetSelector,
+) -> Refusal:
+    sentence = decision.reason.value
+    owner = selector.owner_of(placement)
+    rate = view.targets.limits.rate_of(owner) if owner else None
+    if rate is not None and decision.reason is NoTargetReason.limited:
+        sentence = f'the owner of the key takes {rate:g} requests a second'
+    return no_target(decision, sentence, owner)
+
+
+def _record_failed_attempt(
+    routed: RoutedRequest, placed: _Placement, attempt: Attempt, now: Seconds
+) -> None:
+    record(
+        Event.attempt_failed,
+        request=routed.request.request_id,
+        route=routed.route.name,
+        target=placed.target.target_id,
+        helper=attempt.helper or None,
+        key=routed.key,
+        end=attempt.outcome.value,
+        reason=attempt.reason,
+        after=round(now - routed.received_at, 3),
+        configuration=placed.decision.configuration,
+        tables_age=round(placed.decision.tables_age, 3),
+    )
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cassialever.fleet.model import Route
+from cassialever.fleet.model import Configuration, Route
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.refusals import Refusal, no_configuration, no_route
 from cassialever.gateway.sender import TargetRequest
@@ -26,6 +26,9 @@
     key: int
     received_at: Seconds
     deadline: Seconds
+    host: str = ''
+    #: The configuration in which its route was found.
+    configuration: Configuration | None = None
 
 
 def route_request(
@@ -47,4 +50,32 @@
         key=metadata.key,
         received_at=received_at,
         deadline=received_at + min(timeout, route.time_limit),
+        host=host,
+        configuration=view.configuration,
     )
+
+
+def has_other_route(view: FleetView, routed: RoutedRequest) -> bool:
+    """Return whether the route of a request has changed since it was found."""
+    if routed.configuration is None:
+        return False
+    if view.configuration is routed.configuration:
+        return False
+    route = view.routes.find(routed.host, routed.request.raw_path)
+    return route != routed.route
+
+
+def route_withdrawal(view: FleetView, routed: RoutedRequest) -> str:
+    """Return why a request may not take its route; empty if it may."""
+    if has_other_route(view, routed):
+        return 'the route has changed'
+    return ''
+
+
+def route_again(
+    view: FleetView, routed: RoutedRequest
+) -> RoutedRequest | Refusal:
+    """Find the route of a request anew if it has changed."""
+    if not has_other_route(view, routed):
+        return routed
+    return route_request(view, routed.request, routed.host, routed.received_at)
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -80,6 +80,8 @@
     #: Until when it may be written, in monotonic time; infinity if it needs no
     #: permit of its target.
     send_before: Seconds = math.inf
+    #: Returns why it may no longer be sent as it was placed; empty if it may.
+    withdrawal_reason: Callable[[], str] = str
     #: By what its target was chosen; None if another daemon has chosen it.
     decision: Decision | None = None
 
@@ -257,7 +259,10 @@
         sending = self._sending.get()
         request = sending.request
         target_id = sending.target.target_id
-        reason = self.withdrawal_reason(sending.target)
+        reason = (
+            self.withdrawal_reason(sending.target)
+            or request.withdrawal_reason()
+        )
         now = self._clock.monotonic()
         if now >= request.send_before:
             reason = f'the permit of {target_id} has run out'
