Tell daemons within tenths of a second that their tables are outdated

Requests were sent by a configuration, or to a target, that had been replaced or had left 2.5 to 3.4 s before, by single daemons of a fleet that was short of processor time. A daemon learned of a change from its leader alone; where that did not relay, nobody looked before its tables were 1.5 s old, and then each daemon read 0.33 MB from the store, which takes 1.3 s on a loaded machine of 0.43 core and 5 Mbit/s.

The reports that daemons exchange now end with the version of the latest row of each table that others than the leader write. A daemon that reads the store reports a change within 0.05 s, unless another one was first. Whoever lacks a version waits for the copy of a leader that relays in time (0.2 to 0.4 s), else asks at once a daemon that has it, over a link on which it proves itself, for the changes of that table only; then the store.

505 and 506 tell that a daemon is behind and has caught up, 507 a version that does not exist, tables_behind_seconds is the time since a version that is lacking was heard of.

The rig of 59 daemons sends the datagrams as well, over its links.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -105,6 +105,21 @@
     table_answers_again = (502, logbook.NOTICE, 'The table answers again.')
     history_lost = (503, logbook.WARNING, 'A table must be reread in full.')
     store_followed = (504, logbook.NOTICE, 'The store is followed directly.')
+    tables_behind = (
+        505,
+        logbook.NOTICE,
+        'Other daemons know newer versions of tables than this one.',
+    )
+    tables_caught_up = (
+        506,
+        logbook.NOTICE,
+        'This daemon knows the versions of tables that others knew.',
+    )
+    version_rejected = (
+        507,
+        logbook.WARNING,
+        'The store has no such version of a table as another daemon claims.',
+    )
     entry_rejected = (511, logbook.WARNING, 'An entry is invalid.')
     target_seen = (520, logbook.INFO, 'A target was added or changed.')
     target_gone = (521, logbook.INFO, 'A target was removed.')
--- /dev/null
+++ b/cassialever/fleet/catching_up.py
@@ -0,0 +1,216 @@
+"""Get what other daemons know of the store's tables and this one does not.
+
+The newest versions are in the datagrams that daemons exchange. A daemon that
+lacks one waits for its leader's copy for as long as that usually takes, then
+asks a daemon that has it, which sends the changed rows only and compressed,
+and then the store.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from cassialever.errors import ErrorKind, Failure
+from cassialever.events import Event, record
+from cassialever.fleet.membership import Membership, MemberState
+from cassialever.fleet.table_claims import TableClaims
+from cassialever.fleet.view import FleetView
+from cassialever.interfaces import RandomSource
+from cassialever.platform.store import StoreClient
+from cassialever.policy.freshness import (
+    MAX_UNCONFIRMED_AGE,
+    Knowledge,
+)
+from cassialever.types import RowVersion, Seconds
+
+#: How long the copy of a leader that relays in time is waited for, and up to
+#: as long again, so that the daemons of a fleet do not ask at once.
+LEADER_COPY_TIME: Final[Seconds] = 0.2
+#: Time limit for the rows from another daemon.
+PEER_TIMEOUT: Final[Seconds] = 1.0
+#: Time between two attempts, with up to as much jitter.
+RETRY_INTERVAL: Final[Seconds] = 0.2
+#: Within this time a daemon reports a change that it has read from the store,
+#: unless another one was first.
+MAX_REPORT_DELAY: Final[Seconds] = 0.05
+
+
+class CatchUp:
+    """Compares this daemon's tables with what others know, and catches up."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        view: FleetView,
+        membership: Membership,
+        random_source: RandomSource,
+    ) -> None:
+        """Start without claims."""
+        self._store = store
+        self._view = view
+        self._membership = membership
+        self._random = random_source
+        self._claims = TableClaims(view.rows)
+        self._heard = asyncio.Event()
+        #: Whether the last attempt reached another daemon or the store.
+        self._can_catch_up = True
+        self._confirmed_at: Seconds = -math.inf
+        self._unconfirmed_since: Seconds = math.inf
+        #: Reports the newest versions to all other daemons.
+        self.report_now: Callable[[], None] = _report_nothing
+        view.rows.on_newest = self._note_newest
+
+    def newest_by_table(self) -> dict[str, RowVersion]:
+        """Return the newest versions that this daemon knows of."""
+        self._confirm()
+        newest = self._view.rows.newest_by_table
+        return {
+            table: newest[table]
+            for table in self._view.tables_of_other_writers
+            if table in newest
+        }
+
+    def note(
+        self, peer: str, newest_by_table: Mapping[str, RowVersion]
+    ) -> None:
+        """Note the newest versions that another daemon knows of."""
+        self._claims.note(peer, newest_by_table, _now())
+        if self._claims.behind():
+            self._heard.set()
+
+    def knowledge(self) -> Knowledge:
+        """Return what is known of the age of this daemon's tables."""
+        age = self._confirm()
+        now = _now()
+        return Knowledge(
+            age,
+            max(now - self._unconfirmed_since, 0),
+            self.behind_for(),
+            self._can_catch_up,
+        )
+
+    def behind_for(self) -> Seconds:
+        """Return the time since a version that is lacking was heard of."""
+        since = self._claims.behind_since()
+        return 0 if since is None else _now() - since
+
+    async def run(self) -> None:
+        """Catch up whenever this daemon is behind, until cancelled."""
+        while True:
+            await self._heard.wait()
+            self._heard.clear()
+            await asyncio.sleep(self._delay())
+            if self._claims.behind():
+                await self._catch_up()
+
+    async def _catch_up(self) -> None:
+        record(Event.tables_behind, **self._claims.behind())
+        since = self._claims.behind_since()
+        while behind := self._claims.behind():
+            if not await self._ask_peer(behind):
+                await self._ask_store(behind)
+            if self._claims.behind():
+                await asyncio.sleep(self._jittered(RETRY_INTERVAL))
+        record(
+            Event.tables_caught_up,
+            behind_for=round(_now() - (since or 0), 3),
+        )
+
+    async def _ask_peer(self, behind: Mapping[str, RowVersion]) -> bool:
+        """Return whether another daemon has sent what is lacking."""
+        addresses_by_peer = self._membership.peers()
+        addresses = [
+            addresses_by_peer[peer]
+            for peer in self._claims.claimants(behind)
+            if peer in addresses_by_peer
+        ]
+        if not addresses:
+            return False
+        address = addresses[self._random.randrange(len(addresses))]
+        known = self._view.rows.version_by_table
+        try:
+            async with asyncio.timeout(PEER_TIMEOUT):
+                await self._membership.link.read_once(
+                    address, {table: known[table] for table in behind}
+                )
+        except TimeoutError:
+            return False
+        if self._claims.behind() == behind:
+            return False
+        self._can_catch_up = True
+        return True
+
+    async def _ask_store(self, behind: Mapping[str, RowVersion]) -> None:
+        for table, version in behind.items():
+            failure = await self._read_changes(table)
+            self._can_catch_up = failure is None
+            if failure is not None:
+                return
+            if self._view.rows.version_by_table[table] < version:
+                record(Event.version_rejected, table=table, version=version)
+                self._claims.reject(table, _now())
+
+    async def _read_changes(self, table: str) -> Failure | None:
+        after = self._view.rows.version_by_table[table]
+        changed = await self._store.wait_for_changes(table, after, 0)
+        if not isinstance(changed, Failure):
+            self._view.apply(table, changed.rows, changed.version)
+            return None
+        if changed.kind is not ErrorKind.table_conflict:
+            return changed
+        snapshot = await self._store.read_all(table)
+        if isinstance(snapshot, Failure):
+            return snapshot
+        self._view.replace(table, snapshot.rows, snapshot.version)
+        return None
+
+    def _delay(self) -> Seconds:
+        """Return how long to wait for the leader's copy."""
+        if not self._membership.link.is_relaying():
+            return 0
+        return self._jittered(LEADER_COPY_TIME)
+
+    def _jittered(self, duration: Seconds) -> Seconds:
+        return duration * (1 + self._random.random())
+
+    def _confirm(self) -> Seconds:
+        """Return the time since the tables were last known to be complete."""
+        now = _now()
+        complete_at = now - self._membership.tables_age()
+        self._confirmed_at = max(self._confirmed_at, complete_at)
+        age = now - self._confirmed_at
+        if age <= MAX_UNCONFIRMED_AGE:
+            self._unconfirmed_since = math.inf
+        else:
+            self._unconfirmed_since = min(self._unconfirmed_since, now)
+        return age
+
+    def _note_newest(self, table: str, version: RowVersion) -> None:
+        """Report a change that this daemon has read from the store."""
+        is_followed = table in self._view.tables_of_other_writers
+        if not is_followed or not self._reads_store():
+            return
+        asyncio.get_running_loop().call_later(
+            MAX_REPORT_DELAY * self._random.random(),
+            self._report_if_first,
+            table,
+            version,
+        )
+
+    def _report_if_first(self, table: str, version: RowVersion) -> None:
+        if not self._claims.is_known(table, version):
+            self.report_now()
+
+    def _reads_store(self) -> bool:
+        membership = self._membership
+        is_leading = membership.state is MemberState.leading
+        return is_leading or not membership.link.is_relaying()
+
+
+def _now() -> Seconds:
+    return asyncio.get_running_loop().time()
+
+
+def _report_nothing() -> None:
+    """Report nothing; the default until a reporter is set."""
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -28,7 +28,7 @@
 )
 from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
 from cassialever.policy.permits import MAX_BATCH
-from cassialever.types import Seconds, TargetId
+from cassialever.types import RowVersion, Seconds, TargetId
 
 
 #: Longest delay of a permit, and between two: at the lowest rate of a target.
@@ -45,11 +45,17 @@
 MAX_PEERS: Final = 1000
 #: Longest id of an instance, a data centre or a target.
 MAX_ID_LENGTH: Final = 255
+#: Most tables whose newest version is in a report.
+MAX_TABLES: Final = 8
 # Numbers and lengths out of range are rejected with the datagram.
 _Delay: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY)]
 _Moment: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 _Requests: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_REQUESTS)]
 _Id: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_ID_LENGTH)]
+_NewestByTable: TypeAlias = Annotated[
+    dict[_Id, Annotated[RowVersion, msgspec.Meta(ge=0)]],
+    msgspec.Meta(max_length=MAX_TABLES),
+]
 _ListedTargets: TypeAlias = Annotated[
     tuple[_Id, ...], msgspec.Meta(max_length=MAX_LISTED_TARGETS)
 ]
@@ -66,7 +72,9 @@
 
     The other fields tell whether it can pass requests on for others: its room
     is the number that it can carry now, and `unreachable` lists targets that
-    it can't reach. An older build sends none of them and so has no room.
+    it can't reach. `newest_by_table` has the version of the latest row that it
+    knows of each table of other writers. An older build sends none of them and
+    so has no room.
     """
 
     instance_id: _Id
@@ -77,6 +85,7 @@
     is_stopping: bool = False
     unreachable: _ListedTargets = ()
     message_version: MessageVersion = FIRST_VERSION
+    newest_by_table: _NewestByTable = {}
 
 
 class PermitRequest(_Versioned, frozen=True, array_like=True, tag=4):
--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -139,6 +139,27 @@
         finally:
             self._close(writer)
 
+    async def read_once(
+        self, address: str, version_by_table: dict[str, RowVersion]
+    ) -> None:
+        """Get the changes of tables that another daemon knows."""
+        connected = await connect(address)
+        if isinstance(connected, Failure):
+            return
+        reader, writer = connected
+        hello = msgspec.structs.replace(
+            self.own_hello,
+            version_by_table=version_by_table,
+            message_version=MESSAGE_VERSION,
+            reads_once=True,
+        )
+        try:
+            if await self._authenticate(connected):
+                writer.write(messages.encode(hello))
+                await _adopt_tables(reader, self.view)
+        finally:
+            writer.close()
+
     def tables_age(self) -> Seconds:
         """Return the time since the leader's tables were complete."""
         return self._tables_age + self._silence()
@@ -259,6 +280,18 @@
         return LinkEnd.closed
 
 
+async def _adopt_tables(reader: asyncio.StreamReader, view: FleetView) -> None:
+    """Adopt the tables and changes that a daemon sends until it ends."""
+    while True:
+        message = await _receive(reader)
+        if isinstance(message, messages.Whole):
+            view.replace(message.table, message.rows, message.version)
+        if isinstance(message, messages.Changed):
+            view.apply(message.table, message.rows, message.version)
+        if isinstance(message, (LinkEnd, messages.Farewell)):
+            return
+
+
 @functools.singledispatch
 def handle(message: object, link: LeaderLink) -> None:
     """Handle a message of the leader; log a type that has no handler."""
--- a/cassialever/fleet/gossip.py
+++ b/cassialever/fleet/gossip.py
@@ -7,13 +7,15 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import Final
+from typing import Final, TypeAlias
+
+import msgspec
 
 from cassialever.clock import SystemClock
 from cassialever.fleet.datagrams import DatagramSocket, OpenRequests, encode
 from cassialever.fleet.path_reports import PathReporter
 from cassialever.policy.loads import LoadTracker
-from cassialever.types import Seconds
+from cassialever.types import RowVersion, Seconds
 
 #: Minimum time between two datagrams to a peer; a target starts and ends few
 #: requests within it.
@@ -27,6 +29,9 @@
 #: A peer silent for this many sending periods counts as having no requests.
 PERIODS_UNTIL_IDLE: Final = 4
 
+#: Called with a peer's id and the newest version that it knows of each table.
+NewestHandler: TypeAlias = Callable[[str, Mapping[str, RowVersion]], None]
+
 
 class LoadGossip:
     """Sends this daemon's load and paths to its peers and receives theirs."""
@@ -50,6 +55,10 @@
         self._known_by_peer: Mapping[str, str] = {}
         self._period: Seconds = MIN_SEND_INTERVAL
         self._is_urgent = asyncio.Event()
+        #: Returns the newest versions of tables that this daemon knows, and
+        #: takes those that a peer knows.
+        self.newest_by_table: Callable[[], dict[str, RowVersion]] = dict
+        self.on_newest: NewestHandler = _ignore_newest
         socket.handler_by_type[OpenRequests] = self._handle_report
 
     async def run(self) -> None:
@@ -84,7 +93,11 @@
 
     def _send(self, addresses_by_peer: Mapping[str, str]) -> None:
         report = self._reporter.describe(self._loads.open_by_target())
-        datagram = encode(report)
+        datagram = encode(
+            msgspec.structs.replace(
+                report, newest_by_table=self.newest_by_table()
+            )
+        )
         for peer, address in addresses_by_peer.items():
             if peer == report.instance_id:
                 continue
@@ -98,6 +111,7 @@
             self._reporter.accept(
                 report, address, self._period * PERIODS_UNTIL_IDLE
             )
+            self.on_newest(report.instance_id, report.newest_by_table)
 
     def _clear_silent_peers(self, max_age: Seconds) -> None:
         now = self._clock.monotonic()
@@ -105,3 +119,9 @@
             if now - received_at > max_age:
                 self._received_at_by_peer.pop(peer)
                 self._loads.set_peer_load(peer, {})
+
+
+def _ignore_newest(
+    peer: str, newest_by_table: Mapping[str, RowVersion]
+) -> None:
+    """Ignore versions; the default until a handler is set."""
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -38,13 +38,17 @@
 
 
 class Hello(Message, frozen=True, array_like=True, tag=True):
-    """A follower's first message after any proof, with its table versions."""
+    """A follower's first message after any proof, with its table versions.
+
+    One that `reads_once` gets the changes of these tables and does not follow.
+    """
 
     instance_id: str
     incarnation: int
     address: str
     version_by_table: dict[str, int]
     message_version: MessageVersion = FIRST_VERSION
+    reads_once: bool = False
 
 
 class Proof(Message, frozen=True, array_like=True, tag=True):
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -275,10 +275,9 @@
             raise msgspec.DecodeError(f'no address: {hello.address!r}')
         follower = Follower(hello, writer)
         self._send_tables(follower)
-        if not self.is_leader:
-            leader = self._view.leader
-            address = leader[0].address if leader else ''
-            follower.send(messages.encode(messages.Farewell(address)))
+        is_followed = self.is_leader and not hello.reads_once
+        if not is_followed:
+            follower.send(messages.encode(_farewell(self._view)))
             await writer.drain()
             return
         # Only a leader moves keys.
@@ -337,21 +336,34 @@
 
     def _send_tables(self, follower: Follower) -> None:
         """Send the rows that are newer than the follower's."""
+        hello = follower.hello
         for table, version in self._view.rows.version_by_table.items():
-            known = follower.hello.version_by_table.get(table)
-            if known is not None and version <= known:
-                continue
-            follower.send(
-                self._catch_up_frame(
-                    table, None if known is None else RowVersion(known)
+            known = hello.version_by_table.get(table)
+            if _wants(hello, table, version):
+                follower.send(
+                    self._catch_up_frame(
+                        table, None if known is None else RowVersion(known)
+                    )
                 )
-            )
         limit_reports = self.limit_reports()
         if limit_reports:
             follower.send(messages.encode(messages.Limits(limit_reports)))
         follower.send(messages.encode(_pulse(self.is_leader, self.ages())))
 
 
+def _farewell(view: FleetView) -> messages.Farewell:
+    """Return the last message to a daemon that does not follow this one."""
+    return messages.Farewell(view.leader[0].address if view.leader else '')
+
+
+def _wants(hello: messages.Hello, table: str, version: RowVersion) -> bool:
+    """Return whether a daemon wants what is new in a table."""
+    known = hello.version_by_table.get(table)
+    if known is None:
+        return not hello.reads_once
+    return version > known
+
+
 def _pulse(is_leader: bool, ages: LeaderAges) -> messages.Pulse:
     return messages.Pulse(
         is_leader,
--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -1,6 +1,6 @@
 """A daemon's replica of the store's rows, and their versions."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from cassialever.fleet.model import StoreRow
@@ -19,6 +19,10 @@
         self.by_table_and_name: dict[tuple[str, str], StoreRow] = {}
         #: The version up to which each table is complete.
         self.version_by_table: dict[str, RowVersion] = {}
+        #: The version of each table's latest row that is known.
+        self.newest_by_table: dict[str, RowVersion] = {}
+        #: Called with a table and that version when it rises.
+        self.on_newest: Callable[[str, RowVersion], None] = _ignore_newest
         #: Remembered removals by table, oldest first.
         self._removed_by_table: dict[str, dict[str, StoreRow]] = {}
         #: The version since which every removal is remembered.
@@ -89,8 +93,16 @@
         known = self.version_by_table.get(table, RowVersion(0))
         self.version_by_table[table] = max(known, version)
         self._since_by_table.setdefault(table, version)
+        self._note_newest(table, newer)
         return newer
 
+    def _note_newest(self, table: str, newer: list[StoreRow]) -> None:
+        known = self.newest_by_table.get(table, RowVersion(0))
+        newest = max((row.version for row in newer), default=known)
+        if newest > known:
+            self.newest_by_table[table] = newest
+            self.on_newest(table, newest)
+
     def _store(self, row: StoreRow) -> None:
         removed = self._removed_by_table.setdefault(row.table, {})
         removed.pop(row.name, None)
@@ -122,3 +134,7 @@
             return True
         removed = self._removed_by_table.get(row.table, {}).get(row.name)
         return removed is not None and row.version <= removed.version
+
+
+def _ignore_newest(table: str, version: RowVersion) -> None:
+    """Ignore a version; the default until a handler is set."""
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -158,6 +158,10 @@
                 configuration.version if configuration else 0,
             ),
             Reading('tables_age_seconds', self.core.membership.tables_age()),
+            Reading(
+                'tables_behind_seconds',
+                self.core.reachability.catch_up.behind_for(),
+            ),
             Reading('targets', len(self.view.targets.by_id)),
             Reading(
                 'targets_unreachable',
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -103,6 +103,9 @@
             self._reachability.paths,
         )
         self._reachability.peers = self.membership.peers
+        self._reachability.compare_tables(
+            self.store, self.membership, random_source
+        )
         self._limits = LimitExchange(
             self.view.targets.limits,
             self._relay,
@@ -152,6 +155,7 @@
             self._reachability.run(),
             self._limits.run(),
             self.membership.run(),
+            self._reachability.catch_up.run(),
             self._report_keys(),
         ):
             self.tasks.start(work)
--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -4,14 +4,17 @@
 from collections.abc import Callable, Mapping
 
 from cassialever.clock import SystemClock
+from cassialever.fleet.catching_up import CatchUp
 from cassialever.fleet.connecting import can_connect
 from cassialever.fleet.datagrams import DatagramSocket
 from cassialever.fleet.gossip import LoadGossip
+from cassialever.fleet.membership import Membership
 from cassialever.fleet.path_reports import PathReporter
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.path_probe import PathProber
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.interfaces import RandomSource
+from cassialever.platform.store import StoreClient
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.paths import TargetPaths
 from cassialever.policy.peer_reports import Helper
@@ -21,6 +24,9 @@
 class Reachability:
     """The paths to targets, and their exchange with other daemons."""
 
+    #: Compares the tables with those of others; set by `compare_tables`.
+    catch_up: CatchUp
+
     def __init__(
         self,
         settings: GatewaySettings,
@@ -88,6 +94,19 @@
         self.reporter.is_stopping = True
         self._gossip.report_now()
 
+    def compare_tables(
+        self,
+        store: StoreClient,
+        membership: Membership,
+        random_source: RandomSource,
+    ) -> None:
+        """Compare the tables with those of other daemons, and catch up."""
+        catch_up = CatchUp(store, self._view, membership, random_source)
+        self.catch_up = catch_up
+        self._gossip.newest_by_table = catch_up.newest_by_table
+        self._gossip.on_newest = catch_up.note
+        catch_up.report_now = self._gossip.report_now
+
     def prune(self) -> None:
         """Forget targets that are gone and reports that have expired."""
         self.paths.prune(self._view.targets.by_id, self._clock.monotonic())
--- /dev/null
+++ b/cassialever/policy/freshness.py
@@ -0,0 +1,69 @@
+"""Decide whether this daemon's tables are new enough to act on.
+
+A change of the store's tables has to be in force soon after it is
+acknowledged. A daemon that knows of a newer version than its own, and can get
+it, does not act on its own for long. One that merely can't confirm its tables
+waits for a moment, as its own loop may be late, and then goes on: while the
+store is away for all, every daemon is in that state.
+"""
+
+import enum
+from typing import Final
+
+import msgspec
+
+from cassialever.types import Seconds
+
+#: How long a daemon acts on its tables after it has heard of newer ones. Most
+#: hear of a change within 1.9 s of its acknowledgement (docs/design/bounds.md).
+MAX_TIME_BEHIND: Final[Seconds] = 0.4
+#: Age of the last confirmation from which on a daemon looks for another one
+#: before it acts.
+MAX_UNCONFIRMED_AGE: Final[Seconds] = 2.0
+#: How long it looks for one: what has arrived meanwhile is read within it.
+MAX_CONFIRMATION_WAIT: Final[Seconds] = 0.1
+#: How long a request waits for newer tables, as a share of its objective.
+MAX_WAIT_SHARE: Final = 0.5
+#: Time between two looks of a request that waits.
+POLL_INTERVAL: Final[Seconds] = 0.02
+
+
+class Verdict(enum.Enum):
+    """Whether a daemon may act on its tables."""
+
+    current = 'current'
+    #: Something that confirms them may be about to be read.
+    unconfirmed = 'unconfirmed'
+    #: Newer ones are known, and under way.
+    outdated = 'outdated'
+
+
+class Knowledge(msgspec.Struct, frozen=True):
+    """What a daemon knows of the age of its tables.
+
+    `age` is the time since they were last known to be the newest, and
+    `unconfirmed_for` how long that has been too long ago. `behind_for` is the
+    time since it heard of a newer version; 0 if there is none that it lacks.
+    """
+
+    age: Seconds = 0
+    unconfirmed_for: Seconds = 0
+    behind_for: Seconds = 0
+    #: Whether another daemon or the store may still give the newer version.
+    can_catch_up: bool = True
+
+
+def judge(knowledge: Knowledge) -> Verdict:
+    """Return whether a daemon may act on its tables."""
+    if knowledge.behind_for > MAX_TIME_BEHIND and knowledge.can_catch_up:
+        return Verdict.outdated
+    if knowledge.age <= MAX_UNCONFIRMED_AGE:
+        return Verdict.current
+    if knowledge.unconfirmed_for < MAX_CONFIRMATION_WAIT:
+        return Verdict.unconfirmed
+    return Verdict.current
+
+
+def is_newest(knowledge: Knowledge) -> bool:
+    """Return whether no newer version is known, nor likely."""
+    return knowledge.behind_for == 0 and knowledge.age <= MAX_UNCONFIRMED_AGE
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -9,6 +9,7 @@
 import contextlib
 import contextvars
 import functools
+import heapq
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from typing import Any
@@ -18,19 +19,36 @@
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event
-from cassialever.fleet import connecting, following_leader, messages, view
+from cassialever.fleet import (
+    catching_up,
+    connecting,
+    following_leader,
+    messages,
+    view,
+)
+from cassialever.fleet.catching_up import CatchUp
+from cassialever.fleet.datagrams import (
+    READ_INTERVAL,
+    DatagramSocket,
+    OpenRequests,
+)
 from cassialever.fleet.following_leader import LeaderLink
+from cassialever.fleet.gossip import LoadGossip
 from cassialever.fleet.membership import (
     Membership,
     MemberState,
     election_delay,
 )
 from cassialever.fleet.model import StoreRow
+from cassialever.fleet.path_reports import PathReporter
 from cassialever.fleet.relay import Relay
 from cassialever.fleet.view import FleetView
 from cassialever.keys.heat import HEAT_UPDATE_INTERVAL
 from cassialever.platform import records, rows, store
-from cassialever.types import RowVersion
+from cassialever.policy.loads import LoadTracker
+from cassialever.policy.paths import TargetPaths
+from cassialever.policy.peer_reports import Helper
+from cassialever.types import DataCentreId, RowVersion
 from standins.rowstore import RowStore, StoredRow
 from tests.fleet_helpers import (
     CONFIGURATION,
@@ -51,6 +69,9 @@
 CHUNK_COST = 0.0001
 RELAYED_BYTE_COST = 2e-7
 STORE_BYTE_COST = 3e-8
+#: Bytes of a datagram's headers, and processor time of a whole core for one.
+DATAGRAM_OVERHEAD = 42
+DATAGRAM_COST = 0.00005
 #: Bytes that the store adds to a row, whose content it sends as base64.
 ROW_OVERHEAD = 120
 #: Link and processor of the smallest machines, in Mbit/s and cores.
@@ -184,6 +205,69 @@
                 self.other._is_closed = True
 
 
+class RigSocket(DatagramSocket):
+    """One daemon's datagrams; a full link holds them up as other packets.
+
+    As from a real socket, those that arrive within an interval are read
+    together.
+    """
+
+    def __init__(self, rig: 'Rig', machine: Machine) -> None:
+        super().__init__()
+        self._rig = rig
+        self._machine = machine
+        self._arriving: list[tuple[float, str, bytes]] = []
+        self._read_at = 0.0
+        self._next_read: asyncio.TimerHandle | None = None
+
+    def send(self, address: str, datagram: bytes) -> None:
+        left_at = self._machine.send(len(datagram) + DATAGRAM_OVERHEAD)
+        peer = self._rig.by_address[address]
+        if self._machine.name not in peer.machine.deaf_to:
+            peer.socket.expect(
+                left_at + PACKET_DELAY, self._machine.name, datagram
+            )
+
+    def expect(self, arrives_at: float, sender: str, datagram: bytes) -> None:
+        """Read a datagram when it has arrived."""
+        heapq.heappush(self._arriving, (arrives_at, sender, datagram))
+        read_at = max(arrives_at, self._read_at + READ_INTERVAL)
+        if self._next_read is not None:
+            if self._next_read.when() <= read_at:
+                return
+            self._next_read.cancel()
+        self._next_read = self._machine.loop.call_at(
+            read_at, self._read_arrived
+        )
+
+    def _read_arrived(self) -> None:
+        loop = self._machine.loop
+        self._read_at = loop.time()
+        self._next_read = None
+        datagrams = []
+        while self._arriving and self._arriving[0][0] <= self._read_at:
+            _, sender, datagram = heapq.heappop(self._arriving)
+            datagrams.append(datagram)
+            self._machine.receive(len(datagram) + DATAGRAM_OVERHEAD)
+        if self._arriving:
+            self.expect(*heapq.heappop(self._arriving))
+        if self._machine.is_alive and datagrams:
+            cost = DATAGRAM_COST * len(datagrams)
+            loop.call_at(self._machine.process(cost), self._deliver, datagrams)
+
+    def _deliver(self, datagrams: list[bytes]) -> None:
+        """Handle datagrams, which are decoded once for all receivers."""
+        for datagram in datagrams:
+            report = decode_report(datagram)
+            self.handler_by_type[OpenRequests](report, '')
+
+
+@functools.lru_cache(maxsize=256)
+def decode_report(datagram: bytes) -> OpenRequests:
+    """Return a report as the socket decodes it."""
+    return msgspec.msgpack.decode(datagram, type=OpenRequests)
+
+
 class RigStore:
     """One daemon's client of the store that all daemons share."""
 
@@ -290,6 +374,28 @@
             random.Random(rig.random.random()),
         )
         self.member.election_delay = election_delay(machine.link_mbps)
+        self.catch_up = CatchUp(
+            self.store,  # type: ignore[arg-type]
+            self.view,
+            self.member,
+            random.Random(rig.random.random()),
+        )
+        self.socket = RigSocket(rig, machine)
+        self.gossip = LoadGossip(
+            PathReporter(
+                Helper(machine.name, f'{machine.name}:7', DataCentreId('dc')),
+                50,
+                TargetPaths(DataCentreId('dc'), random.Random(number)),
+                clock,
+            ),
+            LoadTracker(),
+            clock,
+            self.member.peers,
+            self.socket,
+        )
+        self.gossip.newest_by_table = self.catch_up.newest_by_table
+        self.gossip.on_newest = self.catch_up.note
+        self.catch_up.report_now = self.gossip.report_now
         self._context = contextvars.copy_context()
         self._context.run(CURRENT.set, machine)
         self.tasks: list[asyncio.Task[Any]] = []
@@ -297,6 +403,8 @@
 
     def start(self) -> None:
         self.spawn(self.member.run())
+        self.spawn(self.catch_up.run())
+        self.spawn(self.gossip.run())
         self.spawn(self._report())
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
@@ -500,6 +608,7 @@
     with (
         mock.patch.object(following_leader, 'connect', rig.connect),
         mock.patch.object(view, 'record', ignore_event),
+        mock.patch.object(catching_up, 'record', ignore_event),
         # All daemons decode the same few configurations.
         mock.patch.object(
             records,
