Act on no tables that are known to be outdated

A daemon that had heard of a newer configuration, or of a target that leaves, went on deciding by its own tables until the new ones had come, however long that took.

It now goes on for 0.4 s at most (policy.freshness). Then its requests wait for the newer tables, for up to half of their objective, and get a 503 that says that they have not run, with Retry-After 0.3. The same is asked right before a request is written, so that one that was placed before the notice is not sent after it. A daemon to which neither the store nor another daemon gives what it lacks goes on by its own tables, as before. Tables that could not be confirmed for 2 s hold requests up for 0.1 s once, in which a late loop reads what has arrived.

Sums of both waits in docs/design/bounds.md.

--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -106,6 +106,7 @@
         self._reachability.compare_tables(
             self.store, self.membership, random_source
         )
+        self.forwarder.router.knowledge = self._reachability.catch_up.knowledge
         self._limits = LimitExchange(
             self.view.targets.limits,
             self._relay,
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -23,10 +23,8 @@
 )
 from cassialever.gateway.routing import (
     RoutedRequest,
-    has_other_route,
-    route_again,
+    Router,
     route_request,
-    route_withdrawal,
 )
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
@@ -102,6 +100,7 @@
             ),
             random_source,
         )
+        self.router = Router(view, clock)
         self.counters = Counters()
         self.tracing: HopTracer = NoopTracer()
         #: Number of daemons among which retry budgets are divided; 0 while it
@@ -179,7 +178,7 @@
     ) -> tuple[RoutedRequest, _Placement] | Refusal:
         """Choose a target by the request's present route."""
         while True:
-            current = route_again(self._view, routed)
+            current = await self.router.find_again(routed)
             if isinstance(current, Refusal):
                 return current
             if current is not routed:
@@ -236,7 +235,7 @@
                 )
             with counted(self.selector.waiting_by_service, service):
                 await asyncio.sleep(decision.pause)
-            if has_other_route(self._view, routed):
+            if self.router.has_changed(routed):
                 return None
 
     def _use(
@@ -273,7 +272,7 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
             send_before=placed.send_before,
-            withdrawal_reason=lambda: route_withdrawal(self._view, routed),
+            withdrawal_reason=lambda: self.router.reason_to_withdraw(routed),
             decision=placed.decision,
         )
         self.counters.sent_by_service[target.service] += 1
--- a/cassialever/gateway/refusals.py
+++ b/cassialever/gateway/refusals.py
@@ -48,6 +48,17 @@
     )
 
 
+def outdated() -> Refusal:
+    """Refuse a request while newer tables than this daemon's are under way."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'newer tables than those of this daemon are under way',
+        refusal.FixedRetryAfter.outdated.value,
+        'outdated',
+        ErrorKind.no_catalogue,
+    )
+
+
 def no_target(
     decision: refusal.Refuse, sentence: str, owner: Target | None
 ) -> Refusal:
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -1,14 +1,29 @@
 """Find the route of a caller's request in the configuration in force."""
 
+import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
 
+from cassialever.clock import SystemClock
 from cassialever.fleet.model import Configuration, Route
 from cassialever.fleet.view import FleetView
-from cassialever.gateway.refusals import Refusal, no_configuration, no_route
+from cassialever.gateway.refusals import (
+    Refusal,
+    no_configuration,
+    no_route,
+    outdated,
+)
 from cassialever.gateway.sender import TargetRequest
 from cassialever.platform import wire
+from cassialever.policy.freshness import (
+    MAX_WAIT_SHARE,
+    POLL_INTERVAL,
+    Knowledge,
+    Verdict,
+    judge,
+)
 from cassialever.types import Seconds
 
 #: How long callers that send no deadline are assumed to wait.
@@ -55,27 +70,53 @@
     )
 
 
-def has_other_route(view: FleetView, routed: RoutedRequest) -> bool:
-    """Return whether the route of a request has changed since it was found."""
-    if routed.configuration is None:
-        return False
-    if view.configuration is routed.configuration:
-        return False
-    route = view.routes.find(routed.host, routed.request.raw_path)
-    return route != routed.route
-
-
-def route_withdrawal(view: FleetView, routed: RoutedRequest) -> str:
-    """Return why a request may not take its route; empty if it may."""
-    if has_other_route(view, routed):
-        return 'the route has changed'
-    return ''
+class Router:
+    """Routes requests by the configuration in force, and again if it changes.
 
+    By default its tables count as the newest ones.
+    """
 
-def route_again(
-    view: FleetView, routed: RoutedRequest
-) -> RoutedRequest | Refusal:
-    """Find the route of a request anew if it has changed."""
-    if not has_other_route(view, routed):
-        return routed
-    return route_request(view, routed.request, routed.host, routed.received_at)
+    def __init__(self, view: FleetView, clock: SystemClock) -> None:
+        """Route by the configuration of a view."""
+        self._view = view
+        self._clock = clock
+        #: Returns what is known of the age of this daemon's tables.
+        self.knowledge: Callable[[], Knowledge] = Knowledge
+
+    async def find_again(
+        self, routed: RoutedRequest
+    ) -> RoutedRequest | Refusal:
+        """Find the route of a request anew if it has changed.
+
+        While newer tables are under way the request waits for them.
+        """
+        ends_at = min(
+            routed.received_at + routed.route.objective * MAX_WAIT_SHARE,
+            routed.deadline,
+        )
+        while judge(self.knowledge()) is not Verdict.current:
+            if self._clock.monotonic() >= ends_at:
+                return outdated()
+            await asyncio.sleep(POLL_INTERVAL)
+        if not self.has_changed(routed):
+            return routed
+        return route_request(
+            self._view, routed.request, routed.host, routed.received_at
+        )
+
+    def has_changed(self, routed: RoutedRequest) -> bool:
+        """Return whether a request has another route than when it was found."""
+        if routed.configuration is None:
+            return False
+        if self._view.configuration is routed.configuration:
+            return False
+        route = self._view.routes.find(routed.host, routed.request.raw_path)
+        return route != routed.route
+
+    def reason_to_withdraw(self, routed: RoutedRequest) -> str:
+        """Return why a request may not take its route; empty if it may."""
+        if self.has_changed(routed):
+            return 'the route has changed'
+        if judge(self.knowledge()) is Verdict.outdated:
+            return 'newer tables are under way'
+        return ''
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -130,6 +130,7 @@
 
     default = 0.5
     stopping = 0.1
+    outdated = 0.3
 
 
 def _poll_interval(timing: RequestTiming) -> Seconds:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from cassialever.fleet import connecting, direct, following
+from cassialever.fleet import catching_up, connecting, direct, following
+from cassialever.fleet import datagrams, gossip
 from cassialever.fleet import following_leader
 from cassialever.fleet import lease, membership, relay
 from cassialever.gateway import application, connections, stop_limit
 from cassialever.keys import assigner, assignments
 from cassialever.platform import store, targets
-from cassialever.policy import budget, permits
+from cassialever.policy import budget, freshness, permits
 
 PAGE = pathlib.Path(__file__).parent.parent / 'docs/design/bounds.md'
 
@@ -31,6 +32,10 @@
 SLOWEST_LINK = 5e6 / 8
 LEADER_LINK = 100e6 / 8
 FOLLOWERS = 58
+#: Share of the slowest link and the smallest core that other work leaves.
+LEFT_BESIDE_LOAD = 0.4
+#: Time from the write of a request to its arrival at a target.
+WAY = 0.1
 #: Processor time to apply a configuration, and the smallest share of a core.
 APPLY_TIME = 0.007
 SMALLEST_CORE = 0.43
@@ -46,6 +51,16 @@
     'transfer to a follower, 5 Mbit/s': RELAYED_BYTES / SLOWEST_LINK,
     'apply, 0.43 core': APPLY_TIME / SMALLEST_CORE,
 }
+#: Until all daemons have heard of a change that their leader does not relay.
+HEARD = {
+    'MAX_TABLES_AGE': following_leader.MAX_TABLES_AGE,
+    'WATCH_INTERVAL': membership.WATCH_INTERVAL,
+    'answer of the store': ANSWER,
+    'transfer from the store, 100 Mbit/s': STORE_BYTES / LEADER_LINK,
+    'MAX_REPORT_DELAY': catching_up.MAX_REPORT_DELAY,
+    'reports to 58': FOLLOWERS / gossip.MAX_URGENT_DATAGRAMS_PER_SECOND,
+    'READ_INTERVAL': datagrams.READ_INTERVAL,
+}
 REASSIGN = {
     'TICK_INTERVAL': assigner.TICK_INTERVAL,
     'answer of the store': ANSWER,
@@ -118,6 +133,40 @@
             **READ,
         },
     ),
+    'change, heard of from another daemon': BoundSum(
+        CHANGE_LIMIT,
+        {
+            **HEARD,
+            'copy of a daemon, 5 Mbit/s': RELAYED_BYTES / SLOWEST_LINK,
+            'apply, 0.43 core': APPLY_TIME / SMALLEST_CORE,
+        },
+    ),
+    'change, heard of beside load': BoundSum(
+        CHANGE_LIMIT,
+        {
+            **HEARD,
+            # The daemon's own read of the store takes half of what is left.
+            'copy of a daemon, 1 Mbit/s': RELAYED_BYTES
+            / (SLOWEST_LINK * LEFT_BESIDE_LOAD / 2),
+            'apply, 0.17 core': APPLY_TIME / (SMALLEST_CORE * LEFT_BESIDE_LOAD),
+        },
+    ),
+    'request by tables known as outdated': BoundSum(
+        CHANGE_LIMIT,
+        {
+            **HEARD,
+            'MAX_TIME_BEHIND': freshness.MAX_TIME_BEHIND,
+            'way to a target': WAY,
+        },
+    ),
+    'request by tables not confirmed, first': BoundSum(
+        CHANGE_LIMIT,
+        {
+            'MAX_UNCONFIRMED_AGE': freshness.MAX_UNCONFIRMED_AGE,
+            'MAX_CONFIRMATION_WAIT': freshness.MAX_CONFIRMATION_WAIT,
+            'way to a target': WAY,
+        },
+    ),
     'change, leader with old tables lost': BoundSum(
         CHANGE_LIMIT,
         {
@@ -244,6 +293,14 @@
     def test_change_beside_a_leader_with_old_tables(self) -> None:
         self.check('change, tables of the leader old')
 
+    def test_change_that_another_daemon_knows(self) -> None:
+        self.check('change, heard of from another daemon')
+        self.check('change, heard of beside load')
+
+    def test_request_by_old_tables(self) -> None:
+        self.check('request by tables known as outdated')
+        self.check('request by tables not confirmed, first')
+
     def test_change_beside_the_loss_of_a_leader_with_old_tables(self) -> None:
         self.check('change, leader with old tables lost')
 
--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -5,6 +5,8 @@
 import unittest
 from typing import Any
 
+from cassialever.fleet.view import ignore_changes
+from cassialever.policy.freshness import Knowledge
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import (
     CONFIGURATION,
@@ -79,5 +81,73 @@
             self.assertEqual(system.targets[1].executed_ids, ['a1'])
 
 
+class OutdatedTablesTest(unittest.IsolatedAsyncioTestCase):
+    """Requests at a daemon that knows that it is behind."""
+
+    async def test_requests_are_not_decided_by_outdated_tables(self) -> None:
+        """They were sent by tables that the daemon knew to be outdated."""
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await until(lambda: len(gateway.view.targets.by_id) == 2)
+            router = gateway.core.forwarder.router
+            router.knowledge = lambda: Knowledge(behind_for=1.0)
+            response = await send_request(gateway, '/issue/', ISSUE_HEADERS)
+            self.assertEqual(response.status, 503)
+            self.assertLess(float(response.headers['Retry-After']), 0.5)
+            self.assertEqual(system.targets[1].executed_ids, [])
+            router.knowledge = lambda: Knowledge(
+                behind_for=1.0, can_catch_up=False
+            )
+            response = await send_request(gateway, '/issue/', ISSUE_HEADERS)
+            self.assertEqual(response.status, 200)
+
+    async def test_requests_wait_for_newer_tables(self) -> None:
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await until(lambda: len(gateway.view.targets.by_id) == 2)
+            router = gateway.core.forwarder.router
+            router.knowledge = lambda: Knowledge(behind_for=1.0)
+            sending = asyncio.create_task(
+                send_request(gateway, '/issue/', ISSUE_HEADERS)
+            )
+            await asyncio.sleep(0.1)
+            self.assertEqual(system.targets[1].executed_ids, [])
+            router.knowledge = Knowledge
+            self.assertEqual((await sending).status, 200)
+
+    async def test_request_placed_before_the_notice_is_not_sent(self) -> None:
+        """The daemon hears of newer tables while the request connects."""
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await until(lambda: len(gateway.view.targets.by_id) == 2)
+            router = gateway.core.forwarder.router
+            with slow_connections(system.targets[1].address) as begun:
+                sending = asyncio.create_task(
+                    send_request(gateway, '/issue/', ISSUE_HEADERS)
+                )
+                await asyncio.wait_for(begun.wait(), 5)
+                router.knowledge = lambda: Knowledge(behind_for=1.0)
+                self.assertEqual((await sending).status, 503)
+            self.assertEqual(system.targets[1].executed_ids, [])
+
+    async def test_change_that_a_leader_does_not_relay_is_heard_of(
+        self,
+    ) -> None:
+        """Its followers did not hear of it: its tables are not old."""
+        async with deployment(keyed=1, gateways=3) as system:
+            for gateway in system.gateways:
+                await until(
+                    lambda one=gateway: len(one.core.membership.peers()) == 3
+                )
+            await asyncio.sleep(0.3)
+            for gateway in system.gateways:
+                gateway.view.on_change = ignore_changes
+            system.store.put('op', 'config', configuration(9, 'issuance'))
+            for gateway in system.gateways:
+                await until(
+                    lambda one=gateway: one.view.configuration.version == 9, 1.5
+                )
+
+
 if __name__ == '__main__':
     unittest.main()
