Answer 404 by the newest configuration only

A daemon whose configuration was replaced, or not confirmed for long, ended requests for routes that had been added with a 404, which tells callers not to try again.

A request without a route now waits up to 0.3 s for newer tables where some are known, or where the daemon's own have not been confirmed for 2 s; after that it gets a 503 with Retry-After. Elsewhere a 404 is given at once, as before.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -21,11 +21,7 @@
     no_target,
     stopping,
 )
-from cassialever.gateway.routing import (
-    RoutedRequest,
-    Router,
-    route_request,
-)
+from cassialever.gateway.routing import RoutedRequest, Router
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.stop_limit import StopLimit
@@ -111,14 +107,14 @@
         #: Returns the age of this daemon's tables.
         self.tables_age: Callable[[], Seconds] = float
 
-    def route_request(
+    async def route_request(
         self,
         request: TargetRequest,
         host: str,
         received_at: Seconds,
     ) -> RoutedRequest | Refusal:
         """Find the route of a request, or refuse it if there is none."""
-        return route_request(self._view, request, host, received_at)
+        return await self.router.find(request, host, received_at)
 
     async def serve(self, routed: RoutedRequest) -> Answer | Refusal:
         """Send a request, with retries, and return its final answer."""
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -121,7 +121,7 @@
             body=await _body(request),
         )
         host = request.headers.get('Host', '')
-        routed = self._forwarder.route_request(
+        routed = await self._forwarder.route_request(
             target_request, host, received_at
         )
         if isinstance(routed, Refusal):
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -18,10 +18,12 @@
 from cassialever.gateway.sender import TargetRequest
 from cassialever.platform import wire
 from cassialever.policy.freshness import (
+    MAX_ROUTE_WAIT,
     MAX_WAIT_SHARE,
     POLL_INTERVAL,
     Knowledge,
     Verdict,
+    is_newest,
     judge,
 )
 from cassialever.types import Seconds
@@ -83,6 +85,23 @@
         #: Returns what is known of the age of this daemon's tables.
         self.knowledge: Callable[[], Knowledge] = Knowledge
 
+    async def find(
+        self, request: TargetRequest, host: str, received_at: Seconds
+    ) -> RoutedRequest | Refusal:
+        """Find the route of a request.
+
+        It may have one in a configuration that this daemon does not know yet,
+        so that it is refused for good by the newest one only.
+        """
+        routed = route_request(self._view, request, host, received_at)
+        ends_at = self._clock.monotonic() + MAX_ROUTE_WAIT
+        while _is_without_route(routed) and not is_newest(self.knowledge()):
+            if self._clock.monotonic() >= ends_at:
+                return outdated()
+            await asyncio.sleep(POLL_INTERVAL)
+            routed = route_request(self._view, request, host, received_at)
+        return routed
+
     async def find_again(
         self, routed: RoutedRequest
     ) -> RoutedRequest | Refusal:
@@ -120,3 +139,8 @@
         if judge(self.knowledge()) is Verdict.outdated:
             return 'newer tables are under way'
         return ''
+
+
+def _is_without_route(routed: RoutedRequest | Refusal) -> bool:
+    """Return whether no route of a known configuration matches."""
+    return isinstance(routed, Refusal) and routed.cause == 'no_route'
--- a/cassialever/policy/freshness.py
+++ b/cassialever/policy/freshness.py
@@ -24,6 +24,8 @@
 MAX_CONFIRMATION_WAIT: Final[Seconds] = 0.1
 #: How long a request waits for newer tables, as a share of its objective.
 MAX_WAIT_SHARE: Final = 0.5
+#: How long a request without a route waits for newer tables.
+MAX_ROUTE_WAIT: Final[Seconds] = 0.3
 #: Time between two looks of a request that waits.
 POLL_INTERVAL: Final[Seconds] = 0.02
 
--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -101,6 +101,44 @@
             response = await send_request(gateway, '/issue/', ISSUE_HEADERS)
             self.assertEqual(response.status, 200)
 
+    async def test_unknown_route_is_final_by_the_newest_tables_only(
+        self,
+    ) -> None:
+        """A route that was added got a 404 from a daemon that was behind."""
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await until(lambda: len(gateway.view.targets.by_id) == 2)
+            router = gateway.core.forwarder.router
+            unknown = {**ISSUE_HEADERS, 'Host': 'unknown.example'}
+            for knowledge, status in (
+                (Knowledge(), 404),
+                (Knowledge(behind_for=0.05), 503),
+                (Knowledge(behind_for=9.0, can_catch_up=False), 503),
+                (Knowledge(age=2.5, unconfirmed_for=9.0), 503),
+            ):
+                router.knowledge = lambda one=knowledge: one
+                with self.subTest(knowledge=knowledge):
+                    response = await send_request(gateway, '/issue/', unknown)
+                    self.assertEqual(response.status, status)
+                    self.assertEqual(
+                        'Retry-After' in response.headers, status == 503
+                    )
+
+    async def test_request_waits_for_a_route_that_was_added(self) -> None:
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await until(lambda: len(gateway.view.targets.by_id) == 2)
+            system.store.put('op', 'config', configuration(8))
+            await until(lambda: gateway.view.configuration.version == 8)
+            router = gateway.core.forwarder.router
+            router.knowledge = lambda: Knowledge(behind_for=0.05)
+            sending = asyncio.create_task(
+                send_request(gateway, '/issue/', ISSUE_HEADERS)
+            )
+            await asyncio.sleep(0.05)
+            system.store.put('op', 'config', configuration(9, 'issuance'))
+            self.assertEqual((await sending).status, 200)
+
     async def test_requests_wait_for_newer_tables(self) -> None:
         async with deployment(keyed=1) as system:
             gateway = system.gateways[0]
