Accept any number of header fields within the operators' limit

A request with more than 128 header fields, however short, was ended with a 400, by a default of aiohttp. The operators limit the bytes of all headers of a request, to 16384, and not their number. As many fields as fit into that are read now, and twice as many from daemons that pass requests on.

--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -21,6 +21,8 @@
 #: Longest request line or header field that is read; the operators limit all
 #: headers of a request together to 16384 bytes.
 MAX_FIELD_BYTES: Final = 16384
+#: Most header fields: as many as fit into that limit. aiohttp's is 128.
+MAX_FIELDS: Final = MAX_FIELD_BYTES // len('a:\r\n')
 #: How long an idle connection of a caller is kept. Callers reuse theirs for
 #: up to 15 s, a limit set by the operators.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 75.0
@@ -159,6 +161,7 @@
         keepalive_timeout=KEEPALIVE_TIMEOUT,
         max_line_size=MAX_FIELD_BYTES,
         max_field_size=MAX_FIELD_BYTES,
+        max_headers=MAX_FIELDS,
         auto_decompress=False,
     )
 
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -44,6 +44,8 @@
 
 #: Longest header field that is read. Callers' fields may have 16384 bytes.
 MAX_FIELD_BYTES: Final = 16384
+#: Most header fields: those of callers and of the daemon that passes them on.
+MAX_FIELDS: Final = 2 * MAX_FIELD_BYTES // len('a:\r\n')
 #: How long an idle connection is kept, longer than the daemons that open them
 #: keep it.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 10.0
@@ -76,6 +78,7 @@
             keepalive_timeout=KEEPALIVE_TIMEOUT,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
+            max_headers=MAX_FIELDS,
             auto_decompress=False,
         )
         #: When a stop was announced, if one was.
