Route requests whose target is a whole URL

A request line with a whole URL, as clients send it to a proxy and every server has to accept (RFC 9112, section 3.2.2), got a 404: its scheme was taken for a part of the path. Its host and path are used now, and the path is sent on as in the usual form.

--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -13,6 +13,7 @@
 from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.refusals import Refusal
+from cassialever.gateway.routes import split_request_target
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.platform import wire
@@ -115,14 +116,16 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         received_at = self._clock.monotonic()
+        host, raw_path = split_request_target(
+            request.raw_path, request.headers.get('Host', '')
+        )
         target_request = TargetRequest(
             request_id=wire.parse_request_metadata(request.headers).request_id,
             method=request.method,
-            raw_path=request.raw_path,
+            raw_path=raw_path,
             headers=request.headers,
             body=await _body(request),
         )
-        host = request.headers.get('Host', '')
         routed = await self._forwarder.route_request(
             target_request, host, received_at
         )
--- a/cassialever/gateway/routes.py
+++ b/cassialever/gateway/routes.py
@@ -1,9 +1,13 @@
 """Find the route of a request."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from cassialever.fleet.model import Route
 
+#: Schemes of the URLs that callers may send.
+_SCHEMES: Final = ('http', 'https')
+
 
 class RouteTable:
     """The routes of one configuration, indexed by host and path prefix."""
@@ -31,3 +35,16 @@
                 return route
             end = path.rfind('/', 0, end)
         return None
+
+
+def split_request_target(request_target: str, host: str) -> tuple[str, str]:
+    """Return the host and the path of a request, with its query.
+
+    A request target may be a whole URL, whose host counts in place of that of
+    the `Host` field (RFC 9112, section 3.2.2).
+    """
+    scheme, separator, rest = request_target.partition('://')
+    if not separator or scheme.lower() not in _SCHEMES:
+        return host, request_target
+    authority, slash, path = rest.partition('/')
+    return authority.rpartition('@')[2], f'/{path}' if slash else '/'
