Log fewer requests that are sent late

Ten lines a second for each request sent 0.25 s after it came fill the log of a busy daemon, of which only the end is kept in places. Two lines a second from 0.5 s on remain.

--- a/cassialever/gateway/late_sendings.py
+++ b/cassialever/gateway/late_sendings.py
@@ -8,11 +8,11 @@
 from cassialever.types import Seconds, TargetId
 
 #: Time from a request's arrival from which on its sending is logged.
-MIN_LOGGED_DELAY: Final[Seconds] = 0.25
+MIN_LOGGED_DELAY: Final[Seconds] = 0.5
 #: Age of the tables from which on each sending is logged.
 MIN_LOGGED_AGE: Final[Seconds] = 2.0
 #: Lines a second; further ones are left out.
-MAX_LINES_PER_SECOND: Final = 10
+MAX_LINES_PER_SECOND: Final = 2
 
 
 class Decision(msgspec.Struct, frozen=True):
