--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -89,6 +89,7 @@
             self.clock,
             random_source,
         )
+        self.forwarder.tables_age = self.membership.tables_age
         self.membership.candidacy = Candidacy(self._reachability.paths)
         self.membership.seeds = settings.seeds
         self.membership.election_delay = election_delay(
@@ -102,6 +103,10 @@
             self._reachability.paths,
         )
         self._reachability.peers = self.membership.peers
+        self._reachability.compare_tables(
+            self.store, self.membership, random_source
+        )
+        self.forwarder.router.knowledge = self._reachability.catch_up.knowledge
         self._limits = LimitExchange(
             self.view.targets.limits,
             self._relay,
@@ -151,6 +156,7 @@
             self._reachability.run(),
             self._limits.run(),
             self.membership.run(),
+            self._reachability.catch_up.run(),
             self._report_keys(),
         ):
             self.tasks.start(work)
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -1,28 +1,35 @@
 """Serve one request: route it, choose a target, send it, retry it."""
 
 import asyncio
-from http import HTTPStatus
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
 
 from cassialever.clock import SystemClock
-from cassialever.errors import ErrorKind
 from cassialever.events import Event, record
-from cassialever.fleet.model import Configuration, Route, Target
-from cassialever.fleet.target_registry import TargetRegistry
+from cassialever.fleet.model import Target, version_of
 from cassialever.fleet.view import FleetView
-from cassialever.gateway.counters import Counters
+from cassialever.gateway.counters import Counters, counted
 from cassialever.gateway.dispatcher import TargetDispatcher
+from cassialever.gateway.late_sendings import Decision
 from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
+from cassialever.gateway.refusals import (
+    Refusal,
+    attempts_failed,
+    final_answer,
+    no_target,
+    stopping,
+)
+from cassialever.gateway.routing import RoutedRequest, Router
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.stop_limit import StopLimit
 from cassialever.interfaces import RandomSource
-from cassialever.platform import wire
 from cassialever.policy import refusal, subsets
 from cassialever.policy.budget import RetryBudget
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.permits import PermitLimiter
 from cassialever.policy.placing import (
     NEEDS_PERMIT,
     NoTargetReason,
@@ -31,43 +38,11 @@
     TargetSelector,
 )
 from cassialever.policy.shares import WeightedSplit
-from cassialever.policy.permits import PermitLimiter
 from cassialever.telemetry.spans import Hop, HopTracer, NoopTracer
 from cassialever.types import Seconds, ServiceName, TargetId
 
 #: A request with less time left than this is not retried.
 MIN_RETRY_TIME: Final[Seconds] = 0.02
-#: How long callers that send no deadline are assumed to wait.
-DEFAULT_TIMEOUT: Final[Seconds] = 30.0
-
-
-class RoutedRequest(msgspec.Struct, frozen=True):
-    """A caller's request with its route.
-
-    `deadline` is when its caller or its route stops waiting.
-    """
-
-    request: TargetRequest
-    route: Route
-    key: int
-    received_at: Seconds
-    deadline: Seconds
-
-
-class Refusal(msgspec.Struct, frozen=True):
-    """An answer by this daemon instead of a target.
-
-    If it has a time to retry after, the request has not run and never will.
-    """
-
-    status: int
-    sentence: str
-    retry_after: Seconds | None = None
-    #: The label under which the metrics count it, one of a fixed set.
-    cause: str = 'attempts_failed'
-    kind: ErrorKind = ErrorKind.target_shed
-    #: The only target that could have served it, if there is just one.
-    target_id: TargetId | None = None
 
 
 class _Placement(msgspec.Struct, frozen=True):
@@ -75,11 +50,14 @@
 
     target: Target
     send_before: Seconds
+    decision: Decision
 
 
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
 
+    #: The service of its route that was chosen.
+    service: ServiceName
     #: Targets that were tried, and how each try ended.
     tried: list[TargetId] = msgspec.field(default_factory=list)
     failed: list[Attempt] = msgspec.field(default_factory=list)
@@ -118,6 +96,7 @@
             ),
             random_source,
         )
+        self.router = Router(view, clock)
         self.counters = Counters()
         self.tracing: HopTracer = NoopTracer()
         #: Number of daemons among which retry budgets are divided; 0 while it
@@ -125,89 +104,99 @@
         self.daemon_count = 0
         #: Keys requested since the last report, by service.
         self.keys_asked: dict[ServiceName, list[int]] = {}
+        #: Returns the age of this daemon's tables.
+        self.tables_age: Callable[[], Seconds] = float
 
-    def route_request(
+    async def route_request(
         self,
         request: TargetRequest,
         host: str,
         received_at: Seconds,
     ) -> RoutedRequest | Refusal:
         """Find the route of a request, or refuse it if there is none."""
-        if self._view.configuration is None:
-            return Refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'no configuration is known yet',
-                refusal.FixedRetryAfter.default.value,
-                'no_configuration',
-                ErrorKind.no_catalogue,
-            )
-        route = self._view.routes.find(host, request.raw_path)
-        if route is None:
-            return Refusal(
-                HTTPStatus.NOT_FOUND,
-                'no route matches',
-                cause='no_route',
-                kind=ErrorKind.unknown_service,
-            )
-        metadata = wire.parse_request_metadata(request.headers)
-        timeout = metadata.timeout
-        if timeout is None:
-            timeout = DEFAULT_TIMEOUT
-        return RoutedRequest(
-            request=request,
-            route=route,
-            key=metadata.key,
-            received_at=received_at,
-            deadline=received_at + min(timeout, route.time_limit),
-        )
+        return await self.router.find(request, host, received_at)
 
     async def serve(self, routed: RoutedRequest) -> Answer | Refusal:
         """Send a request, with retries, and return its final answer."""
-        service = self._split.choose(routed.route)
-        self._budget(service).count_request(self._clock.monotonic())
-        if routed.key >= 0:
-            self.keys_asked.setdefault(service, []).append(routed.key)
-        progress = _Progress()
+        progress = _Progress(self._choose_service(routed))
         while True:
-            sent = await self._place_and_send(routed, service, progress)
+            sent = await self._place_and_send(routed, progress)
             if isinstance(sent, Refusal):
                 return self._finish_unserved(routed, sent, progress.failed)
-            placed, last = sent
+            routed, placed, last = sent
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
             ):
                 return last.answer
-            progress.tried.append(placed.target_id)
+            progress.tried.append(placed.target.target_id)
             progress.failed.append(last)
-            self._record_failed_attempt(routed, placed, last)
-            if not self._may_retry(routed, service, progress, last):
+            self.counters.record_failed_attempt(last.outcome.value)
+            _record_failed_attempt(
+                routed, placed, last, self._clock.monotonic()
+            )
+            if not self._may_retry(routed, progress, last):
                 return self._finish_unserved(
-                    routed, _attempts_failed(last.reason), progress.failed
+                    routed,
+                    attempts_failed(last.reason),
+                    progress.failed,
                 )
 
+    def _choose_service(self, routed: RoutedRequest) -> ServiceName:
+        """Choose a service of a request's route, and count the request."""
+        service = self._split.choose(routed.route)
+        self._budget(service).count_request(self._clock.monotonic())
+        if routed.key >= 0:
+            self.keys_asked.setdefault(service, []).append(routed.key)
+        return service
+
     async def _place_and_send(
-        self, routed: RoutedRequest, service: ServiceName, progress: _Progress
-    ) -> tuple[Target, Attempt] | Refusal:
-        """Choose a target and send, again if the choice was withdrawn."""
+        self, routed: RoutedRequest, progress: _Progress
+    ) -> tuple[RoutedRequest, _Placement, Attempt] | Refusal:
+        """Choose a target and send, again if the choice was withdrawn.
+
+        Return the request as it was routed last.
+        """
         while True:
-            placed = await self._place(routed, service, progress.tried)
-            if isinstance(placed, Refusal):
-                return placed
+            chosen = await self._place_by_route(routed, progress)
+            if isinstance(chosen, Refusal):
+                return chosen
+            routed, placed = chosen
             attempt = await self._send(routed, placed, progress)
             time_left = routed.deadline - self._clock.monotonic()
             if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
-                return placed.target, attempt
+                return routed, placed, attempt
             # Nothing was sent, so this is not a retry.
             progress.count -= 1
 
+    async def _place_by_route(
+        self, routed: RoutedRequest, progress: _Progress
+    ) -> tuple[RoutedRequest, _Placement] | Refusal:
+        """Choose a target by the request's present route."""
+        while True:
+            current = await self.router.find_again(routed)
+            if isinstance(current, Refusal):
+                return current
+            if current is not routed:
+                progress.service = self._choose_service(current)
+                routed = current
+            placed = await self._place(routed, progress)
+            if isinstance(placed, Refusal):
+                return placed
+            if placed is not None:
+                return routed, placed
+
     async def _place(
         self,
         routed: RoutedRequest,
-        service: ServiceName,
-        tried: list[TargetId],
-    ) -> _Placement | Refusal:
-        """Choose a target, waiting for one if the policy allows it."""
+        progress: _Progress,
+    ) -> _Placement | Refusal | None:
+        """Choose a target, waiting for one if the policy allows it.
+
+        Return None if the request's route has changed meanwhile.
+        """
+        service = progress.service
+        tried = progress.tried
         started = self._clock.monotonic()
         placement = PlacementRequest(
             service,
@@ -220,7 +209,7 @@
             now = self._clock.monotonic()
             if self._time_left(routed) <= 0:
                 # A time limit of 0 or less would be none.
-                return _attempts_failed('no time was left')
+                return attempts_failed('no time was left')
             chosen = self.selector.choose(placement, now)
             if isinstance(chosen, Target):
                 return self._use(routed, chosen, now)
@@ -231,20 +220,19 @@
                 objective=routed.route.objective,
                 expected_latency=0,
                 permit=_permit_delay(self.selector, chosen, placement, now),
-                pause=_pause_left(
-                    chosen, self._view.targets, self.selector, placement
-                ),
+                pause=_pause_left(chosen, self._view, self.selector, placement),
                 waiting=self.selector.waiting_by_service.total(),
                 cores=self._settings.instance.cores,
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
-                return self._no_target(decision, placement)
-            self.selector.waiting_by_service[service] += 1
-            try:
+                return _no_target(
+                    decision, placement, self._view, self.selector
+                )
+            with counted(self.selector.waiting_by_service, service):
                 await asyncio.sleep(decision.pause)
-            finally:
-                self.selector.waiting_by_service[service] -= 1
+            if self.router.has_changed(routed):
+                return None
 
     def _use(
         self, routed: RoutedRequest, target: Target, now: Seconds
@@ -254,26 +242,15 @@
         load = self._loads.of(target.target_id)
         latency = load.expected_latency(target.slots, now)
         if not self.stop_limit.admits(time_limit, latency):
-            return _stopping(target)
+            return stopping(target)
         send_before = self.limiter.use_permit(target.target_id)
-        return _Placement(target, send_before)
-
-    def _no_target(
-        self, decision: refusal.Refuse, placement: PlacementRequest
-    ) -> Refusal:
-        sentence = decision.reason.value
-        owner = self.selector.owner_of(placement)
-        rate = self._view.targets.limits.rate_of(owner) if owner else None
-        if rate is not None and decision.reason is NoTargetReason.limited:
-            sentence = f'the owner of the key takes {rate:g} requests a second'
-        return Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            sentence,
-            decision.retry_after,
-            decision.reason.name,
-            refusal.KIND_BY_REASON[decision.reason],
-            owner.target_id if owner else None,
+        decision = Decision(
+            routed.received_at,
+            now,
+            version_of(self._view.configuration),
+            self.tables_age(),
         )
+        return _Placement(target, send_before, decision)
 
     async def _send(
         self, routed: RoutedRequest, placed: _Placement, progress: _Progress
@@ -291,6 +268,8 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
             send_before=placed.send_before,
+            withdrawal_reason=lambda: self.router.reason_to_withdraw(routed),
+            decision=placed.decision,
         )
         self.counters.sent_by_service[target.service] += 1
         sent = msgspec.structs.replace(routed, request=request)
@@ -334,17 +313,13 @@
         return True
 
     def _may_retry(
-        self,
-        routed: RoutedRequest,
-        service: ServiceName,
-        progress: _Progress,
-        last: Attempt,
+        self, routed: RoutedRequest, progress: _Progress, last: Attempt
     ) -> bool:
         """Return whether a request may be retried, and spend the budget."""
         if last.outcome is not AttemptOutcome.not_run:
             if not routed.route.kind.is_idempotent:
                 return False
-        return self._spend_attempt(routed, service, progress)
+        return self._spend_attempt(routed, progress.service, progress)
 
     def _spend_attempt(
         self, routed: RoutedRequest, service: ServiceName, progress: _Progress
@@ -378,29 +353,11 @@
             reason=answer.sentence,
             waited=round(self._clock.monotonic() - routed.received_at, 3),
             retry_after=answer.retry_after,
-            configuration=_version_of(self._view.configuration),
+            configuration=version_of(self._view.configuration),
+            tables_age=round(self.tables_age(), 3),
         )
         return answer
 
-    def _record_failed_attempt(
-        self,
-        routed: RoutedRequest,
-        target: Target,
-        attempt: Attempt,
-    ) -> None:
-        self.counters.record_failed_attempt(attempt.outcome.value)
-        record(
-            Event.attempt_failed,
-            request=routed.request.request_id,
-            route=routed.route.name,
-            target=target.target_id,
-            helper=attempt.helper or None,
-            key=routed.key,
-            end=attempt.outcome.value,
-            reason=attempt.reason,
-            after=round(self._clock.monotonic() - routed.received_at, 3),
-        )
-
     def _budget(self, name: ServiceName) -> RetryBudget:
         budget = self._budget_by_service.get(name)
         if budget is None:
@@ -425,7 +382,7 @@
 
 def _pause_left(
     reason: NoTargetReason,
-    targets: TargetRegistry,
+    view: FleetView,
     selector: TargetSelector,
     placement: PlacementRequest,
 ) -> Seconds:
@@ -434,57 +391,38 @@
         return 0
     owner = selector.owner_of(placement)
     if owner is not None:
-        return targets.pause_left(owner)
-    usable = targets.usable(placement.service)
-    return min(map(targets.pause_left, usable), default=0)
-
-
-def final_answer(
-    refused: Refusal,
-    attempts: list[Attempt],
-) -> Answer | Refusal:
-    """Return the answer to a request that no attempt has served.
-
-    The refusal promises that the request has not run. It is returned only if
-    the request was sent to no target, or every target stated that it did not
-    run it.
-    """
-    may_have_run = [
-        attempt
-        for attempt in attempts
-        if attempt.outcome is not AttemptOutcome.not_run
-    ]
-    if not may_have_run:
-        return refused
-    last = may_have_run[-1]
-    if last.answer is not None:
-        return last.answer
-    kind = last.failure.kind if last.failure else None
-    status = HTTPStatus.BAD_GATEWAY
-    if kind is ErrorKind.deadline_passed:
-        status = HTTPStatus.GATEWAY_TIMEOUT
-    return Refusal(status, last.reason, kind=ErrorKind.outcome_unknown)
-
-
-def _version_of(configuration: Configuration | None) -> int:
-    """Return a configuration's version; 0 if none is known."""
-    return configuration.version if configuration else 0
-
-
-def _stopping(target: Target) -> Refusal:
-    return Refusal(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'this daemon stops before the request would end',
-        refusal.FixedRetryAfter.stopping.value,
-        ErrorKind.stopping.name,
-        ErrorKind.stopping,
-        target.target_id,
-    )
+        return view.targets.pause_left(owner)
+    usable = view.targets.usable(placement.service)
+    return min(map(view.targets.pause_left, usable), default=0)
 
 
-def _attempts_failed(reason: str) -> Refusal:
-    return Refusal(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        reason,
-        refusal.FixedRetryAfter.default.value,
+def _no_target(
+    decision: refusal.Refuse,
+    placement: PlacementRequest,
+    view: FleetView,
+    selector: TargetSelector,
+) -> Refusal:
+    sentence = decision.reason.value
+    owner = selector.owner_of(placement)
+    rate = view.targets.limits.rate_of(owner) if owner else None
+    if rate is not None and decision.reason is NoTargetReason.limited:
+        sentence = f'the owner of the key takes {rate:g} requests a second'
+    return no_target(decision, sentence, owner)
+
+
+def _record_failed_attempt(
+    routed: RoutedRequest, placed: _Placement, attempt: Attempt, now: Seconds
+) -> None:
+    record(
+        Event.attempt_failed,
+        request=routed.request.request_id,
+        route=routed.route.name,
+        target=placed.target.target_id,
+        helper=attempt.helper or None,
+        key=routed.key,
+        end=attempt.outcome.value,
+        reason=attempt.reason,
+        after=round(now - routed.received_at, 3),
+        configuration=placed.decision.configuration,
+        tables_age=round(placed.decision.tables_age, 3),
     )
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -10,8 +10,10 @@
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
 from cassialever.gateway.connections import CallerListener, RequestHandler
-from cassialever.gateway.forwarder import Forwarder, Refusal
+from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
+from cassialever.gateway.refusals import Refusal
+from cassialever.gateway.routes import split_request_target
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.platform import wire
@@ -20,6 +22,8 @@
 #: Longest request line or header field that is read; the operators limit all
 #: headers of a request together to 16384 bytes.
 MAX_FIELD_BYTES: Final = 16384
+#: Most header fields: as many as fit into that limit. aiohttp's is 128.
+MAX_FIELDS: Final = MAX_FIELD_BYTES // len('a:\r\n')
 #: How long an idle connection of a caller is kept. Callers reuse theirs for
 #: up to 15 s, a limit set by the operators.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 75.0
@@ -112,15 +116,17 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         received_at = self._clock.monotonic()
+        host, raw_path = split_request_target(
+            request.raw_path, request.headers.get('Host', '')
+        )
         target_request = TargetRequest(
             request_id=wire.parse_request_metadata(request.headers).request_id,
             method=request.method,
-            raw_path=request.raw_path,
+            raw_path=raw_path,
             headers=request.headers,
             body=await _body(request),
         )
-        host = request.headers.get('Host', '')
-        routed = self._forwarder.route_request(
+        routed = await self._forwarder.route_request(
             target_request, host, received_at
         )
         if isinstance(routed, Refusal):
@@ -158,6 +164,7 @@
         keepalive_timeout=KEEPALIVE_TIMEOUT,
         max_line_size=MAX_FIELD_BYTES,
         max_field_size=MAX_FIELD_BYTES,
+        max_headers=MAX_FIELDS,
         auto_decompress=False,
     )
 
--- /dev/null
+++ b/cassialever/gateway/routing.py
@@ -0,0 +1,146 @@
+"""Find the route of a caller's request in the configuration in force."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from cassialever.clock import SystemClock
+from cassialever.fleet.model import Configuration, Route
+from cassialever.fleet.view import FleetView
+from cassialever.gateway.refusals import (
+    Refusal,
+    no_configuration,
+    no_route,
+    outdated,
+)
+from cassialever.gateway.sender import TargetRequest
+from cassialever.platform import wire
+from cassialever.policy.freshness import (
+    MAX_ROUTE_WAIT,
+    MAX_WAIT_SHARE,
+    POLL_INTERVAL,
+    Knowledge,
+    Verdict,
+    is_newest,
+    judge,
+)
+from cassialever.types import Seconds
+
+#: How long callers that send no deadline are assumed to wait.
+DEFAULT_TIMEOUT: Final[Seconds] = 30.0
+
+
+class RoutedRequest(msgspec.Struct, frozen=True):
+    """A caller's request with its route.
+
+    `deadline` is when its caller or its route stops waiting.
+    """
+
+    request: TargetRequest
+    route: Route
+    key: int
+    received_at: Seconds
+    deadline: Seconds
+    host: str = ''
+    #: The configuration in which its route was found.
+    configuration: Configuration | None = None
+
+
+def route_request(
+    view: FleetView, request: TargetRequest, host: str, received_at: Seconds
+) -> RoutedRequest | Refusal:
+    """Find the route of a request, or refuse it if there is none."""
+    if view.configuration is None:
+        return no_configuration()
+    route = view.routes.find(host, request.raw_path)
+    if route is None:
+        return no_route()
+    metadata = wire.parse_request_metadata(request.headers)
+    timeout = metadata.timeout
+    if timeout is None:
+        timeout = DEFAULT_TIMEOUT
+    return RoutedRequest(
+        request=request,
+        route=route,
+        key=metadata.key,
+        received_at=received_at,
+        deadline=received_at + min(timeout, route.time_limit),
+        host=host,
+        configuration=view.configuration,
+    )
+
+
+class Router:
+    """Routes requests by the configuration in force, and again if it changes.
+
+    By default its tables count as the newest ones.
+    """
+
+    def __init__(self, view: FleetView, clock: SystemClock) -> None:
+        """Route by the configuration of a view."""
+        self._view = view
+        self._clock = clock
+        #: Returns what is known of the age of this daemon's tables.
+        self.knowledge: Callable[[], Knowledge] = Knowledge
+
+    async def find(
+        self, request: TargetRequest, host: str, received_at: Seconds
+    ) -> RoutedRequest | Refusal:
+        """Find the route of a request.
+
+        It may have one in a configuration that this daemon does not know yet,
+        so that it is refused for good by the newest one only.
+        """
+        routed = route_request(self._view, request, host, received_at)
+        ends_at = self._clock.monotonic() + MAX_ROUTE_WAIT
+        while _is_without_route(routed) and not is_newest(self.knowledge()):
+            if self._clock.monotonic() >= ends_at:
+                return outdated()
+            await asyncio.sleep(POLL_INTERVAL)
+            routed = route_request(self._view, request, host, received_at)
+        return routed
+
+    async def find_again(
+        self, routed: RoutedRequest
+    ) -> RoutedRequest | Refusal:
+        """Find the route of a request anew if it has changed.
+
+        While newer tables are under way the request waits for them.
+        """
+        ends_at = min(
+            routed.received_at + routed.route.objective * MAX_WAIT_SHARE,
+            routed.deadline,
+        )
+        while judge(self.knowledge()) is not Verdict.current:
+            if self._clock.monotonic() >= ends_at:
+                return outdated()
+            await asyncio.sleep(POLL_INTERVAL)
+        if not self.has_changed(routed):
+            return routed
+        return route_request(
+            self._view, routed.request, routed.host, routed.received_at
+        )
+
+    def has_changed(self, routed: RoutedRequest) -> bool:
+        """Return whether a request has another route than when it was found."""
+        if routed.configuration is None:
+            return False
+        if self._view.configuration is routed.configuration:
+            return False
+        route = self._view.routes.find(routed.host, routed.request.raw_path)
+        return route != routed.route
+
+    def reason_to_withdraw(self, routed: RoutedRequest) -> str:
+        """Return why a request may not take its route; empty if it may."""
+        if self.has_changed(routed):
+            return 'the route has changed'
+        if judge(self.knowledge()) is Verdict.outdated:
+            return 'newer tables are under way'
+        return ''
+
+
+def _is_without_route(routed: RoutedRequest | Refusal) -> bool:
+    """Return whether no route of a known configuration matches."""
+    return isinstance(routed, Refusal) and routed.cause == 'no_route'
