Carry no request whose route leads elsewhere by now

A daemon that carries requests for others sent them to the target that the other one had chosen, though it knew a later configuration by which no route leads there. It asks for the route right before the write now, and replies that the request has not run.

--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -84,6 +84,25 @@
             return arrived_at + MIN_TIMEOUT
         return math.inf
 
+    def route_withdrawal(
+        self, hop: HopRequest, target: Target, host: str
+    ) -> str:
+        """Return why a request has no way to its target; empty if it has.
+
+        A daemon that passes it on by a later configuration knows better.
+        """
+        configuration = self._view.configuration
+        if configuration is None or configuration.version <= hop.configuration:
+            return ''
+        if not configuration.routes:
+            # They are not routed by host and path.
+            return ''
+        route = self._view.routes.find(host, hop.raw_path)
+        services = [part.service for part in route.parts] if route else []
+        if target.service in services:
+            return ''
+        return f'no route leads to service {target.service} any more'
+
     def count_open(self) -> int:
         """Return the number of requests that are carried now."""
         return self.open_requests
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from aiohttp import ClientResponse, web
@@ -169,6 +169,9 @@
             hop,
             body,
             send_before=self._policy.send_before(hop, target, arrived_at),
+            withdrawal_reason=lambda: self._policy.route_withdrawal(
+                hop, target, request.headers.get('Host', '')
+            ),
         )
         self._policy.count_carried()
         sent_at = self._clock.boot()
@@ -289,6 +292,7 @@
     body: bytes,
     *,
     send_before: Seconds,
+    withdrawal_reason: Callable[[], str],
 ) -> TargetRequest:
     forwarded = wire.end_to_end_headers(headers, HOP_HEADERS)
     return TargetRequest(
@@ -298,6 +302,7 @@
         CIMultiDict(forwarded),
         body,
         send_before=send_before,
+        withdrawal_reason=withdrawal_reason,
     )
 
 
--- a/tests/test_gateway_hop.py
+++ b/tests/test_gateway_hop.py
@@ -485,6 +485,32 @@
             attempt = await exchange(first, helper_of(helper))
             self.assertIs(attempt.outcome, AttemptOutcome.answered)
 
+    async def test_route_changed_by_a_later_version(self) -> None:
+        """A request was carried to a service that its route had left."""
+        async with cut_off_daemon() as (system, first, helper):
+            current = helper.view.configuration
+            routes = tuple(
+                msgspec.structs.replace(route, parts=())
+                for route in current.routes
+            )
+            for changed in (routes, routes[:1]):
+                with self.subTest(routes=len(changed)):
+                    helper.view.apply_configuration(
+                        msgspec.structs.replace(
+                            current, version=current.version + 1, routes=changed
+                        )
+                    )
+                    attempt = await exchange(first, helper_of(helper))
+                    self.assertIs(attempt.outcome, AttemptOutcome.not_run)
+                    self.assertIs(attempt.failure.kind, ErrorKind.no_target)
+            self.assertEqual(system.targets[1].work.received_at, [])
+            # An earlier version may not have the route yet.
+            helper.view.configuration = msgspec.structs.replace(
+                helper.view.configuration, version=current.version
+            )
+            attempt = await exchange(first, helper_of(helper))
+            self.assertIs(attempt.outcome, AttemptOutcome.answered)
+
     async def test_full_helper_refuses_and_serves_its_own_callers(self) -> None:
         async with cut_off_daemon() as (system, first, helper):
             system.targets[1].faults.service_time = 0.5
