Reject what is nested too deeply as what is malformed

msgspec raises RecursionError for deep nesting, which is no DecodeError, so that no reader caught it. The same held for rows of the operators and of this project, answers of the store, messages, datagrams and the settings that are read again on a hang-up (a background task that ends the daemon).

All of them now go by one decoder, cassialever.decoding, which turns each way of failing into a Failure whose reason is short and on one line: a state of a megabyte went into a line of the log.

--- a/cassialever/catalogue/adoption.py
+++ b/cassialever/catalogue/adoption.py
@@ -3,7 +3,6 @@
 import functools
 from typing import Final
 
-import msgspec
 from reactivex.subject import Subject
 
 from cassialever.catalogue.entries import (
@@ -13,6 +12,8 @@
     TargetEntry,
 )
 from cassialever.catalogue.table import CATALOGUE_TABLE, CURRENT_ROW
+from cassialever.decoding import decode_json
+from cassialever.errors import Failure
 from cassialever.events import Event, record
 from cassialever.fleet.model import (
     Configuration,
@@ -47,10 +48,9 @@
         """
         if row.name != CURRENT_ROW or row.content is None:
             return
-        try:
-            catalogue = msgspec.json.decode(row.content, type=Catalogue)
-        except msgspec.DecodeError as error:
-            sink.reject(row.name, str(error))
+        catalogue = decode_json(row.content, Catalogue)
+        if isinstance(catalogue, Failure):
+            sink.reject(row.name, catalogue.reason)
             return
         index = CatalogueIndex(catalogue)
         if not sink.apply_configuration(build_configuration(catalogue)):
--- a/cassialever/catalogue/store.py
+++ b/cassialever/catalogue/store.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Final, TypeAlias
 
 import msgspec
@@ -32,6 +32,7 @@
     RowTransaction,
     RowWrite,
 )
+from cassialever.decoding import decode_json
 from cassialever.errors import ErrorKind, Failure
 from cassialever.types import (
     CatalogueVersion,
@@ -116,7 +117,9 @@
         row = rows.get(CURRENT_ROW)
         if row is None:
             return StoredCatalogue(EMPTY_CATALOGUE, ABSENT_VERSION)
-        catalogue = msgspec.json.decode(row.body, type=Catalogue)
+        catalogue = decode_json(row.body, Catalogue)
+        if isinstance(catalogue, Failure):
+            return catalogue
         return StoredCatalogue(catalogue, row.version)
 
     async def changes(
@@ -135,9 +138,12 @@
             rows = await self._table.read(names)
             if isinstance(rows, Failure):
                 return rows
-            changes.extend(
-                _decode_change(rows[name]) for name in names if name in rows
+            batch = _decode_changes(
+                rows[name] for name in names if name in rows
             )
+            if isinstance(batch, Failure):
+                return batch
+            changes.extend(batch)
         return changes
 
     async def catalogue_at(
@@ -247,10 +253,7 @@
         if isinstance(rows, Failure):
             return _unknown_outcome(transaction, change)
         row = rows.get(name)
-        if (
-            row
-            and _decode_change(row).origin.change_id == transaction.change_id
-        ):
+        if row and _is_change(row, transaction.change_id):
             return RowsCommitted(row.version)
         if outcome.kind is ErrorKind.table_conflict:
             return outcome
@@ -321,8 +324,27 @@
     return current
 
 
-def _decode_change(row: Row) -> CatalogueChange:
-    return msgspec.json.decode(row.body, type=CatalogueChange)
+def _decode_change(row: Row) -> CatalogueChange | Failure:
+    return decode_json(row.body, CatalogueChange)
+
+
+def _decode_changes(
+    history: Iterable[Row],
+) -> list[CatalogueChange] | Failure:
+    changes = []
+    for row in history:
+        change = _decode_change(row)
+        if isinstance(change, Failure):
+            return change
+        changes.append(change)
+    return changes
+
+
+def _is_change(row: Row, change_id: ChangeId) -> bool:
+    change = _decode_change(row)
+    return (
+        not isinstance(change, Failure) and change.origin.change_id == change_id
+    )
 
 
 def _validation_failure(proposed: Catalogue) -> Failure | None:
--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from cassialever.decoding import decode_msgpack
+from cassialever.errors import Failure
 from cassialever.fleet.model import StoreRow, SuspectedMove
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
 from cassialever.platform import rows
@@ -51,12 +53,9 @@
             continue
         if row.content is None:
             return None, RowVersion(0)
-        try:
-            lease = msgspec.msgpack.decode(row.content, type=Lease)
-        except msgspec.DecodeError:
-            # An unreadable lease is treated as not held.
-            return None, row.version
-        return lease, row.version
+        lease = decode_msgpack(row.content, Lease)
+        # An unreadable lease is treated as not held.
+        return None if isinstance(lease, Failure) else lease, row.version
     return None, RowVersion(0)
 
 
--- a/cassialever/fleet/unknown_types.py
+++ b/cassialever/fleet/unknown_types.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from cassialever.decoding import attempt, shortened
+from cassialever.errors import Failure
 from cassialever.events import Event, record
 from cassialever.types import Seconds
 
@@ -17,8 +19,6 @@
 #: Datagrams are not authenticated, so the number of peers that are logged is
 #: bounded.
 MAX_LOGGED_PEERS: Final = 1000
-#: Longest name of a type in the log, in characters.
-_MAX_NAME_LENGTH: Final = 64
 
 
 class UnknownMessage(msgspec.Struct, frozen=True):
@@ -44,6 +44,12 @@
         Raises msgspec.DecodeError if the bytes are no message, or are invalid
         for their type.
         """
+        decoded = attempt(lambda: self._decode(body))
+        if isinstance(decoded, Failure):
+            raise msgspec.DecodeError(decoded.reason)
+        return decoded
+
+    def _decode(self, body: bytes) -> Any:
         try:
             return self._decoder.decode(body)
         except msgspec.ValidationError:
@@ -59,7 +65,7 @@
         tag = msgspec.msgpack.decode(fields[0])
         if not isinstance(tag, self._tag_type) or tag in self._tags:
             return None
-        return UnknownMessage(str(tag)[:_MAX_NAME_LENGTH])
+        return UnknownMessage(shortened(str(tag)))
 
 
 class SkipLog:
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cassialever.clock import SystemClock
+from cassialever.decoding import decode_msgpack
 from cassialever.errors import Failure
 from cassialever.events import Event, record
 from cassialever.fleet.keyindex import KeyIndex
@@ -206,17 +207,17 @@
     def _apply_own_row(self, row: StoreRow) -> None:
         if row.content is None:
             return
-        try:
-            self._apply_own_content(row, row.content)
-        except msgspec.DecodeError as error:
-            self.reject(row.name, str(error))
-
-    def _apply_own_content(self, row: StoreRow, content: bytes) -> None:
         if row.name == LEADER_ROW:
-            leadership = msgspec.msgpack.decode(content, type=Leadership)
+            leadership = decode_msgpack(row.content, Leadership)
+            if isinstance(leadership, Failure):
+                self.reject(row.name, leadership.reason)
+                return
             self.leader = (leadership, row.version)
         if key_map_service(row) is not None:
-            key_map = msgspec.msgpack.decode(content, type=KeyMap)
+            key_map = decode_msgpack(row.content, KeyMap)
+            if isinstance(key_map, Failure):
+                self.reject(row.name, key_map.reason)
+                return
             self.keys_by_service[key_map.service] = KeyIndex(key_map)
 
 
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -7,6 +7,8 @@
 import json5
 import msgspec
 
+from cassialever.decoding import attempt
+from cassialever.errors import Failure
 from cassialever.exceptions import SettingsError
 from cassialever.types import DataCentreId, InstanceId, Seconds
 
@@ -112,7 +114,9 @@
 
 def parse_settings(text: str) -> GatewaySettings:
     """Parse and validate the text of a settings file."""
-    try:
-        return msgspec.convert(json5.loads(text), GatewaySettings)
-    except (ValueError, msgspec.ValidationError) as error:
-        raise SettingsError(f'invalid settings: {error}') from error
+    settings = attempt(
+        lambda: msgspec.convert(json5.loads(text), GatewaySettings)
+    )
+    if isinstance(settings, Failure):
+        raise SettingsError(f'invalid settings: {settings.reason}')
+    return settings
--- a/cassialever/operators/client.py
+++ b/cassialever/operators/client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from cassialever.decoding import decode_json
 from cassialever.errors import ErrorKind, Failure
 from cassialever.operators.api import (
     BEARER_PREFIX,
@@ -103,9 +104,8 @@
     reply_type: type[_Reply],
 ) -> _Reply | Failure:
     if status < _FIRST_ERROR_STATUS:
-        return msgspec.json.decode(body, type=reply_type)
-    try:
-        refusal = msgspec.json.decode(body, type=RefusalBody)
-    except msgspec.DecodeError:
+        return decode_json(body, reply_type, ErrorKind.bad_request)
+    refusal = decode_json(body, RefusalBody)
+    if isinstance(refusal, Failure):
         return Failure(ErrorKind.bad_request, f'the daemon answered {status}')
     return Failure(refusal.kind, refusal.reason)
--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cassialever.decoding import attempt, decode_json, shortened
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.connecting import is_address
 from cassialever.fleet.model import (
@@ -102,22 +103,22 @@
 
 def decode_configuration(content: bytes) -> Configuration | Failure:
     """Decode the operators' configuration; one fault rejects it whole."""
-    try:
-        wire = msgspec.json.decode(content, type=_Configuration)
-    except msgspec.DecodeError as error:
-        return _invalid_entry(error)
+    wire = decode_json(content, _Configuration)
+    if isinstance(wire, Failure):
+        return wire
     version = _VERSION.fullmatch(wire.version)
     if version is None:
         return Failure(
             ErrorKind.catalogue_invalid,
-            f'version {wire.version!r} is not "r" and 1 to 18 digits',
+            f'{shortened(wire.version)!r} is not "r" and 1 to 18 digits',
         )
-    try:
-        routes = tuple(
+    routes = attempt(
+        lambda: tuple(
             _decode_route(name, wire.routes[name]) for name in wire.routes
         )
-    except ValueError as error:
-        return _invalid_entry(error)
+    )
+    if isinstance(routes, Failure):
+        return routes
     return Configuration(
         version=ConfigurationVersion(int(version.group(1))),
         routes=routes,
@@ -136,19 +137,18 @@
 
     Unless `host` is empty, it replaces the host in the entry's address.
     """
-    try:
-        wire = msgspec.json.decode(content, type=_Target)
-    except msgspec.DecodeError as error:
-        return _invalid_entry(error)
+    wire = decode_json(content, _Target)
+    if isinstance(wire, Failure):
+        return wire
     if not _is_address(wire.address) or wire.info.capacity < 1:
-        return _invalid_entry(
-            ValueError('address is not IPv4:port, or capacity is below 1')
+        return Failure(
+            ErrorKind.catalogue_invalid,
+            'address is not IPv4:port, or capacity is below 1',
         )
     port = wire.address.rpartition(':')[2]
-    try:
-        state = TargetState(wire.status.state)
-    except ValueError as unknown_state:
-        return _invalid_entry(unknown_state)
+    state = attempt(lambda: TargetState(wire.status.state))
+    if isinstance(state, Failure):
+        return state
     return Target(
         target_id=TargetId(target_id),
         service=ServiceName(wire.info.upstream),
@@ -216,7 +216,3 @@
         cold_rate=wire.warmup_per_s,
         connection_limit=wire.max_connections,
     )
-
-
-def _invalid_entry(error: Exception) -> Failure:
-    return Failure(ErrorKind.catalogue_invalid, f'invalid entry: {error}')
--- a/cassialever/platform/rows.py
+++ b/cassialever/platform/rows.py
@@ -1,11 +1,11 @@
 """Encode calls to the platform's row store and decode its answers."""
 
 import base64
-import binascii
 from typing import Any, Final, TypeAlias
 
 import msgspec
 
+from cassialever.decoding import attempt, decode_json
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.model import StoreRow
 from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
@@ -143,13 +143,11 @@
 
 
 def _decode_answer(body: bytes) -> _Answer | Failure:
-    try:
-        return msgspec.json.decode(body, type=_Answer)
-    except msgspec.DecodeError as error:
-        return Failure(
-            ErrorKind.table_unavailable,
-            f'the store sent a malformed answer: {error}',
-        )
+    answer = decode_json(body, _Answer, ErrorKind.table_unavailable)
+    if isinstance(answer, Failure):
+        reason = f'the store sent a malformed answer: {answer.reason}'
+        return Failure(answer.kind, reason)
+    return answer
 
 
 def _decode_row(row: _Row) -> StoreRow:
@@ -160,7 +158,5 @@
 def _decode_content(encoded: str | None) -> bytes:
     # Invalid base64 decodes to empty content. No reader accepts that, so it
     # is logged where the meaning of the row is known.
-    try:
-        return base64.b64decode(encoded or '', validate=True)
-    except (binascii.Error, ValueError):
-        return b''
+    content = attempt(lambda: base64.b64decode(encoded or '', validate=True))
+    return b'' if isinstance(content, Failure) else content
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from cassialever.decoding import decode_json
+from cassialever.errors import Failure
 from cassialever.types import Seconds
 
 #: How far back to look for causes: keys can be unavailable for about this
@@ -52,12 +54,12 @@
     for line in log_lines:
         # Log collectors put a prefix before the JSON object.
         start = line.find('{')
-        try:
-            fields = msgspec.json.decode(line[max(start, 0) :], type=dict)
-        except msgspec.DecodeError:
+        text = line[max(start, 0) :]
+        fields = decode_json(text, dict)
+        header = decode_json(text, _LineHeader)
+        if isinstance(fields, Failure) or isinstance(header, Failure):
             yield None
             continue
-        header = msgspec.convert(fields, _LineHeader)
         if header.name:
             yield EventLine(header.time, header.instance, header.name, fields)
 
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -154,7 +154,11 @@
 
     def put(self, table: str, key: str, document: object) -> None:
         """Write a row with a JSON document."""
-        self.rows.put(table, key, msgspec.json.encode(document))
+        self.put_bytes(table, key, msgspec.json.encode(document))
+
+    def put_bytes(self, table: str, key: str, content: bytes) -> None:
+        """Write a row with any content."""
+        self.rows.put(table, key, content)
         self._wake_feeds()
 
     def delete(self, table: str, key: str) -> None:
--- /dev/null
+++ b/tests/test_decoding.py
@@ -0,0 +1,123 @@
+"""Tests that whatever others write is decoded or fails as it should."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cassialever.catalogue.adoption import CatalogueRowHandler
+from cassialever.decoding import MAX_REASON_LENGTH
+from cassialever.errors import Failure
+from cassialever.exceptions import SettingsError
+from cassialever.fleet import datagrams, messages
+from cassialever.fleet.lease import LEASE_ROW, LEASE_TABLE, Lease, find_lease
+from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
+from cassialever.fleet.view import Leadership
+from cassialever.gateway.settings import parse_settings
+from cassialever.platform import records, rows
+from tests.fleet_helpers import ManualClock, configured_view
+
+#: What decoders of bytes return or raise for bytes that are no message.
+FAILURES = (Failure, msgspec.DecodeError, SettingsError)
+
+
+def nested_json(depth: int) -> bytes:
+    return b'{"x":' + b'[' * depth + b']' * depth + b'}'
+
+
+def nested_msgpack(sample: bytes, depth: int) -> bytes:
+    """Return a message with one more field, which is nested."""
+    name = b'' if sample[0] & 0xF0 == 0x90 else b'\xa1x'
+    nested = b'\x91' * depth + b'\xc0'
+    return bytes((sample[0] + 1,)) + sample[1:] + name + nested
+
+
+def own_row(name: str, content: bytes) -> object:
+    """Apply a row of the table of this project to a view."""
+    view = configured_view(ManualClock())
+    view.apply('cassialever', [StoreRow('cassialever', name, content, 9)], 9)
+    return Failure if view.rejected_count else view
+
+
+def catalogue_row(content: bytes) -> object:
+    """Apply a row of the operators' own catalogue to a view."""
+    view = configured_view(ManualClock())
+    table = CatalogueRowHandler.table
+    row = StoreRow(table, 'catalogue/current', content, 9)
+    CatalogueRowHandler().apply_row(row, view)
+    return Failure if view.rejected_count else view
+
+
+def lease_row(content: bytes) -> object:
+    """Find the lease in a row."""
+    row = StoreRow(LEASE_TABLE, LEASE_ROW, content, 9)
+    return find_lease((row,))[0] or Failure
+
+
+JSON_DECODERS: dict[str, Callable[[bytes], Any]] = {
+    'target': lambda content: records.decode_target('t1', content),
+    'configuration': records.decode_configuration,
+    'catalogue': catalogue_row,
+    'rows': rows.decode_rows,
+    'conflict': rows.decode_conflict,
+    'committed': rows.decode_committed,
+    'settings': lambda content: parse_settings(content.decode('latin-1')),
+}
+RANGES = (KeyRange(0, 99, 't0', 1000, 1), KeyRange(100, 65535, 't1', 1000, 2))
+#: A valid message for each decoder of MessagePack.
+MSGPACK_SAMPLES: dict[str, bytes] = {
+    'message': messages.encode(messages.Moving('registry', [(0, 9)]))[4:],
+    'datagram': datagrams.encode(datagrams.OpenRequests('edge-1', {'t0': 3})),
+    'lease': msgspec.msgpack.encode(Lease('edge-1', 1, 5.0)),
+    'leadership': msgspec.msgpack.encode(
+        Leadership('edge-1', '127.0.0.1:9000', 1)
+    ),
+    'key map': msgspec.msgpack.encode(KeyMap('registry', RANGES)),
+}
+MSGPACK_DECODERS: dict[str, Callable[[bytes], Any]] = {
+    'message': messages._decoder.decode,
+    'datagram': datagrams._decoder.decode,
+    'lease': lease_row,
+    'leadership': lambda content: own_row('leader', content),
+    'key map': lambda content: own_row('keys/registry', content),
+}
+
+
+def outcome(decode: Callable[[bytes], Any], content: bytes) -> Any:
+    """Return what a decoder returns; or the failure that it may raise."""
+    try:
+        return decode(content)
+    except (msgspec.DecodeError, SettingsError) as error:
+        return error
+
+
+class NestedTest(unittest.TestCase):
+    """Bytes that are nested more deeply than Python's stack."""
+
+    def assert_fails(self, failure: Any) -> None:
+        if failure is Failure:
+            return
+        self.assertIsInstance(failure, FAILURES)
+        self.assertLess(len(str(failure)), MAX_REASON_LENGTH + 200)
+
+    def test_nested_bytes_fail_as_malformed_ones_do(self) -> None:
+        """They raised RecursionError, which ended daemons and their tasks."""
+        for depth in (1_000, 100_000):
+            for name, decode in JSON_DECODERS.items():
+                with self.subTest(decoder=name, depth=depth):
+                    self.assert_fails(outcome(decode, nested_json(depth)))
+            for name, decode in MSGPACK_DECODERS.items():
+                content = nested_msgpack(MSGPACK_SAMPLES[name], depth)
+                with self.subTest(decoder=name, depth=depth):
+                    self.assert_fails(outcome(decode, content))
+
+    def test_samples_are_valid(self) -> None:
+        for name, decode in MSGPACK_DECODERS.items():
+            decoded = outcome(decode, MSGPACK_SAMPLES[name])
+            self.assertNotIsInstance(decoded, FAILURES)
+            self.assertIsNot(decoded, Failure)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -157,6 +157,32 @@
         self.assertIn('t9', self.view.targets.by_id)
         self.assertEqual(self.view.rejected_count, 1)
 
+    def test_deeply_nested_row_costs_no_other_row(self) -> None:
+        """One row of any table stopped all that came with it and after it."""
+        nested = b'{"x":' + b'[' * 1000 + b']' * 1000 + b'}'
+        packed = b'\x93\xa8registry\x90' + b'\x91' * 1000 + b'\xc0'
+        leader = (
+            b'\x84\xabinstance_id\xa1e\xa7address\xa3a:1\xabincarnation\x01'
+            b'\xa1x' + b'\x91' * 1000 + b'\xc0'
+        )
+        for version, (table, name, content) in enumerate(
+            (
+                ('servers', 'nested', nested),
+                ('op', 'config', nested),
+                ('cassialever', 'leader', leader),
+                ('cassialever', 'keys/registry', packed),
+            ),
+            start=42,
+        ):
+            self.view.apply(
+                table, [StoreRow(table, name, content, version)], version
+            )
+            self.assertEqual(self.view.rejected_count, version - 41)
+        row = json_row('servers', 't9', target_entry(), 50)
+        self.view.apply('servers', [row], 50)
+        self.assertEqual(set(self.view.targets.by_id), {'t0', 't1', 't2', 't9'})
+        self.assertIsNotNone(self.view.configuration)
+
     def test_target_with_an_unreadable_entry_is_removed(self) -> None:
         self.view.apply('servers', [StoreRow('servers', 't0', b'x', 43)], 43)
         self.assertNotIn('t0', self.view.targets.by_id)
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -43,6 +43,14 @@
         weights = [part.weight for part in decoded.routes[0].parts]
         self.assertEqual(weights, [90, 10])
 
+    def test_deeply_nested_configuration_is_rejected(self) -> None:
+        """The decoder raised RecursionError, which ended the daemon."""
+        for depth in (1_000, 100_000):
+            nested = b',"x":' + b'[' * depth + b']' * depth
+            content = _configuration()[:-1] + nested + b'}'
+            decoded = records.decode_configuration(content)
+            self.assertIsInstance(decoded, Failure)
+
     def test_invalid_configurations_are_rejected(self) -> None:
         unknown_kind = {**ROUTES['r-lookup'], 'route_type': 'maybe'}
         no_service = {**ROUTES['r-lookup'], 'upstream': None}
@@ -76,6 +84,22 @@
         assert not isinstance(decoded, Failure)
         self.assertEqual(decoded.address, '127.0.0.3:8707')
 
+    def test_deeply_nested_entry_is_rejected(self) -> None:
+        """The decoder raised RecursionError, which ended each daemon."""
+        for depth in (1_000, 100_000):
+            nested = b',"x":' + b'[' * depth + b']' * depth
+            content = msgspec.json.encode(target_entry())[:-1] + nested + b'}'
+            decoded = records.decode_target('t1', content)
+            self.assertIsInstance(decoded, Failure)
+
+    def test_reason_does_not_repeat_a_long_text(self) -> None:
+        """A megabyte of the entry went into a line of the log."""
+        entry = target_entry(state='perhaps\n' * 100_000)
+        decoded = records.decode_target('t1', msgspec.json.encode(entry))
+        assert isinstance(decoded, Failure)
+        self.assertLess(len(decoded.reason), 300)
+        self.assertTrue(decoded.reason.isprintable())
+
     def test_malformed_entries_are_rejected(self) -> None:
         valid = target_entry()
         for entry in (
