Reject targets whose numbers or texts are out of range

An entry that claimed slots of 400 digits ended the leader, in one process with two daemons. Seven and six of 48 requests were answered with 500 beside an entry whose name holds a line break or a zero byte, since the name is sent to the target in a header; 502 (three) beside names that are empty or a blank. Entries could also be cold for ever, or start after 64 bits of milliseconds, which no message between daemons can carry.

Slots are 1 to 10,000 now, starts are 0 to 63 bits, a cold start ends within an hour; the name is one that a header carries, and service and zone are printable texts of at most 200 characters. Any other entry names no target and is logged. A cold start that ended a moment ago (below 0) still counts as none.

--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -23,6 +23,13 @@
     Target,
     TargetState,
 )
+from cassialever.platform.entry_limits import (
+    ColdMilliseconds,
+    Slots,
+    UnixMilliseconds,
+    is_name,
+    is_target_name,
+)
 from cassialever.types import (
     MS_PER_SECOND,
     DataCentreId,
@@ -85,12 +92,12 @@
     # The service's name. The `version` beside it is the software's.
     upstream: str
     zone: str
-    capacity: int
+    capacity: Slots
 
 
 class _TargetStatus(msgspec.Struct):
     state: str
-    warmup_left_ms: float = 0
+    warmup_left_ms: ColdMilliseconds = 0
 
 
 class _Target(msgspec.Struct):
@@ -98,7 +105,7 @@
     info: _TargetInfo
     status: _TargetStatus
     # Start of the target's process, in Unix milliseconds.
-    born: int = 0
+    born: UnixMilliseconds = 0
 
 
 def decode_configuration(content: bytes) -> Configuration | Failure:
@@ -108,10 +115,8 @@
         return wire
     version = _VERSION.fullmatch(wire.version)
     if version is None:
-        return Failure(
-            ErrorKind.catalogue_invalid,
-            f'{shortened(wire.version)!r} is not "r" and 1 to 18 digits',
-        )
+        text = shortened(wire.version)
+        return _invalid(f'version {text!r} is not "r" and 1 to 18 digits')
     routes = attempt(
         lambda: tuple(
             _decode_route(name, wire.routes[name]) for name in wire.routes
@@ -137,14 +142,15 @@
 
     Unless `host` is empty, it replaces the host in the entry's address.
     """
+    if not is_target_name(target_id):
+        return _invalid('no header can carry the name')
     wire = decode_json(content, _Target)
     if isinstance(wire, Failure):
         return wire
-    if not _is_address(wire.address) or wire.info.capacity < 1:
-        return Failure(
-            ErrorKind.catalogue_invalid,
-            'address is not IPv4:port, or capacity is below 1',
-        )
+    if not _is_address(wire.address):
+        return _invalid('the address is not IPv4:port')
+    if not is_name(wire.info.upstream) or not is_name(wire.info.zone):
+        return _invalid('the service or the zone is no name')
     port = wire.address.rpartition(':')[2]
     state = attempt(lambda: TargetState(wire.status.state))
     if isinstance(state, Failure):
@@ -216,3 +222,7 @@
         cold_rate=wire.warmup_per_s,
         connection_limit=wire.max_connections,
     )
+
+
+def _invalid(reason: str) -> Failure:
+    return Failure(ErrorKind.catalogue_invalid, reason)
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -92,6 +92,55 @@
             decoded = records.decode_target('t1', content)
             self.assertIsInstance(decoded, Failure)
 
+    def test_entries_out_of_range_are_rejected(self) -> None:
+        """They ended the leader, or cost its callers answers of 500."""
+        sound = msgspec.json.encode(target_entry())
+        for field, values in (
+            (b'"capacity":6', (b'0', b'-6', b'10001', b'1e4', b'9' * 400)),
+            (b'"born":1000', (b'-1', b'%d' % 2**63, b'1' * 400, b'1e30')),
+            (
+                b'"warmup_left_ms":0',
+                (b'3600001', b'1e308', b'1e999', b'9' * 400, b'NaN'),
+            ),
+            (b'"zone":"astana-a"', (b'""', b'"a\\nb"', b'"%s"' % (b'z' * 201))),
+            (b'"upstream":"registry"', (b'""', b'"\\u0000"', b'"\\u2028"')),
+        ):
+            self.assertIn(field, sound)
+            name = field.partition(b':')[0]
+            for value in values:
+                content = sound.replace(field, name + b':' + value)
+                with self.subTest(field=name, value=value[:20]):
+                    decoded = records.decode_target('t1', content)
+                    self.assertIsInstance(decoded, Failure)
+
+    def test_entries_at_the_limits_are_accepted(self) -> None:
+        for field, value in (
+            (b'"capacity":6', b'10000'),
+            (b'"born":1000', b'%d' % (2**63 - 1)),
+            (b'"born":1000', b'0'),
+            (b'"warmup_left_ms":0', b'3600000'),
+            (b'"warmup_left_ms":0', b'-20'),
+            (b'"zone":"astana-a"', b'"%s"' % (b'z' * 200)),
+            (b'"zone":"astana-a"', '"\u0430 \u0431"'.encode()),
+        ):
+            name = field.partition(b':')[0]
+            sound = msgspec.json.encode(target_entry())
+            content = sound.replace(field, name + b':' + value)
+            with self.subTest(field=name, value=value[:20]):
+                decoded = records.decode_target('t1', content)
+                self.assertNotIsInstance(decoded, Failure)
+
+    def test_names_that_no_header_can_carry_are_rejected(self) -> None:
+        """The name is sent to the target; such a request was answered 500."""
+        content = msgspec.json.encode(target_entry())
+        for name in ('', ' ', 'a b', 'a\r\nX: 1', 'a\0', '\xe9', 'q' * 201):
+            with self.subTest(name=name[:10]):
+                decoded = records.decode_target(name, content)
+                self.assertIsInstance(decoded, Failure)
+        for name in ('i-7f3a91c2', 'a/b:c', 'q' * 200):
+            decoded = records.decode_target(name, content)
+            self.assertNotIsInstance(decoded, Failure)
+
     def test_reason_does_not_repeat_a_long_text(self) -> None:
         """A megabyte of the entry went into a line of the log."""
         entry = target_entry(state='perhaps\n' * 100_000)
