Apply the next row where a fault of the program meets one

FleetView.apply ended with the first row whose handler raised: the rows after it were lost, since the table's version was known by then, and the task that followed the table ended, by which the daemon ends. Daemons that follow the leader met the same row.

Such a row is now counted apart (entries_failed) and logged as an error (512), a target whose entry meets a fault gets no requests, and the next rows apply. Tests with daemons in one process fail if one counted a fault, so that it does not stay unseen.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -101,6 +101,11 @@
     history_lost = (503, logbook.WARNING, 'A table must be reread in full.')
     store_followed = (504, logbook.NOTICE, 'The store is followed directly.')
     entry_rejected = (511, logbook.WARNING, 'An entry is invalid.')
+    entry_failed = (
+        512,
+        logbook.ERROR,
+        'An entry could not be applied because of a fault of the program.',
+    )
     target_seen = (520, logbook.INFO, 'A target was added or changed.')
     target_gone = (521, logbook.INFO, 'A target was removed.')
     target_limit_changed = (
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -13,6 +13,7 @@
 from cassialever.decoding import decode_msgpack
 from cassialever.errors import Failure
 from cassialever.events import Event, record
+from cassialever.fleet.entry_faults import EntryFaults
 from cassialever.fleet.keyindex import KeyIndex
 from cassialever.fleet.model import (
     Configuration,
@@ -82,7 +83,8 @@
         #: Key ranges that are being moved to another owner.
         self.moving_by_service: dict[ServiceName, KeySpans] = {}
         self.on_change: ChangeHandler = ignore_changes
-        self.rejected_count = 0
+        #: Counts the entries that can't be used.
+        self.faults = EntryFaults(clock)
 
     def replace(
         self,
@@ -112,7 +114,7 @@
         """Apply changed rows, ignoring those that are not newer."""
         changed = self.rows.apply(table, rows, version)
         for row in changed:
-            self._apply_row(row)
+            self._apply_or_log(row)
         if table == records.TARGET_TABLE:
             self.targets.regroup()
         self.on_change(table, changed, version)
@@ -122,6 +124,11 @@
         """Return the tables that are not written by the leader."""
         return tuple(table for table in self.tables if table != OWN_TABLE)
 
+    @property
+    def rejected_count(self) -> int:
+        """Return the number of entries that were invalid."""
+        return self.faults.rejected_count
+
     @property
     def leader_id(self) -> str:
         """Return the leader's instance id; empty if no leader is known."""
@@ -171,8 +178,19 @@
 
     def reject(self, entry: str, reason: str) -> None:
         """Count and log an entry that can't be used."""
-        self.rejected_count += 1
-        record(Event.entry_rejected, entry=entry, reason=reason)
+        self.faults.note_rejected(entry, reason)
+
+    def _apply_or_log(self, row: StoreRow) -> None:
+        """Apply a row; a fault of the program costs no other row.
+
+        A target whose entry meets one gets no requests.
+        """
+        try:
+            self._apply_row(row)
+        except Exception as error:
+            self.faults.note_failed(row.name, error)
+            if row.table == records.TARGET_TABLE:
+                self.targets.remove(TargetId(row.name))
 
     def _apply_row(self, row: StoreRow) -> None:
         if row.table == self._row_handler.table:
@@ -180,7 +198,7 @@
         elif row.table == records.TARGET_TABLE:
             self._apply_target(row)
         elif row.table == OWN_TABLE:
-            self._apply_own_row(row)
+            _apply_own_row(row, self)
 
     def _apply_target(self, row: StoreRow) -> None:
         target_id = TargetId(row.name)
@@ -204,22 +222,6 @@
             version=row.version,
         )
 
-    def _apply_own_row(self, row: StoreRow) -> None:
-        if row.content is None:
-            return
-        if row.name == LEADER_ROW:
-            leadership = decode_msgpack(row.content, Leadership)
-            if isinstance(leadership, Failure):
-                self.reject(row.name, leadership.reason)
-                return
-            self.leader = (leadership, row.version)
-        if key_map_service(row) is not None:
-            key_map = decode_msgpack(row.content, KeyMap)
-            if isinstance(key_map, Failure):
-                self.reject(row.name, key_map.reason)
-                return
-            self.keys_by_service[key_map.service] = KeyIndex(key_map)
-
 
 def key_map_service(row: StoreRow) -> ServiceName | None:
     """Return the service whose key map a row contains, if it contains one."""
@@ -233,3 +235,20 @@
     table: str, rows: list[StoreRow], version: RowVersion
 ) -> None:
     """Ignore changes; the default until a handler is set."""
+
+
+def _apply_own_row(row: StoreRow, view: FleetView) -> None:
+    if row.content is None:
+        return
+    if row.name == LEADER_ROW:
+        leadership = decode_msgpack(row.content, Leadership)
+        if isinstance(leadership, Failure):
+            view.reject(row.name, leadership.reason)
+            return
+        view.leader = (leadership, row.version)
+    if key_map_service(row) is not None:
+        key_map = decode_msgpack(row.content, KeyMap)
+        if isinstance(key_map, Failure):
+            view.reject(row.name, key_map.reason)
+            return
+        view.keys_by_service[key_map.service] = KeyIndex(key_map)
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -151,6 +151,7 @@
             *hop_readings(self.core.exchanges.dispatcher.counters),
             Reading('store_calls', self.core.store.calls),
             Reading('entries_rejected', self.view.rejected_count),
+            Reading('entries_failed', self.view.faults.failed_count),
             Reading('daemons', self.core.membership.daemon_count),
             Reading('leads', self.core.membership.state is MemberState.leading),
             Reading(
--- a/tests/fleet_helpers.py
+++ b/tests/fleet_helpers.py
@@ -288,6 +288,9 @@
         for number in range(gateways):
             await running.add_gateway(f'edge-{number}')
         yield running
+        for gateway in running.gateways:
+            # A fault of the program costs one row, and must not stay unseen.
+            assert gateway.view.faults.failed_count == 0
     finally:
         for gateway in running.gateways:
             await gateway.abort()
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -2,9 +2,15 @@
 
 import random
 import unittest
+from typing import Any
+from unittest import mock
 
+import logbook
+
+from cassialever.fleet.entry_faults import LOG_PERIOD, MAX_LINES
 from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
 from cassialever.fleet.row_replica import MAX_REMOVALS, RowReplica
+from cassialever.platform import records
 from tests.fleet_helpers import (
     CONFIGURATION,
     ManualClock,
@@ -157,6 +163,54 @@
         self.assertIn('t9', self.view.targets.by_id)
         self.assertEqual(self.view.rejected_count, 1)
 
+    def test_fault_of_the_program_costs_one_row(self) -> None:
+        """It ended the daemon, or it followed the table no more."""
+        decode = records.decode_target
+
+        def fail_once(name: str, *rest: Any) -> Any:
+            if name == 't1':
+                raise KeyError('a fault' * 100)
+            return decode(name, *rest)
+
+        rows = [
+            json_row('servers', name, target_entry(), 42)
+            for name in ('t1', 't9')
+        ]
+        log = logbook.TestHandler()
+        with (
+            log.threadbound(),
+            mock.patch.object(records, 'decode_target', fail_once),
+        ):
+            self.view.apply('servers', rows, 42)
+        self.assertEqual(set(self.view.targets.by_id), {'t0', 't2', 't9'})
+        self.assertEqual(self.view.faults.failed_count, 1)
+        self.assertEqual(self.view.rejected_count, 0)
+        self.assertEqual(self.view.rows.version_by_table['servers'], 42)
+        lines = [one.message for one in log.records if '512' in one.message]
+        self.assertEqual(len(lines), 1)
+        self.assertLess(len(lines[0]), 300)
+        # The next version of the entry is applied.
+        self.view.apply(
+            'servers', [json_row('servers', 't1', target_entry(), 43)], 43
+        )
+        self.assertIn('t1', self.view.targets.by_id)
+
+    def test_many_invalid_entries_are_logged_seldom(self) -> None:
+        """Each was a line of the log, however many another writer left."""
+        log = logbook.TestHandler()
+        with log.threadbound():
+            for version in range(50, 1050):
+                row = StoreRow('servers', 'odd', b'x', version)
+                self.view.apply('servers', [row], version)
+            self.assertEqual(len(log.records), MAX_LINES)
+            self.clock.now += LOG_PERIOD
+            row = StoreRow('servers', 'odd', b'x', 2000)
+            self.view.apply('servers', [row], 2000)
+        self.assertEqual(self.view.rejected_count, 1001)
+        self.assertEqual(
+            log.records[-1].extra['fields']['unlogged'], 1000 - MAX_LINES
+        )
+
     def test_deeply_nested_row_costs_no_other_row(self) -> None:
         """One row of any table stopped all that came with it and after it."""
         nested = b'{"x":' + b'[' * 1000 + b']' * 1000 + b'}'
