Reject key maps out of order and leaders without an address

A row of this project's own table that another writer left could end daemons. Connecting to a leader whose address has no port raises ValueError; keys beyond the last one, ranges that overlap and fences over 63 bits were adopted, and a leader inherited them; a map in the row of another service replaced that service's map. A map that can't be read raised KeyError where the leader relays its changes.

Ranges, fences and starts are bounded in the types that decode them, in rows and in the messages that carry their changes. A map has to be in order and of its row's service, a leader has to have an address. What is rejected leaves the one before in force; a row that can't be read is relayed whole, as it is. A handover over 1,024 characters counts as missing, since no key map has one.

Before, 17 cases of tests/test_fleet_view.py and one of tests/test_fleet_key_changes.py failed; all pass. Maps that leave keys out are still adopted.

--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -11,6 +11,8 @@
 #: cut off is never answered.
 CONNECT_TIMEOUT: Final[Seconds] = 0.3
 
+#: An IP address, or a name of up to 253 letters.
+_HOST: Final = re.compile(r'[0-9A-Za-z._:%\[\]-]{1,253}')
 _PORT: Final = re.compile('[1-9][0-9]{0,4}')
 _MAX_PORT: Final = 65535
 
@@ -20,7 +22,7 @@
 def is_address(text: str) -> bool:
     """Return whether a text is a host and a port to which one can connect."""
     host, _, port = text.rpartition(':')
-    if not host or _PORT.fullmatch(port) is None:
+    if _HOST.fullmatch(host) is None or _PORT.fullmatch(port) is None:
         return False
     return int(port) <= _MAX_PORT
 
--- a/cassialever/fleet/key_changes.py
+++ b/cassialever/fleet/key_changes.py
@@ -24,13 +24,15 @@
     def changes(self, row: StoreRow, view: FleetView) -> KeysChanged | None:
         """Return what has changed in a row that was applied to the view.
 
-        Return None for rows without a key map, and for the first change of
-        the term, since followers may have different versions then.
+        Return None for rows without a key map that can be read, and for the
+        first change of the term, since followers may have different versions
+        then.
         """
         service = key_map_service(row)
-        if service is None:
+        index = view.keys_by_service.get(service) if service else None
+        if index is None or index.version != row.version:
             return None
-        key_map = view.keys_by_service[service].key_map
+        key_map = index.key_map
         earlier = self._last_by_row.get(row.name)
         self._last_by_row[row.name] = (key_map, row.version)
         if earlier is None:
--- a/cassialever/fleet/keyindex.py
+++ b/cassialever/fleet/keyindex.py
@@ -8,9 +8,13 @@
 class KeyIndex:
     """Finds the owners of one service's keys by binary search."""
 
-    def __init__(self, key_map: KeyMap) -> None:
-        """Index a map whose ranges are in ascending order."""
+    def __init__(self, key_map: KeyMap, version: int = 0) -> None:
+        """Index a map whose ranges are in ascending order.
+
+        `version` is that of the row with the map.
+        """
         self.key_map = key_map
+        self.version = version
         self._last_keys = [keys.last for keys in key_map.ranges]
 
     def find(self, key: int) -> KeyRange | None:
--- a/cassialever/fleet/model.py
+++ b/cassialever/fleet/model.py
@@ -3,10 +3,15 @@
 import enum
 import math
 from collections.abc import Mapping
-from typing import Final, NewType
+from typing import Annotated, Final, NewType, TypeAlias
 
 import msgspec
 
+from cassialever.platform.entry_limits import (
+    MAX_HANDOVER_LENGTH,
+    MAX_INTEGER,
+    MAX_NAME_LENGTH,
+)
 from cassialever.types import (
     DataCentreId,
     Fence,
@@ -130,6 +135,10 @@
     version: RowVersion
 
 
+_Key: TypeAlias = Annotated[int, msgspec.Meta(ge=0, lt=KEY_COUNT)]
+_INTEGER: Final = msgspec.Meta(ge=0, le=MAX_INTEGER)
+
+
 class KeyRange(msgspec.Struct, frozen=True, array_like=True):
     """A range of keys, both ends included, and the target that owns it.
 
@@ -137,12 +146,12 @@
     restarts. `handover` is what the last owner returned on release.
     """
 
-    first: int
-    last: int
-    owner: TargetId
-    owner_started_at: StartedAt
-    fence: Fence
-    handover: str = ''
+    first: _Key
+    last: _Key
+    owner: Annotated[TargetId, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    owner_started_at: Annotated[StartedAt, _INTEGER]
+    fence: Annotated[Fence, _INTEGER]
+    handover: Annotated[str, msgspec.Meta(max_length=MAX_HANDOVER_LENGTH)] = ''
 
 
 class SuspectedMove(msgspec.Struct, frozen=True, array_like=True):
@@ -162,3 +171,13 @@
 
     service: ServiceName
     ranges: tuple[KeyRange, ...]
+
+    @property
+    def is_ordered(self) -> bool:
+        """Return whether the ranges are ascending and disjoint."""
+        earlier = -1
+        for keys in self.ranges:
+            if not earlier < keys.first <= keys.last:
+                return False
+            earlier = keys.last
+        return True
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -11,8 +11,9 @@
 
 from cassialever.clock import SystemClock
 from cassialever.decoding import decode_msgpack
-from cassialever.errors import Failure
+from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
+from cassialever.fleet.connecting import is_address
 from cassialever.fleet.entry_faults import EntryFaults
 from cassialever.fleet.keyindex import KeyIndex
 from cassialever.fleet.model import (
@@ -240,15 +241,35 @@
 def _apply_own_row(row: StoreRow, view: FleetView) -> None:
     if row.content is None:
         return
+    service = key_map_service(row)
     if row.name == LEADER_ROW:
-        leadership = decode_msgpack(row.content, Leadership)
+        leadership = _decode_leadership(row.content)
         if isinstance(leadership, Failure):
             view.reject(row.name, leadership.reason)
             return
         view.leader = (leadership, row.version)
-    if key_map_service(row) is not None:
-        key_map = decode_msgpack(row.content, KeyMap)
+    if service is not None:
+        key_map = _decode_key_map(row.content, service)
         if isinstance(key_map, Failure):
             view.reject(row.name, key_map.reason)
             return
-        view.keys_by_service[key_map.service] = KeyIndex(key_map)
+        view.keys_by_service[service] = KeyIndex(key_map, row.version)
+
+
+def _decode_leadership(content: bytes) -> Leadership | Failure:
+    leadership = decode_msgpack(content, Leadership)
+    if isinstance(leadership, Failure) or is_address(leadership.address):
+        return leadership
+    return Failure(ErrorKind.catalogue_invalid, 'the leader has no address')
+
+
+def _decode_key_map(content: bytes, service: ServiceName) -> KeyMap | Failure:
+    key_map = decode_msgpack(content, KeyMap)
+    if isinstance(key_map, Failure):
+        return key_map
+    if key_map.service != service or not key_map.is_ordered:
+        return Failure(
+            ErrorKind.catalogue_invalid,
+            'the keys are of another service, or not in order',
+        )
+    return key_map
--- a/cassialever/platform/entry_limits.py
+++ b/cassialever/platform/entry_limits.py
@@ -19,6 +19,8 @@
 #: Longest name of a target, a service or a data centre, in characters: that
 #: of the store's rows.
 MAX_NAME_LENGTH: Final = 200
+#: Longest handover, in characters; a target gives it when it releases keys.
+MAX_HANDOVER_LENGTH: Final = 1024
 
 _MS_PER_SECOND: Final = 1000
 
--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from cassialever.fleet.model import KEY_COUNT, KeyRange
+from cassialever.platform.entry_limits import MAX_HANDOVER_LENGTH
 from cassialever.types import MS_PER_SECOND, Seconds, TargetId
 
 READINESS_PATH: Final = '/cassialever/readyz'
@@ -215,8 +216,12 @@
 
 
 def handover_of(headers: Mapping[str, str]) -> str:
-    """Return the handover that a target gave for keys it released."""
-    return headers.get(_HANDOVER, '')
+    """Return the handover that a target gave for keys it released.
+
+    One that is too long for a key map counts as missing.
+    """
+    handover = headers.get(_HANDOVER, '')
+    return handover if len(handover) <= MAX_HANDOVER_LENGTH else ''
 
 
 def _parse_digits(text: str) -> int | None:
--- a/tests/test_fleet_key_changes.py
+++ b/tests/test_fleet_key_changes.py
@@ -124,6 +124,23 @@
 class KeyChangesTest(unittest.TestCase):
     """The difference of two maps, and its application."""
 
+    def test_unreadable_map_is_relayed_whole(self) -> None:
+        """It raised KeyError, which ended the leader."""
+        view = FleetView(ManualClock())
+        history = KeyMapHistory()
+        odd = StoreRow(OWN_TABLE, ROW_NAME, b'x', 3)
+        view.apply(OWN_TABLE, [odd], 3)
+        self.assertIsNone(history.changes(odd, view))
+        key_map = random_map(random.Random(1), 4)
+        self.assertIsNone(history.changes(put(view, key_map, 4), view))
+        odd = StoreRow(OWN_TABLE, ROW_NAME, b'x', 5)
+        view.apply(OWN_TABLE, [odd], 5)
+        self.assertIsNone(history.changes(odd, view))
+        # A follower that has the unreadable row has the map before it, too.
+        changed = history.changes(put(view, key_map, 6), view)
+        assert changed is not None
+        self.assertEqual(changed.earlier_version, 4)
+
     def test_any_change_is_reproduced(self) -> None:
         for seed in range(30):
             rng = random.Random(seed)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -6,10 +6,12 @@
 from unittest import mock
 
 import logbook
+import msgspec
 
 from cassialever.fleet.entry_faults import LOG_PERIOD, MAX_LINES
 from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
 from cassialever.fleet.row_replica import MAX_REMOVALS, RowReplica
+from cassialever.fleet.view import Leadership
 from cassialever.platform import records
 from tests.fleet_helpers import (
     CONFIGURATION,
@@ -195,6 +197,57 @@
         )
         self.assertIn('t1', self.view.targets.by_id)
 
+    def test_key_maps_out_of_range_are_rejected(self) -> None:
+        """Keys were looked up in them, and a leader inherited them."""
+        owner = ('t0', 1000, 1)
+        sound = KeyMap('registry', (KeyRange(0, 65535, *owner),))
+        self.apply_key_map(sound, 50)
+        for version, ranges in enumerate(
+            (
+                (KeyRange(0, 65536, *owner),),
+                (KeyRange(-1, 65535, *owner),),
+                (KeyRange(9, 3, *owner),),
+                (KeyRange(0, 9, *owner), KeyRange(9, 65535, *owner)),
+                (KeyRange(10, 65535, *owner), KeyRange(0, 9, *owner)),
+                (KeyRange(0, 65535, 't0', 1000, -1),),
+                (KeyRange(0, 65535, 't0', 1000, 2**63),),
+                (KeyRange(0, 65535, 't0', -1, 1),),
+                (KeyRange(0, 65535, 't' * 201, 1000, 1),),
+                (KeyRange(0, 65535, 't0', 1000, 1, 'h' * 10_000),),
+            ),
+            start=51,
+        ):
+            with self.subTest(ranges=str(ranges)[:80]):
+                rejected = self.view.rejected_count
+                self.apply_key_map(KeyMap('registry', ranges), version)
+                self.assertEqual(self.view.rejected_count, rejected + 1)
+                self.assertEqual(
+                    self.view.keys_by_service['registry'].key_map, sound
+                )
+
+    def test_key_map_of_another_service_is_rejected(self) -> None:
+        """It replaced the map of the service that it names."""
+        key_map = KeyMap('issuance', (KeyRange(0, 65535, 't0', 1000, 1),))
+        self.apply_key_map(key_map, 50)
+        self.assertEqual(self.view.rejected_count, 1)
+        self.assertEqual(self.view.keys_by_service, {})
+
+    def test_leader_without_an_address_is_rejected(self) -> None:
+        """Connecting to it raised ValueError, which ended the daemon."""
+        addresses = ('', 'edge-1', ':1', 'edge-1:0', '10.0.0.1:70000', 'a b:1')
+        for version, address in enumerate(addresses, start=50):
+            content = msgspec.msgpack.encode(Leadership('edge-1', address, 1))
+            row = StoreRow('cassialever', 'leader', content, version)
+            self.view.apply('cassialever', [row], version)
+            with self.subTest(address=address):
+                self.assertEqual(self.view.rejected_count, version - 49)
+                self.assertIsNone(self.view.leader)
+
+    def apply_key_map(self, key_map: KeyMap, version: int) -> None:
+        content = msgspec.msgpack.encode(key_map)
+        row = StoreRow('cassialever', 'keys/registry', content, version)
+        self.view.apply('cassialever', [row], version)
+
     def test_many_invalid_entries_are_logged_seldom(self) -> None:
         """Each was a line of the log, however many another writer left."""
         log = logbook.TestHandler()
