Reject configurations whose numbers are out of range

Time limits below 0 or of 1e308 ms, weights and rates below 0, and numbers of 400 digits came into force at every daemon: a request would be refused at once or wait for ever, and sums of weights are infinite.

Times, ranks, attempts, connections, rates, weights and sizes have bounds now, wide ones: one fault rejects a configuration whole, as before, and the one in force stays. Weights that are all 0 are still accepted: the first service of the route gets its requests, as before.

That a request waits or is refused so is from reading; it was not run.

--- a/cassialever/platform/entry_limits.py
+++ b/cassialever/platform/entry_limits.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cassialever.types import Seconds
+from cassialever.types import MS_PER_SECOND, Seconds
 
 #: Most requests that a target can say to work on at the same time: more than
 #: any does. A larger share of the requests and keys of its service than its
@@ -22,16 +22,14 @@
 #: Longest handover, in characters; a target gives it when it releases keys.
 MAX_HANDOVER_LENGTH: Final = 1024
 
-_MS_PER_SECOND: Final = 1000
-
 Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 UnixMilliseconds: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 #: A target that was cold may report a little less than nothing.
 ColdMilliseconds: TypeAlias = Annotated[
     float,
     msgspec.Meta(
-        ge=-MAX_COLD_TIME * _MS_PER_SECOND,
-        le=MAX_COLD_TIME * _MS_PER_SECOND,
+        ge=-MAX_COLD_TIME * MS_PER_SECOND,
+        le=MAX_COLD_TIME * MS_PER_SECOND,
     ),
 ]
 
--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -23,6 +23,17 @@
     Target,
     TargetState,
 )
+from cassialever.platform.configuration_limits import (
+    Attempts,
+    ByteCount,
+    Connections,
+    HostName,
+    Milliseconds,
+    Rank,
+    RequestRate,
+    WarmUpSeconds,
+    Weight,
+)
 from cassialever.platform.entry_limits import (
     ColdMilliseconds,
     Slots,
@@ -53,32 +64,32 @@
 
 class _Split(msgspec.Struct):
     upstream: str
-    weight: float
+    weight: Weight
 
 
 class _Route(msgspec.Struct):
-    hostname: str
+    hostname: HostName
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 0
-    attempts: int = 1
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds
+    priority: Rank = 0
+    attempts: Attempts = 1
     # A route names either one service or a weighted list of them.
     upstream: str | None = None
     traffic_split: list[_Split] | None = None
 
 
 class _Service(msgspec.Struct):
-    max_connections: int = 100
-    warmup_s: float = 0
-    warmup_per_s: float = 0
+    max_connections: Connections = 100
+    warmup_s: WarmUpSeconds = 0
+    warmup_per_s: RequestRate = 0
     # Whether the service is divided by key.
     sharded: bool = False
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int
+    max_body_bytes: ByteCount
 
 
 class _Configuration(msgspec.Struct):
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -1,5 +1,6 @@
 """Test that rows of the store are decoded or rejected with a reason."""
 
+import random
 import unittest
 
 import msgspec
@@ -7,6 +8,7 @@
 from cassialever.errors import Failure
 from cassialever.fleet.model import RequestKind, TargetState
 from cassialever.platform import records
+from cassialever.policy.shares import WeightedSplit
 from tests.fleet_helpers import CONFIGURATION, ROUTES, target_entry
 
 
@@ -51,6 +53,64 @@
             decoded = records.decode_configuration(content)
             self.assertIsInstance(decoded, Failure)
 
+    def test_configurations_out_of_range_are_rejected(self) -> None:
+        """The one in force stays; numbers without bound came into force."""
+        sound = _configuration()
+        huge = b'9' * 400
+        for field, values in (
+            (b'"timeout_ms":1000', (b'-1', b'86400001', b'1e308', huge)),
+            (b'"target_latency_ms":500', (b'-1', b'86400001', b'1e308')),
+            (b'"priority":2', (b'-1', b'%d' % 2**63, huge)),
+            (b'"attempts":2', (b'-1', b'1001', huge)),
+            (b'"max_connections":120', (b'-1', b'1000001', huge)),
+            (b'"warmup_s":3.0', (b'-1', b'86401', b'1e308', b'NaN')),
+            (b'"warmup_per_s":12.0', (b'-1', b'1000001', b'1e308', b'1e999')),
+            (b'"max_body_bytes":67108864', (b'-1', b'%d' % 2**63, huge)),
+            (b'"hostname":"registry.example"', (b'"%s"' % (b'h' * 300),)),
+        ):
+            self.assertIn(field, sound)
+            name = field.partition(b':')[0]
+            for value in values:
+                content = sound.replace(field, name + b':' + value, 1)
+                with self.subTest(field=name, value=value[:20]):
+                    decoded = records.decode_configuration(content)
+                    self.assertIsInstance(decoded, Failure)
+
+    def test_weights_out_of_range_are_rejected(self) -> None:
+        for weights in ((b'-1', b'1'), (b'1e308', b'1e308'), (b'NaN',)):
+            parts = b','.join(
+                b'{"upstream":"registry","weight":%s}' % weight
+                for weight in weights
+            )
+            content = _configuration().replace(
+                b'"upstream":"registry"', b'"traffic_split":[%s]' % parts, 1
+            )
+            with self.subTest(weights=weights):
+                decoded = records.decode_configuration(content)
+                self.assertIsInstance(decoded, Failure)
+
+    def test_configuration_at_the_limits_is_accepted(self) -> None:
+        """Weights of 0 all round are: the first service gets the requests."""
+        content = _configuration().replace(
+            b'"upstream":"registry"',
+            b'"traffic_split":[{"upstream":"registry","weight":0},'
+            b'{"upstream":"issuance","weight":0}]',
+            1,
+        )
+        for field, value in (
+            (b'"timeout_ms":1000', b'86400000'),
+            (b'"attempts":2', b'0'),
+            (b'"max_connections":120', b'1000000'),
+            (b'"warmup_per_s":12.0', b'0'),
+        ):
+            name = field.partition(b':')[0]
+            content = content.replace(field, name + b':' + value, 1)
+        decoded = records.decode_configuration(content)
+        assert not isinstance(decoded, Failure)
+        shares = WeightedSplit(random.Random(1))
+        chosen = {shares.choose(decoded.routes[0]) for _ in range(20)}
+        self.assertEqual(chosen, {'registry'})
+
     def test_invalid_configurations_are_rejected(self) -> None:
         unknown_kind = {**ROUTES['r-lookup'], 'route_type': 'maybe'}
         no_service = {**ROUTES['r-lookup'], 'upstream': None}
