Refuse headers between daemons that are no text or no number

Numbers have up to 20 digits now, the hash is that of the bytes as they came, and the reason that is logged is short.

The answers of 500 are from reading; the decoders were run.

--- a/cassialever/fleet/proof.py
+++ b/cassialever/fleet/proof.py
@@ -34,8 +34,12 @@
 
 
 def keyed_hash(key: str, text: str) -> str:
-    """Return the keyed hash of a text, in hexadecimal digits."""
-    return hmac.digest(key.encode(), text.encode(), hashlib.sha256).hex()
+    """Return the keyed hash of a text, in hexadecimal digits.
+
+    Headers whose bytes are no text hold surrogates.
+    """
+    signed = text.encode(errors='surrogatepass')
+    return hmac.digest(key.encode(), signed, hashlib.sha256).hex()
 
 
 def is_keyed_hash(answer: str, key: str, text: str) -> bool:
--- a/cassialever/gateway/hop_messages.py
+++ b/cassialever/gateway/hop_messages.py
@@ -7,12 +7,14 @@
 
 import enum
 import math
+import re
 import secrets
 from collections.abc import Mapping
 from typing import Final
 
 import msgspec
 
+from cassialever.decoding import shortened
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet import proof
 from cassialever.fleet.model import StartedAt
@@ -55,6 +57,8 @@
 _NONCE_BYTES: Final = 8
 #: Longest reason in a reply, in characters.
 _MAX_REASON_LENGTH: Final = 300
+#: Whole numbers of up to 64 bits: Python fails on very long ones.
+_DIGITS: Final = re.compile('[0-9]{1,20}')
 _MIN_STATUS: Final = 200
 _MAX_STATUS: Final = 599
 
@@ -148,7 +152,8 @@
             send_within=_send_within(headers),
         )
     except (KeyError, ValueError) as error:
-        return Failure(ErrorKind.bad_request, f'malformed: {error!r}')
+        reason = shortened(f'malformed: {error!r}')
+        return Failure(ErrorKind.bad_request, reason)
     if not key:
         return hop
     if not _has_proof(headers, _REQUEST_HEADERS, raw_path, key):
@@ -189,7 +194,8 @@
             Failure(ErrorKind(headers[_KIND]), headers[_REASON]),
         )
     except (KeyError, ValueError) as error:
-        return Failure(ErrorKind.outcome_unknown, f'malformed: {error!r}')
+        reason = shortened(f'malformed: {error!r}')
+        return Failure(ErrorKind.outcome_unknown, reason)
     if reply.nonce != nonce:
         return Failure(
             ErrorKind.outcome_unknown, 'the reply belongs to another request'
@@ -241,8 +247,8 @@
 
 def _digits(text: str) -> int:
     """Parse a whole number; `int` alone also accepts signs and spaces."""
-    if not (text.isascii() and text.isdigit()):
-        raise ValueError(f'{text!r} is not a whole number')
+    if not _DIGITS.fullmatch(text):
+        raise ValueError(f'{text!r} is not a whole number, or too long')
     return int(text)
 
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -14,6 +14,7 @@
 from cassialever.fleet.lease import LEASE_ROW, LEASE_TABLE, Lease, find_lease
 from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
 from cassialever.fleet.view import Leadership
+from cassialever.gateway import hop_messages
 from cassialever.gateway.settings import parse_settings
 from cassialever.platform import records, rows
 from tests.fleet_helpers import ManualClock, configured_view
@@ -119,5 +120,58 @@
             self.assertIsNot(decoded, Failure)
 
 
+class HopHeaderTest(unittest.TestCase):
+    """Headers with which daemons pass requests on."""
+
+    def setUp(self) -> None:
+        hop = hop_messages.HopRequest(
+            'GET', '/', 't0', 1, 1.0, 'edge-1', 1, 100.0, 'n'
+        )
+        reply = hop_messages.HopReply('n', hop_messages.HopOutcome.not_run)
+        self.request = dict(hop_messages.encode_request(hop, 'key'))
+        self.reply = dict(hop_messages.encode_reply(reply, 'key'))
+
+    def test_bytes_that_are_no_text_are_malformed(self) -> None:
+        """The hash of such a header raised; the request was answered 500."""
+        for name in ('Target', 'Method', 'Nonce', 'Origin', 'Proof'):
+            headers = {**self.request, f'Daemon-Hop-{name}': 'a\udcff'}
+            with self.subTest(name=name):
+                self.assertIsInstance(
+                    hop_messages.decode_request(headers, '/', 'key', 100.0),
+                    Failure,
+                )
+        for name in ('Reason', 'Nonce', 'Proof'):
+            headers = {**self.reply, f'Daemon-Hop-{name}': 'a\udcff'}
+            with self.subTest(name=name):
+                self.assertIsInstance(
+                    hop_messages.decode_reply(headers, 'n', 'key'), Failure
+                )
+
+    def test_numbers_without_end_are_malformed(self) -> None:
+        """A time of 400 digits raised OverflowError."""
+        for name in (
+            'Time-Left-Ms',
+            'Send-Within-Ms',
+            'Sent-Ms',
+            'Target-Started',
+            'Configuration',
+        ):
+            for digits in (21, 400, 5000):
+                headers = {**self.request, f'Daemon-Hop-{name}': '9' * digits}
+                with self.subTest(name=name, digits=digits):
+                    decoded = hop_messages.decode_request(
+                        headers, '/', '', 100.0
+                    )
+                    assert isinstance(decoded, Failure)
+                    self.assertLess(len(decoded.reason), 300)
+
+    def test_headers_as_sent_are_read(self) -> None:
+        for key in ('', 'key'):
+            hop = hop_messages.decode_request(self.request, '/', key, 100.0)
+            self.assertNotIsInstance(hop, Failure)
+            reply = hop_messages.decode_reply(self.reply, 'n', key)
+            self.assertNotIsInstance(reply, Failure)
+
+
 if __name__ == '__main__':
     unittest.main()
