Refuse numbers and addresses in messages that nothing can be done with

A daemon's report of a key over the last one raised IndexError where the leader updates the heat of its keys, one of a count far below 0 OverflowError where it averages latencies; an infinite latency stayed one (nan). Ages of NaN and a clock far ahead counted in heartbeats. An address that is none, which a leader announces, raised ValueError, OverflowError or UnicodeError where a daemon connects or sends a datagram to it.

Keys, counts, latencies, ages and clocks have bounds in the types that decode them. An address that is none costs one connection or one datagram: the list of daemons is not refused for one of them, since all followers would lose their leader by it.

--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -11,20 +11,18 @@
 #: cut off is never answered.
 CONNECT_TIMEOUT: Final[Seconds] = 0.3
 
-#: An IP address, or a name of up to 253 letters.
-_HOST: Final = re.compile(r'[0-9A-Za-z._:%\[\]-]{1,253}')
-_PORT: Final = re.compile('[1-9][0-9]{0,4}')
-_MAX_PORT: Final = 65535
+#: An IP address or a name of up to 253 letters, and a port to 65,535.
+_ADDRESS: Final = re.compile(
+    r'[0-9A-Za-z._:%\[\]-]{1,253}:([1-9][0-9]{0,3}|[1-5][0-9]{4}'
+    r'|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])'
+)
 
 Streams: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 def is_address(text: str) -> bool:
     """Return whether a text is a host and a port to which one can connect."""
-    host, _, port = text.rpartition(':')
-    if _HOST.fullmatch(host) is None or _PORT.fullmatch(port) is None:
-        return False
-    return int(port) <= _MAX_PORT
+    return _ADDRESS.fullmatch(text) is not None
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -50,11 +48,14 @@
     A failure of kind `target_unreachable` means that the connection was
     refused, one of kind `peer_unreachable` that there was no answer.
     """
+    if not is_address(address):
+        return Failure(ErrorKind.peer_unreachable, 'the address is invalid')
     host, port = split_address(address)
     try:
         async with asyncio.timeout(timeout):
             return await asyncio.open_connection(host, port)
     except ConnectionRefusedError as refusal:
         return Failure(ErrorKind.target_unreachable, repr(refusal))
-    except (OSError, asyncio.TimeoutError) as error:
+    except (OSError, UnicodeError, asyncio.TimeoutError) as error:
+        # A name of a host that can't be encoded raises UnicodeError.
         return Failure(ErrorKind.peer_unreachable, repr(error))
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -170,8 +170,9 @@
             return
         try:
             self._socket.sendto(datagram, split_address(address))
-        except OSError:
-            # The link is full, or the peer has ended: as if it were lost.
+        except (OSError, ValueError, OverflowError):
+            # The link is full, the peer has ended, or the leader has announced
+            # it with an address that is none: as if it were lost.
             self.unsent_count += 1
 
     def can_read(self, address: str, kind: type[_Versioned]) -> bool:
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -7,14 +7,14 @@
 import asyncio
 import struct
 import zlib
-from typing import ClassVar, Final, TypeAlias
+from typing import Annotated, ClassVar, Final, TypeAlias
 
 import msgspec
 
 from cassialever.fleet.framing import decompress, read_exactly
 from cassialever.fleet.limit_reports import LimitReport
 from cassialever.fleet.message_version import FIRST_VERSION, MessageVersion
-from cassialever.fleet.model import KeyRange, StoreRow
+from cassialever.fleet.model import KEY_COUNT, KeyRange, StoreRow
 from cassialever.fleet.unknown_types import MessageDecoder, UnknownMessage
 from cassialever.types import RowVersion, Seconds, ServiceName, TargetId
 
@@ -27,10 +27,27 @@
 MIN_COMPRESSED_BYTES: Final = 4096
 #: The fastest level: 1 ms for a configuration of 1,400 routes (250 kB).
 _COMPRESSION_LEVEL: Final = 1
+#: Most answers of a target that a daemon reports at a time, and the sum of
+#: their latencies.
+MAX_REPORTED_ANSWERS: Final = 1_000_000
+MAX_REPORTED_TIME: Final[Seconds] = 1e9
+#: A clock that is ahead of this counts as invalid: three centuries.
+MAX_CLOCK: Final[Seconds] = 1e10
 _LENGTH: Final = struct.Struct('!I')
 _COMPRESSED_FLAG: Final = 0x80000000
 
 
+# What is out of range is rejected with the message, and its link ends.
+_Key: TypeAlias = Annotated[int, msgspec.Meta(ge=0, lt=KEY_COUNT)]
+_Answers: TypeAlias = Annotated[
+    int, msgspec.Meta(ge=0, le=MAX_REPORTED_ANSWERS)
+]
+_Latency: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED_TIME)]
+#: Infinite if nothing was heard; NaN compares with nothing.
+_Age: TypeAlias = Annotated[float, msgspec.Meta(ge=-MAX_CLOCK)]
+_Clock: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLOCK)]
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base class of all messages; daemons from `since` on read the type."""
 
@@ -111,10 +128,10 @@
     """
 
     is_leader: bool
-    store_age: Seconds
-    tables_age: Seconds
+    store_age: _Age
+    tables_age: _Age
     message_version: MessageVersion = FIRST_VERSION
-    sent_at: Seconds = 0
+    sent_at: _Clock = 0
 
 
 class Farewell(Message, frozen=True, array_like=True, tag=True):
@@ -135,8 +152,8 @@
     Latencies are given as the number of answers and their sum in seconds.
     """
 
-    keys_by_service: dict[ServiceName, list[int]]
-    times_by_target: dict[TargetId, tuple[int, float]]
+    keys_by_service: dict[ServiceName, list[_Key]]
+    times_by_target: dict[TargetId, tuple[_Answers, _Latency]]
 
 
 class Limits(Message, frozen=True, array_like=True, tag=True):
--- a/cassialever/fleet/path_reports.py
+++ b/cassialever/fleet/path_reports.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from cassialever.clock import SystemClock
+from cassialever.fleet.connecting import is_address
 from cassialever.fleet.datagrams import MAX_REQUESTS, OpenRequests
 from cassialever.policy.paths import TargetPaths
 from cassialever.policy.peer_reports import (
@@ -61,6 +62,9 @@
 
         It counts for `lifetime`, or MIN_REPORT_LIFETIME if that is longer.
         """
+        if not is_address(address):
+            # No request could be passed on to it.
+            return
         now = self._clock.monotonic()
         self._paths.reports.record(
             PathReport(
--- a/tests/test_fleet_datagrams.py
+++ b/tests/test_fleet_datagrams.py
@@ -63,6 +63,23 @@
         await asyncio.sleep(READ_INTERVAL / 4)
         self.assertEqual(self.received, ['edge-1'])
 
+    async def test_address_that_is_none_costs_one_datagram(self) -> None:
+        """A leader may announce it; sending raised and ended the daemon."""
+        for address in ('', 'x', '10.0.0.1:70000', 'a..b:80', f'{"a" * 99}:1'):
+            with self.subTest(address=address):
+                unsent = self.wire.unsent_count
+                self.wire.send(address, b'x')
+                self.assertEqual(self.wire.unsent_count, unsent + 1)
+
+    async def test_nested_datagram_does_not_end_reading(self) -> None:
+        host, port = self.address.split(':')
+        nested = encode(OpenRequests('edge-1', {})) + b'\x91' * 5000 + b'\xc0'
+        more = bytes((nested[0] + 1,)) + nested[1:]
+        self.sender.sendto(more, (host, int(port)))
+        self.send('edge-2')
+        await asyncio.sleep(2 * READ_INTERVAL)
+        self.assertEqual(self.received, ['edge-2'])
+
     async def test_malformed_datagram_does_not_end_reading(self) -> None:
         host, port = self.address.split(':')
         self.sender.sendto(b'\xc1 no datagram', (host, int(port)))
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import struct
 import time
@@ -11,7 +12,9 @@
 
 import msgspec
 
+from cassialever.errors import Failure
 from cassialever.fleet import following_leader, messages, relay
+from cassialever.fleet.connecting import connect
 from cassialever.fleet.following_leader import (
     LEADER_TIMEOUT,
     LeaderLink,
@@ -482,6 +485,63 @@
                 self.assertIs(end, LinkEnd.closed)
                 self.assertEqual(list(leader_relay.members()), ['edge-0'])
 
+    async def test_address_that_is_none_can_not_be_connected_to(self) -> None:
+        """A leader may announce it; connecting raised and ended the daemon."""
+        for address in ('x', '10.0.0.1:70000', 'a..b:80', f'{"a" * 99}:80'):
+            with self.subTest(address=address):
+                self.assertIsInstance(await connect(address), Failure)
+
+
+class NumberTest(unittest.TestCase):
+    """Numbers in messages that are out of range."""
+
+    def test_reports_out_of_range_are_rejected(self) -> None:
+        """A key over the last one, or a count below 0, ended the leader."""
+        for keys, times in (
+            ([65536], {}),
+            ([-1], {}),
+            ([2**63], {}),
+            ([], {'t0': (-(2**60), 1.0)}),
+            ([], {'t0': (2**60, 1.0)}),
+            ([], {'t0': (1, math.inf)}),
+            ([], {'t0': (1, math.nan)}),
+            ([], {'t0': (1, -1.0)}),
+        ):
+            report = messages.KeysAsked({'registry': keys}, times)
+            with self.subTest(report=report):
+                with self.assertRaises(msgspec.DecodeError):
+                    messages._decoder.decode(messages.encode(report)[4:])
+        report = messages.KeysAsked({'registry': [0, 65535]}, {'t0': (9, 1.5)})
+        decoded = messages._decoder.decode(messages.encode(report)[4:])
+        self.assertEqual(decoded, report)
+
+    def test_heartbeats_out_of_range_are_rejected(self) -> None:
+        """Ages of NaN count as no age; a clock far ahead puts all others late.
+
+        A leader that has not yet read its tables sends an infinite age.
+        """
+        for ages in (
+            (math.nan, 0.0, 0.0),
+            (-1e300, 0.0, 0.0),
+            (0.0, math.nan, 0.0),
+            (0.0, 0.0, -1.0),
+            (0.0, 0.0, math.inf),
+            (0.0, 0.0, 1e300),
+        ):
+            store_age, tables_age, sent_at = ages
+            pulse = messages.Pulse(
+                is_leader=True,
+                store_age=store_age,
+                tables_age=tables_age,
+                sent_at=sent_at,
+            )
+            with self.subTest(ages=ages):
+                with self.assertRaises(msgspec.DecodeError):
+                    messages._decoder.decode(messages.encode(pulse)[4:])
+        pulse = messages.Pulse(True, math.inf, math.inf, 1, 5.0)
+        decoded = messages._decoder.decode(messages.encode(pulse)[4:])
+        self.assertEqual(decoded, pulse)
+
 
 class LateFollowerTest(unittest.IsolatedAsyncioTestCase):
     """A follower whose own loop does not run for a while."""
