Refuse answers of the store and leases with numbers out of range

A version of 400 digits was taken from an answer, and no message to a follower can hold it; a lease renewed at NaN was never stale, so that no other daemon could take it over. Versions have 63 bits at most, clocks and times of leases a bound; such an answer is malformed and such a lease is not held.

--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -5,7 +5,7 @@
 no longer renew grants; see `LeaderTerm.earlier_leaders_expired`.
 """
 
-from typing import Final
+from typing import Annotated, Final, TypeAlias
 
 import msgspec
 
@@ -14,7 +14,7 @@
 from cassialever.fleet.model import StoreRow, SuspectedMove
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
 from cassialever.platform import rows
-from cassialever.types import RowVersion, Seconds
+from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
 
 LEASE_TABLE: Final = 'cassialever-lease'
 LEASE_ROW: Final = 'lease'
@@ -25,10 +25,19 @@
 #: its lease; longer than outages of the store, which last up to 9 s.
 AUTHORITY_TERM: Final[Seconds] = 12.0
 
+#: Latest time of the store's clock, as in its answers.
+MAX_STORE_TIME: Final[Seconds] = rows.MAX_CLOCK_MS / MS_PER_SECOND
+
 #: A transaction that only renews the lease.
 EMPTY_TRANSACTION: Final = rows.Transaction((), ())
 
 
+#: A time that compares with others, which NaN does not.
+_StoreTime: TypeAlias = Annotated[
+    Seconds, msgspec.Meta(ge=-MAX_STORE_TIME, le=MAX_STORE_TIME)
+]
+
+
 class Lease(msgspec.Struct, frozen=True, array_like=True):
     """The content of the lease row; times are by the store's clock.
 
@@ -38,9 +47,9 @@
 
     instance_id: str
     incarnation: int
-    renewed_at: Seconds
+    renewed_at: _StoreTime
     is_resigned: bool = False
-    authority_until_by_id: dict[str, Seconds] = {}
+    authority_until_by_id: dict[str, _StoreTime] = {}
     suspected_moves: tuple[SuspectedMove, ...] = ()
 
 
--- a/cassialever/platform/rows.py
+++ b/cassialever/platform/rows.py
@@ -1,19 +1,23 @@
 """Encode calls to the platform's row store and decode its answers."""
 
 import base64
-from typing import Any, Final, TypeAlias
+from typing import Annotated, Any, Final, TypeAlias
 
 import msgspec
 
 from cassialever.decoding import attempt, decode_json
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.model import StoreRow
+from cassialever.platform.entry_limits import MAX_INTEGER
 from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
 
 COMMIT_PATH: Final = '/cassialever/rows-tx'
 READ_PATH: Final = '/cassialever/rows-get'
 CHANGES_PATH: Final = '/cassialever/rows-feed'
 
+#: Latest time of the store's clock, in milliseconds: in 30,000 years.
+MAX_CLOCK_MS: Final = 1e15
+
 
 class Precondition(msgspec.Struct, frozen=True):
     """The version that a row must have; 0 if it must not exist."""
@@ -71,17 +75,21 @@
 _Body: TypeAlias = dict[str, list[dict[str, Any]]]
 
 
+_Version: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Clock: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLOCK_MS)]
+
+
 class _Row(msgspec.Struct):
     table: str
     key: str
-    ver: int
+    ver: _Version
     value: str | None = None
     removed: bool = False
 
 
 class _Answer(msgspec.Struct):
-    ver: int = 0
-    now_ms: float = 0
+    ver: _Version = 0
+    now_ms: _Clock = 0
     rows: list[_Row] = []
     has_more: bool = False
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -1,5 +1,6 @@
 """Tests that whatever others write is decoded or fails as it should."""
 
+import math
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -120,6 +121,50 @@
             self.assertIsNot(decoded, Failure)
 
 
+class StoreAnswerTest(unittest.TestCase):
+    """Numbers in answers of the store."""
+
+    def test_numbers_out_of_range_are_malformed(self) -> None:
+        """A version of 400 digits could be sent to no follower."""
+        row = '{"table":"servers","key":"t0","ver":%s,"value":"eA=="}'
+        for body in (
+            '{"ver":%s,"rows":[]}' % ('9' * 400),
+            '{"ver":-1,"rows":[]}',
+            '{"ver":%d,"rows":[]}' % 2**63,
+            '{"ver":3,"now_ms":-1,"rows":[]}',
+            '{"ver":3,"now_ms":1e308,"rows":[]}',
+            '{"ver":3,"now_ms":NaN,"rows":[]}',
+            '{"ver":3,"rows":[%s]}' % (row % ('9' * 400)),
+            '{"ver":3,"rows":[%s]}' % (row % '-1'),
+        ):
+            with self.subTest(body=body[:60]):
+                decoded = rows.decode_rows(body.encode())
+                assert isinstance(decoded, Failure)
+                self.assertLess(len(decoded.reason), 300)
+
+    def test_lease_without_a_time_is_not_held(self) -> None:
+        """Renewed at NaN it was never stale, and could not be taken over."""
+        for time in (math.nan, math.inf, -math.inf, 1e300):
+            for lease in (
+                Lease('edge-1', 1, time),
+                Lease('edge-1', 1, 5.0, authority_until_by_id={'a': time}),
+            ):
+                content = msgspec.msgpack.encode(lease)
+                with self.subTest(lease=lease):
+                    self.assertIs(lease_row(content), Failure)
+
+    def test_value_that_is_no_base64_costs_one_row(self) -> None:
+        row = '{"table":"servers","key":"%s","ver":3,"value":"%s"}'
+        body = '{"ver":3,"rows":[%s]}' % ','.join(
+            row % pair
+            for pair in (('t0', '\u00e9'), ('t1', 'x'), ('t2', 'eA=='))
+        )
+        decoded = rows.decode_rows(body.encode())
+        assert not isinstance(decoded, Failure)
+        contents = [one.content for one in decoded.rows]
+        self.assertEqual(contents, [b'', b'', b'x'])
+
+
 class HopHeaderTest(unittest.TestCase):
     """Headers with which daemons pass requests on."""
 
