Record what one odd entry could do, and what remains

One new test is known to fail: an entry with the address of an owner of keys gets keys, since grants do not say to whom they are meant. An entry without a reachable address, with as many slots as are accepted, costs no keys: that test passes.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,9 +1,11 @@
 """Tests that one odd entry of another writer harms itself only."""
 
+import asyncio
 import json
 import unittest
 from typing import Any
 
+from cassialever.platform.entry_limits import MAX_SLOTS
 from standins.rowstore import RowStoreServer
 from tests.fleet_helpers import CONFIGURATION, deployment, target_entry, until
 from tests.gateway_helpers import (
@@ -112,6 +114,40 @@
                 )
                 self.assertEqual(response.status, 200)
 
+    async def test_entry_with_the_address_of_an_owner_holds_no_keys(
+        self,
+    ) -> None:
+        """Its target took the grants, and refused the requests with 421."""
+        async with deployment(gateways=0) as system:
+            good = system.targets[0].address
+            system.store.put('servers', 'odd', target_entry(address=good))
+            gateway = await system.add_gateway('edge-0')
+            await wait_for_keys(gateway)
+            # A move of all its keys takes less.
+            await asyncio.sleep(5)
+            key_map = gateway.view.keys_by_service['registry'].key_map
+            owners = {keys.owner for keys in key_map.ranges}
+            self.assertEqual(owners, {'k0', 'k1'})
+            for number in range(0, 65536, 4096):
+                headers = {**LOOKUP_HEADERS, 'Shard-Key': str(number)}
+                response = await send_request(
+                    gateway, '/lookup/', headers, f'a{number}'
+                )
+                self.assertEqual(response.status, 200)
+
+    async def test_target_whose_address_is_dead_costs_no_keys(self) -> None:
+        """It claims more slots than all others together."""
+        async with deployment(gateways=0) as system:
+            entry = target_entry(address='127.0.0.1:9')
+            entry['info']['capacity'] = MAX_SLOTS
+            system.store.put('servers', 'odd', entry)
+            gateway = await system.add_gateway('edge-0')
+            await wait_for_keys(gateway)
+            await asyncio.sleep(5)
+            key_map = gateway.view.keys_by_service['registry'].key_map
+            owners = {keys.owner for keys in key_map.ranges}
+            self.assertEqual(owners, {'k0', 'k1'})
+
     async def test_daemon_starts_beside_odd_entries(self) -> None:
         """It ended each time it read the list."""
         async with deployment(gateways=0) as system:
