Keep a limit that can't be read short in the log

A target's Server-Limit of 8 kB that is no number was repeated whole in a warning for each of its answers. The line is still logged once an answer.

--- a/cassialever/platform/named_limit.py
+++ b/cassialever/platform/named_limit.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cassialever.decoding import shortened
 from cassialever.errors import ErrorKind, Failure
 from cassialever.platform import wire
 
@@ -40,7 +41,8 @@
         return NamedLimit(None)
     rate = _parse_rate(text)
     if rate is None:
-        return Failure(ErrorKind.bad_request, f'invalid limit {text!r}')
+        reason = f'invalid limit {shortened(text)!r}'
+        return Failure(ErrorKind.bad_request, reason)
     return NamedLimit(rate)
 
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -341,6 +341,7 @@
                     statements = parse_statements(status, headers, 1e9)
                     if not isinstance(statements, Failure):
                         self.assertTrue(0 <= statements.pause < math.inf)
+                        self.assert_bounded(statements.limit)
 
     def test_request_headers_are_decoded_or_fail(self) -> None:
         for seed, rng in self.drawn('request'):
