--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cassialever.decoding import attempt, decode_json, shortened
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.connecting import is_address
 from cassialever.fleet.model import (
@@ -22,6 +23,24 @@
     Target,
     TargetState,
 )
+from cassialever.platform.configuration_limits import (
+    Attempts,
+    ByteCount,
+    Connections,
+    HostName,
+    Milliseconds,
+    Rank,
+    RequestRate,
+    WarmUpSeconds,
+    Weight,
+)
+from cassialever.platform.entry_limits import (
+    ColdMilliseconds,
+    Slots,
+    UnixMilliseconds,
+    is_name,
+    is_target_name,
+)
 from cassialever.types import (
     MS_PER_SECOND,
     DataCentreId,
@@ -45,32 +64,32 @@
 
 class _Split(msgspec.Struct):
     upstream: str
-    weight: float
+    weight: Weight
 
 
 class _Route(msgspec.Struct):
-    hostname: str
+    hostname: HostName
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 0
-    attempts: int = 1
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds
+    priority: Rank = 0
+    attempts: Attempts = 1
     # A route names either one service or a weighted list of them.
     upstream: str | None = None
     traffic_split: list[_Split] | None = None
 
 
 class _Service(msgspec.Struct):
-    max_connections: int = 100
-    warmup_s: float = 0
-    warmup_per_s: float = 0
+    max_connections: Connections = 100
+    warmup_s: WarmUpSeconds = 0
+    warmup_per_s: RequestRate = 0
     # Whether the service is divided by key.
     sharded: bool = False
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int
+    max_body_bytes: ByteCount
 
 
 class _Configuration(msgspec.Struct):
@@ -84,12 +103,12 @@
     # The service's name. The `version` beside it is the software's.
     upstream: str
     zone: str
-    capacity: int
+    capacity: Slots
 
 
 class _TargetStatus(msgspec.Struct):
     state: str
-    warmup_left_ms: float = 0
+    warmup_left_ms: ColdMilliseconds = 0
 
 
 class _Target(msgspec.Struct):
@@ -97,27 +116,25 @@
     info: _TargetInfo
     status: _TargetStatus
     # Start of the target's process, in Unix milliseconds.
-    born: int = 0
+    born: UnixMilliseconds = 0
 
 
 def decode_configuration(content: bytes) -> Configuration | Failure:
     """Decode the operators' configuration; one fault rejects it whole."""
-    try:
-        wire = msgspec.json.decode(content, type=_Configuration)
-    except msgspec.DecodeError as error:
-        return _invalid_entry(error)
+    wire = decode_json(content, _Configuration)
+    if isinstance(wire, Failure):
+        return wire
     version = _VERSION.fullmatch(wire.version)
     if version is None:
-        return Failure(
-            ErrorKind.catalogue_invalid,
-            f'version {wire.version!r} is not "r" and 1 to 18 digits',
-        )
-    try:
-        routes = tuple(
+        text = shortened(wire.version)
+        return _invalid(f'version {text!r} is not "r" and 1 to 18 digits')
+    routes = attempt(
+        lambda: tuple(
             _decode_route(name, wire.routes[name]) for name in wire.routes
         )
-    except ValueError as error:
-        return _invalid_entry(error)
+    )
+    if isinstance(routes, Failure):
+        return routes
     return Configuration(
         version=ConfigurationVersion(int(version.group(1))),
         routes=routes,
@@ -136,19 +153,19 @@
 
     Unless `host` is empty, it replaces the host in the entry's address.
     """
-    try:
-        wire = msgspec.json.decode(content, type=_Target)
-    except msgspec.DecodeError as error:
-        return _invalid_entry(error)
-    if not _is_address(wire.address) or wire.info.capacity < 1:
-        return _invalid_entry(
-            ValueError('address is not IPv4:port, or capacity is below 1')
-        )
+    if not is_target_name(target_id):
+        return _invalid('no header can carry the name')
+    wire = decode_json(content, _Target)
+    if isinstance(wire, Failure):
+        return wire
+    if not _is_address(wire.address):
+        return _invalid('the address is not IPv4:port')
+    if not is_name(wire.info.upstream) or not is_name(wire.info.zone):
+        return _invalid('the service or the zone is no name')
     port = wire.address.rpartition(':')[2]
-    try:
-        state = TargetState(wire.status.state)
-    except ValueError as unknown_state:
-        return _invalid_entry(unknown_state)
+    state = attempt(lambda: TargetState(wire.status.state))
+    if isinstance(state, Failure):
+        return state
     return Target(
         target_id=TargetId(target_id),
         service=ServiceName(wire.info.upstream),
@@ -218,5 +235,5 @@
     )
 
 
-def _invalid_entry(error: Exception) -> Failure:
-    return Failure(ErrorKind.catalogue_invalid, f'invalid entry: {error}')
+def _invalid(reason: str) -> Failure:
+    return Failure(ErrorKind.catalogue_invalid, reason)
--- a/cassialever/platform/rows.py
+++ b/cassialever/platform/rows.py
@@ -1,19 +1,23 @@
 """Encode calls to the platform's row store and decode its answers."""
 
 import base64
-import binascii
-from typing import Any, Final, TypeAlias
+from typing import Annotated, Any, Final, TypeAlias
 
 import msgspec
 
+from cassialever.decoding import attempt, decode_json
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.model import StoreRow
+from cassialever.platform.entry_limits import MAX_INTEGER
 from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
 
 COMMIT_PATH: Final = '/cassialever/rows-tx'
 READ_PATH: Final = '/cassialever/rows-get'
 CHANGES_PATH: Final = '/cassialever/rows-feed'
 
+#: Latest time of the store's clock, in milliseconds: in 30,000 years.
+MAX_CLOCK_MS: Final = 1e15
+
 
 class Precondition(msgspec.Struct, frozen=True):
     """The version that a row must have; 0 if it must not exist."""
@@ -71,17 +75,21 @@
 _Body: TypeAlias = dict[str, list[dict[str, Any]]]
 
 
+_Version: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Clock: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLOCK_MS)]
+
+
 class _Row(msgspec.Struct):
     table: str
     key: str
-    ver: int
+    ver: _Version
     value: str | None = None
     removed: bool = False
 
 
 class _Answer(msgspec.Struct):
-    ver: int = 0
-    now_ms: float = 0
+    ver: _Version = 0
+    now_ms: _Clock = 0
     rows: list[_Row] = []
     has_more: bool = False
 
@@ -143,13 +151,11 @@
 
 
 def _decode_answer(body: bytes) -> _Answer | Failure:
-    try:
-        return msgspec.json.decode(body, type=_Answer)
-    except msgspec.DecodeError as error:
-        return Failure(
-            ErrorKind.table_unavailable,
-            f'the store sent a malformed answer: {error}',
-        )
+    answer = decode_json(body, _Answer, ErrorKind.table_unavailable)
+    if isinstance(answer, Failure):
+        reason = f'the store sent a malformed answer: {answer.reason}'
+        return Failure(answer.kind, reason)
+    return answer
 
 
 def _decode_row(row: _Row) -> StoreRow:
@@ -160,7 +166,5 @@
 def _decode_content(encoded: str | None) -> bytes:
     # Invalid base64 decodes to empty content. No reader accepts that, so it
     # is logged where the meaning of the row is known.
-    try:
-        return base64.b64decode(encoded or '', validate=True)
-    except (binascii.Error, ValueError):
-        return b''
+    content = attempt(lambda: base64.b64decode(encoded or '', validate=True))
+    return b'' if isinstance(content, Failure) else content
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -2,9 +2,17 @@
 
 import random
 import unittest
+from typing import Any
+from unittest import mock
 
+import logbook
+import msgspec
+
+from cassialever.fleet.entry_faults import LOG_PERIOD, MAX_LINES
 from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
 from cassialever.fleet.row_replica import MAX_REMOVALS, RowReplica
+from cassialever.fleet.view import Leadership
+from cassialever.platform import records
 from tests.fleet_helpers import (
     CONFIGURATION,
     ManualClock,
@@ -157,6 +165,131 @@
         self.assertIn('t9', self.view.targets.by_id)
         self.assertEqual(self.view.rejected_count, 1)
 
+    def test_fault_of_the_program_costs_one_row(self) -> None:
+        """It ended the daemon, or it followed the table no more."""
+        decode = records.decode_target
+
+        def fail_once(name: str, *rest: Any) -> Any:
+            if name == 't1':
+                raise KeyError('a fault' * 100)
+            return decode(name, *rest)
+
+        rows = [
+            json_row('servers', name, target_entry(), 42)
+            for name in ('t1', 't9')
+        ]
+        log = logbook.TestHandler()
+        with (
+            log.threadbound(),
+            mock.patch.object(records, 'decode_target', fail_once),
+        ):
+            self.view.apply('servers', rows, 42)
+        self.assertEqual(set(self.view.targets.by_id), {'t0', 't2', 't9'})
+        self.assertEqual(self.view.faults.failed_count, 1)
+        self.assertEqual(self.view.rejected_count, 0)
+        self.assertEqual(self.view.rows.version_by_table['servers'], 42)
+        lines = [one.message for one in log.records if '512' in one.message]
+        self.assertEqual(len(lines), 1)
+        self.assertLess(len(lines[0]), 300)
+        # The next version of the entry is applied.
+        self.view.apply(
+            'servers', [json_row('servers', 't1', target_entry(), 43)], 43
+        )
+        self.assertIn('t1', self.view.targets.by_id)
+
+    def test_key_maps_out_of_range_are_rejected(self) -> None:
+        """Keys were looked up in them, and a leader inherited them."""
+        owner = ('t0', 1000, 1)
+        sound = KeyMap('registry', (KeyRange(0, 65535, *owner),))
+        self.apply_key_map(sound, 50)
+        for version, ranges in enumerate(
+            (
+                (KeyRange(0, 65536, *owner),),
+                (KeyRange(-1, 65535, *owner),),
+                (KeyRange(9, 3, *owner),),
+                (KeyRange(0, 9, *owner), KeyRange(9, 65535, *owner)),
+                (KeyRange(10, 65535, *owner), KeyRange(0, 9, *owner)),
+                (KeyRange(0, 65535, 't0', 1000, -1),),
+                (KeyRange(0, 65535, 't0', 1000, 2**63),),
+                (KeyRange(0, 65535, 't0', -1, 1),),
+                (KeyRange(0, 65535, 't' * 201, 1000, 1),),
+                (KeyRange(0, 65535, 't0', 1000, 1, 'h' * 10_000),),
+            ),
+            start=51,
+        ):
+            with self.subTest(ranges=str(ranges)[:80]):
+                rejected = self.view.rejected_count
+                self.apply_key_map(KeyMap('registry', ranges), version)
+                self.assertEqual(self.view.rejected_count, rejected + 1)
+                self.assertEqual(
+                    self.view.keys_by_service['registry'].key_map, sound
+                )
+
+    def test_key_map_of_another_service_is_rejected(self) -> None:
+        """It replaced the map of the service that it names."""
+        key_map = KeyMap('issuance', (KeyRange(0, 65535, 't0', 1000, 1),))
+        self.apply_key_map(key_map, 50)
+        self.assertEqual(self.view.rejected_count, 1)
+        self.assertEqual(self.view.keys_by_service, {})
+
+    def test_leader_without_an_address_is_rejected(self) -> None:
+        """Connecting to it raised ValueError, which ended the daemon."""
+        addresses = ('', 'edge-1', ':1', 'edge-1:0', '10.0.0.1:70000', 'a b:1')
+        for version, address in enumerate(addresses, start=50):
+            content = msgspec.msgpack.encode(Leadership('edge-1', address, 1))
+            row = StoreRow('cassialever', 'leader', content, version)
+            self.view.apply('cassialever', [row], version)
+            with self.subTest(address=address):
+                self.assertEqual(self.view.rejected_count, version - 49)
+                self.assertIsNone(self.view.leader)
+
+    def apply_key_map(self, key_map: KeyMap, version: int) -> None:
+        content = msgspec.msgpack.encode(key_map)
+        row = StoreRow('cassialever', 'keys/registry', content, version)
+        self.view.apply('cassialever', [row], version)
+
+    def test_many_invalid_entries_are_logged_seldom(self) -> None:
+        """Each was a line of the log, however many another writer left."""
+        log = logbook.TestHandler()
+        with log.threadbound():
+            for version in range(50, 1050):
+                row = StoreRow('servers', 'odd', b'x', version)
+                self.view.apply('servers', [row], version)
+            self.assertEqual(len(log.records), MAX_LINES)
+            self.clock.now += LOG_PERIOD
+            row = StoreRow('servers', 'odd', b'x', 2000)
+            self.view.apply('servers', [row], 2000)
+        self.assertEqual(self.view.rejected_count, 1001)
+        self.assertEqual(
+            log.records[-1].extra['fields']['unlogged'], 1000 - MAX_LINES
+        )
+
+    def test_deeply_nested_row_costs_no_other_row(self) -> None:
+        """One row of any table stopped all that came with it and after it."""
+        nested = b'{"x":' + b'[' * 1000 + b']' * 1000 + b'}'
+        packed = b'\x93\xa8registry\x90' + b'\x91' * 1000 + b'\xc0'
+        leader = (
+            b'\x84\xabinstance_id\xa1e\xa7address\xa3a:1\xabincarnation\x01'
+            b'\xa1x' + b'\x91' * 1000 + b'\xc0'
+        )
+        for version, (table, name, content) in enumerate(
+            (
+                ('servers', 'nested', nested),
+                ('op', 'config', nested),
+                ('cassialever', 'leader', leader),
+                ('cassialever', 'keys/registry', packed),
+            ),
+            start=42,
+        ):
+            self.view.apply(
+                table, [StoreRow(table, name, content, version)], version
+            )
+            self.assertEqual(self.view.rejected_count, version - 41)
+        row = json_row('servers', 't9', target_entry(), 50)
+        self.view.apply('servers', [row], 50)
+        self.assertEqual(set(self.view.targets.by_id), {'t0', 't1', 't2', 't9'})
+        self.assertIsNotNone(self.view.configuration)
+
     def test_target_with_an_unreadable_entry_is_removed(self) -> None:
         self.view.apply('servers', [StoreRow('servers', 't0', b'x', 43)], 43)
         self.assertNotIn('t0', self.view.targets.by_id)
