Take a refusal that names no target for one by another target

Cause: a call about keys that named its target and was refused with 421 counted as answered by another one only if the answer said which. Without it the owner counted as refusing: its keys waited for their hold to end, and call after call went to the wrong process.

Change: 421 to such a call means another target, unless the answer names the one that was called. Answers to callers' requests are not concerned: there it may mean a key that is not held.

Measured: tests/test_keys_lives.py, test_refusal_without_an_id_says_that_another_answered, which failed before (`refused` in place of `ended`); the stand-in can leave the name out.

--- a/cassialever/platform/identity.py
+++ b/cassialever/platform/identity.py
@@ -19,9 +19,13 @@
     }
 
 
-def names_another_target(
+def is_refused_by_another(
     status: int, headers: Mapping[str, str], target_id: TargetId
 ) -> bool:
-    """Return whether an answer says that another target has the address."""
-    answering = headers.get(_ANSWERING_TARGET, target_id)
-    return status == HTTPStatus.MISDIRECTED_REQUEST and answering != target_id
+    """Return whether a call about keys was refused by another target.
+
+    Targets refuse such a call in this way only if it names another one, and
+    need not say which they are.
+    """
+    is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+    return is_misdirected and headers.get(_ANSWERING_TARGET) != target_id
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -17,7 +17,7 @@
 from cassialever.platform import wire
 from cassialever.platform.identity import (
     call_headers,
-    names_another_target,
+    is_refused_by_another,
 )
 from cassialever.platform.known_connections import (
     NoKnownConnectionError,
@@ -220,6 +220,6 @@
         return CallResult(CallOutcome.done, wire.handover_of(response.headers))
     if response.status == HTTPStatus.CONFLICT:
         return CallResult(CallOutcome.outdated, reason=reason)
-    if names_another_target(response.status, response.headers, owner):
+    if is_refused_by_another(response.status, response.headers, owner):
         return CallResult(CallOutcome.ended, reason=reason)
     return CallResult(CallOutcome.refused, reason=reason)
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -248,7 +248,7 @@
 
     async def _handle_grant(self, request: web.Request) -> web.Response:
         if _names_another(request, self.target_id):
-            return _misdirected(request, self.target_id)
+            return _misdirected_call(request, self)
         call = msgspec.json.decode(await request.read())
         until = time.monotonic() + call['hold_ms'] / 1000
         requested = Grant(call['from'], call['target'], call['fence'], until)
@@ -258,7 +258,7 @@
 
     async def _handle_release(self, request: web.Request) -> web.Response:
         if _names_another(request, self.target_id):
-            return _misdirected(request, self.target_id)
+            return _misdirected_call(request, self)
         call = msgspec.json.decode(await request.read())
         self.keys.remove_range(call['from'], call['target'])
         return self._call_response(request, {'Handover': 'h'})
@@ -352,6 +352,14 @@
     return request.headers.get('Expect-Instance', target_id) != target_id
 
 
+def _misdirected_call(
+    request: web.Request, target: TargetServer
+) -> web.Response:
+    if target.faults.hides_id:
+        return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
+    return _misdirected(request, target.target_id)
+
+
 def _misdirected(request: web.Request, target_id: str) -> web.Response:
     return web.Response(
         status=HTTPStatus.MISDIRECTED_REQUEST,
--- a/standins/spoiled_answers.py
+++ b/standins/spoiled_answers.py
@@ -19,6 +19,9 @@
         self._refused_by_connection: WeakKeyDictionary[object, str] = (
             WeakKeyDictionary()
         )
+        #: Refuse calls about keys that name another target without saying
+        #: which target this one is.
+        self.hides_id = False
 
     def note_refused(self, request: web.Request, request_id: str) -> None:
         """Remember a request that is refused on its connection."""
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -13,6 +13,7 @@
 from cassialever.keys.assignments import GRANT_RENEWAL_INTERVAL
 from cassialever.keys.lives import EndedLives
 from cassialever.platform.records import decode_target
+from cassialever.platform.identity import is_refused_by_another
 from cassialever.platform.processes import (
     MIN_CONNECTION_AGE,
     TargetProcesses,
@@ -219,12 +220,18 @@
 
     async def test_calls_for_another_target_are_not_carried_out(self) -> None:
         # The process at the address took keys that were granted to another.
-        target = TargetServer('next')
-        await target.start()
-        self.addAsyncCleanup(target.stop)
-        client = TargetClient()
-        await client.start()
-        self.addAsyncCleanup(client.stop)
+        await self.check_calls_for_another_target(hides_id=False)
+
+    async def test_refusal_without_an_id_says_that_another_answered(
+        self,
+    ) -> None:
+        # It was taken for a refusal of the owner, and call after call followed.
+        await self.check_calls_for_another_target(hides_id=True)
+
+    async def check_calls_for_another_target(self, *, hides_id: bool) -> None:
+        target = await self.started('next')
+        target.faults.hides_id = hides_id
+        client = await self.client()
         keys = KeyRange(0, 99, 'ended', 1000, 7)
         granted = await client.grant(target.address, keys, 2.3)
         self.assertFalse(target.holds(50))
@@ -236,6 +243,11 @@
         self.assertTrue(target.holds(50))
         self.assertIs(released.outcome, CallOutcome.ended)
 
+    def test_refusal_by_the_target_itself(self) -> None:
+        headers = {'Instance-Id': 't1'}
+        self.assertFalse(is_refused_by_another(421, headers, TargetId('t1')))
+        self.assertFalse(is_refused_by_another(409, {}, TargetId('t1')))
+
     async def test_next_life_is_not_called_with_the_fence_of_the_earlier(
         self,
     ) -> None:
