--- a/standins/spoiled_answers.py
+++ b/standins/spoiled_answers.py
@@ -15,12 +15,13 @@
         self.repeats_refusals = False
         #: Number of answers to break off within their head.
         self.cut_heads_left = 0
-        #: Refuse calls about keys for another target without the own id.
-        self.hides_id = False
         #: The last request that was refused on each connection.
         self._refused_by_connection: WeakKeyDictionary[object, str] = (
             WeakKeyDictionary()
         )
+        #: Refuse calls about keys that name another target without saying
+        #: which target this one is.
+        self.hides_id = False
 
     def note_refused(self, request: web.Request, request_id: str) -> None:
         """Remember a request that is refused on its connection."""
