Answer 404 beside changes of targets that are under way

A request without a route waited 0.3 s and got a 503 while any table of the daemon was behind. Targets change several times a second in a release, so that daemons on slow links lack one of those changes all the time. Only a version of the configuration that is lacking makes a 404 wait now.

test_unknown_route_is_final_by_the_newest_tables_only tells both apart.

--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -88,6 +88,7 @@
             max(now - self._unconfirmed_since, 0),
             self.behind_for(),
             self._can_catch_up,
+            self._view.tables[0] in self._claims.behind(),
         )
 
     def behind_for(self) -> Seconds:
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -66,7 +66,7 @@
         """
         self._target_host = target_host
         self._row_handler = row_handler or PlatformRowHandler()
-        #: All tables that are followed.
+        #: All tables that are followed, the configuration's first.
         self.tables = (
             self._row_handler.table,
             records.TARGET_TABLE,
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -23,7 +23,7 @@
     POLL_INTERVAL,
     Knowledge,
     Verdict,
-    is_newest,
+    is_newest_configuration,
     judge,
 )
 from cassialever.types import Seconds
@@ -95,7 +95,9 @@
         """
         routed = route_request(self._view, request, host, received_at)
         ends_at = self._clock.monotonic() + MAX_ROUTE_WAIT
-        while _is_without_route(routed) and not is_newest(self.knowledge()):
+        while _is_without_route(routed) and not is_newest_configuration(
+            self.knowledge()
+        ):
             if self._clock.monotonic() >= ends_at:
                 return outdated()
             await asyncio.sleep(POLL_INTERVAL)
--- a/cassialever/policy/freshness.py
+++ b/cassialever/policy/freshness.py
@@ -52,6 +52,8 @@
     behind_for: Seconds = 0
     #: Whether another daemon or the store may still give the newer version.
     can_catch_up: bool = True
+    #: Whether a version of the configuration is among those that are lacking.
+    lacks_configuration: bool = False
 
 
 def judge(knowledge: Knowledge) -> Verdict:
@@ -65,6 +67,8 @@
     return Verdict.current
 
 
-def is_newest(knowledge: Knowledge) -> bool:
-    """Return whether no newer version is known, nor likely."""
-    return knowledge.behind_for == 0 and knowledge.age <= MAX_UNCONFIRMED_AGE
+def is_newest_configuration(knowledge: Knowledge) -> bool:
+    """Return whether no newer configuration is known, nor likely."""
+    if knowledge.lacks_configuration:
+        return False
+    return knowledge.age <= MAX_UNCONFIRMED_AGE
