Count a target without a latency as one of the fastest

A target that a daemon has not used yet got none of 400 requests while the others had rested for 0.5 or 1.5 s, 1 after 3 s and 40 after 6 s, where a quarter is its share of four. The usual latency was the lowest one, mixed with 0.15 s by its age; known latencies were then mixed with that once more, and were below it by up to a third, which is more than the jitter of a quarter.

An unused target now counts with the lowest of the mixed ones. The new test, on a clock set by hand, failed in 4 of 5 cases and passes.

This was found where a target gets no request after the pause it asked for.

--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -351,18 +351,23 @@
         remote_cost = REMOTE_COST_REQUESTS
         if request.kind is RequestKind.download:
             remote_cost = REMOTE_DOWNLOAD_COST_REQUESTS
-        # A target without a known latency counts as one of the fastest.
-        latencies = [
-            self._loads.of(target.target_id).average_latency(
-                now, DEFAULT_LATENCY
+        loads = [self._loads.of(target.target_id) for target in targets]
+        usual = min(
+            load.average_latency(now, DEFAULT_LATENCY) for load in loads
+        )
+        # A target without a known latency counts as one of the fastest; known
+        # latencies converge to the usual one, and are below it until then.
+        fastest = min(load.average_latency(now, usual) for load in loads)
+        costs = [
+            self._cost(
+                target,
+                remote_cost,
+                usual if load.was_used else fastest,
+                now,
             )
-            for target in targets
+            for target, load in zip(targets, loads, strict=True)
         ]
-        usual = min(latencies)
-        return min(
-            targets,
-            key=lambda target: self._cost(target, remote_cost, usual, now),
-        )
+        return targets[costs.index(min(costs))]
 
     def _cost(
         self,
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -148,6 +148,20 @@
             self.loads.of(name).record_unreachable(self.clock.now)
         self.assertEqual(set(self.choice_counts(20)), {'t3'})
 
+    def test_unused_target_shares_requests_with_a_rested_one(self) -> None:
+        """It got none while the others had not answered for 0.5 to 2 s."""
+        for number in range(3):
+            for _ in range(15):
+                load = self.loads.of(f't{number}')
+                load.record_success(0.05, 1.0, self.clock.now)
+        for rest in (0.0, 0.5, 1.5, 3.0, 6.0):
+            self.clock.now += rest
+            with self.subTest(rest=rest):
+                counts = self.choice_counts(400)
+                self.assertGreater(counts.get('t3', 0), 60)
+                self.assertLess(counts.get('t3', 0), 140)
+            self.clock.now -= rest
+
     def test_new_target_is_tried(self) -> None:
         # A target without a known latency got no request all day (seen on
         # scale-2 of the second deployment).
