Show that a request which crashes its targets is sent to them again and again

Callers saw it as a service that loses a target every few seconds: one request that ends each target that runs it came again, at any daemon, and each daemon also retried it at a second target at once.

The stand-in target can now end on a path: it drops all connections without an answer, refuses new ones, and comes back after some seconds at its address under another id and start.

--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from standins.crashes import CrashPlan
 from standins.listening import Listener
 from standins.spoiled_answers import SpoiledAnswers
 
@@ -137,6 +138,8 @@
         self.overflow_count = 0
         #: Number of requests whose callers disconnected before the answer.
         self.cancelled_count = 0
+        #: The path that crashes this target, if one does.
+        self.crash_plan: CrashPlan | None = None
         self._slot_semaphore = asyncio.Semaphore(slots)
 
     def is_full(self) -> bool:
@@ -237,6 +240,25 @@
         self.born += 1
         self.keys.clear()
 
+    async def crash(self, plan: CrashPlan) -> None:
+        """End as a process does, and come back as another target.
+
+        It has another id and start time then, and the same address.
+        """
+        plan.note_crash()
+        port = int(self.address.rpartition(':')[2])
+        await self._listener.abort()
+        plan.on_end(self.target_id)
+        await asyncio.sleep(plan.down_time)
+        name, _, life = self.target_id.partition('+')
+        self.target_id = f'{name}+{int(life or 0) + 1}'
+        self.simulate_restart()
+        self.born = time.time_ns() // _NANOSECONDS_PER_MS
+        await self._listener.stop()
+        self._listener = Listener()
+        await self.start(port)
+        plan.on_return(self.target_id)
+
     def held_key_count(self) -> int:
         """Return approximately how many keys the target holds now."""
         held = [
@@ -252,21 +274,12 @@
         requested = Grant(call['from'], call['target'], call['fence'], until)
         if not self.keys.grant(requested):
             return web.Response(status=HTTPStatus.CONFLICT)
-        return self._call_response(request, {})
+        return _call_response(self.faults, request, {})
 
     async def _handle_release(self, request: web.Request) -> web.Response:
         call = msgspec.json.decode(await request.read())
         self.keys.remove_range(call['from'], call['target'])
-        return self._call_response(request, {'Handover': 'h'})
-
-    def _call_response(
-        self,
-        request: web.Request,
-        headers: dict[str, str],
-    ) -> web.Response:
-        if self.faults.drops_call_responses and request.transport is not None:
-            request.transport.abort()
-        return web.Response(headers=headers)
+        return _call_response(self.faults, request, {'Handover': 'h'})
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get('Attempt-Id', '')
@@ -282,7 +295,7 @@
             request.transport.abort()
             return web.Response()
         try:
-            await self._execute(request_id)
+            await self._execute(request)
         except asyncio.CancelledError:
             self.work.cancelled_count += 1
             raise
@@ -301,9 +314,16 @@
             return await _send_truncated(request, content, headers)
         return web.Response(body=content, headers=headers)
 
-    async def _execute(self, request_id: str) -> None:
+    async def _execute(self, request: web.Request) -> None:
         async with self.work.slot():
+            request_id = request.headers.get('Attempt-Id', '')
             self.executed_ids.append(request_id)
+            plan = self.work.crash_plan
+            if plan is not None and request.raw_path == plan.path:
+                plan.note_arrival(request_id, self.target_id)
+                await asyncio.sleep(plan.run_time)
+                plan.start(self.crash(plan))
+                await asyncio.sleep(plan.down_time)
             await asyncio.sleep(self.faults.service_time)
             while self.faults.is_frozen:
                 await asyncio.sleep(FROZEN_POLL_INTERVAL)
@@ -349,6 +369,14 @@
         )
 
 
+def _call_response(
+    faults: TargetFaults, request: web.Request, headers: dict[str, str]
+) -> web.Response:
+    if faults.drops_call_responses and request.transport is not None:
+        request.transport.abort()
+    return web.Response(headers=headers)
+
+
 def _stated_headers(faults: TargetFaults) -> dict[str, str]:
     """Return what the target says of itself in its answers."""
     stated = {}
--- a/standins/listening.py
+++ b/standins/listening.py
@@ -50,6 +50,20 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def abort(self) -> None:
+        """Close the server as the end of its process does.
+
+        New connections are refused, and the open ones are reset at once.
+        """
+        if self._runner is None:
+            return
+        for site in list(self._runner.sites):
+            await site.stop()
+        server = self._runner.server
+        for connection in list(server.connections) if server else ():
+            if connection.transport is not None:
+                connection.transport.abort()
+
 
 def free_ports(count: int) -> tuple[int, ...]:
     """Return free ports of the loopback interface.
