Stop sending requests that have crashed three targets

Cause: what is known of a request was kept with the attempt, not with what is repeated.

A request is now known by a hash of what is forwarded. Where a connection broke unanswered, the daemon connects once to the address: if that is refused, or the entry goes or names a later life, the life of the target has ended and the request is a suspect. Crashes are sets of lives, marked where an answer clears a request, so that reports merge in any order; they spread by a datagram of their own (messages of version 2), repeated and completed by anti-entropy. Suspects are not retried by the daemon and are sent alone; after three crashes 503 is answered with a Retry-After, as nothing was sent.

--- a/cassialever/callers/intake.py
+++ b/cassialever/callers/intake.py
@@ -18,6 +18,7 @@
 )
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.model import KEY_COUNT, KeyNumber
+from cassialever.gateway.sender import CALLER_HEADER
 from cassialever.telemetry.spans import (
     TRACEPARENT_HEADER,
     validated_traceparent,
@@ -32,7 +33,6 @@
     SliceIndex,
 )
 
-CALLER_HEADER: Final = 'X-Cassialever-Caller'
 DEADLINE_HEADER: Final = 'X-Cassialever-Deadline-Ms'
 REQUEST_ID_HEADER: Final = 'X-Cassialever-Request-Id'
 
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -53,6 +53,21 @@
         logbook.INFO,
         'A request is also passed on, since its path is down.',
     )
+    request_suspected = (
+        208,
+        logbook.NOTICE,
+        'A request was at work where a target crashed.',
+    )
+    request_quarantined = (
+        209,
+        logbook.WARNING,
+        'A request is sent to no target, since it crashed several.',
+    )
+    request_released = (
+        211,
+        logbook.NOTICE,
+        'A request that was quarantined may be sent again.',
+    )
 
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -15,8 +15,10 @@
 
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
+from cassialever.fleet.crash_reports import MAX_CRASH_REPORTS, CrashReport
 from cassialever.fleet.limit_reports import LimitReport
 from cassialever.fleet.message_version import (
+    CRASHES_VERSION,
     FIRST_VERSION,
     MESSAGE_VERSION,
     MessageVersion,
@@ -111,7 +113,19 @@
     asked_at: _Moment = 0
 
 
-Datagram: TypeAlias = OpenRequests | PermitRequest | Permits
+class CrashReports(_Versioned, frozen=True, array_like=True, tag=6):
+    """What a daemon knows of requests that crash targets."""
+
+    since: ClassVar[MessageVersion] = CRASHES_VERSION
+
+    instance_id: _Id
+    reports: Annotated[
+        tuple[CrashReport, ...], msgspec.Meta(max_length=MAX_CRASH_REPORTS)
+    ]
+    message_version: MessageVersion = FIRST_VERSION
+
+
+Datagram: TypeAlias = OpenRequests | PermitRequest | Permits | CrashReports
 #: Called with a datagram and the address of its sender.
 DatagramHandler: TypeAlias = Callable[[Any, str], None]
 
--- a/cassialever/fleet/message_version.py
+++ b/cassialever/fleet/message_version.py
@@ -10,6 +10,8 @@
 
 #: The version of a build that names none.
 FIRST_VERSION: Final = MessageVersion(0)
+#: The first version that reads reports of crashes.
+CRASHES_VERSION: Final = MessageVersion(2)
 #: The version that this build writes. It rises with each type that the build
 #: before doesn't know; a field at the end of a type needs no new version.
-MESSAGE_VERSION: Final = MessageVersion(1)
+MESSAGE_VERSION: Final = MessageVersion(2)
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -177,6 +177,10 @@
             Reading(
                 'datagrams_unsent', self.core.reachability.socket.unsent_count
             ),
+            Reading(
+                'requests_quarantined',
+                self.core.exchanges.crashes.quarantined_count(),
+            ),
             Reading('permits_issued', self.core.permits.issuer.issued_count),
             Reading('permits_denied', self.core.permits.issuer.denied_count),
         ]
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -150,6 +150,7 @@
         for work in (
             self._reachability.run(),
             self._limits.run(),
+            self._exchanges.crash_exchange.run(),
             self.membership.run(),
             self._report_keys(),
         ):
@@ -226,4 +227,6 @@
         self.forwarder.selector.subsets.prune(known)
         self.view.targets.limits.prune(known)
         self._permits.prune()
+        self._exchanges.crash_evidence.check_entries()
+        self._exchanges.crashes.prune()
         self._reachability.prune()
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from cassialever.events import Event, record
 from cassialever.fleet.model import Target
 from cassialever.gateway.counters import HopCounters
+from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.duplicates import DuplicateTry, MayDuplicate, never
 from cassialever.gateway.hop_client import HopClient
 from cassialever.gateway.outcomes import (
@@ -40,11 +41,14 @@
         hops: HopClient,
         reach: TargetReach,
         clock: SystemClock,
+        crashes: CrashGuard,
     ) -> None:
         self._sender = sender
         self._hops = hops
         self._reach = reach
         self._clock = clock
+        #: What is known of requests that crash targets.
+        self.crashes = crashes
         self.counters = HopCounters()
 
     async def send(
@@ -67,9 +71,13 @@
             attempt = await self._send_directly(
                 request, target, time_left, may_duplicate
             )
-        if not _is_unreached(attempt):
-            return attempt
-        return await self._pass_on(request, target, now + time_left, attempt)
+        if _is_unreached(attempt):
+            attempt = await self._pass_on(
+                request, target, now + time_left, attempt
+            )
+        if attempt.answer is not None:
+            self.crashes.record_answered(request, target, attempt.outcome, now)
+        return attempt
 
     def _goes_directly(
         self, request: TargetRequest, target: Target, now: Seconds
--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -5,6 +5,9 @@
 from cassialever.clock import SystemClock
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.carrying import CarryingPolicy
+from cassialever.gateway.crash_evidence import CrashEvidence
+from cassialever.gateway.crash_exchange import CrashExchange
+from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.dispatcher import TargetDispatcher
 from cassialever.gateway.hop_client import HopClient
 from cassialever.gateway.hop_server import HopServer
@@ -36,6 +39,20 @@
         self._sender.withdrawal_reason = functools.partial(
             withdrawal_reason, view
         )
+        self.crashes = CrashGuard(settings.instance.instance_id, clock)
+        self.crash_evidence = CrashEvidence(
+            self.crashes, view, clock, reachability.is_cut_off
+        )
+        self._sender.on_broken = self.crash_evidence.record_broken
+        self._sender.on_refused = self.crash_evidence.record_refused
+        self.crash_exchange = CrashExchange(
+            settings.instance.instance_id,
+            self.crashes,
+            reachability.socket,
+            clock,
+            # The peers are known to the reachability later than this.
+            lambda: reachability.peers(),  # noqa: WPS506
+        )
         self._hops = HopClient(
             settings,
             view,
@@ -44,7 +61,7 @@
             reachability.paths.connect_times,
         )
         self.dispatcher = TargetDispatcher(
-            self._sender, self._hops, self.reach, clock
+            self._sender, self._hops, self.reach, clock, self.crashes
         )
         policy = CarryingPolicy(
             settings.instance,
@@ -54,7 +71,9 @@
             self.dispatcher.counters,
             clock,
         )
-        self.hop_server = HopServer(settings, policy, self._sender)
+        self.hop_server = HopServer(
+            settings, policy, self._sender, self.crashes
+        )
         self.has_connection = self._sender.has_connection
         reachability.prober.on_down = self._sender.close_idle
         reachability.prober.connecting = self._sender.connecting
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -14,7 +14,12 @@
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.counters import Counters
 from cassialever.gateway.dispatcher import TargetDispatcher
-from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
+from cassialever.gateway.outcomes import (
+    Answer,
+    Attempt,
+    AttemptOutcome,
+    Withheld,
+)
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.stop_limit import StopLimit
@@ -37,6 +42,9 @@
 
 #: A request with less time left than this is not retried.
 MIN_RETRY_TIME: Final[Seconds] = 0.02
+#: Share of the objective that a request may wait for its trial, as long as for
+#: a target with a free slot.
+MAX_TRIAL_WAIT_SHARE: Final = 0.5
 #: How long callers that send no deadline are assumed to wait.
 DEFAULT_TIMEOUT: Final[Seconds] = 30.0
 
@@ -68,6 +76,8 @@
     kind: ErrorKind = ErrorKind.target_shed
     #: The only target that could have served it, if there is just one.
     target_id: TargetId | None = None
+    #: The fingerprint of a request that may crash its target.
+    fingerprint: str | None = None
 
 
 class _Placement(msgspec.Struct, frozen=True):
@@ -189,17 +199,26 @@
     async def _place_and_send(
         self, routed: RoutedRequest, service: ServiceName, progress: _Progress
     ) -> tuple[Target, Attempt] | Refusal:
-        """Choose a target and send, again if the choice was withdrawn."""
-        while True:
-            placed = await self._place(routed, service, progress.tried)
-            if isinstance(placed, Refusal):
-                return placed
-            attempt = await self._send(routed, placed, progress)
-            time_left = routed.deadline - self._clock.monotonic()
-            if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
-                return placed.target, attempt
-            # Nothing was sent, so this is not a retry.
-            progress.count -= 1
+        """Choose a target and send, again if the choice was withdrawn.
+
+        A request that may crash its target is sent alone.
+        """
+        max_wait = routed.route.objective * MAX_TRIAL_WAIT_SHARE
+        async with self._sender.crashes.alone(
+            routed.request, max_wait, self._time_left(routed)
+        ) as withheld:
+            if withheld is not None:
+                return _withheld(withheld)
+            while True:
+                placed = await self._place(routed, service, progress.tried)
+                if isinstance(placed, Refusal):
+                    return placed
+                attempt = await self._send(routed, placed, progress)
+                time_left = routed.deadline - self._clock.monotonic()
+                if not attempt.is_withdrawn or time_left < MIN_RETRY_TIME:
+                    return placed.target, attempt
+                # Nothing was sent, so this is not a retry.
+                progress.count -= 1
 
     async def _place(
         self,
@@ -328,6 +347,8 @@
         """
         if self.selector.needed_permit(target) is not None:
             return False
+        if self._sender.crashes.is_suspected(routed.request):
+            return False
         if not self._spend_attempt(routed, target.service, progress):
             return False
         progress.count += 1
@@ -344,6 +365,8 @@
         if last.outcome is not AttemptOutcome.not_run:
             if not routed.route.kind.is_idempotent:
                 return False
+            if self._sender.crashes.is_suspected(routed.request):
+                return False
         return self._spend_attempt(routed, service, progress)
 
     def _spend_attempt(
@@ -378,6 +401,7 @@
             reason=answer.sentence,
             waited=round(self._clock.monotonic() - routed.received_at, 3),
             retry_after=answer.retry_after,
+            fingerprint=answer.fingerprint,
             configuration=_version_of(self._view.configuration),
         )
         return answer
@@ -482,6 +506,18 @@
     )
 
 
+def _withheld(withheld: Withheld) -> Refusal:
+    """Return the refusal of a request that may crash its target."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        withheld.reason,
+        withheld.retry_after,
+        withheld.suspicion.name,
+        ErrorKind.no_target,
+        fingerprint=withheld.fingerprint,
+    )
+
+
 def _attempts_failed(reason: str) -> Refusal:
     return Refusal(
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -20,6 +20,7 @@
 from cassialever.gateway import hop_client
 from cassialever.gateway.carrying import CarryingPolicy
 from cassialever.gateway.connections import CallerListener
+from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.hop_messages import (
     HOP_HEADERS,
     HopOutcome,
@@ -65,10 +66,12 @@
         settings: GatewaySettings,
         policy: CarryingPolicy,
         sender: TargetSender,
+        crashes: CrashGuard,
     ) -> None:
         self._settings = settings
         self._policy = policy
         self._sender = sender
+        self._crashes = crashes
         self._clock = policy.clock
         self._listener = CallerListener(
             self._handle,
@@ -167,6 +170,10 @@
             body,
             send_before=self._policy.send_before(hop, target, arrived_at),
         )
+        if self._crashes.is_quarantined(target_request):
+            # The build before does not know the kind of an own refusal.
+            crashing = Failure(ErrorKind.no_target, 'it has crashed targets')
+            return self._refuse(request, hop, crashing)
         self._policy.count_carried()
         sent_at = self._clock.boot()
         try:
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from cassialever.errors import ErrorKind, Failure
-from cassialever.types import TargetId
+from cassialever.policy.crashes import Suspicion
+from cassialever.types import Seconds, TargetId
 
 
 class AttemptOutcome(enum.Enum):
@@ -60,6 +61,16 @@
         return f'the target answered {self.answer.status if self.answer else 0}'
 
 
+class Withheld(msgspec.Struct, frozen=True):
+    """Why a request that may crash its target is not sent now."""
+
+    suspicion: Suspicion
+    reason: str
+    retry_after: Seconds
+    #: The request's fingerprint, as it is written in logs.
+    fingerprint: str
+
+
 def unknown(
     reason: str,
     kind: ErrorKind = ErrorKind.outcome_unknown,
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -16,7 +16,7 @@
     contextmanager,
 )
 from contextvars import ContextVar
-from typing import Final
+from typing import Final, TypeAlias
 
 import aiohttp
 import msgspec
@@ -47,10 +47,12 @@
 from cassialever.policy.loads import LoadTracker, TargetLoad
 from cassialever.policy.paths import TargetPaths
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
-from cassialever.types import DataCentreId, Seconds, TargetId
+from cassialever.types import DataCentreId, Seconds
 
 #: How long an idle connection is kept; targets close theirs after 10 s.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 8.0
+#: Names the caller in the project's own interface.
+CALLER_HEADER: Final = 'X-Cassialever-Caller'
 #: The errors of a connection that could not be made.
 CONNECT_ERRORS: Final = (
     aiohttp.ClientConnectorError,
@@ -60,6 +62,10 @@
 EXCHANGE_ERRORS: Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
+#: Handles the end of a request's connection before its answer.
+BrokenHandler: TypeAlias = Callable[['TargetRequest', Target], Awaitable[None]]
+
+
 class WithdrawnError(aiohttp.ClientError):
     """Nothing was sent; the message is the reason."""
 
@@ -119,6 +125,11 @@
         #: Returns why a target may get no request, though it was chosen; an
         #: empty text if it may.
         self.withdrawal_reason: Callable[[Target], str] = _no_reason
+        #: Called with a request whose connection broke unanswered, before its
+        #: outcome is known.
+        self.on_broken: BrokenHandler = _ignore_broken
+        #: Called with a target that refused a connection.
+        self.on_refused: Callable[[Target], None] = _ignore_refused
         #: The request that the current task sends.
         self._sending: ContextVar[_Sending] = ContextVar('sending')
 
@@ -217,28 +228,30 @@
         is_short = connect_time < self._paths.connect_times.timeout
         self._paths.record_sent(target_id, request.request_id, sent_at)
         self._data_centre_by_address[target.address] = target.data_centre
+        is_answered = False
         try:
             async with self._open(
                 request, target, time_left, connect_time
             ) as response:
                 self._paths.unanswered.record_end(target_id, request.request_id)
                 self._paths.record_answer(target_id, self._clock.monotonic())
+                is_answered = True
                 yield response
         except CONNECT_ERRORS as error:
-            self._record_unconnected(
-                target_id, error, sent_at, is_short=is_short
-            )
+            self._record_unconnected(target, error, sent_at, is_short=is_short)
             raise
         except (asyncio.TimeoutError, WithdrawnError):
             raise
         except (aiohttp.ClientError, OSError):
-            self._record_broken(target)
+            await self._record_broken(request, target, is_answered)
             raise
         finally:
             self._paths.unanswered.record_end(target_id, request.request_id)
 
-    def _record_broken(self, target: Target) -> None:
-        """Record that a connection ended after it was made, unanswered."""
+    async def _record_broken(
+        self, request: TargetRequest, target: Target, is_answered: bool
+    ) -> None:
+        """Record that a connection ended before the end of an answer."""
         now = self._clock.monotonic()
         if self._session is not None:
             record_broken(self._session, target.address)
@@ -246,6 +259,8 @@
         self._paths.exchanges.record_broken(
             target.target_id, target.data_centre, now
         )
+        if not is_answered:
+            await self.on_broken(request, target)
 
     def _prepare(self, headers: MutableMapping[str, str]) -> None:
         """Set the time left of a request whose connection is made.
@@ -263,7 +278,7 @@
 
     def _record_unconnected(
         self,
-        target_id: TargetId,
+        target: Target,
         error: Exception,
         begun_at: Seconds,
         *,
@@ -273,11 +288,15 @@
 
         One that had less time than late links need is a reason to probe.
         """
+        target_id = target.target_id
         now = self._clock.monotonic()
         # A connection that was refused is evidence, however late.
         was_given_up = isinstance(error, aiohttp.ConnectionTimeoutError)
         if not was_given_up:
             self._paths.record_failure(target_id, now)
+            if isinstance(error, aiohttp.ClientConnectorError):
+                if isinstance(error.os_error, ConnectionRefusedError):
+                    self.on_refused(target)
             return
         if is_short:
             self._paths.direct.record_doubt(target_id, now)
@@ -395,6 +414,14 @@
     return ''
 
 
+async def _ignore_broken(request: TargetRequest, target: Target) -> None:
+    """Do nothing; the default until a handler is set."""
+
+
+def _ignore_refused(target: Target) -> None:
+    """Do nothing; the default until a handler is set."""
+
+
 def _headers(request: TargetRequest, target: Target) -> list[tuple[str, str]]:
     headers = wire.forwarded_headers(request.headers, target.target_id)
     if request.traceparent:
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -73,14 +73,16 @@
     ]
     if not request_lines:
         return RequestTimeline((), parsed.count(None))
-    times = [line.time for line in request_lines]
-    span = (min(times) - LOOKBACK, max(times) + LOOKAHEAD)
+    span = _span_of(request_lines)
     key = next((line.fields.get('key', -1) for line in request_lines), -1)
     targets = {line.fields.get('target') for line in request_lines} - {None}
+    fingerprints = {line.fields.get('fingerprint') for line in request_lines}
+    fingerprints.discard(None)
     relevant = [
         line
         for line in events
         if line.fields.get('request') == request_id
+        or line.fields.get('fingerprint') in fingerprints
         or (
             span[0] <= line.time <= span[1]
             and _may_be_cause(line, key, targets)
@@ -93,6 +95,12 @@
     return RequestTimeline(steps, parsed.count(None))
 
 
+def _span_of(request_lines: list[EventLine]) -> tuple[Seconds, Seconds]:
+    """Return the time in which other events may have affected a request."""
+    times = [line.time for line in request_lines]
+    return min(times) - LOOKBACK, max(times) + LOOKAHEAD
+
+
 def describe(line: EventLine) -> str:
     """Return a description of a line."""
     template = _TEMPLATE_BY_EVENT.get(line.name)
@@ -179,6 +187,17 @@
         'target_paused': (
             'target {target} asked this daemon for a pause of {seconds} s'
         ),
+        'request_suspected': (
+            'target {target} crashed while request content {fingerprint} was at'
+            ' work there: {reason}'
+        ),
+        'request_quarantined': (
+            'request content {fingerprint} was at work at several crashes, and'
+            ' is sent to no target (learned from {learned_from})'
+        ),
+        'request_released': (
+            'request content {fingerprint} may be sent again: {reason}'
+        ),
         'leader_taken': 'this daemon became leader',
         'leader_lost': 'this daemon lost leadership',
         'table_unavailable': 'table {table} of the store did not answer',
@@ -194,6 +213,7 @@
         'target_limit_changed',
         'target_leaving',
         'target_paused',
+        'request_suspected',
     ),
 )
 #: Events that may affect any request.
--- a/tests/replay_helpers.py
+++ b/tests/replay_helpers.py
@@ -21,6 +21,7 @@
 from cassialever.fleet.model import Target
 from cassialever.fleet.permits import PermitExchange
 from cassialever.fleet.view import FleetView
+from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.duplicates import MayDuplicate, never
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import (
@@ -137,6 +138,7 @@
         super().__init__(loads, limits, paths, simulation.clock)
         self.simulation = simulation
         self.tracker = loads
+        self.crashes = CrashGuard('edge', simulation.clock)
         self.limits = limits
 
     async def send(
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -12,6 +12,7 @@
 
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import RequestKind, Target
+from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.duplicates import MayDuplicate
 from cassialever.gateway.forwarder import Forwarder, Refusal, RoutedRequest
 from cassialever.gateway.outcomes import (
@@ -106,6 +107,7 @@
             names = [f'i{number}' for number in range(targets)]
             add_targets(view, names, 'issuance')
             sender = ScriptedSender(script, duplicates_wanted)
+            sender.crashes = CrashGuard('edge-1', clock)
             forwarder = Forwarder(
                 make_settings('127.0.0.1:9', (1, 2, 3)),
                 view,
--- a/tests/test_tool_platform.py
+++ b/tests/test_tool_platform.py
@@ -124,6 +124,24 @@
             ],
         )
 
+    def test_request_that_crashes_targets(self) -> None:
+        """A quarantine explains a refusal, however long ago it began."""
+        logs = (
+            '{"time": 1.0, "instance": "edge-2", "event": 209,'
+            ' "name": "request_quarantined", "fingerprint": "0f",'
+            ' "learned_from": "edge-3"}',
+            '{"time": 2.0, "instance": "edge-2", "event": 209,'
+            ' "name": "request_quarantined", "fingerprint": "0e",'
+            ' "learned_from": "edge-3"}',
+            '{"time": 99.0, "instance": "edge-2", "event": 201,'
+            ' "name": "request_refused", "request": "b", "status": 503,'
+            ' "fingerprint": "0f", "reason": "it was at work where t1, t2, t3'
+            ' crashed", "retry_after": 600.0}',
+        )
+        timeline = build_timeline(read_lines(logs), 'b')
+        self.assertEqual([step.time for step in timeline.steps], [1.0, 99.0])
+        self.assertIn('at several crashes', timeline.steps[0].sentence)
+
     def test_unknown_request(self) -> None:
         self.assertEqual(build_timeline(read_lines(LOGS), 'nobody').steps, ())
 
