--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 of them, the helper. This is one attempt at that target, whichever way it takes.
 """
 
+import asyncio
 from collections.abc import Container
 from typing import Final
 
@@ -28,6 +29,9 @@
 
 #: Helpers that are asked, one after another, in one attempt.
 MAX_HELPERS: Final = 2
+#: How much later than its reply a helper's report of a crash may be read, by
+#: which a request is not sent again.
+REPORT_DELAY: Final[Seconds] = 0.06
 #: A request with less time left than this is not passed on.
 MIN_HOP_TIME: Final[Seconds] = 0.01
 
@@ -159,6 +163,8 @@
         attempt = await self._sender.record_exchange(
             target, self._hops.exchange(request, target, helper, time_left)
         )
+        if request.is_idempotent and _was_broken(attempt):
+            await asyncio.sleep(REPORT_DELAY)
         if attempt.is_helper_failure:
             self._record_helper_failure(request, target, helper, attempt)
         else:
@@ -219,6 +225,13 @@
     return kind is ErrorKind.target_unreachable
 
 
+def _was_broken(attempt: Attempt) -> bool:
+    """Return whether a target ended an exchange that a helper had begun."""
+    if attempt.is_helper_failure or attempt.failure is None:
+        return False
+    return attempt.failure.kind is ErrorKind.outcome_unknown
+
+
 def _was_refused(attempt: Attempt) -> bool:
     """Return whether a helper did not send a request to its target."""
     return (
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,6 +11,7 @@
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import CONFIGURATION, Deployment, deployment, until
 from tests.gateway_helpers import send_request
+from tests.hop_helpers import helper_of, set_paths
 
 #: Time after which each daemon in touch knows of a third crash, in seconds.
 STABLE_TIME = 3.0
@@ -138,6 +139,16 @@
         self.assertEqual(status, 502)
         self.assertEqual(len(plan.crashed_at), 1)
 
+    async def test_crash_at_a_helper_is_not_followed_by_a_retry(self) -> None:
+        """The daemon that passed it on sent it to a second target at once."""
+        plan = CrashPlan(CRASHING_PATH)
+        async with crashing_deployment(plan, 2, 6) as system:
+            cut_off, helper = system.gateways
+            set_paths(cut_off, helper_of(helper))
+            response = await send_request(cut_off, CRASHING_PATH, READ_HEADERS)
+        self.assertEqual(response.status, 502)
+        self.assertEqual(len(plan.crashed_at), 1)
+
     async def test_sound_requests_are_served_beside_it(self) -> None:
         """Each crash took requests along, as long as it was repeated."""
         plan = CrashPlan(CRASHING_PATH)
