Check in the soak that a request which crashes targets is soon sent no more

After the other bounds, the daemons get a request every 0.2 s for 12 s that ends each target which runs it; the targets come back under their ids. Proxies stand between, which accept connections to a target that has ended, so that crashes are known by removed entries here. At most three sends may be later than 3 s after the third crash, and none may crash a target that was answered with 503 or 429.

Builds beside each other are not checked, since an earlier one sends on.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults that a soak test injects, chosen at random from its seed."""
 
 import asyncio
+import itertools
 import pathlib
 import random
 import signal
@@ -11,6 +12,7 @@
 
 from soak.fleet import CUTTING_MODES, DaemonProcess, SoakFleet
 from soak.proxy import ProxyMode
+from standins.crashes import CrashPlan
 from standins.keyed_target import TargetServer
 from tests.replay_helpers import (
     LIMIT_STABLE_TIME,
@@ -59,6 +61,22 @@
 CALM_DURATION = 3.0
 
 
+#: A request that crashes the targets of a service: how long and how often it is
+#: sent, how long they are away, and when their entries go, in seconds.
+CRASHING_SERVICE = 'issuance'
+CRASHING_PATH = '/issue/fatal'
+CRASHING_DURATION = 12.0
+CRASHING_INTERVAL = 0.2
+CRASH_DURATION = 2.0
+ENTRY_DURATION = 1.0
+#: Crashes until it is sent no more, and sends that may follow.
+MAX_CRASHES = 3
+#: Statuses that promise that a request has not run.
+NOT_RUN_STATUSES = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
+
+
 #: The daemons that are replaced at the same time by those of another build, as
 #: a part of all.
 REPLACED_PART = 1 / 4
@@ -125,6 +143,8 @@
         await asyncio.gather(
             *map(self._check_limited_target, by_service.values()),
         )
+        if len(set(self._fleet.checkouts)) == 1:
+            await self._check_crashing_request()
 
     def _log_event(self, event: str) -> None:
         now = asyncio.get_running_loop().time()
@@ -346,6 +366,63 @@
                 f' beyond its limit of {limit} a second'
             )
 
+    async def _check_crashing_request(self) -> None:
+        """Check that a request which crashes targets is soon sent no more."""
+        loop = asyncio.get_running_loop()
+        by_id = {
+            one.target_id: one
+            for one in self._fleet.targets
+            if one.service == CRASHING_SERVICE
+        }
+        plan = CrashPlan(CRASHING_PATH, down_time=CRASH_DURATION, keeps_id=True)
+        plan.on_end = lambda name: loop.call_later(
+            ENTRY_DURATION, self._fleet.store.delete, 'servers', name
+        )
+        plan.on_return = lambda name: self._fleet.publish_target(by_id[name])
+        for target in by_id.values():
+            target.work.crash_plan = plan
+        ends_at = loop.time() + CRASHING_DURATION
+        not_run: set[str] = set()
+        for number in itertools.count():
+            if loop.time() >= ends_at:
+                break
+            request_id = f'crash-{number}'
+            if await self._send_crashing(request_id) in NOT_RUN_STATUSES:
+                not_run.add(request_id)
+            await asyncio.sleep(CRASHING_INTERVAL)
+        later = plan.sends_after(MAX_CRASHES, CALM_DURATION)
+        self._log_event(
+            f'{number} requests crashed {len(plan.crashed_at)} targets, {later}'
+            f' sends over {CALM_DURATION:g} s after the third'
+        )
+        if later > MAX_CRASHES:
+            self.violations.append(
+                f'a request was sent {later} times after three crashes'
+            )
+        ran = {arrival.request_id for arrival in plan.arrivals}
+        for request_id in not_run & ran:
+            self.violations.append(f'{request_id} crashed a target, and 503')
+        await asyncio.sleep(CRASH_DURATION)
+        await plan.stop()
+
+    async def _send_crashing(self, request_id: str) -> int | None:
+        """Send the request to some daemon; return the status, if any."""
+        daemon = self._choose_daemon()
+        headers = {
+            'Host': f'{CRASHING_SERVICE}.example',
+            'Attempt-Id': request_id,
+            'Deadline-Ms': '1000',
+        }
+        async with aiohttp.ClientSession() as session:
+            try:
+                async with session.get(
+                    f'{daemon.url}{CRASHING_PATH}', headers=headers
+                ) as response:
+                    return response.status
+            except aiohttp.ClientError as error:
+                self.violations.append(f'{daemon.name}: {error!r}')
+        return None
+
     async def _check_added_route(self) -> None:
         """Check that a route of a large configuration is in force in time."""
         host = self._fleet.add_routes(ADDED_ROUTES)
--- a/standins/crashes.py
+++ b/standins/crashes.py
@@ -25,14 +25,17 @@
         *,
         run_time: float = 0.05,
         down_time: float = 1.5,
+        keeps_id: bool = False,
     ) -> None:
         """Crash each target `run_time` after it began to run the path.
 
-        It is back after `down_time`; times are in seconds.
+        It is back after `down_time`, under another id unless it keeps its own;
+        times are in seconds.
         """
         self.path = path
         self.run_time = run_time
         self.down_time = down_time
+        self.keeps_id = keeps_id
         self.arrivals: list[Arrival] = []
         #: When each target ended, in monotonic seconds.
         self.crashed_at: list[float] = []
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -241,17 +241,18 @@
         self.keys.clear()
 
     async def crash(self, plan: CrashPlan) -> None:
-        """End as a process does, and come back as another target.
+        """End as a process does, and come back later at the same address.
 
-        It has another id and start time then, and the same address.
+        It has another start time then, and mostly another id.
         """
         plan.note_crash()
         port = int(self.address.rpartition(':')[2])
         await self._listener.abort()
         plan.on_end(self.target_id)
         await asyncio.sleep(plan.down_time)
-        name, _, life = self.target_id.partition('+')
-        self.target_id = f'{name}+{int(life or 0) + 1}'
+        if not plan.keeps_id:
+            name, _, life = self.target_id.partition('+')
+            self.target_id = f'{name}+{int(life or 0) + 1}'
         self.simulate_restart()
         self.born = time.time_ns() // _NANOSECONDS_PER_MS
         await self._listener.stop()
