Read crash reports of builds with other limits

What a daemon rejects in a report followed from what it sends itself: another retention or size in the next build would have had it reject whole datagrams. It reads more than it writes now; merging keeps to its own limits.

--- a/cassialever/fleet/crash_reports.py
+++ b/cassialever/fleet/crash_reports.py
@@ -9,23 +9,27 @@
 
 from cassialever.fleet.model import StartedAt
 from cassialever.policy.crashes import (
-    MAX_CRASHES,
-    RETENTION,
     CrashRecord,
     Fingerprint,
     TargetLife,
 )
-from cassialever.policy.trials import MAX_TRIAL_TIME
 from cassialever.types import Seconds, TargetId
 
 #: Reports in one datagram, so that it fits into one packet.
 MAX_CRASH_REPORTS: Final = 8
+#: Most reports that are read in one, and most lives in a report. Another build
+#: may send more than this one.
+MAX_READ_REPORTS: Final = 64
+MAX_LIVES: Final = 64
 #: Longest id of a target in a report.
 MAX_ID_LENGTH: Final = 255
+#: Longest age in a report, and longest claim.
+MAX_AGE: Final[Seconds] = 86400.0
+MAX_CLAIM: Final[Seconds] = 60.0
 
 # Numbers and lengths out of range are rejected with the datagram.
-_Age: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=RETENTION)]
-_Claim: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_TRIAL_TIME)]
+_Age: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE)]
+_Claim: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLAIM)]
 
 
 class LifeReport(msgspec.Struct, frozen=True, array_like=True):
@@ -44,9 +48,7 @@
     """
 
     fingerprint: int
-    lives: Annotated[
-        tuple[LifeReport, ...], msgspec.Meta(max_length=MAX_CRASHES)
-    ]
+    lives: Annotated[tuple[LifeReport, ...], msgspec.Meta(max_length=MAX_LIVES)]
     seen_age: _Age
     claimed_for: _Claim = 0
 
@@ -59,9 +61,9 @@
         LifeReport(life.target_id, life.started_at, is_cleared)
         for life, is_cleared in known.is_cleared_by_life.items()
     )
-    seen_age = min(max(now - known.seen_at, 0), RETENTION)
+    seen_age = min(max(now - known.seen_at, 0), MAX_AGE)
     return CrashReport(
-        known.fingerprint, lives, seen_age, min(claimed_for, MAX_TRIAL_TIME)
+        known.fingerprint, lives, seen_age, min(claimed_for, MAX_CLAIM)
     )
 
 
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -15,7 +15,7 @@
 
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
-from cassialever.fleet.crash_reports import MAX_CRASH_REPORTS, CrashReport
+from cassialever.fleet.crash_reports import MAX_READ_REPORTS, CrashReport
 from cassialever.fleet.limit_reports import LimitReport
 from cassialever.fleet.message_version import (
     CRASHES_VERSION,
@@ -120,7 +120,7 @@
 
     instance_id: _Id
     reports: Annotated[
-        tuple[CrashReport, ...], msgspec.Meta(max_length=MAX_CRASH_REPORTS)
+        tuple[CrashReport, ...], msgspec.Meta(max_length=MAX_READ_REPORTS)
     ]
     message_version: MessageVersion = FIRST_VERSION
 
