Take no second broken connection of a live target as a crash

A target that had been taken for crashed and then answered was known as ended all the same, so that any other connection that broke there counted as a crash at once, for as long as a request of that crash was remembered. Reports without a crash are not kept.

--- a/cassialever/gateway/crash_evidence.py
+++ b/cassialever/gateway/crash_evidence.py
@@ -58,10 +58,9 @@
             return
         if not self._view.targets.is_usable(known):
             return
-        self._guard.pending.add(
-            fingerprint(request), life, self._clock.monotonic()
-        )
-        if self._guard.memory.has_ended(life):
+        now = self._clock.monotonic()
+        self._guard.pending.add(fingerprint(request), life, now)
+        if self._guard.memory.has_just_ended(life, now):
             self._confirm(life, 'others were at work there when it ended')
         elif await self.is_refused(target.address):
             self.record_refused(target)
--- a/cassialever/policy/crashes.py
+++ b/cassialever/policy/crashes.py
@@ -149,9 +149,13 @@
         known = self._record_by_fingerprint.get(fingerprint)
         return Suspicion.none if known is None else known.suspicion
 
-    def has_ended(self, life: TargetLife) -> bool:
-        """Return whether a life is known to have ended by a crash."""
-        return life in self._known_at_by_life
+    def has_just_ended(self, life: TargetLife, now: Seconds) -> bool:
+        """Return whether a life has become known to have ended by a crash.
+
+        Exchanges there break at about the same time.
+        """
+        known_at = self._known_at_by_life.get(life, -math.inf)
+        return now - known_at < REFUTATION_TIME
 
     def record_coming(self, fingerprint: Fingerprint, now: Seconds) -> None:
         """Keep a request for longer, since it has come again."""
@@ -167,6 +171,8 @@
         known = self._record_by_fingerprint.get(fingerprint)
         if known is None and now - reported.seen_at >= RETENTION:
             return False
+        if known is None and not reported.is_cleared_by_life:
+            return False
         before = known or CrashRecord(fingerprint, {}, -math.inf)
         if reported.seen_at <= before.seen_at + RENEWAL_MARGIN:
             reported = msgspec.structs.replace(reported, seen_at=before.seen_at)
@@ -204,6 +210,7 @@
             return []
         if now - known_at > REFUTATION_TIME:
             return []
+        self._known_at_by_life[life] = -math.inf
         return [
             record.fingerprint
             for record in self.records()
