Send a popular request once more after many targets ended at once

Callers of content that many ask for would have been refused for ten minutes, or for as long as it is asked for, after a data centre lost three targets of a service in one moment: it was at work at three crashes, and as it was sent no more, no answer could clear it.

A request is quarantined now only if it was sent alone at one of its crashes. Content that crashes its targets is sent alone from its first crash on, so that nothing changes for it unless three copies were under way at first; then it is sent once more, of the three sends that may follow.

Measured: ten daemons in virtual time, all eight targets end under 40 requests of the same content; it is refused with the rule taken out, and served once they are back.

--- a/cassialever/fleet/crash_reports.py
+++ b/cassialever/fleet/crash_reports.py
@@ -33,11 +33,15 @@
 
 
 class LifeReport(msgspec.Struct, frozen=True, array_like=True):
-    """A life that ended, and whether the request is cleared of that."""
+    """A life that ended, with what is known of the request's part in that.
+
+    It may be cleared of it, and it may have been sent alone then.
+    """
 
     target_id: Annotated[str, msgspec.Meta(max_length=MAX_ID_LENGTH)]
     started_at: int
     is_cleared: bool
+    was_alone: bool = False
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
@@ -58,7 +62,9 @@
 ) -> CrashReport:
     """Return the report on a request; `now` is this daemon's clock."""
     lives = tuple(
-        LifeReport(life.target_id, life.started_at, is_cleared)
+        LifeReport(
+            life.target_id, life.started_at, is_cleared, life in known.alone
+        )
         for life, is_cleared in known.is_cleared_by_life.items()
     )
     seen_age = min(max(now - known.seen_at, 0), MAX_AGE)
@@ -69,12 +75,16 @@
 
 def read_report(report: CrashReport, now: Seconds) -> CrashRecord:
     """Return the record of a report, in this daemon's time."""
-    lives = {
-        TargetLife(
-            StartedAt(one.started_at), TargetId(one.target_id)
-        ): one.is_cleared
-        for one in report.lives
-    }
+    lives = {}
+    alone = set()
+    for one in report.lives:
+        life = TargetLife(StartedAt(one.started_at), TargetId(one.target_id))
+        lives[life] = one.is_cleared
+        if one.was_alone:
+            alone.add(life)
     return CrashRecord(
-        Fingerprint(report.fingerprint), lives, now - report.seen_age
+        Fingerprint(report.fingerprint),
+        lives,
+        now - report.seen_age,
+        frozenset(alone),
     )
--- a/cassialever/gateway/crash_evidence.py
+++ b/cassialever/gateway/crash_evidence.py
@@ -59,7 +59,13 @@
         if not self._view.targets.is_usable(known):
             return
         now = self._clock.monotonic()
-        self._guard.pending.add(fingerprint(request), life, now)
+        one = fingerprint(request)
+        self._guard.pending.add(
+            one,
+            life,
+            now,
+            was_alone=self._guard.trials.is_claimed(one, now),
+        )
         if self._guard.memory.has_just_ended(life, now):
             self._confirm(life, 'others were at work there when it ended')
         elif await self.is_refused(target.address):
--- a/cassialever/gateway/crash_guard.py
+++ b/cassialever/gateway/crash_guard.py
@@ -126,7 +126,12 @@
     ) -> None:
         """Take a request as suspect that was at work where a target ended."""
         before = self.memory.suspicion_of(one)
-        if not self.memory.record_crash(one, life, self._clock.monotonic()):
+        if not self.memory.record_crash(
+            one,
+            life,
+            self._clock.monotonic(),
+            was_alone=self.pending.was_alone(one, life),
+        ):
             return
         record(
             Event.request_suspected,
--- a/cassialever/policy/crashes.py
+++ b/cassialever/policy/crashes.py
@@ -63,22 +63,25 @@
     """What is known of a request; it decides how it may be sent."""
 
     none = 'none'
-    #: It was at one or two crashes, and is sent alone.
+    #: It was at a crash, and is sent alone.
     suspect = 'suspect'
-    #: It was at QUARANTINE_CRASHES crashes, and is not sent.
+    #: It was at QUARANTINE_CRASHES crashes, at one of them alone, and is not
+    #: sent.
     quarantined = 'quarantined'
 
 
 class CrashRecord(msgspec.Struct, frozen=True):
     """The crashes at which a request was at work.
 
-    `is_cleared_by_life` tells of each whether another cause is known, and
-    `seen_at` when the request last came.
+    `is_cleared_by_life` tells of each whether another cause is known, `alone`
+    has those at which no other request of the same content was sent, and
+    `seen_at` is when the request last came.
     """
 
     fingerprint: Fingerprint
     is_cleared_by_life: Mapping[TargetLife, bool]
     seen_at: Seconds
+    alone: frozenset[TargetLife] = frozenset()
 
     @property
     def crashes(self) -> list[TargetLife]:
@@ -88,11 +91,18 @@
 
     @property
     def suspicion(self) -> Suspicion:
-        """Return what follows from the crashes."""
-        count = len(self.crashes)
-        if count >= QUARANTINE_CRASHES:
-            return Suspicion.quarantined
-        return Suspicion.suspect if count else Suspicion.none
+        """Return what follows from the crashes.
+
+        Content that many ask for is at work at several targets that end at the
+        same time. One that is sent alone after that shows whether it is sound.
+        """
+        crashes = self.crashes
+        if not crashes:
+            return Suspicion.none
+        if len(crashes) < QUARANTINE_CRASHES:
+            return Suspicion.suspect
+        was_alone = not self.alone.isdisjoint(crashes)
+        return Suspicion.quarantined if was_alone else Suspicion.suspect
 
     def merge(self, other: 'CrashRecord') -> 'CrashRecord':
         """Return what two records of the same request together say."""
@@ -104,11 +114,15 @@
             self.fingerprint,
             {one: merged[one] for one in latest},
             max(self.seen_at, other.seen_at),
+            (self.alone | other.alone).intersection(latest),
         )
 
     def has_same_crashes(self, other: 'CrashRecord') -> bool:
         """Return whether another record names the same crashes."""
-        return self.is_cleared_by_life == other.is_cleared_by_life
+        return (
+            self.is_cleared_by_life == other.is_cleared_by_life
+            and self.alone == other.alone
+        )
 
 
 def fingerprint_request(
@@ -184,10 +198,18 @@
         return not merged.has_same_crashes(before)
 
     def record_crash(
-        self, fingerprint: Fingerprint, life: TargetLife, now: Seconds
+        self,
+        fingerprint: Fingerprint,
+        life: TargetLife,
+        now: Seconds,
+        *,
+        was_alone: bool = False,
     ) -> bool:
         """Record a request that was at work where a target crashed."""
-        return self.merge(CrashRecord(fingerprint, {life: False}, now), now)
+        alone = frozenset((life,)) if was_alone else frozenset()
+        return self.merge(
+            CrashRecord(fingerprint, {life: False}, now, alone), now
+        )
 
     def record_answer(self, fingerprint: Fingerprint, now: Seconds) -> bool:
         """Clear a request that a target has served; return whether it was."""
@@ -258,14 +280,27 @@
         self._broken_at_by_life: dict[
             TargetLife, dict[Fingerprint, Seconds]
         ] = {}
+        #: The requests of these that were sent alone.
+        self._alone: set[tuple[Fingerprint, TargetLife]] = set()
 
     def add(
-        self, fingerprint: Fingerprint, life: TargetLife, now: Seconds
+        self,
+        fingerprint: Fingerprint,
+        life: TargetLife,
+        now: Seconds,
+        *,
+        was_alone: bool = False,
     ) -> None:
         """Note that a request was at work where a connection broke."""
-        if sum(map(len, self._broken_at_by_life.values())) < MAX_PENDING:
-            broken = self._broken_at_by_life.setdefault(life, {})
-            broken[fingerprint] = now
+        if sum(map(len, self._broken_at_by_life.values())) >= MAX_PENDING:
+            return
+        self._broken_at_by_life.setdefault(life, {})[fingerprint] = now
+        if was_alone:
+            self._alone.add((fingerprint, life))
+
+    def was_alone(self, fingerprint: Fingerprint, life: TargetLife) -> bool:
+        """Return whether a request was sent alone when it broke."""
+        return (fingerprint, life) in self._alone
 
     def lives(self) -> list[TargetLife]:
         """Return the lives that may have ended."""
@@ -288,6 +323,11 @@
 
     def prune(self, now: Seconds) -> None:
         """Forget what was not confirmed in time."""
+        self._alone = {
+            (one, life)
+            for one, life in self._alone
+            if one in self._broken_at_by_life.get(life, {})
+        }
         for life, broken in list(self._broken_at_by_life.items()):
             if now - max(broken.values()) >= CONFIRMATION_TIME:
                 self._broken_at_by_life.pop(life)
--- a/cassialever/policy/trials.py
+++ b/cassialever/policy/trials.py
@@ -36,6 +36,10 @@
         self._put(fingerprint, self._own, duration, now)
         return True
 
+    def is_claimed(self, fingerprint: Fingerprint, now: Seconds) -> bool:
+        """Return whether a daemon has a claim to the trial of a request."""
+        return bool(self._claimants(fingerprint, now))
+
     def holds(self, fingerprint: Fingerprint, now: Seconds) -> bool:
         """Return whether the own claim goes before all others."""
         claimants = self._claimants(fingerprint, now)
--- a/tests/test_crash_replays.py
+++ b/tests/test_crash_replays.py
@@ -335,6 +335,8 @@
                     seen_by.record_crash(
                         Fingerprint(100 * number + other), life, 'a test'
                     )
+                now = simulation.loop.time()
+                seen_by.pending.add(one, life, now, was_alone=number > 0)
                 seen_by.record_crash(one, life, 'a test')
             start = simulation.loop.time()
             while any(
@@ -453,6 +455,24 @@
         for guard in simulation.guards:
             self.assertFalse(guard.is_quarantined(popular))
 
+    def test_popular_request_is_served_after_many_targets_end(self) -> None:
+        """One content was at work at all targets of a data centre."""
+        answers: list[Refusal | int] = []
+
+        async def scenario(simulation: CrashSimulation) -> None:
+            calls = [simulation.call('/issue/popular', n) for n in range(40)]
+            first = asyncio.gather(*calls)
+            await asyncio.sleep(0.02)
+            for target in list(simulation.targets.values()):
+                simulation.crash(target)
+            assert 200 not in await first
+            await asyncio.sleep(DOWN_TIME + 0.5)
+            answers.append(await simulation.call('/issue/popular', 99))
+            answers.append(await simulation.call('/issue/popular', 100))
+
+        self.play(10, 0, scenario)
+        self.assertEqual(answers, [200, 200])
+
     def test_retries_stay_within_the_budget(self) -> None:
         """A full target ends each second, with all that is at work there."""
         answers: list[Refusal | int] = []
