--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -155,6 +155,7 @@
         for work in (
             self._reachability.run(),
             self._limits.run(),
+            self._exchanges.crash_exchange.run(),
             self.membership.run(),
             self._reachability.catch_up.run(),
             self._report_keys(),
@@ -232,4 +233,6 @@
         self.forwarder.selector.subsets.prune(known)
         self.view.targets.limits.prune(known)
         self._permits.prune()
+        self._exchanges.crash_evidence.check_entries()
+        self._exchanges.crashes.prune()
         self._reachability.prune()
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 of them, the helper. This is one attempt at that target, whichever way it takes.
 """
 
+import asyncio
 from collections.abc import Container
 from typing import Final
 
@@ -12,6 +13,7 @@
 from cassialever.events import Event, record
 from cassialever.fleet.model import Target
 from cassialever.gateway.counters import HopCounters
+from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.duplicates import DuplicateTry, MayDuplicate, never
 from cassialever.gateway.hop_client import HopClient
 from cassialever.gateway.outcomes import (
@@ -27,6 +29,9 @@
 
 #: Helpers that are asked, one after another, in one attempt.
 MAX_HELPERS: Final = 2
+#: How much later than its reply a helper's report of a crash may be read, by
+#: which a request is not sent again.
+REPORT_DELAY: Final[Seconds] = 0.06
 #: A request with less time left than this is not passed on.
 MIN_HOP_TIME: Final[Seconds] = 0.01
 
@@ -40,11 +45,14 @@
         hops: HopClient,
         reach: TargetReach,
         clock: SystemClock,
+        crashes: CrashGuard,
     ) -> None:
         self._sender = sender
         self._hops = hops
         self._reach = reach
         self._clock = clock
+        #: What is known of requests that crash targets.
+        self.crashes = crashes
         self.counters = HopCounters()
 
     async def send(
@@ -67,9 +75,13 @@
             attempt = await self._send_directly(
                 request, target, time_left, may_duplicate
             )
-        if not _is_unreached(attempt):
-            return attempt
-        return await self._pass_on(request, target, now + time_left, attempt)
+        if _is_unreached(attempt):
+            attempt = await self._pass_on(
+                request, target, now + time_left, attempt
+            )
+        if attempt.answer is not None:
+            self.crashes.record_answered(request, target, attempt.outcome, now)
+        return attempt
 
     def _goes_directly(
         self, request: TargetRequest, target: Target, now: Seconds
@@ -154,6 +166,8 @@
         attempt = await self._sender.record_exchange(
             target, self._hops.exchange(request, target, helper, time_left)
         )
+        if request.is_idempotent and _was_broken(attempt):
+            await asyncio.sleep(REPORT_DELAY)
         if attempt.is_helper_failure:
             self._record_helper_failure(request, target, helper, attempt)
         else:
@@ -214,6 +228,13 @@
     return kind is ErrorKind.target_unreachable
 
 
+def _was_broken(attempt: Attempt) -> bool:
+    """Return whether a target ended an exchange that a helper had begun."""
+    if attempt.is_helper_failure or attempt.failure is None:
+        return False
+    return attempt.failure.kind is ErrorKind.outcome_unknown
+
+
 def _was_refused(attempt: Attempt) -> bool:
     """Return whether a helper did not send a request to its target."""
     return (
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeAlias
 
 import msgspec
 
@@ -20,9 +20,9 @@
     final_answer,
     no_target,
     stopping,
+    withheld,
 )
 from cassialever.gateway.routing import RoutedRequest, Router
-from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.stop_limit import StopLimit
 from cassialever.interfaces import RandomSource
@@ -43,6 +43,9 @@
 
 #: A request with less time left than this is not retried.
 MIN_RETRY_TIME: Final[Seconds] = 0.02
+#: Share of the objective that a request may wait for its trial, as long as for
+#: a target with a free slot.
+MAX_TRIAL_WAIT_SHARE: Final = 0.5
 
 
 class _Placement(msgspec.Struct, frozen=True):
@@ -53,6 +56,10 @@
     decision: Decision
 
 
+#: A request as it was routed last, its placement, and how it ended.
+_Sent: TypeAlias = tuple[RoutedRequest, _Placement, Attempt]
+
+
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
 
@@ -107,15 +114,6 @@
         #: Returns the age of this daemon's tables.
         self.tables_age: Callable[[], Seconds] = float
 
-    async def route_request(
-        self,
-        request: TargetRequest,
-        host: str,
-        received_at: Seconds,
-    ) -> RoutedRequest | Refusal:
-        """Find the route of a request, or refuse it if there is none."""
-        return await self.router.find(request, host, received_at)
-
     async def serve(self, routed: RoutedRequest) -> Answer | Refusal:
         """Send a request, with retries, and return its final answer."""
         progress = _Progress(self._choose_service(routed))
@@ -152,7 +150,19 @@
 
     async def _place_and_send(
         self, routed: RoutedRequest, progress: _Progress
-    ) -> tuple[RoutedRequest, _Placement, Attempt] | Refusal:
+    ) -> _Sent | Refusal:
+        """Choose a target and send a request, alone if it may crash it."""
+        max_wait = routed.route.objective * MAX_TRIAL_WAIT_SHARE
+        async with self._sender.crashes.alone(
+            routed.request, max_wait, self._time_left(routed)
+        ) as reason:
+            if reason is not None:
+                return withheld(reason)
+            return await self._place_until_sent(routed, progress)
+
+    async def _place_until_sent(
+        self, routed: RoutedRequest, progress: _Progress
+    ) -> _Sent | Refusal:
         """Choose a target and send, again if the choice was withdrawn.
 
         Return the request as it was routed last.
@@ -307,6 +317,8 @@
         """
         if self.selector.needed_permit(target) is not None:
             return False
+        if self._sender.crashes.is_suspected(routed.request):
+            return False
         if not self._spend_attempt(routed, target.service, progress):
             return False
         progress.count += 1
@@ -319,6 +331,8 @@
         if last.outcome is not AttemptOutcome.not_run:
             if not routed.route.kind.is_idempotent:
                 return False
+            if self._sender.crashes.is_suspected(routed.request):
+                return False
         return self._spend_attempt(routed, progress.service, progress)
 
     def _spend_attempt(
@@ -353,6 +367,7 @@
             reason=answer.sentence,
             waited=round(self._clock.monotonic() - routed.received_at, 3),
             retry_after=answer.retry_after,
+            fingerprint=answer.fingerprint,
             configuration=version_of(self._view.configuration),
             tables_age=round(self.tables_age(), 3),
         )
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -126,7 +126,7 @@
             headers=request.headers,
             body=await _body(request),
         )
-        routed = await self._forwarder.route_request(
+        routed = await self._forwarder.router.find(
             target_request, host, received_at
         )
         if isinstance(routed, Refusal):
--- a/cassialever/gateway/refusals.py
+++ b/cassialever/gateway/refusals.py
@@ -6,7 +6,12 @@
 
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import Target
-from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
+from cassialever.gateway.outcomes import (
+    Answer,
+    Attempt,
+    AttemptOutcome,
+    Withheld,
+)
 from cassialever.policy import refusal
 from cassialever.types import Seconds, TargetId
 
@@ -25,6 +30,8 @@
     kind: ErrorKind = ErrorKind.target_shed
     #: The only target that could have served it, if there is just one.
     target_id: TargetId | None = None
+    #: The fingerprint of a request that may crash its target.
+    fingerprint: str | None = None
 
 
 def no_configuration() -> Refusal:
@@ -119,3 +126,15 @@
     if kind is ErrorKind.deadline_passed:
         status = HTTPStatus.GATEWAY_TIMEOUT
     return Refusal(status, last.reason, kind=ErrorKind.outcome_unknown)
+
+
+def withheld(reason: Withheld) -> Refusal:
+    """Refuse a request that may crash its target."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        reason.reason,
+        reason.retry_after,
+        reason.suspicion.name,
+        ErrorKind.no_target,
+        fingerprint=reason.fingerprint,
+    )
