Take no accepted connection for a sign of life of an owner

Cause: a probe noted that the owner lives once its address accepted a connection. Whichever process has the address accepts it, so that the next grant to an owner that was gone lasted longer than its silence allows, and its keys waited for that.

Change: a probe tells of the path alone; only answers to calls, which name the owner, are signs of life. An owner without one gets a short grant first, as after any silence.

--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -128,13 +128,14 @@
             self.pending_owners.discard(owner)
 
     async def probe(self, owner: TargetId) -> bool:
-        """Return whether a connection to a target can be made."""
+        """Return whether a connection to a target can be made.
+
+        It shows the path to the address, not which process has that.
+        """
         called = self.reported(owner)
-        sent_at = self._clock.boot()
         if called is not None and await self._target_client.can_connect(
             called.address
         ):
-            self._signs.record(owner, sent_at)
             self._probe_at_by_id.pop(owner, None)
             self.paths.direct.record_probe_success(
                 owner, self._clock.monotonic()
--- a/cassialever/keys/signs.py
+++ b/cassialever/keys/signs.py
@@ -7,7 +7,7 @@
 
 
 class SignsOfLife:
-    """The answers of targets to the calls and probes of one leader.
+    """The answers of targets to the calls of one leader.
 
     A target that answered was alive after the call was sent.
     """
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -184,6 +184,28 @@
         self.check_each(scenario)
 
 
+class ProbeTest(unittest.TestCase):
+    """What a connection to the address of an owner shows."""
+
+    def test_accepted_connection_is_no_sign_of_life(self) -> None:
+        # Whoever has the address accepts it: the next grant was too long.
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed=1)
+            leader = await _settled_leader(world)
+            context = leader.assigner._context
+            assert context is not None
+            granter = context.granter
+            silence = granter._signs.silence_of(TargetId('t1'))
+            world.replace_target(ADDRESS, 'next')
+            self.assertTrue(await granter.probe(TargetId('t1')))
+            self.assertGreater(
+                granter._signs.silence_of(TargetId('t1')), silence
+            )
+            leader.kill()
+
+        run_virtually(main)
+
+
 class EndedLivesTest(unittest.TestCase):
     """What follows from the answer of another target at an address."""
 
