Show that a late copy of a refusal ends the next target at an address

The test fails: the next owner that is called there is taken for ended, while it holds the keys that it was granted.

--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -346,6 +346,40 @@
 class _Socket:
     """A connection."""
 
+    async def test_late_copy_of_a_refusal_ends_no_other_target(self) -> None:
+        # The next target at the address was taken for ended, and holds keys.
+        server = await asyncio.start_server(_repeat_refusals, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        client = TargetClient()
+        await client.start()
+        self.addAsyncCleanup(client.stop)
+        host, port = server.sockets[0].getsockname()
+        outcomes = []
+        for owner in ('ended', 'next'):
+            keys = KeyRange(0, 99, owner, 1000, 7)
+            granted = await client.grant(f'{host}:{port}', keys, 2.3)
+            outcomes.append(granted.outcome)
+        self.assertEqual(outcomes, [CallOutcome.ended, CallOutcome.done])
+
+
+async def _repeat_refusals(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer each call as `next`, and copy a refusal into the next answer."""
+    refusal = b'HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n'
+    copied = b''
+    try:
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            await reader.readuntil(b'}')
+            writer.write(copied)
+            copied = b'' if b'Expect-Instance: next' in head else refusal
+            accepted = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+            writer.write(copied or accepted)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
 
 if __name__ == '__main__':
     unittest.main()
