Use no connection again on which a call about keys was refused with 421

What callers see: two targets with the same keys, if a target sends an answer twice. The copy of a refusal for an earlier target is read as the answer to the next grant on the connection, which the target has carried out. Its keys then count as free.

Cause: answers to calls about keys have no id, and connections are kept.

Evidence: the test reads `ended` for a grant that was accepted.

Why it works: a copy can only follow on the connection of its answer. The connection is closed before it is in use again.

Measured: tests.test_keys_lives, the test failed before and passes now.

--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -26,6 +26,7 @@
 )
 from cassialever.platform.processes import TargetProcess, TargetProcesses
 from cassialever.platform.sessions import (
+    close_connection,
     idle_connections,
     open_idle,
     open_session,
@@ -149,7 +150,12 @@
                     timeout=_CONNECT_LIMIT,
                 ) as response,
             ):
-                await response.read()
+                if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+                    # Answers bear no id: a late copy of this one would end the
+                    # owner that is called next.
+                    close_connection(response)
+                else:
+                    await response.read()
                 result = _call_result(response, owner)
         except NoKnownConnectionError as none_open:
             return CallResult(CallOutcome.unproven, reason=repr(none_open))
