--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -5,7 +5,11 @@
 import unittest
 from typing import Any
 
+import msgspec
+
 from cassialever.fleet.view import ignore_changes
+from cassialever.gateway.routing import route_request
+from cassialever.gateway.sender import TargetRequest
 from cassialever.policy.freshness import Knowledge
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import (
@@ -158,6 +162,27 @@
             router.knowledge = Knowledge
             self.assertEqual((await sending).status, 200)
 
+    async def test_request_that_waited_is_not_refused_unconfirmed(self) -> None:
+        """It got a 503 that told of newer tables, of which none were known."""
+        async with deployment(keyed=1) as system:
+            gateway = system.gateways[0]
+            await until(lambda: len(gateway.view.targets.by_id) == 2)
+            router = gateway.core.forwarder.router
+            routed = route_request(
+                gateway.view,
+                TargetRequest('a1', 'GET', '/issue/', ISSUE_HEADERS, b''),
+                ISSUE_HEADERS['Host'],
+                gateway.core.clock.monotonic(),
+            )
+            waited = msgspec.structs.replace(
+                routed, received_at=routed.received_at - routed.route.objective
+            )
+            router.knowledge = lambda: Knowledge(age=2.1, unconfirmed_for=0.05)
+            asking = asyncio.create_task(router.find_again(waited))
+            await asyncio.sleep(0.05)
+            router.knowledge = lambda: Knowledge(age=2.2, unconfirmed_for=0.11)
+            self.assertIs(await asking, waited)
+
     async def test_request_placed_before_the_notice_is_not_sent(self) -> None:
         """The daemon hears of newer tables while the request connects."""
         async with deployment(keyed=1) as system:
