Refuse requests only for newer tables that are known

What callers see: a 503 that tells of newer tables while the store is slow or away, for requests that have waited for half of their objective (retries, keys that move), though the daemon goes on within 0.1 s.

Cause: both states that hold a request up ended at the same limit.

Evidence: the test gets the refusal with tables that can't be confirmed.

Why it works: the look for a confirmation ends after MAX_CONFIRMATION_WAIT by itself; only the wait for newer tables needs a limit.

Measured: tests.test_route_changes, the test failed before and passes now.

--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -109,16 +109,20 @@
     ) -> RoutedRequest | Refusal:
         """Find the route of a request anew if it has changed.
 
-        While newer tables are under way the request waits for them.
+        While newer tables are under way the request waits for them, for up to
+        a share of its objective. A look for a confirmation ends by itself.
         """
         ends_at = min(
             routed.received_at + routed.route.objective * MAX_WAIT_SHARE,
             routed.deadline,
         )
-        while judge(self.knowledge()) is not Verdict.current:
-            if self._clock.monotonic() >= ends_at:
+        verdict = judge(self.knowledge())
+        while verdict is not Verdict.current:
+            is_over = self._clock.monotonic() >= ends_at
+            if is_over and verdict is Verdict.outdated:
                 return outdated()
             await asyncio.sleep(POLL_INTERVAL)
+            verdict = judge(self.knowledge())
         if not self.has_changed(routed):
             return routed
         return route_request(
