--- a/tests/test_table_claims.py
+++ b/tests/test_table_claims.py
@@ -27,6 +27,11 @@
 )
 
 
+async def never_answered(table: str) -> None:
+    """Stand in for a call to a store that does not answer."""
+    await asyncio.sleep(60)
+
+
 class TableClaimsTest(unittest.TestCase):
     """Which versions a daemon lacks, and since when it knows that."""
 
@@ -77,6 +82,7 @@
         self.assertEqual(self.claims.behind(), {'op': 7})
 
 
+
 class FakeStore:
     """A store with one configuration; `failure` is its answer if it is set."""
 
@@ -227,6 +233,25 @@
 
         self.play(scenario)
 
+    def test_store_is_asked_though_others_claim_more_meanwhile(self) -> None:
+        """A daemon that gave nothing was asked again and again."""
+
+        async def scenario(one, store, membership) -> None:
+            read_once = membership.link.read_once
+
+            async def read_nothing(address: str, known: dict[str, int]) -> None:
+                await read_once(address, known)
+                store.version += 1
+                one.note('d1', {'op': store.version})
+
+            membership.link.read_once = read_nothing
+            store.version = 9
+            one.note('d1', {'op': 9})
+            await asyncio.sleep(0.5)
+            self.assertEqual(self.version(one), 10)
+
+        self.play(scenario)
+
     def test_daemon_that_is_behind_does_not_act_for_long(self) -> None:
         """It went on by its old tables until it happened to read new ones."""
 
@@ -241,9 +266,6 @@
             await asyncio.sleep(0.1)
             self.assertIs(judge(one.knowledge()), Verdict.outdated)
 
-        async def never_answered(table: str) -> None:
-            await asyncio.sleep(60)
-
         self.play(scenario)
 
     def test_daemon_that_is_always_a_little_behind_goes_on(self) -> None:
