Ask the store if another daemon gave nothing, whatever others claim

What callers see: requests are refused for as long as versions rise faster than attempts fail, where a daemon hears of newer tables from one that it can't connect to.

Cause: an attempt counted as successful if what is lacking had changed, also if it had grown.

Evidence: the test, in which the daemon that is asked sends nothing.

Why it works: an attempt has given something if a table is newer than before.

Measured: tests.test_table_claims, the test failed before and passes now.

--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -130,14 +130,13 @@
             return False
         address = addresses[self._random.randrange(len(addresses))]
         known = self._view.rows.version_by_table
+        asked = {table: known[table] for table in behind}
         try:
             async with asyncio.timeout(PEER_TIMEOUT):
-                await self._membership.link.read_once(
-                    address, {table: known[table] for table in behind}
-                )
+                await self._membership.link.read_once(address, asked)
         except TimeoutError:
             return False
-        if self._claims.behind() == behind:
+        if all(known[table] == version for table, version in asked.items()):
             return False
         self._can_catch_up = True
         return True
