Show that a daemon once out of reach acts on outdated tables later

The test fails: after the store was down while the daemon was behind, it goes on by tables that it knows to be outdated.

--- a/tests/test_table_claims.py
+++ b/tests/test_table_claims.py
@@ -252,6 +252,23 @@
 
         self.play(scenario)
 
+    def test_daemon_that_reached_no_one_once_is_not_excused_later(self) -> None:
+        """It acted by tables that it knew to be outdated, for good."""
+
+        async def scenario(one, store, membership) -> None:
+            store.failure = Failure(ErrorKind.table_unavailable, 'down')
+            one.note('d1', {'op': 9})
+            await asyncio.sleep(1)
+            row = json_row('op', 'config', CONFIGURATION, 9)
+            one._view.apply('op', [row], 9)
+            await asyncio.sleep(1)
+            one._read_changes = never_answered
+            one.note('d1', {'op': 10})
+            await asyncio.sleep(0.45)
+            self.assertIs(judge(one.knowledge()), Verdict.outdated)
+
+        self.play(scenario)
+
     def test_daemon_that_is_behind_does_not_act_for_long(self) -> None:
         """It went on by its old tables until it happened to read new ones."""
 
