Take newer tables for within reach again once caught up

What callers see: a daemon whose attempts failed while the store was down, and that its leader then brought up to date, sends requests by outdated tables the next time that it is behind.

Cause: only an attempt of its own ended the excuse.

Evidence: the test, which plays both.

Why it works: a daemon that has caught up was reached.

Measured: tests.test_table_claims, the test failed before and passes now.

--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -113,6 +113,7 @@
                 await self._ask_store(behind)
             if self._claims.behind():
                 await asyncio.sleep(self._jittered(RETRY_INTERVAL))
+        self._can_catch_up = True
         record(
             Event.tables_caught_up,
             behind_for=round(_now() - (since or 0), 3),
