--- a/tests/test_table_claims.py
+++ b/tests/test_table_claims.py
@@ -70,7 +70,7 @@
         """Its claims must not lock out, and those of others count."""
         self.claims.note('d1', {'op': 2**63 - 1}, 1)
         self.claims.note('d2', {'op': 5}, 1)
-        self.claims.reject('op', 2)
+        self.claims.reject('op', 2**63 - 1, 2)
         self.assertEqual(self.claims.behind(), {})
         self.claims.note('d1', {'op': 2**63 - 1}, 3)
         self.assertEqual(self.claims.behind(), {})
@@ -81,6 +81,14 @@
         self.claims.note('d1', {'op': 7}, 3 + REJECTION_TIME)
         self.assertEqual(self.claims.behind(), {'op': 7})
 
+    def test_claims_of_others_outlast_the_denial_of_a_later_one(self) -> None:
+        """One wrong datagram had the claims of all who were ahead ignored."""
+        self.claims.note('d2', {'op': 6}, 1)
+        self.claims.note('d1', {'op': 2**63 - 1}, 1)
+        self.claims.reject('op', 2**63 - 1, 2)
+        self.assertEqual(self.claims.behind(), {'op': 6})
+        self.assertEqual(self.claims.claimants({'op': 6}), ['d2'])
+
 
 
 class FakeStore:
