Ignore only daemons that claim the version that the store denied

What callers see: for 10 s after one wrong or forged datagram a daemon hears of changes from none of those that were ahead of it, and may be late.

Cause: a denial was applied to everyone who claimed more than the daemon knew, also versions that came after the store had answered.

Why it works: the store has denied that version and later ones, not earlier ones.

--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -150,7 +150,7 @@
                 return
             if self._view.rows.version_by_table[table] < version:
                 record(Event.version_rejected, table=table, version=version)
-                self._claims.reject(table, _now())
+                self._claims.reject(table, version, _now())
 
     async def _read_changes(self, table: str) -> Failure | None:
         after = self._view.rows.version_by_table[table]
--- a/cassialever/fleet/table_claims.py
+++ b/cassialever/fleet/table_claims.py
@@ -86,13 +86,18 @@
             for newest_by_table in self._newest_by_peer.values()
         )
 
-    def reject(self, table: str, now: Seconds) -> None:
-        """Ignore those who claim a version of a table that does not exist."""
+    def reject(self, table: str, version: RowVersion, now: Seconds) -> None:
+        """Ignore those who claim a version of a table that does not exist.
+
+        Claims of earlier versions may be of changes since it was looked for.
+        """
         for peer, newest_by_table in list(self._newest_by_peer.items()):
-            if self._lacks(table, newest_by_table.get(table, RowVersion(0))):
+            if newest_by_table.get(table, 0) >= version:
                 self._newest_by_peer.pop(peer)
                 self._ignored_until_by_peer[peer] = now + REJECTION_TIME
-        self._claims_by_table.pop(table, None)
+        self._claims_by_table[table] = [
+            claim for claim in self._unmet(table) if claim.version < version
+        ]
 
     def _lacks(self, table: str, version: RowVersion) -> bool:
         known = self._rows.version_by_table.get(table)
