Show that a refusal does not end what an earlier leader granted

Both tests fail, with two targets that hold the same keys: one refused the next leader, and had accepted a call of the build before, which names nobody; or the owner lives, and its entry has the address of another target.

--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -309,6 +309,8 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.is_cut = False
+        #: Whether calls name their target; those of the build before don't.
+        self.names_targets = True
         #: Whether calls that can't arrive hang rather than fail.
         self.hangs = False
         #: Addresses of the targets that only this daemon can't reach.
@@ -361,7 +363,7 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
-        if target.name != keys.owner:
+        if self.names_targets and target.name != keys.owner:
             self.world.misdirected_at.append(self.world.loop.time())
             return CallResult(CallOutcome.ended)
         arrived = self.world.loop.time()
@@ -407,7 +409,7 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
-        if target.name != keys.owner:
+        if self.names_targets and target.name != keys.owner:
             self.world.misdirected_at.append(self.world.loop.time())
             return CallResult(CallOutcome.ended)
         if self.world.draw(self.world.delayed_calls):
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -25,6 +25,7 @@
 from tests.ownership_fakes import Daemon, World
 
 ADDRESS = '10.1.64.1:8707'
+OTHER_ADDRESS = '10.1.64.0:8707'
 #: By when the keys of a process that has ended are held again, in seconds: a
 #: renewal, and what follows the answer of the next process.
 LIMIT = GRANT_RENEWAL_INTERVAL + 0.5
@@ -144,6 +145,39 @@
 
         self.check_each(scenario)
 
+    def test_next_target_may_hold_what_an_unnamed_call_gave_it(self) -> None:
+        # The build before leads first: the next process took its renewal.
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.target_client.names_targets = False
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(0.9)
+            leader.kill()
+            world.violations.clear()
+            while not await second.take_over():
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(4)
+
+        self.check_each(scenario)
+
+    def test_inherited_owner_with_a_wrong_address_has_not_ended(self) -> None:
+        # Another writer's entry sent the next leader to another target.
+        async def scenario(world: World, leader: Daemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            owner = world.targets[OTHER_ADDRESS]
+            owner.address = ADDRESS
+            world.publish_targets()
+            owner.address = OTHER_ADDRESS
+            await asyncio.sleep(0.3)
+            leader.kill()
+            while not await second.take_over():
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(4)
+
+        self.check_each(scenario)
+
     def test_release_for_the_ended_target_reaches_no_other(self) -> None:
         # The next process answered in its place, with a handover of its own.
         async def scenario(world: World, leader: Daemon) -> None:
