Conclude nothing of a target whose address has changed without a restart

Seen by review: another writer's entry gave a living owner the address of another target.

Cause: a refusal shows that the process at an address is another one; that the owner had been there was known from its entry alone.

Change: a process keeps its address, so that one of two addresses of the same life is wrong. No refusal ends such an owner; its keys wait for the end of their grant, as those of one that can't be reached.

--- a/cassialever/fleet/target_registry.py
+++ b/cassialever/fleet/target_registry.py
@@ -29,6 +29,9 @@
         self.evacuated: set[DataCentreId] = set()
         #: Targets that operators have taken out of service.
         self.taken_out: set[TargetId] = set()
+        #: Targets whose address has changed without a restart. A process keeps
+        #: its address, so that one of the two is wrong.
+        self.relocated: set[TargetId] = set()
         #: What targets say of themselves in their answers.
         self.limits = TargetLimits()
         self._cold_until_by_id: dict[TargetId, Seconds] = {}
@@ -38,6 +41,12 @@
 
     def put(self, target: Target) -> None:
         """Add a target, or replace it by its newest report."""
+        known = self._reported_by_id.get(target.target_id)
+        if known is not None and known.started_at == target.started_at:
+            if known.address != target.address:
+                self.relocated.add(target.target_id)
+        else:
+            self.relocated.discard(target.target_id)
         self._reported_by_id[target.target_id] = target
         self.by_id[target.target_id] = self._with_slot_limit(target)
         cold_until = self.clock.monotonic() + target.cold_for
@@ -47,6 +56,7 @@
         """Remove a target; return whether it was known."""
         self._cold_until_by_id.pop(target_id, None)
         self._reported_by_id.pop(target_id, None)
+        self.relocated.discard(target_id)
         return self.by_id.pop(target_id, None) is not None
 
     def limit_slots(self, max_slots_by_id: Mapping[TargetId, int]) -> None:
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -157,7 +157,7 @@
         )
         now = self._clock.boot()
         if result.outcome is CallOutcome.ended:
-            self.lives.end(called)
+            self.lives.end(called, self._view.targets.relocated)
         if result.outcome is CallOutcome.done:
             assignment.handover = result.handover
             # Unanswered grants may still take effect after the release.
@@ -272,7 +272,7 @@
             assignment.process = result.process
             assignment.process_fence = assignment.fence
         elif result.outcome is CallOutcome.ended:
-            self.lives.end(called)
+            self.lives.end(called, self._view.targets.relocated)
         return result
 
     def _mark_unreachable(self, target_id: TargetId) -> None:
--- a/cassialever/keys/lives.py
+++ b/cassialever/keys/lives.py
@@ -1,5 +1,6 @@
 """Which targets have ended, by the answers of others at their addresses."""
 
+from collections.abc import Container
 from typing import Any, Final
 
 from cassialever.events import Event, record
@@ -31,13 +32,15 @@
         self._confirmed_by_id[called.target_id] = called
         _limit(self._confirmed_by_id)
 
-    def end(self, called: Target) -> bool:
+    def end(self, called: Target, relocated: Container[TargetId] = ()) -> bool:
         """Note that another target has answered at the address of a report.
 
         Return whether the target's process is known to have ended. That does
-        not follow if it has accepted keys elsewhere: its reports don't tell
-        where it is then.
+        not follow if it is relocated, or has accepted keys elsewhere: its
+        reports don't tell where it is then.
         """
+        if called.target_id in relocated:
+            return False
         confirmed = self._confirmed_by_id.get(called.target_id, called)
         is_same = confirmed.started_at == called.started_at
         if is_same and confirmed.address != called.address:
--- a/tests/test_table_claims.py
+++ b/tests/test_table_claims.py
@@ -12,6 +12,7 @@
 from cassialever.fleet import catching_up
 from cassialever.fleet.catching_up import CatchUp
 from cassialever.fleet.membership import MemberState
+from cassialever.fleet.model import StoreRow
 from cassialever.fleet.row_replica import RowReplica
 from cassialever.fleet.table_claims import REJECTION_TIME, TableClaims
 from cassialever.fleet.view import FleetView
@@ -89,6 +90,16 @@
         self.assertEqual(self.claims.behind(), {'op': 6})
         self.assertEqual(self.claims.claimants({'op': 6}), ['d2'])
 
+    def test_daemon_that_has_read_a_table_whole_claims_no_more(self) -> None:
+        """All others took its tables for newer, and refused requests."""
+        reader = FleetView(mock.Mock())
+        for rows in (self.rows, reader.rows):
+            rows.apply('op', [json_row('op', 'evacuate/a', {}, 6)], 6)
+        removal = StoreRow('op', 'evacuate/a', None, 7)
+        self.rows.apply('op', [removal], 7)
+        reader.replace('op', [], 100)
+        self.claims.note('d1', reader.rows.newest_by_table, 1)
+        self.assertEqual(self.claims.behind(), {})
 
 class FakeStore:
     """A store with one configuration; `failure` is its answer if it is set."""
