--- a/cassialever/gateway/crash_guard.py
+++ b/cassialever/gateway/crash_guard.py
@@ -275,7 +275,7 @@
 
 
 def _ignore_news(one: Fingerprint) -> None:
-    """Tell nobody; the default until a handler is set."""
+    """Report nothing; the default until a handler is set."""
 
 
 def _record_released(one: Fingerprint, reason: str) -> None:
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -63,7 +63,7 @@
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
 
-    #: The service of its route that was chosen.
+    #: The service chosen among those of its route.
     service: ServiceName
     #: Targets that were tried, and how each try ended.
     tried: list[TargetId] = msgspec.field(default_factory=list)
--- a/cassialever/gateway/late_sendings.py
+++ b/cassialever/gateway/late_sendings.py
@@ -16,7 +16,7 @@
 
 
 class Decision(msgspec.Struct, frozen=True):
-    """When, and by which configuration, a request's target was chosen.
+    """The time and the configuration of the choice of a request's target.
 
     Times are monotonic; `tables_age` is that of the daemon's tables then.
     """
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -88,7 +88,7 @@
     send_before: Seconds = math.inf
     #: Returns why it may no longer be sent as it was placed; empty if it may.
     withdrawal_reason: Callable[[], str] = str
-    #: By what its target was chosen; None if another daemon has chosen it.
+    #: The choice of its target; None if another daemon has made it.
     decision: Decision | None = None
 
     @property
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-#: JSON that stands for itself: numbers and texts at and beyond all limits.
+#: Literal JSON: numbers and texts at and beyond all limits.
 JSON_TOKENS = (
     b'0',
     b'-1',
--- a/tests/ownership_rules.py
+++ b/tests/ownership_rules.py
@@ -52,7 +52,7 @@
     return False
 
 
-def _nobody(_: Any) -> None:
+def _no_process(_: Any) -> None:
     return None
 
 
@@ -91,7 +91,7 @@
         _replace(suspects.SuspectOwners, 'suspect', _never),
     ),
     'a fence is renewed only with the process that has accepted it': (
-        _replace(assignments.Assignment, 'process_with_fence', _nobody),
+        _replace(assignments.Assignment, 'process_with_fence', _no_process),
     ),
     'a leader that can not reach the store stops granting': (
         _replace(leading.LeaderTerm, 'has_authority', _always),
--- a/tests/test_crash_replays.py
+++ b/tests/test_crash_replays.py
@@ -380,7 +380,7 @@
         self.assertEqual(told, [True])
 
     def test_quarantined_request_is_refused_at_once(self) -> None:
-        """Its caller is told that it has not run, and when to come back."""
+        """The answer says that it has not run, and when to retry."""
         answers: list[Refusal | int] = []
 
         async def scenario(simulation: CrashSimulation) -> None:
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -94,7 +94,7 @@
         self.check_each(scenario)
 
     def test_keys_of_the_ended_target_are_held_again_in_time(self) -> None:
-        # They waited for the end of a grant that nobody held any more.
+        # They waited for the end of a grant whose owner had ended.
         async def scenario(world: World, _: Daemon) -> None:
             world.replace_target(ADDRESS, 'next')
             await asyncio.sleep(LIMIT)
@@ -222,7 +222,7 @@
     """What a connection to the address of an owner shows."""
 
     def test_accepted_connection_is_no_sign_of_life(self) -> None:
-        # Whoever has the address accepts it: the next grant was too long.
+        # Any process at the address accepts it: the next grant was too long.
         async def main(loop: VirtualLoop) -> None:
             world = World(loop, seed=1)
             leader = await _settled_leader(world)
--- a/tests/test_table_claims.py
+++ b/tests/test_table_claims.py
@@ -29,7 +29,7 @@
 
 
 async def never_answered(table: str) -> None:
-    """Stand in for a call to a store that does not answer."""
+    """Wait, as a call to a store that does not answer."""
     await asyncio.sleep(60)
 
 
@@ -101,6 +101,7 @@
         self.claims.note('d1', reader.rows.newest_by_table, 1)
         self.assertEqual(self.claims.behind(), {})
 
+
 class FakeStore:
     """A store with one configuration; `failure` is its answer if it is set."""
 
