--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -50,10 +50,15 @@
     """Runs scenarios for several seeds and moments of a renewal."""
 
     def check_each(self, scenario: Scenario) -> None:
+        """Run all cases, and fail once with those that failed."""
+        failed = []
         for seed in SEEDS:
             for phase in PHASES:
-                with self.subTest(seed=seed, phase=phase):
+                try:
                     self.check(scenario, seed, phase)
+                except AssertionError as error:
+                    failed.append((seed, phase, str(error)))
+        self.assertEqual(failed, [])
 
     def check(self, scenario: Scenario, seed: int, phase: float) -> None:
         async def main(loop: VirtualLoop) -> None:
