Forget claims of versions that this daemon has got meanwhile

Cause: up to sixteen claims a table were kept after they had been met, and were looked through with each datagram and twice with each request.

--- a/cassialever/fleet/table_claims.py
+++ b/cassialever/fleet/table_claims.py
@@ -55,6 +55,7 @@
 
     def behind(self) -> dict[str, RowVersion]:
         """Return the newest version claimed of each table that lacks it."""
+        self._drop_met()
         return {
             table: claims[-1].version
             for table in self._claims_by_table
@@ -63,6 +64,7 @@
 
     def behind_since(self) -> Seconds | None:
         """Return when the oldest version that is lacking was heard of."""
+        self._drop_met()
         unmet = map(self._unmet, self._claims_by_table)
         return min(
             (claims[0].heard_at for claims in unmet if claims), default=None
@@ -112,6 +114,12 @@
         claims.append(claim)
         self._claims_by_table[table] = claims
 
+    def _drop_met(self) -> None:
+        """Forget the claims of tables that lack nothing."""
+        for table in tuple(self._claims_by_table):
+            if not self._unmet(table):
+                self._claims_by_table.pop(table)
+
     def _unmet(self, table: str) -> list[_Claim]:
         """Return a table's claims of versions that are still lacking."""
         known = self._rows.version_by_table.get(table, 0)
