Grant a fence for the first time only while no other daemon can lead

What callers would see: two targets with the same keys. A leader that was frozen, or cut off, between writing a fence and granting it granted it up to 12 s later, when the next leader had granted higher ones. A process of the owner that had started meanwhile has seen none of these and took the lower fence, and went on being renewed.

Cause: a renewal may be sent while the leader has authority, which outlasts the lease by far. That is safe since a process which has accepted the fence rejects it once it has seen a higher one. A first grant has no such process.

Why it works: the lease can't be taken over for STALE_AFTER after the sending of the last call that the store has confirmed. Within that time no other leader has granted a higher fence. A fence that had to wait is granted once the store has confirmed the lease again, which shows that none came between. A grant that is under way when that time ends is bounded by GRANT_TIMEOUT.

--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -7,6 +7,7 @@
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
 from cassialever.fleet.leading import LeaderTerm
+from cassialever.fleet.lease import STALE_AFTER
 from cassialever.fleet.model import Target
 from cassialever.fleet.view import FleetView
 from cassialever.invariants import Invariant, check
@@ -192,8 +193,12 @@
         is_held = assignment.state is AssignmentState.held
         if not is_held or assignment.owner != owner:
             return False
-        has_ended = self.lives.has_owner_ended(assignment)
-        return not has_ended and not assignment.is_suspect
+        if self.lives.has_owner_ended(assignment) or assignment.is_suspect:
+            return False
+        # A process of the owner that has not accepted the fence may have
+        # started after the grants of a later leader.
+        is_renewal = assignment.process_with_fence() is not None
+        return is_renewal or self._leader_term.store_age() < STALE_AFTER
 
     async def _grant_one(self, assignment: Assignment, called: Target) -> bool:
         """Grant one assignment; return whether to go on with the next."""
