Have keys released on a connection of their own

What callers would see: keys go to another target while the one that releases them is still at work on them.

Cause: answers to calls about keys bear no id, and targets may write an earlier answer once more where the next one is expected. On a kept connection the copy of a grant's 200 (or of an earlier release's, with its handover) was taken for the answer of the release.

Why it works: the first answer on a connection can be no copy, and the connection is closed after it, so that a copy of a release's answer meets no later call. No handover is required: it would tell nothing that the first answer does not. A kept connection whose answer counts only with a handover would be lost to the renewals while the work lasts. It costs a connection for each release; a target that is full may reset it, and its keys then wait for the end of their grant.

--- a/cassialever/platform/known_connections.py
+++ b/cassialever/platform/known_connections.py
@@ -11,6 +11,8 @@
 _allowed: Final[ContextVar[Container[object] | None]] = ContextVar(
     'allowed', default=None
 )
+#: Whether the current request needs a new connection.
+_needs_new: Final[ContextVar[bool]] = ContextVar('needs_new', default=False)
 #: The connection that the current request got.
 _in_use: Final[ContextVar[object | None]] = ContextVar('in_use', default=None)
 
@@ -32,6 +34,21 @@
         _allowed.reset(token)
 
 
+@contextlib.contextmanager
+def only_on_new() -> Iterator[None]:
+    """Send each request on a new connection."""
+    token = _needs_new.set(True)
+    try:
+        yield
+    finally:
+        _needs_new.reset(token)
+
+
+def needs_new() -> bool:
+    """Return whether the current request needs a new connection."""
+    return _needs_new.get()
+
+
 def may_use(connection: object) -> bool:
     """Return whether the current request may be sent on a connection."""
     allowed = _allowed.get()
--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -166,6 +166,8 @@
     async def _get(
         self, key: Any, traces: list[Any]
     ) -> aiohttp.connector.Connection | None:
+        if known_connections.needs_new():
+            return None
         set_aside: list[aiohttp.connector.Connection] = []
         now = time.monotonic()
         longest = self.rest_times.longest(f'{key.host}:{key.port}', now)
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -22,7 +22,9 @@
 from cassialever.platform.known_connections import (
     NoKnownConnectionError,
     connection_in_use,
+    needs_new,
     only_on,
+    only_on_new,
 )
 from cassialever.platform.processes import TargetProcess, TargetProcesses
 from cassialever.platform.sessions import (
@@ -119,9 +121,14 @@
             return await self._call(address, keys.owner, call, GRANT_TIMEOUT)
 
     async def release(self, address: str, keys: KeyRange) -> CallResult:
-        """Take keys back; the call is done when the work on them has ended."""
+        """Take keys back; the call is done when the work on them has ended.
+
+        A copy of an earlier answer would end it at once. The first answer on a
+        connection is no copy, so that the call gets a connection of its own.
+        """
         call = wire.encode_release(keys)
-        return await self._call(address, keys.owner, call, RELEASE_TIMEOUT)
+        with only_on_new():
+            return await self._call(address, keys.owner, call, RELEASE_TIMEOUT)
 
     async def can_connect(self, address: str) -> bool:
         """Return whether an address accepts a connection."""
@@ -150,9 +157,12 @@
                     timeout=_CONNECT_LIMIT,
                 ) as response,
             ):
-                if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+                is_misdirected = (
+                    response.status == HTTPStatus.MISDIRECTED_REQUEST
+                )
+                if is_misdirected or needs_new():
                     # Answers bear no id: a late copy of this one would end the
-                    # owner that is called next.
+                    # owner that is called next, or a later release.
                     close_connection(response)
                 else:
                     await response.read()
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -203,10 +203,7 @@
     async def start(self, port: int = 0) -> None:
         """Start listening; port 0 selects any free port."""
         application = web.Application()
-        application.router.add_post('/cassialever/grant', self._handle_grant)
-        application.router.add_post(
-            '/cassialever/release', self._handle_release
-        )
+        application.router.add_post('/cassialever/{call}', self._handle_call)
         application.router.add_route('*', '/{path:.*}', self._handle_request)
         await self._listener.start(application, port)
 
@@ -270,9 +267,18 @@
         ]
         return len(held) * KEY_SAMPLE_STEP
 
-    async def _handle_grant(self, request: web.Request) -> web.Response:
+    async def _handle_call(self, request: web.Request) -> web.Response:
+        self.faults.repeat_call_answer(request)
         if _names_another(request, self.target_id):
-            return _misdirected_call(request, self)
+            response = _misdirected_call(request, self)
+        elif request.match_info['call'] == 'grant':
+            response = await self._grant(request)
+        else:
+            response = await _release(request, self)
+        self.faults.note_call_answer(request, response)
+        return response
+
+    async def _grant(self, request: web.Request) -> web.Response:
         call = msgspec.json.decode(await request.read())
         until = time.monotonic() + call['hold_ms'] / 1000
         requested = Grant(call['from'], call['target'], call['fence'], until)
@@ -280,13 +286,6 @@
             return web.Response(status=HTTPStatus.CONFLICT)
         return _call_response(self.faults, request, {})
 
-    async def _handle_release(self, request: web.Request) -> web.Response:
-        if _names_another(request, self.target_id):
-            return _misdirected_call(request, self)
-        call = msgspec.json.decode(await request.read())
-        self.keys.remove_range(call['from'], call['target'])
-        return _call_response(self.faults, request, {'Handover': 'h'})
-
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get(_ATTEMPT_ID, '')
         self.received_headers.append(dict(request.headers))
@@ -392,6 +391,13 @@
     )
 
 
+async def _release(request: web.Request, target: TargetServer) -> web.Response:
+    call = msgspec.json.decode(await request.read())
+    target.keys.remove_range(call['from'], call['target'])
+    await asyncio.sleep(target.faults.release_time)
+    return _call_response(target.faults, request, {'Handover': 'h'})
+
+
 def _call_response(
     faults: TargetFaults, request: web.Request, headers: dict[str, str]
 ) -> web.Response:
--- a/standins/spoiled_answers.py
+++ b/standins/spoiled_answers.py
@@ -19,6 +19,14 @@
         self._refused_by_connection: WeakKeyDictionary[object, str] = (
             WeakKeyDictionary()
         )
+        #: Write the last answer to a call about keys once more when the next
+        #: call arrives on its connection.
+        self.repeats_call_answers = False
+        self._call_answer_by_connection: WeakKeyDictionary[object, bytes] = (
+            WeakKeyDictionary()
+        )
+        #: How long after their arrival releases are answered, in seconds.
+        self.release_time: float = 0
         #: Refuse calls about keys that name another target without saying
         #: which target this one is.
         self.hides_id = False
@@ -40,6 +48,27 @@
                 'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'.encode(),
             )
 
+    def note_call_answer(
+        self, request: web.Request, response: web.Response
+    ) -> None:
+        """Remember the answer to a call about keys on its connection."""
+        if request.transport is None:
+            return
+        lines = [f'HTTP/1.1 {response.status} Copied', 'Content-Length: 0']
+        lines.extend(
+            f'{name}: {text}' for name, text in response.headers.items()
+        )
+        self._call_answer_by_connection[request.transport] = '\r\n'.join(
+            [*lines, '\r\n']
+        ).encode()
+
+    def repeat_call_answer(self, request: web.Request) -> None:
+        """Write an earlier answer once more, if the faults say so."""
+        transport = request.transport
+        if transport is None or not self.repeats_call_answers:
+            return
+        transport.write(self._call_answer_by_connection.get(transport, b''))
+
     def cuts_head(self, request: web.Request, request_id: str) -> bool:
         """Break an answer off within its head, if one is to be."""
         if request.transport is None or not self.cut_heads_left:
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -359,6 +360,31 @@
         self.addAsyncCleanup(client.stop)
         return client
 
+    async def test_copy_of_an_earlier_answer_ends_no_release(self) -> None:
+        # Its keys were given on while their owner was still at work on them.
+        for earlier in ('grant', 'release'):
+            with self.subTest(earlier=earlier):
+                await self.check_release_after(earlier)
+
+    async def check_release_after(self, earlier: str) -> None:
+        target = await self.started('t0')
+        client = await self.client()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        # All idle connections have answered then, the spare one too.
+        for _ in range(3):
+            await client.grant(target.address, keys, 2.3)
+        for _ in range(3 if earlier == 'release' else 0):
+            await client.release(target.address, keys)
+        target.faults.repeats_call_answers = True
+        target.faults.release_time = 0.3
+        started_at = time.monotonic()
+        released = await client.release(target.address, keys)
+        self.assertIs(released.outcome, CallOutcome.done)
+        self.assertGreaterEqual(
+            time.monotonic() - started_at, target.faults.release_time
+        )
+        self.assertEqual(released.handover, 'h')
+
     async def test_late_copy_of_a_refusal_ends_no_other_target(self) -> None:
         # The next target at the address was taken for ended, and holds keys.
         server = await asyncio.start_server(_repeat_refusals, '127.0.0.1', 0)
