Conclude nothing from a refusal that may belong to another call

What callers would see: two targets hold the same keys. An owner that is well loses its keys at once, or they are given on up to a renewal (0.7 s) before its hold is over.

Cause: answers to calls about keys bear no id. On a kept connection the copy of a refusal was taken for the answer of a grant that was in fact carried out: a copied 421 ended the owner, a copied 409 or other refusal took the bound of its hold back to the one before. The connection was closed only after a 421.

Over sockets the grant after a refused one was `outdated` though carried out, and each of 409, 421 and 503 on a kept connection was taken at its word.

Why it works: the first answer on a connection belongs to its call. A connection on which a call was refused is closed, so that no refusal can be copied on it. A refusal on a connection that has answered before leaves the outcome unknown: the owner is suspect, its hold is bounded as for a grant without an answer, and it gets a higher fence. A true 421 comes first on its connection, since a connection stays with one process and a process keeps its id.

--- a/cassialever/platform/processes.py
+++ b/cassialever/platform/processes.py
@@ -50,6 +50,11 @@
             TargetProcess(connection), made_at=now
         )
 
+    def has_answered(self, connection: object) -> bool:
+        """Return whether an answer came on a connection before."""
+        known = self._known.get(connection)
+        return known is not None and known.answered_at < math.inf
+
     def record_answer(
         self,
         connection: object,
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -157,16 +157,18 @@
                     timeout=_CONNECT_LIMIT,
                 ) as response,
             ):
-                is_misdirected = (
-                    response.status == HTTPStatus.MISDIRECTED_REQUEST
-                )
-                if is_misdirected or needs_new():
-                    # Answers bear no id: a late copy of this one would end the
-                    # owner that is called next, or a later release.
+                if response.status != HTTPStatus.OK or needs_new():
+                    # Answers bear no id: a late copy of this one would be taken
+                    # for the answer to a later call.
                     close_connection(response)
                 else:
                     await response.read()
-                result = _call_result(response, owner)
+                result = conclude(
+                    _call_result(response, owner),
+                    is_first=not self._processes.has_answered(
+                        connection_in_use()
+                    ),
+                )
         except NoKnownConnectionError as none_open:
             return CallResult(CallOutcome.unproven, reason=repr(none_open))
         except (
@@ -210,6 +212,24 @@
             self._processes.record_made(connection, time.monotonic())
 
 
+def conclude(result: CallResult, *, is_first: bool) -> CallResult:
+    """Return what an answer tells of its call.
+
+    Answers bear no id, and a target may write one to another call where the
+    next one is expected, but not as the first on a connection. So a refusal
+    that isn't the first answer on its connection may hide that the call was
+    carried out. A success that belongs to another call does no harm: the keys
+    are taken to be held.
+    """
+    if is_first or result.outcome is CallOutcome.done:
+        return result
+    return msgspec.structs.replace(
+        result,
+        outcome=CallOutcome.unknown,
+        reason=f'{result.reason}, which may belong to another call',
+    )
+
+
 @contextlib.asynccontextmanager
 async def _time_limit(limit: Seconds) -> AsyncIterator[None]:
     """Raise TimeoutError at a limit, the last READ_TIME counted in the loop.
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -26,6 +26,7 @@
     IDLE_CONNECTIONS,
     CallOutcome,
     CallResult,
+    conclude,
 )
 from standins.keyed_target import Grant
 from standins.rowstore import RowStore
@@ -126,6 +127,11 @@
         #: Time that a grant takes to arrive. It is carried out then, also if
         #: its sender has given up waiting for the answer.
         self.transit_time = 0.0
+        #: The answers of which targets write a copy where the answer to a grant
+        #: is expected, on each connection that has answered before.
+        self.copied_by_address: dict[str, CallOutcome] = {}
+        #: Whether grants that are answered by a copy are never carried out.
+        self.loses_copied_calls = False
         self.violations: list[str] = []
         #: When calls about keys reached another target than was meant.
         self.misdirected_at: list[float] = []
@@ -317,6 +323,8 @@
         self.unreachable: set[str] = set()
         #: The open connections to each address.
         self.connection_count: Counter[str] = Counter()
+        #: The processes to which these connections lead.
+        self.process_by_address: dict[str, TargetProcess] = {}
 
     def is_reached(self, address: str) -> bool:
         """Return whether a call of this daemon can arrive at a target."""
@@ -337,18 +345,41 @@
             return CallResult(
                 CallOutcome.unknown if is_crossing else CallOutcome.unproven
             )
-        result = await self._grant(address, keys, duration)
+        is_kept = self._is_connected(target)
+        result = conclude(
+            await self._answer(address, keys, duration), is_first=not is_kept
+        )
         if result.outcome is CallOutcome.unknown:
             # The connection is closed, so that nothing arrives later.
             self.connection_count[address] -= 1
         if result.outcome is not CallOutcome.done:
             return result
         self.connection_count[address] = IDLE_CONNECTIONS
+        self.process_by_address[address] = target.process
         return msgspec.structs.replace(result, process=target.process)
 
+    async def _answer(
+        self, address: str, keys: KeyRange, duration: float
+    ) -> CallResult:
+        """Call a target; a copy of an earlier answer may come in its place."""
+        target = self.world.targets[address]
+        copied = self.world.copied_by_address.get(address)
+        if copied is None or not self._is_connected(target):
+            return await self._grant(address, keys, duration)
+        if self.world.loses_copied_calls:
+            await self.world.pause(0.001)
+            return CallResult(copied)
+        await self._grant(address, keys, duration)
+        return CallResult(copied)
+
     def _has_connection(
         self, target: FakeTarget, process: TargetProcess
     ) -> bool:
+        return process is target.process and self._is_connected(target)
+
+    def _is_connected(self, target: FakeTarget) -> bool:
+        """Return whether a connection to a target's process is open."""
+        process = self.process_by_address.get(target.address)
         is_same = process is target.process
         return is_same and self.connection_count[target.address] > 0
 
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -224,6 +225,36 @@
         self.check_each(scenario)
 
 
+class CopiedAnswerTest(LivesTest):
+    """Copies of earlier answers come where those to grants are expected."""
+
+    def check_copies(
+        self, copied: CallOutcome, *, is_cut: bool = False
+    ) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.copied_by_address[ADDRESS] = copied
+            await asyncio.sleep(GRANT_RENEWAL_INTERVAL)
+            world.copied_by_address.clear()
+            if is_cut:
+                leader.target_client.unreachable.add(ADDRESS)
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_copied_refusal_of_another_target_ends_no_owner(self) -> None:
+        # Its keys went to others at once, and it held them, too.
+        self.check_copies(CallOutcome.ended)
+
+    def test_copied_refusal_of_a_fence_shortens_no_hold(self) -> None:
+        # The grant was carried out; its keys went on by the one before.
+        self.check_copies(CallOutcome.outdated)
+
+    def test_copied_refusal_shortens_no_hold(self) -> None:
+        # Its owner can't be reached any more.
+        self.check_copies(CallOutcome.refused, is_cut=True)
+
+
 class ProbeTest(unittest.TestCase):
     """What a connection to the address of an owner shows."""
 
@@ -385,6 +416,51 @@
         )
         self.assertEqual(released.handover, 'h')
 
+    async def test_copy_of_a_refusal_hides_no_grant(self) -> None:
+        # A grant that was carried out was taken for one that was refused.
+        target = await self.started('t0')
+        client = await self.client()
+        outcomes = []
+        for fence in (7, 5, 8, 9, 10):
+            target.faults.repeats_call_answers = fence > 7
+            keys = KeyRange(0, 99, 't0', 1000, fence)
+            granted = await client.grant(target.address, keys, 2.3)
+            outcomes.append(granted.outcome)
+        self.assertEqual(outcomes[2:], [CallOutcome.done] * 3)
+
+    async def test_refusal_on_a_kept_connection_proves_nothing(self) -> None:
+        # The answer to another call ended a target, or shortened its hold.
+        for status in (409, 421, 503):
+            with self.subTest(status=status):
+                await self.check_answers(status)
+
+    async def check_answers(self, status: int) -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(ConnectionError, EOFError):
+                for each in (200, status):
+                    await reader.readuntil(b'}')
+                    writer.write(
+                        b'HTTP/1.1 %d Any\r\nContent-Length: 0\r\n\r\n' % each
+                    )
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        client = await self.client()
+        host, port = server.sockets[0].getsockname()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        granted = await client.grant(f'{host}:{port}', keys, 2.3)
+        self.assertIs(granted.outcome, CallOutcome.done)
+        assert granted.process is not None
+        (connection,) = granted.process.connections
+        renewed = await client.grant(
+            f'{host}:{port}', keys, 2.3, granted.process
+        )
+        self.assertIs(renewed.outcome, CallOutcome.unknown)
+        self.assertFalse(connection.is_connected())
+
     async def test_late_copy_of_a_refusal_ends_no_other_target(self) -> None:
         # The next target at the address was taken for ended, and holds keys.
         server = await asyncio.start_server(_repeat_refusals, '127.0.0.1', 0)
