--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -22,7 +22,9 @@
 from cassialever.platform.known_connections import (
     NoKnownConnectionError,
     connection_in_use,
+    needs_new,
     only_on,
+    only_on_new,
 )
 from cassialever.platform.processes import TargetProcess, TargetProcesses
 from cassialever.platform.sessions import (
@@ -119,9 +121,14 @@
             return await self._call(address, keys.owner, call, GRANT_TIMEOUT)
 
     async def release(self, address: str, keys: KeyRange) -> CallResult:
-        """Take keys back; the call is done when the work on them has ended."""
+        """Take keys back; the call is done when the work on them has ended.
+
+        A copy of an earlier answer would end it at once. The first answer on a
+        connection is no copy, so that the call gets a connection of its own.
+        """
         call = wire.encode_release(keys)
-        return await self._call(address, keys.owner, call, RELEASE_TIMEOUT)
+        with only_on_new():
+            return await self._call(address, keys.owner, call, RELEASE_TIMEOUT)
 
     async def can_connect(self, address: str) -> bool:
         """Return whether an address accepts a connection."""
@@ -150,13 +157,18 @@
                     timeout=_CONNECT_LIMIT,
                 ) as response,
             ):
-                if response.status == HTTPStatus.MISDIRECTED_REQUEST:
-                    # Answers bear no id: a late copy of this one would end the
-                    # owner that is called next.
+                if response.status != HTTPStatus.OK or needs_new():
+                    # Answers bear no id: a late copy of this one would be taken
+                    # for the answer to a later call.
                     close_connection(response)
                 else:
                     await response.read()
-                result = _call_result(response, owner)
+                result = conclude(
+                    _call_result(response, owner),
+                    is_first=not self._processes.has_answered(
+                        connection_in_use()
+                    ),
+                )
         except NoKnownConnectionError as none_open:
             return CallResult(CallOutcome.unproven, reason=repr(none_open))
         except (
@@ -200,6 +212,24 @@
             self._processes.record_made(connection, time.monotonic())
 
 
+def conclude(result: CallResult, *, is_first: bool) -> CallResult:
+    """Return what an answer tells of its call.
+
+    Answers bear no id, and a target may write one to another call where the
+    next one is expected, but not as the first on a connection. So a refusal
+    that isn't the first answer on its connection may hide that the call was
+    carried out. A success that belongs to another call does no harm: the keys
+    are taken to be held.
+    """
+    if is_first or result.outcome is CallOutcome.done:
+        return result
+    return msgspec.structs.replace(
+        result,
+        outcome=CallOutcome.unknown,
+        reason=f'{result.reason}, which may belong to another call',
+    )
+
+
 @contextlib.asynccontextmanager
 async def _time_limit(limit: Seconds) -> AsyncIterator[None]:
     """Raise TimeoutError at a limit, the last READ_TIME counted in the loop.
