Search for two owners with each safety rule removed

With each of the nine rules of ownership_rules removed the search finds violations; the seeds are in the test. With all rules in place its six seeds show none.

--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -7,15 +7,31 @@
 from cassialever.keys.mapwriter import row_name
 from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.ownership_rules import PATCHES_BY_RULE, without_rule
 from tests.ownership_search import (
     SearchDaemon,
     SearchWorld,
     make_task,
+    search,
 )
 
 ADDRESS = '10.1.64.1:8707'
 KEY_MAP_ROW = ('cassialever', row_name(ServiceName('registry')))
 SEEDS = range(8)
+#: Seeds that are tried until the removal of a rule is found, after one by which
+#: it has been found.
+MAX_SEEDS = 40
+SEED_BY_RULE = {
+    'targets reject lower fences': 3,
+    'owners are written before they are granted keys': 0,
+    'writes expect this term and the last key map': 14,
+    'keys are not reassigned until the last grant has lapsed': 2,
+    'keys are not reassigned until earlier leaders have expired': 3,
+    'a new leader suspects the owners that it inherits': 2,
+    'an owner is suspect after a failed grant': 53,
+    'a fence is renewed only with the process that has accepted it': 2,
+    'a leader that can not reach the store stops granting': 6,
+}
 
 Scenario = Callable[[SearchWorld, SearchDaemon], Awaitable[None]]
 
@@ -68,5 +84,20 @@
         self.check(scenario)
 
 
+class SearchTest(unittest.TestCase):
+    """The search finds what it should, and nothing else."""
+
+    def test_no_two_owners(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.assertEqual(search(seed).violations, [])
+
+    def test_removal_of_each_rule_is_found(self) -> None:
+        for rule in PATCHES_BY_RULE:
+            with self.subTest(rule=rule), without_rule(rule):
+                seeds = (SEED_BY_RULE[rule], *range(MAX_SEEDS))
+                self.assertTrue(any(search(one).violations for one in seeds))
+
+
 if __name__ == '__main__':
     unittest.main()
