Assign no keys whose stored owners a new leader can't read

What callers would see: two targets with the same keys. A leader that knew an earlier map of a service, and could not read the one in the store, granted by the earlier one and wrote over the later one, with fences that others had been given. A stored map without ranges was taken for a service that never had owners: fences began at 1 again. A leader that knew no map at all wrote a first one, met the row and lost its term, again and again, which left all other services without a leader too.

Cause: "no row" and "a row that can't be read" were one case, and the version of a row was used with the ranges of an earlier one.

Why it works: ranges are inherited only if they were read from the newest row and cover all keys. Otherwise nothing is granted for the service in that term (line 459), and a later leader reads the row again.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -119,6 +119,11 @@
         'Another target has the address of an owner of keys, which has ended.',
     )
     keys_assigned = (453, logbook.INFO, 'Keys were assigned to targets.')
+    owners_unknown = (
+        459,
+        logbook.ERROR,
+        'The stored owners of keys cannot be read, so none are assigned.',
+    )
 
     # Table and targets.
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -91,7 +91,8 @@
             self._tasks, lambda: self.tick(context.clock.boot())
         )
         self._writer = MapWriter(service, context.leader_term, RowVersion(0))
-        self._inherit()
+        #: Owners that are not known may hold the keys otherwise.
+        self._knows_owners = self._inherit()
         self._suspicion = SuspicionLimit(
             service,
             context.leader_term.suspected_moves,
@@ -103,6 +104,8 @@
 
     def tick(self, now: Seconds) -> None:
         """Advance every assignment for which something is due."""
+        if not self._knows_owners:
+            return
         if not self.assignments.ordered:
             self._assign_first(now)
             return
@@ -116,17 +119,28 @@
         """Cancel the calls and writes in progress."""
         self._tasks.stop()
 
-    def _inherit(self) -> None:
+    def _inherit(self) -> bool:
+        """Take over the stored assignments; return whether they are known.
+
+        A row that can't be read may name owners, and fences above all others
+        that are known.
+        """
         view = self._context.view
+        name = row_name(self.service)
+        row = view.rows.by_table_and_name.get((OWN_TABLE, name))
+        if row is None:
+            return True
         index = view.keys_by_service.get(self.service)
-        if index is None:
-            return
-        now = self._context.clock.boot()
-        self.assignments.ordered = inherited_assignments(
-            index.key_map, now
-        ).ordered
-        row = view.rows.by_table_and_name[OWN_TABLE, row_name(self.service)]
+        inherited: list[Assignment] = []
+        if index is not None and index.version == row.version:
+            now = self._context.clock.boot()
+            inherited = inherited_assignments(index.key_map, now).ordered
+        if not covers_all(inherited):
+            record(Event.owners_unknown, service=self.service, row=name)
+            return False
+        self.assignments.ordered = inherited
         self._writer.version = row.version
+        return True
 
     def _assign_first(self, now: Seconds) -> None:
         """Assign all keys once the set of targets has settled."""
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -4,6 +4,9 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
+from cassialever.fleet.model import KeyMap
 from cassialever.keys.mapwriter import row_name
 from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
@@ -84,6 +87,50 @@
         self.check(scenario)
 
 
+class UnreadableMapTest(unittest.TestCase):
+    """The row with the owners of keys can't be read by a new leader."""
+
+    def test_leader_that_knows_an_earlier_map_grants_nothing(self) -> None:
+        # It wrote over the row by the earlier map, with fences given before.
+        self.check(b'\x01', has_earlier_map=True)
+
+    def test_leader_that_knows_no_map_does_not_lose_its_term(self) -> None:
+        # It wrote a first map, met the row and was deposed, again and again.
+        self.check(b'\x01', has_earlier_map=False)
+
+    def test_map_without_owners_is_no_first_assignment(self) -> None:
+        # Fences began at 1 again.
+        empty = msgspec.msgpack.encode(KeyMap(ServiceName('registry'), ()))
+        self.check(empty, has_earlier_map=False)
+
+    def check(self, content: bytes, *, has_earlier_map: bool) -> None:
+        """Let a leader follow one whose map can't be read."""
+
+        async def main(loop: VirtualLoop) -> None:
+            loop.set_task_factory(make_task)
+            world = SearchWorld(loop, seed=1)
+            first = world.add_daemon('edge-1')
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            assert await first.take_over()
+            await asyncio.sleep(2)
+            if has_earlier_map:
+                stored = await second.store.read_all('cassialever')
+                second.view.replace('cassialever', stored.rows, stored.version)
+            first.kill()
+            version = world.shared.put(*KEY_MAP_ROW, content)
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(5)
+            self.assertTrue(second.is_leading())
+            self.assertEqual(world.shared.row_by_name[KEY_MAP_ROW].ver, version)
+            for daemon in world.daemons:
+                daemon.kill()
+            self.assertEqual(world.violations, [])
+
+        run_virtually(main)
+
+
 class SearchTest(unittest.TestCase):
     """The search finds what it should, and nothing else."""
 
