Test that a held connection reaches no later life of a target

What callers would see: a target that has just started again takes keys with the fence that its earlier life had.

Cause: a connection is taken for one to the process that answered on another one before it was made and again MIN_CONNECTION_AGE after. What accepts a connection on the path need not have reached the target by then: a lost SYN is sent again after 1 s, and a cut holds it for as long as it lasts.

An answer on the spare connection, between two on the other, would prove it; no call that a target answers without effect is at hand for that.

--- /dev/null
+++ b/tests/test_target_processes.py
@@ -0,0 +1,100 @@
+"""Tests of which connections are taken for ones to the same process."""
+
+import asyncio
+import contextlib
+import unittest
+
+from cassialever.fleet.model import KeyRange
+from cassialever.platform.processes import MIN_CONNECTION_AGE
+from cassialever.platform.targets import CallOutcome, TargetClient
+from standins.keyed_target import TargetServer
+
+KEYS = KeyRange(0, 99, 't0', 1000, 7)
+
+
+class HoldingProxy:
+    """Accepts connections at once, and may connect to the target later."""
+
+    def __init__(self, target_address: str) -> None:
+        self.target_address = target_address
+        self.address = ''
+        #: Connections that are accepted wait for this before they go on.
+        self.is_open = asyncio.Event()
+        self.is_open.set()
+        self._accepted: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.address = '127.0.0.1:{1}'.format(
+            *self._server.sockets[0].getsockname()
+        )
+
+    async def stop(self) -> None:
+        self._server.close()
+        self.is_open.set()
+        for writer in self._accepted:
+            writer.close()
+        await self._server.wait_closed()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._accepted.add(writer)
+        await self.is_open.wait()
+        host, _, port = self.target_address.rpartition(':')
+        with contextlib.suppress(OSError):
+            onward = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(
+                _copy(reader, onward[1]), _copy(onward[0], writer)
+            )
+        writer.close()
+
+
+async def _copy(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+    writer.close()
+
+
+class HeldConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A path on which a connection is made before it reaches the target."""
+
+    async def asyncSetUp(self) -> None:
+        self.target = TargetServer('t0')
+        await self.target.start()
+        self.proxy = HoldingProxy(self.target.address)
+        await self.proxy.start()
+        self.addAsyncCleanup(self.proxy.stop)
+        self.client = TargetClient()
+        await self.client.start()
+        self.addAsyncCleanup(self.client.stop)
+
+    async def test_held_connection_reaches_no_later_life(self) -> None:
+        # It took a renewal of the fence that its earlier life had accepted.
+        granted = await self.client.grant(self.proxy.address, KEYS, 2.3)
+        # The first connection leads to the target, the spare one waits.
+        self.proxy.is_open.clear()
+        await asyncio.sleep(2 * MIN_CONNECTION_AGE)
+        renewed = await self.client.grant(
+            self.proxy.address, KEYS, 2.3, granted.process
+        )
+        self.assertIs(renewed.outcome, CallOutcome.done)
+        await self.target.stop()
+        restarted = TargetServer('t0')
+        await restarted.start(int(self.target.address.rpartition(':')[2]))
+        self.addAsyncCleanup(restarted.stop)
+        self.proxy.is_open.set()
+        await asyncio.sleep(MIN_CONNECTION_AGE)
+        renewed = await self.client.grant(
+            self.proxy.address, KEYS, 2.3, renewed.process
+        )
+        self.assertFalse(restarted.holds(50))
+        self.assertIs(renewed.outcome, CallOutcome.unproven)
+
+
+if __name__ == '__main__':
+    unittest.main()
