Take a row of a whole table that an earlier one lacked

What callers would see: 503 no_owner for a service whose keys have owners, at daemons that miss its key map; and without a leader for longer, since such a daemon that takes over assigns the keys anew, meets the row in the store and loses its term, each time.

Cause: a whole table that lacked a row was taken for its removal, and from then on the row was ignored also where a later whole table has it, that of the store at a takeover included.

Why it works: a whole table that is no older than the sign of a removal, and has the row, is the later evidence. Single rows that come late are ignored as before.

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -66,6 +66,24 @@
         known = self._whole_at_by_table.get(table, RowVersion(0))
         self._whole_at_by_table[table] = max(known, version)
 
+    def forget_removals_of(
+        self,
+        table: str,
+        rows: Iterable[StoreRow],
+        version: RowVersion,
+    ) -> None:
+        """Forget that rows were removed which a later whole table has.
+
+        Another daemon's table may lack a row that is older than its version.
+        """
+        if version >= self._whole_at_by_table.get(table, 0):
+            self._whole_at_by_table.pop(table, None)
+        removed = self._removed_by_table.get(table, {})
+        for row in rows:
+            known = removed.get(row.name)
+            if known is not None and known.version <= version:
+                removed.pop(row.name)
+
     def removals_of_missing(
         self,
         table: str,
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -101,6 +101,7 @@
         if version < self.rows.version_by_table.get(table, 0):
             return False
         table_rows = list(rows)
+        self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
         self.apply(table, removals + table_rows, version)
         self.rows.restart_history(table, version)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -97,6 +97,19 @@
         view.apply('servers', [row], 91)
         self.assertEqual(list(view.targets.by_id), ['t0'])
 
+    def test_whole_table_has_a_row_that_an_earlier_one_lacked(self) -> None:
+        # It was taken for removed, also when the store was read.
+        late = StoreRow('cassialever', 'keys/late', b'', 10)
+        other = StoreRow('cassialever', 'keys/other', b'', 11)
+        for known_before in (False, True):
+            with self.subTest(known_before=known_before):
+                view = configured_view(ManualClock(), targets=0)
+                if known_before:
+                    view.apply('cassialever', [late], 10)
+                view.replace('cassialever', [other], 11)
+                view.replace('cassialever', [late, other], 12)
+                self.assertIn(late, view.rows.rows_of('cassialever'))
+
     def test_history_of_removals_is_bounded(self) -> None:
         replica = RowReplica()
         version = 0
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -86,6 +86,27 @@
 
         self.check(scenario)
 
+    def test_leader_whose_view_lacked_the_map_reads_it(self) -> None:
+        # It began with a first assignment, and lost its term by that.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            # Another row was relayed before the map, which is older.
+            version = world.shared.put('cassialever', 'keys/other', b'')
+            stored = await second.store.read_all('cassialever')
+            incomplete = [
+                row for row in stored.rows if row.name != KEY_MAP_ROW[1]
+            ]
+            second.view.replace('cassialever', incomplete, version)
+            leader.kill()
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(3)
+            self.assertTrue(second.is_leading())
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
 
 class UnreadableMapTest(unittest.TestCase):
     """The row with the owners of keys can't be read by a new leader."""
