--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -4,18 +4,37 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
+from cassialever.fleet.model import KeyMap
 from cassialever.keys.mapwriter import row_name
 from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.ownership_rules import PATCHES_BY_RULE, without_rule
 from tests.ownership_search import (
     SearchDaemon,
     SearchWorld,
     make_task,
+    search,
 )
 
 ADDRESS = '10.1.64.1:8707'
 KEY_MAP_ROW = ('cassialever', row_name(ServiceName('registry')))
 SEEDS = range(8)
+#: Seeds that are tried until the removal of a rule is found, after one by which
+#: it has been found.
+MAX_SEEDS = 40
+SEED_BY_RULE = {
+    'targets reject lower fences': 3,
+    'owners are written before they are granted keys': 0,
+    'writes expect this term and the last key map': 14,
+    'keys are not reassigned until the last grant has lapsed': 2,
+    'keys are not reassigned until earlier leaders have expired': 3,
+    'a new leader suspects the owners that it inherits': 2,
+    'an owner is suspect after a failed grant': 53,
+    'a fence is renewed only with the process that has accepted it': 2,
+    'a leader that can not reach the store stops granting': 6,
+}
 
 Scenario = Callable[[SearchWorld, SearchDaemon], Awaitable[None]]
 
@@ -67,6 +86,86 @@
 
         self.check(scenario)
 
+    def test_leader_whose_view_lacked_the_map_reads_it(self) -> None:
+        # It began with a first assignment, and lost its term by that.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            # Another row was relayed before the map, which is older.
+            version = world.shared.put('cassialever', 'keys/other', b'')
+            stored = await second.store.read_all('cassialever')
+            incomplete = [
+                row for row in stored.rows if row.name != KEY_MAP_ROW[1]
+            ]
+            second.view.replace('cassialever', incomplete, version)
+            leader.kill()
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(3)
+            self.assertTrue(second.is_leading())
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
+
+class UnreadableMapTest(unittest.TestCase):
+    """The row with the owners of keys can't be read by a new leader."""
+
+    def test_leader_that_knows_an_earlier_map_grants_nothing(self) -> None:
+        # It wrote over the row by the earlier map, with fences given before.
+        self.check(b'\x01', has_earlier_map=True)
+
+    def test_leader_that_knows_no_map_does_not_lose_its_term(self) -> None:
+        # It wrote a first map, met the row and was deposed, again and again.
+        self.check(b'\x01', has_earlier_map=False)
+
+    def test_map_without_owners_is_no_first_assignment(self) -> None:
+        # Fences began at 1 again.
+        empty = msgspec.msgpack.encode(KeyMap(ServiceName('registry'), ()))
+        self.check(empty, has_earlier_map=False)
+
+    def check(self, content: bytes, *, has_earlier_map: bool) -> None:
+        """Let a leader follow one whose map can't be read."""
+
+        async def main(loop: VirtualLoop) -> None:
+            loop.set_task_factory(make_task)
+            world = SearchWorld(loop, seed=1)
+            first = world.add_daemon('edge-1')
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            assert await first.take_over()
+            await asyncio.sleep(2)
+            if has_earlier_map:
+                stored = await second.store.read_all('cassialever')
+                second.view.replace('cassialever', stored.rows, stored.version)
+            first.kill()
+            version = world.shared.put(*KEY_MAP_ROW, content)
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(5)
+            self.assertTrue(second.is_leading())
+            self.assertEqual(world.shared.row_by_name[KEY_MAP_ROW].ver, version)
+            for daemon in world.daemons:
+                daemon.kill()
+            self.assertEqual(world.violations, [])
+
+        run_virtually(main)
+
+
+class SearchTest(unittest.TestCase):
+    """The search finds what it should, and nothing else."""
+
+    def test_no_two_owners(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.assertEqual(search(seed).violations, [])
+
+    def test_removal_of_each_rule_is_found(self) -> None:
+        for rule in PATCHES_BY_RULE:
+            with self.subTest(rule=rule), without_rule(rule):
+                seeds = (SEED_BY_RULE[rule], *range(MAX_SEEDS))
+                self.assertTrue(any(search(one).violations for one in seeds))
+
 
 if __name__ == '__main__':
     unittest.main()
