Log by whom, in which term and to which process keys are granted

What an engineer would see: of two targets with the same key the log named the ids and the fence of calls that failed. It did not say when a fence was accepted first, by which address and process, in which term, or by which fact keys had become free, so that a false end of an owner could not be told from a late grant.

Lines about calls (450, 451, 452) have the service, the address, the start of the owner's process and of the one in the entry by which it was called, a number for the process that answered and for the one that has accepted the fence, whether the connection was new, and the term. New lines: 456 for the first grant with a fence, 457 for keys that become free, with the fact and how long a grant may still be in force if that is wrong, 458 for the map with which a term begins; a row that can't be read is no missing one. 411, 453 and 454 have the term.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -119,6 +119,17 @@
         'Another target has the address of an owner of keys, which has ended.',
     )
     keys_assigned = (453, logbook.INFO, 'Keys were assigned to targets.')
+    keys_granted = (
+        456,
+        logbook.INFO,
+        'A target accepted keys with a fence for the first time.',
+    )
+    keys_freed = (457, logbook.INFO, 'Keys may have another owner.')
+    keys_inherited = (
+        458,
+        logbook.NOTICE,
+        'A leader began with the owners of keys that earlier ones had written.',
+    )
 
     # Table and targets.
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -197,6 +197,7 @@
             return is_changed
         record(
             Event.authority_lost,
+            term=self.term,
             leader=lease.instance_id if lease else '',
             version=version,
         )
--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -80,6 +80,7 @@
     owned_since: Seconds = 0
     is_suspect: bool = False
     is_inherited: bool = False
+    is_released: bool = False
     #: The process that has accepted the fence below.
     process: TargetProcess | None = None
     process_fence: Fence = Fence(0)
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -5,7 +5,6 @@
 from typing import Any, Final
 
 from cassialever.clock import SystemClock
-from cassialever.events import Event, record
 from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.model import Target
 from cassialever.fleet.view import FleetView
@@ -19,6 +18,11 @@
     grant_duration,
     max_hold_time,
 )
+from cassialever.keys.key_events import (
+    record_failure,
+    record_granted,
+    record_release,
+)
 from cassialever.keys.lives import EndedLives
 from cassialever.keys.signs import SignsOfLife
 from cassialever.platform.targets import (
@@ -38,7 +42,10 @@
 #: Poll interval while grants to the same target are in progress.
 PENDING_POLL_INTERVAL: Final[Seconds] = 0.01
 
-
+#: Outcomes that are known from an answer of the owner itself.
+_OWN_ANSWERS: Final = frozenset(
+    (CallOutcome.done, CallOutcome.outdated, CallOutcome.refused)
+)
 #: Names grants among the requests to a target that have no answer yet.
 GRANT_ID: Final = 'grant'
 
@@ -158,14 +165,14 @@
         now = self._clock.boot()
         if result.outcome is CallOutcome.ended:
             self.lives.end(called, self._view.targets.relocated)
-        if result.outcome is CallOutcome.done:
+        assignment.is_released = result.outcome is CallOutcome.done
+        if assignment.is_released:
             assignment.handover = result.handover
             # Unanswered grants may still take effect after the release.
             assignment.may_be_held_until = assignment.unanswered_until
-            _record_call(Event.keys_released, assignment, result, now)
         else:
             assignment.handover = ''
-            _record_call(Event.release_failed, assignment, result, now)
+        record_release(self._leader_term.term, called, assignment, result, now)
         assignment.state = AssignmentState.lapsing
 
     async def _wait_until_idle(self, owner: TargetId) -> None:
@@ -218,7 +225,7 @@
             self._probe_at_by_id.pop(assignment.owner, None)
             _mark_confirmed(assignment, max(previous_bound, now + hold_time))
             return True
-        _record_call(Event.grant_failed, assignment, result, now)
+        record_failure(self._leader_term.term, called, assignment, result, now)
         is_unproven = result.outcome is CallOutcome.unproven
         assignment.renew_at = now if is_unproven else now + GRANT_RETRY_DELAY
         for notify in self.on_failure:
@@ -257,18 +264,15 @@
         finally:
             unanswered.record_end(owner, GRANT_ID)
         now = self._clock.monotonic()
-        if result.outcome is CallOutcome.unproven:
-            return result
-        if result.outcome is CallOutcome.not_sent:
-            self.paths.record_failure(owner, now)
-        elif result.outcome is CallOutcome.unknown:
-            self.paths.direct.record_doubt(owner, now)
-        else:
-            self.paths.record_answer(owner, now)
-            if result.outcome is not CallOutcome.ended:
-                self._signs.record(owner, sent_at)
+        _record_path(self.paths, owner, result.outcome, now)
+        if result.outcome in _OWN_ANSWERS:
+            self._signs.record(owner, sent_at)
         if result.outcome is CallOutcome.done:
             self.lives.confirm(called)
+            if assignment.process_with_fence() is None:
+                record_granted(
+                    self._leader_term.term, called, assignment, result, duration
+                )
             assignment.process = result.process
             assignment.process_fence = assignment.fence
         elif result.outcome is CallOutcome.ended:
@@ -279,6 +283,18 @@
         self._probe_at_by_id[target_id] = self._clock.boot() + PROBE_INTERVAL
 
 
+def _record_path(
+    paths: TargetPaths, owner: TargetId, outcome: CallOutcome, now: Seconds
+) -> None:
+    """Note what a call tells of the path to a target."""
+    if outcome is CallOutcome.not_sent:
+        paths.record_failure(owner, now)
+    elif outcome is CallOutcome.unknown:
+        paths.direct.record_doubt(owner, now)
+    elif outcome is not CallOutcome.unproven:
+        paths.record_answer(owner, now)
+
+
 def _mark_confirmed(assignment: Assignment, held_until: Seconds) -> None:
     """Note that the owner now rejects grants with lower fences."""
     assignment.is_inherited = False
@@ -294,19 +310,3 @@
     assignment.may_be_held_until = max(
         assignment.may_be_held_until, assignment.unanswered_until
     )
-
-
-def _record_call(
-    event: Event, assignment: Assignment, result: CallResult, now: Seconds
-) -> None:
-    free_in = assignment.may_be_held_until - now
-    record(
-        event,
-        target=assignment.owner,
-        first=assignment.first,
-        last=assignment.last,
-        fence=assignment.fence,
-        end=result.outcome.value,
-        reason=result.reason,
-        free_in=round(max(free_in, 0), 3),
-    )
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -26,6 +26,11 @@
     KeyHeat,
     TargetLatencies,
 )
+from cassialever.keys.key_events import (
+    FreeingFact,
+    record_freed,
+    record_inherited,
+)
 from cassialever.keys.mapwriter import MapWriter, row_name
 from cassialever.keys.steps import Steps
 from cassialever.keys.suspects import SuspectOwners
@@ -119,6 +124,14 @@
     def _inherit(self) -> None:
         view = self._context.view
         index = view.keys_by_service.get(self.service)
+        record_inherited(
+            self._context.leader_term.term,
+            self.service,
+            view.rows.by_table_and_name.get(
+                (OWN_TABLE, row_name(self.service))
+            ),
+            index,
+        )
         if index is None:
             return
         now = self._context.clock.boot()
@@ -177,11 +190,21 @@
             )
             # The end of a grant in progress is known with its answer.
             is_pending = assignment.owner in self._granter.pending_owners
-            is_over = (
+            is_expired = (
                 now >= assignment.may_be_held_until and not may_be_renewed
-            ) or self._granter.lives.has_owner_ended(assignment)
+            )
+            is_over = is_expired or self._granter.lives.has_owner_ended(
+                assignment
+            )
             if is_over and not is_pending:
                 assignment.state = AssignmentState.free
+                record_freed(
+                    self._context.leader_term.term,
+                    self.service,
+                    assignment,
+                    _freeing_fact(assignment, is_expired=is_expired),
+                    now,
+                )
 
     def _balance(self, now: Seconds) -> None:
         if len(self.assignments.moving()) >= MAX_MOVING:
@@ -230,6 +253,7 @@
             first=assignment.first,
             last=assignment.last,
             fence=assignment.fence,
+            term=self._context.leader_term.term,
             reason=reason,
             heat=round(self.heat.of(assignment.first, assignment.last), 1),
         )
@@ -338,6 +362,7 @@
         record(
             Event.keys_assigned,
             service=self.service,
+            term=self._context.leader_term.term,
             version=self._writer.version,
             keys=list(map(_log_entry, changed)),
         )
@@ -370,6 +395,14 @@
             )
 
 
+def _freeing_fact(assignment: Assignment, *, is_expired: bool) -> FreeingFact:
+    if not is_expired:
+        return FreeingFact.owner_ended
+    if assignment.is_released:
+        return FreeingFact.released
+    return FreeingFact.expired
+
+
 def _mark_assigned(assignment: Assignment, now: Seconds) -> None:
     """Note that free keys have an owner, which has no grant for them yet."""
     assignment.state = AssignmentState.held
@@ -377,6 +410,7 @@
     assignment.may_be_held_until = 0
     assignment.unanswered_until = 0
     assignment.is_inherited = False
+    assignment.is_released = False
 
 
 def _log_entry(assignment: Assignment) -> tuple[int, int, TargetId, Fence]:
--- a/cassialever/platform/processes.py
+++ b/cassialever/platform/processes.py
@@ -1,5 +1,6 @@
 """Tell which connections reach the same process of a target."""
 
+import itertools
 import math
 from collections.abc import Iterable
 from typing import Final
@@ -14,12 +15,17 @@
 MIN_CONNECTION_AGE: Final[Seconds] = 0.1
 
 
+_numbers: Final = itertools.count(1)
+
+
 class TargetProcess:
     """A process of a target, known by the connections that reach it."""
 
     def __init__(self, connection: object) -> None:
         """Start with one connection."""
         self.connections: WeakSet[object] = WeakSet([connection])
+        #: Names it in the log of this daemon.
+        self.number = next(_numbers)
 
 
 class _Connection(msgspec.Struct, eq=False):
@@ -50,6 +56,10 @@
             TargetProcess(connection), made_at=now
         )
 
+    def has(self, connection: object) -> bool:
+        """Return whether a connection was made or answered on before."""
+        return connection in self._known
+
     def record_answer(
         self,
         connection: object,
@@ -79,6 +89,7 @@
         for connection in tuple(other.connections):
             self._known[connection].process = process
         other.connections = process.connections
+        other.number = process.number
 
 
 def _reaches_same(
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -66,6 +66,14 @@
     unknown = 'unknown'
 
 
+class ConnectionUse(enum.Enum):
+    """Whether a call used a connection that was there before."""
+
+    unknown = 'unknown'
+    new = 'new'
+    kept = 'kept'
+
+
 class CallResult(msgspec.Struct, frozen=True):
     """The outcome of a call, and the handover that came with a release.
 
@@ -76,6 +84,7 @@
     handover: str = ''
     reason: str = ''
     process: TargetProcess | None = None
+    connection: ConnectionUse = ConnectionUse.unknown
 
 
 class TargetClient:
@@ -175,6 +184,7 @@
         connection = connection_in_use()
         if self._session is None or connection is None:
             return result
+        is_kept = self._processes.has(connection)
         idle = idle_connections(self._session, address)
         process = self._processes.record_answer(
             connection, sent_at, time.monotonic(), idle
@@ -182,7 +192,11 @@
         is_usual = result.outcome in {CallOutcome.done, CallOutcome.outdated}
         if len(idle) < IDLE_CONNECTIONS and is_usual:
             self._open_spare(address)
-        return msgspec.structs.replace(result, process=process)
+        return msgspec.structs.replace(
+            result,
+            process=process,
+            connection=ConnectionUse.kept if is_kept else ConnectionUse.new,
+        )
 
     def _open_spare(self, address: str) -> None:
         if address not in self._opening:
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from contextvars import ContextVar
 from typing import Any
 
 import msgspec
@@ -42,6 +43,8 @@
 CROSSING_SHARE = 0.3
 #: The targets' clocks run slow by this ratio.
 SLOW_CLOCK_RATIO = 1.02
+#: The name of the daemon whose tasks log.
+logging_daemon: ContextVar[str] = ContextVar('logging_daemon', default='')
 
 
 class FakeStore:
@@ -448,6 +451,7 @@
 
     async def take_over(self) -> bool:
         """Become the leader if the lease allows it."""
+        logging_daemon.set(self.name)
         stored = await self.store.read_all('cassialever')
         if isinstance(stored, Failure):
             return False
