Log of a failed grant when its keys are free after it

Cause: the line was written before the bound that holds while the call has no answer was taken back.

Evidence: test_call_that_was_not_sent_prolongs_no_grant failed before, by 0.485 s. The line is now written once the bound follows from the outcome; the test passes.

--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -225,7 +225,6 @@
             self._probe_at_by_id.pop(assignment.owner, None)
             _mark_confirmed(assignment, max(previous_bound, now + hold_time))
             return True
-        record_failure(self._leader_term.term, called, assignment, result, now)
         is_unproven = result.outcome is CallOutcome.unproven
         assignment.renew_at = now if is_unproven else now + GRANT_RETRY_DELAY
         for notify in self.on_failure:
@@ -233,6 +232,7 @@
         assignment.may_be_held_until = previous_bound
         if result.outcome is CallOutcome.unknown:
             _mark_unanswered(assignment, now + unanswered_hold_time)
+        record_failure(self._leader_term.term, called, assignment, result, now)
         if result.outcome is CallOutcome.outdated:
             # The target has seen a higher fence: reassign above it.
             assignment.fence = Fence(assignment.fence + 1)
--- a/tests/test_keys_events.py
+++ b/tests/test_keys_events.py
@@ -17,6 +17,8 @@
 from tests.key_logs import KeyLogs
 from tests.ownership_fakes import Daemon, World
 
+#: Times in lines are rounded to milliseconds.
+ROUNDING_ERROR = 0.002
 ADDRESS = '10.1.64.1:8707'
 CALL_FIELDS = {
     'service',
@@ -104,6 +106,24 @@
 
         play(scenario)
 
+    def test_call_that_was_not_sent_prolongs_no_grant(self) -> None:
+        # Its line named a later moment than that at which the keys were free.
+        async def scenario(world: World, _: Daemon, logs: KeyLogs) -> None:
+            world.targets[ADDRESS].is_up = False
+            await asyncio.sleep(5)
+            freed_at = {
+                line['first']: line['time'] for line in logs.named('keys_freed')
+            }
+            failed = logs.named('grant_failed')
+            self.assertTrue(failed)
+            for line in failed:
+                named = line['time'] + line['free_in']
+                self.assertLessEqual(
+                    named - freed_at[line['first']], ROUNDING_ERROR
+                )
+
+        play(scenario)
+
     def test_keys_that_their_owner_released(self) -> None:
         async def scenario(world: World, _: Daemon, logs: KeyLogs) -> None:
             world.targets[ADDRESS].is_draining = True
