Tell from daemons' logs which targets had a key, and why it moved

What an engineer would see: of two owners of a key a record has the service, the key and a time. The tool answered for a request's id only; the lines about the key had to be found among those of all daemons and put in order by hand.

`cassialever platform explain-key SERVICE KEY LOGS... [--from T] [--to T]` prints who had the key from when to when, with which fence, granted by whom in which term, to which process, and by which fact it was freed; what must not be (a fence that does not rise, two owners at a time, a grant without an answer that may be in force, one process that accepts calls for two targets, a term that began with lower fences, a grant of an earlier term, an owner that answers after it was taken for ended); and apart from that keys that were freed while a grant may be in force, with whether an entry names another target at the address. Lines are read by log_lines, which both commands share.

For it 456 also tells of a renewal that a process accepted which had not accepted the fence, and 520 has the address.

Evidence: where the next process at an address takes the renewals of the earlier one, as it did before both mends, and where calls don't name their target, the output says so; likewise after a refusal that was no one else's.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -122,7 +122,7 @@
     keys_granted = (
         456,
         logbook.INFO,
-        'A target accepted keys with a fence for the first time.',
+        'A process of a target accepted keys with a fence for the first time.',
     )
     keys_freed = (457, logbook.INFO, 'Keys may have another owner.')
     keys_inherited = (
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -217,6 +217,7 @@
             Event.target_seen,
             target=target_id,
             service=target.service,
+            address=target.address,
             state=target.state.value,
             started_at=target.started_at,
             cold_for=target.cold_for,
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -269,7 +269,7 @@
             self._signs.record(owner, sent_at)
         if result.outcome is CallOutcome.done:
             self.lives.confirm(called)
-            if assignment.process_with_fence() is None:
+            if not _is_renewal(assignment, result):
                 record_granted(
                     self._leader_term.term, called, assignment, result, duration
                 )
@@ -295,6 +295,14 @@
         paths.record_answer(owner, now)
 
 
+def _is_renewal(assignment: Assignment, result: CallResult) -> bool:
+    """Return whether the process that answered had accepted the fence."""
+    known = assignment.process_with_fence()
+    if known is None:
+        return False
+    return result.process is None or known.is_same(result.process)
+
+
 def _mark_confirmed(assignment: Assignment, held_until: Seconds) -> None:
     """Note that the owner now rejects grants with lower fences."""
     assignment.is_inherited = False
--- a/cassialever/platform/processes.py
+++ b/cassialever/platform/processes.py
@@ -27,6 +27,10 @@
         #: Names it in the log of this daemon.
         self.number = next(_numbers)
 
+    def is_same(self, other: 'TargetProcess') -> bool:
+        """Return whether a connection is known to reach both."""
+        return not self.connections.isdisjoint(other.connections)
+
 
 class _Connection(msgspec.Struct, eq=False):
     """When a connection was made, and when it had its first answer."""
--- a/cassialever/tool/platform_rendering.py
+++ b/cassialever/tool/platform_rendering.py
@@ -8,6 +8,9 @@
 from rich.text import Text
 
 from cassialever.fleet.model import Route
+from cassialever.tool.key_findings import Finding
+from cassialever.tool.key_history import KeyHistory, Tenure
+from cassialever.tool.log_lines import TimelineStep
 from cassialever.tool.platform_state import PlatformState
 from cassialever.tool.rendering import NO_VALUE, new_table, render
 from cassialever.tool.request_timeline import RequestTimeline
@@ -17,11 +20,49 @@
 def _render_timeline(outcome: RequestTimeline) -> RenderableType:
     if not outcome.steps:
         return Text('The logs have no lines about that request.')
-    lines = [
-        f'{_clock_time(step.time)} {step.instance}: {step.sentence}.'
-        for step in outcome.steps
+    return Text('\n'.join(map(_step_line, outcome.steps)))
+
+
+@render.register
+def _render_key_history(outcome: KeyHistory) -> RenderableType:
+    if not outcome.steps and not outcome.tenures:
+        return Text('The logs have no lines about that key and time.')
+    shown = [one for one in outcome.findings if one.is_shown]
+    possible = [one for one in outcome.findings if not one.is_shown]
+    parts = (
+        (f'Owners of key {outcome.key} of {outcome.service}:', outcome.tenures),
+        ('What must not be:', shown),
+        ('What would be wrong if an earlier owner was at work:', possible),
+        ('Events:', outcome.steps),
+    )
+    blocks = [
+        '\n'.join((title, *map(_history_line, found)))
+        for title, found in parts
+        if found
     ]
-    return Text('\n'.join(lines))
+    return Text('\n\n'.join(blocks))
+
+
+def _history_line(part: Tenure | Finding | TimelineStep) -> str:
+    if isinstance(part, Tenure):
+        return _tenure_line(part)
+    if isinstance(part, TimelineStep):
+        return _step_line(part)
+    return f'{_clock_time(part.time)} {part.sentence}.'
+
+
+def _tenure_line(tenure: Tenure) -> str:
+    until = '...' if tenure.until is None else _clock_time(tenure.until)
+    ended_by = tenure.ended_by and f'; then {tenure.ended_by}'
+    return (
+        f'{_clock_time(tenure.since)} to {until}: {tenure.target} at'
+        f' {tenure.address} with fence {tenure.fence}, granted by'
+        f' {tenure.granted_by} in term {tenure.term}{ended_by}.'
+    )
+
+
+def _step_line(step: TimelineStep) -> str:
+    return f'{_clock_time(step.time)} {step.instance}: {step.sentence}.'
 
 
 @render.register
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -1,18 +1,21 @@
 """Reconstruct from daemons' logs what happened to a request, and why.
 
-The input is the output of `telemetry.structured_log` of any number of
-daemons. Besides the lines about the request itself, the timeline includes
-recent events about its key, its targets, the leader and the store.
+Besides the lines about the request itself, the timeline includes recent events
+about its key, its targets, the leader and the store.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
-from typing import Any, Final, TypeAlias
+from typing import Any, Final
 
 import msgspec
 
-from cassialever.decoding import decode_json
-from cassialever.errors import Failure
+from cassialever.tool.log_lines import (
+    EventLine,
+    TimelineStep,
+    fill_in,
+    line_time,
+)
 from cassialever.types import Seconds
 
 #: How far back to look for causes: keys can be unavailable for about this
@@ -22,25 +25,6 @@
 #: may be logged this much later.
 LOOKAHEAD: Final[Seconds] = 2.0
 
-_Fields: TypeAlias = Mapping[str, Any]
-
-
-class EventLine(msgspec.Struct, frozen=True):
-    """A line of a daemon's log, with the name of its event."""
-
-    time: Seconds
-    instance: str
-    name: str
-    fields: _Fields
-
-
-class TimelineStep(msgspec.Struct, frozen=True):
-    """An event, described in a sentence."""
-
-    time: Seconds
-    instance: str
-    sentence: str
-
 
 class RequestTimeline(msgspec.Struct, frozen=True):
     """Events by time; `skipped` counts the lines that were unreadable."""
@@ -49,21 +33,6 @@
     skipped: int = 0
 
 
-def read_lines(log_lines: Iterable[str]) -> Iterator[EventLine | None]:
-    """Parse log lines; yield `None` for each one that is not JSON."""
-    for line in log_lines:
-        # Log collectors put a prefix before the JSON object.
-        start = line.find('{')
-        text = line[max(start, 0) :]
-        fields = decode_json(text, dict)
-        header = decode_json(text, _LineHeader)
-        if isinstance(fields, Failure) or isinstance(header, Failure):
-            yield None
-            continue
-        if header.name:
-            yield EventLine(header.time, header.instance, header.name, fields)
-
-
 def build_timeline(
     lines: Iterable[EventLine | None], request_id: str
 ) -> RequestTimeline:
@@ -92,7 +61,7 @@
     ]
     steps = tuple(
         TimelineStep(line.time, line.instance, describe(line))
-        for line in sorted(relevant, key=_time)
+        for line in sorted(relevant, key=line_time)
     )
     return RequestTimeline(steps, parsed.count(None))
 
@@ -108,26 +77,13 @@
     template = _TEMPLATE_BY_EVENT.get(line.name)
     if template is None:
         return line.name.replace('_', ' ')
-    sentence = template.format_map(_LineFields(line.fields))
+    sentence = fill_in(template, line.fields)
     helper = line.fields.get('helper')
     if helper and line.name == 'attempt_failed':
         return f'{sentence}, passed on through daemon {helper}'
     return sentence
 
 
-class _LineHeader(msgspec.Struct):
-    time: Seconds = 0
-    instance: str = ''
-    name: str = ''
-
-
-class _LineFields(dict[str, Any]):
-    """The fields of a line; a missing one reads as a question mark."""
-
-    def __missing__(self, name: str) -> str:
-        return '?'
-
-
 _TEMPLATE_BY_EVENT: Final[Mapping[str, str]] = MappingProxyType(
     {
         'request_refused': (
@@ -174,6 +130,10 @@
             'target {target} did not accept keys {first} to {last} ({reason});'
             ' free in {free_in} s'
         ),
+        'keys_granted': (
+            'target {target} accepted keys {first} to {last} with fence {fence}'
+        ),
+        'keys_freed': 'keys {first} to {last} of {target} became free',
         'keys_assigned': 'keys of {service} were assigned (row {version})',
         'target_gone': 'target {target} was removed',
         'target_seen': (
@@ -249,7 +209,3 @@
     if isinstance(first, int) and isinstance(last, int):
         return first <= key <= last
     return _ranges_contain_key(line.fields.get('keys'), key)
-
-
-def _time(line: EventLine) -> Seconds:
-    return line.time
--- a/tests/test_keys_events.py
+++ b/tests/test_keys_events.py
@@ -40,11 +40,11 @@
 Scenario = Callable[[World, Daemon, KeyLogs], Awaitable[None]]
 
 
-def play(scenario: Scenario) -> None:
+def play(scenario: Scenario, seed: int = 1) -> None:
     """Run a scenario beside a leader that has granted all keys."""
 
     async def main(loop: VirtualLoop) -> None:
-        world = World(loop, seed=1)
+        world = World(loop, seed)
         logs = KeyLogs(world)
         with logs.applicationbound():
             leader = world.add_daemon('edge-1')
--- a/tests/test_tool_platform.py
+++ b/tests/test_tool_platform.py
@@ -10,7 +10,8 @@
 
 from cassialever.cmdline import run
 from cassialever.tool.exits import ExitCode
-from cassialever.tool.request_timeline import build_timeline, read_lines
+from cassialever.tool.log_lines import read_lines
+from cassialever.tool.request_timeline import build_timeline
 from standins.rowstore import RowStoreServer
 from tests.fleet_helpers import CONFIGURATION, target_entry
 
@@ -21,6 +22,17 @@
     return f'  3.2 {instance} {json.dumps({**written, **fields})}'
 
 
+async def run_tool(*arguments: str) -> tuple[int, str]:
+    """Run the tool; return its exit code and what it printed."""
+    printed = io.StringIO()
+    with (
+        contextlib.redirect_stdout(printed),
+        contextlib.redirect_stderr(printed),
+    ):
+        code = await asyncio.to_thread(run, arguments)
+    return code, printed.getvalue()
+
+
 #: Lines of three daemons about a moving key; the last line is truncated.
 LOGS = [
     log_line(70, 'keys_leaving', 'edge-2', target='t9', first=0, last=99),
@@ -155,29 +167,20 @@
 class CommandsTest(unittest.IsolatedAsyncioTestCase):
     """The platform commands, run as an operator does."""
 
-    async def run_tool(self, *arguments: str) -> tuple[int, str]:
-        printed = io.StringIO()
-        with (
-            contextlib.redirect_stdout(printed),
-            contextlib.redirect_stderr(printed),
-        ):
-            code = await asyncio.to_thread(run, arguments)
-        return code, printed.getvalue()
-
     async def test_explain(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'log'
             path.write_text('\n'.join(LOGS))
-            code, printed = await self.run_tool(
+            code, printed = await run_tool(
                 'platform', 'explain', 'a1', str(path)
             )
             self.assertEqual(code, ExitCode.done, printed)
             self.assertIn('its owner is too busy', printed)
-            code, printed = await self.run_tool(
+            code, printed = await run_tool(
                 'platform', 'explain', 'a1', str(path), '--json'
             )
             self.assertEqual(len(json.loads(printed)['steps']), 4)
-            code, printed = await self.run_tool(
+            code, printed = await run_tool(
                 'platform', 'explain', 'a1', f'{folder}/missing'
             )
             self.assertEqual(code, ExitCode.faults)
@@ -195,7 +198,7 @@
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'log'
             path.write_text('\n'.join(map(json.dumps, lines)))
-            code, printed = await self.run_tool(
+            code, printed = await run_tool(
                 'platform', 'explain', 'a1', str(path)
             )
         self.assertEqual(code, ExitCode.done, printed)
@@ -211,7 +214,7 @@
         store.put('op', 'evacuate/astana-b', {})
         store.put('servers', 't1', target_entry())
         store.put('servers', 't2', {'address': 'nonsense'})
-        code, printed = await self.run_tool('platform', 'show', store.address)
+        code, printed = await run_tool('platform', 'show', store.address)
         self.assertEqual(code, ExitCode.done, printed)
         for part in (
             'configuration 7',
@@ -222,7 +225,7 @@
         ):
             self.assertIn(part, ' '.join(printed.split()))
         await store.stop()
-        code, printed = await self.run_tool('platform', 'show', store.address)
+        code, printed = await run_tool('platform', 'show', store.address)
         self.assertEqual(code, ExitCode.unreachable, printed)
 
 
