--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -15,6 +15,7 @@
     Reading,
     counter_readings,
     hop_readings,
+    key_readings,
 )
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
@@ -148,6 +149,7 @@
         configuration = self.view.configuration
         return [
             *counter_readings(self.core.forwarder.counters),
+            *key_readings(self.core.key_assigner.counters),
             *hop_readings(self.core.exchanges.dispatcher.counters),
             Reading('store_calls', self.core.store.calls),
             Reading('entries_rejected', self.view.rejected_count),
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -14,6 +14,7 @@
 
 from cassialever.gateway.counters import Counters, HopCounters
 from cassialever.gateway.settings import GatewaySettings
+from cassialever.keys.key_events import KeyCounters
 from cassialever.types import Seconds
 
 if TYPE_CHECKING:
@@ -143,6 +144,17 @@
     return readings
 
 
+def key_readings(counters: KeyCounters) -> list[Reading]:
+    """Return readings of the keys that a daemon freed as leader."""
+    readings = [
+        Reading('keys_freed', count, {'fact': fact})
+        for fact, count in counters.freed_by_fact.items()
+    ]
+    for outcome, failed in counters.failed_by_outcome.items():
+        readings.append(Reading('key_calls_failed', failed, {'end': outcome}))
+    return readings
+
+
 def hop_readings(counters: HopCounters) -> list[Reading]:
     """Return readings of the requests that daemons carry for each other."""
     readings = [
--- a/cassialever/keys/assigner.py
+++ b/cassialever/keys/assigner.py
@@ -9,6 +9,7 @@
 from cassialever.fleet.relay import Relay
 from cassialever.fleet.view import FleetView
 from cassialever.keys.granting import Granter
+from cassialever.keys.key_events import KeyCounters, KeyLog
 from cassialever.keys.service import ServiceAssigner, TermContext
 from cassialever.platform.targets import TargetClient
 from cassialever.policy.paths import TargetPaths
@@ -31,6 +32,7 @@
         paths: TargetPaths,
     ) -> None:
         """Start without a term; `run` begins one."""
+        self.counters = KeyCounters()
         self._paths = paths
         self._view = view
         self._relay = relay
@@ -51,6 +53,7 @@
                 leader_term,
                 self._clock,
                 self._paths,
+                KeyLog(leader_term.term, self.counters),
             ),
             leader_term,
             self._clock,
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -18,11 +18,7 @@
     grant_duration,
     max_hold_time,
 )
-from cassialever.keys.key_events import (
-    record_failure,
-    record_granted,
-    record_release,
-)
+from cassialever.keys.key_events import KeyLog
 from cassialever.keys.lives import EndedLives
 from cassialever.keys.signs import SignsOfLife
 from cassialever.platform.targets import (
@@ -60,8 +56,10 @@
         leader_term: LeaderTerm,
         clock: SystemClock,
         paths: TargetPaths,
+        key_log: KeyLog,
     ) -> None:
         """Start with all targets taken as reachable."""
+        self.key_log = key_log
         #: This daemon's paths to the targets, by the calls made to them.
         self.paths = paths
         self._view = view
@@ -172,7 +170,7 @@
             assignment.may_be_held_until = assignment.unanswered_until
         else:
             assignment.handover = ''
-        record_release(self._leader_term.term, called, assignment, result, now)
+        self.key_log.released(called, assignment, result, now)
         assignment.state = AssignmentState.lapsing
 
     async def _wait_until_idle(self, owner: TargetId) -> None:
@@ -232,7 +230,7 @@
         assignment.may_be_held_until = previous_bound
         if result.outcome is CallOutcome.unknown:
             _mark_unanswered(assignment, now + unanswered_hold_time)
-        record_failure(self._leader_term.term, called, assignment, result, now)
+        self.key_log.grant_failed(called, assignment, result, now)
         if result.outcome is CallOutcome.outdated:
             # The target has seen a higher fence: reassign above it.
             assignment.fence = Fence(assignment.fence + 1)
@@ -270,9 +268,7 @@
         if result.outcome is CallOutcome.done:
             self.lives.confirm(called)
             if not _is_renewal(assignment, result):
-                record_granted(
-                    self._leader_term.term, called, assignment, result, duration
-                )
+                self.key_log.granted(called, assignment, result, duration)
             assignment.process = result.process
             assignment.process_fence = assignment.fence
         elif result.outcome is CallOutcome.ended:
--- a/cassialever/keys/key_events.py
+++ b/cassialever/keys/key_events.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from collections import Counter
 from typing import Any
 
 from cassialever.events import Event, record
@@ -33,96 +34,118 @@
     unreadable = 'unreadable'
 
 
-def record_granted(
-    term: RowVersion,
-    called: Target,
-    assignment: Assignment,
-    result: CallResult,
-    duration: Seconds,
-) -> None:
-    """Log the first grant with a fence that its owner has accepted."""
-    record(
-        Event.keys_granted,
-        **_call_fields(term, called, assignment, result),
-        duration=round(duration, 3),
-    )
-
-
-def record_failure(
-    term: RowVersion,
-    called: Target,
-    assignment: Assignment,
-    result: CallResult,
-    now: Seconds,
-) -> None:
-    """Log a grant or a renewal that failed."""
-    record(
-        Event.grant_failed,
-        **_call_fields(term, called, assignment, result),
-        free_in=_time_left(assignment, now),
-    )
-
-
-def record_release(
-    term: RowVersion,
-    called: Target,
-    assignment: Assignment,
-    result: CallResult,
-    now: Seconds,
-) -> None:
-    """Log the outcome of a release."""
-    is_done = result.outcome is CallOutcome.done
-    record(
-        Event.keys_released if is_done else Event.release_failed,
-        **_call_fields(term, called, assignment, result),
-        free_in=_time_left(assignment, now),
-    )
-
-
-def record_freed(
-    term: RowVersion,
-    service: ServiceName,
-    assignment: Assignment,
-    fact: FreeingFact,
-    now: Seconds,
-) -> None:
-    """Log that keys may have another owner, and by which fact.
-
-    `held_for` is how long a grant may still be in force, if the fact is wrong.
-    """
-    record(
-        Event.keys_freed,
-        service=service,
-        target=assignment.owner,
-        started_at=assignment.owner_started_at,
-        **_range_fields(assignment),
-        term=term,
-        fact=fact.name,
-        held_for=_time_left(assignment, now),
-    )
-
-
-def record_inherited(
-    term: RowVersion,
-    service: ServiceName,
-    row: StoreRow | None,
-    index: KeyIndex | None,
-) -> None:
-    """Log with which map of a service's keys a term begins.
-
-    `row` is the newest that is known, and `index` has the newest map that
-    could be read.
-    """
-    ranges = () if index is None else index.key_map.ranges
-    record(
-        Event.keys_inherited,
-        service=service,
-        term=term,
-        map=_map_source(row, index).value,
-        version=None if row is None else row.version,
-        highest_fence=max((keys.fence for keys in ranges), default=0),
-        ranges=len(ranges),
-    )
+class KeyCounters:
+    """What a daemon did with keys as leader, since its start."""
+
+    def __init__(self) -> None:
+        """Start with nothing done."""
+        self.freed_by_fact: Counter[str] = Counter()
+        #: Failed grants and releases, by `CallOutcome`.
+        self.failed_by_outcome: Counter[str] = Counter()
+
+
+class KeyLog:
+    """Logs and counts what happens to keys during one term."""
+
+    def __init__(self, term: RowVersion, counters: KeyCounters) -> None:
+        """Log for a term."""
+        self._term = term
+        self._counters = counters
+
+    def granted(
+        self,
+        called: Target,
+        assignment: Assignment,
+        result: CallResult,
+        duration: Seconds,
+    ) -> None:
+        """Log the first grant with a fence that a process has accepted."""
+        record(
+            Event.keys_granted,
+            **_call_fields(called, assignment, result),
+            term=self._term,
+            duration=round(duration, 3),
+        )
+
+    def grant_failed(
+        self,
+        called: Target,
+        assignment: Assignment,
+        result: CallResult,
+        now: Seconds,
+    ) -> None:
+        """Log a grant or a renewal that failed."""
+        self._counters.failed_by_outcome[result.outcome.value] += 1
+        record(
+            Event.grant_failed,
+            **_call_fields(called, assignment, result),
+            term=self._term,
+            free_in=_time_left(assignment, now),
+        )
+
+    def released(
+        self,
+        called: Target,
+        assignment: Assignment,
+        result: CallResult,
+        now: Seconds,
+    ) -> None:
+        """Log the outcome of a release."""
+        is_done = result.outcome is CallOutcome.done
+        if not is_done:
+            self._counters.failed_by_outcome[result.outcome.value] += 1
+        record(
+            Event.keys_released if is_done else Event.release_failed,
+            **_call_fields(called, assignment, result),
+            term=self._term,
+            free_in=_time_left(assignment, now),
+        )
+
+    def freed(
+        self,
+        service: ServiceName,
+        assignment: Assignment,
+        fact: FreeingFact,
+        now: Seconds,
+    ) -> None:
+        """Log that keys may have another owner, and by which fact.
+
+        `held_for` is how long a grant may still be in force, if the fact is
+        wrong.
+        """
+        self._counters.freed_by_fact[fact.name] += 1
+        record(
+            Event.keys_freed,
+            service=service,
+            target=assignment.owner,
+            started_at=assignment.owner_started_at,
+            **_range_fields(assignment),
+            term=self._term,
+            fact=fact.name,
+            held_for=_time_left(assignment, now),
+        )
+
+    def inherited(
+        self,
+        service: ServiceName,
+        row: StoreRow | None,
+        index: KeyIndex | None,
+    ) -> None:
+        """Log with which map of a service's keys the term begins.
+
+        `row` is the newest that is known, and `index` has the newest map that
+        could be read.
+        """
+        ranges = () if index is None else index.key_map.ranges
+        record(
+            Event.keys_inherited,
+            service=service,
+            term=self._term,
+            map=_map_source(row, index).value,
+            version=None if row is None else row.version,
+            highest_fence=max((keys.fence for keys in ranges), default=0),
+            ranges=len(ranges),
+        )
 
 
 def _map_source(row: StoreRow | None, index: KeyIndex | None) -> MapSource:
@@ -136,7 +159,6 @@
 
 
 def _call_fields(
-    term: RowVersion,
     called: Target,
     assignment: Assignment,
     result: CallResult,
@@ -158,7 +180,6 @@
         'known_process': _number(assignment.process_with_fence()),
         'connection': result.connection.value,
         **_range_fields(assignment),
-        'term': term,
         'end': result.outcome.value,
         'reason': result.reason,
     }
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -26,11 +26,7 @@
     KeyHeat,
     TargetLatencies,
 )
-from cassialever.keys.key_events import (
-    FreeingFact,
-    record_freed,
-    record_inherited,
-)
+from cassialever.keys.key_events import FreeingFact
 from cassialever.keys.mapwriter import MapWriter, row_name
 from cassialever.keys.steps import Steps
 from cassialever.keys.suspects import SuspectOwners
@@ -124,8 +120,7 @@
     def _inherit(self) -> None:
         view = self._context.view
         index = view.keys_by_service.get(self.service)
-        record_inherited(
-            self._context.leader_term.term,
+        self._granter.key_log.inherited(
             self.service,
             view.rows.by_table_and_name.get(
                 (OWN_TABLE, row_name(self.service))
@@ -198,8 +193,7 @@
             )
             if is_over and not is_pending:
                 assignment.state = AssignmentState.free
-                record_freed(
-                    self._context.leader_term.term,
+                self._granter.key_log.freed(
                     self.service,
                     assignment,
                     _freeing_fact(assignment, is_expired=is_expired),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -186,6 +186,29 @@
             self.assertRegex(text, r'requests_served\{[^}]*\} 1.0')
             self.assertRegex(text, r'configuration_version\{[^}]*\} 7.0')
 
+    async def test_metrics_show_by_which_fact_keys_were_freed(self) -> None:
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            draining = system.targets[0]
+            system.store.put(
+                'servers', draining.target_id, draining.entry('draining')
+            )
+            counters = gateway.core.key_assigner.counters
+            await until(lambda: counters.freed_by_fact['released'] > 0)
+            counters.failed_by_outcome['ended'] += 1
+            port = gateway.settings.metrics_port
+            url = f'http://127.0.0.1:{port}/metrics'
+            async with aiohttp.ClientSession() as session:
+                async with session.get(url) as response:
+                    text = await response.text()
+            self.assertRegex(
+                text, r'keys_freed\{[^}]*fact="released"[^}]*\} [1-9]'
+            )
+            self.assertRegex(
+                text, r'key_calls_failed\{[^}]*end="ended"[^}]*\} 1.0'
+            )
+
     async def test_draining_target_gets_no_request(self) -> None:
         async with deployment() as system:
             gateway = system.gateways[0]
--- a/tests/test_keys_events.py
+++ b/tests/test_keys_events.py
@@ -7,7 +7,7 @@
 
 from cassialever.fleet.keyindex import KeyIndex
 from cassialever.fleet.model import KEY_COUNT, KeyMap, KeyRange, StoreRow
-from cassialever.keys.key_events import record_inherited
+from cassialever.keys.key_events import KeyCounters, KeyLog
 from cassialever.keys.mapwriter import row_name
 from cassialever.platform.processes import TargetProcesses
 from cassialever.platform.targets import ConnectionUse, TargetClient
@@ -136,7 +136,7 @@
         play(scenario)
 
     def test_keys_of_an_owner_whose_address_another_target_has(self) -> None:
-        async def scenario(world: World, _: Daemon, logs: KeyLogs) -> None:
+        async def scenario(world: World, leader: Daemon, logs: KeyLogs) -> None:
             world.replace_target(ADDRESS, 'next')
             await asyncio.sleep(2)
             # It was granted a new fence, since its connections had ended.
@@ -144,6 +144,16 @@
             # A wrong conclusion would let two targets have them for so long.
             for line in logs.named('keys_freed'):
                 self.assertGreater(line['held_for'], 1)
+            counters = leader.assigner.counters
+            self.assertEqual(
+                counters.freed_by_fact,
+                {'owner_ended': len(logs.named('keys_freed'))},
+            )
+            self.assertEqual(counters.failed_by_outcome['ended'], 1)
+            self.assertEqual(
+                counters.failed_by_outcome.total(),
+                len(logs.named('grant_failed')),
+            )
 
         play(scenario)
 
@@ -198,7 +208,9 @@
             world = World(VirtualLoop(), seed=1)
             logs = KeyLogs(world)
             with logs.applicationbound():
-                record_inherited(RowVersion(3), ServiceName('s'), row, index)
+                KeyLog(RowVersion(3), KeyCounters()).inherited(
+                    ServiceName('s'), row, index
+                )
             line = logs.named('keys_inherited')[0]
             self.assertEqual(line['map'], source)
             self.assertEqual(line['highest_fence'], fence)
