Test that a term without a map of the keys is shown

Played with the row deleted and with one that can't be read: the history of a key says that the term began with a lower fence than was granted, and from what.

--- a/tests/test_tool_key_history.py
+++ b/tests/test_tool_key_history.py
@@ -20,6 +20,7 @@
 
 SERVICE = 'registry'
 SAMPLED_KEYS = range(0, 65536, 2048)
+MAP_ROW = ('cassialever', f'keys/{SERVICE}')
 #: How long keys may wait for the end of grants of an earlier leader.
 EARLIER_LEADER_TIME = 16.0
 #: A key of the target at ADDRESS.
@@ -169,6 +170,30 @@
 
         play(scenario)
 
+    def test_term_without_a_map_is_shown(self) -> None:
+        for loss, source in (
+            (lambda world: world.shared.delete(*MAP_ROW), 'missing'),
+            (lambda world: world.shared.put(*MAP_ROW, b'?'), 'unreadable'),
+        ):
+
+            async def scenario(
+                world: World, leader: Daemon, logs: KeyLogs
+            ) -> None:
+                leader.kill()
+                loss(world)
+                second = world.add_daemon('edge-2')
+                world.publish_targets()
+                while not await second.take_over():
+                    await asyncio.sleep(0.1)
+                await asyncio.sleep(1)
+                self.assertRegex(
+                    '\n'.join(shown(logs.lines)),
+                    rf'began with the highest fence 0 \(map: {source}\), and 1',
+                )
+
+            with self.subTest(source=source):
+                play(scenario)
+
     def test_nothing_is_shown_where_keys_move_as_they_should(self) -> None:
         async def scenario(world: World, leader: Daemon, logs: KeyLogs) -> None:
             world.targets[ADDRESS].is_draining = True
