--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -68,6 +68,20 @@
     unknown = 'unknown'
 
 
+#: What a target answers that has not carried out a call.
+_REFUSALS: Final = frozenset(
+    (CallOutcome.outdated, CallOutcome.refused, CallOutcome.ended)
+)
+
+
+class ConnectionUse(enum.Enum):
+    """Whether a call used a connection on which a target answered before."""
+
+    unknown = 'unknown'
+    new = 'new'
+    kept = 'kept'
+
+
 class CallResult(msgspec.Struct, frozen=True):
     """The outcome of a call, and the handover that came with a release.
 
@@ -78,6 +92,7 @@
     handover: str = ''
     reason: str = ''
     process: TargetProcess | None = None
+    connection: ConnectionUse = ConnectionUse.unknown
 
 
 class TargetClient:
@@ -187,6 +202,7 @@
         connection = connection_in_use()
         if self._session is None or connection is None:
             return result
+        is_kept = self._processes.has_answered(connection)
         idle = idle_connections(self._session, address)
         process = self._processes.record_answer(
             connection, sent_at, time.monotonic(), idle
@@ -194,7 +210,11 @@
         is_usual = result.outcome in {CallOutcome.done, CallOutcome.outdated}
         if len(idle) < IDLE_CONNECTIONS and is_usual:
             self._open_spare(address)
-        return msgspec.structs.replace(result, process=process)
+        return msgspec.structs.replace(
+            result,
+            process=process,
+            connection=ConnectionUse.kept if is_kept else ConnectionUse.new,
+        )
 
     def _open_spare(self, address: str) -> None:
         if address not in self._opening:
@@ -221,7 +241,7 @@
     carried out. A success that belongs to another call does no harm: the keys
     are taken to be held.
     """
-    if is_first or result.outcome is CallOutcome.done:
+    if is_first or result.outcome not in _REFUSALS:
         return result
     return msgspec.structs.replace(
         result,
