Take an answer on a kept connection as no proof of a new fence

What callers would see: two targets hold the same keys. A target that has released keys takes them again by a grant that it had left without an answer.

Cause: an owner that answers a grant with a raised fence refuses lower ones from then on, so that earlier grants no longer count. On a kept connection that answer may be the copy of an earlier one, while the owner has not seen the fence. A copy may also come before the grant has arrived, whose hold then ends later than counted.

Why it works: earlier grants cease to count with the first answer on a connection, which can be no copy, or with the answer to a renewal that was sent 0.4 s or more after the first one that was answered: that call has ended by then. A hold that was prolonged on a kept connection counts 0.1 s longer. Not covered: two copies in a row, both in place of grants that were not carried out; a copy that hides a grant without an answer, which is carried out after the release of its keys.

--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -83,6 +83,8 @@
     #: The process that has accepted the fence below.
     process: TargetProcess | None = None
     process_fence: Fence = Fence(0)
+    #: When the first grant that it answered with that fence was sent.
+    accepted_at: Seconds = 0
 
     @property
     def key_count(self) -> int:
@@ -276,5 +278,6 @@
         right.may_be_held_until,
     )
     left.unanswered_until = max(left.unanswered_until, right.unanswered_until)
+    left.accepted_at = max(left.accepted_at, right.accepted_at)
     left.unanswered_fence = max(left.unanswered_fence, right.unanswered_fence)
     right.state = AssignmentState.replaced
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -204,8 +204,7 @@
         )
         sent_at = self._clock.boot()
         duration = grant_duration(self._signs.silence_of(assignment.owner))
-        hold_time = max_hold_time(duration)
-        unanswered_hold_time = MAX_TRANSIT_TIME + hold_time
+        unanswered_hold_time = MAX_TRANSIT_TIME + max_hold_time(duration)
         previous_bound = assignment.may_be_held_until
         # Until the answer arrives the grant may have taken effect.
         assignment.may_be_held_until = max(
@@ -216,7 +215,10 @@
         now = self._clock.boot()
         if result.outcome is CallOutcome.done:
             self._probe_at_by_id.pop(assignment.owner, None)
-            _mark_confirmed(assignment, max(previous_bound, now + hold_time))
+            assignment.may_be_held_until = max(
+                previous_bound, _hold_end(result, now, duration)
+            )
+            _mark_answered(assignment, result, sent_at)
             return True
         _record_call(Event.grant_failed, assignment, result, now)
         is_unproven = result.outcome is CallOutcome.unproven
@@ -269,8 +271,6 @@
                 self._signs.record(owner, sent_at)
         if result.outcome is CallOutcome.done:
             self.lives.confirm(called)
-            assignment.process = result.process
-            assignment.process_fence = assignment.fence
         elif result.outcome is CallOutcome.ended:
             self.lives.end(called, self._view.targets.relocated)
         return result
@@ -279,10 +279,33 @@
         self._probe_at_by_id[target_id] = self._clock.boot() + PROBE_INTERVAL
 
 
-def _mark_confirmed(assignment: Assignment, held_until: Seconds) -> None:
-    """Note that the owner now rejects grants with lower fences."""
+def _hold_end(result: CallResult, now: Seconds, duration: Seconds) -> Seconds:
+    """Return when the hold of a grant ends whose answer has come by now.
+
+    A copy of an earlier answer may come before the grant has arrived.
+    """
+    transit_time = 0 if result.is_first else MAX_TRANSIT_TIME
+    return now + transit_time + max_hold_time(duration)
+
+
+def _mark_answered(
+    assignment: Assignment, result: CallResult, sent_at: Seconds
+) -> None:
+    """Note the process that has answered a grant, and what that tells.
+
+    It rejects lower fences if its answer is the first on its connection. Else
+    that may be a copy, and the answer to a later renewal tells it: calls that
+    were sent with the one that was answered first have ended then.
+    """
+    is_known = assignment.process_with_fence() is not None
+    if not is_known:
+        assignment.accepted_at = sent_at
+    assignment.process = result.process
+    assignment.process_fence = assignment.fence
+    is_later = is_known and assignment.accepted_at + GRANT_TIMEOUT <= sent_at
+    if not result.is_first and not is_later:
+        return
     assignment.is_inherited = False
-    assignment.may_be_held_until = held_until
     if assignment.fence > assignment.unanswered_fence:
         assignment.unanswered_until = 0
 
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -71,13 +71,15 @@
 class CallResult(msgspec.Struct, frozen=True):
     """The outcome of a call, and the handover that came with a release.
 
-    `process` is the one that answered, as far as connections tell.
+    `process` is the one that answered, as far as connections tell; `is_first`
+    tells whether this is the first answer on its connection.
     """
 
     outcome: CallOutcome
     handover: str = ''
     reason: str = ''
     process: TargetProcess | None = None
+    is_first: bool = False
 
 
 class TargetClient:
@@ -222,7 +224,7 @@
     are taken to be held.
     """
     if is_first or result.outcome is CallOutcome.done:
-        return result
+        return msgspec.structs.replace(result, is_first=is_first)
     return msgspec.structs.replace(
         result,
         outcome=CallOutcome.unknown,
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -19,6 +19,7 @@
 from cassialever.platform import rows
 from cassialever.policy.candidacy import Candidacy
 from cassialever.policy.paths import TargetPaths
+from cassialever.tasks import BackgroundTasks
 from cassialever.types import DataCentreId
 from cassialever.platform.processes import TargetProcess
 from cassialever.platform.targets import (
@@ -325,6 +326,8 @@
         self.connection_count: Counter[str] = Counter()
         #: The processes to which these connections lead.
         self.process_by_address: dict[str, TargetProcess] = {}
+        #: Calls of which only a copy of an earlier answer has come.
+        self.calls = BackgroundTasks()
 
     def is_reached(self, address: str) -> bool:
         """Return whether a call of this daemon can arrive at a target."""
@@ -366,10 +369,9 @@
         copied = self.world.copied_by_address.get(address)
         if copied is None or not self._is_connected(target):
             return await self._grant(address, keys, duration)
-        if self.world.loses_copied_calls:
-            await self.world.pause(0.001)
-            return CallResult(copied)
-        await self._grant(address, keys, duration)
+        if not self.world.loses_copied_calls:
+            self.calls.start(self._grant(address, keys, duration))
+        await self.world.pause(0.001)
         return CallResult(copied)
 
     def _has_connection(
--- a/tests/ownership_faults.py
+++ b/tests/ownership_faults.py
@@ -15,8 +15,10 @@
 from cassialever.keys.assignments import (
     GRANT_DURATION,
     MAX_GRANT_DURATION,
+    Assignments,
     AssignmentState,
 )
+from cassialever.types import TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.ownership_fakes import Daemon, FakeTarget, World
 
@@ -32,6 +34,8 @@
 #: Steps of one random run, and the time between them.
 STEPS = 120
 STEP_TIME = 0.25
+#: Time between two looks at what a run waits for.
+SHORT_TIME = 0.01
 
 
 class Scenario(msgspec.Struct):
@@ -269,6 +273,43 @@
     return outcome
 
 
+def run_release_after_unanswered_grant() -> Outcome:
+    """Have an owner release keys as soon as it has confirmed a higher fence.
+
+    A grant that it had not answered before is carried out after the release.
+    """
+    outcome = Outcome()
+
+    async def main(loop: VirtualLoop) -> None:
+        world = World(loop, seed=1, targets=4)
+        scenario = await _settled_scenario(world)
+        assigner = scenario.leader().assigner.assigner_by_service['registry']
+        world.grant_delays = (1.4, 1.6)
+        world.delayed_calls = 1.0
+        while not _unanswered(assigner.assignments):
+            await asyncio.sleep(SHORT_TIME)
+        world.delayed_calls = 0.0
+        owner = _unanswered(assigner.assignments)[0]
+        ends_at = loop.time() + RECOVERY_LIMIT
+        while owner in _unanswered(assigner.assignments):
+            if loop.time() > ends_at:
+                break
+            await asyncio.sleep(SHORT_TIME)
+        next(
+            target for target in world.targets.values() if target.name == owner
+        ).is_draining = True
+        world.publish_targets()
+        await asyncio.sleep(RECOVERY_LIMIT)
+        outcome.violations.extend(world.violations)
+        if world.unheld_count():
+            outcome.violations.append('keys without a holder at the end')
+        for daemon in scenario.daemons:
+            daemon.kill()
+
+    run_virtually(main)
+    return outcome
+
+
 def run_random_faults(seed: int, steps: int = STEPS) -> None:
     """Inject random faults; raise AssertionError if a check fails."""
     run_virtually(lambda loop: _run_random_faults(loop, seed, steps))
@@ -289,6 +330,11 @@
         assigner._reclaim(assignment, 'a move')
 
 
+def _unanswered(assignments: Assignments) -> list[TargetId]:
+    """Return the owners of which a grant without an answer still counts."""
+    return [one.owner for one in assignments.ordered if one.unanswered_until]
+
+
 async def _keep_electing(daemons: list[Daemon]) -> None:
     while True:
         await _elect(daemons)
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -254,6 +254,41 @@
         # Its owner can't be reached any more.
         self.check_copies(CallOutcome.refused, is_cut=True)
 
+    def test_copied_acceptance_tells_not_when_the_grant_arrived(self) -> None:
+        # The copy came first; the keys went on before the hold had run out.
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.copied_by_address[ADDRESS] = CallOutcome.done
+            world.transit_time = 0.09
+            await asyncio.sleep(GRANT_RENEWAL_INTERVAL)
+            world.copied_by_address.clear()
+            world.transit_time = 0
+            leader.target_client.unreachable.add(ADDRESS)
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_copied_acceptance_of_a_new_fence_ends_no_earlier_grant(
+        self,
+    ) -> None:
+        # The target had not seen the fence, and carried out an earlier grant
+        # after it had released the keys.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.grant_delays = (1.0, 2.2)
+            world.delayed_calls = 1.0
+            await asyncio.sleep(GRANT_RENEWAL_INTERVAL)
+            world.delayed_calls = 0.0
+            world.copied_by_address[ADDRESS] = CallOutcome.done
+            world.loses_copied_calls = True
+            await asyncio.sleep(0.5)
+            world.copied_by_address.clear()
+            world.targets[ADDRESS].is_draining = True
+            world.publish_targets()
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
 
 class ProbeTest(unittest.TestCase):
     """What a connection to the address of an owner shows."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -7,6 +7,7 @@
     run_faults,
     run_long_partition,
     run_random_faults,
+    run_release_after_unanswered_grant,
     run_unanswered_takeover,
 )
 from tests.ownership_rules import PATCHES_BY_RULE, without_rule
@@ -22,6 +23,8 @@
             return True
         if run_unanswered_takeover().violations:
             return True
+        if run_release_after_unanswered_grant().violations:
+            return True
         if run_faults([('target restarts, reported late', 0.5)]).violations:
             return True
         for seed in range(SEEDS):
@@ -46,6 +49,9 @@
     def test_restarts_after_grants_without_an_answer(self) -> None:
         self.assertEqual(run_unanswered_takeover().violations, [])
 
+    def test_release_after_a_grant_without_an_answer(self) -> None:
+        self.assertEqual(run_release_after_unanswered_grant().violations, [])
+
 
 class MatrixTest(unittest.TestCase):
     """A sample of the cells of `make matrix`."""
