Send a grant whose refusal may belong to another call once more

What callers would see: the keys of an owner that truly refuses on a kept connection wait longer. Since such a refusal shows nothing, the owner is suspect, is granted a higher fence on the next kept connection, and refuses again.

Over sockets a grant with a low fence ended `unknown` (test_refused_grant_is_repeated_on_a_new_connection failed).

Why it works: a grant that any process of its target may carry out is sent again on a new connection, within the same 0.4 s; the first answer there belongs to it, and sending the same grant again renews it. Renewals of a known fence are not: a new connection may reach a later process, which must get a higher one.

--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -81,6 +81,16 @@
     process: TargetProcess | None = None
     is_first: bool = False
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether this is a refusal that may belong to another call."""
+        is_refusal = self.outcome in {
+            CallOutcome.outdated,
+            CallOutcome.refused,
+            CallOutcome.ended,
+        }
+        return is_refusal and not self.is_first
+
 
 class TargetClient:
     """The client for the calls that grant keys to targets and release them."""
@@ -116,11 +126,19 @@
         The duration is cut to the longest that targets accept. Only the owner
         carries the call out, also if another target has its address. With a
         process, only that one does: a later process of the same target is not
-        called.
+        called. Else a call whose refusal may belong to another one is sent
+        again, on a new connection.
         """
         call = wire.encode_grant(keys, min(duration, self._max_duration))
+        sent_at = time.monotonic()
         with only_on(None if process is None else process.connections):
-            return await self._call(address, keys.owner, call, GRANT_TIMEOUT)
+            result = await self._call(address, keys.owner, call, GRANT_TIMEOUT)
+        if not result.is_doubtful or process is not None:
+            return conclude(result)
+        time_left = GRANT_TIMEOUT - (time.monotonic() - sent_at)
+        with only_on_new():
+            repeated = await self._call(address, keys.owner, call, time_left)
+        return conclude(result, repeated)
 
     async def release(self, address: str, keys: KeyRange) -> CallResult:
         """Take keys back; the call is done when the work on them has ended.
@@ -165,12 +183,7 @@
                     close_connection(response)
                 else:
                     await response.read()
-                result = conclude(
-                    _call_result(response, owner),
-                    is_first=not self._processes.has_answered(
-                        connection_in_use()
-                    ),
-                )
+                result = _call_result(response, owner)
         except NoKnownConnectionError as none_open:
             return CallResult(CallOutcome.unproven, reason=repr(none_open))
         except (
@@ -189,6 +202,7 @@
         connection = connection_in_use()
         if self._session is None or connection is None:
             return result
+        is_first = not self._processes.has_answered(connection)
         idle = idle_connections(self._session, address)
         process = self._processes.record_answer(
             connection, sent_at, time.monotonic(), idle
@@ -196,7 +210,9 @@
         is_usual = result.outcome in {CallOutcome.done, CallOutcome.outdated}
         if len(idle) < IDLE_CONNECTIONS and is_usual:
             self._open_spare(address)
-        return msgspec.structs.replace(result, process=process)
+        return msgspec.structs.replace(
+            result, process=process, is_first=is_first
+        )
 
     def _open_spare(self, address: str) -> None:
         if address not in self._opening:
@@ -214,8 +230,10 @@
             self._processes.record_made(connection, time.monotonic())
 
 
-def conclude(result: CallResult, *, is_first: bool) -> CallResult:
-    """Return what an answer tells of its call.
+def conclude(
+    result: CallResult, repeated: CallResult | None = None
+) -> CallResult:
+    """Return what the answer to a call tells, and that to its repetition.
 
     Answers bear no id, and a target may write one to another call where the
     next one is expected, but not as the first on a connection. So a refusal
@@ -223,8 +241,19 @@
     carried out. A success that belongs to another call does no harm: the keys
     are taken to be held.
     """
-    if is_first or result.outcome is CallOutcome.done:
-        return msgspec.structs.replace(result, is_first=is_first)
+    if not result.is_doubtful:
+        return result
+    if (
+        repeated is not None
+        and repeated.is_first
+        and repeated.outcome
+        in {
+            CallOutcome.done,
+            CallOutcome.outdated,
+            CallOutcome.ended,
+        }
+    ):
+        return repeated
     return msgspec.structs.replace(
         result,
         outcome=CallOutcome.unknown,
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -348,10 +348,12 @@
             return CallResult(
                 CallOutcome.unknown if is_crossing else CallOutcome.unproven
             )
-        is_kept = self._is_connected(target)
-        result = conclude(
-            await self._answer(address, keys, duration), is_first=not is_kept
-        )
+        result = await self._answer(address, keys, duration)
+        repeated = None
+        if result.is_doubtful and process is None:
+            repeated = await self._grant(address, keys, duration)
+            repeated = msgspec.structs.replace(repeated, is_first=True)
+        result = conclude(result, repeated)
         if result.outcome is CallOutcome.unknown:
             # The connection is closed, so that nothing arrives later.
             self.connection_count[address] -= 1
@@ -367,8 +369,10 @@
         """Call a target; a copy of an earlier answer may come in its place."""
         target = self.world.targets[address]
         copied = self.world.copied_by_address.get(address)
-        if copied is None or not self._is_connected(target):
-            return await self._grant(address, keys, duration)
+        is_first = not self._is_connected(target)
+        if copied is None or is_first:
+            result = await self._grant(address, keys, duration)
+            return msgspec.structs.replace(result, is_first=is_first)
         if not self.world.loses_copied_calls:
             self.calls.start(self._grant(address, keys, duration))
         await self.world.pause(0.001)
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -463,6 +463,16 @@
             outcomes.append(granted.outcome)
         self.assertEqual(outcomes[2:], [CallOutcome.done] * 3)
 
+    async def test_refused_grant_is_repeated_on_a_new_connection(self) -> None:
+        # Each refusal on a kept connection cost another fence.
+        target = await self.started('t0')
+        client = await self.client()
+        for fence in (7, 7, 7, 5):
+            keys = KeyRange(0, 99, 't0', 1000, fence)
+            granted = await client.grant(target.address, keys, 2.3)
+        self.assertIs(granted.outcome, CallOutcome.outdated)
+        self.assertTrue(granted.is_first)
+
     async def test_refusal_on_a_kept_connection_proves_nothing(self) -> None:
         # The answer to another call ended a target, or shortened its hold.
         for status in (409, 421, 503):
