Tell the lives of a target by their starts, not by the order of these

What callers would see: a target that has started again gets no keys as long as the leader stays; all requests for them are refused if there is no other target.

Cause: an ended life ended all lives of its id with an earlier start. A start is the time of day of the target's machine, which may step back; and one huge value in an entry ended all later lives.

Why it works: a life is an id with its start, and only the life that was called is over. Keys of an earlier life whose entry tells the next one wait for the end of their hold.

--- a/cassialever/keys/lives.py
+++ b/cassialever/keys/lives.py
@@ -8,8 +8,8 @@
 from cassialever.keys.assignments import Assignment
 from cassialever.types import TargetId
 
-#: Targets that are remembered; of more, those noted first are forgotten.
-MAX_TARGETS: Final = 2048
+#: Processes that are remembered; of more, those noted first are forgotten.
+MAX_PROCESSES: Final = 2048
 
 
 class EndedLives:
@@ -17,12 +17,13 @@
 
     A process keeps its address, and no other one has that meanwhile. So one
     has ended once another target answers at its address. The same target may
-    start again later: its processes differ by their start.
+    start again later: its processes differ by their start. That is a time of
+    day, which may step back, so that it doesn't tell which one is later.
     """
 
     def __init__(self) -> None:
         """Start without ended targets."""
-        self._ended_by_id: dict[TargetId, StartedAt] = {}
+        self._ended: dict[tuple[TargetId, StartedAt], None] = {}
         #: The report by which each target was called when it accepted keys.
         self._confirmed_by_id: dict[TargetId, Target] = {}
 
@@ -53,9 +54,8 @@
             address=called.address,
             started_at=called.started_at,
         )
-        self._ended_by_id.pop(called.target_id, None)
-        self._ended_by_id[called.target_id] = called.started_at
-        _limit(self._ended_by_id)
+        self._ended[called.target_id, called.started_at] = None
+        _limit(self._ended)
         return True
 
     def has_owner_ended(self, assignment: Assignment) -> bool:
@@ -64,9 +64,9 @@
 
     def is_over(self, target_id: TargetId, started_at: StartedAt) -> bool:
         """Return whether a target's process that started then has ended."""
-        return started_at <= self._ended_by_id.get(target_id, -1)
+        return (target_id, started_at) in self._ended
 
 
-def _limit(known: dict[TargetId, Any]) -> None:
-    while len(known) > MAX_TARGETS:
+def _limit(known: dict[Any, Any]) -> None:
+    while len(known) > MAX_PROCESSES:
         known.pop(next(iter(known)))
