--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -72,6 +72,10 @@
 _REFUSALS: Final = frozenset(
     (CallOutcome.outdated, CallOutcome.refused, CallOutcome.ended)
 )
+#: Answers to a grant that tell its end, also if it was sent before.
+_CONCLUSIVE: Final = frozenset(
+    (CallOutcome.done, CallOutcome.outdated, CallOutcome.ended)
+)
 
 
 class ConnectionUse(enum.Enum):
@@ -94,6 +98,16 @@
     process: TargetProcess | None = None
     connection: ConnectionUse = ConnectionUse.unknown
 
+    @property
+    def is_first(self) -> bool:
+        """Return whether this is the first answer on its connection."""
+        return self.connection is ConnectionUse.new
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether this is a refusal that may belong to another call."""
+        return self.outcome in _REFUSALS and not self.is_first
+
 
 class TargetClient:
     """The client for the calls that grant keys to targets and release them."""
@@ -129,11 +143,19 @@
         The duration is cut to the longest that targets accept. Only the owner
         carries the call out, also if another target has its address. With a
         process, only that one does: a later process of the same target is not
-        called.
+        called. Else a call whose refusal may belong to another one is sent
+        again, on a new connection.
         """
         call = wire.encode_grant(keys, min(duration, self._max_duration))
+        sent_at = time.monotonic()
         with only_on(None if process is None else process.connections):
-            return await self._call(address, keys.owner, call, GRANT_TIMEOUT)
+            result = await self._call(address, keys.owner, call, GRANT_TIMEOUT)
+        if not result.is_doubtful or process is not None:
+            return conclude(result)
+        time_left = GRANT_TIMEOUT - (time.monotonic() - sent_at)
+        with only_on_new():
+            repeated = await self._call(address, keys.owner, call, time_left)
+        return conclude(result, repeated)
 
     async def release(self, address: str, keys: KeyRange) -> CallResult:
         """Take keys back; the call is done when the work on them has ended.
@@ -178,12 +200,7 @@
                     close_connection(response)
                 else:
                     await response.read()
-                result = conclude(
-                    _call_result(response, owner),
-                    is_first=not self._processes.has_answered(
-                        connection_in_use()
-                    ),
-                )
+                result = _call_result(response, owner)
         except NoKnownConnectionError as none_open:
             return CallResult(CallOutcome.unproven, reason=repr(none_open))
         except (
@@ -232,8 +249,10 @@
             self._processes.record_made(connection, time.monotonic())
 
 
-def conclude(result: CallResult, *, is_first: bool) -> CallResult:
-    """Return what an answer tells of its call.
+def conclude(
+    result: CallResult, repeated: CallResult | None = None
+) -> CallResult:
+    """Return what the answer to a call tells, and that to its repetition.
 
     Answers bear no id, and a target may write one to another call where the
     next one is expected, but not as the first on a connection. So a refusal
@@ -241,8 +260,11 @@
     carried out. A success that belongs to another call does no harm: the keys
     are taken to be held.
     """
-    if is_first or result.outcome not in _REFUSALS:
+    if not result.is_doubtful:
         return result
+    if repeated is not None and repeated.is_first:
+        if repeated.outcome in _CONCLUSIVE:
+            return repeated
     return msgspec.structs.replace(
         result,
         outcome=CallOutcome.unknown,
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -20,6 +20,7 @@
 from cassialever.platform import rows
 from cassialever.policy.candidacy import Candidacy
 from cassialever.policy.paths import TargetPaths
+from cassialever.tasks import BackgroundTasks
 from cassialever.types import DataCentreId
 from cassialever.platform.processes import TargetProcess
 from cassialever.platform.targets import (
@@ -27,6 +28,7 @@
     IDLE_CONNECTIONS,
     CallOutcome,
     CallResult,
+    ConnectionUse,
     conclude,
 )
 from standins.keyed_target import Grant
@@ -328,6 +330,8 @@
         self.connection_count: Counter[str] = Counter()
         #: The processes to which these connections lead.
         self.process_by_address: dict[str, TargetProcess] = {}
+        #: Calls of which only a copy of an earlier answer has come.
+        self.calls = BackgroundTasks()
 
     def is_reached(self, address: str) -> bool:
         """Return whether a call of this daemon can arrive at a target."""
@@ -348,10 +352,14 @@
             return CallResult(
                 CallOutcome.unknown if is_crossing else CallOutcome.unproven
             )
-        is_kept = self._is_connected(target)
-        result = conclude(
-            await self._answer(address, keys, duration), is_first=not is_kept
-        )
+        result = await self._answer(address, keys, duration)
+        repeated = None
+        if result.is_doubtful and process is None:
+            repeated = await self._grant(address, keys, duration)
+            repeated = msgspec.structs.replace(
+                repeated, connection=ConnectionUse.new
+            )
+        result = conclude(result, repeated)
         if result.outcome is CallOutcome.unknown:
             # The connection is closed, so that nothing arrives later.
             self.connection_count[address] -= 1
@@ -367,12 +375,18 @@
         """Call a target; a copy of an earlier answer may come in its place."""
         target = self.world.targets[address]
         copied = self.world.copied_by_address.get(address)
-        if copied is None or not self._is_connected(target):
-            return await self._grant(address, keys, duration)
-        if self.world.loses_copied_calls:
-            await self.world.pause(0.001)
-            return CallResult(copied)
-        await self._grant(address, keys, duration)
+        is_first = not self._is_connected(target)
+        if copied is None or is_first:
+            result = await self._grant(address, keys, duration)
+            return msgspec.structs.replace(
+                result,
+                connection=ConnectionUse.new
+                if is_first
+                else ConnectionUse.kept,
+            )
+        if not self.world.loses_copied_calls:
+            self.calls.start(self._grant(address, keys, duration))
+        await self.world.pause(0.001)
         return CallResult(copied)
 
     def _has_connection(
