Take a failure without Not-Executed for one that may hide a grant

What callers would see: two targets with the same keys. A grant that is answered 500, 503 or 504 without a statement that it was not carried out was taken for a refusal. The hold that it may have given was not waited for: free keys that were granted first in this way were free again at once, and went to another target.

Cause: every status but 200, 409 and 421 counted as a refusal. The platform promises that a call was not carried out by Not-Executed alone, and by 421.

By reading only: that a target carries a grant out and answers so.

Why it works: such an answer leaves the call unanswered, so that its keys wait for the end of the hold that it may have given, as after a lost answer.

--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -57,6 +57,7 @@
     done = 'done'
     #: The target has seen a higher fence on one of the keys.
     outdated = 'outdated'
+    #: The target states that it has not carried out the call.
     refused = 'refused'
     #: No connection is known to reach the process that has the keys.
     unproven = 'unproven'
@@ -258,4 +259,6 @@
         return CallResult(CallOutcome.outdated, reason=reason)
     if is_refused_by_another(response.status, response.headers, owner):
         return CallResult(CallOutcome.ended, reason=reason)
-    return CallResult(CallOutcome.refused, reason=reason)
+    if wire.reports_not_run(response.status, response.headers):
+        return CallResult(CallOutcome.refused, reason=reason)
+    return CallResult(CallOutcome.unknown, reason=reason)
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -461,6 +461,36 @@
         self.assertIs(renewed.outcome, CallOutcome.unknown)
         self.assertFalse(connection.is_connected())
 
+    async def test_failure_of_a_target_may_hide_a_grant(self) -> None:
+        # It was taken for a refusal, and the keys were free at once.
+        for head, outcome in (
+            (b'500 Failed', CallOutcome.unknown),
+            (b'503 Busy', CallOutcome.unknown),
+            (b'504 Late', CallOutcome.unknown),
+            (b'503 Busy\r\nNot-Executed: 1', CallOutcome.refused),
+        ):
+            with self.subTest(head=head):
+                await self.check_first_answer(head, outcome)
+
+    async def check_first_answer(
+        self, head: bytes, outcome: CallOutcome
+    ) -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(ConnectionError, EOFError):
+                await reader.readuntil(b'}')
+                writer.write(b'HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n' % head)
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        client = await self.client()
+        host, port = server.sockets[0].getsockname()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        granted = await client.grant(f'{host}:{port}', keys, 2.3)
+        self.assertIs(granted.outcome, outcome)
+
     async def test_late_copy_of_a_refusal_ends_no_other_target(self) -> None:
         # The next target at the address was taken for ended, and holds keys.
         server = await asyncio.start_server(_repeat_refusals, '127.0.0.1', 0)
