Grant keys of one life of a target to no other life of it

What callers would see: two targets with the same keys. A target's process ended and started again at another address while keys were written as those of the ended one. The later process was granted them. Then the answer of another target at the earlier address, to a release that was under way, ended the earlier life, and with it freed at once what the later one held.

Cause: a grant is sent to the address of the newest entry, whatever life the assignment names. What ends that life does not end the holder.

Why it works: a fence is granted for the first time only to the life that the assignment names, by the entry. A renewal goes to the process that accepted the fence. If the entry names another life, the keys leave the owner in the next step.

--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -180,7 +180,7 @@
     ) -> None:
         for assignment in assignments:
             # It may have been reassigned while an earlier call was running.
-            if not self._may_be_granted(assignment, called.target_id):
+            if not self._may_be_granted(assignment, called):
                 continue
             may_go_on = self.has_authority() and await self._grant_one(
                 assignment, called
@@ -188,17 +188,20 @@
             if not may_go_on:
                 break
 
-    def _may_be_granted(self, assignment: Assignment, owner: TargetId) -> bool:
-        """Return whether keys are its owner's, which runs and is no suspect."""
+    def _may_be_granted(self, assignment: Assignment, called: Target) -> bool:
+        """Return whether a target's keys may be granted to it."""
         is_held = assignment.state is AssignmentState.held
-        if not is_held or assignment.owner != owner:
+        if not is_held or assignment.owner != called.target_id:
             return False
         if self.lives.has_owner_ended(assignment) or assignment.is_suspect:
             return False
+        if assignment.process_with_fence() is not None:
+            return True
+        # The end of the owner's process must not free what a later one holds.
+        is_same_life = assignment.owner_started_at == called.started_at
         # A process of the owner that has not accepted the fence may have
         # started after the grants of a later leader.
-        is_renewal = assignment.process_with_fence() is not None
-        return is_renewal or self._leader_term.store_age() < STALE_AFTER
+        return is_same_life and self._leader_term.store_age() < STALE_AFTER
 
     async def _grant_one(self, assignment: Assignment, called: Target) -> bool:
         """Grant one assignment; return whether to go on with the next."""
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -8,11 +8,16 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 
 from cassialever.fleet.model import KeyRange, StartedAt, Target
-from cassialever.keys.assignments import GRANT_RENEWAL_INTERVAL
+from cassialever.keys.assignments import (
+    GRANT_RENEWAL_INTERVAL,
+    Assignments,
+    AssignmentState,
+)
 from cassialever.keys.lives import EndedLives
 from cassialever.platform.records import decode_target
 from cassialever.platform.identity import is_refused_by_another
@@ -24,7 +29,7 @@
 from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
-from tests.ownership_fakes import Daemon, World
+from tests.ownership_fakes import Daemon, FakeTarget, World
 
 ADDRESS = '10.1.64.1:8707'
 OTHER_ADDRESS = '10.1.64.0:8707'
@@ -255,6 +260,64 @@
         self.check_copies(CallOutcome.refused, is_cut=True)
 
 
+class MovedLifeTest(LivesTest):
+    """A target starts again at another address while it is given keys."""
+
+    def test_later_life_gets_no_keys_of_the_ended_one(self) -> None:
+        # A release at the earlier address freed what the later life held.
+        async def scenario(world: World, leader: Daemon) -> None:
+            assigner = leader.assigner.assigner_by_service['registry']
+            _delay_commits(leader, 0.3)
+            _delay_releases(leader, ADDRESS, 0.5)
+            world.transit_time = 0.1
+            for target in world.targets.values():
+                target.is_draining = target.name != 't1'
+            world.publish_targets()
+            while not _is_assigned_to(assigner.assignments, 't1'):
+                await asyncio.sleep(0.001)
+            world.replace_target(ADDRESS, 'next')
+            later = FakeTarget('t1', '10.1.64.9:8707')
+            later.started_at = 2000
+            world.targets[later.address] = later
+            held = assigner.assignments.held_by(TargetId('t1'))
+            assigner._reclaim(held[0], 'a move')
+            await asyncio.sleep(0.02)
+            world.publish_targets()
+            await asyncio.sleep(6)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+
+def _is_assigned_to(assignments: Assignments, owner: str) -> bool:
+    """Return whether free keys are being written as those of an owner."""
+    free = assignments.in_state(AssignmentState.free)
+    return any(assignment.owner == owner for assignment in free)
+
+
+def _delay_commits(daemon: Daemon, delay: float) -> None:
+    commit = daemon.store.commit
+
+    async def delayed(transaction: Any) -> Any:
+        await asyncio.sleep(delay)
+        return await commit(transaction)
+
+    daemon.store.commit = delayed
+
+
+def _delay_releases(daemon: Daemon, address: str, delay: float) -> None:
+    """Delay the answers to releases at an address."""
+    release = daemon.target_client.release
+
+    async def delayed(called: str, keys: KeyRange) -> Any:
+        result = await release(called, keys)
+        if called == address:
+            await asyncio.sleep(delay)
+        return result
+
+    daemon.target_client.release = delayed
+
+
 class ProbeTest(unittest.TestCase):
     """What a connection to the address of an owner shows."""
 
