Write no key map over one that could not be read

What callers would see: fences that fall. A daemon that can't read the newest key map, as that of a leader of a later build, took over with the one before it, and wrote that over the newer one. A target that had started again meanwhile took a fence that was not above its earlier one.

Cause: a term begins with the last map that could be read, and with the version of the row, which may be later.

Why it works: the first write expects the version of the map that was read. It conflicts if there is a later one, and the term ends before a grant: all keys are suspect until a write. The keys are not granted until a daemon leads that can read the map, or that has a map in the row again.

--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -26,7 +26,7 @@
     KeyHeat,
     TargetLatencies,
 )
-from cassialever.keys.mapwriter import MapWriter, row_name
+from cassialever.keys.mapwriter import MapWriter
 from cassialever.keys.steps import Steps
 from cassialever.keys.suspects import SuspectOwners
 from cassialever.keys.suspicion import SuspicionLimit
@@ -125,8 +125,8 @@
         self.assignments.ordered = inherited_assignments(
             index.key_map, now
         ).ordered
-        row = view.rows.by_table_and_name[OWN_TABLE, row_name(self.service)]
-        self._writer.version = row.version
+        # The row may have a later map, which could not be read.
+        self._writer.version = RowVersion(index.version)
 
     def _assign_first(self, now: Seconds) -> None:
         """Assign all keys once the set of targets has settled."""
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -67,6 +67,29 @@
 
         self.check(scenario)
 
+    def test_map_that_cannot_be_read_is_not_replaced_by_an_earlier(
+        self,
+    ) -> None:
+        # The next leader granted fences that others had had since.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            self.assertFalse(await second.take_over())
+            assigner = leader.assigner.assigner_by_service['registry']
+            for _ in range(4):
+                for moved in assigner.assignments.held_by(TargetId('t1')):
+                    assigner._reclaim(moved, 'a move')
+                await asyncio.sleep(1)
+            leader.kill()
+            world.restart_target(world.targets[ADDRESS])
+            world.shared.put(*KEY_MAP_ROW, b'of a later build')
+            await asyncio.sleep(2)
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(20)
+
+        self.check(scenario)
+
 
 if __name__ == '__main__':
     unittest.main()
