Release keys of a target that takes no more connections

What callers would see: keys that move away from a busy target are not served until the end of their hold, up to 2.4 s, in place of the time of their last requests.

Cause: a release has a connection of its own, and a target at its limit of connections, which is lower while its queue is long, resets new ones. A release that is reset has no answer. Such targets are those from which keys move for load.

Evidence: the new test failed before: "unknown is not done" for a release at a target that resets its third connection.

Why it works: after a reset the release goes out on an idle connection, if another one is left for renewals. Only an answer with a handover counts. Answers to grants have none, and no connection carries two releases, so it is no copy. A release may be carried out twice.

Measured: the three new tests pass (a copy of a grant's answer ends no release, the last connection is kept); tests.test_keys_lives 33 passed and its listed test failed as before, tests.test_platform_sessions 5 passed.

--- a/cassialever/platform/known_connections.py
+++ b/cassialever/platform/known_connections.py
@@ -3,7 +3,7 @@
 import contextlib
 from collections.abc import Container, Iterator
 from contextvars import ContextVar
-from typing import Final
+from typing import Final, Protocol
 
 import aiohttp
 
@@ -14,7 +14,16 @@
 #: Whether the current request needs a new connection.
 _needs_new: Final[ContextVar[bool]] = ContextVar('needs_new', default=False)
 #: The connection that the current request got.
-_in_use: Final[ContextVar[object | None]] = ContextVar('in_use', default=None)
+_in_use: Final[ContextVar['_Connection | None']] = ContextVar(
+    'in_use', default=None
+)
+
+
+class _Connection(Protocol):
+    """A connection that can be closed."""
+
+    def close(self) -> None:
+        """Close the connection."""
 
 
 class NoKnownConnectionError(aiohttp.ClientError):
@@ -61,7 +70,7 @@
         raise NoKnownConnectionError
 
 
-def set_in_use(connection: object | None) -> None:
+def set_in_use(connection: _Connection | None) -> None:
     """Note the connection that the current request got."""
     _in_use.set(connection)
 
@@ -69,3 +78,10 @@
 def connection_in_use() -> object | None:
     """Return the connection that the current request got."""
     return _in_use.get()
+
+
+def close_in_use() -> None:
+    """Close the connection that the current request got, if it got one."""
+    connection = _in_use.get()
+    if connection is not None:
+        connection.close()
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -21,6 +21,7 @@
 )
 from cassialever.platform.known_connections import (
     NoKnownConnectionError,
+    close_in_use,
     connection_in_use,
     needs_new,
     only_on,
@@ -128,13 +129,41 @@
         connection is no copy, so that the call gets a connection of its own.
         """
         call = wire.encode_release(keys)
+        sent_at = time.monotonic()
         with only_on_new():
-            return await self._call(address, keys.owner, call, RELEASE_TIMEOUT)
+            result = await self._call(
+                address, keys.owner, call, RELEASE_TIMEOUT
+            )
+        time_left = RELEASE_TIMEOUT - (time.monotonic() - sent_at)
+        if result.outcome is not CallOutcome.unknown or time_left <= READ_TIME:
+            return result
+        repeated = await self._release_on_open(address, keys, time_left)
+        return repeated or result
 
     async def can_connect(self, address: str) -> bool:
         """Return whether an address accepts a connection."""
         return await can_connect(address)
 
+    async def _release_on_open(
+        self, address: str, keys: KeyRange, timeout: Seconds
+    ) -> CallResult | None:
+        """Take keys back on an open connection, unless it is the last one.
+
+        A target at its limit resets new connections. Only answers to releases
+        have a handover, and no connection carries two: it is closed.
+        """
+        if self._session is None:
+            return None
+        idle = idle_connections(self._session, address)
+        if len(idle) < IDLE_CONNECTIONS:
+            return None
+        call = wire.encode_release(keys)
+        with only_on(idle):
+            result = await self._call(address, keys.owner, call, timeout)
+        close_in_use()
+        is_done = result.outcome is CallOutcome.done and result.handover
+        return result if is_done else None
+
     async def _call(
         self,
         address: str,
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -25,7 +25,11 @@
     MIN_CONNECTION_AGE,
     TargetProcesses,
 )
-from cassialever.platform.targets import CallOutcome, TargetClient
+from cassialever.platform.targets import (
+    IDLE_CONNECTIONS,
+    CallOutcome,
+    TargetClient,
+)
 from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
@@ -479,6 +483,78 @@
         )
         self.assertEqual(released.handover, 'h')
 
+    async def test_release_at_a_target_that_takes_no_connection(self) -> None:
+        # It was reset, and the keys waited for the end of their hold.
+        address = await self.started_full(connections=IDLE_CONNECTIONS)
+        client = await self.client()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        for _ in range(3):
+            await client.grant(address, keys, 2.3)
+            await asyncio.sleep(MIN_CONNECTION_AGE)
+        released = await client.release(address, keys)
+        self.assertIs(released.outcome, CallOutcome.done)
+        self.assertEqual(released.handover, 'h')
+        renewed = await client.grant(address, keys, 2.3)
+        self.assertIs(renewed.outcome, CallOutcome.done)
+
+    async def test_copied_grant_ends_no_release_at_a_full_target(self) -> None:
+        address = await self.started_full(IDLE_CONNECTIONS, copies=True)
+        client = await self.client()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        for _ in range(3):
+            await client.grant(address, keys, 2.3)
+            await asyncio.sleep(MIN_CONNECTION_AGE)
+        released = await client.release(address, keys)
+        self.assertIs(released.outcome, CallOutcome.unknown)
+
+    async def test_last_connection_to_a_full_target_is_kept(self) -> None:
+        address = await self.started_full(connections=1)
+        client = await self.client()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        granted = await client.grant(address, keys, 2.3)
+        await asyncio.sleep(MIN_CONNECTION_AGE)
+        released = await client.release(address, keys)
+        self.assertIs(released.outcome, CallOutcome.unknown)
+        renewed = await client.grant(address, keys, 2.3, granted.process)
+        self.assertIs(renewed.outcome, CallOutcome.done)
+
+    async def started_full(
+        self, connections: int, *, copies: bool = False
+    ) -> str:
+        """Start a target that resets further connections.
+
+        With `copies`, that of a grant's answer comes before each answer to a
+        release.
+        """
+        accepted = 0
+        copy = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal accepted
+            accepted += 1
+            if accepted > connections:
+                writer.transport.abort()
+                return
+            with contextlib.suppress(ConnectionError, EOFError):
+                while True:
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    await reader.readuntil(b'}')
+                    handover = b'' if b'grant' in head else b'Handover: h\r\n'
+                    if handover and copies:
+                        writer.write(copy)
+                    writer.write(
+                        b'HTTP/1.1 200 OK\r\n%bContent-Length: 0\r\n\r\n'
+                        % handover
+                    )
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
     async def test_copy_of_a_refusal_hides_no_grant(self) -> None:
         # A grant that was carried out was taken for one that was refused.
         target = await self.started('t0')
