Wait for the leader whose lease cannot be read

What callers would see: two targets with the same keys. A daemon that finds a lease it can't read takes over, and gave on the keys of an owner that it can't reach when the last grants that it knows of had run out, 2.85 s later. The leader whose lease that was went on renewing them, for up to 12 s.

Cause: an unreadable lease counted as not held, so that the takeover named no earlier leader.

Nothing is known to have written such a lease.

Why it works: the authority of the unknown leader ends 12 s after its last call that the store confirmed, and that was before the read. Only owners that can't be reached wait for it, as for any other earlier leader.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -76,6 +76,7 @@
             lease_table.store_time,
             authority_until_by_id=leases.earlier_leaders(
                 lease,
+                lease_version,
                 self._own_hello.instance_id,
                 lease_table.store_time,
             ),
--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -25,6 +25,9 @@
 #: its lease; longer than outages of the store, which last up to 9 s.
 AUTHORITY_TERM: Final[Seconds] = 12.0
 
+#: Stands for the leader whose lease can't be read; no daemon has it as its id.
+UNKNOWN_ID: Final = ''
+
 #: Latest time of the store's clock, as in its answers.
 MAX_STORE_TIME: Final[Seconds] = rows.MAX_CLOCK_MS / MS_PER_SECOND
 
@@ -77,15 +80,17 @@
 
 def earlier_leaders(
     lease: Lease | None,
+    version: RowVersion,
     own_id: str,
     store_time: Seconds,
 ) -> dict[str, Seconds]:
     """Return until when each earlier leader may still renew grants.
 
-    The daemon that takes over is left out: its earlier process has ended.
+    The daemon that takes over is left out: its earlier process has ended. A
+    lease that can't be read may be that of a leader; `version` is its row's.
     """
     if lease is None:
-        return {}
+        return {UNKNOWN_ID: store_time + AUTHORITY_TERM} if version else {}
     until_by_id = dict(lease.authority_until_by_id)
     until_by_id[lease.instance_id] = store_time
     if not lease.is_resigned:
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+from cassialever.fleet.lease import AUTHORITY_TERM, LEASE_ROW, LEASE_TABLE
 from cassialever.keys.mapwriter import row_name
 from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
@@ -90,6 +91,21 @@
 
         self.check(scenario)
 
+    def test_unreadable_lease_may_be_that_of_a_leader(self) -> None:
+        # Its owner went on being renewed while the keys were given on.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            second.target_client.unreachable.add(ADDRESS)
+            leader.store.is_cut = leader.is_isolated = True
+            world.shared.put(LEASE_TABLE, LEASE_ROW, b'unreadable')
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(AUTHORITY_TERM + 8)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
 
 if __name__ == '__main__':
     unittest.main()
