--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -8,11 +8,16 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 
 from cassialever.fleet.model import KeyRange, StartedAt, Target
-from cassialever.keys.assignments import GRANT_RENEWAL_INTERVAL
+from cassialever.keys.assignments import (
+    GRANT_RENEWAL_INTERVAL,
+    Assignments,
+    AssignmentState,
+)
 from cassialever.keys.lives import EndedLives
 from cassialever.platform.entry_limits import MAX_INTEGER
 from cassialever.platform.records import decode_target
@@ -21,7 +26,11 @@
     MIN_CONNECTION_AGE,
     TargetProcesses,
 )
-from cassialever.platform.targets import CallOutcome, TargetClient
+from cassialever.platform.targets import (
+    IDLE_CONNECTIONS,
+    CallOutcome,
+    TargetClient,
+)
 from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
@@ -382,6 +391,64 @@
         self.check_each(scenario)
 
 
+class MovedLifeTest(LivesTest):
+    """A target starts again at another address while it is given keys."""
+
+    def test_later_life_gets_no_keys_of_the_ended_one(self) -> None:
+        # A release at the earlier address freed what the later life held.
+        async def scenario(world: World, leader: Daemon) -> None:
+            assigner = leader.assigner.assigner_by_service['registry']
+            _delay_commits(leader, 0.3)
+            _delay_releases(leader, ADDRESS, 0.5)
+            world.transit_time = 0.1
+            for target in world.targets.values():
+                target.is_draining = target.name != 't1'
+            world.publish_targets()
+            while not _is_assigned_to(assigner.assignments, 't1'):
+                await asyncio.sleep(0.001)
+            world.replace_target(ADDRESS, 'next')
+            later = FakeTarget('t1', '10.1.64.9:8707')
+            later.started_at = 2000
+            world.targets[later.address] = later
+            held = assigner.assignments.held_by(TargetId('t1'))
+            assigner._reclaim(held[0], 'a move')
+            await asyncio.sleep(0.02)
+            world.publish_targets()
+            await asyncio.sleep(6)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+
+def _is_assigned_to(assignments: Assignments, owner: str) -> bool:
+    """Return whether free keys are being written as those of an owner."""
+    free = assignments.in_state(AssignmentState.free)
+    return any(assignment.owner == owner for assignment in free)
+
+
+def _delay_commits(daemon: Daemon, delay: float) -> None:
+    commit = daemon.store.commit
+
+    async def delayed(transaction: Any) -> Any:
+        await asyncio.sleep(delay)
+        return await commit(transaction)
+
+    daemon.store.commit = delayed
+
+
+def _delay_releases(daemon: Daemon, address: str, delay: float) -> None:
+    """Delay the answers to releases at an address."""
+    release = daemon.target_client.release
+
+    async def delayed(called: str, keys: KeyRange) -> Any:
+        result = await release(called, keys)
+        if called == address:
+            await asyncio.sleep(delay)
+        return result
+
+    daemon.target_client.release = delayed
+
+
 class ProbeTest(unittest.TestCase):
     """What a connection to the address of an owner shows."""
 
@@ -561,6 +628,78 @@
         )
         self.assertEqual(released.handover, 'h')
 
+    async def test_release_at_a_target_that_takes_no_connection(self) -> None:
+        # It was reset, and the keys waited for the end of their hold.
+        address = await self.started_full(connections=IDLE_CONNECTIONS)
+        client = await self.client()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        for _ in range(3):
+            await client.grant(address, keys, 2.3)
+            await asyncio.sleep(MIN_CONNECTION_AGE)
+        released = await client.release(address, keys)
+        self.assertIs(released.outcome, CallOutcome.done)
+        self.assertEqual(released.handover, 'h')
+        renewed = await client.grant(address, keys, 2.3)
+        self.assertIs(renewed.outcome, CallOutcome.done)
+
+    async def test_copied_grant_ends_no_release_at_a_full_target(self) -> None:
+        address = await self.started_full(IDLE_CONNECTIONS, copies=True)
+        client = await self.client()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        for _ in range(3):
+            await client.grant(address, keys, 2.3)
+            await asyncio.sleep(MIN_CONNECTION_AGE)
+        released = await client.release(address, keys)
+        self.assertIs(released.outcome, CallOutcome.unknown)
+
+    async def test_last_connection_to_a_full_target_is_kept(self) -> None:
+        address = await self.started_full(connections=1)
+        client = await self.client()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        granted = await client.grant(address, keys, 2.3)
+        await asyncio.sleep(MIN_CONNECTION_AGE)
+        released = await client.release(address, keys)
+        self.assertIs(released.outcome, CallOutcome.unknown)
+        renewed = await client.grant(address, keys, 2.3, granted.process)
+        self.assertIs(renewed.outcome, CallOutcome.done)
+
+    async def started_full(
+        self, connections: int, *, copies: bool = False
+    ) -> str:
+        """Start a target that resets further connections.
+
+        With `copies`, that of a grant's answer comes before each answer to a
+        release.
+        """
+        accepted = 0
+        copy = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal accepted
+            accepted += 1
+            if accepted > connections:
+                writer.transport.abort()
+                return
+            with contextlib.suppress(ConnectionError, EOFError):
+                while True:
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    await reader.readuntil(b'}')
+                    handover = b'' if b'grant' in head else b'Handover: h\r\n'
+                    if handover and copies:
+                        writer.write(copy)
+                    writer.write(
+                        b'HTTP/1.1 200 OK\r\n%bContent-Length: 0\r\n\r\n'
+                        % handover
+                    )
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
     async def test_copy_of_a_refusal_hides_no_grant(self) -> None:
         # A grant that was carried out was taken for one that was refused.
         target = await self.started('t0')
@@ -616,6 +755,36 @@
         self.assertIs(renewed.outcome, CallOutcome.unknown)
         self.assertFalse(connection.is_connected())
 
+    async def test_failure_of_a_target_may_hide_a_grant(self) -> None:
+        # It was taken for a refusal, and the keys were free at once.
+        for head, outcome in (
+            (b'500 Failed', CallOutcome.unknown),
+            (b'503 Busy', CallOutcome.unknown),
+            (b'504 Late', CallOutcome.unknown),
+            (b'503 Busy\r\nNot-Executed: 1', CallOutcome.refused),
+        ):
+            with self.subTest(head=head):
+                await self.check_first_answer(head, outcome)
+
+    async def check_first_answer(
+        self, head: bytes, outcome: CallOutcome
+    ) -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(ConnectionError, EOFError):
+                await reader.readuntil(b'}')
+                writer.write(b'HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n' % head)
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        client = await self.client()
+        host, port = server.sockets[0].getsockname()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        granted = await client.grant(f'{host}:{port}', keys, 2.3)
+        self.assertIs(granted.outcome, outcome)
+
     async def test_late_copy_of_a_refusal_ends_no_other_target(self) -> None:
         # The next target at the address was taken for ended, and holds keys.
         server = await asyncio.start_server(_repeat_refusals, '127.0.0.1', 0)
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cassialever.fleet.lease import AUTHORITY_TERM, LEASE_ROW, LEASE_TABLE
 from cassialever.fleet.model import KeyMap
 from cassialever.keys.mapwriter import row_name
 from cassialever.types import ServiceName, TargetId
@@ -107,6 +108,44 @@
 
         self.check(scenario)
 
+    def test_map_that_cannot_be_read_is_not_replaced_by_an_earlier(
+        self,
+    ) -> None:
+        # The next leader granted fences that others had had since.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            self.assertFalse(await second.take_over())
+            assigner = leader.assigner.assigner_by_service['registry']
+            for _ in range(4):
+                for moved in assigner.assignments.held_by(TargetId('t1')):
+                    assigner._reclaim(moved, 'a move')
+                await asyncio.sleep(1)
+            leader.kill()
+            world.restart_target(world.targets[ADDRESS])
+            world.shared.put(*KEY_MAP_ROW, b'of a later build')
+            await asyncio.sleep(2)
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(20)
+
+        self.check(scenario)
+
+    def test_unreadable_lease_may_be_that_of_a_leader(self) -> None:
+        # Its owner went on being renewed while the keys were given on.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            second.target_client.unreachable.add(ADDRESS)
+            leader.store.is_cut = leader.is_isolated = True
+            world.shared.put(LEASE_TABLE, LEASE_ROW, b'unreadable')
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(AUTHORITY_TERM + 8)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
 
 class UnreadableMapTest(unittest.TestCase):
     """The row with the owners of keys can't be read by a new leader."""
