Release the lease when no grant is under way

What callers would see: a target that has just started again takes keys with a fence that is below the one which its earlier life had.

Cause: a leader that resigned released its lease while a grant was on its way. The next leader takes over within 0.1 s then, and may have granted a higher fence before that call arrives.

Why it works: a leader that resigns begins no grant, and the lease is released when the last one has ended, within GRANT_TIMEOUT.

--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -18,6 +18,8 @@
 
 #: Minimum delay after a renewal that the store did not answer.
 RETRY_DELAY: Final[Seconds] = 0.1
+#: Poll interval while grants are in progress at the end of a term.
+GRANT_POLL_INTERVAL: Final[Seconds] = 0.01
 
 
 class LeaderTerm:
@@ -51,6 +53,8 @@
             name: sent_at + until - lease.renewed_at + MAX_GRANT_DURATION
             for name, until in lease.authority_until_by_id.items()
         }
+        #: Number of calls that grant keys and have not ended.
+        self.grants_in_progress = 0
         self._ended = asyncio.Event()
         self._is_resigning = False
         #: Serialises writes of the lease, since each one expects the row
@@ -108,9 +112,15 @@
             ended.cancel()
 
     async def resign(self) -> None:
-        """Release the lease so that another daemon can take over."""
+        """Release the lease so that another daemon can take over.
+
+        No grant is under way by then: a later process of its target would take
+        it after a higher fence of the next leader.
+        """
         self._is_resigning = True
         try:
+            while self.grants_in_progress:
+                await asyncio.sleep(GRANT_POLL_INTERVAL)
             await self._renew(is_resigned=True)
         finally:
             self._ended.set()
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -252,6 +252,7 @@
         sent_at = self._clock.boot()
         unanswered = self.paths.unanswered
         unanswered.record_sent(owner, GRANT_ID, self._clock.monotonic())
+        self._leader_term.grants_in_progress += 1
         try:
             result = await self._target_client.grant(
                 called.address,
@@ -260,6 +261,7 @@
                 assignment.process_with_fence(),
             )
         finally:
+            self._leader_term.grants_in_progress -= 1
             unanswered.record_end(owner, GRANT_ID)
         now = self._clock.monotonic()
         if result.outcome is CallOutcome.unproven:
--- a/tests/ownership_search.py
+++ b/tests/ownership_search.py
@@ -249,6 +249,8 @@
     """Calls that go on while their daemon is frozen, as packets do."""
 
     world: SearchWorld
+    #: Calls under way with fences that no process is known to have accepted.
+    new_fences_in_progress = 0
 
     def is_reached(self, address: str) -> bool:
         is_cut = self.is_cut or address in self.unreachable
@@ -276,7 +278,11 @@
     ) -> CallResult:
         # A connection ends with its process, so nothing sent reaches another.
         _process.set(process)
-        return await super().grant(address, keys, duration, process)
+        self.new_fences_in_progress += process is None
+        try:
+            return await super().grant(address, keys, duration, process)
+        finally:
+            self.new_fences_in_progress -= process is None
 
     async def _grant(
         self, address: str, keys: KeyRange, duration: float
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -86,6 +86,26 @@
 
         self.check(scenario)
 
+    def test_leader_resigns_when_its_grants_have_ended(self) -> None:
+        # One arrived after those of the next leader, at a later life.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            world.transit_time = 0.12
+            assigner = leader.assigner.assigner_by_service['registry']
+            assigner._suspects.suspect(TargetId('t1'))
+            while not leader.target_client.new_fences_in_progress:
+                await asyncio.sleep(0.001)
+            resigning = asyncio.create_task(leader.resign())
+            while not await second.take_over():
+                await asyncio.sleep(0.001)
+            self.assertEqual(leader.target_client.new_fences_in_progress, 0)
+            await resigning
+            await asyncio.sleep(3)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
     def test_leader_whose_view_lacked_the_map_reads_it(self) -> None:
         # It began with a first assignment, and lost its term by that.
         async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
