--- a/tests/test_policy_limits.py
+++ b/tests/test_policy_limits.py
@@ -104,6 +104,16 @@
             self.limits.prune(by_id)
             self.assertIsNone(self.limits.of('t0'))
 
+    def test_life_that_started_before_the_earlier_one_is_heard(self) -> None:
+        # Its machine's clock had stepped back.
+        self.limits.record_answer(make_target(started_at=9), 1.5, 1, 1.1)
+        later = make_target(started_at=2)
+        self.limits.prune({'t0': later})
+        self.limits.record_answer(later, 2.4, 2, 2.5)
+        self.assertEqual(self.limits.rate_of(later), 2.4)
+        self.limits.record_leaving(later, 3)
+        self.assertTrue(self.limits.is_leaving(later))
+
     def test_daemons_agree_whatever_the_order(self) -> None:
         """Each daemon gets the same reports, in another order and repeated."""
         rng = random.Random(3)
