Follow no redirect of a call about keys

What callers would see: keys are given on while their owner is at work on them, if a release is answered by a redirect: the answer of another path was taken for that of the target.

Cause: aiohttp follows redirects unless told not to. Found by the review, from reading; the platform's pages name no such answer.

Evidence: test_redirect_ends_no_release failed before, with done in place of unknown.

Why it works: a redirect is an answer that states nothing, so that the outcome is unknown, and the keys wait for the end of their hold.

Measured: TargetClientTest, 16 tests, passed.

--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -222,6 +222,7 @@
                     data=body,
                     headers=call_headers(owner),
                     timeout=_CONNECT_LIMIT,
+                    allow_redirects=False,
                 ) as response,
             ):
                 if response.status != HTTPStatus.OK or needs_new():
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -700,6 +700,28 @@
         host, port = server.sockets[0].getsockname()
         return f'{host}:{port}'
 
+    async def test_redirect_ends_no_release(self) -> None:
+        # The answer of another path was taken for that of the target.
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(ConnectionError, EOFError):
+                while head := await reader.readuntil(b'\r\n\r\n'):
+                    status = b'200 OK' if b' /other ' in head else b'302 Found'
+                    writer.write(
+                        b'HTTP/1.1 %b\r\nLocation: /other\r\n'
+                        b'Content-Length: 0\r\n\r\n' % status
+                    )
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        client = await self.client()
+        host, port = server.sockets[0].getsockname()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        released = await client.release(f'{host}:{port}', keys)
+        self.assertIs(released.outcome, CallOutcome.unknown)
+
     async def test_copy_of_a_refusal_hides_no_grant(self) -> None:
         # A grant that was carried out was taken for one that was refused.
         target = await self.started('t0')
