--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -25,7 +25,7 @@
 #: its lease; longer than outages of the store, which last up to 9 s.
 AUTHORITY_TERM: Final[Seconds] = 12.0
 
-#: Stands for the leader whose lease can't be read; no daemon has it as its id.
+#: The id of the leader whose lease can't be read; no daemon has it.
 UNKNOWN_ID: Final = ''
 
 #: Latest time of the store's clock, as in its answers.
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -292,7 +292,7 @@
 def _record_path(
     paths: TargetPaths, owner: TargetId, outcome: CallOutcome, now: Seconds
 ) -> None:
-    """Note what a call tells of the path to a target."""
+    """Record what a call shows of the path to a target."""
     if outcome is CallOutcome.not_sent:
         paths.record_failure(owner, now)
     elif outcome is CallOutcome.unknown:
@@ -323,9 +323,9 @@
 ) -> None:
     """Note the process that has answered a grant, and what that tells.
 
-    It rejects lower fences if its answer is the first on its connection. Else
-    that may be a copy, and the answer to a later renewal tells it: calls that
-    were sent with the one that was answered first have ended then.
+    It rejects lower fences if its answer is the first on its connection. Any
+    other one may be the copy of an answer to an earlier call. Then the answer
+    to a renewal shows it that was sent when the earlier calls had ended.
     """
     is_known = assignment.process_with_fence() is not None
     if not is_known:
--- a/cassialever/keys/key_events.py
+++ b/cassialever/keys/key_events.py
@@ -1,4 +1,4 @@
-"""Log what happens to keys, so that their owners can be told afterwards.
+"""Log what happens to keys, so that their owners can be found later.
 
 Plain renewals are not logged: there are as many as ranges in each second.
 """
--- a/cassialever/tool/key_findings.py
+++ b/cassialever/tool/key_findings.py
@@ -98,7 +98,7 @@
     if line.name == 'grant_failed' and line.fields.end == 'unknown':
         return {**unanswered, target: line}
     # A target that has accepted a fence rejects lower ones; `_early_freed`
-    # tells of targets that were taken for ended.
+    # reports targets that were taken for ended.
     is_settled = line.name == 'keys_granted' or (
         line.fields.fact == FreeingFact.owner_ended.name
     )
@@ -108,7 +108,7 @@
 
 
 def _overtaken_call(call: KeyLine, line: KeyLine) -> Finding:
-    """Tell of a grant without an answer before another target's grant."""
+    """Return that a grant without an answer may follow a later one."""
     left = call.time + call.fields.free_in - line.time
     sentence = (
         f'{line.fields.target} got the key with fence {line.fields.fence}; a'
--- a/cassialever/tool/key_history.py
+++ b/cassialever/tool/key_history.py
@@ -1,4 +1,4 @@
-"""Tell from daemons' logs which targets had a key, and why it moved."""
+"""Reconstruct from daemons' logs which targets had a key, and why it moved."""
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from types import MappingProxyType
--- a/cassialever/tool/key_lines.py
+++ b/cassialever/tool/key_lines.py
@@ -1,4 +1,4 @@
-"""The lines of daemons' logs that tell what happened to a key."""
+"""The lines of daemons' logs about the owners of a key."""
 
 from collections.abc import Iterable
 from typing import Final
--- a/tests/ownership_search.py
+++ b/tests/ownership_search.py
@@ -373,7 +373,7 @@
         return self._thawed is not None
 
     def freeze(self) -> None:
-        """Stop the process; time and what is on its way go on."""
+        """Stop the process; the clock and calls in flight go on."""
         if self._thawed is None:
             self._thawed = asyncio.Event()
 
