--- a/review/common.py
+++ b/review/common.py
@@ -94,6 +94,7 @@
     async def _answer(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
+        self._server.current = self
         answer = await self._server.handler(method, target, headers, body)
         self._task = None
         if self.transport is None or self.transport.is_closing():
@@ -117,6 +118,8 @@
     def __init__(self, handler: Handler) -> None:
         self.handler = handler
         self.connections: set[_Connection] = set()
+        #: The connection of the request that a handler begins with.
+        self.current: object = None
         self._server: asyncio.Server | None = None
         self.address = ''
 
