Bound the key map to the room in its row

Cause: a move for load splits a range, and ranges of different owners can't merge, so that the map only grew; nothing compared it with the size of a row.

Ranges are counted with the longest owner and handover of all against store_row_bytes. From three quarters on, the ranges with the least heat join the owner of a neighbour: both get a common fence in one write, and merge once the owner has accepted it. From nine tenths on, ranges are not split. Ranges whose fence the same process has accepted merge whatever their handovers are.

--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -102,6 +102,7 @@
             self.clock,
             self._reachability.paths,
         )
+        self.key_assigner.row_bytes = settings.store_row_bytes
         self._reachability.peers = self.membership.peers
         self._reachability.compare_tables(
             self.store, self.membership, random_source
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -2,7 +2,7 @@
 
 import os
 from pathlib import Path
-from typing import Final
+from typing import Annotated, Final
 
 import json5
 import msgspec
@@ -10,10 +10,13 @@
 from cassialever.decoding import attempt
 from cassialever.errors import Failure
 from cassialever.exceptions import SettingsError
+from cassialever.platform.entry_limits import DEFAULT_ROW_BYTES
 from cassialever.types import DataCentreId, InstanceId, Seconds
 
 #: The environment variable with the path of the settings file.
 PATH_VARIABLE: Final = 'CASSIALEVER_SETTINGS'
+#: Smallest rows of a store that can keep what a daemon writes, in bytes.
+MIN_ROW_BYTES: Final = 4096
 #: The port for requests that are passed on, counted from the internal port.
 HOP_PORT_OFFSET: Final = 2
 
@@ -69,6 +72,10 @@
     #: Shared key with which daemons authenticate to each other; if it is
     #: empty, they don't.
     fleet_key: str = ''
+    #: Size of the store's rows.
+    store_row_bytes: Annotated[int, msgspec.Meta(ge=MIN_ROW_BYTES)] = (
+        DEFAULT_ROW_BYTES
+    )
 
     @property
     def internal_address(self) -> str:
--- a/cassialever/keys/assigner.py
+++ b/cassialever/keys/assigner.py
@@ -12,6 +12,7 @@
 from cassialever.keys.key_events import KeyCounters, KeyLog
 from cassialever.keys.service import ServiceAssigner, TermContext
 from cassialever.platform.targets import TargetClient
+from cassialever.platform.entry_limits import DEFAULT_ROW_BYTES
 from cassialever.policy.paths import TargetPaths
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import Seconds, ServiceName, TargetId
@@ -32,6 +33,8 @@
         paths: TargetPaths,
     ) -> None:
         """Start without a term; `run` begins one."""
+        #: Size of the store's rows, which each bound a key map.
+        self.row_bytes = DEFAULT_ROW_BYTES
         self.counters = KeyCounters()
         self._paths = paths
         self._view = view
@@ -57,6 +60,7 @@
             ),
             leader_term,
             self._clock,
+            self.row_bytes,
         )
         self._context = context
         try:
--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -81,6 +81,8 @@
     is_suspect: bool = False
     is_inherited: bool = False
     is_released: bool = False
+    #: Whether the keys go to the owner of a neighbouring range.
+    is_joining: bool = False
     #: The process that has accepted the fence below.
     process: TargetProcess | None = None
     process_fence: Fence = Fence(0)
@@ -181,10 +183,10 @@
         return next(part for part in parts if part.first == first)
 
     def merge_neighbours(self, pending_owners: Collection[TargetId]) -> None:
-        """Merge held neighbours with the same owner, fence, handover and flags.
+        """Merge held neighbours with the same owner, fence and flags.
 
         Grants to pending owners are in progress, so their assignments are
-        not merged.
+        not merged. Handovers differ only if they have been used already.
         """
         merged: list[Assignment] = []
         for assignment in self.ordered:
@@ -255,16 +257,14 @@
 
 
 def _grant_terms(assignment: Assignment) -> tuple[object, ...]:
-    flags = (
-        assignment.is_suspect,
-        assignment.is_inherited,
-        assignment.process_with_fence(),
-    )
+    process = assignment.process_with_fence()
+    flags = (assignment.is_suspect, assignment.is_inherited, process)
+    # A process that has accepted the fence has used the handover.
     return (
         assignment.owner,
         assignment.owner_started_at,
         assignment.fence,
-        assignment.handover,
+        assignment.handover if process is None else '',
         flags,
     )
 
@@ -272,6 +272,8 @@
 def _extend(left: Assignment, right: Assignment) -> None:
     """Extend an assignment over its right neighbour's keys."""
     left.last = right.last
+    if left.handover != right.handover:
+        left.handover = ''
     left.renew_at = min(left.renew_at, right.renew_at)
     left.owned_since = max(left.owned_since, right.owned_since)
     left.may_be_held_until = max(
--- a/cassialever/keys/planning.py
+++ b/cassialever/keys/planning.py
@@ -14,7 +14,11 @@
 import msgspec
 
 from cassialever.fleet.model import KEY_COUNT, Target
-from cassialever.keys.assignments import Assignment, Assignments
+from cassialever.keys.assignments import (
+    Assignment,
+    Assignments,
+    AssignmentState,
+)
 from cassialever.keys.balance import (
     MAX_LIMIT_USAGE,
     is_silent,
@@ -39,10 +43,14 @@
 
 
 class PlanningRound(msgspec.Struct, frozen=True):
-    """The time of a planning round, and the owners whose keys must stay."""
+    """The time of a planning round, and the owners whose keys must stay.
+
+    Without `may_split` only whole ranges move.
+    """
 
     now: Seconds
     pending_owners: frozenset[TargetId] = frozenset()
+    may_split: bool = True
 
     def movable(
         self,
@@ -56,16 +64,38 @@
         return [
             assignment
             for assignment in assignments.held_by(owner)
-            if assignment not in chosen
-            and self.now - assignment.owned_since >= MIN_OWNERSHIP_TIME
+            if assignment not in chosen and self._is_settled(assignment)
         ]
 
+    def may_move(self, assignment: Assignment) -> bool:
+        """Return whether an assignment may leave its owner without need."""
+        is_held = assignment.state is AssignmentState.held
+        is_idle = assignment.owner not in self.pending_owners
+        return is_held and is_idle and self._is_settled(assignment)
+
+    def part_to_move(
+        self,
+        assignments: Assignments,
+        owned: list[Assignment],
+        wanted: float,
+        heat: KeyHeat,
+    ) -> Assignment | None:
+        """Return an assignment with about the wanted heat, split if need be."""
+        if self.may_split:
+            return _split_off_hottest(assignments, owned, wanted, heat)
+        return _hottest_up_to(owned, wanted, heat)
+
+    def _is_settled(self, assignment: Assignment) -> bool:
+        return self.now - assignment.owned_since >= MIN_OWNERSHIP_TIME
+
 
 def assign_evenly(
-    targets: Sequence[Target], first_fence: Fence
+    targets: Sequence[Target],
+    first_fence: Fence,
+    ranges_per_target: int = RANGES_PER_TARGET,
 ) -> list[Assignment]:
     """Assign all keys in proportion to slots, in several ranges each."""
-    turns = list(targets) * RANGES_PER_TARGET
+    turns = list(targets) * ranges_per_target
     total = sum(target.slots for target in turns)
     assignments = []
     first = 0
@@ -120,7 +150,7 @@
             assignments, busiest.target.target_id, chosen
         )
         wanted = _load_to_move(busiest, gaining, mean)
-        part = _split_off_hottest(assignments, owned, wanted, heat)
+        part = planning_round.part_to_move(assignments, owned, wanted, heat)
         if part is None:
             # None of its keys can move now: count it as having the mean
             # usage, and go on with the next busiest.
@@ -192,6 +222,16 @@
     return assignments.split_off(hottest, hottest.first, last)
 
 
+def _hottest_up_to(
+    owned: list[Assignment], wanted: float, heat: KeyHeat
+) -> Assignment | None:
+    """Return the hottest whole assignment with at most the wanted heat."""
+    heated = [(heat.of(one.first, one.last), one) for one in owned]
+    limit = wanted * WHOLE_RANGE_RATIO
+    fitting = [pair for pair in heated if pair[0] <= limit]
+    return max(fitting, key=_by_heat, default=(0, None))[1]
+
+
 def _assignment(
     first: int, last: int, target: Target, fence: Fence
 ) -> Assignment:
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -26,12 +26,15 @@
     KeyHeat,
     TargetLatencies,
 )
+from cassialever.keys.joining import NeighbourJoiner
 from cassialever.keys.key_events import FreeingFact
+from cassialever.keys.map_size import ranges_per_target, room_of
 from cassialever.keys.mapwriter import MapWriter, row_name
 from cassialever.keys.steps import Steps
 from cassialever.keys.suspects import SuspectOwners
 from cassialever.keys.suspicion import SuspicionLimit
 from cassialever.keys.targetloads import OwnerLoads
+from cassialever.platform.entry_limits import DEFAULT_ROW_BYTES
 from cassialever.tasks import BackgroundTasks
 from cassialever.types import Fence, RowVersion, Seconds, ServiceName, TargetId
 
@@ -54,12 +57,15 @@
         granter: Granter,
         leader_term: LeaderTerm,
         clock: SystemClock,
+        row_bytes: int = DEFAULT_ROW_BYTES,
     ) -> None:
         self.view = view
         self.relay = relay
         self.granter = granter
         self.leader_term = leader_term
         self.clock = clock
+        #: Size of the store's rows.
+        self.row_bytes = row_bytes
         #: Latencies that all daemons have reported during the term.
         self.latencies = TargetLatencies()
 
@@ -83,6 +89,9 @@
             context.latencies,
             context.view.targets.limits,
         )
+        self._joiner = NeighbourJoiner(
+            self.assignments, self._loads, self.heat, context.granter
+        )
         self._update_heat_at: Seconds = 0
         self._retry_write_at: Seconds = 0
         #: Keys that are granted to an owner which no daemon has in its map.
@@ -149,7 +158,11 @@
         targets = self._candidates.settled(now)
         if not targets:
             return
-        assignments = planning.assign_evenly(targets, Fence(1))
+        assignments = planning.assign_evenly(
+            targets,
+            Fence(1),
+            ranges_per_target(targets, self._context.row_bytes),
+        )
         for assignment in assignments:
             assignment.state = AssignmentState.free
         self.assignments.ordered = assignments
@@ -215,14 +228,19 @@
         # grants for them are in progress.
         pending_owners = frozenset(self._granter.pending_owners)
         self.assignments.merge_neighbours(pending_owners)
+        room = room_of(self.assignments, self._context.row_bytes)
+        planning_round = planning.PlanningRound(
+            now, pending_owners, may_split=room.may_split
+        )
         moving = planning.choose_moves(
-            self.assignments,
-            self._loads.current(),
-            self.heat,
-            planning.PlanningRound(now, pending_owners),
+            self.assignments, self._loads.current(), self.heat, planning_round
         )
         for assignment in moving:
             self._reclaim(assignment, 'its owner is too busy')
+        if not room.should_join:
+            return
+        for assignment in self._joiner.choose(planning_round):
+            self._reclaim(assignment, 'the key map has little room left')
 
     def _must_leave_owner(self, assignment: Assignment, now: Seconds) -> bool:
         if self._granter.lives.has_owner_ended(assignment):
@@ -287,9 +305,11 @@
         load_by_id = self._loads.current()
         if not load_by_id or not self._granter.has_authority():
             return
-        fence = self.assignments.highest_fence + 1
+        fence = Fence(self.assignments.highest_fence + 1)
+        joined = self._joiner.join(free, load_by_id, fence)
+        others = [one for one in free if one not in joined]
         for assignment, target in planning.choose_owners(
-            free, load_by_id, self.heat, now
+            others, load_by_id, self.heat, now
         ):
             check(
                 Invariant.fence_rises,
@@ -299,9 +319,9 @@
             )
             assignment.owner = target.target_id
             assignment.owner_started_at = target.started_at
-            assignment.fence = Fence(fence)
+            assignment.fence = fence
         self._is_writing = True
-        self._tasks.start(self._write_and_grant(free))
+        self._tasks.start(self._write_and_grant([*others, *joined]))
 
     def _regrant_suspects(self, now: Seconds) -> None:
         """Grant keys again, with a new fence, to suspect owners now reached."""
--- a/cassialever/platform/entry_limits.py
+++ b/cassialever/platform/entry_limits.py
@@ -21,6 +21,8 @@
 MAX_NAME_LENGTH: Final = 200
 #: Longest handover, in characters; a target gives it when it releases keys.
 MAX_HANDOVER_LENGTH: Final = 1024
+#: Size of the store's rows if the settings name none, in bytes.
+DEFAULT_ROW_BYTES: Final = 65536
 
 Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 UnixMilliseconds: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
