Judge the age of configurations and of notices in the soak

Callers at each daemon ask for these routes; the target that ran a request, or 404, tells which versions allow the answer. An answer by a version that was replaced more than 2.0 s before, one by an older version than the process has shown 0.25 s before (2 s if it was disrupted), and a request without an answer 0.5 s after its time limit are violations. Targets of two services drain, say so in answers, or lose their entry, and serve on; a request that reaches one 2.0 s after its notice is a violation. All bounds hold only for daemons whose process, path to the store and store were undisrupted for 3 s. Faults that kill the leader between a change and its news, and that discard the store's history, are new.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,11 +6,15 @@
 import pathlib
 import sys
 import tempfile
+from collections.abc import Collection
 
 from soak.callers import Callers
+from soak.changes import Operator, RouteCallers
 from soak.connections import ConnectionCallers
 from soak.faults import FaultInjector
 from soak.fleet import SoakFleet
+from soak.judging import ConfigurationJudge
+from soak.leaving import LeavingTargets
 
 #: All keys must be served again within this time after the last fault, in
 #: seconds: 3 s to recover from a fault, after up to 15 s in which an earlier
@@ -28,6 +32,7 @@
     seconds: float,
     daemons: int,
     other: pathlib.Path | None = None,
+    faults: Collection[str] = (),
 ) -> tuple[Callers, FaultInjector]:
     """Run one soak test; some daemons run the build of the checkout `other`.
 
@@ -37,15 +42,24 @@
     fleet = SoakFleet(folder, daemons, other=other)
     callers = Callers(fleet, seed)
     connections = ConnectionCallers(callers, seed)
-    injector = FaultInjector(fleet, seed)
+    judge = ConfigurationJudge()
+    operator = Operator(fleet, judge, seed)
+    route_callers = RouteCallers(fleet, operator, judge, seed)
+    leaving = LeavingTargets(fleet, route_callers, seed)
+    injector = FaultInjector(fleet, seed, operator.change, faults)
     await fleet.start()
     try:
+        await leaving.start()
+        operator.start()
         if not await callers.wait_until_served(START_TIMEOUT):
             callers.violations.append('keys were not served after the start')
         tasks = [
             asyncio.create_task(callers.run()),
             asyncio.create_task(connections.run(fleet.daemons)),
             asyncio.create_task(_check_owners_periodically(callers)),
+            asyncio.create_task(operator.run()),
+            asyncio.create_task(route_callers.run()),
+            asyncio.create_task(leaving.run()),
         ]
         await injector.run(seconds)
         if not await callers.wait_until_served(RECOVERY_TIMEOUT):
@@ -61,12 +75,29 @@
         callers.check_runs()
         callers.check_shares()
         callers.violations.extend(injector.violations)
+        callers.violations.extend(judge.violations)
+        callers.violations.extend(leaving.violations())
+        injector.events.extend((*operator.events, *leaving.events))
+        injector.events.sort(key=_time_of_event)
+        callers.outcome_counts['judged routes'] = judge.judged_count
+        callers.outcome_counts['versions'] = len(judge.versions)
+        callers.outcome_counts['at leaving targets'] = (
+            leaving.arrivals_while_leaving()
+        )
+        callers.outcome_counts['oldest version, ms'] = int(
+            judge.greatest_age * 1000
+        )
         _check_messages(fleet, callers)
     finally:
         await fleet.stop()
+        await leaving.stop()
     return callers, injector
 
 
+def _time_of_event(event: str) -> float:
+    return float(event.partition(' ')[0])
+
+
 async def _check_owners_periodically(callers: Callers) -> None:
     while True:
         callers.check_owners()
@@ -92,13 +123,23 @@
     parser.add_argument(
         '--other', type=pathlib.Path, help='the checkout of another build'
     )
+    parser.add_argument(
+        '--faults', nargs='+', default=(), help='names of faults, or none'
+    )
     options = parser.parse_args()
     other = options.other.resolve() if options.other else None
     failed = 0
     for seed in range(options.seed, options.seed + options.runs):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         callers, injector = asyncio.run(
-            soak(folder, seed, options.seconds, options.daemons, other),
+            soak(
+                folder,
+                seed,
+                options.seconds,
+                options.daemons,
+                other,
+                options.faults,
+            ),
         )
         outcome_counts = dict(callers.outcome_counts.most_common())
         sys.stdout.write(f'seed {seed}: {outcome_counts}, logs in {folder}\n')
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,7 @@
 import pathlib
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from http import HTTPStatus
 
 import aiohttp
@@ -28,6 +28,9 @@
 #: Range of the time between the starts of two faults, in seconds. Faults
 #: overlap, since most of them last longer.
 FAULT_INTERVALS = (0.3, 1.5)
+#: Times between the acknowledgement of a change and the end of a leader that
+#: may have read it, in seconds.
+NEWS_TIMES = (0.0, 0.002, 0.02)
 #: A daemon must exit within this time after a signal, in seconds: the grace
 #: period of the settings, the longest suspension of a process, and a margin of
 #: 1 s.
@@ -85,9 +88,20 @@
 class FaultInjector:
     """Starts random faults and ends them."""
 
-    def __init__(self, fleet: SoakFleet, seed: int) -> None:
-        """Prepare the faults; `run` injects them."""
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        seed: int,
+        change: Callable[[], None],
+        chosen: Collection[str] = (),
+    ) -> None:
+        """Prepare the faults; `run` injects them.
+
+        `change` writes a configuration. The names of the faults are `chosen`,
+        by default all of them.
+        """
         self._fleet = fleet
+        self._change = change
         self._random = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
         #: Names of the daemons that are being restarted.
@@ -110,7 +124,13 @@
             self._add_routes,
             self._cut_off,
             self._cut_off_in_series,
+            self._kill_informed_leader,
+            self._discard_history,
         )
+        if chosen:
+            self._faults = tuple(
+                getattr(self, f'_{name}') for name in chosen if name != 'none'
+            )
 
     async def run(self, seconds: float) -> None:
         """Start faults for a number of seconds, then wait until all end."""
@@ -120,6 +140,8 @@
             self._tasks.add(asyncio.ensure_future(self._replace_build()))
         while loop.time() < deadline:
             await asyncio.sleep(self._random.uniform(*FAULT_INTERVALS))
+            if not self._faults:
+                continue
             fault = self._random.choice(self._faults)
             task = asyncio.ensure_future(fault())
             self._tasks.add(task)
@@ -161,6 +183,23 @@
     async def _stop_gracefully(self) -> None:
         await self._restart(signal.SIGTERM, self._choose_daemon())
 
+    async def _kill_informed_leader(self) -> None:
+        """Kill the leader between a change and its news to the others."""
+        leader = self._fleet.leader()
+        if leader is None:
+            return
+        self._change()
+        await asyncio.sleep(self._random.choice(NEWS_TIMES))
+        self._log_event(f'the leader {leader.name} is killed with news')
+        await self._restart(signal.SIGKILL, leader)
+
+    async def _discard_history(self) -> None:
+        """Discard the store's history, at times before a change is read."""
+        if self._random.random() < 0.5:
+            self._change()
+        self._log_event('the store discards its history')
+        self._fleet.store.rows.truncate_history()
+
     async def _restart(
         self, signal_number: signal.Signals, daemon: DaemonProcess
     ) -> None:
@@ -230,6 +269,7 @@
 
     async def _disrupt_store(self) -> None:
         store = self._fleet.store
+        self._fleet.store_disruptions.begin()
         if self._random.random() < 0.5:
             self._log_event('store drops responses')
             store.drops_responses = True
@@ -239,6 +279,7 @@
         await self._wait_fault_duration()
         store.drops_responses = False
         store.error_status = None
+        self._fleet.store_disruptions.end()
         self._log_event('store is healthy')
 
     async def _disrupt_target(self) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,12 +7,14 @@
 import signal
 import sys
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Any
 
 import msgspec
 
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
+from soak.disruptions import Disruptions
+from soak.judging import STABLE_TIME, Leaving
 from soak.proxy import FaultProxy, ProxyMode
 from standins.keyed_target import TargetServer
 from standins.listening import free_ports
@@ -36,6 +38,8 @@
 FIRST_TARGET_HOST = 2
 #: The folder of the build that is tested.
 OWN_CHECKOUT = pathlib.Path(__file__).parent.parent
+#: Signals after which a process ends.
+ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 #: Log lines on messages between daemons that were not understood.
 MESSAGE_EVENTS = ('link_rubbish', 'link_out_of_step', 'type_skipped')
 
@@ -52,11 +56,14 @@
         folder: pathlib.Path,
         target_host: str,
         data_centre: str,
+        sender_by_port: dict[int, str],
     ) -> None:
         """Choose ports, and files for settings and log in `folder`.
 
-        Proxies to all targets listen at `target_host`.
+        Proxies to all targets listen at `target_host`, and write the daemon's
+        name to `sender_by_port`.
         """
+        self.sender_by_port = sender_by_port
         self.name = name
         self.target_host = target_host
         self.data_centre = data_centre
@@ -79,6 +86,11 @@
         #: When it was last killed, suspended or resumed, by the loop's clock.
         self.harmed_at = 0.0
         self._is_suspended = False
+        #: When the process did not run or was asked to stop.
+        self._ends = Disruptions()
+        self._suspensions = Disruptions()
+        #: Number of processes that were started.
+        self.life = 0
 
     @property
     def url(self) -> str:
@@ -107,8 +119,24 @@
                 stdout=log,
                 stderr=log,
             )
+        self.life += 1
+        self._ends.end()
         self.mark_disrupted()
 
+    def is_in_touch(self, since: float, until: float) -> bool:
+        """Return whether time bounds hold from `since` to `until`.
+
+        Its process and its path to the store are undisrupted then, and have
+        been for long enough before.
+        """
+        calm_since = since - STABLE_TIME
+        return (
+            self.store_proxy is not None
+            and self._ends.is_calm(calm_since, until)
+            and self._suspensions.is_calm(calm_since, until)
+            and self.store_proxy.disruptions.is_calm(calm_since, until)
+        )
+
     def message_faults(self) -> Counter[str]:
         """Count the log lines on messages that were not understood.
 
@@ -136,8 +164,12 @@
         if signal_number is signal.SIGSTOP:
             self.harmed_at = self.disrupted_at
             self._is_suspended = True
+            self._suspensions.begin()
         if signal_number is signal.SIGCONT:
             self._is_suspended = False
+            self._suspensions.end()
+        if signal_number in ENDING_SIGNALS:
+            self._ends.begin()
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(signal_number)
 
@@ -163,6 +195,7 @@
         for target in targets:
             port = int(target.address.rpartition(':')[2])
             path = FaultProxy(target.address, self.target_host, port)
+            path.note_port = self._note_port
             await path.start()
             self.path_by_target[target.target_id] = path
 
@@ -170,9 +203,12 @@
         self, mode: ProxyMode, target_ids: Collection[str] = ()
     ) -> None:
         """Set the mode of the paths to some targets, by default to all."""
-        for target_id in target_ids or self.path_by_target:
+        for target_id in target_ids or list(self.path_by_target):
             await self.path_by_target[target_id].set_mode(mode)
 
+    def _note_port(self, port: int) -> None:
+        self.sender_by_port[port] = self.name
+
     def request_count(self) -> int:
         """Return how many chunks of requests took the paths to targets."""
         return sum(path.request_count for path in self.path_by_target.values())
@@ -195,6 +231,15 @@
         """
         self.checkouts = (OWN_CHECKOUT, other or OWN_CHECKOUT)
         self.store = RowStoreServer()
+        #: When the store was disrupted for all.
+        self.store_disruptions = Disruptions()
+        #: Names of daemons by the local ports of their connections to targets.
+        self.sender_by_port: dict[int, str] = {}
+        #: All notices of targets that leave, in order.
+        self.leavings: list[Leaving] = []
+        self._leaving_by_target: dict[str, Leaving] = {}
+        #: Called after each write of a configuration.
+        self.note_configuration: Callable[[dict[str, Any]], None] = _ignore
         self.targets = [
             *(
                 TargetServer(f'k{number}', data_centre=data_centre_of(number))
@@ -216,6 +261,7 @@
                 folder,
                 f'127.0.0.{number + FIRST_TARGET_HOST}',
                 data_centre_of(number),
+                self.sender_by_port,
             )
             for number in range(daemons)
         ]
@@ -234,20 +280,36 @@
             }
             for number in range(count)
         }
-        self.configuration = {
-            **self.configuration,
-            'version': f'r{version}',
-            'routes': {**self.configuration['routes'], **added},
-        }
-        self.store.put('op', 'config', self.configuration)
+        self.write_configuration(
+            {
+                **self.configuration,
+                'version': f'r{version}',
+                'routes': {**self.configuration['routes'], **added},
+            }
+        )
         return f'added-{version}-0.example'
 
+    def write_configuration(self, configuration: dict[str, Any]) -> None:
+        """Write a valid configuration that is newer than those before."""
+        self.configuration = configuration
+        self.store.put('op', 'config', configuration)
+        self.note_configuration(configuration)
+
+    def is_in_touch(
+        self, daemon: DaemonProcess, since: float, until: float
+    ) -> bool:
+        """Return whether time bounds hold for a daemon."""
+        return daemon.is_in_touch(
+            since, until
+        ) and self.store_disruptions.is_calm(since - STABLE_TIME, until)
+
     async def start(self) -> None:
         """Start the store, the targets, the proxies and the daemons."""
         await self.store.start()
         self.store.put('op', 'config', CONFIGURATION)
         for target in self.targets:
             target.faults.service_time = SERVICE_TIME
+            target.work.arrivals.sender_at = self.sender_at
             await target.start()
             self.publish_target(target)
         for daemon in self.daemons:
@@ -276,6 +338,28 @@
         """Write a target's entry."""
         entry = target.entry(state, cold_ms)
         self.store.put('servers', target.target_id, entry)
+        if state == 'draining':
+            self._note_leaving(target)
+        elif target.target_id in self._leaving_by_target:
+            now = asyncio.get_running_loop().time()
+            leaving = self._leaving_by_target.pop(target.target_id)
+            leaving.taken_back_at = now
+
+    def remove_entry(self, target: TargetServer) -> None:
+        """Delete a target's entry, with or without a notice before."""
+        self.store.delete('servers', target.target_id)
+        self._note_leaving(target)
+
+    def sender_at(self, port: int) -> str:
+        """Return the daemon that has the connection from a port."""
+        return self.sender_by_port.get(port, '')
+
+    def _note_leaving(self, target: TargetServer) -> None:
+        if target.target_id not in self._leaving_by_target:
+            now = asyncio.get_running_loop().time()
+            leaving = Leaving(target.target_id, now)
+            self._leaving_by_target[target.target_id] = leaving
+            self.leavings.append(leaving)
 
     async def set_target_mode(self, target_id: str, mode: ProxyMode) -> None:
         """Set the mode of all paths to a target, except of daemons cut off."""
@@ -322,6 +406,10 @@
         )
 
 
+def _ignore(configuration: dict[str, Any]) -> None:
+    """Do not note a configuration."""
+
+
 def data_centre_of(number: int) -> str:
     """Return the data centre of a daemon or target."""
     return DATA_CENTRES[number % len(DATA_CENTRES)]
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,9 +6,10 @@
 import random
 import socket
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
+from soak.disruptions import Disruptions
 from standins.listening import LOOPBACK
 
 CHUNK_BYTES = 65536
@@ -90,6 +91,10 @@
         self.address = f'{host}:{port}'
         #: Number of chunks of requests that were forwarded.
         self.request_count = 0
+        #: When the proxy did not forward.
+        self.disruptions = Disruptions()
+        #: Called with the local port of each connection to the upstream.
+        self.note_port: Callable[[int], None] = _ignore_port
         self._mode = ProxyMode.forwarding
         self._mode_changed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -137,6 +142,10 @@
     def _apply(self, mode: ProxyMode) -> None:
         """Set the mode of open connections."""
         self._mode = mode
+        if mode is ProxyMode.forwarding:
+            self.disruptions.end()
+        else:
+            self.disruptions.begin()
         self._mode_changed.set()
         self._mode_changed = asyncio.Event()
         if mode in {ProxyMode.reset, ProxyMode.refused}:
@@ -164,6 +173,7 @@
         except OSError:
             _reset(writer)
             return
+        self.note_port(upstream_writer.get_extra_info('sockname')[1])
         writers = {writer, upstream_writer}
         self._writers |= writers
         self._client_writers.add(writer)
@@ -218,6 +228,10 @@
             await self._mode_changed.wait()
 
 
+def _ignore_port(port: int) -> None:
+    """Do not note the port of a connection."""
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info('socket')
     if sock is not None and sock.fileno() >= 0:
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -121,14 +121,50 @@
         self.retry_after: str | None = None
 
 
+class ReceivedRequest(msgspec.Struct, frozen=True):
+    """A request that reached a target, which has not answered 421."""
+
+    at: float
+    request_id: str
+    path: str
+    sender: str
+
+
+class ArrivalLog:
+    """The requests that reached a target, with their senders."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        #: When each request arrived, in monotonic seconds.
+        self.received_at: list[float] = []
+        self.unrefused: list[ReceivedRequest] = []
+        #: Returns who has the connection from a port.
+        self.sender_at: Callable[[int], str] = str
+
+    def note(self, request: web.Request, request_id: str) -> None:
+        """Record a request that is not answered with 421."""
+        port = 0
+        if request.transport is not None:
+            port = request.transport.get_extra_info('peername')[1]
+        self.unrefused.append(
+            ReceivedRequest(
+                time.monotonic(),
+                request_id,
+                request.path,
+                self.sender_at(port),
+            )
+        )
+
+
 class TargetWork:
     """The slots and the queue of a target, with counts of its requests."""
 
     def __init__(self, slots: int) -> None:
         """Start without requests."""
         self.slots = slots
-        #: When each request arrived, in monotonic seconds.
-        self.received_at: list[float] = []
+        self.arrivals = ArrivalLog()
+        #: Service times of requests with certain paths, in seconds.
+        self.service_time_by_path: dict[str, float] = {}
         #: IDs of the requests that ran, in order.
         self.executed_ids: list[str] = []
         self.running = 0
@@ -143,6 +179,11 @@
         self.crash_plan: CrashPlan | None = None
         self._slot_semaphore = asyncio.Semaphore(slots)
 
+    @property
+    def received_at(self) -> list[float]:
+        """Return when each request arrived, in monotonic seconds."""
+        return self.arrivals.received_at
+
     def is_full(self) -> bool:
         """Return whether the queue is full."""
         return self.queued >= QUEUE_PER_SLOT * self.slots
@@ -292,6 +333,8 @@
         self.work.received_at.append(time.monotonic())
         self.faults.repeat_refusal(request)
         refusal = self._refusal(request, request_id)
+        if refusal is None or refusal.status != HTTPStatus.MISDIRECTED_REQUEST:
+            self.work.arrivals.note(request, request_id)
         if refusal is not None:
             self.faults.note_refused(request, request_id)
             return refusal
@@ -329,7 +372,8 @@
                 await asyncio.sleep(plan.run_time)
                 plan.start(self.crash(plan))
                 await asyncio.sleep(plan.down_time)
-            await asyncio.sleep(self.faults.service_time)
+            slow_time = self.work.service_time_by_path.get(request.path)
+            await asyncio.sleep(slow_time or self.faults.service_time)
             while self.faults.is_frozen:
                 await asyncio.sleep(FROZEN_POLL_INTERVAL)
 
--- /dev/null
+++ b/tests/test_soak_judging.py
@@ -0,0 +1,259 @@
+"""What the judges of a soak test report, and what they allow."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from soak.changes import (
+    JUDGED_SERVICES,
+    PATH_PREFIX,
+    Operator,
+    RouteCallers,
+)
+from soak.fleet import SoakFleet
+from soak.judging import (
+    CONFIGURATION_BOUND,
+    DRAIN_BOUND,
+    DOWNGRADE_SLACK,
+    ConfigurationJudge,
+    JudgedRoute,
+    RouteAnswer,
+    Version,
+)
+from soak.leaving import HEALTH_PATH, LeavingTargets
+from soak.proxy import FaultProxy, ProxyMode
+
+HOST = 'judged.example'
+#: Clearly more than the margin for the test's clock, in seconds.
+LATE = 0.5
+
+
+def _version(name: str, at: float, *services: str) -> Version:
+    """Return a version with one route, or without one."""
+    route = JudgedRoute(frozenset(services), time_limit=0.4)
+    return Version(name, at, {HOST: route} if services else {})
+
+
+def _answer(
+    sent_at: float,
+    service: str | None,
+    *,
+    life: int = 1,
+    is_in_touch: bool = True,
+) -> RouteAnswer:
+    return RouteAnswer(
+        'edge-1', life, HOST, sent_at, sent_at + 0.01, service, is_in_touch
+    )
+
+
+class ConfigurationJudgeTest(unittest.TestCase):
+    """Versions of the configuration that are too old."""
+
+    def setUp(self) -> None:
+        self.judge = ConfigurationJudge()
+        self.judge.add(_version('r1', 1.0))
+        self.judge.add(_version('r2', 100.0, 'library'))
+
+    def _judge(self, *answers: RouteAnswer) -> list[str]:
+        for answer in answers:
+            self.judge.judge(answer)
+        return self.judge.violations
+
+    def test_added_route_that_is_refused_late(self) -> None:
+        late = 100.0 + CONFIGURATION_BOUND + LATE
+        (violation,) = self._judge(_answer(late, None))
+        for part in ('CONFIG edge-1', 'by r1', '2.50 s before by r2', '102.50'):
+            self.assertIn(part, violation)
+
+    def test_added_route_within_the_bound(self) -> None:
+        soon = 100.0 + CONFIGURATION_BOUND - LATE
+        self.assertEqual(
+            self._judge(_answer(soon, None), _answer(soon, 'library')), []
+        )
+
+    def test_daemon_out_of_touch(self) -> None:
+        late = 100.0 + CONFIGURATION_BOUND + LATE
+        answer = _answer(late, None, is_in_touch=False)
+        self.assertEqual(self._judge(answer), [])
+
+    def test_dropped_route_that_is_served_late(self) -> None:
+        self.judge.add(_version('r3', 110.0))
+        late = 110.0 + CONFIGURATION_BOUND + LATE
+        (violation,) = self._judge(_answer(late, 'library'))
+        self.assertIn('replaced 2.50 s before by r3', violation)
+
+    def test_moved_route_that_the_old_service_runs_late(self) -> None:
+        self.judge.add(_version('r3', 110.0, 'archive'))
+        late = 110.0 + CONFIGURATION_BOUND + LATE
+        (violation,) = self._judge(
+            _answer(late, 'archive'), _answer(late, 'library')
+        )
+        self.assertIn('library', violation)
+
+    def test_split_route_is_run_by_either_service(self) -> None:
+        self.judge.add(_version('r3', 110.0, 'archive', 'library'))
+        self.assertEqual(
+            self._judge(_answer(120.0, 'archive'), _answer(120.0, 'library')),
+            [],
+        )
+
+    def test_version_that_was_replaced_within_the_bound(self) -> None:
+        """The newest version that allows an answer counts, not the first."""
+        self.judge.add(_version('r3', 110.0))
+        self.judge.add(_version('r4', 110.1, 'library'))
+        self.judge.add(_version('r5', 110.2))
+        self.assertEqual(self._judge(_answer(112.0, 'library')), [])
+
+    def test_service_that_no_version_names(self) -> None:
+        (violation,) = self._judge(_answer(100.1, 'archive'))
+        self.assertIn('no version allows it', violation)
+
+    def test_process_that_goes_back(self) -> None:
+        """Also while it is out of touch, after a longer time."""
+        for is_in_touch, slack in (
+            (True, DOWNGRADE_SLACK),
+            (False, 8 * DOWNGRADE_SLACK),
+        ):
+            with self.subTest(is_in_touch=is_in_touch):
+                self.setUp()
+                self._judge(_answer(100.1, 'library'))
+                later = 100.1 + slack + LATE
+                answer = _answer(later, None, is_in_touch=is_in_touch)
+                (violation,) = self._judge(answer)
+                self.assertIn('after r2 was seen', violation)
+
+    def test_next_process_may_know_less(self) -> None:
+        self.assertEqual(
+            self._judge(
+                _answer(100.1, 'library'),
+                _answer(101.1, None, life=2, is_in_touch=False),
+            ),
+            [],
+        )
+
+    def test_overtaken_answer(self) -> None:
+        """Two requests within the slack may be handled in any order."""
+        self.assertEqual(
+            self._judge(_answer(100.1, 'library'), _answer(100.2, None)), []
+        )
+
+    def test_request_without_an_answer(self) -> None:
+        self.judge.judge_time('edge-1', HOST, 110.0, 110.8)
+        self.assertEqual(self.judge.violations, [])
+        self.judge.judge_time('edge-1', HOST, 110.0, 111.2)
+        (violation,) = self.judge.violations
+        self.assertIn('no answer for 1.20 s, its limit is 0.40 s', violation)
+
+    def test_longest_limit_that_may_bind_counts(self) -> None:
+        longer = JudgedRoute(frozenset({'library'}), time_limit=1.5)
+        self.judge.add(Version('r3', 110.0, {HOST: longer}))
+        self.judge.judge_time('edge-1', HOST, 109.9, 111.1)
+        self.assertEqual(self.judge.violations, [])
+
+
+class LeavingTargetsTest(unittest.TestCase):
+    """Requests that reach targets after they have left."""
+
+    def _run(
+        self, check: Callable[[SoakFleet, LeavingTargets], Awaitable[None]]
+    ) -> None:
+        async def run(folder: str) -> None:
+            fleet = SoakFleet(pathlib.Path(folder), daemons=1)
+            judge = ConfigurationJudge()
+            operator = Operator(fleet, judge, seed=1)
+            callers = RouteCallers(fleet, operator, judge, seed=1)
+            leaving = LeavingTargets(fleet, callers, seed=1)
+            fleet.daemons[0].store_proxy = FaultProxy('127.0.0.1:9')
+            await leaving.start()
+            try:
+                await check(fleet, leaving)
+            finally:
+                await leaving.stop()
+                for path in fleet.daemons[0].path_by_target.values():
+                    await path.stop()
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(run(folder))
+
+    async def _send(
+        self, fleet: SoakFleet, target_id: str, path: str = PATH_PREFIX
+    ) -> None:
+        """Send a request as the daemon does, long after the notice."""
+        proxy = fleet.daemons[0].path_by_target[target_id]
+        headers = {'Attempt-Id': 'late', 'Expect-Instance': target_id}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f'http://{proxy.address}{path}', headers=headers),
+        ):
+            pass
+
+    async def _notify(self, fleet: SoakFleet, leaving: LeavingTargets) -> str:
+        """Have a target drain; return its ID once requests are late."""
+        target = leaving.staying_by_service[JUDGED_SERVICES[0]][0]
+        fleet.publish_target(target, 'draining')
+        fleet.leavings[0].notified_at -= DRAIN_BOUND + LATE
+        return target.target_id
+
+    def test_request_that_comes_late(self) -> None:
+        async def check(fleet: SoakFleet, leaving: LeavingTargets) -> None:
+            target_id = await self._notify(fleet, leaving)
+            self.assertEqual(leaving.violations(), [])
+            await self._send(fleet, target_id)
+            (violation,) = leaving.violations()
+            for part in ('DRAIN late', target_id, 'edge-0', '2.5'):
+                self.assertIn(part, violation)
+
+        self._run(check)
+
+    def test_target_whose_entry_has_gone(self) -> None:
+        async def check(fleet: SoakFleet, leaving: LeavingTargets) -> None:
+            target = leaving.staying_by_service[JUDGED_SERVICES[0]][0]
+            fleet.remove_entry(target)
+            fleet.leavings[0].notified_at -= DRAIN_BOUND + LATE
+            await self._send(fleet, target.target_id)
+            self.assertEqual(len(leaving.violations()), 1)
+
+        self._run(check)
+
+    def test_requests_that_do_not_count(self) -> None:
+        async def check(fleet: SoakFleet, leaving: LeavingTargets) -> None:
+            target_id = await self._notify(fleet, leaving)
+            await self._send(fleet, target_id, HEALTH_PATH)
+            daemon = fleet.daemons[0]
+            daemon.path_by_target[target_id].disruptions.begin()
+            await self._send(fleet, target_id)
+            self.assertEqual(leaving.violations(), [])
+
+        self._run(check)
+
+    def test_daemon_out_of_touch(self) -> None:
+        async def check(fleet: SoakFleet, leaving: LeavingTargets) -> None:
+            target_id = await self._notify(fleet, leaving)
+            store_proxy = fleet.daemons[0].store_proxy
+            assert store_proxy is not None
+            await store_proxy.set_mode(ProxyMode.silent)
+            await store_proxy.set_mode(ProxyMode.forwarding)
+            await self._send(fleet, target_id)
+            self.assertEqual(leaving.violations(), [])
+            await store_proxy.stop()
+
+        self._run(check)
+
+    def test_target_that_is_taken_back(self) -> None:
+        async def check(fleet: SoakFleet, leaving: LeavingTargets) -> None:
+            target_id = await self._notify(fleet, leaving)
+            fleet.publish_target(
+                leaving.staying_by_service[JUDGED_SERVICES[0]][0]
+            )
+            await self._send(fleet, target_id)
+            self.assertEqual(leaving.violations(), [])
+
+        self._run(check)
+
+
+if __name__ == '__main__':
+    unittest.main()
