Daemons try a port that is taken until it is free

Callers saw: a daemon whose port for callers, readiness or other daemons was held by something else ended at its start with status 1, a traceback and an unclosed session, each time; its address refused connections from then on.

Cause: each listener bound its port once. The system gives ports to outgoing connections, and a process that is ending holds its own.

Change: listeners are started by `listen`, which tries every 0.1 s and reports port and reason (116, at most every 5 s; 118 when it listens). After 120 s, twice as long as systems keep the port of a closed connection, the daemon ends with one line (119), status 3 and every session closed. A stop request during the tries ends it with status 0. It looks for the leader, leads and becomes ready only once all ports are listened on. The metrics are tried beside that, without an end, since requests are served without them.

Why it works: nothing is awaited between the last port and the work that announces the daemon, so that none that can't be reached is leader or ready.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -18,6 +18,7 @@
 from cassialever.operators.api import OperatorApi
 from cassialever.operators.daemon_view import DaemonView
 from cassialever.settings import Settings, store_address
+from cassialever.starting import StartEnd, start_daemon
 from cassialever.tasks import log_failure
 from cassialever.telemetry.gauges import StatusGauges
 from cassialever.telemetry.metrics import SERVICE
@@ -93,7 +94,11 @@
             # Nothing is open yet that a stop would have to close.
             record(Event.stopped, instance=self.settings.instance.instance_id)
             return True
-        await self.start()
+        end = await start_daemon(
+            self, self._stop_requested, self.settings.instance.instance_id
+        )
+        if end is not StartEnd.started:
+            return end is StartEnd.stopped
         return await self.run_until_stopped()
 
     async def start(self) -> None:
@@ -101,6 +106,7 @@
         await self.core.start()
         for part in self._servers():
             await part.start()
+        self.core.begin()
         record(Event.started, instance=self.settings.instance.instance_id)
 
     async def stop(self) -> None:
--- a/cassialever/callers/front.py
+++ b/cassialever/callers/front.py
@@ -29,6 +29,7 @@
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.interfaces import Clock
+from cassialever.listening import PortUse
 from cassialever.platform import wire
 from cassialever.settings import Settings
 from cassialever.telemetry.spans import TRACEPARENT_HEADER, Hop
@@ -79,7 +80,7 @@
         """Listen on the configured address."""
         instance = self._settings.instance
         host, port = await self._listener.start(
-            instance.address, instance.caller_port
+            PortUse.callers, instance.address, instance.caller_port
         )
         self.url = f'http://{host}:{port}'
 
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -30,6 +30,17 @@
         logbook.ERROR,
         'A connection of a caller could not be accepted.',
     )
+    port_taken = (
+        116,
+        logbook.WARNING,
+        'A port can not be listened on yet, and is tried again.',
+    )
+    port_free = (118, logbook.NOTICE, 'A port is listened on, after tries.')
+    start_failed = (
+        119,
+        logbook.CRITICAL,
+        'The daemon ends, since it could not listen on a port.',
+    )
     stop_failed = (110, logbook.ERROR, 'A step of the stop has failed.')
     task_failed = (104, logbook.ERROR, 'A background task has failed.')
 
--- a/cassialever/exceptions.py
+++ b/cassialever/exceptions.py
@@ -13,5 +13,9 @@
     """The settings file can't be used."""
 
 
+class ListenError(CassialeverError):
+    """A daemon can't listen on a port that it needs."""
+
+
 class InvariantError(CassialeverError):
     """An invariant was violated."""
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -28,6 +28,7 @@
     SkipLog,
     UnknownMessage,
 )
+from cassialever.listening import PortUse, listen
 from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
 from cassialever.policy.permits import MAX_BATCH
 from cassialever.types import RowVersion, Seconds, TargetId
@@ -168,14 +169,9 @@
 
     async def start(self, address: str) -> None:
         """Listen on the address at which other daemons reach this one."""
-        listening = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        listening.setblocking(False)
-        try:
-            listening.bind(split_address(address))
-        except OSError:
-            listening.close()
-            raise
-        self._socket = listening
+        self._socket = await listen(
+            PortUse.datagrams, address, lambda: _bind(address)
+        )
         self._await_datagrams()
 
     def stop(self) -> None:
@@ -297,3 +293,15 @@
             version=version,
             own_version=MESSAGE_VERSION,
         )
+
+
+async def _bind(address: str) -> socket.socket:
+    """Return a socket for datagrams at an address."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    try:
+        bound.bind(split_address(address))
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -16,6 +16,7 @@
 from cassialever.fleet.proof import prove_as_acceptor
 from cassialever.fleet.unknown_types import SkipLog, UnknownMessage
 from cassialever.fleet.view import FleetView
+from cassialever.listening import PortUse, listen
 from cassialever.types import RowVersion, Seconds
 
 HEARTBEAT_INTERVAL: Final[Seconds] = 0.25
@@ -141,8 +142,13 @@
 
     async def start(self) -> None:
         """Listen for other daemons."""
-        host, port = split_address(self._own_hello.address)
-        self._server = await asyncio.start_server(self._accept, host, port)
+        address = self._own_hello.address
+        host, port = split_address(address)
+        self._server = await listen(
+            PortUse.links,
+            address,
+            lambda: asyncio.start_server(self._accept, host, port),
+        )
 
     async def stop(self) -> None:
         """Stop accepting followers and disconnect the present ones."""
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -21,6 +21,7 @@
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.process_signals import ProcessSignals
 from cassialever.signal_watcher import SignalWatcher
+from cassialever.starting import StartEnd, start_daemon
 from cassialever.tasks import log_failure
 from cassialever.types import Seconds
 
@@ -76,11 +77,13 @@
 
     async def start(self) -> None:
         """Start every part, the server for callers last."""
-        await self.core.start()
         self.core.tasks.start(self._reload_when_requested())
-        self.core.tasks.start(self._watch_readiness())
-        await self._metrics.start()
+        # Requests are served without them.
+        self.core.tasks.start(self._metrics.start())
+        await self.core.start()
         await self.server.start()
+        self.core.begin()
+        self.core.tasks.start(self._watch_readiness())
         record(Event.started, instance=self.settings.instance.instance_id)
 
     def reload(self) -> None:
@@ -126,15 +129,20 @@
     async def abort(self) -> None:
         """Close everything immediately, without notifying anyone."""
         await log_failure('callers', self.server.stop())
-        await log_failure('metrics', self._metrics.stop())
         await self.core.abort()
+        # Its tries to listen end with the tasks of the core.
+        await log_failure('metrics', self._metrics.stop())
 
     async def _run_until_stopped(self) -> bool:
         if self._stop_requested.is_set():
             # Nothing is open yet that a stop would have to close.
             record(Event.stopped, instance=self.settings.instance.instance_id)
             return True
-        await self.start()
+        end = await start_daemon(
+            self, self._stop_requested, self.settings.instance.instance_id
+        )
+        if end is not StartEnd.started:
+            return end is StartEnd.stopped
         return await self.core.run_until(self._stop_requested, self.stop)
 
     async def _reload_when_requested(self) -> None:
--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -19,6 +19,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 
 from cassialever.events import Event, record
+from cassialever.listening import PortUse, listen
 from cassialever.types import Seconds
 
 #: Connections that may wait to be accepted; the load balancer opens as many
@@ -227,13 +228,16 @@
         #: When a connection was last accepted, in the loop's time.
         self.accepted_at: Seconds = 0
 
-    async def start(self, host: str, port: int) -> tuple[str, int]:
+    async def start(
+        self, use: PortUse, host: str, port: int
+    ) -> tuple[str, int]:
         """Listen and return the address; port 0 selects any free port."""
         self._server = web.Server(
             self._request_handler, handler_cancellation=True
         )
-        listening = socket.create_server((host, port), backlog=BACKLOG)
-        listening.setblocking(False)
+        listening = await listen(
+            use, f'{host}:{port}', lambda: _listen(host, port)
+        )
         self._socket = listening
         self._accept_from_now()
         name = listening.getsockname()
@@ -348,6 +352,13 @@
         return CallerConnection(self._server, self.connections, **self._options)
 
 
+async def _listen(host: str, port: int) -> socket.socket:
+    """Return a socket that listens at an address."""
+    listening = socket.create_server((host, port), backlog=BACKLOG)
+    listening.setblocking(False)
+    return listening
+
+
 def _is_readable(transport: asyncio.Transport) -> bool:
     """Return whether bytes, or the end of the connection, are unread."""
     poller = select.poll()
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -143,7 +143,7 @@
         return self._reachability
 
     async def start(self) -> None:
-        """Start every part."""
+        """Open every part; `begin` has them work."""
         for part in (
             self.store,
             self._exchanges,
@@ -152,6 +152,13 @@
             self._reachability,
         ):
             await part.start()
+
+    def begin(self) -> None:
+        """Look for the leader or lead, probe paths and send reports.
+
+        Every port must be listened on, so that nothing is announced that can't
+        be reached.
+        """
         for work in (
             self._reachability.run(),
             self._limits.run(),
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -16,6 +16,7 @@
 from cassialever.gateway.routes import split_request_target
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
+from cassialever.listening import PortUse
 from cassialever.platform import wire
 from cassialever.types import Seconds
 
@@ -61,8 +62,12 @@
     async def start(self) -> None:
         """Listen for callers and for the load balancer."""
         listen = self._settings.listen
-        await self._readiness.start(*split_address(listen.readiness))
-        await self._callers.start(*split_address(listen.callers))
+        await self._readiness.start(
+            PortUse.readiness, *split_address(listen.readiness)
+        )
+        await self._callers.start(
+            PortUse.callers, *split_address(listen.callers)
+        )
 
     async def wait_until_taken_out(self, timeout: Seconds) -> None:
         """Serve until the load balancer opens no more connections.
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -39,6 +39,7 @@
     failed_attempt,
 )
 from cassialever.gateway.settings import GatewaySettings
+from cassialever.listening import PortUse
 from cassialever.platform import wire
 from cassialever.platform.sessions import close_connection
 from cassialever.types import Seconds
@@ -95,7 +96,9 @@
 
     async def start(self) -> None:
         """Listen for other daemons."""
-        await self._listener.start(*split_address(self._settings.hop_address))
+        await self._listener.start(
+            PortUse.hops, *split_address(self._settings.hop_address)
+        )
 
     def announce_stop(self, answers_until: Seconds) -> None:
         """Close connections after their answers, since this daemon stops.
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -15,6 +15,7 @@
 from cassialever.gateway.counters import Counters, HopCounters
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.keys.key_events import KeyCounters
+from cassialever.listening import PortUse, listen
 from cassialever.types import Seconds
 
 if TYPE_CHECKING:
@@ -52,24 +53,34 @@
         self._exporter: _Exporter | None = None
 
     async def start(self) -> None:
-        """Listen on the metrics port."""
-        self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None),
-            shutdown_timeout=SHUTDOWN_TIMEOUT,
+        """Listen on the metrics port, as soon as it is free."""
+        address = self._settings.instance.address
+        port = self._settings.metrics_port
+        self._runner = await listen(
+            PortUse.metrics,
+            f'{address}:{port}',
+            lambda: self._listen(address, port),
+            is_needed=False,
         )
-        await self._runner.setup()
-        site = web.TCPSite(
-            self._runner,
-            self._settings.instance.address,
-            self._settings.metrics_port,
-        )
-        await site.start()
 
     async def stop(self) -> None:
         """Stop listening and close every connection."""
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _listen(self, address: str, port: int) -> web.ServerRunner:
+        runner = web.ServerRunner(
+            web.Server(self._handle, access_log=None),
+            shutdown_timeout=SHUTDOWN_TIMEOUT,
+        )
+        await runner.setup()
+        try:
+            await web.TCPSite(runner, address, port).start()
+        except OSError:
+            await runner.cleanup()
+            raise
+        return runner
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.path != METRICS_PATH:
             return web.Response(status=web.HTTPNotFound.status_code)
--- a/cassialever/operators/api.py
+++ b/cassialever/operators/api.py
@@ -15,6 +15,7 @@
 
 from cassialever.errors import ANSWER_BY_KIND, ErrorKind, Failure
 from cassialever.events import Event, record
+from cassialever.listening import PortUse, listen
 from cassialever.operators.decisions import DecisionQuery
 from cassialever.operators.explain import Explanation
 from cassialever.operators.view import OperatorView
@@ -66,9 +67,11 @@
     async def start(self) -> None:
         """Listen on the configured operator port."""
         instance = self._settings.instance
-        self.url = await self._site.start(
-            instance.address,
-            instance.operator_port,
+        host, port = instance.address, instance.operator_port
+        self.url = await listen(
+            PortUse.operators,
+            f'{host}:{port}',
+            lambda: self._site.start(host, port),
         )
 
     async def stop(self) -> None:
--- a/cassialever/serving.py
+++ b/cassialever/serving.py
@@ -19,7 +19,11 @@
         runner = self._make_runner()
         await runner.setup()
         site = web.TCPSite(runner, address, port, backlog=1024)
-        await site.start()
+        try:
+            await site.start()
+        except OSError:
+            await runner.cleanup()
+            raise
         self._runner = runner
         bound = runner.addresses[0]
         return f'http://{bound[0]}:{bound[1]}'
