Log from whom a version or an entry was learned

Rows are applied by three ways (the store's feed, the leader's link, a daemon that is asked), and each now names itself; the lines have it as learned_from, as the lines on limits and notices in answers do. A 404 has the configuration and the age of the tables. No line is added, so that their rate stays as it is. The soak prints the time of the logs beside that of its events.

tests.test_fleet_view and tests.test_gateway show the fields.

--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -156,7 +156,7 @@
         try:
             if await self._authenticate(connected):
                 writer.write(messages.encode(hello))
-                await _adopt_tables(reader, self.view)
+                await _adopt_tables(reader, self.view, f'daemon at {address}')
         finally:
             writer.close()
 
@@ -280,18 +280,25 @@
         return LinkEnd.closed
 
 
-async def _adopt_tables(reader: asyncio.StreamReader, view: FleetView) -> None:
+async def _adopt_tables(
+    reader: asyncio.StreamReader, view: FleetView, source: str
+) -> None:
     """Adopt the tables and changes that a daemon sends until it ends."""
     while True:
         message = await _receive(reader)
         if isinstance(message, messages.Whole):
-            view.replace(message.table, message.rows, message.version)
+            view.replace(message.table, message.rows, message.version, source)
         if isinstance(message, messages.Changed):
-            view.apply(message.table, message.rows, message.version)
+            view.apply(message.table, message.rows, message.version, source)
         if isinstance(message, (LinkEnd, messages.Farewell)):
             return
 
 
+def _source(link: LeaderLink) -> str:
+    """Return where the rows that come over a link are from."""
+    return f'the leader at {link.address}'
+
+
 @functools.singledispatch
 def handle(message: object, link: LeaderLink) -> None:
     """Handle a message of the leader; log a type that has no handler."""
@@ -300,12 +307,14 @@
 
 @handle.register
 def _handle_whole(message: messages.Whole, link: LeaderLink) -> None:
-    link.view.replace(message.table, message.rows, message.version)
+    link.view.replace(
+        message.table, message.rows, message.version, _source(link)
+    )
 
 
 @handle.register
 def _handle_changed(message: messages.Changed, link: LeaderLink) -> None:
-    link.view.apply(message.table, message.rows, message.version)
+    link.view.apply(message.table, message.rows, message.version, _source(link))
 
 
 @handle.register
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -37,6 +37,8 @@
 OWN_TABLE: Final = 'cassialever'
 #: Prefix of the rows in that table that hold the owners of a service's keys.
 KEY_MAP_PREFIX: Final = 'keys/'
+#: Where rows come from that no other daemon has sent.
+STORE: Final = 'the store'
 #: The row that names the leader.
 LEADER_ROW: Final = 'leader'
 
@@ -86,12 +88,15 @@
         self.on_change: ChangeHandler = ignore_changes
         #: Counts the entries that can't be used.
         self.faults = EntryFaults(clock)
+        #: Where the rows that are being applied came from.
+        self._source = STORE
 
     def replace(
         self,
         table: str,
         rows: Iterable[StoreRow],
         version: RowVersion,
+        source: str = STORE,
     ) -> bool:
         """Replace a whole table; rows that are missing count as removed.
 
@@ -103,7 +108,7 @@
         table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
-        self.apply(table, removals + table_rows, version)
+        self.apply(table, removals + table_rows, version, source)
         self.rows.restart_history(table, version)
         return True
 
@@ -112,8 +117,13 @@
         table: str,
         rows: Iterable[StoreRow],
         version: RowVersion,
+        source: str = STORE,
     ) -> None:
-        """Apply changed rows, ignoring those that are not newer."""
+        """Apply changed rows, ignoring those that are not newer.
+
+        The log names their `source`: the store or another daemon.
+        """
+        self._source = source
         changed = self.rows.apply(table, rows, version)
         for row in changed:
             self._apply_or_log(row)
@@ -175,7 +185,11 @@
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
-        record(Event.catalogue_adopted, version=configuration.version)
+        record(
+            Event.catalogue_adopted,
+            version=configuration.version,
+            learned_from=self._source,
+        )
         return True
 
     def reject(self, entry: str, reason: str) -> None:
@@ -206,7 +220,12 @@
         target_id = TargetId(row.name)
         if row.content is None:
             if self.targets.remove(target_id):
-                record(Event.target_gone, target=target_id, version=row.version)
+                record(
+                    Event.target_gone,
+                    target=target_id,
+                    version=row.version,
+                    learned_from=self._source,
+                )
             return
         target = records.decode_target(row.name, row.content, self._target_host)
         if isinstance(target, Failure):
@@ -223,6 +242,7 @@
             started_at=target.started_at,
             cold_for=target.cold_for,
             version=row.version,
+            learned_from=self._source,
         )
 
 
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -154,6 +154,8 @@
             path=request.raw_path,
             status=refusal.status,
             reason=refusal.sentence,
+            configuration=self._forwarder.router.configuration_version,
+            tables_age=round(self._forwarder.tables_age(), 3),
         )
 
 
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cassialever.clock import SystemClock
-from cassialever.fleet.model import Configuration, Route
+from cassialever.fleet.model import Configuration, Route, version_of
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.refusals import (
     Refusal,
@@ -85,6 +85,11 @@
         #: Returns what is known of the age of this daemon's tables.
         self.knowledge: Callable[[], Knowledge] = Knowledge
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force."""
+        return version_of(self._view.configuration)
+
     async def find(
         self, request: TargetRequest, host: str, received_at: Seconds
     ) -> RoutedRequest | Refusal:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 import tempfile
+import time
 from collections.abc import Collection
 
 from soak.callers import Callers
@@ -78,6 +79,7 @@
         callers.violations.extend(judge.violations)
         callers.violations.extend(leaving.violations())
         injector.events.extend((*operator.events, *leaving.events))
+        injector.events.append(_clock_line())
         injector.events.sort(key=_time_of_event)
         callers.outcome_counts['judged routes'] = judge.judged_count
         callers.outcome_counts['versions'] = len(judge.versions)
@@ -94,6 +96,12 @@
     return callers, injector
 
 
+def _clock_line() -> str:
+    """Return a line that tells the time of the logs from that of events."""
+    now = asyncio.get_running_loop().time()
+    return f'{now:.2f} is {time.time():.2f} in the logs'
+
+
 def _time_of_event(event: str) -> float:
     return float(event.partition(' ')[0])
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from cassialever.fleet.entry_faults import LOG_PERIOD, MAX_LINES
+from cassialever.fleet.following_leader import LeaderLink, handle
+from cassialever.fleet.messages import Changed, Hello
 from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
 from cassialever.fleet.row_replica import MAX_REMOVALS, RowReplica
 from cassialever.fleet.view import Leadership
@@ -261,6 +263,36 @@
         row = StoreRow('cassialever', 'keys/registry', content, version)
         self.view.apply('cassialever', [row], version)
 
+    def test_log_names_the_source_of_changes(self) -> None:
+        """It told when a change came, and not from whom."""
+        configuration = json_row(
+            'op', 'config', {**CONFIGURATION, 'version': 'r8'}, 50
+        )
+        target = json_row('servers', 't0', target_entry(), 51)
+        log = logbook.TestHandler()
+        with log.threadbound():
+            link = LeaderLink(self.view, Hello('edge-1', 1, 'a:2', {}))
+            link.address = 'a:1'
+            handle(Changed('op', [configuration], 50), link)
+            self.view.apply('servers', [target], 51)
+            self.view.replace('servers', [], 52, 'daemon at a:2')
+        sources = [
+            (
+                one.extra['name'],
+                one.extra['fields']['version'],
+                one.extra['fields']['learned_from'],
+            )
+            for one in log.records
+        ]
+        self.assertEqual(
+            sources[:3],
+            [
+                ('catalogue_adopted', 8, 'the leader at a:1'),
+                ('target_seen', 51, 'the store'),
+                ('target_gone', 52, 'daemon at a:2'),
+            ],
+        )
+
     def test_many_invalid_entries_are_logged_seldom(self) -> None:
         """Each was a line of the log, however many another writer left."""
         log = logbook.TestHandler()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import aiohttp
+import logbook
 
 from cassialever.gateway.settings import PATH_VARIABLE
 from cassialever.process_signals import ProcessSignals
@@ -72,8 +73,18 @@
         async with deployment() as system:
             gateway = system.gateways[0]
             await until(lambda: gateway.server.is_ready)
-            response = await send_request(gateway, '/nowhere/', LOOKUP_HEADERS)
+            log = logbook.TestHandler(level=logbook.INFO)
+            with log.applicationbound():
+                response = await send_request(
+                    gateway, '/nowhere/', LOOKUP_HEADERS
+                )
             self.assertEqual(response.status, 404)
+        (refused,) = (
+            one.extra['fields']
+            for one in log.records
+            if one.extra['name'] == 'request_refused'
+        )
+        self.assertEqual(refused['configuration'], 7)
 
     async def test_without_configuration_requests_are_refused(self) -> None:
         async with deployment(gateways=0) as system:
