Judge the shares of split routes and answers beyond time limits as the rule does

A request that had no answer 0.6 s after its time limit was a violation by itself; the rule asks for eight of them and a quarter of those beyond their limits. Single ones are printed with the events now. The heaviest part of a split route gets its share of 200 or more requests within 0.2. The greatest lateness of the soak's own loop, which runs the store and the targets, is printed beside the counts, since it adds to each age.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,6 +48,7 @@
     route_callers = RouteCallers(fleet, operator, judge, seed)
     leaving = LeavingTargets(fleet, route_callers, seed)
     injector = FaultInjector(fleet, seed, operator.change, faults)
+    own_lateness = [0.0]
     await fleet.start()
     try:
         await leaving.start()
@@ -61,6 +62,7 @@
             asyncio.create_task(operator.run()),
             asyncio.create_task(route_callers.run()),
             asyncio.create_task(leaving.run()),
+            asyncio.create_task(_watch_own_loop(own_lateness)),
         ]
         await injector.run(seconds)
         if not await callers.wait_until_served(RECOVERY_TIMEOUT):
@@ -76,12 +78,23 @@
         callers.check_runs()
         callers.check_shares()
         callers.violations.extend(injector.violations)
+        judge.check_shares()
+        judge.check_times()
         callers.violations.extend(judge.violations)
         callers.violations.extend(leaving.violations())
         injector.events.extend((*operator.events, *leaving.events))
+        injector.events.extend(judge.late_answers)
         injector.events.append(_clock_line())
         injector.events.sort(key=_time_of_event)
         callers.outcome_counts['judged routes'] = judge.judged_count
+        callers.outcome_counts['beyond time limits'] = judge.overdue_count
+        callers.outcome_counts['without an answer in time'] = len(
+            judge.late_answers
+        )
+        callers.outcome_counts['own lateness, ms'] = int(
+            max(own_lateness) * 1000
+        )
+        callers.outcome_counts['on split routes'] = judge.split_count
         callers.outcome_counts['versions'] = len(judge.versions)
         callers.outcome_counts['at leaving targets'] = (
             leaving.arrivals_while_leaving()
@@ -112,6 +125,15 @@
         await asyncio.sleep(OWNER_CHECK_INTERVAL)
 
 
+async def _watch_own_loop(lateness: list[float]) -> None:
+    """Keep how late this process, which runs the store and targets, was."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due_at = loop.time() + OWNER_CHECK_INTERVAL
+        await asyncio.sleep(OWNER_CHECK_INTERVAL)
+        lateness[0] = max(lateness[0], loop.time() - due_at)
+
+
 def _check_messages(fleet: SoakFleet, callers: Callers) -> None:
     """Count log lines on messages; an invalid one is a violation."""
     for daemon in fleet.daemons:
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -214,7 +214,7 @@
                 now,
                 {
                     route['hostname']: JudgedRoute(
-                        _services(route), route['timeout_ms'] / 1000
+                        _weights(route), route['timeout_ms'] / 1000
                     )
                     for route in routes.values()
                 },
@@ -342,10 +342,8 @@
     }
 
 
-def _services(route: dict[str, Any]) -> frozenset[str]:
-    """Return the services that a route names."""
-    parts = route.get('traffic_split', ())
-    named = {part['upstream'] for part in parts}
+def _weights(route: dict[str, Any]) -> dict[str, int]:
+    """Return the services that a route names, with their weights."""
     if 'upstream' in route:
-        named.add(route['upstream'])
-    return frozenset(named)
+        return {route['upstream']: 1}
+    return {part['upstream']: part['weight'] for part in route['traffic_split']}
--- a/soak/judging.py
+++ b/soak/judging.py
@@ -19,21 +19,37 @@
 DOWNGRADE_SLACK = 0.25
 #: The same at a process that was disrupted, in seconds.
 DISRUPTED_DOWNGRADE_SLACK = 8 * DOWNGRADE_SLACK
-#: A request is answered this long after its route's time limit, in seconds.
+#: Requests are answered this long after their routes' time limits, in seconds,
+#: unless they are fewer than this number or part of those beyond the limits.
 ANSWER_BOUND = 0.5
+MIN_LATE_ANSWERS = 8
+MAX_LATE_PART = 1 / 4
 #: Bounds hold for what was not disrupted for this long (`stable_ms`), in
 #: seconds.
 STABLE_TIME = 3.0
+#: Each part of a split route gets its share of this many requests or more, with
+#: an error of at most this.
+MIN_SPLIT_REQUESTS = 200
+MAX_SHARE_ERROR = 0.2
 #: Margin for the clock of the test, in seconds.
 CLOCK_MARGIN = 0.1
 
 
 class JudgedRoute(msgspec.Struct, frozen=True):
-    """The services that a version allows on a route, and its time limit."""
+    """The services of a route with their weights, and its time limit."""
 
-    services: frozenset[str]
+    weight_by_service: Mapping[str, int]
     time_limit: float
 
+    def heaviest(self) -> tuple[str, float] | None:
+        """Return the service with the largest share, if one has it alone."""
+        *others, heaviest = sorted(
+            (weight, name) for name, weight in self.weight_by_service.items()
+        )
+        if not others or others[-1][0] == heaviest[0]:
+            return None
+        return heaviest[1], heaviest[0] / sum(self.weight_by_service.values())
+
 
 class Version(msgspec.Struct, frozen=True):
     """A version of the configuration and its judged routes, by host."""
@@ -47,7 +63,7 @@
         route = self.route_by_host.get(host)
         if route is None or service is None:
             return route is None and service is None
-        return service in route.services
+        return service in route.weight_by_service
 
 
 class RouteAnswer(msgspec.Struct, frozen=True):
@@ -79,8 +95,18 @@
         #: The greatest age at which a replaced version was seen in use at a
         #: daemon in touch, in seconds.
         self.greatest_age = 0.0
+        #: Requests on split routes, those that the heaviest part ran, and how
+        #: many of them it was to run.
+        self.split_count = 0
+        self.heaviest_count = 0
+        self.heaviest_due = 0.0
+        #: Number of requests without an answer within their time limits, and
+        #: lines on those that had none for longer still.
+        self.overdue_count = 0
+        self.late_answers: list[str] = []
         #: By daemon and life: the newest versions seen, as index and time.
         self._seen: dict[tuple[str, int], list[tuple[int, float]]] = {}
+        self._last_at = 0.0
 
     def add(self, version: Version) -> None:
         """Add a version that is valid and newer than those before."""
@@ -98,6 +124,7 @@
             self._report(answer, 'no version allows it')
             return
         self._judge_age(answer, possible[-1])
+        self._count_part(answer)
         self._judge_order(answer, possible)
 
     def time_limit(self, host: str, sent_at: float) -> float | None:
@@ -117,12 +144,60 @@
         """Judge how long a request to a daemon in touch had no answer."""
         limit = self.time_limit(host, sent_at)
         elapsed = ended_at - sent_at
-        if limit is not None and elapsed > limit + ANSWER_BOUND + CLOCK_MARGIN:
-            self.violations.append(
-                f'{ended_at:.2f} CONFIG {daemon}: {host} had no answer for'
+        if limit is None or elapsed <= limit:
+            return
+        self.overdue_count += 1
+        if elapsed > limit + ANSWER_BOUND + CLOCK_MARGIN:
+            self.late_answers.append(
+                f'{ended_at:.2f} {daemon}: {host} had no answer for'
                 f' {elapsed:.2f} s, its limit is {limit:.2f} s'
             )
 
+    def check_times(self) -> None:
+        """Judge how many requests had no answer long after their limits."""
+        count = len(self.late_answers)
+        if (
+            count >= MIN_LATE_ANSWERS
+            and count > MAX_LATE_PART * self.overdue_count
+        ):
+            self.violations.append(
+                f'{self._last_at:.2f} CONFIG {count} of {self.overdue_count}'
+                f' requests beyond their time limits had no answer in time'
+            )
+
+    def check_shares(self) -> None:
+        """Judge the shares that the parts of split routes got."""
+        if self.split_count < MIN_SPLIT_REQUESTS:
+            return
+        share = self.heaviest_count / self.split_count
+        due = self.heaviest_due / self.split_count
+        if abs(share - due) > MAX_SHARE_ERROR:
+            self.violations.append(
+                f'{self._last_at:.2f} CONFIG the heaviest parts of split routes'
+                f' got {share:.2f} of {self.split_count} requests in place of'
+                f' {due:.2f}'
+            )
+
+    def _count_part(self, answer: RouteAnswer) -> None:
+        """Count a request whose route was split alike for long enough."""
+        self._last_at = answer.answered_at
+        routes = [
+            version.route_by_host.get(answer.host)
+            for index, version in enumerate(self.versions)
+            if version.acknowledged_at <= answer.answered_at
+            and self._replaced_at(index)
+            > answer.sent_at - CONFIGURATION_BOUND - CLOCK_MARGIN
+        ]
+        heaviest = {route and route.heaviest() for route in routes}
+        if not answer.is_in_touch or len(heaviest) != 1:
+            return
+        part = heaviest.pop()
+        if part is None:
+            return
+        self.split_count += 1
+        self.heaviest_count += answer.service == part[0]
+        self.heaviest_due += part[1]
+
     def _judge_age(self, answer: RouteAnswer, newest: int) -> None:
         if not answer.is_in_touch:
             return
