Slow the soak's callers with the number of daemons

A run with 24 daemons had not ended after 4 minutes, for 20 s of faults: one process runs the callers, the store, the targets and all paths, and was busy with requests. Callers of more than six daemons pause in proportion.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -41,7 +41,7 @@
 
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
         """Start without results; `run` sends the requests."""
-        self._fleet = fleet
+        self.fleet = fleet
         self._random = random.Random(seed)
         self._request_numbers = itertools.count()
         self._prefix = f's{seed}'
@@ -62,7 +62,7 @@
             await asyncio.gather(
                 *(
                     self._send_requests(session, daemon)
-                    for daemon in self._fleet.daemons
+                    for daemon in self.fleet.daemons
                     for _ in range(3)
                 ),
             )
@@ -75,7 +75,7 @@
         """
         runs = Counter(
             request_id
-            for target in self._fleet.targets
+            for target in self.fleet.targets
             for request_id in target.executed_ids
         )
         for request_id in self.not_run_ids & runs.keys():
@@ -93,7 +93,7 @@
         for key in range(0, 65536, 2048):
             holders = [
                 target.target_id
-                for target in self._fleet.targets
+                for target in self.fleet.targets
                 if target.is_keyed and target.holds(key)
             ]
             if len(holders) > 1:
@@ -140,7 +140,7 @@
     def was_run(self, request_id: str) -> bool:
         """Return whether a target ran a request."""
         return any(
-            request_id in target.executed_ids for target in self._fleet.targets
+            request_id in target.executed_ids for target in self.fleet.targets
         )
 
     async def wait_until_served(self, timeout: float) -> bool:
@@ -154,7 +154,7 @@
             while loop.time() < deadline:
                 outcomes = [
                     await self._lookup(session, daemon, key)
-                    for daemon in self._fleet.daemons
+                    for daemon in self.fleet.daemons
                     for key in range(0, 65536, 8192)
                 ]
                 if set(outcomes) == {'200'}:
@@ -177,7 +177,7 @@
             self.outcome_counts[outcome] += 1
             if group is not None:
                 self._outcomes_by_group[group].append(outcome)
-            await asyncio.sleep(REQUEST_INTERVAL)
+            await asyncio.sleep(self.fleet.pause(REQUEST_INTERVAL))
 
     def _group(self, daemon: DaemonProcess) -> Group | None:
         """Return the group of a daemon whose requests are compared now.
@@ -188,7 +188,7 @@
         now = asyncio.get_running_loop().time()
         group_by_name = {
             one.name: Group.cut_off if one.is_cut_off else Group.calm
-            for one in self._fleet.daemons
+            for one in self.fleet.daemons
             if max(one.cut_changed_at, one.disrupted_at) < now - CUT_OFF_GRACE
         }
         if len(set(group_by_name.values())) < len(Group):
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -48,10 +48,8 @@
 RECENT_COUNT = 4
 UNKNOWN_HOST = 'never.example'
 UNKNOWN_PART = 0.03
-#: Pause of a caller between an answer and its next request, in seconds, and the
-#: number of daemons beyond which it grows with them.
+#: Pause of a caller between an answer and its next request, in seconds.
 REQUEST_INTERVAL = 0.03
-MAX_DAEMONS_AT_FULL_PACE = 6
 CALLERS_PER_DAEMON = 2
 #: Longest wait for an answer, in seconds.
 REQUEST_TIMEOUT = 5.0
@@ -265,11 +263,9 @@
     async def _send_requests(
         self, session: aiohttp.ClientSession, daemon: DaemonProcess
     ) -> None:
-        count = max(len(self._fleet.daemons), MAX_DAEMONS_AT_FULL_PACE)
-        pause = REQUEST_INTERVAL * count / MAX_DAEMONS_AT_FULL_PACE
         while True:
             await self._send(session, daemon, self._choose_host())
-            await asyncio.sleep(pause)
+            await asyncio.sleep(self._fleet.pause(REQUEST_INTERVAL))
 
     def _choose_host(self) -> str:
         if self._random.random() < UNKNOWN_PART:
--- a/soak/connections.py
+++ b/soak/connections.py
@@ -103,7 +103,8 @@
                 if answer.is_last:
                     # What was sent behind the last answer has to be repeated.
                     return
-            await asyncio.sleep(self._random.uniform(*PAUSES))
+            pause = self._random.uniform(*PAUSES)
+            await asyncio.sleep(self._callers.fleet.pause(pause))
 
     def _send(self, writer: asyncio.StreamWriter, *, is_safe: bool) -> _Request:
         method, path = ('GET', 'lookup') if is_safe else ('POST', 'issue')
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -40,6 +40,8 @@
 OWN_CHECKOUT = pathlib.Path(__file__).parent.parent
 #: Signals after which a process ends.
 ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
+#: Callers of larger fleets are slower, since one process runs them all.
+DAEMONS_AT_FULL_PACE = 6
 #: Log lines on messages between daemons that were not understood.
 MESSAGE_EVENTS = ('link_rubbish', 'link_out_of_step', 'type_skipped')
 
@@ -392,6 +394,11 @@
             daemon.is_cut_off = False
             await daemon.set_paths(ProxyMode.forwarding)
 
+    def pause(self, shortest: float) -> float:
+        """Return a caller's pause between an answer and its next request."""
+        count = max(len(self.daemons), DAEMONS_AT_FULL_PACE)
+        return shortest * count / DAEMONS_AT_FULL_PACE
+
     def leader(self) -> DaemonProcess | None:
         """Return the daemon that the store names as the leader."""
         row = self.store.rows.row_by_name.get((OWN_TABLE, LEADER_ROW))
