Decode only the newest of several configurations that come together

An answer of the store has each version of a row that was written since the last one, and each was decoded, put into force and relayed to all followers, though the next one replaced it before any request could be served. A batch lasts as many times one decoding as it has versions, on each machine of the fleet.

Of rows with the same name in the operators' table the newest is applied first, and earlier ones only if it can't be used (invalid, or older than the one in force), so that a valid version before an invalid one still counts. Superseded rows are not relayed either.

--- a/cassialever/catalogue/adoption.py
+++ b/cassialever/catalogue/adoption.py
@@ -41,22 +41,23 @@
         #: Emits each catalogue that comes into force in this daemon.
         self.adopted: Subject[CatalogueIndex] = Subject()
 
-    def apply_row(self, row: StoreRow, sink: ConfigurationSink) -> None:
+    def apply_row(self, row: StoreRow, sink: ConfigurationSink) -> bool:
         """Put a new version of the catalogue in force.
 
         A row that can't be decoded is rejected; the version in force stays.
         """
         if row.name != CURRENT_ROW or row.content is None:
-            return
+            return True
         catalogue = decode_json(row.content, Catalogue)
         if isinstance(catalogue, Failure):
             sink.reject(row.name, catalogue.reason)
-            return
+            return False
         index = CatalogueIndex(catalogue)
         if not sink.apply_configuration(build_configuration(catalogue)):
-            return
+            return False
         _update_targets(index, sink)
         self.adopted.on_next(index)
+        return True
 
 
 def build_configuration(catalogue: Catalogue) -> Configuration:
--- a/cassialever/fleet/operator_rows.py
+++ b/cassialever/fleet/operator_rows.py
@@ -1,5 +1,6 @@
 """Apply what operators have configured in the store."""
 
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from cassialever.errors import Failure
@@ -26,8 +27,8 @@
 
     table: str
 
-    def apply_row(self, row: StoreRow, sink: ConfigurationSink) -> None:
-        """Apply a changed row."""
+    def apply_row(self, row: StoreRow, sink: ConfigurationSink) -> bool:
+        """Apply a changed row unless it can't be used; return whether it is."""
 
 
 class PlatformRowHandler:
@@ -35,7 +36,7 @@
 
     table = records.OPERATOR_TABLE
 
-    def apply_row(self, row: StoreRow, sink: ConfigurationSink) -> None:
+    def apply_row(self, row: StoreRow, sink: ConfigurationSink) -> bool:
         """Apply a configuration, or the evacuation of a data centre."""
         data_centre = records.evacuated_data_centre(row.name)
         if data_centre is not None:
@@ -53,5 +54,26 @@
             configuration = records.decode_configuration(row.content)
             if isinstance(configuration, Failure):
                 sink.reject(row.name, configuration.reason)
-                return
-            sink.apply_configuration(configuration)
+                return False
+            return sink.apply_configuration(configuration)
+        return True
+
+
+def apply_newest(
+    rows: Sequence[StoreRow], apply: Callable[[StoreRow], bool]
+) -> list[StoreRow]:
+    """Apply operators' rows, of each name only the newest that can be used.
+
+    A configuration takes long to decode, and several may come together.
+    Returns the rows that were not superseded.
+    """
+    applied: set[str] = set()
+    kept = []
+    for row in reversed(rows):
+        if row.name in applied:
+            continue
+        kept.append(row)
+        if apply(row):
+            applied.add(row.name)
+    kept.reverse()
+    return kept
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -26,6 +26,7 @@
 from cassialever.fleet.operator_rows import (
     OperatorRowHandler,
     PlatformRowHandler,
+    apply_newest,
 )
 from cassialever.fleet.row_replica import RowReplica
 from cassialever.fleet.target_registry import TargetRegistry
@@ -125,8 +126,11 @@
         """
         self._source = source
         changed = self.rows.apply(table, rows, version)
-        for row in changed:
-            self._apply_or_log(row)
+        if table == self._row_handler.table:
+            changed = apply_newest(changed, self._apply_or_log)
+        else:
+            for row in changed:
+                self._apply_or_log(row)
         if table == records.TARGET_TABLE:
             self.targets.regroup()
         self.on_change(table, changed, version)
@@ -196,25 +200,27 @@
         """Count and log an entry that can't be used."""
         self.faults.note_rejected(entry, reason)
 
-    def _apply_or_log(self, row: StoreRow) -> None:
+    def _apply_or_log(self, row: StoreRow) -> bool:
         """Apply a row; a fault of the program costs no other row.
 
         A target whose entry meets one gets no requests.
         """
         try:
-            self._apply_row(row)
+            return self._apply_row(row)
         except Exception as error:
             self.faults.note_failed(row.name, error)
             if row.table == records.TARGET_TABLE:
                 self.targets.remove(TargetId(row.name))
+            return False
 
-    def _apply_row(self, row: StoreRow) -> None:
+    def _apply_row(self, row: StoreRow) -> bool:
         if row.table == self._row_handler.table:
-            self._row_handler.apply_row(row, self)
-        elif row.table == records.TARGET_TABLE:
+            return self._row_handler.apply_row(row, self)
+        if row.table == records.TARGET_TABLE:
             self._apply_target(row)
         elif row.table == OWN_TABLE:
             _apply_own_row(row, self)
+        return True
 
     def _apply_target(self, row: StoreRow) -> None:
         target_id = TargetId(row.name)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -146,6 +146,53 @@
         assert self.view.configuration is not None
         self.assertEqual(self.view.configuration.version, 12)
 
+    def test_superseded_configurations_are_not_decoded(self) -> None:
+        """Five versions in one answer of the store held the loop five times."""
+        rows = [
+            json_row(
+                'op',
+                'config',
+                {**CONFIGURATION, 'version': f'r{version}'},
+                version,
+            )
+            for version in range(41, 46)
+        ]
+        relayed: list[list[StoreRow]] = []
+        self.view.on_change = lambda table, rows, version: relayed.append(rows)
+        decode = mock.Mock(wraps=records.decode_configuration)
+        with mock.patch.object(records, 'decode_configuration', decode):
+            self.view.apply('op', rows, 45)
+        self.assertEqual(decode.call_count, 1)
+        assert self.view.configuration is not None
+        self.assertEqual(self.view.configuration.version, 45)
+        self.assertEqual(relayed, [rows[-1:]])
+
+    def test_unusable_configuration_supersedes_none(self) -> None:
+        """In one answer of the store the one before it is the newest."""
+        for number, last in enumerate(
+            (
+                {**CONFIGURATION, 'version': 'invalid'},
+                {**CONFIGURATION, 'version': 'r1'},
+            )
+        ):
+            with self.subTest(last=last['version']):
+                self.setUp()
+                version = f'r{12 + number}'
+                usable = {**CONFIGURATION, 'version': version}
+                rows = [
+                    json_row('op', 'config', document, 50 + place)
+                    for place, document in enumerate((usable, last))
+                ]
+                relayed: list[list[StoreRow]] = []
+                self.view.on_change = lambda table, rows, version: (
+                    relayed.append(rows)
+                )
+                self.view.apply('op', rows, 51)
+                assert self.view.configuration is not None
+                self.assertEqual(self.view.configuration.version, 12 + number)
+                # Other daemons need both.
+                self.assertEqual(relayed, [rows])
+
     def test_old_rows_change_nothing(self) -> None:
         draining = target_entry(state='draining')
         self.view.apply(
