--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -26,6 +26,7 @@
 from cassialever.fleet.operator_rows import (
     OperatorRowHandler,
     PlatformRowHandler,
+    apply_newest,
 )
 from cassialever.fleet.row_replica import RowReplica
 from cassialever.fleet.target_registry import TargetRegistry
@@ -37,6 +38,8 @@
 OWN_TABLE: Final = 'cassialever'
 #: Prefix of the rows in that table that hold the owners of a service's keys.
 KEY_MAP_PREFIX: Final = 'keys/'
+#: Where rows come from that no other daemon has sent.
+STORE: Final = 'the store'
 #: The row that names the leader.
 LEADER_ROW: Final = 'leader'
 
@@ -86,12 +89,15 @@
         self.on_change: ChangeHandler = ignore_changes
         #: Counts the entries that can't be used.
         self.faults = EntryFaults(clock)
+        #: Where the rows that are being applied came from.
+        self._source = STORE
 
     def replace(
         self,
         table: str,
         rows: Iterable[StoreRow],
         version: RowVersion,
+        source: str = STORE,
     ) -> bool:
         """Replace a whole table; rows that are missing count as removed.
 
@@ -103,7 +109,7 @@
         table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
-        self.apply(table, removals + table_rows, version)
+        self.apply(table, removals + table_rows, version, source)
         self.rows.restart_history(table, version)
         return True
 
@@ -112,11 +118,19 @@
         table: str,
         rows: Iterable[StoreRow],
         version: RowVersion,
+        source: str = STORE,
     ) -> None:
-        """Apply changed rows, ignoring those that are not newer."""
+        """Apply changed rows, ignoring those that are not newer.
+
+        The log names their `source`: the store or another daemon.
+        """
+        self._source = source
         changed = self.rows.apply(table, rows, version)
-        for row in changed:
-            self._apply_or_log(row)
+        if table == self._row_handler.table:
+            changed = apply_newest(changed, self._apply_or_log)
+        else:
+            for row in changed:
+                self._apply_or_log(row)
         if table == records.TARGET_TABLE:
             self.targets.regroup()
         self.on_change(table, changed, version)
@@ -175,38 +189,49 @@
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
-        record(Event.catalogue_adopted, version=configuration.version)
+        record(
+            Event.catalogue_adopted,
+            version=configuration.version,
+            learned_from=self._source,
+        )
         return True
 
     def reject(self, entry: str, reason: str) -> None:
         """Count and log an entry that can't be used."""
         self.faults.note_rejected(entry, reason)
 
-    def _apply_or_log(self, row: StoreRow) -> None:
+    def _apply_or_log(self, row: StoreRow) -> bool:
         """Apply a row; a fault of the program costs no other row.
 
         A target whose entry meets one gets no requests.
         """
         try:
-            self._apply_row(row)
+            return self._apply_row(row)
         except Exception as error:
             self.faults.note_failed(row.name, error)
             if row.table == records.TARGET_TABLE:
                 self.targets.remove(TargetId(row.name))
+            return False
 
-    def _apply_row(self, row: StoreRow) -> None:
+    def _apply_row(self, row: StoreRow) -> bool:
         if row.table == self._row_handler.table:
-            self._row_handler.apply_row(row, self)
-        elif row.table == records.TARGET_TABLE:
+            return self._row_handler.apply_row(row, self)
+        if row.table == records.TARGET_TABLE:
             self._apply_target(row)
         elif row.table == OWN_TABLE:
             _apply_own_row(row, self)
+        return True
 
     def _apply_target(self, row: StoreRow) -> None:
         target_id = TargetId(row.name)
         if row.content is None:
             if self.targets.remove(target_id):
-                record(Event.target_gone, target=target_id, version=row.version)
+                record(
+                    Event.target_gone,
+                    target=target_id,
+                    version=row.version,
+                    learned_from=self._source,
+                )
             return
         target = records.decode_target(row.name, row.content, self._target_host)
         if isinstance(target, Failure):
@@ -223,6 +248,7 @@
             started_at=target.started_at,
             cold_for=target.cold_for,
             version=row.version,
+            learned_from=self._source,
         )
 
 
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -48,10 +48,8 @@
 RECENT_COUNT = 4
 UNKNOWN_HOST = 'never.example'
 UNKNOWN_PART = 0.03
-#: Pause of a caller between an answer and its next request, in seconds, and the
-#: number of daemons beyond which it grows with them.
+#: Pause of a caller between an answer and its next request, in seconds.
 REQUEST_INTERVAL = 0.03
-MAX_DAEMONS_AT_FULL_PACE = 6
 CALLERS_PER_DAEMON = 2
 #: Longest wait for an answer, in seconds.
 REQUEST_TIMEOUT = 5.0
@@ -214,7 +212,7 @@
                 now,
                 {
                     route['hostname']: JudgedRoute(
-                        _services(route), route['timeout_ms'] / 1000
+                        _weights(route), route['timeout_ms'] / 1000
                     )
                     for route in routes.values()
                 },
@@ -265,11 +263,9 @@
     async def _send_requests(
         self, session: aiohttp.ClientSession, daemon: DaemonProcess
     ) -> None:
-        count = max(len(self._fleet.daemons), MAX_DAEMONS_AT_FULL_PACE)
-        pause = REQUEST_INTERVAL * count / MAX_DAEMONS_AT_FULL_PACE
         while True:
             await self._send(session, daemon, self._choose_host())
-            await asyncio.sleep(pause)
+            await asyncio.sleep(self._fleet.pause(REQUEST_INTERVAL))
 
     def _choose_host(self) -> str:
         if self._random.random() < UNKNOWN_PART:
@@ -342,10 +338,8 @@
     }
 
 
-def _services(route: dict[str, Any]) -> frozenset[str]:
-    """Return the services that a route names."""
-    parts = route.get('traffic_split', ())
-    named = {part['upstream'] for part in parts}
+def _weights(route: dict[str, Any]) -> dict[str, int]:
+    """Return the services that a route names, with their weights."""
     if 'upstream' in route:
-        named.add(route['upstream'])
-    return frozenset(named)
+        return {route['upstream']: 1}
+    return {part['upstream']: part['weight'] for part in route['traffic_split']}
