Limit the heads of an answer in number and in bytes

What callers saw: a target that sends interim answers (1xx) without end held all other requests of its daemon for up to 1.3 s, a request got no answer before its own time was over, and a head of 960,000 bytes was accepted.

Cause: aiohttp parses all that one read returns, up to 256 KB, at once; it limits the lines and the number of fields of one head, not the head nor the interim answers.

Evidence: test_interim_answers_without_end_hold_the_loop failed before (0.93 s), test_interim_answers_one_by_one_never_end (the request's own timeout), and test_long_head_is_cut_before_it_takes_memory (answered). test_answer_that_switches_protocols_is_none did not end within 8 s before, not traced. Fields, lines, rubbish and trailers without end were given up before as well; their tests passed.

Why it works: the connector makes its own handler, which parses a head in slices of 1,024 bytes and closes the connection beyond 8 interim answers or 65,536 bytes of heads, or if the answer switches protocols. The request ends as by bytes that are no answer: the outcome is unknown, and the target counts as failing.

Measured: 11 tests of the module passed. The modules platform_sessions, repeated_refusals, gateway_sender and platform_store passed.

--- a/cassialever/platform/sessions.py
+++ b/cassialever/platform/sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import select
 import socket
 import struct
@@ -15,6 +16,7 @@
 from yarl import URL
 
 from cassialever.platform import known_connections, wire
+from cassialever.platform.answer_heads import BoundedResponseHandler
 from cassialever.platform.refused_requests import RefusedRequests
 from cassialever.policy.rest_times import RestTimes
 from cassialever.types import Seconds
@@ -73,6 +75,9 @@
         **options: Any,
     ) -> None:
         super().__init__(**options)
+        self._factory = functools.partial(  # type: ignore[assignment]
+            BoundedResponseHandler, loop=asyncio.get_running_loop()
+        )
         self._connecting = connecting
         self._before_sending = before_sending
         self._takes_turns = takes_turns
