--- a/tests/test_platform_answer_heads.py
+++ b/tests/test_platform_answer_heads.py
@@ -1,4 +1,4 @@
-"""Tests of answers whose head never ends."""
+"""Tests of answers whose head never ends, and of bytes that follow one."""
 
 import asyncio
 import unittest
@@ -19,6 +19,8 @@
 MAX_TURN = 0.05
 #: Time in which an answer beyond its limits is given up, in seconds.
 REJECTION_TIME = 0.3
+#: Time for which a connection is idle before more bytes follow, in seconds.
+PAUSE = 0.1
 #: Requests after which a target that fails them all is avoided.
 FAILED_REQUESTS = 3
 
@@ -108,5 +110,30 @@
         await self.check_rejected(beginning, b'X: y\r\n' * 10_000)
 
 
+class ExtraBytesTest(SenderCase):
+    """Bytes that follow a complete answer on its connection."""
+
+    async def test_bytes_after_an_answer_are_kept_without_end(self) -> None:
+        # Each answer that nothing asked for was kept, on an idle connection.
+        answer = raw_answer(f'{SIGNED_HEADERS}Content-Length: 2\r\n', 'ok')
+        for piece in (INTERIM * 2000, answer * 500, b'\x00' * 65_536):
+            with self.subTest(piece=piece[:20]):
+                await self.check_closed(answer, piece)
+
+    async def check_closed(self, answer: bytes, piece: bytes) -> None:
+        with endless_peer(answer, piece) as peer:
+            peer.pause = PAUSE
+            self.target = msgspec.structs.replace(
+                self.target, address=peer.address
+            )
+            async with watched_loop() as longest_turn:
+                attempt = await self.send()
+                await asyncio.sleep(REJECTION_TIME)
+        assert attempt.answer is not None
+        self.assertEqual(attempt.answer.body, b'ok')
+        self.assertLess(peer.sent_bytes, MAX_SENT_BYTES)
+        self.assertLess(longest_turn(), MAX_TURN)
+
+
 if __name__ == '__main__':
     unittest.main()
