--- a/cassialever/process_signals.py
+++ b/cassialever/process_signals.py
@@ -35,5 +35,9 @@
         self._noted = set()
         return noted
 
+    def has_noted(self, number: signal.Signals) -> bool:
+        """Return whether a signal has come that nothing has taken yet."""
+        return number in self._noted
+
     def _note(self, number: int, _: FrameType | None) -> None:
         self._noted.add(number)
