A daemon with a failed part closes its connections before it ends

Callers saw: nothing of their own; the log had "Unclosed client session" at the end of each process that a failed background task ended.

Cause: the daemon returned at once, with its sessions and listeners open.

Change: it closes everything as after a start that failed, still without a graceful stop.

--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -153,11 +153,14 @@
     async def run_until_stopped(self) -> bool:
         """Wait for a stop request, stop gracefully and return true.
 
-        Returns false at once, without stopping, if a part has failed or an
-        invariant was violated: the state can't be trusted any more, so the
-        process has to exit.
+        Closes everything and returns false, without a graceful stop, if a part
+        has failed or an invariant was violated: the state can't be trusted any
+        more, so the process has to exit.
         """
-        return await self.core.run_until(self._stop_requested, self.stop)
+        has_stopped = await self.core.run_until(self._stop_requested, self.stop)
+        if not has_stopped:
+            await self.abort()
+        return has_stopped
 
     def _servers(self) -> list[Server]:
         return [self.operator_api, self.caller_server]
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -143,7 +143,10 @@
         )
         if end is not StartEnd.started:
             return end is StartEnd.stopped
-        return await self.core.run_until(self._stop_requested, self.stop)
+        has_stopped = await self.core.run_until(self._stop_requested, self.stop)
+        if not has_stopped:
+            await self.abort()
+        return has_stopped
 
     async def _reload_when_requested(self) -> None:
         while True:
