Free released keys only once every grant of them is proved to be over

Cause: answers to calls about keys bear no id. A release waited only for grants that were known to have no answer. An answer on a connection that had carried one before was taken as proof of the renewal, a second one as proof of a raised fence, and the first answer to a repeated grant as proof of the first call.

Now a grant is unsettled unless its answer is the first on its connection. A released owner's keys are free once the unsettled grants have run out, or once the owner has accepted a higher fence by the first answer on a connection. It refuses what comes late then. The leader raises the fence on a new connection right before the release. The stored row names that fence from the start, so that no write is needed and later leaders begin above it.

Changed tests: the run after an unanswered grant waits for a confirmed fence, since all renewals are unsettled now. Logged and stored fences are one higher.

--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -54,9 +54,14 @@
     """A key range, both ends included, and its owner.
 
     From `may_be_held_until` on the owner can't hold the keys, whatever the
-    outcome of the calls to it; `unanswered_until` is the same for grants
-    without an answer, which may take effect after a release. A target rejects
-    them once it has seen a fence above `unanswered_fence`.
+    outcome of the calls to it. `unsettled_until` is the same for the grants
+    whose outcome isn't proved: without an answer, or with one that isn't the
+    first on its connection and may be the copy of another. They may take
+    effect after a release. A target rejects them once it has seen a fence
+    above `unsettled_fence`.
+
+    The next fence is reserved for the owner, too: it settles such grants before
+    a release. So the store has that one, and the next owner gets a higher one.
 
     While `is_suspect` is set, the owner may have restarted, and only a grant
     with a new fence may follow; the flag is cleared once that fence is in the
@@ -73,8 +78,8 @@
     handover: str = ''
     state: AssignmentState = AssignmentState.held
     may_be_held_until: Seconds = 0
-    unanswered_until: Seconds = 0
-    unanswered_fence: Fence = Fence(0)
+    unsettled_until: Seconds = 0
+    unsettled_fence: Fence = Fence(0)
     renew_at: Seconds = 0
     #: When the owner was assigned.
     owned_since: Seconds = 0
@@ -84,14 +89,17 @@
     #: The process that has accepted the fence below.
     process: TargetProcess | None = None
     process_fence: Fence = Fence(0)
-    #: When the first grant that it answered with that fence was sent.
-    accepted_at: Seconds = 0
 
     @property
     def key_count(self) -> int:
         """Return the number of keys in the range."""
         return self.last - self.first + 1
 
+    @property
+    def highest_fence(self) -> Fence:
+        """Return the highest fence that the owner may get."""
+        return Fence(self.fence + 1)
+
     def process_with_fence(self) -> TargetProcess | None:
         """Return the process that knows the fence, if one has accepted it.
 
@@ -100,13 +108,20 @@
         return self.process if self.process_fence == self.fence else None
 
     def key_range(self) -> KeyRange:
-        """Return the range as it is stored and sent to targets."""
+        """Return the range as it is stored."""
+        return self._range_with(self.highest_fence)
+
+    def called_range(self) -> KeyRange:
+        """Return the range as it is sent to targets."""
+        return self._range_with(self.fence)
+
+    def _range_with(self, fence: Fence) -> KeyRange:
         return KeyRange(
             self.first,
             self.last,
             self.owner,
             self.owner_started_at,
-            self.fence,
+            fence,
             self.handover,
         )
 
@@ -123,8 +138,10 @@
 
     @property
     def highest_fence(self) -> int:
-        """Return the highest fence ever given to one of the keys."""
-        return max((assignment.fence for assignment in self.ordered), default=0)
+        """Return the highest fence that one of the owners may get."""
+        return max(
+            (assignment.highest_fence for assignment in self.ordered), default=0
+        )
 
     def key_map(self) -> KeyMap:
         """Return the map as it is stored."""
@@ -209,10 +226,10 @@
                 last=keys.last,
                 owner=keys.owner,
                 owner_started_at=keys.owner_started_at,
-                fence=keys.fence,
+                fence=Fence(keys.fence - 1),
                 handover=keys.handover,
                 may_be_held_until=now + MAX_GRANT_DURATION,
-                unanswered_until=now + MAX_GRANT_DURATION,
+                unsettled_until=now + MAX_GRANT_DURATION,
                 owned_since=now,
                 is_suspect=True,
                 is_inherited=True,
@@ -257,7 +274,6 @@
 def _grant_terms(assignment: Assignment) -> tuple[object, ...]:
     flags = (
         assignment.is_suspect,
-        assignment.is_inherited,
         assignment.process_with_fence(),
     )
     return (
@@ -278,7 +294,7 @@
         left.may_be_held_until,
         right.may_be_held_until,
     )
-    left.unanswered_until = max(left.unanswered_until, right.unanswered_until)
-    left.accepted_at = max(left.accepted_at, right.accepted_at)
-    left.unanswered_fence = max(left.unanswered_fence, right.unanswered_fence)
+    left.unsettled_until = max(left.unsettled_until, right.unsettled_until)
+    left.unsettled_fence = max(left.unsettled_fence, right.unsettled_fence)
+    left.is_inherited = left.is_inherited or right.is_inherited
     right.state = AssignmentState.replaced
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -1,19 +1,21 @@
 """Grant keys to targets, renew the grants and have keys released."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from cassialever.clock import SystemClock
 from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.lease import STALE_AFTER
-from cassialever.fleet.model import Target
+from cassialever.fleet.model import KeyRange, Target
 from cassialever.fleet.view import FleetView
 from cassialever.invariants import Invariant, check
 from cassialever.keys.assignments import (
     GRANT_RENEWAL_INTERVAL,
     MAX_SIGN_AGE,
     MAX_TRANSIT_TIME,
+    MIN_GRANT_DURATION,
     Assignment,
     AssignmentState,
     grant_duration,
@@ -43,6 +45,8 @@
 _OWN_ANSWERS: Final = frozenset(
     (CallOutcome.done, CallOutcome.outdated, CallOutcome.refused)
 )
+#: Sends a grant of keys to an address for a duration.
+_Send = Callable[[str, KeyRange, Seconds], Coroutine[Any, Any, CallResult]]
 #: Names grants among the requests to a target that have no answer yet.
 GRANT_ID: Final = 'grant'
 
@@ -147,7 +151,7 @@
                 owner, self._clock.monotonic()
             )
             return True
-        self._mark_unreachable(owner)
+        self._probe_at_by_id[owner] = self._clock.boot() + PROBE_INTERVAL
         self.paths.record_failure(owner, self._clock.monotonic())
         return False
 
@@ -158,8 +162,14 @@
         if self.lives.has_owner_ended(assignment):
             assignment.state = AssignmentState.lapsing
             return
+        is_leader = (
+            self.has_authority() and self._leader_term.store_age() < STALE_AFTER
+        )
+        now = self._clock.boot()
+        if is_leader and _is_unsettled(assignment, called, self.lives, now):
+            await self._settle(assignment, called)
         result = await self._target_client.release(
-            called.address, assignment.key_range()
+            called.address, assignment.called_range()
         )
         now = self._clock.boot()
         if result.outcome is CallOutcome.ended:
@@ -167,8 +177,8 @@
         assignment.is_released = result.outcome is CallOutcome.done
         if assignment.is_released:
             assignment.handover = result.handover
-            # Unanswered grants may still take effect after the release.
-            assignment.may_be_held_until = assignment.unanswered_until
+            # Unsettled grants may still take effect after the release.
+            assignment.may_be_held_until = assignment.unsettled_until
         else:
             assignment.handover = ''
         self.key_log.released(called, assignment, result, now)
@@ -185,7 +195,9 @@
     ) -> None:
         for assignment in assignments:
             # It may have been reassigned while an earlier call was running.
-            if not self._may_be_granted(assignment, called):
+            if not _may_be_granted(
+                assignment, called, self.lives, self._leader_term
+            ):
                 continue
             may_go_on = self.has_authority() and await self._grant_one(
                 assignment, called
@@ -193,53 +205,42 @@
             if not may_go_on:
                 break
 
-    def _may_be_granted(self, assignment: Assignment, called: Target) -> bool:
-        """Return whether a target's keys may be granted to it."""
-        is_held = assignment.state is AssignmentState.held
-        if not is_held or assignment.owner != called.target_id:
-            return False
-        if self.lives.has_owner_ended(assignment) or assignment.is_suspect:
-            return False
-        if assignment.process_with_fence() is not None:
-            return True
-        # The end of the owner's process must not free what a later one holds.
-        is_same_life = assignment.owner_started_at == called.started_at
-        # A process of the owner that has not accepted the fence may have
-        # started after the grants of a later leader.
-        return is_same_life and self._leader_term.store_age() < STALE_AFTER
+    async def _settle(self, assignment: Assignment, called: Target) -> None:
+        """Have the owner reject the grants whose outcome isn't proved."""
+        duration = grant_duration(self._signs.silence_of(assignment.owner))
+        if assignment.owner_started_at != called.started_at:
+            # Its hold is over before the next leader could take the process
+            # that the store names for this one.
+            duration = MIN_GRANT_DURATION
+            assignment.owner_started_at = called.started_at
+        assignment.fence = assignment.highest_fence
+        result = await self._bounded_grant(
+            assignment, called, duration, self._target_client.raise_fence
+        )
+        if result.outcome is not CallOutcome.done:
+            self.key_log.grant_failed(
+                called, assignment, result, self._clock.boot()
+            )
 
     async def _grant_one(self, assignment: Assignment, called: Target) -> bool:
         """Grant one assignment; return whether to go on with the next."""
-        check(
-            Invariant.grant_within_term,
-            self.has_authority(),
-            first=assignment.first,
-        )
-        sent_at = self._clock.boot()
+        assignment.renew_at = self._clock.boot() + GRANT_RENEWAL_INTERVAL
+        process = assignment.process_with_fence()
         duration = grant_duration(self._signs.silence_of(assignment.owner))
-        unanswered_hold_time = MAX_TRANSIT_TIME + max_hold_time(duration)
-        previous_bound = assignment.may_be_held_until
-        # Until the answer arrives the grant may have taken effect.
-        assignment.may_be_held_until = max(
-            previous_bound, sent_at + GRANT_TIMEOUT + unanswered_hold_time
+        result = await self._bounded_grant(
+            assignment,
+            called,
+            duration,
+            functools.partial(self._target_client.grant, process=process),
         )
-        assignment.renew_at = sent_at + GRANT_RENEWAL_INTERVAL
-        result = await self._call_grant(assignment, called, duration)
         now = self._clock.boot()
         if result.outcome is CallOutcome.done:
             self._probe_at_by_id.pop(assignment.owner, None)
-            assignment.may_be_held_until = max(
-                previous_bound, _hold_end(result, now, duration)
-            )
-            _mark_answered(assignment, result, sent_at)
             return True
         is_unproven = result.outcome is CallOutcome.unproven
         assignment.renew_at = now if is_unproven else now + GRANT_RETRY_DELAY
         for notify in self.on_failure:
             notify(assignment.owner)
-        assignment.may_be_held_until = previous_bound
-        if result.outcome is CallOutcome.unknown:
-            _mark_unanswered(assignment, now + unanswered_hold_time)
         self.key_log.grant_failed(called, assignment, result, now)
         if result.outcome is CallOutcome.outdated:
             # The target has seen a higher fence: reassign above it.
@@ -251,24 +252,56 @@
         if self.lives.has_owner_ended(assignment):
             self._probe_at_by_id.pop(assignment.owner, None)
             return False
-        self._mark_unreachable(assignment.owner)
+        self._probe_at_by_id[assignment.owner] = now + PROBE_INTERVAL
         return False
 
+    async def _bounded_grant(
+        self,
+        assignment: Assignment,
+        called: Target,
+        duration: Seconds,
+        send: _Send,
+    ) -> CallResult:
+        """Grant an assignment; note until when its owner may hold the keys."""
+        check(
+            Invariant.grant_within_term,
+            self.has_authority(),
+            first=assignment.first,
+        )
+        unanswered_hold_time = MAX_TRANSIT_TIME + max_hold_time(duration)
+        previous_bound = assignment.may_be_held_until
+        # Until the answer arrives the grant may have taken effect.
+        assignment.may_be_held_until = max(
+            previous_bound,
+            self._clock.boot() + GRANT_TIMEOUT + unanswered_hold_time,
+        )
+        result = await self._call_grant(assignment, called, duration, send)
+        now = self._clock.boot()
+        assignment.may_be_held_until = previous_bound
+        if result.outcome is CallOutcome.done:
+            _mark_answered(assignment, result, now, duration)
+        elif result.outcome is CallOutcome.unknown:
+            _mark_unsettled(assignment, now + unanswered_hold_time)
+        return result
+
     async def _call_grant(
-        self, assignment: Assignment, called: Target, duration: Seconds
+        self,
+        assignment: Assignment,
+        called: Target,
+        duration: Seconds,
+        send: _Send,
     ) -> CallResult:
         """Grant an assignment; record whether the target was reached."""
         owner = assignment.owner
         sent_at = self._clock.boot()
+        # A fence that is raised before a release makes no new owner.
+        is_leaving = assignment.state is AssignmentState.releasing
         unanswered = self.paths.unanswered
         unanswered.record_sent(owner, GRANT_ID, self._clock.monotonic())
         self._leader_term.grants_in_progress += 1
         try:
-            result = await self._target_client.grant(
-                called.address,
-                assignment.key_range(),
-                duration,
-                assignment.process_with_fence(),
+            result = await send(
+                called.address, assignment.called_range(), duration
             )
         finally:
             self._leader_term.grants_in_progress -= 1
@@ -279,14 +312,46 @@
             self._signs.record(owner, sent_at)
         if result.outcome is CallOutcome.done:
             self.lives.confirm(called)
-            if not _is_renewal(assignment, result):
+            if not is_leaving and not _is_renewal(assignment, result):
                 self.key_log.granted(called, assignment, result, duration)
         elif result.outcome is CallOutcome.ended:
             self.lives.end(called, self._view.targets.relocated)
         return result
 
-    def _mark_unreachable(self, target_id: TargetId) -> None:
-        self._probe_at_by_id[target_id] = self._clock.boot() + PROBE_INTERVAL
+
+def _may_be_granted(
+    assignment: Assignment,
+    called: Target,
+    lives: EndedLives,
+    leader_term: LeaderTerm,
+) -> bool:
+    """Return whether a target's keys may be granted to it."""
+    is_held = assignment.state is AssignmentState.held
+    if not is_held or assignment.owner != called.target_id:
+        return False
+    if lives.has_owner_ended(assignment) or assignment.is_suspect:
+        return False
+    if assignment.process_with_fence() is not None:
+        return True
+    # The end of the owner's process must not free what a later one holds.
+    is_same_life = assignment.owner_started_at == called.started_at
+    # A process of the owner that has not accepted the fence may have started
+    # after the grants of a later leader.
+    return is_same_life and leader_term.store_age() < STALE_AFTER
+
+
+def _is_unsettled(
+    assignment: Assignment, called: Target, lives: EndedLives, now: Seconds
+) -> bool:
+    """Return whether a fence that the owner may get can settle grants.
+
+    An earlier leader may have used that of an inherited assignment.
+    """
+    if assignment.process_with_fence() is None:
+        return False
+    if lives.is_over(called.target_id, called.started_at):
+        return False
+    return now < assignment.unsettled_until
 
 
 def _record_path(
@@ -309,41 +374,33 @@
     return result.process is None or known.is_same(result.process)
 
 
-def _hold_end(result: CallResult, now: Seconds, duration: Seconds) -> Seconds:
-    """Return when the hold of a grant ends whose answer has come by now.
-
-    A copy of an earlier answer may come before the grant has arrived.
-    """
-    transit_time = 0 if result.is_first else MAX_TRANSIT_TIME
-    return now + transit_time + max_hold_time(duration)
-
-
 def _mark_answered(
-    assignment: Assignment, result: CallResult, sent_at: Seconds
+    assignment: Assignment, result: CallResult, now: Seconds, duration: Seconds
 ) -> None:
-    """Note the process that has answered a grant, and what that tells.
+    """Note the process that has accepted a grant, and what that proves.
 
     It rejects lower fences if its answer is the first on its connection. Any
-    other one may be the copy of an answer to an earlier call. Then the answer
-    to a renewal shows it that was sent when the earlier calls had ended.
+    other one may be the copy of an answer to an earlier call, also several in a
+    row, and may come before the grant has arrived.
     """
-    is_known = assignment.process_with_fence() is not None
-    if not is_known:
-        assignment.accepted_at = sent_at
     assignment.process = result.process
     assignment.process_fence = assignment.fence
-    is_later = is_known and assignment.accepted_at + GRANT_TIMEOUT <= sent_at
-    if not result.is_first and not is_later:
+    hold_time = max_hold_time(duration)
+    if not result.is_first:
+        _mark_unsettled(assignment, now + MAX_TRANSIT_TIME + hold_time)
         return
+    assignment.may_be_held_until = max(
+        assignment.may_be_held_until, now + hold_time
+    )
     assignment.is_inherited = False
-    if assignment.fence > assignment.unanswered_fence:
-        assignment.unanswered_until = 0
+    if assignment.fence > assignment.unsettled_fence:
+        assignment.unsettled_until = 0
 
 
-def _mark_unanswered(assignment: Assignment, until: Seconds) -> None:
-    """Note that a grant without an answer may give the owner keys."""
-    assignment.unanswered_until = max(assignment.unanswered_until, until)
-    assignment.unanswered_fence = assignment.fence
+def _mark_unsettled(assignment: Assignment, until: Seconds) -> None:
+    """Note that a grant whose outcome isn't proved may give the owner keys."""
+    assignment.unsettled_until = max(assignment.unsettled_until, until)
+    assignment.unsettled_fence = assignment.fence
     assignment.may_be_held_until = max(
-        assignment.may_be_held_until, assignment.unanswered_until
+        assignment.may_be_held_until, assignment.unsettled_until
     )
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -410,7 +410,7 @@
     assignment.state = AssignmentState.held
     assignment.owned_since = now
     assignment.may_be_held_until = 0
-    assignment.unanswered_until = 0
+    assignment.unsettled_until = 0
     assignment.is_inherited = False
     assignment.is_released = False
 
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -159,6 +159,14 @@
             repeated = await self._call(address, keys.owner, call, time_left)
         return conclude(result, repeated)
 
+    async def raise_fence(
+        self, address: str, keys: KeyRange, duration: Seconds
+    ) -> CallResult:
+        """Grant keys on a new connection, so that the answer is a proof."""
+        call = wire.encode_grant(keys, min(duration, self._max_duration))
+        with only_on_new():
+            return await self._call(address, keys.owner, call, GRANT_TIMEOUT)
+
     async def release(self, address: str, keys: KeyRange) -> CallResult:
         """Take keys back; the call is done when the work on them has ended.
 
@@ -288,12 +296,17 @@
     Answers bear no id, and a target may write one to another call where the
     next one is expected, but not as the first on a connection. So a refusal
     that isn't the first answer on its connection may hide that the call was
-    carried out. A success that belongs to another call does no harm: the keys
-    are taken to be held.
+    carried out, or will be. A success that belongs to another call does no
+    harm: the keys are taken to be held. One to the repetition proves nothing of
+    the call before, which has the same fence.
     """
     if not result.is_doubtful:
         return result
     if repeated is not None and repeated.is_first:
+        if repeated.outcome is CallOutcome.done:
+            return msgspec.structs.replace(
+                repeated, connection=ConnectionUse.kept
+            )
         if repeated.outcome in _CONCLUSIVE:
             return repeated
     return msgspec.structs.replace(
--- a/tests/ownership_search.py
+++ b/tests/ownership_search.py
@@ -269,6 +269,24 @@
         call = self._grant_on(address, keys, duration, process)
         return await _outside_daemon(call, GRANT_TIMEOUT)
 
+    async def raise_fence(
+        self, address: str, keys: KeyRange, duration: float
+    ) -> CallResult:
+        if address not in self.world.targets:
+            await self.world.pause(0.2)
+            return CallResult(CallOutcome.not_sent)
+        call = self._raise_fence_on_new(address, keys, duration)
+        return await _outside_daemon(call, GRANT_TIMEOUT)
+
+    async def _raise_fence_on_new(
+        self, address: str, keys: KeyRange, duration: float
+    ) -> CallResult:
+        self.new_fences_in_progress += 1
+        try:
+            return await super().raise_fence(address, keys, duration)
+        finally:
+            self.new_fences_in_progress -= 1
+
     async def _grant_on(
         self,
         address: str,
