--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -42,6 +42,10 @@
 ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 #: Callers of larger fleets are slower, since one process runs them all.
 DAEMONS_AT_FULL_PACE = 6
+#: Processes that start at the same time take the processor from each other.
+DAEMONS_STARTED_AT_ONCE = 6
+#: Pause between attempts to connect to a daemon that starts, in seconds.
+CONNECT_INTERVAL = 0.05
 #: Log lines on messages between daemons that were not understood.
 MESSAGE_EVENTS = ('link_rubbish', 'link_out_of_step', 'type_skipped')
 
@@ -188,6 +192,19 @@
         self.mark_disrupted()
         return status
 
+    async def wait_until_listening(self) -> None:
+        """Wait until the process accepts connections or has ended."""
+        while self.exit_status is None:
+            try:
+                _, writer = await asyncio.open_connection(
+                    '127.0.0.1', self.ports[0]
+                )
+            except OSError:
+                await asyncio.sleep(CONNECT_INTERVAL)
+                continue
+            writer.close()
+            return
+
     def mark_disrupted(self) -> None:
         """Record that the daemon was disrupted now."""
         self.disrupted_at = asyncio.get_running_loop().time()
@@ -314,11 +331,13 @@
             target.work.arrivals.sender_at = self.sender_at
             await target.start()
             self.publish_target(target)
-        for daemon in self.daemons:
+        for number, daemon in enumerate(self.daemons, start=1):
             await daemon.open_paths(self.targets)
             proxy = FaultProxy(self.store.address)
             await proxy.start()
             await daemon.start(proxy)
+            if number % DAEMONS_STARTED_AT_ONCE == 0:
+                await daemon.wait_until_listening()
 
     async def stop(self) -> None:
         """Kill the daemon processes, then stop the servers and proxies."""
