--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -80,8 +80,8 @@
         callers.violations.extend(injector.violations)
         judge.check_shares()
         judge.check_times()
-        callers.violations.extend(judge.violations)
-        callers.violations.extend(leaving.violations())
+        # These come first, since only some lines of each run are printed.
+        callers.violations[:0] = (*judge.violations, *leaving.violations())
         injector.events.extend((*operator.events, *leaving.events))
         injector.events.extend(judge.late_answers)
         injector.events.append(_clock_line())
