Limit the length of an answer of the store

Cause: a body was read whole, and one that is compressed was unpacked whole.

Why it works: an answer holds at most 500 rows or 1 MB of values by the platform's pages; base64 and the names of the rows come on top. Beyond that the connection is closed and the call fails as one whose answer is lost. Changes are not sent in pages: those that are too long fail as discarded history does, so that the table is read whole. A body that trickles had limits before: 1 s of silence, 10 s for a read, 1 s for a commit.

--- a/cassialever/platform/answer_bodies.py
+++ b/cassialever/platform/answer_bodies.py
@@ -16,9 +16,15 @@
     body = bytearray()
     while not response.content.at_eof():
         body += await response.content.readany()
-        if len(body) > max_bytes:
-            close_connection(response)
-            raise AnswerTooLongError(
-                f'the answer is longer than {max_bytes} bytes'
-            )
+        check_length(response, len(body), max_bytes)
     return bytes(body)
+
+
+def check_length(
+    response: aiohttp.ClientResponse, length: int, max_bytes: int
+) -> None:
+    """Close the connection of an answer and raise if it is too long."""
+    if length <= max_bytes:
+        return
+    close_connection(response)
+    raise AnswerTooLongError(f'the answer is longer than {max_bytes} bytes')
--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -8,6 +8,7 @@
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.platform import rows
+from cassialever.platform.answer_bodies import AnswerTooLongError, check_length
 from cassialever.platform.sessions import open_session
 from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
 
@@ -25,6 +26,20 @@
 LONG_POLL_WAIT: Final[Seconds] = 1.0
 #: The most rows that the store returns for one read.
 ROWS_PER_PAGE: Final = 500
+#: Bytes of the values in one answer, as the platform's pages limit them.
+MAX_VALUE_BYTES: Final = 1_048_576
+#: The longest name of a table, a part or a key, in bytes.
+MAX_NAME_BYTES: Final = 200
+#: Bytes that JSON takes for one byte of a name, as in \u001f.
+JSON_ESCAPE_BYTES: Final = 6
+#: Bytes of a row's fields beside its names and its value: their names, marks
+#: and the version.
+ROW_FIELDS_BYTES: Final = 200
+#: The longest body of an answer. Values are in base64, and each of its rows
+#: has three names.
+MAX_ANSWER_BYTES: Final = MAX_VALUE_BYTES * 4 // 3 + ROWS_PER_PAGE * (
+    3 * MAX_NAME_BYTES * JSON_ESCAPE_BYTES + ROW_FIELDS_BYTES
+)
 
 _COMMIT_TIMEOUT: Final = aiohttp.ClientTimeout(
     total=CALL_TIMEOUT,
@@ -167,10 +182,22 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             return Failure(ErrorKind.table_unavailable, repr(error))
+        except AnswerTooLongError as too_long:
+            return Failure(_too_long_kind(path), str(too_long))
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return Failure(ErrorKind.table_answer_lost, repr(error))
 
 
+def _too_long_kind(path: str) -> ErrorKind:
+    """Return what a call fails with whose answer is too long.
+
+    Changes are not sent in pages: the table is to be read whole, in pages.
+    """
+    if path == rows.CHANGES_PATH:
+        return ErrorKind.table_conflict
+    return ErrorKind.table_answer_lost
+
+
 def _long_poll_timeout(wait: Seconds) -> aiohttp.ClientTimeout:
     """Return the time limits of a call that the store holds for `wait`."""
     return aiohttp.ClientTimeout(
@@ -181,11 +208,15 @@
 
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Read a body; raise TimeoutError if nothing arrives for CALL_TIMEOUT."""
+    """Read a body of at most MAX_ANSWER_BYTES.
+
+    Raises TimeoutError if nothing arrives for CALL_TIMEOUT.
+    """
     body = bytearray()
     while not response.content.at_eof():
         async with asyncio.timeout(CALL_TIMEOUT):
             body += await response.content.readany()
+        check_length(response, len(body), MAX_ANSWER_BYTES)
     return bytes(body)
 
 
--- a/tests/endless_peer.py
+++ b/tests/endless_peer.py
@@ -48,8 +48,9 @@
                 received += data
             connection.sendall(self.beginning)
             time.sleep(self.pause)
-            while self.sent_bytes < ENDLESS_BYTES:
+            while self.piece and self.sent_bytes < ENDLESS_BYTES:
                 self.sent_bytes += connection.send(self.piece)
+            connection.recv(1)
 
 
 @contextlib.contextmanager
