Drop reports to a leader that does not read

Cause: a report was written whatever was queued. Only the leader's side had a limit.

Evidence: test_reports_to_a_leader_that_does_not_read_pile_up failed before, with 15.1 MB queued after 400 reports.

Why it works: above 1 MiB that is not sent a report is dropped; they are repeated.

Measured: the modules fleet_links (31 tests) and fleet_peers (4) passed.

--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -22,6 +22,8 @@
 from cassialever.types import RowVersion, Seconds
 
 #: A leader from which no byte arrives for this long has failed: three
+#: Unsent reports to a leader above which further ones are dropped.
+MAX_REPORT_BACKLOG_BYTES: Final = 1_048_576
 #: heartbeats and a margin for a slow machine.
 LEADER_TIMEOUT: Final[Seconds] = 0.9
 #: A leader that has not heard from the store for this long does not count as
@@ -201,10 +203,16 @@
             self._writer.close()
 
     def report(self, report: messages.KeysAsked | messages.Limits) -> None:
-        """Report to the leader if it reads that; else drop the report."""
+        """Report to the leader if it reads that; else drop the report.
+
+        A later report replaces one that was dropped.
+        """
         if report.since > self._leader_message_version:
             return
-        if self._writer is not None and self.is_open:
+        if self._writer is None or not self.is_open:
+            return
+        backlog = self._writer.transport.get_write_buffer_size()
+        if backlog <= MAX_REPORT_BACKLOG_BYTES:
             self._writer.write(messages.encode(report))
 
     async def notify_deposed(self, address: str, term: RowVersion) -> None:
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -19,6 +19,7 @@
     LEADER_TIMEOUT,
     LeaderLink,
     LinkEnd,
+    MAX_REPORT_BACKLOG_BYTES,
 )
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.relay import Relay
@@ -589,6 +590,35 @@
         self.assertIs(end, LinkEnd.timed_out)
         server.close()
 
+    async def test_reports_to_a_leader_that_does_not_read_pile_up(self) -> None:
+        # They were queued for as long as its heartbeats arrived.
+        async def beat(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            reader._transport.pause_reading()
+            while not writer.is_closing():
+                writer.write(messages.encode(messages.Pulse(True, 0, 0, 1, 0)))
+                await asyncio.sleep(0.05)
+            ends.append(writer)
+
+        ends: list[asyncio.StreamWriter] = []
+        server = await asyncio.start_server(beat, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        link = follower('')
+        following = asyncio.create_task(link.follow(f'{host}:{port}'))
+        await until(lambda: link.is_open)
+        asked = [random.randrange(65_536) for _ in range(20_000)]
+        report = messages.KeysAsked({'registry': asked}, {})
+        for _ in range(400):
+            link.report(report)
+            await asyncio.sleep(0)
+        backlog = link._writer.transport.get_write_buffer_size()
+        self.assertLess(backlog, 2 * MAX_REPORT_BACKLOG_BYTES)
+        link._writer.transport.abort()
+        following.cancel()
+        await until(lambda: ends)
+        server.close()
+
     async def test_follower_that_does_not_read_is_disconnected(self) -> None:
         """The data buffered for one follower stays bounded."""
         async with leader('') as leader_relay:
