Standard error that nobody reads no longer stops a daemon

Callers saw: a daemon of the project's own interface whose log pipe was full answered nothing and ignored SIGTERM. On the platform the log on standard output never waited, but failures that libraries report on standard error did.

Cause: writes to standard error waited for a reader, in the loop.

Change: standard error does not block, as standard output does not; what does not fit is dropped.

--- a/cassialever/daemon_process.py
+++ b/cassialever/daemon_process.py
@@ -1,6 +1,7 @@
 """Run one daemon with the project's own interface in this process."""
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -48,6 +49,8 @@
 
     Exits with `EXIT_FAILURE` after an internal failure.
     """
+    # A line that does not fit is dropped; the loop never waits for a reader.
+    os.set_blocking(sys.stderr.fileno(), False)
     log = Log(settings)
     log.start()
     application = Application(settings)
--- a/cassialever/gateway/process.py
+++ b/cassialever/gateway/process.py
@@ -1,6 +1,7 @@
 """Run one daemon on the platform in this process."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -31,6 +32,8 @@
         return EXIT_SETTINGS
     if settings is None:
         return 0
+    # Libraries write their failures to it, whether anyone reads them or not.
+    os.set_blocking(sys.stderr.fileno(), False)
     with JsonLinesHandler(settings.instance.instance_id).applicationbound():
         succeeded = asyncio.run(_serve(settings, signals))
     return 0 if succeeded else EXIT_FAILURE
