Hold bodies of all requests within one memory budget

A target that answers without end, or eight callers that upload 60 MB each, took a daemon over the memory of its process: it is killed, and callers lose all that it served.

Cause: bodies of callers and answers of targets were read whole, without a limit, joined from their parts (twice their size for a moment), and written at once (copied to the buffer of the transport).

Now each request claims the bytes of its body and its answers from a budget of two fifths of memory_mb, and gives them back when its handler ends, on each way out. A body claims its length before it is read, in chunks as it grows. It waits unread for a quarter of its time, 0.8 s at most, and is then refused with 503; over max_body_bytes with 413, not there within its time with 408; the connection is closed, so that the rest is not parsed as a request. An answer that exceeds what is left ends its connection: 502, and the target counts as failing. Long bodies are read into one buffer and written in pieces of 64 KiB. An eighth of the budget is for bodies up to 64 KiB, so that long ones do not keep the others waiting.

Answers and uploads are not streamed yet.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -73,6 +73,16 @@
         logbook.INFO,
         'A request is sent long after it came, or by old tables.',
     )
+    answer_unsent = (
+        220,
+        logbook.INFO,
+        'A caller left while a long answer was sent to it.',
+    )
+    memory_waited_for = (
+        221,
+        logbook.INFO,
+        'A request got no memory for its body in time.',
+    )
 
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -44,7 +44,10 @@
         self.settings = settings
         self.core = Core(settings)
         self.server = GatewayServer(
-            settings, self.core.forwarder, self.core.clock
+            settings,
+            self.core.forwarder,
+            self.core.clock,
+            self.core.exchanges.memory,
         )
         self._metrics = MetricsServer(settings, self._readings)
         self._stop_requested = asyncio.Event()
@@ -188,6 +191,8 @@
                 'requests_quarantined',
                 self.core.exchanges.crashes.quarantined_count(),
             ),
+            Reading('body_bytes_held', self.core.exchanges.memory.held),
+            Reading('bodies_refused', self.core.exchanges.memory.refused_count),
             Reading('permits_issued', self.core.permits.issuer.issued_count),
             Reading('permits_denied', self.core.permits.issuer.denied_count),
         ]
--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -15,6 +15,7 @@
 from cassialever.gateway.sender import TargetSender
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.memory import MemoryBudget
 from cassialever.policy.placing import withdrawal_reason
 from cassialever.policy.reach import TargetReach
 from cassialever.tasks import log_failure
@@ -32,6 +33,7 @@
         clock: SystemClock,
     ) -> None:
         """Create every part without starting any."""
+        self.memory = MemoryBudget(settings.instance.memory_mb)
         self.reach = TargetReach(loads, reachability.paths)
         self._sender = TargetSender(
             loads, view.targets.limits, reachability.paths, clock
@@ -72,7 +74,7 @@
             clock,
         )
         self.hop_server = HopServer(
-            settings, policy, self._sender, self.crashes
+            settings, policy, self._sender, self.crashes, self.memory
         )
         self.has_connection = self._sender.has_connection
         reachability.prober.on_down = self._sender.close_idle
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -9,14 +9,25 @@
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
+from cassialever.gateway.bodies import (
+    Body,
+    RequestMemory,
+    read_request,
+    send_whole,
+)
 from cassialever.gateway.connections import CallerListener, RequestHandler
 from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.refusals import Refusal
 from cassialever.gateway.routes import split_request_target
+from cassialever.gateway.routing import DEFAULT_TIMEOUT
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.platform import wire
+from cassialever.policy.memory import (
+    SHORT_BODY_BYTES,
+    MemoryBudget,
+)
 from cassialever.types import Seconds
 
 #: Longest request line or header field that is read; the operators limit all
@@ -46,8 +57,10 @@
         settings: GatewaySettings,
         forwarder: Forwarder,
         clock: SystemClock,
+        memory: MemoryBudget,
     ) -> None:
         self._settings = settings
+        self._memory = memory
         self._forwarder = forwarder
         self._clock = clock
         self._callers = _listener(self._handle)
@@ -107,25 +120,37 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.open_requests += 1
         try:
-            response = await self._answer(request)
+            with RequestMemory(self._memory) as memory:
+                response = await self._answer(request, memory)
         finally:
             self.open_requests -= 1
         if self.is_stopping:
             response.force_close()
         return response
 
-    async def _answer(self, request: web.BaseRequest) -> web.Response:
+    async def _answer(
+        self, request: web.BaseRequest, memory: RequestMemory
+    ) -> web.StreamResponse:
         received_at = self._clock.monotonic()
         host, raw_path = split_request_target(
             request.raw_path, request.headers.get('Host', '')
         )
+        metadata = wire.parse_request_metadata(request.headers)
+        body = await self._read(request, memory, metadata.timeout)
         target_request = TargetRequest(
-            request_id=wire.parse_request_metadata(request.headers).request_id,
+            request_id=metadata.request_id,
             method=request.method,
             raw_path=raw_path,
             headers=request.headers,
-            body=await _body(request),
+            body=b'' if isinstance(body, Refusal) else body,
+            memory=memory,
         )
+        if isinstance(body, Refusal):
+            self._record_unrouted(target_request, host, body)
+            response = _refusal_response(body, target_request.request_id)
+            # The rest of the body must not be taken for a request.
+            response.force_close()
+            return response
         routed = await self._forwarder.router.find(
             target_request, host, received_at
         )
@@ -138,7 +163,41 @@
         self._forwarder.counters.record_answer(
             self._clock.monotonic() - received_at
         )
-        return relayed_response(answer)
+        return await self._relay(request, target_request.request_id, answer)
+
+    async def _read(
+        self,
+        request: web.BaseRequest,
+        memory: RequestMemory,
+        timeout: Seconds | None,
+    ) -> Body | Refusal:
+        """Read the body of a request within the limits."""
+        configuration = self._forwarder.router.configuration
+        return await read_request(
+            request,
+            memory,
+            configuration.max_body_bytes if configuration else None,
+            DEFAULT_TIMEOUT if timeout is None else timeout,
+        )
+
+    async def _relay(
+        self, request: web.BaseRequest, request_id: str, answer: Answer
+    ) -> web.StreamResponse:
+        """Return a response, which has been sent if its body is long."""
+        if len(answer.body) <= SHORT_BODY_BYTES or request.method == 'HEAD':
+            return relayed_response(answer)
+        response = relayed_stream(answer)
+        if self.is_stopping:
+            response.force_close()
+        try:
+            await send_whole(request, response, answer.body)
+        except ConnectionError as error:
+            record(
+                Event.answer_unsent,
+                request=request_id,
+                reason=repr(error),
+            )
+        return response
 
     def _record_unrouted(
         self,
@@ -169,12 +228,6 @@
     )
 
 
-async def _body(request: web.BaseRequest) -> bytes:
-    if not request.can_read_body:
-        return b''
-    return await request.content.read()
-
-
 def _refusal_response(refusal: Refusal, request_id: str) -> web.Response:
     response = web.Response(
         status=refusal.status,
@@ -192,6 +245,12 @@
     # aiohttp sets a default content type, which would be sent beside the
     # target's own.
     response.headers.clear()
-    for name, text in answer.headers:
-        response.headers.add(name, text)
+    response.headers.extend(answer.headers)
+    return response
+
+
+def relayed_stream(answer: Answer) -> web.StreamResponse:
+    """Return a target's answer without its body."""
+    response = web.StreamResponse(status=answer.status)
+    response.headers.extend(answer.headers)
     return response
--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -12,6 +12,7 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.model import Target, version_of
 from cassialever.fleet.view import FleetView
+from cassialever.gateway.bodies import payload_of
 from cassialever.gateway.hop_messages import (
     HOP_HEADERS,
     HopOutcome,
@@ -114,7 +115,7 @@
         async with self._session.post(
             URL(f'http://{address}{request.raw_path}', encoded=True),
             headers=headers + encode_request(hop, key),
-            data=request.body or None,
+            data=payload_of(request.body),
             timeout=_timeout(time_left, connect_timeout),
             allow_redirects=False,
         ) as response:
@@ -129,6 +130,7 @@
                     response,
                     reply.status,
                     sent_at,
+                    request.memory,
                 )
             await response.read()
             return _unanswered(reply)
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -18,6 +18,12 @@
 from cassialever.fleet.connecting import split_address
 from cassialever.fleet.model import Target
 from cassialever.gateway import hop_client
+from cassialever.gateway.bodies import (
+    Body,
+    OutOfMemoryError,
+    RequestMemory,
+    read_request,
+)
 from cassialever.gateway.carrying import CarryingPolicy
 from cassialever.gateway.connections import CallerListener
 from cassialever.gateway.crash_guard import CrashGuard
@@ -32,6 +38,7 @@
 )
 from cassialever.gateway.outcomes import Attempt, AttemptOutcome, unknown
 from cassialever.gateway.receiving import BodyEnd, read_body
+from cassialever.gateway.refusals import Refusal
 from cassialever.gateway.sender import (
     EXCHANGE_ERRORS,
     TargetRequest,
@@ -41,6 +48,7 @@
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.platform import wire
 from cassialever.platform.sessions import close_connection
+from cassialever.policy.memory import MemoryBudget
 from cassialever.types import Seconds
 
 #: Longest header field that is read. Callers' fields may have 16384 bytes.
@@ -69,8 +77,10 @@
         policy: CarryingPolicy,
         sender: TargetSender,
         crashes: CrashGuard,
+        memory: MemoryBudget,
     ) -> None:
         self._settings = settings
+        self._memory = memory
         self._policy = policy
         self._sender = sender
         self._crashes = crashes
@@ -150,7 +160,10 @@
             return self._refuse(request, hop, admitted)
         self._policy.open_requests += 1
         try:
-            return await self._carry(request, hop, admitted, arrived_at)
+            with RequestMemory(self._memory) as memory:
+                return await self._carry(
+                    request, hop, admitted, arrived_at, memory
+                )
         finally:
             self._policy.open_requests -= 1
 
@@ -160,17 +173,25 @@
         hop: HopRequest,
         target: Target,
         arrived_at: Seconds,
+        memory: RequestMemory,
     ) -> web.StreamResponse:
-        body = await _read_in_time(request, hop.time_left)
+        body = await read_request(request, memory, None, hop.time_left)
+        if isinstance(body, Refusal):
+            response = self._refuse(
+                request, hop, Failure(body.kind, body.sentence)
+            )
+            response.force_close()
+            return response
         deadline = min(arrived_at + hop.time_left, self._answers_until)
         time_left = deadline - self._clock.monotonic()
-        if body is None or time_left <= 0:
+        if time_left <= 0:
             late = Failure(ErrorKind.deadline_passed, 'no time was left')
             return self._refuse(request, hop, late)
         target_request = _target_request(
             request.headers,
             hop,
             body,
+            memory,
             send_before=self._policy.send_before(hop, target, arrived_at),
             withdrawal_reason=lambda: self._policy.route_withdrawal(
                 hop, target, request.headers.get('Host', '')
@@ -180,14 +201,31 @@
             # The build before does not know the kind of an own refusal.
             crashing = Failure(ErrorKind.no_target, 'it has crashed targets')
             return self._refuse(request, hop, crashing)
+        return await self._exchange(
+            request, hop, target_request, target, time_left
+        )
+
+    async def _exchange(
+        self,
+        request: web.BaseRequest,
+        hop: HopRequest,
+        target_request: TargetRequest,
+        target: Target,
+        time_left: Seconds,
+    ) -> web.StreamResponse:
         self._policy.count_carried()
         sent_at = self._clock.boot()
         try:
             async with self._sender.open_exchange(
                 target_request, target, time_left
-            ) as response:
+            ) as answer:
                 return await self._relay(
-                    request, hop, target, response, sent_at
+                    request,
+                    hop,
+                    target,
+                    answer,
+                    sent_at,
+                    target_request.memory,
                 )
         except EXCHANGE_ERRORS as error:
             attempt = failed_attempt(error)
@@ -200,6 +238,7 @@
         target: Target,
         response: ClientResponse,
         sent_at: Seconds,
+        memory: RequestMemory,
     ) -> web.StreamResponse:
         """Send a target's answer on; raise if it ends before its head is.
 
@@ -215,9 +254,14 @@
         )
         length = response.content_length
         if length is not None and length <= MAX_WHOLE_BODY:
-            body = await read_body(response)
+            try:
+                body = await read_body(response, memory)
+            except OutOfMemoryError as error:
+                close_connection(response)
+                return self._reply_unanswered(request, hop, unknown(str(error)))
             return _with_headers(
-                web.Response(body=body), self._relayed_headers(hop, response)
+                web.Response(body=body),
+                _relayed_headers(hop, response, self._settings.fleet_key),
             )
         return await self._stream(request, hop, response)
 
@@ -229,7 +273,8 @@
     ) -> web.StreamResponse:
         """Send an answer on in chunks, or cut it off where it breaks off."""
         stream = _with_headers(
-            web.StreamResponse(), self._relayed_headers(hop, response)
+            web.StreamResponse(),
+            _relayed_headers(hop, response, self._settings.fleet_key),
         )
         stream.enable_chunked_encoding()
         end = BodyEnd(response)
@@ -243,15 +288,6 @@
                 request.transport.abort()
         return stream
 
-    def _relayed_headers(
-        self, hop: HopRequest, response: ClientResponse
-    ) -> list[tuple[str, str]]:
-        reply = HopReply(hop.nonce, HopOutcome.relayed, response.status)
-        return [
-            *wire.end_to_end_headers(response.headers, HOP_HEADERS),
-            *encode_reply(reply, self._settings.fleet_key),
-        ]
-
     def _record_failure(
         self, request: web.BaseRequest, hop: HopRequest, attempt: Attempt
     ) -> None:
@@ -296,7 +332,8 @@
 def _target_request(
     headers: Mapping[str, str],
     hop: HopRequest,
-    body: bytes,
+    body: Body,
+    memory: RequestMemory,
     *,
     send_before: Seconds,
     withdrawal_reason: Callable[[], str],
@@ -310,6 +347,7 @@
         body,
         send_before=send_before,
         withdrawal_reason=withdrawal_reason,
+        memory=memory,
     )
 
 
@@ -321,17 +359,6 @@
         await stream.write(chunk)
 
 
-async def _read_in_time(
-    request: web.BaseRequest, time_left: Seconds
-) -> bytes | None:
-    """Return a request's body, or None if it does not arrive in time."""
-    try:
-        async with asyncio.timeout(time_left):
-            return await request.content.read()
-    except TimeoutError:
-        return None
-
-
 def _with_headers(
     response: web.StreamResponse, headers: list[tuple[str, str]]
 ) -> web.StreamResponse:
@@ -340,3 +367,13 @@
     response.headers.clear()
     response.headers.extend(headers)
     return response
+
+
+def _relayed_headers(
+    hop: HopRequest, response: ClientResponse, fleet_key: str
+) -> list[tuple[str, str]]:
+    reply = HopReply(hop.nonce, HopOutcome.relayed, response.status)
+    return [
+        *wire.end_to_end_headers(response.headers, HOP_HEADERS),
+        *encode_reply(reply, fleet_key),
+    ]
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -28,7 +28,7 @@
     target_id: TargetId
     status: int
     headers: list[tuple[str, str]]
-    body: bytes
+    body: bytes | bytearray
 
 
 class Attempt(msgspec.Struct, frozen=True):
--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -8,6 +8,7 @@
 from cassialever.errors import Failure
 from cassialever.events import Event, record
 from cassialever.fleet.model import Target
+from cassialever.gateway.bodies import Body, OutOfMemoryError, read_answer
 from cassialever.gateway.hop_messages import (
     HOP_HEADERS,
 )
@@ -23,6 +24,7 @@
 from cassialever.platform.statements import parse_statements
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.memory import MemoryClaim
 from cassialever.types import Seconds
 
 
@@ -46,10 +48,12 @@
         response: aiohttp.ClientResponse,
         status: int,
         sent_at: Seconds,
+        memory: MemoryClaim,
     ) -> Attempt:
         """Read an answer with its body; `sent_at` is in boot time.
 
-        `status` is the target's, which another daemon passes on in a header.
+        `status` is the target's, which another daemon passes on in a header,
+        `memory` the claim of the request, which grows by the body.
         """
         headers = response.headers
         if not wire.matches_request(headers, request_id):
@@ -61,7 +65,12 @@
         )
         if request_id and wire.reports_not_run(status, headers):
             return not_run(f'the target refused with {status}')
-        body = await read_body(response)
+        try:
+            body = await read_body(response, memory)
+        except OutOfMemoryError as error:
+            # The path is in order, unlike after other errors.
+            close_connection(response)
+            return unknown(str(error))
         if not wire.is_signed(headers):
             return unknown(f'an unsigned answer {status}')
         answer = Answer(
@@ -117,10 +126,12 @@
             )
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse, memory: MemoryClaim
+) -> Body:
     """Read a body, and fail if its connection is reset before its end."""
     end = BodyEnd(response)
-    body = await response.read()
+    body = await read_answer(response, memory)
     await end.wait()
     return body
 
--- a/cassialever/gateway/refusals.py
+++ b/cassialever/gateway/refusals.py
@@ -45,6 +45,37 @@
     )
 
 
+def out_of_memory() -> Refusal:
+    """Refuse a request whose body doesn't fit into the memory budget."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'no memory is left for the body',
+        refusal.FixedRetryAfter.default.value,
+        'out_of_memory',
+        ErrorKind.caller_over_limit,
+    )
+
+
+def body_too_large(max_bytes: int) -> Refusal:
+    """Refuse a request whose body is longer than the operators allow."""
+    return Refusal(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        f'the body is longer than {max_bytes} bytes',
+        cause='body_too_large',
+        kind=ErrorKind.body_too_large,
+    )
+
+
+def body_late() -> Refusal:
+    """Refuse a request whose body has not arrived within its time."""
+    return Refusal(
+        HTTPStatus.REQUEST_TIMEOUT,
+        'the body has not arrived in time',
+        cause='body_late',
+        kind=ErrorKind.deadline_passed,
+    )
+
+
 def no_route() -> Refusal:
     """Refuse a request that no route matches."""
     return Refusal(
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -85,6 +85,11 @@
         #: Returns what is known of the age of this daemon's tables.
         self.knowledge: Callable[[], Knowledge] = Knowledge
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, if one is known."""
+        return self._view.configuration
+
     async def find(
         self, request: TargetRequest, host: str, received_at: Seconds
     ) -> RoutedRequest | Refusal:
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -25,6 +25,12 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import Target
+from cassialever.gateway.bodies import (
+    Body,
+    RequestMemory,
+    payload_of,
+    unlimited_memory,
+)
 from cassialever.gateway.late_sendings import Decision, LateSendings
 from cassialever.gateway.loop_watch import LoopWatch
 from cassialever.gateway.outcomes import (
@@ -78,7 +84,7 @@
     method: str
     raw_path: str
     headers: Mapping[str, str]
-    body: bytes
+    body: Body
     #: The caller's trace context; empty if it sent none.
     traceparent: str = ''
     #: Whether it may run more than once.
@@ -90,6 +96,8 @@
     withdrawal_reason: Callable[[], str] = str
     #: The choice of its target; None if another daemon has made it.
     decision: Decision | None = None
+    #: The memory that it holds, for its body and its answers.
+    memory: RequestMemory = msgspec.field(default_factory=unlimited_memory)
 
     @property
     def has_permit(self) -> bool:
@@ -351,7 +359,7 @@
             request.method,
             URL(f'http://{target.address}{request.raw_path}', encoded=True),
             headers=_headers(request, target),
-            data=request.body or None,
+            data=payload_of(request.body),
             timeout=timeout,
             allow_redirects=False,
         )
@@ -375,6 +383,7 @@
                     response,
                     response.status,
                     sent_at,
+                    request.memory,
                 )
         except EXCHANGE_ERRORS as error:
             return failed_attempt(error)
--- a/cassialever/policy/crashes.py
+++ b/cassialever/policy/crashes.py
@@ -126,7 +126,11 @@
 
 
 def fingerprint_request(
-    method: str, host: str, raw_path: str, caller: str, body: bytes
+    method: str,
+    host: str,
+    raw_path: str,
+    caller: str,
+    body: bytes | bytearray,
 ) -> Fingerprint:
     """Return the fingerprint of a request, the same for all its attempts."""
     head = '\n'.join((method, host, raw_path, caller, ''))
