--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cassialever.clock import SystemClock
-from cassialever.fleet.model import Configuration, Route, version_of
+from cassialever.fleet.model import Configuration, Route
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.refusals import (
     Refusal,
@@ -86,9 +86,9 @@
         self.knowledge: Callable[[], Knowledge] = Knowledge
 
     @property
-    def configuration_version(self) -> int:
-        """Return the version of the configuration in force."""
-        return version_of(self._view.configuration)
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, if one is known."""
+        return self._view.configuration
 
     async def find(
         self, request: TargetRequest, host: str, received_at: Seconds
--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -281,8 +281,7 @@
         assignment.owner_started_at,
         assignment.fence,
         assignment.handover if process is None else '',
-        assignment.is_suspect,
-        process,
+        (assignment.is_suspect, process),
     )
 
 
