Cut long texts in log lines

What callers saw: nothing. A head that a target breaks off stood whole in the reason of a line: over 65,536 bytes, of which a pipe took the first 65,536 only, so that the line was no JSON.

Cause: a text was written in any length.

Evidence: test_head_of_a_peer_is_written_whole_into_a_line failed before (65,536 bytes in place of under 4,596).

Why it works: a text of a field is cut at 4,096 characters. Lists are not, as their length follows from the fleet.

Measured: the modules structured_log (1 test) and telemetry (7) passed.

--- a/cassialever/telemetry/structured_log.py
+++ b/cassialever/telemetry/structured_log.py
@@ -16,6 +16,9 @@
 #: Limit of lines about single requests. At 200 bytes each they stay under
 #: 11 KB/s, the stated goal for the control traffic of a daemon.
 REQUEST_LINES_PER_SECOND: Final = 40
+#: Longest text of a field, in characters. A reason may hold what a peer sent,
+#: such as the head of its answer.
+MAX_TEXT_LENGTH: Final = 4096
 #: Range of the numbers of events about single requests.
 FIRST_REQUEST_EVENT: Final = 200
 LAST_REQUEST_EVENT: Final = 299
@@ -56,7 +59,7 @@
             'instance': self._instance_id,
             'event': event_number,
             'name': record.extra.get('name') or record.message,
-            **(record.extra.get('fields') or {}),
+            **_shortened(record.extra.get('fields') or {}),
         }
         if self.dropped:
             fields['dropped_before'] = self.dropped
@@ -73,3 +76,11 @@
 
 def _is_request_event(event_number: int) -> bool:
     return FIRST_REQUEST_EVENT <= event_number <= LAST_REQUEST_EVENT
+
+
+def _shortened(fields: dict[str, Any]) -> dict[str, Any]:
+    """Return fields whose texts are cut at MAX_TEXT_LENGTH."""
+    return {
+        name: field[:MAX_TEXT_LENGTH] if isinstance(field, str) else field
+        for name, field in fields.items()
+    }
