Await the first try of the metrics' port in place of a pause

A pause of 20 ms stood at the end of a daemon's start, since tests of the fleet relied on the turns of the loop in which its metrics had been started. The metrics are tried beside the requests as before, and only their first try is awaited.

--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -30,8 +30,6 @@
 ACCEPTING_SHARE: Final = 0.5
 #: Poll interval while waiting to become ready.
 READINESS_POLL_INTERVAL: Final[Seconds] = 0.05
-#: Time in which the work of a daemon begins before its start counts as done.
-BEGINNING_TIME: Final[Seconds] = 0.02
 #: Part of the grace period that is reserved for closing connections.
 CLOSE_RESERVE: Final[Seconds] = 0.5
 #: Minimum time between two readings of the settings. Hang-ups within it are
@@ -83,13 +81,13 @@
     async def start(self) -> None:
         """Start every part, the server for callers last."""
         self.core.tasks.start(self._reload_when_requested())
-        # Requests are served without them.
-        self.core.tasks.start(self._metrics.start())
         await self.core.start()
         await self.server.start()
         self.core.begin()
         self.core.tasks.start(self._watch_readiness())
-        await asyncio.sleep(BEGINNING_TIME)
+        # Requests are served without them.
+        self.core.tasks.start(self._metrics.start())
+        await self._metrics.was_tried.wait()
         record(Event.started, instance=self.settings.instance.instance_id)
 
     def reload(self) -> None:
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -51,6 +51,8 @@
         self._known: set[str] = set()
         self._runner: web.ServerRunner | None = None
         self._exporter: _Exporter | None = None
+        #: Set once listening was tried, whether that succeeded or not.
+        self.was_tried = asyncio.Event()
 
     async def start(self) -> None:
         """Listen on the metrics port, as soon as it is free."""
@@ -79,6 +81,8 @@
         except OSError:
             await runner.cleanup()
             raise
+        finally:
+            self.was_tried.set()
         return runner
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
