Tell an answer of another process from one of the daemon

Such an answer is reported with the status of the daemon's process, and not judged as one by a version. 23 tests of the soak and its judges pass.

--- a/soak/changes.py
+++ b/soak/changes.py
@@ -303,6 +303,14 @@
             self._judge_time(daemon, host, sent_at)
             return
         self._judge_time(daemon, host, sent_at)
+        if response.headers.get('Attempt-Id') != request_id:
+            # Once a daemon has ended, another process may have its port.
+            self._judge.violations.append(
+                f'{loop.time():.2f} {request_id} at {daemon.name}, which has'
+                f' status {daemon.exit_status}: {response.status} with another'
+                f' ID'
+            )
+            return
         is_absent = response.status == HTTPStatus.NOT_FOUND
         if is_absent or response.status == HTTPStatus.OK:
             now = loop.time()
