Answer 503 to a request whose body is not there in its time

The memory budget answered 408, against test_late_body_does_not_hold_a_request_for_ever, which expects 503 as before.

--- a/cassialever/gateway/refusals.py
+++ b/cassialever/gateway/refusals.py
@@ -69,7 +69,7 @@
 def body_late() -> Refusal:
     """Refuse a request whose body has not arrived within its time."""
     return Refusal(
-        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.SERVICE_UNAVAILABLE,
         'the body has not arrived in time',
         cause='body_late',
         kind=ErrorKind.deadline_passed,
