Abort the connection of a caller that reads nothing of a long answer

Cause: a long body is written in pieces, each of which waits for the caller, without a limit. The memory of the answer is claimed meanwhile.

What a caller has received is counted by the bytes in the transport and in the system: the buffer of the transport alone stays as it is while the system's drains, so that callers who read slowly counted as stalled when a connection was closed, too.

test_caller_that_reads_nothing_holds_no_memory failed before (the claim was kept); test_caller_that_reads_slowly_gets_its_answer failed with an earlier form of this change. tests.test_gateway_bodies: 11 passed twice; test_gateway_connections and test_callers_stop: 20 passed.

--- a/cassialever/gateway/bodies.py
+++ b/cassialever/gateway/bodies.py
@@ -12,6 +12,7 @@
 from aiohttp.abc import AbstractStreamWriter
 
 from cassialever.events import Event, record
+from cassialever.gateway.connections import STALL_TIMEOUT, count_unsent_bytes
 from cassialever.gateway.refusals import (
     Refusal,
     body_late,
@@ -194,10 +195,55 @@
     response: web.StreamResponse,
     body: Body,
 ) -> None:
-    """Send a long body in pieces, and wait until they are written."""
+    """Send a long body in pieces, and wait until they are written.
+
+    Raises ConnectionError if the peer has gone, or receives nothing more.
+    """
     response.content_length = len(body)
     await response.prepare(request)
     parts = memoryview(body)
-    for start in range(0, len(parts), PIECE_BYTES):
-        await response.write(parts[start : start + PIECE_BYTES])
-    await response.write_eof()
+    with _StallWatch(request.transport) as watch:
+        for start in range(0, len(parts), PIECE_BYTES):
+            part = parts[start : start + PIECE_BYTES]
+            watch.written_bytes += len(part)
+            await response.write(part)
+        await response.write_eof()
+
+
+class _StallWatch:
+    """Aborts a connection whose peer receives nothing for STALL_TIMEOUT.
+
+    The memory of its answer would be held for as long as the peer likes.
+    """
+
+    def __init__(self, transport: asyncio.Transport | None) -> None:
+        self._transport = transport
+        #: Bytes that were given to the transport.
+        self.written_bytes = 0
+        self._received_bytes = -1
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __enter__(self) -> '_StallWatch':
+        """Start to look at what the peer has received."""
+        self._check_later()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Look no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(STALL_TIMEOUT, self._check)
+
+    def _check(self) -> None:
+        if self._transport is None:
+            return
+        unsent_bytes = count_unsent_bytes(self._transport) or 0
+        received_bytes = self.written_bytes - unsent_bytes
+        if received_bytes <= self._received_bytes:
+            self._transport.abort()
+            return
+        self._received_bytes = received_bytes
+        self._check_later()
--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -101,7 +101,7 @@
             # The peer has closed at least its sending side.
             if not self._transport.get_write_buffer_size():
                 return
-        unsent_bytes = _count_unsent_bytes(self._transport)
+        unsent_bytes = count_unsent_bytes(self._transport)
         self._unchanged_for += LINGER_CHECK_INTERVAL
         if unsent_bytes != self._unsent_bytes:
             self._unchanged_for = 0
@@ -199,7 +199,7 @@
         if transport is None or transport.is_closing() or self._awaits_rest:
             return
         if self._awaits_request() and not _is_readable(transport):
-            if _count_unsent_bytes(transport) == 0:
+            if count_unsent_bytes(transport) == 0:
                 transport.close()
             # Ends the task that waits for a request.
             self.force_close()
@@ -366,15 +366,14 @@
     return bool(poller.poll(0))
 
 
-def _count_unsent_bytes(transport: asyncio.Transport) -> int | None:
+def count_unsent_bytes(transport: asyncio.Transport) -> int | None:
     """Return the bytes that the peer has not confirmed; None if not known."""
     buffered = transport.get_write_buffer_size()
-    if buffered:
-        return buffered
     sock = transport.get_extra_info('socket')
     try:
         answer = fcntl.ioctl(sock, termios.TIOCOUTQ, _INT.pack(0))
     except OSError:
         # Not all systems tell.
-        return None
-    return int(_INT.unpack(answer)[0])
+        return buffered or None
+    # A peer may receive what the system holds before the buffer changes.
+    return buffered + int(_INT.unpack(answer)[0])
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import socket
 import unittest
 from collections.abc import AsyncIterator
+from unittest import mock
 
 import aiohttp
 import msgspec
 
+from cassialever.gateway import bodies
 from cassialever.gateway.application import Gateway
 from cassialever.policy.memory import MemoryBudget, MemoryClaim
 from tests.fleet_helpers import CONFIGURATION, Deployment, deployment, until
@@ -124,6 +127,70 @@
         await self.check(EndlessTarget('Content-Length: 99999999999\r\n'))
 
 
+class LongAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Callers that read long answers at their own speed."""
+
+    #: Memory of the daemon, the length of an answer in bytes, and how long a
+    #: caller may receive nothing, in seconds.
+    MEMORY_MB = 100
+    LENGTH = 20_000_000
+    STALL_TIMEOUT = 0.3
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        head = f'{SIGNED}Content-Length: {self.LENGTH}\r\n\r\n'
+        writer.write(head.encode())
+        for start in range(0, self.LENGTH, len(PART)):
+            writer.write(PART[: self.LENGTH - start])
+            await writer.drain()
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+    ) -> AsyncIterator[tuple[MemoryBudget, asyncio.StreamReader]]:
+        """Send a request whose answer is long."""
+        async with (
+            one_daemon() as (_, gateway),
+            raw_server(self.serve) as address,
+        ):
+            memory = set_memory(gateway, self.MEMORY_MB)
+            readdress(gateway, 'i0', address)
+            host, port = gateway.settings.listen.callers.split(':')
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            caller.connect((host, int(port)))
+            reader, writer = await asyncio.open_connection(
+                sock=caller, limit=1024
+            )
+            writer.write(
+                b'POST /issue/1 HTTP/1.1\r\nHost: issuance.example\r\n'
+                b'Attempt-Id: a1\r\nDeadline-Ms: 5000\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+            with mock.patch.object(bodies, 'STALL_TIMEOUT', self.STALL_TIMEOUT):
+                yield memory, reader
+            writer.close()
+
+    async def test_caller_that_reads_nothing_holds_no_memory(self) -> None:
+        # Its answer was kept for as long as the connection was open.
+        async with self.request() as (memory, _):
+            await until(lambda: memory.held >= self.LENGTH)
+            await until(lambda: memory.held == 0)
+
+    async def test_caller_that_reads_slowly_gets_its_answer(self) -> None:
+        async with self.request() as (_, reader):
+            await reader.readuntil(b'\r\n\r\n')
+            received = 0
+            for _ in range(4):
+                received += len(await reader.readexactly(400_000))
+                # Shorter than the interval, and longer in all.
+                await asyncio.sleep(0.8 * self.STALL_TIMEOUT)
+            rest = await reader.readexactly(self.LENGTH - received)
+            self.assertEqual(received + len(rest), self.LENGTH)
+
+
 class UploadTest(unittest.IsolatedAsyncioTestCase):
     """Callers that upload long bodies."""
 
