A cancelled try gives back only the bytes of its own answer

Shown by the review: two tries of one request share its claim, and one that ended gave back what had been claimed since it began, the other's bytes included (5 MB held, 0 counted).

Each try counts what it has claimed. test_cancelled_try_gives_back_only_its_own_bytes failed before.

--- a/cassialever/gateway/bodies.py
+++ b/cassialever/gateway/bodies.py
@@ -161,35 +161,44 @@
 
 async def read_answer(response: ClientResponse, claim: MemoryClaim) -> Body:
     """Read the body of an answer; raise OutOfMemoryError if it doesn't fit."""
-    held_before = claim.held
+    part = _ClaimedPart(claim)
     try:
-        return await _read_parts(response.content, claim)
+        return await _read_parts(response.content, part)
     except BaseException:
-        claim.shrink(claim.held - held_before)
+        claim.shrink(part.held)
         raise
 
 
-async def _read_parts(content: StreamReader, claim: MemoryClaim) -> Body:
+class _ClaimedPart:
+    """What one body holds of a claim, which other tries may grow as well."""
+
+    def __init__(self, claim: MemoryClaim) -> None:
+        self._claim = claim
+        self.held = 0
+
+    def grow(self, size: int) -> None:
+        """Claim more bytes; raise OutOfMemoryError if they don't fit."""
+        if not self._claim.grow(size):
+            raise OutOfMemoryError(
+                f'an answer of over {self.held} bytes exceeds the memory left'
+            )
+        self.held += size
+
+
+async def _read_parts(content: StreamReader, claimed: _ClaimedPart) -> Body:
     """Read the parts of a body, of which there is mostly one."""
     first = await content.readany()
-    _grow(claim, len(first))
+    claimed.grow(len(first))
     if content.at_eof():
         return first
     body = bytearray(first)
     while not content.at_eof():
         part = await content.readany()
-        _grow(claim, len(part))
+        claimed.grow(len(part))
         body += part
     return body
 
 
-def _grow(claim: MemoryClaim, size: int) -> None:
-    if not claim.grow(size):
-        raise OutOfMemoryError(
-            f'an answer of over {claim.held} bytes exceeds the memory left'
-        )
-
-
 async def send_whole(
     request: web.BaseRequest,
     response: web.StreamResponse,
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -127,6 +127,50 @@
         await self.check(EndlessTarget('Content-Length: 99999999999\r\n'))
 
 
+class _Content:
+    """The body of an answer, whose parts come one by one."""
+
+    def __init__(self) -> None:
+        self.parts: asyncio.Queue[bytes] = asyncio.Queue()
+
+    async def readany(self) -> bytes:
+        return await self.parts.get()
+
+    def at_eof(self) -> bool:
+        return False
+
+
+class _Response:
+    """An answer that is being received."""
+
+    def __init__(self) -> None:
+        self.content = _Content()
+
+
+class TwoTriesTest(unittest.IsolatedAsyncioTestCase):
+    """A request with two tries at once, which share its claim."""
+
+    async def test_cancelled_try_gives_back_only_its_own_bytes(self) -> None:
+        # It gave back what the other try held, too.
+        budget = MemoryBudget(100)
+        memory = bodies.RequestMemory(budget)
+        first, second = _Response(), _Response()
+        reading = [
+            asyncio.create_task(bodies.read_answer(one, memory))
+            for one in (first, second)
+        ]
+        await asyncio.sleep(0)
+        first.content.parts.put_nowait(bytes(3_000_000))
+        second.content.parts.put_nowait(bytes(5_000_000))
+        await until(lambda: memory.held == 8_000_000)
+        reading[0].cancel()
+        await asyncio.wait(reading[:1])
+        held = budget.held
+        reading[1].cancel()
+        await asyncio.wait(reading[1:])
+        self.assertEqual((held, budget.held), (5_000_000, 0))
+
+
 class LongAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Callers that read long answers at their own speed."""
 
