--- a/cassialever/catalogue/adoption.py
+++ b/cassialever/catalogue/adoption.py
@@ -46,8 +46,10 @@
 
         A row that can't be decoded is rejected; the version in force stays.
         """
-        if row.name != CURRENT_ROW or row.content is None:
+        if row.name != CURRENT_ROW:
             return True
+        if row.content is None:
+            return False
         catalogue = decode_json(row.content, Catalogue)
         if isinstance(catalogue, Failure):
             sink.reject(row.name, catalogue.reason)
--- a/cassialever/fleet/operator_rows.py
+++ b/cassialever/fleet/operator_rows.py
@@ -50,7 +50,9 @@
                 taken_out=sorted(evacuated),
                 version=row.version,
             )
-        if row.name == records.CONFIGURATION_ROW and row.content is not None:
+        if row.name == records.CONFIGURATION_ROW:
+            if row.content is None:
+                return False
             configuration = records.decode_configuration(row.content)
             if isinstance(configuration, Failure):
                 sink.reject(row.name, configuration.reason)
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -132,6 +132,8 @@
 
     async def abort(self) -> None:
         """Close everything immediately, without notifying anyone."""
+        # A leader must not grant keys while the rest is closed.
+        self.core.tasks.stop()
         await log_failure('callers', self.server.stop())
         await self.core.abort()
         # Its tries to listen end with the tasks of the core.
--- a/cassialever/gateway/bodies.py
+++ b/cassialever/gateway/bodies.py
@@ -147,7 +147,8 @@
     wait_left = max_wait(time_limit)
     body = bytearray()
     while not content.at_eof():
-        part = await content.readany()
+        async with asyncio.timeout(STALL_TIMEOUT):
+            part = await content.readany()
         if max_bytes is not None and len(body) + len(part) > max_bytes:
             return body_too_large(max_bytes)
         if not is_claimed:
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -183,7 +183,9 @@
             request,
             memory,
             configuration.max_body_bytes if configuration else None,
-            DEFAULT_TIMEOUT if timeout is None else timeout,
+            DEFAULT_TIMEOUT
+            if timeout is None
+            else min(timeout, DEFAULT_TIMEOUT),
         )
 
     async def _relay(
--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -38,6 +38,7 @@
 from cassialever.gateway.stop_limit import RESPONSE_MARGIN
 from cassialever.interfaces import HelperDaemon
 from cassialever.platform import wire
+from cassialever.platform.answer_bodies import read_limited
 from cassialever.platform.sessions import (
     close_connection,
     open_forwarding_session,
@@ -49,6 +50,8 @@
 #: How long an idle connection to a helper is kept. Helpers that stop close
 #: none that may still be used.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 1.0
+#: Bytes of the body of a reply without an answer; what it tells is in its head.
+MAX_REPLY_BYTES: Final = 4096
 
 
 class HopClient:
@@ -132,7 +135,7 @@
                     sent_at,
                     request.memory,
                 )
-            await response.read()
+            await read_limited(response, MAX_REPLY_BYTES)
             return _unanswered(reply)
 
     def _connect_timeout(self, request: TargetRequest) -> Seconds:
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -159,6 +159,8 @@
         """Have the owner release keys; the assignment then lapses."""
         # A renewal that is in progress must not arrive after the release.
         await self._wait_until_idle(assignment.owner)
+        if assignment.state is not AssignmentState.releasing:
+            return
         if self.lives.has_owner_ended(assignment):
             assignment.state = AssignmentState.lapsing
             return
@@ -245,7 +247,8 @@
         if result.outcome is CallOutcome.outdated:
             # The target has seen a higher fence: reassign above it.
             assignment.fence = Fence(assignment.fence + 1)
-            assignment.state = AssignmentState.lapsing
+            if assignment.state is AssignmentState.held:
+                assignment.state = AssignmentState.lapsing
             return True
         if is_unproven:
             return False
--- a/cassialever/starting.py
+++ b/cassialever/starting.py
@@ -37,6 +37,9 @@
         await daemon.abort()
         record(Event.start_failed, reason=str(error))
         return StartEnd.failed
+    except Exception:
+        await daemon.abort()
+        raise
     if has_started:
         return StartEnd.started
     await daemon.abort()
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -193,6 +193,16 @@
                 # Other daemons need both.
                 self.assertEqual(relayed, [rows])
 
+    def test_removed_configuration_supersedes_none(self) -> None:
+        """The version before it, in the same answer, was not put in force."""
+        usable = json_row(
+            'op', 'config', {**CONFIGURATION, 'version': 'r12'}, 50
+        )
+        removed = StoreRow('op', 'config', None, 51)
+        self.view.apply('op', [usable, removed], 51)
+        assert self.view.configuration is not None
+        self.assertEqual(self.view.configuration.version, 12)
+
     def test_old_rows_change_nothing(self) -> None:
         draining = target_entry(state='draining')
         self.view.apply(
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -356,3 +356,20 @@
                 self.assertIn(b' 503 ', status)
                 writer.close()
             self.assertEqual(gateway.core.exchanges.memory.held, 0)
+
+    async def test_body_that_never_begins_holds_no_memory(self) -> None:
+        # Its length was claimed for the time that the caller named, an hour.
+        async with one_daemon() as (_, gateway):
+            host, port = gateway.settings.listen.callers.split(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b'POST /issue/6 HTTP/1.1\r\nHost: issuance.example\r\n'
+                b'Attempt-Id: u6\r\nDeadline-Ms: 3600000\r\n'
+                b'Content-Length: 1000000\r\n\r\n'
+            )
+            with mock.patch.object(bodies, 'STALL_TIMEOUT', 0.3):
+                async with asyncio.timeout(2):
+                    status = await reader.readline()
+            self.assertIn(b' 503 ', status)
+            writer.close()
+            self.assertEqual(gateway.core.exchanges.memory.held, 0)
