A stopping daemon that knows only a lost leader asks the store

Shown by the review: daemons know the members of the last announcement. One that stops right after it has joined knows only its leader; if that one is lost too, it asked nobody else, and had no news of targets and configurations for the rest of its grace (not found within 15 s; DRAIN, CONFIG).

A daemon that stops and knows no other one than its last leader reads who leads from the store, at most once a second. Others ask two daemons, as before.

--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -73,6 +73,9 @@
 #: Daemons that one which stops asks for the leader at a time; few, as each
 #: connection loads its link.
 MAX_PEERS_ASKED_IN_STOP: Final = 2
+#: Time between two reads of the leader's row in a stop, by a daemon that knows
+#: no other one.
+LEADER_READ_INTERVAL: Final[Seconds] = 1.0
 #: Time between checks whether the link still relays the store's changes.
 WATCH_INTERVAL: Final[Seconds] = 0.2
 
@@ -121,6 +124,7 @@
         )
         self._direct_follower = DirectFollower(store, view, random_source)
         self._stop_asked = asyncio.Event()
+        self._leader_row = _LeaderRow(store, view, clock)
         self._background = BackgroundTasks()
 
     @property
@@ -228,6 +232,10 @@
         if self._stop_asked.is_set():
             others = _draw_few(others, self._random)
         leader = self._view.leader
+        is_alone = leader and addresses <= {leader[0].address}
+        if is_alone and self._stop_asked.is_set():
+            await self._leader_row.read()
+            leader = self._view.leader
         first = [leader[0].address] if leader else []
         for address in (*first, *others):
             end = await self._follow(address)
@@ -349,6 +357,28 @@
             self.link.disconnect()
 
 
+class _LeaderRow:
+    """The row that names the leader, for a daemon that knows no other one."""
+
+    def __init__(
+        self, store: StoreClient, view: FleetView, clock: SystemClock
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._clock = clock
+        self._next_read_at: Seconds = 0
+
+    async def read(self) -> None:
+        """Read the row into the view, unless it was read lately."""
+        now = self._clock.monotonic()
+        if now < self._next_read_at:
+            return
+        self._next_read_at = now + LEADER_READ_INTERVAL
+        snapshot = await self._store.read_all(OWN_TABLE)
+        if not isinstance(snapshot, Failure):
+            self._view.replace(OWN_TABLE, snapshot.rows, snapshot.version)
+
+
 async def _repeat(
     seek: Callable[[], Awaitable[None]], random_source: RandomSource
 ) -> None:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -294,6 +294,19 @@
             await asyncio.sleep(FALLBACK_DELAY)
             self.assertEqual(stopping.core.store.calls, calls)
 
+    async def test_stop_of_a_daemon_that_knows_only_the_leader(self) -> None:
+        """It joined after the last announcement, and never found the next."""
+        async with deployment(gateways=3) as system:
+            leader, stopping, other = await _settled(system)
+            await stopping.core.hand_over()
+            link = stopping.core.membership.link
+            leader_id = leader.settings.instance.instance_id
+            for instance_id in set(link.addresses_by_id) - {leader_id}:
+                link.addresses_by_id.pop(instance_id)
+            await system.kill_gateway(leader)
+            await until(lambda: other.core.membership.leader_term is not None)
+            await until(link.is_relaying)
+
     async def test_stopping_daemon_leaves_a_late_leader(self) -> None:
         """A leader whose tables are late is still followed in a stop."""
         async with deployment(gateways=3) as system:
