--- a/tests/test_unread_output.py
+++ b/tests/test_unread_output.py
@@ -1,4 +1,4 @@
-"""Tests of daemon processes whose output nobody reads."""
+"""Tests of daemon processes whose output is not read."""
 
 import asyncio
 import contextlib
@@ -43,7 +43,7 @@
 
 @contextlib.contextmanager
 def full_pipe() -> Iterator[int]:
-    """Return the end to write to of a pipe that nobody reads."""
+    """Return the write end of a pipe that is never read."""
     reader, writer = os.pipe()
     fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_SIZE)
     os.write(writer, b'.' * PIPE_SIZE)
