Tell a request for another process from one for a key that isn't held

An attempt now has the kind of refusal, and its reason names the target that answered in place of the expected one. Test: test_refusals_of_both_kinds_of_misdirected_requests.

--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -22,6 +22,17 @@
     unknown = 'unknown'
 
 
+class TargetRefusal(enum.Enum):
+    """Why a target refused a request, which it has not run."""
+
+    #: It takes no more requests now, or gave another reason.
+    shed = 'shed'
+    #: It does not hold the request's key.
+    key_not_held = 'key_not_held'
+    #: The expected target has ended, and another one has its address.
+    replaced = 'replaced'
+
+
 class Answer(msgspec.Struct, frozen=True):
     """A complete answer of a target."""
 
@@ -37,6 +48,8 @@
     outcome: AttemptOutcome
     answer: Answer | None = None
     failure: Failure | None = None
+    #: Why the target refused the request, if it did.
+    refusal: TargetRefusal | None = None
     #: The daemon that carried the request; empty if it was sent directly.
     helper: str = ''
     #: Whether the helper, or the way to it, failed and not the target.
@@ -85,6 +98,11 @@
     return Attempt(AttemptOutcome.not_run, failure=Failure(kind, reason))
 
 
+def refused(reason: str, refusal: TargetRefusal) -> Attempt:
+    """Return an attempt that the target has refused."""
+    return msgspec.structs.replace(not_run(reason), refusal=refusal)
+
+
 def withdrawn(reason: str) -> Attempt:
     """Return an attempt that sent nothing, since its choice does not hold."""
     return msgspec.structs.replace(
--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -1,5 +1,6 @@
 """Read the answer of a target, received directly or from another daemon."""
 
+from collections.abc import Mapping
 from http import HTTPStatus
 
 import aiohttp
@@ -16,10 +17,12 @@
     Answer,
     Attempt,
     AttemptOutcome,
-    not_run,
+    TargetRefusal,
+    refused,
     unknown,
 )
 from cassialever.platform import wire
+from cassialever.platform.identity import answering_target
 from cassialever.platform.sessions import close_connection, record_refused
 from cassialever.platform.statements import parse_statements
 from cassialever.policy.limits import TargetLimits
@@ -64,7 +67,7 @@
             wire.parse_reported_load(headers), self._clock.monotonic()
         )
         if request_id and wire.reports_not_run(status, headers):
-            return not_run(f'the target refused with {status}')
+            return _refused(target, status, headers)
         try:
             body = await read_body(response, memory)
         except OutOfMemoryError as error:
@@ -126,6 +129,24 @@
             )
 
 
+def _refused(
+    target: Target, status: int, headers: Mapping[str, str]
+) -> Attempt:
+    """Return the outcome of a request that a target has not run."""
+    if status != HTTPStatus.MISDIRECTED_REQUEST:
+        return refused(f'the target refused with {status}', TargetRefusal.shed)
+    answering = answering_target(status, headers)
+    if answering and answering != target.target_id:
+        return refused(
+            f'{answering} has the address and refused with {status}',
+            TargetRefusal.replaced,
+        )
+    return refused(
+        f'the target does not hold the key and refused with {status}',
+        TargetRefusal.key_not_held,
+    )
+
+
 async def read_body(
     response: aiohttp.ClientResponse, memory: MemoryClaim
 ) -> Body:
--- a/cassialever/platform/identity.py
+++ b/cassialever/platform/identity.py
@@ -29,3 +29,14 @@
     """
     is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
     return is_misdirected and headers.get(_ANSWERING_TARGET) != target_id
+
+
+def answering_target(status: int, headers: Mapping[str, str]) -> TargetId:
+    """Return the target that refused a request meant for another one.
+
+    The text is empty if the answer names none: a target that doesn't hold a
+    request's key refuses it with the same status.
+    """
+    if status != HTTPStatus.MISDIRECTED_REQUEST:
+        return TargetId('')
+    return TargetId(headers.get(_ANSWERING_TARGET, ''))
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -12,7 +12,11 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import ErrorKind
 from cassialever.fleet.model import Target, TargetState
-from cassialever.gateway.outcomes import Attempt, AttemptOutcome
+from cassialever.gateway.outcomes import (
+    Attempt,
+    AttemptOutcome,
+    TargetRefusal,
+)
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker
@@ -193,6 +197,21 @@
                     (await self.send()).outcome, AttemptOutcome.not_run
                 )
 
+    async def test_refusals_of_both_kinds_of_misdirected_requests(self) -> None:
+        for head, refusal, word in (
+            ('Instance-Id: t9\r\n', TargetRefusal.replaced, 't9 has'),
+            ('Not-Executed: 1\r\n', TargetRefusal.key_not_held, 'hold'),
+            ('Instance-Id: t0\r\n', TargetRefusal.key_not_held, 'hold'),
+        ):
+            self.reply = raw_answer(
+                f'Attempt-Id: a1\r\n{head}Content-Length: 0\r\n',
+                status='421 Misdirected',
+            )
+            with self.subTest(head=head):
+                attempt = await self.send()
+                self.assertIs(attempt.refusal, refusal)
+                self.assertIn(word, attempt.reason)
+
     async def test_refusal_that_does_not_state_not_run(self) -> None:
         for head in ('', 'Attempt-Id: a1\r\n'):
             self.reply = raw_answer(
