End the belief in a target whose address another one has

Callers saw: a request was sent to the address of an owner that had ended, refused with 421 by the process there, and sent to the same address again 2 ms later; the next requests went there too.

Cause: an answer 421 was one refusal like any other. The target was left as it was, since only its entry in the store said that it is gone, and that is removed 1 to 2.4 s later.

An answer with the request's own id that names another target ends the life of the expected one: a process keeps its address. It is noted with the life and the address, like the statement that a target leaves: it gets no request any more, also none that has been chosen for it or is passed on, and all daemons learn of it through the leader (a trailing field of the reports on limits, which earlier builds ignore).

The stand-in's targets without keys refuse calls about keys with 400 now, as the platform's do.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -221,6 +221,11 @@
         logbook.NOTICE,
         'A target asked this daemon for a pause.',
     )
+    target_replaced = (
+        526,
+        logbook.NOTICE,
+        'Another target answered at the address of one, which has ended.',
+    )
     data_centre_changed = (522, logbook.NOTICE, 'Data centre states changed.')
 
     cut_off_from_targets = (
--- a/cassialever/fleet/limit_reports.py
+++ b/cassialever/fleet/limit_reports.py
@@ -16,19 +16,25 @@
 #: Longest age in a report: a month, for limits that are reported to daemons
 #: which begin to follow.
 MAX_AGE: Final[Seconds] = 2.6e6
+#: Longest address in a report.
+MAX_ADDRESS_LENGTH: Final = 64
 #: Highest rate in a report, in requests per second: more than any target takes.
 MAX_RATE: Final = 1e9
 
 # Numbers out of range are rejected with the message.
 _Age: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE)]
 _Rate: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+_Address: TypeAlias = Annotated[
+    str, msgspec.Meta(max_length=MAX_ADDRESS_LENGTH)
+]
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """What a daemon knows of a target's limit; ages are None if unknown.
 
     `rate` is in requests per second. `leaving_age` is the time since the target
-    said that it leaves, if it did; an older build sends none.
+    said that it leaves, if it did; an older build sends none. `replaced_at` is
+    the target's address if another target has answered there.
     """
 
     target_id: TargetId
@@ -37,6 +43,7 @@
     named_age: _Age | None
     ended_age: _Age | None
     leaving_age: _Age | None = None
+    replaced_at: _Address = ''
 
 
 def make_report(limit: TargetLimit, now: Seconds) -> LimitReport:
@@ -48,6 +55,7 @@
         _age(limit.named_at, now),
         _age(limit.reported_end, now),
         _age(limit.leaving_since, now),
+        limit.replaced_at,
     )
 
 
@@ -71,7 +79,7 @@
     if report.leaving_age is not None:
         leaving_since = now - report.leaving_age
         limit = msgspec.structs.replace(limit, leaving_since=leaving_since)
-    return limit
+    return msgspec.structs.replace(limit, replaced_at=report.replaced_at)
 
 
 def ignore_reports(reports: list[LimitReport]) -> None:
--- a/cassialever/fleet/limits.py
+++ b/cassialever/fleet/limits.py
@@ -78,6 +78,7 @@
         if (
             merged.rate_in_force != limit.rate_in_force
             or merged.is_leaving != limit.is_leaving
+            or merged.replaced_at != limit.replaced_at
         ):
             self._note_unsent(merged.target_id)
 
@@ -148,6 +149,14 @@
                 started_at=merged.started_at,
                 learned_from=source.peer or 'an answer',
             )
+        if merged.replaced_at != known.replaced_at:
+            record(
+                Event.target_replaced,
+                target=merged.target_id,
+                started_at=merged.started_at,
+                address=merged.replaced_at,
+                learned_from=source.peer or 'an answer',
+            )
         # What came from the leader goes to the others without this daemon.
         if self._relay.is_leader or source.peer != 'the leader':
             self._note_unsent(merged.target_id)
--- a/cassialever/fleet/target_registry.py
+++ b/cassialever/fleet/target_registry.py
@@ -124,6 +124,7 @@
             target.state is TargetState.ready
             and target.data_centre not in self.evacuated
             and target.target_id not in self.taken_out
+            and not self.limits.is_replaced(target)
         )
 
     def _with_slot_limit(self, target: Target) -> Target:
--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from cassialever.clock import SystemClock
+from cassialever.decoding import shortened
 from cassialever.errors import Failure
 from cassialever.events import Event, record
 from cassialever.fleet.model import Target
@@ -98,8 +99,12 @@
         A request that it refuses is kept off the same connection.
         """
         if wire.reports_not_run(status, response.headers):
-            refused = wire.parse_request_metadata(response.headers)
-            record_refused(response, refused.request_id)
+            request = wire.parse_request_metadata(response.headers)
+            record_refused(response, request.request_id)
+            if request.request_id and _is_replaced(
+                target, status, response.headers
+            ):
+                self._limits.record_replaced(target)
         said = parse_statements(status, response.headers, self._clock.wall())
         if isinstance(said, Failure):
             return
@@ -129,14 +134,22 @@
             )
 
 
+def _is_replaced(
+    target: Target, status: int, headers: Mapping[str, str]
+) -> bool:
+    """Return whether another target has answered in place of one."""
+    answering = answering_target(status, headers)
+    return bool(answering) and answering != target.target_id
+
+
 def _refused(
     target: Target, status: int, headers: Mapping[str, str]
 ) -> Attempt:
-    """Return the outcome of a request that a target has not run."""
+    """Return the outcome of a request that was refused without a run."""
     if status != HTTPStatus.MISDIRECTED_REQUEST:
         return refused(f'the target refused with {status}', TargetRefusal.shed)
-    answering = answering_target(status, headers)
-    if answering and answering != target.target_id:
+    if _is_replaced(target, status, headers):
+        answering = shortened(answering_target(status, headers))
         return refused(
             f'{answering} has the address and refused with {status}',
             TargetRefusal.replaced,
--- a/cassialever/policy/limits.py
+++ b/cassialever/policy/limits.py
@@ -8,8 +8,9 @@
 request was sent that was answered without one. The limit is in force while
 the first is later. An answer that was under way while the limit was named
 thus can't end it. A target that says that it leaves does so until it starts
-again; the earliest time at which it said so is kept. A pause that a target asks
-for concerns the daemon that it answers alone, and is not exchanged.
+again; the earliest time at which it said so is kept. One whose address another
+target has got has ended: a process keeps its address. A pause that a target
+asks for concerns the daemon that it answers alone, and is not exchanged.
 """
 
 import math
@@ -30,8 +31,8 @@
 #: Lowest rate that is applied, in requests per second. A target is asked at
 #: least this often, since only an answer tells that the limit has ended.
 MIN_RATE: Final = 0.1
-#: Number of targets that are gone of which it is still known that they left.
-#: An entry may come back though its target leaves.
+#: Number of targets that are gone of which it is still known that they left or
+#: have ended. An entry may come back though its target leaves.
 MAX_GONE_TARGETS: Final = 1000
 
 
@@ -53,12 +54,19 @@
     reported_end: Seconds = -math.inf
     #: When an answer was first read that said that the target leaves.
     leaving_since: Seconds = math.inf
+    #: The address at which another target has answered; empty if none has.
+    replaced_at: str = ''
 
     @property
     def is_leaving(self) -> bool:
         """Return whether the target has said that it leaves."""
         return math.isfinite(self.leaving_since)
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether the target gets no more requests in this life."""
+        return self.is_leaving or bool(self.replaced_at)
+
     @property
     def is_in_force(self) -> bool:
         """Return whether the limit was named after it last ended."""
@@ -77,6 +85,7 @@
             max(self.ended_at, other.ended_at),
             max(self.reported_end, other.reported_end),
             min(self.leaving_since, other.leaving_since),
+            max(self.replaced_at, other.replaced_at),
         )
 
     @property
@@ -150,6 +159,14 @@
         )
         self.merge(leaving, OWN_ANSWER)
 
+    def record_replaced(self, target: Target) -> None:
+        """Record that another target has answered at a target's address."""
+        self._lives.note_called(target)
+        replaced = TargetLimit(
+            target.target_id, target.started_at, replaced_at=target.address
+        )
+        self.merge(replaced, OWN_ANSWER)
+
     def merge(self, limit: TargetLimit, source: LimitSource) -> TargetLimit:
         """Merge what an answer or a peer says; return what is known now.
 
@@ -190,12 +207,22 @@
             return math.inf
         return limit.leaving_since
 
+    def is_replaced(self, target: Target) -> bool:
+        """Return whether another target has the address of this one's report.
+
+        A process keeps its address, so that this one has ended then.
+        """
+        limit = self._limit_by_id.get(target.target_id)
+        if limit is None or limit.started_at != target.started_at:
+            return False
+        return limit.replaced_at == target.address
+
     def in_force(self) -> list[TargetLimit]:
-        """Return the limits in force, and the targets that leave."""
+        """Return the limits in force, and the targets that leave or ended."""
         return [
             one
             for one in self._limit_by_id.values()
-            if one.is_in_force or one.is_leaving
+            if one.is_in_force or one.is_over
         ]
 
     def prune(self, target_by_id: Mapping[TargetId, Target]) -> None:
@@ -218,7 +245,7 @@
     gone = []
     for limit in limits:
         target = target_by_id.get(limit.target_id)
-        if target is None and limit.is_leaving:
+        if target is None and limit.is_over:
             gone.append(limit.target_id)
             continue
         if target is None or target.started_at > limit.started_at:
@@ -240,6 +267,7 @@
         known.rate_in_force != merged.rate_in_force
         or known.has_ended_for_all != merged.has_ended_for_all
         or known.is_leaving != merged.is_leaving
+        or known.replaced_at != merged.replaced_at
     )
 
 
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -310,6 +310,11 @@
 
     async def _handle_call(self, request: web.Request) -> web.Response:
         self.faults.repeat_call_answer(request)
+        if not self.is_keyed:
+            # It takes the call for a request, which has no id.
+            return web.Response(
+                status=HTTPStatus.BAD_REQUEST, headers={'Not-Executed': '1'}
+            )
         if _names_another(request, self.target_id):
             response = _misdirected_call(request, self)
         elif request.match_info['call'] == 'grant':
--- /dev/null
+++ b/tests/test_replaced_targets.py
@@ -0,0 +1,115 @@
+"""Tests of targets that have ended, and whose addresses others have."""
+
+import collections
+import unittest
+
+from cassialever.gateway.application import Gateway
+from standins.keyed_target import TargetServer
+from tests.fleet_helpers import Deployment, deployment, until
+from tests.gateway_helpers import (
+    ISSUE_HEADERS,
+    LOOKUP_HEADERS,
+    send_request,
+    wait_for_keys,
+)
+
+#: Time within which every daemon knows what one of them was told, in seconds.
+TIME_TO_KNOW = 0.5
+
+
+def arrivals(target: TargetServer) -> collections.Counter[str]:
+    """Return how often each request has arrived at a target's address."""
+    return collections.Counter(
+        headers['Attempt-Id'] for headers in target.received_headers
+    )
+
+
+def replace(
+    target: TargetServer, target_id: str, *, is_keyed: bool = True
+) -> None:
+    """Give a target's address to another one, which holds no keys."""
+    target.received_headers.clear()
+    target.target_id = target_id
+    target.is_keyed = is_keyed
+    target.simulate_restart()
+
+
+async def send_to_keys(
+    gateways: list[Gateway], name: str, keys: range
+) -> list[int]:
+    """Send a request for each key, one after the other."""
+    statuses = []
+    for number, key in enumerate(keys):
+        headers = {**LOOKUP_HEADERS, 'Shard-Key': str(key)}
+        gateway = gateways[number % len(gateways)]
+        response = await send_request(
+            gateway, '/lookup/', headers, f'{name}-{number}'
+        )
+        statuses.append(response.status)
+    return statuses
+
+
+class ReplacedOwnerTest(unittest.IsolatedAsyncioTestCase):
+    """An owner of keys whose entry stays in the store after its end."""
+
+    async def test_request_reaches_an_owner_that_was_replaced_once(
+        self,
+    ) -> None:
+        for is_keyed in (True, False):
+            with self.subTest(is_keyed=is_keyed):
+                async with deployment(keyed=2) as system:
+                    await wait_for_keys(system.gateways[0])
+                    ended = system.targets[0]
+                    replace(ended, 'x9', is_keyed=is_keyed)
+                    await send_to_keys(
+                        system.gateways, 'r', range(0, 65536, 4096)
+                    )
+                    self.assertEqual(sum(arrivals(ended).values()), 1)
+
+    async def test_no_daemon_sends_to_an_owner_that_was_replaced(self) -> None:
+        async with deployment(keyed=2, gateways=3) as system:
+            for gateway in system.gateways:
+                await wait_for_keys(gateway)
+            ended = system.targets[0]
+            replace(ended, 'x9', is_keyed=False)
+            first = system.gateways[:1]
+            await send_to_keys(first, 'a', range(0, 65536, 8192))
+            for gateway in system.gateways:
+                await until(
+                    lambda one=gateway: _is_replaced(one, 'k0'), TIME_TO_KNOW
+                )
+            await send_to_keys(system.gateways, 'b', range(0, 65536, 2048))
+            self.assertEqual(sum(arrivals(ended).values()), 1)
+
+
+class ReplacedTargetTest(unittest.IsolatedAsyncioTestCase):
+    """A target without keys whose entry stays in the store after its end."""
+
+    async def test_requests_go_to_the_other_targets(self) -> None:
+        async with deployment(keyed=1) as system:
+            await self.add_target(system)
+            # Without it there is no budget for retries.
+            await until(
+                lambda: system.gateways[0].core.forwarder.daemon_count > 0
+            )
+            ended = system.targets[-1]
+            replace(ended, 'x9', is_keyed=False)
+            statuses = [
+                (
+                    await send_request(
+                        system.gateways[0], '/issue/', ISSUE_HEADERS, f'r{one}'
+                    )
+                ).status
+                for one in range(40)
+            ]
+            self.assertEqual(set(statuses), {200})
+            self.assertLessEqual(sum(arrivals(ended).values()), 1)
+
+    async def add_target(self, system: Deployment) -> None:
+        await system.add_target(TargetServer('i1', 'issuance', is_keyed=False))
+        await until(lambda: 'i1' in system.gateways[0].view.targets.by_id)
+
+
+def _is_replaced(gateway: Gateway, target_id: str) -> bool:
+    targets = gateway.view.targets
+    return targets.limits.is_replaced(targets.by_id[target_id])
