Tell in each failed attempt who refused it, why, and whether it goes on

Operators saw: line 202 had the kind of a refusal only in its sentence, and not whether the request was sent again; no metric told refusals by other processes from those by owners without the key.

Line 202 has `refusal` (shed, key_not_held, replaced), `answered_by` (the target that answered in place of the expected one), `started_at` (the expected life) and `goes_on`. The metric `refused_by_target` counts attempts by refusal and service.

Tests: test_lines_and_metrics_tell_refusals_of_owners_apart, test_each_line_tells_whether_the_request_is_sent_again.

--- a/cassialever/gateway/counters.py
+++ b/cassialever/gateway/counters.py
@@ -7,7 +7,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from cassialever.types import MS_PER_SECOND, Seconds
+from cassialever.gateway.outcomes import Attempt, TargetRefusal
+from cassialever.types import MS_PER_SECOND, Seconds, ServiceName
 
 _LOWEST_MS: Final = 1
 _HIGHEST_MS: Final = 60000
@@ -35,6 +36,10 @@
         self.served = 0
         self.refused_by_reason: Counter[str] = Counter()
         self.failed_by_outcome: Counter[str] = Counter()
+        #: Attempts that targets have refused, by why and service.
+        self.refused_by_target: Counter[tuple[TargetRefusal, ServiceName]] = (
+            Counter()
+        )
         #: Requests sent to targets, retries included.
         self.sent_by_service: Counter[str] = Counter()
         self.latency_ms = HdrHistogram(
@@ -50,9 +55,13 @@
         """Count a refusal by this daemon."""
         self.refused_by_reason[reason] += 1
 
-    def record_failed_attempt(self, outcome: str) -> None:
+    def record_failed_attempt(
+        self, service: ServiceName, attempt: Attempt
+    ) -> None:
         """Count an attempt that did not serve its request."""
-        self.failed_by_outcome[outcome] += 1
+        self.failed_by_outcome[attempt.outcome.value] += 1
+        if attempt.refusal is not None:
+            self.refused_by_target[attempt.refusal, service] += 1
 
 
 @contextmanager
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -130,11 +130,12 @@
                 return last.answer
             progress.tried.append(placed.target.target_id)
             progress.failed.append(last)
-            self.counters.record_failed_attempt(last.outcome.value)
+            self.counters.record_failed_attempt(placed.target.service, last)
+            goes_on = self._may_retry(routed, progress, last)
             _record_failed_attempt(
-                routed, placed, last, self._clock.monotonic()
+                routed, placed, last, self._clock.monotonic(), goes_on
             )
-            if not self._may_retry(routed, progress, last):
+            if not goes_on:
                 return self._finish_unserved(
                     routed,
                     attempts_failed(last.reason),
@@ -421,16 +422,24 @@
 
 
 def _record_failed_attempt(
-    routed: RoutedRequest, placed: _Placement, attempt: Attempt, now: Seconds
+    routed: RoutedRequest,
+    placed: _Placement,
+    attempt: Attempt,
+    now: Seconds,
+    goes_on: bool,
 ) -> None:
     record(
         Event.attempt_failed,
         request=routed.request.request_id,
         route=routed.route.name,
         target=placed.target.target_id,
+        started_at=placed.target.started_at,
         helper=attempt.helper or None,
         key=routed.key,
         end=attempt.outcome.value,
+        refusal=attempt.refusal.value if attempt.refusal else None,
+        answered_by=attempt.answered_by or None,
+        goes_on=goes_on,
         reason=attempt.reason,
         after=round(now - routed.received_at, 3),
         **placed.decision.tables.fields(),
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -147,6 +147,9 @@
         readings.append(Reading('attempts', count, {'service': service}))
     for outcome, count in counters.failed_by_outcome.items():
         readings.append(Reading('attempts_failed', count, {'end': outcome}))
+    for (refusal, service), count in counters.refused_by_target.items():
+        labels = {'refusal': refusal.value, 'service': service}
+        readings.append(Reading('refused_by_target', count, labels))
     for percentile in PERCENTILES:
         latency = counters.latency_ms.get_value_at_percentile(percentile)
         readings.append(
--- a/cassialever/gateway/outcomes.py
+++ b/cassialever/gateway/outcomes.py
@@ -50,6 +50,8 @@
     failure: Failure | None = None
     #: Why the target refused the request, if it did.
     refusal: TargetRefusal | None = None
+    #: The target that refused it in place of the expected one, if one did.
+    answered_by: str = ''
     #: The daemon that carried the request; empty if it was sent directly.
     helper: str = ''
     #: Whether the helper, or the way to it, failed and not the target.
@@ -98,9 +100,13 @@
     return Attempt(AttemptOutcome.not_run, failure=Failure(kind, reason))
 
 
-def refused(reason: str, refusal: TargetRefusal) -> Attempt:
+def refused(
+    reason: str, refusal: TargetRefusal, answered_by: str = ''
+) -> Attempt:
     """Return an attempt that the target has refused."""
-    return msgspec.structs.replace(not_run(reason), refusal=refusal)
+    return msgspec.structs.replace(
+        not_run(reason), refusal=refusal, answered_by=answered_by
+    )
 
 
 def withdrawn(reason: str) -> Attempt:
--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -153,6 +153,7 @@
         return refused(
             f'{answering} has the address and refused with {status}',
             TargetRefusal.replaced,
+            answering,
         )
     return refused(
         f'the target does not hold the key and refused with {status}',
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -27,7 +27,7 @@
     send_request,
     wait_for_keys,
 )
-from tests.hop_helpers import hang, raw_server, readdress
+from tests.hop_helpers import LoggedEvents, hang, raw_server, readdress
 
 
 class RequestTest(unittest.IsolatedAsyncioTestCase):
@@ -250,6 +250,39 @@
                 text, r'key_calls_failed\{[^}]*end="ended"[^}]*\} 1.0'
             )
 
+    async def test_lines_and_metrics_tell_refusals_of_owners_apart(
+        self,
+    ) -> None:
+        for target_id, refusal, answered_by in (
+            ('x9', 'replaced', 'x9'),
+            ('k0', 'key_not_held', None),
+        ):
+            async with deployment(keyed=1) as system:
+                gateway = system.gateways[0]
+                await wait_for_keys(gateway)
+                (owner,) = system.targets[:1]
+                started_at = gateway.view.targets.by_id['k0'].started_at
+                owner.keys.clear()
+                owner.target_id = target_id
+                with self.subTest(refusal=refusal), LoggedEvents() as logged:
+                    await send_request(gateway, '/lookup/', LOOKUP_HEADERS)
+                    line = logged.fields('attempt_failed')[0]
+                    self.assertEqual(line['refusal'], refusal)
+                    self.assertEqual(line['answered_by'], answered_by)
+                    self.assertEqual(line['started_at'], started_at)
+                    port = gateway.settings.metrics_port
+                    url = f'http://127.0.0.1:{port}/metrics'
+                    async with (
+                        aiohttp.ClientSession() as session,
+                        session.get(url) as response,
+                    ):
+                        text = await response.text()
+                    self.assertRegex(
+                        text,
+                        rf'refused_by_target\{{[^}}]*refusal="{refusal}"'
+                        r'[^}]*service="registry"[^}]*\} [1-9]',
+                    )
+
     async def test_draining_target_gets_no_request(self) -> None:
         async with deployment() as system:
             gateway = system.gateways[0]
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -35,6 +35,7 @@
     make_settings,
     run_virtually,
 )
+from tests.hop_helpers import LoggedEvents
 
 ATTEMPTS = 3
 #: Duration of an attempt, in seconds.
@@ -192,6 +193,18 @@
                 assert isinstance(answer, Refusal)
                 self.assertIsNotNone(answer.retry_after)
 
+    def test_each_line_tells_whether_the_request_is_sent_again(self) -> None:
+        with LoggedEvents() as logged:
+            self.serve_scripted(RequestKind.safe, ('shed',) * ATTEMPTS)
+            self.serve_scripted(
+                RequestKind.safe, ('reset',), is_budget_exhausted=True
+            )
+            self.serve_scripted(RequestKind.unsafe, ('reset',))
+        self.assertEqual(
+            [line['goes_on'] for line in logged.fields('attempt_failed')],
+            [True, True, False, False, False],
+        )
+
     def test_second_tries_count_as_attempts(self) -> None:
         script = ('reset',) * ATTEMPTS
         for wanted in range(1, ATTEMPTS + 1):
