Tell when no key of a service is served, since when, and why

Operators saw, while nearly every lookup failed for seconds, only the lines about single requests, of which 40 a second are written. Nothing said that it was all of them, nor the cause.

Each daemon notes how its requests for keys end. Once the last 20, of 5 keys at least and over 1 s, were not served by their owners, it writes 470 (keys_unserved) with the most frequent cause, 471 for each other one (at intervals that grow to 60 s), and 472 once requests are served for 1 s. The metric keys_unserved_seconds says it meanwhile. Causes: no_leader, owners_unknown, no_owner, replaced, key_not_held, unreachable, unanswered, no_target. Owners that are full, cold, limited or paused are at work, and begin nothing. What is kept is bounded by 256 services of 20 requests.

Tests: test_policy_unserved_keys, test_keyed_requests. The project's own callers' interface has no such lines yet.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -177,6 +177,21 @@
         logbook.ERROR,
         'The stored owners of keys cannot be read, so none are assigned.',
     )
+    keys_unserved = (
+        470,
+        logbook.ERROR,
+        'No key of a service is served by its owner.',
+    )
+    keys_unserved_changed = (
+        471,
+        logbook.ERROR,
+        'Another cause is the most frequent one of keys that are not served.',
+    )
+    keys_served_again = (
+        472,
+        logbook.NOTICE,
+        'Keys of a service are served again, or no longer requested.',
+    )
 
     # Table and targets.
     table_unavailable = (501, logbook.WARNING, 'The table does not answer.')
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -10,6 +10,7 @@
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.core import Core
 from cassialever.gateway.front import GatewayServer
+from cassialever.gateway.keyed_requests import KeyedRequests
 from cassialever.gateway.metrics import (
     MetricsServer,
     Reading,
@@ -51,6 +52,10 @@
             self.core.clock,
             self.core.exchanges.memory,
         )
+        self._keyed_requests = KeyedRequests(
+            self.view, self.core.clock, self.core.forwarder.tables
+        )
+        self.core.forwarder.on_end = self._keyed_requests.note
         self._metrics = MetricsServer(settings, self._readings)
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
@@ -85,9 +90,13 @@
         await self.core.start()
         await self.server.start()
         self.core.begin()
-        self.core.tasks.start(self._watch_readiness())
-        # Requests are served without them.
-        self.core.tasks.start(self._metrics.start())
+        for work in (
+            self._watch_readiness(),
+            self._keyed_requests.run(),
+            # Requests are served without them.
+            self._metrics.start(),
+        ):
+            self.core.tasks.start(work)
         await self._metrics.was_tried.wait()
         record(Event.started, instance=self.settings.instance.instance_id)
 
@@ -167,6 +176,7 @@
         configuration = self.view.configuration
         return [
             *counter_readings(self.core.forwarder.counters),
+            *self._keyed_requests.readings(),
             *key_readings(self.core.key_assigner.counters),
             *hop_readings(self.core.exchanges.dispatcher.counters),
             Reading('store_calls', self.core.store.calls),
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -60,6 +60,12 @@
 #: A request as it was routed last, its placement, and how it ended.
 _Sent: TypeAlias = tuple[RoutedRequest, _Placement, Attempt]
 
+#: Called with the service, the key and the end of a request, and with the
+#: attempts that failed before.
+EndObserver: TypeAlias = Callable[
+    [ServiceName, int, Answer | Refusal, list[Attempt]], None
+]
+
 
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
@@ -112,6 +118,7 @@
         self.daemon_count = 0
         #: Keys requested since the last report, by service.
         self.keys_asked: dict[ServiceName, list[int]] = {}
+        self.on_end: EndObserver = _ignore
         #: Returns the state of this daemon's tables.
         self.tables: Callable[[], TablesState] = TablesState
 
@@ -121,12 +128,15 @@
         while True:
             sent = await self._place_and_send(routed, progress)
             if isinstance(sent, Refusal):
-                return self._finish_unserved(routed, sent, progress.failed)
+                return self._finish_unserved(routed, sent, progress)
             routed, placed, last = sent
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
             ):
+                self.on_end(
+                    progress.service, routed.key, last.answer, progress.failed
+                )
                 return last.answer
             progress.tried.append(placed.target.target_id)
             progress.failed.append(last)
@@ -139,7 +149,7 @@
                 return self._finish_unserved(
                     routed,
                     attempts_failed(last.reason),
-                    progress.failed,
+                    progress,
                 )
 
     def _choose_service(self, routed: RoutedRequest) -> ServiceName:
@@ -347,10 +357,11 @@
         self,
         routed: RoutedRequest,
         refused: Refusal,
-        attempts: list[Attempt],
+        progress: _Progress,
     ) -> Answer | Refusal:
         """Return the final answer to a request that was not served."""
-        answer = final_answer(refused, attempts)
+        answer = final_answer(refused, progress.failed)
+        self.on_end(progress.service, routed.key, answer, progress.failed)
         if isinstance(answer, Answer):
             return answer
         self.counters.record_refusal(answer.cause)
@@ -380,6 +391,10 @@
         return budget
 
 
+def _ignore(*_: object) -> None:
+    """Take no note of ends; the default until an observer is known."""
+
+
 def _permit_delay(
     selector: TargetSelector,
     reason: NoTargetReason,
