Explain refusals of targets and ended owners; mend two faults of explain-key

Operators saw: - `explain-key` reported that one process had accepted calls for two targets, where the daemon that logged them had been started anew in between. Each start numbers the processes from 1, and the finding went by daemon and number. It goes by daemon, start (lines 101, 103, 119) and number now. - `explain-key` of a service without lines, such as a misspelt one, printed that there are none about that key, with exit code 0. It names the services whose keys the logs know, with exit code 7 (unknown_name). Lines of earlier builds, which don't name their service, count for any. - Neither command knew event 526. Both show it, `explain` also 455 and 470 to 472 of the request's daemon; and for a failed attempt the kind of the refusal, who answered, and whether the daemon looked for a target again.

Tests, of which the first two failed before: test_processes_of_a_daemon_that_was_started_again_are_others, test_unknown_service_is_an_error_that_names_the_known, test_owner_whose_address_another_target_has, test_time_in_which_no_key_is_served, test_request_that_targets_refused.

--- a/cassialever/tool/exits.py
+++ b/cassialever/tool/exits.py
@@ -9,6 +9,7 @@
 from cassialever.catalogue.store import Conflict
 from cassialever.errors import ErrorKind, Failure
 from cassialever.tool.context import ChangeResult, FileFaults
+from cassialever.tool.key_history import UnknownService
 
 
 class ExitCode(enum.IntEnum):
@@ -71,6 +72,11 @@
     return ExitCode.faults
 
 
+@exit_code_for.register
+def _exit_code_for_unknown_service(outcome: UnknownService) -> ExitCode:
+    return ExitCode.unknown_name
+
+
 @exit_code_for.register
 def _exit_code_for_conflict(outcome: Conflict) -> ExitCode:
     return ExitCode.conflict
--- a/cassialever/tool/key_findings.py
+++ b/cassialever/tool/key_findings.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from cassialever.keys.key_events import FreeingFact
-from cassialever.tool.key_lines import ACCEPTING_EVENTS, KeyLine
+from cassialever.tool.key_lines import (
+    ACCEPTING_EVENTS,
+    KeyLine,
+    NumberedProcess,
+    accepted_calls,
+)
 from cassialever.types import Seconds
 
 
@@ -179,22 +184,17 @@
 def _processes_of_two_targets(
     lines: Sequence[KeyLine], owners: set[str]
 ) -> Iterator[Finding]:
-    """Find processes that have accepted calls for an owner and for another.
-
-    Each daemon numbers the processes for itself.
-    """
-    known: dict[tuple[str, int], set[str]] = {}
-    for line in lines:
-        process, target = line.fields.process, line.fields.target
-        if line.name not in ACCEPTING_EVENTS or process is None:
-            continue
-        targets = known.setdefault((line.instance, process), set())
+    """Find processes that have accepted calls for an owner and for another."""
+    known: dict[NumberedProcess, set[str]] = {}
+    for process, line in accepted_calls(lines):
+        target = line.fields.target
+        targets = known.setdefault(process, set())
         if targets and target not in targets and owners & {target, *targets}:
             yield Finding(
                 line.time,
-                f'the process {process} at {line.fields.address} accepted'
-                f' calls for {target}, and before for'
-                f' {", ".join(sorted(targets))}',
+                f'the process {line.fields.process} at'
+                f' {line.fields.address} accepted calls for {target}, and'
+                f' before for {", ".join(sorted(targets))}',
             )
         targets.add(target)
 
--- a/cassialever/tool/key_history.py
+++ b/cassialever/tool/key_history.py
@@ -10,6 +10,7 @@
 from cassialever.tool.key_findings import Finding, find_faults
 from cassialever.tool.key_lines import (
     COMMON_EVENTS,
+    SERVICE_EVENTS,
     TARGET_EVENTS,
     KeyLine,
     key_lines,
@@ -66,15 +67,28 @@
     skipped: int = 0
 
 
+class UnknownService(msgspec.Struct, frozen=True):
+    """A service of whose keys the logs have no lines, and those that have."""
+
+    service: str
+    known_services: tuple[str, ...]
+
+
 def build_history(
     lines: Iterable[EventLine | None],
     service: str,
     key: int,
     period: Period,
-) -> KeyHistory:
+) -> KeyHistory | UnknownService:
     """Return the history of a key; findings rest on the time before too."""
     parsed = list(lines)
     known = key_lines(line for line in parsed if line is not None)
+    services = {
+        line.fields.service for line in known if line.name in SERVICE_EVENTS
+    }
+    # Lines of earlier builds don't name the service.
+    if not services & {'', service}:
+        return UnknownService(service, tuple(sorted(services)))
     about_key = [line for line in known if line.is_about(service, key)]
     return KeyHistory(
         service,
@@ -223,6 +237,11 @@
             '{target}, started at {started_at}, was taken for ended: another'
             ' target answered at {address}'
         ),
+        'target_replaced': (
+            '{target}, started at {started_at}, was known to have ended, since'
+            ' another target answered at {address} (learned from'
+            ' {learned_from})'
+        ),
         'keys_inherited': (
             'term {term} began with {ranges} ranges of keys (map: {map}, row'
             ' {version}), the highest fence {highest_fence}'
--- a/cassialever/tool/key_lines.py
+++ b/cassialever/tool/key_lines.py
@@ -1,7 +1,8 @@
 """The lines of daemons' logs about the owners of a key."""
 
-from collections.abc import Iterable
-from typing import Final
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import Final, TypeAlias
 
 import msgspec
 
@@ -20,7 +21,9 @@
     )
 )
 #: Events about a target, which matter for the keys that it has.
-TARGET_EVENTS: Final = frozenset(('owner_ended', 'target_gone', 'target_seen'))
+TARGET_EVENTS: Final = frozenset(
+    ('owner_ended', 'target_gone', 'target_seen', 'target_replaced')
+)
 #: Events that may affect all keys.
 COMMON_EVENTS: Final = frozenset(
     (
@@ -33,9 +36,31 @@
         'table_answers_again',
     )
 )
+#: Events at which a process of a daemon begins or ends.
+RUN_EVENTS: Final = frozenset(('started', 'stopped', 'start_failed'))
+#: Events that are about the keys of one service.
+SERVICE_EVENTS: Final = frozenset(
+    (
+        *RANGE_EVENTS,
+        'keys_assigned',
+        'keys_inherited',
+        'owners_unknown',
+        'keys_unserved',
+        'keys_unserved_changed',
+        'keys_served_again',
+    )
+)
+#: Those about all of its keys.
+_WHOLE_SERVICE_EVENTS: Final = SERVICE_EVENTS - {
+    *RANGE_EVENTS,
+    'keys_assigned',
+}
 #: Events in which a target has answered a call about keys as was asked.
 ACCEPTING_EVENTS: Final = frozenset(('keys_granted', 'keys_released'))
 
+#: A process by its daemon, the count of that daemon's starts, and its number.
+NumberedProcess: TypeAlias = tuple[str, int, int]
+
 
 class KeyFields(msgspec.Struct, frozen=True):
     """The fields of a line about keys, as far as it has them."""
@@ -89,7 +114,7 @@
         # Lines of earlier builds don't name the service.
         if self.fields.service not in {'', service}:
             return False
-        if self.name == 'keys_inherited':
+        if self.name in _WHOLE_SERVICE_EVENTS:
             return True
         if self.name == 'keys_assigned':
             return self.assigned(key) is not None
@@ -119,5 +144,21 @@
     return found
 
 
+def accepted_calls(
+    lines: Iterable[KeyLine],
+) -> Iterator[tuple[NumberedProcess, KeyLine]]:
+    """Return the calls that processes have accepted, and which process.
+
+    Each daemon numbers the processes for itself, anew after each start.
+    """
+    starts: Counter[str] = Counter()
+    for line in lines:
+        if line.name in RUN_EVENTS:
+            starts[line.instance] += 1
+        number = line.fields.process
+        if line.name in ACCEPTING_EVENTS and number is not None:
+            yield (line.instance, starts[line.instance], number), line
+
+
 def _time(line: EventLine) -> Seconds:
     return line.time
--- a/cassialever/tool/platform_rendering.py
+++ b/cassialever/tool/platform_rendering.py
@@ -9,7 +9,7 @@
 
 from cassialever.fleet.model import Route
 from cassialever.tool.key_findings import Finding
-from cassialever.tool.key_history import KeyHistory, Tenure
+from cassialever.tool.key_history import KeyHistory, Tenure, UnknownService
 from cassialever.tool.log_lines import TimelineStep
 from cassialever.tool.platform_state import PlatformState
 from cassialever.tool.rendering import NO_VALUE, new_table, render
@@ -43,6 +43,17 @@
     return Text('\n\n'.join(blocks))
 
 
+@render.register
+def _render_unknown_service(outcome: UnknownService) -> RenderableType:
+    known = ', '.join(outcome.known_services)
+    if not known:
+        return Text('The logs have no lines about keys of any service.')
+    return Text(
+        f'The logs have no lines about keys of {outcome.service}; they have'
+        f' those of {known}.'
+    )
+
+
 def _history_line(part: Tenure | Finding | TimelineStep) -> str:
     if isinstance(part, Tenure):
         return _tenure_line(part)
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -17,6 +17,7 @@
 )
 from cassialever.tool.log_lines import (
     EventLine,
+    Fields,
     TimelineStep,
     fill_in,
     line_time,
@@ -87,7 +88,7 @@
             return True
         if not self._span[0] <= line.time <= self._span[1]:
             return False
-        if line.name in TEMPLATE_BY_EVENT and line.instance in self._instances:
+        if line.name in _DAEMON_EVENTS and line.instance in self._instances:
             return True
         return _may_be_cause(line, self._key, self._targets)
 
@@ -104,12 +105,27 @@
     if template is None:
         return line.name.replace('_', ' ')
     sentence = fill_in(template, line.fields)
-    helper = line.fields.get('helper')
-    if helper and line.name == 'attempt_failed':
-        sentence = f'{sentence}, passed on through daemon {helper}'
+    if line.name == 'attempt_failed':
+        sentence = f'{sentence}{_attempt_clause(line.fields)}'
     return f'{sentence}{state_clause(line.fields)}'
 
 
+def _attempt_clause(fields: Fields) -> str:
+    """Return which way a failed attempt took, and what followed it."""
+    clauses = []
+    helper = fields.get('helper')
+    if helper:
+        clauses.append(f', passed on through daemon {helper}')
+    template = _REFUSAL_TEMPLATES.get(fields.get('refusal'))
+    if template:
+        clauses.append(fill_in(template, fields))
+    goes_on = fields.get('goes_on')
+    if goes_on is not None:
+        next_step = 'looked for a target again' if goes_on else 'gave up'
+        clauses.append(f'; this daemon {next_step}')
+    return ''.join(clauses)
+
+
 _TEMPLATE_BY_EVENT: Final[Mapping[str, str]] = MappingProxyType(
     {
         **TEMPLATE_BY_EVENT,
@@ -191,11 +207,44 @@
             'request {request} was sent to target {target} {sent_after} s after'
             ' arrival; the target was chosen {decided_after} s after arrival'
         ),
+        'keys_unserved': (
+            'no key of {service} had been served here for {lasted} s'
+            ' ({requests} requests): {reason}'
+        ),
+        'keys_unserved_changed': (
+            'no key of {service} had been served here for {lasted} s'
+            ' ({requests} requests), now most often since: {reason}'
+        ),
+        'keys_served_again': (
+            'keys of {service} were served here again, after {lasted} s'
+            ' ({requests} requests were not); served: {is_served}'
+        ),
+        'target_replaced': (
+            'target {target} was known to have ended, since another answered'
+            ' at {address} (learned from {learned_from})'
+        ),
+        'owner_ended': (
+            'target {target} was taken for ended: another target answered a'
+            ' call about keys at {address}'
+        ),
         'table_unavailable': 'table {table} of the store did not answer',
         'table_answers_again': 'table {table} of the store answered again',
         'data_centre_changed': 'data centres out of service: {taken_out}',
     },
 )
+_REFUSAL_TEMPLATES: Final[Mapping[Any, str]] = MappingProxyType(
+    {
+        'shed': '; refused ({refusal}): it took no more requests',
+        'key_not_held': (
+            '; refused ({refusal}): {target} answered itself, and does not hold'
+            ' the key'
+        ),
+        'replaced': (
+            '; refused ({refusal}): {answered_by} answered at the address of'
+            ' {target}'
+        ),
+    }
+)
 #: Events that may affect the requests for a target.
 _TARGET_EVENTS: Final = frozenset(
     (
@@ -204,9 +253,20 @@
         'target_limit_changed',
         'target_leaving',
         'target_paused',
+        'target_replaced',
+        'owner_ended',
         'request_suspected',
     ),
 )
+#: Events that may affect the requests of the daemon that logs them.
+_DAEMON_EVENTS: Final = frozenset(
+    (
+        *TEMPLATE_BY_EVENT,
+        'keys_unserved',
+        'keys_unserved_changed',
+        'keys_served_again',
+    )
+)
 #: Events that may affect any request.
 _GLOBAL_EVENTS: Final = frozenset(
     (
--- a/tests/test_tool_key_history.py
+++ b/tests/test_tool_key_history.py
@@ -33,9 +33,11 @@
     start: float | None = None,
     end: float | None = None,
 ) -> KeyHistory:
-    return build_history(
+    told = build_history(
         read_lines(lines), SERVICE, key, Period(start=start, end=end)
     )
+    assert isinstance(told, KeyHistory)
+    return told
 
 
 def shown(lines: list[str], key: int = KEY) -> list[str]:
@@ -293,6 +295,29 @@
         ]
         self.assertIn('in term 2', shown(lines)[0])
 
+    def test_processes_of_a_daemon_that_was_started_again_are_others(
+        self,
+    ) -> None:
+        """Each start of a daemon numbers the processes anew."""
+        first = key_line(1, 'keys_granted', 't1', fence=3, process=1)
+        released = key_line(2, 'keys_released', 't1', fence=3, process=1)
+        second = key_line(4, 'keys_granted', 't2', fence=4, process=1)
+        found = 'process 1 at  accepted calls for t2, and before for t1'
+        self.assertIn(found, shown([first, released, second])[0])
+        for name in ('started', 'stopped', 'start_failed'):
+            ended = log_line(3, name)
+            self.assertEqual(shown([first, released, ended, second]), [])
+            # The same processes are told apart for every other daemon.
+            ended = log_line(3, name, 'edge-2')
+            lines = [first, released, ended, second]
+            self.assertIn(found, shown(lines)[0])
+        # A later term of the same process goes on with its numbers.
+        taken = [
+            log_line(0.5, 'leader_taken', version=2, earlier={}),
+            log_line(3, 'leader_taken', version=9, earlier={}),
+        ]
+        self.assertIn(found, shown([*taken, first, released, second])[0])
+
     def test_other_keys_and_services_are_left_out(self) -> None:
         lines = [
             key_line(1, 'keys_granted', 't1', fence=3),
@@ -306,6 +331,48 @@
         self.assertEqual(told.findings, ())
         self.assertEqual(told.skipped, 1)
 
+    def test_owner_whose_address_another_target_has(self) -> None:
+        """Each daemon logs it; the first line about a life is shown."""
+        replaced = {'target': 't1', 'started_at': 1000, 'address': ADDRESS}
+        lines = [
+            key_line(1, 'keys_granted', 't1', fence=3),
+            log_line(2, 'target_replaced', **replaced,
+                     learned_from='an answer'),
+            log_line(2.1, 'target_replaced', 'edge-2', **replaced,
+                     learned_from='the leader'),
+            log_line(2.2, 'target_replaced', target='t9', started_at=1000),
+        ]  # fmt: skip
+        self.assertEqual(
+            [(step.time, step.sentence) for step in history(lines).steps][1:],
+            [
+                (
+                    2,
+                    't1, started at 1000, was known to have ended, since'
+                    f' another target answered at {ADDRESS} (learned from an'
+                    ' answer)',
+                )
+            ],
+        )
+
+    def test_time_in_which_no_key_is_served(self) -> None:
+        lines = [
+            key_line(1, 'keys_granted', 't1', fence=3),
+            log_line(5, 'keys_unserved', service=SERVICE, cause='replaced',
+                     reason='they are elsewhere', lasted=1.1, requests=25),
+            log_line(6, 'keys_unserved', service='other', cause='replaced'),
+            log_line(9, 'keys_served_again', service=SERVICE, lasted=4.5,
+                     requests=90, cause='replaced', is_served=True),
+        ]  # fmt: skip
+        self.assertEqual(
+            [one.sentence for one in history(lines).steps][1:],
+            [
+                f'no key of {SERVICE} had been served here for 1.1 s (25'
+                ' requests): they are elsewhere',
+                f'keys of {SERVICE} were served here again, after 4.5 s (90'
+                ' requests were not); served: True',
+            ],
+        )
+
     def test_period(self) -> None:
         lines = [
             key_line(1, 'keys_granted', 't1', fence=3),
@@ -347,6 +414,47 @@
             code, printed = await run_tool(*arguments, f'{folder}/missing')
             self.assertEqual(code, ExitCode.faults)
 
+    async def test_unknown_service_is_an_error_that_names_the_known(
+        self,
+    ) -> None:
+        lines = [
+            key_line(1, 'keys_granted', 't1', fence=3),
+            log_line(2, 'keys_inherited', service='ledger', term=9),
+            # A target of a service without keys.
+            log_line(3, 'target_seen', service='archive', target='t9'),
+        ]
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'log'
+            path.write_text('\n'.join(lines))
+            arguments = ('platform', 'explain-key')
+            for name in ('archive', 'regisrty'):
+                code, printed = await run_tool(
+                    *arguments, name, str(KEY), str(path)
+                )
+                self.assertEqual(code, ExitCode.unknown_name, printed)
+                words = ' '.join(printed.split())
+                self.assertIn(f'no lines about keys of {name}', words)
+                self.assertIn('they have those of ledger, registry', words)
+            code, printed = await run_tool(
+                *arguments, 'regisrty', str(KEY), str(path), '--json'
+            )
+            self.assertEqual(code, ExitCode.unknown_name, printed)
+            self.assertEqual(
+                json.loads(printed)['known_services'], ['ledger', SERVICE]
+            )
+            code, printed = await run_tool(
+                *arguments, 'ledger', str(KEY), str(path)
+            )
+            self.assertEqual(code, ExitCode.done, printed)
+            path.write_text(log_line(1, 'leader_taken', version=2))
+            code, printed = await run_tool(
+                *arguments, SERVICE, str(KEY), str(path)
+            )
+            self.assertEqual(code, ExitCode.unknown_name, printed)
+            self.assertIn(
+                'no lines about keys of any', ' '.join(printed.split())
+            )
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_tool_platform.py
+++ b/tests/test_tool_platform.py
@@ -197,6 +197,43 @@
             ],
         )
 
+    def test_request_that_targets_refused(self) -> None:
+        """Why, which target answered, and whether the daemon went on."""
+        replaced = {'target': 't5', 'address': '10.1.64.1:8707'}
+        unserved = {'service': 'registry', 'lasted': 1.1, 'requests': 25}
+        logs = [
+            log_line(9.9, 'target_replaced', **replaced,
+                     learned_from='an answer'),
+            log_line(9.9, 'target_replaced', target='t6'),
+            log_line(9.95, 'keys_unserved', **unserved, reason='gone'),
+            log_line(9.96, 'keys_unserved', 'edge-7', **unserved),
+            log_line(10, 'attempt_failed', request='b', target='t5', key=7,
+                     end='not_run', reason='x9 has the address', after=0.1,
+                     refusal='replaced', answered_by='x9', goes_on=True),
+            log_line(10.1, 'attempt_failed', request='b', target='t7', key=7,
+                     end='not_run', reason='refused with 421', after=0.2,
+                     refusal='key_not_held', answered_by=None, goes_on=False,
+                     helper='edge-2'),
+        ]  # fmt: skip
+        timeline = build_timeline(read_lines(logs), 'b')
+        self.assertEqual(
+            [step.sentence for step in timeline.steps],
+            [
+                'target t5 was known to have ended, since another answered at'
+                ' 10.1.64.1:8707 (learned from an answer)',
+                'no key of registry had been served here for 1.1 s (25'
+                ' requests): gone',
+                'target t5 did not serve request b (not_run: x9 has the'
+                ' address), 0.1 s after arrival; refused (replaced): x9'
+                ' answered at the address of t5; this daemon looked for a'
+                ' target again',
+                'target t7 did not serve request b (not_run: refused with'
+                ' 421), 0.2 s after arrival, passed on through daemon edge-2;'
+                ' refused (key_not_held): t7 answered itself, and does not'
+                ' hold the key; this daemon gave up',
+            ],
+        )
+
     def test_request_that_crashes_targets(self) -> None:
         """A quarantine explains a refusal, however long ago it began."""
         logs = (
