--- a/tests/test_keyed_requests.py
+++ b/tests/test_keyed_requests.py
@@ -220,7 +220,7 @@
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
     """A daemon and targets on the loopback interface."""
 
-    async def test_all_owners_replaced_is_told_until_keys_are_served(
+    async def test_replaced_owners_are_logged_until_keys_are_served(
         self,
     ) -> None:
         async with deployment(keyed=2) as system:
