Keep the cause of unserved keys while no other one is more frequent

Operators saw line 471 name another cause where two were equally frequent among the last 20 requests, 10 and 10. A tie went to the latest. The reported one stays now.

Test: test_cause_that_is_as_frequent_as_another_stays, which failed before.

--- a/cassialever/policy/unserved_keys.py
+++ b/cassialever/policy/unserved_keys.py
@@ -95,9 +95,14 @@
     change_interval: Seconds = FIRST_CHANGE_INTERVAL
 
     def main_cause(self) -> UnservedCause:
-        """Return the most frequent cause, the latest of several."""
+        """Return the most frequent cause.
+
+        Of several it is the reported one, or else the latest.
+        """
         counts = self.count_by_cause()
         highest = max(counts.values())
+        if self.cause is not None and counts[self.cause] == highest:
+            return self.cause
         return next(
             failure.cause
             for failure in reversed(self.recent)
--- a/tests/test_policy_unserved_keys.py
+++ b/tests/test_policy_unserved_keys.py
@@ -143,6 +143,12 @@
         )
         self.assertEqual({one.since for one in play.reports}, {START})
 
+    def test_cause_that_is_as_frequent_as_another_stays(self) -> None:
+        both = [UnservedCause.replaced, UnservedCause.unreachable]
+        play = Play()
+        play.fail(500, both)
+        self.assertEqual(play.kinds, [ReportKind.began])
+
     def test_storm_of_changing_causes_writes_few_lines(self) -> None:
         play = Play(step=0.001)
         for _ in range(1500):
