--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -60,6 +60,12 @@
 #: A request as it was routed last, its placement, and how it ended.
 _Sent: TypeAlias = tuple[RoutedRequest, _Placement, Attempt]
 
+#: Called with the service, the key and the end of a request, and with the
+#: attempts that failed before.
+EndObserver: TypeAlias = Callable[
+    [ServiceName, int, Answer | Refusal, list[Attempt]], None
+]
+
 
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
@@ -112,6 +118,7 @@
         self.daemon_count = 0
         #: Keys requested since the last report, by service.
         self.keys_asked: dict[ServiceName, list[int]] = {}
+        self.on_end: EndObserver = _ignore
         #: Returns the state of this daemon's tables.
         self.tables: Callable[[], TablesState] = TablesState
 
@@ -121,24 +128,28 @@
         while True:
             sent = await self._place_and_send(routed, progress)
             if isinstance(sent, Refusal):
-                return self._finish_unserved(routed, sent, progress.failed)
+                return self._finish_unserved(routed, sent, progress)
             routed, placed, last = sent
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
             ):
+                self.on_end(
+                    progress.service, routed.key, last.answer, progress.failed
+                )
                 return last.answer
             progress.tried.append(placed.target.target_id)
             progress.failed.append(last)
-            self.counters.record_failed_attempt(last.outcome.value)
+            self.counters.record_failed_attempt(placed.target.service, last)
+            goes_on = self._may_retry(routed, progress, last)
             _record_failed_attempt(
-                routed, placed, last, self._clock.monotonic()
+                routed, placed, last, self._clock.monotonic(), goes_on
             )
-            if not self._may_retry(routed, progress, last):
+            if not goes_on:
                 return self._finish_unserved(
                     routed,
                     attempts_failed(last.reason),
-                    progress.failed,
+                    progress,
                 )
 
     def _choose_service(self, routed: RoutedRequest) -> ServiceName:
@@ -346,10 +357,11 @@
         self,
         routed: RoutedRequest,
         refused: Refusal,
-        attempts: list[Attempt],
+        progress: _Progress,
     ) -> Answer | Refusal:
         """Return the final answer to a request that was not served."""
-        answer = final_answer(refused, attempts)
+        answer = final_answer(refused, progress.failed)
+        self.on_end(progress.service, routed.key, answer, progress.failed)
         if isinstance(answer, Answer):
             return answer
         self.counters.record_refusal(answer.cause)
@@ -379,6 +391,10 @@
         return budget
 
 
+def _ignore(*_: object) -> None:
+    """Take no note of ends; the default until an observer is known."""
+
+
 def _permit_delay(
     selector: TargetSelector,
     reason: NoTargetReason,
@@ -421,16 +437,24 @@
 
 
 def _record_failed_attempt(
-    routed: RoutedRequest, placed: _Placement, attempt: Attempt, now: Seconds
+    routed: RoutedRequest,
+    placed: _Placement,
+    attempt: Attempt,
+    now: Seconds,
+    goes_on: bool,
 ) -> None:
     record(
         Event.attempt_failed,
         request=routed.request.request_id,
         route=routed.route.name,
         target=placed.target.target_id,
+        started_at=placed.target.started_at,
         helper=attempt.helper or None,
         key=routed.key,
         end=attempt.outcome.value,
+        refusal=attempt.refusal.value if attempt.refusal else None,
+        answered_by=attempt.answered_by or None,
+        goes_on=goes_on,
         reason=attempt.reason,
         after=round(now - routed.received_at, 3),
         **placed.decision.tables.fields(),
