Report a replaced target by the address that all daemons know

Cause: the report of a replaced target names its address as the reporting daemon sees it, with that daemon's host. Merged, the greater address won, and was none of the others'. In operation, where the setting is empty, all daemons see one address.

The report names the address of the target's entry, which is alike at all daemons.

--- a/cassialever/fleet/model.py
+++ b/cassialever/fleet/model.py
@@ -118,7 +118,9 @@
 class Target(msgspec.Struct, frozen=True):
     """A target as it reports itself in the store.
 
-    It stays cold for `cold_for` after its entry was received.
+    It stays cold for `cold_for` after its entry was received. A daemon that
+    reaches targets at a host of its own has the entry's address in
+    `listed_address`.
     """
 
     target_id: TargetId
@@ -129,6 +131,12 @@
     state: TargetState
     started_at: StartedAt
     cold_for: Seconds
+    listed_address: str = ''
+
+    @property
+    def shared_address(self) -> str:
+        """Return the address by which all daemons know the target."""
+        return self.listed_address or self.address
 
 
 class StoreRow(msgspec.Struct, frozen=True, array_like=True):
--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -175,6 +175,7 @@
         state=state,
         started_at=StartedAt(wire.born),
         cold_for=max(wire.status.warmup_left_ms, 0) / MS_PER_SECOND,
+        listed_address=wire.address if host else '',
     )
 
 
--- a/cassialever/policy/limits.py
+++ b/cassialever/policy/limits.py
@@ -163,7 +163,9 @@
         """Record that another target has answered at a target's address."""
         self._lives.note_called(target)
         replaced = TargetLimit(
-            target.target_id, target.started_at, replaced_at=target.address
+            target.target_id,
+            target.started_at,
+            replaced_at=target.shared_address,
         )
         self.merge(replaced, OWN_ANSWER)
 
@@ -215,7 +217,7 @@
         limit = self._limit_by_id.get(target.target_id)
         if limit is None or limit.started_at != target.started_at:
             return False
-        return limit.replaced_at == target.address
+        return limit.replaced_at == target.shared_address
 
     def in_force(self) -> list[TargetLimit]:
         """Return the limits in force, and the targets that leave or ended."""
--- a/tests/test_replaced_targets.py
+++ b/tests/test_replaced_targets.py
@@ -3,9 +3,15 @@
 import collections
 import unittest
 
+import msgspec
+
+from cassialever.fleet.model import Target
 from cassialever.gateway.application import Gateway
+from cassialever.platform.records import decode_target
+from cassialever.policy.limits import LimitSource, TargetLimits
+from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
-from tests.fleet_helpers import Deployment, deployment, until
+from tests.fleet_helpers import Deployment, deployment, target_entry, until
 from tests.gateway_helpers import (
     ISSUE_HEADERS,
     LOOKUP_HEADERS,
@@ -15,6 +21,8 @@
 
 #: Time within which every daemon knows what one of them was told, in seconds.
 TIME_TO_KNOW = 0.5
+#: Hosts at which daemons reach the targets.
+HOSTS = ('127.0.0.2', '127.0.0.3', '')
 
 
 def arrivals(target: TargetServer) -> collections.Counter[str]:
@@ -110,6 +118,30 @@
         await until(lambda: 'i1' in system.gateways[0].view.targets.by_id)
 
 
+class OwnHostTest(unittest.TestCase):
+    """Daemons that reach the targets at hosts of their own."""
+
+    def test_report_of_a_daemon_with_another_host_ends_the_belief(
+        self,
+    ) -> None:
+        content = msgspec.json.encode(target_entry(address='127.0.0.1:8707'))
+        limits_by_host = {host: TargetLimits() for host in HOSTS}
+        target_by_host = {}
+        for host, limits in limits_by_host.items():
+            target = decode_target('k0', content, host)
+            assert isinstance(target, Target)
+            target_by_host[host] = target
+            limits.record_replaced(target)
+        reported = limits_by_host[HOSTS[1]].of(TargetId('k0'))
+        assert reported is not None
+        for host in HOSTS[0], HOSTS[-1]:
+            with self.subTest(host=host):
+                limits_by_host[host].merge(reported, LimitSource('the leader'))
+                self.assertTrue(
+                    limits_by_host[host].is_replaced(target_by_host[host])
+                )
+
+
 def _is_replaced(gateway: Gateway, target_id: str) -> bool:
     targets = gateway.view.targets
     return targets.limits.is_replaced(targets.by_id[target_id])
