Soak: owners that end, and judges of keys, added routes and ended targets

What callers saw of owners whose addresses other processes have went past the soak: no fault of it gave an address to another process, and nothing judged whether keys are served again.

Faults: replace_by_owners (address to a new target of the keyed service), replace_by_others (to one of a service without keys), restart_owners (same id, new start time, keys lost, entry late); one, several or all, at once or in series, the address used again at once or up to 2 s later; entries stay 0.5 to 4 s.

Judges: a range of keys is served again 3 s after its owner ended or the last excuse (the store takes no writes or turns machines away, no owner, no leader, a leader that is disrupted or cut off, targets that refuse or limit); no request reaches a process twice that has refused it in place of another target, none of a daemon 0.1 s after the first such answer there, none of the others 0.5 s after it; added routes are served like the first ones of their service, and at least a quarter as often as all first ones. Callers send 3 in 10 requests for keys on added routes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 from soak.judging import ConfigurationJudge
 from soak.leaders import LeaderJudge, LeaderWatch
 from soak.leaving import LeavingTargets
+from soak.service_watch import ServiceWatch
 
 #: All keys must be served again within this time after the last fault, in
 #: seconds: 3 s to recover from a fault, after up to 15 s in which an earlier
@@ -50,9 +51,13 @@
     operator = Operator(fleet, judge, seed)
     route_callers = RouteCallers(fleet, operator, judge, seed)
     leaving = LeavingTargets(fleet, route_callers, seed)
-    injector = FaultInjector(fleet, seed, operator.change, faults)
     leader_judge = LeaderJudge()
     watch = LeaderWatch(fleet, leader_judge)
+    service_watch = ServiceWatch(fleet, watch)
+    callers.note_key_request = service_watch.note
+    injector = FaultInjector(
+        fleet, seed, operator.change, faults, service_watch.keys
+    )
     by_name = {one.name: one for one in fleet.daemons}
     judge.describe = lambda name, at: watch.describe(by_name[name], at)
     leaving.describe = watch.describe
@@ -71,6 +76,7 @@
             asyncio.create_task(route_callers.run()),
             asyncio.create_task(leaving.run()),
             asyncio.create_task(watch.run()),
+            asyncio.create_task(service_watch.run()),
             asyncio.create_task(
                 _watch_own_loop(own_lateness, injector.log_event)
             ),
@@ -96,6 +102,7 @@
             *judge.violations,
             *leaving.violations(),
             *leader_judge.violations,
+            *service_watch.violations(),
         )
         injector.events.extend((*watch.events, *judge.stretched))
         injector.events.extend((*operator.events, *leaving.events))
@@ -132,6 +139,7 @@
         callers.outcome_counts['two leaders, ms'] = int(
             leader_judge.longest_shared * 1000
         )
+        _count_service(service_watch, callers)
         _check_messages(fleet, callers)
     finally:
         await fleet.stop()
@@ -169,6 +177,16 @@
         lateness[0] = max(lateness[0], late_by)
 
 
+def _count_service(watch: ServiceWatch, callers: Callers) -> None:
+    """Count what the judges of keys and added routes have seen."""
+    counts = callers.outcome_counts
+    counts['losses of keys'] = watch.keys.loss_count
+    counts['losses with an excuse'] = watch.keys.excused_count
+    counts['keys without service, ms'] = int(watch.keys.longest * 1000)
+    counts['on added keyed routes'] = watch.routes.added_count
+    counts['for replaced targets'] = watch.misdirection_count()
+
+
 def _check_messages(fleet: SoakFleet, callers: Callers) -> None:
     """Count log lines; an invalid message or a broken rule is a violation."""
     for daemon in fleet.daemons:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,11 +5,13 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import aiohttp
 
 from soak.fleet import DaemonProcess, SoakFleet
+from soak.judging import STABLE_TIME
+from soak.service_judging import KeyRequest
 
 #: Connection errors and timeouts are no violations for this long after a
 #: daemon was disrupted, in seconds. It covers the platform's grace period for
@@ -27,6 +29,9 @@
 MIN_RELATIVE_SHARE = 2 / 3
 MAX_FAILED_COUNT = 10
 MAX_FAILED_PART = 1 / 50
+FIRST_HOST = 'registry.example'
+#: Part of the requests for keys that are sent on added routes.
+ADDED_PART = 0.3
 
 
 class Group(enum.Enum):
@@ -53,6 +58,10 @@
         #: IDs of the requests that a daemon reported as not run. They must not
         #: run later either.
         self.not_run_ids: set[str] = set()
+        #: Called with each request for a key, and whether its route was added.
+        self.note_key_request: Callable[
+            [DaemonProcess, bool | None, KeyRequest], None
+        ] = _ignore
         #: IDs of the unsafe requests, which must not run twice.
         self.unsafe_ids: set[str] = set()
 
@@ -75,7 +84,7 @@
         """
         runs = Counter(
             request_id
-            for target in self.fleet.targets
+            for target in self.fleet.all_targets
             for request_id in target.executed_ids
         )
         for request_id in self.not_run_ids & runs.keys():
@@ -93,7 +102,7 @@
         for key in range(0, 65536, 2048):
             holders = [
                 target.target_id
-                for target in self.fleet.targets
+                for target in self.fleet.all_targets
                 if target.is_keyed and target.holds(key)
             ]
             if len(holders) > 1:
@@ -140,7 +149,8 @@
     def was_run(self, request_id: str) -> bool:
         """Return whether a target ran a request."""
         return any(
-            request_id in target.executed_ids for target in self.fleet.targets
+            request_id in target.executed_ids
+            for target in self.fleet.all_targets
         )
 
     async def wait_until_served(self, timeout: float) -> bool:
@@ -201,8 +211,20 @@
         daemon: DaemonProcess,
         key: int,
     ) -> str:
-        headers = {'Host': 'registry.example', 'Shard-Key': str(key)}
-        return await self._send(session, daemon, 'GET', '/lookup', headers)
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        added = [
+            host
+            for host, at in self.fleet.added_hosts
+            if at < sent_at - STABLE_TIME
+        ]
+        is_added = self._random.random() < ADDED_PART if added else None
+        host = self._random.choice(added) if is_added else FIRST_HOST
+        headers = {'Host': host, 'Shard-Key': str(key)}
+        outcome = await self._send(session, daemon, 'GET', '/lookup', headers)
+        request = KeyRequest(key, sent_at, loop.time(), outcome == '200')
+        self.note_key_request(daemon, is_added, request)
+        return outcome
 
     async def _issue(
         self,
@@ -264,3 +286,9 @@
             self.violations.append(f'{request_id}: answer has another ID')
         if status == 503 and 'Retry-After' in headers:
             self.not_run_ids.add(request_id)
+
+
+def _ignore(
+    daemon: DaemonProcess, is_added: bool | None, request: KeyRequest
+) -> None:
+    """Do not note a request."""
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -27,6 +27,10 @@
 BURST_PART = 0.3
 INVALID_PART = 0.08
 OLDER_PART = 0.05
+#: Part of the changes that add a route of the keyed service, and the most of
+#: them.
+KEYED_PART = 0.25
+MAX_KEYED_ROUTES = 8
 #: Most versions in a burst.
 MAX_BURST = 4
 #: Steps by which version numbers rise.
@@ -66,6 +70,7 @@
         self._judge = judge
         self._random = random.Random(seed)
         self._numbers = itertools.count()
+        self._keyed_numbers = itertools.count()
         #: Hosts of all routes that there were, those changed last at the end.
         self.hosts: list[str] = []
         self.events: list[str] = []
@@ -100,6 +105,8 @@
             self._write_invalid()
         elif self._random.random() < OLDER_PART:
             self._write_older()
+        elif self._random.random() < KEYED_PART:
+            self._write_keyed()
         count = 1
         if self._random.random() < BURST_PART:
             count = self._random.randint(2, MAX_BURST)
@@ -136,6 +143,17 @@
         self._fleet.store.put('op', 'config', document)
         self._log_event('an older version is written')
 
+    def _write_keyed(self) -> None:
+        """Add a route of the keyed service, if there are few."""
+        number = next(self._keyed_numbers)
+        if number >= MAX_KEYED_ROUTES:
+            return
+        host = f'lookup-{number}.example'
+        current = self._fleet.configuration
+        added = {**current['routes']['r-lookup'], 'hostname': host}
+        self._write([lambda routes: routes.update({f'lookup-{number}': added})])
+        self._fleet.note_added_host(host)
+
     def _next_version(self) -> str:
         number = int(self._fleet.configuration['version'].removeprefix('r'))
         return f'r{number + self._random.randint(1, MAX_VERSION_STEP)}'
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,9 @@
 
 from soak.fleet import CUTTING_MODES, DaemonProcess, SoakFleet
 from soak.hard_faults import HardFaults
+from soak.owner_faults import OwnerFaults
 from soak.proxy import ProxyMode
+from soak.service_judging import KeyServiceJudge
 from soak.store_faults import StoreFaults
 from standins.crashes import CrashPlan
 from standins.keyed_target import TargetServer
@@ -96,12 +98,13 @@
         fleet: SoakFleet,
         seed: int,
         change: Callable[[], None],
-        chosen: Collection[str] = (),
+        chosen: Collection[str],
+        keys: KeyServiceJudge,
     ) -> None:
         """Prepare the faults; `run` injects them.
 
         `change` writes a configuration. The names of the faults are `chosen`,
-        by default all of them.
+        by default all of them. Keys whose owners end are reported to `keys`.
         """
         self._fleet = fleet
         self._change = change
@@ -115,6 +118,7 @@
         self.store_faults = StoreFaults(*parts)
         self.hard_faults = HardFaults(*parts)
         self.hard_faults.change = change
+        owners = OwnerFaults(fleet, self._random, self.log_event, keys)
         self._faults: tuple[Callable[[], Coroutine[Any, Any, None]], ...] = (
             self._kill,
             self._stop_gracefully,
@@ -140,6 +144,9 @@
             self.hard_faults.kill_all_informed,
             self.hard_faults.silence_connections,
             self.hard_faults.crowd_cores,
+            owners.replace_by_owners,
+            owners.replace_by_others,
+            owners.restart_owners,
         )
         if chosen:
             by_name = {one.__name__.lstrip('_'): one for one in self._faults}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -153,6 +153,14 @@
             and self.store_proxy.disruptions.is_calm(calm_since, until)
         )
 
+    def is_undisturbed(self, since: float, until: float) -> bool:
+        """Return whether the process ran and its connections worked."""
+        return (
+            self._ends.is_calm(since, until)
+            and self._suspensions.is_calm(since, until)
+            and self.resets.is_calm(since, until)
+        )
+
     def is_running(self) -> bool:
         """Return whether its process and its path to the store work now."""
         now = asyncio.get_running_loop().time()
@@ -242,8 +250,7 @@
     async def open_paths(self, targets: Iterable[TargetServer]) -> None:
         """Start a proxy to each target, on the target's port."""
         for target in targets:
-            port = int(target.address.rpartition(':')[2])
-            path = FaultProxy(target.address, self.target_host, port)
+            path = FaultProxy(target.address, self.target_host, target.port)
             path.note_port = self._note_port
             await path.start()
             self.path_by_target[target.target_id] = path
@@ -309,6 +316,12 @@
                 for number in range(unkeyed)
             ),
         ]
+        #: Targets that ended for good, and IDs of those that do not listen.
+        self.ended_targets: list[TargetServer] = []
+        self.down_ids: set[str] = set()
+        #: Hosts of added routes of the keyed service, with the times of their
+        #: acknowledgements.
+        self.added_hosts: list[tuple[str, float]] = []
         self.daemons = [
             DaemonProcess(
                 f'edge-{number}',
@@ -323,6 +336,11 @@
             daemon.checkout = self.checkouts[number % len(self.checkouts)]
         self.configuration: dict[str, Any] = CONFIGURATION
 
+    @property
+    def all_targets(self) -> list[TargetServer]:
+        """Return the targets that there are and those that have ended."""
+        return [*self.targets, *self.ended_targets]
+
     def add_routes(self, count: int) -> str:
         """Add routes to the configuration and return the host of one."""
         version = int(self.configuration['version'].removeprefix('r')) + 1
@@ -341,7 +359,14 @@
                 'routes': {**self.configuration['routes'], **added},
             }
         )
-        return f'added-{version}-0.example'
+        host = f'added-{version}-0.example'
+        self.note_added_host(host)
+        return host
+
+    def note_added_host(self, host: str) -> None:
+        """Record an added route of the keyed service."""
+        now = asyncio.get_running_loop().time()
+        self.added_hosts.append((host, now))
 
     def write_configuration(self, configuration: dict[str, Any]) -> None:
         """Write a valid configuration that is newer than those before."""
@@ -390,8 +415,7 @@
         await self.store.start()
         self.store.put('op', 'config', CONFIGURATION)
         for target in self.targets:
-            target.faults.service_time = SERVICE_TIME
-            target.work.arrivals.sender_at = self.sender_at
+            self._prepare(target)
             await target.start()
             self.publish_target(target)
         for number, daemon in enumerate(self.daemons, start=1):
@@ -413,14 +437,54 @@
                 await daemon.store_proxy.stop()
             for path in daemon.path_by_target.values():
                 await path.stop()
-        for target in self.targets:
+        for target in self.all_targets:
             await target.stop()
         await self.store.stop()
 
+    def retire(self, target: TargetServer) -> None:
+        """Record that a target has ended for good; its entry stays."""
+        self.targets.remove(target)
+        self.ended_targets.append(target)
+
+    async def start_target(
+        self, target: TargetServer, earlier: TargetServer | None = None
+    ) -> None:
+        """Start another target, perhaps at the address of an earlier one."""
+        self._prepare(target)
+        if earlier is None:
+            await target.start(free_ports(1)[0])
+            for daemon in self.daemons:
+                await daemon.open_paths([target])
+        else:
+            await target.start(earlier.port)
+            for daemon in self.daemons:
+                paths = daemon.path_by_target
+                paths[target.target_id] = paths[earlier.target_id]
+        self.targets.append(target)
+
+    def has_owner(self) -> bool:
+        """Return whether a target could be given keys."""
+        return any(
+            one.is_keyed
+            and one.target_id not in self.down_ids
+            and self._is_listed(one)
+            for one in self.targets
+        )
+
+    def _is_listed(self, target: TargetServer) -> bool:
+        row = self.store.rows.row_by_name.get(('servers', target.target_id))
+        return row is not None and row.value is not None
+
+    def _prepare(self, target: TargetServer) -> None:
+        target.faults.service_time = SERVICE_TIME
+        target.work.arrivals.sender_at = self.sender_at
+
     def publish_target(
         self, target: TargetServer, state: str = 'ready', cold_ms: float = 0
     ) -> None:
-        """Write a target's entry."""
+        """Write a target's entry, unless it has ended for good."""
+        if target in self.ended_targets:
+            return
         entry = target.entry(state, cold_ms)
         self.store.put('servers', target.target_id, entry)
         if state == 'draining':
--- a/soak/leaders.py
+++ b/soak/leaders.py
@@ -151,6 +151,22 @@
                 self._describe_violations()
                 await asyncio.sleep(POLL_INTERVAL)
 
+    def current_leader(self) -> DaemonProcess | None:
+        """Return the daemon that alone leads, by the last readings."""
+        return self._only_leader(self._last_by_name)
+
+    def leader_during(self, since: float, until: float) -> DaemonProcess | None:
+        """Return the daemon that alone led all the while."""
+        names = [
+            by_name
+            for when, by_name in self._history
+            if since - POLL_INTERVAL <= when <= until + POLL_INTERVAL
+        ]
+        leaders = {
+            one and one.name: one for one in map(self._only_leader, names)
+        }
+        return next(iter(leaders.values())) if len(leaders) == 1 else None
+
     def describe(
         self, daemon: DaemonProcess, at: float, target_id: str = ''
     ) -> str:
@@ -179,6 +195,18 @@
             f' {at - led_at:.2f} s before'
         )
 
+    def _only_leader(
+        self, reading_by_name: dict[str, Reading]
+    ) -> DaemonProcess | None:
+        leading = [
+            one
+            for one in self._fleet.daemons
+            if one.name in reading_by_name
+            and reading_by_name[one.name].leads
+            and reading_by_name[one.name].life == one.life
+        ]
+        return leading[0] if len(leading) == 1 else None
+
     def _describe_violations(self) -> None:
         """Note what each daemon knows while a violation goes on."""
         now = asyncio.get_running_loop().time()
--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -96,7 +96,7 @@
     def violations(self) -> list[str]:
         """Return the requests that reached a target after it had left."""
         targets = {
-            **{one.target_id: one for one in self._fleet.targets},
+            **{one.target_id: one for one in self._fleet.all_targets},
             **self._target_by_id,
         }
         return [
--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from standins.crashes import CrashPlan
-from standins.listening import Listener
+from standins.listening import Listener, ListeningProcess
 from standins.spoiled_answers import SpoiledAnswers
 
 #: The highest key.
@@ -120,6 +120,15 @@
         #: Text of the `Retry-After` of refusals, if they have one.
         self.retry_after: str | None = None
 
+    def refuses_or_limits(self) -> bool:
+        """Return whether requests are refused, spoiled or limited."""
+        return (
+            self.shed_status is not None
+            or self.named_limit is not None
+            or self.repeats_refusals
+            or self.cut_heads_left > 0
+        )
+
 
 class ReceivedRequest(msgspec.Struct, frozen=True):
     """A request that reached a target, which has not answered 421."""
@@ -130,6 +139,15 @@
     sender: str
 
 
+class MisdirectedRequest(msgspec.Struct, frozen=True):
+    """A request for another target that reached this one."""
+
+    at: float
+    request_id: str
+    expected_id: str
+    sender: str
+
+
 class ArrivalLog:
     """The requests that reached a target, with their senders."""
 
@@ -138,23 +156,38 @@
         #: When each request arrived, in monotonic seconds.
         self.received_at: list[float] = []
         self.unrefused: list[ReceivedRequest] = []
+        self.misdirected: list[MisdirectedRequest] = []
         #: Returns who has the connection from a port.
         self.sender_at: Callable[[int], str] = str
 
     def note(self, request: web.Request, request_id: str) -> None:
         """Record a request that is not answered with 421."""
-        port = 0
-        if request.transport is not None:
-            port = request.transport.get_extra_info('peername')[1]
         self.unrefused.append(
             ReceivedRequest(
                 time.monotonic(),
                 request_id,
                 request.path,
-                self.sender_at(port),
+                self._sender(request),
+            )
+        )
+
+    def note_misdirected(self, request: web.Request, request_id: str) -> None:
+        """Record a request that names another target."""
+        self.misdirected.append(
+            MisdirectedRequest(
+                time.monotonic(),
+                request_id,
+                request.headers.get('Expect-Instance', ''),
+                self._sender(request),
             )
         )
 
+    def _sender(self, request: web.Request) -> str:
+        port = 0
+        if request.transport is not None:
+            port = request.transport.get_extra_info('peername')[1]
+        return self.sender_at(port)
+
 
 class TargetWork:
     """The slots and the queue of a target, with counts of its requests."""
@@ -205,7 +238,7 @@
             self._slot_semaphore.release()
 
 
-class TargetServer:
+class TargetServer(ListeningProcess):
     """A target that runs requests and accepts grants and releases."""
 
     def __init__(
@@ -218,6 +251,7 @@
         slots: int = 6,
     ) -> None:
         """Create a target without keys; `start` lets it listen."""
+        super().__init__()
         self.target_id = target_id
         self.service = service
         self.is_keyed = is_keyed
@@ -229,18 +263,12 @@
         self.keys = HeldKeys()
         self.received_headers: list[dict[str, str]] = []
         self.faults = TargetFaults()
-        self._listener = Listener()
 
     @property
     def executed_ids(self) -> list[str]:
         """Return the IDs of the requests that ran here, in order."""
         return self.work.executed_ids
 
-    @property
-    def address(self) -> str:
-        """Return the host and port that the target listens on."""
-        return self._listener.address
-
     async def start(self, port: int = 0) -> None:
         """Start listening; port 0 selects any free port."""
         application = web.Application()
@@ -248,10 +276,6 @@
         application.router.add_route('*', '/{path:.*}', self._handle_request)
         await self._listener.start(application, port)
 
-    async def stop(self) -> None:
-        """Stop the server."""
-        await self._listener.stop()
-
     def entry(self, state: str = 'ready', cold_ms: float = 0) -> dict[str, Any]:
         """Return the entry that the target writes to the store."""
         return {
@@ -285,19 +309,28 @@
         It has another start time then, and mostly another id.
         """
         plan.note_crash()
-        port = int(self.address.rpartition(':')[2])
+        port = self.port
         await self._listener.abort()
         plan.on_end(self.target_id)
         await asyncio.sleep(plan.down_time)
         if not plan.keeps_id:
             name, _, life = self.target_id.partition('+')
             self.target_id = f'{name}+{int(life or 0) + 1}'
+        await self.start_anew(port)
+        plan.on_return(self.target_id)
+
+    async def end(self) -> None:
+        """End as a process does, with its keys."""
+        await self._listener.abort()
+        self.keys.clear()
+
+    async def start_anew(self, port: int) -> None:
+        """Listen as a new process, which knows nothing of before."""
         self.simulate_restart()
         self.born = time.time_ns() // _NANOSECONDS_PER_MS
         await self._listener.stop()
         self._listener = Listener()
         await self.start(port)
-        plan.on_return(self.target_id)
 
     def held_key_count(self) -> int:
         """Return approximately how many keys the target holds now."""
@@ -340,6 +373,8 @@
         refusal = self._refusal(request, request_id)
         if refusal is None or refusal.status != HTTPStatus.MISDIRECTED_REQUEST:
             self.work.arrivals.note(request, request_id)
+        elif _names_another(request, self.target_id):
+            self.work.arrivals.note_misdirected(request, request_id)
         if refusal is not None:
             self.faults.note_refused(request, request_id)
             return refusal
--- a/standins/listening.py
+++ b/standins/listening.py
@@ -65,6 +65,28 @@
                 connection.transport.abort()
 
 
+class ListeningProcess:
+    """A stand-in for a process that listens at one address."""
+
+    def __init__(self) -> None:
+        """Create a stopped server."""
+        self._listener = Listener()
+
+    @property
+    def address(self) -> str:
+        """Return the host and port that the process listens on."""
+        return self._listener.address
+
+    @property
+    def port(self) -> int:
+        """Return the port that the process listens on, or listened on."""
+        return int(self.address.rpartition(':')[2])
+
+    async def stop(self) -> None:
+        """Stop the server."""
+        await self._listener.stop()
+
+
 def free_ports(count: int) -> tuple[int, ...]:
     """Return free ports of the loopback interface.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,16 +3,20 @@
 import asyncio
 import os
 import pathlib
+import random
 import tempfile
 import unittest
 
 from collections.abc import Awaitable, Callable
+from unittest.mock import Mock, patch
 
 import aiohttp
 
+from soak import owner_faults
 from soak.__main__ import soak
 from soak.disruptions import Disruptions
 from soak.fleet import OWN_CHECKOUT, SoakFleet
+from soak.owner_faults import OwnerFaults
 from soak.peer_links import silence_links
 from soak.proxy import FaultProxy, ProxyMode
 from standins.call_faults import (
@@ -21,11 +25,13 @@
     CallFault,
     CallOutcome,
 )
+from standins.keyed_target import Grant
 from standins.rowstore import RowStoreServer
 
 #: Time in which a connection on which nothing comes is taken to be silent, in
 #: seconds.
 SILENCE = 0.3
+OWNER_FAULTS = ('replace_by_owners', 'replace_by_others', 'restart_owners')
 
 
 class SoakTest(unittest.TestCase):
@@ -39,6 +45,21 @@
         self.assertEqual(callers.violations, [], injector.events)
         self.assertTrue(callers.outcome_counts['200'])
 
+    def test_short_soak_of_owners_that_end(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            callers, injector = asyncio.run(
+                soak(
+                    pathlib.Path(folder),
+                    seed=11,
+                    seconds=6,
+                    daemons=3,
+                    faults=OWNER_FAULTS,
+                ),
+            )
+        self.assertEqual(callers.violations, [], injector.events)
+        self.assertTrue(callers.outcome_counts['losses of keys'])
+        self.assertTrue(callers.outcome_counts['on added keyed routes'])
+
     def test_two_checkouts(self) -> None:
         """Half of the daemons run each; invalid messages are counted."""
         with tempfile.TemporaryDirectory() as folder:
@@ -249,5 +270,92 @@
         asyncio.run(check())
 
 
+class OwnerFaultsTest(unittest.TestCase):
+    """Owners that end, and what has their addresses then."""
+
+    def _run(self, fault: str) -> tuple[SoakFleet, dict[str, str], set[str]]:
+        """Inject a fault; return the first addresses, and what was lost."""
+
+        async def run(folder: str) -> tuple[SoakFleet, dict[str, str]]:
+            fleet = SoakFleet(pathlib.Path(folder), daemons=0)
+            await fleet.start()
+            try:
+                for number, target in enumerate(fleet.targets):
+                    until = asyncio.get_running_loop().time() + 60
+                    target.keys.grant(Grant(number, number, 1, until))
+                addresses = {
+                    one.target_id: one.address
+                    for one in fleet.targets
+                    if one.is_keyed
+                }
+                source = random.Random(1)
+                faults = OwnerFaults(fleet, source, ignore, judge)
+                await getattr(faults, fault)()
+            finally:
+                await fleet.stop()
+            return fleet, addresses
+
+        def ignore(event: str) -> None:
+            """Do not keep a line."""
+
+        judge = Mock()
+        no_time = (0.0, 0.01)
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            patch.multiple(
+                owner_faults,
+                REUSE_TIMES=no_time,
+                ENTRY_TIMES=no_time,
+                NEW_ENTRY_TIMES=no_time,
+                SERIES_INTERVALS=no_time,
+            ),
+        ):
+            fleet, addresses = asyncio.run(run(folder))
+        lost = {call.args[2] for call in judge.lose.call_args_list}
+        return fleet, addresses, lost
+
+    def test_new_targets_of_the_service(self) -> None:
+        fleet, addresses, lost = self._run('replace_by_owners')
+        ended = {one.target_id for one in fleet.ended_targets}
+        self.assertTrue(ended)
+        self.assertEqual(ended, lost)
+        self.assertEqual(
+            {one.address for one in fleet.targets if one.is_keyed},
+            set(addresses.values()),
+        )
+        self._check_entries(fleet)
+
+    def test_targets_of_a_service_without_keys(self) -> None:
+        fleet, addresses, lost = self._run('replace_by_others')
+        ended = {one.target_id for one in fleet.ended_targets}
+        self.assertEqual(ended, lost)
+        keyed = {one.address for one in fleet.targets if one.is_keyed}
+        others = {one.address for one in fleet.targets if not one.is_keyed}
+        self.assertEqual(len(keyed), len(addresses))
+        self.assertLessEqual({addresses[one] for one in ended}, others - keyed)
+        self._check_entries(fleet)
+
+    def test_owners_that_keep_their_ids(self) -> None:
+        fleet, addresses, lost = self._run('restart_owners')
+        self.assertTrue(lost)
+        self.assertEqual(fleet.ended_targets, [])
+        for target in fleet.targets:
+            if not target.is_keyed:
+                continue
+            with self.subTest(target=target.target_id):
+                self.assertEqual(target.address, addresses[target.target_id])
+                is_lost = target.target_id in lost
+                self.assertEqual(target.keys.grants == [], is_lost)
+        self._check_entries(fleet)
+
+    def _check_entries(self, fleet: SoakFleet) -> None:
+        rows = fleet.store.rows.row_by_name
+        listed = {name for table, name in rows if table == 'servers'}
+        self.assertEqual(listed, {one.target_id for one in fleet.targets})
+        for target in fleet.ended_targets:
+            fleet.publish_target(target)
+            self.assertNotIn(('servers', target.target_id), rows)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_soak_judging.py
+++ b/tests/test_soak_judging.py
@@ -39,6 +39,19 @@
 )
 from soak.leaving import HEALTH_PATH, LeavingTargets
 from soak.proxy import FaultProxy, ProxyMode
+from soak.service_judging import (
+    FLEET_NEWS_BOUND,
+    MAX_TOLD,
+    MIN_ADDED_REQUESTS,
+    OWN_NEWS_BOUND,
+    RANGE_SIZE,
+    SERVICE_BOUND,
+    AddedRouteJudge,
+    KeyRequest,
+    KeyServiceJudge,
+    Misdirection,
+    judge_misdirections,
+)
 
 HOST = 'judged.example'
 #: Clearly more than the margin for the test's clock, in seconds.
@@ -370,6 +383,195 @@
         self.assertNotIn('no leader', told)
 
 
+class KeyServiceJudgeTest(unittest.TestCase):
+    """Keys that are not served after their owner has ended."""
+
+    def setUp(self) -> None:
+        self.judge = KeyServiceJudge()
+        self.judge.lose(0, RANGE_SIZE - 1, 'k0', 100.0)
+
+    def _note(self, at: float, *, is_served: bool, key: int = 7) -> None:
+        self.judge.note(KeyRequest(key, at - 0.01, at, is_served))
+
+    def _check(self) -> list[str]:
+        self.judge.check()
+        return self.judge.violations
+
+    def test_range_that_is_served_late(self) -> None:
+        late = 100.0 + SERVICE_BOUND + LATE
+        self._note(late, is_served=False)
+        self._note(late + 0.1, is_served=True)
+        (violation,) = self._check()
+        for part in ('SERVICE keys 0 to 2047 of k0', '3.50 s', '1 requests'):
+            self.assertIn(part, violation)
+
+    def test_range_that_is_never_served(self) -> None:
+        self._note(100.0 + SERVICE_BOUND + LATE, is_served=False)
+        self.assertEqual(len(self._check()), 1)
+
+    def test_range_that_is_served_in_time(self) -> None:
+        self._note(100.0 + SERVICE_BOUND - LATE, is_served=False)
+        self._note(100.0 + SERVICE_BOUND, is_served=True)
+        self._note(110.0, is_served=False)
+        self.assertEqual(self._check(), [])
+        self.assertAlmostEqual(self.judge.longest, SERVICE_BOUND - LATE)
+
+    def test_range_that_is_not_asked_for(self) -> None:
+        self._note(110.0, is_served=False, key=RANGE_SIZE)
+        self._note(110.0, is_served=True)
+        self.assertEqual(self._check(), [])
+
+    def test_parts_of_a_range(self) -> None:
+        self.judge.lose(RANGE_SIZE, 3 * RANGE_SIZE, 'k1', 100.0)
+        late = 100.0 + SERVICE_BOUND + LATE
+        self._note(101.0, is_served=True, key=2 * RANGE_SIZE)
+        for key in (RANGE_SIZE, 2 * RANGE_SIZE, 3 * RANGE_SIZE):
+            self._note(late, is_served=False, key=key)
+        self.assertEqual(len(self._check()), 2)
+
+    def test_excuse_begins_the_time_anew(self) -> None:
+        self._note(103.0, is_served=False)
+        self.judge.excuse('no daemon leads', 104.0)
+        self._note(104.0 + SERVICE_BOUND - LATE, is_served=False)
+        self._note(104.0 + SERVICE_BOUND, is_served=True)
+        self.assertEqual(self._check(), [])
+        self.assertEqual(self.judge.excused_count, 1)
+
+    def test_range_that_is_served_late_after_an_excuse(self) -> None:
+        self.judge.excuse('no daemon leads', 104.0)
+        self._note(104.0 + SERVICE_BOUND + LATE, is_served=False)
+        (violation,) = self._check()
+        self.assertIn("excuses before: ['no daemon leads']", violation)
+
+    def test_range_that_is_lost_again(self) -> None:
+        self.judge.lose(0, RANGE_SIZE - 1, 'k1', 102.0)
+        self._note(102.0 + SERVICE_BOUND - LATE, is_served=False)
+        self.assertEqual(self._check(), [])
+
+
+class _Paths:
+    """Paths of news that all work, or of which some don't."""
+
+    def __init__(
+        self, *, answers: bool = True, relays: bool = True, late: float = 0
+    ) -> None:
+        self.answers = answers
+        self.relays = relays
+        self.late = late
+
+    def is_answered(
+        self, request: Misdirection, since: float, until: float
+    ) -> bool:
+        return self.answers
+
+    def is_relayed(self, sender: Misdirection, receiver: Misdirection) -> bool:
+        return self.relays
+
+    def lateness(self, since: float, until: float) -> float:
+        return self.late
+
+
+class MisdirectionTest(unittest.TestCase):
+    """Requests for targets whose addresses others have."""
+
+    def _request(
+        self, at: float, request_id: str, daemon: str = 'edge-1'
+    ) -> Misdirection:
+        return Misdirection(at, request_id, daemon, 'k0', 'k9')
+
+    def _judge(
+        self, *requests: Misdirection, paths: _Paths | None = None
+    ) -> list[str]:
+        return judge_misdirections(requests, paths or _Paths())
+
+    def test_request_that_comes_twice(self) -> None:
+        twice = self._request(10.0, 's1'), self._request(10.002, 's1')
+        (violation,) = self._judge(*twice)
+        for part in ('REPLACED s1', 'edge-1', 'reached k9 for k0', '0.002 s'):
+            self.assertIn(part, violation)
+        self.assertEqual(self._judge(*twice, paths=_Paths(answers=False)), [])
+
+    def test_request_that_comes_again_through_another_daemon(self) -> None:
+        violations = self._judge(
+            self._request(10.0, 's1'), self._request(10.1, 's1', 'edge-2')
+        )
+        self.assertEqual(len(violations), 1)
+
+    def test_daemon_that_goes_on(self) -> None:
+        late = OWN_NEWS_BOUND + LATE
+        requests = self._request(10.0, 's1'), self._request(10.0 + late, 's2')
+        (violation,) = self._judge(*requests)
+        self.assertIn('0.60 s after the first refusal there', violation)
+        for paths in _Paths(answers=False), _Paths(late=LATE):
+            self.assertEqual(self._judge(*requests, paths=paths), [])
+
+    def test_requests_that_cross_the_first_answer(self) -> None:
+        requests = self._request(10.0, 's1'), self._request(10.1, 's2')
+        self.assertEqual(self._judge(*requests), [])
+
+    def test_daemon_that_is_not_told(self) -> None:
+        late = FLEET_NEWS_BOUND + LATE
+        requests = (
+            self._request(10.0, 's1'),
+            self._request(10.0 + late, 's2', 'edge-2'),
+        )
+        (violation,) = self._judge(*requests)
+        self.assertIn('1.00 s after the first refusal to edge-1', violation)
+        for paths in _Paths(relays=False), _Paths(late=LATE):
+            self.assertEqual(self._judge(*requests, paths=paths), [])
+
+    def test_daemon_that_is_told_in_time(self) -> None:
+        requests = (
+            self._request(10.0, 's1'),
+            self._request(10.0 + FLEET_NEWS_BOUND, 's2', 'edge-2'),
+        )
+        self.assertEqual(self._judge(*requests), [])
+
+    def test_many_are_counted(self) -> None:
+        requests = [
+            self._request(10.0 + number / 1000, 's1') for number in range(30)
+        ]
+        violations = self._judge(*requests)
+        self.assertEqual(len(violations), MAX_TOLD + 1)
+        self.assertIn('23 more of the kind before', violations[-1])
+
+
+class AddedRouteJudgeTest(unittest.TestCase):
+    """Added routes that are served less often than the first ones."""
+
+    def _violations(
+        self, first: tuple[int, int], added: tuple[int, int], other: int = 0
+    ) -> list[str]:
+        """Judge served and failed requests, and failed ones elsewhere."""
+        judge = AddedRouteJudge()
+        for is_added, (served, failed) in ((False, first), (True, added)):
+            for number in range(served + failed):
+                judge.note(
+                    'registry', is_added=is_added, is_served=number < served
+                )
+        for _ in range(other):
+            judge.note('issuance', is_added=False, is_served=True)
+        return judge.violations()
+
+    def test_added_routes_that_are_served_less_often(self) -> None:
+        (violation,) = self._violations((900, 100), (700, 300))
+        for part in ('CONFIG', 'registry', '0.700 of 1000', '0.900 of 1000'):
+            self.assertIn(part, violation)
+
+    def test_added_routes_that_are_served_alike(self) -> None:
+        self.assertEqual(self._violations((900, 100), (880, 120)), [])
+        self.assertEqual(self._violations((900, 100), (1000, 0)), [])
+
+    def test_few_requests(self) -> None:
+        few = MIN_ADDED_REQUESTS - 1
+        self.assertEqual(self._violations((900, 100), (0, few)), [])
+
+    def test_service_of_all_added_routes_that_is_gone(self) -> None:
+        """Other services are served, which no added route leads to."""
+        (violation,) = self._violations((60, 940), (2, 31), other=1000)
+        self.assertIn('of all services', violation)
+
+
 class LeavingTargetsTest(unittest.TestCase):
     """Requests that reach targets after they have left."""
 
