--- a/cassialever/gateway/keyed_requests.py
+++ b/cassialever/gateway/keyed_requests.py
@@ -44,6 +44,7 @@
         NoTargetReason.no_service.name: UnservedCause.no_target,
         NoTargetReason.no_owner.name: UnservedCause.no_owner,
         NoTargetReason.moving.name: UnservedCause.no_owner,
+        NoTargetReason.owner_ended.name: UnservedCause.replaced,
         NoTargetReason.unreachable.name: UnservedCause.unreachable,
     }
 )
