--- a/tests/test_keyed_requests.py
+++ b/tests/test_keyed_requests.py
@@ -91,6 +91,7 @@
         for reason, cause in (
             (NoTargetReason.no_service, 'no_target'),
             (NoTargetReason.no_owner, 'owners_unknown'),
+            (NoTargetReason.owner_ended, 'replaced'),
             (NoTargetReason.unreachable, 'unreachable'),
         ):
             with self.subTest(reason=reason):
