--- a/cassialever/application.py
+++ b/cassialever/application.py
@@ -9,6 +9,7 @@
 from cassialever.catalogue.entries import CatalogueIndex
 from cassialever.events import Event, record
 from cassialever.gateway.core import Core
+from cassialever.gateway.keyed_requests import KeyedRequests
 from cassialever.gateway.settings import (
     Bounds,
     GatewaySettings,
@@ -77,6 +78,15 @@
             'Requests sent to targets, retries included.',
             self.core.forwarder.counters.sent_by_service,
         )
+        self.keyed_requests = KeyedRequests(
+            self.core.view, self.core.clock, self.core.forwarder.tables
+        )
+        self.core.forwarder.on_end = self.keyed_requests.note
+        self.telemetry.metrics.add_gauge(
+            'cassialever.keys_unserved',
+            'Seconds in which no key of a service was served.',
+            self.keyed_requests.unserved_time,
+        )
         StatusGauges(self.telemetry.metrics, self.view, self.core.clock)
         for adopt in (self.caller_server.adopt, self.view.adopt):
             catalogue.adopted.subscribe(adopt)
@@ -107,6 +117,7 @@
         for part in self._servers():
             await part.start()
         self.core.begin()
+        self.core.tasks.start(self.keyed_requests.run())
         record(Event.started, instance=self.settings.instance.instance_id)
 
     async def stop(self) -> None:
--- a/cassialever/gateway/keyed_requests.py
+++ b/cassialever/gateway/keyed_requests.py
@@ -121,10 +121,14 @@
             for report in self._unserved.check(self._clock.boot()):
                 self._log(report)
 
+    def unserved_time(self) -> dict[str, Seconds]:
+        """Return for how long no key was served, by service."""
+        now = self._clock.boot()
+        return dict(self._unserved.time_by_service(now).items())
+
     def readings(self) -> Iterable[Reading]:
         """Return readings of how long no key of a service was served."""
-        times = self._unserved.time_by_service(self._clock.boot())
-        for service, seconds in times.items():
+        for service, seconds in self.unserved_time().items():
             yield Reading(
                 'keys_unserved_seconds', seconds, {'service': service}
             )
--- a/tests/test_keyed_requests.py
+++ b/tests/test_keyed_requests.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from cassialever.application import Application
 from cassialever.errors import ErrorKind
 from cassialever.fleet.keyindex import KeyIndex
 from cassialever.fleet.model import KeyMap
@@ -31,6 +32,7 @@
     wait_for_keys,
 )
 from tests.hop_helpers import LoggedEvents
+from tests.test_telemetry import example_settings
 
 NAMES = ('keys_unserved', 'keys_unserved_changed', 'keys_served_again')
 SERVED = Answer('t0', 200, [], b'')
@@ -218,6 +220,28 @@
         return await response.text()
 
 
+class CallersInterfaceTest(unittest.TestCase):
+    """A daemon with the project's own interface for callers."""
+
+    def test_ends_of_requests_are_noted_and_shown(self) -> None:
+        daemon = Application(example_settings())
+        clock = ManualClock()
+        requests = daemon.keyed_requests
+        requests._clock = clock
+        requests._view = configured_view(clock)
+        on_end = daemon.core.forwarder.on_end
+        with LoggedEvents() as logged:
+            for key in range(MIN_FAILURES):
+                clock.now += 0.1
+                on_end('registry', key, attempts_failed(''), [REPLACED])
+        text = daemon.telemetry.metrics.exposition().decode()
+        daemon.telemetry.stop()
+        self.assertEqual(len(logged.fields('keys_unserved')), 1)
+        self.assertRegex(
+            text, r'cassialever_keys_unserved\{label="registry"[^}]*\} 1\.[89]'
+        )
+
+
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
     """A daemon and targets on the loopback interface."""
 
