Withdraw a request from the address at which its target was replaced

Found by reading. The entry of a target may change its address without a restart: a request that had been chosen for the address before, and waited for its connection, was sent there although another target had answered there, since only the present entry was compared. Both are compared now.

Test: test_policy_placing, test_target_that_was_replaced_at_its_earlier_address, which failed before.

--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -427,7 +427,8 @@
     is_usable = view.targets.is_usable(known)
     if service is not None and service.is_keyed:
         is_usable = view.targets.is_usable_owner(known)
-    if view.targets.limits.is_replaced(known):
+    # An entry may have another address than the one that was chosen.
+    if any(map(view.targets.limits.is_replaced, (known, target))):
         return f'another target has the address of {target.target_id}'
     if not is_usable:
         return f'{target.target_id} takes no new work ({known.state.value})'
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -14,6 +14,7 @@
     NoTargetReason,
     PlacementRequest,
     TargetSelector,
+    withdrawal_reason,
 )
 from cassialever.policy.permits import PermitBatch, PermitLimiter
 from cassialever.policy.reach import SoundPaths
@@ -340,6 +341,16 @@
             self.say_leaving(target)
         self.assertIs(self.choose(), NoTargetReason.no_service)
 
+    def test_target_that_was_replaced_at_its_earlier_address(self) -> None:
+        """A request that was placed before its entry changed is withdrawn."""
+        placed = self.targets[0]
+        self.view.targets.limits.record_replaced(placed)
+        moved = target_entry(address='10.1.64.99:8707')
+        self.view.apply('servers', [json_row('servers', 't0', moved, 9)], 9)
+        present = self.view.targets.by_id['t0']
+        self.assertIn('address', withdrawal_reason(self.view, placed))
+        self.assertEqual(withdrawal_reason(self.view, present), '')
+
     def test_keys_whose_owner_has_left_have_no_owner(self) -> None:
         self.say_leaving(self.targets[0])
         self.assertIs(self.choose(), NoTargetReason.no_owner)
