Take nothing that another process answers as said by the expected target

Found by reading, in the class "identity by address": an answer 421 of the process that has the address now set the load that the expected target was taken to have, and counted as its failure; both are kept by id, which the target may get again. Connections that were idle when it ended stayed in the pool of its address, for the first requests to the next process there, which a machine that was lost without notice answers with a reset.

Load and failures are left as they are by such an answer, and the idle connections to the address are closed.

--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -1,6 +1,6 @@
 """Read the answer of a target, received directly or from another daemon."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
 import aiohttp
@@ -44,6 +44,8 @@
         self._loads = loads
         self._limits = limits
         self._clock = clock
+        #: Called with a target at whose address another one has answered.
+        self.on_replaced: Callable[[Target], None] = _ignore_replaced
 
     async def read(
         self,
@@ -64,9 +66,10 @@
             close_connection(response)
             return unknown('the answer belongs to another request')
         self.record_statements(target, response, status, sent_at)
-        self._loads.of(target.target_id).record_report(
-            wire.parse_reported_load(headers), self._clock.monotonic()
-        )
+        if not _is_replaced(target, status, headers):
+            self._loads.of(target.target_id).record_report(
+                wire.parse_reported_load(headers), self._clock.monotonic()
+            )
         if request_id and wire.reports_not_run(status, headers):
             return _refused(target, status, headers)
         try:
@@ -105,6 +108,7 @@
                 target, status, response.headers
             ):
                 self._limits.record_replaced(target)
+                self.on_replaced(target)
         said = parse_statements(status, response.headers, self._clock.wall())
         if isinstance(said, Failure):
             return
@@ -134,6 +138,10 @@
             )
 
 
+def _ignore_replaced(target: Target) -> None:
+    """Do nothing; the default until a handler is set."""
+
+
 def _is_replaced(
     target: Target, status: int, headers: Mapping[str, str]
 ) -> bool:
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -36,6 +36,7 @@
 from cassialever.gateway.outcomes import (
     Attempt,
     AttemptOutcome,
+    TargetRefusal,
     not_run,
     unknown,
     withdrawn,
@@ -132,6 +133,7 @@
         self._paths = paths
         self._clock = clock
         self.answers = AnswerReader(loads, limits, clock)
+        self.answers.on_replaced = lambda one: self.close_idle(one.address)
         self._loop_watch = LoopWatch(paths.own_delays.lateness)
         self._data_centre_by_address: dict[str, DataCentreId] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -403,6 +405,9 @@
             return
         if attempt.is_withdrawn:
             return
+        if attempt.refusal is TargetRefusal.replaced:
+            # Another target has answered.
+            return
         failure = attempt.failure
         if failure and failure.kind is ErrorKind.target_unreachable:
             load.record_unreachable(now)
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -18,6 +18,7 @@
     TargetRefusal,
 )
 from cassialever.gateway.sender import TargetRequest, TargetSender
+from cassialever.platform.sessions import idle_connections
 from cassialever.policy.limits import TargetLimits
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.paths import TargetPaths
@@ -223,6 +224,40 @@
                 )
 
 
+class AnotherTargetTest(SenderCase):
+    """Another target answers at the address of the expected one."""
+
+    def answer_as_another(self) -> None:
+        self.reply = raw_answer(
+            'Attempt-Id: a1\r\nInstance-Id: t9\r\nInstance-Load: 9,9,6,300'
+            '\r\nContent-Length: 0\r\n',
+            status='421 Misdirected',
+        )
+
+    async def test_its_answers_say_nothing_of_the_expected_target(self) -> None:
+        self.answer_as_another()
+        for _ in range(5):
+            await self.send()
+        load = self.loads.of('t0')
+        now = SystemClock().monotonic()
+        self.assertEqual(load.estimated_requests(now), 0)
+        self.assertEqual(load.slowdown(now), 1)
+        self.assertFalse(load.is_failing(now))
+        self.assertFalse(load.was_used)
+
+    async def test_connections_to_the_process_before_are_closed(self) -> None:
+        await asyncio.gather(*(self.send() for _ in range(3)))
+        session = self.sender._session
+        assert session is not None
+        address = self.target.address
+        kept = idle_connections(session, address)
+        self.assertEqual(len(kept), 3)
+        self.answer_as_another()
+        await self.send()
+        left = idle_connections(session, address)
+        self.assertLessEqual(len(left), 1)
+
+
 class FullLinkTest(SenderCase):
     """Every connection takes longer than usual, since the own link is full."""
 
--- a/tests/test_replaced_targets.py
+++ b/tests/test_replaced_targets.py
@@ -12,6 +12,12 @@
     send_request,
     wait_for_keys,
 )
+from tests.hop_helpers import (
+    cut_off_daemon,
+    helper_of,
+    set_paths,
+    wait_for_budget,
+)
 
 #: Time within which every daemon knows what one of them was told, in seconds.
 TIME_TO_KNOW = 0.5
@@ -82,6 +88,40 @@
             self.assertEqual(sum(arrivals(ended).values()), 1)
 
 
+class ReplacedOwnerThroughHelperTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon reaches the address of an owner that has ended by others."""
+
+    async def test_request_reaches_it_once_through_any_helper(self) -> None:
+        for knowing in (True, False):
+            with self.subTest(knowing=knowing):
+                async with cut_off_daemon(daemons=3) as (system, first, helper):
+                    await wait_for_budget(first)
+                    third = system.gateways[2]
+                    set_paths(first, helper_of(helper), helper_of(third))
+                    ended = system.targets[0]
+                    replace(ended, 'x9', is_keyed=False)
+                    if knowing:
+                        targets = helper.view.targets
+                        # The other daemons learn of it later.
+                        targets.limits.on_change = lambda *_: None
+                        targets.limits.record_replaced(targets.by_id['k0'])
+                    await send_to_keys([first], 'r', range(7, 8))
+                    self.assertEqual(sum(arrivals(ended).values()), 1)
+                    self.assertTrue(_is_replaced(first, 'k0'))
+                    await send_to_keys([first], 's', range(0, 65536, 8192))
+                    self.assertEqual(sum(arrivals(ended).values()), 1)
+
+    async def test_helper_that_knows_sends_nothing(self) -> None:
+        async with cut_off_daemon() as (system, first, helper):
+            ended = system.targets[0]
+            replace(ended, 'x9', is_keyed=False)
+            targets = helper.view.targets
+            targets.limits.record_replaced(targets.by_id['k0'])
+            statuses = await send_to_keys([first], 'r', range(7, 8))
+            self.assertEqual(statuses, [503])
+            self.assertEqual(sum(arrivals(ended).values()), 0)
+
+
 class ReplacedTargetTest(unittest.IsolatedAsyncioTestCase):
     """A target without keys whose entry stays in the store after its end."""
 
