Count no attempt at a target that has ended

Callers saw: a request without a key that met two targets which had ended used up both of its attempts within 5 ms and got 503, although others of its service were sound.

Cause: an answer 421 of another process counted as an attempt, though the request has reached no target that may run it. The platform counts the targets on which a request runs, without those that have ended.

It is no attempt now. The retry budget bounds such sends as before, and no target gets a second one.

Tests: test_gateway_unheld_keys.EndedTargetTest, whose first test failed before (503 with 1 of 20 targets sound); the second one shows the bound by the budget, which held before.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -140,6 +140,9 @@
                 return last.answer
             progress.tried.append(placed.target.target_id)
             progress.failed.append(last)
+            if last.refusal is TargetRefusal.replaced:
+                # It has reached no target that may run it.
+                progress.count -= 1
             self.counters.record_failed_attempt(last.outcome.value)
             _record_failed_attempt(
                 routed, placed, last, self._clock.monotonic()
--- a/tests/test_gateway_unheld_keys.py
+++ b/tests/test_gateway_unheld_keys.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 from cassialever.fleet.keyindex import KeyIndex
-from cassialever.fleet.model import KeyMap, KeyRange, Target
+from cassialever.fleet.model import NO_KEY, KeyMap, KeyRange, Target
 from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.duplicates import MayDuplicate
 from cassialever.gateway.forwarder import Forwarder
@@ -32,6 +32,7 @@
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
+    add_targets,
     configured_view,
     make_settings,
     run_virtually,
@@ -119,13 +120,24 @@
 
     async def serve(self, request_id: str = 'a1') -> Answer | Refusal:
         """Serve one request for a key."""
-        route = self.view.routes.find('registry.example', '/lookup/1')
+        return await self._serve_on(
+            'registry.example', '/lookup/1', KEY, request_id
+        )
+
+    async def serve_without_key(self) -> Answer | Refusal:
+        """Serve one request for a service without keys."""
+        return await self._serve_on('issuance.example', '/issue/1', NO_KEY)
+
+    async def _serve_on(
+        self, host: str, path: str, key: int, request_id: str = 'a1'
+    ) -> Answer | Refusal:
+        route = self.view.routes.find(host, path)
         assert route is not None
         now = self.clock.now()
         routed = RoutedRequest(
-            TargetRequest(request_id, 'GET', '/lookup/1', {}, b''),
+            TargetRequest(request_id, 'GET', path, {}, b''),
             route,
-            KEY,
+            key,
             now,
             now + TIMEOUT,
         )
@@ -245,6 +257,37 @@
         self.play(scenario)
 
 
+class EndedTargetTest(OwnerCase):
+    """Targets without keys whose addresses others have."""
+
+    def test_targets_that_have_ended_are_no_attempts(self) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            names = [f'i{number}' for number in range(20)]
+            add_targets(daemon.view, names, 'issuance')
+            daemon.sender.holding.update(names)
+            daemon.sender.ended = set(names[:19])
+            answer = await daemon.serve_without_key()
+            self.assertIsInstance(answer, Answer)
+            used = [name for _, _, name in daemon.sender.arrivals]
+            self.assertEqual(len(used), len(set(used)))
+
+        self.play(scenario)
+
+    def test_budget_bounds_the_attempts_at_ended_targets(self) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            names = [f'i{number}' for number in range(400)]
+            add_targets(daemon.view, names, 'issuance')
+            daemon.sender.ended = set(names)
+            answer = await daemon.serve_without_key()
+            self.assertIsInstance(answer, Refusal)
+            bounds = daemon.forwarder._settings.bounds
+            self.assertLessEqual(
+                len(daemon.sender.arrivals), bounds.retry_allowance + 1
+            )
+
+        self.play(scenario)
+
+
 class EndedOwnerTest(OwnerCase):
     """An owner whose address another target has."""
 
