Refuse soon what only a leader can help, where there is none

Callers saw: daemons that were cut off from their leader had requests for keys that owners did not hold wait for half of their objective, though no newer tables could come.

Without a leader such requests wait for 0.12 of their objective, like those for an owner that has ended.

Tests: test_gateway_unheld_keys, test_request_waits_briefly_without_a_leader, which failed before for such keys.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -37,6 +37,7 @@
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.permits import PermitLimiter
 from cassialever.policy.placing import (
+    NEEDS_LEADER,
     NEEDS_PERMIT,
     NoTargetReason,
     PermitDelay,
@@ -457,7 +458,7 @@
     reason: NoTargetReason, tables: Callable[[], TablesState]
 ) -> bool:
     """Return whether a leader is followed, if the reason depends on it."""
-    if reason is not NoTargetReason.owner_ended:
+    if reason not in NEEDS_LEADER:
         return True
     return not tables().without_leader
 
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -74,6 +74,12 @@
 NEEDS_PERMIT: Final = frozenset((NoTargetReason.cold, NoTargetReason.limited))
 
 
+#: Reasons that the leader alone removes.
+NEEDS_LEADER: Final = frozenset(
+    (NoTargetReason.owner_ended, NoTargetReason.key_not_held)
+)
+
+
 class PlacementRequest(msgspec.Struct, frozen=True):
     """The properties that decide a request's target; `key` is -1 if none."""
 
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -17,7 +17,11 @@
 from cassialever.errors import ErrorKind
 from cassialever.interfaces import RandomSource
 from cassialever.policy.permits import MAX_BOOKING_DELAY
-from cassialever.policy.placing import NoTargetReason, PermitDelay
+from cassialever.policy.placing import (
+    NEEDS_LEADER,
+    NoTargetReason,
+    PermitDelay,
+)
 from cassialever.types import Seconds
 
 #: The kind of error that is reported for each reason.
@@ -144,9 +148,10 @@
 def _max_wait_share(reason: NoTargetReason, timing: RequestTiming) -> float:
     """Return the share of the objective that a request may wait.
 
-    The keys of an owner that has ended get another one by the leader alone.
+    Where the leader alone can help, requests wait as briefly without one as
+    for an owner that is not known.
     """
-    if reason is NoTargetReason.owner_ended and not timing.has_leader:
+    if reason in NEEDS_LEADER and not timing.has_leader:
         reason = NoTargetReason.no_owner
     return _MAX_WAIT_SHARE[reason]
 
--- a/tests/test_gateway_unheld_keys.py
+++ b/tests/test_gateway_unheld_keys.py
@@ -190,6 +190,36 @@
 
         self.play(scenario)
 
+    def test_request_waits_briefly_without_a_leader(self) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            daemon.tables = TablesState(without_leader=0.5)
+            daemon.sender.holding = set()
+            begun = daemon.clock.now()
+            answer = await daemon.serve()
+            assert isinstance(answer, Refusal)
+            self.assertEqual(answer.sentence, 'the owner does not hold the key')
+            self.assertLess(daemon.clock.now() - begun, 0.12 * OBJECTIVE + 0.02)
+
+        self.play(scenario)
+
+    def test_many_daemons_send_few_requests(self) -> None:
+        """The rest bounds what each of them sends for one range."""
+
+        async def main(loop: VirtualLoop) -> None:
+            daemons = [Daemon(loop) for _ in range(195)]
+            for daemon in daemons:
+                daemon.sender.holding = set()
+            begun = loop.time()
+            await asyncio.gather(*(one.serve_for(2.0, 20) for one in daemons))
+            total = sum(len(one.sender.arrivals) for one in daemons)
+            print(
+                f'{self.id()}: {total} arrivals of {195 * 40} requests'
+                f' in {loop.time() - begun:.1f} s'
+            )
+            self.assertLessEqual(total, 195 * (3 + 2.0 / MAX_REST))
+
+        run_virtually(main)
+
     def test_request_is_sent_once_more_by_newer_tables(self) -> None:
         for owner, fence in (('t1', 2), ('t0', 2)):
             with self.subTest(owner=owner):
