--- a/soak/service_judging.py
+++ b/soak/service_judging.py
@@ -304,6 +304,6 @@
     routes: str, added: tuple[float, int], first: tuple[float, int]
 ) -> str:
     return (
-        f'0 CONFIG added routes {routes} serve {added[0]:.3f} of {added[1]}'
+        f'CONFIG added routes {routes} serve {added[0]:.3f} of {added[1]}'
         f' requests, the first ones {first[0]:.3f} of {first[1]}'
     )
