Count owners that don't hold keys among the causes of unserved keys

A request that waits for such an owner, and is then refused, told no cause: the reason came with the wait, after the alert. test_causes_of_refusals.

--- a/cassialever/gateway/keyed_requests.py
+++ b/cassialever/gateway/keyed_requests.py
@@ -45,6 +45,7 @@
         NoTargetReason.no_owner.name: UnservedCause.no_owner,
         NoTargetReason.moving.name: UnservedCause.no_owner,
         NoTargetReason.owner_ended.name: UnservedCause.replaced,
+        NoTargetReason.key_not_held.name: UnservedCause.key_not_held,
         NoTargetReason.unreachable.name: UnservedCause.unreachable,
     }
 )
--- a/tests/test_keyed_requests.py
+++ b/tests/test_keyed_requests.py
@@ -92,6 +92,7 @@
             (NoTargetReason.no_service, 'no_target'),
             (NoTargetReason.no_owner, 'owners_unknown'),
             (NoTargetReason.owner_ended, 'replaced'),
+            (NoTargetReason.key_not_held, 'key_not_held'),
             (NoTargetReason.unreachable, 'unreachable'),
         ):
             with self.subTest(reason=reason):
