End an owner whose address another target has, by what daemons report

Callers saw: keys of an owner whose address another service's target has got were held by no target for up to 2 s, though daemons knew after the first request that the owner had ended.

Cause: only the leader's own calls ended a life. A target without keys refuses these calls without naming itself, so that no call did. A target that is known to be replaced was disqualified, its keys were released at the address of the other one, and waited for the end of their hold.

The leader now ends the life that its own entry names, with the address of the report, by the same guards as for its own calls, 10 ms after the report, and looks again in each tick, for reports that come before the entry. Its keys are free at once, nothing is granted or released there, and it is not eligible. docs/design/platform.md says what could make that wrong.

Tests: test_keys_replaced.

--- a/cassialever/keys/assigner.py
+++ b/cassialever/keys/assigner.py
@@ -63,11 +63,14 @@
             self.row_bytes,
         )
         self._context = context
+        on_replaced = self._view.targets.limits.on_replaced
+        on_replaced.append(self._tick_soon)
         try:
             while True:
                 self._tick(context)
                 await asyncio.sleep(TICK_INTERVAL)
         finally:
+            on_replaced.remove(self._tick_soon)
             self._stop()
 
     def add_report(self, report: messages.KeysAsked) -> None:
@@ -98,6 +101,10 @@
         for target_id in context.granter.due_probes():
             self._tasks.start(self._probe(context, target_id))
 
+    def _tick_soon(self) -> None:
+        for assigner in self.assigner_by_service.values():
+            assigner.steps.start()
+
     async def _probe(self, context: TermContext, target_id: TargetId) -> None:
         """Probe an unreachable target, or forget it if it was removed."""
         if target_id not in self._view.targets.by_id:
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -23,6 +23,7 @@
 )
 from cassialever.keys.key_events import KeyLog
 from cassialever.keys.lives import EndedLives
+from cassialever.keys.owner_addresses import OwnerAddresses
 from cassialever.keys.signs import SignsOfLife
 from cassialever.platform.processes import TargetProcess
 from cassialever.platform.targets import (
@@ -78,9 +79,8 @@
         self._probe_at_by_id: dict[TargetId, Seconds] = {}
         #: Called with a target whose grant failed: it may have restarted.
         self.on_failure: list[Callable[[TargetId], None]] = []
-        #: The newest report of each target that was called.
-        self._reported_by_id: dict[TargetId, Target] = {}
-        self.lives = EndedLives()
+        self.addresses = OwnerAddresses(view)
+        self.lives = self.addresses.lives
         self._signs = SignsOfLife(clock)
 
     def has_authority(self) -> bool:
@@ -104,13 +104,6 @@
             self._probe_at_by_id[target_id] = now + PROBE_INTERVAL
         return due
 
-    def reported(self, target_id: TargetId) -> Target | None:
-        """Return a target's current or last known report."""
-        target = self._view.targets.by_id.get(target_id)
-        if target is not None:
-            self._reported_by_id[target_id] = target
-        return self._reported_by_id.get(target_id)
-
     def grants_by_owner(
         self, assignments: list[Assignment]
     ) -> list[Coroutine[Any, Any, None]]:
@@ -124,7 +117,7 @@
         self, owner: TargetId, assignments: list[Assignment]
     ) -> None:
         """Grant or renew one target's assignments, one call at a time."""
-        called = self.reported(owner)
+        called = self.addresses.reported(owner)
         if called is None:
             return
         await _wait_until_idle(self.pending_owners, owner)
@@ -143,7 +136,7 @@
 
         It shows the path to the address, not which process has that.
         """
-        called = self.reported(owner)
+        called = self.addresses.reported(owner)
         if called is not None and await self._target_client.can_connect(
             called.address
         ):
@@ -158,7 +151,7 @@
 
     async def prove(self, owner: TargetId, process: TargetProcess) -> bool:
         """Return whether a process of a target has answered: it runs on."""
-        called = self.reported(owner)
+        called = self.addresses.reported(owner)
         sent_at = self._clock.boot()
         if called is None or not await self._target_client.prove(
             called.address, process
@@ -188,8 +181,7 @@
             called.address, assignment.called_range()
         )
         now = self._clock.boot()
-        if result.outcome is CallOutcome.ended:
-            self.lives.end(called, self._view.targets.relocated)
+        self.addresses.record_outcome(called, result.outcome)
         assignment.is_released = result.outcome is CallOutcome.done
         if assignment.is_released:
             assignment.handover = result.handover
@@ -323,12 +315,11 @@
         _record_path(self.paths, owner, result.outcome, now)
         if result.outcome in _OWN_ANSWERS:
             self._signs.record(owner, sent_at)
+        self.addresses.record_outcome(called, result.outcome)
         if result.outcome is CallOutcome.done:
             self.lives.confirm(called)
             if not is_leaving and not _is_renewal(assignment, result):
                 self.key_log.granted(called, assignment, result, duration)
-        elif result.outcome is CallOutcome.ended:
-            self.lives.end(called, self._view.targets.relocated)
         return result
 
 
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -97,9 +97,8 @@
         #: Keys that are granted to an owner which no daemon has in its map.
         self._arriving: list[tuple[int, int]] = []
         self._is_writing = False
-        self._steps = Steps(
-            self._tasks, lambda: self.tick(context.clock.boot())
-        )
+        #: Ticks that come before the next regular one.
+        self.steps = Steps(self._tasks, lambda: self.tick(context.clock.boot()))
         self._writer = MapWriter(service, context.leader_term, RowVersion(0))
         #: Owners that are not known may hold the keys otherwise.
         self._knows_owners = self._inherit()
@@ -116,6 +115,9 @@
         """Advance every assignment for which something is due."""
         if not self._knows_owners:
             return
+        owners = {one.owner for one in self.assignments.ordered}
+        for owner in owners:
+            self._granter.addresses.end_if_replaced(owner)
         if not self.assignments.ordered:
             self._assign_first(now)
             return
@@ -280,7 +282,7 @@
         assignment.handover = ''
         # A restarted target is called too: its keys may have been renewed
         # before its restart was known.
-        called = self._granter.reported(assignment.owner)
+        called = self._granter.addresses.reported(assignment.owner)
         is_lost = self._granter.lives.has_owner_ended(
             assignment
         ) or self._granter.is_unreachable(assignment.owner)
@@ -288,7 +290,7 @@
             assignment.state = AssignmentState.lapsing
             return
         assignment.state = AssignmentState.releasing
-        self._steps.start_after(self._granter.release(assignment, called))
+        self.steps.start_after(self._granter.release(assignment, called))
 
     def _announce_moving(self) -> None:
         moving = [(one.first, one.last) for one in self.assignments.moving()]
@@ -345,7 +347,7 @@
             row = await self._writer.write(written)
         finally:
             self._is_writing = False
-        self._steps.start()
+        self.steps.start()
         if row is None:
             self._retry_write_at = (
                 self._context.clock.boot() + GRANT_RETRY_DELAY
@@ -373,7 +375,7 @@
             ]
         self._context.view.apply(OWN_TABLE, [row], row.version)
         self._announce_moving()
-        self._steps.start()
+        self.steps.start()
 
     async def _grant_written(self, changed: list[Assignment]) -> None:
         now = self._context.clock.boot()
--- a/cassialever/policy/limits.py
+++ b/cassialever/policy/limits.py
@@ -124,6 +124,8 @@
         #: Called with the state before and after a change that others need to
         #: know of.
         self.on_change: LimitChangeHandler = _ignore_change
+        #: Called when another target is known to have a target's address.
+        self.on_replaced: list[Callable[[], None]] = []
 
     def record_answer(
         self,
@@ -182,6 +184,9 @@
         self._limit_by_id[limit.target_id] = merged
         if _differs(known, merged):
             self.on_change(known, merged, source)
+        if merged.replaced_at != known.replaced_at:
+            for notify in self.on_replaced:
+                notify()
         return merged
 
     def of(self, target_id: TargetId) -> TargetLimit | None:
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -13,7 +13,12 @@
 from cassialever.fleet.connecting import CONNECT_TIMEOUT
 from cassialever.fleet.election import Election
 from cassialever.fleet.leading import LeaderTerm
-from cassialever.fleet.model import KeyRange
+from cassialever.fleet.limit_reports import (
+    LimitReport,
+    make_report,
+    read_report,
+)
+from cassialever.fleet.model import KeyRange, Target
 from cassialever.fleet.relay import Relay
 from cassialever.fleet.view import FleetView
 from cassialever.keys.assigner import KeyAssigner
@@ -21,7 +26,8 @@
 from cassialever.policy.candidacy import Candidacy
 from cassialever.policy.paths import TargetPaths
 from cassialever.tasks import BackgroundTasks
-from cassialever.types import DataCentreId
+from cassialever.policy.limits import LimitSource
+from cassialever.types import DataCentreId, TargetId
 from cassialever.platform.processes import TargetProcess
 from cassialever.platform.spare_connections import (
     IDLE_CONNECTIONS,
@@ -114,6 +120,8 @@
         self.earlier_fences: list[tuple[int, int, int]] = []
         self.is_up = True
         self.is_draining = False
+        #: Whether it is of the service that has keys. Others refuse all calls.
+        self.is_keyed = True
         self.process = TargetProcess(self)
 
 
@@ -145,6 +153,8 @@
         #: Whether they are carried out late, after one of the delays above.
         self.delays_copied_calls = False
         self.violations: list[str] = []
+        #: When calls about keys were refused, and the owners they were for.
+        self.refused_at: list[tuple[float, str]] = []
         #: When calls about keys reached another target than was meant.
         self.misdirected_at: list[float] = []
         #: Releases that were carried out by another target than was meant.
@@ -173,8 +183,11 @@
         self.daemons.append(daemon)
         return daemon
 
-    def publish_targets(self) -> None:
-        """Write the entries of the targets that are up into all views."""
+    def publish_targets(self, *ended: FakeTarget) -> None:
+        """Write the entries of the targets that are up into all views.
+
+        Those of the given ones, which have ended, are still there.
+        """
         self.shared.version += 1
         entries = [
             json_row(
@@ -184,11 +197,12 @@
                     address=target.address,
                     born=target.started_at,
                     state='draining' if target.is_draining else 'ready',
+                    service='registry' if target.is_keyed else 'issuance',
                 ),
                 self.shared.version,
             )
-            for target in self.targets.values()
-            if target.is_up
+            for target in (*self.targets.values(), *ended)
+            if target.is_up or target in ended
         ]
         for daemon in self.daemons:
             daemon.view.replace('servers', entries, self.shared.version)
@@ -244,13 +258,46 @@
         target.earlier_fences.extend(target.seen_fences)
         target.seen_fences.clear()
 
-    def replace_target(self, address: str, name: str) -> FakeTarget:
+    def refuse(self, owner: str) -> CallResult:
+        """Refuse a call about keys of an owner."""
+        self.refused_at.append((self.loop.time(), owner))
+        return CallResult(CallOutcome.refused)
+
+    def report_replaced(self, owner: str, delay: float = 0.1) -> None:
+        """Have each daemon learn from a request that an owner has ended.
+
+        The reports of those that don't lead arrive at the others in turn.
+        """
+        for daemon in self.daemons:
+            entry = daemon.view.targets.by_id.get(TargetId(owner))
+            if entry is not None:
+                self.report_of(daemon, entry, delay)
+
+    def report_of(
+        self, daemon: 'Daemon', entry: Target, delay: float = 0.1
+    ) -> None:
+        """Have a daemon learn that a target was replaced, and report that."""
+        limits = daemon.view.targets.limits
+        limits.record_replaced(entry)
+        known = limits.of(entry.target_id)
+        assert known is not None
+        report = make_report(known, self.loop.time())
+        for other in self.daemons:
+            if other is not daemon:
+                self.call_later(
+                    delay * self.random.random(), other.take_report, report
+                )
+
+    def replace_target(
+        self, address: str, name: str, *, is_keyed: bool = True
+    ) -> FakeTarget:
         """End a target and start another process at its address."""
         ended = self.targets[address]
         ended.is_up = False
         self.ended.append(ended)
         started = FakeTarget(name, address)
         started.started_at = ended.started_at + 1
+        started.is_keyed = is_keyed
         self.targets[address] = started
         return started
 
@@ -442,6 +489,8 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
+        if not target.is_keyed:
+            return self.world.refuse(keys.owner)
         if self.names_targets and target.name != keys.owner:
             self.world.misdirected_at.append(self.world.loop.time())
             return CallResult(CallOutcome.ended)
@@ -506,6 +555,8 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
+        if not target.is_keyed:
+            return self.world.refuse(keys.owner)
         if self.names_targets and target.name != keys.owner:
             self.world.misdirected_at.append(self.world.loop.time())
             return CallResult(CallOutcome.ended)
@@ -563,6 +614,12 @@
         await leader_term.keep_lease()
         self.kill()
 
+    def take_report(self, report: LimitReport) -> None:
+        """Merge what another daemon reports of a target."""
+        if not self.is_isolated:
+            limit = read_report(report, self.world.loop.time())
+            self.view.targets.limits.merge(limit, LimitSource('a follower'))
+
     def exchange_hello(self, other: 'Daemon') -> None:
         """Handle the Hello or Deposed that a link to a daemon would carry."""
         if self.is_isolated or other.is_isolated or self.leader_term is None:
--- a/tests/ownership_search.py
+++ b/tests/ownership_search.py
@@ -18,6 +18,7 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet import messages
 from cassialever.fleet.connecting import CONNECT_TIMEOUT
+from cassialever.fleet.limit_reports import LimitReport
 from cassialever.fleet.model import KEY_COUNT, KeyRange
 from cassialever.platform import rows
 from cassialever.platform.processes import TargetProcess
@@ -55,6 +56,8 @@
 #: Targets at most, and at least that are up.
 MAX_TARGETS = 7
 MIN_TARGETS = 2
+#: Share of the targets that follow at an address which have keys.
+KEYED_SHARE = 0.6
 
 
 class Taking(msgspec.Struct):
@@ -86,7 +89,13 @@
         self.works: list[Work] = []
         self.next_number = len(self.targets)
         #: Grants, releases and works so far, which show what a run covered.
-        self.counts = {'grants': 0, 'releases': 0, 'works': 0, 'terms': 0}
+        self.counts = {
+            'grants': 0,
+            'releases': 0,
+            'works': 0,
+            'terms': 0,
+            'replaced': 0,
+        }
 
     def add_daemon(self, name: str) -> 'SearchDaemon':
         daemon = SearchDaemon(self, name)
@@ -323,6 +332,8 @@
         await world.pause(0.001 + world.transit_time)
         if _process.get() not in {None, target.process}:
             return CallResult(CallOutcome.unknown)
+        if not target.is_keyed:
+            return world.refuse(keys.owner)
         if target.name != keys.owner:
             return CallResult(CallOutcome.ended)
         process = target.process
@@ -357,6 +368,8 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
+        if not target.is_keyed:
+            return self.world.refuse(keys.owner)
         if target.name != keys.owner:
             return CallResult(CallOutcome.ended)
         self.world.counts['releases'] += 1
@@ -397,6 +410,12 @@
     def is_frozen(self) -> bool:
         return self._thawed is not None
 
+    def take_report(self, report: LimitReport) -> None:
+        if self.is_frozen():
+            self.world.call_later(STEP_TIME, self.take_report, report)
+            return
+        super().take_report(report)
+
     def freeze(self) -> None:
         """Stop the process; the clock and calls in flight go on."""
         if self._thawed is None:
@@ -513,11 +532,16 @@
 class Search:
     """One run: draws faults at each step, and ends them at last."""
 
-    def __init__(self, world: SearchWorld) -> None:
+    def __init__(
+        self, world: SearchWorld, *, reuses_addresses: bool = False
+    ) -> None:
         self.world = world
         self.daemons = [
             world.add_daemon(f'edge-{number}') for number in range(3)
         ]
+        #: Whether targets without keys follow at addresses, and daemons report
+        #: what these answer to requests.
+        self.reuses_addresses = reuses_addresses
         self.random = world.random
         #: How often each fault is drawn; runs differ in what is frequent.
         self.weight = self.random.choice((CALM_WEIGHT, 0.3, 1.0, 2.0))
@@ -644,6 +668,8 @@
                 world.move_target(address)
             elif self.is_drawn(0.007) and len(world.targets) > MIN_TARGETS:
                 self._remove(address)
+        for daemon in self.daemons if self.reuses_addresses else ():
+            self._report_replaced(daemon)
         if self.is_drawn(0.25):
             world.publish_targets()
         if self.is_drawn(0.1):
@@ -657,9 +683,25 @@
         if self.is_drawn(0.015):
             self._restart(target)
         if self.is_drawn(0.015):
-            self.world.replace_target(address, f'n{self.world.next_number}')
+            name = f'n{self.world.next_number}'
+            is_keyed = (
+                not self.reuses_addresses or self.random.random() < KEYED_SHARE
+            )
+            self.world.replace_target(address, name, is_keyed=is_keyed)
             self.world.next_number += 1
 
+    def _report_replaced(self, daemon: SearchDaemon) -> None:
+        """Have a daemon send requests that another target may answer."""
+        if daemon.is_frozen() or daemon.target_client.is_cut:
+            return
+        for entry in tuple(daemon.view.targets.by_id.values()):
+            target = self.world.target_at(entry.address)
+            if target is None or target.name == entry.target_id:
+                continue
+            if daemon.target_client.is_reached(entry.address):
+                self.world.counts['replaced'] += 1
+                self.world.report_of(daemon, entry)
+
     def _restart(self, target: FakeTarget) -> None:
         """Restart a target whose clock may have stepped back."""
         earlier = target.started_at
@@ -679,6 +721,8 @@
         for target in world.targets.values():
             target.is_up = True
             target.is_draining = False
+        while sum(one.is_keyed for one in world.targets.values()) < MIN_TARGETS:
+            world.add_target()
         for daemon in self.daemons:
             daemon.thaw()
             daemon.store.is_cut = False
@@ -696,14 +740,20 @@
     counts: dict[str, int]
 
 
-def search(seed: int, steps: int = STEPS) -> Found:
-    """Run one seed; return the violations that it shows."""
+def search(
+    seed: int, steps: int = STEPS, *, reuses_addresses: bool = False
+) -> Found:
+    """Run one seed; return the violations that it shows.
+
+    Addresses may be used again by targets without keys, and daemons report what
+    these answer.
+    """
     found = Found([], {})
 
     async def main(loop: VirtualLoop) -> None:
         loop.set_task_factory(make_task)
         world = SearchWorld(loop, seed)
-        await Search(world).run(steps)
+        await Search(world, reuses_addresses=reuses_addresses).run(steps)
         found.violations = world.violations
         found.counts = world.counts
 
--- /dev/null
+++ b/tests/test_keys_replaced.py
@@ -0,0 +1,274 @@
+"""Tests of owners whose addresses others have, by the calls of daemons.
+
+Everything runs in virtual time. The checks are those of `World`.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from cassialever.fleet.model import Target
+from cassialever.keys.assignments import MAX_GRANT_DURATION
+from cassialever.platform.records import decode_target
+from cassialever.types import TargetId
+from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
+from tests.ownership_fakes import Daemon, FakeTarget, World
+
+ADDRESS = '10.1.64.1:8707'
+OTHER_ADDRESS = '10.1.64.0:8707'
+OWNER = TargetId('t1')
+#: By when the keys of an owner are held again once a daemon knows that another
+#: target has its address, in seconds.
+LIMIT = 0.5
+#: Time until the grants to an earlier life of an owner have lapsed, in seconds.
+MAX_HOLD = MAX_GRANT_DURATION + LIMIT
+#: Longest time that a test waits, in seconds.
+MAX_WAIT = 20.0
+#: Moments of the report, over a renewal of all grants.
+PHASES = tuple(step * 0.14 for step in range(5))
+SEEDS = range(3)
+
+Scenario = Callable[[World, Daemon], Awaitable[None]]
+
+
+async def _settled_leader(world: World, followers: int) -> Daemon:
+    """Return a leader that has granted all keys."""
+    leader = world.add_daemon('edge-1')
+    for number in range(followers):
+        world.add_daemon(f'follower-{number}')
+    world.publish_targets()
+    assert await leader.take_over()
+    await asyncio.sleep(2)
+    assert not world.unheld_count()
+    return leader
+
+
+async def _time_until_held(world: World) -> float:
+    begun = world.loop.time()
+    while world.unheld_count():
+        await asyncio.sleep(0.005)
+        if world.loop.time() > begun + MAX_WAIT:
+            break
+    return world.loop.time() - begun
+
+
+def _ranges_of(leader: Daemon, owner: str) -> int:
+    """Return how many ranges have an owner, by the leader's assignments."""
+    assigner = leader.assigner.assigner_by_service['registry']
+    return sum(one.owner == owner for one in assigner.assignments.ordered)
+
+
+def _target(started_at: int = 1000, address: str = ADDRESS) -> Target:
+    entry = target_entry(address=address, born=started_at)
+    target = decode_target(OWNER, msgspec.json.encode(entry))
+    assert isinstance(target, Target)
+    return target
+
+
+class ReplacedTestCase(unittest.TestCase):
+    """Runs scenarios for several seeds and moments of a renewal."""
+
+    def check_each(
+        self, scenario: Scenario, targets: int = 4, followers: int = 2
+    ) -> None:
+        """Run all cases, and fail once with those that failed."""
+        failed = []
+        for seed in SEEDS:
+            for phase in PHASES:
+                try:
+                    self.check(scenario, seed, phase, targets, followers)
+                except AssertionError as error:
+                    failed.append((seed, phase, str(error)))
+        self.assertEqual(failed, [])
+
+    def check(
+        self,
+        scenario: Scenario,
+        seed: int,
+        phase: float,
+        targets: int,
+        followers: int,
+    ) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed, targets)
+            leader = await _settled_leader(world, followers)
+            await asyncio.sleep(phase)
+            await scenario(world, leader)
+            for daemon in world.daemons:
+                daemon.kill()
+            self.assertEqual(world.violations, [])
+
+        run_virtually(main)
+
+
+class ReportedTest(ReplacedTestCase):
+    """Daemons report that another target has an owner's address."""
+
+    def test_keys_of_a_reported_owner_are_held_again_in_time(self) -> None:
+        # They waited for the end of grants that its address refused.
+        async def scenario(world: World, _: Daemon) -> None:
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            world.report_replaced(OWNER)
+            self.assertLess(await _time_until_held(world), LIMIT)
+
+        self.check_each(scenario)
+
+    def test_keys_of_all_reported_owners_are_held_again_in_time(self) -> None:
+        # Owners that replace them are reported at the same time.
+        async def scenario(world: World, leader: Daemon) -> None:
+            addresses = tuple(world.targets)
+            for number, address in enumerate(addresses):
+                name = world.targets[address].name
+                world.replace_target(address, f'o{number}', is_keyed=False)
+                world.report_replaced(name)
+            for number in range(len(addresses)):
+                address = f'10.1.64.{50 + number}:8707'
+                world.targets[address] = FakeTarget(f'n{number}', address)
+            world.publish_targets()
+            version = world.shared.version
+            self.assertLess(await _time_until_held(world), LIMIT)
+            # Rows of the key map, and of the lease.
+            self.assertLess(world.shared.version - version, 8)
+
+        self.check_each(scenario, followers=8)
+
+    def test_ended_owner_is_called_once_at_most(self) -> None:
+        # Keys were assigned to it again and again.
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            world.report_replaced(OWNER)
+            await asyncio.sleep(0.1)
+            refused = len(world.refused_at)
+            await asyncio.sleep(3)
+            self.assertLessEqual(len(world.refused_at), max(refused, 1))
+            self.assertEqual(_ranges_of(leader, OWNER), 0)
+
+        self.check_each(scenario)
+
+    def test_next_leader_learns_of_the_end(self) -> None:
+        # It inherits the owner, whose entry is still there.
+        async def scenario(world: World, leader: Daemon) -> None:
+            leader.store.is_cut = True
+            leader.is_isolated = True
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            world.report_replaced(OWNER)
+            second = world.daemons[1]
+            while not await second.take_over():
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(LIMIT)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_report_before_the_entry_counts_once_that_is_read(self) -> None:
+        # Keys were assigned to the life that had ended.
+        async def scenario(world: World, leader: Daemon) -> None:
+            reborn = world.targets[ADDRESS]
+            world.restart_target(reborn)
+            entry = _target(started_at=reborn.started_at)
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            leader.view.targets.limits.record_replaced(entry)
+            await asyncio.sleep(0.1)
+            world.publish_targets(reborn)
+            await asyncio.sleep(MAX_HOLD)
+            self.assertEqual(world.unheld_count(), 0)
+            self.assertEqual(_ranges_of(leader, OWNER), 0)
+
+        self.check_each(scenario)
+
+    def test_report_of_an_earlier_life_ends_no_later_one(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            follower = world.daemons[1]
+            stale = follower.view.targets.by_id[OWNER]
+            world.restart_target(world.targets[ADDRESS])
+            world.publish_targets()
+            await asyncio.sleep(1)
+            leader.view.targets.limits.record_replaced(stale)
+            await asyncio.sleep(1)
+            self.assertEqual(world.unheld_count(), 0)
+            self.assertTrue(_ranges_of(leader, OWNER))
+
+        self.check_each(scenario)
+
+    def test_report_of_another_address_ends_no_owner(self) -> None:
+        # A daemon has read an entry with a wrong address.
+        async def scenario(world: World, leader: Daemon) -> None:
+            owner = world.targets[OTHER_ADDRESS]
+            follower = world.daemons[1]
+            entry = follower.view.targets.by_id[TargetId(owner.name)]
+            wrong = msgspec.structs.replace(entry, address=ADDRESS)
+            leader.view.targets.limits.record_replaced(wrong)
+            await asyncio.sleep(1)
+            self.assertTrue(_ranges_of(leader, owner.name))
+
+        self.check_each(scenario)
+
+    def test_relocated_owner_is_not_ended(self) -> None:
+        # Another writer's entry sent the daemons to another target.
+        async def scenario(world: World, leader: Daemon) -> None:
+            owner = world.targets[OTHER_ADDRESS]
+            owner.address = ADDRESS
+            world.publish_targets()
+            owner.address = OTHER_ADDRESS
+            world.report_replaced(owner.name)
+            await asyncio.sleep(3)
+            world.publish_targets()
+            await asyncio.sleep(3)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+
+class OrderTest(ReplacedTestCase):
+    """Entries of two ids at one address, in each order."""
+
+    def test_entry_of_the_next_target_comes_first(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            ended = world.targets[ADDRESS]
+            world.replace_target(ADDRESS, 'next')
+            world.publish_targets(ended)
+            world.report_replaced(OWNER)
+            self.assertLess(await _time_until_held(world), LIMIT)
+            world.publish_targets()
+            await asyncio.sleep(2)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_entry_of_the_ended_target_is_removed_first(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.report_replaced(OWNER)
+            world.targets[ADDRESS].is_up = False
+            world.publish_targets()
+            world.replace_target(ADDRESS, 'next')
+            await asyncio.sleep(0.1)
+            self.assertLess(await _time_until_held(world), LIMIT)
+            world.publish_targets()
+            await asyncio.sleep(2)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_owners_that_swap_their_addresses(self) -> None:
+        # Each has ended, and started again under a new id at the other's.
+        async def scenario(world: World, leader: Daemon) -> None:
+            names = [
+                world.targets[address].name
+                for address in (ADDRESS, OTHER_ADDRESS)
+            ]
+            world.replace_target(ADDRESS, 'new-0')
+            world.replace_target(OTHER_ADDRESS, 'new-1')
+            for name in names:
+                world.report_replaced(name)
+            self.assertLess(await _time_until_held(world), LIMIT)
+            world.publish_targets()
+            await asyncio.sleep(2)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -223,6 +223,15 @@
             with self.subTest(seed=seed):
                 self.assertEqual(search(seed).violations, [])
 
+    def test_no_two_owners_where_others_have_the_addresses(self) -> None:
+        reported = 0
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                found = search(seed, reuses_addresses=True)
+                self.assertEqual(found.violations, [])
+                reported += found.counts['replaced']
+        self.assertGreater(reported, 0)
+
     def test_removal_of_each_rule_is_found(self) -> None:
         for rule in PATCHES_BY_RULE:
             with self.subTest(rule=rule), without_rule(rule):
