Take no refusal and no connection for a sign of the owner

Callers saw: keys were assigned again and again to owners that had ended.

Cause: identity by address. A target of a service without keys that has an owner's address refuses calls about keys with 400. That was taken for an answer of the owner: a sign of life, after which grants were longer, and a sign that it is reachable. A probe that only connects, which any process accepts, then made it eligible, and the same keys were written, granted and refused once more, each 0.25 s.

A refusal shows nothing of the owner now. Its keys move once its hold is over if another target may get them, and it gets none until an entry of a new life, an answer of its own, or a probe that finds a target with keys: a malformed call that names no target, which changes nothing and which only targets with keys refuse with 421. Probes come 1 and 2 s after the refusal and then each 4 s. An owner whose process is known is asked after 0.25 s as before, so that one that refuses for a moment keeps its keys.

Tests: test_keys_replaced.

--- a/cassialever/keys/candidates.py
+++ b/cassialever/keys/candidates.py
@@ -40,6 +40,7 @@
             target
             for target in targets.usable(self._service)
             if not self._granter.is_unreachable(target.target_id)
+            and not self._granter.addresses.is_refusing(target.target_id)
             and not self._granter.lives.is_over(
                 target.target_id, target.started_at
             )
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -30,6 +30,7 @@
     GRANT_TIMEOUT,
     CallOutcome,
     CallResult,
+    Presence,
     TargetClient,
 )
 from cassialever.policy.paths import TargetPaths
@@ -43,10 +44,13 @@
 #: Poll interval while grants to the same target are in progress.
 PENDING_POLL_INTERVAL: Final[Seconds] = 0.01
 
-#: Outcomes that are known from an answer of the owner itself.
-_OWN_ANSWERS: Final = frozenset(
-    (CallOutcome.done, CallOutcome.outdated, CallOutcome.refused)
-)
+#: Outcomes that are known from an answer of the owner itself. A refusal may be
+#: that of another process at its address.
+_OWN_ANSWERS: Final = frozenset((CallOutcome.done, CallOutcome.outdated))
+#: Outcomes of calls that the process at the address has not carried out.
+_REFUSALS: Final = frozenset((CallOutcome.refused, CallOutcome.ended))
+#: Outcomes that show nothing of the path to the owner.
+_NO_EVIDENCE: Final = frozenset((CallOutcome.refused, CallOutcome.unproven))
 #: Sends a grant of keys to an address for a duration.
 _Send = Callable[[str, KeyRange, Seconds], Coroutine[Any, Any, CallResult]]
 #: Names grants among the requests to a target that have no answer yet.
@@ -79,8 +83,9 @@
         self._probe_at_by_id: dict[TargetId, Seconds] = {}
         #: Called with a target whose grant failed: it may have restarted.
         self.on_failure: list[Callable[[TargetId], None]] = []
-        self.addresses = OwnerAddresses(view)
+        self.addresses = OwnerAddresses(view, clock)
         self.lives = self.addresses.lives
+        self._refused_calls = self.addresses.refused_calls
         self._signs = SignsOfLife(clock)
 
     def has_authority(self) -> bool:
@@ -94,15 +99,17 @@
     def forget(self, target_id: TargetId) -> None:
         """Stop probing a target that has been removed."""
         self._probe_at_by_id.pop(target_id, None)
+        self._refused_calls.end(target_id)
         self._signs.forget(target_id)
 
     def due_probes(self) -> list[TargetId]:
-        """Return the unreachable targets to probe now; schedule the next."""
+        """Return the targets that failed to probe now; schedule the next."""
         now = self._clock.boot()
         due = [one for one, at in self._probe_at_by_id.items() if at <= now]
         for target_id in due:
             self._probe_at_by_id[target_id] = now + PROBE_INTERVAL
-        return due
+        refusing = self._refused_calls.due_probes(now)
+        return due + [one for one in refusing if one not in due]
 
     def grants_by_owner(
         self, assignments: list[Assignment]
@@ -132,22 +139,24 @@
             self.pending_owners.discard(owner)
 
     async def probe(self, owner: TargetId) -> bool:
-        """Return whether a connection to a target can be made.
+        """Return whether a target with keys answers at a target's address.
 
-        It shows the path to the address, not which process has that.
+        It shows the path to the address, not which target has that.
         """
         called = self.addresses.reported(owner)
-        if called is not None and await self._target_client.can_connect(
-            called.address
-        ):
+        if called is None:
+            return False
+        found = await self._target_client.probe(called.address)
+        now = self._clock.boot()
+        if found is Presence.keyed:
             self._probe_at_by_id.pop(owner, None)
-            self.paths.direct.record_probe_success(
-                owner, self._clock.monotonic()
-            )
-            return True
-        self._probe_at_by_id[owner] = self._clock.boot() + PROBE_INTERVAL
-        self.paths.record_failure(owner, self._clock.monotonic())
-        return False
+            self._refused_calls.record_probe(owner)
+        elif found is Presence.other:
+            self._refused_calls.record(called, now)
+        else:
+            self._probe_at_by_id[owner] = now + PROBE_INTERVAL
+        _record_probe(self.paths, owner, found, self._clock.monotonic())
+        return found is Presence.keyed
 
     async def prove(self, owner: TargetId, process: TargetProcess) -> bool:
         """Return whether a process of a target has answered: it runs on."""
@@ -257,7 +266,8 @@
         if self.lives.has_owner_ended(assignment):
             self._probe_at_by_id.pop(assignment.owner, None)
             return False
-        self._probe_at_by_id[assignment.owner] = now + PROBE_INTERVAL
+        if result.outcome not in _REFUSALS:
+            self._probe_at_by_id[assignment.owner] = now + PROBE_INTERVAL
         return False
 
     async def _bounded_grant(
@@ -371,10 +381,22 @@
         paths.record_failure(owner, now)
     elif outcome is CallOutcome.unknown:
         paths.direct.record_doubt(owner, now)
-    elif outcome is not CallOutcome.unproven:
+    elif outcome not in _NO_EVIDENCE:
         paths.record_answer(owner, now)
 
 
+def _record_probe(
+    paths: TargetPaths, owner: TargetId, found: Presence, now: Seconds
+) -> None:
+    """Record what a probe shows of the path to a target."""
+    if found is Presence.unreached:
+        paths.record_failure(owner, now)
+    elif found is Presence.unknown:
+        paths.direct.record_doubt(owner, now)
+    else:
+        paths.direct.record_probe_success(owner, now)
+
+
 def _is_renewal(assignment: Assignment, result: CallResult) -> bool:
     """Return whether the process that answered had accepted the fence."""
     known = assignment.process_with_fence()
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -252,8 +252,11 @@
         ):
             return True
         # The grant has lapsed, and an unreachable owner gets no renewal.
-        is_unreachable = self._granter.is_unreachable(assignment.owner)
-        if not is_unreachable or now < assignment.may_be_held_until:
+        if now < assignment.may_be_held_until:
+            return False
+        if self._granter.addresses.is_refusing(assignment.owner):
+            return bool(self._candidates.eligible())
+        if not self._granter.is_unreachable(assignment.owner):
             return False
         return self._suspicion.claim(
             assignment.owner,
@@ -283,9 +286,11 @@
         # A restarted target is called too: its keys may have been renewed
         # before its restart was known.
         called = self._granter.addresses.reported(assignment.owner)
-        is_lost = self._granter.lives.has_owner_ended(
-            assignment
-        ) or self._granter.is_unreachable(assignment.owner)
+        is_lost = (
+            self._granter.lives.has_owner_ended(assignment)
+            or self._granter.is_unreachable(assignment.owner)
+            or self._granter.addresses.is_refusing(assignment.owner)
+        )
         if called is None or is_lost:
             assignment.state = AssignmentState.lapsing
             return
--- a/cassialever/keys/suspects.py
+++ b/cassialever/keys/suspects.py
@@ -100,13 +100,21 @@
             and assignment.renew_at <= now
             and not self._granter.lives.has_owner_ended(assignment)
         ]
-        for owner in {assignment.owner for assignment in due} - self._probing:
+        # One that has refused may be another process at the same address, which
+        # accepts connections.
+        owners = {
+            assignment.owner
+            for assignment in due
+            if not self._granter.addresses.is_refusing(assignment.owner)
+        }
+        for owner in owners - self._probing:
             self._probing.add(owner)
             self._tasks.start(self._probe(owner))
         for asked in self._processes_due(due, now):
             self._asking.add(asked.owner)
             self._tasks.start(self._ask(asked))
-        return [one for one in due if one.owner in self._reached]
+        reached = owners & self._reached
+        return [one for one in due if one.owner in reached]
 
     def clear_reached(self) -> None:
         """Require a new probe the next time an owner becomes suspect."""
--- a/cassialever/platform/spare_connections.py
+++ b/cassialever/platform/spare_connections.py
@@ -32,7 +32,7 @@
 #: Bytes of the body of an answer; what it tells is in its head.
 MAX_ANSWER_BYTES: Final = 4096
 #: The id that no target has.
-_NO_TARGET: Final = TargetId('-')
+NO_TARGET: Final = TargetId('-')
 
 
 class SpareConnections:
@@ -103,7 +103,7 @@
                 async with session.post(
                     f'http://{address}{wire.GRANT_PATH}',
                     data=b'{}',
-                    headers=call_headers(_NO_TARGET),
+                    headers=call_headers(NO_TARGET),
                     timeout=aiohttp.ClientTimeout(total=timeout),
                     allow_redirects=False,
                 ) as response:
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -12,7 +12,7 @@
 import aiohttp
 import msgspec
 
-from cassialever.fleet.connecting import CONNECT_TIMEOUT, can_connect
+from cassialever.fleet.connecting import CONNECT_TIMEOUT
 from cassialever.fleet.model import KeyRange
 from cassialever.platform import wire
 from cassialever.platform.answer_bodies import read_limited
@@ -37,6 +37,7 @@
 from cassialever.platform.spare_connections import (
     IDLE_CONNECTIONS,
     MAX_ANSWER_BYTES,
+    NO_TARGET,
     SpareConnections,
 )
 from cassialever.types import Seconds, TargetId
@@ -71,6 +72,19 @@
     unknown = 'unknown'
 
 
+class Presence(enum.Enum):
+    """What a probe of an address has found."""
+
+    #: No connection could be made.
+    unreached = 'unreached'
+    #: No answer that tells.
+    unknown = 'unknown'
+    #: A process that takes no calls about keys.
+    other = 'other'
+    #: A target of a service that has keys.
+    keyed = 'keyed'
+
+
 #: What a target answers that has not carried out a call.
 _REFUSALS: Final = frozenset(
     (CallOutcome.outdated, CallOutcome.refused, CallOutcome.ended)
@@ -186,9 +200,16 @@
         repeated = await self._release_on_open(address, keys, time_left)
         return repeated or result
 
-    async def can_connect(self, address: str) -> bool:
-        """Return whether an address accepts a connection."""
-        return await can_connect(address)
+    async def probe(self, address: str) -> Presence:
+        """Return what is found at an address.
+
+        A call that names no target changes nothing. Targets with keys refuse it
+        as one for another target, and those without as malformed.
+        """
+        call = wire.GRANT_PATH, b'{}'
+        with only_on_new():
+            result = await self._call(address, NO_TARGET, call, GRANT_TIMEOUT)
+        return _found(result.outcome)
 
     async def prove(self, address: str, process: TargetProcess) -> bool:
         """Return whether a process still answers on one of its connections.
@@ -311,6 +332,16 @@
     )
 
 
+def _found(outcome: CallOutcome) -> Presence:
+    """Return what the outcome of a call that names no target shows."""
+    if outcome is CallOutcome.not_sent:
+        return Presence.unreached
+    if outcome is CallOutcome.ended:
+        return Presence.keyed
+    is_refused = outcome is CallOutcome.refused
+    return Presence.other if is_refused else Presence.unknown
+
+
 @contextlib.asynccontextmanager
 async def _time_limit(limit: Seconds) -> AsyncIterator[None]:
     """Raise TimeoutError at a limit, the last READ_TIME counted in the loop.
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -38,6 +38,7 @@
     CallOutcome,
     CallResult,
     ConnectionUse,
+    Presence,
     conclude,
 )
 from standins.keyed_target import Grant
@@ -122,6 +123,8 @@
         self.is_draining = False
         #: Whether it is of the service that has keys. Others refuse all calls.
         self.is_keyed = True
+        #: Whether it refuses grants though they are meant for it.
+        self.refuses_grants = False
         self.process = TargetProcess(self)
 
 
@@ -489,7 +492,7 @@
             await self.world.pause(0.2)
             return CallResult(CallOutcome.not_sent)
         await self.world.pause(0.001)
-        if not target.is_keyed:
+        if not target.is_keyed or target.refuses_grants:
             return self.world.refuse(keys.owner)
         if self.names_targets and target.name != keys.owner:
             self.world.misdirected_at.append(self.world.loop.time())
@@ -549,6 +552,12 @@
             await asyncio.sleep(CONNECT_TIMEOUT)
         return self.is_reached(address)
 
+    async def probe(self, address: str) -> Presence:
+        if not await self.can_connect(address):
+            return Presence.unreached
+        is_keyed = self.world.targets[address].is_keyed
+        return Presence.keyed if is_keyed else Presence.other
+
     async def release(self, address: str, keys: KeyRange) -> CallResult:
         target = self.world.targets[address]
         if not self.is_reached(address):
--- a/tests/test_keys_replaced.py
+++ b/tests/test_keys_replaced.py
@@ -11,8 +11,15 @@
 
 from cassialever.fleet.model import Target
 from cassialever.keys.assignments import MAX_GRANT_DURATION
+from cassialever.keys.refused_calls import (
+    FIRST_PROBE_DELAY,
+    MAX_PROBE_DELAY,
+    RefusedCalls,
+)
 from cassialever.platform.records import decode_target
+from cassialever.platform.targets import Presence, TargetClient
 from cassialever.types import TargetId
+from standins.keyed_target import TargetServer
 from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
 from tests.ownership_fakes import Daemon, FakeTarget, World
 
@@ -60,6 +67,11 @@
     return sum(one.owner == owner for one in assigner.assignments.ordered)
 
 
+def _is_refusing(leader: Daemon) -> bool:
+    context = leader.assigner._context
+    return context is not None and context.granter.addresses.is_refusing(OWNER)
+
+
 def _target(started_at: int = 1000, address: str = ADDRESS) -> Target:
     entry = target_entry(address=address, born=started_at)
     target = decode_target(OWNER, msgspec.json.encode(entry))
@@ -270,5 +282,168 @@
         self.check_each(scenario)
 
 
+class RefusedTest(ReplacedTestCase):
+    """Addresses refuse calls about keys, and no daemon reports why."""
+
+    def test_address_that_refuses_gets_no_keys_again_and_again(self) -> None:
+        # It accepts connections, and keys were assigned to it at each probe.
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            await asyncio.sleep(4)
+            self.assertEqual(world.unheld_count(), 0)
+            self.assertLessEqual(len(world.refused_at), 4)
+
+        self.check_each(scenario)
+
+    def test_refusal_is_no_sign_of_life(self) -> None:
+        # The next grant to the owner was too long.
+        async def scenario(world: World, leader: Daemon) -> None:
+            context = leader.assigner._context
+            assert context is not None
+            silence = context.granter._signs.silence_of(OWNER)
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            while not _is_refusing(leader):
+                await asyncio.sleep(0.01)
+            self.assertGreater(
+                context.granter._signs.silence_of(OWNER), silence
+            )
+
+        self.check_each(scenario)
+
+    def test_owner_that_refuses_for_a_moment_keeps_its_keys(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            ranges = _ranges_of(leader, OWNER)
+            world.targets[ADDRESS].refuses_grants = True
+            await asyncio.sleep(1)
+            world.targets[ADDRESS].refuses_grants = False
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                self.assertEqual(world.unheld_count(), 0)
+            self.assertEqual(_ranges_of(leader, OWNER), ranges)
+
+        self.check_each(scenario)
+
+    def test_keys_of_an_owner_that_refuses_move(self) -> None:
+        # They move once its hold is over.
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.targets[ADDRESS].refuses_grants = True
+            await asyncio.sleep(3.4)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check_each(scenario)
+
+    def test_service_whose_targets_all_refuse_recovers(self) -> None:
+        async def scenario(world: World, leader: Daemon) -> None:
+            for target in world.targets.values():
+                target.refuses_grants = True
+            await asyncio.sleep(8)
+            refused = len(world.refused_at)
+            for target in world.targets.values():
+                target.refuses_grants = False
+            self.assertLess(
+                await _time_until_held(world), MAX_PROBE_DELAY + LIMIT
+            )
+            # Each target's renewals with and without a known process.
+            self.assertLess(refused, 8 / 0.25 * 4)
+
+        self.check_each(scenario)
+
+    def test_reborn_target_gets_keys_at_once(self) -> None:
+        # The refusals were those of another process at its address.
+        async def scenario(world: World, leader: Daemon) -> None:
+            ended = world.replace_target(ADDRESS, 'other', is_keyed=False)
+            while not _is_refusing(leader):
+                await asyncio.sleep(0.01)
+            reborn = FakeTarget(OWNER, ADDRESS)
+            reborn.started_at = ended.started_at + 1
+            world.targets[ADDRESS] = reborn
+            world.publish_targets()
+            await asyncio.sleep(3)
+            self.assertEqual(world.unheld_count(), 0)
+            self.assertFalse(_is_refusing(leader))
+
+        self.check_each(scenario)
+
+
+class ProbeTest(unittest.IsolatedAsyncioTestCase):
+    """What a probe over sockets finds at an address."""
+
+    async def test_only_a_target_with_keys_is_present(self) -> None:
+        # Any process at the address accepts a connection.
+        client = TargetClient()
+        await client.start()
+        self.addAsyncCleanup(client.stop)
+        for is_keyed, found in (
+            (True, Presence.keyed),
+            (False, Presence.other),
+        ):
+            target = TargetServer('t1', 'registry', is_keyed=is_keyed)
+            await target.start()
+            with self.subTest(is_keyed=is_keyed):
+                self.assertIs(await client.probe(target.address), found)
+            await target.stop()
+            self.assertIs(
+                await client.probe(target.address), Presence.unreached
+            )
+
+    async def test_address_without_answers_shows_nothing(self) -> None:
+        server = await asyncio.start_server(_hang_up, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        client = TargetClient()
+        await client.start()
+        self.addAsyncCleanup(client.stop)
+        host, port = server.sockets[0].getsockname()
+        self.assertIs(await client.probe(f'{host}:{port}'), Presence.unknown)
+
+
+async def _hang_up(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Close a connection without an answer to what it brings."""
+    await reader.readuntil(b'}')
+    writer.close()
+
+
+class RefusedCallsTest(unittest.TestCase):
+    """When a target that refuses is called again."""
+
+    def test_delay_of_the_next_probe_doubles(self) -> None:
+        refused, now, delays = RefusedCalls(), 10.0, []
+        refused.record(_target(), now)
+        for _ in range(5):
+            begun = now
+            # Refusals of calls that were under way prolong nothing.
+            refused.record(_target(), now + 0.1)
+            while not refused.due_probes(now):
+                now += 0.125
+            delays.append(now - begun)
+        self.assertEqual(delays[0], FIRST_PROBE_DELAY)
+        self.assertEqual(delays, [1, 2, 4, 4, 4])
+
+    def test_target_that_is_present_and_refuses_again_waits_longer(
+        self,
+    ) -> None:
+        refused = RefusedCalls()
+        refused.record(_target(), 10)
+        refused.record_probe(OWNER)
+        self.assertFalse(refused.is_in_force(_target()))
+        refused.record(_target(), 20)
+        self.assertTrue(refused.is_in_force(_target()))
+        self.assertEqual(refused.due_probes(20 + FIRST_PROBE_DELAY), [])
+        self.assertEqual(
+            refused.due_probes(20 + 2 * FIRST_PROBE_DELAY), [OWNER]
+        )
+
+    def test_answer_or_new_life_ends_the_refusal(self) -> None:
+        refused = RefusedCalls()
+        refused.record(_target(), 10)
+        self.assertTrue(refused.is_in_force(_target()))
+        for other in (_target(started_at=2000), _target(address=OTHER_ADDRESS)):
+            self.assertFalse(refused.is_in_force(other))
+        refused.end(OWNER)
+        self.assertFalse(refused.is_in_force(_target()))
+
+
 if __name__ == '__main__':
     unittest.main()
