--- /dev/null
+++ b/tests/test_review_fresh.py
@@ -0,0 +1,260 @@
+"""Schedules found by a review of owners whose addresses others have."""
+
+import asyncio
+import unittest
+
+from cassialever.fleet.keyindex import KeyIndex
+from cassialever.fleet.limit_reports import make_report
+from cassialever.fleet.model import KeyMap, KeyRange, Target
+from cassialever.gateway.duplicates import MayDuplicate
+from cassialever.gateway.outcomes import Answer, Attempt
+from cassialever.gateway.refusals import Refusal
+from cassialever.gateway.sender import TargetRequest
+from cassialever.gateway.tables_state import TablesState
+from cassialever.policy.limits import LimitSource, TargetLimit, TargetLimits
+from cassialever.policy.placing import NoTargetReason
+from cassialever.policy.unheld_keys import MIN_REST, HeldKey, UnheldKeys
+from cassialever.types import Seconds, TargetId
+from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.gateway_helpers import LOOKUP_HEADERS, send_request
+from tests.hop_helpers import cut_off_daemon, readdress
+from tests.ownership_fakes import Daemon, FakeTarget, World
+from tests.test_gateway_unheld_keys import Daemon as RequestPath
+from tests.test_gateway_unheld_keys import OwnerSender
+from tests.test_keyed_requests import Play, no_target
+from tests.test_keys_replaced import (
+    ADDRESS,
+    MAX_HOLD,
+    OTHER_ADDRESS,
+    OWNER,
+    ReplacedTestCase,
+    Scenario,
+    _target,
+)
+
+#: Attempts of the routes in these tests.
+ATTEMPTS = 2
+#: Keys of one range by the tables, of which the owner holds the second one.
+MOVED_KEY = 700
+KEPT_KEY = 100
+
+
+class LateReportTest(ReplacedTestCase):
+    """A report that is older than a grant which the owner has accepted."""
+
+    def test_report_from_before_a_grant_frees_no_keys(self) -> None:
+        # The entry names the first life all the while: the leader's rows come
+        # late. The daemon that has seen the other process was frozen.
+        self.check_each(self._scenario(is_reported=True))
+
+    def test_without_the_report_no_key_has_two_owners(self) -> None:
+        # Shows that the report alone is what does it above.
+        self.check_each(self._scenario(is_reported=False))
+
+    def _scenario(self, *, is_reported: bool) -> Scenario:
+        async def scenario(world: World, leader: Daemon) -> None:
+            limits = TargetLimits()
+            limits.record_replaced(leader.view.targets.by_id[OWNER])
+            known = limits.of(OWNER)
+            assert known is not None
+            report = make_report(known, world.loop.time())
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            await asyncio.sleep(2 * MAX_HOLD)
+            reborn = FakeTarget(OWNER, ADDRESS)
+            reborn.started_at = 1002
+            world.targets[ADDRESS] = reborn
+            # The keys of others need an owner.
+            for address, target in world.targets.items():
+                if address != ADDRESS and address != OTHER_ADDRESS:
+                    target.is_up = False
+            await asyncio.sleep(3 * MAX_HOLD)
+            self.assertTrue(reborn.grants, 'the scenario is void')
+            if is_reported:
+                leader.take_report(report)
+            await asyncio.sleep(MAX_HOLD)
+
+        return scenario
+
+
+class MaskedReportTest(unittest.TestCase):
+    """Two reports on one life with two addresses."""
+
+    def test_wrong_address_does_not_hide_the_right_one(self) -> None:
+        for wrong in ('10.1.64.0:8707', '10.1.64.9:8707'):
+            with self.subTest(wrong):
+                limits = TargetLimits()
+                limits.merge(
+                    TargetLimit(OWNER, 1000, replaced_at=wrong), _peer()
+                )
+                limits.record_replaced(_target())
+                self.assertTrue(limits.is_replaced(_target()))
+
+    def test_report_on_another_life_does_not_hide_that_of_the_entry(
+        self,
+    ) -> None:
+        # The entry of the other life has not come, or a clock stepped back.
+        limits = TargetLimits()
+        limits.merge(TargetLimit(OWNER, 2000, leaving_since=1.0), _peer())
+        limits.record_replaced(_target())
+        self.assertTrue(limits.is_replaced(_target()))
+
+
+class UnrecordedTest(unittest.TestCase):
+    """Requests while it is not known that an owner has ended."""
+
+    def test_request_is_not_sent_beyond_its_attempts(self) -> None:
+        # A limit of another life of the owner is known, so that its end is not.
+        async def main(loop: VirtualLoop) -> None:
+            daemon = RequestPath(loop)
+            daemon.sender.ended = {'t0'}
+            daemon.view.targets.limits.merge(
+                TargetLimit(TargetId('t0'), 2000, leaving_since=0.0), _peer()
+            )
+            await daemon.serve()
+            self.assertLessEqual(len(daemon.sender.arrivals), ATTEMPTS)
+
+        run_virtually(main)
+
+
+class PartOfRangeTest(unittest.TestCase):
+    """An owner that holds a part of a range as the tables have it."""
+
+    def test_keys_that_the_owner_has_kept_are_served(self) -> None:
+        # A part has moved. The rest keeps its owner, life and fence.
+        unheld = UnheldKeys()
+        whole = KeyRange(0, 999, 'k0', 1000, 7)
+        rest = KeyRange(0, 499, 'k0', 1000, 7)
+        unheld.record_refused(HeldKey('registry', MOVED_KEY, whole), 1.0, 1.0)
+        kept = HeldKey('registry', KEPT_KEY, rest)
+        self.assertTrue(
+            unheld.may_send(kept, 1.0 + MIN_REST / 2, was_refused=False)
+        )
+
+    def test_other_keys_are_served_while_one_is_refused(self) -> None:
+        # This daemon's tables lack the move: four in five requests are for
+        # keys that their owner holds.
+        unheld = UnheldKeys()
+        whole = KeyRange(0, 999, 'k0', 1000, 7)
+        sent = held_back = 0
+        for step in range(1000):
+            now = step / 100
+            key = MOVED_KEY if step % 5 == 0 else KEPT_KEY
+            one = HeldKey('registry', key, whole)
+            if not unheld.may_send(one, now, was_refused=False):
+                held_back += key == KEPT_KEY
+                continue
+            unheld.record_tried(one, now)
+            if key == MOVED_KEY:
+                unheld.record_refused(one, now, now + 0.002)
+                continue
+            sent += 1
+            unheld.record_held(one, now)
+        self.assertLess(held_back, sent / 10)
+
+
+class PartSender(OwnerSender):
+    """Sends to an owner that has given back a part of its keys."""
+
+    async def send(
+        self,
+        request: TargetRequest,
+        target: Target,
+        time_left: Seconds,
+        may_duplicate: MayDuplicate,
+    ) -> Attempt:
+        self.holding = set()
+        if request.request_id.startswith('kept'):
+            self.holding = {target.target_id}
+        return await super().send(request, target, time_left, may_duplicate)
+
+
+async def _serve(
+    daemon: RequestPath, part: str, number: int
+) -> Answer | Refusal:
+    """Serve a request for a key that the owner has given back, or kept."""
+    key = MOVED_KEY if part == 'moved' else KEPT_KEY
+    return await daemon._serve_on(
+        'registry.example', '/lookup/1', key, f'{part}-{number}'
+    )
+
+
+class PartOfRangePathTest(unittest.TestCase):
+    """The same through the request path, with callers that wait."""
+
+    def test_requests_for_kept_keys_are_served(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            daemon = RequestPath(loop)
+            sender = PartSender(daemon.clock)
+            daemon.forwarder._sender = sender
+            daemon.sender = sender
+            daemon.tables = TablesState(without_leader=0.5)
+            kept = []
+            for number in range(400):
+                part = 'moved' if number % 5 == 0 else 'kept'
+                task = asyncio.create_task(_serve(daemon, part, number))
+                if part == 'kept':
+                    kept.append(task)
+                await asyncio.sleep(0.01)
+            answers = await asyncio.gather(*kept)
+            served = sum(isinstance(one, Answer) for one in answers)
+            print(f'{self.id()}: {served} of {len(kept)} served')
+            self.assertGreater(served, 0.95 * len(kept))
+
+        run_virtually(main)
+
+    def test_refused_request_is_not_sent_to_the_same_grant_again(self) -> None:
+        # The owner runs a request for another key of the range meanwhile.
+        async def main(loop: VirtualLoop) -> None:
+            daemon = RequestPath(loop)
+            sender = PartSender(daemon.clock)
+            daemon.forwarder._sender = sender
+            refused = asyncio.create_task(_serve(daemon, 'moved', 0))
+            await asyncio.sleep(0.004)
+            for number in range(40):
+                asyncio.create_task(_serve(daemon, 'kept', number))
+                await asyncio.sleep(0.005)
+            await refused
+            sent = [one for _, one, _ in sender.arrivals if one == 'moved-0']
+            self.assertEqual(len(sent), 1)
+
+        run_virtually(main)
+
+
+class HelperTest(unittest.IsolatedAsyncioTestCase):
+    """A helper that has another address of the same life."""
+
+    async def test_answer_there_says_nothing_of_the_own_address(self) -> None:
+        async with cut_off_daemon() as (system, first, helper):
+            owner = system.targets[0]
+            other = next(one for one in system.targets if one.target_id == 'i0')
+            readdress(helper, 'k0', other.address)
+            await send_request(first, '/lookup/', LOOKUP_HEADERS, 'r1')
+            targets = first.view.targets
+            self.assertEqual(targets.by_id['k0'].shared_address, owner.address)
+            self.assertFalse(targets.limits.is_replaced(targets.by_id['k0']))
+
+
+class OneRangeTest(unittest.TestCase):
+    """Requests of a daemon all of which are for one range of several."""
+
+    def test_one_owner_that_has_ended_is_no_sign_for_the_others(self) -> None:
+        # The busy keys are close to one another, so that few requests show
+        # whether the other owner serves its keys.
+        play = Play()
+        ranges = (
+            KeyRange(0, 999, 't0', 1000, 1),
+            KeyRange(1000, 65535, 't1', 1000, 1),
+        )
+        play.view.keys_by_service['registry'] = KeyIndex(
+            KeyMap('registry', ranges)
+        )
+        lines = play.note(no_target(NoTargetReason.owner_ended))
+        self.assertEqual(lines, [])
+
+
+def _peer() -> LimitSource:
+    return LimitSource('a follower')
+
+
+if __name__ == '__main__':
+    unittest.main()
