Call an owner again that resets new connections

Callers would have seen: keys of a target at its connection limit move, though it still takes calls on the connections that it has.

Before, an accepted connection was enough.

A probe that is not answered is no news now: it ends a failure of the path, as before, but no refusal.

Tests: test_owner_that_takes_no_new_connection_is_called_again failed at (32 of 128 keys without a holder).

--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -139,24 +139,28 @@
             self.pending_owners.discard(owner)
 
     async def probe(self, owner: TargetId) -> bool:
-        """Return whether a target with keys answers at a target's address.
+        """Return whether a target may be called again after a failure.
 
-        It shows the path to the address, not which target has that.
+        A connection shows the path to the address, not which target has that.
+        One that refused before has to be found there, as far as a target with
+        keys shows that. A target at its limit resets new connections.
         """
         called = self.addresses.reported(owner)
         if called is None:
             return False
         found = await self._target_client.probe(called.address)
         now = self._clock.boot()
-        if found is Presence.keyed:
-            self._probe_at_by_id.pop(owner, None)
-            self._refused_calls.record_probe(owner)
-        elif found is Presence.other:
-            self._refused_calls.record(called, now)
-        else:
+        if found is Presence.unreached:
             self._probe_at_by_id[owner] = now + PROBE_INTERVAL
-        _record_probe(self.paths, owner, found, self._clock.monotonic())
-        return found is Presence.keyed
+            self.paths.record_failure(owner, self._clock.monotonic())
+            return False
+        self._probe_at_by_id.pop(owner, None)
+        self.paths.direct.record_probe_success(owner, self._clock.monotonic())
+        if found is Presence.other:
+            self._refused_calls.record(called, now)
+        elif found is Presence.keyed:
+            self._refused_calls.record_probe(owner)
+        return not self.addresses.is_refusing(owner)
 
     async def prove(self, owner: TargetId, process: TargetProcess) -> bool:
         """Return whether a process of a target has answered: it runs on."""
@@ -385,18 +389,6 @@
         paths.record_answer(owner, now)
 
 
-def _record_probe(
-    paths: TargetPaths, owner: TargetId, found: Presence, now: Seconds
-) -> None:
-    """Record what a probe shows of the path to a target."""
-    if found is Presence.unreached:
-        paths.record_failure(owner, now)
-    elif found is Presence.unknown:
-        paths.direct.record_doubt(owner, now)
-    else:
-        paths.direct.record_probe_success(owner, now)
-
-
 def _is_renewal(assignment: Assignment, result: CallResult) -> bool:
     """Return whether the process that answered had accepted the fence."""
     known = assignment.process_with_fence()
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -156,6 +156,8 @@
         #: Whether they are carried out late, after one of the delays above.
         self.delays_copied_calls = False
         self.violations: list[str] = []
+        #: Addresses of targets that reset new connections.
+        self.resets_new_at: set[str] = set()
         #: When calls about keys were refused, and the owners they were for.
         self.refused_at: list[tuple[float, str]] = []
         #: When calls about keys reached another target than was meant.
@@ -555,6 +557,8 @@
     async def probe(self, address: str) -> Presence:
         if not await self.can_connect(address):
             return Presence.unreached
+        if address in self.world.resets_new_at:
+            return Presence.unknown
         is_keyed = self.world.targets[address].is_keyed
         return Presence.keyed if is_keyed else Presence.other
 
--- a/tests/test_keys_replaced.py
+++ b/tests/test_keys_replaced.py
@@ -5,10 +5,12 @@
 
 import asyncio
 import unittest
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
 
+from cassialever.fleet.limit_reports import make_report
 from cassialever.fleet.model import Target
 from cassialever.keys.assignments import MAX_GRANT_DURATION
 from cassialever.keys.refused_calls import (
@@ -18,6 +20,7 @@
 )
 from cassialever.platform.records import decode_target
 from cassialever.platform.targets import Presence, TargetClient
+from cassialever.policy.limits import TargetLimit
 from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
@@ -33,6 +36,17 @@
 MAX_HOLD = MAX_GRANT_DURATION + LIMIT
 #: Longest time that a test waits, in seconds.
 MAX_WAIT = 20.0
+#: The daemons of a large fleet, and the time that their reports take, in
+#: seconds.
+DAEMONS = 195
+REPORT_TIME = 0.1
+#: Time until the leader has taken up what it read, in seconds.
+SETTLING_TIME = 0.1
+#: Steps of a service in some 1.5 s: 20 a second, and one each 10 ms of those in
+#: which reports come.
+MAX_TICKS = 35
+#: Rows written meanwhile: those of the key map, and the lease.
+MAX_WRITES = 8
 #: Moments of the report, over a renewal of all grants.
 PHASES = tuple(step * 0.14 for step in range(5))
 SEEDS = range(3)
@@ -67,6 +81,20 @@
     return sum(one.owner == owner for one in assigner.assignments.ordered)
 
 
+def _count_ticks(leader: Daemon) -> Counter[str]:
+    """Count the ticks of the service's assigner from now on."""
+    assigner = leader.assigner.assigner_by_service['registry']
+    counted: Counter[str] = Counter()
+    tick = assigner.tick
+
+    def count(now: float) -> None:
+        counted['count'] += 1
+        tick(now)
+
+    assigner.tick = count  # type: ignore[method-assign]
+    return counted
+
+
 def _is_refusing(leader: Daemon) -> bool:
     context = leader.assigner._context
     return context is not None and context.granter.addresses.is_refusing(OWNER)
@@ -146,6 +174,40 @@
 
         self.check_each(scenario, followers=8)
 
+    def test_reports_of_many_daemons_make_no_storm(self) -> None:
+        # Each could begin a step, and each step a write.
+        async def scenario(world: World, leader: Daemon) -> None:
+            ended = [
+                leader.view.targets.by_id[TargetId(target.name)]
+                for target in world.targets.values()
+            ]
+            for number, entry in enumerate(ended):
+                world.replace_target(
+                    entry.address, f'o{number}', is_keyed=False
+                )
+                address = f'10.1.64.{50 + number}:8707'
+                world.targets[address] = FakeTarget(f'n{number}', address)
+            world.publish_targets(*world.ended)
+            await asyncio.sleep(SETTLING_TIME)
+            version = world.shared.version
+            ticks = _count_ticks(leader)
+            for entry in ended:
+                limit = TargetLimit(
+                    entry.target_id,
+                    entry.started_at,
+                    replaced_at=entry.address,
+                )
+                report = make_report(limit, world.loop.time())
+                for _ in range(DAEMONS - 1):
+                    delay = REPORT_TIME * world.random.random()
+                    world.call_later(delay, leader.take_report, report)
+            self.assertLess(await _time_until_held(world), LIMIT)
+            await asyncio.sleep(1 - REPORT_TIME)
+            self.assertLess(ticks['count'], MAX_TICKS)
+            self.assertLess(world.shared.version - version, MAX_WRITES)
+
+        self.check_each(scenario, targets=16)
+
     def test_ended_owner_is_called_once_at_most(self) -> None:
         # Keys were assigned to it again and again.
         async def scenario(world: World, leader: Daemon) -> None:
@@ -323,6 +385,21 @@
 
         self.check_each(scenario)
 
+    def test_owner_that_takes_no_new_connection_is_called_again(self) -> None:
+        # The calls go over the connections that it has.
+        async def scenario(world: World, leader: Daemon) -> None:
+            world.resets_new_at.add(ADDRESS)
+            ranges = _ranges_of(leader, OWNER)
+            assigner = leader.assigner.assigner_by_service['registry']
+            assigner._suspects.suspect(OWNER)
+            leader.target_client.process_by_address.pop(ADDRESS)
+            for _ in range(30):
+                await asyncio.sleep(0.1)
+                self.assertEqual(world.unheld_count(), 0)
+            self.assertEqual(_ranges_of(leader, OWNER), ranges)
+
+        self.check_each(scenario)
+
     def test_keys_of_an_owner_that_refuses_move(self) -> None:
         # They move once its hold is over.
         async def scenario(world: World, leader: Daemon) -> None:
