Check a reported end of an owner by an own call before its keys are free

A report has no time.

The leader now checks the address with a call on a new connection that names no target. A process without keys refuses it with 400, and is not the owner. Where a target with keys is there, the release by which the keys leave names the owner, also if the owner counted as unreachable. What is known of another life, or of another address, hides no replaced address any more.

--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -162,6 +162,20 @@
             self._refused_calls.record_probe(owner)
         return not self.addresses.is_refusing(owner)
 
+    async def check_replaced(self, called: Target) -> None:
+        """Check whether a process without keys has the address of a target.
+
+        The report of a daemon may be older than the process that is there now,
+        which may be a later one of the same target, with keys.
+        """
+        found = Presence.unknown
+        try:
+            found = await self._target_client.probe(called.address)
+        finally:
+            self.addresses.end_check(
+                called, is_replaced=found is Presence.other
+            )
+
     async def prove(self, owner: TargetId, process: TargetProcess) -> bool:
         """Return whether a process of a target has answered: it runs on."""
         called = self.addresses.reported(owner)
--- a/cassialever/keys/owner_addresses.py
+++ b/cassialever/keys/owner_addresses.py
@@ -1,13 +1,19 @@
 """What calls show of the processes at the addresses of owners."""
 
+from collections.abc import Iterable
+from typing import Final
+
 from cassialever.clock import SystemClock
-from cassialever.fleet.model import Target
+from cassialever.fleet.model import StartedAt, Target
 from cassialever.fleet.view import FleetView
 from cassialever.keys.lives import EndedLives
 from cassialever.keys.refused_calls import RefusedCalls
 from cassialever.platform.targets import CallOutcome
 from cassialever.types import TargetId
 
+#: Checks that are remembered; of more, those claimed first are forgotten.
+MAX_CHECKED: Final = 2048
+
 
 class OwnerAddresses:
     """The reports by which targets are called, and what refuses at these."""
@@ -20,6 +26,9 @@
         self._clock = clock
         #: The newest report of each target that was called.
         self._reported_by_id: dict[TargetId, Target] = {}
+        #: Lives that were checked, with their addresses, and targets that are.
+        self._checked: dict[tuple[TargetId, StartedAt, str], None] = {}
+        self._checking: set[TargetId] = set()
 
     def reported(self, target_id: TargetId) -> Target | None:
         """Return a target's current or last known report."""
@@ -33,12 +42,40 @@
         target = self.reported(target_id)
         return target is not None and self.refused_calls.is_in_force(target)
 
-    def end_if_replaced(self, target_id: TargetId) -> None:
-        """End a target's life if another one is known at its address."""
-        target = self.reported(target_id)
-        if target is None or not self._view.targets.limits.is_replaced(target):
-            return
-        self.lives.end(target, self._view.targets.relocated)
+    def claim_checks(self, target_ids: Iterable[TargetId]) -> list[Target]:
+        """Return the targets to check, if others may have their addresses.
+
+        Each life is checked once at an address; what that leaves open is
+        settled by its calls. Each check has to be ended by `end_check`.
+        """
+        claimed = []
+        for target_id in target_ids:
+            target = self.reported(target_id)
+            if target is None or not self.is_replaced(target):
+                continue
+            checked = (target_id, target.started_at, target.address)
+            if checked in self._checked:
+                continue
+            self._checked[checked] = None
+            self._checking.add(target_id)
+            claimed.append(target)
+        while len(self._checked) > MAX_CHECKED:
+            self._checked.pop(next(iter(self._checked)))
+        return claimed
+
+    def is_replaced(self, target: Target) -> bool:
+        """Return whether another target is said to have an address."""
+        return self._view.targets.limits.is_replaced(target)
+
+    def end_check(self, target: Target, *, is_replaced: bool) -> None:
+        """Note what a check has found; end a life that another has replaced."""
+        self._checking.discard(target.target_id)
+        if is_replaced:
+            self.lives.end(target, self._view.targets.relocated)
+
+    def is_checking(self, target_id: TargetId) -> bool:
+        """Return whether a target's address is being checked."""
+        return target_id in self._checking
 
     def record_outcome(self, called: Target, outcome: CallOutcome) -> None:
         """Note what the outcome of a call shows of the process there.
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -115,9 +115,10 @@
         """Advance every assignment for which something is due."""
         if not self._knows_owners:
             return
-        owners = {one.owner for one in self.assignments.ordered}
-        for owner in owners:
-            self._granter.addresses.end_if_replaced(owner)
+        for called in self._granter.addresses.claim_checks(
+            {one.owner for one in self.assignments.ordered}
+        ):
+            self.steps.start_after(self._granter.check_replaced(called))
         if not self.assignments.ordered:
             self._assign_first(now)
             return
@@ -247,6 +248,8 @@
     def _must_leave_owner(self, assignment: Assignment, now: Seconds) -> bool:
         if self._granter.lives.has_owner_ended(assignment):
             return True
+        if self._granter.addresses.is_checking(assignment.owner):
+            return False
         if self._candidates.is_disqualified(
             assignment.owner, assignment.owner_started_at
         ):
@@ -286,11 +289,14 @@
         # A restarted target is called too: its keys may have been renewed
         # before its restart was known.
         called = self._granter.addresses.reported(assignment.owner)
-        is_lost = (
-            self._granter.lives.has_owner_ended(assignment)
-            or self._granter.is_unreachable(assignment.owner)
-            or self._granter.addresses.is_refusing(assignment.owner)
-        )
+        is_lost = self._granter.lives.has_owner_ended(
+            assignment
+        ) or self._granter.addresses.is_refusing(assignment.owner)
+        if called is not None and not self._granter.addresses.is_replaced(
+            called
+        ):
+            # A process that has another's address answers at once.
+            is_lost = is_lost or self._granter.is_unreachable(assignment.owner)
         if called is None or is_lost:
             assignment.state = AssignmentState.lapsing
             return
--- a/cassialever/policy/limits.py
+++ b/cassialever/policy/limits.py
@@ -31,6 +31,9 @@
 #: Lowest rate that is applied, in requests per second. A target is asked at
 #: least this often, since only an answer tells that the limit has ended.
 MIN_RATE: Final = 0.1
+#: Lives that are remembered as replaced; of more, those noted first are
+#: forgotten.
+MAX_REPLACED_LIVES: Final = 2048
 #: Number of targets that are gone of which it is still known that they left or
 #: have ended. An entry may come back though its target leaves.
 MAX_GONE_TARGETS: Final = 1000
@@ -119,6 +122,8 @@
         """Start without any limit."""
         self._limit_by_id: dict[TargetId, TargetLimit] = {}
         self._lives = NamedLives()
+        #: The addresses at which others have answered in place of a life.
+        self._replaced: dict[tuple[TargetId, StartedAt], set[str]] = {}
         #: The pauses that targets asked this daemon for.
         self.pauses = TargetPauses()
         #: Called with the state before and after a change that others need to
@@ -177,6 +182,7 @@
         What is said of a life that is over is neither kept nor corrected: a
         daemon that does not know of its end would send it again.
         """
+        is_news = self._note_replaced(limit)
         if self._lives.is_over(limit.target_id, limit.started_at):
             return limit
         known = self._limit_by_id.get(limit.target_id)
@@ -186,7 +192,7 @@
         self._limit_by_id[limit.target_id] = merged
         if _differs(known, merged):
             self.on_change(known, merged, source)
-        if merged.replaced_at != known.replaced_at:
+        if is_news:
             for notify in self.on_replaced:
                 notify()
         return merged
@@ -219,10 +225,8 @@
 
         A process keeps its address, so that this one has ended then.
         """
-        limit = self._limit_by_id.get(target.target_id)
-        if limit is None or limit.started_at != target.started_at:
-            return False
-        return limit.replaced_at == target.shared_address
+        addresses = self._replaced.get((target.target_id, target.started_at))
+        return addresses is not None and target.shared_address in addresses
 
     def in_force(self) -> list[TargetLimit]:
         """Return the limits in force, and the targets that leave or ended."""
@@ -243,6 +247,21 @@
             if self._lives.is_over(limit.target_id, limit.started_at):
                 self._limit_by_id.pop(limit.target_id)
 
+    def _note_replaced(self, limit: TargetLimit) -> bool:
+        """Note an address that is not a life's any more; return if it is new.
+
+        What is known of another life, or of another address, hides none.
+        """
+        if not limit.replaced_at:
+            return False
+        life = (limit.target_id, limit.started_at)
+        addresses = self._replaced.setdefault(life, set())
+        is_news = limit.replaced_at not in addresses
+        addresses.add(limit.replaced_at)
+        while len(self._replaced) > MAX_REPLACED_LIVES:
+            self._replaced.pop(next(iter(self._replaced)))
+        return is_news
+
 
 def _outdated(
     limits: Iterable[TargetLimit],
--- a/tests/test_keys_replaced.py
+++ b/tests/test_keys_replaced.py
@@ -20,7 +20,7 @@
 )
 from cassialever.platform.records import decode_target
 from cassialever.platform.targets import Presence, TargetClient
-from cassialever.policy.limits import TargetLimit
+from cassialever.policy.limits import TargetLimit, TargetLimits
 from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
@@ -522,5 +522,42 @@
         self.assertFalse(refused.is_in_force(_target()))
 
 
+class LateReportTest(ReplacedTestCase):
+    """A report that is older than a grant which the owner has accepted."""
+
+    def test_report_from_before_a_grant_frees_no_keys(self) -> None:
+        # The entry names the first life all the while: the leader's rows come
+        # late. The daemon that has seen the other process was frozen.
+        self.check_each(self._scenario(is_reported=True))
+
+    def test_without_the_report_no_key_has_two_owners(self) -> None:
+        # Shows that the report alone is what does it above.
+        self.check_each(self._scenario(is_reported=False))
+
+    def _scenario(self, *, is_reported: bool) -> Scenario:
+        async def scenario(world: World, leader: Daemon) -> None:
+            limits = TargetLimits()
+            limits.record_replaced(leader.view.targets.by_id[OWNER])
+            known = limits.of(OWNER)
+            assert known is not None
+            report = make_report(known, world.loop.time())
+            world.replace_target(ADDRESS, 'other', is_keyed=False)
+            await asyncio.sleep(2 * MAX_HOLD)
+            reborn = FakeTarget(OWNER, ADDRESS)
+            reborn.started_at = 1002
+            world.targets[ADDRESS] = reborn
+            # The keys of others need an owner.
+            for address, target in world.targets.items():
+                if address != ADDRESS and address != OTHER_ADDRESS:
+                    target.is_up = False
+            await asyncio.sleep(3 * MAX_HOLD)
+            self.assertTrue(reborn.grants, 'the scenario is void')
+            if is_reported:
+                leader.take_report(report)
+            await asyncio.sleep(MAX_HOLD)
+
+        return scenario
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_replaced_targets.py
+++ b/tests/test_replaced_targets.py
@@ -8,7 +8,7 @@
 from cassialever.fleet.model import Target
 from cassialever.gateway.application import Gateway
 from cassialever.platform.records import decode_target
-from cassialever.policy.limits import LimitSource, TargetLimits
+from cassialever.policy.limits import LimitSource, TargetLimit, TargetLimits
 from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
 from tests.fleet_helpers import Deployment, deployment, target_entry, until
@@ -182,6 +182,42 @@
                 )
 
 
+class MaskedReportTest(unittest.TestCase):
+    """Two reports on one life with two addresses."""
+
+    def test_wrong_address_does_not_hide_the_right_one(self) -> None:
+        for wrong in ('10.1.64.0:8707', '10.1.64.9:8707'):
+            with self.subTest(wrong):
+                limits = TargetLimits()
+                target = _target()
+                limits.merge(
+                    TargetLimit(target.target_id, 1000, replaced_at=wrong),
+                    LimitSource('the leader'),
+                )
+                limits.record_replaced(target)
+                self.assertTrue(limits.is_replaced(target))
+
+    def test_report_on_another_life_does_not_hide_that_of_the_entry(
+        self,
+    ) -> None:
+        # The entry of the other life has not come, or a clock stepped back.
+        limits = TargetLimits()
+        target = _target()
+        limits.merge(
+            TargetLimit(target.target_id, 2000, leaving_since=1.0),
+            LimitSource('the leader'),
+        )
+        limits.record_replaced(target)
+        self.assertTrue(limits.is_replaced(target))
+
+
+def _target() -> Target:
+    content = msgspec.json.encode(target_entry(address='10.1.64.1:8707'))
+    target = decode_target('k0', content, '')
+    assert isinstance(target, Target)
+    return target
+
+
 def _is_replaced(gateway: Gateway, target_id: str) -> bool:
     targets = gateway.view.targets
     return targets.limits.is_replaced(targets.by_id[target_id])
--- a/tests/test_review_fresh.py
+++ b/tests/test_review_fresh.py
@@ -4,33 +4,22 @@
 import unittest
 
 from cassialever.fleet.keyindex import KeyIndex
-from cassialever.fleet.limit_reports import make_report
 from cassialever.fleet.model import KeyMap, KeyRange, Target
 from cassialever.gateway.duplicates import MayDuplicate
 from cassialever.gateway.outcomes import Answer, Attempt
 from cassialever.gateway.refusals import Refusal
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.tables_state import TablesState
-from cassialever.policy.limits import LimitSource, TargetLimit, TargetLimits
+from cassialever.policy.limits import LimitSource, TargetLimit
 from cassialever.policy.placing import NoTargetReason
 from cassialever.policy.unheld_keys import MIN_REST, HeldKey, UnheldKeys
 from cassialever.types import Seconds, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.gateway_helpers import LOOKUP_HEADERS, send_request
 from tests.hop_helpers import cut_off_daemon, readdress
-from tests.ownership_fakes import Daemon, FakeTarget, World
 from tests.test_gateway_unheld_keys import Daemon as RequestPath
 from tests.test_gateway_unheld_keys import OwnerSender
 from tests.test_keyed_requests import Play, no_target
-from tests.test_keys_replaced import (
-    ADDRESS,
-    MAX_HOLD,
-    OTHER_ADDRESS,
-    OWNER,
-    ReplacedTestCase,
-    Scenario,
-    _target,
-)
 
 #: Attempts of the routes in these tests.
 ATTEMPTS = 2
@@ -39,66 +28,6 @@
 KEPT_KEY = 100
 
 
-class LateReportTest(ReplacedTestCase):
-    """A report that is older than a grant which the owner has accepted."""
-
-    def test_report_from_before_a_grant_frees_no_keys(self) -> None:
-        # The entry names the first life all the while: the leader's rows come
-        # late. The daemon that has seen the other process was frozen.
-        self.check_each(self._scenario(is_reported=True))
-
-    def test_without_the_report_no_key_has_two_owners(self) -> None:
-        # Shows that the report alone is what does it above.
-        self.check_each(self._scenario(is_reported=False))
-
-    def _scenario(self, *, is_reported: bool) -> Scenario:
-        async def scenario(world: World, leader: Daemon) -> None:
-            limits = TargetLimits()
-            limits.record_replaced(leader.view.targets.by_id[OWNER])
-            known = limits.of(OWNER)
-            assert known is not None
-            report = make_report(known, world.loop.time())
-            world.replace_target(ADDRESS, 'other', is_keyed=False)
-            await asyncio.sleep(2 * MAX_HOLD)
-            reborn = FakeTarget(OWNER, ADDRESS)
-            reborn.started_at = 1002
-            world.targets[ADDRESS] = reborn
-            # The keys of others need an owner.
-            for address, target in world.targets.items():
-                if address != ADDRESS and address != OTHER_ADDRESS:
-                    target.is_up = False
-            await asyncio.sleep(3 * MAX_HOLD)
-            self.assertTrue(reborn.grants, 'the scenario is void')
-            if is_reported:
-                leader.take_report(report)
-            await asyncio.sleep(MAX_HOLD)
-
-        return scenario
-
-
-class MaskedReportTest(unittest.TestCase):
-    """Two reports on one life with two addresses."""
-
-    def test_wrong_address_does_not_hide_the_right_one(self) -> None:
-        for wrong in ('10.1.64.0:8707', '10.1.64.9:8707'):
-            with self.subTest(wrong):
-                limits = TargetLimits()
-                limits.merge(
-                    TargetLimit(OWNER, 1000, replaced_at=wrong), _peer()
-                )
-                limits.record_replaced(_target())
-                self.assertTrue(limits.is_replaced(_target()))
-
-    def test_report_on_another_life_does_not_hide_that_of_the_entry(
-        self,
-    ) -> None:
-        # The entry of the other life has not come, or a clock stepped back.
-        limits = TargetLimits()
-        limits.merge(TargetLimit(OWNER, 2000, leaving_since=1.0), _peer())
-        limits.record_replaced(_target())
-        self.assertTrue(limits.is_replaced(_target()))
-
-
 class UnrecordedTest(unittest.TestCase):
     """Requests while it is not known that an owner has ended."""
 
