Soak: look for two owners among the targets that are up

The leader had freed the keys by what the process at its address answered. A process that has ended holds nothing; the rule is of targets that are up.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -98,12 +98,14 @@
                 )
 
     def check_owners(self) -> None:
-        """Check that no key of a sample is held by more than one target."""
+        """Check that no key of a sample is held by two targets that are up."""
         for key in range(0, 65536, 2048):
             holders = [
                 target.target_id
-                for target in self.fleet.all_targets
-                if target.is_keyed and target.holds(key)
+                for target in self.fleet.targets
+                if target.is_keyed
+                and target.target_id not in self.fleet.down_ids
+                and target.holds(key)
             ]
             if len(holders) > 1:
                 self.violations.append(f'key {key} is held by {holders}')
