--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -13,7 +13,12 @@
 from cassialever.gateway.counters import Counters, counted
 from cassialever.gateway.dispatcher import TargetDispatcher
 from cassialever.gateway.late_sendings import Decision
-from cassialever.gateway.outcomes import Answer, Attempt, AttemptOutcome
+from cassialever.gateway.outcomes import (
+    Answer,
+    Attempt,
+    AttemptOutcome,
+    TargetRefusal,
+)
 from cassialever.gateway.refusals import (
     Refusal,
     attempts_failed,
@@ -27,11 +32,12 @@
 from cassialever.gateway.stop_limit import StopLimit
 from cassialever.gateway.tables_state import TablesState
 from cassialever.interfaces import RandomSource
-from cassialever.policy import refusal, subsets
+from cassialever.policy import refusal, subsets, unheld_keys
 from cassialever.policy.budget import RetryBudget
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.permits import PermitLimiter
 from cassialever.policy.placing import (
+    NEEDS_LEADER,
     NEEDS_PERMIT,
     NoTargetReason,
     PermitDelay,
@@ -55,11 +61,19 @@
     target: Target
     send_before: Seconds
     decision: Decision
+    #: The request's key with its owner by the tables, if it has one.
+    held: unheld_keys.HeldKey | None = None
 
 
 #: A request as it was routed last, its placement, and how it ended.
 _Sent: TypeAlias = tuple[RoutedRequest, _Placement, Attempt]
 
+#: Called with the service, the key and the end of a request, and with the
+#: attempts that failed before.
+EndObserver: TypeAlias = Callable[
+    [ServiceName, int, Answer | Refusal, list[Attempt]], None
+]
+
 
 class _Progress(msgspec.Struct):
     """The attempts at one request."""
@@ -112,6 +126,7 @@
         self.daemon_count = 0
         #: Keys requested since the last report, by service.
         self.keys_asked: dict[ServiceName, list[int]] = {}
+        self.on_end: EndObserver = _ignore
         #: Returns the state of this daemon's tables.
         self.tables: Callable[[], TablesState] = TablesState
 
@@ -121,24 +136,34 @@
         while True:
             sent = await self._place_and_send(routed, progress)
             if isinstance(sent, Refusal):
-                return self._finish_unserved(routed, sent, progress.failed)
+                return self._finish_unserved(routed, sent, progress)
             routed, placed, last = sent
+            _record_key(
+                placed, last, self.selector.unheld, self._clock.monotonic()
+            )
             if (
                 last.outcome is AttemptOutcome.answered
                 and last.answer is not None
             ):
+                self.on_end(
+                    progress.service, routed.key, last.answer, progress.failed
+                )
                 return last.answer
             progress.tried.append(placed.target.target_id)
             progress.failed.append(last)
-            self.counters.record_failed_attempt(last.outcome.value)
+            if last.refusal is TargetRefusal.replaced:
+                # It has reached no target that may run it.
+                progress.count -= 1
+            self.counters.record_failed_attempt(placed.target.service, last)
+            goes_on = self._may_retry(routed, progress, last)
             _record_failed_attempt(
-                routed, placed, last, self._clock.monotonic()
+                routed, placed, last, self._clock.monotonic(), goes_on
             )
-            if not self._may_retry(routed, progress, last):
+            if not goes_on:
                 return self._finish_unserved(
                     routed,
                     attempts_failed(last.reason),
-                    progress.failed,
+                    progress,
                 )
 
     def _choose_service(self, routed: RoutedRequest) -> ServiceName:
@@ -215,6 +240,7 @@
             routed.key,
             routed.route.objective,
             frozenset(tried),
+            was_not_held=_was_not_held(progress),
         )
         while True:
             now = self._clock.monotonic()
@@ -223,7 +249,7 @@
                 return attempts_failed('no time was left')
             chosen = self.selector.choose(placement, now)
             if isinstance(chosen, Target):
-                return self._use(routed, chosen, now)
+                return self._use(routed, chosen, placement, now)
             since = started if tried else routed.received_at
             timing = refusal.RequestTiming(
                 waited=now - since,
@@ -234,6 +260,7 @@
                 pause=_pause_left(chosen, self._view, self.selector, placement),
                 waiting=self.selector.waiting_by_service.total(),
                 cores=self._settings.instance.cores,
+                has_leader=_has_leader(chosen, self.tables),
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
@@ -246,7 +273,11 @@
                 return None
 
     def _use(
-        self, routed: RoutedRequest, target: Target, now: Seconds
+        self,
+        routed: RoutedRequest,
+        target: Target,
+        placement: PlacementRequest,
+        now: Seconds,
     ) -> _Placement | Refusal:
         """Place a request, unless it would outlast a stop that has begun."""
         time_limit = min(routed.deadline - now, routed.route.longest_attempt)
@@ -256,7 +287,14 @@
             return stopping(target)
         send_before = self.limiter.use_permit(target.target_id)
         decision = Decision(routed.received_at, now, self.tables())
-        return _Placement(target, send_before, decision)
+        held = unheld_keys.held_key(
+            placement.service,
+            placement.key,
+            self.selector.key_range_of(placement),
+        )
+        if held is not None:
+            self.selector.unheld.record_tried(held, now)
+        return _Placement(target, send_before, decision, held)
 
     async def _send(
         self, routed: RoutedRequest, placed: _Placement, progress: _Progress
@@ -274,7 +312,10 @@
             traceparent=span.traceparent,
             is_idempotent=routed.route.kind.is_idempotent,
             send_before=placed.send_before,
-            withdrawal_reason=lambda: self.router.reason_to_withdraw(routed),
+            withdrawal_reason=lambda: (
+                self.router.reason_to_withdraw(routed)
+                or _reason_not_held(placed, self.selector.unheld)
+            ),
             decision=placed.decision,
         )
         self.counters.sent_by_service[target.service] += 1
@@ -346,10 +387,11 @@
         self,
         routed: RoutedRequest,
         refused: Refusal,
-        attempts: list[Attempt],
+        progress: _Progress,
     ) -> Answer | Refusal:
         """Return the final answer to a request that was not served."""
-        answer = final_answer(refused, attempts)
+        answer = final_answer(refused, progress.failed)
+        self.on_end(progress.service, routed.key, answer, progress.failed)
         if isinstance(answer, Answer):
             return answer
         self.counters.record_refusal(answer.cause)
@@ -379,6 +421,44 @@
         return budget
 
 
+def _ignore(*_: object) -> None:
+    """Take no note of ends; the default until an observer is known."""
+
+
+def _reason_not_held(placed: _Placement, unheld: unheld_keys.UnheldKeys) -> str:
+    """Return the reason if a key was refused since a placement."""
+    held = placed.held
+    if held is None:
+        return ''
+    if unheld.is_refused_since(held, placed.decision.decided_at):
+        return NoTargetReason.key_not_held.value
+    return ''
+
+
+def _record_key(
+    placed: _Placement,
+    attempt: Attempt,
+    unheld: unheld_keys.UnheldKeys,
+    now: Seconds,
+) -> None:
+    """Record whether the owner of a key has said that it holds it."""
+    if placed.held is None:
+        return
+    sent_at = placed.decision.decided_at
+    if attempt.refusal is TargetRefusal.key_not_held:
+        unheld.record_refused(placed.held, sent_at, now)
+    elif attempt.answer is not None:
+        unheld.record_held(placed.held, sent_at)
+
+
+def _was_not_held(progress: _Progress) -> bool:
+    """Return whether an owner has refused a request for its key."""
+    return any(
+        attempt.refusal is TargetRefusal.key_not_held
+        for attempt in progress.failed
+    )
+
+
 def _permit_delay(
     selector: TargetSelector,
     reason: NoTargetReason,
@@ -390,6 +470,15 @@
     return selector.permit_delay(placement, now)
 
 
+def _has_leader(
+    reason: NoTargetReason, tables: Callable[[], TablesState]
+) -> bool:
+    """Return whether a leader is followed, if the reason depends on it."""
+    if reason not in NEEDS_LEADER:
+        return True
+    return not tables().without_leader
+
+
 def _pause_left(
     reason: NoTargetReason,
     view: FleetView,
@@ -421,16 +510,24 @@
 
 
 def _record_failed_attempt(
-    routed: RoutedRequest, placed: _Placement, attempt: Attempt, now: Seconds
+    routed: RoutedRequest,
+    placed: _Placement,
+    attempt: Attempt,
+    now: Seconds,
+    goes_on: bool,
 ) -> None:
     record(
         Event.attempt_failed,
         request=routed.request.request_id,
         route=routed.route.name,
         target=placed.target.target_id,
+        started_at=placed.target.started_at,
         helper=attempt.helper or None,
         key=routed.key,
         end=attempt.outcome.value,
+        refusal=attempt.refusal.value if attempt.refusal else None,
+        answered_by=attempt.answered_by or None,
+        goes_on=goes_on,
         reason=attempt.reason,
         after=round(now - routed.received_at, 3),
         **placed.decision.tables.fields(),
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -23,12 +23,14 @@
 )
 from cassialever.keys.key_events import KeyLog
 from cassialever.keys.lives import EndedLives
+from cassialever.keys.owner_addresses import OwnerAddresses
 from cassialever.keys.signs import SignsOfLife
 from cassialever.platform.processes import TargetProcess
 from cassialever.platform.targets import (
     GRANT_TIMEOUT,
     CallOutcome,
     CallResult,
+    Presence,
     TargetClient,
 )
 from cassialever.policy.paths import TargetPaths
@@ -42,10 +44,13 @@
 #: Poll interval while grants to the same target are in progress.
 PENDING_POLL_INTERVAL: Final[Seconds] = 0.01
 
-#: Outcomes that are known from an answer of the owner itself.
-_OWN_ANSWERS: Final = frozenset(
-    (CallOutcome.done, CallOutcome.outdated, CallOutcome.refused)
-)
+#: Outcomes that are known from an answer of the owner itself. A refusal may be
+#: that of another process at its address.
+_OWN_ANSWERS: Final = frozenset((CallOutcome.done, CallOutcome.outdated))
+#: Outcomes of calls that the process at the address has not carried out.
+_REFUSALS: Final = frozenset((CallOutcome.refused, CallOutcome.ended))
+#: Outcomes that show nothing of the path to the owner.
+_NO_EVIDENCE: Final = frozenset((CallOutcome.refused, CallOutcome.unproven))
 #: Sends a grant of keys to an address for a duration.
 _Send = Callable[[str, KeyRange, Seconds], Coroutine[Any, Any, CallResult]]
 #: Names grants among the requests to a target that have no answer yet.
@@ -78,9 +83,9 @@
         self._probe_at_by_id: dict[TargetId, Seconds] = {}
         #: Called with a target whose grant failed: it may have restarted.
         self.on_failure: list[Callable[[TargetId], None]] = []
-        #: The newest report of each target that was called.
-        self._reported_by_id: dict[TargetId, Target] = {}
-        self.lives = EndedLives()
+        self.addresses = OwnerAddresses(view, clock)
+        self.lives = self.addresses.lives
+        self._refused_calls = self.addresses.refused_calls
         self._signs = SignsOfLife(clock)
 
     def has_authority(self) -> bool:
@@ -94,22 +99,17 @@
     def forget(self, target_id: TargetId) -> None:
         """Stop probing a target that has been removed."""
         self._probe_at_by_id.pop(target_id, None)
+        self._refused_calls.end(target_id)
         self._signs.forget(target_id)
 
     def due_probes(self) -> list[TargetId]:
-        """Return the unreachable targets to probe now; schedule the next."""
+        """Return the targets that failed to probe now; schedule the next."""
         now = self._clock.boot()
         due = [one for one, at in self._probe_at_by_id.items() if at <= now]
         for target_id in due:
             self._probe_at_by_id[target_id] = now + PROBE_INTERVAL
-        return due
-
-    def reported(self, target_id: TargetId) -> Target | None:
-        """Return a target's current or last known report."""
-        target = self._view.targets.by_id.get(target_id)
-        if target is not None:
-            self._reported_by_id[target_id] = target
-        return self._reported_by_id.get(target_id)
+        refusing = self._refused_calls.due_probes(now)
+        return due + [one for one in refusing if one not in due]
 
     def grants_by_owner(
         self, assignments: list[Assignment]
@@ -124,7 +124,7 @@
         self, owner: TargetId, assignments: list[Assignment]
     ) -> None:
         """Grant or renew one target's assignments, one call at a time."""
-        called = self.reported(owner)
+        called = self.addresses.reported(owner)
         if called is None:
             return
         await _wait_until_idle(self.pending_owners, owner)
@@ -139,26 +139,28 @@
             self.pending_owners.discard(owner)
 
     async def probe(self, owner: TargetId) -> bool:
-        """Return whether a connection to a target can be made.
+        """Return whether a target with keys answers at a target's address.
 
-        It shows the path to the address, not which process has that.
+        It shows the path to the address, not which target has that.
         """
-        called = self.reported(owner)
-        if called is not None and await self._target_client.can_connect(
-            called.address
-        ):
+        called = self.addresses.reported(owner)
+        if called is None:
+            return False
+        found = await self._target_client.probe(called.address)
+        now = self._clock.boot()
+        if found is Presence.keyed:
             self._probe_at_by_id.pop(owner, None)
-            self.paths.direct.record_probe_success(
-                owner, self._clock.monotonic()
-            )
-            return True
-        self._probe_at_by_id[owner] = self._clock.boot() + PROBE_INTERVAL
-        self.paths.record_failure(owner, self._clock.monotonic())
-        return False
+            self._refused_calls.record_probe(owner)
+        elif found is Presence.other:
+            self._refused_calls.record(called, now)
+        else:
+            self._probe_at_by_id[owner] = now + PROBE_INTERVAL
+        _record_probe(self.paths, owner, found, self._clock.monotonic())
+        return found is Presence.keyed
 
     async def prove(self, owner: TargetId, process: TargetProcess) -> bool:
         """Return whether a process of a target has answered: it runs on."""
-        called = self.reported(owner)
+        called = self.addresses.reported(owner)
         sent_at = self._clock.boot()
         if called is None or not await self._target_client.prove(
             called.address, process
@@ -188,8 +190,7 @@
             called.address, assignment.called_range()
         )
         now = self._clock.boot()
-        if result.outcome is CallOutcome.ended:
-            self.lives.end(called, self._view.targets.relocated)
+        self.addresses.record_outcome(called, result.outcome)
         assignment.is_released = result.outcome is CallOutcome.done
         if assignment.is_released:
             assignment.handover = result.handover
@@ -265,7 +266,8 @@
         if self.lives.has_owner_ended(assignment):
             self._probe_at_by_id.pop(assignment.owner, None)
             return False
-        self._probe_at_by_id[assignment.owner] = now + PROBE_INTERVAL
+        if result.outcome not in _REFUSALS:
+            self._probe_at_by_id[assignment.owner] = now + PROBE_INTERVAL
         return False
 
     async def _bounded_grant(
@@ -323,12 +325,11 @@
         _record_path(self.paths, owner, result.outcome, now)
         if result.outcome in _OWN_ANSWERS:
             self._signs.record(owner, sent_at)
+        self.addresses.record_outcome(called, result.outcome)
         if result.outcome is CallOutcome.done:
             self.lives.confirm(called)
             if not is_leaving and not _is_renewal(assignment, result):
                 self.key_log.granted(called, assignment, result, duration)
-        elif result.outcome is CallOutcome.ended:
-            self.lives.end(called, self._view.targets.relocated)
         return result
 
 
@@ -380,10 +381,22 @@
         paths.record_failure(owner, now)
     elif outcome is CallOutcome.unknown:
         paths.direct.record_doubt(owner, now)
-    elif outcome is not CallOutcome.unproven:
+    elif outcome not in _NO_EVIDENCE:
         paths.record_answer(owner, now)
 
 
+def _record_probe(
+    paths: TargetPaths, owner: TargetId, found: Presence, now: Seconds
+) -> None:
+    """Record what a probe shows of the path to a target."""
+    if found is Presence.unreached:
+        paths.record_failure(owner, now)
+    elif found is Presence.unknown:
+        paths.direct.record_doubt(owner, now)
+    else:
+        paths.direct.record_probe_success(owner, now)
+
+
 def _is_renewal(assignment: Assignment, result: CallResult) -> bool:
     """Return whether the process that answered had accepted the fence."""
     known = assignment.process_with_fence()
