Stand-ins: choose ports that are free at all loopback addresses

Paths to targets listen at 127.0.0.2 and up, while ports were looked for at 127.0.0.1 alone. A port is bound at all addresses now to see that it is free.

--- a/standins/listening.py
+++ b/standins/listening.py
@@ -88,7 +88,7 @@
 
 
 def free_ports(count: int) -> tuple[int, ...]:
-    """Return free ports of the loopback interface.
+    """Return ports that are free at all addresses of the loopback interface.
 
     The two ports after each of them are free too, since the gateway listens on
     its internal port and the next two. They lie below the system's ephemeral
@@ -106,7 +106,7 @@
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            probe.bind((LOOPBACK, port))
+            probe.bind(('', port))
         except OSError:
             return False
     return True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import socket
 import tempfile
 import unittest
 
@@ -19,6 +20,7 @@
 from soak.owner_faults import OwnerFaults
 from soak.peer_links import silence_links
 from soak.proxy import FaultProxy, ProxyMode
+from standins import listening
 from standins.call_faults import (
     COMMIT_PATH,
     READ_PATH,
@@ -270,6 +272,18 @@
         asyncio.run(check())
 
 
+class FreePortsTest(unittest.TestCase):
+    """Ports at which the paths of several daemons listen."""
+
+    def test_port_that_is_taken_at_another_loopback_address(self) -> None:
+        taken, free = listening.free_ports(2)
+        with (
+            socket.create_server(('127.0.0.2', taken)),
+            patch.object(listening, '_PORTS', iter((taken, free))),
+        ):
+            self.assertEqual(listening.free_ports(1), (free,))
+
+
 class OwnerFaultsTest(unittest.TestCase):
     """Owners that end, and what has their addresses then."""
 
