Forget the path to a target whose address another one has

Callers would have seen: a change of the leader, and moves that wait for it.

Cause: owners had been cut off before their addresses went to others. The leader calls all owners, so it missed four of them where the others missed 0 to 4; that counts as a fault of its own paths. Since ended owners are not probed by the keys' calls any more, these paths stayed down for longer.

The path to such a target leads to another one, and shows nothing: each daemon forgets it when it learns that.

Tests: test_path_to_a_replaced_owner_is_no_evidence failed before.

--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -65,6 +65,7 @@
         )
         self.prober.on_change = self._gossip.report_now
         self.prober.can_connect = self._can_connect
+        view.targets.limits.on_replaced.append(self.prune)
 
     async def run(self) -> None:
         """Probe paths and exchange reports until cancelled.
@@ -109,8 +110,17 @@
         membership.own_ages = catch_up.confirmation.ages
 
     def prune(self) -> None:
-        """Forget targets that are gone and reports that have expired."""
-        self.paths.prune(self._view.targets.by_id, self._clock.monotonic())
+        """Forget targets that are gone and reports that have expired.
+
+        The path to one whose address another target has leads to that one.
+        """
+        targets = self._view.targets
+        known = {
+            target_id
+            for target_id, target in targets.by_id.items()
+            if not targets.limits.is_replaced(target)
+        }
+        self.paths.prune(known, self._clock.monotonic())
 
     async def _can_connect(self, address: str) -> bool:
         """Return whether a target accepts a connection in time."""
--- a/tests/test_keys_replaced.py
+++ b/tests/test_keys_replaced.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 import unittest
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -23,7 +24,13 @@
 from cassialever.policy.limits import TargetLimit
 from cassialever.types import TargetId
 from standins.keyed_target import TargetServer
-from tests.fleet_helpers import VirtualLoop, run_virtually, target_entry
+from tests.fleet_helpers import (
+    VirtualLoop,
+    deployment,
+    run_virtually,
+    target_entry,
+)
+from tests.gateway_helpers import wait_for_keys
 from tests.ownership_fakes import Daemon, FakeTarget, World
 
 ADDRESS = '10.1.64.1:8707'
@@ -474,6 +481,24 @@
         self.assertIs(await client.probe(f'{host}:{port}'), Presence.unknown)
 
 
+class ReplacedPathTest(unittest.IsolatedAsyncioTestCase):
+    """The path to an owner that was cut off before its end."""
+
+    async def test_path_to_a_replaced_owner_is_no_evidence(self) -> None:
+        # A leader that knew of the most such owners handed its term over.
+        async with deployment(keyed=2) as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            paths = gateway.core.reachability.paths
+            limits = gateway.view.targets.limits
+            for target in tuple(gateway.view.targets.by_id.values()):
+                now = time.monotonic()
+                paths.record_failure(target.target_id, now)
+                self.assertTrue(paths.direct.is_down(target.target_id, now))
+                limits.record_replaced(target)
+                self.assertFalse(paths.direct.is_down(target.target_id, now))
+
+
 async def _hang_up(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
