Move no keys for load while the store refuses writes

Cause: moves for load went by the age of the last confirmed write alone, which is low for 1.2 s after it.

None begins after a write that was not confirmed, until one is. Owners that are gone or leave are left as before.

--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -87,6 +87,8 @@
         # The next leader counts this one's authority from the renewal time.
         self._confirmed_at = times.read_at
         self._lost_answers = _LostAnswers()
+        #: Whether the last write was not confirmed.
+        self.has_failed_write = False
         #: The keys that earlier leaders and this one moved on suspicion.
         self.suspected_moves = SuspectedMoves(
             lease.suspected_moves,
@@ -235,6 +237,7 @@
                 leases.with_renewal(transaction, renewed, self._lease_version),
                 renewed,
             )
+            self.has_failed_write = isinstance(answer, Failure)
             if isinstance(answer, rows.Committed):
                 self._note_commit(answer.store_time, answer.version, sent_at)
             if not isinstance(answer, rows.Conflict):
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -196,7 +196,9 @@
             return
         self._update_heat_at = now + HEAT_UPDATE_INTERVAL
         self.heat.update()
-        self._balance(now)
+        # Busy owners serve the keys that could not be given to others.
+        if not self._context.leader_term.has_failed_write:
+            self._balance(now)
 
     def _free_lapsed(self, now: Seconds) -> None:
         earlier_leaders_expired = (
--- a/tests/test_keys_keeper.py
+++ b/tests/test_keys_keeper.py
@@ -20,6 +20,7 @@
     AssignmentState,
 )
 from cassialever.platform.targets import GRANT_TIMEOUT
+from cassialever.types import ServiceName
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.ownership_fakes import Daemon, World
 from tests.ownership_faults import RECOVERY_LIMIT, run_random_faults
@@ -104,6 +105,30 @@
             with self.subTest(seed=seed):
                 self.check(scenario, seed)
 
+    def test_no_key_is_taken_from_a_busy_owner_that_the_store_forbids_to_move(
+        self,
+    ) -> None:
+        # Released keys had no holder until the store took writes again.
+        async def scenario(world: World) -> None:
+            leader = await _settled_leader(world)
+            key_map = leader.view.keys_by_service['registry'].key_map
+            busy = [
+                key
+                for keys in key_map.ranges
+                if keys.owner == 't0'
+                for key in range(keys.first, keys.last + 1, 64)
+            ]
+            report = messages.KeysAsked({ServiceName('registry'): busy}, {})
+            world.takes_writes = False
+            for _ in range(40):
+                leader.assigner.add_report(report)
+                await asyncio.sleep(0.05)
+                self.assertEqual(world.unheld_count(), 0)
+
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                self.check(scenario, seed)
+
     def test_keys_of_a_crashed_target_are_held_again(self) -> None:
         async def scenario(world: World) -> None:
             await _settled_leader(world)
