Hold back keys that their owner has refused, not their whole range

Callers got 503 for keys that were served: where a part of a range had moved and a daemon's tables lagged, one refused key held back the whole range, of which the owner went on serving the rest.

A refusal now concerns the key itself, and the keys between refused keys with none between them that the owner has run. Three refused keys of a range count for all of it as long as no key of it is run, so that an owner that holds nothing still gets few requests whatever their keys. A success ends that, cuts its key out, and leaves each refused key to rest alone. After eight refusals in a row earlier successes don't count. Refused keys outside the present range are ignored.

--- a/cassialever/policy/unheld_keys.py
+++ b/cassialever/policy/unheld_keys.py
@@ -3,10 +3,13 @@
 Load patterns handled: an owner whose grant has lapsed, or tables that are out
 of step with it, while each request for the keys would be refused in turn. After
 such an answer none is sent for a time, and then single ones, each of which may
-show that the owner holds the keys again. That ends, too, once the keys have
-another owner, life of it or fence.
+show that the owner holds the keys again. An owner that has given back a part of
+a range goes on serving the rest. That ends, too, once the keys have another
+owner, life of it or fence.
 """
 
+import bisect
+from collections.abc import Iterator
 from typing import Final, TypeAlias
 
 import msgspec
@@ -21,23 +24,60 @@
 MAX_REST: Final[Seconds] = 0.4
 #: How long a refusal is remembered, longer than a request waits for an owner.
 MAX_AGE: Final[Seconds] = 10.0
+#: Refused keys of a range from which on all of it counts as refused, unless the
+#: owner has run a request for one of its keys since the first refusal.
+MIN_KEYS_OF_RANGE: Final = 3
+#: Refusals without a success after which earlier successes don't count.
+MAX_REFUSALS_IN_A_ROW: Final = 8
+#: Refused keys of a span, spans, and keys held that are kept of one holding.
+MAX_KEYS: Final = 32
 
 #: Who holds keys by the tables, and by which grant.
-_Holding: TypeAlias = tuple[ServiceName, TargetId, StartedAt, Fence]
+Grant: TypeAlias = tuple[ServiceName, TargetId, StartedAt, Fence]
 
 
-class _Refusal(msgspec.Struct):
-    """Keys that an owner did not hold, and when that may be tried again."""
+class _Span(msgspec.Struct):
+    """Keys that an owner has refused, with those between them.
 
-    first: int
-    last: int
+    `refused` is never empty. All rest together.
+    """
+
+    refused: list[int]
     refused_at: Seconds
     rest: Seconds
     try_at: Seconds
 
-    def contains(self, key: int) -> bool:
-        """Return whether it concerns a key."""
-        return self.first <= key <= self.last
+    def refused_in(self, keys: KeyRange) -> list[int]:
+        """Return the refused keys that are within a range."""
+        start = bisect.bisect_left(self.refused, keys.first)
+        return self.refused[
+            start : bisect.bisect_right(self.refused, keys.last)
+        ]
+
+    def contains(self, held: 'HeldKey') -> bool:
+        """Return whether a key is in the part within its present range."""
+        refused = self.refused_in(held.keys)
+        return bool(refused) and refused[0] <= held.key <= refused[-1]
+
+    def add(self, key: int) -> None:
+        """Add a refused key; the outermost ones are kept."""
+        self.refused = sorted({*self.refused, key})
+        while len(self.refused) > MAX_KEYS:
+            self.refused.pop(MAX_KEYS // 2)
+
+    def renew(self, sent_at: Seconds, now: Seconds) -> None:
+        """Lengthen the rest, unless a request was sent before it began."""
+        if sent_at < self.refused_at:
+            return
+        self.refused_at = now
+        self.rest = min(2 * self.rest, MAX_REST)
+        self.try_at = now + self.rest
+
+    def without(self, key: int) -> Iterator['_Span']:
+        """Return the refused keys but for one, each of which rests alone."""
+        for one in self.refused:
+            if one != key:
+                yield msgspec.structs.replace(self, refused=[one])
 
 
 class HeldKey(msgspec.Struct, frozen=True):
@@ -48,8 +88,8 @@
     keys: KeyRange
 
     @property
-    def holding(self) -> _Holding:
-        """Return who holds the key."""
+    def grant(self) -> Grant:
+        """Return who holds the key, and by which grant."""
         keys = self.keys
         return (self.service, keys.owner, keys.owner_started_at, keys.fence)
 
@@ -61,6 +101,91 @@
     return None if keys is None else HeldKey(service, key, keys)
 
 
+class _Holding:
+    """What an owner has refused and run under one grant."""
+
+    def __init__(self, since: Seconds) -> None:
+        """Start without refusals; the owner refuses first at `since`."""
+        self.spans: list[_Span] = []
+        self._since = since
+        #: Keys of which it has run a request since, the latest last.
+        self.held: list[int] = []
+        self._refusals_in_a_row = 0
+
+    def find(self, held: HeldKey) -> _Span | None:
+        """Return what rests with a key."""
+        for span in self.spans:
+            if span.contains(held):
+                return span
+        return self._find_of_range(held.keys)
+
+    def record_refused(
+        self, held: HeldKey, sent_at: Seconds, now: Seconds
+    ) -> None:
+        """Record that the owner has refused a request for a key."""
+        self._refusals_in_a_row += 1
+        if held.key in self.held:
+            self.held.remove(held.key)
+        if self._refusals_in_a_row >= MAX_REFUSALS_IN_A_ROW:
+            self.held.clear()
+        span = self._join_neighbours(held.key)
+        if span is None:
+            self.spans.append(
+                _Span([held.key], now, MIN_REST, now + MIN_REST),
+            )
+            self.spans = self.spans[-MAX_KEYS:]
+            return
+        span.add(held.key)
+        span.renew(sent_at, now)
+
+    def record_held(self, held: HeldKey, sent_at: Seconds) -> None:
+        """Record that the owner has run a request for a key.
+
+        Of the keys that rested with it, those that were refused still do.
+        """
+        span = self.find(held)
+        refused_at = self._since if span is None else span.refused_at
+        if sent_at < refused_at:
+            return
+        self._refusals_in_a_row = 0
+        if span is not None:
+            self.spans.remove(span)
+            self.spans.extend(span.without(held.key))
+            self.spans = self.spans[-MAX_KEYS:]
+        if held.key in self.held:
+            self.held.remove(held.key)
+        self.held.append(held.key)
+        self.held = self.held[-MAX_KEYS:]
+
+    def _find_of_range(self, keys: KeyRange) -> _Span | None:
+        """Return the latest span of a range of which no key is held."""
+        if any(keys.first <= one <= keys.last for one in self.held):
+            return None
+        spans = [span for span in self.spans if span.refused_in(keys)]
+        count = sum(len(span.refused_in(keys)) for span in spans)
+        if count < MIN_KEYS_OF_RANGE:
+            return None
+        return max(spans, key=_refused_at)
+
+    def _join_neighbours(self, key: int) -> _Span | None:
+        """Join the spans between which and a key no key is held."""
+        joined = None
+        for span in tuple(self.spans):
+            low = min(key, span.refused[0])
+            high = max(key, span.refused[-1])
+            if any(low < one < high for one in self.held):
+                continue
+            if joined is None:
+                joined = span
+                continue
+            self.spans.remove(span)
+            joined.refused = sorted({*joined.refused, *span.refused})
+            joined.refused_at = max(joined.refused_at, span.refused_at)
+            joined.rest = max(joined.rest, span.rest)
+            joined.try_at = max(joined.try_at, span.try_at)
+        return joined
+
+
 class UnheldKeys:
     """Which owners have refused requests since they don't hold the keys.
 
@@ -70,7 +195,7 @@
 
     def __init__(self) -> None:
         """Start without any refusal."""
-        self._refusals_by_holding: dict[_Holding, list[_Refusal]] = {}
+        self._holding_by_grant: dict[Grant, _Holding] = {}
 
     def record_refused(
         self, held: HeldKey, sent_at: Seconds, now: Seconds
@@ -80,25 +205,17 @@
         Requests that were sent before the owner's first refusal was known
         don't lengthen the rest.
         """
-        known = self._find(held)
-        if known is None:
-            self._add(held, now)
-            return
-        if sent_at < known.refused_at:
-            return
-        known.refused_at = now
-        known.rest = min(2 * known.rest, MAX_REST)
-        known.try_at = now + known.rest
+        holding = self._holding_by_grant.setdefault(held.grant, _Holding(now))
+        holding.record_refused(held, sent_at, now)
 
     def record_held(self, held: HeldKey, sent_at: Seconds) -> None:
         """Record that an owner has run a request for a key.
 
         One that was sent before a refusal tells nothing of the time after it.
         """
-        known = self._find(held)
-        if known is None or sent_at < known.refused_at:
-            return
-        self._refusals_by_holding[held.holding].remove(known)
+        holding = self._holding_by_grant.get(held.grant)
+        if holding is not None:
+            holding.record_held(held, sent_at)
 
     def record_tried(self, held: HeldKey, now: Seconds) -> None:
         """Record that a request for a key is sent; others rest meanwhile."""
@@ -125,27 +242,19 @@
 
     def prune(self, now: Seconds) -> None:
         """Forget refusals that are old, as those of earlier fences become."""
-        for holding, refusals in list(self._refusals_by_holding.items()):
-            recent = [one for one in refusals if now < one.refused_at + MAX_AGE]
-            self._refusals_by_holding[holding] = recent
-            if not recent:
-                self._refusals_by_holding.pop(holding)
-
-    def _find(self, held: HeldKey) -> _Refusal | None:
-        if not self._refusals_by_holding:
+        for grant, holding in list(self._holding_by_grant.items()):
+            holding.spans = [
+                one for one in holding.spans if now < one.refused_at + MAX_AGE
+            ]
+            if not holding.spans:
+                self._holding_by_grant.pop(grant)
+
+    def _find(self, held: HeldKey) -> _Span | None:
+        if not self._holding_by_grant:
             return None
-        for one in self._refusals_by_holding.get(held.holding, ()):
-            if one.contains(held.key):
-                return one
-        return None
-
-    def _add(self, held: HeldKey, now: Seconds) -> None:
-        keys = held.keys
-        refusal = _Refusal(keys.first, keys.last, now, MIN_REST, now + MIN_REST)
-        # Those of parts that were joined are within it.
-        others = [
-            one
-            for one in self._refusals_by_holding.get(held.holding, ())
-            if one.first < keys.first or one.last > keys.last
-        ]
-        self._refusals_by_holding[held.holding] = [*others, refusal]
+        holding = self._holding_by_grant.get(held.grant)
+        return None if holding is None else holding.find(held)
+
+
+def _refused_at(span: _Span) -> Seconds:
+    return span.refused_at
