Keep the grants by which a request was refused with the request

A request that its owner had refused, since it did not hold the key, was sent to the same owner under the same fence again.

Whether a request may try again was asked of what the daemon remembered of the key, and another request's success removes that. The request now keeps the grants (service, owner, life, fence) by which it was refused, and goes only by another one, which is newer knowledge.

test_request_that_was_refused_does_not_try_again said that a success of another request lets it go; it now asks for another fence.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -75,16 +75,29 @@
 ]
 
 
-class _Progress(msgspec.Struct):
+class _Progress:
     """The attempts at one request."""
 
-    #: The service chosen among those of its route.
-    service: ServiceName
-    #: Targets that were tried, and how each try ended.
-    tried: list[TargetId] = msgspec.field(default_factory=list)
-    failed: list[Attempt] = msgspec.field(default_factory=list)
-    #: Attempts begun, also the second one at the same target.
-    count: int = 0
+    def __init__(self, service: ServiceName) -> None:
+        """Start without attempts at a service among those of the route."""
+        self.service = service
+        #: Targets that were tried, and how each try ended.
+        self.tried: list[TargetId] = []
+        self.failed: list[Attempt] = []
+        #: Grants by which owners did not hold the key.
+        self.refused_by: set[unheld_keys.Grant] = set()
+        #: Attempts begun, also the second one at the same target.
+        self.count = 0
+
+    def record_failed(self, placed: _Placement, attempt: Attempt) -> None:
+        """Record an attempt that did not serve the request."""
+        self.tried.append(placed.target.target_id)
+        self.failed.append(attempt)
+        if attempt.refusal is TargetRefusal.replaced:
+            # It has reached no target that may run it.
+            self.count -= 1
+        if attempt.refusal is TargetRefusal.key_not_held and placed.held:
+            self.refused_by.add(placed.held.grant)
 
 
 class Forwarder:
@@ -149,11 +162,7 @@
                     progress.service, routed.key, last.answer, progress.failed
                 )
                 return last.answer
-            progress.tried.append(placed.target.target_id)
-            progress.failed.append(last)
-            if last.refusal is TargetRefusal.replaced:
-                # It has reached no target that may run it.
-                progress.count -= 1
+            progress.record_failed(placed, last)
             self.counters.record_failed_attempt(placed.target.service, last)
             goes_on = self._may_retry(routed, progress, last)
             _record_failed_attempt(
@@ -240,7 +249,7 @@
             routed.key,
             routed.route.objective,
             frozenset(tried),
-            was_not_held=_was_not_held(progress),
+            refused_by=frozenset(progress.refused_by),
         )
         while True:
             now = self._clock.monotonic()
@@ -451,14 +460,6 @@
         unheld.record_held(placed.held, sent_at)
 
 
-def _was_not_held(progress: _Progress) -> bool:
-    """Return whether an owner has refused a request for its key."""
-    return any(
-        attempt.refusal is TargetRefusal.key_not_held
-        for attempt in progress.failed
-    )
-
-
 def _permit_delay(
     selector: TargetSelector,
     reason: NoTargetReason,
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -22,7 +22,7 @@
 from cassialever.policy.permits import PermitLimiter
 from cassialever.policy.reach import SoundPaths, TargetReach
 from cassialever.policy.subsets import TargetSubsets
-from cassialever.policy.unheld_keys import UnheldKeys, held_key
+from cassialever.policy.unheld_keys import Grant, UnheldKeys, held_key
 from cassialever.types import Seconds, ServiceName, TargetId
 
 #: Cost of using another data centre, in requests queued at the target.
@@ -88,8 +88,8 @@
     key: int
     objective: Seconds
     tried: frozenset[TargetId] = frozenset()
-    #: Whether an owner has refused it, since it does not hold the key.
-    was_not_held: bool = False
+    #: Grants by which owners did not hold its key.
+    refused_by: frozenset[Grant] = frozenset()
 
 
 class PermitDelay(msgspec.Struct, frozen=True):
@@ -203,7 +203,7 @@
             return NoTargetReason.no_service
         held = held_key(request.service, request.key, keys)
         if held is not None and not self.unheld.may_send(
-            held, now, was_refused=request.was_not_held
+            held, now, request.refused_by
         ):
             return NoTargetReason.key_not_held
         if not self.reach.is_reached(target.target_id, now):
--- a/cassialever/policy/unheld_keys.py
+++ b/cassialever/policy/unheld_keys.py
@@ -9,7 +9,7 @@
 """
 
 import bisect
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Final, TypeAlias
 
 import msgspec
@@ -224,16 +224,16 @@
             known.try_at = now + known.rest
 
     def may_send(
-        self, held: HeldKey, now: Seconds, *, was_refused: bool
+        self, held: HeldKey, now: Seconds, refused_by: Collection[Grant] = ()
     ) -> bool:
         """Return whether a request may be sent to the owner of its key.
 
-        One that `was_refused` since its key was not held does not try again.
+        It does not try the grants again by which it was refused.
         """
+        if held.grant in refused_by:
+            return False
         known = self._find(held)
-        if known is None:
-            return True
-        return not was_refused and now >= known.try_at
+        return known is None or now >= known.try_at
 
     def is_refused_since(self, held: HeldKey, since: Seconds) -> bool:
         """Return whether an owner has refused a key since a moment."""
--- a/tests/test_gateway_unheld_keys.py
+++ b/tests/test_gateway_unheld_keys.py
@@ -384,6 +384,39 @@
 
         run_virtually(main)
 
+    def test_refused_request_is_not_sent_to_the_same_grant_again(self) -> None:
+        # The owner runs a request for another key of the range meanwhile.
+        async def main(loop: VirtualLoop) -> None:
+            daemon = Daemon(loop)
+            sender = PartSender(daemon.clock)
+            daemon.forwarder._sender = sender
+            refused = asyncio.create_task(_serve(daemon, 'moved', 0))
+            await asyncio.sleep(0.004)
+            for number in range(40):
+                asyncio.create_task(_serve(daemon, 'kept', number))
+                await asyncio.sleep(0.005)
+            await refused
+            sent = [one for _, one, _ in sender.arrivals if one == 'moved-0']
+            self.assertEqual(len(sent), 1)
+
+        run_virtually(main)
+
+    def test_refused_request_is_not_sent_again_once_its_key_is_held(
+        self,
+    ) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            daemon = Daemon(loop)
+            daemon.sender.holding = set()
+            refused = asyncio.create_task(daemon.serve('r0'))
+            await asyncio.sleep(MIN_REST)
+            daemon.sender.holding = {'t0'}
+            self.assertIsInstance(await daemon.serve('r1'), Answer)
+            self.assertIsInstance(await refused, Refusal)
+            sent = [name for _, name, _ in daemon.sender.arrivals]
+            self.assertEqual(sent, ['r0', 'r1'])
+
+        run_virtually(main)
+
 
 class EndedTargetTest(OwnerCase):
     """Targets without keys whose addresses others have."""
--- a/tests/test_policy_unheld_keys.py
+++ b/tests/test_policy_unheld_keys.py
@@ -9,6 +9,7 @@
     MAX_REST,
     MIN_KEYS_OF_RANGE,
     MIN_REST,
+    Grant,
     HeldKey,
     UnheldKeys,
 )
@@ -33,9 +34,12 @@
         self.unheld.record_refused(one, now, now)
 
     def may_send(
-        self, now: float, one: HeldKey = held(), *, was_refused: bool = False
+        self,
+        now: float,
+        one: HeldKey = held(),
+        refused_by: frozenset[Grant] = frozenset(),
     ) -> bool:
-        return self.unheld.may_send(one, now, was_refused=was_refused)
+        return self.unheld.may_send(one, now, refused_by)
 
     def test_requests_are_sent_until_one_is_refused(self) -> None:
         self.assertTrue(self.may_send(1.0))
@@ -45,9 +49,14 @@
 
     def test_request_that_was_refused_does_not_try_again(self) -> None:
         self.refuse(1.0)
-        self.assertFalse(self.may_send(1.0 + MAX_REST, was_refused=True))
+        refused_by = frozenset((held().grant,))
+        now = 1.0 + MAX_REST
+        self.assertTrue(self.may_send(now))
+        self.assertFalse(self.may_send(now, refused_by=refused_by))
         self.unheld.record_held(held(), 1.0 + MIN_REST)
-        self.assertTrue(self.may_send(1.0 + MAX_REST, was_refused=True))
+        self.assertFalse(self.may_send(now, refused_by=refused_by))
+        regranted = held(keys=KeyRange(0, 999, 'k0', 1000, 8))
+        self.assertTrue(self.may_send(now, regranted, refused_by))
 
     def test_single_requests_try(self) -> None:
         self.refuse(1.0)
@@ -86,6 +95,7 @@
 
     def test_another_owner_life_or_fence_is_tried_at_once(self) -> None:
         self.refuse(1.0)
+        refused_by = frozenset((held().grant,))
         for keys in (
             KeyRange(0, 999, 'k1', 1000, 7),
             KeyRange(0, 999, 'k0', 1001, 7),
@@ -93,7 +103,7 @@
         ):
             with self.subTest(keys=keys):
                 changed = held(keys=keys)
-                self.assertTrue(self.may_send(1.01, changed, was_refused=True))
+                self.assertTrue(self.may_send(1.01, changed, refused_by))
         other_service = HeldKey('other', 5, KEYS)
         self.assertTrue(self.may_send(1.01, other_service))
 
@@ -223,9 +233,7 @@
         rest = KeyRange(0, 499, 'k0', 1000, 7)
         unheld.record_refused(HeldKey('registry', MOVED_KEY, whole), 1.0, 1.0)
         kept = HeldKey('registry', KEPT_KEY, rest)
-        self.assertTrue(
-            unheld.may_send(kept, 1.0 + MIN_REST / 2, was_refused=False)
-        )
+        self.assertTrue(unheld.may_send(kept, 1.0 + MIN_REST / 2))
 
     def test_other_keys_are_served_while_one_is_refused(self) -> None:
         # This daemon's tables lack the move: four in five requests are for
@@ -237,7 +245,7 @@
             now = step / 100
             key = MOVED_KEY if step % 5 == 0 else KEPT_KEY
             one = HeldKey('registry', key, whole)
-            if not unheld.may_send(one, now, was_refused=False):
+            if not unheld.may_send(one, now):
                 held_back += key == KEPT_KEY
                 continue
             unheld.record_tried(one, now)
--- a/tests/test_review_fresh.py
+++ b/tests/test_review_fresh.py
@@ -14,7 +14,6 @@
 from tests.hop_helpers import cut_off_daemon, readdress
 from tests.ownership_fakes import Daemon, FakeTarget, World
 from tests.test_gateway_unheld_keys import Daemon as RequestPath
-from tests.test_gateway_unheld_keys import PartSender, _serve
 from tests.test_keyed_requests import Play, no_target
 from tests.test_keys_replaced import (
     ADDRESS,
@@ -107,27 +106,6 @@
         run_virtually(main)
 
 
-class PartOfRangePathTest(unittest.TestCase):
-    """Requests for keys of one range, of which the owner has kept a part."""
-
-    def test_refused_request_is_not_sent_to_the_same_grant_again(self) -> None:
-        # The owner runs a request for another key of the range meanwhile.
-        async def main(loop: VirtualLoop) -> None:
-            daemon = RequestPath(loop)
-            sender = PartSender(daemon.clock)
-            daemon.forwarder._sender = sender
-            refused = asyncio.create_task(_serve(daemon, 'moved', 0))
-            await asyncio.sleep(0.004)
-            for number in range(40):
-                asyncio.create_task(_serve(daemon, 'kept', number))
-                await asyncio.sleep(0.005)
-            await refused
-            sent = [one for _, one, _ in sender.arrivals if one == 'moved-0']
-            self.assertEqual(len(sent), 1)
-
-        run_virtually(main)
-
-
 class HelperTest(unittest.IsolatedAsyncioTestCase):
     """A helper that has another address of the same life."""
 
