Send a request to a replaced target once, also where its end isn't recorded

A request was sent 49 times to an address that another target has, until the budget for retries was spent.

An attempt that another target answered was given back without a bound, which relied on the end having been recorded, so that the target is not chosen again. Where a limit of another life is known it is not. The request now keeps the places (target, life, address) that answered so, is not sent there again, and gets back one attempt for each.

--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -41,8 +41,10 @@
     NEEDS_PERMIT,
     NoTargetReason,
     PermitDelay,
+    Place,
     PlacementRequest,
     TargetSelector,
+    place_of,
 )
 from cassialever.policy.shares import WeightedSplit
 from cassialever.telemetry.spans import Hop, HopTracer, NoopTracer
@@ -86,6 +88,8 @@
         self.failed: list[Attempt] = []
         #: Grants by which owners did not hold the key.
         self.refused_by: set[unheld_keys.Grant] = set()
+        #: Places where another target has answered.
+        self.replaced_at: set[Place] = set()
         #: Attempts begun, also the second one at the same target.
         self.count = 0
 
@@ -93,9 +97,12 @@
         """Record an attempt that did not serve the request."""
         self.tried.append(placed.target.target_id)
         self.failed.append(attempt)
+        place = place_of(placed.target)
         if attempt.refusal is TargetRefusal.replaced:
-            # It has reached no target that may run it.
-            self.count -= 1
+            if place not in self.replaced_at:
+                # It has reached no target that may run it.
+                self.count -= 1
+            self.replaced_at.add(place)
         if attempt.refusal is TargetRefusal.key_not_held and placed.held:
             self.refused_by.add(placed.held.grant)
 
@@ -250,6 +257,7 @@
             routed.route.objective,
             frozenset(tried),
             refused_by=frozenset(progress.refused_by),
+            replaced_at=frozenset(progress.replaced_at),
         )
         while True:
             now = self._clock.monotonic()
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -9,11 +9,11 @@
 import enum
 from collections import Counter
 from collections.abc import Callable, Collection
-from typing import Final
+from typing import Final, TypeAlias
 
 import msgspec
 
-from cassialever.fleet.model import KeyRange, RequestKind, Target
+from cassialever.fleet.model import KeyRange, RequestKind, StartedAt, Target
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
@@ -80,6 +80,10 @@
 )
 
 
+#: A life of a target, and the address at which this daemon reaches it.
+Place: TypeAlias = tuple[TargetId, StartedAt, str]
+
+
 class PlacementRequest(msgspec.Struct, frozen=True):
     """The properties that decide a request's target; `key` is -1 if none."""
 
@@ -90,6 +94,8 @@
     tried: frozenset[TargetId] = frozenset()
     #: Grants by which owners did not hold its key.
     refused_by: frozenset[Grant] = frozenset()
+    #: Places where another target has answered it.
+    replaced_at: frozenset[Place] = frozenset()
 
 
 class PermitDelay(msgspec.Struct, frozen=True):
@@ -238,6 +244,8 @@
             ):
                 return chosen
         usable = self._view.targets.usable(request.service)
+        if request.replaced_at:
+            usable = _not_at(usable, request.replaced_at)
         if not usable:
             return NoTargetReason.no_service
         untried = _without(usable, request.tried) or usable
@@ -407,6 +415,11 @@
         return requests * latency * jitter / target.slots
 
 
+def place_of(target: Target) -> Place:
+    """Return the life of a target and where this daemon reaches it."""
+    return (target.target_id, target.started_at, target.address)
+
+
 def _max_requests(view: FleetView, target: Target) -> float:
     """Return the number of requests at which a target is full."""
     limit = MAX_REQUESTS_PER_SLOT * target.slots
@@ -454,7 +467,8 @@
     target = view.targets.by_id.get(keys.owner)
     if target is None:
         return NoTargetReason.no_owner
-    if view.targets.limits.is_replaced(target):
+    is_replaced = view.targets.limits.is_replaced(target)
+    if is_replaced or place_of(target) in request.replaced_at:
         return NoTargetReason.owner_ended
     if not view.targets.is_usable_owner(target):
         return NoTargetReason.no_owner
@@ -489,6 +503,10 @@
     return [target for target in targets if target.target_id not in tried]
 
 
+def _not_at(targets: list[Target], places: Collection[Place]) -> list[Target]:
+    return [target for target in targets if place_of(target) not in places]
+
+
 def _sample(targets: list[Target], random_source: RandomSource) -> list[Target]:
     """Draw evenly spaced targets from a random offset on.
 
--- a/tests/test_gateway_unheld_keys.py
+++ b/tests/test_gateway_unheld_keys.py
@@ -26,9 +26,10 @@
 from cassialever.gateway.routing import RoutedRequest
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.tables_state import TablesState
+from cassialever.policy.limits import LimitSource, TargetLimit
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.unheld_keys import MAX_REST, MIN_REST
-from cassialever.types import Seconds
+from cassialever.types import Seconds, TargetId
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
@@ -43,6 +44,8 @@
 CONNECT_TIME = 0.001
 TIMEOUT = 1.0
 OBJECTIVE = 0.5
+#: Attempts of the routes in these tests.
+ATTEMPTS = 2
 KEY = 7
 #: Keys of one range by the tables, of which the owner holds the second one.
 MOVED_KEY = 700
@@ -493,5 +496,51 @@
         self.play(scenario)
 
 
+class UnrecordedEndTest(OwnerCase):
+    """Targets that have ended, while this daemon's limits don't say so."""
+
+    def test_request_is_not_sent_beyond_its_attempts(self) -> None:
+        # A limit of another life of the owner is known, so that its end is not.
+        async def scenario(daemon: Daemon) -> None:
+            daemon.sender.ended = {'t0'}
+            daemon.view.targets.limits.merge(
+                TargetLimit(TargetId('t0'), 2000, leaving_since=0.0),
+                LimitSource('a follower'),
+            )
+            await daemon.serve()
+            self.assertLessEqual(len(daemon.sender.arrivals), ATTEMPTS)
+
+        self.play(scenario)
+
+    def test_request_is_sent_to_an_ended_owner_once(self) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            daemon.sender.on_replaced = lambda _: None
+            daemon.sender.ended = {'t0'}
+            answer, _ = await self.serve_after(
+                daemon, 0.1, lambda: daemon.assign('t1', 2)
+            )
+            self.assertIsInstance(answer, Answer)
+            names = [name for _, _, name in daemon.sender.arrivals]
+            self.assertEqual(names, ['t0', 't1'])
+
+        self.play(scenario)
+
+    def test_request_is_sent_to_each_ended_target_once(self) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            daemon.sender.on_replaced = lambda _: None
+            names = [f'i{number}' for number in range(3)]
+            add_targets(daemon.view, names, 'issuance')
+            daemon.sender.ended = set(names)
+            for target_id in daemon.view.targets.by_id:
+                daemon.sender.ended.add(target_id)
+            answer = await daemon.serve_without_key()
+            self.assertIsInstance(answer, Refusal)
+            used = [name for _, _, name in daemon.sender.arrivals]
+            self.assertTrue(used)
+            self.assertEqual(len(used), len(set(used)))
+
+        self.play(scenario)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_review_fresh.py
+++ b/tests/test_review_fresh.py
@@ -8,12 +8,9 @@
 from cassialever.fleet.model import KeyMap, KeyRange
 from cassialever.policy.limits import LimitSource, TargetLimit, TargetLimits
 from cassialever.policy.placing import NoTargetReason
-from cassialever.types import TargetId
-from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.gateway_helpers import LOOKUP_HEADERS, send_request
 from tests.hop_helpers import cut_off_daemon, readdress
 from tests.ownership_fakes import Daemon, FakeTarget, World
-from tests.test_gateway_unheld_keys import Daemon as RequestPath
 from tests.test_keyed_requests import Play, no_target
 from tests.test_keys_replaced import (
     ADDRESS,
@@ -25,9 +22,6 @@
     _target,
 )
 
-#: Attempts of the routes in these tests.
-ATTEMPTS = 2
-
 
 class LateReportTest(ReplacedTestCase):
     """A report that is older than a grant which the owner has accepted."""
@@ -89,23 +83,6 @@
         self.assertTrue(limits.is_replaced(_target()))
 
 
-class UnrecordedTest(unittest.TestCase):
-    """Requests while it is not known that an owner has ended."""
-
-    def test_request_is_not_sent_beyond_its_attempts(self) -> None:
-        # A limit of another life of the owner is known, so that its end is not.
-        async def main(loop: VirtualLoop) -> None:
-            daemon = RequestPath(loop)
-            daemon.sender.ended = {'t0'}
-            daemon.view.targets.limits.merge(
-                TargetLimit(TargetId('t0'), 2000, leaving_since=0.0), _peer()
-            )
-            await daemon.serve()
-            self.assertLessEqual(len(daemon.sender.arrivals), ATTEMPTS)
-
-        run_virtually(main)
-
-
 class HelperTest(unittest.IsolatedAsyncioTestCase):
     """A helper that has another address of the same life."""
 
