Wait briefly for the keys of an ended owner that the leader doesn't move

While a leader was followed that could not move keys, since the store took no writes, each request for the keys of an ended owner was held nearly as long as its objective, and then refused: a daemon held its callers in vain.

Such requests waited as for moving keys, without a bound on how long that goes on. The wait counts now from the moment at which a request of this daemon first met that owner and life as ended: up to 0.6 s after it requests wait as for moving keys, later as for a key without an owner (0.12 of the objective).

--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -238,10 +238,16 @@
         """Forget what is known of targets and daemons that are gone."""
         known = self.view.targets.by_id
         self.loads.prune(known)
-        self.forwarder.selector.subsets.prune(known)
-        self.forwarder.selector.unheld.prune(self.clock.monotonic())
+        self._prune_selector()
         self.view.targets.limits.prune(known)
         self._permits.prune()
         self._exchanges.crash_evidence.check_entries()
         self._exchanges.crashes.prune()
         self._reachability.prune()
+
+    def _prune_selector(self) -> None:
+        now = self.clock.monotonic()
+        selector = self.forwarder.selector
+        selector.subsets.prune(self.view.targets.by_id)
+        selector.unheld.prune(now)
+        selector.ended_owners.prune(now)
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -278,6 +278,7 @@
                 waiting=self.selector.waiting_by_service.total(),
                 cores=self._settings.instance.cores,
                 has_leader=_has_leader(chosen, self.tables),
+                ended_for=_ended_for(chosen, self.selector, placement, now),
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
@@ -488,6 +489,19 @@
     return not tables().without_leader
 
 
+def _ended_for(
+    reason: NoTargetReason,
+    selector: TargetSelector,
+    placement: PlacementRequest,
+    now: Seconds,
+) -> Seconds:
+    """Return the time since a request met an owner first that has ended."""
+    if reason is not NoTargetReason.owner_ended:
+        return 0
+    owner = selector.owner_of(placement)
+    return 0 if owner is None else selector.ended_owners.record_met(owner, now)
+
+
 def _pause_left(
     reason: NoTargetReason,
     view: FleetView,
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -17,6 +17,7 @@
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
+from cassialever.policy.ended_owners import EndedOwners
 from cassialever.policy.full_services import FullServices
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.permits import PermitLimiter
@@ -135,6 +136,8 @@
         self.reach = TargetReach(loads, SoundPaths())
         #: The keys that their owners have said not to hold.
         self.unheld = UnheldKeys()
+        #: Owners that have ended, as requests meet them.
+        self.ended_owners = EndedOwners()
         #: Number of requests that wait for a target.
         self.waiting_by_service: Counter[ServiceName] = Counter()
 
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -75,6 +75,8 @@
     cores: float = 0
     #: Whether this daemon leads or follows a leader, which assigns keys.
     has_leader: bool = True
+    #: Time since the end of the key's owner was learned, if it has ended.
+    ended_for: Seconds = 0
 
 
 #: Share of the objective that a request may wait, by reason. A wait of up to
@@ -109,6 +111,9 @@
         NoTargetReason.paused: 0.3,
     },
 )
+#: How long after the end of an owner was learned requests wait as for moving
+#: keys. A leader that can write has moved them by then.
+MAX_MOVE_TIME: Final[Seconds] = 0.6
 #: Minimum time between two attempts of a request to find a target.
 POLL_INTERVAL: Final[Seconds] = 0.015
 #: Attempts a second of all requests that wait, for each core: about a tenth of
@@ -149,10 +154,12 @@
     """Return the share of the objective that a request may wait.
 
     Where the leader alone can help, requests wait as briefly without one as
-    for an owner that is not known.
+    for an owner that is not known, and so with one that moves no keys.
     """
     if reason in NEEDS_LEADER and not timing.has_leader:
         reason = NoTargetReason.no_owner
+    if timing.ended_for > MAX_MOVE_TIME:
+        reason = NoTargetReason.no_owner
     return _MAX_WAIT_SHARE[reason]
 
 
--- a/tests/test_gateway_unheld_keys.py
+++ b/tests/test_gateway_unheld_keys.py
@@ -26,8 +26,10 @@
 from cassialever.gateway.routing import RoutedRequest
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.tables_state import TablesState
+from cassialever.policy.ended_owners import MAX_AGE
 from cassialever.policy.limits import LimitSource, TargetLimit
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.refusal import MAX_MOVE_TIME
 from cassialever.policy.unheld_keys import MAX_REST, MIN_REST
 from cassialever.types import Seconds, TargetId
 from tests.fleet_helpers import (
@@ -495,6 +497,53 @@
 
         self.play(scenario)
 
+    def test_requests_wait_briefly_for_a_leader_that_moves_no_keys(
+        self,
+    ) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            daemon.sender.ended = {'t0'}
+            begun = daemon.clock.now()
+            times = []
+            for number in range(8):
+                sent_at = daemon.clock.now()
+                answer = await daemon.serve(f'r{number}')
+                assert isinstance(answer, Refusal)
+                self.assertEqual(
+                    answer.sentence, 'the owner of the key has ended'
+                )
+                times.append((sent_at - begun, daemon.clock.now() - sent_at))
+            for sent_after, waited in times:
+                time_left = max(MAX_MOVE_TIME - sent_after, 0.12 * OBJECTIVE)
+                self.assertLess(waited, min(time_left, OBJECTIVE) + 0.02)
+            # The first one may wait as for moving keys.
+            self.assertGreater(times[0][1], OBJECTIVE - 0.02)
+            self.assertEqual(len(daemon.sender.arrivals), 1)
+
+        self.play(scenario)
+
+    def test_request_waits_for_moving_keys_soon_after_the_end(self) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            daemon.sender.ended = {'t0'}
+            first = asyncio.create_task(daemon.serve('r0'))
+            await asyncio.sleep(0.2)
+            answer, _ = await self.serve_after(
+                daemon, MAX_MOVE_TIME - 0.25, lambda: daemon.assign('t1', 2)
+            )
+            self.assertIsInstance(answer, Answer)
+            await first
+
+        self.play(scenario)
+
+    def test_owners_are_forgotten(self) -> None:
+        async def scenario(daemon: Daemon) -> None:
+            daemon.sender.ended = {'t0'}
+            await daemon.serve('r0')
+            owners = daemon.forwarder.selector.ended_owners
+            owners.prune(daemon.clock.now() + MAX_AGE)
+            self.assertFalse(owners._meeting_by_life)
+
+        self.play(scenario)
+
 
 class UnrecordedEndTest(OwnerCase):
     """Targets that have ended, while this daemon's limits don't say so."""
