Take a relayed answer for no sign of the own address of a target

A daemon that is cut off from the targets took an owner for ended at an address that it had never called, told the whole fleet so, and refused the requests for its keys.

The origin now only counts its request's attempt as replaced, and does not send that request there again.

--- a/cassialever/gateway/hop_client.py
+++ b/cassialever/gateway/hop_client.py
@@ -127,7 +127,7 @@
                 close_connection(response)
                 return _helper_failure(unknown(reply.reason))
             if reply.outcome is HopOutcome.relayed:
-                return await self._answers.read(
+                return await self._answers.read_relayed(
                     target,
                     request.request_id,
                     response,
--- a/cassialever/gateway/receiving.py
+++ b/cassialever/gateway/receiving.py
@@ -61,34 +61,29 @@
         `status` is the target's, which another daemon passes on in a header,
         `memory` the claim of the request, which grows by the body.
         """
-        headers = response.headers
-        if not wire.matches_request(headers, request_id):
+        if not wire.matches_request(response.headers, request_id):
             close_connection(response)
             return unknown('the answer belongs to another request')
         self.record_statements(target, response, status, sent_at)
-        if not _is_replaced(target, status, headers):
-            self._loads.of(target.target_id).record_report(
-                wire.parse_reported_load(headers), self._clock.monotonic()
-            )
-        if request_id and wire.reports_not_run(status, headers):
-            return _refused(target, status, headers)
-        try:
-            body = await read_body(response, memory)
-        except OutOfMemoryError as error:
-            # The path is in order, unlike after other errors.
+        return await self._read(target, request_id, response, status, memory)
+
+    async def read_relayed(
+        self,
+        target: Target,
+        request_id: str,
+        response: aiohttp.ClientResponse,
+        status: int,
+        sent_at: Seconds,
+        memory: MemoryClaim,
+    ) -> Attempt:
+        """Read an answer that a helper has received at the address it knows."""
+        if not wire.matches_request(response.headers, request_id):
             close_connection(response)
-            return unknown(str(error))
-        if not wire.is_signed(headers):
-            return unknown(f'an unsigned answer {status}')
-        answer = Answer(
-            target.target_id,
-            status,
-            wire.end_to_end_headers(headers, HOP_HEADERS),
-            body,
+            return unknown('the answer belongs to another request')
+        self.record_statements(
+            target, response, status, sent_at, is_relayed=True
         )
-        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            return Attempt(AttemptOutcome.failed, answer)
-        return Attempt(AttemptOutcome.answered, answer)
+        return await self._read(target, request_id, response, status, memory)
 
     def record_statements(
         self,
@@ -96,17 +91,20 @@
         response: aiohttp.ClientResponse,
         status: int,
         sent_at: Seconds,
+        *,
+        is_relayed: bool = False,
     ) -> None:
         """Record what a target says of itself; `sent_at` is in boot time.
 
-        A request that it refuses is kept off the same connection.
+        A request that it refuses is kept off the same connection. Another
+        target's answer tells only of the address that was called, which a
+        helper may know from another entry.
         """
         if wire.reports_not_run(status, response.headers):
             request = wire.parse_request_metadata(response.headers)
             record_refused(response, request.request_id)
-            if request.request_id and _is_replaced(
-                target, status, response.headers
-            ):
+            is_replaced = _is_replaced(target, status, response.headers)
+            if request.request_id and is_replaced and not is_relayed:
                 self._limits.record_replaced(target)
                 self.on_replaced(target)
         said = parse_statements(status, response.headers, self._clock.wall())
@@ -126,6 +124,39 @@
             return
         self._limits.record_answer(target, said.limit.rate, sent_at, now)
 
+    async def _read(
+        self,
+        target: Target,
+        request_id: str,
+        response: aiohttp.ClientResponse,
+        status: int,
+        memory: MemoryClaim,
+    ) -> Attempt:
+        headers = response.headers
+        if not _is_replaced(target, status, headers):
+            self._loads.of(target.target_id).record_report(
+                wire.parse_reported_load(headers), self._clock.monotonic()
+            )
+        if request_id and wire.reports_not_run(status, headers):
+            return _refused(target, status, headers)
+        try:
+            body = await read_body(response, memory)
+        except OutOfMemoryError as error:
+            # The path is in order, unlike after other errors.
+            close_connection(response)
+            return unknown(str(error))
+        if not wire.is_signed(headers):
+            return unknown(f'an unsigned answer {status}')
+        answer = Answer(
+            target.target_id,
+            status,
+            wire.end_to_end_headers(headers, HOP_HEADERS),
+            body,
+        )
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return Attempt(AttemptOutcome.failed, answer)
+        return Attempt(AttemptOutcome.answered, answer)
+
     def _record_pause(
         self, target: Target, pause: Seconds, now: Seconds
     ) -> None:
