Take no single owner's keys for a sign that a service isn't served

Operators got line `keys_unserved` while one owner of several had ended and the others served their keys.

Five different keys counted as a sign for the whole service, and may all be of one range. Keys of two owners are required now where the table has several; keys without an owner count as those of one more. One owner is enough where it has all keys that are owned.

Failed before: test_one_owner_that_has_ended_is_no_sign_for_the_others and test_keys_without_an_owner_are_no_sign_for_the_others (new). Both pass; tests.test_keyed_requests 16 passed, tests.test_policy_unserved_keys 19.

--- a/cassialever/gateway/keyed_requests.py
+++ b/cassialever/gateway/keyed_requests.py
@@ -19,6 +19,8 @@
 from cassialever.gateway.tables_state import TablesState
 from cassialever.policy.placing import NoTargetReason
 from cassialever.policy.unserved_keys import (
+    UNKNOWN_OWNER,
+    KeyOwner,
     ReportKind,
     UnservedCause,
     UnservedKeys,
@@ -112,7 +114,9 @@
         cause = self._cause(service, answer, attempts)
         if cause is not None:
             self._log(
-                self._unserved.record_unserved(service, key, cause, now),
+                self._unserved.record_unserved(
+                    service, key, cause, now, self._owner(service, key)
+                ),
             )
 
     async def run(self) -> None:
@@ -153,6 +157,16 @@
                 return UnservedCause.no_leader
         return cause
 
+    def _owner(self, service: ServiceName, key: int) -> KeyOwner:
+        """Return the owner of a key, and whether the map has several."""
+        index = self._view.keys_by_service.get(service)
+        if index is None:
+            return UNKNOWN_OWNER
+        keys = index.find(key)
+        owner = None if keys is None else keys.owner
+        others = any(one.owner != owner for one in index.key_map.ranges)
+        return KeyOwner(owner, others)
+
     def _log(self, report: UnservedReport | None) -> None:
         if report is None:
             return
--- a/cassialever/policy/unserved_keys.py
+++ b/cassialever/policy/unserved_keys.py
@@ -13,12 +13,14 @@
 
 import msgspec
 
-from cassialever.types import Seconds, ServiceName
+from cassialever.types import Seconds, ServiceName, TargetId
 
 #: Requests in a row that no owner has served, by which it begins.
 MIN_FAILURES: Final = 20
 #: Different keys among them; a few of one range are no sign for the others.
 MIN_KEYS: Final = 5
+#: Different owners of these keys, unless one owns all keys of the service.
+MIN_OWNERS: Final = 2
 #: Time from the first of them to the last; keys move within it.
 MIN_TIME: Final[Seconds] = 1.0
 #: Time without a request after which those before don't count.
@@ -46,6 +48,18 @@
     no_target = 'the service has no target that takes work'
 
 
+class KeyOwner(msgspec.Struct, frozen=True):
+    """The owner of a key by the tables; empty if it has none."""
+
+    target_id: TargetId | None = None
+    #: Whether other keys of the service have another owner, or one at all.
+    is_one_of_several: bool = False
+
+
+#: The owner of a key of which no table tells.
+UNKNOWN_OWNER: Final = KeyOwner()
+
+
 class ReportKind(enum.Enum):
     """What a report says about the keys of a service."""
 
@@ -75,6 +89,7 @@
 class _Failure(msgspec.Struct, frozen=True):
     key: Hashable
     cause: UnservedCause
+    owner: KeyOwner
 
 
 class _Service(msgspec.Struct):
@@ -119,7 +134,12 @@
             return False
         if self.last_at - self.since < MIN_TIME:
             return False
-        return len({failure.key for failure in self.recent}) >= MIN_KEYS
+        if len({failure.key for failure in self.recent}) < MIN_KEYS:
+            return False
+        owners = {failure.owner.target_id for failure in self.recent}
+        if len(owners) >= MIN_OWNERS:
+            return True
+        return not self.recent[-1].owner.is_one_of_several
 
 
 class UnservedKeys:
@@ -159,6 +179,7 @@
         key: Hashable,
         cause: UnservedCause,
         now: Seconds,
+        owner: KeyOwner = UNKNOWN_OWNER,
     ) -> UnservedReport | None:
         """Note that a request was not served by the owner of its key."""
         known = self._by_name.get(service)
@@ -169,7 +190,7 @@
             self._by_name[service] = known
         known.last_at = now
         known.requests += 1
-        known.recent.append(_Failure(key, cause))
+        known.recent.append(_Failure(key, cause, owner))
         if known.cause is not None:
             known.failures_since_served += 1
             if known.failures_since_served >= MIN_FAILURES:
--- a/tests/test_keyed_requests.py
+++ b/tests/test_keyed_requests.py
@@ -8,7 +8,7 @@
 from cassialever.application import Application
 from cassialever.errors import ErrorKind
 from cassialever.fleet.keyindex import KeyIndex
-from cassialever.fleet.model import KeyMap
+from cassialever.fleet.model import KeyMap, KeyRange
 from cassialever.gateway.application import Gateway
 from cassialever.gateway.keyed_requests import KeyedRequests
 from cassialever.gateway.outcomes import (
@@ -212,6 +212,57 @@
         self.assertEqual(list(play.requests.readings()), [])
 
 
+class OneRangeTest(unittest.TestCase):
+    """Requests of a daemon all of which are for one range of several."""
+
+    def test_one_owner_that_has_ended_is_no_sign_for_the_others(self) -> None:
+        # The busy keys are close to one another, so that few requests show
+        # whether the other owner serves its keys.
+        play = self.play_with(
+            KeyRange(0, 999, 't0', 1000, 1),
+            KeyRange(1000, 65535, 't1', 1000, 1),
+        )
+        lines = play.note(no_target(NoTargetReason.owner_ended))
+        self.assertEqual(lines, [])
+
+    def test_keys_without_an_owner_are_no_sign_for_the_others(self) -> None:
+        play = self.play_with(KeyRange(1000, 65535, 't1', 1000, 1))
+        lines = play.note(no_target(NoTargetReason.no_owner))
+        self.assertEqual(lines, [])
+
+    def test_owner_of_all_keys_that_are_owned_is_a_sign(self) -> None:
+        for ranges in (
+            (KeyRange(0, 65535, 't0', 1000, 1),),
+            (
+                KeyRange(0, 9, 't0', 1000, 1),
+                KeyRange(10, 65535, 't0', 1000, 2),
+            ),
+            (KeyRange(0, 999, 't0', 1000, 1),),
+        ):
+            with self.subTest(ranges=ranges):
+                play = self.play_with(*ranges)
+                lines = play.note(no_target(NoTargetReason.owner_ended))
+                self.assertEqual(lines, [('keys_unserved', 'replaced')])
+
+    def test_two_owners_are_a_sign_for_the_others(self) -> None:
+        play = self.play_with(
+            KeyRange(0, 18, 't0', 1000, 1),
+            KeyRange(19, 999, 't1', 1000, 1),
+            KeyRange(1000, 65535, 't2', 1000, 1),
+        )
+        # The last of the requests by which it begins is for another owner.
+        lines = play.note(no_target(NoTargetReason.owner_ended))
+        self.assertEqual(lines, [('keys_unserved', 'replaced')])
+
+    def play_with(self, *ranges: KeyRange) -> Play:
+        """Return requests for keys with a known map."""
+        play = Play()
+        play.view.keys_by_service['registry'] = KeyIndex(
+            KeyMap('registry', ranges)
+        )
+        return play
+
+
 async def read_metrics(gateway: Gateway) -> str:
     url = f'http://127.0.0.1:{gateway.settings.metrics_port}/metrics'
     async with (
--- a/tests/test_review_fresh.py
+++ b/tests/test_review_fresh.py
@@ -3,13 +3,9 @@
 import asyncio
 import unittest
 
-from cassialever.fleet.keyindex import KeyIndex
 from cassialever.fleet.limit_reports import make_report
-from cassialever.fleet.model import KeyMap, KeyRange
 from cassialever.policy.limits import LimitSource, TargetLimit, TargetLimits
-from cassialever.policy.placing import NoTargetReason
 from tests.ownership_fakes import Daemon, FakeTarget, World
-from tests.test_keyed_requests import Play, no_target
 from tests.test_keys_replaced import (
     ADDRESS,
     MAX_HOLD,
@@ -81,24 +77,6 @@
         self.assertTrue(limits.is_replaced(_target()))
 
 
-class OneRangeTest(unittest.TestCase):
-    """Requests of a daemon all of which are for one range of several."""
-
-    def test_one_owner_that_has_ended_is_no_sign_for_the_others(self) -> None:
-        # The busy keys are close to one another, so that few requests show
-        # whether the other owner serves its keys.
-        play = Play()
-        ranges = (
-            KeyRange(0, 999, 't0', 1000, 1),
-            KeyRange(1000, 65535, 't1', 1000, 1),
-        )
-        play.view.keys_by_service['registry'] = KeyIndex(
-            KeyMap('registry', ranges)
-        )
-        lines = play.note(no_target(NoTargetReason.owner_ended))
-        self.assertEqual(lines, [])
-
-
 def _peer() -> LimitSource:
     return LimitSource('a follower')
 
