Let the other keys of a refused range try before the refused ones

Where several keys of a range were refused before any was run, all of it rests, and a daemon went on trying keys that had moved: requests for kept keys got 503 meanwhile.

One key of the range tries each time. Keys among the refused ones now try 0.05 s later than the others, which the owner holds more likely if it has given back a part, so that one of these tries if there are requests for them.

New test: test_other_keys_of_a_range_try_first.

--- a/cassialever/policy/unheld_keys.py
+++ b/cassialever/policy/unheld_keys.py
@@ -27,6 +27,9 @@
 #: Refused keys of a range from which on all of it counts as refused, unless the
 #: owner has run a request for one of its keys since the first refusal.
 MIN_KEYS_OF_RANGE: Final = 3
+#: How much later keys among these try again than the others of the range, of
+#: which the owner holds more if it has given back a part.
+INNER_DELAY: Final[Seconds] = 0.05
 #: Refusals without a success after which earlier successes don't count.
 MAX_REFUSALS_IN_A_ROW: Final = 8
 #: Refused keys of a span, spans, and keys held that are kept of one holding.
@@ -59,6 +62,11 @@
         refused = self.refused_in(held.keys)
         return bool(refused) and refused[0] <= held.key <= refused[-1]
 
+    def surrounds(self, held: 'HeldKey') -> bool:
+        """Return whether a key is among several refused ones."""
+        several = len(self.refused) >= MIN_KEYS_OF_RANGE
+        return several and self.contains(held)
+
     def add(self, key: int) -> None:
         """Add a refused key; the outermost ones are kept."""
         self.refused = sorted({*self.refused, key})
@@ -233,7 +241,10 @@
         if held.grant in refused_by:
             return False
         known = self._find(held)
-        return known is None or now >= known.try_at
+        if known is None:
+            return True
+        delay = INNER_DELAY if known.surrounds(held) else 0
+        return now >= known.try_at + delay
 
     def is_refused_since(self, held: HeldKey, since: Seconds) -> bool:
         """Return whether an owner has refused a key since a moment."""
--- a/tests/test_policy_unheld_keys.py
+++ b/tests/test_policy_unheld_keys.py
@@ -4,6 +4,7 @@
 
 from cassialever.fleet.model import KeyRange
 from cassialever.policy.unheld_keys import (
+    INNER_DELAY,
     MAX_AGE,
     MAX_KEYS,
     MAX_REST,
@@ -159,6 +160,16 @@
             self.refuse(1.0, held(10 + number))
         self.assertFalse(self.may_send(1.01, held(999)))
 
+    def test_other_keys_of_a_range_try_first(self) -> None:
+        for key in (10, 20, 30):
+            self.unheld.record_refused(held(key), 0.9, 1.0)
+        now = 1.0 + MIN_REST
+        self.assertTrue(self.may_send(now, held(999)))
+        for key in (10, 25):
+            with self.subTest(key=key):
+                self.assertFalse(self.may_send(now, held(key)))
+                self.assertTrue(self.may_send(now + INNER_DELAY, held(key)))
+
     def test_success_leaves_the_refused_keys_alone(self) -> None:
         refused = (10, 20, 30)
         for key in refused:
