--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -41,8 +41,10 @@
     NEEDS_PERMIT,
     NoTargetReason,
     PermitDelay,
+    Place,
     PlacementRequest,
     TargetSelector,
+    place_of,
 )
 from cassialever.policy.shares import WeightedSplit
 from cassialever.telemetry.spans import Hop, HopTracer, NoopTracer
@@ -75,16 +77,34 @@
 ]
 
 
-class _Progress(msgspec.Struct):
+class _Progress:
     """The attempts at one request."""
 
-    #: The service chosen among those of its route.
-    service: ServiceName
-    #: Targets that were tried, and how each try ended.
-    tried: list[TargetId] = msgspec.field(default_factory=list)
-    failed: list[Attempt] = msgspec.field(default_factory=list)
-    #: Attempts begun, also the second one at the same target.
-    count: int = 0
+    def __init__(self, service: ServiceName) -> None:
+        """Start without attempts at a service among those of the route."""
+        self.service = service
+        #: Targets that were tried, and how each try ended.
+        self.tried: list[TargetId] = []
+        self.failed: list[Attempt] = []
+        #: Grants by which owners did not hold the key.
+        self.refused_by: set[unheld_keys.Grant] = set()
+        #: Places where another target has answered.
+        self.replaced_at: set[Place] = set()
+        #: Attempts begun, also the second one at the same target.
+        self.count = 0
+
+    def record_failed(self, placed: _Placement, attempt: Attempt) -> None:
+        """Record an attempt that did not serve the request."""
+        self.tried.append(placed.target.target_id)
+        self.failed.append(attempt)
+        place = place_of(placed.target)
+        if attempt.refusal is TargetRefusal.replaced:
+            if place not in self.replaced_at:
+                # It has reached no target that may run it.
+                self.count -= 1
+            self.replaced_at.add(place)
+        if attempt.refusal is TargetRefusal.key_not_held and placed.held:
+            self.refused_by.add(placed.held.grant)
 
 
 class Forwarder:
@@ -149,11 +169,7 @@
                     progress.service, routed.key, last.answer, progress.failed
                 )
                 return last.answer
-            progress.tried.append(placed.target.target_id)
-            progress.failed.append(last)
-            if last.refusal is TargetRefusal.replaced:
-                # It has reached no target that may run it.
-                progress.count -= 1
+            progress.record_failed(placed, last)
             self.counters.record_failed_attempt(placed.target.service, last)
             goes_on = self._may_retry(routed, progress, last)
             _record_failed_attempt(
@@ -240,7 +256,8 @@
             routed.key,
             routed.route.objective,
             frozenset(tried),
-            was_not_held=_was_not_held(progress),
+            refused_by=frozenset(progress.refused_by),
+            replaced_at=frozenset(progress.replaced_at),
         )
         while True:
             now = self._clock.monotonic()
@@ -261,6 +278,7 @@
                 waiting=self.selector.waiting_by_service.total(),
                 cores=self._settings.instance.cores,
                 has_leader=_has_leader(chosen, self.tables),
+                ended_for=_ended_for(chosen, self.selector, placement, now),
             )
             decision = refusal.decide(chosen, timing, self._random)
             if isinstance(decision, refusal.Refuse):
@@ -451,14 +469,6 @@
         unheld.record_held(placed.held, sent_at)
 
 
-def _was_not_held(progress: _Progress) -> bool:
-    """Return whether an owner has refused a request for its key."""
-    return any(
-        attempt.refusal is TargetRefusal.key_not_held
-        for attempt in progress.failed
-    )
-
-
 def _permit_delay(
     selector: TargetSelector,
     reason: NoTargetReason,
@@ -479,6 +489,19 @@
     return not tables().without_leader
 
 
+def _ended_for(
+    reason: NoTargetReason,
+    selector: TargetSelector,
+    placement: PlacementRequest,
+    now: Seconds,
+) -> Seconds:
+    """Return the time since a request met an owner first that has ended."""
+    if reason is not NoTargetReason.owner_ended:
+        return 0
+    owner = selector.owner_of(placement)
+    return 0 if owner is None else selector.ended_owners.record_met(owner, now)
+
+
 def _pause_left(
     reason: NoTargetReason,
     view: FleetView,
