Log why each term ends, and count terms that end soon

A term ended in silence in three ways: the leader's row has another version than the term, the row of a key map is not the one that was expected, and a message of a later term.

Line 441 has the term, how long it lasted, the reason and the versions expected and found, and whether the stored owners are those that the daemon knew. Line 460 is an error after three terms in a row of under 5 s. Line 445 tells the versions read, committed and known where the owners could not be read, and how many takeovers a daemon defers for. Metrics: terms_ended and elections_failed by reason, short_terms.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -119,6 +119,11 @@
     authority_lost = (411, logbook.WARNING, 'This daemon lost the lease.')
     leader_taken = (440, logbook.NOTICE, 'This daemon became leader.')
     leader_lost = (441, logbook.WARNING, 'This daemon lost leadership.')
+    terms_short = (
+        460,
+        logbook.ERROR,
+        'Terms of this daemon as leader end soon, several times in a row.',
+    )
     resign_late = (
         442,
         logbook.WARNING,
--- a/cassialever/fleet/attempts.py
+++ b/cassialever/fleet/attempts.py
@@ -77,6 +77,8 @@
 
     def __init__(self) -> None:
         """Start without a failed attempt."""
+        #: All failures since the start of the process.
+        self.total_by_hindrance: dict[Hindrance, int] = {}
         self._count_by_hindrance: dict[Hindrance, int] = {}
         self._noted_at_by_hindrance: dict[Hindrance, Seconds] = {}
 
@@ -88,6 +90,8 @@
     def note(self, attempt: Attempt, now: Seconds) -> None:
         """Count an attempt, and log it if it is due."""
         hindrance = attempt.hindrance
+        total = self.total_by_hindrance.get(hindrance, 0)
+        self.total_by_hindrance[hindrance] = total + 1
         noted_at = self._noted_at_by_hindrance.get(hindrance, -math.inf)
         if hindrance in _PASSING and now - noted_at < STALE_AFTER:
             return
--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -90,7 +90,7 @@
         self.opens_in: Seconds = math.inf
         #: Why the last attempt failed; `None` if it did not.
         self.failed: Attempt | None = None
-        self._log = AttemptLog()
+        self.log = AttemptLog()
         self._sightings = _Sightings()
         #: Leases that this process may have written without leading by them.
         self._unconfirmed: collections.deque[leases.Lease] = collections.deque(
@@ -117,12 +117,12 @@
 
     def note_leader(self) -> None:
         """Begin a new series of attempts, since there was a leader."""
-        self._log.clear()
+        self.log.clear()
 
     def note_failure(self, hindrance: Hindrance, details: str = '') -> None:
         """Log why this daemon does not lead."""
         self.failed = Attempt(hindrance, details)
-        self._log.note(self.failed, self._clock.monotonic())
+        self.log.note(self.failed, self._clock.monotonic())
 
     async def attempt(self, patience: Seconds) -> LeaderTerm | None:
         """Take over the lease; return the new term, or None on failure.
@@ -188,7 +188,8 @@
         self.note_failure(
             Hindrance.lease_held,
             f'holder={holder_id} version={read.version} '
-            f'opens_in={opens_in:.2f}',
+            f'opens_in={opens_in:.2f} unanswered={self._unanswered} '
+            f'unread={self._unread}',
         )
 
     async def _take_over(self, read: _LeaseRead) -> LeaderTerm | None:
@@ -206,15 +207,14 @@
             await self._resolve(committed)
             return None
         self._unanswered = 0
-        if not await self._reload_own_table(committed.version):
+        unread = await self._reload_own_table(committed.version)
+        if unread is not None:
             self._unread += 1
             self._unconfirmed.append(new_lease)
             await self._give_up(
                 new_lease, committed.version, committed.store_time
             )
-            self.note_failure(
-                Hindrance.tables_unread, f'version={committed.version}'
-            )
+            self.note_failure(Hindrance.tables_unread, unread.reason)
             return None
         self._unread = 0
         # None of them can be performed after this takeover.
@@ -310,12 +310,21 @@
         if isinstance(released, rows.Committed):
             self._unanswered = 0
 
-    async def _reload_own_table(self, version: RowVersion) -> bool:
+    async def _reload_own_table(self, version: RowVersion) -> Failure | None:
         """Read again what earlier leaders wrote until the takeover."""
         own_table = await self._store.read_all(OWN_TABLE)
-        if isinstance(own_table, Failure) or own_table.version < version:
-            return False
-        return self._view.replace(OWN_TABLE, own_table.rows, own_table.version)
+        if isinstance(own_table, Failure):
+            return own_table
+        known = self._view.rows.version_by_table.get(OWN_TABLE, RowVersion(0))
+        is_newest = own_table.version >= version
+        if is_newest and self._view.replace(
+            OWN_TABLE, own_table.rows, own_table.version
+        ):
+            return None
+        return Failure(
+            ErrorKind.table_unavailable,
+            f'read={own_table.version} committed={version} known={known}',
+        )
 
 
 def _winner(conflict: rows.Conflict, own_id: str) -> str:
--- a/cassialever/fleet/leader_contact.py
+++ b/cassialever/fleet/leader_contact.py
@@ -12,9 +12,11 @@
 
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
+from cassialever.fleet.attempts import AttemptLog
 from cassialever.fleet.direct import DirectFollower
 from cassialever.fleet.following_leader import LeaderLink, LinkEnd
 from cassialever.fleet.repeats import GrowingInterval, RepeatedLines
+from cassialever.fleet.term_ends import TermLog
 from cassialever.fleet.view import FleetView
 from cassialever.types import Seconds
 
@@ -68,6 +70,9 @@
         self._link = link
         self._direct_follower = direct_follower
         self._clock = clock
+        #: The ends of this daemon's terms, and its attempts to lead.
+        self.terms = TermLog()
+        self.attempts = AttemptLog()
         self._silences = RepeatedLines()
         self._absence: _Absence | None = self._begin_absence()
         #: When the tables were last known to be complete.
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -13,6 +13,7 @@
 from cassialever.fleet.lease_writes import commit_lease
 from cassialever.fleet.store_clock import StoreClock
 from cassialever.fleet.suspected_moves import SuspectedMoves
+from cassialever.fleet.term_ends import TermEnd, TermResult
 from cassialever.keys.assignments import MAX_GRANT_DURATION
 from cassialever.platform import rows
 from cassialever.platform.store import StoreClient
@@ -103,6 +104,8 @@
         #: Number of calls that grant keys and have not ended.
         self.grants_in_progress = 0
         self._ended = asyncio.Event()
+        self._began_at = clock.boot()
+        self._result: TermResult | None = None
         self._is_resigning = False
         #: Serialises writes of the lease, since each one expects the row
         #: version that the last one left.
@@ -144,11 +147,15 @@
     def depose_if_later(self, term: RowVersion) -> None:
         """End this term if another daemon leads in a later one."""
         if term > self.term:
-            self.depose()
+            self.end(TermEnd.later_term, f'later={term}')
 
-    def depose(self) -> None:
-        """End this term because another daemon leads."""
+    def end(self, cause: TermEnd, details: str = '') -> TermResult:
+        """End this term and return how it ended; the first cause counts."""
         self._ended.set()
+        if self._result is None:
+            lasted = self._clock.boot() - self._began_at
+            self._result = TermResult(self.term, lasted, cause, details)
+        return self._result
 
     async def keep_lease(self) -> None:
         """Renew the lease until the term ends."""
@@ -170,7 +177,7 @@
                 await asyncio.sleep(GRANT_POLL_INTERVAL)
             await self._renew(is_resigned=True)
         finally:
-            self._ended.set()
+            self.end(TermEnd.resigned)
 
     async def commit(
         self,
@@ -272,7 +279,8 @@
             leader=lease.instance_id if lease else '',
             version=version,
         )
-        self.depose()
+        holder_id = lease.instance_id if lease else ''
+        self.end(TermEnd.lease_lost, f'holder={holder_id} version={version}')
         return False
 
     def _note_commit(
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -29,6 +29,7 @@
 from cassialever.fleet.peers import SharedPeers
 from cassialever.fleet.relay import LeaderAges, Relay
 from cassialever.fleet.seeking import Seeking
+from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.view import (
     OWN_TABLE,
     FleetView,
@@ -126,6 +127,7 @@
         )
         self._direct_follower = DirectFollower(store, view, random_source)
         self.contact = LeaderContact(view, link, self._direct_follower, clock)
+        self.contact.attempts = self._election.log
         self._stop_asked = asyncio.Event()
         self._leader_row = _LeaderRow(store, view, clock)
         self._seeking = Seeking(
@@ -309,13 +311,13 @@
         ]
         lease_task = asyncio.create_task(leader_term.keep_lease())
         try:
-            await _wait_for_term_end(lease_task, tasks)
+            await _wait_for_term_end(leader_term, lease_task, tasks)
         finally:
-            # A call that is in progress must not use a later term's lease.
-            leader_term.depose()
-            self._stop_leading([lease_task, *tasks])
+            self._stop_leading(leader_term, [lease_task, *tasks])
 
-    def _stop_leading(self, tasks: Sequence[asyncio.Future[None]]) -> None:
+    def _stop_leading(
+        self, leader_term: LeaderTerm, tasks: Sequence[asyncio.Future[None]]
+    ) -> None:
         _cancel(tasks)
         self._view.on_change = ignore_changes
         # The next leader is found through them.
@@ -325,7 +327,8 @@
         self._relay.disconnect_followers()
         self.leader_term = None
         self.state = MemberState.seeking
-        record(Event.leader_lost)
+        # A call that is in progress must not use a later term's lease.
+        self.contact.terms.note(leader_term.end(TermEnd.failed))
 
     async def _watch_store(self) -> None:
         """Follow the store directly while the leader is cut off from it."""
@@ -402,14 +405,19 @@
 
 
 async def _wait_for_term_end(
+    leader_term: LeaderTerm,
     lease_task: asyncio.Task[None],
     tasks: Sequence[asyncio.Future[None]],
 ) -> None:
     """Return at the end of the term; raise the error of a failed task."""
-    done, _ = await asyncio.wait(
-        (lease_task, *tasks),
-        return_when=asyncio.FIRST_COMPLETED,
-    )
+    try:
+        done, _ = await asyncio.wait(
+            (lease_task, *tasks),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    except asyncio.CancelledError:
+        leader_term.end(TermEnd.aborted)
+        raise
     for task in done:
         task.result()
     await lease_task
--- a/cassialever/gateway/own_state.py
+++ b/cassialever/gateway/own_state.py
@@ -63,6 +63,15 @@
             Reading('tables_age_by_way_seconds', by_way, {'way': way.value})
             for way, by_way in _age_by_way(membership).items()
         ),
+        *(
+            Reading('terms_ended', count, {'reason': end.name})
+            for end, count in contact.terms.count_by_end.items()
+        ),
+        Reading('short_terms', contact.terms.short_count),
+        *(
+            Reading('elections_failed', count, {'reason': hindrance.name})
+            for hindrance, count in contact.attempts.total_by_hindrance.items()
+        ),
     ]
 
 
--- a/cassialever/keys/mapwriter.py
+++ b/cassialever/keys/mapwriter.py
@@ -5,6 +5,7 @@
 from cassialever.errors import Failure
 from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.model import KeyMap, StoreRow
+from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.view import KEY_MAP_PREFIX, LEADER_ROW, OWN_TABLE
 from cassialever.platform import rows
 from cassialever.types import RowVersion, ServiceName
@@ -27,15 +28,22 @@
         self,
         service: ServiceName,
         leader_term: LeaderTerm,
-        version: RowVersion,
     ) -> None:
-        """Start at the known version of the row; 0 if there is none."""
+        """Start with no row; `start_from` tells of one."""
         self._name = row_name(service)
         self._leader_term = leader_term
-        self.version = version
+        #: The version of the row; 0 if there is none.
+        self.version = RowVersion(0)
+        #: The content of the row as it is known.
+        self._known_content: bytes | None = None
         #: Contents of unanswered writes, which may have been committed.
         self._uncertain_contents: list[bytes] = []
 
+    def start_from(self, row: StoreRow) -> None:
+        """Expect the row that is known when the term begins."""
+        self.version = row.version
+        self._known_content = row.content
+
     async def write(self, key_map: KeyMap) -> StoreRow | None:
         """Write a key map; return its row.
 
@@ -52,6 +60,7 @@
         else:
             self.version = answer.version
         self._uncertain_contents.clear()
+        self._known_content = content
         return StoreRow(OWN_TABLE, self._name, content, self.version)
 
     def _transaction(self, content: bytes) -> rows.Transaction:
@@ -75,11 +84,29 @@
         leader = row_by_name.get(LEADER_ROW)
         stored = row_by_name.get(self._name)
         if leader is None or leader.version != self._leader_term.term:
-            self._leader_term.depose()
+            self._leader_term.end(
+                TermEnd.leader_row_changed,
+                f'expected={self._leader_term.term} {_describe(leader)}',
+            )
             return False
         if stored is None or stored.content not in self._uncertain_contents:
             # Another writer's map: this term's state does not match the store.
-            self._leader_term.depose()
+            self._leader_term.end(
+                TermEnd.key_map_changed,
+                f'row={self._name} expected={self.version} '
+                f'{_describe(stored)} content={self._origin(stored)}',
+            )
             return False
         self.version = stored.version
         return stored.content == content
+
+    def _origin(self, stored: StoreRow | None) -> str:
+        """Return whether this daemon knows the content of a row."""
+        if stored is None or stored.content is None:
+            return 'none'
+        return 'known' if stored.content == self._known_content else 'other'
+
+
+def _describe(row: StoreRow | None) -> str:
+    """Return the version of a row that was found."""
+    return f'found={row.version if row else None}'
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -36,7 +36,7 @@
 from cassialever.keys.targetloads import OwnerLoads
 from cassialever.platform.entry_limits import DEFAULT_ROW_BYTES
 from cassialever.tasks import BackgroundTasks
-from cassialever.types import Fence, RowVersion, Seconds, ServiceName, TargetId
+from cassialever.types import Fence, Seconds, ServiceName, TargetId
 
 #: Keys move only if the store answered within this time: two renewals of the
 #: lease and a slow answer.
@@ -99,7 +99,7 @@
         self._is_writing = False
         #: Ticks that come before the next regular one.
         self.steps = Steps(self._tasks, lambda: self.tick(context.clock.boot()))
-        self._writer = MapWriter(service, context.leader_term, RowVersion(0))
+        self._writer = MapWriter(service, context.leader_term)
         #: Owners that are not known may hold the keys otherwise.
         self._knows_owners = self._inherit()
         self._suspicion = SuspicionLimit(
@@ -153,7 +153,7 @@
             record(Event.owners_unknown, service=self.service, row=name)
             return False
         self.assignments.ordered = inherited
-        self._writer.version = row.version
+        self._writer.start_from(row)
         return True
 
     def _assign_first(self, now: Seconds) -> None:
--- a/tests/test_fleet_terms.py
+++ b/tests/test_fleet_terms.py
@@ -12,6 +12,7 @@
 from cassialever.fleet.lease import AUTHORITY_TERM, LEASE_TABLE, Lease
 from cassialever.fleet.store_clock import MAX_CALL_TIME, StoreClock
 from cassialever.fleet.suspected_moves import MAX_MOVES, SuspectedMoves
+from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.model import SuspectedMove
 from cassialever.platform import rows
 from cassialever.platform.store import CALL_TIMEOUT
@@ -77,7 +78,7 @@
             )
             while not release.is_held:
                 await asyncio.sleep(CHECK_INTERVAL)
-            first.depose()
+            first.end(TermEnd.later_term)
             while leader.member.leader_term in (first, None):
                 await asyncio.sleep(CHECK_INTERVAL)
             release.passes.set()
