Count at each daemon the leaders that are replaced soon

Only the daemon that led could tell that terms end at once. Where terms last one to five seconds there is no 448 at all.

Each daemon now counts the versions of the leader's row that it sees, since it last had a leader for SHORT_TERM, and how many of these leaders were replaced within that time. Lines 447, 448 and 449 have both (leaders_seen, leaders_short), so that 448 with 0 is a fleet that nobody takes over, and 448 with more is one whose leaders lose it. There is no new line. Metrics: leader_changes, leaders_seen, leaders_short.

The first leader that a process sees is no change, and a leader that was seen first then does not count as short, as it may have led for long.

--- a/cassialever/fleet/leader_contact.py
+++ b/cassialever/fleet/leader_contact.py
@@ -15,6 +15,7 @@
 from cassialever.fleet.attempts import AttemptLog
 from cassialever.fleet.direct import DirectFollower
 from cassialever.fleet.following_leader import LeaderLink, LinkEnd
+from cassialever.fleet.leader_changes import LeaderChanges
 from cassialever.fleet.repeats import GrowingInterval, RepeatedLines
 from cassialever.fleet.term_ends import TermLog
 from cassialever.fleet.view import FleetView
@@ -73,6 +74,8 @@
         #: The ends of this daemon's terms, and its attempts to lead.
         self.terms = TermLog()
         self.attempts = AttemptLog()
+        #: The leaders of the fleet, whoever they are.
+        self.changes = LeaderChanges()
         self._silences = RepeatedLines()
         self._absence: _Absence | None = self._begin_absence()
         #: When the tables were last known to be complete.
@@ -109,7 +112,12 @@
         """
         now = self._clock.boot()
         self._complete_at = max(self._complete_at, now - tables_age)
-        if not is_leading and not self._link.is_open:
+        has_leader = is_leading or self._link.is_open
+        leader = self._view.leader
+        self.changes.note(
+            leader[1] if leader else None, now, has_leader=has_leader
+        )
+        if not has_leader:
             self._note_lost()
             self._report_absence()
             return
@@ -206,6 +214,8 @@
             lasted=round(now - absence.began_at, 3),
             passes=absence.passes,
             times_lost=absence.times_lost,
+            leaders_seen=self.changes.seen_count,
+            leaders_short=self.changes.short_count,
             named=self._view.leader_id or None,
             tables_way=self.way().value,
             tables_age=round(now - self._complete_at, 3),
@@ -227,5 +237,7 @@
             lasted=round(found_at - absence.began_at, 3),
             passes=absence.passes,
             times_lost=absence.times_lost,
+            leaders_seen=self.changes.seen_count,
+            leaders_short=self.changes.short_count,
             silences=silences,
         )
--- a/cassialever/gateway/own_state.py
+++ b/cassialever/gateway/own_state.py
@@ -68,6 +68,9 @@
             for end, count in contact.terms.count_by_end.items()
         ),
         Reading('short_terms', contact.terms.short_count),
+        Reading('leader_changes', contact.changes.total),
+        Reading('leaders_seen', contact.changes.seen_count),
+        Reading('leaders_short', contact.changes.short_count),
         *(
             Reading('elections_failed', count, {'reason': hindrance.name})
             for hindrance, count in contact.attempts.total_by_hindrance.items()
--- a/tests/test_leader_contact.py
+++ b/tests/test_leader_contact.py
@@ -158,6 +158,77 @@
         (found,) = self.events.fields('leader_found')
         self.assertGreaterEqual(found['times_lost'], 20)
 
+    def show_leader(self, version: int) -> None:
+        """Let the leader's row have a version."""
+        named = Leadership('edge-2', '10.1.0.2:7', 1)
+        self.contact._view.leader = (named, RowVersion(version))
+
+    def test_leaders_that_take_over_and_lose_it_at_once(self) -> None:
+        """A follower could not tell it from a fleet that nobody leads."""
+        self.show_leader(1)
+        self.lead(6)
+        for version in range(2, 7):
+            self.spend(1.4, end=LinkEnd.not_leader)
+            self.show_leader(version)
+        self.spend(1.4, end=LinkEnd.not_leader)
+        (begun,) = self.events.fields('leader_missing')
+        self.assertEqual(
+            (begun['leaders_seen'], begun['leaders_short']), (0, 0)
+        )
+        lasting = self.events.fields('leader_missing_long')
+        self.assertEqual(
+            [(one['leaders_seen'], one['leaders_short']) for one in lasting],
+            [(2, 1), (5, 4)],
+        )
+        # One that has led for moments does not end it.
+        self.lead(2)
+        (found,) = self.events.fields('leader_found')
+        self.assertEqual(
+            (found['leaders_seen'], found['leaders_short']), (5, 4)
+        )
+        self.assertEqual(self.contact.changes.seen_count, 5)
+        self.lead(5.2)
+        self.assertEqual(self.contact.changes.seen_count, 0)
+        self.assertEqual(self.contact.changes.short_count, 0)
+        self.assertEqual(self.contact.changes.total, 5)
+
+    def test_leaders_that_lead_for_moments_are_counted_across_them(
+        self,
+    ) -> None:
+        """Each has a line of its end, and none lasts three seconds."""
+        self.show_leader(1)
+        self.lead(6)
+        for version in range(2, 7):
+            self.spend(1.4)
+            self.show_leader(version)
+            self.lead(2)
+        found = self.events.fields('leader_found')
+        self.assertEqual(
+            [(one['leaders_seen'], one['leaders_short']) for one in found],
+            [(1, 0), (2, 1), (3, 2), (4, 3), (5, 4)],
+        )
+        self.assertEqual(self.events.fields('leader_missing_long'), [])
+
+    def test_change_of_a_leader_that_had_led_for_long_is_not_short(
+        self,
+    ) -> None:
+        self.show_leader(1)
+        # This daemon has just begun, and the leader has not.
+        self.spend(0.4)
+        for version in (2, 3, 4):
+            self.show_leader(version)
+            self.spend(9)
+        self.assertEqual(self.contact.changes.seen_count, 3)
+        self.assertEqual(self.contact.changes.short_count, 0)
+
+    def test_daemon_that_loses_the_same_leader_sees_no_change(self) -> None:
+        self.show_leader(1)
+        for _ in range(9):
+            self.lead(2)
+            self.spend(2, end=LinkEnd.closed)
+        self.assertEqual(self.contact.changes.total, 0)
+        self.assertEqual(self.contact.changes.seen_count, 0)
+
     def test_daemon_that_stops_misses_no_leader(self) -> None:
         self.lead(2)
         self.contact.is_stopping = True
@@ -252,6 +323,9 @@
                 ('tables_age_seconds',),
                 ('tables_age_by_way_seconds', 'store'),
                 ('short_terms',),
+                ('leader_changes',),
+                ('leaders_seen',),
+                ('leaders_short',),
                 ('elections_failed', 'refused'),
             },
         )
