Tell of a term that a stop ends while the lease is taken

Tests of each end of a term found two that were told wrongly. A daemon that is asked to stop while the store performs its takeover logged 440 and resigned, and neither 441 nor terms_ended told of the end. A term whose process is cancelled, after a part of the leader's work had returned, was told as "a part of the leader's work has failed" in place of "the process ends".

--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -277,7 +277,10 @@
             return
         if self._stop_asked.is_set():
             # The stop began while the lease was taken.
-            await leader_term.resign()
+            try:
+                await leader_term.resign()
+            finally:
+                self.contact.terms.note(leader_term.end(TermEnd.resigned))
             return
         await self._lead(leader_term)
 
@@ -415,12 +418,12 @@
             (lease_task, *tasks),
             return_when=asyncio.FIRST_COMPLETED,
         )
+        for task in done:
+            task.result()
+        await lease_task
     except asyncio.CancelledError:
         leader_term.end(TermEnd.aborted)
         raise
-    for task in done:
-        task.result()
-    await lease_task
 
 
 def addresses_to_ask(membership: Membership) -> list[str]:
