Show in the tool why terms end and which leaders were seen

Both print the term, how long it lasted, its reason and the versions, the alert with its advice, and how many leaders each daemon saw. Lines of a build that told none of it print as before.

--- a/cassialever/tool/daemon_state.py
+++ b/cassialever/tool/daemon_state.py
@@ -11,6 +11,10 @@
     {
         'leader_taken': 'this daemon became leader',
         'leader_lost': 'this daemon lost leadership',
+        'terms_short': (
+            'terms of this daemon as leader ended soon, {count} in a row;'
+            ' {advice}; the last one ended after {lasted} s: {reason}'
+        ),
         'authority_lost': 'this daemon lost the lease',
         'leader_silent': (
             'this daemon could not follow {leader}: {reason} (activity'
@@ -43,10 +47,28 @@
 )
 #: Events that don't show whether the daemon has a leader.
 _ACTS: Final = frozenset(
-    ('store_followed', 'election_failed', 'election_hindered')
+    ('store_followed', 'election_failed', 'election_hindered', 'terms_short')
+)
+#: What the lines of earlier builds lack.
+_TERM_CLAUSE: Final = ' of term {term} after {lasted} s: {reason}'
+_LEADERS_CLAUSE: Final = (
+    '; leaders seen since one lasted: {leaders_seen}, replaced soon:'
+    ' {leaders_short}'
 )
 
 
+def leader_clause(name: str, fields: Fields) -> str:
+    """Return why a term has ended, or which leaders were seen."""
+    clauses = []
+    if name == 'leader_lost' and 'reason' in fields:
+        clauses.append(fill_in(_TERM_CLAUSE, fields))
+    if name in {'leader_lost', 'terms_short'} and fields.get('details'):
+        clauses.append(fill_in(' ({details})', fields))
+    if 'leaders_seen' in fields:
+        clauses.append(fill_in(_LEADERS_CLAUSE, fields))
+    return ''.join(clauses)
+
+
 def state_clause(fields: Fields) -> str:
     """Return the state of a daemon that a line about a request tells."""
     if 'tables_from' not in fields:
--- a/cassialever/tool/key_lines.py
+++ b/cassialever/tool/key_lines.py
@@ -29,7 +29,9 @@
     (
         'leader_taken',
         'leader_lost',
+        'terms_short',
         'leader_handed_over',
+        'leader_missing_long',
         'authority_lost',
         'entry_rejected',
         'table_unavailable',
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -13,6 +13,7 @@
 from cassialever.tool.daemon_state import (
     TEMPLATE_BY_EVENT,
     last_states,
+    leader_clause,
     state_clause,
 )
 from cassialever.tool.log_lines import (
@@ -107,7 +108,8 @@
     sentence = fill_in(template, line.fields)
     if line.name == 'attempt_failed':
         sentence = f'{sentence}{_attempt_clause(line.fields)}'
-    return f'{sentence}{state_clause(line.fields)}'
+    leader = leader_clause(line.name, line.fields)
+    return f'{sentence}{leader}{state_clause(line.fields)}'
 
 
 def _attempt_clause(fields: Fields) -> str:
@@ -274,6 +276,7 @@
         'leader_lost',
         'authority_lost',
         'election_hindered',
+        'terms_short',
         'table_unavailable',
         'table_answers_again',
         'data_centre_changed',
--- a/tests/test_tool_key_history.py
+++ b/tests/test_tool_key_history.py
@@ -373,6 +373,33 @@
             ],
         )
 
+    def test_terms_that_end_at_once(self) -> None:
+        """Keys wait meanwhile, since nobody renews their grants."""
+        ended = {'lasted': 0.07, 'reason': 'another has the lease',
+                 'details': 'holder=edge-2 version=9'}  # fmt: skip
+        lines = [
+            key_line(1, 'keys_granted', 't1', fence=3),
+            log_line(5, 'leader_lost', term=8, **ended),
+            log_line(5.1, 'terms_short', count=3, advice='see renewals',
+                     **ended),
+            log_line(6, 'leader_missing_long', 'edge-3', lasted=4, passes=8,
+                     named='edge-1', tables_way='store', tables_age=0.6,
+                     leaders_seen=3, leaders_short=2),
+        ]  # fmt: skip
+        self.assertEqual(
+            [one.sentence for one in history(lines).steps][1:],
+            [
+                'this daemon lost leadership of term 8 after 0.07 s: another'
+                ' has the lease (holder=edge-2 version=9)',
+                'terms of this daemon as leader ended soon, 3 in a row; see'
+                ' renewals; the last one ended after 0.07 s: another has the'
+                ' lease (holder=edge-2 version=9)',
+                'this daemon had no leader for 4 s, in 8 passes; the store'
+                ' named edge-1; way of its tables: store, complete 0.6 s'
+                ' before; leaders seen since one lasted: 3, replaced soon: 2',
+            ],
+        )
+
     def test_period(self) -> None:
         lines = [
             key_line(1, 'keys_granted', 't1', fence=3),
--- a/tests/test_tool_platform.py
+++ b/tests/test_tool_platform.py
@@ -147,6 +147,75 @@
             ],
         )
 
+    def test_terms_that_end_at_once(self) -> None:
+        """Why, at whichever daemon led, and what each daemon saw of it."""
+        reason = "the leader's row has another version than the term"
+        missing = {
+            'lasted': 8.1, 'passes': 17, 'named': 'edge-2',
+            'tables_way': 'store', 'tables_age': 0.6, 'leaders_seen': 5,
+            'leaders_short': 4,
+        }  # fmt: skip
+        logs = [
+            log_line(98, 'leader_lost', 'edge-2', term=41, lasted=0.07,
+                     reason=reason, details='expected=41 found=40'),
+            log_line(98.1, 'terms_short', 'edge-2', count=3, lasted=0.07,
+                     reason=reason, details='expected=41 found=40',
+                     advice='see who writes the row'),
+            log_line(99, 'leader_missing_long', **missing),
+            log_line(99.1, 'leader_missing_long', 'edge-3', **missing),
+            log_line(100, 'request_refused', request='b', status=503),
+            log_line(100.1, 'leader_lost', 'edge-3', term=43, lasted=0.1,
+                     reason='this daemon resigned', details=None),
+            # A build that told neither.
+            log_line(100.2, 'leader_lost', 'edge-4'),
+            log_line(100.3, 'leader_found', leader='edge-3', lasted=9.3,
+                     passes=20, leaders_seen=6, leaders_short=5),
+        ]  # fmt: skip
+        timeline = build_timeline(read_lines(logs), 'b')
+        told = [(step.instance, step.sentence) for step in timeline.steps]
+        self.assertEqual(
+            [one for one in told if 'request' not in one[1]],
+            [
+                (
+                    'edge-2',
+                    'this daemon lost leadership of term 41 after 0.07 s:'
+                    f' {reason} (expected=41 found=40)',
+                ),
+                (
+                    'edge-2',
+                    'terms of this daemon as leader ended soon, 3 in a row; see'
+                    ' who writes the row; the last one ended after 0.07 s:'
+                    f' {reason} (expected=41 found=40)',
+                ),
+                (
+                    'edge-1',
+                    'this daemon had no leader for 8.1 s, in 17 passes; the'
+                    ' store named edge-2; way of its tables: store, complete'
+                    ' 0.6 s before; leaders seen since one lasted: 5, replaced'
+                    ' soon: 4',
+                ),
+                (
+                    'edge-3',
+                    'this daemon had no leader for 8.1 s, in 17 passes; the'
+                    ' store named edge-2; way of its tables: store, complete'
+                    ' 0.6 s before; leaders seen since one lasted: 5, replaced'
+                    ' soon: 4',
+                ),
+                (
+                    'edge-3',
+                    'this daemon lost leadership of term 43 after 0.1 s: this'
+                    ' daemon resigned',
+                ),
+                ('edge-4', 'this daemon lost leadership'),
+                (
+                    'edge-1',
+                    'this daemon had a leader again (edge-3), after 9.3 s'
+                    ' without one and 20 passes; leaders seen since one lasted:'
+                    ' 6, replaced soon: 5',
+                ),
+            ],
+        )
+
     def test_request_that_was_passed_on(self) -> None:
         """The lines of both daemons, and why the request was passed on."""
         logs = [
