--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -21,6 +21,7 @@
 from cassialever.fleet.messages import Hello
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.relay import Relay
+from cassialever.fleet.term_ends import TermEnd, TermResult
 from cassialever.platform.rows import Conflict, Rows
 from cassialever.types import RowVersion
 from tests.fleet_helpers import ManualClock, configured_view, until
@@ -245,7 +246,10 @@
     async def asyncSetUp(self) -> None:
         self.daemon = member(200, 1)
         self.daemon._election = mock.Mock(holder_id='')
-        self.term = mock.Mock(resign=mock.AsyncMock())
+        ended = TermResult(RowVersion(7), 0, TermEnd.resigned)
+        self.term = mock.Mock(
+            resign=mock.AsyncMock(), end=mock.Mock(return_value=ended)
+        )
         self.lead = mock.AsyncMock()
         self.daemon._lead = self.lead
 
@@ -260,6 +264,9 @@
         await self.daemon._try_to_lead()
         self.lead.assert_not_awaited()
         self.term.resign.assert_awaited_once()
+        self.assertEqual(
+            self.daemon.contact.terms.count_by_end, {TermEnd.resigned: 1}
+        )
 
     async def test_stop_before_the_lease_is_taken(self) -> None:
         self.daemon.election_delay = 0.05
