--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -20,6 +20,7 @@
     find_fault,
 )
 from standins.listening import Listener
+from standins.other_writers import OtherWriters
 
 _TABLE: Final = 'table'
 _KEY: Final = 'key'
@@ -138,6 +139,8 @@
     def __init__(self) -> None:
         """Start without rows or faults; `start` lets it listen."""
         self.rows = RowStore()
+        #: Rows that are committed before transactions are answered.
+        self.other_writers = OtherWriters(self.rows.put)
         self.call_count_by_path: dict[str, int] = {}
         #: If set, answer every call with this status.
         self.error_status: int | None = None
@@ -248,9 +251,11 @@
         )
 
     async def _handle_transaction(self, request: web.Request) -> web.Response:
-        outcome = self.rows.transact(msgspec.json.decode(await request.read()))
+        body = await request.read()
+        outcome = self.rows.transact(msgspec.json.decode(body))
         if isinstance(outcome, int):
             self.last_writer = self._machine_of(request)
+            self.other_writers.follow(body)
             self._wake_feeds()
             return self._response([])
         return self._response(outcome, HTTPStatus.PRECONDITION_FAILED)
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -49,6 +49,7 @@
 from cassialever.policy.paths import TargetPaths
 from cassialever.policy.peer_reports import Helper
 from cassialever.types import DataCentreId, RowVersion
+from standins.other_writers import OtherWriters
 from standins.rowstore import RowStore, StoredRow
 from tests.fleet_helpers import (
     CONFIGURATION,
@@ -286,15 +287,16 @@
         await asyncio.sleep(STORE_DELAY)
         if self.is_cut:
             return await self._fail(store.CALL_TIMEOUT)
-        body = msgspec.json.decode(rows.encode_transaction(transaction))
-        outcome = self._rig.rows.transact(body)
+        body = rows.encode_transaction(transaction)
+        outcome = self._rig.rows.transact(msgspec.json.decode(body))
         now = self._machine.loop.time()
         if isinstance(outcome, int):
+            self._rig.other_writers.follow(body)
             self._rig.wake()
         if self.loses_commits:
             return await self._fail(store.CALL_TIMEOUT)
         if isinstance(outcome, int):
-            return rows.Committed(RowVersion(outcome), now)
+            return rows.Committed(RowVersion(self._rig.rows.version), now)
         return rows.Conflict(decode(outcome), now)
 
     async def read(self, table: str, start: str = '') -> Any:
@@ -440,6 +442,8 @@
         self.loop = loop
         self.random = random.Random(seed)
         self.rows = RowStore()
+        #: Rows that are committed before transactions are answered.
+        self.other_writers = OtherWriters(self.rows.put)
         self._changed = asyncio.Event()
         self._put_tables()
         machines = [self._draw_machine(number) for number in range(count)]
@@ -631,12 +635,13 @@
     scenario: Callable[[Rig], Awaitable[None]],
     count: int,
     load: float = 0,
+    make_rig: Callable[..., Any] | None = None,
 ) -> None:
     """Play a scenario on a fleet that has settled, beside a release.
 
     `load` is the share of the smallest machines that other work uses.
     """
-    rig = Rig(loop, seed, count)
+    rig = (make_rig or Rig)(loop, seed, count)
     with simulated_links(rig):
         await rig.settle()
         await rig.wait_for_fresh_tables()
