Let a whole read of the store correct known versions

A version that a daemon had learnt from elsewhere than a read, such as the answer to a commit, stayed for ever if the store's was lower: a whole read ignored all rows that were not newer than the known ones. Each daemon that led expected that version in its first write of the row, and its term ended.

The store's answers are linearizable, and its versions are of one counter. So a whole read at a version has each row as of it or later, and a known row up to that version that differs is not the store's. It is replaced now, also by one with a lower version. Rows above the version of the read stay: they may have been learnt while it was under way. Tables of other daemons still replace no newer row, and no configuration goes back.

Eight of the tests in test_store_reads failed before, counting subtests: the row of a map and that of the leader, content, the row of a configuration, and a random search over true and false rows (200 seeds).

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -9,6 +9,8 @@
 #: Removals remembered for each table: more than a day's worth if 1,500 targets
 #: are replaced a day.
 MAX_REMOVALS: Final = 4096
+#: Below the version of any row: no known row yields to an older one.
+UNCONFIRMED: Final = RowVersion(-1)
 
 
 class RowReplica:
@@ -105,12 +107,17 @@
         table: str,
         rows: Iterable[StoreRow],
         version: RowVersion,
+        confirmed: RowVersion = UNCONFIRMED,
     ) -> list[StoreRow]:
-        """Store rows that are newer than the known ones and return them."""
+        """Store rows that are newer than the known ones and return them.
+
+        Known rows up to the version `confirmed`, that of a whole read of the
+        store, yield to other ones: the read has each row as of it, or later.
+        """
         newer: list[StoreRow] = []
         for row in rows:
             # An answer may have a row and its removal.
-            if self._is_newer(row):
+            if self._is_newer(row, confirmed):
                 self._store(row)
                 newer.append(row)
         known = self.version_by_table.get(table, RowVersion(0))
@@ -141,10 +148,12 @@
             since = self._since_by_table.get(row.table, oldest.version)
             self._since_by_table[row.table] = max(since, oldest.version)
 
-    def _is_newer(self, row: StoreRow) -> bool:
+    def _is_newer(self, row: StoreRow, confirmed: RowVersion) -> bool:
         known = self.by_table_and_name.get((row.table, row.name))
         if known is None:
             return not self._is_removed(row)
+        if known.version <= confirmed:
+            return row != known
         if row.content is None:
             return row.version >= known.version
         return row.version > known.version
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -1,7 +1,8 @@
 """A daemon's view of its deployment, built from the store's rows.
 
 Rows come from the store itself or from another daemon that follows it. A row
-older than the current one is ignored, so the view never goes back in time.
+older than the current one is ignored, so the view never goes back in time,
+unless a whole read of the store shows that the current one is not in it.
 """
 
 from collections.abc import Callable, Iterable
@@ -28,7 +29,7 @@
     PlatformRowHandler,
     apply_newest,
 )
-from cassialever.fleet.row_replica import RowReplica
+from cassialever.fleet.row_replica import UNCONFIRMED, RowReplica
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.gateway.routes import RouteTable
 from cassialever.platform import records
@@ -101,15 +102,17 @@
     ) -> bool:
         """Replace a whole table; rows that are missing count as removed.
 
-        Return False and change nothing if the table is older than the known
-        one.
+        What the store has goes before what is known of the same versions from
+        elsewhere. Return False and change nothing if the table is older than
+        the known one.
         """
         if version < self.rows.version_by_table.get(table, 0):
             return False
         table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
-        self.apply(table, removals + table_rows, version, source)
+        confirmed = version if source == STORE else UNCONFIRMED
+        self.apply(table, removals + table_rows, version, source, confirmed)
         self.rows.restart_history(table, version)
         return True
 
@@ -119,13 +122,15 @@
         rows: Iterable[StoreRow],
         version: RowVersion,
         source: str = STORE,
+        confirmed: RowVersion = UNCONFIRMED,
     ) -> None:
         """Apply changed rows, ignoring those that are not newer.
 
-        The log names their `source`: the store or another daemon.
+        Known rows up to the version `confirmed` yield to other ones. The log
+        names the `source` of the rows: the store or another daemon.
         """
         self._source = source
-        changed = self.rows.apply(table, rows, version)
+        changed = self.rows.apply(table, rows, version, confirmed)
         if changed:
             self.rows.newest_from = source
         if table == self._row_handler.table:
--- /dev/null
+++ b/tests/test_store_reads.py
@@ -0,0 +1,177 @@
+"""Tests of what a read of the store corrects in a daemon's view."""
+
+import random
+import unittest
+
+import msgspec
+
+from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
+from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, FleetView, Leadership
+from tests.fleet_helpers import (
+    CONFIGURATION,
+    ManualClock,
+    configured_view,
+    json_row,
+    target_entry,
+)
+
+TABLE = 'servers'
+#: Where rows come from that are not the store's.
+ELSEWHERE = 'daemon at 10.1.0.9:7'
+ROW_NAME = 'keys/registry'
+
+
+def map_row(version: int, owner: str) -> StoreRow:
+    """Return the row of a key map with one owner."""
+    key_map = KeyMap('registry', (KeyRange(0, 65535, owner, 1000, 1),))
+    content = msgspec.msgpack.encode(key_map)
+    return StoreRow(OWN_TABLE, ROW_NAME, content, version)
+
+
+def leader_row(version: int, name: str) -> StoreRow:
+    content = msgspec.msgpack.encode(Leadership(name, '10.1.0.2:7', 1))
+    return StoreRow(OWN_TABLE, LEADER_ROW, content, version)
+
+
+def owner_of(view: FleetView) -> str:
+    return view.keys_by_service['registry'].key_map.ranges[0].owner
+
+
+class WholeReadTest(unittest.TestCase):
+    """A whole read goes before what is known of the same versions."""
+
+    def setUp(self) -> None:
+        self.view = configured_view(ManualClock(), targets=0)
+
+    def test_version_above_that_of_the_store_is_corrected(self) -> None:
+        """Each write of a new leader expected a version that no row had."""
+        self.view.apply(OWN_TABLE, [map_row(43, 'i-1')], 43)
+        self.view.replace(OWN_TABLE, [map_row(42, 'i-1')], 43)
+        stored = self.view.rows.by_table_and_name[OWN_TABLE, ROW_NAME]
+        self.assertEqual(stored.version, 42)
+        self.assertEqual(self.view.keys_by_service['registry'].version, 42)
+
+    def test_content_that_the_store_does_not_have_is_corrected(self) -> None:
+        for known, stored, read in ((43, 42, 50), (42, 42, 42), (50, 41, 50)):
+            with self.subTest(known=known, stored=stored):
+                view = configured_view(ManualClock(), targets=0)
+                view.apply(OWN_TABLE, [map_row(known, 'i-9')], known, ELSEWHERE)
+                view.replace(OWN_TABLE, [map_row(stored, 'i-1')], read)
+                self.assertEqual(owner_of(view), 'i-1')
+
+    def test_leader_row_is_corrected(self) -> None:
+        self.view.apply(OWN_TABLE, [leader_row(43, 'edge-2')], 43)
+        self.view.replace(OWN_TABLE, [leader_row(42, 'edge-1')], 44)
+        assert self.view.leader is not None
+        self.assertEqual(self.view.leader[0].instance_id, 'edge-1')
+        self.assertEqual(self.view.leader[1], 42)
+
+    def test_row_that_is_newer_than_the_read_stays(self) -> None:
+        """It was learnt while the read was under way."""
+        self.view.rows.version_by_table[OWN_TABLE] = 40
+        self.view.rows.apply(OWN_TABLE, [map_row(45, 'i-2')], 40)
+        self.view.replace(OWN_TABLE, [map_row(42, 'i-1')], 44)
+        known = self.view.rows.by_table_and_name[OWN_TABLE, ROW_NAME]
+        self.assertEqual(known, map_row(45, 'i-2'))
+
+    def test_table_of_another_daemon_replaces_no_newer_row(self) -> None:
+        self.view.apply(OWN_TABLE, [map_row(43, 'i-2')], 43)
+        self.view.replace(OWN_TABLE, [map_row(42, 'i-1')], 50, ELSEWHERE)
+        known = self.view.rows.by_table_and_name[OWN_TABLE, ROW_NAME]
+        self.assertEqual(known, map_row(43, 'i-2'))
+
+    def test_removal_that_the_store_does_not_have_is_corrected(self) -> None:
+        entry = target_entry()
+        self.view.apply(TABLE, [json_row(TABLE, 't0', entry, 20)], 20)
+        gone = StoreRow(TABLE, 't0', None, 43)
+        self.view.apply(TABLE, [gone], 43, ELSEWHERE)
+        self.view.replace(TABLE, [json_row(TABLE, 't0', entry, 20)], 50)
+        self.assertEqual(list(self.view.targets.by_id), ['t0'])
+
+    def test_row_that_the_store_does_not_have_is_removed(self) -> None:
+        rows = [json_row(TABLE, 't0', target_entry(), 43)]
+        self.view.apply(TABLE, rows, 43, ELSEWHERE)
+        self.view.replace(TABLE, [], 43)
+        self.assertEqual(list(self.view.targets.by_id), [])
+
+    def test_corrected_configuration_row_reverts_no_configuration(self) -> None:
+        newer = {**CONFIGURATION, 'version': 'r12'}
+        older = {**CONFIGURATION, 'version': 'r9'}
+        self.view.apply('op', [json_row('op', 'config', newer, 50)], 50)
+        self.view.replace('op', [json_row('op', 'config', older, 40)], 50)
+        assert self.view.configuration is not None
+        self.assertEqual(self.view.configuration.version, 12)
+        row = self.view.rows.by_table_and_name['op', 'config']
+        self.assertEqual(row.version, 40)
+
+    def test_forgotten_version_lets_a_late_read_lose_no_row(self) -> None:
+        """The version is forgotten when changes of a key map don't apply."""
+        self.view.replace(OWN_TABLE, [map_row(45, 'i-2')], 60)
+        self.view.rows.version_by_table.pop(OWN_TABLE)
+        self.view.replace(OWN_TABLE, [map_row(42, 'i-1')], 50)
+        self.assertEqual(owner_of(self.view), 'i-1')
+
+    def test_follower_learns_a_row_whose_version_went_down(self) -> None:
+        """It has a version of before, at which it lacked the row."""
+        self.view.apply(OWN_TABLE, [map_row(43, 'i-1')], 43)
+        self.view.replace(OWN_TABLE, [map_row(41, 'i-1')], 44)
+        self.assertIsNone(self.view.rows.changes_since(OWN_TABLE, 42))
+        follower = configured_view(ManualClock(), targets=0)
+        follower.apply(OWN_TABLE, [], 42)
+        rows = self.view.rows.rows_of(OWN_TABLE)
+        follower.replace(OWN_TABLE, rows, 44, ELSEWHERE)
+        self.assertEqual(owner_of(follower), 'i-1')
+
+
+class _Store:
+    """Rows with the versions of one counter, and their newest one."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.row_by_name: dict[str, StoreRow] = {}
+
+    def change(self, rng: random.Random) -> StoreRow:
+        """Write or remove a row; return it as a feed has it."""
+        self.version += rng.randrange(1, 4)
+        name = f't{rng.randrange(6)}'
+        content = None if rng.random() < 0.2 else b'%d' % self.version
+        row = StoreRow(TABLE, name, content, self.version)
+        self.row_by_name.pop(name, None)
+        if content is not None:
+            self.row_by_name[name] = row
+        return row
+
+
+def false_row(rng: random.Random, row: StoreRow, newest: int) -> StoreRow:
+    """Return a row with a version that is above its own one."""
+    version = rng.randrange(row.version, newest + 2)
+    content = rng.choice((row.content, b'other'))
+    return StoreRow(row.table, row.name, content, version)
+
+
+class AnyKnowledgeTest(unittest.TestCase):
+    """Whatever a replica knows, it has the store's rows after a read."""
+
+    def test_read_corrects_all_that_is_not_newer(self) -> None:
+        for seed in range(200):
+            rng = random.Random(seed)
+            store, view = _Store(), FleetView(ManualClock())
+            for _ in range(60):
+                row = store.change(rng)
+                if rng.random() < 0.5:
+                    view.rows.apply(TABLE, [row], row.version)
+                if rng.random() < 0.3:
+                    wrong = false_row(rng, row, store.version)
+                    view.rows.apply(TABLE, [wrong], store.version)
+            # No row is known with a later version than that of this read.
+            store.version += 2
+            view.replace(TABLE, store.row_by_name.values(), store.version)
+            self.assertEqual(
+                {row.name: row for row in view.rows.rows_of(TABLE)},
+                store.row_by_name,
+                seed,
+            )
+
+
+if __name__ == '__main__':
+    unittest.main()
