Keep removals that are newer than a whole read

A removed target or owner came back: a whole read that began before its removal was learnt forgot the removal, and the next late read or relayed row brought the row back. This needs a table whose version was forgotten, as after changes of a key map that don't apply; else such a read is refused as outdated.

The removals up to the version of the read are forgotten now, and later ones stay. test_late_read_loses_nothing_that_is_true failed before.

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -65,7 +65,11 @@
         Rows that were added and removed since the last read were not seen,
         so the history of removals is complete only from this version on.
         """
-        self._removed_by_table.pop(table, None)
+        removed = self._removed_by_table.get(table, {})
+        for row in tuple(removed.values()):
+            # A later one was learnt while the table was read.
+            if row.version <= version:
+                removed.pop(row.name)
         self._since_by_table[table] = version
         known = self._whole_at_by_table.get(table, RowVersion(0))
         self._whole_at_by_table[table] = max(known, version)
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -172,6 +172,28 @@
                 seed,
             )
 
+    def test_late_read_loses_nothing_that_is_true(self) -> None:
+        """Rows are learnt while a read is under way, in any order."""
+        for seed in range(200):
+            rng = random.Random(seed)
+            store, view = _Store(), FleetView(ManualClock())
+            read: tuple[list[StoreRow], int] = ([], 1)
+            for _ in range(60):
+                row = store.change(rng)
+                # A feed has all rows; its version is the newest one.
+                view.rows.apply(TABLE, [row], row.version)
+                if rng.random() < 0.2:
+                    # Changes of a key map that do not apply forget it.
+                    view.rows.version_by_table.pop(TABLE, None)
+                    view.replace(TABLE, *read)
+                if rng.random() < 0.3:
+                    read = (list(store.row_by_name.values()), store.version)
+                self.assertEqual(
+                    {known.name: known for known in view.rows.rows_of(TABLE)},
+                    store.row_by_name,
+                    seed,
+                )
+
 
 if __name__ == '__main__':
     unittest.main()
