Give up versions of tables that the store does not have

A table whose known version was above the store's was refused as outdated for as long as the daemon ran, and counted as unread: no term could begin on it. A call for changes after such a version returned nothing, and the table counted as complete while its changes were missed.

The store's answers are linearizable and its versions are of one counter. So a whole read that began after the version was learnt, and is older, proves it false. A second one in a row, begun after the end of the first, is adopted with all its rows. A read that was under way while the version was learnt proves nothing, nor does one without the time at which it began. An answer to a call for changes below the version asked after has the table read whole.

The fake of test_fleet_elections takes keyword arguments and passes them on.

Followers of a leader that has corrected its own keep theirs; they have its rows.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -218,6 +218,11 @@
         logbook.WARNING,
         'The store has no such version of a table as another daemon claims.',
     )
+    version_disproved = (
+        508,
+        logbook.ERROR,
+        'The known version of a table is above that of the store, twice.',
+    )
     entry_rejected = (511, logbook.WARNING, 'An entry is invalid.')
     entry_failed = (
         512,
--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -150,15 +150,19 @@
     async def _read_changes(self, table: str) -> Failure | None:
         after = self._view.rows.version_by_table[table]
         changed = await self._store.wait_for_changes(table, after, 0)
-        if not isinstance(changed, Failure):
+        if isinstance(changed, Failure):
+            if changed.kind is not ErrorKind.table_conflict:
+                return changed
+        elif changed.version >= after:
             self._view.apply(table, changed.rows, changed.version)
             return None
-        if changed.kind is not ErrorKind.table_conflict:
-            return changed
+        began_at = self._view.targets.clock.boot()
         snapshot = await self._store.read_all(table)
         if isinstance(snapshot, Failure):
             return snapshot
-        self._view.replace(table, snapshot.rows, snapshot.version)
+        self._view.replace(
+            table, snapshot.rows, snapshot.version, began_at=began_at
+        )
         return None
 
     def _delay(self) -> Seconds:
--- /dev/null
+++ b/cassialever/fleet/false_versions.py
@@ -0,0 +1,60 @@
+"""Find known versions of tables that the store does not have.
+
+The store's answers are linearizable, and its versions are of one counter. So a
+read that began after a version was learnt, and is older than it, proves that
+the store never had this version.
+"""
+
+import math
+
+import msgspec
+
+from cassialever.clock import SystemClock
+from cassialever.types import RowVersion, Seconds
+
+
+class _Denial(msgspec.Struct, frozen=True):
+    """A read that was older than what was known before it began."""
+
+    ended_at: Seconds
+    version: RowVersion
+
+
+class FalseVersions:
+    """Reads of the store that were older than what was known of a table.
+
+    Two in a row are wanted, the second one begun after the first one's end.
+    """
+
+    def __init__(self, clock: SystemClock) -> None:
+        """Start without a read."""
+        self._clock = clock
+        self._learnt_at_by_table: dict[str, Seconds] = {}
+        self._denial_by_table: dict[str, _Denial] = {}
+        #: Tables whose known version was given up.
+        self.count = 0
+
+    def note_learnt(self, table: str) -> None:
+        """Note that rows or a later version of a table became known."""
+        self._learnt_at_by_table[table] = self._clock.boot()
+
+    def note_confirmed(self, table: str) -> None:
+        """Note a read that was not older than what was known."""
+        self._denial_by_table.pop(table, None)
+
+    def disproves(
+        self, table: str, version: RowVersion, began_at: Seconds
+    ) -> bool:
+        """Note an older read; return whether the known version is false."""
+        if began_at <= self._learnt_at_by_table.get(table, -math.inf):
+            return False
+        earlier = self._denial_by_table.get(table)
+        is_later = earlier is not None and (
+            began_at > earlier.ended_at and version >= earlier.version
+        )
+        if is_later:
+            self._denial_by_table.pop(table)
+            self.count += 1
+            return True
+        self._denial_by_table[table] = _Denial(self._clock.boot(), version)
+        return False
--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -118,7 +118,9 @@
             snapshot = await self._store.read_all(table)
             if isinstance(snapshot, Failure):
                 return snapshot
-            if self._view.replace(table, snapshot.rows, snapshot.version):
+            if self._view.replace(
+                table, snapshot.rows, snapshot.version, began_at=called_at
+            ):
                 self._complete_at_by_table[table] = called_at
                 return None
             return Failure(
@@ -130,6 +132,11 @@
         changed = await self._store.wait_for_changes(table, after, wait)
         if isinstance(changed, Failure):
             return changed
+        if changed.version < after:
+            return Failure(
+                ErrorKind.table_conflict,
+                f'the store has no version {after}, but {changed.version}',
+            )
         self._view.apply(table, changed.rows, changed.version)
         if changed.rows:
             self._complete_at_by_table[table] = called_at
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -203,13 +203,16 @@
         """Look for the leader once, then follow or replace it."""
         self.contact.begin_pass()
         snapshot: Rows | Failure | None = None
+        began_at = self._clock.boot()
         if not self._stop_asked.is_set():
             snapshot = await self._store.read_all(OWN_TABLE)
         if snapshot is None or isinstance(snapshot, Failure):
             # A stop needs no more than a leader that others know.
             await self._ask_peers()
             return
-        self._view.replace(OWN_TABLE, snapshot.rows, snapshot.version)
+        self._view.replace(
+            OWN_TABLE, snapshot.rows, snapshot.version, began_at=began_at
+        )
         leader = self._view.leader
         if leader is None:
             await self._try_to_lead()
--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from cassialever.clock import SystemClock
+from cassialever.fleet.false_versions import FalseVersions
 from cassialever.fleet.model import StoreRow
 from cassialever.types import RowVersion
 
@@ -16,7 +18,7 @@
 class RowReplica:
     """The latest known rows of the tables that a daemon follows."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: SystemClock | None = None) -> None:
         """Start without any row."""
         self.by_table_and_name: dict[tuple[str, str], StoreRow] = {}
         #: The version up to which each table is complete.
@@ -25,6 +27,8 @@
         self.newest_by_table: dict[str, RowVersion] = {}
         #: Called with a table and that version when it rises.
         self.on_newest: Callable[[str, RowVersion], None] = _ignore_newest
+        #: Versions that the store does not have.
+        self.false_versions = FalseVersions(clock or SystemClock())
         #: Where the rows that changed last came from.
         self.newest_from = ''
         #: Remembered removals by table, oldest first.
@@ -74,6 +78,19 @@
         known = self._whole_at_by_table.get(table, RowVersion(0))
         self._whole_at_by_table[table] = max(known, version)
 
+    def forget_version(self, table: str) -> None:
+        """Forget up to which version a table is complete, and its removals.
+
+        The known version is one that the store does not have.
+        """
+        for by_table in (
+            self.version_by_table,
+            self.newest_by_table,
+            self._removed_by_table,
+            self._whole_at_by_table,
+        ):
+            by_table.pop(table, None)
+
     def forget_removals_of(
         self,
         table: str,
@@ -124,7 +141,9 @@
             if self._is_newer(row, confirmed):
                 self._store(row)
                 newer.append(row)
-        known = self.version_by_table.get(table, RowVersion(0))
+        known = self.version_by_table.get(table, UNCONFIRMED)
+        if newer or version > known:
+            self.false_versions.note_learnt(table)
         self.version_by_table[table] = max(known, version)
         self._since_by_table.setdefault(table, version)
         self._note_newest(table, newer)
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -5,6 +5,7 @@
 unless a whole read of the store shows that the current one is not in it.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
@@ -33,7 +34,7 @@
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.gateway.routes import RouteTable
 from cassialever.platform import records
-from cassialever.types import RowVersion, ServiceName, TargetId
+from cassialever.types import RowVersion, Seconds, ServiceName, TargetId
 
 #: The table with this project's own rows.
 OWN_TABLE: Final = 'cassialever'
@@ -82,7 +83,7 @@
         self.configuration: Configuration | None = None
         self.routes = RouteTable(())
         self.targets = TargetRegistry(clock)
-        self.rows = RowReplica()
+        self.rows = RowReplica(clock)
         self.leader: tuple[Leadership, RowVersion] | None = None
         self.keys_by_service: dict[ServiceName, KeyIndex] = {}
         #: Key ranges that are being moved to another owner.
@@ -99,19 +100,34 @@
         rows: Iterable[StoreRow],
         version: RowVersion,
         source: str = STORE,
+        began_at: Seconds = -math.inf,
     ) -> bool:
         """Replace a whole table; rows that are missing count as removed.
 
         What the store has goes before what is known of the same versions from
         elsewhere. Return False and change nothing if the table is older than
-        the known one.
+        the known one, unless that is false, by a read that `began_at` a time.
         """
-        if version < self.rows.version_by_table.get(table, 0):
-            return False
+        confirmed = version if source == STORE else UNCONFIRMED
+        known = self.rows.version_by_table.get(table, UNCONFIRMED)
+        if version < known:
+            if not self.rows.false_versions.disproves(table, version, began_at):
+                return False
+            record(
+                Event.version_disproved,
+                table=table,
+                version=version,
+                known=known,
+                learned_from=self.rows.newest_from,
+            )
+            self.rows.forget_version(table)
+            # All of them were known before the read began.
+            confirmed = known
+        elif source == STORE:
+            self.rows.false_versions.note_confirmed(table)
         table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
-        confirmed = version if source == STORE else UNCONFIRMED
         self.apply(table, removals + table_rows, version, source, confirmed)
         self.rows.restart_history(table, version)
         return True
--- a/tests/test_fleet_elections.py
+++ b/tests/test_fleet_elections.py
@@ -464,8 +464,8 @@
         def begin(rig: Rig, daemon: RigDaemon) -> Callable[[], None]:
             replace = daemon.view.replace
 
-            def refuse(table: str, *args: Any) -> bool:
-                return table != OWN_TABLE and replace(table, *args)
+            def refuse(table: str, *args: Any, **options: Any) -> bool:
+                return table != OWN_TABLE and replace(table, *args, **options)
 
             return patched(daemon.view, 'replace', refuse)
 
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -1,7 +1,9 @@
 """Tests of what a read of the store corrects in a daemon's view."""
 
+import asyncio
 import random
 import unittest
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -10,10 +12,15 @@
 from tests.fleet_helpers import (
     CONFIGURATION,
     ManualClock,
+    VirtualLoop,
     configured_view,
     json_row,
+    run_virtually,
     target_entry,
 )
+from tests.fleet_rig import Rig, RigDaemon, simulated_links
+from tests.hop_helpers import LoggedEvents
+from tests.store_faults import CHANGE_LIMIT, FaultyFleet
 
 TABLE = 'servers'
 #: Where rows come from that are not the store's.
@@ -195,5 +202,163 @@
                 )
 
 
+class FalseVersionTest(unittest.TestCase):
+    """A version of a table that the store does not have."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.view = configured_view(self.clock, targets=0)
+        self.view.apply(OWN_TABLE, [map_row(90, 'i-9')], 90, ELSEWHERE)
+        self.clock.now += 1
+
+    def read(self, version: int, duration: float = 0.01) -> bool:
+        """Read the table whole; return whether it is adopted."""
+        began_at = self.clock.boot()
+        self.clock.now += duration
+        adopted = self.view.replace(
+            OWN_TABLE, [map_row(42, 'i-1')], version, began_at=began_at
+        )
+        self.clock.now += 0.1
+        return adopted
+
+    def test_second_read_is_adopted(self) -> None:
+        """The table was refused as outdated for as long as the daemon ran."""
+        self.assertFalse(self.read(50))
+        self.assertEqual(owner_of(self.view), 'i-9')
+        with LoggedEvents() as logged:
+            self.assertTrue(self.read(50))
+        (fields,) = logged.fields('version_disproved')
+        self.assertEqual((fields['version'], fields['known']), (50, 90))
+        self.assertEqual(owner_of(self.view), 'i-1')
+        self.assertEqual(self.view.rows.version_by_table[OWN_TABLE], 50)
+        self.assertEqual(self.view.rows.false_versions.count, 1)
+        self.assertNotIn(90, self.view.rows.newest_by_table.values())
+        self.view.apply(OWN_TABLE, [map_row(51, 'i-2')], 51)
+        self.assertEqual(owner_of(self.view), 'i-2')
+
+    def test_rows_that_the_store_does_not_have_are_removed(self) -> None:
+        self.view.apply(
+            TABLE, [json_row(TABLE, 't0', target_entry(), 90)], 90, ELSEWHERE
+        )
+        self.clock.now += 1
+        for _ in range(2):
+            began_at = self.clock.boot()
+            self.clock.now += 0.01
+            self.view.replace(TABLE, [], 50, began_at=began_at)
+            self.clock.now += 0.01
+        self.assertEqual(list(self.view.targets.by_id), [])
+
+    def test_read_from_before_the_version_proves_nothing(self) -> None:
+        began_at = self.clock.boot()
+        self.clock.now += 0.1
+        self.view.apply(OWN_TABLE, [map_row(95, 'i-2')], 95)
+        for _ in range(4):
+            self.clock.now += 0.1
+            self.assertFalse(
+                self.view.replace(OWN_TABLE, [], 50, began_at=began_at)
+            )
+
+    def test_reads_side_by_side_prove_nothing(self) -> None:
+        began_at = self.clock.boot()
+        self.clock.now += 0.1
+        for _ in range(4):
+            self.assertFalse(
+                self.view.replace(OWN_TABLE, [], 50, began_at=began_at)
+            )
+
+    def test_read_between_that_confirms_the_version_counts(self) -> None:
+        """The store had answered by an old state for a moment."""
+        self.assertFalse(self.read(50))
+        self.assertTrue(self.read(90))
+        self.assertFalse(self.read(50))
+        self.assertEqual(self.view.rows.version_by_table[OWN_TABLE], 90)
+
+    def test_read_that_is_older_than_the_one_before_proves_nothing(
+        self,
+    ) -> None:
+        self.assertFalse(self.read(50))
+        self.assertFalse(self.read(49))
+        self.assertTrue(self.read(49))
+
+    def test_older_table_of_another_daemon_proves_nothing(self) -> None:
+        for _ in range(4):
+            self.clock.now += 1
+            self.assertFalse(self.view.replace(OWN_TABLE, [], 50, ELSEWHERE))
+
+
+def has_configuration(daemon: RigDaemon) -> bool:
+    """Return whether the version that is acknowledged last is in force."""
+    configuration = daemon.view.configuration
+    return configuration is not None and configuration.version == 9
+
+
+def _teach(daemon: RigDaemon, version: int) -> None:
+    """Let a daemon know versions that the store does not have."""
+    for table in daemon.view.tables:
+        daemon.view.apply(table, [], version, ELSEWHERE)
+
+
+class FalseVersionsInFleetTest(unittest.TestCase):
+    """Daemons that know versions above those of the store."""
+
+    def play(
+        self, scenario: Callable[[FaultyFleet], Awaitable[None]], after: float
+    ) -> list[float]:
+        """Play a scenario; return the ages of all tables some time later."""
+        ages: list[float] = []
+
+        async def main(loop: VirtualLoop) -> None:
+            rig = Rig(loop, 0, 5)
+            with simulated_links(rig):
+                await rig.settle()
+                fleet = FaultyFleet(rig)
+                await scenario(fleet)
+                for daemon in rig.daemons:
+                    _teach(daemon, rig.rows.version + 10**6)
+                await asyncio.sleep(after)
+                for _ in range(100):
+                    await asyncio.sleep(0.1)
+                    ages.extend(
+                        one.catch_up.confirmation.age()
+                        for one in fleet.living()
+                    )
+                # Followers have the rows of their leader, if not its versions,
+                # and a leader writes the own table itself.
+                leader = rig.find_leader()
+                for one in [leader] if leader else fleet.living():
+                    versions = one.view.rows.version_by_table
+                    for table in one.view.tables_of_other_writers:
+                        self.assertLessEqual(versions[table], rig.rows.version)
+                rig.configure(9)
+                times = await rig.measure(has_configuration, CHANGE_LIMIT)
+                self.assertLess(max(times), CHANGE_LIMIT)
+
+        run_virtually(main)
+        return ages
+
+    def test_tables_are_complete_again_while_none_leads(self) -> None:
+        """They counted as complete for good, or never again."""
+
+        async def scenario(fleet: FaultyFleet) -> None:
+            fleet.end_leadership()
+            await asyncio.sleep(2)
+
+        self.assertLess(max(self.play(scenario, 2.0)), 2.0)
+
+    def test_tables_are_complete_again_beside_a_new_leader(self) -> None:
+        """No daemon could lead: each refused the own table as outdated."""
+
+        async def scenario(fleet: FaultyFleet) -> None:
+            fleet.rig.leader().kill()
+
+        self.assertLess(max(self.play(scenario, 4.0)), 2.0)
+
+    def test_tables_are_complete_again_beside_the_present_leader(self) -> None:
+        async def scenario(fleet: FaultyFleet) -> None:
+            await asyncio.sleep(0.5)
+
+        self.assertLess(max(self.play(scenario, 3.0)), 2.0)
+
+
 if __name__ == '__main__':
     unittest.main()
