--- a/tests/test_leader_contact.py
+++ b/tests/test_leader_contact.py
@@ -321,6 +321,7 @@
             {
                 ('seconds_without_leader',),
                 ('tables_age_seconds',),
+                ('versions_disproved',),
                 ('tables_age_by_way_seconds', 'store'),
                 ('short_terms',),
                 ('leader_changes',),
