--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -3,18 +3,22 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from cassialever.clock import SystemClock
+from cassialever.fleet.false_versions import FalseVersions
 from cassialever.fleet.model import StoreRow
 from cassialever.types import RowVersion
 
 #: Removals remembered for each table: more than a day's worth if 1,500 targets
 #: are replaced a day.
 MAX_REMOVALS: Final = 4096
+#: Below the version of any row: no known row yields to an older one.
+UNCONFIRMED: Final = RowVersion(-1)
 
 
 class RowReplica:
     """The latest known rows of the tables that a daemon follows."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: SystemClock | None = None) -> None:
         """Start without any row."""
         self.by_table_and_name: dict[tuple[str, str], StoreRow] = {}
         #: The version up to which each table is complete.
@@ -23,6 +27,8 @@
         self.newest_by_table: dict[str, RowVersion] = {}
         #: Called with a table and that version when it rises.
         self.on_newest: Callable[[str, RowVersion], None] = _ignore_newest
+        #: Versions that the store does not have.
+        self.false_versions = FalseVersions(clock or SystemClock())
         #: Where the rows that changed last came from.
         self.newest_from = ''
         #: Remembered removals by table, oldest first.
@@ -63,11 +69,28 @@
         Rows that were added and removed since the last read were not seen,
         so the history of removals is complete only from this version on.
         """
-        self._removed_by_table.pop(table, None)
+        removed = self._removed_by_table.get(table, {})
+        for row in tuple(removed.values()):
+            # A later one was learnt while the table was read.
+            if row.version <= version:
+                removed.pop(row.name)
         self._since_by_table[table] = version
         known = self._whole_at_by_table.get(table, RowVersion(0))
         self._whole_at_by_table[table] = max(known, version)
 
+    def forget_version(self, table: str) -> None:
+        """Forget up to which version a table is complete, and its removals.
+
+        The known version is one that the store does not have.
+        """
+        for by_table in (
+            self.version_by_table,
+            self.newest_by_table,
+            self._removed_by_table,
+            self._whole_at_by_table,
+        ):
+            by_table.pop(table, None)
+
     def forget_removals_of(
         self,
         table: str,
@@ -105,15 +128,22 @@
         table: str,
         rows: Iterable[StoreRow],
         version: RowVersion,
+        confirmed: RowVersion = UNCONFIRMED,
     ) -> list[StoreRow]:
-        """Store rows that are newer than the known ones and return them."""
+        """Store rows that are newer than the known ones and return them.
+
+        Known rows up to the version `confirmed`, that of a whole read of the
+        store, yield to other ones: the read has each row as of it, or later.
+        """
         newer: list[StoreRow] = []
         for row in rows:
             # An answer may have a row and its removal.
-            if self._is_newer(row):
+            if self._is_newer(row, confirmed):
                 self._store(row)
                 newer.append(row)
-        known = self.version_by_table.get(table, RowVersion(0))
+        known = self.version_by_table.get(table, UNCONFIRMED)
+        if newer or version > known:
+            self.false_versions.note_learnt(table)
         self.version_by_table[table] = max(known, version)
         self._since_by_table.setdefault(table, version)
         self._note_newest(table, newer)
@@ -141,10 +171,12 @@
             since = self._since_by_table.get(row.table, oldest.version)
             self._since_by_table[row.table] = max(since, oldest.version)
 
-    def _is_newer(self, row: StoreRow) -> bool:
+    def _is_newer(self, row: StoreRow, confirmed: RowVersion) -> bool:
         known = self.by_table_and_name.get((row.table, row.name))
         if known is None:
             return not self._is_removed(row)
+        if known.version <= confirmed:
+            return row != known
         if row.content is None:
             return row.version >= known.version
         return row.version > known.version
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -1,9 +1,11 @@
 """A daemon's view of its deployment, built from the store's rows.
 
 Rows come from the store itself or from another daemon that follows it. A row
-older than the current one is ignored, so the view never goes back in time.
+older than the current one is ignored, so the view never goes back in time,
+unless a whole read of the store shows that the current one is not in it.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
@@ -28,11 +30,11 @@
     PlatformRowHandler,
     apply_newest,
 )
-from cassialever.fleet.row_replica import RowReplica
+from cassialever.fleet.row_replica import UNCONFIRMED, RowReplica
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.gateway.routes import RouteTable
 from cassialever.platform import records
-from cassialever.types import RowVersion, ServiceName, TargetId
+from cassialever.types import RowVersion, Seconds, ServiceName, TargetId
 
 #: The table with this project's own rows.
 OWN_TABLE: Final = 'cassialever'
@@ -81,7 +83,7 @@
         self.configuration: Configuration | None = None
         self.routes = RouteTable(())
         self.targets = TargetRegistry(clock)
-        self.rows = RowReplica()
+        self.rows = RowReplica(clock)
         self.leader: tuple[Leadership, RowVersion] | None = None
         self.keys_by_service: dict[ServiceName, KeyIndex] = {}
         #: Key ranges that are being moved to another owner.
@@ -98,18 +100,35 @@
         rows: Iterable[StoreRow],
         version: RowVersion,
         source: str = STORE,
+        began_at: Seconds = -math.inf,
     ) -> bool:
         """Replace a whole table; rows that are missing count as removed.
 
-        Return False and change nothing if the table is older than the known
-        one.
+        What the store has goes before what is known of the same versions from
+        elsewhere. Return False and change nothing if the table is older than
+        the known one, unless that is false, by a read that `began_at` a time.
         """
-        if version < self.rows.version_by_table.get(table, 0):
-            return False
+        confirmed = version if source == STORE else UNCONFIRMED
+        known = self.rows.version_by_table.get(table, UNCONFIRMED)
+        if version < known:
+            if not self.rows.false_versions.disproves(table, version, began_at):
+                return False
+            record(
+                Event.version_disproved,
+                table=table,
+                version=version,
+                known=known,
+                learned_from=self.rows.newest_from,
+            )
+            self.rows.forget_version(table)
+            # All of them were known before the read began.
+            confirmed = known
+        elif source == STORE:
+            self.rows.false_versions.note_confirmed(table)
         table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
-        self.apply(table, removals + table_rows, version, source)
+        self.apply(table, removals + table_rows, version, source, confirmed)
         self.rows.restart_history(table, version)
         return True
 
@@ -119,13 +138,15 @@
         rows: Iterable[StoreRow],
         version: RowVersion,
         source: str = STORE,
+        confirmed: RowVersion = UNCONFIRMED,
     ) -> None:
         """Apply changed rows, ignoring those that are not newer.
 
-        The log names their `source`: the store or another daemon.
+        Known rows up to the version `confirmed` yield to other ones. The log
+        names the `source` of the rows: the store or another daemon.
         """
         self._source = source
-        changed = self.rows.apply(table, rows, version)
+        changed = self.rows.apply(table, rows, version, confirmed)
         if changed:
             self.rows.newest_from = source
         if table == self._row_handler.table:
