Count delays after failed calls to the store from their beginning

After an outage in which the store was silent, a daemon that can ask no other one had complete tables up to 2.6 s after the store answered again: a call that had begun just before timed out after 1.0 s, then came a pause of up to 1.6 s. The sum in bounds.md had left out the silent call, and a change has to be in force 2.0 s after its acknowledgement.

The delay counts from the beginning of the failed call now, with a least pause of INITIAL_RETRY_DELAY, and is 0.7 to 1.4 s at most, so that a whole read over the slowest link fits in as well. A store that refuses gets hardly more calls.

The row 'change, tables read whole' of bounds.md has 1.55 s in place of 2.25, since a silent call for changes is within the delay, which its sum checks.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -11,10 +11,12 @@
 from cassialever.platform.store import LONG_POLL_WAIT, StoreClient
 from cassialever.types import Seconds
 
-#: Delay after the first failed call; it doubles up to the maximum.
+#: Time from the beginning of the first failed call to the next one, with up to
+#: as much jitter; it doubles up to the maximum. Silent calls count, so that a
+#: store that answers again is called in time. Also the least pause.
 INITIAL_RETRY_DELAY: Final[Seconds] = 0.1
-MAX_RETRY_DELAY: Final[Seconds] = 0.8
-#: Delay after a failed call for changes once the table could be read whole.
+MAX_RETRY_DELAY: Final[Seconds] = 0.7
+#: The same for a failed call for changes once the table could be read whole.
 WHOLE_READ_DELAY: Final[Seconds] = 0.5
 #: Delay after a change, so that changes which come together are read in one
 #: call: targets that start together register within it.
@@ -95,6 +97,7 @@
     async def _follow(self, table: str) -> None:
         calls = _Calls(table not in self._view.rows.version_by_table)
         while True:
+            began_at = self._clock.boot()
             failure = await self._update_once(table, calls.is_whole)
             if failure is None:
                 if calls.succeed():
@@ -106,8 +109,7 @@
                 continue
             calls.fail(is_repeated=table in self.failing_tables)
             self._note_failure(table, failure)
-            # Jitter keeps daemons from retrying in step.
-            await asyncio.sleep(calls.delay * (1 + self._random.random()))
+            await asyncio.sleep(self._pause(calls.delay, began_at))
             calls.delay = min(calls.delay * 2, MAX_RETRY_DELAY)
 
     async def _update_once(
@@ -166,6 +168,15 @@
         answer_time = self._answer_time_by_table.get(table, 0)
         return max(0, LONG_POLL_WAIT - self._age_of(table) - answer_time)
 
+    def _pause(self, delay: Seconds, began_at: Seconds) -> Seconds:
+        """Return how long to wait after a failed call.
+
+        Jitter keeps daemons from retrying in step.
+        """
+        stretch = 1 + self._random.random()
+        left = began_at + delay * stretch - self._clock.boot()
+        return max(left, INITIAL_RETRY_DELAY * stretch)
+
     def _note_failure(self, table: str, failure: Failure) -> None:
         if table not in self.failing_tables:
             record(Event.table_unavailable, table=table, reason=failure.reason)
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -62,6 +62,12 @@
     'reports to 58': FOLLOWERS / gossip.MAX_URGENT_DATAGRAMS_PER_SECOND,
     'READ_INTERVAL': datagrams.READ_INTERVAL,
 }
+#: From the beginning of a call that the store does not answer to the next one;
+#: a silent call ends within it.
+LONGEST_RETRY = max(
+    2 * following.MAX_RETRY_DELAY,
+    store.CALL_TIMEOUT + 2 * following.INITIAL_RETRY_DELAY,
+)
 REASSIGN = {
     'TICK_INTERVAL': assigner.TICK_INTERVAL,
     'answer of the store': ANSWER,
@@ -234,8 +240,11 @@
     'change, tables read whole': BoundSum(
         CHANGE_LIMIT,
         {
-            'POLL_ANSWER_TIMEOUT': store.POLL_ANSWER_TIMEOUT,
-            '2 WHOLE_READ_DELAY': 2 * following.WHOLE_READ_DELAY,
+            # A silent call for changes is within it.
+            '2 WHOLE_READ_DELAY': max(
+                2 * following.WHOLE_READ_DELAY,
+                store.POLL_ANSWER_TIMEOUT + 2 * following.INITIAL_RETRY_DELAY,
+            ),
             **READ,
         },
     ),
@@ -263,11 +272,30 @@
     'entries, after the store is back': BoundSum(
         2.0,
         {
-            '2 MAX_RETRY_DELAY': 2 * following.MAX_RETRY_DELAY,
+            '2 MAX_RETRY_DELAY': LONGEST_RETRY,
             'answer of the store': ANSWER,
             **RELAY,
         },
     ),
+    'tables of each daemon, after the store is back': BoundSum(
+        2.0, {'2 MAX_RETRY_DELAY': LONGEST_RETRY, **READ}
+    ),
+    'age of tables while none leads': BoundSum(
+        freshness.MAX_UNCONFIRMED_AGE,
+        {
+            'LONG_POLL_WAIT': store.LONG_POLL_WAIT,
+            'DIRECT_BATCH_DELAY': direct.DIRECT_BATCH_DELAY,
+            'answers of the store': 2 * ANSWER,
+        },
+    ),
+    'age of tables after the loss of a leader': BoundSum(
+        freshness.MAX_UNCONFIRMED_AGE,
+        {
+            'MAX_TABLES_AGE': following_leader.MAX_TABLES_AGE,
+            'WATCH_INTERVAL': membership.WATCH_INTERVAL,
+            'answer of the store': ANSWER,
+        },
+    ),
     'grace': BoundSum(
         GRACE,
         {
@@ -384,6 +412,11 @@
 
     def test_entries_after_the_store_is_back(self) -> None:
         self.check('entries, after the store is back')
+        self.check('tables of each daemon, after the store is back')
+
+    def test_age_without_a_leader(self) -> None:
+        self.check('age of tables while none leads')
+        self.check('age of tables after the loss of a leader')
 
     def test_grace(self) -> None:
         self.check('grace')
