Leave the own table out of the age of a daemon's tables

While the store refused reads of the own table alone, and none led, the tables of all daemons counted as 12.9 s old after 12 s, though those of operators and targets were complete: the age was that of the oldest of three. Requests were held up and daemons asked each other for tables, in vain.

The age covers the tables by which requests are routed, as a leader's own age does.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -71,6 +71,10 @@
         `batch_delay` is the pause after an answer with changes.
         """
         self._tables = tables
+        #: Those by which requests are routed. Only leaders write the own table.
+        self._routing_tables = tuple(
+            table for table in tables if table in view.tables_of_other_writers
+        )
         self._batch_delay = batch_delay
         self._store = store
         self._view = view
@@ -85,8 +89,11 @@
         self._answer_time_by_table: dict[str, Seconds] = {}
 
     def age(self) -> Seconds:
-        """Return the time since all tables were known to be complete."""
-        return max(self._age_of(table) for table in self._tables)
+        """Return the time since all routing tables were complete.
+
+        A leader's tables are of the same age without the own one.
+        """
+        return max(self._age_of(table) for table in self._routing_tables)
 
     async def run(self) -> None:
         """Follow every table until cancelled."""
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -10,7 +10,7 @@
 from cassialever.fleet.following import StoreFollower
 from cassialever.fleet.membership import MemberState
 from cassialever.fleet.term_ends import TermEnd
-from cassialever.fleet.view import FleetView
+from cassialever.fleet.view import OWN_TABLE, FleetView
 from cassialever.platform import rows, store
 from tests.fleet_helpers import LoopClock, VirtualLoop, run_virtually
 from tests.fleet_rig import STORE_DELAY, Rig, simulated_links
@@ -141,6 +141,24 @@
         for seed in FLEET_SEEDS:
             self.check('refused', seed)
 
+    def test_tables_while_the_own_table_is_unread(self) -> None:
+        """The age of all tables was that of the one that no request needs."""
+
+        async def main(loop: VirtualLoop) -> None:
+            rig = Rig(loop, 0, DAEMONS)
+            with simulated_links(rig):
+                await rig.settle()
+                fleet = FaultyFleet(rig)
+                fleet.end_leadership()
+                for daemon in fleet.living():
+                    faults = fleet.faults(daemon)
+                    faults.tables = {OWN_TABLE}
+                    faults.refused.update(('reads', 'feeds'))
+                await asyncio.sleep(LIMIT)
+                self.assertLess(await oldest(fleet, 10), LIMIT)
+
+        run_virtually(main)
+
 
 async def oldest(fleet: FaultyFleet, duration: float) -> float:
     """Return the highest age of a daemon's tables in some time."""
