Read a table whole whose version was forgotten meanwhile

Changes of a key map that do not apply forget the version of the own table, so that it is sent whole. A follower of the store that came back from a pause by then ended with a KeyError, and with it the following of all tables, until the next attempt to find a leader began another one.

The table is read whole in this case. test_table_whose_version_is_forgotten_is_ read_whole failed before with the KeyError.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -104,6 +104,9 @@
     async def _follow(self, table: str) -> None:
         calls = _Calls(table not in self._view.rows.version_by_table)
         while True:
+            if table not in self._view.rows.version_by_table:
+                # Changes of a key map did not apply.
+                calls.lose_history()
             began_at = self._clock.boot()
             failure = await self._update_once(table, calls.is_whole)
             if failure is None:
--- a/tests/test_fleet_following.py
+++ b/tests/test_fleet_following.py
@@ -110,6 +110,22 @@
 
         self.run_scenario(scenario)
 
+    def test_table_whose_version_is_forgotten_is_read_whole(self) -> None:
+        """A KeyError ended the follower of all tables."""
+
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            store.change(1)
+            await asyncio.sleep(BATCH_DELAY / 2)
+            # As for changes of a key map that do not apply.
+            view.rows.version_by_table.pop(TABLE)
+            await asyncio.sleep(BATCH_DELAY)
+            self.assertEqual(view.rows.version_by_table[TABLE], 1)
+            store.change(2)
+            await asyncio.sleep(2 * BATCH_DELAY)
+            self.assertIn('t2', view.targets.by_id)
+
+        self.run_scenario(scenario)
+
     def test_age_tells_whether_the_tables_are_complete(self) -> None:
         async def scenario(store: ScriptedStore, view: FleetView) -> None:
             for number in range(20):
