Read a table again soon after a read older than what is known

A whole read that is older counts as lost history: the delays start anew and the next call reads the table whole again.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -43,16 +43,20 @@
         self.is_whole = False
         return is_followed
 
-    def lose_history(self) -> None:
-        """Note that the table must be read whole."""
-        self._needs_snapshot = True
-        self.is_whole = True
-
-    def fail(self, *, is_repeated: bool) -> None:
-        """Note a failure, after another one if it is repeated."""
-        self.is_whole = self._needs_snapshot or (
-            is_repeated and not self.is_whole
-        )
+    def fail(self, kind: ErrorKind, *, is_repeated: bool) -> bool:
+        """Note a failure, after another one if it is repeated.
+
+        Return whether the table is to be read whole at once.
+        """
+        was_whole = self.is_whole
+        if kind is ErrorKind.table_conflict:
+            if not self._needs_snapshot:
+                self.delay = INITIAL_RETRY_DELAY
+            self._needs_snapshot = True
+            self.is_whole = True
+            return not was_whole
+        self.is_whole = self._needs_snapshot or (is_repeated and not was_whole)
+        return False
 
 
 class StoreFollower:
@@ -104,20 +108,16 @@
     async def _follow(self, table: str) -> None:
         calls = _Calls(table not in self._view.rows.version_by_table)
         while True:
-            if table not in self._view.rows.version_by_table:
-                # Changes of a key map did not apply.
-                calls.lose_history()
             began_at = self._clock.boot()
             failure = await self._update_once(table, calls.is_whole)
             if failure is None:
                 if calls.succeed():
                     self._note_success(table)
                 continue
-            if failure.kind is ErrorKind.table_conflict:
-                calls.lose_history()
+            is_repeated = table in self.failing_tables
+            if calls.fail(failure.kind, is_repeated=is_repeated):
                 record(Event.history_lost, table=table, reason=failure.reason)
                 continue
-            calls.fail(is_repeated=table in self.failing_tables)
             self._note_failure(table, failure)
             await asyncio.sleep(self._pause(calls.delay, began_at))
             calls.delay = min(calls.delay * 2, MAX_RETRY_DELAY)
@@ -126,7 +126,9 @@
         self, table: str, needs_snapshot: bool
     ) -> Failure | None:
         called_at = self._clock.boot()
-        if needs_snapshot:
+        after = self._view.rows.version_by_table.get(table)
+        # It is forgotten when changes of a key map do not apply.
+        if needs_snapshot or after is None:
             snapshot = await self._store.read_all(table)
             if isinstance(snapshot, Failure):
                 return snapshot
@@ -136,10 +138,9 @@
                 self._complete_at_by_table[table] = called_at
                 return None
             return Failure(
-                ErrorKind.table_unavailable,
+                ErrorKind.table_conflict,
                 f'the store returned outdated version {snapshot.version}',
             )
-        after = self._view.rows.version_by_table[table]
         wait = self._longest_wait(table)
         changed = await self._store.wait_for_changes(table, after, wait)
         if isinstance(changed, Failure):
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -12,6 +12,7 @@
 from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.view import OWN_TABLE, FleetView
 from cassialever.platform import rows, store
+from cassialever.types import RowVersion
 from tests.fleet_helpers import LoopClock, VirtualLoop, run_virtually
 from tests.fleet_rig import STORE_DELAY, Rig, simulated_links
 from tests.store_faults import FaultyFleet
@@ -60,8 +61,11 @@
 class LoneFollowerTest(unittest.TestCase):
     """A daemon that can ask no other one."""
 
-    def time_to_complete(self, fault: str, seed: int) -> float:
-        """Return the time from an outage's end until tables are complete."""
+    def time_to_complete(self, fault: str, seed: int, learnt: int = 5) -> float:
+        """Return the time from an outage's end until tables are complete.
+
+        Meanwhile the daemon has learnt a version of all tables.
+        """
         times: list[float] = []
 
         async def main(loop: VirtualLoop) -> None:
@@ -78,7 +82,10 @@
             task = asyncio.create_task(follower.run())
             await asyncio.sleep(3 + random_source.random())
             setattr(faulty, fault, True)
-            await asyncio.sleep(OUTAGE - random_source.random())
+            await asyncio.sleep(1)
+            for table in view.tables:
+                view.apply(table, [], RowVersion(learnt), 'another daemon')
+            await asyncio.sleep(OUTAGE - 1 - random_source.random())
             setattr(faulty, fault, False)
             ended_at = loop.time()
             while loop.time() - follower.age() < ended_at:
@@ -98,6 +105,14 @@
         times = [self.time_to_complete('is_refusing', seed) for seed in SEEDS]
         self.assertLess(max(times), LIMIT)
 
+    def test_tables_after_a_version_was_learnt_that_is_false(self) -> None:
+        """Reads that were refused as outdated came seconds apart."""
+        for fault in ('is_silent', 'is_refusing'):
+            times = [
+                self.time_to_complete(fault, seed, learnt=9) for seed in SEEDS
+            ]
+            self.assertLess(max(times), LIMIT, fault)
+
 
 async def end_terms(fleet: FaultyFleet) -> None:
     """End each term shortly after it began."""
