Claim no version of a row that a whole table lacks

A daemon that read a table whole and found a row gone claimed the version of the read as that of its newest row. No row has it, so that all others took its tables for newer ones and asked it for the whole table, once each; one whose tables were not confirmed in time refused requests meanwhile.

Removals that follow from a whole table count as known, but not as the newest version that is told to others: that of the removal is not known.

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -1,7 +1,7 @@
 """A daemon's replica of the store's rows, and their versions."""
 
-from collections.abc import Callable, Iterable
-from typing import Final
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final, NamedTuple
 
 from cassialever.clock import SystemClock
 from cassialever.fleet.false_versions import FalseVersions
@@ -15,6 +15,21 @@
 UNCONFIRMED: Final = RowVersion(-1)
 
 
+class WholeTable(NamedTuple):
+    """What a whole table tells beside its rows.
+
+    Rows that it lacks count as removed, at its version: that of their removal
+    is not known. Known rows up to the version `confirmed`, if the table was
+    read in the store, yield to other ones: it has each row as of it, or later.
+    """
+
+    removals: Sequence[StoreRow] = ()
+    confirmed: RowVersion = UNCONFIRMED
+
+
+NOT_WHOLE: Final = WholeTable()
+
+
 class RowReplica:
     """The latest known rows of the tables that a daemon follows."""
 
@@ -128,25 +143,28 @@
         table: str,
         rows: Iterable[StoreRow],
         version: RowVersion,
-        confirmed: RowVersion = UNCONFIRMED,
+        whole: WholeTable = NOT_WHOLE,
     ) -> list[StoreRow]:
-        """Store rows that are newer than the known ones and return them.
+        """Store rows that are newer than the known ones and return them."""
+        removed = self._store_newer(whole.removals, whole.confirmed)
+        newer = self._store_newer(rows, whole.confirmed)
+        known = self.version_by_table.get(table, UNCONFIRMED)
+        if removed or newer or version > known:
+            self.false_versions.note_learnt(table)
+        self.version_by_table[table] = max(known, version)
+        self._since_by_table.setdefault(table, version)
+        self._note_newest(table, newer)
+        return removed + newer
 
-        Known rows up to the version `confirmed`, that of a whole read of the
-        store, yield to other ones: the read has each row as of it, or later.
-        """
+    def _store_newer(
+        self, rows: Iterable[StoreRow], confirmed: RowVersion
+    ) -> list[StoreRow]:
         newer: list[StoreRow] = []
         for row in rows:
             # An answer may have a row and its removal.
             if self._is_newer(row, confirmed):
                 self._store(row)
                 newer.append(row)
-        known = self.version_by_table.get(table, UNCONFIRMED)
-        if newer or version > known:
-            self.false_versions.note_learnt(table)
-        self.version_by_table[table] = max(known, version)
-        self._since_by_table.setdefault(table, version)
-        self._note_newest(table, newer)
         return newer
 
     def _note_newest(self, table: str, newer: list[StoreRow]) -> None:
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -30,7 +30,12 @@
     PlatformRowHandler,
     apply_newest,
 )
-from cassialever.fleet.row_replica import UNCONFIRMED, RowReplica
+from cassialever.fleet.row_replica import (
+    NOT_WHOLE,
+    UNCONFIRMED,
+    RowReplica,
+    WholeTable,
+)
 from cassialever.fleet.target_registry import TargetRegistry
 from cassialever.gateway.routes import RouteTable
 from cassialever.platform import records
@@ -128,7 +133,8 @@
         table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
-        self.apply(table, removals + table_rows, version, source, confirmed)
+        whole = WholeTable(removals, confirmed)
+        self.apply(table, table_rows, version, source, whole)
         self.rows.restart_history(table, version)
         return True
 
@@ -138,15 +144,14 @@
         rows: Iterable[StoreRow],
         version: RowVersion,
         source: str = STORE,
-        confirmed: RowVersion = UNCONFIRMED,
+        whole: WholeTable = NOT_WHOLE,
     ) -> None:
-        """Apply changed rows, ignoring those that are not newer.
+        """Apply changed rows, or all, ignoring those that are not newer.
 
-        Known rows up to the version `confirmed` yield to other ones. The log
-        names the `source` of the rows: the store or another daemon.
+        The log names their `source`: the store or another daemon.
         """
         self._source = source
-        changed = self.rows.apply(table, rows, version, confirmed)
+        changed = self.rows.apply(table, rows, version, whole)
         if changed:
             self.rows.newest_from = source
         if table == self._row_handler.table:
