Number a term by the leader's row as it is read

Callers saw keyed requests refused for as long as other writers were busy: each daemon that took over lost its term with its first write of a key map.

The store answers a transaction with its newest version, which is that of another writer's row if it commits before the answer is made. The term was numbered by that, so the precondition on the leader's row failed.

The reload after the takeover shows the row as it is. If it names another process, the attempt has ended. A takeover that is given up is read again first: a release that expected the version of the answer could have met the takeover of another daemon, and taken its lease away.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -162,7 +162,7 @@
     def _opens_in(self, read: _LeaseRead, patience: Seconds) -> Seconds:
         """Return when this daemon may take over the lease."""
         lease = read.lease
-        if lease is None or self._is_of_earlier_process(lease):
+        if lease is None or _is_of_earlier_process(lease, self._own_hello):
             return -leases.STALE_AFTER
         steps = min(self._unanswered + self._unread, MAX_DEFERENCE_STEPS)
         left_to_others = steps * DEFERENCE_STEP
@@ -173,13 +173,6 @@
             return -leases.STALE_AFTER
         return opens_in + left_to_others
 
-    def _is_of_earlier_process(self, lease: leases.Lease) -> bool:
-        """Return whether the lease is that of a process that has ended."""
-        return (
-            lease.instance_id == self._own_hello.instance_id
-            and lease.incarnation != self._own_hello.incarnation
-        )
-
     def _note_held(self, read: _LeaseRead, opens_in: Seconds) -> None:
         holder_id = read.lease.instance_id if read.lease else ''
         if holder_id != self._own_hello.instance_id:
@@ -207,28 +200,26 @@
             await self._resolve(committed)
             return None
         self._unanswered = 0
-        unread = await self._reload_own_table(committed.version)
-        if unread is not None:
-            self._unread += 1
+        term = await self._reload_own_table(committed)
+        if isinstance(term, Attempt):
+            self._unread += term.hindrance is Hindrance.tables_unread
             self._unconfirmed.append(new_lease)
-            await self._give_up(
-                new_lease, committed.version, committed.store_time
-            )
-            self.note_failure(Hindrance.tables_unread, unread.reason)
+            await self._withdraw()
+            self.note_failure(term.hindrance, term.details)
             return None
         self._unread = 0
         # None of them can be performed after this takeover.
         self._unconfirmed.clear()
         record(
             Event.leader_taken,
-            version=committed.version,
+            version=term,
             earlier=new_lease.authority_until_by_id,
             store_time=read.store_time,
         )
         return LeaderTerm(
             self._store,
             new_lease,
-            committed,
+            rows.Committed(term, committed.store_time),
             TakeoverTimes(read.sent_at, sent_at),
             self._clock,
         )
@@ -260,9 +251,7 @@
         lease that is expected to stand keeps takeovers apart by itself.
         """
         leader_version = self._view.leader[1] if self._view.leader else 0
-        leadership = Leadership(
-            lease.instance_id, self._own_hello.address, lease.incarnation
-        )
+        leadership = _leadership_of(self._own_hello)
         transaction = leases.takeover_transaction(
             leadership, lease, RowVersion(leader_version), lease_version
         )
@@ -291,6 +280,14 @@
             return
         self._unanswered += 1
         self.note_failure(Hindrance.unanswered, failure.reason)
+        await self._withdraw()
+
+    async def _withdraw(self) -> None:
+        """Release the lease if it is one that this daemon does not lead by.
+
+        It is read again: the version in the answer to a takeover may be that
+        of another daemon's, which would lose its lease.
+        """
         read = await self._read_lease()
         if isinstance(read, _LeaseRead) and read.lease in self._unconfirmed:
             await self._give_up(read.lease, read.version, read.store_time)
@@ -310,23 +307,52 @@
         if isinstance(released, rows.Committed):
             self._unanswered = 0
 
-    async def _reload_own_table(self, version: RowVersion) -> Failure | None:
-        """Read again what earlier leaders wrote until the takeover."""
+    async def _reload_own_table(
+        self, committed: rows.Committed
+    ) -> RowVersion | Attempt:
+        """Read again what earlier leaders wrote until the takeover.
+
+        Return the version of the leader's row, which numbers the term. That in
+        the answer to the takeover may be another writer's.
+        """
         own_table = await self._store.read_all(OWN_TABLE)
         if isinstance(own_table, Failure):
-            return own_table
+            return Attempt(Hindrance.tables_unread, own_table.reason)
+        leadership, term = leases.find_leadership(own_table.rows)
+        if leadership != _leadership_of(self._own_hello):
+            # Another daemon has taken over since.
+            leader_id = leadership.instance_id if leadership else ''
+            if leader_id != self._own_hello.instance_id:
+                self.holder_id = leader_id
+            return Attempt(
+                Hindrance.conflict, f'leader={leader_id} version={term}'
+            )
         known = self._view.rows.version_by_table.get(OWN_TABLE, RowVersion(0))
-        is_newest = own_table.version >= version
+        is_newest = own_table.version >= committed.version
         if is_newest and self._view.replace(
             OWN_TABLE, own_table.rows, own_table.version
         ):
-            return None
-        return Failure(
-            ErrorKind.table_unavailable,
-            f'read={own_table.version} committed={version} known={known}',
+            return term
+        return Attempt(
+            Hindrance.tables_unread,
+            f'read={own_table.version} committed={committed.version} '
+            f'known={known}',
         )
 
 
+def _is_of_earlier_process(lease: leases.Lease, own: messages.Hello) -> bool:
+    """Return whether the lease is that of a process that has ended."""
+    return (
+        lease.instance_id == own.instance_id
+        and lease.incarnation != own.incarnation
+    )
+
+
+def _leadership_of(hello: messages.Hello) -> Leadership:
+    """Return the content of the leader's row while a daemon leads."""
+    return Leadership(hello.instance_id, hello.address, hello.incarnation)
+
+
 def _winner(conflict: rows.Conflict, own_id: str) -> str:
     """Return the daemon that has taken over instead; empty if none has."""
     lease, _ = leases.find_lease(conflict.rows)
--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -80,6 +80,20 @@
     return row.version
 
 
+def find_leadership(
+    store_rows: tuple[StoreRow, ...],
+) -> tuple[Leadership | None, RowVersion]:
+    """Return what the leader's row names, if it can be read, and its version.
+
+    The version is 0 if the row does not exist.
+    """
+    row = _find(store_rows, OWN_TABLE, LEADER_ROW)
+    if row is None or row.content is None:
+        return None, RowVersion(0)
+    leadership = decode_msgpack(row.content, Leadership)
+    return None if isinstance(leadership, Failure) else leadership, row.version
+
+
 def opens_in(
     lease: Lease | None,
     store_time: Seconds,
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -83,6 +83,9 @@
         if fault:
             return Failure(ErrorKind.table_answer_lost, 'lost')
         if isinstance(outcome, int):
+            if self.world.names_newest(transaction):
+                # Another writer commits before the answer is made.
+                outcome = self.shared.put('others', 'row', b'content')
             return rows.Committed(outcome, self.world.loop.time())
         answer = {
             'rows': [row.to_wire() for row in outcome],
@@ -139,6 +142,10 @@
         #: Share of the commits whose answer is lost; half of these are carried
         #: out late.
         self.lost_answers = 0.0
+        #: Share of the commits whose answer names the version of a later one.
+        self.newest_answers = 0.0
+        #: Tables whose writes may have such answers; all if there are none.
+        self.newest_tables: set[str] = set()
         #: Whether the store takes writes; it answers reads in any case.
         self.takes_writes = True
         #: Share of the calls to targets that are carried out late.
@@ -177,6 +184,14 @@
     def draw(self, share: float) -> bool:
         return self.random.random() < share
 
+    def names_newest(self, transaction: rows.Transaction) -> bool:
+        """Return whether the answer to a commit names a later version."""
+        if not self.newest_answers:
+            return False
+        tables = {write.table for write in transaction.writes}
+        is_concerned = self.newest_tables <= tables
+        return is_concerned and self.draw(self.newest_answers)
+
     async def pause(self, seconds: float) -> None:
         await asyncio.sleep(seconds * (0.5 + self.random.random()))
 
