Give the rows of a commit a lower bound of their version

Callers saw keyed requests refused while other writers were busy: a leader's second write of a key map ended its term, and the key maps that it had published stood above those of the next leader, which their readers ignored.

The store answers a transaction with its newest version, which may be another writer's. That was taken for the version of the rows written.

A commit's rows are now published with the lowest version that they can have: what any answer had told before the call, plus one. The version answered is the guess for the next write's precondition; a conflict that shows this writer's own map, or none, corrects it and the map is written in the same call. An answer below the lower bound, or one that can't be read, counts as lost: the latter counted as refused, and its lease stayed in force.

Every write of a term expects the leader's row, whose version is exact: a renewal that expected a guessed version of the lease could replace the lease of another daemon, whose takeover had that version.

A refusal whose rows are as expected no longer ends the term.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -328,15 +328,15 @@
                 Hindrance.conflict, f'leader={leader_id} version={term}'
             )
         known = self._view.rows.version_by_table.get(OWN_TABLE, RowVersion(0))
-        is_newest = own_table.version >= committed.version
+        is_newest = term >= committed.lower_bound
         if is_newest and self._view.replace(
             OWN_TABLE, own_table.rows, own_table.version
         ):
             return term
         return Attempt(
             Hindrance.tables_unread,
-            f'read={own_table.version} committed={committed.version} '
-            f'known={known}',
+            f'read={own_table.version} leader={term} '
+            f'committed={committed.version} known={known}',
         )
 
 
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -14,6 +14,7 @@
 from cassialever.fleet.store_clock import StoreClock
 from cassialever.fleet.suspected_moves import SuspectedMoves
 from cassialever.fleet.term_ends import TermEnd, TermResult
+from cassialever.fleet.view import LEADER_ROW, OWN_TABLE
 from cassialever.keys.assignments import MAX_GRANT_DURATION
 from cassialever.platform import rows
 from cassialever.platform.store import StoreClient
@@ -241,7 +242,11 @@
             )
             answer = await commit_lease(
                 self._store,
-                leases.with_renewal(transaction, renewed, self._lease_version),
+                leases.with_renewal(
+                    _in_term(transaction, self.term),
+                    renewed,
+                    self._lease_version,
+                ),
                 renewed,
             )
             self.has_failed_write = isinstance(answer, Failure)
@@ -267,6 +272,13 @@
             lease.instance_id == self._lease.instance_id
             and lease.incarnation == self._lease.incarnation
         )
+        leader_version = leases.leader_version(conflict.rows)
+        if is_own and leader_version != self.term:
+            self.end(
+                TermEnd.leader_row_changed,
+                f'expected={self.term} found={leader_version}',
+            )
+            return False
         if is_own:
             is_changed = version != self._lease_version
             self._lease_version = version
@@ -303,3 +315,17 @@
     if lapses:
         return Failure(ErrorKind.table_unavailable, 'writes are not answered')
     return None
+
+
+def _in_term(
+    transaction: rows.Transaction, term: RowVersion
+) -> rows.Transaction:
+    """Return a transaction that expects no other daemon to have taken over.
+
+    The version of the lease may be known from an answer only, and be that of
+    another daemon's takeover.
+    """
+    leader = rows.Precondition(OWN_TABLE, LEADER_ROW, term)
+    return rows.Transaction(
+        (leader, *transaction.preconditions), transaction.writes
+    )
--- a/cassialever/keys/mapwriter.py
+++ b/cassialever/keys/mapwriter.py
@@ -1,5 +1,7 @@
 """Write the owners of a service's keys to the platform's store."""
 
+from typing import Final
+
 import msgspec
 
 from cassialever.errors import Failure
@@ -11,6 +13,10 @@
 from cassialever.types import RowVersion, ServiceName
 
 
+#: Times that a write is sent, if the row has another version than was expected.
+MAX_ATTEMPTS: Final = 4
+
+
 def row_name(service: ServiceName) -> str:
     """Return the name of the row that stores a service's key map."""
     return f'{KEY_MAP_PREFIX}{service}'
@@ -19,9 +25,9 @@
 class MapWriter:
     """Writes the key map of one service during one term.
 
-    Each write expects the version of the row that this writer last saw, and
-    the leader row that began this term. A delayed write therefore has no
-    effect once a later one, or one of another leader, has been committed.
+    Each write expects the row as this writer knows it, and the leader row that
+    began this term. A delayed write therefore has no effect once a later one,
+    or one of another leader, has been committed.
     """
 
     def __init__(
@@ -32,7 +38,8 @@
         """Start with no row; `start_from` tells of one."""
         self._name = row_name(service)
         self._leader_term = leader_term
-        #: The version of the row; 0 if there is none.
+        #: The version that the row is expected to have; 0 if there is none. It
+        #: may be too high: see `rows.Committed`.
         self.version = RowVersion(0)
         #: The content of the row as it is known.
         self._known_content: bytes | None = None
@@ -47,64 +54,75 @@
     async def write(self, key_map: KeyMap) -> StoreRow | None:
         """Write a key map; return its row.
 
-        Return None if the write failed, or if its outcome is unknown.
+        The row's version is the lowest that it can have, which is above that
+        of each earlier row. Return None if the write failed, or if its outcome
+        is unknown.
         """
         content = msgspec.msgpack.encode(key_map)
-        answer = await self._leader_term.commit(self._transaction(content))
-        if isinstance(answer, Failure):
-            self._uncertain_contents.append(content)
-            return None
-        if isinstance(answer, rows.Conflict):
-            if not self._is_committed(answer, content):
+        for _ in range(MAX_ATTEMPTS):
+            expected = self.version
+            answer = await self._leader_term.commit(self._transaction(content))
+            if isinstance(answer, Failure):
+                self._uncertain_contents.append(content)
                 return None
-        else:
-            self.version = answer.version
-        self._uncertain_contents.clear()
-        self._known_content = content
-        return StoreRow(OWN_TABLE, self._name, content, self.version)
+            if isinstance(answer, rows.Committed):
+                self._note_stored(content, answer.version)
+                return self._row(content, answer.lower_bound)
+            if not self._adopt(answer, content):
+                return None
+            if self._known_content == content:
+                return self._row(content, self.version)
+            if self.version == expected:
+                return None
+        return None
 
     def _transaction(self, content: bytes) -> rows.Transaction:
         return rows.Transaction(
             preconditions=(
-                rows.Precondition(
-                    OWN_TABLE, LEADER_ROW, self._leader_term.term
-                ),
                 rows.Precondition(OWN_TABLE, self._name, self.version),
             ),
             writes=(rows.Write(OWN_TABLE, self._name, content),),
         )
 
-    def _is_committed(self, conflict: rows.Conflict, content: bytes) -> bool:
-        """Return whether an earlier, unanswered write stored this content.
+    def _row(self, content: bytes, version: RowVersion) -> StoreRow:
+        return StoreRow(OWN_TABLE, self._name, content, version)
+
+    def _note_stored(self, content: bytes, version: RowVersion) -> None:
+        """Note what the store has; no unanswered write can follow it."""
+        self.version = version
+        self._known_content = content
+        self._uncertain_contents.clear()
 
-        End the term if another leader has taken over, or if the row holds
-        a map that this writer did not write.
+    def _adopt(self, conflict: rows.Conflict, written: bytes) -> bool:
+        """Adopt the row that a write has met; return whether to go on.
+
+        That is this writer's own, whose version was not known exactly, or one
+        that was removed, which names no owner and no fence. End the term if
+        another leader has taken over, or if the row holds another map: this
+        term's state does not match it.
         """
         row_by_name = {row.name: row for row in conflict.rows}
         leader = row_by_name.get(LEADER_ROW)
-        stored = row_by_name.get(self._name)
         if leader is None or leader.version != self._leader_term.term:
             self._leader_term.end(
                 TermEnd.leader_row_changed,
                 f'expected={self._leader_term.term} {_describe(leader)}',
             )
             return False
-        if stored is None or stored.content not in self._uncertain_contents:
-            # Another writer's map: this term's state does not match the store.
+        stored = row_by_name.get(self._name)
+        if stored is None or stored.content is None:
+            self.version = RowVersion(0)
+            self._known_content = None
+            return True
+        own = {self._known_content, written, *self._uncertain_contents}
+        if stored.content not in own:
             self._leader_term.end(
                 TermEnd.key_map_changed,
-                f'row={self._name} expected={self.version} '
-                f'{_describe(stored)} content={self._origin(stored)}',
+                f'row={self._name} expected={self.version} {_describe(stored)}',
             )
             return False
-        self.version = stored.version
-        return stored.content == content
-
-    def _origin(self, stored: StoreRow | None) -> str:
-        """Return whether this daemon knows the content of a row."""
-        if stored is None or stored.content is None:
-            return 'none'
-        return 'known' if stored.content == self._known_content else 'other'
+        self._note_stored(stored.content, stored.version)
+        return True
 
 
 def _describe(row: StoreRow | None) -> str:
--- a/cassialever/platform/rows.py
+++ b/cassialever/platform/rows.py
@@ -15,6 +15,8 @@
 READ_PATH: Final = '/cassialever/rows-get'
 CHANGES_PATH: Final = '/cassialever/rows-feed'
 
+#: The version of a row that does not exist.
+NO_VERSION: Final = RowVersion(0)
 #: Latest time of the store's clock, in milliseconds: in 30,000 years.
 MAX_CLOCK_MS: Final = 1e15
 
@@ -43,10 +45,21 @@
 
 
 class Committed(msgspec.Struct, frozen=True):
-    """A transaction that took effect; `store_time` is the store's clock."""
+    """A transaction that took effect; `store_time` is the store's clock.
+
+    The version of the rows written is at most `version`: the store answers
+    with its newest one, and other writers may have committed since.
+    """
 
     version: RowVersion
     store_time: Seconds
+    #: The lowest version that the rows can have; `None` if `version` is theirs.
+    at_least: RowVersion | None = None
+
+    @property
+    def lower_bound(self) -> RowVersion:
+        """Return the lowest version that the rows written can have."""
+        return self.version if self.at_least is None else self.at_least
 
 
 class Conflict(msgspec.Struct, frozen=True):
@@ -54,6 +67,8 @@
 
     rows: tuple[StoreRow, ...]
     store_time: Seconds
+    #: The newest version of the store.
+    version: RowVersion = RowVersion(0)
 
 
 class Rows(msgspec.Struct, frozen=True):
@@ -94,6 +109,14 @@
     has_more: bool = False
 
 
+def newest_version(answer: Committed | Conflict | Rows) -> RowVersion:
+    """Return the newest version of the store that an answer tells."""
+    if isinstance(answer, Committed):
+        return answer.version
+    row_versions = (row.version for row in answer.rows)
+    return max(answer.version, max(row_versions, default=NO_VERSION))
+
+
 def encode_transaction(transaction: Transaction) -> bytes:
     """Encode a transaction; the `part` of every row is empty."""
     body: _Body = {
@@ -120,12 +143,25 @@
     return msgspec.json.encode(body)
 
 
-def decode_committed(body: bytes) -> Committed | Failure:
-    """Decode the answer to a transaction that took effect."""
+def decode_committed(
+    body: bytes, at_least: RowVersion = NO_VERSION
+) -> Committed | Failure:
+    """Decode the answer to a transaction that took effect.
+
+    Its rows have at least a given version. An answer that tells otherwise, or
+    that can't be read, counts as lost.
+    """
     wire = _decode_answer(body)
     if isinstance(wire, Failure):
-        return wire
-    return Committed(RowVersion(wire.ver), wire.now_ms / MS_PER_SECOND)
+        return Failure(ErrorKind.table_answer_lost, wire.reason)
+    if wire.ver < at_least:
+        return Failure(
+            ErrorKind.table_answer_lost,
+            f'the store answered version {wire.ver}, below {at_least}',
+        )
+    return Committed(
+        RowVersion(wire.ver), wire.now_ms / MS_PER_SECOND, at_least
+    )
 
 
 def decode_conflict(body: bytes) -> Conflict | Failure:
@@ -134,7 +170,7 @@
     if isinstance(wire, Failure):
         return wire
     rows = tuple(_decode_row(row) for row in wire.rows)
-    return Conflict(rows, wire.now_ms / MS_PER_SECOND)
+    return Conflict(rows, wire.now_ms / MS_PER_SECOND, RowVersion(wire.ver))
 
 
 def decode_rows(body: bytes) -> Rows | Failure:
--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import aiohttp
 
@@ -53,6 +53,13 @@
     connect=CONNECT_TIMEOUT,
     sock_read=CALL_TIMEOUT,
 )
+_Answer = TypeVar(
+    '_Answer',
+    rows.Committed | Failure,
+    rows.Conflict | Failure,
+    rows.Rows | Failure,
+)
+
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
@@ -66,6 +73,8 @@
         self._session: aiohttp.ClientSession | None = None
         #: Number of calls made, for the metrics.
         self.calls = 0
+        #: The newest version that an answer has told.
+        self._newest = rows.NO_VERSION
 
     async def start(self) -> None:
         """Open the session."""
@@ -85,6 +94,8 @@
         One that fails with `table_answer_lost` may have taken effect, or may
         still do so later, while its preconditions hold.
         """
+        # Answers are linearizable: what is sent now gets a later version.
+        at_least = RowVersion(self._newest + 1)
         answer = await self._call(
             'POST',
             rows.COMMIT_PATH,
@@ -96,10 +107,10 @@
             return answer
         status, body = answer
         if status == HTTPStatus.PRECONDITION_FAILED:
-            return rows.decode_conflict(body)
+            return self._note(rows.decode_conflict(body))
         if status != HTTPStatus.OK:
             return _unexpected_status(status)
-        return rows.decode_committed(body)
+        return self._note(rows.decode_committed(body, at_least))
 
     async def read(self, table: str, start: str = '') -> rows.Rows | Failure:
         """Read a page of a table's rows, ordered by name, from `start` on."""
@@ -112,7 +123,7 @@
             _READ_TIMEOUT,
             params=query,
         )
-        return _decode_rows(answer)
+        return self._note(_decode_rows(answer))
 
     async def read_all(self, table: str) -> rows.Rows | Failure:
         """Read a whole table.
@@ -157,7 +168,13 @@
             _long_poll_timeout(wait),
             params=query,
         )
-        return _decode_rows(answer)
+        return self._note(_decode_rows(answer))
+
+    def _note(self, answer: _Answer) -> _Answer:
+        """Note the newest version that an answer tells; return the answer."""
+        if not isinstance(answer, Failure):
+            self._newest = max(self._newest, rows.newest_version(answer))
+        return answer
 
     async def _call(
         self,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -93,6 +93,53 @@
             await following
 
 
+class VersionBoundsTest(StoreCase):
+    """The versions that the rows of a commit can have."""
+
+    async def commit(self) -> rows.Committed | rows.Conflict | Failure:
+        with mock.patch.object(store, '_COMMIT_TIMEOUT', NO_TIMEOUT):
+            return await self.client.commit(TRANSACTION)
+
+    async def test_rows_are_above_what_any_answer_has_told(self) -> None:
+        for call in (
+            lambda: self.client.read('t'),
+            lambda: self.client.wait_for_changes('t', 0, 0),
+            self.commit,
+            self.commit,
+        ):
+            self.server.put('others', 'row', {})
+            answer = await call()
+            assert not isinstance(answer, Failure), answer
+            told = rows.newest_version(answer)
+            self.assertEqual(told, self.server.rows.version)
+            self.server.put('others', 'row', {})
+            self.server.delete('t', 'a')
+            committed = await self.commit()
+            assert isinstance(committed, rows.Committed), committed
+            self.assertEqual(committed.lower_bound, told + 1)
+            self.assertEqual(committed.version, told + 3)
+            self.server.delete('t', 'a')
+
+    async def test_version_that_is_too_low_is_no_answer(self) -> None:
+        """Readers would have taken the row for an earlier one."""
+        self.server.put('others', 'row', {})
+        self.server.put('others', 'row', {})
+        await self.client.read('others')
+        with mock.patch.object(self.server.rows, 'transact', return_value=1):
+            self.server.rows.version = 1
+            answer = await self.commit()
+        self.assertIs(self.failure_kind(answer), ErrorKind.table_answer_lost)
+
+    def test_answer_that_cannot_be_read_may_have_taken_effect(self) -> None:
+        """It counted as refused, and its lease stayed in force."""
+        for body in (b'', b'{"ver": "x"}', b'[]'):
+            with self.subTest(body=body):
+                answer = rows.decode_committed(body)
+                self.assertIs(
+                    self.failure_kind(answer), ErrorKind.table_answer_lost
+                )
+
+
 class TransactionTest(StoreCase):
     """Outcomes of commits."""
 
