Release the lease after a term that ends by itself, and defer to others

Callers saw no keys served for many seconds: one daemon took over, lost its term within 0.1 s, and took over again once its own lease had lapsed. All others waited for that lease, and left it to others for longer than that daemon did.

A term that ends while its daemon has the lease now releases it, after the grants under way and before the followers are left. A lease of this process that it does not lead by, since a release was refused, is released by the next attempt. A term does not begin while the view has another key map than the store.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -13,10 +13,17 @@
 from cassialever.fleet import lease as leases
 from cassialever.fleet import messages
 from cassialever.fleet.attempts import Attempt, AttemptLog, Hindrance
+from cassialever.fleet.deference import DEFERENCE_STEP, Deference
 from cassialever.fleet.leading import LeaderTerm, TakeoverTimes
 from cassialever.fleet.lease_writes import commit_lease
+from cassialever.fleet.model import StoreRow
 from cassialever.fleet.suspected_moves import SuspectedMoves
-from cassialever.fleet.view import OWN_TABLE, FleetView, Leadership
+from cassialever.fleet.view import (
+    KEY_MAP_PREFIX,
+    OWN_TABLE,
+    FleetView,
+    Leadership,
+)
 from cassialever.platform import rows
 from cassialever.platform.store import StoreClient
 from cassialever.types import RowVersion, Seconds
@@ -29,10 +36,6 @@
 )
 #: Added to that wait, as the lease has to be older than its limit.
 LEASE_WAIT_MARGIN: Final[Seconds] = 0.01
-#: How much longer a daemon leaves a lease to others after each takeover in a
-#: row that was performed and led to no term, up to a number of them.
-DEFERENCE_STEP: Final[Seconds] = 0.4
-MAX_DEFERENCE_STEPS: Final = 3
 #: Takeovers whose outcome is remembered as unknown. Each expects the lease that
 #: was read before, so that few of them can still be performed.
 MAX_UNCONFIRMED: Final = 8
@@ -96,10 +99,8 @@
         self._unconfirmed: collections.deque[leases.Lease] = collections.deque(
             maxlen=MAX_UNCONFIRMED
         )
-        #: Takeovers in a row that were not answered, and after which the
-        #: owners could not be read.
-        self._unanswered = 0
-        self._unread = 0
+        #: What this daemon's failures to lead have others do before it.
+        self.deference = Deference()
 
     async def run(self, patience: Seconds) -> LeaderTerm | None:
         """Attempt to lead, and once more if the lease is stale soon."""
@@ -135,7 +136,8 @@
         if isinstance(read, Failure):
             self.note_failure(Hindrance.lease_unread, read.reason)
             return None
-        if read.lease in self._unconfirmed:
+        is_left_over = _is_of_process(read.lease, self._own_hello)
+        if is_left_over or read.lease in self._unconfirmed:
             await self._give_up(read.lease, read.version, read.store_time)
             self.note_failure(Hindrance.given_up, f'version={read.version}')
             return None
@@ -164,7 +166,7 @@
         lease = read.lease
         if lease is None or _is_of_earlier_process(lease, self._own_hello):
             return -leases.STALE_AFTER
-        steps = min(self._unanswered + self._unread, MAX_DEFERENCE_STEPS)
+        steps = self.deference.steps
         left_to_others = steps * DEFERENCE_STEP
         if not lease.is_resigned:
             left_to_others += patience
@@ -181,8 +183,9 @@
         self.note_failure(
             Hindrance.lease_held,
             f'holder={holder_id} version={read.version} '
-            f'opens_in={opens_in:.2f} unanswered={self._unanswered} '
-            f'unread={self._unread}',
+            f'opens_in={opens_in:.2f} unanswered={self.deference.unanswered} '
+            f'unread={self.deference.unread} '
+            f'short_terms={self.deference.short_terms}',
         )
 
     async def _take_over(self, read: _LeaseRead) -> LeaderTerm | None:
@@ -199,15 +202,15 @@
             self._unconfirmed.append(new_lease)
             await self._resolve(committed)
             return None
-        self._unanswered = 0
+        self.deference.unanswered = 0
         term = await self._reload_own_table(committed)
         if isinstance(term, Attempt):
-            self._unread += term.hindrance is Hindrance.tables_unread
+            self.deference.unread += term.hindrance is Hindrance.tables_unread
             self._unconfirmed.append(new_lease)
             await self._withdraw()
             self.note_failure(term.hindrance, term.details)
             return None
-        self._unread = 0
+        self.deference.unread = 0
         # None of them can be performed after this takeover.
         self._unconfirmed.clear()
         record(
@@ -278,7 +281,7 @@
         if failure.kind is not ErrorKind.table_answer_lost:
             self.note_failure(Hindrance.refused, failure.reason)
             return
-        self._unanswered += 1
+        self.deference.unanswered += 1
         self.note_failure(Hindrance.unanswered, failure.reason)
         await self._withdraw()
 
@@ -305,7 +308,7 @@
             leases.release_transaction(lease, version, store_time)
         )
         if isinstance(released, rows.Committed):
-            self._unanswered = 0
+            self.deference.unanswered = 0
 
     async def _reload_own_table(
         self, committed: rows.Committed
@@ -332,7 +335,11 @@
         if is_newest and self._view.replace(
             OWN_TABLE, own_table.rows, own_table.version
         ):
-            return term
+            # Nothing is granted by a map that the store does not hold.
+            differing = differing_key_maps(self._view, own_table.rows)
+            if not differing:
+                return term
+            known = max(row.version for row in differing)
         return Attempt(
             Hindrance.tables_unread,
             f'read={own_table.version} leader={term} '
@@ -340,6 +347,41 @@
         )
 
 
+def differing_key_maps(
+    view: FleetView, stored: tuple[StoreRow, ...]
+) -> list[StoreRow]:
+    """Return the rows with key maps that a view has otherwise than the store.
+
+    Rows that the view lacks are returned, too.
+    """
+    known_maps = {
+        row.name: row
+        for row in view.rows.rows_of(OWN_TABLE)
+        if row.name.startswith(KEY_MAP_PREFIX)
+    }
+    content_by_name = {row.name: row.content for row in known_maps.values()}
+    for row in stored:
+        if not row.name.startswith(KEY_MAP_PREFIX):
+            continue
+        if content_by_name.get(row.name) == row.content:
+            known_maps.pop(row.name)
+            continue
+        known_maps.setdefault(row.name, row)
+    return list(known_maps.values())
+
+
+def _is_of_process(lease: leases.Lease | None, own: messages.Hello) -> bool:
+    """Return whether this process holds the lease, which does not lead.
+
+    The store has not taken its release after a term.
+    """
+    return lease is not None and (
+        not lease.is_resigned
+        and lease.instance_id == own.instance_id
+        and lease.incarnation == own.incarnation
+    )
+
+
 def _is_of_earlier_process(lease: leases.Lease, own: messages.Hello) -> bool:
     """Return whether the lease is that of a process that has ended."""
     return (
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -1,7 +1,8 @@
 """Renew the leader's lease and track how long this daemon may act on it."""
 
 import asyncio
-from typing import Final, Literal, NamedTuple
+import contextlib
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -10,12 +11,12 @@
 from cassialever.events import Event, record
 from cassialever.fleet import lease as leases
 from cassialever.fleet import messages
-from cassialever.fleet.lease_writes import commit_lease
+from cassialever.fleet.lease_writes import commit_lease, release_lease
 from cassialever.fleet.store_clock import StoreClock
 from cassialever.fleet.suspected_moves import SuspectedMoves
-from cassialever.fleet.term_ends import TermEnd, TermResult
+from cassialever.fleet.term_ends import WITHOUT_LEASE, TermEnd, TermResult
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE
-from cassialever.keys.assignments import MAX_GRANT_DURATION
+from cassialever.keys.assignments import MAX_GRANT_DURATION, MAX_TRANSIT_TIME
 from cassialever.platform import rows
 from cassialever.platform.store import StoreClient
 from cassialever.types import RowVersion, Seconds
@@ -30,6 +31,9 @@
 LAPSE_TIME: Final[Seconds] = 2 * leases.STALE_AFTER
 #: Poll interval while grants are in progress at the end of a term.
 GRANT_POLL_INTERVAL: Final[Seconds] = 0.01
+#: Time limit for releasing the lease after a term: the end of the grants, a
+#: read and a write. It is over when others may take the lease anyway.
+RELEASE_TIMEOUT: Final[Seconds] = leases.STALE_AFTER
 
 
 class TakeoverTimes(NamedTuple):
@@ -162,7 +166,11 @@
         """Renew the lease until the term ends."""
         ended = asyncio.ensure_future(self._ended.wait())
         try:
-            await self._renew_until(ended)
+            while not ended.done():
+                pause = self._until_renewal()
+                if pause <= 0 and not self._is_resigning:
+                    pause = await self._renew(is_resigned=False)
+                await asyncio.wait((ended,), timeout=pause)
         finally:
             ended.cancel()
 
@@ -180,6 +188,22 @@
         finally:
             self.end(TermEnd.resigned)
 
+    async def release(self) -> None:
+        """Release the lease of a term that has ended by itself.
+
+        Others need not wait then until it lapses. Takes at most
+        RELEASE_TIMEOUT.
+        """
+        if self._result is None or self._result.end in WITHOUT_LEASE:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RELEASE_TIMEOUT):
+                while self.grants_in_progress:
+                    await asyncio.sleep(GRANT_POLL_INTERVAL)
+                # A grant that was broken off may still arrive until then.
+                await asyncio.sleep(MAX_TRANSIT_TIME)
+                await release_lease(self._store, self._lease)
+
     async def commit(
         self,
         transaction: rows.Transaction,
@@ -195,13 +219,6 @@
                 is_resigned=self._is_resigning,
             )
 
-    async def _renew_until(self, ended: asyncio.Future[Literal[True]]) -> None:
-        while not ended.done():
-            pause = self._until_renewal()
-            if pause <= 0 and not self._is_resigning:
-                pause = await self._renew(is_resigned=False)
-            await asyncio.wait((ended,), timeout=pause)
-
     def _until_renewal(self) -> Seconds:
         if self._is_resigning:
             return leases.RENEWAL_INTERVAL
--- a/cassialever/fleet/lease_writes.py
+++ b/cassialever/fleet/lease_writes.py
@@ -17,6 +17,9 @@
 #: sooner.
 READ_BACK_DELAY: Final[Seconds] = 0.5
 
+#: Times that a release is sent, if a late renewal comes before it.
+MAX_RELEASES: Final = 3
+
 _Outcome: TypeAlias = rows.Committed | rows.Conflict | Failure
 
 
@@ -42,6 +45,29 @@
     return await _read_back(store, lease) or answer
 
 
+async def release_lease(store: StoreClient, lease: leases.Lease) -> None:
+    """Release a lease if its process still holds it, in any renewal.
+
+    It is read first, so that the release expects the row as it is and leaves
+    the lease of another daemon alone.
+    """
+    for _ in range(MAX_RELEASES):
+        table = await store.read(leases.LEASE_TABLE)
+        if isinstance(table, Failure):
+            return
+        stored, version = leases.find_lease(table.rows)
+        if stored is None or stored.is_resigned:
+            return
+        holder = (stored.instance_id, stored.incarnation)
+        if holder != (lease.instance_id, lease.incarnation):
+            return
+        answer = await store.commit(
+            leases.release_transaction(stored, version, table.store_time)
+        )
+        if not isinstance(answer, rows.Conflict):
+            return
+
+
 async def _answer_or_none(call: asyncio.Task[_Outcome]) -> _Outcome | None:
     """Return the answer to a call, or `None` if it does not come soon."""
     done, _ = await asyncio.wait((call,), timeout=READ_BACK_DELAY)
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -328,7 +328,9 @@
         self.leader_term = None
         self.state = MemberState.seeking
         # A call that is in progress must not use a later term's lease.
-        self.contact.terms.note(leader_term.end(TermEnd.failed))
+        ended = leader_term.end(TermEnd.failed)
+        self.contact.terms.note(ended)
+        self._election.deference.note_term(ended)
 
     async def _watch_store(self) -> None:
         """Follow the store directly while the leader is cut off from it."""
@@ -409,18 +411,25 @@
     lease_task: asyncio.Task[None],
     tasks: Sequence[asyncio.Future[None]],
 ) -> None:
-    """Return at the end of the term; raise the error of a failed task."""
+    """Return at the end of the term, whose lease is released.
+
+    Raise the error of a failed task.
+    """
     try:
         done, _ = await asyncio.wait(
             (lease_task, *tasks),
             return_when=asyncio.FIRST_COMPLETED,
         )
+        if all(task.exception() is None for task in done):
+            await asyncio.wait((lease_task,))
     except asyncio.CancelledError:
         leader_term.end(TermEnd.aborted)
         raise
-    for task in done:
-        task.result()
-    await lease_task
+    leader_term.end(TermEnd.failed)
+    await leader_term.release()
+    for task in (*done, lease_task):
+        if task.done():
+            task.result()
 
 
 def addresses_to_ask(membership: Membership) -> list[str]:
--- a/cassialever/fleet/seeking.py
+++ b/cassialever/fleet/seeking.py
@@ -12,6 +12,7 @@
 from cassialever.fleet.attempts import Hindrance
 from cassialever.fleet.election import MAX_LEASE_WAIT, Election
 from cassialever.fleet.following_leader import LeaderLink
+from cassialever.fleet.term_ends import SHORT_TERM
 from cassialever.interfaces import RandomSource
 from cassialever.policy.candidacy import Candidacy
 from cassialever.types import Seconds
@@ -90,6 +91,8 @@
             await seek_once()
             if self._link.has_led_since(begun_at):
                 self.note_leader()
+            if self._link.has_led_since(begun_at + SHORT_TERM):
+                self._election.deference.forget()
             await self._wait(self._draw(daemon_count()))
 
     def may_lead(self, candidacy: Candidacy | None, now: Seconds) -> bool:
--- a/cassialever/fleet/term_ends.py
+++ b/cassialever/fleet/term_ends.py
@@ -54,6 +54,12 @@
         self.advice = advice
 
 
+#: Ends after which this daemon has no lease that it could release.
+WITHOUT_LEASE: Final = frozenset(
+    (TermEnd.resigned, TermEnd.lease_lost, TermEnd.aborted)
+)
+
+
 class TermResult(msgspec.Struct, frozen=True):
     """A term that has ended."""
 
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -20,6 +20,7 @@
 )
 from cassialever.fleet.model import KeyRange, Target
 from cassialever.fleet.relay import Relay
+from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.view import FleetView
 from cassialever.keys.assigner import KeyAssigner
 from cassialever.platform import rows
@@ -647,6 +648,8 @@
 
     async def _lead(self, leader_term: LeaderTerm) -> None:
         await leader_term.keep_lease()
+        await leader_term.release()
+        self.election.deference.note_term(leader_term.end(TermEnd.failed))
         self.kill()
 
     def take_report(self, report: LimitReport) -> None:
