Don't count a wrong guess of the lease's version as a lost answer

A leader's lease was left to lapse after two writes that were performed and not answered, in place of three, if the answer before them had named another writer's version: the conflict that corrected the guess was counted, too.

If the lease that stands is the one that the store confirmed last, the version that was expected was a guess, and no answer is missing.

tests.test_term_versions, test_wrong_guess_is_no_answer_that_was_lost: failed before ("writes are not answered"), passes now.

--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -83,6 +83,9 @@
         self._store = store
         self._clock = clock
         self._lease = lease
+        #: The lease as the store last confirmed it. If it stands with another
+        #: version than was expected, that one was a guess.
+        self._confirmed_lease = lease
         #: The row version of the takeover, which numbers the term.
         self.term: RowVersion = committed.version
         self._lease_version = committed.version
@@ -268,6 +271,7 @@
             )
             self.has_failed_write = isinstance(answer, Failure)
             if isinstance(answer, rows.Committed):
+                self._confirmed_lease = renewed
                 self._note_commit(answer.store_time, answer.version, sent_at)
             if not isinstance(answer, rows.Conflict):
                 return answer
@@ -275,7 +279,7 @@
                 return answer
 
     def _adopt_version(self, conflict: rows.Conflict) -> bool:
-        """Adopt the row version of a renewal whose answer was lost.
+        """Adopt the row version of a renewal whose answer was lost or late.
 
         Return whether to retry the transaction, which now expects another
         version. End the term if another daemon holds the lease. Other daemons
@@ -299,7 +303,7 @@
         if is_own:
             is_changed = version != self._lease_version
             self._lease_version = version
-            if is_changed:
+            if is_changed and lease != self._confirmed_lease:
                 self._lost_answers.note_performed(self._clock.boot())
             return is_changed
         record(
--- a/tests/test_term_versions.py
+++ b/tests/test_term_versions.py
@@ -13,7 +13,14 @@
 
 import msgspec
 
-from cassialever.fleet.lease import LEASE_ROW, LEASE_TABLE, find_lease
+from cassialever.errors import ErrorKind, Failure
+from cassialever.fleet.leading import MAX_UNANSWERED
+from cassialever.fleet.lease import (
+    EMPTY_TRANSACTION,
+    LEASE_ROW,
+    LEASE_TABLE,
+    find_lease,
+)
 from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
 from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
@@ -22,12 +29,14 @@
 from cassialever.types import Fence, RowVersion, ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.ownership_fakes import Daemon, World
+from tests.test_fleet_elections import lose_committed
 
 #: Time in which a leader has granted and written keys, in seconds.
 SETTLING_TIME = 2.0
 #: Time in which a leader renews its lease several times, in seconds.
 LEADING_TIME = 3.0
 
+UNREAD = Failure(ErrorKind.table_answer_lost, 'no answer')
 KEY_MAP = row_name(ServiceName('registry'))
 
 
@@ -275,6 +284,32 @@
         self.play(scenario)
 
 
+class RenewalTest(VersionCase):
+    """Renewals that expect a version which was a guess."""
+
+    def test_wrong_guess_is_no_answer_that_was_lost(self) -> None:
+        """The lease was left to lapse after two lost answers, not three."""
+
+        async def scenario(world: World) -> None:
+            daemon = self.add_daemon(world, 'edge-1')
+            term = await daemon.election.attempt(0)
+            assert term is not None
+            world.newest_answers = 1
+            await term.commit(EMPTY_TRANSACTION)
+            world.newest_answers = 0
+            commit, read = daemon.store.commit, daemon.store.read
+            daemon.store.commit = lose_committed(commit)
+            daemon.store.read = mock.AsyncMock(return_value=UNREAD)
+            for _ in range(MAX_UNANSWERED):
+                lost = await term.commit(EMPTY_TRANSACTION)
+                self.assertIsInstance(lost, Failure)
+            daemon.store.commit, daemon.store.read = commit, read
+            answer = await term.commit(EMPTY_TRANSACTION)
+            self.assertIsInstance(answer, rows.Committed)
+
+        self.play(scenario)
+
+
 class WriterTest(unittest.TestCase):
     """What the writer of a key map takes for its own row."""
 
