Ask the store for versions of tables that a leader lacks

A follower that knew a version above the store's got no change up to it: it told the leader that version, and the leader had nothing newer. Its tables counted as new, being those of the leader.

A follower that is still ahead of its leader after 0.5 to 1.0 s asks the store for later changes. A version that the store does not have is given up by two whole reads, as when no one leads. One that it has costs one call.

test_followers_have_what_the_store_has failed before this commit.

--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -11,13 +11,14 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from cassialever.errors import ErrorKind, Failure
+from cassialever.errors import Failure
 from cassialever.events import Event, record
 from cassialever.fleet.asking import ask_in_turn, draw
 from cassialever.fleet.confirming import TablesConfirmation
 from cassialever.fleet.following_leader import LeaderLink
 from cassialever.fleet.membership import Membership, MemberState
 from cassialever.fleet.table_claims import TableClaims
+from cassialever.fleet.version_doubts import VersionDoubts, read_changes
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
 from cassialever.platform.store import StoreClient
@@ -58,6 +59,7 @@
         #: Reports the newest versions to all other daemons.
         self.report_now: Callable[[], None] = _report_nothing
         view.rows.on_newest = self._note_newest
+        self._doubts = VersionDoubts(store, view, random_source)
 
     def newest_by_table(self) -> dict[str, RowVersion]:
         """Return the newest versions that this daemon knows of."""
@@ -98,6 +100,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.confirmation.run())
             group.create_task(self._catch_up_when_behind())
+            group.create_task(self._doubts.run())
 
     async def _catch_up_when_behind(self) -> None:
         while True:
@@ -148,22 +151,7 @@
                 self._claims.reject(table, version, _now())
 
     async def _read_changes(self, table: str) -> Failure | None:
-        after = self._view.rows.version_by_table[table]
-        changed = await self._store.wait_for_changes(table, after, 0)
-        if isinstance(changed, Failure):
-            if changed.kind is not ErrorKind.table_conflict:
-                return changed
-        elif changed.version >= after:
-            self._view.apply(table, changed.rows, changed.version)
-            return None
-        began_at = self._view.targets.clock.boot()
-        snapshot = await self._store.read_all(table)
-        if isinstance(snapshot, Failure):
-            return snapshot
-        self._view.replace(
-            table, snapshot.rows, snapshot.version, began_at=began_at
-        )
-        return None
+        return await read_changes(self._store, self._view, table)
 
     def _delay(self) -> Seconds:
         """Return how long to wait for the leader's copy."""
--- a/cassialever/fleet/false_versions.py
+++ b/cassialever/fleet/false_versions.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -33,6 +34,9 @@
         self._denial_by_table: dict[str, _Denial] = {}
         #: Tables whose known version was given up.
         self.count = 0
+        #: Called with a table of which a leader has an older version.
+        self.on_doubt: Callable[[str], None] = _ignore_doubt
+        self._doubted: set[str] = set()
 
     def note_learnt(self, table: str) -> None:
         """Note that rows or a later version of a table became known."""
@@ -42,6 +46,24 @@
         """Note a read that was not older than what was known."""
         self._denial_by_table.pop(table, None)
 
+    def note_relayed(
+        self, table: str, version: RowVersion, known: RowVersion
+    ) -> None:
+        """Note with which version of a table another daemon goes by."""
+        if version >= known:
+            self._doubted.discard(table)
+        elif table not in self._doubted:
+            self._doubted.add(table)
+            self.on_doubt(table)
+
+    def is_doubted(self, table: str) -> bool:
+        """Return whether others have had no version like the known one."""
+        return table in self._doubted
+
+    def end_doubt(self, table: str) -> None:
+        """Note that the store was asked for the known version."""
+        self._doubted.discard(table)
+
     def disproves(
         self, table: str, version: RowVersion, began_at: Seconds
     ) -> bool:
@@ -58,3 +80,7 @@
             return True
         self._denial_by_table[table] = _Denial(self._clock.boot(), version)
         return False
+
+
+def _ignore_doubt(table: str) -> None:
+    """Ignore a doubt; the default until a handler is set."""
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -365,7 +365,11 @@
         hello = follower.hello
         for table, version in self._view.rows.version_by_table.items():
             known = hello.version_by_table.get(table)
-            if _wants(hello, table, version):
+            # The version of a follower that is ahead may be false: an empty
+            # change has it ask the store.
+            is_followed = self.is_leader and not hello.reads_once
+            is_ahead = is_followed and (known or 0) > version
+            if is_ahead or _wants(hello, table, version):
                 follower.send(
                     self._catch_up_frame(
                         table, None if known is None else RowVersion(known)
--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -93,6 +93,11 @@
         known = self._whole_at_by_table.get(table, RowVersion(0))
         self._whole_at_by_table[table] = max(known, version)
 
+    def note_relayed(self, table: str, version: RowVersion) -> None:
+        """Compare the version that another daemon tells with the known one."""
+        known = self.version_by_table.get(table, UNCONFIRMED)
+        self.false_versions.note_relayed(table, version, known)
+
     def forget_version(self, table: str) -> None:
         """Forget up to which version a table is complete, and its removals.
 
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -151,6 +151,8 @@
         The log names their `source`: the store or another daemon.
         """
         self._source = source
+        if source != STORE:
+            self.rows.note_relayed(table, version)
         changed = self.rows.apply(table, rows, version, whole)
         if changed:
             self.rows.newest_from = source
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from typing import Any
+from unittest import mock
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.direct import DIRECT_BATCH_DELAY
@@ -14,8 +15,14 @@
 from cassialever.platform import rows, store
 from cassialever.types import RowVersion
 from tests.fleet_helpers import LoopClock, VirtualLoop, run_virtually
-from tests.fleet_rig import STORE_DELAY, Rig, simulated_links
-from tests.store_faults import FaultyFleet
+from tests.fleet_rig import (
+    STORE_DELAY,
+    Rig,
+    RigDaemon,
+    RigStore,
+    simulated_links,
+)
+from tests.store_faults import CHANGE_LIMIT, FaultyFleet
 
 #: How long an outage lasts at most, in seconds.
 OUTAGE = 9.0
@@ -175,6 +182,84 @@
         run_virtually(main)
 
 
+class LostVersionsTest(unittest.TestCase):
+    """A store whose versions are lower after an outage than it told before.
+
+    Calls for changes after versions that it does not have wait, or are gone.
+    """
+
+    def setUp(self) -> None:
+        self.lead = 0
+        self.are_later_gone = False
+        read_all = RigStore.read_all
+        wait_for_changes = RigStore.wait_for_changes
+
+        def shown(answer: Any) -> Any:
+            if isinstance(answer, Failure):
+                return answer
+            version = RowVersion(answer.version + self.lead)
+            return rows.Rows(answer.rows, version, answer.store_time)
+
+        async def read(rig_store: RigStore, table: str) -> Any:
+            return shown(await read_all(rig_store, table))
+
+        async def follow(
+            rig_store: RigStore, table: str, after: int, wait: float
+        ) -> Any:
+            newest = rig_store._rig.rows.version + self.lead
+            if self.are_later_gone and after > newest:
+                await asyncio.sleep(STORE_DELAY)
+                return Failure(ErrorKind.table_conflict, 'gone')
+            return shown(await wait_for_changes(rig_store, table, after, wait))
+
+        for name, call in (('read_all', read), ('wait_for_changes', follow)):
+            patch = mock.patch.object(RigStore, name, call)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def play(self, rig: Rig) -> None:
+        """Play the outage; check when a change after it is in force."""
+        fleet = FaultyFleet(rig)
+        self.lead = 300
+        await asyncio.sleep(LIMIT)
+        for daemon in fleet.living():
+            fleet.faults(daemon).silent.update(ALL_CALLS)
+        self.lead = 0
+        await asyncio.sleep(OUTAGE)
+        for daemon in fleet.living():
+            fleet.faults(daemon).silent.clear()
+        await asyncio.sleep(LIMIT)
+        rig.configure(9)
+        times = await rig.measure(has_configuration, 2 * CHANGE_LIMIT)
+        self.assertLess(max(times), CHANGE_LIMIT)
+        self.assertLess(await oldest(fleet, 5), LIMIT)
+
+    def check(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            for seed in FLEET_SEEDS:
+                rig = Rig(loop, seed, DAEMONS)
+                with simulated_links(rig):
+                    await rig.settle()
+                    await self.play(rig)
+
+        run_virtually(main)
+
+    def test_change_after_calls_for_later_changes_wait(self) -> None:
+        """All daemons missed it for good, with tables that counted as new."""
+        self.check()
+
+    def test_change_after_calls_for_later_changes_are_gone(self) -> None:
+        """It was in force at no daemon, and all had tables of before."""
+        self.are_later_gone = True
+        self.check()
+
+
+def has_configuration(daemon: RigDaemon) -> bool:
+    """Return whether the version that is acknowledged last is in force."""
+    configuration = daemon.view.configuration
+    return configuration is not None and configuration.version == 9
+
+
 async def oldest(fleet: FaultyFleet, duration: float) -> float:
     """Return the highest age of a daemon's tables in some time."""
     ages: list[float] = []
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -359,6 +359,42 @@
 
         self.assertLess(max(self.play(scenario, 3.0)), 2.0)
 
+    def test_followers_have_what_the_store_has(self) -> None:
+        """They got no change up to the false version, as if they knew it."""
+
+        async def main(loop: VirtualLoop) -> None:
+            rig = Rig(loop, 0, 5)
+            with simulated_links(rig):
+                await rig.settle()
+                fleet = FaultyFleet(rig)
+                fleet.end_leadership()
+                rig.configure(9)
+                false_version = rig.rows.version + 300
+                for one in fleet.living():
+                    _teach(one, false_version)
+                    fleet.faults(one).refused.clear()
+                # It leads by the store's tables, and the others have theirs.
+                rig.configure(9)
+                await asyncio.sleep(6)
+                leader = rig.leader()
+                for one in fleet.living():
+                    self.assertTrue(has_configuration(one), one.machine.name)
+                    for table in one.view.tables_of_other_writers:
+                        self.assertEqual(
+                            sorted(one.view.rows.rows_of(table), key=_name),
+                            sorted(leader.view.rows.rows_of(table), key=_name),
+                        )
+                        self.assertLess(
+                            one.view.rows.version_by_table[table],
+                            false_version,
+                        )
+
+        run_virtually(main)
+
+
+def _name(row: StoreRow) -> str:
+    return row.name
+
 
 if __name__ == '__main__':
     unittest.main()
