Let the stand-in store stand still, be slow, lag, and limit rates

Faults of the store could only be given for kinds of calls, each of which was refused, reset or not answered. Options that are off by default (standins/store_pace.py) add what the platform's pages allow of the store as a whole: it stands still, reads calls and later performs those whose conditions hold, also if their callers have gone; it takes long for each call, and answers a transaction with the version that is the newest at that time; whole reads or waits for changes show the store as it was some seconds ago; calls beyond a rate get 429. Rows of other writers moved there, too.

Reads that are refused or cut for single tables and machines, and transactions that are performed and not answered, are faults of calls, as before.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -20,7 +20,7 @@
     find_fault,
 )
 from standins.listening import Listener
-from standins.other_writers import OtherWriters
+from standins.store_pace import StorePace
 
 _TABLE: Final = 'table'
 _KEY: Final = 'key'
@@ -123,6 +123,36 @@
             if row.table == table and row.ver > after
         ]
 
+    def as_of(self, version: int) -> 'RowStore':
+        """Return the rows and history as they were at a version.
+
+        Changes that have been removed from the history are not undone.
+        """
+        if version == self.version:
+            return self
+        earlier = RowStore()
+        earlier.version = version
+        earlier.truncated_version = self.truncated_version
+        earlier.history = [row for row in self.history if row.ver <= version]
+        changed = {
+            (later.table, later.key)
+            for later in self.history
+            if later.ver > version
+        }
+        earlier.row_by_name = {
+            name: row
+            for name, row in self.row_by_name.items()
+            if name not in changed
+        }
+        for known in earlier.history:
+            name = (known.table, known.key)
+            if name not in changed:
+                continue
+            earlier.row_by_name.pop(name, None)
+            if known.value is not None:
+                earlier.row_by_name[name] = known
+        return earlier
+
     def truncate_history(self) -> None:
         """Remove all changes from the history."""
         self.history.clear()
@@ -139,8 +169,8 @@
     def __init__(self) -> None:
         """Start without rows or faults; `start` lets it listen."""
         self.rows = RowStore()
-        #: Rows that are committed before transactions are answered.
-        self.other_writers = OtherWriters(self.rows.put)
+        #: Faults of many calls at once, and rows of other writers.
+        self.pace = StorePace(self.rows.put, lambda: self.rows.version)
         self.call_count_by_path: dict[str, int] = {}
         #: If set, answer every call with this status.
         self.error_status: int | None = None
@@ -173,6 +203,7 @@
 
     async def stop(self) -> None:
         """Stop the server."""
+        self.pace.stop()
         await self._listener.stop()
 
     def put(self, table: str, key: str, document: object) -> None:
@@ -201,11 +232,11 @@
         if self.error_status is not None:
             return web.Response(status=self.error_status)
         await asyncio.sleep(self.call_delay)
-        machine = self._machine_of(request)
+        machine = self.machine_at(_port_of(request))
         fault = find_fault(self.call_faults, request, machine)
         if fault is not None:
             return await self._spoil(request, handler, fault.outcome)
-        response: web.StreamResponse = await handler(request)
+        response = await self.pace.answer(request, handler, machine)
         if request.path == COMMIT_PATH and self.drops_responses:
             if request.transport is not None:
                 request.transport.abort()
@@ -214,12 +245,6 @@
             self.confirmed_at[machine] = now
         return response
 
-    def _machine_of(self, request: web.Request) -> str:
-        peer = request.transport and request.transport.get_extra_info(
-            'peername'
-        )
-        return self.machine_at(peer[1]) if peer else ''
-
     async def _spoil(
         self,
         request: web.Request,
@@ -254,18 +279,25 @@
         body = await request.read()
         outcome = self.rows.transact(msgspec.json.decode(body))
         if isinstance(outcome, int):
-            self.last_writer = self._machine_of(request)
-            self.other_writers.follow(body)
+            # A caller that has gone is no longer known.
+            machine = self.machine_at(_port_of(request))
+            self.last_writer = machine or self.last_writer
+            self.pace.other_writers.follow(body)
             self._wake_feeds()
             return self._response([])
         return self._response(outcome, HTTPStatus.PRECONDITION_FAILED)
 
     async def _handle_read(self, request: web.Request) -> web.Response:
-        rows = self.rows.read_page(
+        shown = self._shown(request, is_feed=False)
+        rows = shown.read_page(
             request.query[_TABLE],
             request.query.get('from', ''),
         )
-        return self._response(rows[:PAGE_SIZE], has_more=len(rows) > PAGE_SIZE)
+        return self._response(
+            rows[:PAGE_SIZE],
+            has_more=len(rows) > PAGE_SIZE,
+            version=shown.version,
+        )
 
     async def _handle_feed(self, request: web.Request) -> web.Response:
         after = int(request.query['after'])
@@ -273,17 +305,30 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait
         while True:
-            rows = self.rows.changes_after(request.query[_TABLE], after)
+            shown = self._shown(request, is_feed=True)
+            rows = shown.changes_after(request.query[_TABLE], after)
             if rows is None:
                 return web.Response(status=HTTPStatus.GONE)
             remaining = deadline - loop.time()
             if rows or remaining <= 0:
-                return self._response(rows)
+                return self._response(rows, version=shown.version)
             change = asyncio.ensure_future(self._changed.wait())
-            await asyncio.wait((change,), timeout=remaining)
+            pause = self.pace.lag.until_shown(remaining)
+            await asyncio.wait((change,), timeout=pause)
             change.cancel()
 
+    def _shown(self, request: web.Request, *, is_feed: bool) -> RowStore:
+        """Return the rows as a read shows them."""
+        version = self.pace.lag.version_for(
+            request.query[_TABLE],
+            self.machine_at(_port_of(request)),
+            self.rows.version,
+            is_feed=is_feed,
+        )
+        return self.rows.as_of(version)
+
     def _wake_feeds(self) -> None:
+        self.pace.lag.note(self.rows.version)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -293,12 +338,13 @@
         status: int = HTTPStatus.OK,
         *,
         has_more: bool = False,
+        version: int | None = None,
     ) -> web.Response:
         now = asyncio.get_running_loop().time()
         body = {
             'rows': [row.to_wire() for row in rows],
             'has_more': has_more,
-            'ver': self.rows.version,
+            'ver': self.rows.version if version is None else version,
             'now_ms': now * 1000,
         }
         return web.Response(
@@ -308,6 +354,12 @@
         )
 
 
+def _port_of(request: web.Request) -> int:
+    """Return the caller's port; 0 if its connection has ended."""
+    peer = request.transport and request.transport.get_extra_info('peername')
+    return int(peer[1]) if peer else 0
+
+
 def _unknown_machine(port: int) -> str:
     """Return no machine; the default until machines are known."""
     return ''
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -49,8 +49,8 @@
 from cassialever.policy.paths import TargetPaths
 from cassialever.policy.peer_reports import Helper
 from cassialever.types import DataCentreId, RowVersion
-from standins.other_writers import OtherWriters
 from standins.rowstore import RowStore, StoredRow
+from standins.store_pace import StorePace
 from tests.fleet_helpers import (
     CONFIGURATION,
     ROUTES,
@@ -291,7 +291,7 @@
         outcome = self._rig.rows.transact(msgspec.json.decode(body))
         now = self._machine.loop.time()
         if isinstance(outcome, int):
-            self._rig.other_writers.follow(body)
+            self._rig.pace.other_writers.follow(body)
             self._rig.wake()
         if self.loses_commits:
             return await self._fail(store.CALL_TIMEOUT)
@@ -442,8 +442,10 @@
         self.loop = loop
         self.random = random.Random(seed)
         self.rows = RowStore()
-        #: Rows that are committed before transactions are answered.
-        self.other_writers = OtherWriters(self.rows.put)
+        #: Faults of many calls at once, and rows of other writers.
+        self.pace = StorePace(
+            self.rows.put, lambda: self.rows.version, loop.time
+        )
         self._changed = asyncio.Event()
         self._put_tables()
         machines = [self._draw_machine(number) for number in range(count)]
--- a/tests/test_answer_versions.py
+++ b/tests/test_answer_versions.py
@@ -81,8 +81,8 @@
         """Terms ended one after the other, at their first map writes."""
 
         async def scenario(rig: KeyedRig) -> None:
-            rig.other_writers.share = 1
-            rig.other_writers.burst = BURST
+            rig.pace.other_writers.share = 1
+            rig.pace.other_writers.burst = BURST
             await self.expect_next_leader(rig)
             leader = rig.leader()
             await self.expect_move(rig, 0)
@@ -99,7 +99,7 @@
         """All daemons learnt it, and each leader's map writes failed by it."""
 
         async def scenario(rig: KeyedRig) -> None:
-            writers = rig.other_writers
+            writers = rig.pace.other_writers
             writers.concerns = lambda body: KEY_MAP_PREFIX.encode() in body
             writers.share = 1
             writers.burst = BURST
@@ -125,7 +125,7 @@
             await until(lambda: len(_leaders(system)) == 1)
             for gateway in system.gateways:
                 await wait_for_keys(gateway)
-            system.store.other_writers.share = 1
+            system.store.pace.other_writers.share = 1
             await system.kill_gateway(_leaders(system)[0])
             await until(lambda: len(_leaders(system)) == 1, LEADER_LIMIT)
             leader = _leaders(system)[0]
