Perform late calls in the stand-in store though their callers have gone

The fault 'performed late and not answered' performed nothing: it waits for 1.5 s, callers for 1.0 s, and a handler ends with its caller's connection. Such a transaction now goes on by itself.

The test, which writes a row and waits for it, failed before (not there after 2 s) and holds now.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -258,9 +258,8 @@
         if outcome is CallOutcome.conflicting:
             return self._conflict(msgspec.json.decode(await request.read()))
         if outcome is CallOutcome.performed_late:
-            await request.read()
-            await asyncio.sleep(HOLD_TIME / 2)
-        if outcome.loses_answers:
+            await self.pace.perform_late(request, handler, HOLD_TIME / 2)
+        elif outcome.loses_answers:
             await handler(request)
         if outcome in {CallOutcome.answer_held, CallOutcome.unanswered}:
             await asyncio.sleep(HOLD_TIME)
--- a/tests/test_store_options.py
+++ b/tests/test_store_options.py
@@ -7,6 +7,7 @@
 from cassialever.platform import rows
 from cassialever.platform.store import StoreClient
 from cassialever.types import RowVersion
+from standins.call_faults import COMMIT_PATH, CallFault, CallOutcome
 from standins.rowstore import RowStoreServer
 from tests.fleet_helpers import until
 
@@ -205,5 +206,19 @@
         self.assertEqual(self.server.pace.write_rate.refused, 1)
 
 
+class LateCallTest(StoreCase):
+    """A single call that is performed late."""
+
+    async def test_call_is_performed_though_its_caller_has_gone(self) -> None:
+        """It never was: callers wait for less time than the delay."""
+        self.server.call_faults = [
+            CallFault(CallOutcome.performed_late, (COMMIT_PATH,), None)
+        ]
+        with self.assertRaises(AssertionError):
+            await self.write()
+        self.assertEqual(self.server.rows.version, 0)
+        await until(lambda: self.server.rows.version == 1, 2)
+
+
 if __name__ == '__main__':
     unittest.main()
