Pace the store of the fleet in virtual time; a slow store as a failing test

Callers saw 503 for keyed requests long after the store had been slow: terms ended one after the other, within 0.1 s, by a key map whose version a daemon had learnt from an answer that was made after others had committed.

The store of tests/fleet_rig.py has the options of the stand-in store, by machine: it stands still, is slow, shows the past, limits rates, performs commits late, and fails the reads of single tables.

The new test lets the store be slow for 8 s while a target's row changes.

--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -49,6 +49,7 @@
 from cassialever.policy.paths import TargetPaths
 from cassialever.policy.peer_reports import Helper
 from cassialever.types import DataCentreId, RowVersion
+from standins.call_faults import COMMIT_PATH, FEED_PATH, READ_PATH
 from standins.rowstore import RowStore, StoredRow
 from standins.store_pace import StorePace
 from tests.fleet_helpers import (
@@ -278,12 +279,98 @@
         #: Whether no call is answered, or none that waits for changes.
         self.is_cut = False
         self.loses_polls = False
-        #: Whether commits are performed and not answered.
+        #: Whether commits are performed and not answered, and the delay after
+        #: which they are performed.
         self.loses_commits = False
+        self.commit_delay = 0.0
+        #: Tables whose reads are refused, and those whose reads are not
+        #: answered, while other calls work.
+        self.refused_tables: set[str] = set()
+        self.silent_tables: set[str] = set()
         self.calls = 0
+        #: Commits that go on though their callers have gone.
+        self._performing: set[asyncio.Task[Any]] = set()
 
     async def commit(self, transaction: rows.Transaction) -> Any:
         self.calls += 1
+        pace = self._rig.pace
+        if not pace.write_rate.takes():
+            return refused_call()
+        before, after = pace.slowness.draw(COMMIT_PATH, self._machine.name)
+        before += self.commit_delay
+        if not before + after and not pace.standstill.is_on:
+            return await self._commit(transaction)
+        task = asyncio.create_task(
+            self._commit_late(transaction, before, after)
+        )
+        self._performing.add(task)
+        task.add_done_callback(self._performing.discard)
+        done, _ = await asyncio.wait((task,), timeout=store.CALL_TIMEOUT)
+        return task.result() if done else lost_answer()
+
+    async def read(self, table: str, start: str = '') -> Any:
+        return await self.read_all(table)
+
+    async def read_all(self, table: str) -> Any:
+        self.calls += 1
+        return await self._paced(
+            self._read(table), READ_PATH, store.CALL_TIMEOUT
+        )
+
+    async def wait_for_changes(
+        self, table: str, after: int, wait: float = store.LONG_POLL_WAIT
+    ) -> Any:
+        self.calls += 1
+        limit = wait + store.POLL_ANSWER_TIMEOUT
+        return await self._paced(
+            self._wait(table, after, wait), FEED_PATH, limit
+        )
+
+    async def _commit_late(
+        self, transaction: rows.Transaction, before: float, after: float
+    ) -> Any:
+        await self._rig.pace.standstill.wait()
+        await asyncio.sleep(before)
+        answer = await self._commit(transaction)
+        await asyncio.sleep(after)
+        if after and isinstance(answer, rows.Committed):
+            # The newest version is that at the time of the answer.
+            newest = RowVersion(self._rig.rows.version)
+            return rows.Committed(newest, self._machine.loop.time())
+        return answer
+
+    async def _paced(
+        self, call: Coroutine[Any, Any, Any], path: str, limit: float
+    ) -> Any:
+        """Answer a read at the store's pace, or not within its limit."""
+        pace = self._rig.pace
+        if not pace.read_rate.takes():
+            call.close()
+            return refused_call()
+        delays = pace.slowness.draw(path, self._machine.name)
+        if not any(delays) and not pace.standstill.is_on:
+            return await call
+        late = asyncio.create_task(self._read_late(call, *delays))
+        try:
+            done, _ = await asyncio.wait((late,), timeout=limit)
+        finally:
+            late.cancel()
+        return late.result() if done else lost_answer()
+
+    async def _read_late(
+        self, call: Coroutine[Any, Any, Any], before: float, after: float
+    ) -> Any:
+        try:
+            await self._rig.pace.standstill.wait()
+            await asyncio.sleep(before)
+        except asyncio.CancelledError:
+            call.close()
+            raise
+        answer = await call
+        await asyncio.sleep(after)
+        return answer
+
+    async def _commit(self, transaction: rows.Transaction) -> Any:
         await asyncio.sleep(STORE_DELAY)
         if self.is_cut:
             return await self._fail(store.CALL_TIMEOUT)
@@ -299,43 +386,58 @@
             return rows.Committed(RowVersion(self._rig.rows.version), now)
         return rows.Conflict(decode(outcome), now)
 
-    async def read(self, table: str, start: str = '') -> Any:
-        return await self.read_all(table)
-
-    async def read_all(self, table: str) -> Any:
-        self.calls += 1
+    async def _read(self, table: str) -> Any:
         await asyncio.sleep(STORE_DELAY)
-        if self.is_cut:
+        if table in self.refused_tables:
+            return refused_call()
+        if self.is_cut or table in self.silent_tables:
             return await self._fail(store.CALL_TIMEOUT)
-        version = self._rig.rows.version
-        stored = self._rig.rows.read_page(table, '')
+        shown = self._shown(table, is_feed=False)
+        version = shown.version
+        stored = shown.read_page(table, '')
         await self._transfer(stored)
         return rows.Rows(
             decode(stored), RowVersion(version), self._machine.loop.time()
         )
 
-    async def wait_for_changes(
-        self, table: str, after: int, wait: float = store.LONG_POLL_WAIT
-    ) -> Any:
-        self.calls += 1
+    async def _wait(self, table: str, after: int, wait: float) -> Any:
         await asyncio.sleep(STORE_DELAY)
+        if table in self.refused_tables:
+            return refused_call()
         ends_at = self._machine.loop.time() + wait
-        changed = self._rig.rows.changes_after(table, after)
+        shown = self._shown(table, is_feed=True)
+        changed = shown.changes_after(table, after)
         while not changed and self._machine.loop.time() < ends_at:
-            await self._rig.wait_for_change(ends_at)
-            changed = self._rig.rows.changes_after(table, after)
-        if self.is_cut or self.loses_polls:
+            remaining = ends_at - self._machine.loop.time()
+            pause = self._rig.pace.lag.until_shown(remaining)
+            looks_at = ends_at
+            if pause < remaining:
+                looks_at = self._machine.loop.time() + pause
+            await self._rig.wait_for_change(looks_at)
+            shown = self._shown(table, is_feed=True)
+            changed = shown.changes_after(table, after)
+        if self.is_cut or self.loses_polls or table in self.silent_tables:
             silent_until = ends_at + store.POLL_ANSWER_TIMEOUT
             return await self._fail(silent_until - self._machine.loop.time())
-        version = RowVersion(self._rig.rows.version)
+        version = RowVersion(shown.version)
         await self._transfer(changed or [])
         return rows.Rows(
             decode(changed or []), version, self._machine.loop.time()
         )
 
+    def _shown(self, table: str, *, is_feed: bool) -> RowStore:
+        """Return the rows as a read shows them."""
+        stored = self._rig.rows
+        lag = self._rig.pace.lag
+        return stored.as_of(
+            lag.version_for(
+                table, self._machine.name, stored.version, is_feed=is_feed
+            )
+        )
+
     async def _fail(self, delay: float) -> Failure:
         await asyncio.sleep(delay)
-        return Failure(ErrorKind.table_answer_lost, 'no answer')
+        return lost_answer()
 
     async def _transfer(self, stored: list[StoredRow]) -> None:
         size = sum(len(row.value or '') + ROW_OVERHEAD for row in stored)
@@ -347,6 +449,16 @@
         await asyncio.sleep(done_at - loop.time())
 
 
+def lost_answer() -> Failure:
+    """Return the failure of a call that was not answered."""
+    return Failure(ErrorKind.table_answer_lost, 'no answer')
+
+
+def refused_call() -> Failure:
+    """Return the failure of a call that was refused."""
+    return Failure(ErrorKind.table_unavailable, 'the store refused')
+
+
 @functools.cache
 def decode_row(table: str, key: str, value: str | None, ver: int) -> StoreRow:
     """Return a row as the client decodes it."""
@@ -524,6 +636,7 @@
         self.wake()
 
     def wake(self) -> None:
+        self.pace.lag.note(self.rows.version)
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/tests/test_answer_versions.py
+++ b/tests/test_answer_versions.py
@@ -8,6 +8,7 @@
 from cassialever.fleet.view import KEY_MAP_PREFIX
 from cassialever.gateway.application import Gateway
 from cassialever.keys.assignments import MAX_GRANT_DURATION
+from tests import fleet_rig
 from tests.fleet_helpers import Deployment, deployment, run_virtually, until
 from tests.fleet_rig import CHECK_INTERVAL, run_scenario
 from tests.gateway_helpers import wait_for_keys
@@ -26,6 +27,11 @@
 RELEASE_LIMIT = 5.0
 #: Time for which the next leader is watched, in seconds.
 WATCHED = 5.0
+#: How long calls take in a slow store, for how long it is slow, and the time
+#: between two changes of the targets' rows, in seconds.
+SLOW_DELAYS = (0.2, 0.35)
+SLOW_TIME = 8.0
+CHANGE_INTERVAL = 0.1
 #: By how much the version of an answer is above that of the rows.
 BURST = 3
 
@@ -116,6 +122,37 @@
         self.play_keyed(scenario)
 
 
+class SlowStoreTest(VirtualCase):
+    """A store that is slow while the targets' rows change."""
+
+    def test_slow_store_ends_no_terms_once_it_is_over(self) -> None:
+        """An answer had a later version; all terms ended by it for good."""
+
+        async def scenario(rig: KeyedRig) -> None:
+            changes = asyncio.create_task(change_targets(rig))
+            rig.pace.slowness.delays = SLOW_DELAYS
+            rig.put_target(0, 'draining')
+            await asyncio.sleep(SLOW_TIME)
+            rig.pace.slowness.delays = (0, 0)
+            await asyncio.sleep(LEADER_LIMIT)
+            leader = rig.find_leader()
+            self.assertIsNotNone(leader, rig.ends())
+            await self.expect_move(rig, 1)
+            await self.expect_owners(rig, without='t0')
+            self.assertIs(rig.find_leader(), leader, rig.ends())
+            self.assertEqual(rig.ends(), {})
+            changes.cancel()
+
+        self.play_keyed(scenario)
+
+
+async def change_targets(rig: KeyedRig) -> None:
+    """Let a target that keeps its keys write its row again and again."""
+    while True:
+        await asyncio.sleep(CHANGE_INTERVAL)
+        rig.put_target(fleet_rig.TARGETS - 1)
+
+
 class GatewayTest(unittest.IsolatedAsyncioTestCase):
     """Whole daemons over real sockets."""
 
