Show a slow store after an outage as a failing test

Callers saw 503 and the log one daemon that led again and again, for less than 0.1 s each time, while all others left the lease to it for 1.2 s more.

While the store performs commits late and answers none, each daemon notes takeovers without an answer, for which it defers. One gets through. If the store is slow then, and other writers commit meanwhile, that daemon learns a version of a key map that no row has, and all its terms end by it.

--- a/tests/test_answer_versions.py
+++ b/tests/test_answer_versions.py
@@ -32,6 +32,10 @@
 SLOW_DELAYS = (0.2, 0.35)
 SLOW_TIME = 8.0
 CHANGE_INTERVAL = 0.1
+#: How long the store performs commits late and answers none, and how late, in
+#: seconds.
+OUTAGE = 12.0
+LATE_COMMIT = 1.5
 #: By how much the version of an answer is above that of the rows.
 BURST = 3
 
@@ -145,6 +149,39 @@
 
         self.play_keyed(scenario)
 
+    def test_slow_store_after_an_outage_leaves_a_leader(self) -> None:
+        """One daemon alone led again and again, all others deferred to it."""
+
+        async def scenario(rig: KeyedRig) -> None:
+            changes = asyncio.create_task(change_targets(rig))
+            for daemon in rig.daemons:
+                daemon.store.commit_delay = LATE_COMMIT
+                daemon.store.loses_commits = True
+                daemon.store.silent_tables |= {'op', 'servers'}
+            await asyncio.sleep(1)
+            rig.leader().kill()
+            await asyncio.sleep(OUTAGE)
+            rig.pace.slowness.delays = SLOW_DELAYS
+            for daemon in rig.daemons:
+                daemon.store.commit_delay = 0
+                daemon.store.loses_commits = False
+                daemon.store.silent_tables.clear()
+            for number in range(2):
+                await asyncio.sleep(SLOW_TIME / 2)
+                rig.put_target(number, 'draining')
+            await asyncio.sleep(SLOW_TIME / 2)
+            rig.pace.slowness.delays = (0, 0)
+            ended = rig.ends()
+            await asyncio.sleep(LEADER_LIMIT)
+            leader = rig.find_leader()
+            self.assertIsNotNone(leader, rig.ends())
+            await self.expect_move(rig, 2)
+            self.assertIs(rig.find_leader(), leader, rig.ends())
+            self.assertEqual(rig.ends(), ended)
+            changes.cancel()
+
+        self.play_keyed(scenario)
+
 
 async def change_targets(rig: KeyedRig) -> None:
     """Let a target that keeps its keys write its row again and again."""
