--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -11,10 +11,12 @@
 from cassialever.platform.store import LONG_POLL_WAIT, StoreClient
 from cassialever.types import Seconds
 
-#: Delay after the first failed call; it doubles up to the maximum.
+#: Time from the beginning of the first failed call to the next one, with up to
+#: as much jitter; it doubles up to the maximum. Silent calls count, so that a
+#: store that answers again is called in time. Also the least pause.
 INITIAL_RETRY_DELAY: Final[Seconds] = 0.1
-MAX_RETRY_DELAY: Final[Seconds] = 0.8
-#: Delay after a failed call for changes once the table could be read whole.
+MAX_RETRY_DELAY: Final[Seconds] = 0.7
+#: The same for a failed call for changes once the table could be read whole.
 WHOLE_READ_DELAY: Final[Seconds] = 0.5
 #: Delay after a change, so that changes which come together are read in one
 #: call: targets that start together register within it.
@@ -41,16 +43,20 @@
         self.is_whole = False
         return is_followed
 
-    def lose_history(self) -> None:
-        """Note that the table must be read whole."""
-        self._needs_snapshot = True
-        self.is_whole = True
+    def fail(self, kind: ErrorKind, *, is_repeated: bool) -> bool:
+        """Note a failure, after another one if it is repeated.
 
-    def fail(self, *, is_repeated: bool) -> None:
-        """Note a failure, after another one if it is repeated."""
-        self.is_whole = self._needs_snapshot or (
-            is_repeated and not self.is_whole
-        )
+        Return whether the table is to be read whole at once.
+        """
+        was_whole = self.is_whole
+        if kind is ErrorKind.table_conflict:
+            if not self._needs_snapshot:
+                self.delay = INITIAL_RETRY_DELAY
+            self._needs_snapshot = True
+            self.is_whole = True
+            return not was_whole
+        self.is_whole = self._needs_snapshot or (is_repeated and not was_whole)
+        return False
 
 
 class StoreFollower:
@@ -69,6 +75,10 @@
         `batch_delay` is the pause after an answer with changes.
         """
         self._tables = tables
+        #: Those by which requests are routed. Only leaders write the own table.
+        self._routing_tables = tuple(
+            table for table in tables if table in view.tables_of_other_writers
+        )
         self._batch_delay = batch_delay
         self._store = store
         self._view = view
@@ -83,8 +93,11 @@
         self._answer_time_by_table: dict[str, Seconds] = {}
 
     def age(self) -> Seconds:
-        """Return the time since all tables were known to be complete."""
-        return max(self._age_of(table) for table in self._tables)
+        """Return the time since all routing tables were complete.
+
+        A leader's tables are of the same age without the own one.
+        """
+        return max(self._age_of(table) for table in self._routing_tables)
 
     async def run(self) -> None:
         """Follow every table until cancelled."""
@@ -95,41 +108,48 @@
     async def _follow(self, table: str) -> None:
         calls = _Calls(table not in self._view.rows.version_by_table)
         while True:
+            began_at = self._clock.boot()
             failure = await self._update_once(table, calls.is_whole)
             if failure is None:
                 if calls.succeed():
                     self._note_success(table)
                 continue
-            if failure.kind is ErrorKind.table_conflict:
-                calls.lose_history()
+            is_repeated = table in self.failing_tables
+            if calls.fail(failure.kind, is_repeated=is_repeated):
                 record(Event.history_lost, table=table, reason=failure.reason)
                 continue
-            calls.fail(is_repeated=table in self.failing_tables)
             self._note_failure(table, failure)
-            # Jitter keeps daemons from retrying in step.
-            await asyncio.sleep(calls.delay * (1 + self._random.random()))
+            await asyncio.sleep(self._pause(calls.delay, began_at))
             calls.delay = min(calls.delay * 2, MAX_RETRY_DELAY)
 
     async def _update_once(
         self, table: str, needs_snapshot: bool
     ) -> Failure | None:
         called_at = self._clock.boot()
-        if needs_snapshot:
+        after = self._view.rows.version_by_table.get(table)
+        # It is forgotten when changes of a key map do not apply.
+        if needs_snapshot or after is None:
             snapshot = await self._store.read_all(table)
             if isinstance(snapshot, Failure):
                 return snapshot
-            if self._view.replace(table, snapshot.rows, snapshot.version):
+            if self._view.replace(
+                table, snapshot.rows, snapshot.version, began_at=called_at
+            ):
                 self._complete_at_by_table[table] = called_at
                 return None
             return Failure(
-                ErrorKind.table_unavailable,
+                ErrorKind.table_conflict,
                 f'the store returned outdated version {snapshot.version}',
             )
-        after = self._view.rows.version_by_table[table]
         wait = self._longest_wait(table)
         changed = await self._store.wait_for_changes(table, after, wait)
         if isinstance(changed, Failure):
             return changed
+        if changed.version < after:
+            return Failure(
+                ErrorKind.table_conflict,
+                f'the store has no version {after}, but {changed.version}',
+            )
         self._view.apply(table, changed.rows, changed.version)
         if changed.rows:
             self._complete_at_by_table[table] = called_at
@@ -159,6 +179,15 @@
         answer_time = self._answer_time_by_table.get(table, 0)
         return max(0, LONG_POLL_WAIT - self._age_of(table) - answer_time)
 
+    def _pause(self, delay: Seconds, began_at: Seconds) -> Seconds:
+        """Return how long to wait after a failed call.
+
+        Jitter keeps daemons from retrying in step.
+        """
+        stretch = 1 + self._random.random()
+        left = began_at + delay * stretch - self._clock.boot()
+        return max(left, INITIAL_RETRY_DELAY * stretch)
+
     def _note_failure(self, table: str, failure: Failure) -> None:
         if table not in self.failing_tables:
             record(Event.table_unavailable, table=table, reason=failure.reason)
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -203,13 +203,16 @@
         """Look for the leader once, then follow or replace it."""
         self.contact.begin_pass()
         snapshot: Rows | Failure | None = None
+        began_at = self._clock.boot()
         if not self._stop_asked.is_set():
             snapshot = await self._store.read_all(OWN_TABLE)
         if snapshot is None or isinstance(snapshot, Failure):
             # A stop needs no more than a leader that others know.
             await self._ask_peers()
             return
-        self._view.replace(OWN_TABLE, snapshot.rows, snapshot.version)
+        self._view.replace(
+            OWN_TABLE, snapshot.rows, snapshot.version, began_at=began_at
+        )
         leader = self._view.leader
         if leader is None:
             await self._try_to_lead()
@@ -277,7 +280,10 @@
             return
         if self._stop_asked.is_set():
             # The stop began while the lease was taken.
-            await leader_term.resign()
+            try:
+                await leader_term.resign()
+            finally:
+                self.contact.terms.note(leader_term.end(TermEnd.resigned))
             return
         await self._lead(leader_term)
 
@@ -415,12 +421,12 @@
             (lease_task, *tasks),
             return_when=asyncio.FIRST_COMPLETED,
         )
+        for task in done:
+            task.result()
+        await lease_task
     except asyncio.CancelledError:
         leader_term.end(TermEnd.aborted)
         raise
-    for task in done:
-        task.result()
-    await lease_task
 
 
 def addresses_to_ask(membership: Membership) -> list[str]:
--- a/cassialever/gateway/own_state.py
+++ b/cassialever/gateway/own_state.py
@@ -56,9 +56,11 @@
     """Return readings of the leader, and of the age of the tables."""
     contact = membership.contact
     age = contact.tables_age(membership.tables_age())
+    false_versions = membership.link.view.rows.false_versions
     return [
         Reading('seconds_without_leader', time_without_leader(membership)),
         Reading('tables_age_seconds', age),
+        Reading('versions_disproved', false_versions.count),
         *(
             Reading('tables_age_by_way_seconds', by_way, {'way': way.value})
             for way, by_way in _age_by_way(membership).items()
@@ -68,6 +70,9 @@
             for end, count in contact.terms.count_by_end.items()
         ),
         Reading('short_terms', contact.terms.short_count),
+        Reading('leader_changes', contact.changes.total),
+        Reading('leaders_seen', contact.changes.seen_count),
+        Reading('leaders_short', contact.changes.short_count),
         *(
             Reading('elections_failed', count, {'reason': hindrance.name})
             for hindrance, count in contact.attempts.total_by_hindrance.items()
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -288,6 +288,8 @@
         self.refused_tables: set[str] = set()
         self.silent_tables: set[str] = set()
         self.calls = 0
+        #: The newest version that an answer has told.
+        self._newest = 0
         #: Commits that go on though their callers have gone.
         self._performing: set[asyncio.Task[Any]] = set()
 
@@ -298,23 +300,26 @@
             return refused_call()
         before, after = pace.slowness.draw(COMMIT_PATH, self._machine.name)
         before += self.commit_delay
+        at_least = RowVersion(self._newest + 1)
         if not before + after and not pace.standstill.is_on:
-            return await self._commit(transaction)
+            return self._note(await self._commit(transaction, at_least))
         task = asyncio.create_task(
-            self._commit_late(transaction, before, after)
+            self._commit_late(
+                self._commit(transaction, at_least), before, after
+            )
         )
         self._performing.add(task)
         task.add_done_callback(self._performing.discard)
         done, _ = await asyncio.wait((task,), timeout=store.CALL_TIMEOUT)
-        return task.result() if done else lost_answer()
+        return self._note(task.result()) if done else lost_answer()
 
     async def read(self, table: str, start: str = '') -> Any:
         return await self.read_all(table)
 
     async def read_all(self, table: str) -> Any:
         self.calls += 1
-        return await self._paced(
-            self._read(table), READ_PATH, store.CALL_TIMEOUT
+        return self._note(
+            await self._paced(self._read(table), READ_PATH, store.CALL_TIMEOUT)
         )
 
     async def wait_for_changes(
@@ -322,21 +327,21 @@
     ) -> Any:
         self.calls += 1
         limit = wait + store.POLL_ANSWER_TIMEOUT
-        return await self._paced(
-            self._wait(table, after, wait), FEED_PATH, limit
+        return self._note(
+            await self._paced(self._wait(table, after, wait), FEED_PATH, limit)
         )
 
     async def _commit_late(
-        self, transaction: rows.Transaction, before: float, after: float
+        self, call: Coroutine[Any, Any, Any], before: float, after: float
     ) -> Any:
-        await self._rig.pace.standstill.wait()
-        await asyncio.sleep(before)
-        answer = await self._commit(transaction)
-        await asyncio.sleep(after)
+        answer = await self._read_late(call, before, after)
         if after and isinstance(answer, rows.Committed):
             # The newest version is that at the time of the answer.
-            newest = RowVersion(self._rig.rows.version)
-            return rows.Committed(newest, self._machine.loop.time())
+            return msgspec.structs.replace(
+                answer,
+                version=RowVersion(self._rig.rows.version),
+                store_time=self._machine.loop.time(),
+            )
         return answer
 
     async def _paced(
@@ -370,7 +375,9 @@
         await asyncio.sleep(after)
         return answer
 
-    async def _commit(self, transaction: rows.Transaction) -> Any:
+    async def _commit(
+        self, transaction: rows.Transaction, at_least: RowVersion
+    ) -> Any:
         await asyncio.sleep(STORE_DELAY)
         if self.is_cut:
             return await self._fail(store.CALL_TIMEOUT)
@@ -382,9 +389,10 @@
             self._rig.wake()
         if self.loses_commits:
             return await self._fail(store.CALL_TIMEOUT)
+        version = RowVersion(self._rig.rows.version)
         if isinstance(outcome, int):
-            return rows.Committed(RowVersion(self._rig.rows.version), now)
-        return rows.Conflict(decode(outcome), now)
+            return rows.Committed(version, now, at_least)
+        return rows.Conflict(decode(outcome), now, version)
 
     async def _read(self, table: str) -> Any:
         await asyncio.sleep(STORE_DELAY)
@@ -422,7 +430,9 @@
         version = RowVersion(shown.version)
         await self._transfer(changed or [])
         return rows.Rows(
-            decode(changed or []), version, self._machine.loop.time()
+            decode(changed or []),
+            version,
+            self._machine.loop.time(),
         )
 
     def _shown(self, table: str, *, is_feed: bool) -> RowStore:
@@ -435,6 +445,12 @@
             )
         )
 
+    def _note(self, answer: Any) -> Any:
+        """Note the version that an answer tells, as the client does."""
+        if not isinstance(answer, Failure):
+            self._newest = max(self._newest, answer.version)
+        return answer
+
     async def _fail(self, delay: float) -> Failure:
         await asyncio.sleep(delay)
         return lost_answer()
