Soak: faults of the store's pace and versions, and judges of recovery

New faults: other writers commit between transactions and their answers, which name the newest version; the store stands still and performs its queue late, is slow, or shows a table late; several of these in series; one machine that can't lead, since its transactions conflict or its reads of the leader's table are refused.

New judgements: some daemon leads within 3 s, when all but one in nine can; no term ends within 5 s, and no warning of short terms comes, without a fault that concerned the daemon or the store; tables of daemons that reach the store are under 2 s old while nobody leads. All bounds that there were stay.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -101,7 +101,7 @@
         callers.violations[:0] = (
             *judge.violations,
             *leaving.violations(),
-            *leader_judge.violations,
+            *watch.violations(),
             *service_watch.violations(),
         )
         injector.events.extend((*watch.events, *judge.stretched))
@@ -136,6 +136,12 @@
         callers.outcome_counts['without a leader, ms'] = int(
             leader_judge.longest * 1000
         )
+        callers.outcome_counts['without a leader or a fault, ms'] = int(
+            watch.recovery.longest * 1000
+        )
+        callers.outcome_counts['oldest tables without a leader, ms'] = int(
+            watch.tables.oldest * 1000
+        )
         callers.outcome_counts['two leaders, ms'] = int(
             leader_judge.longest_shared * 1000
         )
--- a/soak/daemon_logs.py
+++ b/soak/daemon_logs.py
@@ -59,13 +59,18 @@
     return '; '.join(parts) + way
 
 
-def _lines_until(log: pathlib.Path, at: float) -> Iterator[dict[str, Any]]:
+def lines_of(log: pathlib.Path) -> Iterator[dict[str, Any]]:
+    """Yield the lines of a log that are whole."""
     for line in log.read_bytes().splitlines():
         try:
-            fields = msgspec.json.decode(line, type=dict[str, Any])
+            yield msgspec.json.decode(line, type=dict[str, Any])
         except msgspec.DecodeError:
             # A traceback, or a line that a kill has cut.
             continue
+
+
+def _lines_until(log: pathlib.Path, at: float) -> Iterator[dict[str, Any]]:
+    for fields in lines_of(log):
         if fields.get('time', at) >= at:
             return
         yield fields
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,7 @@
 from soak.proxy import ProxyMode
 from soak.service_judging import KeyServiceJudge
 from soak.store_faults import StoreFaults
+from soak.store_troubles import StoreTroubles
 from standins.crashes import CrashPlan
 from standins.keyed_target import TargetServer
 from tests.replay_helpers import (
@@ -116,6 +117,7 @@
         self.violations: list[str] = []
         parts = (fleet, self._random, self.log_event, self._kill_all)
         self.store_faults = StoreFaults(*parts)
+        self.store_troubles = StoreTroubles(*parts)
         self.hard_faults = HardFaults(*parts)
         self.hard_faults.change = change
         owners = OwnerFaults(fleet, self._random, self.log_event, keys)
@@ -140,6 +142,10 @@
             self.store_faults.spoil_commits,
             self.store_faults.cut_answers,
             self.store_faults.refuse_calls,
+            self.store_faults.hinder_one,
+            self.store_troubles.answer_newest,
+            self.store_troubles.change_pace,
+            self.store_troubles.follow_in_series,
             self.hard_faults.stop_leader,
             self.hard_faults.kill_all_informed,
             self.hard_faults.silence_connections,
@@ -159,6 +165,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         self.store_faults.ends_at = self.hard_faults.ends_at = deadline
+        self.store_troubles.ends_at = deadline
         if len(set(self._fleet.checkouts)) > 1:
             self._tasks.add(asyncio.ensure_future(self._replace_build()))
         while loop.time() < deadline:
@@ -305,9 +312,11 @@
         else:
             self.log_event('store refuses calls')
             store.error_status = self._random.choice((429, 503))
+            self._fleet.outages.begin()
         await self._wait_fault_duration()
         store.drops_responses = False
         store.error_status = None
+        self._fleet.outages.end()
         self._fleet.store_disruptions.end()
         self.log_event('store is healthy')
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,9 +14,11 @@
 import msgspec
 
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
+from soak.daemon_logs import lines_of
 from soak.disruptions import Disruptions
 from soak.judging import MAX_SKEW, STABLE_TIME, Leaving
 from soak.proxy import FaultProxy, ProxyMode
+from standins.call_faults import FEED_PATH, READ_PATH, CallFault
 from standins.keyed_target import TargetServer
 from standins.listening import free_ports
 from standins.rowstore import RowStoreServer
@@ -34,6 +36,8 @@
 #: Service time of the targets, in seconds.
 SERVICE_TIME = 0.01
 DATA_CENTRES = ('astana-a', 'astana-b')
+#: Time within which a daemon logs what has happened to it, in seconds.
+NEWS_TIME = 0.3
 #: The last number of the first daemon's `target_host`. Targets listen at
 #: 127.0.0.1.
 FIRST_TARGET_HOST = 2
@@ -104,6 +108,10 @@
         self._suspensions = Disruptions()
         #: When its connections were reset, or went silent.
         self.resets = Disruptions()
+        #: When its calls met faults of the store, and when its paths to targets
+        #: were cut.
+        self.call_faults = Disruptions()
+        self.cuts = Disruptions()
         #: Number of processes that were started.
         self.life = 0
 
@@ -161,6 +169,10 @@
             and self.resets.is_calm(since, until)
         )
 
+    def is_process_calm(self, since: float, until: float) -> bool:
+        """Return whether the process ran and was not asked to stop."""
+        return self._ends.is_calm(since, until)
+
     def is_running(self) -> bool:
         """Return whether its process and its path to the store work now."""
         now = asyncio.get_running_loop().time()
@@ -186,12 +198,7 @@
         its messages.
         """
         counts: Counter[str] = Counter()
-        for line in self.log.read_bytes().splitlines():
-            try:
-                fields = msgspec.json.decode(line, type=dict[str, Any])
-            except msgspec.DecodeError:
-                # A traceback, or a line that a kill has cut.
-                continue
+        for fields in lines_of(self.log):
             reason = fields.get(
                 'reason', fields.get('type', fields.get('invariant', ''))
             )
@@ -291,6 +298,8 @@
         #: some machines or some calls away.
         self.store_disruptions = Disruptions()
         self.store_refusals = Disruptions()
+        #: When it was down, stood still, or was slow or behind.
+        self.outages = Disruptions()
         #: Names of daemons by the ports of their connections to the store.
         self._machine_by_port: dict[int, str] = {}
         self.store.machine_at = lambda port: self._machine_by_port.get(port, '')
@@ -395,16 +404,89 @@
 
     def may_lead(self, daemon: DaemonProcess) -> bool:
         """Return whether the store accepts transactions of a daemon now."""
+        now = asyncio.get_running_loop().time()
         return (
             daemon.is_running()
             and self.store.error_status is None
             and not self.store.drops_responses
+            and self.outages.is_calm(now, now)
             and not any(
                 fault.keeps_from_leading(daemon.name)
                 for fault in self.store.call_faults
             )
         )
 
+    def is_hindered(self, daemon: DaemonProcess, since: float) -> bool:
+        """Return whether a fault has concerned a daemon since a time."""
+        now = asyncio.get_running_loop().time()
+        return not (
+            self.may_lead(daemon)
+            and self._is_calm_at(daemon, since, now)
+            and daemon.cuts.is_calm(since, now)
+            and daemon.call_faults.is_calm(since, now)
+        )
+
+    def reaches_store(self, daemon: DaemonProcess, since: float) -> bool:
+        """Return whether reads of a daemon have been answered since a time."""
+        now = asyncio.get_running_loop().time()
+        return (
+            daemon.is_running()
+            and self._is_calm_at(daemon, since, now)
+            and self.outages.is_calm(since, now)
+            and not any(
+                {READ_PATH, FEED_PATH} & {*fault.paths}
+                for fault in self._call_faults(daemon)
+            )
+        )
+
+    def is_term_disrupted(
+        self, daemon: DaemonProcess, since: float, until: float
+    ) -> bool:
+        """Return whether a fault may have ended a term of a daemon.
+
+        Calls from before the term may be performed late in it.
+        """
+        calm_since = since - STABLE_TIME
+        return not (
+            self._is_calm_at(daemon, since - NEWS_TIME, until + NEWS_TIME)
+            and daemon.store_proxy is not None
+            and daemon.store_proxy.disruptions.is_calm(calm_since, until)
+            and daemon.call_faults.is_calm(calm_since, until)
+            and self.store_disruptions.is_calm(calm_since, until)
+        )
+
+    def is_to_resign(
+        self, daemon: DaemonProcess, since: float, until: float
+    ) -> bool:
+        """Return whether a daemon is to stop, or some reach fewer targets."""
+        return not daemon.is_process_calm(since, until) or not all(
+            one.cuts.is_calm(since - STABLE_TIME, until) for one in self.daemons
+        )
+
+    def mark_call_faults(self) -> None:
+        """Record which daemons meet faults of the store's calls now."""
+        for daemon in self.daemons:
+            if self._call_faults(daemon):
+                daemon.call_faults.begin()
+            else:
+                daemon.call_faults.end()
+
+    def _call_faults(self, daemon: DaemonProcess) -> list[CallFault]:
+        return [
+            fault
+            for fault in self.store.call_faults
+            if fault.machines is None or daemon.name in fault.machines
+        ]
+
+    def _is_calm_at(
+        self, daemon: DaemonProcess, since: float, until: float
+    ) -> bool:
+        return (
+            daemon.is_undisturbed(since, until)
+            and daemon.store_proxy is not None
+            and daemon.store_proxy.disruptions.is_calm(since, until)
+        )
+
     def confirmed_age(self, daemon: DaemonProcess) -> float:
         """Return the time since a transaction of a daemon was confirmed."""
         now = asyncio.get_running_loop().time()
@@ -494,6 +576,13 @@
             leaving = self._leaving_by_target.pop(target.target_id)
             leaving.taken_back_at = now
 
+    def touch_entry(self, target: TargetServer) -> None:
+        """Write a target's entry, if there is one, as it is."""
+        name = ('servers', target.target_id)
+        row = self.store.rows.row_by_name.get(name)
+        if row is not None and row.value is not None:
+            self.store.put_bytes(*name, base64.b64decode(row.value))
+
     def remove_entry(self, target: TargetServer) -> None:
         """Delete a target's entry, with or without a notice before."""
         self.store.delete('servers', target.target_id)
@@ -529,6 +618,7 @@
         now = asyncio.get_running_loop().time()
         for daemon in daemons:
             daemon.cut_count += 1
+            daemon.cuts.begin()
             daemon.cut_changed_at = now
             daemon.is_cut_off = mode in CUTTING_MODES and not target_ids
             await daemon.set_paths(ProxyMode.forwarding)
@@ -540,6 +630,7 @@
             daemon.cut_count -= 1
             if daemon.cut_count:
                 continue
+            daemon.cuts.end()
             daemon.cut_changed_at = asyncio.get_running_loop().time()
             daemon.is_cut_off = False
             await daemon.set_paths(ProxyMode.forwarding)
--- a/soak/leaders.py
+++ b/soak/leaders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 from math import isfinite
 
 import aiohttp
@@ -10,6 +11,8 @@
 from cassialever.fleet.lease import AUTHORITY_TERM, STALE_AFTER
 from soak.daemon_logs import describe
 from soak.fleet import DaemonProcess, SoakFleet
+from soak.recovery import RecoveryJudge, State, TablesJudge
+from soak.terms import read_terms
 
 #: Longest time without a leader while a machine could lead, in seconds: the
 #: lease becomes stale, each daemon leaves the lead to others that reach more
@@ -124,6 +127,9 @@
         """Report readings to the judge; `run` takes them."""
         self._fleet = fleet
         self._judge = judge
+        self.recovery = RecoveryJudge()
+        self.tables = TablesJudge()
+        self._read_at = 0.0
         self._last_by_name: dict[str, Reading] = {}
         self._history: list[tuple[float, dict[str, Reading]]] = []
         self._described_count = 0
@@ -136,6 +142,8 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 daemons = self._fleet.daemons
+                begun_at = loop.time()
+                self._fleet.mark_call_faults()
                 readings = await asyncio.gather(
                     *(self._read(session, one) for one in daemons)
                 )
@@ -148,9 +156,30 @@
                     self._last_by_name,
                     holder.name if holder else '',
                 )
+                self._judge_recovery(begun_at)
                 self._describe_violations()
                 await asyncio.sleep(POLL_INTERVAL)
 
+    def violations(self) -> list[str]:
+        """Return what the judges found, and terms that ended for no reason."""
+        offset = time.time() - asyncio.get_running_loop().time()
+        lines = [
+            *self._judge.violations,
+            *self.recovery.violations,
+            *self.tables.violations,
+        ]
+        for daemon in self._fleet.daemons:
+            for term in read_terms(daemon.log, offset):
+                span = (daemon, term.began_at, term.ended_at)
+                violation = term.violation(
+                    is_disrupted=self._fleet.is_term_disrupted(*span),
+                    is_ordered=self._fleet.is_to_resign(*span),
+                )
+                if violation is not None:
+                    at = f'{term.ended_at:.2f} {daemon.name}'
+                    lines.append(f'{at}: {violation}')
+        return lines
+
     def current_leader(self) -> DaemonProcess | None:
         """Return the daemon that alone leads, by the last readings."""
         return self._only_leader(self._last_by_name)
@@ -207,15 +236,40 @@
         ]
         return leading[0] if len(leading) == 1 else None
 
+    def _judge_recovery(self, now: float) -> None:
+        """Judge the last readings, which were begun at a moment."""
+        states = {
+            one.name: self._state(one, self._last_by_name[one.name])
+            for one in self._fleet.daemons
+        }
+        since, self._read_at = self._read_at, now
+        is_healthy = self._fleet.store_disruptions.is_calm(
+            since, asyncio.get_running_loop().time()
+        )
+        self.recovery.judge(now, states, store_is_healthy=is_healthy)
+        self.tables.judge(now, states)
+
+    def _state(self, daemon: DaemonProcess, reading: Reading) -> State:
+        is_answering = reading.leads is not None
+        return State(
+            bool(reading.leads),
+            reading.confirmed_age,
+            reading.tables_age,
+            not is_answering or self._fleet.is_hindered(daemon, self._read_at),
+            is_answering and self._fleet.reaches_store(daemon, self._read_at),
+        )
+
     def _describe_violations(self) -> None:
         """Note what each daemon knows while a violation goes on."""
         now = asyncio.get_running_loop().time()
-        for _ in self._judge.violations[self._described_count :]:
+        judges = (self._judge, self.recovery, self.tables)
+        count = sum(len(one.violations) for one in judges)
+        if count > self._described_count:
             self.events.extend(
                 f'{now:.2f} {one.name}{self.describe(one, now)}'
                 for one in self._fleet.daemons
             )
-        self._described_count = len(self._judge.violations)
+        self._described_count = count
 
     async def _read(
         self, session: aiohttp.ClientSession, daemon: DaemonProcess
--- a/soak/store_faults.py
+++ b/soak/store_faults.py
@@ -48,6 +48,17 @@
 )
 
 
+#: Range of the time for which one machine can't lead, in seconds, and the ways:
+#: its transactions conflict, or it can't read the leader's table.
+HINDERED_TIMES = (5.0, 12.0)
+HINDRANCES = (
+    ((COMMIT_PATH,), '', (CallOutcome.conflicting,)),
+    ((READ_PATH, FEED_PATH), OWN_TABLE, TURNED_AWAY),
+)
+#: Part of these faults at whose start the leader, if it is another, is killed.
+REPLACED_PART = 0.5
+
+
 class Victims(enum.Enum):
     """The machines whose transactions meet a fault."""
 
@@ -160,6 +171,32 @@
         async with self._refusing:
             await self._refuse_calls()
 
+    async def hinder_one(self) -> None:
+        """Keep one machine from leading while bounds hold for all others."""
+        if self._refusing.locked():
+            return
+        async with self._refusing:
+            leader = self._fleet.leader()
+            one = self._random.choice(
+                (leader, self._random.choice(self._fleet.daemons))
+            )
+            if one is None or one.store_proxy is None:
+                return
+            paths, table, outcomes = self._random.choice(HINDRANCES)
+            outcome = self._random.choice(outcomes)
+            self._log_event(
+                f'{one.name} alone cannot lead, {table} calls {outcome.value}'
+            )
+            killed = []
+            if leader not in (None, one):
+                killed = [leader] * (self._random.random() < REPLACED_PART)
+            fault = CallFault(outcome, paths, (one.name,), table)
+            with one.store_proxy.disruptions.lasting():
+                await asyncio.gather(
+                    self._apply(fault, Disruptions(), HINDERED_TIMES),
+                    self._kill(killed),
+                )
+
     async def _refuse_calls(self) -> None:
         names = [one.name for one in self._fleet.daemons]
         count = self._random.randint(1, max(1, len(names) - 1))
@@ -181,11 +218,16 @@
         await self._apply(fault, self._fleet.store_refusals)
         await asyncio.gather(*tasks)
 
-    async def _apply(self, fault: CallFault, disruptions: Disruptions) -> None:
+    async def _apply(
+        self,
+        fault: CallFault,
+        disruptions: Disruptions,
+        durations: tuple[float, float] = DURATIONS,
+    ) -> None:
         """Have a fault for some time, until its last call has ended."""
         fleet = self._fleet
         now = asyncio.get_running_loop().time()
-        duration = self._random.uniform(*DURATIONS)
+        duration = self._random.uniform(*durations)
         with disruptions.lasting():
             fleet.store.call_faults.append(fault)
             await asyncio.sleep(min(duration, max(self.ends_at - now, 0)))
--- a/tests/test_soak_judging.py
+++ b/tests/test_soak_judging.py
@@ -10,7 +10,8 @@
 import aiohttp
 import msgspec
 
-from cassialever.fleet.lease import AUTHORITY_TERM
+from cassialever.fleet.lease import AUTHORITY_TERM, STALE_AFTER
+from cassialever.fleet.term_ends import SHORT_TERM, TermEnd
 from soak.changes import (
     JUDGED_SERVICES,
     PATH_PREFIX,
@@ -39,6 +40,14 @@
 )
 from soak.leaving import HEALTH_PATH, LeavingTargets
 from soak.proxy import FaultProxy, ProxyMode
+from soak.recovery import (
+    LED_BOUND,
+    SETTLING_TIME,
+    TABLES_BOUND,
+    RecoveryJudge,
+    State,
+    TablesJudge,
+)
 from soak.service_judging import (
     FLEET_NEWS_BOUND,
     MAX_TOLD,
@@ -52,6 +61,7 @@
     Misdirection,
     judge_misdirections,
 )
+from soak.terms import TermLine, read_terms
 
 HOST = 'judged.example'
 #: Clearly more than the margin for the test's clock, in seconds.
@@ -313,6 +323,176 @@
         self.assertEqual(self._judge(100.0, 150.0, two), [])
 
 
+def _states(
+    count: int, *hindered: int, leading: int | None = None
+) -> dict[str, State]:
+    """Return the states of daemons, by their numbers."""
+    return {
+        f'edge-{number}': State(
+            number == leading,
+            confirmed_age=STALE_AFTER,
+            tables_age=TABLES_BOUND - 0.1,
+            is_hindered=number in hindered,
+        )
+        for number in range(count)
+    }
+
+
+class RecoveryJudgeTest(unittest.TestCase):
+    """Times without a leader after faults, or beside one that can't lead."""
+
+    def setUp(self) -> None:
+        self.judge = RecoveryJudge()
+
+    def _judge(
+        self,
+        since: float,
+        until: float,
+        states: dict[str, State],
+        *,
+        store_is_healthy: bool = True,
+    ) -> list[str]:
+        for tenths in range(int(since * 10), int(until * 10)):
+            self.judge.judge(
+                tenths / 10, states, store_is_healthy=store_is_healthy
+            )
+        return self.judge.violations
+
+    def test_time_after_a_fault_of_the_store(self) -> None:
+        self._judge(100.0, 120.0, _states(9), store_is_healthy=False)
+        ends_at = 120.0 + LED_BOUND
+        self.assertEqual(self._judge(120.0, ends_at, _states(9)), [])
+        (violation,) = self._judge(ends_at, ends_at + 9, _states(9))
+        self.assertIn('nobody leads for 3.10 s', violation)
+        self._judge(132.0, 133.0, _states(9, leading=3))
+        self.assertEqual(len(self._judge(133.0, 137.0, _states(9))), 2)
+
+    def test_one_of_nine_that_cannot_lead(self) -> None:
+        """Also if it says that it leads, after its lease became stale."""
+        for leading in (None, 0):
+            with self.subTest(leading=leading):
+                self.setUp()
+                states = _states(9, 0, leading=leading)
+                (violation,) = self._judge(100.0, 110.0, states)
+                self.assertIn("but of ['edge-0']", violation)
+
+    def test_hindered_leader_whose_lease_is_valid(self) -> None:
+        states = _states(9, 0, leading=0)
+        states['edge-0'] = msgspec.structs.replace(
+            states['edge-0'], confirmed_age=STALE_AFTER - 0.1
+        )
+        self.assertEqual(self._judge(100.0, 110.0, states), [])
+
+    def test_many_that_cannot_lead(self) -> None:
+        self.assertEqual(self._judge(100.0, 110.0, _states(9, 0, 1)), [])
+        self.assertEqual(len(self._judge(110.0, 120.0, _states(18, 0, 1))), 1)
+
+    def test_faults_of_one_after_another(self) -> None:
+        """Each begins the time anew; the end of one does not."""
+        for number in range(5):
+            start = 100.0 + 3 * number
+            self._judge(start, start + 3, _states(9, number))
+        self.assertEqual(self.judge.violations, [])
+        self.assertEqual(len(self._judge(115.0, 116.0, _states(9))), 1)
+
+
+class TablesJudgeTest(unittest.TestCase):
+    """Ages of tables while nobody leads."""
+
+    def setUp(self) -> None:
+        self.judge = TablesJudge()
+
+    def _judge(
+        self, since: float, until: float, state: State, *, leading: bool = False
+    ) -> list[str]:
+        others = _states(2, leading=1 if leading else None)
+        for tenths in range(int(since * 10), int(until * 10)):
+            self.judge.judge(tenths / 10, {**others, 'edge-0': state})
+        return self.judge.violations
+
+    def test_old_tables(self) -> None:
+        """Each time is reported once, after the store was reached for long."""
+        old = State(leads=False, tables_age=TABLES_BOUND)
+        ends_at = 100.0 + SETTLING_TIME
+        self.assertEqual(self._judge(100.0, ends_at, old), [])
+        (violation,) = self._judge(ends_at, ends_at + 9, old)
+        self.assertIn('TABLES of edge-0', violation)
+        self.assertIn('2.00 s old', violation)
+        self._judge(112.0, 113.0, _states(1)['edge-0'])
+        self.assertEqual(len(self._judge(113.0, 114.0, old)), 2)
+
+    def test_tables_that_are_allowed_to_be_old(self) -> None:
+        """While some daemon leads, and where the store is not reached."""
+        old = State(leads=False, tables_age=TABLES_BOUND)
+        away = msgspec.structs.replace(old, reaches_store=False)
+        self._judge(100.0, 110.0, old, leading=True)
+        self._judge(110.0, 120.0, away)
+        self._judge(120.0, 122.0, old)
+        self._judge(122.0, 123.0, away)
+        self.assertEqual(self._judge(123.0, 125.0, old), [])
+
+    def test_tables_that_were_never_read(self) -> None:
+        never = State(leads=False, tables_age=float('inf'))
+        self.assertEqual(len(self._judge(100.0, 110.0, never)), 1)
+
+
+class TermTest(unittest.TestCase):
+    """Ends of terms that nothing explains."""
+
+    def _judge(
+        self,
+        end: TermEnd,
+        lasted: float = SHORT_TERM - 0.1,
+        *,
+        count: int | None = None,
+        is_disrupted: bool = False,
+        is_ordered: bool = False,
+    ) -> str | None:
+        line = TermLine(100.0, lasted, end.reason, 'version=7', count)
+        self.assertEqual(line.began_at, 100.0 - lasted)
+        return line.violation(is_disrupted=is_disrupted, is_ordered=is_ordered)
+
+    def test_short_term_without_a_fault(self) -> None:
+        for end in TermEnd:
+            violation = self._judge(end)
+            self.assertIn('ended after 4.90 s without a fault', str(violation))
+            self.assertIn(f'{end.reason} version=7', str(violation))
+            self.assertIsNone(self._judge(end, SHORT_TERM))
+
+    def test_faults_and_orders(self) -> None:
+        """An order explains no other end; nothing explains a failure."""
+        changed = TermEnd.key_map_changed
+        self.assertIsNone(self._judge(changed, is_disrupted=True))
+        self.assertIsNotNone(self._judge(changed, is_ordered=True))
+        self.assertIsNotNone(self._judge(TermEnd.failed, is_disrupted=True))
+        for end in (TermEnd.resigned, TermEnd.aborted):
+            self.assertIsNone(self._judge(end, is_ordered=True))
+
+    def test_warning_of_short_terms(self) -> None:
+        changed = TermEnd.leader_row_changed
+        violation = self._judge(changed, count=3)
+        self.assertIn('the last of 3 short terms in a row', str(violation))
+        self.assertIsNone(self._judge(changed, count=3, is_disrupted=True))
+
+    def test_lines_of_a_log(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            log = pathlib.Path(folder) / 'edge-1.log'
+            log.write_text(
+                '{"time":1100.5,"name":"leader_taken"}\n'
+                '{"time":1101.0,"name":"leader_lost","lasted":0.5,'
+                '"reason":"gone","details":"found=3"}\nTraceback\n'
+                '{"time":1101.5,"name":"terms_short","lasted":0.5,'
+                '"reason":"gone","count":3}\n{"time":11'
+            )
+            self.assertEqual(
+                list(read_terms(log, 1000.0)),
+                [
+                    TermLine(101.0, 0.5, 'gone', 'found=3'),
+                    TermLine(101.5, 0.5, 'gone', count=3),
+                ],
+            )
+
+
 class DaemonLogTest(unittest.TestCase):
     """What a daemon knew, by its log."""
 
