--- a/soak/leaders.py
+++ b/soak/leaders.py
@@ -6,12 +6,11 @@
 from math import isfinite
 
 import aiohttp
-import msgspec
 
 from cassialever.fleet.lease import AUTHORITY_TERM, STALE_AFTER
 from soak.daemon_logs import describe
 from soak.fleet import DaemonProcess, SoakFleet
-from soak.recovery import RecoveryJudge, State, TablesJudge
+from soak.recovery import Reading, RecoveryJudge, TablesJudge
 from soak.terms import read_terms
 
 #: Longest time without a leader while a machine could lead, in seconds: the
@@ -26,20 +25,6 @@
 READING = re.compile(r'^(leads|tables_age_seconds)(?:\{[^}]*\})? (\S+)$', re.M)
 
 
-class Reading(msgspec.Struct, frozen=True):
-    """What the metrics of a daemon tell; None of one that doesn't answer."""
-
-    leads: bool | None
-    tables_age: float | None = None
-    #: Whether it could lead: its process and path work, and the store accepts
-    #: its transactions.
-    may_lead: bool = True
-    #: Time since the store confirmed its last transaction.
-    confirmed_age: float = 0.0
-    #: Which of the daemon's processes told it.
-    life: int = 0
-
-
 class LeaderJudge:
     """Finds times without a leader, and with two, that are too long."""
 
@@ -238,26 +223,14 @@
 
     def _judge_recovery(self, now: float) -> None:
         """Judge the last readings, which were begun at a moment."""
-        states = {
-            one.name: self._state(one, self._last_by_name[one.name])
-            for one in self._fleet.daemons
-        }
         since, self._read_at = self._read_at, now
         is_healthy = self._fleet.store_disruptions.is_calm(
             since, asyncio.get_running_loop().time()
         )
-        self.recovery.judge(now, states, store_is_healthy=is_healthy)
-        self.tables.judge(now, states)
-
-    def _state(self, daemon: DaemonProcess, reading: Reading) -> State:
-        is_answering = reading.leads is not None
-        return State(
-            bool(reading.leads),
-            reading.confirmed_age,
-            reading.tables_age,
-            not is_answering or self._fleet.is_hindered(daemon, self._read_at),
-            is_answering and self._fleet.reaches_store(daemon, self._read_at),
+        self.recovery.judge(
+            now, self._last_by_name, store_is_healthy=is_healthy
         )
+        self.tables.judge(now, self._last_by_name)
 
     def _describe_violations(self) -> None:
         """Note what each daemon knows while a violation goes on."""
@@ -293,4 +266,6 @@
             may_lead and bool(found),
             self._fleet.confirmed_age(daemon),
             daemon.life,
+            not found or self._fleet.is_hindered(daemon, self._read_at),
+            bool(found) and self._fleet.reaches_store(daemon, self._read_at),
         )
--- a/soak/recovery.py
+++ b/soak/recovery.py
@@ -20,30 +20,34 @@
 SETTLING_TIME = 3.0
 
 
-class State(msgspec.Struct, frozen=True):
-    """What is known of a daemon since the last reading."""
+class Reading(msgspec.Struct, frozen=True):
+    """What the metrics of a daemon tell; None of one that doesn't answer."""
 
-    leads: bool
+    leads: bool | None
+    tables_age: float | None = None
+    #: Whether it could lead: its process and path work, and the store accepts
+    #: its transactions.
+    may_lead: bool = True
     #: Time since the store confirmed its last transaction.
     confirmed_age: float = 0.0
-    #: Age of its tables; None if it doesn't answer.
-    tables_age: float | None = None
-    #: Whether a fault concerns its process, its paths or its calls.
+    #: Which of the daemon's processes told it.
+    life: int = 0
+    #: Whether a fault has concerned its process, its paths or its calls since
+    #: the readings before, and whether its reads were answered at once.
     is_hindered: bool = False
-    #: Whether its reads of the store are answered at once.
     reaches_store: bool = True
 
     def holds_lease(self) -> bool:
         """Return whether it leads, and not only by its own account."""
         is_confirmed = self.confirmed_age < STALE_AFTER
-        return self.leads and (is_confirmed or not self.is_hindered)
+        return bool(self.leads) and (is_confirmed or not self.is_hindered)
 
 
 class RecoveryJudge:
     """Finds times without a leader that no fault explains any more."""
 
     def __init__(self) -> None:
-        """Start without states."""
+        """Start without readings."""
         self.violations: list[str] = []
         self.longest = 0.0
         self._hindered: frozenset[str] = frozenset()
@@ -55,16 +59,16 @@
     def judge(
         self,
         now: float,
-        state_by_name: Mapping[str, State],
+        reading_by_name: Mapping[str, Reading],
         *,
         store_is_healthy: bool,
     ) -> None:
-        """Judge the states of all daemons at one moment."""
+        """Judge the readings of all daemons at one moment."""
         hindered = frozenset(
-            name for name, one in state_by_name.items() if one.is_hindered
+            name for name, one in reading_by_name.items() if one.is_hindered
         )
-        most = max(1, len(state_by_name) // DAEMONS_PER_HINDERED)
-        is_led = any(one.holds_lease() for one in state_by_name.values())
+        most = max(1, len(reading_by_name) // DAEMONS_PER_HINDERED)
+        is_led = any(one.holds_lease() for one in reading_by_name.values())
         is_excused = not store_is_healthy or len(hindered) > most
         is_new_fault = bool(hindered - self._hindered)
         self._hindered = hindered
@@ -88,25 +92,25 @@
     """Finds tables that grow old while nobody leads."""
 
     def __init__(self) -> None:
-        """Start without states."""
+        """Start without readings."""
         self.violations: list[str] = []
         self.oldest = 0.0
         #: Since when each daemon reaches the store.
         self._since_by_name: dict[str, float] = {}
         self._reported: set[str] = set()
 
-    def judge(self, now: float, state_by_name: Mapping[str, State]) -> None:
-        """Judge the states of all daemons at one moment."""
-        is_led = any(one.holds_lease() for one in state_by_name.values())
-        for name, state in state_by_name.items():
-            if not state.reaches_store:
+    def judge(self, now: float, reading_by_name: Mapping[str, Reading]) -> None:
+        """Judge the readings of all daemons at one moment."""
+        is_led = any(one.holds_lease() for one in reading_by_name.values())
+        for name, reading in reading_by_name.items():
+            if not reading.reaches_store:
                 self._since_by_name.pop(name, None)
                 continue
             since = self._since_by_name.setdefault(name, now)
             if is_led or now - since < SETTLING_TIME:
                 self._reported.discard(name)
                 continue
-            self._judge_age(now, name, state.tables_age)
+            self._judge_age(now, name, reading.tables_age)
 
     def _judge_age(self, now: float, name: str, age: float | None) -> None:
         if age is None:
--- a/tests/test_soak_judging.py
+++ b/tests/test_soak_judging.py
@@ -45,7 +45,6 @@
     SETTLING_TIME,
     TABLES_BOUND,
     RecoveryJudge,
-    State,
     TablesJudge,
 )
 from soak.service_judging import (
@@ -323,12 +322,12 @@
         self.assertEqual(self._judge(100.0, 150.0, two), [])
 
 
-def _states(
+def _fleet_readings(
     count: int, *hindered: int, leading: int | None = None
-) -> dict[str, State]:
-    """Return the states of daemons, by their numbers."""
+) -> dict[str, Reading]:
+    """Return what daemons tell, by their numbers."""
     return {
-        f'edge-{number}': State(
+        f'edge-{number}': Reading(
             number == leading,
             confirmed_age=STALE_AFTER,
             tables_age=TABLES_BOUND - 0.1,
@@ -348,52 +347,56 @@
         self,
         since: float,
         until: float,
-        states: dict[str, State],
+        readings: dict[str, Reading],
         *,
         store_is_healthy: bool = True,
     ) -> list[str]:
         for tenths in range(int(since * 10), int(until * 10)):
             self.judge.judge(
-                tenths / 10, states, store_is_healthy=store_is_healthy
+                tenths / 10, readings, store_is_healthy=store_is_healthy
             )
         return self.judge.violations
 
     def test_time_after_a_fault_of_the_store(self) -> None:
-        self._judge(100.0, 120.0, _states(9), store_is_healthy=False)
+        self._judge(100.0, 120.0, _fleet_readings(9), store_is_healthy=False)
         ends_at = 120.0 + LED_BOUND
-        self.assertEqual(self._judge(120.0, ends_at, _states(9)), [])
-        (violation,) = self._judge(ends_at, ends_at + 9, _states(9))
+        self.assertEqual(self._judge(120.0, ends_at, _fleet_readings(9)), [])
+        (violation,) = self._judge(ends_at, ends_at + 9, _fleet_readings(9))
         self.assertIn('nobody leads for 3.10 s', violation)
-        self._judge(132.0, 133.0, _states(9, leading=3))
-        self.assertEqual(len(self._judge(133.0, 137.0, _states(9))), 2)
+        self._judge(132.0, 133.0, _fleet_readings(9, leading=3))
+        self.assertEqual(len(self._judge(133.0, 137.0, _fleet_readings(9))), 2)
 
     def test_one_of_nine_that_cannot_lead(self) -> None:
         """Also if it says that it leads, after its lease became stale."""
         for leading in (None, 0):
             with self.subTest(leading=leading):
                 self.setUp()
-                states = _states(9, 0, leading=leading)
-                (violation,) = self._judge(100.0, 110.0, states)
+                readings = _fleet_readings(9, 0, leading=leading)
+                (violation,) = self._judge(100.0, 110.0, readings)
                 self.assertIn("but of ['edge-0']", violation)
 
     def test_hindered_leader_whose_lease_is_valid(self) -> None:
-        states = _states(9, 0, leading=0)
-        states['edge-0'] = msgspec.structs.replace(
-            states['edge-0'], confirmed_age=STALE_AFTER - 0.1
+        readings = _fleet_readings(9, 0, leading=0)
+        readings['edge-0'] = msgspec.structs.replace(
+            readings['edge-0'], confirmed_age=STALE_AFTER - 0.1
         )
-        self.assertEqual(self._judge(100.0, 110.0, states), [])
+        self.assertEqual(self._judge(100.0, 110.0, readings), [])
 
     def test_many_that_cannot_lead(self) -> None:
-        self.assertEqual(self._judge(100.0, 110.0, _states(9, 0, 1)), [])
-        self.assertEqual(len(self._judge(110.0, 120.0, _states(18, 0, 1))), 1)
+        self.assertEqual(
+            self._judge(100.0, 110.0, _fleet_readings(9, 0, 1)), []
+        )
+        self.assertEqual(
+            len(self._judge(110.0, 120.0, _fleet_readings(18, 0, 1))), 1
+        )
 
     def test_faults_of_one_after_another(self) -> None:
         """Each begins the time anew; the end of one does not."""
         for number in range(5):
             start = 100.0 + 3 * number
-            self._judge(start, start + 3, _states(9, number))
+            self._judge(start, start + 3, _fleet_readings(9, number))
         self.assertEqual(self.judge.violations, [])
-        self.assertEqual(len(self._judge(115.0, 116.0, _states(9))), 1)
+        self.assertEqual(len(self._judge(115.0, 116.0, _fleet_readings(9))), 1)
 
 
 class TablesJudgeTest(unittest.TestCase):
@@ -403,27 +406,32 @@
         self.judge = TablesJudge()
 
     def _judge(
-        self, since: float, until: float, state: State, *, leading: bool = False
+        self,
+        since: float,
+        until: float,
+        reading: Reading,
+        *,
+        leading: bool = False,
     ) -> list[str]:
-        others = _states(2, leading=1 if leading else None)
+        others = _fleet_readings(2, leading=1 if leading else None)
         for tenths in range(int(since * 10), int(until * 10)):
-            self.judge.judge(tenths / 10, {**others, 'edge-0': state})
+            self.judge.judge(tenths / 10, {**others, 'edge-0': reading})
         return self.judge.violations
 
     def test_old_tables(self) -> None:
         """Each time is reported once, after the store was reached for long."""
-        old = State(leads=False, tables_age=TABLES_BOUND)
+        old = Reading(leads=False, tables_age=TABLES_BOUND)
         ends_at = 100.0 + SETTLING_TIME
         self.assertEqual(self._judge(100.0, ends_at, old), [])
         (violation,) = self._judge(ends_at, ends_at + 9, old)
         self.assertIn('TABLES of edge-0', violation)
         self.assertIn('2.00 s old', violation)
-        self._judge(112.0, 113.0, _states(1)['edge-0'])
+        self._judge(112.0, 113.0, _fleet_readings(1)['edge-0'])
         self.assertEqual(len(self._judge(113.0, 114.0, old)), 2)
 
     def test_tables_that_are_allowed_to_be_old(self) -> None:
         """While some daemon leads, and where the store is not reached."""
-        old = State(leads=False, tables_age=TABLES_BOUND)
+        old = Reading(leads=False, tables_age=TABLES_BOUND)
         away = msgspec.structs.replace(old, reaches_store=False)
         self._judge(100.0, 110.0, old, leading=True)
         self._judge(110.0, 120.0, away)
@@ -432,7 +440,7 @@
         self.assertEqual(self._judge(123.0, 125.0, old), [])
 
     def test_tables_that_were_never_read(self) -> None:
-        never = State(leads=False, tables_age=float('inf'))
+        never = Reading(leads=False, tables_age=float('inf'))
         self.assertEqual(len(self._judge(100.0, 110.0, never)), 1)
 
 
