--- a/soak/hard_faults.py
+++ b/soak/hard_faults.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import sys
-from collections.abc import Callable, Collection
-from typing import Any
+from collections.abc import Awaitable, Callable, Collection
 
 from cassialever.fleet.lease import AUTHORITY_TERM
-from soak.drawn_faults import DrawnFaults
-from soak.fleet import DaemonProcess
+from soak.fleet import DaemonProcess, SoakFleet
 from soak.peer_links import silence_links
 
 #: How long a leader is stopped, in seconds: longer than its authority.
@@ -27,17 +26,28 @@
 BUSY_PROGRAM = 'while True: pass'
 
 
-class HardFaults(DrawnFaults):
+class HardFaults:
     """Faults that last, or meet all daemons, drawn at random."""
 
-    def __init__(self, *parts: Any) -> None:
-        """Prepare the faults of the fleet."""
-        super().__init__(*parts)
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        source: random.Random,
+        log_event: Callable[[str], None],
+        kill: Callable[[Collection[DaemonProcess]], Awaitable[None]],
+    ) -> None:
+        """Prepare the faults; `kill` ends daemons and starts them again."""
+        self._fleet = fleet
+        self._random = source
+        self._log_event = log_event
+        self._kill = kill
         self._crowding = asyncio.Lock()
         self._stopping = asyncio.Lock()
         self._next_kill_at = 0.0
         #: Writes a configuration.
         self.change: Callable[[], None] = _change_nothing
+        #: No fault lasts longer than this, by the loop's clock.
+        self.ends_at = float('inf')
 
     async def stop_leader(self) -> None:
         """Stop the leader for longer than its authority, if time allows."""
@@ -96,7 +106,9 @@
         if self._crowding.locked():
             return
         async with self._crowding:
-            duration = self._draw_duration(CROWDED_TIMES)
+            now = asyncio.get_running_loop().time()
+            duration = self._random.uniform(*CROWDED_TIMES)
+            duration = min(duration, max(self.ends_at - now, 0))
             self._log_event('each core has a busy neighbour')
             with contextlib.ExitStack() as stack:
                 for daemon in self._fleet.daemons:
--- a/soak/store_faults.py
+++ b/soak/store_faults.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import enum
-from collections.abc import Awaitable, Collection
-from typing import Any
+import random
+from collections.abc import Awaitable, Callable, Collection
 
 from cassialever.fleet.view import OWN_TABLE
 from soak.disruptions import Disruptions
-from soak.drawn_faults import DrawnFaults
+from soak.fleet import DaemonProcess, SoakFleet
 from standins.call_faults import (
     COMMIT_PATH,
     FEED_PATH,
@@ -68,16 +68,27 @@
     everyone = 'all machines'
 
 
-class StoreFaults(DrawnFaults):
+class StoreFaults:
     """Faults of some calls, drawn at random."""
 
-    def __init__(self, *parts: Any) -> None:
-        """Prepare the faults of the fleet."""
-        super().__init__(*parts)
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        source: random.Random,
+        log_event: Callable[[str], None],
+        kill: Callable[[Collection[DaemonProcess]], Awaitable[None]],
+    ) -> None:
+        """Prepare the faults; `kill` ends daemons and starts them again."""
+        self._fleet = fleet
+        self._random = source
+        self._log_event = log_event
+        self._kill = kill
         #: One fault of transactions at a time: each excuses much.
         self._spoiling = asyncio.Lock()
         #: One fault of other calls: some machine is always served.
         self._refusing = asyncio.Lock()
+        #: No fault lasts longer than this, by the loop's clock.
+        self.ends_at = float('inf')
 
     async def spoil_commits(self) -> None:
         """Refuse transactions, or lose their answers, while reads work."""
@@ -215,9 +226,11 @@
     ) -> None:
         """Have a fault for some time, until its last call has ended."""
         fleet = self._fleet
+        now = asyncio.get_running_loop().time()
+        duration = self._random.uniform(*durations)
         with disruptions.lasting():
             fleet.store.call_faults.append(fault)
-            await asyncio.sleep(self._draw_duration(durations))
+            await asyncio.sleep(min(duration, max(self.ends_at - now, 0)))
             fleet.store.call_faults.remove(fault)
             machines = 'all' if fault.machines is None else fault.machines
             self._log_event(
--- a/soak/store_troubles.py
+++ b/soak/store_troubles.py
@@ -1,14 +1,15 @@
 """Faults of the whole store: late, slow, behind, shared with other writers."""
 
 import asyncio
-from typing import Any
+import random
+from collections.abc import Awaitable, Callable, Collection
 
 from cassialever.fleet.view import OWN_TABLE
-from soak.drawn_faults import DrawnFaults
+from soak.fleet import DaemonProcess, SoakFleet
 
-#: Range of the duration of each fault, in seconds, alone and in a series.
+#: Range of the duration of each fault, in seconds, and the longest in a series.
 DURATIONS = (2.0, 10.0)
-SERIES_DURATIONS = (2.0, 4.0)
+SERIES_FAULT_TIME = 4.0
 #: Times that each call takes in a store that is slow, in seconds: 50 to 95
 #: times as long as usual.
 SLOW_TIMES = (0.5, 0.95)
@@ -28,20 +29,29 @@
 SERIES_INTERVALS = (0.0, 1.5)
 
 
-class StoreTroubles(DrawnFaults):
+class StoreTroubles:
     """Faults of the whole store, drawn at random, each kind one at a time."""
 
-    def __init__(self, *parts: Any) -> None:
-        """Prepare the faults of the fleet."""
-        super().__init__(*parts)
-        self._pace = self._fleet.store.pace
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        source: random.Random,
+        log_event: Callable[[str], None],
+        kill: Callable[[Collection[DaemonProcess]], Awaitable[None]],
+    ) -> None:
+        """Prepare the faults; `kill` ends daemons and starts them again."""
+        self._fleet = fleet
+        self._pace = fleet.store.pace
+        self._random = source
+        self._log_event = log_event
+        self._kill = kill
         self._pacing = asyncio.Lock()
         self._sharing = asyncio.Lock()
         self._following = asyncio.Lock()
+        #: No fault lasts longer than this, by the loop's clock.
+        self.ends_at = float('inf')
 
-    async def answer_newest(
-        self, durations: tuple[float, float] = DURATIONS
-    ) -> None:
+    async def answer_newest(self, longest: float = DURATIONS[1]) -> None:
         """Have other writers commit before transactions are answered.
 
         The answers name the newest version, as they may at any time: nothing
@@ -58,7 +68,7 @@
                 f' of the transactions'
             )
             killing = asyncio.ensure_future(self._kill_leader())
-            duration = self._draw_duration(durations)
+            duration = self._draw_duration(longest)
             for _ in range(int(duration / ENTRY_INTERVAL)):
                 self._fleet.touch_entry(
                     self._random.choice(self._fleet.targets)
@@ -68,9 +78,7 @@
             self._log_event('no others write after transactions')
             await killing
 
-    async def change_pace(
-        self, durations: tuple[float, float] = DURATIONS
-    ) -> None:
+    async def change_pace(self, longest: float = DURATIONS[1]) -> None:
         """Let the store stand still, or be slow, or show a table late."""
         if self._pacing.locked():
             return
@@ -82,7 +90,7 @@
                 self._fleet.outages.lasting(),
                 self._fleet.store_disruptions.lasting(),
             ):
-                await fault(self._draw_duration(durations))
+                await fault(self._draw_duration(longest))
                 self._log_event('the store has its usual pace')
 
     async def follow_in_series(self) -> None:
@@ -94,7 +102,7 @@
                 fault = self._random.choice(
                     (self.answer_newest, self.change_pace)
                 )
-                await fault(SERIES_DURATIONS)
+                await fault(SERIES_FAULT_TIME)
                 await asyncio.sleep(self._random.uniform(*SERIES_INTERVALS))
 
     async def _stand_still(self, duration: float) -> None:
@@ -125,3 +133,8 @@
         leader = self._fleet.leader()
         if leader is not None and self._random.random() < KILLED_PART:
             await self._kill([leader])
+
+    def _draw_duration(self, longest: float) -> float:
+        duration = min(self._random.uniform(*DURATIONS), longest)
+        now = asyncio.get_running_loop().time()
+        return max(min(duration, self.ends_at - now), 0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,17 +9,18 @@
 import unittest
 
 from collections.abc import Awaitable, Callable
-from unittest.mock import Mock, patch
+from unittest.mock import AsyncMock, Mock, patch
 
 import aiohttp
 
-from soak import owner_faults
+from soak import owner_faults, store_troubles
 from soak.__main__ import soak
 from soak.disruptions import Disruptions
 from soak.fleet import OWN_CHECKOUT, SoakFleet
 from soak.owner_faults import OwnerFaults
 from soak.peer_links import silence_links
 from soak.proxy import FaultProxy, ProxyMode
+from soak.store_troubles import StoreTroubles
 from standins import listening
 from standins.call_faults import (
     COMMIT_PATH,
@@ -272,6 +273,74 @@
         asyncio.run(check())
 
 
+class StoreTroublesTest(unittest.TestCase):
+    """Faults of the whole store, without daemons."""
+
+    def _run(self, fault: str, kind: str = '') -> list[tuple[str, bool]]:
+        """Inject a fault; return its events, and whether it was an outage."""
+        events: list[tuple[str, bool]] = []
+
+        async def run(folder: str) -> None:
+            fleet = SoakFleet(pathlib.Path(folder), daemons=0)
+            await fleet.start()
+
+            def note(event: str) -> None:
+                now = asyncio.get_running_loop().time()
+                is_healthy = fleet.store_disruptions.is_calm(now, now)
+                self.assertEqual(fleet.outages.is_calm(now, now), is_healthy)
+                events.append((event, not is_healthy))
+
+            source = random.Random(1)
+            troubles = StoreTroubles(fleet, source, note, AsyncMock())
+            troubles.ends_at = asyncio.get_running_loop().time() + SILENCE
+            if kind:
+                source.choice = lambda kinds: next(
+                    (one for one in kinds if kind in str(one)), kinds[0]
+                )
+            try:
+                await getattr(troubles, fault)()
+                self._check_usual(fleet)
+            finally:
+                await fleet.stop()
+
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            patch.object(store_troubles, 'KILL_TIMES', (0.0, 0.0)),
+        ):
+            asyncio.run(run(folder))
+        return events
+
+    def _check_usual(self, fleet: SoakFleet) -> None:
+        """Check that a store answers as usual."""
+        pace = fleet.store.pace
+        self.assertFalse(pace.standstill.is_on)
+        self.assertEqual(pace.slowness.delays, (0, 0))
+        self.assertEqual(pace.lag.seconds, 0)
+        self.assertEqual(pace.other_writers.share, 0)
+        now = asyncio.get_running_loop().time()
+        self.assertTrue(fleet.outages.is_calm(now, now))
+
+    def test_each_pace(self) -> None:
+        """The store is marked as out until it has its usual pace."""
+        for kind, event in (
+            ('_stand_still', 'the store stands still'),
+            ('_slow_down', 'the store is slow'),
+            ('_show_late', "reads of ['op'] are behind by"),
+        ):
+            with self.subTest(kind=kind):
+                begun, ended = self._run('change_pace', kind)
+                self.assertIn(event, begun[0])
+                self.assertEqual((begun[1], ended[1]), (True, True))
+
+    def test_answers_with_the_newest_version_excuse_nothing(self) -> None:
+        begun, ended = self._run('answer_newest')
+        self.assertIn('rows after 20% of the transactions', begun[0])
+        self.assertEqual((begun[1], ended[1]), (False, False))
+
+    def test_series(self) -> None:
+        self.assertGreaterEqual(len(self._run('follow_in_series')), 4)
+
+
 class FreePortsTest(unittest.TestCase):
     """Ports at which the paths of several daemons listen."""
 
