--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -576,13 +576,6 @@
             leaving = self._leaving_by_target.pop(target.target_id)
             leaving.taken_back_at = now
 
-    def touch_entry(self, target: TargetServer) -> None:
-        """Write a target's entry, if there is one, as it is."""
-        name = ('servers', target.target_id)
-        row = self.store.rows.row_by_name.get(name)
-        if row is not None and row.value is not None:
-            self.store.put_bytes(*name, base64.b64decode(row.value))
-
     def remove_entry(self, target: TargetServer) -> None:
         """Delete a target's entry, with or without a notice before."""
         self.store.delete('servers', target.target_id)
--- a/soak/leaders.py
+++ b/soak/leaders.py
@@ -8,10 +8,10 @@
 import aiohttp
 
 from cassialever.fleet.lease import AUTHORITY_TERM, STALE_AFTER
-from soak.daemon_logs import describe
+from soak.daemon_logs import describe, lines_of
 from soak.fleet import DaemonProcess, SoakFleet
 from soak.recovery import Reading, RecoveryJudge, TablesJudge
-from soak.terms import read_terms
+from soak.terms import TERM_EVENTS, judge_term
 
 #: Longest time without a leader while a machine could lead, in seconds: the
 #: lease becomes stale, each daemon leaves the lead to others that reach more
@@ -154,15 +154,18 @@
             *self.tables.violations,
         ]
         for daemon in self._fleet.daemons:
-            for term in read_terms(daemon.log, offset):
-                span = (daemon, term.began_at, term.ended_at)
-                violation = term.violation(
+            for line in lines_of(daemon.log):
+                if line.get('name') not in TERM_EVENTS:
+                    continue
+                ended_at = line['time'] - offset
+                span = (daemon, ended_at - line['lasted'], ended_at)
+                violation = judge_term(
+                    line,
                     is_disrupted=self._fleet.is_term_disrupted(*span),
                     is_ordered=self._fleet.is_to_resign(*span),
                 )
                 if violation is not None:
-                    at = f'{term.ended_at:.2f} {daemon.name}'
-                    lines.append(f'{at}: {violation}')
+                    lines.append(f'{ended_at:.2f} {daemon.name}: {violation}')
         return lines
 
     def current_leader(self) -> DaemonProcess | None:
--- a/soak/store_troubles.py
+++ b/soak/store_troubles.py
@@ -19,8 +19,6 @@
 #: Parts of the transactions that others write after, and how many rows.
 SHARES = (0.2, 0.5, 1.0)
 BURSTS = (1, 1, 3)
-#: Interval at which entries of targets change meanwhile, in seconds.
-ENTRY_INTERVAL = 0.1
 #: Part of these faults during which the leader is killed, and when, in seconds.
 KILLED_PART = 0.5
 KILL_TIMES = (0.2, 2.0)
@@ -68,12 +66,7 @@
                 f' of the transactions'
             )
             killing = asyncio.ensure_future(self._kill_leader())
-            duration = self._draw_duration(longest)
-            for _ in range(int(duration / ENTRY_INTERVAL)):
-                self._fleet.touch_entry(
-                    self._random.choice(self._fleet.targets)
-                )
-                await asyncio.sleep(ENTRY_INTERVAL)
+            await asyncio.sleep(self._draw_duration(longest))
             writers.share = 0
             self._log_event('no others write after transactions')
             await killing
