--- a/tests/test_soak_judging.py
+++ b/tests/test_soak_judging.py
@@ -6,11 +6,13 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable, Iterator
+from unittest.mock import patch
 
 import aiohttp
 import msgspec
 
-from cassialever.fleet.lease import AUTHORITY_TERM
+from cassialever.fleet.lease import AUTHORITY_TERM, STALE_AFTER
+from cassialever.fleet.term_ends import SHORT_TERM, TermEnd
 from soak.changes import (
     JUDGED_SERVICES,
     PATH_PREFIX,
@@ -35,10 +37,18 @@
     LEADERLESS_BOUND,
     SHARED_BOUND,
     LeaderJudge,
+    LeaderWatch,
     Reading,
 )
 from soak.leaving import HEALTH_PATH, LeavingTargets
 from soak.proxy import FaultProxy, ProxyMode
+from soak.recovery import (
+    LED_BOUND,
+    SETTLING_TIME,
+    TABLES_BOUND,
+    RecoveryJudge,
+    TablesJudge,
+)
 from soak.service_judging import (
     FLEET_NEWS_BOUND,
     MAX_TOLD,
@@ -52,6 +62,7 @@
     Misdirection,
     judge_misdirections,
 )
+from soak.terms import judge_term
 
 HOST = 'judged.example'
 #: Clearly more than the margin for the test's clock, in seconds.
@@ -313,6 +324,203 @@
         self.assertEqual(self._judge(100.0, 150.0, two), [])
 
 
+def _fleet_readings(
+    count: int, *hindered: int, leading: int | None = None
+) -> dict[str, Reading]:
+    """Return what daemons tell, by their numbers."""
+    return {
+        f'edge-{number}': Reading(
+            number == leading,
+            confirmed_age=STALE_AFTER,
+            tables_age=TABLES_BOUND - 0.1,
+            is_hindered=number in hindered,
+        )
+        for number in range(count)
+    }
+
+
+class RecoveryJudgeTest(unittest.TestCase):
+    """Times without a leader after faults, or beside one that can't lead."""
+
+    def setUp(self) -> None:
+        self.judge = RecoveryJudge()
+
+    def _judge(
+        self,
+        since: float,
+        until: float,
+        readings: dict[str, Reading],
+        *,
+        store_is_healthy: bool = True,
+    ) -> list[str]:
+        for tenths in range(int(since * 10), int(until * 10)):
+            self.judge.judge(
+                tenths / 10, readings, store_is_healthy=store_is_healthy
+            )
+        return self.judge.violations
+
+    def test_time_after_a_fault_of_the_store(self) -> None:
+        self._judge(100.0, 120.0, _fleet_readings(9), store_is_healthy=False)
+        ends_at = 120.0 + LED_BOUND
+        self.assertEqual(self._judge(120.0, ends_at, _fleet_readings(9)), [])
+        (violation,) = self._judge(ends_at, ends_at + 9, _fleet_readings(9))
+        self.assertIn('nobody leads for 3.10 s', violation)
+        self._judge(132.0, 133.0, _fleet_readings(9, leading=3))
+        self.assertEqual(len(self._judge(133.0, 137.0, _fleet_readings(9))), 2)
+
+    def test_one_of_nine_that_cannot_lead(self) -> None:
+        """Also if it says that it leads, after its lease became stale."""
+        for leading in (None, 0):
+            with self.subTest(leading=leading):
+                self.setUp()
+                readings = _fleet_readings(9, 0, leading=leading)
+                (violation,) = self._judge(100.0, 110.0, readings)
+                self.assertIn("but of ['edge-0']", violation)
+
+    def test_hindered_leader_whose_lease_is_valid(self) -> None:
+        readings = _fleet_readings(9, 0, leading=0)
+        readings['edge-0'] = msgspec.structs.replace(
+            readings['edge-0'], confirmed_age=STALE_AFTER - 0.1
+        )
+        self.assertEqual(self._judge(100.0, 110.0, readings), [])
+
+    def test_many_that_cannot_lead(self) -> None:
+        self.assertEqual(
+            self._judge(100.0, 110.0, _fleet_readings(9, 0, 1)), []
+        )
+        self.assertEqual(
+            len(self._judge(110.0, 120.0, _fleet_readings(18, 0, 1))), 1
+        )
+
+    def test_faults_of_one_after_another(self) -> None:
+        """Each begins the time anew; the end of one does not."""
+        for number in range(5):
+            start = 100.0 + 3 * number
+            self._judge(start, start + 3, _fleet_readings(9, number))
+        self.assertEqual(self.judge.violations, [])
+        self.assertEqual(len(self._judge(115.0, 116.0, _fleet_readings(9))), 1)
+
+
+class TablesJudgeTest(unittest.TestCase):
+    """Ages of tables while nobody leads."""
+
+    def setUp(self) -> None:
+        self.judge = TablesJudge()
+
+    def _judge(
+        self,
+        since: float,
+        until: float,
+        reading: Reading,
+        *,
+        leading: bool = False,
+    ) -> list[str]:
+        others = _fleet_readings(2, leading=1 if leading else None)
+        for tenths in range(int(since * 10), int(until * 10)):
+            self.judge.judge(tenths / 10, {**others, 'edge-0': reading})
+        return self.judge.violations
+
+    def test_old_tables(self) -> None:
+        """Each time is reported once, after the store was reached for long."""
+        old = Reading(leads=False, tables_age=TABLES_BOUND)
+        ends_at = 100.0 + SETTLING_TIME
+        self.assertEqual(self._judge(100.0, ends_at, old), [])
+        (violation,) = self._judge(ends_at, ends_at + 9, old)
+        self.assertIn('TABLES of edge-0', violation)
+        self.assertIn('2.00 s old', violation)
+        self._judge(112.0, 113.0, _fleet_readings(1)['edge-0'])
+        self.assertEqual(len(self._judge(113.0, 114.0, old)), 2)
+
+    def test_tables_that_are_allowed_to_be_old(self) -> None:
+        """While some daemon leads, and where the store is not reached."""
+        old = Reading(leads=False, tables_age=TABLES_BOUND)
+        away = msgspec.structs.replace(old, reaches_store=False)
+        self._judge(100.0, 110.0, old, leading=True)
+        self._judge(110.0, 120.0, away)
+        self._judge(120.0, 122.0, old)
+        self._judge(122.0, 123.0, away)
+        self.assertEqual(self._judge(123.0, 125.0, old), [])
+
+    def test_tables_that_were_never_read(self) -> None:
+        never = Reading(leads=False, tables_age=float('inf'))
+        self.assertEqual(len(self._judge(100.0, 110.0, never)), 1)
+
+
+class TermTest(unittest.TestCase):
+    """Ends of terms that nothing explains."""
+
+    def _judge(
+        self,
+        end: TermEnd,
+        lasted: float = SHORT_TERM - 0.1,
+        *,
+        count: int | None = None,
+        is_disrupted: bool = False,
+        is_ordered: bool = False,
+    ) -> str | None:
+        line = {'lasted': lasted, 'reason': end.reason, 'details': 'version=7'}
+        if count is not None:
+            line['count'] = count
+        return judge_term(
+            line, is_disrupted=is_disrupted, is_ordered=is_ordered
+        )
+
+    def test_short_term_without_a_fault(self) -> None:
+        for end in TermEnd:
+            violation = self._judge(end)
+            self.assertIn('ended after 4.90 s without a fault', str(violation))
+            self.assertIn(f'{end.reason} version=7', str(violation))
+            self.assertIsNone(self._judge(end, SHORT_TERM))
+
+    def test_faults_and_orders(self) -> None:
+        """An order explains no other end; nothing explains a failure."""
+        changed = TermEnd.key_map_changed
+        self.assertIsNone(self._judge(changed, is_disrupted=True))
+        self.assertIsNotNone(self._judge(changed, is_ordered=True))
+        self.assertIsNotNone(self._judge(TermEnd.failed, is_disrupted=True))
+        for end in (TermEnd.resigned, TermEnd.aborted):
+            self.assertIsNone(self._judge(end, is_ordered=True))
+
+    def test_warning_of_short_terms(self) -> None:
+        changed = TermEnd.leader_row_changed
+        violation = self._judge(changed, count=3)
+        self.assertIn('the last of 3 short terms in a row', str(violation))
+        self.assertIsNone(self._judge(changed, count=3, is_disrupted=True))
+
+    def test_spans_of_terms(self) -> None:
+        """The watch asks for faults in the term, by the loop's clock."""
+
+        async def watch(folder: str) -> list[str]:
+            fleet = SoakFleet(pathlib.Path(folder), daemons=1)
+            (daemon,) = fleet.daemons
+            offset = time.time() - asyncio.get_running_loop().time()
+            daemon.log.write_bytes(
+                msgspec.json.encode(
+                    {'time': 100.5 + offset, 'name': 'leader_lost'}
+                    | {'lasted': 0.5, 'reason': 'gone', 'details': 'found=3'}
+                )
+                + b'\nTraceback\n{"name":"leader_taken"}\n{"time":11'
+            )
+            judge = LeaderWatch(fleet, LeaderJudge())
+            with (
+                patch.object(fleet, 'is_term_disrupted', return_value=False),
+                patch.object(fleet, 'is_to_resign') as is_to_resign,
+            ):
+                violations = judge.violations()
+            ((called, began_at, ended_at),) = (
+                call.args for call in is_to_resign.call_args_list
+            )
+            self.assertIs(called, daemon)
+            self.assertAlmostEqual(began_at, 100.0, places=1)
+            self.assertAlmostEqual(ended_at, 100.5, places=1)
+            return violations
+
+        with tempfile.TemporaryDirectory() as folder:
+            (violation,) = asyncio.run(watch(folder))
+        self.assertIn('edge-0: LEADER a term ended after 0.50 s', violation)
+        self.assertIn('gone found=3', violation)
+
+
 class DaemonLogTest(unittest.TestCase):
     """What a daemon knew, by its log."""
 
