Let an answered call for changes confirm a table's version

Two reads that are older than what is known give it up only in a row. A call for changes that the store answered in between did not count, so that an odd answer and another one hours later would have given up a true version, and with it rows that are in the store, until they are read again.

test_older_read_before_the_store_confirmed_proves_nothing failed before.

--- a/cassialever/fleet/false_versions.py
+++ b/cassialever/fleet/false_versions.py
@@ -43,7 +43,7 @@
         self._learnt_at_by_table[table] = self._clock.boot()
 
     def note_confirmed(self, table: str) -> None:
-        """Note a read that was not older than what was known."""
+        """Note an answer of the store that was not older than known."""
         self._denial_by_table.pop(table, None)
 
     def note_relayed(
--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -150,6 +150,7 @@
                 ErrorKind.table_conflict,
                 f'the store has no version {after}, but {changed.version}',
             )
+        self._view.rows.false_versions.note_confirmed(table)
         self._view.apply(table, changed.rows, changed.version)
         if changed.rows:
             self._complete_at_by_table[table] = called_at
--- a/cassialever/fleet/version_doubts.py
+++ b/cassialever/fleet/version_doubts.py
@@ -69,6 +69,7 @@
         if changed.kind is not ErrorKind.table_conflict:
             return changed
     elif changed.version >= after:
+        view.rows.false_versions.note_confirmed(table)
         view.apply(table, changed.rows, changed.version)
         return None
     began_at = view.targets.clock.boot()
--- a/tests/test_fleet_following.py
+++ b/tests/test_fleet_following.py
@@ -126,6 +126,25 @@
 
         self.run_scenario(scenario)
 
+    def test_older_read_before_the_store_confirmed_proves_nothing(
+        self,
+    ) -> None:
+        """An answer by an old state counted with one of hours before."""
+
+        async def scenario(store: ScriptedStore, view: FleetView) -> None:
+            store.change(1)
+            store.change(2)
+            await asyncio.sleep(1)
+            for _ in range(3):
+                began_at = view.targets.clock.boot()
+                await asyncio.sleep(0.01)
+                adopted = view.replace(TABLE, [], 1, began_at=began_at)
+                self.assertFalse(adopted)
+                # Calls for changes are answered meanwhile.
+                await asyncio.sleep(3)
+
+        self.run_scenario(scenario)
+
     def test_age_tells_whether_the_tables_are_complete(self) -> None:
         async def scenario(store: ScriptedStore, view: FleetView) -> None:
             for number in range(20):
