Send joining daemons the rows that they may have missed below their version

A daemon that joined its leader kept an older key map for as long as it followed, if other writers were busy: it had read the own table at a version above the lowest that the leader's last write could have, and below its own. The leader published that write by its lowest version and took the daemon for one that had it.

The leader keeps the highest version that its rows can have and sends a row to each daemon whose table is older than that. And a read of the store that began before a row was learnt corrects no row: it may be of before the write and yet above its lowest version. An election's read after a takeover tells when it began, too, so that one whose table has a false version gives it up by this read and the one before it.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -318,6 +318,7 @@
         Return the version of the leader's row, which numbers the term. That in
         the answer to the takeover may be another writer's.
         """
+        began_at = self._clock.boot()
         own_table = await self._store.read_all(OWN_TABLE)
         if isinstance(own_table, Failure):
             return Attempt(Hindrance.tables_unread, own_table.reason)
@@ -333,7 +334,7 @@
         known = self._view.rows.version_by_table.get(OWN_TABLE, RowVersion(0))
         is_newest = term >= committed.lower_bound
         if is_newest and self._view.replace(
-            OWN_TABLE, own_table.rows, own_table.version
+            OWN_TABLE, own_table.rows, own_table.version, began_at=began_at
         ):
             # Nothing is granted by a map that the store does not hold.
             differing = differing_key_maps(self._view, own_table.rows)
--- a/cassialever/fleet/false_versions.py
+++ b/cassialever/fleet/false_versions.py
@@ -64,11 +64,19 @@
         """Note that the store was asked for the known version."""
         self._doubted.discard(table)
 
+    def is_conclusive(self, table: str, began_at: Seconds) -> bool:
+        """Return whether a read has all that was known of a table by its end.
+
+        What was learnt meanwhile may be later, whatever version it has: that
+        of a relayed row may be a lower bound.
+        """
+        return began_at > self._learnt_at_by_table.get(table, -math.inf)
+
     def disproves(
         self, table: str, version: RowVersion, began_at: Seconds
     ) -> bool:
         """Note an older read; return whether the known version is false."""
-        if began_at <= self._learnt_at_by_table.get(table, -math.inf):
+        if not self.is_conclusive(table, began_at):
             return False
         earlier = self._denial_by_table.get(table)
         is_later = earlier is not None and (
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -402,9 +402,12 @@
         if now < self._next_read_at:
             return
         self._next_read_at = now + LEADER_READ_INTERVAL
+        began_at = self._clock.boot()
         snapshot = await self._store.read_all(OWN_TABLE)
         if not isinstance(snapshot, Failure):
-            self._view.replace(OWN_TABLE, snapshot.rows, snapshot.version)
+            self._view.replace(
+                OWN_TABLE, snapshot.rows, snapshot.version, began_at=began_at
+            )
 
 
 def _cancel(tasks: Sequence[asyncio.Future[None]]) -> None:
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -15,6 +15,7 @@
 from cassialever.fleet.message_version import MESSAGE_VERSION
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.proof import prove_as_acceptor
+from cassialever.fleet.row_replica import latest_version
 from cassialever.fleet.unknown_types import SkipLog, UnknownMessage
 from cassialever.fleet.view import FleetView
 from cassialever.listening import PortUse, listen
@@ -363,7 +364,8 @@
     def _send_tables(self, follower: Follower) -> None:
         """Send the rows that are newer than the follower's."""
         hello = follower.hello
-        for table, version in self._view.rows.version_by_table.items():
+        for table in self._view.rows.version_by_table:
+            version = latest_version(self._view.rows, table)
             known = hello.version_by_table.get(table)
             # The version of a follower that is ahead may be false: an empty
             # change has it ask the store.
--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -6,6 +6,7 @@
 from cassialever.clock import SystemClock
 from cassialever.fleet.false_versions import FalseVersions
 from cassialever.fleet.model import StoreRow
+from cassialever.fleet.version_bounds import VersionBounds
 from cassialever.types import RowVersion
 
 #: Removals remembered for each table: more than a day's worth if 1,500 targets
@@ -46,6 +47,8 @@
         self.false_versions = FalseVersions(clock or SystemClock())
         #: Where the rows that changed last came from.
         self.newest_from = ''
+        #: Of rows whose own version is the lowest that they can have.
+        self.bounds = VersionBounds()
         #: Remembered removals by table, oldest first.
         self._removed_by_table: dict[str, dict[str, StoreRow]] = {}
         #: The version since which every removal is remembered.
@@ -75,7 +78,7 @@
         return [
             row
             for row in (*self.rows_of(table), *removed)
-            if row.version > version
+            if self.bounds.at_most(row) > version
         ]
 
     def restart_history(self, table: str, version: RowVersion) -> None:
@@ -218,3 +221,9 @@
 
 def _ignore_newest(table: str, version: RowVersion) -> None:
     """Ignore a version; the default until a handler is set."""
+
+
+def latest_version(replica: RowReplica, table: str) -> RowVersion:
+    """Return a version at which a daemon has all rows that are known."""
+    rows_at_most = map(replica.bounds.at_most, replica.rows_of(table))
+    return max(replica.version_by_table[table], *rows_at_most)
--- /dev/null
+++ b/cassialever/fleet/version_bounds.py
@@ -0,0 +1,30 @@
+"""The highest versions of rows that are known by the lowest one.
+
+A leader publishes a row that it has written with the lowest version that it can
+have. Whoever has read the table at a version from there up to the highest may
+lack the row.
+"""
+
+from cassialever.fleet.model import StoreRow
+from cassialever.types import RowVersion
+
+
+class VersionBounds:
+    """The rows of this daemon's own writes, and their highest versions."""
+
+    def __init__(self) -> None:
+        """Start without a row."""
+        self._at_most_by_row: dict[
+            tuple[str, str], tuple[RowVersion, RowVersion]
+        ] = {}
+
+    def note(self, row: StoreRow, at_most: RowVersion) -> None:
+        """Note the highest version of a row, whose own is the lowest."""
+        self._at_most_by_row[row.table, row.name] = (row.version, at_most)
+
+    def at_most(self, row: StoreRow) -> RowVersion:
+        """Return the highest version that a row can have."""
+        known = self._at_most_by_row.get((row.table, row.name))
+        if known is None or known[0] != row.version:
+            return row.version
+        return max(known)
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -5,7 +5,6 @@
 unless a whole read of the store shows that the current one is not in it.
 """
 
-import math
 from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
@@ -105,18 +104,26 @@
         rows: Iterable[StoreRow],
         version: RowVersion,
         source: str = STORE,
-        began_at: Seconds = -math.inf,
+        began_at: Seconds | None = None,
     ) -> bool:
         """Replace a whole table; rows that are missing count as removed.
 
         What the store has goes before what is known of the same versions from
-        elsewhere. Return False and change nothing if the table is older than
-        the known one, unless that is false, by a read that `began_at` a time.
+        elsewhere, unless that was learnt after the read `began_at` a time.
+        Return False and change nothing if the table is older than the known
+        one, unless such a read proves that false.
         """
-        confirmed = version if source == STORE else UNCONFIRMED
+        false_versions = self.rows.false_versions
+        is_conclusive = began_at is None or false_versions.is_conclusive(
+            table, began_at
+        )
+        is_confirmed = source == STORE and is_conclusive
+        confirmed = version if is_confirmed else UNCONFIRMED
         known = self.rows.version_by_table.get(table, UNCONFIRMED)
         if version < known:
-            if not self.rows.false_versions.disproves(table, version, began_at):
+            if began_at is None or not false_versions.disproves(
+                table, version, began_at
+            ):
                 return False
             record(
                 Event.version_disproved,
@@ -129,7 +136,7 @@
             # All of them were known before the read began.
             confirmed = known
         elif source == STORE:
-            self.rows.false_versions.note_confirmed(table)
+            false_versions.note_confirmed(table)
         table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -7,7 +7,7 @@
 from cassialever.events import Event, record
 from cassialever.fleet import messages
 from cassialever.fleet.leading import LeaderTerm
-from cassialever.fleet.model import KeyMap
+from cassialever.fleet.model import KeyMap, StoreRow
 from cassialever.fleet.relay import Relay
 from cassialever.fleet.view import OWN_TABLE, FleetView
 from cassialever.invariants import Invariant, check
@@ -36,7 +36,7 @@
 from cassialever.keys.targetloads import OwnerLoads
 from cassialever.platform.entry_limits import DEFAULT_ROW_BYTES
 from cassialever.tasks import BackgroundTasks
-from cassialever.types import Fence, Seconds, ServiceName, TargetId
+from cassialever.types import Fence, RowVersion, Seconds, ServiceName, TargetId
 
 #: Keys move only if the store answered within this time: two renewals of the
 #: lease and a slow answer.
@@ -386,7 +386,7 @@
             self._arriving = [
                 keys for keys in self._arriving if keys not in arriving
             ]
-        self._context.view.apply(OWN_TABLE, [row], row.version)
+        _publish(self._context.view, row, self._writer.version)
         self._announce_moving()
         self.steps.start()
 
@@ -447,6 +447,12 @@
         )
 
 
+def _publish(view: FleetView, row: StoreRow, at_most: RowVersion) -> None:
+    """Publish a row with the lowest version that it can have."""
+    view.rows.bounds.note(row, at_most)
+    view.apply(OWN_TABLE, [row], row.version)
+
+
 def _freeing_fact(assignment: Assignment, *, is_expired: bool) -> FreeingFact:
     if not is_expired:
         return FreeingFact.owner_ended
