--- a/tests/ownership_faults.py
+++ b/tests/ownership_faults.py
@@ -360,6 +360,7 @@
     daemons = [world.add_daemon(f'edge-{number}') for number in range(3)]
     world.publish_targets()
     world.lost_answers = 0.1
+    world.newest_answers = 0.3
     world.delayed_calls = 0.05
     for _ in range(steps):
         await asyncio.sleep(STEP_TIME)
@@ -367,6 +368,7 @@
         await _elect(daemons)
     assert not world.violations, world.violations
     world.lost_answers = 0.0
+    world.newest_answers = 0.0
     world.delayed_calls = 0.0
     for target in world.targets.values():
         target.is_up = True
