Believe lower versions of the store after two reads in a row

A store whose versions went back cost every later commit of a process its answer: the newest version told was a bound that nothing lowered, so each answer counted as lost and each lease was read back, until the process ended.

The store's answers are linearizable, so a read that is below what was told before it was sent proves that false. After two in a row the read counts, as for tables; a single malformed or late answer lowers nothing, and answers to other calls only raise the version.

test_lower_version_of_reads_in_a_row_is_believed failed before.

--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -9,6 +9,7 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.platform import rows
 from cassialever.platform.answer_bodies import AnswerTooLongError, check_length
+from cassialever.platform.newest_version import NewestVersion
 from cassialever.platform.sessions import close_idle, open_session
 from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
 
@@ -73,8 +74,7 @@
         self._session: aiohttp.ClientSession | None = None
         #: Number of calls made, for the metrics.
         self.calls = 0
-        #: The newest version that an answer has told.
-        self._newest = rows.NO_VERSION
+        self._newest = NewestVersion()
 
     async def start(self) -> None:
         """Open the session."""
@@ -95,7 +95,7 @@
         still do so later, while its preconditions hold.
         """
         # Answers are linearizable: what is sent now gets a later version.
-        at_least = RowVersion(self._newest + 1)
+        at_least = RowVersion(self._newest.told + 1)
         answer = await self._call(
             'POST',
             rows.COMMIT_PATH,
@@ -117,13 +117,18 @@
         query = {'table': table, 'part': '', 'limit': ROWS_PER_PAGE}
         if start:
             query['from'] = start
-        answer = await self._call(
-            'GET',
-            rows.READ_PATH,
-            _READ_TIMEOUT,
-            params=query,
+        told_before = self._newest.told
+        answer = _decode_rows(
+            await self._call(
+                'GET',
+                rows.READ_PATH,
+                _READ_TIMEOUT,
+                params=query,
+            )
         )
-        return self._note(_decode_rows(answer))
+        if isinstance(answer, rows.Rows):
+            self._newest.note_read(rows.newest_version(answer), told_before)
+        return answer
 
     async def read_all(self, table: str) -> rows.Rows | Failure:
         """Read a whole table.
@@ -173,7 +178,7 @@
     def _note(self, answer: _Answer) -> _Answer:
         """Note the newest version that an answer tells; return the answer."""
         if not isinstance(answer, Failure):
-            self._newest = max(self._newest, rows.newest_version(answer))
+            self._newest.note(rows.newest_version(answer))
         return answer
 
     async def _call(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -130,6 +130,19 @@
             answer = await self.commit()
         self.assertIs(self.failure_kind(answer), ErrorKind.table_answer_lost)
 
+    async def test_lower_version_of_reads_in_a_row_is_believed(self) -> None:
+        """Each commit counted as lost until the process ended."""
+        for _ in range(9):
+            self.server.put('others', 'row', {})
+        await self.client.read('others')
+        self.server.rows.version = 1
+        for is_believed in (False, True):
+            self.server.rows.row_by_name.clear()
+            answer = await self.commit()
+            self.assertEqual(isinstance(answer, Failure), not is_believed)
+            for _ in range(2):
+                await self.client.read('others')
+
     def test_answer_that_cannot_be_read_may_have_taken_effect(self) -> None:
         """It counted as refused, and its lease stayed in force."""
         for body in (b'', b'{"ver": "x"}', b'[]'):
