Take no first key map that is relayed for a removed row

Rows of the own table are never removed, so a row that a whole read lacks was written later, whatever its lowest version is.

test_first_map_of_a_service_is_no_removed_row failed before.

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -1,6 +1,6 @@
 """A daemon's replica of the store's rows, and their versions."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from cassialever.clock import SystemClock
@@ -34,8 +34,17 @@
 class RowReplica:
     """The latest known rows of the tables that a daemon follows."""
 
-    def __init__(self, clock: SystemClock | None = None) -> None:
-        """Start without any row."""
+    def __init__(
+        self,
+        clock: SystemClock | None = None,
+        permanent: Collection[str] = (),
+    ) -> None:
+        """Start without any row; those of `permanent` tables are not removed.
+
+        A row of such a table that a whole read lacks was written later, though
+        the lowest version that it can have may be below that of the read.
+        """
+        self._permanent = permanent
         self.by_table_and_name: dict[tuple[str, str], StoreRow] = {}
         #: The version up to which each table is complete.
         self.version_by_table: dict[str, RowVersion] = {}
@@ -213,7 +222,9 @@
         A daemon may read of a removal in the store before a late leader relays
         an earlier version of the row.
         """
-        if row.version <= self._whole_at_by_table.get(row.table, 0):
+        is_permanent = row.table in self._permanent
+        whole_at = self._whole_at_by_table.get(row.table, 0)
+        if row.version <= whole_at and not is_permanent:
             return True
         removed = self._removed_by_table.get(row.table, {}).get(row.name)
         return removed is not None and row.version <= removed.version
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -87,7 +87,7 @@
         self.configuration: Configuration | None = None
         self.routes = RouteTable(())
         self.targets = TargetRegistry(clock)
-        self.rows = RowReplica(clock)
+        self.rows = RowReplica(clock, (OWN_TABLE,))
         self.leader: tuple[Leadership, RowVersion] | None = None
         self.keys_by_service: dict[ServiceName, KeyIndex] = {}
         #: Key ranges that are being moved to another owner.
--- a/tests/test_version_bounds.py
+++ b/tests/test_version_bounds.py
@@ -145,6 +145,13 @@
         self.view.apply(OWN_TABLE, [row], 106)
         self.assertEqual(self.view.rows.bounds.at_most(row), 106)
 
+    def test_first_map_of_a_service_is_no_removed_row(self) -> None:
+        """A table was read whole without it, above its lowest version."""
+        joining = configured_view(self.clock, targets=0)
+        joining.replace(OWN_TABLE, [], 103)
+        joining.apply(OWN_TABLE, [map_row(101, 'i-2')], 101, ELSEWHERE)
+        self.assertEqual(owner_of(joining), 'i-2')
+
     def test_late_read_undoes_no_map_that_was_relayed_meanwhile(self) -> None:
         """It was as of before the write, and above its lowest version."""
         began_at = self.clock.boot()
