Keep the bound of a key map when an earlier one is published after it

A daemon that joined could lack a key map, as before, if the grants of an earlier write had taken longer than those of a later one: the earlier row was published last and replaced the later row's highest version.

test_row_published_late_leaves_the_bound_of_a_later_one failed before.

--- a/cassialever/fleet/version_bounds.py
+++ b/cassialever/fleet/version_bounds.py
@@ -19,8 +19,14 @@
         ] = {}
 
     def note(self, row: StoreRow, at_most: RowVersion) -> None:
-        """Note the highest version of a row, whose own is the lowest."""
-        self._at_most_by_row[row.table, row.name] = (row.version, at_most)
+        """Note the highest version of a row, whose own is the lowest.
+
+        A row may be published after a later one.
+        """
+        key = (row.table, row.name)
+        known = self._at_most_by_row.get(key)
+        if known is None or known[0] <= row.version:
+            self._at_most_by_row[key] = (row.version, at_most)
 
     def at_most(self, row: StoreRow) -> RowVersion:
         """Return the highest version that a row can have."""
--- a/tests/test_version_bounds.py
+++ b/tests/test_version_bounds.py
@@ -152,6 +152,15 @@
         joining.apply(OWN_TABLE, [map_row(101, 'i-2')], 101, ELSEWHERE)
         self.assertEqual(owner_of(joining), 'i-2')
 
+    def test_row_published_late_leaves_the_bound_of_a_later_one(self) -> None:
+        """Its grants had taken longer than those of the later one."""
+        for version, owner in ((120, 'i-3'), (110, 'i-2')):
+            row = map_row(version, owner)
+            self.view.rows.bounds.note(row, 130)
+            self.view.apply(OWN_TABLE, [row], version)
+        self.assertEqual(owner_of(self.view), 'i-3')
+        self.assertTrue(self.view.rows.changes_since(OWN_TABLE, 125))
+
     def test_late_read_undoes_no_map_that_was_relayed_meanwhile(self) -> None:
         """It was as of before the write, and above its lowest version."""
         began_at = self.clock.boot()
