--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -21,9 +21,9 @@
 from cassialever.fleet.view import FleetView
 from cassialever.types import RowVersion, Seconds
 
-#: A leader from which no byte arrives for this long has failed: three
 #: Unsent reports to a leader above which further ones are dropped.
 MAX_REPORT_BACKLOG_BYTES: Final = 1_048_576
+#: A leader from which no byte arrives for this long has failed: three
 #: heartbeats and a margin for a slow machine.
 LEADER_TIMEOUT: Final[Seconds] = 0.9
 #: A leader that has not heard from the store for this long does not count as
