--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -258,6 +258,18 @@
                 self.view.replace(OWN_TABLE, [], 50, began_at=began_at)
             )
 
+    def test_read_from_before_is_not_the_first_of_two(self) -> None:
+        began_at = self.clock.boot()
+        self.clock.now += 0.1
+        self.view.apply(OWN_TABLE, [map_row(95, 'i-2')], 95)
+        self.clock.now += 0.1
+        self.assertFalse(
+            self.view.replace(OWN_TABLE, [], 50, began_at=began_at)
+        )
+        self.clock.now += 0.1
+        self.assertFalse(self.read(50))
+        self.assertTrue(self.read(50))
+
     def test_reads_side_by_side_prove_nothing(self) -> None:
         began_at = self.clock.boot()
         self.clock.now += 0.1
--- a/tests/test_term_versions.py
+++ b/tests/test_term_versions.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from cassialever.errors import ErrorKind, Failure
+from cassialever.fleet.attempts import Hindrance
 from cassialever.fleet.leading import MAX_UNANSWERED
 from cassialever.fleet.lease import (
     EMPTY_TRANSACTION,
@@ -153,6 +154,32 @@
 
         self.play(scenario)
 
+    def test_read_of_before_the_takeover_begins_no_term(self) -> None:
+        """It names this process, as the leader of its earlier term."""
+
+        async def scenario(world: World) -> None:
+            daemon = self.add_daemon(world, 'edge-1')
+            term = await daemon.election.attempt(0)
+            assert term is not None
+            earlier = await daemon.store.read_all(OWN_TABLE)
+            term.end(TermEnd.failed)
+            await term.release()
+            read_all = daemon.store.read_all
+
+            async def read_behind(table: str) -> Any:
+                return earlier if table == OWN_TABLE else await read_all(table)
+
+            daemon.store.read_all = read_behind
+            self.assertIsNone(await daemon.election.attempt(0))
+            failed = daemon.election.failed
+            assert failed is not None
+            self.assertIs(failed.hindrance, Hindrance.tables_unread)
+            daemon.store.read_all = read_all
+            await asyncio.sleep(LEADING_TIME)
+            self.assertIsNotNone(await daemon.election.attempt(0))
+
+        self.play(scenario)
+
     def test_takeover_that_is_given_up_takes_no_lease_of_others(self) -> None:
         """It expected the version in its answer, and released theirs."""
 
