--- a/cassialever/fleet/deference.py
+++ b/cassialever/fleet/deference.py
@@ -9,7 +9,7 @@
 DEFERENCE_STEP: Final[Seconds] = 0.4
 #: The most steps for takeovers in a row that were performed and led to no
 #: term. The number of those for short terms is above it and at most twice as
-#: high: whoever can't lead defers to all who might.
+#: high: a daemon that can't lead defers to all that may be able to.
 MAX_DEFERENCE_STEPS: Final = 3
 
 #: Ends that don't tell that the daemon can't lead.
--- a/cassialever/fleet/leader_contact.py
+++ b/cassialever/fleet/leader_contact.py
@@ -74,7 +74,7 @@
         #: The ends of this daemon's terms, and its attempts to lead.
         self.terms = TermLog()
         self.attempts = AttemptLog()
-        #: The leaders of the fleet, whoever they are.
+        #: Changes of the fleet's leader.
         self.changes = LeaderChanges()
         self._silences = RepeatedLines()
         self._absence: _Absence | None = self._begin_absence()
--- a/cassialever/fleet/version_bounds.py
+++ b/cassialever/fleet/version_bounds.py
@@ -1,8 +1,8 @@
 """The highest versions of rows that are known by the lowest one.
 
 A leader publishes a row that it has written with the lowest version that it can
-have. Whoever has read the table at a version from there up to the highest may
-lack the row.
+have. A daemon that has read the table at a version between the two may lack the
+row.
 """
 
 from cassialever.fleet.model import StoreRow
--- a/cassialever/keys/mapwriter.py
+++ b/cassialever/keys/mapwriter.py
@@ -35,7 +35,7 @@
         service: ServiceName,
         leader_term: LeaderTerm,
     ) -> None:
-        """Start with no row; `start_from` tells of one."""
+        """Start with no row; see `start_from`."""
         self._name = row_name(service)
         self._leader_term = leader_term
         #: The version that the row is expected to have; 0 if there is none. It
--- a/soak/recovery.py
+++ b/soak/recovery.py
@@ -14,7 +14,7 @@
 LED_BOUND = 3.0
 #: One in this many daemons may be unable to lead all the while.
 DAEMONS_PER_HINDERED = 9
-#: While nobody leads, tables of a daemon that has reached the store for
+#: Without a leader, tables of a daemon that has reached the store for
 #: SETTLING_TIME are younger than this, in seconds.
 TABLES_BOUND = 2.0
 SETTLING_TIME = 3.0
@@ -51,8 +51,8 @@
         self.violations: list[str] = []
         self.longest = 0.0
         self._hindered: frozenset[str] = frozenset()
-        #: Since when nobody leads, and the store and all daemons but those
-        #: that are hindered work.
+        #: Since when there is no leader, while the store and all daemons but
+        #: those that are hindered work.
         self._since: float | None = None
         self._is_reported = False
 
@@ -83,13 +83,13 @@
         if duration > LED_BOUND and not self._is_reported:
             self._is_reported = True
             self.violations.append(
-                f'{now:.2f} LEADER nobody leads for {duration:.2f} s without a'
+                f'{now:.2f} LEADER none leads for {duration:.2f} s without a'
                 f' fault but of {sorted(hindered)}'
             )
 
 
 class TablesJudge:
-    """Finds tables that grow old while nobody leads."""
+    """Finds tables that grow old without a leader."""
 
     def __init__(self) -> None:
         """Start without readings."""
@@ -123,5 +123,5 @@
             self._reported.add(name)
             self.violations.append(
                 f'{now:.2f} TABLES of {name}, which reaches the store, are'
-                f' {age:.2f} s old while nobody leads'
+                f' {age:.2f} s old without a leader'
             )
--- a/tests/test_fleet_term_ends.py
+++ b/tests/test_fleet_term_ends.py
@@ -1,4 +1,4 @@
-"""Tests of what is told of the ends of terms, and of leaders that change."""
+"""Tests of logs and metrics of ends of terms, and of changes of leader."""
 
 import asyncio
 import random
@@ -431,7 +431,7 @@
 
 
 class ChangingLeadersTest(TermCase):
-    """What all daemons tell of leaders whose terms end at once."""
+    """Lines and metrics of all daemons while terms end at once."""
 
     def missing_lines(self) -> list[dict[str, object]]:
         return self.events.fields('leader_missing_long')
--- a/tests/test_leader_contact.py
+++ b/tests/test_leader_contact.py
@@ -164,7 +164,7 @@
         self.contact._view.leader = (named, RowVersion(version))
 
     def test_leaders_that_take_over_and_lose_it_at_once(self) -> None:
-        """A follower could not tell it from a fleet that nobody leads."""
+        """A follower could not tell it from a fleet without a leader."""
         self.show_leader(1)
         self.lead(6)
         for version in range(2, 7):
--- a/tests/test_soak_judging.py
+++ b/tests/test_soak_judging.py
@@ -364,7 +364,7 @@
         ends_at = 120.0 + LED_BOUND
         self.assertEqual(self._judge(120.0, ends_at, _fleet_readings(9)), [])
         (violation,) = self._judge(ends_at, ends_at + 9, _fleet_readings(9))
-        self.assertIn('nobody leads for 3.10 s', violation)
+        self.assertIn('none leads for 3.10 s', violation)
         self._judge(132.0, 133.0, _fleet_readings(9, leading=3))
         self.assertEqual(len(self._judge(133.0, 137.0, _fleet_readings(9))), 2)
 
@@ -402,7 +402,7 @@
 
 
 class TablesJudgeTest(unittest.TestCase):
-    """Ages of tables while nobody leads."""
+    """Ages of tables without a leader."""
 
     def setUp(self) -> None:
         self.judge = TablesJudge()
--- a/tests/test_tool_key_history.py
+++ b/tests/test_tool_key_history.py
@@ -374,7 +374,7 @@
         )
 
     def test_terms_that_end_at_once(self) -> None:
-        """Keys wait meanwhile, since nobody renews their grants."""
+        """Keys wait meanwhile, since no grants are renewed."""
         ended = {'lasted': 0.07, 'reason': 'another has the lease',
                  'details': 'holder=edge-2 version=9'}  # fmt: skip
         lines = [
--- a/tests/test_unable_leaders.py
+++ b/tests/test_unable_leaders.py
@@ -188,7 +188,7 @@
 
 
 class FollowedLeaderTest(ElectionCase):
-    """A daemon that has followed a leader begins anew."""
+    """A daemon that has followed a leader counts from 0 again."""
 
     def test_followers_forget_their_failures(self) -> None:
         async def scenario(rig: Rig) -> None:
