Send a table that has no rows to daemons that join

Cause: latest_version unpacked the highest versions of a table's rows into max() beside the table's own; of a table without rows only one integer was left, which max() takes for something to iterate over. The TypeError ended the relay's task of the connection before any other table was sent.

The versions are one sequence now, which always has the table's own. test_table_without_rows_is_sent_like_any_other failed before with that TypeError (8 passed, 1 failed; 9 passed after).

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -237,4 +237,4 @@
 def latest_version(replica: RowReplica, table: str) -> RowVersion:
     """Return a version at which a daemon has all rows that are known."""
     rows_at_most = map(replica.bounds.at_most, replica.rows_of(table))
-    return max(replica.version_by_table[table], *rows_at_most)
+    return max((replica.version_by_table[table], *rows_at_most))
--- a/tests/test_version_bounds.py
+++ b/tests/test_version_bounds.py
@@ -100,6 +100,23 @@
     )
 
 
+async def tables_sent(
+    view: FleetView, hello: messages.Hello
+) -> list[messages.Message]:
+    """Return what a leader with a view sends to a daemon that joins."""
+    relay = Relay(view, hello_of(view))
+    relay.is_leader = True
+    writer = mock.Mock()
+    writer.transport.get_write_buffer_size.return_value = 0
+    relay._send_tables(Follower(hello, writer))
+    sent = []
+    for call in writer.write.mock_calls:
+        reader = asyncio.StreamReader()
+        reader.feed_data(call.args[0])
+        sent.append(await messages.receive(reader))
+    return sent
+
+
 class BoundsTest(unittest.TestCase):
     """The leader was told version 100; others commit 101 to 104 before it."""
 
@@ -122,19 +139,29 @@
         link = LeaderLink(joining, hello_of(joining))
 
         async def join(_: VirtualLoop) -> None:
-            relay = Relay(self.view, hello_of(self.view))
-            relay.is_leader = True
-            writer = mock.Mock()
-            writer.transport.get_write_buffer_size.return_value = 0
-            relay._send_tables(Follower(hello_of(joining), writer))
-            for call in writer.write.mock_calls:
-                reader = asyncio.StreamReader()
-                reader.feed_data(call.args[0])
-                handle(await messages.receive(reader), link)
+            for message in await tables_sent(self.view, hello_of(joining)):
+                handle(message, link)
 
         run_virtually(join)
         return joining
 
+    def test_table_without_rows_is_sent_like_any_other(self) -> None:
+        """The link of a daemon that joined ended without a line in the log."""
+        self.view.replace(OWN_TABLE, [], 107)
+        sent: list[messages.Message] = []
+
+        async def join(_: VirtualLoop) -> None:
+            hello = hello_of(self.view_at(100))
+            sent.extend(await tables_sent(self.view, hello))
+
+        run_virtually(join)
+        tables = [
+            (message.table, message.version)
+            for message in sent
+            if isinstance(message, messages.Changed | messages.Whole)
+        ]
+        self.assertIn((OWN_TABLE, 107), tables)
+
     def test_followers_that_have_read_between_get_the_map(self) -> None:
         for version in range(100, 105):
             self.assertEqual(owner_of(self.published_at(version)), 'i-2')
