Record what libraries catch as numbered events, count it, and fail tests by it

Whatever a library logs as an error (the event loop, the HTTP servers) is event 120 with its place now, once a second for each place, and the metric exceptions_unhandled; warnings are event 121. The soak fails on 104, 120, 901 and on any traceback in a daemon's output; the test runner fails a test during which the event loop or a server has caught an error.

test_failed_link_is_an_event fails without the handler, since nothing is recorded.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -43,6 +43,12 @@
     )
     stop_failed = (110, logbook.ERROR, 'A step of the stop has failed.')
     task_failed = (104, logbook.ERROR, 'A background task has failed.')
+    exception_unhandled = (
+        120,
+        logbook.ERROR,
+        'A library caught an exception that this program did not handle.',
+    )
+    library_warned = (121, logbook.WARNING, 'A library logged a warning.')
 
     # Request path.
     request_refused = (201, logbook.INFO, 'A request was refused.')
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -25,6 +25,7 @@
 from cassialever.signal_watcher import SignalWatcher
 from cassialever.starting import StartEnd, start_daemon
 from cassialever.tasks import log_failure
+from cassialever.telemetry.library_log import errors_by_place
 from cassialever.types import Seconds
 
 #: Largest share of the grace period in which requests are still accepted; the
@@ -220,6 +221,7 @@
             Reading('bodies_refused', self.core.exchanges.memory.refused_count),
             Reading('permits_issued', self.core.permits.issuer.issued_count),
             Reading('permits_denied', self.core.permits.issuer.denied_count),
+            Reading('exceptions_unhandled', errors_by_place.total()),
         ]
 
     async def _watch_readiness(self) -> None:
--- a/cassialever/gateway/process.py
+++ b/cassialever/gateway/process.py
@@ -11,6 +11,7 @@
 from cassialever.gateway.application import Gateway
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.process_signals import ProcessSignals
+from cassialever.telemetry.library_log import LibraryLogHandler
 from cassialever.telemetry.structured_log import JsonLinesHandler
 from cassialever.types import Seconds
 
@@ -34,6 +35,7 @@
         return 0
     # Libraries write their failures to it, whether anyone reads them or not.
     os.set_blocking(sys.stderr.fileno(), False)
+    LibraryLogHandler().install()
     with JsonLinesHandler(settings.instance.instance_id).applicationbound():
         succeeded = asyncio.run(_serve(settings, signals))
     return 0 if succeeded else EXIT_FAILURE
--- /dev/null
+++ b/cassialever/telemetry/library_log.py
@@ -0,0 +1,89 @@
+"""Turn what libraries log into numbered events, and count their errors.
+
+The event loop and the HTTP servers catch what a connection's task or a
+callback raises, and hand it to the standard library's logging.
+"""
+
+import collections
+import logging
+import time
+import traceback
+from types import TracebackType
+from typing import Final
+
+from cassialever.events import Event, record
+from cassialever.types import Seconds
+
+#: Shortest time between two events about the same place.
+LOG_INTERVAL: Final[Seconds] = 1.0
+#: Places that are told apart; all others share one count.
+MAX_PLACES: Final = 64
+OTHER_PLACES: Final = 'other places'
+#: Innermost frames that name a place.
+MAX_FRAMES: Final = 4
+
+#: Errors of each place since the process started. Their places are the same
+#: as in the events.
+errors_by_place: collections.Counter[str] = collections.Counter()
+
+
+class LibraryLogHandler(logging.Handler):
+    """Records warnings and errors of libraries, without blocking."""
+
+    def __init__(self) -> None:
+        """Start with nothing recorded; `install` begins to handle."""
+        super().__init__(logging.WARNING)
+        self._recorded_at_by_place: dict[str, Seconds] = {}
+        self._skipped_by_place: collections.Counter[str] = collections.Counter()
+
+    def install(self) -> None:
+        """Handle what all libraries log."""
+        logging.getLogger().addHandler(self)
+
+    def uninstall(self) -> None:
+        """Handle nothing more."""
+        logging.getLogger().removeHandler(self)
+
+    def emit(self, library_record: logging.LogRecord) -> None:
+        """Count an error, and record an event unless its place had one."""
+        is_error = library_record.levelno >= logging.ERROR
+        place = self._place_of(library_record)
+        if is_error:
+            errors_by_place[place] += 1
+        now = time.monotonic()
+        recorded_at = self._recorded_at_by_place.get(place)
+        if recorded_at is not None and now - recorded_at < LOG_INTERVAL:
+            self._skipped_by_place[place] += 1
+            return
+        self._recorded_at_by_place[place] = now
+        record(
+            Event.exception_unhandled if is_error else Event.library_warned,
+            library=library_record.name,
+            reason=_reason_of(library_record),
+            place=place,
+            skipped=self._skipped_by_place.pop(place, 0),
+        )
+
+    def _place_of(self, library_record: logging.LogRecord) -> str:
+        trace = library_record.exc_info[2] if library_record.exc_info else None
+        place = _frames_of(trace) or library_record.name
+        is_known = place in self._recorded_at_by_place
+        if is_known or len(self._recorded_at_by_place) < MAX_PLACES:
+            return place
+        return OTHER_PLACES
+
+
+def _frames_of(trace: TracebackType | None) -> str:
+    """Return the innermost frames, the innermost one last."""
+    frames = traceback.extract_tb(trace)[-MAX_FRAMES:]
+    return ' > '.join(
+        f'{frame.filename.rpartition("/")[2]}:{frame.lineno} {frame.name}'
+        for frame in frames
+    )
+
+
+def _reason_of(library_record: logging.LogRecord) -> str:
+    """Return the first line of a message, and the error that came with it."""
+    message = library_record.getMessage().partition('\n')[0]
+    error = library_record.exc_info and library_record.exc_info[1]
+    return f'{message}: {error!r}' if error else message
--- a/cassialever/telemetry/logs.py
+++ b/cassialever/telemetry/logs.py
@@ -9,16 +9,16 @@
 
 import logbook
 import msgspec
-from logbook.compat import redirected_logging
 
 from cassialever.settings import Settings
+from cassialever.telemetry.library_log import LibraryLogHandler
 
 REDACTED: Final = '[secret]'
 _LINE_PREFIX: Final = '{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name}'
 
 
 class LogLine(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One line of JSON output; `event` is 0 for other libraries."""
+    """One line of JSON output."""
 
     time: str
     level: str
@@ -40,20 +40,16 @@
             level=logbook.lookup_level(telemetry.log_level.value),
         )
         self._stream_handler.formatter = self._format
-        # Other libraries use the standard library's logging. Its root level
-        # is left as it is, so that their debug records cost nothing.
-        self._redirection: Any = redirected_logging(
-            set_root_logger_level=False,
-        )
+        self._library_handler = LibraryLogHandler()
 
     def start(self) -> None:
         """Handle events and the records of other libraries."""
         self._stream_handler.push_application()
-        self._redirection.start()
+        self._library_handler.install()
 
     def stop(self) -> None:
         """Uninstall the handler."""
-        self._redirection.end()
+        self._library_handler.uninstall()
         self._stream_handler.pop_application()
 
     def _format(self, record: Any, _: logbook.Handler) -> str:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,14 @@
 START_TIMEOUT = 15.0
 #: Interval between checks that no key has two owners, in seconds.
 OWNER_CHECK_INTERVAL = 0.05
+#: Starts of the lines about daemons that are violations.
+VIOLATIONS = (
+    'link_rubbish',
+    'invariant_broken',
+    'exception_unhandled',
+    'task_failed',
+    'traceback',
+)
 #: Lateness of this process that is logged, in seconds.
 MAX_OWN_LATENESS = 0.25
 
@@ -194,11 +202,11 @@
 
 
 def _check_messages(fleet: SoakFleet, callers: Callers) -> None:
-    """Count log lines; an invalid message or a broken rule is a violation."""
+    """Count log lines; a fault of the program is a violation."""
     for daemon in fleet.daemons:
         for line, count in daemon.message_faults().items():
             callers.outcome_counts[line] += count
-            if line.startswith(('link_rubbish', 'invariant_broken')):
+            if line.startswith(VIOLATIONS):
                 callers.violations.append(f'{daemon.name}: {count} x {line}')
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -58,7 +58,11 @@
     'link_out_of_step',
     'type_skipped',
     'invariant_broken',
+    'exception_unhandled',
+    'task_failed',
 )
+#: Begins the text of an exception that reached no log.
+TRACEBACK = b'Traceback (most recent call last)'
 
 
 class DaemonProcess:
@@ -205,6 +209,9 @@
             is_known = fields.get('name') in MESSAGE_EVENTS
             if is_known and reason != repr(TimeoutError()):
                 counts[f'{fields["name"]} {reason}'] += 1
+        tracebacks = self.log.read_bytes().count(TRACEBACK)
+        if tracebacks:
+            counts['traceback'] += tracebacks
         return counts
 
     def send(self, signal_number: signal.Signals) -> None:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import functools
+import logging
 import pathlib
 import re
 import subprocess
@@ -40,6 +41,10 @@
             self.count_by_outcome['skipped'] += 1
             return
         as_expected = event.outcome == 'passed' and event.expected
+        if unhandled.messages:
+            print(f'{event.test.id()}: unhandled:', *unhandled.messages)
+            unhandled.messages.clear()
+            as_expected = False
         test_id = getattr(event.test, 'test_case', event.test).id()
         if not as_expected and test_id in known_red_tests():
             self.red_tests.append(event.test.id())
@@ -47,6 +52,23 @@
         self.count_by_outcome['passed' if as_expected else 'failed'] += 1
 
 
+class UnhandledErrors(logging.Handler):
+    """Keeps the errors that the event loop and the servers have caught."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.messages: list[str] = []
+        for library in ('asyncio', 'aiohttp'):
+            logging.getLogger(library).addHandler(self)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.messages.append(self.format(record))
+
+
+#: Of the test that runs. A test fails by them, whatever it asserts.
+unhandled = UnhandledErrors()
+
+
 @functools.cache
 def known_red_tests() -> frozenset[str]:
     """Return the tests in KNOWN-RED.txt, one per line as `red: ID`."""
--- /dev/null
+++ b/tests/test_library_log.py
@@ -0,0 +1,115 @@
+"""Errors that libraries catch reach the log as numbered events."""
+
+import asyncio
+import logging
+import unittest
+from unittest import mock
+
+from cassialever.events import Event
+from cassialever.fleet import messages, relay
+from cassialever.fleet.message_version import MESSAGE_VERSION
+from cassialever.telemetry import library_log
+from cassialever.telemetry.library_log import (
+    MAX_PLACES,
+    LibraryLogHandler,
+    errors_by_place,
+)
+from standins.listening import free_ports
+from tests.fleet_helpers import ManualClock, configured_view, until
+
+
+class LibraryLogCase(unittest.TestCase):
+    """A handler whose events are kept, beside none of the test runner."""
+
+    def setUp(self) -> None:
+        self.recorded: list[tuple[Event, dict[str, object]]] = []
+        patched = mock.patch.object(library_log, 'record', self.keep)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.addCleanup(errors_by_place.clear)
+        errors_by_place.clear()
+        self.handler = LibraryLogHandler()
+        self.handler.install()
+        self.addCleanup(self.handler.uninstall)
+
+    def keep(self, event: Event, **fields: object) -> None:
+        self.recorded.append((event, fields))
+
+    def raise_in(self, logger: str, error: Exception) -> None:
+        try:
+            raise error
+        except Exception:
+            logging.getLogger(logger).exception('caught')
+
+
+class PlacesTest(LibraryLogCase):
+    """Events are bounded, counts are exact."""
+
+    def test_errors_of_one_place_are_one_event_and_all_are_counted(
+        self,
+    ) -> None:
+        for _ in range(5):
+            self.raise_in('library', ValueError('x'))
+        self.assertEqual(len(self.recorded), 1)
+        event, fields = self.recorded[0]
+        self.assertIs(event, Event.exception_unhandled)
+        self.assertIn("ValueError('x')", str(fields['reason']))
+        self.assertIn('raise_in', str(fields['place']))
+        self.assertEqual(errors_by_place.total(), 5)
+
+    def test_skipped_errors_are_told_by_the_next_event(self) -> None:
+        with mock.patch.object(library_log.time, 'monotonic') as now:
+            for now.return_value in (10, 10.5, 10.9, 11.1):
+                self.raise_in('library', ValueError())
+        self.assertEqual(
+            [fields['skipped'] for _, fields in self.recorded], [0, 2]
+        )
+
+    def test_places_are_bounded(self) -> None:
+        for number in range(3 * MAX_PLACES):
+            logging.getLogger(f'library.{number}').error('failed')
+        self.assertLessEqual(len(errors_by_place), MAX_PLACES + 1)
+        self.assertEqual(errors_by_place.total(), 3 * MAX_PLACES)
+
+    def test_warning_is_no_error(self) -> None:
+        logging.getLogger('library').warning('slow')
+        self.assertEqual(self.recorded[0][0], Event.library_warned)
+        self.assertFalse(errors_by_place)
+
+
+class ConnectionTest(LibraryLogCase):
+    """The task of a connection between daemons raises."""
+
+    def test_failed_link_is_an_event(self) -> None:
+        """Links of 162 daemons ended so without a line in the log."""
+        runner = logging.getLogger('asyncio')
+        with mock.patch.object(runner, 'handlers', []):
+            asyncio.run(self.fail_link())
+        events = [event for event, _ in self.recorded]
+        self.assertEqual(events, [Event.exception_unhandled])
+        self.assertIn('fault of the test', str(self.recorded[0][1]))
+
+    async def fail_link(self) -> None:
+        view = configured_view(ManualClock(), targets=0)
+        (port,) = free_ports(1)
+        hello = messages.Hello(
+            'edge-1',
+            1,
+            f'127.0.0.1:{port}',
+            {},
+            message_version=MESSAGE_VERSION,
+        )
+        accepting = relay.Relay(view, hello)
+        fault = ValueError('fault of the test')
+        with mock.patch.object(accepting, '_send_tables', side_effect=fault):
+            await accepting.start()
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(messages.encode(hello))
+            await reader.read()
+            await until(lambda: bool(self.recorded))
+        writer.close()
+        await accepting.stop()
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -80,7 +80,7 @@
         settings = msgspec.structs.replace(settings, telemetry=telemetry)
         lines = [json.loads(line) for line in self.lines(settings)]
         self.assertEqual(
-            [line.get('event', 0) for line in lines], [101, 104, 0]
+            [line.get('event', 0) for line in lines], [101, 104, 120]
         )
         self.assertEqual(lines[0]['fields'], {'url': '{http}'})
         self.assertNotIn(settings.security.fleet_key, str(lines))
