Keep errors of the handler for library errors away from the libraries

A library whose record could not be formatted, or whose exception has no text, got the handler's own exception: in a server it ended the connection whose error was being logged, in the event loop the report of the error.

Cause: the handler did not keep what it raises to itself, as handlers of the standard library do, by handleError: it goes to standard error, where the soak looks for tracebacks. The error is counted before.

test_record_that_cannot_be_formatted_raises_nothing failed before with a TypeError in the caller.

--- a/cassialever/telemetry/library_log.py
+++ b/cassialever/telemetry/library_log.py
@@ -45,7 +45,17 @@
         logging.getLogger().removeHandler(self)
 
     def emit(self, library_record: logging.LogRecord) -> None:
-        """Count an error, and record an event unless its place had one."""
+        """Count an error, and record an event unless its place had one.
+
+        What a record raises that can't be formatted is for standard error: an
+        exception would go to the library that has logged it.
+        """
+        try:
+            self._emit(library_record)
+        except Exception:
+            self.handleError(library_record)
+
+    def _emit(self, library_record: logging.LogRecord) -> None:
         is_error = library_record.levelno >= logging.ERROR
         place = self._place_of(library_record)
         if is_error:
--- a/tests/test_library_log.py
+++ b/tests/test_library_log.py
@@ -1,7 +1,9 @@
 """Errors that libraries catch reach the log as numbered events."""
 
 import asyncio
+import io
 import logging
+import sys
 import unittest
 from unittest import mock
 
@@ -18,6 +20,13 @@
 from tests.fleet_helpers import ManualClock, configured_view, until
 
 
+class Unprintable(Exception):
+    """An error without a text."""
+
+    def __repr__(self) -> str:
+        raise ZeroDivisionError
+
+
 class LibraryLogCase(unittest.TestCase):
     """A handler whose events are kept, beside none of the test runner."""
 
@@ -71,6 +80,16 @@
         self.assertLessEqual(len(errors_by_place), MAX_PLACES + 1)
         self.assertEqual(errors_by_place.total(), 3 * MAX_PLACES)
 
+    def test_record_that_cannot_be_formatted_raises_nothing(self) -> None:
+        """The exception went to the library, and ended what it had caught."""
+        logger = logging.getLogger('library')
+        with mock.patch.object(sys, 'stderr', io.StringIO()) as stderr:
+            logger.error('%d left', 'x')
+            self.raise_in('library', Unprintable())
+        self.assertIn('%d left', stderr.getvalue())
+        self.assertIn('ZeroDivisionError', stderr.getvalue())
+        self.assertEqual(errors_by_place.total(), 2)
+
     def test_warning_is_no_error(self) -> None:
         logging.getLogger('library').warning('slow')
         self.assertEqual(self.recorded[0][0], Event.library_warned)
