Record a library's error though a warning of the same place was just recorded

An error without a traceback is of its logger's place, and so is each warning of that logger: within a second after one the error was counted, but had no event, and a soak that looks for event 120 did not see it.

Errors and warnings of a place are told apart now, each with an event a second.

test_error_after_a_warning_is_an_event failed before: only the warning was recorded.

--- a/cassialever/telemetry/library_log.py
+++ b/cassialever/telemetry/library_log.py
@@ -9,12 +9,12 @@
 import time
 import traceback
 from types import TracebackType
-from typing import Final
+from typing import Final, TypeAlias
 
 from cassialever.events import Event, record
 from cassialever.types import Seconds
 
-#: Shortest time between two events about the same place.
+#: Shortest time between two events of a kind about the same place.
 LOG_INTERVAL: Final[Seconds] = 1.0
 #: Places that are told apart; all others share one count.
 MAX_PLACES: Final = 64
@@ -22,6 +22,9 @@
 #: Innermost frames that name a place.
 MAX_FRAMES: Final = 4
 
+#: A place, and whether an error was logged there.
+_Kind: TypeAlias = tuple[str, bool]
+
 #: Errors of each place since the process started. Their places are the same
 #: as in the events.
 errors_by_place: collections.Counter[str] = collections.Counter()
@@ -33,8 +36,11 @@
     def __init__(self) -> None:
         """Start with nothing recorded; `install` begins to handle."""
         super().__init__(logging.WARNING)
-        self._recorded_at_by_place: dict[str, Seconds] = {}
-        self._skipped_by_place: collections.Counter[str] = collections.Counter()
+        self._places: set[str] = set()
+        self._recorded_at_by_kind: dict[_Kind, Seconds] = {}
+        self._skipped_by_kind: collections.Counter[_Kind] = (
+            collections.Counter()
+        )
 
     def install(self) -> None:
         """Handle what all libraries log."""
@@ -61,26 +67,27 @@
         if is_error:
             errors_by_place[place] += 1
         now = time.monotonic()
-        recorded_at = self._recorded_at_by_place.get(place)
+        # A warning does not stand for an error.
+        kind = (place, is_error)
+        recorded_at = self._recorded_at_by_kind.get(kind)
         if recorded_at is not None and now - recorded_at < LOG_INTERVAL:
-            self._skipped_by_place[place] += 1
+            self._skipped_by_kind[kind] += 1
             return
-        self._recorded_at_by_place[place] = now
+        self._recorded_at_by_kind[kind] = now
         record(
             Event.exception_unhandled if is_error else Event.library_warned,
             library=library_record.name,
             reason=_reason_of(library_record),
             place=place,
-            skipped=self._skipped_by_place.pop(place, 0),
+            skipped=self._skipped_by_kind.pop(kind, 0),
         )
 
     def _place_of(self, library_record: logging.LogRecord) -> str:
         trace = library_record.exc_info[2] if library_record.exc_info else None
         place = _frames_of(trace) or library_record.name
-        is_known = place in self._recorded_at_by_place
-        if is_known or len(self._recorded_at_by_place) < MAX_PLACES:
-            return place
-        return OTHER_PLACES
+        if len(self._places) < MAX_PLACES:
+            self._places.add(place)
+        return place if place in self._places else OTHER_PLACES
 
 
 def _frames_of(trace: TracebackType | None) -> str:
--- a/tests/test_library_log.py
+++ b/tests/test_library_log.py
@@ -80,6 +80,16 @@
         self.assertLessEqual(len(errors_by_place), MAX_PLACES + 1)
         self.assertEqual(errors_by_place.total(), 3 * MAX_PLACES)
 
+    def test_error_after_a_warning_is_an_event(self) -> None:
+        """It had none while the warning was less than a second old."""
+        logger = logging.getLogger('library')
+        logger.warning('slow')
+        logger.error('failed')
+        events = [event for event, _ in self.recorded]
+        self.assertEqual(
+            events, [Event.library_warned, Event.exception_unhandled]
+        )
+
     def test_record_that_cannot_be_formatted_raises_nothing(self) -> None:
         """The exception went to the library, and ended what it had caught."""
         logger = logging.getLogger('library')
