Name the place of a library's error without reading source files

A summary of a traceback by the standard library looks at each frame's source file and reads its lines, which the event doesn't have: each error that a library caught had the event loop wait for the disk, which may be slow just then.

The innermost frames are walked instead; file, line and function are the same.

test_error_reads_no_source_file failed before: the file of each frame was looked at.

--- a/cassialever/telemetry/library_log.py
+++ b/cassialever/telemetry/library_log.py
@@ -8,7 +8,7 @@
 import logging
 import time
 import traceback
-from types import TracebackType
+from types import CodeType, TracebackType
 from typing import Final, TypeAlias
 
 from cassialever.events import Event, record
@@ -92,11 +92,13 @@
 
 def _frames_of(trace: TracebackType | None) -> str:
     """Return the innermost frames, the innermost one last."""
-    frames = traceback.extract_tb(trace)[-MAX_FRAMES:]
-    return ' > '.join(
-        f'{frame.filename.rpartition("/")[2]}:{frame.lineno} {frame.name}'
-        for frame in frames
-    )
+    # A summary of the standard library reads the lines of source files.
+    innermost = collections.deque(traceback.walk_tb(trace), MAX_FRAMES)
+    return ' > '.join(_place(frame.f_code, line) for frame, line in innermost)
+
+
+def _place(code: CodeType, line: int) -> str:
+    return f'{code.co_filename.rpartition("/")[2]}:{line} {code.co_name}'
 
 
 def _reason_of(library_record: logging.LogRecord) -> str:
--- a/tests/test_library_log.py
+++ b/tests/test_library_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import linecache
 import logging
 import sys
 import unittest
@@ -50,6 +51,16 @@
         except Exception:
             logging.getLogger(logger).exception('caught')
 
+    def raise_silently(self, error: Exception) -> None:
+        """Log an error for no other handler, as these format it too."""
+        try:
+            raise error
+        except Exception:
+            caught = logging.getLogger('library').makeRecord(
+                'library', logging.ERROR, '', 0, '', (), sys.exc_info()
+            )
+        self.handler.handle(caught)
+
 
 class PlacesTest(LibraryLogCase):
     """Events are bounded, counts are exact."""
@@ -90,6 +101,18 @@
             events, [Event.library_warned, Event.exception_unhandled]
         )
 
+    def test_error_reads_no_source_file(self) -> None:
+        """Each error had the loop wait for the disk."""
+        with mock.patch.object(linecache, 'checkcache') as checked:
+            with mock.patch.object(linecache, 'updatecache') as read:
+                self.raise_silently(ValueError())
+        checked.assert_not_called()
+        read.assert_not_called()
+        self.assertRegex(
+            str(self.recorded[0][1]['place']),
+            r'^test_library_log\.py:[0-9]+ raise_silently$',
+        )
+
     def test_record_that_cannot_be_formatted_raises_nothing(self) -> None:
         """The exception went to the library, and ended what it had caught."""
         logger = logging.getLogger('library')
