Write a log line though one of its texts has bytes that are no text

A caller's Host or Attempt-Id with bytes that are not UTF-8 cost the line about its request, and each such request wrote a traceback to standard error, without a limit: JSON can't have the surrogates by which such bytes are read, so that encoding the line raised.

Such a line is encoded once more, with a question mark for each such byte.

--- a/cassialever/telemetry/logs.py
+++ b/cassialever/telemetry/logs.py
@@ -12,6 +12,7 @@
 
 from cassialever.settings import Settings
 from cassialever.telemetry.library_log import LibraryLogHandler
+from cassialever.telemetry.structured_log import encode_json
 
 REDACTED: Final = '[secret]'
 _LINE_PREFIX: Final = '{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name}'
@@ -70,7 +71,7 @@
             event=record.extra.get('event') or 0,
             fields=record.extra.get('fields') or {},
         )
-        return msgspec.json.encode(line, enc_hook=str).decode()
+        return encode_json(line).decode()
 
 
 def redact_secrets(text: str, settings: Settings) -> str:
--- a/cassialever/telemetry/structured_log.py
+++ b/cassialever/telemetry/structured_log.py
@@ -5,6 +5,7 @@
 rate limited, so that the volume stays bounded under overload.
 """
 
+import json
 import os
 import sys
 import time
@@ -64,7 +65,7 @@
         if self.dropped:
             fields['dropped_before'] = self.dropped
             self.dropped = 0
-        return b'%s\n' % msgspec.json.encode(fields, enc_hook=str)
+        return b'%s\n' % encode_json(fields)
 
     def _write(self, line: bytes) -> None:
         try:
@@ -74,6 +75,19 @@
             self.dropped += 1
 
 
+def encode_json(fields: Any) -> bytes:
+    """Encode the fields of a line; other types are written as texts.
+
+    Headers whose bytes are no text hold surrogates, which JSON can't have.
+    """
+    try:
+        return msgspec.json.encode(fields, enc_hook=str)
+    except UnicodeEncodeError:
+        plain = msgspec.to_builtins(fields, enc_hook=str, str_keys=True)
+        text = json.dumps(plain, ensure_ascii=False)
+        return text.encode(errors='replace')
+
+
 def _is_request_event(event_number: int) -> bool:
     return FIRST_REQUEST_EVENT <= event_number <= LAST_REQUEST_EVENT
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -85,6 +85,22 @@
         self.assertEqual(lines[0]['fields'], {'url': '{http}'})
         self.assertNotIn(settings.security.fleet_key, str(lines))
 
+    def test_bytes_that_are_no_text_cost_no_line(self) -> None:
+        """A line in JSON was dropped."""
+        settings = example_settings()
+        telemetry = msgspec.structs.replace(settings.telemetry, log_json=True)
+        stream = io.StringIO()
+        log = Log(
+            msgspec.structs.replace(settings, telemetry=telemetry), stream
+        )
+        log.start()
+        try:
+            record(Event.task_failed, reason='\udcff')
+        finally:
+            log.stop()
+        line = json.loads(stream.getvalue())
+        self.assertEqual(line['fields'], {'reason': '?'})
+
 
 class TestMetrics(unittest.TestCase):
     """The metrics in the Prometheus text format."""
