End the race of two tries when its caller leaves at the second one's answer

The caller saw nothing.

Whether the first try is open was noted only when it ended by itself. It ends with the race now, however that ends.

test_caller_that_leaves_at_the_answer_ends_the_race failed before with the loop's report of the exception.

--- a/cassialever/gateway/duplicates.py
+++ b/cassialever/gateway/duplicates.py
@@ -82,6 +82,8 @@
             self._limit.reschedule(self._loop.time())
 
     def _cancel(self) -> None:
+        # The second try may have ended in the same turn of the loop.
+        self._is_first_open = False
         if self._timer is not None:
             self._timer.cancel()
         if self._task is not None:
--- a/tests/test_gateway_duplicates.py
+++ b/tests/test_gateway_duplicates.py
@@ -116,6 +116,22 @@
         self.assertTrue(first.is_cancelled)
         self.assertTrue(second.is_cancelled)
 
+    async def test_caller_that_leaves_at_the_answer_ends_the_race(self) -> None:
+        """The callback of the second try raised, which the loop logged."""
+
+        async def answer() -> Attempt:
+            racing.cancel()
+            return answered('b')
+
+        first = Try(5, answered('a'))
+        racing = asyncio.create_task(
+            DuplicateTry(lambda: True, answer).race(first.run())
+        )
+        with self.assertNoLogs('asyncio', 'ERROR'):
+            await asyncio.wait([racing])
+            await asyncio.sleep(CHECK_INTERVAL)
+        self.assertTrue(racing.cancelled())
+
 
 if __name__ == '__main__':
     unittest.main()
