Log a fault of a second try though the first one was answered

What a second try raised was looked at by the race's callback, so that the loop took it as handled, and raised again only if the first try was not answered. A fault of the program in it left no trace otherwise.

--- a/cassialever/gateway/duplicates.py
+++ b/cassialever/gateway/duplicates.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeAlias
 
+from cassialever.events import Event, record
 from cassialever.gateway.outcomes import Attempt, AttemptOutcome
 from cassialever.types import Seconds
 
@@ -74,11 +75,14 @@
         self._task.add_done_callback(self._end_first)
 
     def _end_first(self, second: asyncio.Future[Attempt]) -> None:
-        if not self._is_first_open or second.cancelled():
+        if second.cancelled():
             return
-        if second.exception() is not None:
+        error = second.exception()
+        if error is not None:
+            record(Event.task_failed, reason=repr(error))
             return
-        if second.result().outcome is AttemptOutcome.answered:
+        is_answered = second.result().outcome is AttemptOutcome.answered
+        if is_answered and self._is_first_open:
             self._limit.reschedule(self._loop.time())
 
     def _cancel(self) -> None:
--- a/tests/test_gateway_duplicates.py
+++ b/tests/test_gateway_duplicates.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from cassialever.events import Event
 from cassialever.gateway import duplicates
 from cassialever.gateway.duplicates import DuplicateTry
 from cassialever.gateway.outcomes import (
@@ -103,8 +104,15 @@
     async def test_second_try_that_raises_leaves_the_first(self) -> None:
         first = Try(0.1, answered('a'))
         failing = mock.AsyncMock(side_effect=ValueError)
-        attempt = await DuplicateTry(lambda: True, failing).race(first.run())
+        with mock.patch.object(duplicates, 'record') as recorded:
+            attempt = await DuplicateTry(lambda: True, failing).race(
+                first.run()
+            )
         self.assertIs(attempt, first.attempt)
+        # Nothing told of a fault of the second try.
+        recorded.assert_called_once_with(
+            Event.task_failed, reason='ValueError()'
+        )
 
     async def test_caller_that_leaves_ends_both(self) -> None:
         first, second = Try(5, answered('a')), Try(5, answered('b'))
