Take a background task that nobody cancelled as failed if it ends as cancelled

A task that awaits something which is cancelled by others ends like a cancelled one. As a part of the core it was gone then, the daemon served on without it, and no line told of it; no such case was seen.

A task that ends so without a request to cancel it counts as failed: event 104, and the daemon ends if it is a part of the core.

--- a/cassialever/tasks.py
+++ b/cassialever/tasks.py
@@ -31,10 +31,23 @@
 
     def _on_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            record(Event.task_failed, reason=repr(task.exception()))
-            if self._on_failure is not None:
-                self._on_failure()
+        error = _failure_of(task)
+        if error is None:
+            return
+        record(Event.task_failed, reason=repr(error))
+        if self._on_failure is not None:
+            self._on_failure()
+
+
+def _failure_of(task: asyncio.Task[None]) -> BaseException | None:
+    """Return what a task has failed by; None for one that was cancelled.
+
+    A task that nobody cancelled ends like one that was if something that it
+    awaits is cancelled.
+    """
+    if not task.cancelled():
+        return task.exception()
+    return None if task.cancelling() else asyncio.CancelledError()
 
 
 async def log_failure(step: str, work: Awaitable[None]) -> None:
