Ask for confirmed tables right before a request is written, not only for newer ones

A daemon that stood still longer than its tables may be old sent the requests that were under way by what it had believed before: to a target that had left meanwhile, or to the service of a route that had been moved.

Cause: the age of the tables is judged when a request is placed. Before the write only newer tables that are known count; a daemon that has just been resumed has heard of none yet. So a request that waited for its connection, for a free target or for its turn during the pause was written in the first moment after it, before the look for a confirmation had ended.

--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -25,6 +25,7 @@
     Verdict,
     is_newest_configuration,
     judge,
+    reason_to_wait,
 )
 from cassialever.types import Seconds
 
@@ -144,12 +145,14 @@
         return route != routed.route
 
     def reason_to_withdraw(self, routed: RoutedRequest) -> str:
-        """Return why a request may not take its route; empty if it may."""
+        """Return why a request may not take its route; empty if it may.
+
+        One that was placed before this process stood still waits with all
+        others until the tables are confirmed.
+        """
         if self.has_changed(routed):
             return 'the route has changed'
-        if judge(self.knowledge()) is Verdict.outdated:
-            return 'newer tables are under way'
-        return ''
+        return reason_to_wait(self.knowledge())
 
 
 def _is_without_route(routed: RoutedRequest | Refusal) -> bool:
--- a/cassialever/policy/freshness.py
+++ b/cassialever/policy/freshness.py
@@ -73,6 +73,16 @@
     return Verdict.current
 
 
+def reason_to_wait(knowledge: Knowledge) -> str:
+    """Return why nothing may be sent by the tables now; empty if it may."""
+    verdict = judge(knowledge)
+    if verdict is Verdict.outdated:
+        return 'newer tables are under way'
+    if verdict is Verdict.unconfirmed:
+        return 'the tables are not confirmed'
+    return ''
+
+
 def is_newest_configuration(knowledge: Knowledge) -> bool:
     """Return whether no newer configuration is known, nor likely."""
     if knowledge.lacks_configuration:
--- a/tests/test_waking_up.py
+++ b/tests/test_waking_up.py
@@ -9,15 +9,20 @@
 from cassialever.fleet.catching_up import CatchUp
 from cassialever.fleet.following import StoreFollower
 from cassialever.fleet.following_leader import LeaderLink
-from cassialever.policy.freshness import Verdict, judge
+from cassialever.policy.freshness import Knowledge, Verdict, judge
+from standins.keyed_target import TargetServer
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
     configured_view,
+    deployment,
     json_row,
     run_virtually,
+    until,
 )
+from tests.gateway_helpers import ISSUE_HEADERS, send_request
 from tests.test_fleet_following import TABLE, ScriptedStore
+from tests.test_leaving_targets import CONNECTION_TIME, slow_connections
 from tests.test_table_claims import CONFIGURATION, FakeMembership, FakeStore
 
 #: How long a machine is suspended, in seconds.
@@ -127,5 +132,34 @@
         self.assertGreater(self.age, SUSPENDED - 1)
 
 
+class UnderWayTest(unittest.IsolatedAsyncioTestCase):
+    """Requests whose targets were chosen before their daemon stood still."""
+
+    async def test_request_placed_before_a_pause_is_sent_after_it(self) -> None:
+        """It waits for its connection meanwhile."""
+        async with deployment(keyed=1) as system:
+            gateway, leaving = system.gateways[0], system.targets[-1]
+            await until(lambda: 'i0' in gateway.view.targets.by_id)
+            router = gateway.core.forwarder.router
+            with slow_connections(leaving.address) as begun:
+                sending = asyncio.create_task(
+                    send_request(gateway, '/issue/', ISSUE_HEADERS)
+                )
+                await asyncio.wait_for(begun.wait(), 5)
+                router.knowledge = lambda: Knowledge(
+                    age=SUSPENDED, unconfirmed_for=0.01
+                )
+                await asyncio.sleep(2 * CONNECTION_TIME)
+                system.store.put('servers', 'i0', leaving.entry('draining'))
+                await system.add_target(
+                    TargetServer('i1', 'issuance', is_keyed=False)
+                )
+                await until(lambda: 'i1' in gateway.view.targets.by_id)
+                router.knowledge = Knowledge
+                response = await sending
+            self.assertEqual(leaving.executed_ids, [])
+            self.assertEqual(response.status, 200)
+
+
 if __name__ == '__main__':
     unittest.main()
