--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -14,6 +14,7 @@
 from cassialever.gateway.settings import InstanceSettings
 from cassialever.gateway.tables_state import TablesState
 from cassialever.policy.connect_times import MIN_TIMEOUT
+from cassialever.policy.freshness import Knowledge, reason_to_wait
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.placing import withdrawal_reason
 from cassialever.policy.reach import TargetReach
@@ -47,6 +48,8 @@
         self.open_requests = 0
         #: Returns the state of this daemon's tables.
         self.tables: Callable[[], TablesState] = TablesState
+        #: Returns what is known of their age.
+        self.knowledge: Callable[[], Knowledge] = Knowledge
         #: Whether this daemon stops and takes no more requests.
         self.is_draining = False
 
@@ -93,8 +96,13 @@
     ) -> str:
         """Return why a request has no way to its target; empty if it has.
 
-        A daemon that passes it on by a later configuration knows better.
+        A daemon that passes it on by a later configuration knows better. It
+        may have done so before this one stood still, so that the target has
+        left since: another helper is asked then.
         """
+        reason = reason_to_wait(self.knowledge())
+        if reason:
+            return reason
         configuration = self._view.configuration
         if configuration is None or configuration.version <= hop.configuration:
             return ''
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -107,7 +107,9 @@
         )
         self.forwarder.tables = lambda: tables_state(self.membership)
         self._exchanges.tables = self.forwarder.tables
-        self.forwarder.router.knowledge = self._reachability.catch_up.knowledge
+        knowledge = self._reachability.catch_up.knowledge
+        self.forwarder.router.knowledge = knowledge
+        self._exchanges.carrying.knowledge = knowledge
         self._limits = LimitExchange(
             self.view.targets.limits,
             self._relay,
--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -69,7 +69,7 @@
         self.dispatcher = TargetDispatcher(
             self._sender, self._hops, self.reach, clock, self.crashes
         )
-        policy = CarryingPolicy(
+        self.carrying = CarryingPolicy(
             settings.instance,
             view,
             loads,
@@ -78,14 +78,14 @@
             clock,
         )
         # It is set later than this.
-        policy.tables = lambda: self.tables()  # noqa: WPS506
+        self.carrying.tables = lambda: self.tables()  # noqa: WPS506
         self.hop_server = HopServer(
-            settings, policy, self._sender, self.crashes, self.memory
+            settings, self.carrying, self._sender, self.crashes, self.memory
         )
         self.has_connection = self._sender.has_connection
         reachability.prober.on_down = self._sender.close_idle
         reachability.prober.connecting = self._sender.connecting
-        reachability.reporter.count_carried = policy.count_open
+        reachability.reporter.count_carried = self.carrying.count_open
 
     async def start(self) -> None:
         """Open the connection pools and listen for other daemons."""
--- a/tests/test_waking_up.py
+++ b/tests/test_waking_up.py
@@ -21,6 +21,7 @@
     until,
 )
 from tests.gateway_helpers import ISSUE_HEADERS, send_request
+from tests.hop_helpers import ask, cut_off_daemon
 from tests.test_fleet_following import TABLE, ScriptedStore
 from tests.test_leaving_targets import CONNECTION_TIME, slow_connections
 from tests.test_table_claims import CONFIGURATION, FakeMembership, FakeStore
@@ -160,6 +161,27 @@
             self.assertEqual(leaving.executed_ids, [])
             self.assertEqual(response.status, 200)
 
+    async def test_helper_that_stood_still_carries_a_request(self) -> None:
+        """It came before the pause, or while the helper connected."""
+        old = Knowledge(age=SUSPENDED, unconfirmed_for=0.01)
+        for moment in ('at once', 'while it connects'):
+            with self.subTest(moment=moment):
+                async with cut_off_daemon() as (system, first, helper):
+                    policy = helper.core.exchanges.carrying
+                    leaving = system.targets[-1]
+                    with slow_connections(leaving.address) as begun:
+                        if moment == 'at once':
+                            policy.knowledge = lambda: old
+                        sending = asyncio.create_task(
+                            ask(first, '/issue/', ISSUE_HEADERS)
+                        )
+                        if moment != 'at once':
+                            await asyncio.wait_for(begun.wait(), 5)
+                            policy.knowledge = lambda: old
+                        reply = await sending
+                    self.assertEqual(reply.status, 503)
+                    self.assertEqual(leaving.work.received_at, [])
+
 
 if __name__ == '__main__':
     unittest.main()
