Have a daemon that stands still again look anew before it goes on by old tables

A daemon that could not have its tables confirmed, as the store was away for all, goes on by those it has after 0.5 s. If it stood still then, it sent its first requests after the pause by them at once, however long that had been and though the others had newer ones by then.

Cause: the look that found nothing counted for as long as the tables were too old, also across a pause.

The age of the tables is asked for many times a second, by the reports to the other daemons alone; once it has not been asked for over 1.0 s, the process stood still, and the time in which the tables are unconfirmed begins anew.

test_daemon_without_the_store_asks_anew_after_each_pause failed before: the tables of before the pause counted as current (6 passed, 1 failed; 7 passed after).

--- a/cassialever/fleet/confirming.py
+++ b/cassialever/fleet/confirming.py
@@ -25,6 +25,9 @@
 CHECK_INTERVAL: Final[Seconds] = 0.1
 #: Time between two looks, with up to as much jitter.
 LOOK_INTERVAL: Final[Seconds] = 0.4
+#: Time between two questions for the age after which this process has stood
+#: still: its reports ask for it many times a second.
+MIN_STANDSTILL: Final[Seconds] = 1.0
 
 
 class TablesConfirmation:
@@ -46,19 +49,27 @@
         self._clock = view.targets.clock
         self._complete_at: Seconds = -math.inf
         self._unconfirmed_since: Seconds = math.inf
+        #: When the age was last asked for.
+        self._asked_at: Seconds = -math.inf
         #: When the last look began that found no tables that are new enough.
         self._missed_at: Seconds = -math.inf
         self._is_urgent = asyncio.Event()
 
     def age(self) -> Seconds:
-        """Return the time since the tables were last known to be complete."""
+        """Return the time since the tables were last known to be complete.
+
+        That others could not confirm them before this process stood still
+        tells nothing of the time after it.
+        """
         now = self._clock.boot()
+        has_stood_still = now - self._asked_at > MIN_STANDSTILL
+        self._asked_at = now
         complete_at = now - self._membership.tables_age()
         self._complete_at = max(self._complete_at, complete_at)
         age = now - self._complete_at
         if age <= MAX_UNCONFIRMED_AGE:
             self._unconfirmed_since = math.inf
-        elif self._unconfirmed_since == math.inf:
+        elif has_stood_still or self._unconfirmed_since == math.inf:
             self._unconfirmed_since = now
             self._is_urgent.set()
         return age
--- a/tests/test_waking_up.py
+++ b/tests/test_waking_up.py
@@ -132,6 +132,37 @@
         self.assertLess(self.waited, COPY_TIME + 0.05)
         self.assertGreater(self.age, SUSPENDED - 1)
 
+    async def stand_still_again(self, loop: VirtualLoop) -> None:
+        clock = SleepingClock(loop)
+        view = configured_view(clock)
+        membership = FakeMembership(view)
+        membership.age = SUSPENDED
+        membership.shared_peers.askable.return_value = {'d1': PEER}
+        asked_at = []
+
+        async def read_once(address: str, known: dict[str, int]) -> None:
+            asked_at.append(clock.boot())
+
+        membership.link.read_once = read_once
+        store = FakeStore()
+        store.failure = Failure(ErrorKind.table_unavailable, 'refused')
+        catch_up = CatchUp(store, view, membership, random.Random(1))
+        running = asyncio.create_task(catch_up.run())
+        await asyncio.sleep(2.0)
+        self.assertIs(judge(catch_up.knowledge()), Verdict.current)
+        clock.slept = SUSPENDED
+        membership.age += SUSPENDED
+        resumed_at = clock.boot()
+        self.assertIs(judge(catch_up.knowledge()), Verdict.unconfirmed)
+        while judge(catch_up.knowledge()) is Verdict.unconfirmed:
+            await asyncio.sleep(0.01)
+        self.assertGreaterEqual(asked_at[-1], resumed_at)
+        running.cancel()
+
+    def test_daemon_without_the_store_asks_anew_after_each_pause(self) -> None:
+        """It went on by tables that nobody had confirmed before it, either."""
+        run_virtually(self.stand_still_again)
+
 
 class UnderWayTest(unittest.IsolatedAsyncioTestCase):
     """Requests whose targets were chosen before their daemon stood still."""
