--- a/tests/test_waking_up.py
+++ b/tests/test_waking_up.py
@@ -9,15 +9,21 @@
 from cassialever.fleet.catching_up import CatchUp
 from cassialever.fleet.following import StoreFollower
 from cassialever.fleet.following_leader import LeaderLink
-from cassialever.policy.freshness import Verdict, judge
+from cassialever.policy.freshness import Knowledge, Verdict, judge
+from standins.keyed_target import TargetServer
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
     configured_view,
+    deployment,
     json_row,
     run_virtually,
+    until,
 )
+from tests.gateway_helpers import ISSUE_HEADERS, send_request
+from tests.hop_helpers import ask, cut_off_daemon
 from tests.test_fleet_following import TABLE, ScriptedStore
+from tests.test_leaving_targets import CONNECTION_TIME, slow_connections
 from tests.test_table_claims import CONFIGURATION, FakeMembership, FakeStore
 
 #: How long a machine is suspended, in seconds.
@@ -126,6 +132,87 @@
         self.assertLess(self.waited, COPY_TIME + 0.05)
         self.assertGreater(self.age, SUSPENDED - 1)
 
+    async def stand_still_again(self, loop: VirtualLoop) -> None:
+        clock = SleepingClock(loop)
+        view = configured_view(clock)
+        membership = FakeMembership(view)
+        membership.age = SUSPENDED
+        membership.shared_peers.askable.return_value = {'d1': PEER}
+        asked_at = []
+
+        async def read_once(address: str, known: dict[str, int]) -> None:
+            asked_at.append(clock.boot())
+
+        membership.link.read_once = read_once
+        store = FakeStore()
+        store.failure = Failure(ErrorKind.table_unavailable, 'refused')
+        catch_up = CatchUp(store, view, membership, random.Random(1))
+        running = asyncio.create_task(catch_up.run())
+        await asyncio.sleep(2.0)
+        self.assertIs(judge(catch_up.knowledge()), Verdict.current)
+        clock.slept = SUSPENDED
+        membership.age += SUSPENDED
+        resumed_at = clock.boot()
+        self.assertIs(judge(catch_up.knowledge()), Verdict.unconfirmed)
+        while judge(catch_up.knowledge()) is Verdict.unconfirmed:
+            await asyncio.sleep(0.01)
+        self.assertGreaterEqual(asked_at[-1], resumed_at)
+        running.cancel()
+
+    def test_daemon_without_the_store_asks_anew_after_each_pause(self) -> None:
+        """It went on by tables that nobody had confirmed before it, either."""
+        run_virtually(self.stand_still_again)
+
+
+class UnderWayTest(unittest.IsolatedAsyncioTestCase):
+    """Requests whose targets were chosen before their daemon stood still."""
+
+    async def test_request_placed_before_a_pause_is_sent_after_it(self) -> None:
+        """It waits for its connection meanwhile."""
+        async with deployment(keyed=1) as system:
+            gateway, leaving = system.gateways[0], system.targets[-1]
+            await until(lambda: 'i0' in gateway.view.targets.by_id)
+            router = gateway.core.forwarder.router
+            with slow_connections(leaving.address) as begun:
+                sending = asyncio.create_task(
+                    send_request(gateway, '/issue/', ISSUE_HEADERS)
+                )
+                await asyncio.wait_for(begun.wait(), 5)
+                router.knowledge = lambda: Knowledge(
+                    age=SUSPENDED, unconfirmed_for=0.01
+                )
+                await asyncio.sleep(2 * CONNECTION_TIME)
+                system.store.put('servers', 'i0', leaving.entry('draining'))
+                await system.add_target(
+                    TargetServer('i1', 'issuance', is_keyed=False)
+                )
+                await until(lambda: 'i1' in gateway.view.targets.by_id)
+                router.knowledge = Knowledge
+                response = await sending
+            self.assertEqual(leaving.executed_ids, [])
+            self.assertEqual(response.status, 200)
+
+    async def test_helper_that_stood_still_carries_a_request(self) -> None:
+        """It came before the pause, or while the helper connected."""
+        old = Knowledge(age=SUSPENDED, unconfirmed_for=0.01)
+        for moment in ('at once', 'while it connects'):
+            with self.subTest(moment=moment):
+                async with cut_off_daemon() as (system, first, helper):
+                    policy = helper.core.exchanges.carrying
+                    leaving = system.targets[-1]
+                    with slow_connections(leaving.address) as begun:
+                        if moment == 'at once':
+                            policy.knowledge = lambda: old
+                        sending = asyncio.create_task(
+                            ask(first, '/issue/', ISSUE_HEADERS)
+                        )
+                        if moment != 'at once':
+                            await asyncio.wait_for(begun.wait(), 5)
+                            policy.knowledge = lambda: old
+                        reply = await sending
+                    self.assertEqual(reply.status, 503)
+                    self.assertEqual(leaving.work.received_at, [])
+
 
 if __name__ == '__main__':
     unittest.main()
