--- a/cassialever/telemetry/library_log.py
+++ b/cassialever/telemetry/library_log.py
@@ -4,6 +4,7 @@
 callback raises, and hand it to the standard library's logging.
 """
 
+import asyncio
 import collections
 import logging
 import time
@@ -62,7 +63,7 @@
             self.handleError(library_record)
 
     def _emit(self, library_record: logging.LogRecord) -> None:
-        is_error = library_record.levelno >= logging.ERROR
+        is_error = is_fault(library_record)
         place = self._place_of(library_record)
         if is_error:
             errors_by_place[place] += 1
@@ -90,6 +91,18 @@
         return place if place in self._places else OTHER_PLACES
 
 
+def is_fault(library_record: logging.LogRecord) -> bool:
+    """Return whether a library logged an error that a program has to handle.
+
+    Streams of Python 3.11 report the task of a connection that is cancelled, as
+    at the end of a process, like one that has raised.
+    """
+    if library_record.levelno < logging.ERROR:
+        return False
+    error = library_record.exc_info and library_record.exc_info[1]
+    return not isinstance(error, asyncio.CancelledError)
+
+
 def _frames_of(trace: TracebackType | None) -> str:
     """Return the innermost frames, the innermost one last."""
     # A summary of the standard library reads the lines of source files.
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -11,6 +11,8 @@
 from nose2 import events
 from nose2.main import discover
 
+from cassialever.telemetry.library_log import is_fault
+
 #: Prefix of the lines in KNOWN-RED.txt that name a test.
 RED_PREFIX = 'red: '
 #: Test modules that run at the same time, each in a process of its own. Most
@@ -62,7 +64,8 @@
             logging.getLogger(library).addHandler(self)
 
     def emit(self, record: logging.LogRecord) -> None:
-        self.messages.append(self.format(record))
+        if is_fault(record):
+            self.messages.append(self.format(record))
 
 
 #: Of the test that runs. A test fails by them, whatever it asserts.
--- a/tests/test_library_log.py
+++ b/tests/test_library_log.py
@@ -123,6 +123,26 @@
         self.assertIn('ZeroDivisionError', stderr.getvalue())
         self.assertEqual(errors_by_place.total(), 2)
 
+    def test_cancelled_connection_is_no_error(self) -> None:
+        """Each connection that was open at a stop counted as a fault."""
+        runner = logging.getLogger('asyncio')
+        with mock.patch.object(runner, 'handlers', []):
+            asyncio.run(self.end_beside_a_connection())
+        self.assertFalse(errors_by_place)
+        self.assertLessEqual(
+            {event for event, _ in self.recorded}, {Event.library_warned}
+        )
+
+    async def end_beside_a_connection(self) -> None:
+        async def serve(*_: object) -> None:
+            accepted.set()
+            await asyncio.Event().wait()
+
+        accepted = asyncio.Event()
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        await asyncio.open_connection(*server.sockets[0].getsockname())
+        await accepted.wait()
+
     def test_warning_is_no_error(self) -> None:
         logging.getLogger('library').warning('slow')
         self.assertEqual(self.recorded[0][0], Event.library_warned)
