--- a/cassialever/fleet/direct.py
+++ b/cassialever/fleet/direct.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Collection
 from typing import Final
 
@@ -37,6 +38,8 @@
         self._begins_nothing = False
         #: Tables whose last call to the store failed.
         self._failing_tables: Collection[str] = ()
+        #: How often the store was followed, by why.
+        self.count_by_reason: Counter[str] = Counter()
 
     @property
     def is_running(self) -> bool:
@@ -68,7 +71,9 @@
         )
         self._follower = follower
         self._begins_at = asyncio.get_running_loop().time() + delay
-        self._task = asyncio.create_task(_run_after(follower, reason, delay))
+        self._task = asyncio.create_task(
+            self._run_after(follower, reason, delay)
+        )
         self._task.add_done_callback(self._note_end)
         self._failing_tables = follower.failing_tables
 
@@ -101,10 +106,10 @@
             self._task = None
             self._follower = None
 
-
-async def _run_after(
-    follower: StoreFollower, reason: str, delay: Seconds
-) -> None:
-    await asyncio.sleep(delay)
-    record(Event.store_followed, reason=reason)
-    await follower.run()
+    async def _run_after(
+        self, follower: StoreFollower, reason: str, delay: Seconds
+    ) -> None:
+        await asyncio.sleep(delay)
+        self.count_by_reason[reason] += 1
+        record(Event.store_followed, reason=reason)
+        await follower.run()
--- a/cassialever/fleet/leader_contact.py
+++ b/cassialever/fleet/leader_contact.py
@@ -6,6 +6,7 @@
 
 import enum
 import math
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -84,6 +85,10 @@
         #: requests only.
         self.is_stopping = False
 
+    def follows_by_reason(self) -> Mapping[str, int]:
+        """Return how often the store was followed directly, by why."""
+        return self._direct_follower.count_by_reason
+
     def begin_pass(self) -> None:
         """Count an attempt to find a leader or to become it."""
         if self._absence is not None:
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -17,8 +17,9 @@
     counter_readings,
     hop_readings,
     key_readings,
+    store_readings,
 )
-from cassialever.gateway.own_state import leader_readings
+from cassialever.gateway.own_state import follow_readings, leader_readings
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.process_signals import ProcessSignals
@@ -180,7 +181,8 @@
             *self._keyed_requests.readings(),
             *key_readings(self.core.key_assigner.counters),
             *hop_readings(self.core.exchanges.dispatcher.counters),
-            Reading('store_calls', self.core.store.calls),
+            *store_readings(self.core.store),
+            *follow_readings(self.core.membership),
             Reading('entries_rejected', self.view.rejected_count),
             Reading('entries_failed', self.view.faults.failed_count),
             Reading('daemons', self.core.membership.daemon_count),
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -16,6 +16,7 @@
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.keys.key_events import KeyCounters
 from cassialever.listening import PortUse, listen
+from cassialever.platform.store import StoreClient
 from cassialever.types import Seconds
 
 if TYPE_CHECKING:
@@ -184,3 +185,18 @@
     for kind, refused in counters.refusals_by_kind.items():
         readings.append(Reading('carrying_refused', refused, {'kind': kind}))
     return readings
+
+
+def store_readings(store: StoreClient) -> list[Reading]:
+    """Return readings of the calls to the store."""
+    return [
+        Reading('store_calls', store.calls),
+        *(
+            Reading(
+                'store_calls_by_purpose',
+                count,
+                {'purpose': call.value, 'table': table},
+            )
+            for (call, table), count in store.calls_by_purpose.items()
+        ),
+    ]
--- a/cassialever/gateway/own_state.py
+++ b/cassialever/gateway/own_state.py
@@ -80,6 +80,14 @@
     ]
 
 
+def follow_readings(membership: Membership) -> list[Reading]:
+    """Return readings of how often the store was followed directly."""
+    return [
+        Reading('store_followed', count, {'reason': reason})
+        for reason, count in membership.contact.follows_by_reason().items()
+    ]
+
+
 def _age_by_way(membership: Membership) -> dict[TablesWay, Seconds]:
     """Return the age of a daemon's tables by each way in use."""
     if membership.state is MemberState.leading:
--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -1,6 +1,8 @@
 """Call the platform's row store over HTTP."""
 
 import asyncio
+import enum
+from collections import Counter
 from http import HTTPStatus
 from typing import Any, Final, TypeVar
 
@@ -64,6 +66,17 @@
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
+class Call(enum.Enum):
+    """What a call to the store is for."""
+
+    whole_read = 'whole_read'
+    #: Changes so far, which the store answers at once.
+    poll = 'poll'
+    #: Changes so far, or the next one.
+    long_poll = 'long_poll'
+    commit = 'commit'
+
+
 class StoreClient:
     """The client of the platform's row store."""
 
@@ -72,10 +85,16 @@
         #: The store's host and port; may change with the settings.
         self.address = address
         self._session: aiohttp.ClientSession | None = None
-        #: Number of calls made, for the metrics.
-        self.calls = 0
+        #: Numbers of calls made, for the metrics; a commit has no table, as it
+        #: may write several.
+        self.calls_by_purpose: Counter[tuple[Call, str]] = Counter()
         self._newest = NewestVersion()
 
+    @property
+    def calls(self) -> int:
+        """Return the number of calls made."""
+        return self.calls_by_purpose.total()
+
     async def start(self) -> None:
         """Open the session."""
         self._session = open_session()
@@ -97,7 +116,7 @@
         # Answers are linearizable: what is sent now gets a later version.
         at_least = RowVersion(self._newest.told + 1)
         answer = await self._call(
-            'POST',
+            (Call.commit, ''),
             rows.COMMIT_PATH,
             _COMMIT_TIMEOUT,
             data=rows.encode_transaction(transaction),
@@ -120,7 +139,7 @@
         told_before = self._newest.told
         answer = _decode_rows(
             await self._call(
-                'GET',
+                (Call.whole_read, table),
                 rows.READ_PATH,
                 _READ_TIMEOUT,
                 params=query,
@@ -168,7 +187,7 @@
             'wait_ms': int(wait * MS_PER_SECOND),
         }
         answer = await self._call(
-            'GET',
+            (Call.long_poll if wait else Call.poll, table),
             rows.CHANGES_PATH,
             _long_poll_timeout(wait),
             params=query,
@@ -183,7 +202,7 @@
 
     async def _call(
         self,
-        method: str,
+        purpose: tuple[Call, str],
         path: str,
         timeout: aiohttp.ClientTimeout,
         **options: Any,
@@ -193,10 +212,10 @@
             return Failure(
                 ErrorKind.table_unavailable, 'the session is not open'
             )
-        self.calls += 1
+        self.calls_by_purpose[purpose] += 1
         try:
             async with self._session.request(
-                method,
+                'POST' if purpose[0] is Call.commit else 'GET',
                 f'http://{self.address}{path}',
                 timeout=timeout,
                 **options,
--- a/tests/test_leader_contact.py
+++ b/tests/test_leader_contact.py
@@ -17,7 +17,11 @@
 from cassialever.fleet.relay import Relay
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
 from cassialever.gateway.core import Core
-from cassialever.gateway.own_state import activity_of, leader_readings
+from cassialever.gateway.own_state import (
+    activity_of,
+    follow_readings,
+    leader_readings,
+)
 from cassialever.platform.rows import Rows
 from cassialever.platform.store import StoreClient
 from cassialever.policy.candidacy import Candidacy
@@ -330,6 +334,8 @@
                 ('elections_failed', 'refused'),
             },
         )
+        (followed,) = follow_readings(core.membership)
+        self.assertEqual(followed.labels, {'reason': 'no leader was found'})
         self.assertGreater(value_by_name['seconds_without_leader',], 3)
         self.assertLess(value_by_name['tables_age_seconds',], 2.5)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,6 +13,7 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.following import StoreFollower
 from cassialever.fleet.view import FleetView
+from cassialever.gateway.metrics import store_readings
 from cassialever.platform import rows, store
 from cassialever.platform.store import StoreClient
 from standins.listening import LOOPBACK
@@ -210,6 +211,37 @@
         self.assertIs(self.failure_kind(result), ErrorKind.table_unavailable)
 
 
+class PurposeTest(StoreCase):
+    """The numbers of calls by what they are for."""
+
+    async def test_calls_are_counted_by_purpose_and_table(self) -> None:
+        """All calls counted as one number."""
+        self.server.put('t', 'a', 1)
+        for number in range(PAGE_SIZE):
+            self.server.put('u', f'{number:05}', number)
+        self.server.put('u', 'last', 1)
+        await self.client.read_all('t')
+        await self.client.read_all('u')
+        await self.client.wait_for_changes('t', 0, 0)
+        await self.client.wait_for_changes('t', 0)
+        await self.client.commit(TRANSACTION)
+        self.assertEqual(
+            {
+                tuple(reading.labels.values()): reading.value
+                for reading in store_readings(self.client)
+                if reading.name == 'store_calls_by_purpose'
+            },
+            {
+                ('whole_read', 't'): 1,
+                ('whole_read', 'u'): 2,
+                ('poll', 't'): 1,
+                ('long_poll', 't'): 1,
+                ('commit', ''): 1,
+            },
+        )
+        self.assertEqual(self.client.calls, 6)
+
+
 class ReadingTest(StoreCase):
     """Reads of whole tables and waits for changes."""
 
