Look for confirmed tables without standing still where they are new again

Sampled ten times a second, their memory was at 47 to 54 MB before: the loop no longer ran.

A request that finds the tables older than 2 s has run look for others at once, by an event. If that comes while a look is under way, and the tables are new again when it ends, nothing cleared the event: the wait for it returned without waiting, time and again. The loop stood still, and each round left a cancelled timer in its heap, which only the loop clears, so that memory was full within a second.

The event is cleared at each check, whatever the age is: a check answers it. test_tables_that_are_new_again_after_a_look_end_it failed before; test_age_that_is_too_high_is_looked_into_at_once held and goes on holding.

--- a/cassialever/fleet/confirming.py
+++ b/cassialever/fleet/confirming.py
@@ -79,8 +79,10 @@
         """Look whenever the tables are too old, until cancelled."""
         while True:
             pause = CHECK_INTERVAL
-            if self.age() > LOOK_AGE:
-                self._is_urgent.clear()
+            age = self.age()
+            # What was urgent may be over: a wait for it would not wait.
+            self._is_urgent.clear()
+            if age > LOOK_AGE:
                 await self._look()
                 pause = LOOK_INTERVAL * (1 + self._random.random())
             with contextlib.suppress(asyncio.TimeoutError):
--- a/tests/test_confirming.py
+++ b/tests/test_confirming.py
@@ -8,13 +8,14 @@
 from cassialever.clock import SystemClock
 from cassialever.fleet import messages
 from cassialever.fleet.asking import MAX_ASKED, NEXT_DELAY, ask_in_turn, draw
-from cassialever.fleet.confirming import TablesConfirmation
+from cassialever.fleet.confirming import LOOK_AGE, TablesConfirmation
 from cassialever.fleet.following_leader import LeaderLink
 from cassialever.fleet.relay import (
     LeaderAges,
     Relay,
     _MemberConfirmation,
 )
+from cassialever.policy.freshness import MAX_UNCONFIRMED_AGE
 from standins.listening import LOOPBACK, free_ports
 from tests.fleet_helpers import (
     LoopClock,
@@ -26,6 +27,8 @@
 
 #: Age of tables that can't be confirmed, in seconds.
 OLD = 30.0
+#: Reads of a clock at one moment that show a loop without a pause.
+MAX_READS_AT_ONCE = 1000
 
 
 class LeaderTest(unittest.TestCase):
@@ -85,6 +88,74 @@
             self.assertGreater(age, 0.04)
 
 
+class _SteppingClock(LoopClock):
+    """A clock that fails when it is read without end at one moment."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__(loop)
+        self._read_at = 0.0
+        self._reads = 0
+
+    def boot(self) -> float:
+        now = super().boot()
+        self._reads = self._reads + 1 if now == self._read_at else 0
+        self._read_at = now
+        if self._reads > MAX_READS_AT_ONCE:
+            raise AssertionError('the loop stands still')
+        return now
+
+
+class UrgentLookTest(unittest.TestCase):
+    """Tables that become too old while other daemons are asked for theirs."""
+
+    def test_tables_that_are_new_again_after_a_look_end_it(self) -> None:
+        """The daemon's loop stood still until its memory was full."""
+
+        async def main(loop: VirtualLoop) -> None:
+            view = configured_view(_SteppingClock(loop))
+            membership = FakeMembership(view)
+            membership.shared_peers.askable.return_value = {'d1': '10.1.0.1:7'}
+            one = TablesConfirmation(view, membership, random.Random(1))
+
+            async def read_once(*_: object) -> None:
+                """Let a request see old tables, and a leader come."""
+                membership.age = OLD
+                await asyncio.sleep(0.5)
+                self.assertGreater(one.age(), MAX_UNCONFIRMED_AGE)
+                membership.age = 0
+
+            membership.link.read_once = read_once
+            membership.age = LOOK_AGE + 0.1
+            running = asyncio.create_task(one.run())
+            await asyncio.sleep(2)
+            self.assertFalse(running.done())
+            running.cancel()
+
+        run_virtually(main)
+
+    def test_age_that_is_too_high_is_looked_into_at_once(self) -> None:
+        """A look that found nothing, and then a request that sees it."""
+
+        async def main(loop: VirtualLoop) -> None:
+            view = configured_view(_SteppingClock(loop))
+            membership = FakeMembership(view)
+            membership.shared_peers.askable.return_value = {'d1': '10.1.0.1:7'}
+            membership.link.read_once = mock.AsyncMock(return_value=None)
+            membership.age = 0
+            one = TablesConfirmation(view, membership, random.Random(1))
+            running = asyncio.create_task(one.run())
+            await asyncio.sleep(0.01)
+            # It has just checked, and checks again in 0.1 s.
+            one._complete_at = -OLD
+            membership.age = OLD
+            one.age()
+            await asyncio.sleep(0.01)
+            membership.link.read_once.assert_awaited_once()
+            running.cancel()
+
+        run_virtually(main)
+
+
 class OwnAgeTest(unittest.IsolatedAsyncioTestCase):
     """What a daemon that does not lead says of its tables."""
 
