Look at unsent bytes of a lost connection without an exception

A lost connection counts like one that doesn't tell.

test_check_of_a_lost_connection_is_no_fault failed before with that error.

--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -404,8 +404,8 @@
     sock = transport.get_extra_info('socket')
     try:
         answer = fcntl.ioctl(sock, termios.TIOCOUTQ, _INT.pack(0))
-    except OSError:
-        # Not all systems tell.
+    except (OSError, ValueError):
+        # Not all systems tell, nor does a connection that is lost.
         return buffered or None
     # A peer may receive what the system holds before the buffer changes.
     return buffered + int(_INT.unpack(answer)[0])
--- a/tests/test_gateway_connections_review.py
+++ b/tests/test_gateway_connections_review.py
@@ -12,6 +12,7 @@
 from cassialever.callers.front import CallerServer
 from cassialever.clock import SystemClock
 from cassialever.gateway.application import Gateway
+from cassialever.gateway.bodies import _StallWatch
 from cassialever.gateway.connections import (
     LINGER_CHECK_INTERVAL,
     STALL_TIMEOUT,
@@ -118,6 +119,15 @@
         async with asyncio.timeout(LINGER_CHECK_INTERVAL / 2):
             await self.connection.is_lost.wait()
 
+    async def test_check_of_a_lost_connection_is_no_fault(self) -> None:
+        """A timer between the loss and the end of the answer raised."""
+        self.transport.write(bytes(CHUNK_BYTES))
+        with _StallWatch(self.transport) as watch:
+            self.transport.abort()
+            await self.connection.is_lost.wait()
+            await turn_loop(1)
+            watch._check()
+
     async def test_slow_caller_loses_nothing_where_unsent_bytes_are_unknown(
         self,
     ) -> None:
