Ignore what datagrams claim of the own table

A claim of a version of the own table had a daemon look up the version that it knows, which changes of a key map that don't apply forget: KeyError ended the comparison with other daemons, and with it the process. Builds of this code send no such claim, but datagrams are not authenticated.

Only claims of the tables of other writers are noted.

test_claim_of_the_own_table_ends_no_daemon failed before: the daemon caught up no more.

--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -74,8 +74,16 @@
     def note(
         self, peer: str, newest_by_table: Mapping[str, RowVersion]
     ) -> None:
-        """Note the newest versions that another daemon knows of."""
-        self._claims.note(peer, newest_by_table, _now())
+        """Note the newest versions that another daemon knows of.
+
+        The own table's version may be forgotten, and is for its leader to send.
+        """
+        followed = {
+            table: newest_by_table[table]
+            for table in self._view.tables_of_other_writers
+            if table in newest_by_table
+        }
+        self._claims.note(peer, followed, _now())
         if self._claims.behind():
             self._heard.set()
 
--- a/tests/test_table_claims.py
+++ b/tests/test_table_claims.py
@@ -15,7 +15,7 @@
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.row_replica import RowReplica
 from cassialever.fleet.table_claims import REJECTION_TIME, TableClaims
-from cassialever.fleet.view import FleetView
+from cassialever.fleet.view import OWN_TABLE, FleetView
 from cassialever.platform.rows import Rows
 from cassialever.policy.freshness import Verdict, judge
 from tests.fleet_helpers import (
@@ -256,6 +256,20 @@
 
         self.play(scenario)
 
+    def test_claim_of_the_own_table_ends_no_daemon(self) -> None:
+        """Its version, which changes that don't apply forget, was looked up."""
+
+        async def scenario(one, store, membership) -> None:
+            one._view.replace(OWN_TABLE, [], 5)
+            one.note('d1', {OWN_TABLE: 9})
+            one._view.rows.version_by_table.pop(OWN_TABLE)
+            store.version = 9
+            one.note('d1', {'op': 9})
+            await asyncio.sleep(0.5)
+            self.assertEqual(self.version(one), 9)
+
+        self.play(scenario)
+
     def test_store_is_asked_though_others_claim_more_meanwhile(self) -> None:
         """A daemon that gave nothing was asked again and again."""
 
