Export unhandled exceptions of a daemon with the project's own interface

Only a daemon on the platform had the metric; the other kind recorded event 120 without a count, and its events are one a second for each place.

test_errors_that_libraries_catch_are_exported failed before: no such metric.

--- a/cassialever/telemetry/metrics.py
+++ b/cassialever/telemetry/metrics.py
@@ -26,6 +26,7 @@
 from cassialever.invariants import Invariant, violations_by_invariant
 from cassialever.settings import Settings
 from cassialever.telemetry.histograms import LatencyHistogram
+from cassialever.telemetry.library_log import errors_by_place
 from cassialever.telemetry.tracing import build_resource
 from cassialever.types import Seconds, ServiceName
 
@@ -69,6 +70,12 @@
             callbacks=[_broken_invariants],
             description='Violations of invariants that were prevented.',
         )
+        self.add_counter(
+            'cassialever.exceptions.unhandled',
+            'place',
+            'Errors that libraries caught, by the place that raised them.',
+            errors_by_place,
+        )
         self._histogram_by_service: dict[ServiceName, LatencyHistogram] = {}
 
     def count_request(
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -5,6 +5,7 @@
 import logging
 import pathlib
 import unittest
+from unittest import mock
 from unittest.mock import Mock
 
 import msgspec
@@ -20,6 +21,7 @@
 from cassialever.operators.view import Status, TargetStatus
 from cassialever.settings import Settings, load_settings
 from cassialever.telemetry.gauges import StatusGauges
+from cassialever.telemetry.library_log import errors_by_place
 from cassialever.telemetry.logs import REDACTED, Log
 from cassialever.telemetry.metrics import Metrics
 from cassialever.telemetry.spans import Hop, validated_traceparent
@@ -105,6 +107,18 @@
 class TestMetrics(unittest.TestCase):
     """The metrics in the Prometheus text format."""
 
+    def test_errors_that_libraries_catch_are_exported(self) -> None:
+        """Only daemons on the platform counted them."""
+        metrics = Metrics(example_settings())
+        with mock.patch.dict(errors_by_place, {'relay.py:1 send': 3}):
+            text = metrics.exposition().decode()
+        metrics.stop()
+        self.assertIn(
+            'cassialever_exceptions_unhandled_total'
+            '{place="relay.py:1 send"} 3.0',
+            text,
+        )
+
     def test_exposition(self) -> None:
         """Counts, latencies, gauges and broken invariants are exported."""
         metrics = Metrics(example_settings())
