--- a/cassialever/telemetry/metrics.py
+++ b/cassialever/telemetry/metrics.py
@@ -166,7 +166,7 @@
         self,
         options: CallbackOptions,
     ) -> Iterator[Observation]:
-        for labels, count in self._requests.items():
+        for labels, count in list(self._requests.items()):
             yield Observation(count, msgspec.structs.asdict(labels))
 
 
@@ -183,7 +183,8 @@
     count_by_label: Mapping[str, float],
     options: CallbackOptions,
 ) -> Iterator[Observation]:
-    for label, count in count_by_label.items():
+    # A reader for OTLP collects in a thread of its own.
+    for label, count in list(count_by_label.items()):
         yield Observation(count, {label_name: label})
 
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -9,6 +9,7 @@
 from unittest.mock import Mock
 
 import msgspec
+from opentelemetry.metrics import CallbackOptions
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
     InMemorySpanExporter,
 )
@@ -23,7 +24,7 @@
 from cassialever.telemetry.gauges import StatusGauges
 from cassialever.telemetry.library_log import errors_by_place
 from cassialever.telemetry.logs import REDACTED, Log
-from cassialever.telemetry.metrics import Metrics
+from cassialever.telemetry.metrics import Metrics, _read_counter
 from cassialever.telemetry.spans import Hop, validated_traceparent
 from cassialever.telemetry.tracing import Tracing
 from cassialever.types import (
@@ -107,6 +108,15 @@
 class TestMetrics(unittest.TestCase):
     """The metrics in the Prometheus text format."""
 
+    def test_count_begins_while_another_thread_collects(self) -> None:
+        """The collection raised, and had no value of the metric."""
+        counts = {'a': 1, 'b': 2}
+        collecting = _read_counter('service', counts, CallbackOptions())
+        values = [next(collecting).value]
+        counts['c'] = 3
+        values.extend(one.value for one in collecting)
+        self.assertEqual(values, [1, 2])
+
     def test_errors_that_libraries_catch_are_exported(self) -> None:
         """Only daemons on the platform counted them."""
         metrics = Metrics(example_settings())
