Count a task of a daemon that failed by a timeout as a violation of the soak

Lines whose reason is a timeout were left out, since a peer that is suspended sends nothing; that holds for lines on messages only. A task that ended by one is a fault of the program like any other.

test_two_checkouts has such a line now, and failed before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -207,7 +207,10 @@
                 'reason', fields.get('type', fields.get('invariant', ''))
             )
             is_known = fields.get('name') in MESSAGE_EVENTS
-            if is_known and reason != repr(TimeoutError()):
+            is_silence = fields.get(
+                'name'
+            ) == 'link_rubbish' and reason == repr(TimeoutError())
+            if is_known and not is_silence:
                 counts[f'{fields["name"]} {reason}'] += 1
         tracebacks = self.log.read_bytes().count(TRACEBACK)
         if tracebacks:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,7 @@
             (pathlib.Path(folder) / 'edge-1.log').write_text(
                 '{"name":"link_rubbish","reason":"TimeoutError()"}\n'
                 '{"name":"link_rubbish","reason":"Expected `int`"}\n'
+                '{"name":"task_failed","reason":"TimeoutError()"}\n'
                 'Traceback\n'
                 '{"name":"type_skipped","type":"Novel"}\n'
                 '{"name":"invariant_broken","invariant":"grant_has_row"}\n'
@@ -84,6 +85,7 @@
                 fleet.daemons[1].message_faults(),
                 {
                     'link_rubbish Expected `int`': 1,
+                    'task_failed TimeoutError()': 1,
                     'type_skipped Novel': 1,
                     'invariant_broken grant_has_row': 1,
                 },
