Prove no connection by the copy of an acceptance

What callers saw: two processes took keys with the same fence. A target that started again under its id took the renewal of a fence that its earlier life had accepted (rule OWNER), by a connection that was taken for one to the earlier life.

Cause: a spare connection was known to reach the same process as the first once that one had answered after it. The answer could be the copy of an earlier acceptance, which still came after its process had ended. The same copy shifts the answers of its connection: each call gets the answer to the one before, and a question to the process was answered by what it had said before the question.

In test_copy_of_an_ acceptance_proves_no_later_life a proxy passes the copy on after the end of its process; the later life held the keys. In ShiftedAnswersTest a process counted as proven, and a connection as one to it, by answers to earlier calls.

Now a connection proves another one only by an answer that can't be a copy. A copy comes where the next answer is expected, as the platform says, so that it has the status of the answer before it on its connection. After a grant the process is asked, by the call that nothing carries out, as soon as there is a spare connection to prove, and its refusal can be no copy. A success can't be the answer to that question: the answers are shifted, and the connection is closed.

A question more for each spare connection. What it rests on is the platform's word that a copy comes where the next answer is expected: one that comes two answers late, after a refusal and an acceptance, would still prove.

Changed test: the full target of TargetClientTest accepted the question, which names no target. It refuses it now, as the platform's targets do; what it counts and resets is as before.

--- a/cassialever/platform/processes.py
+++ b/cassialever/platform/processes.py
@@ -33,6 +33,8 @@
     process: TargetProcess
     made_at: Seconds = -math.inf
     answered_at: Seconds = math.inf
+    #: The status of the last answer.
+    status: int | None = None
 
 
 class TargetProcesses:
@@ -42,7 +44,8 @@
     process has answered on the first before the second was made, and again
     after an answer on the second: no other process had its address in between.
     That a connection is made shows nothing, as a proxy on the way may accept
-    it before it has reached the target.
+    it before it has reached the target. Nor does an answer that may be the copy
+    of an earlier one, which may come after its process has ended.
     """
 
     def __init__(self) -> None:
@@ -62,6 +65,39 @@
         known = self._known.get(connection)
         return known is not None and known.answered_at < math.inf
 
+    def has_unproven(
+        self, process: TargetProcess, others: Iterable[object]
+    ) -> bool:
+        """Return whether an answer of a process may prove that others reach it.
+
+        They are the idle connections to its address.
+        """
+        answering = [self._known[one] for one in process.connections]
+        for other in others:
+            known = self._known.get(other)
+            if known is None or known.answered_at == math.inf:
+                continue
+            is_proven = known.process is process
+            sent_at = known.answered_at
+            if not is_proven and any(
+                _reaches_same(one, known, sent_at) for one in answering
+            ):
+                return True
+        return False
+
+    def record_status(self, connection: object, status: int) -> bool:
+        """Note the status of an answer; return whether it can't be a copy.
+
+        A copy comes where the next answer is expected, so that it has the
+        status of the answer before it.
+        """
+        known = self._known.setdefault(
+            connection, _Connection(TargetProcess(connection))
+        )
+        is_copy = known.status == status
+        known.status = status
+        return not is_copy
+
     def record_answer(
         self,
         connection: object,
@@ -71,7 +107,8 @@
     ) -> TargetProcess:
         """Note an answer; return the process that gave it.
 
-        `others` are the idle connections to the same address.
+        `others` are the idle connections to the same address, if the answer
+        can't be a copy.
         """
         answering = self._known.get(connection)
         if answering is None:
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -167,6 +167,7 @@
         sent_at = time.monotonic()
         with only_on(None if process is None else process.connections):
             result = await self._call(address, keys.owner, call, GRANT_TIMEOUT)
+        await self._confirm_spare(address, result)
         if not result.is_doubtful or process is not None:
             return conclude(result)
         time_left = GRANT_TIMEOUT - (time.monotonic() - sent_at)
@@ -220,6 +221,13 @@
             return False
         return await self._spares.prove(self._session, address, process)
 
+    async def _confirm_spare(self, address: str, result: CallResult) -> None:
+        """Have a process that has accepted keys prove its spare connection."""
+        is_accepted = result.outcome is CallOutcome.done
+        if self._session is None or not is_accepted or result.process is None:
+            return
+        await self._spares.confirm(self._session, address, result.process)
+
     async def _release_on_open(
         self, address: str, keys: KeyRange, timeout: Seconds
     ) -> CallResult | None:
@@ -271,6 +279,7 @@
                 else:
                     await read_limited(response, MAX_ANSWER_BYTES)
                 result = _call_result(response, owner)
+                status = response.status
         except NoKnownConnectionError as none_open:
             return CallResult(CallOutcome.unproven, reason=repr(none_open))
         except (
@@ -280,19 +289,20 @@
             return CallResult(CallOutcome.not_sent, reason=repr(error))
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return CallResult(CallOutcome.unknown, reason=repr(error))
-        return self._with_process(address, result, sent_at)
+        return self._with_process(address, result, status, sent_at)
 
     def _with_process(
-        self, address: str, result: CallResult, sent_at: Seconds
+        self, address: str, result: CallResult, status: int, sent_at: Seconds
     ) -> CallResult:
         """Add the process that answered; see to a spare connection to it."""
         connection = connection_in_use()
         if self._session is None or connection is None:
             return result
         is_kept = self._processes.has_answered(connection)
+        is_own = self._processes.record_status(connection, status)
         idle = idle_connections(self._session, address)
         process = self._processes.record_answer(
-            connection, sent_at, time.monotonic(), idle
+            connection, sent_at, time.monotonic(), idle if is_own else ()
         )
         is_usual = result.outcome in {CallOutcome.done, CallOutcome.outdated}
         if is_usual:
--- a/tests/test_keys_lives.py
+++ b/tests/test_keys_lives.py
@@ -824,9 +824,11 @@
                     handover = b'' if b'grant' in head else b'Handover: h\r\n'
                     if handover and copies:
                         writer.write(copy)
+                    is_asked = b'Expect-Instance: -' in head
+                    status = b'421 Misdirected' if is_asked else b'200 OK'
                     writer.write(
-                        b'HTTP/1.1 200 OK\r\n%bContent-Length: 0\r\n\r\n'
-                        % handover
+                        b'HTTP/1.1 %b\r\n%bContent-Length: 0\r\n\r\n'
+                        % (status, handover)
                     )
 
         server = await asyncio.start_server(answer, '127.0.0.1', 0)
@@ -977,6 +979,27 @@
         self.assertIn(spare, process.connections)
         self.assertIs(processes.record_answer(spare, 2, 2.1, []), process)
 
+    def test_answer_with_the_status_of_the_last_one_may_be_a_copy(self) -> None:
+        # One that came late proved that its process was still there.
+        processes, connection = TargetProcesses(), _Socket()
+        self.assertTrue(processes.record_status(connection, 200))
+        self.assertFalse(processes.record_status(connection, 200))
+        self.assertTrue(processes.record_status(connection, 421))
+        self.assertFalse(processes.record_status(connection, 421))
+        self.assertTrue(processes.record_status(connection, 200))
+
+    def test_connection_that_can_be_proven(self) -> None:
+        processes, first, spare = TargetProcesses(), _Socket(), _Socket()
+        process = processes.record_answer(first, 1.0, 1.1, [])
+        processes.record_made(spare, 1.2)
+        self.assertFalse(processes.has_unproven(process, [spare]))
+        other = processes.record_answer(spare, 1.3, 1.4, [])
+        self.assertTrue(processes.has_unproven(process, [spare]))
+        # It was made before the answer on the spare one.
+        self.assertFalse(processes.has_unproven(other, [first]))
+        processes.record_answer(first, 1.5, 1.6, [spare])
+        self.assertFalse(processes.has_unproven(process, [first, spare]))
+
     def test_answer_on_a_later_connection_proves_nothing(self) -> None:
         # The earlier connection may lead to the process before.
         processes, earlier, later = TargetProcesses(), _Socket(), _Socket()
--- a/tests/test_target_processes.py
+++ b/tests/test_target_processes.py
@@ -57,6 +57,30 @@
         writer.close()
 
 
+class CopyingProxy(HoldingProxy):
+    """Passes a copy of the last answer on after its process has ended."""
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._accepted.add(writer)
+        await self.is_open.wait()
+        host, _, port = self.target_address.rpartition(':')
+        answer = b''
+        with contextlib.suppress(OSError, EOFError):
+            onward = await asyncio.open_connection(host, int(port))
+            while True:
+                onward[1].write(await reader.readuntil(b'}'))
+                copied = answer
+                answer = b''
+                with contextlib.suppress(OSError):
+                    answer = await onward[0].read(65536)
+                if not answer and not copied:
+                    break
+                writer.write(answer or copied)
+        writer.close()
+
+
 async def _copy(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
@@ -102,6 +126,84 @@
         self.assertFalse(restarted.holds(50))
         self.assertIs(renewed.outcome, CallOutcome.unproven)
 
+    async def test_copy_of_an_acceptance_proves_no_later_life(self) -> None:
+        # It came after its process had ended, and after an answer of the next
+        # one: that was taken for the same, and for its fence.
+        proxy = CopyingProxy(self.target.address)
+        await proxy.start()
+        self.addAsyncCleanup(proxy.stop)
+        granted = await self.client.grant(proxy.address, KEYS, 2.3)
+        proxy.is_open.clear()
+        await asyncio.sleep(SETTLING_TIME)
+        await self.target.stop()
+        restarted = TargetServer('t0')
+        await restarted.start(int(self.target.address.rpartition(':')[2]))
+        self.addAsyncCleanup(restarted.stop)
+        proxy.is_open.set()
+        await asyncio.sleep(SETTLING_TIME)
+        renewed = granted
+        for _ in range(3):
+            renewed = await self.client.grant(
+                proxy.address, KEYS, 2.3, granted.process
+            )
+        self.assertFalse(restarted.holds(50))
+        self.assertIs(renewed.outcome, CallOutcome.unproven)
+
+
+class ShiftedAnswersTest(unittest.IsolatedAsyncioTestCase):
+    """The copy of an acceptance shifts the answers that follow it."""
+
+    async def asyncSetUp(self) -> None:
+        server = await asyncio.start_server(_shift_answers, '127.0.0.1', 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        self.address = '127.0.0.1:{1}'.format(*server.sockets[0].getsockname())
+        self.client = TargetClient()
+        await self.client.start()
+        self.addAsyncCleanup(self.client.stop)
+
+    async def granted_process(self) -> TargetProcess:
+        """Return a process whose copied answer was taken for its own."""
+        granted = await self.client.grant(self.address, KEYS, 2.3)
+        renewed = await self.client.grant(
+            self.address, KEYS, 2.3, granted.process
+        )
+        self.assertIs(renewed.outcome, CallOutcome.done)
+        assert renewed.process is not None
+        return renewed.process
+
+    async def test_answer_to_an_earlier_grant_proves_no_process(self) -> None:
+        # Any answer did, also one that was given before the question.
+        process = await self.granted_process()
+        (connection,) = process.connections
+        self.assertFalse(await self.client.prove(self.address, process))
+        self.assertFalse(connection.is_connected())
+
+    async def test_shifted_connection_proves_no_spare_one(self) -> None:
+        process = await self.granted_process()
+        (connection,) = process.connections
+        await asyncio.sleep(SETTLING_TIME)
+        await self.client.grant(self.address, KEYS, 2.3, process)
+        self.assertEqual(set(process.connections), {connection})
+        self.assertFalse(connection.is_connected())
+
+
+async def _shift_answers(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Copy the first answer into the second, and send the others one late."""
+    accepted = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    refused = b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
+    late = b''
+    with contextlib.suppress(ConnectionError, EOFError):
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            await reader.readuntil(b'}')
+            own = refused if b'Expect-Instance: -' in head else accepted
+            writer.write(late or own)
+            late = own
+    writer.close()
+
 
 class ProofTest(unittest.IsolatedAsyncioTestCase):
     """A process is asked whether it runs on."""
