Log a loop that did not run, with the processor time it has used

Event 122 tells, after each time of 0.5 s and more without a turn of the loop, how long it was and the processor time used meanwhile; stood_still_seconds is their sum. The soak counts a turn that took 1.0 s of processor time as a violation.

tests.test_standstill_watch blocks a loop by work and by sleep: 0.8 s of processor time used, and none.

--- a/cassialever/clock.py
+++ b/cassialever/clock.py
@@ -17,6 +17,10 @@
         """Return monotonic seconds that include time spent suspended."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
+    def processor(self) -> Seconds:
+        """Return the processor time that this process has used."""
+        return time.process_time()
+
     def wall(self) -> Seconds:
         """Return seconds since the Unix epoch, for display."""
         return time.time()
--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -49,6 +49,11 @@
         'A library caught an exception that this program did not handle.',
     )
     library_warned = (121, logbook.WARNING, 'A library logged a warning.')
+    stood_still = (
+        122,
+        logbook.WARNING,
+        'The event loop of this process did not run for a time.',
+    )
 
     # Request path.
     request_refused = (201, logbook.INFO, 'A request was refused.')
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -21,6 +21,7 @@
 )
 from cassialever.gateway.own_state import follow_readings, leader_readings
 from cassialever.gateway.settings import GatewaySettings, load_settings
+from cassialever.gateway.standstill_watch import StandstillWatch
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.process_signals import ProcessSignals
 from cassialever.signal_watcher import SignalWatcher
@@ -59,6 +60,7 @@
         )
         self.core.forwarder.on_end = self._keyed_requests.note
         self._metrics = MetricsServer(settings, self._readings)
+        self._standstills = StandstillWatch(self.core.clock)
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
 
@@ -95,6 +97,7 @@
         for work in (
             self._watch_readiness(),
             self._keyed_requests.run(),
+            self._standstills.run(),
             # Requests are served without them.
             self._metrics.start(),
         ):
@@ -223,6 +226,7 @@
             Reading('bodies_refused', self.core.exchanges.memory.refused_count),
             Reading('permits_issued', self.core.permits.issuer.issued_count),
             Reading('permits_denied', self.core.permits.issuer.denied_count),
+            Reading('stood_still_seconds', self._standstills.total),
             Reading('exceptions_unhandled', errors_by_place.total()),
         ]
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,7 @@
     'exception_unhandled',
     'task_failed',
     'traceback',
+    'loop_blocked',
 )
 #: Lateness of this process that is logged, in seconds.
 MAX_OWN_LATENESS = 0.25
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -61,6 +61,8 @@
     'exception_unhandled',
     'task_failed',
 )
+#: Processor time for which one turn of a daemon's loop may last, in seconds.
+MAX_BUSY_TIME = 1.0
 #: Begins the text of an exception that reached no log.
 TRACEBACK = b'Traceback (most recent call last)'
 
@@ -196,22 +198,23 @@
         return self._process.pid
 
     def message_faults(self) -> Counter[str]:
-        """Count the log lines on messages that were not understood.
+        """Count the log lines that tell of faults of the program.
 
         A peer that is suspended or cut off sends nothing, which is no fault of
         its messages.
         """
         counts: Counter[str] = Counter()
         for fields in lines_of(self.log):
+            name = fields.get('name')
             reason = fields.get(
                 'reason', fields.get('type', fields.get('invariant', ''))
             )
-            is_known = fields.get('name') in MESSAGE_EVENTS
-            is_silence = fields.get(
-                'name'
-            ) == 'link_rubbish' and reason == repr(TimeoutError())
-            if is_known and not is_silence:
-                counts[f'{fields["name"]} {reason}'] += 1
+            if fields.get('busy_for', 0) >= MAX_BUSY_TIME:
+                counts['loop_blocked'] += 1
+            if name == 'link_rubbish' and reason == repr(TimeoutError()):
+                continue
+            if name in MESSAGE_EVENTS:
+                counts[f'{name} {reason}'] += 1
         tracebacks = self.log.read_bytes().count(TRACEBACK)
         if tracebacks:
             counts['traceback'] += tracebacks
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,6 +79,9 @@
                 'Traceback\n'
                 '{"name":"type_skipped","type":"Novel"}\n'
                 '{"name":"invariant_broken","invariant":"grant_has_row"}\n'
+                '{"name":"stood_still","lasted":1.3,"busy_for":1.2}\n'
+                '{"name":"stood_still","lasted":9.0,"busy_for":0.1}\n'
+                'Traceback (most recent call last):\n'
                 '{"name":"started"}\n'
             )
             self.assertEqual(
@@ -88,6 +91,8 @@
                     'task_failed TimeoutError()': 1,
                     'type_skipped Novel': 1,
                     'invariant_broken grant_has_row': 1,
+                    'loop_blocked': 1,
+                    'traceback': 1,
                 },
             )
 
