Let only the process that a fake grant has reached carry it out late

The fake was wrong: a call that it delayed was carried out by whichever process of the target there was by then. What has arrived at a process ends with it. The other way of the fakes to delay a grant (`World.delay_grant`) has that rule, and the client uses it now, with the same random numbers.

As strict as before: the process that a grant has reached carries it out late, also after it has released the keys, and rejects it after a higher fence; what is sent to a later process reaches that one.

--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -527,12 +527,8 @@
         if self.names_targets and target.name != keys.owner:
             self.world.misdirected_at.append(self.world.loop.time())
             return CallResult(CallOutcome.ended)
-        arrived = self.world.loop.time()
         if self.world.draw(self.world.delayed_calls):
-            delay = self.world.random.uniform(*self.world.grant_delays)
-            self.world.call_later(
-                delay, self.world.grant, target, keys, duration, arrived
-            )
+            self.world.delay_grant(target, keys, duration)
             await self.world.pause(0.3)
             return CallResult(CallOutcome.unknown)
         is_done = await self._carry_out(target, keys, duration)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,8 +1,17 @@
 """Tests of key ownership under faults, and of the checks themselves."""
 
+import asyncio
 import unittest
+from collections.abc import Callable
 
+import msgspec
+
+from cassialever.fleet.model import KeyRange
+from cassialever.platform.targets import CallOutcome
+from cassialever.types import Fence
 from tests import matrix
+from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.ownership_fakes import FakeTarget, World
 from tests.ownership_faults import (
     run_faults,
     run_long_partition,
@@ -15,6 +24,10 @@
 
 #: Number of seeds that are tried until the removal of a rule is detected.
 SEEDS = 60
+ADDRESS = '10.1.64.1:8707'
+KEYS = KeyRange(0, 99, 't1', 1000, 7)
+#: Time of a grant, in seconds.
+DURATION = 2.3
 
 
 def is_detected(rule: str) -> bool:
@@ -59,6 +72,49 @@
         self.assertEqual(run_release_after_unanswered_grant().violations, [])
 
 
+class DelayedGrantTest(unittest.TestCase):
+    """Which process of a fake target carries out a grant that is delayed."""
+
+    def played(self, event: Callable[[World, FakeTarget], None]) -> FakeTarget:
+        """Return a target after a delayed grant and what happens meanwhile."""
+        targets: list[FakeTarget] = []
+
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed=1)
+            daemon = world.add_daemon('edge-1')
+            world.delayed_calls = 1.0
+            world.grant_delays = (1.0, 1.0)
+            target = world.targets[ADDRESS]
+            targets.append(target)
+            result = await daemon.target_client.grant(ADDRESS, KEYS, DURATION)
+            self.assertIs(result.outcome, CallOutcome.unknown)
+            self.assertEqual(target.seen_fences, [])
+            event(world, target)
+            await asyncio.sleep(2)
+
+        run_virtually(main)
+        return targets[0]
+
+    def test_process_that_it_has_reached_carries_it_out(self) -> None:
+        target = self.played(lambda world, one: None)
+        self.assertEqual(target.seen_fences, [(0, 99, 7)])
+        self.assertEqual([one.fence for one in target.grants], [7])
+
+    def test_process_that_starts_meanwhile_does_not(self) -> None:
+        # It had accepted nothing, and got what was delivered to the earlier.
+        target = self.played(lambda world, one: world.restart_target(one))
+        self.assertEqual(target.seen_fences, [])
+        self.assertEqual(target.grants, [])
+
+    def test_process_that_has_seen_a_higher_fence_does_not(self) -> None:
+        def grant_higher(world: World, target: FakeTarget) -> None:
+            higher = msgspec.structs.replace(KEYS, fence=Fence(8))
+            world.grant(target, higher, DURATION, world.loop.time())
+
+        target = self.played(grant_higher)
+        self.assertEqual([one.fence for one in target.grants], [8])
+
+
 class MatrixTest(unittest.TestCase):
     """A sample of the cells of `make matrix`."""
 
