Prove no connection by the refusal of an earlier grant

The copy of an acceptance shifts the answers of its connection, so that the refusal of the grant that it was taken for comes to the next call. Its status differs from that of the answer before it, so that it was taken for the own answer of a process, and a spare connection for one to that process, which may have ended.

Now only a refusal as by another target proves a connection, where that was asked for, and an acceptance where a grant was sent. The owner of a connection gives no such refusal to its own grants, so that a shifted answer has another status than the one that is wanted.

Evidence: test_refusal_of_an_earlier_grant_proves_no_spare_one and test_refusal_that_comes_to_a_later_grant_proves_no_spare_one failed before, each without its half of the change.

--- a/cassialever/platform/spare_connections.py
+++ b/cassialever/platform/spare_connections.py
@@ -133,10 +133,13 @@
         if connection is None or status == HTTPStatus.OK:
             close_in_use()
             return False
-        is_own = self._processes.record_status(connection, status)
+        # A refusal that another target would not give may be that of a grant.
+        is_proof = self._processes.record_status(connection, status) and (
+            status == HTTPStatus.MISDIRECTED_REQUEST
+        )
         idle = idle_connections(session, address)
         self._processes.record_answer(
-            connection, sent_at, time.monotonic(), idle if is_own else ()
+            connection, sent_at, time.monotonic(), idle if is_proof else ()
         )
         return True
 
--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -299,10 +299,13 @@
         if self._session is None or connection is None:
             return result
         is_kept = self._processes.has_answered(connection)
-        is_own = self._processes.record_status(connection, status)
+        # A refusal may be that of an earlier grant.
+        is_proof = self._processes.record_status(connection, status) and (
+            status == HTTPStatus.OK
+        )
         idle = idle_connections(self._session, address)
         process = self._processes.record_answer(
-            connection, sent_at, time.monotonic(), idle if is_own else ()
+            connection, sent_at, time.monotonic(), idle if is_proof else ()
         )
         is_usual = result.outcome in {CallOutcome.done, CallOutcome.outdated}
         if is_usual:
--- a/tests/test_target_processes.py
+++ b/tests/test_target_processes.py
@@ -150,11 +150,18 @@
         self.assertIs(renewed.outcome, CallOutcome.unproven)
 
 
+_ACCEPTED = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+_CONFLICT = b'HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n'
+_MISDIRECTED = b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
+
+
 class ShiftedAnswersTest(unittest.IsolatedAsyncioTestCase):
     """The copy of an acceptance shifts the answers that follow it."""
 
     async def asyncSetUp(self) -> None:
-        server = await asyncio.start_server(_shift_answers, '127.0.0.1', 0)
+        #: What the target answers to the second grant, too late.
+        self.second = _ACCEPTED
+        server = await asyncio.start_server(self.shift, '127.0.0.1', 0)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         self.address = '127.0.0.1:{1}'.format(*server.sockets[0].getsockname())
@@ -162,6 +169,24 @@
         await self.client.start()
         self.addAsyncCleanup(self.client.stop)
 
+    async def shift(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Copy the first answer into the second; send the others one late."""
+        late = b''
+        answers = iter((_ACCEPTED, self.second))
+        with contextlib.suppress(ConnectionError, EOFError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await reader.readuntil(b'}')
+                is_question = b'Expect-Instance: -' in head
+                own = _MISDIRECTED
+                if not is_question:
+                    own = next(answers, _ACCEPTED)
+                writer.write(late or own)
+                late = own
+        writer.close()
+
     async def granted_process(self) -> TargetProcess:
         """Return a process whose copied answer was taken for its own."""
         granted = await self.client.grant(self.address, KEYS, 2.3)
@@ -187,22 +212,30 @@
         self.assertEqual(set(process.connections), {connection})
         self.assertFalse(connection.is_connected())
 
+    async def test_refusal_that_comes_to_a_later_grant_proves_no_spare_one(
+        self,
+    ) -> None:
+        self.second = _CONFLICT
+        process = await self.granted_process()
+        (connection,) = process.connections
+        await asyncio.sleep(SETTLING_TIME)
+        renewed = await self.client.grant(self.address, KEYS, 2.3, process)
+        self.assertIs(renewed.outcome, CallOutcome.unknown)
+        self.assertEqual(set(process.connections), {connection})
 
-async def _shift_answers(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Copy the first answer into the second, and send the others one late."""
-    accepted = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
-    refused = b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
-    late = b''
-    with contextlib.suppress(ConnectionError, EOFError):
-        while True:
-            head = await reader.readuntil(b'\r\n\r\n')
-            await reader.readuntil(b'}')
-            own = refused if b'Expect-Instance: -' in head else accepted
-            writer.write(late or own)
-            late = own
-    writer.close()
+    async def test_refusal_of_an_earlier_grant_proves_no_spare_one(
+        self,
+    ) -> None:
+        # It came after an acceptance, and was taken for no copy.
+        self.second = _CONFLICT
+        granted = await self.client.grant(self.address, KEYS, 2.3)
+        await asyncio.sleep(SETTLING_TIME)
+        renewed = await self.client.grant(
+            self.address, KEYS, 2.3, granted.process
+        )
+        self.assertIs(renewed.outcome, CallOutcome.done)
+        assert renewed.process is not None
+        self.assertEqual(len(renewed.process.connections), 1)
 
 
 class ProofTest(unittest.IsolatedAsyncioTestCase):
