Take the list of daemons of a machine that slept, or its leader's, for outdated

A follower's list of daemons counted as current for 1.5 s of its loop's time, which stands still while the machine sleeps, and a heartbeat that was sent before a stop, and read after it, confirmed it anew. A leader's list counted as current until its next heartbeat. Such a daemon issued the whole rate of a limit as a keeper beside the keeper that others know by then.

The age is by the clock that runs on, a heartbeat counts from when it was sent, and a leader's list from when its members were the present ones.

Both tests of ListOfDaemonsTest failed before.

--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -118,7 +118,7 @@
         #: The last complete list of them; empty if there was none yet.
         self.complete_addresses_by_id: dict[str, str] = {}
         #: Whether the present leader has sent that list and no other leader can
-        #: have a later one, and when this was last heard.
+        #: have a later one, and when this was last sent.
         self._is_list_confirmed = False
         self._list_confirmed_at: Seconds = -math.inf
 
@@ -212,8 +212,11 @@
         return self._leader_heard_at >= moment
 
     def list_age(self) -> Seconds:
-        """Return the time since the complete list was last confirmed."""
-        return asyncio.get_running_loop().time() - self._list_confirmed_at
+        """Return the time since the complete list was last confirmed.
+
+        What was sent while this daemon stood still confirms nothing later.
+        """
+        return self.view.targets.clock.boot() - self._list_confirmed_at
 
     def disconnect(self) -> None:
         """Close the link so that another leader can be followed."""
@@ -248,7 +251,7 @@
 
     def _confirm_list(self) -> None:
         if self._is_list_confirmed:
-            self._list_confirmed_at = asyncio.get_running_loop().time()
+            self._list_confirmed_at = self._reported_at
 
     def _silence(self) -> Seconds:
         return self.view.targets.clock.boot() - self._reported_at
--- a/cassialever/fleet/peers.py
+++ b/cassialever/fleet/peers.py
@@ -19,6 +19,7 @@
         """Take the list from the relay as the leader, else from the link."""
         self._relay = relay
         self._link = link
+        self._clock = link.view.targets.clock
 
     def complete_peers(self) -> dict[str, str]:
         """Return the addresses of all daemons.
@@ -27,7 +28,7 @@
         the time that a change takes to reach them. It is empty until a list
         is known that is complete.
         """
-        announced = self._relay.announced
+        announced = self._relay.announced.members
         if self._relay.is_leader and announced.is_complete:
             return announced.addresses_by_id
         return self._link.complete_addresses_by_id
@@ -36,13 +37,14 @@
         """Return the addresses of daemons, of which some may have ended."""
         if not is_leading:
             return self._link.addresses_by_id
-        if self._relay.announced.is_complete:
+        if self._relay.announced.members.is_complete:
             return self._relay.peers()
         return {**self._link.addresses_by_id, **self._relay.peers()}
 
     def has_current_peers(self) -> bool:
         """Return whether no daemon can have a later complete list."""
-        announced = self._relay.announced
+        announced, seen_at = self._relay.announced
         if self._relay.is_leader and announced.is_complete:
-            return announced.is_confirmed
+            age = self._clock.boot() - seen_at
+            return announced.is_confirmed and age < MAX_LIST_AGE
         return self._link.list_age() < MAX_LIST_AGE
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -1,6 +1,7 @@
 """Relay the leader's tables and their changes to the other daemons."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final, NamedTuple, TypeAlias
 
@@ -57,6 +58,16 @@
     told_at: Seconds = 0
 
 
+class Announcement(NamedTuple):
+    """The members that followers were told of.
+
+    They were the present ones at the time `seen_at`, in boot time.
+    """
+
+    members: messages.Members
+    seen_at: Seconds
+
+
 CatchUpKey: TypeAlias = tuple[str, RowVersion | None, RowVersion]
 
 
@@ -137,7 +148,9 @@
         self.is_leader = False
         self._leads_since: Seconds = 0
         #: The members that followers were last told of.
-        self.announced = messages.Members({}, is_complete=False)
+        self.announced = Announcement(
+            messages.Members({}, is_complete=False), -math.inf
+        )
         self._confirmation = _MemberConfirmation()
         #: Returns the ages that this daemon's heartbeats report.
         self.ages: Callable[[], LeaderAges] = LeaderAges
@@ -175,7 +188,10 @@
         """Accept followers as the leader."""
         self.is_leader = True
         self._leads_since = asyncio.get_running_loop().time()
-        self.announced = messages.Members(self.members(), is_complete=False)
+        self.announced = Announcement(
+            messages.Members(self.members(), is_complete=False),
+            self._view.targets.clock.boot(),
+        )
         self._key_history = KeyMapHistory()
         self._catch_up_frames.clear()
         self.announced_moving_by_service.clear()
@@ -256,8 +272,11 @@
                 loop.time() >= self._leads_since + RECONNECT_PERIOD,
                 self._confirmation.is_latest(addresses, ages.store_age),
             )
-            if members != self.announced:
-                self.announced = members
+            known = self.announced.members
+            self.announced = Announcement(
+                members, self._view.targets.clock.boot()
+            )
+            if members != known:
                 self.broadcast(members)
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
@@ -320,7 +339,7 @@
     ) -> None:
         instance_id = follower.hello.instance_id
         self.follower_by_id[instance_id] = follower
-        follower.send(messages.encode(self.announced))
+        follower.send(messages.encode(self.announced.members))
         try:
             while self.is_leader:
                 message = await messages.receive(reader)
--- a/tests/test_waking_up.py
+++ b/tests/test_waking_up.py
@@ -9,6 +9,12 @@
 from cassialever.fleet.catching_up import CatchUp
 from cassialever.fleet.following import StoreFollower
 from cassialever.fleet.following_leader import LeaderLink
+from cassialever.fleet.peers import SharedPeers
+from cassialever.fleet.relay import (
+    HEARTBEAT_INTERVAL,
+    RECONNECT_PERIOD,
+    Relay,
+)
 from cassialever.policy.freshness import Verdict, judge
 from tests.fleet_helpers import (
     LoopClock,
@@ -25,6 +31,7 @@
 #: How long the answers of another daemon take, in seconds.
 COPY_TIME = 0.2
 PEER = '10.1.0.1:7'
+OWN_HELLO = messages.Hello('d9', 1, '10.1.0.9:7', {})
 
 
 class SleepingClock(LoopClock):
@@ -46,8 +53,7 @@
 
         async def main(loop: VirtualLoop) -> None:
             clock = SleepingClock(loop)
-            own = messages.Hello('d9', 1, '10.1.0.9:7', {})
-            link = LeaderLink(configured_view(clock), own)
+            link = LeaderLink(configured_view(clock), OWN_HELLO)
             link.note_heartbeat(
                 messages.Pulse(True, 0.1, 0.2, sent_at=clock.boot())
             )
@@ -81,6 +87,60 @@
         run_virtually(main)
 
 
+class ListOfDaemonsTest(unittest.TestCase):
+    """The list by which limits are divided, after its daemon stood still.
+
+    Another leader may have a later one by then.
+    """
+
+    def make(self, clock: SleepingClock) -> tuple[Relay, LeaderLink]:
+        view = configured_view(clock)
+        return Relay(view, OWN_HELLO), LeaderLink(view, OWN_HELLO)
+
+    def test_list_of_a_follower_that_slept_is_not_current(self) -> None:
+        """It counted as current, and this daemon as the only keeper."""
+
+        async def main(loop: VirtualLoop) -> None:
+            clock = SleepingClock(loop)
+            relay, link = self.make(clock)
+            peers = SharedPeers(relay, link)
+            link.note_heartbeat(
+                messages.Pulse(True, 0, 0, sent_at=clock.boot())
+            )
+            link.adopt_members(messages.Members({'d8': PEER}, True, True))
+            self.assertTrue(peers.has_current_peers())
+            sent_before = clock.boot() + 0.25
+            clock.slept = SUSPENDED
+            self.assertFalse(peers.has_current_peers())
+            link.note_heartbeat(messages.Pulse(True, 0, 0, sent_at=sent_before))
+            self.assertFalse(peers.has_current_peers())
+            link.note_heartbeat(
+                messages.Pulse(True, 0, 0, sent_at=clock.boot())
+            )
+            self.assertTrue(peers.has_current_peers())
+
+        run_virtually(main)
+
+    def test_list_of_a_leader_that_slept_is_not_current(self) -> None:
+        """It counted as current until the next heartbeat."""
+
+        async def main(loop: VirtualLoop) -> None:
+            clock = SleepingClock(loop)
+            relay, link = self.make(clock)
+            peers = SharedPeers(relay, link)
+            relay.begin_term()
+            beating = asyncio.create_task(relay.send_heartbeats())
+            await asyncio.sleep(2 * RECONNECT_PERIOD)
+            self.assertTrue(peers.has_current_peers())
+            clock.slept = SUSPENDED
+            self.assertFalse(peers.has_current_peers())
+            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            self.assertTrue(peers.has_current_peers())
+            beating.cancel()
+
+        run_virtually(main)
+
+
 class FirstRequestTest(unittest.TestCase):
     """A daemon that was stopped for long, before it serves a request."""
 
