Take a connection that broke for a crash if another target has the address

Whether a target ended whose connection broke was asked of its address, and a process that has got it accepts: the request that may have crashed the first one was no suspect until the entry was gone, three heartbeats later, and was sent to further targets meanwhile.

That another target has the address, which answers and other daemons tell, is evidence like an entry that is gone.

test_address_that_another_target_has failed before: no crash was noted.

--- a/cassialever/gateway/crash_evidence.py
+++ b/cassialever/gateway/crash_evidence.py
@@ -85,6 +85,8 @@
                 self._confirm(life, 'its entry is gone')
             elif TargetLife.of(known) != life:
                 self._confirm(life, 'it has started again')
+            elif self._view.targets.limits.is_replaced(known):
+                self._confirm(life, 'another target has its address')
 
     def _confirm(self, life: TargetLife, reason: str) -> None:
         """Take the requests that were at work at a life as suspects."""
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -79,6 +79,14 @@
         self.evidence.check_entries()
         self.assertEqual(self.crash_count(), 1)
 
+    async def test_address_that_another_target_has(self) -> None:
+        """Who accepts connections there counted as the target itself."""
+        self.refuses = False
+        await self.break_exchange()
+        self.view.targets.limits.record_replaced(self.target)
+        self.evidence.check_entries()
+        self.assertEqual(self.crash_count(), 1)
+
     async def test_entry_that_is_removed(self) -> None:
         self.refuses = False
         await self.break_exchange()
