Correct a row's version that the store does not have like a table's

A version above the store's was given up after two whole reads only if it was that of the table. A row with one stayed while its daemon followed, whatever the store said, as a row that is newer than the read; with such a key map the daemon could not lead until the map was written again, once the table's version had been forgotten, too.

A read that began after all rows were learnt is compared with the highest version of the table and its rows, removals included. What was learnt meanwhile stays, as before.

test_false_version_of_a_row_is_corrected_as_well failed before, with the table's version forgotten and below the row's.

--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -105,6 +105,13 @@
         known = self._whole_at_by_table.get(table, RowVersion(0))
         self._whole_at_by_table[table] = max(known, version)
 
+    def highest_version(self, table: str) -> RowVersion:
+        """Return the highest version that is known of a table or its rows."""
+        removed = self._removed_by_table.get(table, {}).values()
+        versions = (row.version for row in (*self.rows_of(table), *removed))
+        known = self.version_by_table.get(table, UNCONFIRMED)
+        return max(known, max(versions, default=UNCONFIRMED))
+
     def note_relayed(self, table: str, version: RowVersion) -> None:
         """Compare the version that another daemon tells with the known one."""
         known = self.version_by_table.get(table, UNCONFIRMED)
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -120,6 +120,9 @@
         is_confirmed = source == STORE and is_conclusive
         confirmed = version if is_confirmed else UNCONFIRMED
         known = self.rows.version_by_table.get(table, UNCONFIRMED)
+        if is_confirmed and began_at is not None:
+            # What was known before it began has no later version.
+            known = self.rows.highest_version(table)
         if version < known:
             if began_at is None or not false_versions.disproves(
                 table, version, began_at
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -236,6 +236,19 @@
         self.view.apply(OWN_TABLE, [map_row(51, 'i-2')], 51)
         self.assertEqual(owner_of(self.view), 'i-2')
 
+    def test_false_version_of_a_row_is_corrected_as_well(self) -> None:
+        """Such a daemon could not lead until the map was written again."""
+        for known in (None, 40):
+            with self.subTest(table=known):
+                self.setUp()
+                self.view.rows.version_by_table.pop(OWN_TABLE)
+                if known is not None:
+                    self.view.rows.version_by_table[OWN_TABLE] = known
+                self.assertFalse(self.read(50))
+                self.assertEqual(owner_of(self.view), 'i-9')
+                self.assertTrue(self.read(50))
+                self.assertEqual(owner_of(self.view), 'i-1')
+
     def test_rows_that_the_store_does_not_have_are_removed(self) -> None:
         self.view.apply(
             TABLE, [json_row(TABLE, 't0', target_entry(), 90)], 90, ELSEWHERE
