Let a leader stay whose predecessor has just handed over for the same targets

Callers saw a third of their requests refused from 20 s on, as no leader granted keys, and all daemons read the store.

A leader calls every owner of keys and finds all that have ended; other daemons miss only those that they had requests for. So it misses many "alone" wherever it runs. One that reaches no target at all hands over as before. The leader's row is looked at before that check now, so that a new leader knows of its predecessor.

--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -342,10 +342,11 @@
         """Follow the store directly while the leader is cut off from it."""
         while True:
             await asyncio.sleep(WATCH_INTERVAL)
-            await self._hand_over_if_cut_off()
             is_leading = self.state is MemberState.leading
             tables_age = self.own_ages().tables_age
             self.contact.watch(tables_age, is_leading=is_leading)
+            await self._hand_over_if_cut_off()
+            is_leading = self.state is MemberState.leading
             if is_leading or self.link.is_relaying():
                 self._direct_follower.stop_for_leader()
             elif self.link.is_open and not self._stop_asked.is_set():
@@ -362,8 +363,14 @@
             return
         if leader_term.store_age() > MAX_STORE_AGE_FOR_HANDOVER:
             return
-        if not self.candidacy.should_hand_over(self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if not self.candidacy.should_hand_over(now):
             return
+        # The leader before has just done so, too: what this one misses is not
+        # the fault of its own paths, and no other may be better off.
+        if self.contact.changes.short_count:
+            if not self.candidacy.is_cut_off(now):
+                return
         record(Event.leader_handed_over, term=leader_term.term)
         await leader_term.resign()
         # Meanwhile the term may have ended, and a later one begun.
--- a/cassialever/policy/candidacy.py
+++ b/cassialever/policy/candidacy.py
@@ -66,3 +66,7 @@
             self._misses_since = now
         is_confirmed = now >= self._misses_since + REPORT_PERIOD
         return is_confirmed or self._paths.is_cut_off(now)
+
+    def is_cut_off(self, now: Seconds) -> bool:
+        """Return whether this daemon reaches no target."""
+        return self._paths.is_cut_off(now)
--- a/tests/test_fleet_term_ends.py
+++ b/tests/test_fleet_term_ends.py
@@ -534,5 +534,37 @@
     )
 
 
+class HandOverTest(EventCase, ElectionCase):
+    """Leaders that all miss targets, as they call every owner of keys."""
+
+    def hand_overs(self, *, are_cut_off: bool) -> int:
+        """Return how often leaders hand over while all of them would."""
+
+        async def scenario(rig: Rig) -> None:
+            for daemon in rig.daemons:
+                daemon.member.candidacy = mock.Mock(
+                    may_lead=lambda _: True,
+                    should_hand_over=lambda _: True,
+                    is_cut_off=lambda _: are_cut_off,
+                )
+            await asyncio.sleep(SEVERAL_TERMS)
+
+        self.play(scenario, count=6, seeds=range(1))
+        return len(self.events.fields('leader_handed_over'))
+
+    def test_leaders_that_miss_the_same_targets_do_not_all_hand_over(
+        self,
+    ) -> None:
+        """Each one did at once, as many targets had ended for all."""
+        count = self.hand_overs(are_cut_off=False)
+        self.assertGreaterEqual(count, 1)
+        self.assertLessEqual(count, 2 * SEVERAL_TERMS / SHORT_TERM)
+
+    def test_leaders_that_reach_no_target_hand_over(self) -> None:
+        self.assertGreater(
+            self.hand_overs(are_cut_off=True), 2 * SEVERAL_TERMS / SHORT_TERM
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
