Take only a stream's report of a cancelled connection for no fault

Since any error that came with a cancellation was a warning, in the log and for the check of the test runner: a callback of this program that asks a cancelled task for its exception, or raises so otherwise, passed.

Only the callback of a stream, called by the event loop, is left out.

test_callback_that_asks_a_cancelled_task_is_at_fault failed before: nothing was counted; test_cancelled_connection_is_no_error holds as before.

--- a/cassialever/telemetry/library_log.py
+++ b/cassialever/telemetry/library_log.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import itertools
 import logging
 import time
 import traceback
@@ -95,12 +96,23 @@
     """Return whether a library logged an error that a program has to handle.
 
     Streams of Python 3.11 report the task of a connection that is cancelled, as
-    at the end of a process, like one that has raised.
+    at the end of a process, like one that has raised. A callback of this
+    program that raises so is at fault.
     """
     if library_record.levelno < logging.ERROR:
         return False
-    error = library_record.exc_info and library_record.exc_info[1]
-    return not isinstance(error, asyncio.CancelledError)
+    if library_record.exc_info is None:
+        return True
+    _, error, trace = library_record.exc_info
+    is_cancelled = isinstance(error, asyncio.CancelledError)
+    return not is_cancelled or not _is_by_stream(trace)
+
+
+def _is_by_stream(trace: TracebackType | None) -> bool:
+    """Return whether the event loop has called a stream's callback."""
+    frames = itertools.islice(traceback.walk_tb(trace), 2)
+    files = [frame.f_code.co_filename for frame, _ in frames]
+    return files == [asyncio.events.__file__, asyncio.streams.__file__]
 
 
 def _frames_of(trace: TracebackType | None) -> str:
--- a/tests/test_library_log.py
+++ b/tests/test_library_log.py
@@ -133,6 +133,21 @@
             {event for event, _ in self.recorded}, {Event.library_warned}
         )
 
+    def test_callback_that_asks_a_cancelled_task_is_at_fault(self) -> None:
+        """Any cancellation passed for the one of a stream."""
+
+        async def cancel() -> None:
+            task = asyncio.create_task(asyncio.sleep(60))
+            task.add_done_callback(lambda ended: ended.exception())
+            task.cancel()
+            await asyncio.wait([task])
+            await asyncio.sleep(0)
+
+        runner = logging.getLogger('asyncio')
+        with mock.patch.object(runner, 'handlers', []):
+            asyncio.run(cancel())
+        self.assertEqual(errors_by_place.total(), 1)
+
     async def end_beside_a_connection(self) -> None:
         async def serve(*_: object) -> None:
             accepted.set()
