Load the exporter of metrics once for requests that come together

Two first requests for a daemon's metrics, as by two collectors, each loaded an exporter; both stay registered, so that each metric is exported twice from then on (two exporters in one process: the second answer has each family twice).

The first request loads it; others wait.

test_two_first_requests_for_metrics_get_each_once failed before: two were made.

--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -52,6 +52,7 @@
         self._known: set[str] = set()
         self._runner: web.ServerRunner | None = None
         self._exporter: _Exporter | None = None
+        self._loading = asyncio.Lock()
         #: Set once listening was tried, whether that succeeded or not.
         self.was_tried = asyncio.Event()
 
@@ -89,13 +90,24 @@
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.path != METRICS_PATH:
             return web.Response(status=web.HTTPNotFound.status_code)
-        if self._exporter is None:
-            self._exporter = await asyncio.to_thread(_Exporter, self._readings)
+        exporter = await self._load()
         return web.Response(
-            body=self._exporter.text(),
+            body=exporter.text(),
             content_type='text/plain',
         )
 
+    async def _load(self) -> '_Exporter':
+        """Return the exporter; load it once, for whichever request is first.
+
+        A second one would export each metric a second time.
+        """
+        async with self._loading:
+            if self._exporter is None:
+                self._exporter = await asyncio.to_thread(
+                    _Exporter, self._readings
+                )
+        return self._exporter
+
 
 class _Exporter:
     """OpenTelemetry gauges that observe the daemon's readings."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 import logbook
 
 from cassialever.fleet.membership import MemberState
+from cassialever.gateway import metrics
 from cassialever.gateway.settings import PATH_VARIABLE
 from cassialever.process_signals import ProcessSignals
 from standins.keyed_target import TargetServer
@@ -227,6 +228,24 @@
                 text, r'tables_age_by_way_seconds\{[^}]*way="store"[^}]*\} \d'
             )
 
+    async def test_two_first_requests_for_metrics_get_each_once(self) -> None:
+        """Two exporters showed each metric twice from then on."""
+        async with deployment() as system:
+            port = system.gateways[0].settings.metrics_port
+            url = f'http://127.0.0.1:{port}/metrics'
+
+            async def scrape() -> None:
+                async with aiohttp.ClientSession() as session:
+                    async with session.get(url) as response:
+                        self.assertEqual(response.status, 200)
+
+            make = metrics._Exporter
+            with mock.patch.object(
+                metrics, '_Exporter', side_effect=make
+            ) as made:
+                await asyncio.gather(scrape(), scrape())
+            made.assert_called_once()
+
     async def test_metrics_show_by_which_fact_keys_were_freed(self) -> None:
         async with deployment() as system:
             gateway = system.gateways[0]
