Take bytes that are no request for no fault at any server

Connections of callers and daemons record a malformed request as refused; the servers for metrics and for operators still had it as event 120 and in the count of unhandled exceptions, so that any client could raise the alarm.

Such an error of an HTTP server is a warning, which tells of the client.

test_malformed_request_for_metrics_is_no_error failed before by the count.

--- a/cassialever/telemetry/library_log.py
+++ b/cassialever/telemetry/library_log.py
@@ -13,6 +13,8 @@
 from types import CodeType, TracebackType
 from typing import Final, TypeAlias
 
+from aiohttp.http import HttpProcessingError
+
 from cassialever.events import Event, record
 from cassialever.types import Seconds
 
@@ -97,13 +99,16 @@
 
     Streams of Python 3.11 report the task of a connection that is cancelled, as
     at the end of a process, like one that has raised. A callback of this
-    program that raises so is at fault.
+    program that raises so is at fault. Bytes that are no request are the fault
+    of the client that has sent them.
     """
     if library_record.levelno < logging.ERROR:
         return False
     if library_record.exc_info is None:
         return True
     _, error, trace = library_record.exc_info
+    if isinstance(error, HttpProcessingError):
+        return False
     is_cancelled = isinstance(error, asyncio.CancelledError)
     return not is_cancelled or not _is_by_stream(trace)
 
--- a/tests/test_library_log.py
+++ b/tests/test_library_log.py
@@ -11,6 +11,7 @@
 from cassialever.events import Event
 from cassialever.fleet import messages, relay
 from cassialever.fleet.message_version import MESSAGE_VERSION
+from cassialever.gateway.metrics import MetricsServer
 from cassialever.telemetry import library_log
 from cassialever.telemetry.library_log import (
     MAX_PLACES,
@@ -18,7 +19,12 @@
     errors_by_place,
 )
 from standins.listening import free_ports
-from tests.fleet_helpers import ManualClock, configured_view, until
+from tests.fleet_helpers import (
+    ManualClock,
+    configured_view,
+    make_settings,
+    until,
+)
 
 
 class Unprintable(Exception):
@@ -133,6 +139,26 @@
             {event for event, _ in self.recorded}, {Event.library_warned}
         )
 
+    def test_malformed_request_for_metrics_is_no_error(self) -> None:
+        """Any client could raise the count, which is to alert on."""
+        server = logging.getLogger('aiohttp.server')
+        with mock.patch.object(server.parent, 'handlers', []):
+            asyncio.run(self.send_rubbish())
+        self.assertFalse(errors_by_place)
+        events = [event for event, _ in self.recorded]
+        self.assertEqual(events, [Event.library_warned])
+
+    async def send_rubbish(self) -> None:
+        (port,) = free_ports(1)
+        settings = make_settings('127.0.0.1:9', (port, 1, 2))
+        metrics = MetricsServer(settings, list)
+        runner = await metrics._listen('127.0.0.1', port)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'GET / HTTP/9.9\r\n\r\n')
+        self.assertIn(b' 400 ', await reader.read())
+        writer.close()
+        await runner.cleanup()
+
     def test_callback_that_asks_a_cancelled_task_is_at_fault(self) -> None:
         """Any cancellation passed for the one of a stream."""
 
