Take a store's host that can't be encoded for a call that failed

Settings with a store such as store..example:80 ended the daemon, and a daemon that was told to read them again: a host that can't be encoded raises an error that is neither of the connection nor of the client, and it ended the task of whichever part called the store. The reload says that nothing changes if the settings can't be used; those could be loaded.

Such a call fails like one whose connection is refused. So does one to an address that is none: it counted as possibly performed, though nothing was sent.

--- a/cassialever/platform/store.py
+++ b/cassialever/platform/store.py
@@ -63,6 +63,14 @@
     rows.Rows | Failure,
 )
 
+#: The errors of a call of which nothing was sent. An address that the settings
+#: have wrong raises one of the last two.
+_UNSENT_ERRORS: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+    UnicodeError,
+)
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
@@ -221,10 +229,7 @@
                 **options,
             ) as response:
                 return response.status, await _read_body(response)
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
+        except _UNSENT_ERRORS as error:
             return Failure(ErrorKind.table_unavailable, repr(error))
         except AnswerTooLongError as too_long:
             return Failure(_too_long_kind(path), str(too_long))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -211,6 +211,21 @@
         self.assertIs(self.failure_kind(result), ErrorKind.table_unavailable)
 
 
+class WrongAddressTest(unittest.IsolatedAsyncioTestCase):
+    """The settings name a store whose address is none."""
+
+    async def test_host_that_cannot_be_encoded_is_a_failure(self) -> None:
+        """It ended the daemon, also one that was told to read them again."""
+        for address in ('store..example:80', f'{"a" * 64}.example:80', 'a:b'):
+            client = StoreClient(address)
+            await client.start()
+            with self.subTest(address=address):
+                read = await client.read('t')
+                assert isinstance(read, Failure)
+                self.assertIs(read.kind, ErrorKind.table_unavailable)
+            await client.stop()
+
+
 class PurposeTest(StoreCase):
     """The numbers of calls by what they are for."""
 
