Ask the seeds of the settings whatever ports they have

A seed without a port, or with one that is no number, raised ValueError where the seeds are asked: with the store away the daemon ended, and all others with the same settings. The port is not used, as all daemons have the same.

test_port_that_is_none_hides_no_seed failed before with that error.

--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -538,8 +538,8 @@
 def seed_addresses(seeds: Sequence[str], own_address: str) -> list[str]:
     """Return the addresses at which the seeds accept other daemons.
 
-    All daemons use the same port for that.
+    All daemons use the same port for that, so that the seeds' own tell nothing.
     """
     port = split_address(own_address)[1]
-    hosts = [split_address(seed)[0] for seed in seeds]
+    hosts = [seed.rsplit(':', 1)[0] for seed in seeds]
     return [f'{host}:{port}' for host in hosts]
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -150,6 +150,18 @@
         self.fail('no daemon leaves the leader')
 
 
+class SeedsTest(unittest.TestCase):
+    """Where the daemons of the settings are asked for the leader."""
+
+    def test_port_that_is_none_hides_no_seed(self) -> None:
+        """Such a seed ended the daemon as soon as the store was away."""
+        seeds = ('10.1.0.2:7', '10.1.0.3', '10.1.0.4:', '10.1.0.5:peer')
+        self.assertEqual(
+            membership.seed_addresses(seeds, '10.1.0.1:9'),
+            ['10.1.0.2:9', '10.1.0.3:9', '10.1.0.4:9', '10.1.0.5:9'],
+        )
+
+
 class ElectionTest(unittest.IsolatedAsyncioTestCase):
     """What a daemon learns of the holder of the lease."""
 
