Send no caller's request to the paths of calls about keys

What callers could do: give a target keys under any fence, or take its keys away. Where a route of a service with keys has the prefix `/` (or one that covers the paths of these calls), a POST to the path of a grant was sent to the owner with its id, as any request. The owner took the keys under the caller's fence and refused all renewals below it.

Found while listing the ways by which a target comes to hold a key under a fence that another process had. No record shows such a request.

Evidence: test_request_of_a_caller_gives_no_keys failed before with 502 in place of 404: the target carried the call out, and its answer, without a signature, was none. After the release of a caller requests for the keys got 503.

Now a request whose path a target may read as that of such a call has no route, also if it is spelled with dots, doubled slashes, escapes or capitals. Paths that merely contain these words are routed as before.

--- a/cassialever/gateway/routes.py
+++ b/cassialever/gateway/routes.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from cassialever.fleet.model import Route
+from cassialever.platform.call_paths import is_call_path
 
 #: Schemes of the URLs that callers may send.
 _SCHEMES: Final = ('http', 'https')
@@ -22,10 +23,11 @@
         """Return the host's route with the longest matching path prefix.
 
         Prefixes begin and end with a slash, so only prefixes of the path
-        that end with a slash are looked up.
+        that end with a slash are looked up. A caller's request must not give or
+        take keys, whatever the operator's prefixes cover.
         """
         by_prefix = self._routes_by_host.get(host.split(':', 1)[0].lower())
-        if by_prefix is None:
+        if by_prefix is None or is_call_path(path):
             return None
         path = path.split('?', 1)[0]
         end = path.rfind('/')
--- a/cassialever/platform/wire.py
+++ b/cassialever/platform/wire.py
@@ -24,7 +24,7 @@
 LEAVING_HEADER: Final = 'Server-Leaving'
 _HANDOVER: Final = 'Handover'
 GRANT_PATH: Final = '/cassialever/grant'
-_RELEASE_PATH: Final = '/cassialever/release'
+RELEASE_PATH: Final = '/cassialever/release'
 #: Longest number that is read; Python fails on very long ones.
 _MAX_DIGITS: Final = 15
 #: Larger figures of a load are malformed, as is "nan".
@@ -210,7 +210,7 @@
 
 def encode_release(keys: KeyRange) -> tuple[str, bytes]:
     """Return the path and body of a call that takes keys back."""
-    return _RELEASE_PATH, msgspec.json.encode(
+    return RELEASE_PATH, msgspec.json.encode(
         {'from': keys.first, 'target': keys.last, 'fence': keys.fence},
     )
 
--- /dev/null
+++ b/tests/test_calls_of_callers.py
@@ -0,0 +1,100 @@
+"""Tests of requests of callers that look like calls about keys."""
+
+import unittest
+
+import msgspec
+
+from cassialever.platform.call_paths import is_call_path
+from tests.fleet_helpers import CONFIGURATION, ROUTES, deployment, until
+from tests.gateway_helpers import (
+    LOOKUP_HEADERS,
+    send_request,
+    wait_for_keys,
+)
+
+#: A fence above all that leaders give in a test.
+FENCE = 1000
+#: Routes of a service with keys that cover the paths of calls about keys.
+PREFIXES = ('/', '/cassialever/')
+
+
+class CallPathTest(unittest.IsolatedAsyncioTestCase):
+    """A route of a service with keys covers the paths of its calls."""
+
+    async def test_request_of_a_caller_gives_no_keys(self) -> None:
+        # A target took its keys under the fence of a caller, and no leader
+        # could renew them any more.
+        for prefix in PREFIXES:
+            with self.subTest(prefix=prefix):
+                await self.check(prefix)
+
+    async def check(self, prefix: str) -> None:
+        configuration = {
+            **CONFIGURATION,
+            'version': 'r8',
+            'routes': {
+                **ROUTES,
+                'r-all': {**ROUTES['r-lookup'], 'path_prefix': prefix},
+            },
+        }
+        call = {'from': 0, 'target': 65535, 'fence': FENCE, 'hold_ms': 2000}
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            system.store.put('op', 'config', configuration)
+            await wait_for_keys(gateway)
+            await until(
+                lambda: (
+                    gateway.view.routes.find('registry.example', prefix)
+                    is not None
+                )
+            )
+            for path in ('/cassialever/grant', '/cassialever/release'):
+                response = await send_request(
+                    gateway,
+                    path,
+                    LOOKUP_HEADERS,
+                    method='POST',
+                    data=msgspec.json.encode(call),
+                )
+                self.assertEqual(response.status, 404, path)
+            for target in system.targets:
+                for grant in target.keys.grants:
+                    self.assertLess(grant.fence, FENCE)
+            response = await send_request(
+                gateway, '/lookup/cassialever/grant', LOOKUP_HEADERS
+            )
+            self.assertEqual(response.status, 200)
+
+    def test_paths_that_a_target_may_read_as_those_of_calls(self) -> None:
+        for path in (
+            '/cassialever/grant?a=b',
+            '/cassialever/release/',
+            '//cassialever//grant',
+            '/cassialever/./grant',
+            '/lookup/../cassialever/grant',
+            '/cassialever/%67rant',
+            '/cassialever%2Frelease',
+            '/Cassialever/Grant',
+            'cassialever/grant',
+        ):
+            with self.subTest(path=path):
+                self.assertTrue(is_call_path(path))
+
+    def test_paths_of_other_requests(self) -> None:
+        for path in (
+            '/',
+            '*',
+            '/grant',
+            '/lookup/cassialever/grant',
+            '/cassialever/grant/x',
+            '/cassialever/granted',
+            '/cassialever/',
+            '/lookup/?/cassialever/grant',
+            '/lookup/%zz',
+        ):
+            with self.subTest(path=path):
+                self.assertFalse(is_call_path(path))
+
+
+if __name__ == '__main__':
+    unittest.main()
