Repeat a grant of doubtful refusal with the reserved fence

What callers saw, in a test alone: two processes took keys with the same fence. A target accepted a grant, and a copy of an earlier refusal came in its answer's place. It ended, and its next life, under the same id, got the repetition of the grant on a new connection, with the same fence (rule OWNER).

Cause: a grant with a fence that no process has accepted yet may go to any process of its owner, and a refusal that may be a copy was answered by sending the same call again.

Now the repetition has the next fence, which is reserved for the owner and in the store already. If it is carried out, the outcome counts as unknown: the reserve is used, so that the owner is granted a fence that is written before. A refusal of the repetition tells the same as before.

Evidence: RepeatedGrantTest.test_later_life_gets_no_fence_of_the_earlier failed before (the later life had the fence 9 of the earlier one).

Price: one write and one grant more where the first refusal was a copy, or was true and its cause had gone by the repetition.

--- a/cassialever/platform/targets.py
+++ b/cassialever/platform/targets.py
@@ -40,7 +40,7 @@
     NO_TARGET,
     SpareConnections,
 )
-from cassialever.types import Seconds, TargetId
+from cassialever.types import Fence, Seconds, TargetId
 
 #: How long a target may take to answer a grant.
 GRANT_TIMEOUT: Final[Seconds] = 0.4
@@ -90,9 +90,7 @@
     (CallOutcome.outdated, CallOutcome.refused, CallOutcome.ended)
 )
 #: Answers to a grant that tell its end, also if it was sent before.
-_CONCLUSIVE: Final = frozenset(
-    (CallOutcome.done, CallOutcome.outdated, CallOutcome.ended)
-)
+_CONCLUSIVE: Final = frozenset((CallOutcome.outdated, CallOutcome.ended))
 
 
 class ConnectionUse(enum.Enum):
@@ -161,7 +159,7 @@
         carries the call out, also if another target has its address. With a
         process, only that one does: a later process of the same target is not
         called. Else a call whose refusal may belong to another one is sent
-        again, on a new connection.
+        again, on a new connection and with the fence that is reserved.
         """
         call = wire.encode_grant(keys, min(duration, self._max_duration))
         sent_at = time.monotonic()
@@ -171,6 +169,9 @@
         if not result.is_doubtful or process is not None:
             return conclude(result)
         time_left = GRANT_TIMEOUT - (time.monotonic() - sent_at)
+        call = wire.encode_grant(
+            with_reserved_fence(keys), min(duration, self._max_duration)
+        )
         with only_on_new():
             repeated = await self._call(address, keys.owner, call, time_left)
         return conclude(result, repeated)
@@ -326,16 +327,13 @@
     next one is expected, but not as the first on a connection. So a refusal
     that isn't the first answer on its connection may hide that the call was
     carried out, or will be. A success that belongs to another call does no
-    harm: the keys are taken to be held. One to the repetition proves nothing of
-    the call before, which has the same fence.
+    harm: the keys are taken to be held. One to the repetition may be that of a
+    later process, and the fence that it has used is not reserved any more, so
+    that another one has to be written.
     """
     if not result.is_doubtful:
         return result
     if repeated is not None and repeated.is_first:
-        if repeated.outcome is CallOutcome.done:
-            return msgspec.structs.replace(
-                repeated, connection=ConnectionUse.kept
-            )
         if repeated.outcome in _CONCLUSIVE:
             return repeated
     return msgspec.structs.replace(
@@ -345,6 +343,14 @@
     )
 
 
+def with_reserved_fence(keys: KeyRange) -> KeyRange:
+    """Return keys with the fence above theirs, which the store has as well.
+
+    A process that has started since the call before must not get its fence.
+    """
+    return msgspec.structs.replace(keys, fence=Fence(keys.fence + 1))
+
+
 def _found(outcome: CallOutcome) -> Presence:
     """Return what the outcome of a call that names no target shows."""
     if outcome is CallOutcome.not_sent:
