--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -13,6 +13,7 @@
 from cassialever.gateway.outcomes import Attempt
 from cassialever.gateway.settings import InstanceSettings
 from cassialever.gateway.tables_state import TablesState
+from cassialever.platform.call_paths import is_call_path
 from cassialever.policy.connect_times import MIN_TIMEOUT
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.placing import withdrawal_reason
@@ -93,8 +94,11 @@
     ) -> str:
         """Return why a request has no way to its target; empty if it has.
 
-        A daemon that passes it on by a later configuration knows better.
+        A daemon that passes it on by a later configuration knows better. One of
+        the build before passes calls about keys on.
         """
+        if is_call_path(hop.raw_path):
+            return 'its path is that of a call about keys'
         configuration = self._view.configuration
         if configuration is None or configuration.version <= hop.configuration:
             return ''
--- a/tests/test_calls_of_callers.py
+++ b/tests/test_calls_of_callers.py
@@ -1,10 +1,15 @@
 """Tests of requests of callers that look like calls about keys."""
 
+import time
 import unittest
 
+import aiohttp
 import msgspec
 
+from cassialever.fleet.model import StartedAt
+from cassialever.gateway.hop_messages import HopRequest, encode_request
 from cassialever.platform.call_paths import is_call_path
+from cassialever.types import InstanceId, TargetId
 from tests.fleet_helpers import CONFIGURATION, ROUTES, deployment, until
 from tests.gateway_helpers import (
     LOOKUP_HEADERS,
@@ -65,6 +70,43 @@
             )
             self.assertEqual(response.status, 200)
 
+    async def test_helper_passes_no_call_on(self) -> None:
+        # A daemon of a build that sends such requests asked it to.
+        async with deployment() as system:
+            gateway = system.gateways[0]
+            await wait_for_keys(gateway)
+            target = system.targets[0]
+            call = {'from': 0, 'target': 9, 'fence': FENCE, 'hold_ms': 2000}
+            for path in ('/cassialever/grant', '/lookup/'):
+                hop = HopRequest(
+                    'POST',
+                    path,
+                    TargetId(target.target_id),
+                    StartedAt(target.born),
+                    2.0,
+                    InstanceId('edge-9'),
+                    7,
+                    time.time(),
+                    'n1',
+                )
+                async with (
+                    aiohttp.ClientSession() as session,
+                    session.post(
+                        f'http://{gateway.settings.hop_address}{path}',
+                        headers={
+                            **LOOKUP_HEADERS,
+                            'Attempt-Id': 'a1',
+                            **dict(encode_request(hop, '')),
+                        },
+                        data=msgspec.json.encode(call),
+                    ) as response,
+                ):
+                    outcome = response.headers['Daemon-Hop-Outcome']
+                is_call = path != '/lookup/'
+                self.assertEqual(outcome == 'not_run', is_call, path)
+            fences = [one.fence for one in target.keys.grants]
+            self.assertNotIn(FENCE, fences)
+
     def test_paths_that_a_target_may_read_as_those_of_calls(self) -> None:
         for path in (
             '/cassialever/grant?a=b',
