--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -11,6 +11,7 @@
 from cassialever.keys.mapwriter import row_name
 from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.ownership_fakes import FakeTarget
 from tests.ownership_faults import run_unnamed_renewals
 from tests.ownership_rules import (
     PATCHES_BY_RULE,
@@ -160,6 +161,44 @@
 
         self.check(scenario)
 
+    def test_next_leader_gives_no_fence_that_was_reserved(self) -> None:
+        """The one before has used it, right before a release."""
+
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            target = world.targets[ADDRESS]
+            highest = _highest_fence(target)
+            assigner = leader.assigner.assigner_by_service['registry']
+            for moved in assigner.assignments.held_by(TargetId('t1')):
+                assigner._reclaim(moved, 'a move')
+            while _highest_fence(target) == highest:
+                await asyncio.sleep(0.001)
+            leader.kill()
+            world.restart_target(target)
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(5)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
+    def test_leader_that_finds_no_map_gives_no_earlier_fence(self) -> None:
+        # Another writer has removed it; fences began anew.
+        async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
+            second = world.add_daemon('edge-2')
+            world.publish_targets()
+            await leader.resign()
+            leader.kill()
+            world.shared.delete(*KEY_MAP_ROW)
+            world.restart_target(world.targets[ADDRESS])
+            while not await second.take_over():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(5)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.check(scenario)
+
     def test_unreadable_lease_may_be_that_of_a_leader(self) -> None:
         # Its owner went on being renewed while the keys were given on.
         async def scenario(world: SearchWorld, leader: SearchDaemon) -> None:
@@ -176,6 +215,11 @@
         self.check(scenario)
 
 
+def _highest_fence(target: FakeTarget) -> int:
+    """Return the highest fence that a target has seen."""
+    return max(fence for _, _, fence in target.seen_fences)
+
+
 class UnreadableMapTest(unittest.TestCase):
     """The row with the owners of keys can't be read by a new leader."""
 
