--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -13,6 +13,7 @@
 from cassialever.gateway.outcomes import Attempt
 from cassialever.gateway.settings import InstanceSettings
 from cassialever.gateway.tables_state import TablesState
+from cassialever.platform.call_paths import is_call_path
 from cassialever.policy.connect_times import MIN_TIMEOUT
 from cassialever.policy.freshness import Knowledge, reason_to_wait
 from cassialever.policy.loads import LoadTracker
@@ -98,8 +99,11 @@
 
         A daemon that passes it on by a later configuration knows better. It
         may have done so before this one stood still, so that the target has
-        left since: another helper is asked then.
+        left since: another helper is asked then. One of the build before passes
+        calls about keys on.
         """
+        if is_call_path(hop.raw_path):
+            return 'its path is that of a call about keys'
         reason = reason_to_wait(self.knowledge())
         if reason:
             return reason
