--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -65,6 +65,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.events: list[str] = []
         self._described_count = 0
+        self.intervals = LEAVE_INTERVALS
         #: Tell which tables a daemon had at a moment, and of a target.
         self.describe: Callable[[DaemonProcess, float, str], str] = (
             _describe_nothing
@@ -79,7 +80,7 @@
     async def run(self) -> None:
         """Have targets leave until cancelled."""
         while True:
-            await asyncio.sleep(self._random.uniform(*LEAVE_INTERVALS))
+            await asyncio.sleep(self._random.uniform(*self.intervals))
             service = self._random.choice(JUDGED_SERVICES)
             await self._add(service)
             target = self.staying_by_service[service].pop(0)
@@ -107,6 +108,15 @@
             for line in self._judge(leaving, arrival)
         ]
 
+    def last_arrivals(self, leaving: Leaving) -> dict[str, float]:
+        """Return when the last request of each daemon came after a notice."""
+        target = self._target_by_id[leaving.target_id]
+        return {
+            arrival.sender: arrival.at
+            for arrival in target.work.arrivals.unrefused
+            if arrival.at > leaving.notified_at and arrival.path != HEALTH_PATH
+        }
+
     def arrivals_while_leaving(self) -> int:
         """Return how many requests reached targets after their notices."""
         return sum(
