Accept no link of a daemon that connects while this one stops listening

A connection that was just accepted is set up in the next turn of the loop, where Python 3.11 asserts that its server is not closed.

The sockets are no longer watched first; the server is closed a turn later.

--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -19,7 +19,7 @@
 from cassialever.fleet.row_replica import latest_version
 from cassialever.fleet.unknown_types import SkipLog, UnknownMessage
 from cassialever.fleet.view import FleetView
-from cassialever.listening import PortUse, listen
+from cassialever.listening import PortUse, listen, stop_listening
 from cassialever.types import RowVersion, Seconds
 
 HEARTBEAT_INTERVAL: Final[Seconds] = 0.25
@@ -181,7 +181,7 @@
     async def stop(self) -> None:
         """Stop accepting followers and disconnect the present ones."""
         if self._server is not None:
-            self._server.close()
+            await stop_listening(self._server)
         self.disconnect_followers()
 
     def begin_term(self) -> None:
--- a/cassialever/listening.py
+++ b/cassialever/listening.py
@@ -74,6 +74,19 @@
         )
 
 
+async def stop_listening(server: asyncio.Server) -> None:
+    """Accept no more connections, and close the server.
+
+    A connection that was just accepted is set up in the next turn of the loop,
+    which fails if its server is closed by then.
+    """
+    loop = asyncio.get_running_loop()
+    for listening in server.sockets:
+        loop.remove_reader(listening.fileno())
+    await asyncio.sleep(0)
+    server.close()
+
+
 async def listen(
     use: PortUse,
     address: str,
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -4,6 +4,7 @@
 import contextlib
 import math
 import random
+import socket
 import struct
 import time
 import unittest
@@ -620,6 +621,21 @@
         await until(lambda: ends)
         server.close()
 
+    async def test_follower_that_connects_at_the_stop_is_no_fault(self) -> None:
+        """The event loop reported an exception at the end of a leader."""
+        for turns in range(4):
+            with self.subTest(turns=turns):
+                async with leader('') as leader_relay:
+                    host, port = address_of(leader_relay).rsplit(':')
+                    with (
+                        socket.create_connection((host, int(port))),
+                        self.assertNoLogs('asyncio', 'ERROR'),
+                    ):
+                        for _ in range(turns):
+                            await asyncio.sleep(0)
+                        await leader_relay.stop()
+                        await asyncio.sleep(0.05)
+
     async def test_follower_that_does_not_read_is_disconnected(self) -> None:
         """The data buffered for one follower stays bounded."""
         async with leader('') as leader_relay:
