Let few daemons of a large fleet read the store while no leader relays

While a leader was refused by the store, late or gone, each daemon of the fleet followed three tables of the store by itself.

The cause is that the fallback knew of no other daemon, though daemons already ask each other for changes and the age of their tables, and tell each other of new versions. Now the nine with the lowest hashes of their names read the store; the others ask them, and read it only once their tables are 1.88 s old (27 from 1.7 s on), so that the bound of 2.0 s stays. They choose by the last list that was the latest one of all: a leader without the store names ever fewer daemons. A daemon that is ahead of another one is looked up in that list, too. A stop ends the wait of a daemon that is spared, as it ended the delay before.

--- a/cassialever/fleet/asking.py
+++ b/cassialever/fleet/asking.py
@@ -41,11 +41,15 @@
     return False
 
 
-def draw(addresses: Sequence[str], random_source: RandomSource) -> list[str]:
+def draw(
+    addresses: Sequence[str],
+    random_source: RandomSource,
+    count: int = MAX_ASKED,
+) -> list[str]:
     """Return a few of the addresses, drawn at random."""
     left = list(addresses)
     drawn: list[str] = []
-    while left and len(drawn) < MAX_ASKED:
+    while left and len(drawn) < count:
         drawn.append(left.pop(random_source.randrange(len(left))))
     return drawn
 
--- a/cassialever/fleet/catching_up.py
+++ b/cassialever/fleet/catching_up.py
@@ -126,7 +126,13 @@
 
     async def _ask_peer(self, behind: Mapping[str, RowVersion]) -> bool:
         """Return whether another daemon has sent what is lacking."""
-        addresses_by_peer = self._membership.peers()
+        is_leading = self._membership.state is MemberState.leading
+        shared_peers = self._membership.shared_peers
+        # Its leader may name ever fewer.
+        addresses_by_peer = {
+            **shared_peers.askable(is_leading=is_leading),
+            **self._membership.peers(),
+        }
         addresses = [
             addresses_by_peer[peer]
             for peer in self._claims.claimants(behind)
--- a/cassialever/fleet/confirming.py
+++ b/cassialever/fleet/confirming.py
@@ -12,7 +12,12 @@
 
 from cassialever.fleet.asking import ask_in_turn, draw
 from cassialever.fleet.following_leader import MAX_TABLES_AGE
-from cassialever.fleet.membership import Membership, addresses_to_ask
+from cassialever.fleet.membership import (
+    Membership,
+    MemberState,
+    addresses_to_ask,
+)
+from cassialever.fleet.readers import MAX_READERS, Readers
 from cassialever.fleet.relay import LeaderAges
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
@@ -25,6 +30,11 @@
 CHECK_INTERVAL: Final[Seconds] = 0.1
 #: Time between two looks, with up to as much jitter.
 LOOK_INTERVAL: Final[Seconds] = 0.4
+#: The age for a daemon that others spare reading the store.
+SPARED_LOOK_AGE: Final[Seconds] = 1.25
+#: The time where few daemons read the store: they are to be found in time once
+#: they have read it.
+READERS_LOOK_INTERVAL: Final[Seconds] = 0.1
 
 
 class TablesConfirmation:
@@ -43,6 +53,12 @@
         self._view = view
         self._membership = membership
         self._random = random_source
+        self._readers = Readers(
+            membership.link.own_hello.instance_id,
+            lambda: membership.shared_peers.askable(
+                is_leading=membership.state is MemberState.leading
+            ),
+        )
         self._clock = view.targets.clock
         self._complete_at: Seconds = -math.inf
         self._unconfirmed_since: Seconds = math.inf
@@ -82,17 +98,42 @@
             age = self.age()
             # What was urgent may be over: a wait for it would not wait.
             self._is_urgent.clear()
-            if age > LOOK_AGE:
+            if age > self._look_age():
                 await self._look()
-                pause = LOOK_INTERVAL * (1 + self._random.random())
+                pause = self._look_interval() * (1 + self._random.random())
             with contextlib.suppress(asyncio.TimeoutError):
                 async with asyncio.timeout(pause):
                     await self._is_urgent.wait()
 
+    def _look_age(self) -> Seconds:
+        """Return the age above which other daemons are asked for tables."""
+        is_relaying = self._membership.link.is_relaying()
+        if not is_relaying and self._readers.is_spared(self.age()):
+            return SPARED_LOOK_AGE
+        return LOOK_AGE
+
+    def _look_interval(self) -> Seconds:
+        """Return the least time until the next look."""
+        is_in_time = self.age() <= MAX_UNCONFIRMED_AGE
+        if is_in_time and self._readers.are_few():
+            return READERS_LOOK_INTERVAL
+        return LOOK_INTERVAL
+
+    def _addresses(self) -> list[str]:
+        """Return the daemons to ask: those that read the store, in time.
+
+        The store may refuse most of them.
+        """
+        age = self.age()
+        if age > MAX_UNCONFIRMED_AGE or not self._readers.are_few():
+            return draw(addresses_to_ask(self._membership), self._random)
+        readers = self._readers.addresses(age)
+        return draw(readers, self._random, MAX_READERS)
+
     async def _look(self) -> None:
         """Ask some daemons for their tables until one has new ones."""
         began_at = self._clock.boot()
-        addresses = draw(addresses_to_ask(self._membership), self._random)
+        addresses = self._addresses()
         if not await ask_in_turn(self._ask, addresses):
             self._missed_at = began_at
 
--- a/cassialever/fleet/direct.py
+++ b/cassialever/fleet/direct.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Final
 
 from cassialever.events import Event, record
@@ -17,6 +17,8 @@
 #: that each reads a table that changes all the time twice a second
 #: (docs/design/bounds.md).
 DIRECT_BATCH_DELAY: Final[Seconds] = 0.5
+#: Time between two checks whether this daemon has to read the store.
+CHECK_INTERVAL: Final[Seconds] = 0.05
 
 
 class DirectFollower:
@@ -34,12 +36,14 @@
         self._random = random_source
         self._follower: StoreFollower | None = None
         self._task: asyncio.Task[None] | None = None
-        self._begins_at: Seconds = 0
+        self._has_begun = False
         self._begins_nothing = False
         #: Tables whose last call to the store failed.
         self._failing_tables: Collection[str] = ()
         #: How often the store was followed, by why.
         self.count_by_reason: Counter[str] = Counter()
+        #: Tells whether others keep this daemon's tables new.
+        self.is_spared: Callable[[], bool] = _is_never_spared
 
     @property
     def is_running(self) -> bool:
@@ -59,7 +63,10 @@
         return math.inf if self._follower is None else self._follower.age()
 
     def start(self, reason: str, delay: Seconds = 0) -> None:
-        """Follow every table after a delay, in which a leader may be found."""
+        """Follow every table after a delay, in which a leader may be found.
+
+        A daemon that is spared waits for longer.
+        """
         if self._task is not None or self._begins_nothing:
             return
         follower = StoreFollower(
@@ -70,7 +77,7 @@
             DIRECT_BATCH_DELAY,
         )
         self._follower = follower
-        self._begins_at = asyncio.get_running_loop().time() + delay
+        self._has_begun = False
         self._task = asyncio.create_task(
             self._run_after(follower, reason, delay)
         )
@@ -87,7 +94,7 @@
     def begin_nothing(self) -> None:
         """Follow the store no more, unless tables are being read already."""
         self._begins_nothing = True
-        if asyncio.get_running_loop().time() < self._begins_at:
+        if not self._has_begun:
             self.stop()
 
     def stop(self) -> None:
@@ -110,6 +117,14 @@
         self, follower: StoreFollower, reason: str, delay: Seconds
     ) -> None:
         await asyncio.sleep(delay)
+        while self.is_spared():
+            await asyncio.sleep(CHECK_INTERVAL)
+        self._has_begun = True
         self.count_by_reason[reason] += 1
         record(Event.store_followed, reason=reason)
         await follower.run()
+
+
+def _is_never_spared() -> bool:
+    """Read the store in any case; the default until others are known."""
+    return False
--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -80,6 +80,36 @@
         return difference - min(self._least, self._former_least)
 
 
+class _LatestList:
+    """The last list of daemons than which no other leader had a later one."""
+
+    def __init__(self) -> None:
+        self.addresses_by_id: dict[str, str] = {}
+        #: Whether it is the present leader's, and when this was last heard.
+        self._is_latest = False
+        self._heard_at: Seconds = -math.inf
+
+    def note_leader_changed(self) -> None:
+        """Wait for a list of the next leader."""
+        self._is_latest = False
+
+    def note_members(self, members: messages.Members) -> None:
+        """Adopt the list that the leader announces if it is the latest one."""
+        self._is_latest = members.is_complete and members.is_confirmed
+        if self._is_latest:
+            self.addresses_by_id = members.addresses_by_id
+        self.note_heard()
+
+    def note_heard(self) -> None:
+        """Note that the leader was heard, which has sent no other list."""
+        if self._is_latest:
+            self._heard_at = asyncio.get_running_loop().time()
+
+    def age(self) -> Seconds:
+        """Return the time since the list was last known to be the latest."""
+        return asyncio.get_running_loop().time() - self._heard_at
+
+
 class LeaderLink:
     """A connection to the leader and the state received over it."""
 
@@ -117,17 +147,19 @@
         self.addresses_by_id: dict[str, str] = {}
         #: The last complete list of them; empty if there was none yet.
         self.complete_addresses_by_id: dict[str, str] = {}
-        #: Whether the present leader has sent that list and no other leader can
-        #: have a later one, and when this was last heard.
-        self._is_list_confirmed = False
-        self._list_confirmed_at: Seconds = -math.inf
+        self._latest_list = _LatestList()
+
+    @property
+    def confirmed_addresses_by_id(self) -> dict[str, str]:
+        """Return the last list of daemons that was the latest one of all."""
+        return self._latest_list.addresses_by_id
 
     async def follow(self, address: str) -> LinkEnd:
         """Follow the daemon at an address until the link ends."""
         self.farewell = messages.Farewell()
         self.address = address
         self._transit = TransitTimes()
-        self._is_list_confirmed = False
+        self._latest_list.note_leader_changed()
         connected = await connect(address)
         if isinstance(connected, Failure):
             if connected.kind is ErrorKind.target_unreachable:
@@ -197,15 +229,14 @@
         now = self.view.targets.clock.boot()
         self._reported_at = now - self._transit.excess(pulse, now)
         self._leader_heard_at = asyncio.get_running_loop().time()
-        self._confirm_list()
+        self._latest_list.note_heard()
 
     def adopt_members(self, members: messages.Members) -> None:
         """Adopt the list of daemons that the leader announces."""
         self.addresses_by_id = members.addresses_by_id
-        self._is_list_confirmed = members.is_complete and members.is_confirmed
         if members.is_complete:
             self.complete_addresses_by_id = members.addresses_by_id
-        self._confirm_list()
+        self._latest_list.note_members(members)
 
     def has_led_since(self, moment: Seconds) -> bool:
         """Return whether a peer said that it leads since then."""
@@ -213,7 +244,7 @@
 
     def list_age(self) -> Seconds:
         """Return the time since the complete list was last confirmed."""
-        return asyncio.get_running_loop().time() - self._list_confirmed_at
+        return self._latest_list.age()
 
     def disconnect(self) -> None:
         """Close the link so that another leader can be followed."""
@@ -246,10 +277,6 @@
             writer.write(messages.encode(messages.Deposed(term)))
         writer.close()
 
-    def _confirm_list(self) -> None:
-        if self._is_list_confirmed:
-            self._list_confirmed_at = asyncio.get_running_loop().time()
-
     def _silence(self) -> Seconds:
         return self.view.targets.clock.boot() - self._reported_at
 
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -27,6 +27,7 @@
 from cassialever.fleet.leader_contact import LeaderContact
 from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.peers import SharedPeers
+from cassialever.fleet.readers import Readers
 from cassialever.fleet.relay import LeaderAges, Relay
 from cassialever.fleet.seeking import Seeking
 from cassialever.fleet.term_ends import TermEnd
@@ -126,6 +127,13 @@
             _no_leader_work
         )
         self._direct_follower = DirectFollower(store, view, random_source)
+        readers = Readers(
+            link.own_hello.instance_id,
+            lambda: self.shared_peers.askable(is_leading=False),
+        )
+        self._direct_follower.is_spared = lambda: readers.is_spared(
+            self.own_ages().tables_age
+        )
         self.contact = LeaderContact(view, link, self._direct_follower, clock)
         self.contact.attempts = self._election.log
         self._stop_asked = asyncio.Event()
--- a/cassialever/fleet/peers.py
+++ b/cassialever/fleet/peers.py
@@ -33,9 +33,15 @@
         return self._link.complete_addresses_by_id
 
     def askable(self, *, is_leading: bool) -> dict[str, str]:
-        """Return the addresses of daemons, of which some may have ended."""
+        """Return the addresses of daemons, of which some may have ended.
+
+        A leader without the store names ever fewer, as followers leave it.
+        """
         if not is_leading:
-            return self._link.addresses_by_id
+            return {
+                **self._link.confirmed_addresses_by_id,
+                **self._link.addresses_by_id,
+            }
         if self._relay.announced.is_complete:
             return self._relay.peers()
         return {**self._link.addresses_by_id, **self._relay.peers()}
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -10,7 +10,7 @@
 from cassialever.fleet import direct, following
 from cassialever.fleet import datagrams, gossip
 from cassialever.fleet import following_leader
-from cassialever.fleet import lease, lease_writes, membership, relay
+from cassialever.fleet import lease, lease_writes, membership, readers, relay
 from cassialever.gateway import application, connections, stop_limit
 from cassialever.keys import assigner, assignments
 from cassialever.platform import store, targets
@@ -296,6 +296,14 @@
             'answer of the store': ANSWER,
         },
     ),
+    'age of tables of a daemon that others spare': BoundSum(
+        freshness.MAX_UNCONFIRMED_AGE,
+        {
+            'READ_AGE': readers.READ_AGE,
+            'CHECK_INTERVAL': direct.CHECK_INTERVAL,
+            'answer of the store': ANSWER,
+        },
+    ),
     'grace': BoundSum(
         GRACE,
         {
