Follow a leader that the tables name without asking the store

When a leader was replaced, its followers knew the next one from the own table, and left for it; each then read the lease, to find that another daemon holds it: 85 reads a change of leader, in the moment in which all others read, too.

An attempt to find a leader begins with the one that the tables name, if it is neither this daemon nor the one that was followed last, and its term was not tried yet; only then with the store. A daemon doesn't try to lead where it has learnt of such a one.

--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -210,6 +210,10 @@
     async def _seek_once(self) -> None:
         """Look for the leader once, then follow or replace it."""
         self.contact.begin_pass()
+        successor = self._seeking.successor()
+        if successor is not None:
+            await self._follow(successor.address, successor.instance_id)
+            return
         snapshot: Rows | Failure | None = None
         began_at = self._clock.boot()
         if not self._stop_asked.is_set():
@@ -222,27 +226,29 @@
             OWN_TABLE, snapshot.rows, snapshot.version, began_at=began_at
         )
         leader = self._view.leader
-        if leader is None:
-            await self._try_to_lead()
-            return
-        if leader[0].instance_id != self._own_hello.instance_id:
-            end = await self._follow(leader[0].address)
-            self.contact.note_silence(leader[0].instance_id, end)
+        own_id = self._own_hello.instance_id
+        if leader is not None and leader[0].instance_id != own_id:
+            await self._follow(leader[0].address, leader[0].instance_id)
             if self.link.farewell.leader_address not in ('', leader[0].address):
                 # The peer knows of a newer leader.
                 return
+            if self._seeking.successor() is not None:
+                return
         await self._try_to_lead()
 
-    async def _follow(self, address: str) -> LinkEnd:
-        """Follow a leader until the link ends."""
+    async def _follow(self, address: str, leader_id: str = '') -> LinkEnd:
+        """Follow a daemon until the link ends; log the end of a leader's."""
         self.state = MemberState.following
         try:
-            return await self.link.follow(address)
+            end = await self.link.follow(address)
         finally:
             self.state = MemberState.seeking
             self._direct_follower.start(
                 'no link to a leader', _delay_without(self.link)
             )
+        if leader_id:
+            self.contact.note_silence(leader_id, end)
+        return end
 
     async def _ask_peers(self) -> None:
         """Look for the leader through other daemons, without the store."""
@@ -276,8 +282,7 @@
             winner_id = self._election.holder_id
             winner_address = self.link.addresses_by_id.get(winner_id)
             if winner_address is not None:
-                end = await self._follow(winner_address)
-                self.contact.note_silence(winner_id, end)
+                await self._follow(winner_address, winner_id)
                 return
             # In the first election of a fleet another daemon has usually won;
             # the next attempt to find the leader finds it.
--- a/cassialever/fleet/seeking.py
+++ b/cassialever/fleet/seeking.py
@@ -13,9 +13,10 @@
 from cassialever.fleet.election import MAX_LEASE_WAIT, Election
 from cassialever.fleet.following_leader import LeaderLink
 from cassialever.fleet.term_ends import SHORT_TERM
+from cassialever.fleet.view import Leadership
 from cassialever.interfaces import RandomSource
 from cassialever.policy.candidacy import Candidacy
-from cassialever.types import Seconds
+from cassialever.types import RowVersion, Seconds
 
 #: The shortest pause, with up to as much jitter at first, so that one daemon
 #: takes over before the others try.
@@ -77,6 +78,8 @@
         self._pauses = SeekPauses(random_source)
         #: When there last was a leader, by the clock of the loop.
         self._leader_at: Seconds = -math.inf
+        #: The term of the leader that was followed last, or could not be.
+        self._followed_term: RowVersion | None = None
 
     async def run(
         self,
@@ -89,12 +92,27 @@
             begun_at = loop.time()
             self._election.begin_pass()
             await seek_once()
+            self._note_followed()
             if self._link.has_led_since(begun_at):
                 self.note_leader()
             if self._link.has_led_since(begun_at + SHORT_TERM):
                 self._election.deference.forget()
             await self._wait(self._draw(daemon_count()))
 
+    def successor(self) -> Leadership | None:
+        """Return a leader that was learnt and not followed yet.
+
+        It takes no call to the store to find.
+        """
+        leader = self._link.view.leader
+        if leader is None or self._stop_asked.is_set():
+            return None
+        is_own = leader[0].instance_id == self._link.own_hello.instance_id
+        was_followed = self._link.address in ('', leader[0].address)
+        if is_own or was_followed or leader[1] == self._followed_term:
+            return None
+        return leader[0]
+
     def may_lead(self, candidacy: Candidacy | None, now: Seconds) -> bool:
         """Return whether this daemon may try to lead now."""
         if candidacy is None:
@@ -122,6 +140,11 @@
         until_stale = self._election.opens_in - MAX_LEASE_WAIT / 2
         return max(min(pause, until_stale), self._pauses.step())
 
+    def _note_followed(self) -> None:
+        leader = self._link.view.leader
+        if leader is not None and leader[0].address == self._link.address:
+            self._followed_term = leader[1]
+
     async def _wait(self, pause: Seconds) -> None:
         """Wait in short steps, until there is a new leader or a stop."""
         loop = asyncio.get_running_loop()
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -20,6 +20,8 @@
 FEEDS_PER_READER = 5
 #: Feeds of each other daemon in that time.
 FEEDS_PER_OTHER = 3
+#: Calls until the next leader is followed: of readers, candidates and leaders.
+MAX_CALLS_BY_COUNT = {10: 150, 85: 195}
 
 
 class FeedCount:
@@ -173,6 +175,34 @@
         self.check(scenario)
 
 
+class NextLeaderTest(unittest.TestCase):
+    """Fleets whose leader the store refuses, until another one leads."""
+
+    def test_next_leader_that_is_known_is_followed_without_calls(self) -> None:
+        """Each daemon read the lease, though its tables named the leader."""
+        for count in COUNTS:
+            with self.subTest(count=count):
+                run_virtually(lambda loop, count=count: self._play(loop, count))
+
+    async def _play(self, loop: VirtualLoop, count: int) -> None:
+        rig = Rig(loop, 0, count)
+        with simulated_links(rig):
+            await rig.settle()
+            fleet = FaultyFleet(rig)
+            former = rig.leader()
+            calls = sum(one.store.calls for one in rig.daemons)
+            fleet.faults(former).refused.update(('reads', 'feeds', 'commits'))
+            await asyncio.sleep(DURATION / 2)
+            calls = sum(one.store.calls for one in rig.daemons) - calls
+            print(f'{self.id()} {count}: {calls} calls')
+            leader = rig.leader()
+            self.assertIsNot(leader, former)
+            followers = set(leader.relay.follower_by_id)
+            names = {one.machine.name for one in rig.daemons}
+            self.assertEqual(followers, names - {leader.machine.name})
+            self.assertLess(calls, MAX_CALLS_BY_COUNT[count])
+
+
 def _ages(fleet: FaultyFleet) -> list[float]:
     return [one.catch_up.confirmation.age() for one in fleet.living()]
 
