Read a table whole after a call for changes that got no answer

Calls that wait for changes may go silent for all daemons while reads work. If the leader is lost 1.0 or 1.5 s later, changes were in force after 2.7 to 2.8 s (bound 2.5), as each daemon waited for two silent calls of up to 1.7 s before it read a table whole.

Not played with silent calls on 85 daemons.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -26,8 +26,9 @@
 class _Calls:
     """The calls for one table: which one is next, and the delay before it.
 
-    The store may refuse calls that wait for changes and answer others: after
-    the second failure in a row every other call reads the table whole.
+    The store may fail calls that wait for changes and answer others: after one
+    without an answer, which takes long, or the second one that is refused in a
+    row, every other call reads the table whole.
     """
 
     def __init__(self, needs_snapshot: bool) -> None:
@@ -55,7 +56,8 @@
             self._needs_snapshot = True
             self.is_whole = True
             return not was_whole
-        self.is_whole = self._needs_snapshot or (is_repeated and not was_whole)
+        is_due = is_repeated or kind is ErrorKind.table_answer_lost
+        self.is_whole = self._needs_snapshot or (is_due and not was_whole)
         return False
 
 
