--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -27,6 +27,7 @@
 from cassialever.fleet.leader_contact import LeaderContact
 from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.peers import SharedPeers
+from cassialever.fleet.readers import Readers
 from cassialever.fleet.relay import LeaderAges, Relay
 from cassialever.fleet.seeking import Seeking
 from cassialever.fleet.term_ends import TermEnd
@@ -126,6 +127,13 @@
             _no_leader_work
         )
         self._direct_follower = DirectFollower(store, view, random_source)
+        readers = Readers(
+            link.own_hello.instance_id,
+            lambda: self.shared_peers.askable(is_leading=False),
+        )
+        self._direct_follower.is_spared = lambda: readers.is_spared(
+            self.own_ages().tables_age
+        )
         self.contact = LeaderContact(view, link, self._direct_follower, clock)
         self.contact.attempts = self._election.log
         self._stop_asked = asyncio.Event()
@@ -342,10 +350,11 @@
         """Follow the store directly while the leader is cut off from it."""
         while True:
             await asyncio.sleep(WATCH_INTERVAL)
-            await self._hand_over_if_cut_off()
             is_leading = self.state is MemberState.leading
             tables_age = self.own_ages().tables_age
             self.contact.watch(tables_age, is_leading=is_leading)
+            await self._hand_over_if_cut_off()
+            is_leading = self.state is MemberState.leading
             if is_leading or self.link.is_relaying():
                 self._direct_follower.stop_for_leader()
             elif self.link.is_open and not self._stop_asked.is_set():
@@ -362,8 +371,14 @@
             return
         if leader_term.store_age() > MAX_STORE_AGE_FOR_HANDOVER:
             return
-        if not self.candidacy.should_hand_over(self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if not self.candidacy.should_hand_over(now):
             return
+        # The leader before has just done so, too: what this one misses is not
+        # the fault of its own paths, and no other may be better off.
+        if self.contact.changes.short_count:
+            if not self.candidacy.is_cut_off(now):
+                return
         record(Event.leader_handed_over, term=leader_term.term)
         await leader_term.resign()
         # Meanwhile the term may have ended, and a later one begun.
@@ -531,8 +546,8 @@
 def seed_addresses(seeds: Sequence[str], own_address: str) -> list[str]:
     """Return the addresses at which the seeds accept other daemons.
 
-    All daemons use the same port for that.
+    All daemons use the same port for that, so that the seeds' own tell nothing.
     """
     port = split_address(own_address)[1]
-    hosts = [split_address(seed)[0] for seed in seeds]
+    hosts = [seed.rsplit(':', 1)[0] for seed in seeds]
     return [f'{host}:{port}' for host in hosts]
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -17,9 +17,11 @@
     counter_readings,
     hop_readings,
     key_readings,
+    store_readings,
 )
-from cassialever.gateway.own_state import leader_readings
+from cassialever.gateway.own_state import follow_readings, leader_readings
 from cassialever.gateway.settings import GatewaySettings, load_settings
+from cassialever.gateway.standstill_watch import StandstillWatch
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
 from cassialever.process_signals import ProcessSignals
 from cassialever.signal_watcher import SignalWatcher
@@ -58,6 +60,7 @@
         )
         self.core.forwarder.on_end = self._keyed_requests.note
         self._metrics = MetricsServer(settings, self._readings)
+        self._standstills = StandstillWatch(self.core.clock)
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
 
@@ -94,6 +97,7 @@
         for work in (
             self._watch_readiness(),
             self._keyed_requests.run(),
+            self._standstills.run(),
             # Requests are served without them.
             self._metrics.start(),
         ):
@@ -180,7 +184,8 @@
             *self._keyed_requests.readings(),
             *key_readings(self.core.key_assigner.counters),
             *hop_readings(self.core.exchanges.dispatcher.counters),
-            Reading('store_calls', self.core.store.calls),
+            *store_readings(self.core.store),
+            *follow_readings(self.core.membership),
             Reading('entries_rejected', self.view.rejected_count),
             Reading('entries_failed', self.view.faults.failed_count),
             Reading('daemons', self.core.membership.daemon_count),
@@ -221,6 +226,7 @@
             Reading('bodies_refused', self.core.exchanges.memory.refused_count),
             Reading('permits_issued', self.core.permits.issuer.issued_count),
             Reading('permits_denied', self.core.permits.issuer.denied_count),
+            Reading('stood_still_seconds', self._standstills.total),
             Reading('exceptions_unhandled', errors_by_place.total()),
         ]
 
--- a/cassialever/gateway/carrying.py
+++ b/cassialever/gateway/carrying.py
@@ -15,6 +15,7 @@
 from cassialever.gateway.tables_state import TablesState
 from cassialever.platform.call_paths import is_call_path
 from cassialever.policy.connect_times import MIN_TIMEOUT
+from cassialever.policy.freshness import Knowledge, reason_to_wait
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.placing import withdrawal_reason
 from cassialever.policy.reach import TargetReach
@@ -48,6 +49,8 @@
         self.open_requests = 0
         #: Returns the state of this daemon's tables.
         self.tables: Callable[[], TablesState] = TablesState
+        #: Returns what is known of their age.
+        self.knowledge: Callable[[], Knowledge] = Knowledge
         #: Whether this daemon stops and takes no more requests.
         self.is_draining = False
 
@@ -94,11 +97,16 @@
     ) -> str:
         """Return why a request has no way to its target; empty if it has.
 
-        A daemon that passes it on by a later configuration knows better. One of
-        the build before passes calls about keys on.
+        A daemon that passes it on by a later configuration knows better. It
+        may have done so before this one stood still, so that the target has
+        left since: another helper is asked then. One of the build before passes
+        calls about keys on.
         """
         if is_call_path(hop.raw_path):
             return 'its path is that of a call about keys'
+        reason = reason_to_wait(self.knowledge())
+        if reason:
+            return reason
         configuration = self._view.configuration
         if configuration is None or configuration.version <= hop.configuration:
             return ''
--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -16,8 +16,10 @@
 from typing import Any, Final, TypeAlias, cast
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+from cassialever.decoding import shortened
 from cassialever.events import Event, record
 from cassialever.listening import PortUse, listen
 from cassialever.policy.memory import READ_AHEAD_BYTES
@@ -191,6 +193,15 @@
         self._connections.discard(self)
         super().connection_lost(exc)
 
+    def log_exception(self, *arguments: Any, **options: Any) -> None:
+        """Log a fault of this program; bytes that are no request are none."""
+        error = options.get('exc_info')
+        if isinstance(error, HttpProcessingError):
+            reason = shortened(error.message)
+            record(Event.request_refused, status=error.code, reason=reason)
+            return
+        super().log_exception(*arguments, **options)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has arrived or begun to.
 
@@ -393,8 +404,8 @@
     sock = transport.get_extra_info('socket')
     try:
         answer = fcntl.ioctl(sock, termios.TIOCOUTQ, _INT.pack(0))
-    except OSError:
-        # Not all systems tell.
+    except (OSError, ValueError):
+        # Not all systems tell, nor does a connection that is lost.
         return buffered or None
     # A peer may receive what the system holds before the buffer changes.
     return buffered + int(_INT.unpack(answer)[0])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,17 +75,24 @@
             (pathlib.Path(folder) / 'edge-1.log').write_text(
                 '{"name":"link_rubbish","reason":"TimeoutError()"}\n'
                 '{"name":"link_rubbish","reason":"Expected `int`"}\n'
+                '{"name":"task_failed","reason":"TimeoutError()"}\n'
                 'Traceback\n'
                 '{"name":"type_skipped","type":"Novel"}\n'
                 '{"name":"invariant_broken","invariant":"grant_has_row"}\n'
+                '{"name":"stood_still","lasted":1.3,"busy_for":1.2}\n'
+                '{"name":"stood_still","lasted":9.0,"busy_for":0.1}\n'
+                'Traceback (most recent call last):\n'
                 '{"name":"started"}\n'
             )
             self.assertEqual(
                 fleet.daemons[1].message_faults(),
                 {
                     'link_rubbish Expected `int`': 1,
+                    'task_failed TimeoutError()': 1,
                     'type_skipped Novel': 1,
                     'invariant_broken grant_has_row': 1,
+                    'loop_blocked': 1,
+                    'traceback': 1,
                 },
             )
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -5,9 +5,11 @@
 import logging
 import pathlib
 import unittest
+from unittest import mock
 from unittest.mock import Mock
 
 import msgspec
+from opentelemetry.metrics import CallbackOptions
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
     InMemorySpanExporter,
 )
@@ -20,8 +22,9 @@
 from cassialever.operators.view import Status, TargetStatus
 from cassialever.settings import Settings, load_settings
 from cassialever.telemetry.gauges import StatusGauges
+from cassialever.telemetry.library_log import errors_by_place
 from cassialever.telemetry.logs import REDACTED, Log
-from cassialever.telemetry.metrics import Metrics
+from cassialever.telemetry.metrics import Metrics, _read_counter
 from cassialever.telemetry.spans import Hop, validated_traceparent
 from cassialever.telemetry.tracing import Tracing
 from cassialever.types import (
@@ -85,10 +88,47 @@
         self.assertEqual(lines[0]['fields'], {'url': '{http}'})
         self.assertNotIn(settings.security.fleet_key, str(lines))
 
+    def test_bytes_that_are_no_text_cost_no_line(self) -> None:
+        """A line in JSON was dropped."""
+        settings = example_settings()
+        telemetry = msgspec.structs.replace(settings.telemetry, log_json=True)
+        stream = io.StringIO()
+        log = Log(
+            msgspec.structs.replace(settings, telemetry=telemetry), stream
+        )
+        log.start()
+        try:
+            record(Event.task_failed, reason='\udcff')
+        finally:
+            log.stop()
+        line = json.loads(stream.getvalue())
+        self.assertEqual(line['fields'], {'reason': '?'})
+
 
 class TestMetrics(unittest.TestCase):
     """The metrics in the Prometheus text format."""
 
+    def test_count_begins_while_another_thread_collects(self) -> None:
+        """The collection raised, and had no value of the metric."""
+        counts = {'a': 1, 'b': 2}
+        collecting = _read_counter('service', counts, CallbackOptions())
+        values = [next(collecting).value]
+        counts['c'] = 3
+        values.extend(one.value for one in collecting)
+        self.assertEqual(values, [1, 2])
+
+    def test_errors_that_libraries_catch_are_exported(self) -> None:
+        """Only daemons on the platform counted them."""
+        metrics = Metrics(example_settings())
+        with mock.patch.dict(errors_by_place, {'relay.py:1 send': 3}):
+            text = metrics.exposition().decode()
+        metrics.stop()
+        self.assertIn(
+            'cassialever_exceptions_unhandled_total'
+            '{place="relay.py:1 send"} 3.0',
+            text,
+        )
+
     def test_exposition(self) -> None:
         """Counts, latencies, gauges and broken invariants are exported."""
         metrics = Metrics(example_settings())
--- a/tests/test_waking_up.py
+++ b/tests/test_waking_up.py
@@ -9,15 +9,27 @@
 from cassialever.fleet.catching_up import CatchUp
 from cassialever.fleet.following import StoreFollower
 from cassialever.fleet.following_leader import LeaderLink
-from cassialever.policy.freshness import Verdict, judge
+from cassialever.fleet.peers import SharedPeers
+from cassialever.fleet.relay import (
+    HEARTBEAT_INTERVAL,
+    RECONNECT_PERIOD,
+    Relay,
+)
+from cassialever.policy.freshness import Knowledge, Verdict, judge
+from standins.keyed_target import TargetServer
 from tests.fleet_helpers import (
     LoopClock,
     VirtualLoop,
     configured_view,
+    deployment,
     json_row,
     run_virtually,
+    until,
 )
+from tests.gateway_helpers import ISSUE_HEADERS, send_request
+from tests.hop_helpers import ask, cut_off_daemon
 from tests.test_fleet_following import TABLE, ScriptedStore
+from tests.test_leaving_targets import CONNECTION_TIME, slow_connections
 from tests.test_table_claims import CONFIGURATION, FakeMembership, FakeStore
 
 #: How long a machine is suspended, in seconds.
@@ -25,6 +37,7 @@
 #: How long the answers of another daemon take, in seconds.
 COPY_TIME = 0.2
 PEER = '10.1.0.1:7'
+OWN_HELLO = messages.Hello('d9', 1, '10.1.0.9:7', {})
 
 
 class SleepingClock(LoopClock):
@@ -46,8 +59,7 @@
 
         async def main(loop: VirtualLoop) -> None:
             clock = SleepingClock(loop)
-            own = messages.Hello('d9', 1, '10.1.0.9:7', {})
-            link = LeaderLink(configured_view(clock), own)
+            link = LeaderLink(configured_view(clock), OWN_HELLO)
             link.note_heartbeat(
                 messages.Pulse(True, 0.1, 0.2, sent_at=clock.boot())
             )
@@ -81,6 +93,60 @@
         run_virtually(main)
 
 
+class ListOfDaemonsTest(unittest.TestCase):
+    """The list by which limits are divided, after its daemon stood still.
+
+    Another leader may have a later one by then.
+    """
+
+    def make(self, clock: SleepingClock) -> tuple[Relay, LeaderLink]:
+        view = configured_view(clock)
+        return Relay(view, OWN_HELLO), LeaderLink(view, OWN_HELLO)
+
+    def test_list_of_a_follower_that_slept_is_not_current(self) -> None:
+        """It counted as current, and this daemon as the only keeper."""
+
+        async def main(loop: VirtualLoop) -> None:
+            clock = SleepingClock(loop)
+            relay, link = self.make(clock)
+            peers = SharedPeers(relay, link)
+            link.note_heartbeat(
+                messages.Pulse(True, 0, 0, sent_at=clock.boot())
+            )
+            link.adopt_members(messages.Members({'d8': PEER}, True, True))
+            self.assertTrue(peers.has_current_peers())
+            sent_before = clock.boot() + 0.25
+            clock.slept = SUSPENDED
+            self.assertFalse(peers.has_current_peers())
+            link.note_heartbeat(messages.Pulse(True, 0, 0, sent_at=sent_before))
+            self.assertFalse(peers.has_current_peers())
+            link.note_heartbeat(
+                messages.Pulse(True, 0, 0, sent_at=clock.boot())
+            )
+            self.assertTrue(peers.has_current_peers())
+
+        run_virtually(main)
+
+    def test_list_of_a_leader_that_slept_is_not_current(self) -> None:
+        """It counted as current until the next heartbeat."""
+
+        async def main(loop: VirtualLoop) -> None:
+            clock = SleepingClock(loop)
+            relay, link = self.make(clock)
+            peers = SharedPeers(relay, link)
+            relay.begin_term()
+            beating = asyncio.create_task(relay.send_heartbeats())
+            await asyncio.sleep(2 * RECONNECT_PERIOD)
+            self.assertTrue(peers.has_current_peers())
+            clock.slept = SUSPENDED
+            self.assertFalse(peers.has_current_peers())
+            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            self.assertTrue(peers.has_current_peers())
+            beating.cancel()
+
+        run_virtually(main)
+
+
 class FirstRequestTest(unittest.TestCase):
     """A daemon that was stopped for long, before it serves a request."""
 
@@ -126,6 +192,87 @@
         self.assertLess(self.waited, COPY_TIME + 0.05)
         self.assertGreater(self.age, SUSPENDED - 1)
 
+    async def stand_still_again(self, loop: VirtualLoop) -> None:
+        clock = SleepingClock(loop)
+        view = configured_view(clock)
+        membership = FakeMembership(view)
+        membership.age = SUSPENDED
+        membership.shared_peers.askable.return_value = {'d1': PEER}
+        asked_at = []
+
+        async def read_once(address: str, known: dict[str, int]) -> None:
+            asked_at.append(clock.boot())
+
+        membership.link.read_once = read_once
+        store = FakeStore()
+        store.failure = Failure(ErrorKind.table_unavailable, 'refused')
+        catch_up = CatchUp(store, view, membership, random.Random(1))
+        running = asyncio.create_task(catch_up.run())
+        await asyncio.sleep(2.0)
+        self.assertIs(judge(catch_up.knowledge()), Verdict.current)
+        clock.slept = SUSPENDED
+        membership.age += SUSPENDED
+        resumed_at = clock.boot()
+        self.assertIs(judge(catch_up.knowledge()), Verdict.unconfirmed)
+        while judge(catch_up.knowledge()) is Verdict.unconfirmed:
+            await asyncio.sleep(0.01)
+        self.assertGreaterEqual(asked_at[-1], resumed_at)
+        running.cancel()
+
+    def test_daemon_without_the_store_asks_anew_after_each_pause(self) -> None:
+        """It went on by tables that nobody had confirmed before it, either."""
+        run_virtually(self.stand_still_again)
+
+
+class UnderWayTest(unittest.IsolatedAsyncioTestCase):
+    """Requests whose targets were chosen before their daemon stood still."""
+
+    async def test_request_placed_before_a_pause_is_sent_after_it(self) -> None:
+        """It waits for its connection meanwhile."""
+        async with deployment(keyed=1) as system:
+            gateway, leaving = system.gateways[0], system.targets[-1]
+            await until(lambda: 'i0' in gateway.view.targets.by_id)
+            router = gateway.core.forwarder.router
+            with slow_connections(leaving.address) as begun:
+                sending = asyncio.create_task(
+                    send_request(gateway, '/issue/', ISSUE_HEADERS)
+                )
+                await asyncio.wait_for(begun.wait(), 5)
+                router.knowledge = lambda: Knowledge(
+                    age=SUSPENDED, unconfirmed_for=0.01
+                )
+                await asyncio.sleep(2 * CONNECTION_TIME)
+                system.store.put('servers', 'i0', leaving.entry('draining'))
+                await system.add_target(
+                    TargetServer('i1', 'issuance', is_keyed=False)
+                )
+                await until(lambda: 'i1' in gateway.view.targets.by_id)
+                router.knowledge = Knowledge
+                response = await sending
+            self.assertEqual(leaving.executed_ids, [])
+            self.assertEqual(response.status, 200)
+
+    async def test_helper_that_stood_still_carries_a_request(self) -> None:
+        """It came before the pause, or while the helper connected."""
+        old = Knowledge(age=SUSPENDED, unconfirmed_for=0.01)
+        for moment in ('at once', 'while it connects'):
+            with self.subTest(moment=moment):
+                async with cut_off_daemon() as (system, first, helper):
+                    policy = helper.core.exchanges.carrying
+                    leaving = system.targets[-1]
+                    with slow_connections(leaving.address) as begun:
+                        if moment == 'at once':
+                            policy.knowledge = lambda: old
+                        sending = asyncio.create_task(
+                            ask(first, '/issue/', ISSUE_HEADERS)
+                        )
+                        if moment != 'at once':
+                            await asyncio.wait_for(begun.wait(), 5)
+                            policy.knowledge = lambda: old
+                        reply = await sending
+                    self.assertEqual(reply.status, 503)
+                    self.assertEqual(leaving.work.received_at, [])
+
 
 if __name__ == '__main__':
     unittest.main()
