--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -27,7 +27,7 @@
 from cassialever.signal_watcher import SignalWatcher
 from cassialever.starting import StartEnd, start_daemon
 from cassialever.tasks import log_failure
-from cassialever.telemetry.library_log import errors_by_place
+from cassialever.telemetry.stdlib_log import errors_by_place
 from cassialever.types import Seconds
 
 #: Largest share of the grace period in which requests are still accepted; the
--- a/cassialever/gateway/process.py
+++ b/cassialever/gateway/process.py
@@ -11,7 +11,7 @@
 from cassialever.gateway.application import Gateway
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.process_signals import ProcessSignals
-from cassialever.telemetry.library_log import LibraryLogHandler
+from cassialever.telemetry.stdlib_log import LibraryLogHandler
 from cassialever.telemetry.structured_log import JsonLinesHandler
 from cassialever.types import Seconds
 
--- a/cassialever/telemetry/logs.py
+++ b/cassialever/telemetry/logs.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from cassialever.settings import Settings
-from cassialever.telemetry.library_log import LibraryLogHandler
+from cassialever.telemetry.stdlib_log import LibraryLogHandler
 from cassialever.telemetry.structured_log import encode_json
 
 REDACTED: Final = '[secret]'
--- a/cassialever/telemetry/metrics.py
+++ b/cassialever/telemetry/metrics.py
@@ -26,7 +26,7 @@
 from cassialever.invariants import Invariant, violations_by_invariant
 from cassialever.settings import Settings
 from cassialever.telemetry.histograms import LatencyHistogram
-from cassialever.telemetry.library_log import errors_by_place
+from cassialever.telemetry.stdlib_log import errors_by_place
 from cassialever.telemetry.tracing import build_resource
 from cassialever.types import Seconds, ServiceName
 
--- a/cassialever/telemetry/library_log.py
+++ b/cassialever/telemetry/stdlib_log.py
@@ -71,7 +71,7 @@
         if is_error:
             errors_by_place[place] += 1
         now = time.monotonic()
-        # A warning does not stand for an error.
+        # An error is recorded though a warning of its place was.
         kind = (place, is_error)
         recorded_at = self._recorded_at_by_kind.get(kind)
         if recorded_at is not None and now - recorded_at < LOG_INTERVAL:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -198,7 +198,7 @@
         return self._process.pid
 
     def message_faults(self) -> Counter[str]:
-        """Count the log lines that tell of faults of the program.
+        """Count the log lines about faults of the program.
 
         A peer that is suspended or cut off sends nothing, which is no fault of
         its messages.
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -11,7 +11,7 @@
 from nose2 import events
 from nose2.main import discover
 
-from cassialever.telemetry.library_log import is_fault
+from cassialever.telemetry.stdlib_log import is_fault
 
 #: Prefix of the lines in KNOWN-RED.txt that name a test.
 RED_PREFIX = 'red: '
--- a/tests/test_library_log.py
+++ b/tests/test_stdlib_log.py
@@ -12,8 +12,8 @@
 from cassialever.fleet import messages, relay
 from cassialever.fleet.message_version import MESSAGE_VERSION
 from cassialever.gateway.metrics import MetricsServer
-from cassialever.telemetry import library_log
-from cassialever.telemetry.library_log import (
+from cassialever.telemetry import stdlib_log
+from cassialever.telemetry.stdlib_log import (
     MAX_PLACES,
     LibraryLogHandler,
     errors_by_place,
@@ -39,7 +39,7 @@
 
     def setUp(self) -> None:
         self.recorded: list[tuple[Event, dict[str, object]]] = []
-        patched = mock.patch.object(library_log, 'record', self.keep)
+        patched = mock.patch.object(stdlib_log, 'record', self.keep)
         patched.start()
         self.addCleanup(patched.stop)
         self.addCleanup(errors_by_place.clear)
@@ -84,7 +84,7 @@
         self.assertEqual(errors_by_place.total(), 5)
 
     def test_skipped_errors_are_told_by_the_next_event(self) -> None:
-        with mock.patch.object(library_log.time, 'monotonic') as now:
+        with mock.patch.object(stdlib_log.time, 'monotonic') as now:
             for now.return_value in (10, 10.5, 10.9, 11.1):
                 self.raise_in('library', ValueError())
         self.assertEqual(
@@ -116,7 +116,7 @@
         read.assert_not_called()
         self.assertRegex(
             str(self.recorded[0][1]['place']),
-            r'^test_library_log\.py:[0-9]+ raise_silently$',
+            r'^test_stdlib_log\.py:[0-9]+ raise_silently$',
         )
 
     def test_record_that_cannot_be_formatted_raises_nothing(self) -> None:
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -22,7 +22,7 @@
 from cassialever.operators.view import Status, TargetStatus
 from cassialever.settings import Settings, load_settings
 from cassialever.telemetry.gauges import StatusGauges
-from cassialever.telemetry.library_log import errors_by_place
+from cassialever.telemetry.stdlib_log import errors_by_place
 from cassialever.telemetry.logs import REDACTED, Log
 from cassialever.telemetry.metrics import Metrics, _read_counter
 from cassialever.telemetry.spans import Hop, validated_traceparent
