--- a/cassialever/tasks.py
+++ b/cassialever/tasks.py
@@ -42,7 +42,7 @@
 def _failure_of(task: asyncio.Task[None]) -> BaseException | None:
     """Return what a task has failed by; None for one that was cancelled.
 
-    A task without such a request ends like a cancelled one if something that it
+    A task also ends as cancelled, without a request, if something that it
     awaits is cancelled.
     """
     if not task.cancelled():
--- a/tests/test_waking_up.py
+++ b/tests/test_waking_up.py
@@ -220,7 +220,7 @@
         running.cancel()
 
     def test_daemon_without_the_store_asks_anew_after_each_pause(self) -> None:
-        """It used tables that had not been confirmed before the pause, either."""
+        """It used tables that were not confirmed before the pause, either."""
         run_virtually(self.stand_still_again)
 
 
