Runner: name what failed right before the totals

They stand in each module's output, among some thousand lines. The runner now prints one line for each failure that it counts, with the parameters of a subTest, and for each module without a result, right before the last line, whose form stays. A module's run names its own there, and the run of all takes them from these lines alone, so that a line which a test prints isn't mistaken for one.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -15,6 +15,8 @@
 
 #: Prefix of the lines in KNOWN-RED.txt that name a test.
 RED_PREFIX = 'red: '
+#: Prefix of the lines that name what failed, right before the totals.
+FAILED_PREFIX = 'not passed: '
 #: Test modules that run at the same time, each in a process of its own. Most
 #: of their time passes in waits.
 PARALLEL_MODULES = 4
@@ -34,6 +36,9 @@
     count_by_outcome: dict[str, int] = {'passed': 0, 'failed': 0, 'skipped': 0}
     #: Tests listed in KNOWN-RED.txt that failed in this run.
     red_tests: list[str] = []
+    #: What is counted as failed: tests, with the parameters of a subTest, and
+    #: modules without a result.
+    failed_tests: list[str] = []
 
     def testOutcome(self, event: events.TestOutcomeEvent) -> None:
         """Count one outcome; an unexpected pass is a failure."""
@@ -51,6 +56,8 @@
         if not as_expected and test_id in known_red_tests():
             self.red_tests.append(event.test.id())
             return
+        if not as_expected:
+            self.failed_tests.append(event.test.id())
         self.count_by_outcome['passed' if as_expected else 'failed'] += 1
 
 
@@ -90,6 +97,9 @@
         _run_here()
     else:
         _run_all_modules()
+    for failed in OutcomeCounter.failed_tests:
+        # One line each: the parameters of a subTest may have several.
+        print(FAILED_PREFIX + ' '.join(failed.split()))
     tail = f', {counts["skipped"]} skipped' if counts['skipped'] else ''
     print(
         f'{counts["passed"]} passed, {counts["failed"]} failed{tail}',
@@ -142,15 +152,33 @@
     """Print a module's output and add its counts; none is a failure."""
     print(f'{module}:\n{COUNTS.sub("", output).rstrip()}', flush=True)
     printed = COUNTS.findall(output)
+    OutcomeCounter.failed_tests.extend(named_failures(output))
     counts = OutcomeCounter.count_by_outcome
     if not printed:
         print(f'{module} ended without a result')
+        OutcomeCounter.failed_tests.append(f'{module} ended without a result')
         counts['failed'] += 1
         return
     for outcome, number in zip(counts, printed[-1]):
         counts[outcome] += int(number or 0)
 
 
+def named_failures(output: str) -> list[str]:
+    """Return what a run of a module names as failed, right before its totals.
+
+    Lines further up are a test's own, whatever they look like.
+    """
+    totals = list(COUNTS.finditer(output))
+    if not totals:
+        return []
+    failures: list[str] = []
+    for line in reversed(output[: totals[-1].start()].splitlines()):
+        if not line.startswith(FAILED_PREFIX):
+            break
+        failures.append(line.removeprefix(FAILED_PREFIX))
+    return failures[::-1]
+
+
 if __name__ == '__main__':
     # nose2 imports this module by its name to load the plugin; import it by
     # the same name, so that both use the same counts.
