Stand-ins: close no server while a connection to it is set up

Seen by the runner's check for unhandled errors: a test in whose time a stand-in target or store ends may fail by "Error on transport creation for incoming connection", whatever it asserts. A connection that was just accepted is set up in the next turn of the loop, where Python 3.11 asserts that its server is not closed; loops of tests run in debug mode and log that. Daemons probe a target that ends, so that connections come just then.

The fault is the stand-in's: its sockets are no longer watched first, and its server is closed a turn later. The check stays as it is.

--- a/cassialever/listening.py
+++ b/cassialever/listening.py
@@ -9,6 +9,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
+from aiohttp import web
+
 from cassialever.events import Event, record
 from cassialever.exceptions import ListenError
 from cassialever.types import Seconds
@@ -87,6 +89,14 @@
     server.close()
 
 
+async def stop_sites(runner: web.BaseRunner) -> None:
+    """Have an aiohttp runner accept no more connections."""
+    for site in runner.sites:
+        server = site._server  # noqa: SLF001, WPS437
+        if isinstance(server, asyncio.Server):
+            await stop_listening(server)
+
+
 async def listen(
     use: PortUse,
     address: str,
--- a/standins/listening.py
+++ b/standins/listening.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from cassialever.listening import stop_sites
+
 LOOPBACK = '127.0.0.1'
 #: Candidate ports start here, below the system's ephemeral ports. They are
 #: divided into blocks, so that parallel test runs try different ones.
@@ -51,6 +53,7 @@
     async def stop(self) -> None:
         """Close the server."""
         if self._runner is not None:
+            await stop_sites(self._runner)
             await self._runner.cleanup()
 
     async def abort(self) -> None:
@@ -60,8 +63,7 @@
         """
         if self._runner is None:
             return
-        for site in list(self._runner.sites):
-            await site.stop()
+        await stop_sites(self._runner)
         server = self._runner.server
         for connection in list(server.connections) if server else ():
             if connection.transport is not None:
