Follow a silent leader that missed a renewal only until its lease opens

Cause: followers leave after 0.9 s of silence and read a lease that opens later than MAX_LEASE_WAIT. They followed its holder again, whose machine accepts the connection, for 0.9 s, and after a pause once more.

Change: a lease's holder that has missed a renewal (its lease is older than RENEWAL_INTERVAL) is followed again, and if no byte comes until the lease opens for this daemon, the attempt is repeated at once. A holder that has missed none is followed as before. The limit covers a proof with the fleet key as well, which took up to 1 s and was told as "another fleet key".

New in test_fleet_links: a link that is given up when patience ends, with a key too.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -91,6 +91,8 @@
         #: How long after the last attempt the lease may be taken over, unless
         #: its holder renews it; infinite if that attempt failed otherwise.
         self.opens_in: Seconds = math.inf
+        #: Whether that holder has missed a renewal.
+        self.is_overdue = False
         #: Why the last attempt failed; `None` if it did not.
         self.failed: Attempt | None = None
         self.log = AttemptLog()
@@ -114,6 +116,7 @@
         """Forget the outcome of an earlier attempt."""
         self.holder_id = ''
         self.opens_in = math.inf
+        self.is_overdue = False
         self.failed = None
 
     def note_leader(self) -> None:
@@ -179,6 +182,10 @@
         if holder_id != self._own_hello.instance_id:
             self.holder_id = holder_id
         self.opens_in = opens_in
+        age = leases.STALE_AFTER - leases.opens_in(
+            read.lease, read.store_time, read.unchanged_for
+        )
+        self.is_overdue = age > leases.RENEWAL_INTERVAL
         self.note_failure(
             Hindrance.lease_held,
             f'holder={holder_id} version={read.version} '
--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -151,8 +151,13 @@
         """Return the last list of daemons that was the latest one of all."""
         return self._latest_list.addresses_by_id
 
-    async def follow(self, address: str) -> LinkEnd:
-        """Follow the daemon at an address until the link ends."""
+    async def follow(
+        self, address: str, patience: Seconds | None = None
+    ) -> LinkEnd:
+        """Follow the daemon at an address until the link ends.
+
+        `patience` limits its proof, and then the wait for its first bytes.
+        """
         self.farewell = messages.Farewell()
         self.address = address
         self._transit = TransitTimes()
@@ -166,9 +171,13 @@
         self._writer = writer
         self.number += 1
         try:
-            if not await _authenticate(connected, self._fleet_key):
+            async with asyncio.timeout(patience):
+                is_proved = await _authenticate(connected, self._fleet_key)
+            if not is_proved:
                 return LinkEnd.proof_failed
-            return await self._listen(reader, writer)
+            return await self._listen(reader, writer, patience)
+        except TimeoutError:
+            return LinkEnd.timed_out
         finally:
             self._close(writer)
 
@@ -289,6 +298,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        patience: Seconds | None,
     ) -> LinkEnd:
         hello = msgspec.structs.replace(
             self.own_hello,
@@ -296,8 +306,10 @@
             message_version=MESSAGE_VERSION,
         )
         writer.write(messages.encode(hello))
+        max_silence = LEADER_TIMEOUT if patience is None else patience
         while True:
-            message = await _receive(reader)
+            message = await _receive(reader, max_silence)
+            max_silence = LEADER_TIMEOUT
             if isinstance(message, LinkEnd):
                 return message
             if isinstance(message, messages.Farewell):
@@ -321,10 +333,11 @@
 
 async def _receive(
     reader: asyncio.StreamReader,
+    max_silence: Seconds = LEADER_TIMEOUT,
 ) -> messages.Received | LinkEnd:
     """Return the next message, or why the link has ended."""
     try:
-        return await messages.receive(reader, max_silence=LEADER_TIMEOUT)
+        return await messages.receive(reader, max_silence=max_silence)
     except asyncio.TimeoutError:
         return LinkEnd.timed_out
     except (OSError, asyncio.IncompleteReadError):
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -29,7 +29,7 @@
 from cassialever.fleet.peers import SharedPeers
 from cassialever.fleet.readers import Readers
 from cassialever.fleet.relay import LeaderAges, Relay
-from cassialever.fleet.seeking import Seeking
+from cassialever.fleet.seeking import Seeking, lead_or_follow
 from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.view import (
     OWN_TABLE,
@@ -236,11 +236,16 @@
                 return
         await self._try_to_lead()
 
-    async def _follow(self, address: str, leader_id: str = '') -> LinkEnd:
+    async def _follow(
+        self,
+        address: str,
+        leader_id: str = '',
+        patience: Seconds | None = None,
+    ) -> LinkEnd:
         """Follow a daemon until the link ends; log the end of a leader's."""
         self.state = MemberState.following
         try:
-            end = await self.link.follow(address)
+            end = await self.link.follow(address, patience)
         finally:
             self.state = MemberState.seeking
             self._direct_follower.start(
@@ -277,12 +282,16 @@
         await asyncio.sleep(self.election_delay)
         if self._stop_asked.is_set():
             return
-        leader_term = await self._election.run(self.election_delay)
+        leader_term = await lead_or_follow(
+            self._election,
+            self.link,
+            self.election_delay,
+            self._follow,
+            self._stop_asked,
+        )
         if leader_term is None:
-            winner_id = self._election.holder_id
-            winner_address = self.link.addresses_by_id.get(winner_id)
-            if winner_address is not None:
-                await self._follow(winner_address, winner_id)
+            if self._election.holder_id in self.link.addresses_by_id:
+                # It was followed.
                 return
             # In the first election of a fleet another daemon has usually won;
             # the next attempt to find the leader finds it.
--- a/cassialever/fleet/seeking.py
+++ b/cassialever/fleet/seeking.py
@@ -7,11 +7,20 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, TypeAlias
 
 from cassialever.fleet.attempts import Hindrance
-from cassialever.fleet.election import MAX_LEASE_WAIT, Election
-from cassialever.fleet.following_leader import LeaderLink
+from cassialever.fleet.election import (
+    LEASE_WAIT_MARGIN,
+    MAX_LEASE_WAIT,
+    Election,
+)
+from cassialever.fleet.following_leader import (
+    LEADER_TIMEOUT,
+    LeaderLink,
+    LinkEnd,
+)
+from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.term_ends import SHORT_TERM
 from cassialever.fleet.view import Leadership
 from cassialever.interfaces import RandomSource
@@ -32,6 +41,11 @@
 LONGEST_PAUSE_PER_DAEMON: Final[Seconds] = 0.03
 
 
+#: Follows the daemon at an address, of an id, until the link ends; it may be
+#: silent for a time at first.
+Follow: TypeAlias = Callable[[str, str, Seconds | None], Awaitable[LinkEnd]]
+
+
 class SeekPauses:
     """The pauses since this daemon last heard a leader or led itself."""
 
@@ -157,7 +171,42 @@
                 return
 
 
+async def lead_or_follow(
+    election: Election,
+    link: LeaderLink,
+    delay: Seconds,
+    follow: Follow,
+    stop_asked: asyncio.Event,
+) -> LeaderTerm | None:
+    """Attempt to lead, or follow the daemon that has the lease.
+
+    One that has missed a renewal and says nothing until its lease opens is not
+    followed for longer: this daemon attempts to lead again.
+    """
+    leader_term = await election.run(delay)
+    while leader_term is None and election.holder_id in link.addresses_by_id:
+        begun_at = asyncio.get_running_loop().time()
+        end = await follow(
+            link.addresses_by_id[election.holder_id],
+            election.holder_id,
+            _patience(election),
+        )
+        is_heard = link.has_led_since(begun_at)
+        is_silent = end is LinkEnd.timed_out and not is_heard
+        if stop_asked.is_set() or not (is_silent and election.is_overdue):
+            return None
+        leader_term = await election.run(delay)
+    return leader_term
+
+
 def longest_pause(daemon_count: int) -> Seconds:
     """Return the longest pause in a fleet of so many daemons."""
     longest = daemon_count * LONGEST_PAUSE_PER_DAEMON
     return min(MAX_LONGEST_PAUSE, max(MIN_LONGEST_PAUSE, longest))
+
+
+def _patience(election: Election) -> Seconds | None:
+    """Return how long the lease's holder may say nothing; None as usual."""
+    if not election.is_overdue:
+        return None
+    return min(election.opens_in + LEASE_WAIT_MARGIN, LEADER_TIMEOUT)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -576,15 +576,17 @@
         server.close()
 
 
+async def send_nothing(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Accept a connection and read until it ends."""
+    await reader.read()
+
+
 class UnresponsivePeerTest(unittest.IsolatedAsyncioTestCase):
     """Peers that neither answer nor read."""
 
     async def test_link_to_an_unresponsive_leader_times_out(self) -> None:
-        async def send_nothing(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.read()
-
         server = await asyncio.start_server(send_nothing, LOOPBACK, 0)
         host, port = server.sockets[0].getsockname()[:2]
         async with asyncio.timeout(LEADER_TIMEOUT + 2):
@@ -592,6 +594,17 @@
         self.assertIs(end, LinkEnd.timed_out)
         server.close()
 
+    async def test_link_is_given_up_when_patience_ends(self) -> None:
+        """With a key, too, for whose proof peers have 1 s."""
+        server = await asyncio.start_server(send_nothing, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        for key in ('', 'key'):
+            with self.subTest(key=key):
+                async with asyncio.timeout(LEADER_TIMEOUT / 2):
+                    end = await follower(key).follow(f'{host}:{port}', 0.1)
+                self.assertIs(end, LinkEnd.timed_out)
+        server.close()
+
     async def test_reports_to_a_leader_that_does_not_read_pile_up(self) -> None:
         # They were queued for as long as its heartbeats arrived.
         async def beat(
