Leave a lease taken from the own earlier process to others if unanswered

Cause: a takeover without an answer that is read back counts as committed, and the term begins. That daemon then leads by reading its writes back, for as long as the fault lasts, while all others get answers.

A lease that is open to all is taken as before: reading back is what leads if nobody gets answers.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -204,6 +204,8 @@
                 Hindrance.conflict, _describe(committed, read.version)
             )
             return None
+        if _is_open_to_own(read, self._own_hello) and _is_read_back(committed):
+            committed = Failure(ErrorKind.table_answer_lost, 'read back')
         if isinstance(committed, Failure):
             self._unconfirmed.append(new_lease)
             await self._resolve(committed)
@@ -395,6 +397,26 @@
     )
 
 
+def _is_open_to_own(read: _LeaseRead, own: messages.Hello) -> bool:
+    """Return whether only this daemon may take over the lease now.
+
+    It is that of its earlier process. If the takeover is not answered, the
+    others are to lead.
+    """
+    lease = read.lease
+    if lease is None or lease.is_resigned:
+        return False
+    opens_in = leases.opens_in(lease, read.store_time, read.unchanged_for)
+    return opens_in > 0 and _is_of_earlier_process(lease, own)
+
+
+def _is_read_back(
+    outcome: rows.Committed | rows.Conflict | Failure,
+) -> bool:
+    """Return whether a write was performed and not answered."""
+    return isinstance(outcome, rows.Committed) and outcome.is_read_back
+
+
 def _leadership_of(hello: messages.Hello) -> Leadership:
     """Return the content of the leader's row while a daemon leads."""
     return Leadership(hello.instance_id, hello.address, hello.incarnation)
--- a/cassialever/platform/rows.py
+++ b/cassialever/platform/rows.py
@@ -61,6 +61,11 @@
         """Return the lowest version that the rows written can have."""
         return self.version if self.at_least is None else self.at_least
 
+    @property
+    def is_read_back(self) -> bool:
+        """Return whether the rows were read, as the answer was lost."""
+        return self.at_least is None
+
 
 class Conflict(msgspec.Struct, frozen=True):
     """A transaction without effect, and the rows of its preconditions."""
