--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -91,6 +91,8 @@
         #: How long after the last attempt the lease may be taken over, unless
         #: its holder renews it; infinite if that attempt failed otherwise.
         self.opens_in: Seconds = math.inf
+        #: Whether that holder has missed a renewal.
+        self.is_overdue = False
         #: Why the last attempt failed; `None` if it did not.
         self.failed: Attempt | None = None
         self.log = AttemptLog()
@@ -114,6 +116,7 @@
         """Forget the outcome of an earlier attempt."""
         self.holder_id = ''
         self.opens_in = math.inf
+        self.is_overdue = False
         self.failed = None
 
     def note_leader(self) -> None:
@@ -179,6 +182,10 @@
         if holder_id != self._own_hello.instance_id:
             self.holder_id = holder_id
         self.opens_in = opens_in
+        age = leases.STALE_AFTER - leases.opens_in(
+            read.lease, read.store_time, read.unchanged_for
+        )
+        self.is_overdue = age > leases.RENEWAL_INTERVAL
         self.note_failure(
             Hindrance.lease_held,
             f'holder={holder_id} version={read.version} '
@@ -197,6 +204,8 @@
                 Hindrance.conflict, _describe(committed, read.version)
             )
             return None
+        if _is_open_to_own(read, self._own_hello) and _is_read_back(committed):
+            committed = Failure(ErrorKind.table_answer_lost, 'read back')
         if isinstance(committed, Failure):
             self._unconfirmed.append(new_lease)
             await self._resolve(committed)
@@ -388,6 +397,26 @@
     )
 
 
+def _is_open_to_own(read: _LeaseRead, own: messages.Hello) -> bool:
+    """Return whether only this daemon may take over the lease now.
+
+    It is that of its earlier process. If the takeover is not answered, the
+    others are to lead.
+    """
+    lease = read.lease
+    if lease is None or lease.is_resigned:
+        return False
+    opens_in = leases.opens_in(lease, read.store_time, read.unchanged_for)
+    return opens_in > 0 and _is_of_earlier_process(lease, own)
+
+
+def _is_read_back(
+    outcome: rows.Committed | rows.Conflict | Failure,
+) -> bool:
+    """Return whether a write was performed and not answered."""
+    return isinstance(outcome, rows.Committed) and outcome.is_read_back
+
+
 def _leadership_of(hello: messages.Hello) -> Leadership:
     """Return the content of the leader's row while a daemon leads."""
     return Leadership(hello.instance_id, hello.address, hello.incarnation)
