Begin fences above all earlier ones where a key map was removed, and wait

What callers would see, if another writer removed the key map between two leaders: an owner that had started again got its keys with a fence that it had before, and two targets could hold the same keys while a leader that is cut off renewed them.

Cause: a missing map was taken for the first start of a deployment. Fences began at 1, and all keys were given out at once.

Now the first fence of a term is the version that numbers it times 1,024. A missing map of a named service was removed: its keys wait for the grants of earlier leaders. Others don't wait: neither on a first start, nor after leaders that wrote no map.

Changed tests: test_keys_events and test_tool_key_history expected the fence 1 of a first assignment; they expect that of the term now, as exactly. The search can remove maps, and only then plays the two new mutants; test_ownership finds both, too. The fake of a build before drops the new field. The largest lease is measured with it.

--- a/cassialever/fleet/earlier_grants.py
+++ b/cassialever/fleet/earlier_grants.py
@@ -34,8 +34,12 @@
         Whichever process has an owner's address takes them, so that neither the
         end of the owner nor its answers end them.
         """
-        latest = max((self._ended_until, *self._until_by_id.values()))
-        return self._clock.boot() >= min(self._unnamed_until, latest)
+        until = min(self._unnamed_until, self._latest_end())
+        return self._clock.boot() >= until
+
+    def all_have_expired(self) -> bool:
+        """Return whether all have, also those of leaders that had ended."""
+        return self._clock.boot() >= self._latest_end()
 
     def note_follower(self, instance_id: str) -> bool:
         """Shorten the wait for an earlier leader that is now a follower.
@@ -49,3 +53,6 @@
         new_end = self._clock.boot() + MAX_GRANT_DURATION
         self._until_by_id[instance_id] = min(known_end, new_end)
         return True
+
+    def _latest_end(self) -> Seconds:
+        return max((self._ended_until, *self._until_by_id.values()))
--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -240,6 +240,7 @@
             authority_until_by_id=leases.earlier_leaders(*known),
             suspected_moves=moves.recent(),
             unnamed_until=leases.unnamed_until(*known),
+            mapped_services=leases.mapped_services(lease, read.version),
         )
 
     async def _commit(
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -13,6 +13,7 @@
 from cassialever.fleet import messages
 from cassialever.fleet.earlier_grants import EarlierGrants
 from cassialever.fleet.lease_writes import commit_lease, release_lease
+from cassialever.fleet.mapped_services import MappedServices
 from cassialever.fleet.store_clock import StoreClock
 from cassialever.fleet.suspected_moves import SuspectedMoves
 from cassialever.fleet.term_ends import WITHOUT_LEASE, TermEnd, TermResult
@@ -105,6 +106,9 @@
             lambda: self._store_clock.at(clock.boot()),
         )
         self.earlier_grants = EarlierGrants(lease, times.sent_at, clock)
+        self.mapped_services = MappedServices(
+            lease.mapped_services, self.earlier_grants
+        )
         #: Number of calls that grant keys and have not ended.
         self.grants_in_progress = 0
         self._ended = asyncio.Event()
@@ -250,6 +254,7 @@
                 renewed_at=self._store_clock.at(sent_at),
                 is_resigned=is_resigned,
                 suspected_moves=self.suspected_moves.recent(),
+                mapped_services=self.mapped_services.recorded(),
             )
             answer = await commit_lease(
                 self._store,
--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -15,7 +15,7 @@
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
 from cassialever.keys.assignments import MAX_GRANT_DURATION
 from cassialever.platform import rows
-from cassialever.types import MS_PER_SECOND, RowVersion, Seconds
+from cassialever.types import MS_PER_SECOND, RowVersion, Seconds, ServiceName
 
 LEASE_TABLE: Final = 'cassialever-lease'
 LEASE_ROW: Final = 'lease'
@@ -56,7 +56,8 @@
     `authority_until_by_id` holds earlier leaders that may still renew grants,
     `suspected_moves` what this leader and earlier ones moved. Until
     `unnamed_until` earlier leaders may renew grants by calls that name no
-    target; its default is that of builds without the field.
+    target; its default is that of builds without the field. The key maps of
+    `mapped_services` may be stored; without the field any may be.
     """
 
     instance_id: str
@@ -66,6 +67,7 @@
     authority_until_by_id: dict[str, _StoreTime] = {}
     suspected_moves: tuple[SuspectedMove, ...] = ()
     unnamed_until: _StoreTime = HOLDER_UNNAMED
+    mapped_services: tuple[ServiceName, ...] | None = None
 
 
 def find_lease(
@@ -168,6 +170,15 @@
     return min(lease.unnamed_until, store_time + AUTHORITY_TERM)
 
 
+def mapped_services(
+    lease: Lease | None, version: RowVersion
+) -> tuple[ServiceName, ...] | None:
+    """Return the services whose key maps may be stored; None if any may be."""
+    if lease is None:
+        return None if version else ()
+    return lease.mapped_services
+
+
 def takeover_transaction(
     leadership: Leadership,
     lease: Lease,
--- a/cassialever/keys/assignments.py
+++ b/cassialever/keys/assignments.py
@@ -12,9 +12,16 @@
 import msgspec
 
 from cassialever.fleet.model import KEY_COUNT, KeyMap, KeyRange, StartedAt
+from cassialever.platform.entry_limits import MAX_INTEGER
 from cassialever.platform.processes import TargetProcess
 from cassialever.platform.targets import GRANT_TIMEOUT
-from cassialever.types import Fence, Seconds, ServiceName, TargetId
+from cassialever.types import (
+    Fence,
+    RowVersion,
+    Seconds,
+    ServiceName,
+    TargetId,
+)
 
 #: How long a grant lasts unless its owner has been silent. Renewals at a third
 #: of it leave room for a lost one, and for the election of a new leader.
@@ -31,6 +38,11 @@
 MAX_GRANT_DURATION: Final[Seconds] = (
     GRANT_TIMEOUT + MAX_TRANSIT_TIME + MAX_HOLD_TIME
 )
+#: Fences by which those of a map may be above the store's version times this:
+#: more than a leader raises while the store takes no writes.
+FENCES_PER_VERSION: Final = 1024
+#: No store has versions that lead here; owners get higher fences from it on.
+MAX_FIRST_FENCE: Final = Fence(MAX_INTEGER >> 1)
 #: Shortest grant, to an owner that has been silent for long. It shows whether
 #: the owner answers, and a longer one follows.
 MIN_GRANT_DURATION: Final[Seconds] = 0.3
@@ -242,6 +254,14 @@
     )
 
 
+def first_fence(term: RowVersion) -> Fence:
+    """Return a fence above all that were written before a term.
+
+    A term is numbered by a version of the store, and those only rise.
+    """
+    return min(Fence(term * FENCES_PER_VERSION), MAX_FIRST_FENCE)
+
+
 def grant_duration(silence: Seconds) -> Seconds:
     """Return how long a grant to an owner that was silent so far may last.
 
--- a/cassialever/keys/mapwriter.py
+++ b/cassialever/keys/mapwriter.py
@@ -36,6 +36,7 @@
         leader_term: LeaderTerm,
     ) -> None:
         """Start with no row; see `start_from`."""
+        self._service = service
         self._name = row_name(service)
         self._leader_term = leader_term
         #: The version that the row is expected to have; 0 if there is none. It
@@ -48,6 +49,7 @@
 
     def start_from(self, row: StoreRow) -> None:
         """Expect the row that is known when the term begins."""
+        self._leader_term.mapped_services.note(self._service)
         self.version = row.version
         self._known_content = row.content
 
@@ -59,6 +61,7 @@
         is unknown.
         """
         content = msgspec.msgpack.encode(key_map)
+        self._leader_term.mapped_services.note(self._service)
         for _ in range(MAX_ATTEMPTS):
             expected = self.version
             answer = await self._leader_term.commit(self._transaction(content))
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -17,6 +17,7 @@
     Assignments,
     AssignmentState,
     covers_all,
+    first_fence,
     inherited_assignments,
 )
 from cassialever.keys.candidates import Candidates
@@ -157,13 +158,18 @@
         return True
 
     def _assign_first(self, now: Seconds) -> None:
-        """Assign all keys once the set of targets has settled."""
+        """Assign all keys once the set of targets has settled.
+
+        Where a map was removed, earlier leaders' grants may last.
+        """
         targets = self._candidates.settled(now)
-        if not targets:
+        leader_term = self._context.leader_term
+        may_last = leader_term.mapped_services.may_be_granted(self.service)
+        if may_last or not targets:
             return
         assignments = planning.assign_evenly(
             targets,
-            Fence(1),
+            first_fence(leader_term.term),
             ranges_per_target(targets, self._context.row_bytes),
         )
         for assignment in assignments:
--- a/tests/key_logs.py
+++ b/tests/key_logs.py
@@ -5,6 +5,7 @@
 import logbook
 import msgspec
 
+from cassialever.keys.assignments import first_fence
 from tests.ownership_fakes import World, logging_daemon
 
 
@@ -26,6 +27,10 @@
         }
         self.lines.append(msgspec.json.encode(fields, enc_hook=str).decode())
 
+    def first_fence(self) -> int:
+        """Return the fence of the first assignment of the first term."""
+        return first_fence(self.named('keys_inherited')[0]['term'])
+
     def named(self, *names: str) -> list[dict[str, Any]]:
         """Return the fields of the lines of some events."""
         lines = map(msgspec.json.decode, self.lines)
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -29,7 +29,7 @@
 from cassialever.policy.paths import TargetPaths
 from cassialever.tasks import BackgroundTasks
 from cassialever.policy.limits import LimitSource
-from cassialever.types import DataCentreId, TargetId
+from cassialever.types import DataCentreId, ServiceName, TargetId
 from cassialever.platform.processes import TargetProcess
 from cassialever.platform.spare_connections import (
     IDLE_CONNECTIONS,
@@ -610,8 +610,23 @@
 
 
 def _as_build_before(lease: Lease) -> Lease:
-    """Return a lease as a build without the field is read."""
-    return msgspec.structs.replace(lease, unnamed_until=HOLDER_UNNAMED)
+    """Return a lease as a build without the later fields is read."""
+    return msgspec.structs.replace(
+        lease, unnamed_until=HOLDER_UNNAMED, mapped_services=None
+    )
+
+
+class _UnknownMaps:
+    """What the lease of a build without the field names: nothing."""
+
+    def note(self, _: ServiceName) -> None:
+        pass
+
+    def may_be_granted(self, _: ServiceName) -> bool:
+        return False
+
+    def recorded(self) -> None:
+        return None
 
 
 class Daemon:
@@ -649,6 +664,7 @@
         )
         if self.leader_term is not None:
             self.leader_term._lease = _as_build_before(self.leader_term._lease)
+            self.leader_term.mapped_services = _UnknownMaps()  # type: ignore
 
     async def take_over(self) -> bool:
         """Become the leader if the lease allows it."""
--- a/tests/ownership_faults.py
+++ b/tests/ownership_faults.py
@@ -19,10 +19,14 @@
     Assignments,
     AssignmentState,
 )
-from cassialever.types import TargetId
+from cassialever.fleet.view import OWN_TABLE
+from cassialever.keys.mapwriter import row_name
+from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.ownership_fakes import Daemon, FakeTarget, World
 
+#: The row with the owners of the keys.
+KEY_MAP_ROW = (OWN_TABLE, row_name(ServiceName('registry')))
 #: Keys must be held again within this time after their owner is lost.
 RECOVERY_LIMIT = 3.0 + GRANT_DURATION
 #: Duration of the faults that are temporary.
@@ -306,6 +310,36 @@
     return outcome
 
 
+def run_removed_map() -> Outcome:
+    """Remove the key map while a leader that is cut off goes on renewing.
+
+    A target has started meanwhile, so that keys are divided otherwise.
+    """
+    outcome = Outcome()
+
+    async def main(loop: VirtualLoop) -> None:
+        world = World(loop, seed=1, targets=4)
+        scenario = await _settled_scenario(world)
+        first, second, _ = scenario.daemons
+        first.store.is_cut = True
+        first.is_isolated = True
+        world.shared.delete(*KEY_MAP_ROW)
+        started = FakeTarget('t-started', '10.1.64.9:8707')
+        world.targets[started.address] = started
+        world.publish_targets()
+        while not await second.take_over():
+            await asyncio.sleep(TAKEOVER_INTERVAL)
+        await asyncio.sleep(EARLIER_LEADER_LIMIT + RECOVERY_LIMIT)
+        outcome.violations.extend(world.violations)
+        if world.unheld_count():
+            outcome.violations.append('keys without a holder at the end')
+        for daemon in scenario.daemons:
+            daemon.kill()
+
+    run_virtually(main)
+    return outcome
+
+
 def run_release_after_unanswered_grant() -> Outcome:
     """Have an owner release keys as soon as it has confirmed a higher fence.
 
--- a/tests/ownership_rules.py
+++ b/tests/ownership_rules.py
@@ -7,11 +7,12 @@
 
 import msgspec
 
-from cassialever.fleet import earlier_grants, leading
+from cassialever.fleet import earlier_grants, leading, mapped_services
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.view import OWN_TABLE
 from cassialever.keys import assignments, granting, mapwriter, service, suspects
 from cassialever.platform import rows
+from cassialever.types import Fence
 from tests import ownership_fakes
 
 _real_inherited_assignments = assignments.inherited_assignments
@@ -52,6 +53,10 @@
     return False
 
 
+def _first_of_all(_: Any) -> Fence:
+    return Fence(1)
+
+
 def _no_process(_: Any) -> None:
     return None
 
@@ -87,6 +92,12 @@
     'keys are reserved while unnamed calls may give them': (
         _replace(earlier_grants.EarlierGrants, 'unnamed_have_expired', _always),
     ),
+    'keys of a removed map wait for the grants of earlier leaders': (
+        _replace(mapped_services.MappedServices, 'may_be_granted', _never),
+    ),
+    'first fences are above all earlier ones': (
+        _replace(service, 'first_fence', _first_of_all),
+    ),
     'a new leader suspects the owners that it inherits': (
         _replace(service, 'inherited_assignments', _inherit_without_suspicion),
     ),
@@ -108,6 +119,14 @@
     ('keys are reserved while unnamed calls may give them',)
 )
 
+#: Those that only matter where another writer removes the key map.
+RULES_OF_REMOVED_MAPS: frozenset[str] = frozenset(
+    (
+        'keys of a removed map wait for the grants of earlier leaders',
+        'first fences are above all earlier ones',
+    )
+)
+
 
 @contextlib.contextmanager
 def without_rule(rule: str) -> Iterator[None]:
--- a/tests/ownership_search.py
+++ b/tests/ownership_search.py
@@ -37,7 +37,7 @@
     FakeTargetClient,
     World,
 )
-from tests.ownership_faults import STEP_TIME
+from tests.ownership_faults import KEY_MAP_ROW, STEP_TIME
 
 #: Steps of one run, and by when all keys are held again after the last one.
 STEPS = 140
@@ -56,6 +56,9 @@
 #: Targets at most, and at least that are up.
 MAX_TARGETS = 7
 MIN_TARGETS = 2
+#: Share of the steps in which another writer removes the key map, in the runs
+#: in which one does.
+REMOVAL_SHARE = 0.03
 #: Share of the targets that follow at an address which have keys.
 KEYED_SHARE = 0.6
 
@@ -95,6 +98,7 @@
             'works': 0,
             'terms': 0,
             'replaced': 0,
+            'maps removed': 0,
         }
 
     def add_daemon(self, name: str) -> 'SearchDaemon':
@@ -533,7 +537,11 @@
     """One run: draws faults at each step, and ends them at last."""
 
     def __init__(
-        self, world: SearchWorld, *, reuses_addresses: bool = False
+        self,
+        world: SearchWorld,
+        *,
+        reuses_addresses: bool = False,
+        removes_maps: bool = False,
     ) -> None:
         self.world = world
         self.daemons = [
@@ -542,6 +550,8 @@
         #: Whether targets without keys follow at addresses, and daemons report
         #: what these answer to requests.
         self.reuses_addresses = reuses_addresses
+        #: Whether another writer removes the key map.
+        self.removes_maps = removes_maps
         self.random = world.random
         #: How often each fault is drawn; runs differ in what is frequent.
         self.weight = self.random.choice((CALM_WEIGHT, 0.3, 1.0, 2.0))
@@ -563,6 +573,8 @@
             for daemon in self.daemons:
                 self._draw_daemon_faults(daemon)
             self._draw_target_faults()
+            if self.removes_maps and self.random.random() < REMOVAL_SHARE:
+                self._remove_map()
             await self._elect()
         self._end_faults()
         ends_at = self.world.loop.time() + RECOVERY_TIME
@@ -709,6 +721,11 @@
         if self.random.random() < 0.3:
             target.started_at = earlier - self.random.randrange(1, 50)
 
+    def _remove_map(self) -> None:
+        if KEY_MAP_ROW in self.world.shared.row_by_name:
+            self.world.counts['maps removed'] += 1
+            self.world.shared.delete(*KEY_MAP_ROW)
+
     def _remove(self, address: str) -> None:
         """End a target; its address stays empty."""
         target = self.world.targets.pop(address)
@@ -741,19 +758,26 @@
 
 
 def search(
-    seed: int, steps: int = STEPS, *, reuses_addresses: bool = False
+    seed: int,
+    steps: int = STEPS,
+    *,
+    reuses_addresses: bool = False,
+    removes_maps: bool = False,
 ) -> Found:
     """Run one seed; return the violations that it shows.
 
     Addresses may be used again by targets without keys, and daemons report what
-    these answer.
+    these answer. Another writer may remove the key map.
     """
     found = Found([], {})
 
     async def main(loop: VirtualLoop) -> None:
         loop.set_task_factory(make_task)
         world = SearchWorld(loop, seed)
-        await Search(world, reuses_addresses=reuses_addresses).run(steps)
+        one = Search(
+            world, reuses_addresses=reuses_addresses, removes_maps=removes_maps
+        )
+        await one.run(steps)
         found.violations = world.violations
         found.counts = world.counts
 
--- a/tests/test_fleet_attempts.py
+++ b/tests/test_fleet_attempts.py
@@ -24,6 +24,7 @@
     Seeking,
     SeekPauses,
 )
+from cassialever.fleet.mapped_services import MAX_MAPPED_SERVICES
 from cassialever.fleet.suspected_moves import MAX_MOVES
 from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
@@ -126,7 +127,13 @@
         )
         content = msgspec.msgpack.encode(
             leases.Lease(
-                name, 2**62, 200.0, False, until_by_id, (move,) * MAX_MOVES
+                name,
+                2**62,
+                200.0,
+                False,
+                until_by_id,
+                (move,) * MAX_MOVES,
+                mapped_services=(ServiceName(name),) * MAX_MAPPED_SERVICES,
             )
         )
         self.assertLess(len(content), ROW_BYTES)
--- a/tests/test_keys_events.py
+++ b/tests/test_keys_events.py
@@ -132,7 +132,7 @@
             for line in logs.named('keys_released'):
                 self.assertLessEqual(CALL_FIELDS, line.keys())
             # Its fence was raised before the release.
-            self.check_freed(logs, 't1', 'released', fence=2)
+            self.check_freed(logs, 't1', 'released', raised_by=1)
 
         play(scenario)
 
@@ -141,7 +141,7 @@
             world.replace_target(ADDRESS, 'next')
             await asyncio.sleep(2)
             # It was granted a new fence, since its connections had ended.
-            self.check_freed(logs, 't1', 'owner_ended', fence=3)
+            self.check_freed(logs, 't1', 'owner_ended', raised_by=2)
             # A wrong conclusion would let two targets have them for so long.
             for line in logs.named('keys_freed'):
                 self.assertGreater(line['held_for'], 1)
@@ -159,12 +159,12 @@
         play(scenario)
 
     def check_freed(
-        self, logs: KeyLogs, owner: str, fact: str, fence: int = 1
+        self, logs: KeyLogs, owner: str, fact: str, raised_by: int = 0
     ) -> None:
         granted = [
             line
             for line in logs.named('keys_granted')
-            if line['target'] == owner and line['fence'] == 1
+            if line['target'] == owner and line['fence'] == logs.first_fence()
         ]
         freed = logs.named('keys_freed')
         self.assertEqual(
@@ -173,7 +173,7 @@
         for line in freed:
             self.assertEqual(line['target'], owner)
             self.assertEqual(line['fact'], fact)
-            self.assertEqual(line['fence'], fence)
+            self.assertEqual(line['fence'], logs.first_fence() + raised_by)
             self.assertEqual(line['started_at'], 1000)
 
     def test_leader_logs_the_map_that_it_begins_with(self) -> None:
@@ -189,8 +189,8 @@
             last = logs.named('keys_inherited')[-1]
             self.assertEqual(last['instance'], 'edge-2')
             self.assertEqual(last['map'], 'row')
-            # An owner with fence 1 may get the next one.
-            self.assertEqual(last['highest_fence'], 2)
+            # An owner may get the fence above its own.
+            self.assertEqual(last['highest_fence'], logs.first_fence() + 1)
             self.assertGreater(last['version'], 0)
             self.assertGreater(last['term'], first['term'])
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -17,6 +17,7 @@
     run_long_partition,
     run_random_faults,
     run_release_after_unanswered_grant,
+    run_removed_map,
     run_unanswered_takeover,
     run_unnamed_renewals,
 )
@@ -41,6 +42,8 @@
             return True
         if run_unnamed_renewals().violations:
             return True
+        if run_removed_map().violations:
+            return True
         if run_faults([('target restarts, reported late', 0.5)]).violations:
             return True
         for seed in range(SEEDS):
@@ -68,6 +71,9 @@
     def test_renewals_of_the_build_before_that_name_no_target(self) -> None:
         self.assertEqual(run_unnamed_renewals().violations, [])
 
+    def test_map_that_is_removed_while_an_earlier_leader_renews(self) -> None:
+        self.assertEqual(run_removed_map().violations, [])
+
     def test_release_after_a_grant_without_an_answer(self) -> None:
         self.assertEqual(run_release_after_unanswered_grant().violations, [])
 
--- a/tests/test_ownership_search.py
+++ b/tests/test_ownership_search.py
@@ -8,13 +8,13 @@
 
 from cassialever.fleet.lease import AUTHORITY_TERM, LEASE_ROW, LEASE_TABLE
 from cassialever.fleet.model import KeyMap
-from cassialever.keys.mapwriter import row_name
 from cassialever.types import ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.ownership_fakes import FakeTarget
-from tests.ownership_faults import run_unnamed_renewals
+from tests.ownership_faults import KEY_MAP_ROW, run_unnamed_renewals
 from tests.ownership_rules import (
     PATCHES_BY_RULE,
+    RULES_OF_REMOVED_MAPS,
     RULES_OF_TWO_BUILDS,
     without_rule,
 )
@@ -26,7 +26,6 @@
 )
 
 ADDRESS = '10.1.64.1:8707'
-KEY_MAP_ROW = ('cassialever', row_name(ServiceName('registry')))
 SEEDS = range(8)
 #: Seeds that are tried until the removal of a rule is found, after one by which
 #: it has been found.
@@ -37,6 +36,8 @@
     'writes expect this term and the last key map': 6,
     'keys are not reassigned until the last grant has lapsed': 2,
     'keys are not reassigned until earlier leaders have expired': 3,
+    'keys of a removed map wait for the grants of earlier leaders': 1,
+    'first fences are above all earlier ones': 0,
     'a new leader suspects the owners that it inherits': 2,
     'an owner is suspect after a failed grant': 100,
     'a fence is renewed only with the process that has accepted it': 29,
@@ -281,13 +282,28 @@
                 reported += found.counts['replaced']
         self.assertGreater(reported, 0)
 
+    def test_no_two_owners_where_another_writer_removes_maps(self) -> None:
+        removed = 0
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                found = search(seed, removes_maps=True)
+                self.assertEqual(found.violations, [])
+                removed += found.counts['maps removed']
+        self.assertGreater(removed, 0)
+
     def test_removal_of_each_rule_is_found(self) -> None:
         for rule in PATCHES_BY_RULE:
             if rule in RULES_OF_TWO_BUILDS:
                 continue
             with self.subTest(rule=rule), without_rule(rule):
                 seeds = (SEED_BY_RULE[rule], *range(MAX_SEEDS))
-                self.assertTrue(any(search(one).violations for one in seeds))
+                removes = rule in RULES_OF_REMOVED_MAPS
+                self.assertTrue(
+                    any(
+                        search(one, removes_maps=removes).violations
+                        for one in seeds
+                    )
+                )
 
     def test_removal_of_each_rule_of_two_builds_is_found(self) -> None:
         for rule in RULES_OF_TWO_BUILDS:
--- a/tests/test_tool_key_history.py
+++ b/tests/test_tool_key_history.py
@@ -87,7 +87,7 @@
             first, second = history(logs.lines).tenures
             self.assertEqual(
                 (first.target, first.fence, first.granted_by, first.address),
-                ('t1', 1, 'edge-1', ADDRESS),
+                ('t1', logs.first_fence(), 'edge-1', ADDRESS),
             )
             self.assertEqual(first.ended_by, 'the owner released them')
             assert first.until is not None
@@ -125,9 +125,11 @@
             world.replace_target(ADDRESS, 'next')
             await asyncio.sleep(1)
             self.assertTrue(world.violations)
+            fence = logs.first_fence()
             self.assertRegex(
                 '\n'.join(shown(logs.lines)),
-                r'the fence 1 of t1 \(process .*\) is not above 1, which t1',
+                rf'the fence {fence} of t1 \(process .*\) is not above {fence},'
+                ' which t1',
             )
 
         play(scenario)
@@ -190,7 +192,8 @@
                 await asyncio.sleep(1)
                 self.assertRegex(
                     '\n'.join(shown(logs.lines)),
-                    rf'began with the highest fence 0 \(map: {source}\), and 1',
+                    rf'began with the highest fence 0 \(map: {source}\), and'
+                    f' {logs.first_fence()} had been granted',
                 )
 
             with self.subTest(source=source):
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -159,6 +159,20 @@
         )
         self.assertEqual(passed_on.unnamed_until, leases.HOLDER_UNNAMED)
 
+    def test_any_service_may_have_a_map_after_the_build_before(self) -> None:
+        """It drops which ones have."""
+        content = bytes.fromhex(RECORD['rows']['Lease']['bytes'])
+        lease = msgspec.msgpack.decode(content, type=leases.Lease)
+        self.assertIsNone(lease.mapped_services)
+        named = msgspec.structs.replace(lease, mapped_services=())
+        taken = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(named), type=earlier.Lease
+        )
+        passed_on = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(taken), type=leases.Lease
+        )
+        self.assertIsNone(passed_on.mapped_services)
+
     def test_hop_requests_are_read(self) -> None:
         one = RECORD['hop_request']
         for key, headers in one['headers_by_key'].items():
