--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -1,11 +1,17 @@
-"""Open connections to other instances and to targets."""
+"""Open connections to other instances and to targets.
+
+Tell, too, how long ago bytes arrived that are read only now, since a process
+may stand still between the two.
+"""
 
 import asyncio
 import re
+import socket
+import struct
 from typing import Final, TypeAlias
 
 from cassialever.errors import ErrorKind, Failure
-from cassialever.types import Seconds
+from cassialever.types import MS_PER_SECOND, Seconds
 
 #: A connection to another data centre takes 2 ms; one to an address that is
 #: cut off is never answered.
@@ -16,6 +22,8 @@
     r'[0-9A-Za-z._:%\[\]-]{1,253}:([1-9][0-9]{0,3}|[1-5][0-9]{4}'
     r'|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])'
 )
+#: `tcpi_last_data_recv` of Linux's `tcp_info`: milliseconds since data came.
+_LAST_RECEIVED: Final = struct.Struct('=52xI')
 
 Streams: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -59,3 +67,23 @@
     except (OSError, UnicodeError, asyncio.TimeoutError) as error:
         # A name of a host that can't be encoded raises UnicodeError.
         return Failure(ErrorKind.peer_unreachable, repr(error))
+
+
+def time_since_arrival(transport: asyncio.BaseTransport | None) -> Seconds:
+    """Return the time since the last bytes of the peer arrived.
+
+    The system counts it, so that it goes on while this process is stopped. It
+    is 0 where that is not known.
+    """
+    if transport is None:
+        return 0
+    try:
+        info = transport.get_extra_info('socket').getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_RECEIVED.size
+        )
+    except OSError:
+        # The connection is lost.
+        return 0
+    if len(info) < _LAST_RECEIVED.size:
+        return 0
+    return float(_LAST_RECEIVED.unpack(info)[0]) / MS_PER_SECOND
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -15,7 +15,7 @@
 
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
-from cassialever.fleet.connecting import split_address
+from cassialever.fleet.connecting import split_address, time_since_arrival
 from cassialever.fleet.model import Target
 from cassialever.gateway import hop_client
 from cassialever.gateway.bodies import (
@@ -137,7 +137,10 @@
         await self._listener.stop()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived_at = self._clock.monotonic()
+        # It may have waited while this process stood still.
+        arrived_at = self._clock.monotonic() - time_since_arrival(
+            request.transport
+        )
         hop = decode_request(
             request.headers,
             request.raw_path,
