The first heartbeat on a link counts from its arrival

Callers' view: none was seen. A daemon could go on sending by tables that it took for confirmed, for up to 0.9 s longer than the 2.0 s after which it has to look for a confirmation.

Cause: a heartbeat's time under way is told by the fastest one of its link, which the first has none of. A process that stood still between its connection and the first read took it for just sent, although the leader had fallen silent.

Evidence: tests.test_late_reads, FirstHeartbeatTest.

Why it works: a heartbeat is at least as old as the bytes that came last on its link, which the system counts while the process stands still.

--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -12,7 +12,11 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.events import Event, record
 from cassialever.fleet import messages
-from cassialever.fleet.connecting import Streams, connect
+from cassialever.fleet.connecting import (
+    Streams,
+    connect,
+    time_since_arrival,
+)
 from cassialever.fleet.key_changes import apply_key_changes
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
 from cassialever.fleet.message_version import FIRST_VERSION, MESSAGE_VERSION
@@ -224,7 +228,12 @@
         self._leader_message_version = pulse.message_version
         # Ages count the time in which the machine is suspended.
         now = self.view.targets.clock.boot()
-        self._reported_at = now - self._transit.excess(pulse, now)
+        late_by = self._transit.excess(pulse, now)
+        if self._writer is not None:
+            # The first one on a link has no faster one to be compared with.
+            unread_for = time_since_arrival(self._writer.transport)
+            late_by = max(late_by, unread_for)
+        self._reported_at = now - late_by
         self._leader_heard_at = asyncio.get_running_loop().time()
         self._latest_list.note_heard(self._reported_at)
 
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -8,8 +8,12 @@
 
 import msgspec
 
+from cassialever.clock import SystemClock
 from cassialever.errors import Failure
+from cassialever.fleet import messages
 from cassialever.fleet.connecting import split_address
+from cassialever.fleet.following_leader import LeaderLink
+from cassialever.fleet.relay import HEARTBEAT_INTERVAL
 from cassialever.gateway.hop_messages import (
     HopOutcome,
     HopReply,
@@ -17,8 +21,11 @@
     decode_reply,
     encode_request,
 )
+from standins.listening import LOOPBACK
+from tests.fleet_helpers import configured_view, until
 from tests.gateway_helpers import ISSUE_HEADERS
 from tests.hop_helpers import cut_off_daemon
+from tests.test_fleet_links import HELLO
 
 #: For how long the process stands still, in seconds.
 STOOD_STILL = 0.6
@@ -26,6 +33,10 @@
 SHORT = 0.4
 #: Time left of a deadline that does not, in seconds.
 LONG = 5.0
+#: Inaccuracy of the system's count, and time for the loop to handle what has
+#: come, in seconds.
+JIFFY = 0.01
+LOOP_TIME = 0.3
 MAX_HEAD_BYTES = 8192
 
 
@@ -113,6 +124,64 @@
         )
 
 
+class FirstHeartbeatTest(unittest.IsolatedAsyncioTestCase):
+    """A follower stands still between its connection and its first read."""
+
+    async def age_after(
+        self, *pulses: messages.Pulse, lasting: float, is_silent: bool = True
+    ) -> float:
+        """Return the age of tables after a pause.
+
+        The leader sends heartbeats 0.25 s apart, then falls silent for the rest
+        of the pause.
+        """
+        link = LeaderLink(configured_view(SystemClock(), targets=0), HELLO)
+        with socket.create_server((LOOPBACK, 0)) as listening:
+            listening.setblocking(False)
+            host, port = listening.getsockname()
+            loop = asyncio.get_running_loop()
+            following = asyncio.create_task(link.follow(f'{host}:{port}'))
+            accepted, _ = await loop.sock_accept(listening)
+            with accepted:
+                # The greeting.
+                await loop.sock_recv(accepted, MAX_HEAD_BYTES)
+                for pulse in pulses:
+                    accepted.send(messages.encode(pulse))
+                    time.sleep(HEARTBEAT_INTERVAL)
+                time.sleep(lasting)
+                if not is_silent:
+                    accepted.send(messages.encode(pulses[-1]))
+                await until(lambda: link.is_open)
+                following.cancel()
+                return link.tables_age()
+
+    async def test_leader_falls_silent_meanwhile(self) -> None:
+        """Its first heartbeat counted as just sent."""
+        for build, sent_at in (('this', 70.0), ('before', 0.0)):
+            with self.subTest(build=build):
+                pulse = messages.Pulse(True, 0, 0.1, sent_at=sent_at)
+                age = await self.age_after(pulse, lasting=STOOD_STILL)
+                self.assertGreaterEqual(
+                    age, 0.1 + HEARTBEAT_INTERVAL + STOOD_STILL - JIFFY
+                )
+
+    async def test_several_heartbeats_come_meanwhile(self) -> None:
+        """The last one is as old as the bytes that came last."""
+        pulses = [
+            messages.Pulse(True, 0, 0.1, sent_at=70 + number / 4)
+            for number in range(3)
+        ]
+        age = await self.age_after(*pulses, lasting=STOOD_STILL)
+        passed = HEARTBEAT_INTERVAL + STOOD_STILL
+        self.assertGreaterEqual(age, 0.1 + passed - JIFFY)
+        self.assertLess(age, 0.1 + passed + LOOP_TIME)
+
+    async def test_heartbeat_that_is_read_at_once_is_new(self) -> None:
+        pulse = messages.Pulse(True, 0, 0.1, sent_at=70.0)
+        age = await self.age_after(pulse, lasting=0, is_silent=False)
+        self.assertLess(age, 0.1 + LOOP_TIME)
+
+
 def _head(hop: HopRequest) -> bytes:
     """Return a request of another daemon with an empty body."""
     headers = [
