Check a grant against one reading of the clock

What operators would see, rarely: a daemon ended by itself with "No keys are granted after the end of a term", though it had granted none.

Cause: authority was asked for before a call, and asked for again by the invariant grant_within_term. Each read the clock. Where the authority of a leader that can't reach the store ended in between, the invariant counted as broken, which ends the daemon.

Now one reading decides right before a call, and the call is not made if authority is over by it. The invariant checks that reading where the call is made, so that it holds for each caller, and no longer breaks by time passing. It is as strict as before, as no reading comes between it and the call.

--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -119,11 +119,15 @@
         #: version that the last one left.
         self._write_lock = asyncio.Lock()
 
-    def has_authority(self) -> bool:
-        """Return whether this daemon may still grant keys as leader."""
+    def has_authority(self, at: Seconds | None = None) -> bool:
+        """Return whether this daemon may grant keys, now or at a time.
+
+        A caller that asks more than once for one call names the time.
+        """
         if self._ended.is_set() or self._is_resigning:
             return False
-        return self._clock.boot() < self._confirmed_at + leases.AUTHORITY_TERM
+        now = self._clock.boot() if at is None else at
+        return now < self._confirmed_at + leases.AUTHORITY_TERM
 
     def earlier_leaders_expired(self) -> bool:
         """Return whether all grants of earlier leaders have expired."""
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -230,10 +230,7 @@
                 assignment, called, self.lives, self._leader_term
             ):
                 continue
-            may_go_on = self.has_authority() and await self._grant_one(
-                assignment, called
-            )
-            if not may_go_on:
+            if not await self._grant_one(assignment, called):
                 break
 
     async def _settle(self, assignment: Assignment, called: Target) -> None:
@@ -248,7 +245,7 @@
         result = await self._bounded_grant(
             assignment, called, duration, self._target_client.raise_fence
         )
-        if result.outcome is not CallOutcome.done:
+        if result is not None and result.outcome is not CallOutcome.done:
             self.key_log.grant_failed(
                 called, assignment, result, self._clock.boot()
             )
@@ -264,6 +261,8 @@
             duration,
             functools.partial(self._target_client.grant, process=process),
         )
+        if result is None:
+            return False
         now = self._clock.boot()
         if result.outcome is CallOutcome.done:
             self._probe_at_by_id.pop(assignment.owner, None)
@@ -294,21 +293,25 @@
         called: Target,
         duration: Seconds,
         send: _Send,
-    ) -> CallResult:
-        """Grant an assignment; note until when its owner may hold the keys."""
-        check(
-            Invariant.grant_within_term,
-            self.has_authority(),
-            first=assignment.first,
-        )
+    ) -> CallResult | None:
+        """Grant an assignment; note until when its owner may hold the keys.
+
+        Return None, and send nothing, if authority has ended.
+        """
+        # Authority may end between two readings of the clock.
+        sent_at = self._clock.boot()
+        if not self._leader_term.has_authority(sent_at):
+            return None
         unanswered_hold_time = MAX_TRANSIT_TIME + max_hold_time(duration)
         previous_bound = assignment.may_be_held_until
         # Until the answer arrives the grant may have taken effect.
         assignment.may_be_held_until = max(
             previous_bound,
-            self._clock.boot() + GRANT_TIMEOUT + unanswered_hold_time,
+            sent_at + GRANT_TIMEOUT + unanswered_hold_time,
+        )
+        result = await self._call_grant(
+            assignment, called, duration, send, sent_at
         )
-        result = await self._call_grant(assignment, called, duration, send)
         now = self._clock.boot()
         assignment.may_be_held_until = previous_bound
         if result.outcome is CallOutcome.done:
@@ -323,10 +326,15 @@
         called: Target,
         duration: Seconds,
         send: _Send,
+        sent_at: Seconds,
     ) -> CallResult:
         """Grant an assignment; record whether the target was reached."""
+        check(
+            Invariant.grant_within_term,
+            self._leader_term.has_authority(sent_at),
+            first=assignment.first,
+        )
         owner = assignment.owner
-        sent_at = self._clock.boot()
         # A fence that is raised before a release makes no new owner.
         is_leaving = assignment.state is AssignmentState.releasing
         unanswered = self.paths.unanswered
