--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -151,9 +151,7 @@
             response: web.StreamResponse = self._refuse(request, None, hop)
         else:
             response = await self._admit(request, hop, arrived_at)
-        if self._stopping_since is not None or self._policy.is_draining:
-            response.force_close()
-        return response
+        return self._announce_close(response)
 
     async def _admit(
         self,
@@ -278,9 +276,11 @@
         response: ClientResponse,
     ) -> web.StreamResponse:
         """Send an answer on in chunks, or cut it off where it breaks off."""
-        stream = _with_headers(
-            web.StreamResponse(),
-            _relayed_headers(hop, response, self._settings.fleet_key),
+        stream = self._announce_close(
+            _with_headers(
+                web.StreamResponse(),
+                _relayed_headers(hop, response, self._settings.fleet_key),
+            )
         )
         stream.enable_chunked_encoding()
         end = BodyEnd(response)
@@ -294,6 +294,17 @@
                 request.transport.abort()
         return stream
 
+    def _announce_close(
+        self, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        """Have an answer end its connection if this daemon stops.
+
+        It says so unless its head has been written.
+        """
+        if self._stopping_since is not None or self._policy.is_draining:
+            response.force_close()
+        return response
+
     def _record_failure(
         self, request: web.BaseRequest, hop: HopRequest, attempt: Attempt
     ) -> None:
@@ -309,7 +320,8 @@
         if attempt.outcome is AttemptOutcome.not_run:
             outcome = HopOutcome.not_run
         failure = attempt.failure or Failure(ErrorKind.internal, '')
-        return self._reply(HopReply(hop.nonce, outcome, failure=failure))
+        reply = HopReply(hop.nonce, outcome, failure=failure)
+        return _response_of(reply, self._settings.fleet_key)
 
     def _refuse(
         self,
@@ -329,11 +341,12 @@
             **self._policy.tables().fields(),
         )
         nonce = hop.nonce if hop else nonce_of(request.headers)
-        return self._reply(HopReply(nonce, HopOutcome.not_run, failure=failure))
+        reply = HopReply(nonce, HopOutcome.not_run, failure=failure)
+        return _response_of(reply, self._settings.fleet_key)
+
 
-    def _reply(self, reply: HopReply) -> web.Response:
-        headers = encode_reply(reply, self._settings.fleet_key)
-        return web.Response(headers=CIMultiDict(headers))
+def _response_of(reply: HopReply, fleet_key: str) -> web.Response:
+    return web.Response(headers=CIMultiDict(encode_reply(reply, fleet_key)))
 
 
 def _target_request(
--- a/tests/hop_helpers.py
+++ b/tests/hop_helpers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import aiohttp
 import logbook
@@ -11,6 +13,7 @@
 from yarl import URL
 
 from cassialever.gateway.application import Gateway
+from cassialever.gateway.hop_messages import HopRequest
 from tests.fleet_helpers import Deployment, deployment, until
 from tests.gateway_helpers import wait_for_keys
 
@@ -32,6 +35,23 @@
     return Helper(settings.instance.instance_id, settings.internal_address)
 
 
+def hop_request(helper: Gateway, target_id: str, **options: Any) -> HopRequest:
+    """Return a request for a helper to exchange with a target."""
+    target = helper.view.targets.by_id[target_id]
+    fields: dict[str, Any] = {
+        'method': 'POST',
+        'raw_path': '/issue/1',
+        'target_id': target.target_id,
+        'started_at': target.started_at,
+        'time_left': 5.0,
+        'origin': 'edge-0',
+        'configuration': 0,
+        'sent_at': time.time(),
+        'nonce': 'n1',
+    }
+    return HopRequest(**{**fields, **options})
+
+
 class StubPaths:
     """Evidence that a test sets."""
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,17 +1,26 @@
 """Tests of stopping a daemon process."""
 
 import asyncio
+import math
 import pathlib
 import signal
 import socket
 import tempfile
 import unittest
 
+import aiohttp
+
+from cassialever.gateway.hop_messages import encode_request
 from soak.fleet import SoakFleet
 from soak.__main__ import START_TIMEOUT
 from soak.callers import Callers
-from tests.fleet_helpers import deployment
-from tests.gateway_helpers import wait_for_keys
+from tests.fleet_helpers import deployment, until
+from tests.gateway_helpers import (
+    ISSUE_HEADERS,
+    LOOKUP_HEADERS,
+    wait_for_keys,
+)
+from tests.hop_helpers import ask, cut_off_daemon, hop_request
 
 #: The answer, and the rate at which its caller reads it: within the grace
 #: period of a stop.
@@ -20,6 +29,10 @@
 #: Longer than the caller needs on a busy machine, in seconds.
 DRAIN_TIMEOUT = 60
 CHUNK_BYTES = 100_000
+#: Too long to be sent with its head.
+LONG_BYTES = 200_000
+#: How long a target takes for it, in seconds.
+SERVICE_TIME = 0.3
 REQUEST = (
     b'GET /lookup/x HTTP/1.1\r\nHost: registry.example\r\n'
     b'Shard-Key: 1\r\nAttempt-Id: a1\r\nDeadline-Ms: 9000\r\n\r\n'
@@ -90,5 +103,49 @@
         self.assertGreaterEqual(received, BODY_BYTES - unsent)
 
 
+class AnnouncementTest(unittest.IsolatedAsyncioTestCase):
+    """Long answers whose heads are written after a stop has begun.
+
+    They say that their connections close. What is on its way can't say it.
+    """
+
+    async def test_answer_to_a_caller(self) -> None:
+        async with deployment(keyed=1) as system:
+            gateway, target = system.gateways[0], system.targets[0]
+            await wait_for_keys(gateway)
+            target.fixed_body = bytes(LONG_BYTES)
+            target.faults.service_time = SERVICE_TIME
+            asking = asyncio.create_task(
+                ask(gateway, '/lookup/x', LOOKUP_HEADERS)
+            )
+            await until(lambda: target.executed_ids)
+            gateway.server.is_stopping = True
+            reply = await asking
+        self.assertEqual(len(reply.body), LONG_BYTES)
+        self.assertEqual(reply.headers.get('Connection'), 'close')
+
+    async def test_answer_to_another_daemon(self) -> None:
+        async with cut_off_daemon() as (system, _, helper):
+            target = system.targets[-1]
+            target.fixed_body = bytes(LONG_BYTES)
+            target.faults.service_time = SERVICE_TIME
+            headers = {
+                **ISSUE_HEADERS,
+                'Attempt-Id': 'a1',
+                **dict(encode_request(hop_request(helper, 'i0'), '')),
+            }
+            address = helper.settings.hop_address
+            async with aiohttp.ClientSession() as session:
+                asking = asyncio.create_task(
+                    session.post(f'http://{address}/issue/1', headers=headers)
+                )
+                await until(lambda: target.executed_ids)
+                helper.core.exchanges.hop_server.announce_stop(math.inf)
+                async with await asking as response:
+                    body = await response.read()
+        self.assertEqual(len(body), LONG_BYTES)
+        self.assertEqual(response.headers.get('Connection'), 'close')
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -24,7 +24,7 @@
 from standins.listening import LOOPBACK
 from tests.fleet_helpers import configured_view, until
 from tests.gateway_helpers import ISSUE_HEADERS
-from tests.hop_helpers import cut_off_daemon
+from tests.hop_helpers import cut_off_daemon, hop_request
 from tests.test_fleet_links import HELLO
 
 #: For how long the process stands still, in seconds.
@@ -56,18 +56,8 @@
         is_kept: bool = False,
     ) -> HopReply:
         """Send a request for the helper's cold target, and block the loop."""
-        target = helper.view.targets.by_id['i0']
-        hop = HopRequest(
-            method='POST',
-            raw_path='/issue/1',
-            target_id=target.target_id,
-            started_at=target.started_at,
-            time_left=time_left,
-            origin='edge-0',
-            configuration=0,
-            sent_at=time.time(),
-            nonce='n1',
-            send_within=send_within,
+        hop = hop_request(
+            helper, 'i0', time_left=time_left, send_within=send_within
         )
         loop = asyncio.get_running_loop()
         address = split_address(helper.settings.hop_address)
