The drain driver has owners leave, two builds, and datagrams cut

It measures for how long requests reach targets after their notices. Missing were owners of keys, daemons of the build before beside those of this one, and datagrams, which passed between daemons all the while.

The default run is as before: the same faults, in the same order, and the same draws. The report is a module of its own.

--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -4,7 +4,8 @@
 import enum
 import itertools
 import random
-from collections.abc import Callable
+from collections import Counter, defaultdict
+from collections.abc import Callable, Sequence
 
 from soak.changes import (
     JUDGED_SERVICES,
@@ -27,6 +28,8 @@
 from standins.keyed_target import ReceivedRequest, TargetServer
 from standins.listening import free_ports
 
+#: The service of the targets that own keys.
+KEYED_SERVICE = 'registry'
 #: Targets of each judged service that stay or are to leave next.
 TARGETS_PER_SERVICE = 3
 #: Range of the time between the notices of two targets, in seconds.
@@ -57,9 +60,11 @@
         self._callers = callers
         self._random = random.Random(seed)
         self._numbers = itertools.count()
-        self.staying_by_service: dict[str, list[TargetServer]] = {
-            service: [] for service in JUDGED_SERVICES
-        }
+        #: The services whose targets leave.
+        self.services: Sequence[str] = JUDGED_SERVICES
+        self.staying_by_service: defaultdict[str, list[TargetServer]] = (
+            defaultdict(list)
+        )
         #: All targets that there were, by their IDs.
         self._target_by_id: dict[str, TargetServer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -73,7 +78,7 @@
 
     async def start(self) -> None:
         """Start the first targets of each service."""
-        for service in JUDGED_SERVICES:
+        for service in self.services:
             for _ in range(TARGETS_PER_SERVICE):
                 await self._add(service)
 
@@ -81,7 +86,7 @@
         """Have targets leave until cancelled."""
         while True:
             await asyncio.sleep(self._random.uniform(*self.intervals))
-            service = self._random.choice(JUDGED_SERVICES)
+            service = self._random.choice(self.services)
             await self._add(service)
             target = self.staying_by_service[service].pop(0)
             self._tasks.add(asyncio.ensure_future(self._leave(target)))
@@ -117,6 +122,16 @@
             if arrival.at > leaving.notified_at and arrival.path != HEALTH_PATH
         }
 
+    def arrivals_by_service(self) -> Counter[str]:
+        """Return how many requests reached targets of each service."""
+        counts: Counter[str] = Counter()
+        for target in self._target_by_id.values():
+            counts[target.service] += sum(
+                arrival.path != HEALTH_PATH
+                for arrival in target.work.arrivals.unrefused
+            )
+        return counts
+
     def arrivals_while_leaving(self) -> int:
         """Return how many requests reached targets after their notices."""
         return sum(
@@ -164,7 +179,7 @@
         target = TargetServer(
             f'{service}-{number}',
             service,
-            is_keyed=False,
+            is_keyed=service == KEYED_SERVICE,
             data_centre=data_centre_of(number),
         )
         target.faults.service_time = SERVICE_TIME
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -255,6 +255,11 @@
     _set_filter(sock, _DROP_ALL)
 
 
+def pass_packets(sock: socket.socket) -> None:
+    """Drop none of the packets that a socket receives from now on."""
+    _set_filter(sock, None)
+
+
 def _set_filter(
     sock: Any, program: Sequence[tuple[int, int, int, int]] | None
 ) -> None:
--- a/tests/drain.py
+++ b/tests/drain.py
@@ -2,6 +2,8 @@
 
 `python -m tests.drain --daemons 9 --seed 1 --rounds 3` has targets leave beside
 each fault in turn. Callers keep connections with several requests in the pipe.
+`--faults` chooses others, `--owners` has owners of keys leave, too, and
+`--other DIR` has every second daemon run the build of another checkout.
 """
 
 import argparse
@@ -12,21 +14,25 @@
 import pathlib
 import random
 import signal
-import statistics
 import sys
 import tempfile
 import time
-from collections import Counter
 from collections.abc import Collection
 
-from soak.changes import PATH_PREFIX, Operator, RouteCallers
-from soak.daemon_logs import lines_of
+from soak.callers import FIRST_HOST
+from soak.changes import (
+    JUDGED_SERVICES,
+    PATH_PREFIX,
+    Operator,
+    RouteCallers,
+)
 from soak.fleet import DaemonProcess, SoakFleet
-from soak.judging import DRAIN_BOUND, ConfigurationJudge
-from soak.leaving import LeavingTargets
-from soak.peer_links import silence_links
+from soak.judging import ConfigurationJudge
+from soak.leaving import KEYED_SERVICE, LeavingTargets
+from soak.peer_links import datagrams_dropped, silence_links
 from soak.store_troubles import SLOW_TIMES
 from standins.call_faults import COMMIT_PATH, CallFault, CallOutcome
+from tests.drain_report import FaultSpan, report_lines
 
 #: Time for the fleet to find a leader, the length of each fault, and that of
 #: the calm after it, in seconds.
@@ -40,8 +46,6 @@
 #: For how long processes run and stand still in turn that have a share of a
 #: processor, in seconds.
 SHARES = (0.043, 0.057)
-#: Time before a fault in which notices are told apart, in seconds.
-NOTICE_TIME = 1.0
 #: Time between two steps of a fault, in seconds.
 STEP = 0.25
 #: Requests of all callers in a second, and those that each sends at once.
@@ -57,29 +61,41 @@
     'stop',
     'share',
 )
-#: The lines by which a daemon learns that a target leaves, with its state.
-NEWS = {'target_gone': '', 'target_leaving': '', 'target_seen': 'draining'}
+#: Datagrams to half of the daemons are dropped; and connections besides.
+FURTHER_FAULTS = ('datagrams', 'cut')
+#: Part of the requests that are for keys if their owners leave.
+KEYED_PART = 1 / 3
+KEY_COUNT = 65536
 
 
 class DrainRun:
     """A fleet whose targets leave one after another, beside faults."""
 
-    def __init__(self, folder: pathlib.Path, daemons: int, seed: int) -> None:
-        self.fleet = SoakFleet(folder, daemons)
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        daemons: int,
+        seed: int,
+        other: pathlib.Path | None = None,
+        *,
+        has_owners: bool = False,
+    ) -> None:
+        self.fleet = SoakFleet(folder, daemons, other=other)
         judge = ConfigurationJudge()
         self._operator = Operator(self.fleet, judge, seed)
         callers = RouteCallers(self.fleet, self._operator, judge, seed)
         self._daemon_by_request = callers.daemon_by_request
         self.leaving = LeavingTargets(self.fleet, callers, seed)
         self.leaving.intervals = LEAVE_INTERVALS
+        self._has_owners = has_owners
+        if has_owners:
+            self.leaving.services = (*JUDGED_SERVICES, KEYED_SERVICE)
         self._random = random.Random(seed)
-        #: Each fault with its beginning, end and the daemons stopped, by the
-        #: loop's clock.
-        self._spans: list[tuple[str, float, float, set[str]]] = []
+        self._spans: list[FaultSpan] = []
         #: How late this process was, which runs the store and targets.
         self.lateness = 0.0
 
-    async def run(self, rounds: int) -> None:
+    async def run(self, faults: Collection[str], rounds: int) -> None:
         """Have each fault some times."""
         await self.fleet.start()
         await self.leaving.start()
@@ -89,10 +105,13 @@
         ]
         await asyncio.sleep(START_TIME)
         tasks.append(asyncio.create_task(self.leaving.run()))
-        for _, fault in itertools.product(range(rounds), FAULTS):
+        for _, fault in itertools.product(range(rounds), faults):
             begun_at, stopped = time.monotonic(), set[str]()
             await self._hinder(fault, stopped)
-            self._spans.append((fault, begun_at, time.monotonic(), stopped))
+            ended_at = time.monotonic()
+            self._spans.append(
+                FaultSpan(fault, begun_at, ended_at, frozenset(stopped))
+            )
             await self._wait(CALM_TIME)
         for task in tasks:
             task.cancel()
@@ -119,9 +138,13 @@
     def _request(self, daemon: DaemonProcess, number: int) -> bytes:
         name = f'{daemon.name}-{number}'
         self._daemon_by_request[name] = daemon
-        host = self._random.choice(self._operator.hosts)
+        path, host = PATH_PREFIX, self._random.choice(self._operator.hosts)
+        key = ''
+        if self._has_owners and self._random.random() < KEYED_PART:
+            path, host = '/lookup/', FIRST_HOST
+            key = f'Shard-Key: {self._random.randrange(KEY_COUNT)}\r\n'
         return (
-            f'GET {PATH_PREFIX}{name} HTTP/1.1\r\nHost: {host}\r\n'
+            f'GET {path}{name} HTTP/1.1\r\nHost: {host}\r\n{key}'
             f'Attempt-Id: {name}\r\nDeadline-Ms: 5000\r\n\r\n'
         ).encode()
 
@@ -159,9 +182,13 @@
                     self._send(half, signal.SIGCONT)
             case _:
                 with contextlib.ExitStack() as stack:
-                    if fault == 'links':
+                    if fault in {'links', *FURTHER_FAULTS}:
                         for one in fleet.daemons:
                             stack.enter_context(one.resets.lasting())
+                    if fault in FURTHER_FAULTS:
+                        stack.enter_context(
+                            datagrams_dropped(_pids(half), self._ports())
+                        )
                     await self._wait(FAULT_TIME, fault, half)
 
     def _send(
@@ -189,97 +216,46 @@
         half: Collection[DaemonProcess] = (),
     ) -> None:
         """Wait, and take the steps of a fault."""
-        ports = {one.ports[2] for one in self.fleet.daemons}
         ends_at = time.monotonic() + duration
         while (due_at := time.monotonic() + STEP) < ends_at:
             if fault == 'history':
                 self.fleet.store.rows.truncate_history()
-            if fault == 'links':
-                pids = [one.pid for one in half if one.pid is not None]
-                await asyncio.to_thread(silence_links, pids, ports)
+            if fault in {'links', 'cut'}:
+                await asyncio.to_thread(
+                    silence_links, _pids(half), self._ports()
+                )
             await asyncio.sleep(STEP)
             self.lateness = max(self.lateness, time.monotonic() - due_at)
 
     def report(self) -> list[str]:
-        """Return lines for each fault.
-
-        They tell when the last request of each daemon came to each target
-        after its notice, when the daemon knew, and what told it.
-        """
-        last_by_row: dict[str, dict[str, list[float]]] = {}
-        known_by_row: dict[str, list[float]] = {}
-        told_by_row: dict[str, Counter[str]] = {}
-        news = {one.name: _news(one) for one in self.fleet.daemons}
-        for leaving in self.fleet.leavings:
-            since = leaving.notified_at
-            last = self.leaving.last_arrivals(leaving)
-            fault, stopped = self._fault_at(since)
-            for name, news_by_target in news.items():
-                row = f'{fault}, itself' if name in stopped else fault
-                last_by_row.setdefault(row, {}).setdefault(name, []).append(
-                    last.get(name, since) - since
-                )
-                source, known_at = news_by_target.get(
-                    leaving.target_id, ('nothing', since)
-                )
-                known_by_row.setdefault(row, []).append(known_at - since)
-                told_by_row.setdefault(row, Counter())[source] += 1
-        lines = []
-        for row, last_by_daemon in sorted(last_by_row.items()):
-            last_times = list(itertools.chain(*last_by_daemon.values()))
-            late = sum(one > DRAIN_BOUND for one in last_times)
-            longest = sorted(map(max, last_by_daemon.values()))
-            lines += [
-                f'{row}: last arrival {_spread(last_times)}, {late} late,'
-                f' {sum(map(bool, last_times))} with one; longest by daemon'
-                f' {longest[0]:.2f} to {longest[-1]:.2f}',
-                f'    known {_spread(known_by_row[row])}, by'
-                f' {dict(told_by_row[row].most_common())}',
-            ]
-        return lines
-
-    def _fault_at(self, moment: float) -> tuple[str, set[str]]:
-        """Return the fault beside a notice, and the daemons it stopped."""
-        for fault, begun_at, ended_at, stopped in self._spans:
-            if begun_at <= moment <= ended_at:
-                return fault, stopped
-            if begun_at - NOTICE_TIME <= moment < begun_at:
-                return f'{fault}, before', stopped
-        return 'calm', set()
-
+        """Return lines for each fault."""
+        return report_lines(self.fleet, self.leaving, self._spans)
 
-def _spread(times: list[float]) -> str:
-    """Return the number of times, and how they are spread, in seconds."""
-    high = sorted(times)[int(len(times) * 0.99)]
-    return (
-        f'{len(times)} pairs, median {statistics.median(times):.3f}, p99'
-        f' {high:.2f}, max {max(times):.2f}'
-    )
+    def _ports(self) -> set[int]:
+        """Return the ports at which daemons hear each other."""
+        return {one.ports[2] for one in self.fleet.daemons}
 
 
-def _news(daemon: DaemonProcess) -> dict[str, tuple[str, float]]:
-    """Return what told a daemon first that a target leaves, and when."""
-    news: dict[str, tuple[str, float]] = {}
-    ahead = time.time() - time.monotonic()
-    for fields in lines_of(daemon.log):
-        if NEWS.get(fields.get('name', '')) == fields.get('state', ''):
-            source = fields['learned_from'].partition(' at ')[0]
-            if fields['name'] == 'target_leaving' and source != 'an answer':
-                source = f'an answer, by {source}'
-            news.setdefault(fields['target'], (source, fields['time'] - ahead))
-    return news
+def _pids(daemons: Collection[DaemonProcess]) -> list[int]:
+    return [one.pid for one in daemons if one.pid is not None]
 
 
 async def _measure(options: argparse.Namespace, folder: pathlib.Path) -> None:
-    run = DrainRun(folder, options.daemons, options.seed)
+    run = DrainRun(
+        folder,
+        options.daemons,
+        options.seed,
+        options.other.resolve() if options.other else None,
+        has_owners=options.owners,
+    )
     try:
-        await run.run(options.rounds)
+        await run.run(options.faults, options.rounds)
         lines = [*run.report(), *run.leaving.violations()]
     finally:
         await run.fleet.stop()
         await run.leaving.stop()
     lines.append(
-        f'late by {run.lateness:.2f} s itself, load {os.getloadavg()[0]:.0f},'
+        f'requests {dict(run.leaving.arrivals_by_service())}, late by {run.lateness:.2f} s itself, load {os.getloadavg()[0]:.0f},'
         f' logs in {folder}'
     )
     sys.stdout.write('\n'.join((*lines, '')))
@@ -291,6 +267,14 @@
     parser.add_argument('--daemons', type=int, default=9)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--rounds', type=int, default=3)
+    parser.add_argument(
+        '--faults',
+        nargs='+',
+        choices=(*FAULTS, *FURTHER_FAULTS),
+        default=FAULTS,
+    )
+    parser.add_argument('--owners', action='store_true')
+    parser.add_argument('--other', type=pathlib.Path)
     options = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix='drain-'))
     asyncio.run(_measure(options, folder))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 from soak.disruptions import Disruptions
 from soak.fleet import OWN_CHECKOUT, SoakFleet
 from soak.owner_faults import OwnerFaults
-from soak.peer_links import silence_links
+from soak.peer_links import datagrams_dropped, silence_links
 from soak.proxy import FaultProxy, ProxyMode
 from soak.store_troubles import StoreTroubles
 from standins import listening
@@ -257,6 +257,27 @@
         self._check(silence)
 
 
+class DatagramTest(unittest.IsolatedAsyncioTestCase):
+    """Datagrams that are dropped from outside."""
+
+    async def test_they_pass_again_afterwards(self) -> None:
+        loop = asyncio.get_running_loop()
+        with (
+            socket.socket(type=socket.SOCK_DGRAM) as receiver,
+            socket.socket(type=socket.SOCK_DGRAM) as sender,
+        ):
+            receiver.bind(('127.0.0.1', 0))
+            receiver.setblocking(False)
+            address = receiver.getsockname()
+            sender.sendto(b'before', address)
+            self.assertEqual(await loop.sock_recv(receiver, 9), b'before')
+            with datagrams_dropped([os.getpid()], {address[1]}) as counts:
+                self.assertEqual(counts, [1])
+                sender.sendto(b'meanwhile', address)
+            sender.sendto(b'after', address)
+            self.assertEqual(await loop.sock_recv(receiver, 9), b'after')
+
+
 class DisruptionsTest(unittest.TestCase):
     """Disruptions that overlap."""
 
