--- a/tests/drain.py
+++ b/tests/drain.py
@@ -254,9 +254,10 @@
     finally:
         await run.fleet.stop()
         await run.leaving.stop()
+    counts = dict(run.leaving.arrivals_by_service())
     lines.append(
-        f'requests {dict(run.leaving.arrivals_by_service())}, late by {run.lateness:.2f} s itself, load {os.getloadavg()[0]:.0f},'
-        f' logs in {folder}'
+        f'late by {run.lateness:.2f} s itself, load {os.getloadavg()[0]:.0f},'
+        f' requests {counts}, logs in {folder}'
     )
     sys.stdout.write('\n'.join((*lines, '')))
 
