Confirm a cut after the third failure, so that others are probed before

Callers of daemons with few requests were refused, or had their requests passed on, while a third of the targets had ended: the daemon took itself for cut off from all. It closed its idle connections to every target, and left elections to others.

Three failures with no answer in between show a cut, once the first is 0.15 s old; four other targets are probed meanwhile. A daemon with few requests meets ended targets one by one: at the third failure the first is older than that, so that none is probed. The time counts from the third failure now. While failures come together, as in a cut, that is the same moment but for the difference between three probes.

--- a/cassialever/policy/direct_paths.py
+++ b/cassialever/policy/direct_paths.py
@@ -14,9 +14,9 @@
 #: Targets that must fail, with no answer of any target since, before a daemon
 #: counts as cut off; a crash of fewer targets looks the same.
 MIN_FAILED_TARGETS: Final = 3
-#: Time from the first failure until it is used against the own path: reports
-#: of a crashed target arrive within it, and the first probes end unless the
-#: event loop is late.
+#: Time from the failures that show a fault of the own path until they are used
+#: against it: reports of a crashed target arrive within it, and the first probes
+#: end unless the event loop is late.
 CONFIRMATION_DELAY: Final[Seconds] = 0.15
 #: Probes in a row that must succeed before a path is used again.
 SUCCESSES_UNTIL_UP: Final = 2
@@ -189,13 +189,17 @@
     def failed_without_answer(self, now: Seconds) -> list[TargetId]:
         """Return the targets that failed since the last answer of any.
 
-        None are returned if they are few or the first failed just now.
+        None are returned if they are few or the last of MIN_FAILED_TARGETS
+        failed just now: other targets are probed meanwhile.
         """
         failures_by_id = self._recent_failures(now)
         if len(failures_by_id) < MIN_FAILED_TARGETS:
             return []
-        first = min(failures.first for failures in failures_by_id.values())
-        return list(failures_by_id) if now >= first + CONFIRMATION_DELAY else []
+        times = sorted(failures.first for failures in failures_by_id.values())
+        enough_at = times[MIN_FAILED_TARGETS - 1]
+        if now < enough_at + CONFIRMATION_DELAY:
+            return []
+        return list(failures_by_id)
 
     def needs_witness(self, now: Seconds) -> bool:
         """Return whether a probe of another target should confirm a cut."""
--- a/tests/test_path_probe.py
+++ b/tests/test_path_probe.py
@@ -280,6 +280,23 @@
 
         self.run_scene(scenario)
 
+    def test_targets_that_crash_and_are_met_one_by_one_are_no_cut(self) -> None:
+        """No request in between gets an answer."""
+
+        async def scenario(scene: Scene) -> None:
+            crashed = [f't{number}' for number in range(5)]
+            scene.network.fault = 'reset'
+            scene.network.faulty = {
+                scene.view.targets.by_id[name].address for name in crashed
+            }
+            for name in crashed:
+                scene.paths.record_failure(name, scene.clock.monotonic())
+                for _ in range(8):
+                    await asyncio.sleep(0.05)
+                    self.assertFalse(scene.is_cut_off())
+
+        self.run_scene(scenario)
+
 
 class ProbeLoadTest(unittest.TestCase):
     """How many connections probes cost beside requests that are slow."""
--- a/tests/test_policy_paths.py
+++ b/tests/test_policy_paths.py
@@ -191,6 +191,17 @@
         self.assertFalse(paths.direct.needs_witness(10.2))
 
 
+    def test_a_cut_is_confirmed_after_enough_targets_have_failed(self) -> None:
+        """A daemon with few requests meets ended targets one by one."""
+        paths = new_paths()
+        for step, target_id in enumerate(TARGETS[:3]):
+            paths.record_failure(target_id, 10 + 0.4 * step)
+        self.assertFalse(paths.is_cut_off(10.8))
+        self.assertTrue(paths.direct.needs_witness(10.8))
+        self.assertFalse(paths.is_cut_off(10.9))
+        self.assertTrue(paths.is_cut_off(10.96))
+
+
 class HelperTest(unittest.TestCase):
     """Which daemons are asked to pass requests on."""
 
