Let only targets that another daemon has reached count as missed alone

Callers saw a third of their requests refused while a third of the targets had ended: the daemons on strong machines, which have the most requests, left elections to others, and leaders handed over one after the other.

A target that others don't list counted as reached by them. Daemons with few requests have not tried most of what has ended, so that those with many missed it "alone". What nobody else has tried is no evidence now. A report names the targets that others list and its daemon has reached since then, within 1 s; only these count. Three daemons on average say so at once, and probe the target before if they have not reached it. The field stands at the end of the datagram and is absent by default: a report of the build before counts as there. A daemon cut off from targets that others reach is found as before.

The members of test_cut_off_leader get an interval between requests, by default the one they had.

--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -77,7 +77,8 @@
     is the number that it can carry now, and `unreachable` lists targets that
     it can't reach. `newest_by_table` has the version of the latest row that it
     knows of each table of other writers. An older build sends none of them and
-    so has no room.
+    so has no room. `reached` lists targets that it has reached since others
+    list them as unreachable; `None` is of a build that doesn't say.
     """
 
     instance_id: _Id
@@ -89,6 +90,7 @@
     unreachable: _ListedTargets = ()
     message_version: MessageVersion = FIRST_VERSION
     newest_by_table: _NewestByTable = {}
+    reached: _ListedTargets | None = None
 
 
 class PermitRequest(_Versioned, frozen=True, array_like=True, tag=4):
--- a/cassialever/fleet/path_reports.py
+++ b/cassialever/fleet/path_reports.py
@@ -45,6 +45,8 @@
         room = self._capacity - own_requests - self.count_carried()
         is_cut_off = bool(self._paths.failed_without_answer(now))
         down = [] if is_cut_off else self._paths.direct.down(now)
+        listed = tuple(down[:MAX_LISTED_TARGETS])
+        reached = self._paths.witness.reached(now)
         return OpenRequests(
             self.own.instance_id,
             open_by_target,
@@ -52,7 +54,8 @@
             min(max(room, 0), MAX_REQUESTS),
             is_cut_off,
             self.is_stopping,
-            tuple(down[:MAX_LISTED_TARGETS]),
+            listed,
+            reached=tuple(reached[: MAX_LISTED_TARGETS - len(listed)]),
         )
 
     def accept(
@@ -78,5 +81,13 @@
                 report.is_stopping,
                 frozenset(map(TargetId, report.unreachable)),
                 now + max(lifetime, MIN_REPORT_LIFETIME),
+                _reached(report),
             )
         )
+        self._paths.witness.note_listed(map(TargetId, report.unreachable), now)
+
+
+def _reached(report: OpenRequests) -> frozenset[TargetId] | None:
+    if report.reached is None:
+        return None
+    return frozenset(map(TargetId, report.reached))
--- a/cassialever/gateway/path_probe.py
+++ b/cassialever/gateway/path_probe.py
@@ -63,7 +63,8 @@
         self.can_connect: Callable[[str], Awaitable[bool]] = can_connect
         #: Returns the context in which an address is connected to.
         self.connecting: Connecting = contextlib.nullcontext
-        #: Called when a path went down or came back.
+        #: Called when a path went down or came back, or others should know at
+        #: once that this daemon reaches a target.
         self.on_change: Callable[[], None] = _ignore
         #: Called with the address of a target whose path went down.
         self.on_down: Callable[[str], None] = _ignore_address
@@ -85,6 +86,7 @@
         now = self._clock.monotonic()
         self._silence.check(now)
         self._doubt_witnesses(now)
+        self._doubt_listed(now)
         if self._paths.direct.has_probes():
             room = MAX_PROBES - len(self._in_progress)
             for target_id in self._paths.direct.due_probes(now, room):
@@ -105,6 +107,15 @@
         for target_id in others[: step * WITNESS_COUNT : step]:
             direct.record_doubt(target_id, now, is_urgent=True)
 
+    def _doubt_listed(self, now: Seconds) -> None:
+        """Probe targets that others miss, to tell whether these live."""
+        daemon_count = self._paths.reports.count(now) + 1
+        for target_id in self._paths.witness.due_trials(daemon_count, now):
+            if target_id in self._targets.by_id:
+                self._paths.direct.record_doubt(
+                    target_id, now, is_for_others=True
+                )
+
     def _start_probe(self, target_id: TargetId) -> None:
         if target_id in self._in_progress:
             return
@@ -146,7 +157,10 @@
     def _report_changes(self, now: Seconds) -> None:
         is_cut_off = self._paths.is_cut_off(now)
         changes = self._paths.direct.change_count
+        has_news = self._paths.witness.take_news(now)
         if is_cut_off == self._was_cut_off and changes == self._known_changes:
+            if has_news:
+                self.on_change()
             return
         self._known_changes = changes
         down = frozenset(self._paths.direct.down(now))
--- a/cassialever/policy/direct_paths.py
+++ b/cassialever/policy/direct_paths.py
@@ -15,8 +15,8 @@
 #: counts as cut off; a crash of fewer targets looks the same.
 MIN_FAILED_TARGETS: Final = 3
 #: Time from the failures that show a fault of the own path until they are used
-#: against it: reports of a crashed target arrive within it, and the first probes
-#: end unless the event loop is late.
+#: against it: reports of a crashed target arrive within it, and the first
+#: probes end unless the event loop is late.
 CONFIRMATION_DELAY: Final[Seconds] = 0.15
 #: Probes in a row that must succeed before a path is used again.
 SUCCESSES_UNTIL_UP: Final = 2
@@ -41,11 +41,13 @@
 class _PathState(msgspec.Struct):
     """A path that is down or in doubt; `down_since` is None while in doubt.
 
-    A doubt is urgent if it may show that this daemon is cut off.
+    A doubt is urgent if it may show that this daemon is cut off. A target that
+    only others miss is tried for them.
     """
 
     probe_at: Seconds
     is_urgent: bool = False
+    is_for_others: bool = False
     down_since: Seconds | None = None
     failed_at: Seconds = 0
     successes: int = 0
@@ -87,7 +89,8 @@
     def record_failure(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target failed."""
         state = self._state_by_id.setdefault(target_id, _PathState(now))
-        self._count_failure(target_id, now, was_down=state.is_down(now))
+        if not state.is_for_others:
+            self._count_failure(target_id, now, was_down=state.is_down(now))
         state.successes = 0
         if not state.is_down(now):
             state.down_since = now
@@ -96,19 +99,26 @@
         state.failed_at = now
 
     def record_doubt(
-        self, target_id: TargetId, now: Seconds, *, is_urgent: bool = False
+        self,
+        target_id: TargetId,
+        now: Seconds,
+        *,
+        is_urgent: bool = False,
+        is_for_others: bool = False,
     ) -> None:
         """Have a path probed, at once if that is urgent.
 
         A target may reset connections when it is full, or be slow: the path
         counts as down only if the probe fails. Other probes of doubts wait for
         DOUBT_PROBE_INTERVAL after the target's last one, and all of them for
-        the allowance of this daemon.
+        the allowance of this daemon. The failure of a path that is probed only
+        since others miss its target is no evidence of a cut: a daemon with few
+        requests would have no answer in between.
         """
         state = self._state_by_id.get(target_id)
         if state is None:
             probe_at = self._doubt_allowance.next_probe_at(target_id, now)
-            state = _PathState(probe_at)
+            state = _PathState(probe_at, is_for_others=is_for_others)
             self._state_by_id[target_id] = state
         if is_urgent and state.down_since is None and not state.is_urgent:
             state.is_urgent = True
--- a/cassialever/policy/paths.py
+++ b/cassialever/policy/paths.py
@@ -15,6 +15,7 @@
 from cassialever.policy.lateness import OwnDelays
 from cassialever.policy.peer_reports import Helper, PeerReports
 from cassialever.policy.silence import UnansweredRequests
+from cassialever.policy.witnesses import Witness
 from cassialever.types import DataCentreId, Seconds, TargetId
 
 #: Share of the daemons that must reach more targets before one gives way.
@@ -31,6 +32,7 @@
         self.direct = DirectPaths()
         self.reports = PeerReports(data_centre, random_source)
         self.unanswered = UnansweredRequests()
+        self.witness = Witness(self.direct, self.unanswered, random_source)
         self.exchanges = ExchangeEvidence(self.unanswered)
         self.own_delays = OwnDelays()
         #: Of connections to targets and helpers, all over the own link.
@@ -157,10 +159,11 @@
     def misses_many_alone(self, now: Seconds) -> bool:
         """Return whether this daemon misses several targets that others reach.
 
-        A part of the others must miss less than half as many, so that of
-        daemons with like faults none gives way to another. A single one does
-        not do: when many targets crash, each daemon misses those that it has
-        tried, and one with few requests misses the fewest.
+        What no other has reached may have ended for all. A part of the others
+        must miss less than half as many, so that of daemons with like faults
+        none gives way to another. A single one does not do: when many targets
+        crash, each daemon misses those that it has tried, and one with few
+        requests misses the fewest.
         """
         counts = sorted(
             len(report.unreachable)
@@ -172,7 +175,8 @@
         missed = [
             target_id
             for target_id in self.direct.down(now)
-            if not self.is_confirmed_unreachable(target_id, now)
+            if self.reports.is_reached(target_id, now)
+            and not self.is_confirmed_unreachable(target_id, now)
         ]
         usual = counts[int(len(counts) * BETTER_SHARE)]
         return len(missed) >= max(MIN_FAILED_TARGETS, 2 * usual + 1)
@@ -183,3 +187,4 @@
         self.exchanges.prune(known)
         self.unanswered.prune(known)
         self.reports.prune(now)
+        self.witness.prune(now)
--- a/cassialever/policy/peer_reports.py
+++ b/cassialever/policy/peer_reports.py
@@ -29,7 +29,8 @@
     """What another daemon says of its paths to the targets.
 
     `room` is the number of requests that it can carry for others now. A
-    daemon that is cut off lists no targets.
+    daemon that is cut off lists no targets. Of the targets that others list it
+    has `reached` these lately; `None` is of a build before, which doesn't say.
     """
 
     helper: Helper
@@ -38,6 +39,13 @@
     is_stopping: bool
     unreachable: frozenset[TargetId]
     expires_at: Seconds
+    reached: frozenset[TargetId] | None = None
+
+    def shows_reached(self, target_id: TargetId) -> bool:
+        """Return whether its sender reaches a target, as far as it says."""
+        if self.reached is None:
+            return target_id not in self.unreachable
+        return target_id in self.reached
 
     def reaches_targets(self, now: Seconds) -> bool:
         """Return whether the report is fresh and its sender not cut off."""
@@ -94,6 +102,15 @@
                 return helpers
         return self._best(reports, target_id, now)
 
+    def is_reached(self, target_id: TargetId, now: Seconds) -> bool:
+        """Return whether another daemon reaches a target that this one misses.
+
+        One that has not tried it shows nothing.
+        """
+        return any(
+            report.shows_reached(target_id) for report in self.reaching(now)
+        )
+
     def is_listed_by_most(self, target_id: TargetId, now: Seconds) -> bool:
         """Return whether most daemons that reach targets miss this one."""
         reports = self.reaching(now)
--- a/cassialever/policy/silence.py
+++ b/cassialever/policy/silence.py
@@ -44,6 +44,10 @@
         """Note that a target accepted a connection."""
         self._reached_at[target_id] = now
 
+    def reached_at(self, target_id: TargetId) -> Seconds:
+        """Return when a target last answered or accepted a connection."""
+        return self._reached_at.get(target_id, -math.inf)
+
     def oldest_sent_at(self) -> Seconds:
         """Return when the oldest waiting request was sent; inf if none is."""
         return min(
--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -47,6 +47,8 @@
         )
         self.prober.can_connect = self.daemon.target_client.can_connect
         self.prober.on_change = self.report
+        #: Time between two requests, in seconds.
+        self.request_interval = 0.04
 
     def run(self) -> list[Awaitable[None]]:
         return [
@@ -69,10 +71,10 @@
             await asyncio.sleep(max(0.1, len(self.fleet.members) / 100))
 
     async def _send_requests(self) -> None:
-        """Send 25 requests a second to owners drawn at random."""
+        """Send requests to owners drawn at random."""
         world = self.fleet.world
         while True:
-            await world.pause(0.04)
+            await world.pause(self.request_interval)
             targets = list(self.daemon.view.targets.by_id.values())
             target = world.random.choice(targets)
             asyncio.ensure_future(self._send(target.target_id, target.address))
--- a/tests/test_fleet_gossip.py
+++ b/tests/test_fleet_gossip.py
@@ -172,6 +172,29 @@
 
         self.run_with(scenario)
 
+    def test_reached_targets_are_reported_within_the_same_limit(self) -> None:
+        """Those that others list, and that this daemon has reached since."""
+
+        async def scenario(first: Daemon, second: Daemon, _: Daemon) -> None:
+            listed = TARGETS[:40]
+            second.fail(listed)
+            await asyncio.sleep(0.2)
+            now = first.clock.monotonic()
+            for target_id in listed:
+                first.paths.record_answer(target_id, now)
+            report = first.reporter.describe({})
+            self.assertEqual(report.reached, tuple(listed))
+            first.fail(TARGETS[40:])
+            first.paths.record_answer(TARGETS[0], now)
+            report = first.reporter.describe({})
+            self.assertEqual(
+                len(report.unreachable) + len(report.reached or ()),
+                min(len(TARGETS), MAX_LISTED_TARGETS),
+            )
+            self.assertLess(len(encode(report)), 1200)
+
+        self.run_with(scenario)
+
     def test_reports_of_unknown_daemons_are_not_kept(self) -> None:
         """Datagrams are not authenticated."""
 
--- a/tests/test_policy_paths.py
+++ b/tests/test_policy_paths.py
@@ -4,6 +4,8 @@
 import unittest
 from collections import Counter
 
+import msgspec
+
 from cassialever.policy.direct_paths import (
     CONFIRMATION_DELAY,
     EVIDENCE_LIFETIME,
@@ -190,7 +192,6 @@
         self.assertFalse(paths.is_cut_off(10.2))
         self.assertFalse(paths.direct.needs_witness(10.2))
 
-
     def test_a_cut_is_confirmed_after_enough_targets_have_failed(self) -> None:
         """A daemon with few requests meets ended targets one by one."""
         paths = new_paths()
@@ -399,6 +400,32 @@
         paths.reports.record(report('d2', unreachable=tuple(TARGETS[:2])))
         self.assertTrue(paths.should_yield(10.2))
 
+    def test_targets_that_no_other_has_reached_are_not_missed_alone(
+        self,
+    ) -> None:
+        """Others may not have tried them; a build before doesn't say."""
+        for reached, yields in (
+            ((), False),
+            (TARGETS[:2], False),
+            (TARGETS[:3], True),
+            (None, True),
+        ):
+            with self.subTest(reached=reached):
+                paths = new_paths()
+                for target_id in TARGETS[:12]:
+                    paths.record_failure(target_id, 10)
+                paths.record_answer(TARGETS[30], 10.1)
+                for number in range(8):
+                    paths.reports.record(
+                        msgspec.structs.replace(
+                            report(f'd{number}'),
+                            reached=None
+                            if reached is None
+                            else frozenset(reached),
+                        )
+                    )
+                self.assertEqual(paths.should_yield(10.2), yields)
+
     def test_no_daemon_gives_way_when_targets_crash(self) -> None:
         """The others miss the same targets."""
         paths = new_paths()
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -123,6 +123,13 @@
                 fields = recording.fields_of(read)
                 self.assertEqual(common(fields, one['fields']), one['fields'])
 
+    def test_report_of_the_build_before_says_nothing_of_reached_targets(
+        self,
+    ) -> None:
+        """What it doesn't list counts as reached, as in that build."""
+        one = RECORD['datagrams']['OpenRequests']
+        self.assertIsNone(read_datagram(bytes.fromhex(one['bytes'])).reached)
+
     def test_rows_are_read(self) -> None:
         for name, one in RECORD['rows'].items():
             with self.subTest(row=name):
@@ -256,6 +263,7 @@
                 name,
                 datagrams.MAX_REQUESTS,
                 unreachable=(name,) * MAX_LISTED_TARGETS,
+                reached=(name,) * MAX_LISTED_TARGETS,
             ),
             datagrams.Permits(
                 recording.TargetId('k1'),
