--- a/cassialever/policy/direct_paths.py
+++ b/cassialever/policy/direct_paths.py
@@ -14,9 +14,9 @@
 #: Targets that must fail, with no answer of any target since, before a daemon
 #: counts as cut off; a crash of fewer targets looks the same.
 MIN_FAILED_TARGETS: Final = 3
-#: Time from the first failure until it is used against the own path: reports
-#: of a crashed target arrive within it, and the first probes end unless the
-#: event loop is late.
+#: Time from the failures that show a fault of the own path until they are used
+#: against it: reports of a crashed target arrive within it, and the first
+#: probes end unless the event loop is late.
 CONFIRMATION_DELAY: Final[Seconds] = 0.15
 #: Probes in a row that must succeed before a path is used again.
 SUCCESSES_UNTIL_UP: Final = 2
@@ -41,11 +41,13 @@
 class _PathState(msgspec.Struct):
     """A path that is down or in doubt; `down_since` is None while in doubt.
 
-    A doubt is urgent if it may show that this daemon is cut off.
+    A doubt is urgent if it may show that this daemon is cut off. A target that
+    only others miss is tried for them.
     """
 
     probe_at: Seconds
     is_urgent: bool = False
+    is_for_others: bool = False
     down_since: Seconds | None = None
     failed_at: Seconds = 0
     successes: int = 0
@@ -87,7 +89,8 @@
     def record_failure(self, target_id: TargetId, now: Seconds) -> None:
         """Note that a new connection to a target failed."""
         state = self._state_by_id.setdefault(target_id, _PathState(now))
-        self._count_failure(target_id, now, was_down=state.is_down(now))
+        if not state.is_for_others:
+            self._count_failure(target_id, now, was_down=state.is_down(now))
         state.successes = 0
         if not state.is_down(now):
             state.down_since = now
@@ -96,19 +99,26 @@
         state.failed_at = now
 
     def record_doubt(
-        self, target_id: TargetId, now: Seconds, *, is_urgent: bool = False
+        self,
+        target_id: TargetId,
+        now: Seconds,
+        *,
+        is_urgent: bool = False,
+        is_for_others: bool = False,
     ) -> None:
         """Have a path probed, at once if that is urgent.
 
         A target may reset connections when it is full, or be slow: the path
         counts as down only if the probe fails. Other probes of doubts wait for
         DOUBT_PROBE_INTERVAL after the target's last one, and all of them for
-        the allowance of this daemon.
+        the allowance of this daemon. The failure of a path that is probed only
+        since others miss its target is no evidence of a cut: a daemon with few
+        requests would have no answer in between.
         """
         state = self._state_by_id.get(target_id)
         if state is None:
             probe_at = self._doubt_allowance.next_probe_at(target_id, now)
-            state = _PathState(probe_at)
+            state = _PathState(probe_at, is_for_others=is_for_others)
             self._state_by_id[target_id] = state
         if is_urgent and state.down_since is None and not state.is_urgent:
             state.is_urgent = True
@@ -189,13 +199,17 @@
     def failed_without_answer(self, now: Seconds) -> list[TargetId]:
         """Return the targets that failed since the last answer of any.
 
-        None are returned if they are few or the first failed just now.
+        None are returned if they are few or the last of MIN_FAILED_TARGETS
+        failed just now: other targets are probed meanwhile.
         """
         failures_by_id = self._recent_failures(now)
         if len(failures_by_id) < MIN_FAILED_TARGETS:
             return []
-        first = min(failures.first for failures in failures_by_id.values())
-        return list(failures_by_id) if now >= first + CONFIRMATION_DELAY else []
+        times = sorted(failures.first for failures in failures_by_id.values())
+        enough_at = times[MIN_FAILED_TARGETS - 1]
+        if now < enough_at + CONFIRMATION_DELAY:
+            return []
+        return list(failures_by_id)
 
     def needs_witness(self, now: Seconds) -> bool:
         """Return whether a probe of another target should confirm a cut."""
