Report paths to daemons that have left a leader without the store

Cause: each daemon sends its report to those that its last leader named, and keeps reports of those only. Followers leave a leader without the store and join it again, so that its lists name ever fewer.

Change: reports go to all daemons named since the last complete list of a leader that had heard from the store within 0.8 s (MAX_COMPLETE_AGE, by which a leader knows that its list lacks none). The next such list replaces them, so that daemons that have ended are left out. Limits and permits go on using complete, confirmed lists; reports of crashes go where reports of paths go.

--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -470,6 +470,13 @@
             task.result()
 
 
+def daemons_to_inform(membership: Membership) -> dict[str, str]:
+    """Return the addresses of daemons that may be alive, by instance id."""
+    return membership.shared_peers.informed(
+        membership.peers(), is_leading=membership.state is MemberState.leading
+    )
+
+
 def addresses_to_ask(membership: Membership) -> list[str]:
     """Return where daemons may be that have newer tables, in order."""
     own = membership.link.own_hello.address
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -12,6 +12,7 @@
 from cassialever.fleet.membership import (
     Membership,
     MemberState,
+    daemons_to_inform,
     election_delay,
 )
 from cassialever.fleet.operator_rows import OperatorRowHandler
@@ -101,7 +102,7 @@
             self._reachability.paths,
         )
         self.key_assigner.row_bytes = settings.store_row_bytes
-        self._reachability.peers = self.membership.peers
+        self._reachability.peers = lambda: daemons_to_inform(self.membership)
         self._reachability.compare_tables(
             self.store, self.membership, random_source
         )
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -37,6 +37,7 @@
 from cassialever.fleet.membership import (
     Membership,
     MemberState,
+    daemons_to_inform,
     election_delay,
 )
 from cassialever.fleet.model import StoreRow
@@ -527,7 +528,7 @@
             ),
             LoadTracker(),
             clock,
-            self.member.peers,
+            functools.partial(daemons_to_inform, self.member),
             self.socket,
         )
         self.gossip.newest_by_table = self.catch_up.newest_by_table
