Stand-ins: give each process of tests ports of its own, none that the system keeps

tests.test_listening failed by OSError 98 in 2 of 7 runs here (1 and 3 subTests; 9 loads of 7 to 9), in the line in which the test itself takes a port for a connection. A test of real daemons could also find another process at a daemon's port.

Cause: the ports came from the block of the process's id modulo 66. So processes of two modules, or a soak beside them, had the same block now and then. A port whose connection had ended less than 60 s before counted as free, since it was tried with SO_REUSEADDR, which the test's connection must not use; and a port was taken while the other process's daemon was down.

Change: a process holds the first port of its block while it lives, and takes the next block if another process has it. A port is free if it can be bound without SO_REUSEADDR. Both are faults of the stand-ins; the test stays as it is.

test_port_of_an_ended_connection_is_not_free and test_no_two_processes_have_the_same_ports failed before (1 passed, 2 failed; 3 passed after). tests.test_listening 5, test_soak 17 passed after.

--- a/standins/listening.py
+++ b/standins/listening.py
@@ -1,8 +1,8 @@
 """HTTP servers on ports of the loopback interface."""
 
-import itertools
 import os
 import socket
+from collections.abc import Iterator
 
 from aiohttp import web
 
@@ -10,18 +10,13 @@
 
 LOOPBACK = '127.0.0.1'
 #: Candidate ports start here, below the system's ephemeral ports. They are
-#: divided into blocks, so that parallel test runs try different ones.
+#: divided into blocks, of which each process reserves its own.
 FIRST_PORT = 12_000
 PORT_BLOCKS = 66
 #: Enough for a soak test of 30 daemons.
 PORTS_PER_BLOCK = 300
 #: Ports in a row that a daemon uses from its internal port on.
 PORTS_PER_DAEMON = 3
-#: Candidate ports, starting at the block chosen by the process ID.
-_PORTS = itertools.count(
-    FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK,
-    PORTS_PER_DAEMON,
-)
 
 #: How long open requests may take when a server stops, in seconds.
 SHUTDOWN_TIMEOUT = 0.1
@@ -97,7 +92,8 @@
 
     The two ports after each of them are free too, since the gateway listens on
     its internal port and the next two. They lie below the system's ephemeral
-    ports, so that no other test gets them in the meantime.
+    ports, and no other process of tests has them, so that they are still free
+    when a daemon starts again.
     """
     ports: list[int] = []
     while len(ports) < count:
@@ -107,11 +103,41 @@
     return tuple(ports)
 
 
+def _candidates() -> Iterator[int]:
+    """Return the ports of the blocks that this process reserves."""
+    start = os.getpid()
+    reservations: list[socket.socket] = []
+    for number in range(start, start + PORT_BLOCKS):
+        first = FIRST_PORT + number % PORT_BLOCKS * PORTS_PER_BLOCK
+        reservation = _bind(first)
+        if reservation is None:
+            continue
+        reservations.append(reservation)
+        ports = range(first, first + PORTS_PER_BLOCK, PORTS_PER_DAEMON)
+        # The first one is the reservation.
+        yield from ports[1:]
+    raise RuntimeError('other processes have all ports')
+
+
+def _bind(port: int) -> socket.socket | None:
+    """Return a socket that holds a port; None if something else does.
+
+    That may be a connection which has ended and whose port the system keeps.
+    """
+    holding = socket.socket()
+    try:
+        holding.bind(('', port))
+    except OSError:
+        holding.close()
+        return None
+    return holding
+
+
 def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(('', port))
-        except OSError:
-            return False
-    return True
+    holding = _bind(port)
+    if holding is not None:
+        holding.close()
+    return holding is not None
+
+
+_PORTS = _candidates()
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,17 +1,30 @@
 """Tests of what the stand-ins must not bring about by themselves."""
 
 import asyncio
-import pathlib
+import contextlib
 import socket
+import subprocess
+import sys
 import unittest
 
 from aiohttp import web
 
-from standins.keyed_target import TargetServer
-from standins.listening import LOOPBACK, Listener
+from standins.listening import (
+    LOOPBACK,
+    PORTS_PER_DAEMON,
+    Listener,
+    free_ports,
+)
 
-#: The ports that the system gives to connections and to servers without one.
-SYSTEM_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+#: Prints a port that it has found free, and goes on for a while. All of these
+#: processes look for one at the same place.
+FINDER = """
+import os, sys
+os.getpid = lambda: 7
+from standins.listening import free_ports
+print(*free_ports(1), flush=True)
+sys.stdin.read()
+"""
 
 
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
@@ -34,3 +47,40 @@
                         await stop(listener)
                         await asyncio.sleep(0.05)
                     await listener.stop()
+
+
+class FreePortsTest(unittest.TestCase):
+    def test_port_of_an_ended_connection_is_not_free(self) -> None:
+        # A test that held such a port for a daemon failed at its beginning.
+        port = free_ports(1)[0] + PORTS_PER_DAEMON
+        with (
+            socket.create_server((LOOPBACK, port)) as server,
+            socket.create_connection((LOOPBACK, port)) as client,
+        ):
+            # The end that closes first keeps its port.
+            server.accept()[0].close()
+            client.recv(1)
+        self.assertNotEqual(free_ports(1)[0], port)
+
+    def test_no_two_processes_have_the_same_ports(self) -> None:
+        # Each took the other's while a daemon of that was down.
+        with contextlib.ExitStack() as stack:
+            finders = [
+                stack.enter_context(
+                    subprocess.Popen(
+                        [sys.executable, '-c', FINDER],
+                        stdin=subprocess.PIPE,
+                        stdout=subprocess.PIPE,
+                        text=True,
+                    )
+                )
+                for _ in range(3)
+            ]
+            ports = [finder.stdout.readline() for finder in finders]
+            for finder in finders:
+                finder.stdin.close()
+        self.assertEqual(len(set(ports)), 3, ports)
+
+
+if __name__ == '__main__':
+    unittest.main()
