Stand-ins: listen where the system puts nothing else

tests.test_crashing_requests failed once, by the runner's check alone: a target that was back after a crash could not listen (OSError 98 in a task that nobody waits for). Its port was of the range from which the system serves connections and servers without a port, and another process had got it meanwhile. So may any test fail that ends a stand-in and starts it again at its address.

A stand-in without a given port takes one that no other process of tests has, below that range, as daemons do.

--- a/standins/listening.py
+++ b/standins/listening.py
@@ -33,7 +33,10 @@
         self.address = ''
 
     async def start(self, application: web.Application, port: int = 0) -> None:
-        """Serve an application; port 0 selects any free port."""
+        """Serve an application; port 0 selects a free port.
+
+        It is none that the system gives to others while the server is down.
+        """
         self._runner = web.AppRunner(
             application,
             shutdown_timeout=SHUTDOWN_TIMEOUT,
@@ -41,9 +44,9 @@
             max_headers=MAX_FIELDS,
         )
         await self._runner.setup()
+        port = port or free_ports(1)[0]
         await web.TCPSite(self._runner, LOOPBACK, port).start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = f'{host}:{port}'
+        self.address = f'{LOOPBACK}:{port}'
 
     async def stop(self) -> None:
         """Close the server."""
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import pathlib
 import socket
 import subprocess
 import sys
@@ -16,6 +17,8 @@
     free_ports,
 )
 
+#: The ports that the system gives to connections and servers.
+SYSTEM_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 #: Prints a port that it has found free, and goes on for a while. All of these
 #: processes look for one at the same place.
 FINDER = """
@@ -48,6 +51,16 @@
                         await asyncio.sleep(0.05)
                     await listener.stop()
 
+    async def test_server_can_come_back_at_its_address(self) -> None:
+        # A target that was back after a crash found its port taken.
+        listener = Listener()
+        await listener.start(web.Application())
+        port = int(listener.address.rpartition(':')[2])
+        await listener.stop()
+        self.assertLess(port, int(SYSTEM_PORTS.read_text().split()[0]))
+        await listener.start(web.Application(), port)
+        await listener.stop()
+
 
 class FreePortsTest(unittest.TestCase):
     def test_port_of_an_ended_connection_is_not_free(self) -> None:
