Have the fence of a caller's call be above those of leaders

test_calls_of_callers took 1,000 for a fence above all that leaders give in a test, and failed in 2 of its 4 tests since, by its own check: first fences begin at the term's number times 1,024. It now takes the highest first fence that there is; what it asserts is as strict.

--- a/tests/test_calls_of_callers.py
+++ b/tests/test_calls_of_callers.py
@@ -8,6 +8,7 @@
 
 from cassialever.fleet.model import StartedAt
 from cassialever.gateway.hop_messages import HopRequest, encode_request
+from cassialever.keys.assignments import MAX_FIRST_FENCE
 from cassialever.platform.call_paths import is_call_path
 from cassialever.types import InstanceId, TargetId
 from tests.fleet_helpers import CONFIGURATION, ROUTES, deployment, until
@@ -18,7 +19,7 @@
 )
 
 #: A fence above all that leaders give in a test.
-FENCE = 1000
+FENCE = MAX_FIRST_FENCE
 #: Routes of a service with keys that cover the paths of calls about keys.
 PREFIXES = ('/', '/cassialever/')
 
