Test how late a call about keys may arrive, and say what stays open

The table of ways to hold a key under an earlier fence had three without a test.

A copy that comes two answers late stays outside of the platform's word: it comes where the next answer is expected.

--- /dev/null
+++ b/tests/test_call_transit.py
@@ -0,0 +1,97 @@
+"""Tests of calls about keys that arrive after they were given up."""
+
+import asyncio
+import contextlib
+import time
+import unittest
+
+from cassialever.fleet.model import KeyRange
+from cassialever.keys.assignments import MAX_TRANSIT_TIME
+from cassialever.platform.targets import (
+    GRANT_TIMEOUT,
+    CallOutcome,
+    TargetClient,
+)
+from tests.fleet_helpers import VirtualLoop, run_virtually
+from tests.ownership_fakes import World
+
+ADDRESS = '10.1.64.1:8707'
+#: Time in which each key is renewed once at least, in seconds.
+RENEWAL_TIME = 1.0
+#: Time in which keys of an owner that can't be reached move, in seconds.
+MOVING_TIME = 6.0
+#: Seeds, which differ in the moments of renewals.
+SEEDS = range(8)
+
+
+class LateArrivalTest(unittest.TestCase):
+    """The owner takes its last renewals after their sender gave them up."""
+
+    def violations(self, seed: int, late_by: float) -> list[str]:
+        """Return what breaks if calls arrive so late after their time limit."""
+        violations: list[str] = []
+
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed)
+            leader = world.add_daemon('edge-1')
+            world.publish_targets()
+            assert await leader.take_over()
+            await asyncio.sleep(2)
+            world.transit_time = GRANT_TIMEOUT + late_by
+            await asyncio.sleep(RENEWAL_TIME)
+            leader.target_client.unreachable.add(ADDRESS)
+            world.transit_time = 0.0
+            await asyncio.sleep(MOVING_TIME)
+            self.assertEqual(world.unheld_count(), 0)
+            self.assertNotIn('t1', world.holders(0) + world.holders(65535))
+            violations.extend(world.violations)
+            leader.kill()
+
+        run_virtually(main)
+        return violations
+
+    def test_keys_wait_for_calls_that_are_still_under_way(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                late_by = MAX_TRANSIT_TIME - 0.001
+                self.assertEqual(self.violations(seed, late_by), [])
+
+
+class ResetTest(unittest.IsolatedAsyncioTestCase):
+    """What of a call is left on the way once it was given up."""
+
+    async def test_call_that_is_given_up_is_reset_in_time(self) -> None:
+        ended: asyncio.Future[tuple[float, bool]] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        async def hold(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            is_reset = False
+            try:
+                while await reader.read(65536):
+                    """Read what was sent."""
+            except ConnectionResetError:
+                is_reset = True
+            ended.set_result((time.monotonic(), is_reset))
+            with contextlib.suppress(OSError):
+                writer.close()
+
+        server = await asyncio.start_server(hold, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        client = TargetClient()
+        await client.start()
+        self.addAsyncCleanup(client.stop)
+        host, port = server.sockets[0].getsockname()
+        keys = KeyRange(0, 99, 't0', 1000, 7)
+        result = await client.grant(f'{host}:{port}', keys, 2.3)
+        given_up_at = time.monotonic()
+        self.assertIs(result.outcome, CallOutcome.unknown)
+        ended_at, is_reset = await ended
+        self.assertTrue(is_reset)
+        self.assertLess(ended_at - given_up_at, MAX_TRANSIT_TIME)
+
+
+if __name__ == '__main__':
+    unittest.main()
