Break off grants without an answer when a leader resigns

Callers saw no keys granted for 1.1 to 1.6 s whenever a leader handed over while its calls to targets timed out: it renews no lease and grants nothing while it resigns.

It waited for all grants under way: 0.4 s for an answer, and as long again for the question that proves a spare connection. Those without an answer after 0.2 s are broken off now, and 0.1 s later, when none can arrive any more, the lease is released.

Ownership: a grant that is broken off has its socket reset, as at its own time limit, so that it arrives within MAX_TRANSIT_TIME or not at all; a term that ends by itself relies on the same. None is under way when the lease is released, so that no later process of a target gets it. The next leader waits for what was granted until MAX_GRANT_DURATION after the release, which counts from the sending of a call. The 0.2 s are above what a grant and its answer take on the slowest way of the tests (0.24 s with the wait after it).

--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -11,6 +11,7 @@
 from cassialever.events import Event, record
 from cassialever.fleet import lease as leases
 from cassialever.fleet import messages
+from cassialever.fleet.breakable_calls import BreakableCalls
 from cassialever.fleet.earlier_grants import EarlierGrants
 from cassialever.fleet.lease_writes import commit_lease, release_lease
 from cassialever.fleet.store_clock import StoreClock
@@ -30,6 +31,9 @@
 #: For how long it is: until others may take it over, and the time that they
 #: take for that.
 LAPSE_TIME: Final[Seconds] = 2 * leases.STALE_AFTER
+#: How long a resignation waits for the answers to grants. Later ones are those
+#: of targets that have ended or can't be reached, and nobody leads meanwhile.
+GRANT_PATIENCE: Final[Seconds] = 0.2
 #: Poll interval while grants are in progress at the end of a term.
 GRANT_POLL_INTERVAL: Final[Seconds] = 0.01
 #: Time limit for releasing the lease after a term: the end of the grants, a
@@ -107,6 +111,7 @@
         self.earlier_grants = EarlierGrants(lease, times.sent_at, clock)
         #: Number of calls that grant keys and have not ended.
         self.grants_in_progress = 0
+        self.grant_calls = BreakableCalls()
         self._ended = asyncio.Event()
         self._began_at = clock.boot()
         self._result: TermResult | None = None
@@ -172,12 +177,12 @@
         """Release the lease so that another daemon can take over.
 
         No grant is under way by then: a later process of its target would take
-        it after a higher fence of the next leader.
+        it after a higher fence of the next leader. Those without an answer in
+        GRANT_PATIENCE are broken off.
         """
         self._is_resigning = True
         try:
-            while self.grants_in_progress:
-                await asyncio.sleep(GRANT_POLL_INTERVAL)
+            await _end_grants(self, self._clock)
             await self._renew(is_resigned=True)
         finally:
             self.end(TermEnd.resigned)
@@ -319,6 +324,20 @@
         self._lost_answers.count = 0
 
 
+async def _end_grants(leader_term: LeaderTerm, clock: SystemClock) -> None:
+    """Wait until no grant is under way."""
+    breaks_off_at = clock.boot() + GRANT_PATIENCE
+    is_broken_off = False
+    while leader_term.grants_in_progress:
+        if clock.boot() >= breaks_off_at and not is_broken_off:
+            leader_term.grant_calls.break_off()
+            is_broken_off = True
+        await asyncio.sleep(GRANT_POLL_INTERVAL)
+    if is_broken_off:
+        # One that was may still arrive until then.
+        await asyncio.sleep(MAX_TRANSIT_TIME)
+
+
 def _refusal(*, is_ended: bool, lapses: bool) -> Failure | None:
     """Return why a term may write nothing now, if it may not."""
     if is_ended:
--- a/cassialever/keys/granting.py
+++ b/cassialever/keys/granting.py
@@ -51,6 +51,8 @@
 _REFUSALS: Final = frozenset((CallOutcome.refused, CallOutcome.ended))
 #: Outcomes that show nothing of the path to the owner.
 _NO_EVIDENCE: Final = frozenset((CallOutcome.refused, CallOutcome.unproven))
+#: Of a call that was broken off at the end of the term.
+_BROKEN_OFF: Final = CallResult(CallOutcome.unknown, reason='the term ends')
 #: Sends a grant of keys to an address for a duration.
 _Send = Callable[[str, KeyRange, Seconds], Coroutine[Any, Any, CallResult]]
 #: Names grants among the requests to a target that have no answer yet.
@@ -333,12 +335,13 @@
         unanswered.record_sent(owner, GRANT_ID, self._clock.monotonic())
         self._leader_term.grants_in_progress += 1
         try:
-            result = await send(
-                called.address, assignment.called_range(), duration
+            answer = await self._leader_term.grant_calls.run(
+                send(called.address, assignment.called_range(), duration)
             )
         finally:
             self._leader_term.grants_in_progress -= 1
             unanswered.record_end(owner, GRANT_ID)
+        result = answer or _BROKEN_OFF
         now = self._clock.monotonic()
         _record_path(self.paths, owner, result.outcome, now)
         if result.outcome in _OWN_ANSWERS:
