Pass a link's patience on in the fake that counts connections

LeaderLink.follow takes a patience since; the fake had only an address, so that each daemon's membership ended with a TypeError and the rig did not settle (test_daemons_without_the_store_connect_to_few_others, failed in 2 of 2 runs). It passes the patience on, and its bound is as before: 12 of 12 tests of the module hold.

--- a/tests/test_following_faults.py
+++ b/tests/test_following_faults.py
@@ -192,9 +192,11 @@
         connections: list[str] = []
         connect = LeaderLink.follow
 
-        async def follow(link: LeaderLink, address: str) -> LinkEnd:
+        async def follow(
+            link: LeaderLink, address: str, patience: float | None = None
+        ) -> LinkEnd:
             connections.append(address)
-            return await connect(link, address)
+            return await connect(link, address, patience)
 
         with mock.patch.object(LeaderLink, 'follow', follow):
             play(scenario, DURATION / 2, count=12)
