Stop the servers for operators and metrics at once, whoever connects just then

Operators would see a daemon that takes 60 s longer to stop, if a client connected to its port for operators as it began to: aiohttp closes connections that wait for a request, and waits for any other up to its shutdown timeout of 60 s, also for one that was accepted two turns of the loop before and does not wait yet. The server for metrics has a timeout of 0.1 s.

Both stop listening first, then let connections that were just accepted come to wait for a request, which takes three turns, and then close all.

--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -15,7 +15,7 @@
 from cassialever.gateway.counters import Counters, HopCounters
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.keys.key_events import KeyCounters
-from cassialever.listening import PortUse, listen
+from cassialever.listening import PortUse, listen, stop_sites
 from cassialever.platform.store import StoreClient
 from cassialever.types import Seconds
 
@@ -70,6 +70,7 @@
     async def stop(self) -> None:
         """Stop listening and close every connection."""
         if self._runner is not None:
+            await stop_sites(self._runner)
             await self._runner.cleanup()
 
     async def _listen(self, address: str, port: int) -> web.ServerRunner:
--- a/cassialever/listening.py
+++ b/cassialever/listening.py
@@ -22,6 +22,8 @@
 LISTEN_TIMEOUT: Final[Seconds] = 120.0
 #: Time between two events about the same port.
 REPORT_INTERVAL: Final[Seconds] = 5.0
+#: Turns of the loop in which a server sets up a connection.
+SETUP_TURNS: Final = 3
 
 _Listening = TypeVar('_Listening')
 
@@ -90,11 +92,17 @@
 
 
 async def stop_sites(runner: web.BaseRunner) -> None:
-    """Have an aiohttp runner accept no more connections."""
+    """Have an aiohttp runner accept no more connections.
+
+    At its end it closes those that wait for a request. One that was just
+    accepted does so after a few turns of the loop; else it is waited for.
+    """
     for site in runner.sites:
         server = site._server  # noqa: SLF001, WPS437
         if isinstance(server, asyncio.Server):
             await stop_listening(server)
+    for _ in range(SETUP_TURNS):
+        await asyncio.sleep(0)
 
 
 async def listen(
--- a/cassialever/serving.py
+++ b/cassialever/serving.py
@@ -2,6 +2,8 @@
 
 from aiohttp import web
 
+from cassialever.listening import stop_sites
+
 
 class ServerSite:
     """An aiohttp application or server that listens at one address."""
@@ -32,6 +34,7 @@
         """Stop listening and close every connection."""
         if self._runner is None:
             return
+        await stop_sites(self._runner)
         await self._runner.cleanup()
         self._runner = None
 
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -2,21 +2,26 @@
 
 import asyncio
 import contextlib
+import functools
 import pathlib
 import signal
 import socket
 import tempfile
 import unittest
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from typing import NamedTuple
 
 import aiohttp
+from aiohttp import web
 
+from cassialever.gateway.metrics import MetricsServer
 from cassialever.gateway.process import EXIT_FAILURE
 from cassialever.gateway.settings import HOP_PORT_OFFSET, PATH_VARIABLE
 from cassialever.listening import PortUse
+from cassialever.serving import ServerSite
 from soak.fleet import DaemonProcess, SoakFleet
 from standins.listening import free_ports
-from tests.fleet_helpers import settings_text
+from tests.fleet_helpers import make_settings, settings_text
 from tests.test_process_signals import StartedProcess, run_python
 
 #: How long a port is held after the first event about it, in seconds.
@@ -120,6 +125,11 @@
         return await daemon.wait_for_exit()
 
 
+class _Server(NamedTuple):
+    start: Callable[[], Awaitable[object]]
+    stop: Callable[[], Awaitable[None]]
+
+
 class TakenPortTest(unittest.IsolatedAsyncioTestCase):
     """Daemons as processes, each with one of its ports held."""
 
@@ -203,5 +213,40 @@
                 self.assertEqual(len(daemon.output().splitlines()), 2)
 
 
+class AcceptedAtTheStopTest(unittest.IsolatedAsyncioTestCase):
+    """A client connects to a server of a daemon while that stops.
+
+    The loop of the test logs what fails while a connection is set up.
+    """
+
+    async def check(self, server: _Server, port: int) -> None:
+        for turns in range(4):
+            with (
+                self.subTest(turns=turns),
+                self.assertNoLogs('asyncio', 'ERROR'),
+            ):
+                await server.start()
+                with socket.create_connection(('127.0.0.1', port)):
+                    for _ in range(turns):
+                        await asyncio.sleep(0)
+                    async with asyncio.timeout(TIMEOUT):
+                        await server.stop()
+                    await asyncio.sleep(0.05)
+
+    async def test_server_for_metrics(self) -> None:
+        ports = free_ports(3)
+        settings = make_settings('127.0.0.1:9', ports)
+        server = MetricsServer(settings, list)
+        await self.check(
+            _Server(server.start, server.stop), settings.metrics_port
+        )
+
+    async def test_server_for_operators(self) -> None:
+        (port,) = free_ports(1)
+        site = ServerSite(web.Application())
+        start = functools.partial(site.start, '127.0.0.1', port)
+        await self.check(_Server(start, site.stop), port)
+
+
 if __name__ == '__main__':
     unittest.main()
