Release no lease by a write beside a resignation

What could happen: a leader that hands over has a grant under way and writes a key map. That write marked the lease as released, so that the next leader took over while the grant could still arrive at a later process of its target (OWNER).

Cause: each write of a term took its mark from the state of the term. Now only the last step of a resignation writes it, once no grant is under way; other writes renew the lease, and come after it no more, as the term has ended.

--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -218,13 +218,11 @@
         """Commit a transaction that also renews the lease.
 
         While writes are frequent, no separate renewals are needed. A write
-        that the store applies late fails once a later one has succeeded.
+        that the store applies late fails once a later one has succeeded. One
+        beside a resignation leaves the lease to that, which waits for grants.
         """
         async with self._write_lock:
-            return await self._commit(
-                transaction,
-                is_resigned=self._is_resigning,
-            )
+            return await self._commit(transaction, is_resigned=False)
 
     def _until_renewal(self) -> Seconds:
         if self._is_resigning:
--- a/tests/test_resignation.py
+++ b/tests/test_resignation.py
@@ -4,13 +4,17 @@
 import unittest
 from typing import Any
 
+from cassialever.errors import Failure
 from cassialever.fleet.breakable_calls import BreakableCalls
 from cassialever.fleet.leading import GRANT_PATIENCE
+from cassialever.fleet.lease import EMPTY_TRANSACTION
 from cassialever.keys.assignments import MAX_TRANSIT_TIME
+from cassialever.platform import rows
 from cassialever.platform.spare_connections import CONFIRMATION_TIMEOUT
 from cassialever.platform.targets import CallOutcome, CallResult
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.ownership_fakes import Daemon, World
+from tests.test_removed_maps import stored_lease
 
 TARGETS = 18
 #: When a leader resigns after its targets were lost, in seconds: grants to them
@@ -88,6 +92,36 @@
         self.assertLessEqual(longest, GRANT_PATIENCE)
 
 
+class WriteTest(unittest.TestCase):
+    """A leader writes while it resigns."""
+
+    def test_write_beside_a_resignation_releases_no_lease(self) -> None:
+        # It gave the lease up while a grant was under way.
+        async def main(loop: VirtualLoop) -> None:
+            world = World(loop, seed=1)
+            daemon = world.add_daemon('edge-1')
+            world.publish_targets()
+            self.assertTrue(await daemon.take_over())
+            leader_term = daemon.leader_term
+            assert leader_term is not None
+            await asyncio.sleep(2)
+            leader_term.grants_in_progress += 1
+            resigning = asyncio.create_task(leader_term.resign())
+            await asyncio.sleep(GRANT_PATIENCE / 2)
+            written = await leader_term.commit(EMPTY_TRANSACTION)
+            self.assertIsInstance(written, rows.Committed)
+            self.assertFalse(stored_lease(world).is_resigned)
+            leader_term.grants_in_progress -= 1
+            await resigning
+            self.assertTrue(stored_lease(world).is_resigned)
+            after = await leader_term.commit(EMPTY_TRANSACTION)
+            self.assertIsInstance(after, Failure)
+            self.assertTrue(stored_lease(world).is_resigned)
+            daemon.kill()
+
+        run_virtually(main)
+
+
 def delay_answers(daemon: Daemon) -> None:
     """Have answers come late, and the one to the question after each grant."""
     grant = daemon.target_client.grant
