--- a/tests/drain.py
+++ b/tests/drain.py
@@ -94,6 +94,8 @@
         self._spans: list[FaultSpan] = []
         #: How late this process was, which runs the store and targets.
         self.lateness = 0.0
+        #: Number of times that a daemon's datagrams were dropped.
+        self.cut_sockets = 0
 
     async def run(self, faults: Collection[str], rounds: int) -> None:
         """Have each fault some times."""
@@ -186,9 +188,8 @@
                         for one in fleet.daemons:
                             stack.enter_context(one.resets.lasting())
                     if fault in FURTHER_FAULTS:
-                        stack.enter_context(
-                            datagrams_dropped(_pids(half), self._ports())
-                        )
+                        dropped = datagrams_dropped(_pids(half), self._ports())
+                        self.cut_sockets += sum(stack.enter_context(dropped))
                     await self._wait(FAULT_TIME, fault, half)
 
     def _send(
@@ -257,7 +258,8 @@
     counts = dict(run.leaving.arrivals_by_service())
     lines.append(
         f'late by {run.lateness:.2f} s itself, load {os.getloadavg()[0]:.0f},'
-        f' requests {counts}, logs in {folder}'
+        f' datagrams dropped at {run.cut_sockets}, requests {counts},'
+        f' logs in {folder}'
     )
     sys.stdout.write('\n'.join((*lines, '')))
 
