A stop leaves connections open after long answers that announced no close

Cause: gateway.front forces the connection closed after each answer of a stop, also one whose head was sent before the stop and could not announce that. HTTP has no other place to say it.

Evidence: tests.test_gateway_stop, AnnouncementTest: with a stop that begins after the head, the next request and one behind it got nothing, in 3 of 3 runs.

Why it works: such a connection stays open. Its next answer announces the close, and the drain closes those that are idle, as it does with all others.

Measured: test_gateway_stop 5 of 5 in 3 runs; test_gateway_connections 12, test_gateway_connections_review 18, test_stop_moments 13, test_late_in_grace 2, test_gateway_bodies 14, test_gateway 21 passed, none failed, at loads of 9 to 14.

--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -129,7 +129,9 @@
                 response = await self._answer(request, memory)
         finally:
             self.open_requests -= 1
-        if self.is_stopping:
+        if self.is_stopping and not response.prepared:
+            # A head that was sent before the stop announced no close: the next
+            # answer does, or the drain closes the idle connection.
             response.force_close()
         return response
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from cassialever.fleet.connecting import split_address
 from cassialever.gateway.hop_messages import encode_request
 from soak.fleet import SoakFleet
 from soak.__main__ import START_TIMEOUT
@@ -124,6 +125,39 @@
         self.assertEqual(len(reply.body), LONG_BYTES)
         self.assertEqual(reply.headers.get('Connection'), 'close')
 
+    async def receive_around_stop(self, requests_behind: int) -> bytes:
+        """Return what follows a long answer that a stop has met.
+
+        Its caller sends the next request when it has received it, or some
+        behind the first one.
+        """
+        async with deployment(keyed=1) as system:
+            gateway, target = system.gateways[0], system.targets[0]
+            await wait_for_keys(gateway)
+            target.fixed_body = bytes(BODY_BYTES)
+            address = split_address(gateway.settings.listen.callers)
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST)
+            await reader.readuntil(b'\r\n\r\n')
+            target.fixed_body = b'next'
+            writer.write(REQUEST.replace(b'a1', b'a2') * requests_behind)
+            gateway.server.is_stopping = True
+            await reader.readexactly(BODY_BYTES)
+            if not requests_behind:
+                writer.write(REQUEST.replace(b'a1', b'a2'))
+            received = await asyncio.wait_for(reader.read(), DRAIN_TIMEOUT)
+            writer.close()
+        return received
+
+    async def test_request_after_an_answer_that_announced_nothing(self) -> None:
+        """The stop began when its head was on its way."""
+        for requests_behind in (0, 1):
+            with self.subTest(requests_behind=requests_behind):
+                received = await self.receive_around_stop(requests_behind)
+                self.assertIn(b'200 OK', received)
+                self.assertIn(b'Connection: close', received)
+                self.assertTrue(received.endswith(b'\r\n\r\nnext'))
+
     async def test_answer_to_another_daemon(self) -> None:
         async with cut_off_daemon() as (system, _, helper):
             target = system.targets[-1]
