Have the fence of a false key map be above those of leaders

test_no_term_begins_with_a_map_that_the_store_lacks took 900 for a fence that no leader gives, and failed since by its last check (2,048): first fences begin at the term's number times 1,024. The false map has the highest first fence that there is now.

--- a/tests/test_unable_leaders.py
+++ b/tests/test_unable_leaders.py
@@ -19,9 +19,10 @@
 from cassialever.fleet.model import KeyMap, KeyRange, StoreRow
 from cassialever.fleet.term_ends import SHORT_TERM, TermEnd, TermResult
 from cassialever.fleet.view import OWN_TABLE
+from cassialever.keys.assignments import MAX_FIRST_FENCE
 from cassialever.keys.mapwriter import row_name
 from cassialever.platform import rows
-from cassialever.types import Fence, RowVersion, ServiceName, TargetId
+from cassialever.types import RowVersion, ServiceName, TargetId
 from tests.fleet_helpers import VirtualLoop, run_virtually
 from tests.fleet_rig import CHECK_INTERVAL, Rig, RigDaemon
 from tests.ownership_fakes import World
@@ -293,7 +294,7 @@
             stored = await second.store.read_all(OWN_TABLE)
             second.view.replace(OWN_TABLE, stored.rows, stored.version)
             name = row_name(ServiceName('registry'))
-            keys = KeyRange(0, 65535, TargetId('t1'), 1000, Fence(900))
+            keys = KeyRange(0, 65535, TargetId('t1'), 1000, MAX_FIRST_FENCE)
             content = msgspec.msgpack.encode(
                 KeyMap(ServiceName('registry'), (keys,))
             )
@@ -315,7 +316,7 @@
                 for target in world.targets.values()
                 for _, _, fence in target.seen_fences
             ]
-            self.assertLess(max(granted), 900)
+            self.assertLess(max(granted), MAX_FIRST_FENCE)
 
         self.play(scenario)
 
