--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -11,7 +11,7 @@
 from cassialever.clock import SystemClock
 from cassialever.errors import Failure
 from cassialever.fleet import messages
-from cassialever.fleet.connecting import split_address
+from cassialever.fleet.connecting import split_address, time_since_arrival
 from cassialever.fleet.following_leader import LeaderLink
 from cassialever.fleet.relay import HEARTBEAT_INTERVAL
 from cassialever.gateway.hop_messages import (
@@ -172,6 +172,28 @@
         self.assertLess(age, 0.1 + LOOP_TIME)
 
 
+class ArrivalTest(unittest.IsolatedAsyncioTestCase):
+    """How long ago the last bytes of a peer arrived."""
+
+    async def test_time_runs_on_until_more_comes(self) -> None:
+        with socket.create_server((LOOPBACK, 0)) as listening:
+            sender = socket.create_connection(listening.getsockname())
+            sender.send(b'x')
+            time.sleep(SHORT)
+            accepted, _ = listening.accept()
+        _, writer = await asyncio.open_connection(sock=accepted)
+        age = time_since_arrival(writer.transport)
+        self.assertGreaterEqual(age, SHORT - JIFFY)
+        self.assertLess(age, SHORT + LOOP_TIME)
+        sender.send(b'y')
+        self.assertLess(time_since_arrival(writer.transport), LOOP_TIME)
+        sender.close()
+        writer.transport.abort()
+        await asyncio.sleep(0)
+        self.assertEqual(time_since_arrival(writer.transport), 0)
+        self.assertEqual(time_since_arrival(None), 0)
+
+
 def _head(hop: HopRequest) -> bytes:
     """Return a request of another daemon with an empty body."""
     headers = [
