Links: time unread is taken with each message, not from a writer

test_two_builds had failed since: it sets a stand-in for the writer, of which note_heartbeat then asked the system's count. The link notes it as it reads a message, for a connection that there is. No test is changed.

--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -131,6 +131,9 @@
         self._tables_age: Seconds = 0
         self._reported_at: Seconds = -math.inf
         self._transit = TransitTimes()
+        #: How long ago at least the message arrived that is handled now. The
+        #: first heartbeat has no faster one to be compared with.
+        self._unread_for: Seconds = 0
         self._leader_message_version = FIRST_VERSION
         #: Whether the peer's last heartbeat on this link said that it leads.
         self.is_open = False
@@ -228,12 +231,8 @@
         self._leader_message_version = pulse.message_version
         # Ages count the time in which the machine is suspended.
         now = self.view.targets.clock.boot()
-        late_by = self._transit.excess(pulse, now)
-        if self._writer is not None:
-            # The first one on a link has no faster one to be compared with.
-            unread_for = time_since_arrival(self._writer.transport)
-            late_by = max(late_by, unread_for)
-        self._reported_at = now - late_by
+        excess = self._transit.excess(pulse, now)
+        self._reported_at = now - max(excess, self._unread_for)
         self._leader_heard_at = asyncio.get_running_loop().time()
         self._latest_list.note_heard(self._reported_at)
 
@@ -315,6 +314,7 @@
             if isinstance(message, UnknownMessage):
                 self._skip_log.note(self.address, message)
                 continue
+            self._unread_for = time_since_arrival(writer.transport)
             handle(message, self)
 
 
