Links without a socket tell no time unread

Transports of asyncio answer None there if they have no socket, which counts as not known now, and the stand-in does so too. No check is changed.

--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -75,10 +75,11 @@
     The system counts it, so that it goes on while this process is stopped. It
     is 0 where that is not known.
     """
-    if transport is None:
+    sock = None if transport is None else transport.get_extra_info('socket')
+    if sock is None:
         return 0
     try:
-        info = transport.get_extra_info('socket').getsockopt(
+        info = sock.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_RECEIVED.size
         )
     except OSError:
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -148,6 +148,9 @@
     def transport(self) -> 'RigWriter':
         return self
 
+    def get_extra_info(self, name: str) -> None:
+        """Return nothing: it has no socket."""
+
     def get_write_buffer_size(self) -> int:
         return self._unsent
 
