--- a/cassialever/fleet/connecting.py
+++ b/cassialever/fleet/connecting.py
@@ -75,13 +75,11 @@
     The system counts it, so that it goes on while this process is stopped. It
     is 0 where that is not known.
     """
-    connection: socket.socket | None = None
-    if transport is not None:
-        connection = transport.get_extra_info('socket')
-    if connection is None:
+    sock = None if transport is None else transport.get_extra_info('socket')
+    if sock is None:
         return 0
     try:
-        info = connection.getsockopt(
+        info = sock.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_RECEIVED.size
         )
     except OSError:
