Let all that know a process know the connections that were proven to reach it

Callers would see keys of an owner that runs refused until they have a higher fence, more often than needed: a renewal found no connection to the process, though one was open and proven.

Cause: a process that was found to be another one took that one's set of connections. If that one was found to be a third later, only the second got the set of the third; what was granted on the first went on with the connections known by then, until these had ended. It happens where several keys of an owner are granted at a time, on as many connections.

Change: a process knows which one it was found to be, and all ask the last one. A connection still belongs to the same process by the same evidence; nothing is proven that was not.

JoinedProcessesTest failed before (the first connection missing; 0 passed, 1 failed). tests.test_target_processes 13, test_ownership_search 13, test_keys_lives 59, test_keys_keeper 29 passed.

--- a/cassialever/platform/processes.py
+++ b/cassialever/platform/processes.py
@@ -14,18 +14,47 @@
 
 
 class TargetProcess:
-    """A process of a target, known by the connections that reach it."""
+    """A process of a target, known by the connections that reach it.
+
+    It may turn out to be one that is known already. Both are the same then,
+    whoever has noted which of them.
+    """
 
     def __init__(self, connection: object) -> None:
         """Start with one connection."""
-        self.connections: WeakSet[object] = WeakSet([connection])
-        #: Names it in the log of this daemon.
-        self.number = next(_numbers)
+        self._connections: WeakSet[object] = WeakSet([connection])
+        self._number = next(_numbers)
+        self._found_to_be: TargetProcess | None = None
+
+    @property
+    def connections(self) -> WeakSet[object]:
+        """Return the connections that reach it."""
+        return self.found()._connections
+
+    @property
+    def number(self) -> int:
+        """Return what names it in the log of this daemon."""
+        return self.found()._number
 
     def is_same(self, other: 'TargetProcess') -> bool:
         """Return whether a connection is known to reach both."""
         return not self.connections.isdisjoint(other.connections)
 
+    def join(self, other: 'TargetProcess') -> None:
+        """Note that another one is the same as this one."""
+        found = other.found()
+        if found is self.found():
+            return
+        self.connections.update(found.connections)
+        found._found_to_be = self.found()
+
+    def found(self) -> 'TargetProcess':
+        """Return the process that this one was found to be."""
+        found = self
+        while found._found_to_be is not None:
+            found = found._found_to_be
+        return found
+
 
 class _Connection(msgspec.Struct, eq=False):
     """When a connection was made, and when it had its first answer."""
@@ -77,7 +106,7 @@
             known = self._known.get(other)
             if known is None or known.answered_at == math.inf:
                 continue
-            is_proven = known.process is process
+            is_proven = known.process.is_same(process)
             sent_at = known.answered_at
             if not is_proven and any(
                 _reaches_same(one, known, sent_at) for one in answering
@@ -117,18 +146,9 @@
         for other in others:
             known = self._known.get(other)
             if known is not None and _reaches_same(answering, known, sent_at):
-                self._merge(answering.process, known.process)
+                answering.process.join(known.process)
         answering.answered_at = min(answering.answered_at, now)
-        return answering.process
-
-    def _merge(self, process: TargetProcess, other: TargetProcess) -> None:
-        if process is other:
-            return
-        process.connections.update(other.connections)
-        for connection in tuple(other.connections):
-            self._known[connection].process = process
-        other.connections = process.connections
-        other.number = process.number
+        return answering.process.found()
 
 
 def _reaches_same(
--- a/tests/test_target_processes.py
+++ b/tests/test_target_processes.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cassialever.fleet.model import KeyRange
-from cassialever.platform.processes import TargetProcess
+from cassialever.platform.processes import TargetProcess, TargetProcesses
 from cassialever.platform.targets import (
     GRANT_TIMEOUT,
     CallOutcome,
@@ -94,6 +94,31 @@
     writer.close()
 
 
+class JoinedProcessesTest(unittest.TestCase):
+    """Connections of one process that are proven in several steps."""
+
+    def test_connection_of_one_is_known_to_all(self) -> None:
+        # Keys were renewed on the connections that were known at first, and
+        # needed a new fence once those had ended.
+        processes = TargetProcesses()
+        first, second, third = _Connection(), _Connection(), _Connection()
+        processes.record_answer(first, 0, 1, ())
+        processes.record_made(second, 2)
+        processes.record_answer(second, 2, 3, ())
+        processes.record_made(third, 4)
+        holder = processes.record_answer(third, 4, 5, ())
+        processes.record_answer(second, 6, 7, [third])
+        known = processes.record_answer(first, 8, 9, [second, third])
+        self.assertEqual(set(holder.connections), {first, second, third})
+        self.assertEqual(holder.number, known.number)
+        del second, third
+        self.assertTrue(holder.is_same(known))
+
+
+class _Connection:
+    """Stands for a connection, which may end."""
+
+
 class HeldConnectionTest(unittest.IsolatedAsyncioTestCase):
     """A path on which a connection is made before it reaches the target."""
 
