Follow the store again after a follower that ended as cancelled

Callers of a daemon without a leader could see tables that are older and older, and operators no line of it: the daemon counted as following the store, and began no other follower.

test_fleet_direct failed before (0 passed, 1 failed; 1 passed after); tests.test_tasks 2, test_fleet_membership 14 passed. From reading; no call that ends so was found.

--- a/cassialever/fleet/direct.py
+++ b/cassialever/fleet/direct.py
@@ -11,6 +11,7 @@
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
 from cassialever.platform.store import StoreClient
+from cassialever.tasks import failure_of
 from cassialever.types import Seconds
 
 #: Delay after a change. All daemons may follow the store at the same time, so
@@ -106,9 +107,10 @@
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
         """Log a failure, after which the store can be followed again."""
-        if task.cancelled() or task.exception() is None:
+        error = failure_of(task)
+        if error is None:
             return
-        record(Event.task_failed, reason=repr(task.exception()))
+        record(Event.task_failed, reason=repr(error))
         if self._task is task:
             self._task = None
             self._follower = None
--- a/cassialever/tasks.py
+++ b/cassialever/tasks.py
@@ -31,7 +31,7 @@
 
     def _on_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        error = _failure_of(task)
+        error = failure_of(task)
         if error is None:
             return
         record(Event.task_failed, reason=repr(error))
@@ -39,7 +39,7 @@
             self._on_failure()
 
 
-def _failure_of(task: asyncio.Task[None]) -> BaseException | None:
+def failure_of(task: asyncio.Task[None]) -> BaseException | None:
     """Return what a task has failed by; None for one that was cancelled.
 
     A task also ends as cancelled, without a request, if something that it
