--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -37,6 +37,7 @@
 from cassialever.fleet.membership import (
     Membership,
     MemberState,
+    daemons_to_inform,
     election_delay,
 )
 from cassialever.fleet.model import StoreRow
@@ -495,12 +496,14 @@
 class RigDaemon:
     """One daemon: its view, its links and its part in the fleet."""
 
-    def __init__(self, rig: 'Rig', machine: Machine, number: int) -> None:
+    def __init__(
+        self, rig: 'Rig', machine: Machine, number: int, incarnation: int = 1
+    ) -> None:
         self.machine = machine
         self.store = RigStore(rig, machine)
         clock = LoopClock(rig.loop)
         self.view = FleetView(clock)
-        own = messages.Hello(machine.name, 1, f'{machine.name}:7', {})
+        own = messages.Hello(machine.name, incarnation, f'{machine.name}:7', {})
         self.relay = Relay(self.view, own)
         self.link = LeaderLink(self.view, own)
         self.member = Membership(
@@ -528,7 +531,7 @@
             ),
             LoadTracker(),
             clock,
-            self.member.peers,
+            functools.partial(daemons_to_inform, self.member),
             self.socket,
         )
         self.gossip.newest_by_table = self.catch_up.newest_by_table
@@ -612,6 +615,16 @@
         daemon.start()
         return daemon
 
+    def restart(self, daemon: RigDaemon) -> RigDaemon:
+        """Start the next process of a daemon that was killed."""
+        number = self.daemons.index(daemon)
+        daemon.machine.is_alive = True
+        again = RigDaemon(self, daemon.machine, number, incarnation=2)
+        self.daemons[number] = again
+        self.by_address[f'{daemon.machine.name}:7'] = again
+        again.start()
+        return again
+
     def find_leader(self) -> RigDaemon | None:
         """Return the daemon that leads, if one does."""
         for daemon in self.daemons:
