--- a/cassialever/platform/processes.py
+++ b/cassialever/platform/processes.py
@@ -16,8 +16,8 @@
 class TargetProcess:
     """A process of a target, known by the connections that reach it.
 
-    It may turn out to be one that is known already. Both are the same then,
-    whoever has noted which of them.
+    It may turn out to be one that is known already. Both objects then share
+    their connections and number.
     """
 
     def __init__(self, connection: object) -> None:
--- a/tests/test_ended_targets.py
+++ b/tests/test_ended_targets.py
@@ -113,7 +113,7 @@
         self.check_none(TargetPaths.is_cut_off)
 
     def test_leader_that_alone_loses_targets_hands_over(self) -> None:
-        """Others have few requests, and nobody lists what they reach."""
+        """Others have few requests, and no report lists what they reach."""
 
         for count in (3, 10, DAEMONS):
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -107,7 +107,7 @@
 class AnnouncementTest(unittest.IsolatedAsyncioTestCase):
     """Long answers whose heads are written after a stop has begun.
 
-    They say that their connections close. What is on its way can't say it.
+    They announce that their connections close; a head already sent can't.
     """
 
     async def test_answer_to_a_caller(self) -> None:
@@ -150,7 +150,7 @@
         return received
 
     async def test_request_after_an_answer_that_announced_nothing(self) -> None:
-        """The stop began when its head was on its way."""
+        """The stop began after its head had been sent."""
         for requests_behind in (0, 1):
             with self.subTest(requests_behind=requests_behind):
                 received = await self.receive_around_stop(requests_behind)
--- a/tests/test_target_processes.py
+++ b/tests/test_target_processes.py
@@ -116,7 +116,7 @@
 
 
 class _Connection:
-    """Stands for a connection, which may end."""
+    """A connection, which may end."""
 
 
 class HeldConnectionTest(unittest.IsolatedAsyncioTestCase):
