--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -32,7 +32,7 @@
 #: For how long it is: until others may take it over, and the time that they
 #: take for that.
 LAPSE_TIME: Final[Seconds] = 2 * leases.STALE_AFTER
-#: How long a resignation waits for the answers to grants, while no daemon leads.
+#: How long a resignation waits for answers to grants, while no daemon leads.
 #: Later answers are those of targets that are down or unreachable.
 GRANT_PATIENCE: Final[Seconds] = 0.2
 #: Poll interval while grants are in progress at the end of a term.
