--- a/standins/keyed_target.py
+++ b/standins/keyed_target.py
@@ -260,6 +260,8 @@
         self.fixed_body: bytes | None = None
         self.work = TargetWork(slots)
         self.born = time.time_ns() // _NANOSECONDS_PER_MS
+        #: Number of entries written.
+        self._reports = 0
         self.keys = HeldKeys()
         self.received_headers: list[dict[str, str]] = []
         self.faults = TargetFaults()
@@ -278,6 +280,7 @@
 
     def entry(self, state: str = 'ready', cold_ms: float = 0) -> dict[str, Any]:
         """Return the entry that the target writes to the store."""
+        self._reports += 1
         return {
             'address': self.address,
             'born': self.born,
@@ -289,7 +292,7 @@
             },
             'status': {
                 'state': state,
-                'sequence': 1,
+                'sequence': self._reports,
                 'warmup_left_ms': cold_ms,
             },
         }
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -54,6 +54,8 @@
         self.history: list[StoredRow] = []
         #: Changes up to this version have been removed from the history.
         self.truncated_version = 0
+        #: Whether later versions were told than the present one.
+        self.has_lost_writes = False
 
     def put(self, table: str, key: str, content: bytes) -> int:
         """Write one row and return the new version."""
@@ -115,7 +117,8 @@
 
     def changes_after(self, table: str, after: int) -> list[StoredRow] | None:
         """Return changes after a version; None if they have been removed."""
-        if after < self.truncated_version:
+        is_lost = self.has_lost_writes and after > self.version
+        if is_lost or after < self.truncated_version:
             return None
         return [
             row
@@ -153,6 +156,19 @@
                 earlier.row_by_name[name] = known
         return earlier
 
+    def go_back(self, version: int) -> list[StoredRow]:
+        """Lose all changes after a version, and return them.
+
+        The versions are given out again, and the history begins anew.
+        """
+        lost = [row for row in self.history if row.ver > version]
+        earlier = self.as_of(version)
+        self.version = version
+        self.row_by_name = dict(earlier.row_by_name)
+        self.truncate_history()
+        self.has_lost_writes = True
+        return lost
+
     def truncate_history(self) -> None:
         """Remove all changes from the history."""
         self.history.clear()
--- a/standins/store_pace.py
+++ b/standins/store_pace.py
@@ -132,6 +132,13 @@
         self._times.append(self._clock())
         self._versions.append(version)
 
+    def go_back(self, seconds: float) -> int:
+        """Forget the versions of the last seconds; return the one before."""
+        count = bisect.bisect_right(self._times, self._clock() - seconds)
+        self._times = self._times[:count]
+        self._versions = self._versions[:count]
+        return self._versions[-1] if count else 0
+
     def version_for(
         self, table: str, machine: str, newest: int, *, is_feed: bool = False
     ) -> int:
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -419,6 +419,8 @@
         ends_at = self._machine.loop.time() + wait
         shown = self._shown(table, is_feed=True)
         changed = shown.changes_after(table, after)
+        if changed is None:
+            return Failure(ErrorKind.table_conflict, 'no longer available')
         while not changed and self._machine.loop.time() < ends_at:
             remaining = ends_at - self._machine.loop.time()
             pause = self._rig.pace.lag.until_shown(remaining)
@@ -667,6 +669,12 @@
         self.rows.put(table, key, msgspec.json.encode(document))
         self.wake()
 
+    def lose_writes(self, seconds: float) -> list[tuple[str, str]]:
+        """Lose what was written in the last seconds; return which rows."""
+        lost = self.rows.go_back(self.pace.lag.go_back(seconds))
+        self.wake()
+        return list(dict.fromkeys((row.table, row.key) for row in lost))
+
     def wake(self) -> None:
         self.pace.lag.note(self.rows.version)
         self._changed.set()
--- a/tests/keyed_rig.py
+++ b/tests/keyed_rig.py
@@ -27,6 +27,12 @@
         for daemon in self.daemons:
             self._let_assign(daemon)
 
+    def restart(self, daemon: RigDaemon) -> RigDaemon:
+        """Start the next process of a daemon, which assigns keys as well."""
+        again = super().restart(daemon)
+        self._let_assign(again)
+        return again
+
     def ends(self) -> dict[TermEnd, int]:
         """Return how many terms of daemons that live have ended, by why."""
         total: dict[TermEnd, int] = {}
