Take no answer of a status that HTTP does not have

What callers saw: a target in trouble answers with status 000, and the caller gets that as an answer; so with 001 to 099 and 600 to 999. Cause: the parser takes any three digits for a status, and nothing after it looked. A status under 100 counted as an interim answer for the limits of heads, and as a final one for the exchange. Why it works: such an answer now is one that can't be parsed, for every client of the daemon: its connection is closed, and the outcome of the request is unknown.

--- a/cassialever/platform/answer_heads.py
+++ b/cassialever/platform/answer_heads.py
@@ -16,6 +16,9 @@
 MAX_HEAD_BYTES: Final = 65_536
 #: Interim answers before an answer; the platform's pages name none at all.
 MAX_INTERIM_ANSWERS: Final = 8
+#: The statuses of HTTP; the parser takes any of three digits.
+FIRST_STATUS: Final = 100
+LAST_STATUS: Final = 599
 #: Bytes of a head that are parsed before the limits are checked again.
 HEAD_SLICE_BYTES: Final = 1024
 
@@ -64,6 +67,9 @@
         if not self._awaits_head:
             self._fault = 'an answer without a request'
             return
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._fault = f'an answer of status {status:03}'
+            return
         if status == HTTPStatus.SWITCHING_PROTOCOLS or is_upgrade:
             self._fault = 'an answer that switches protocols'
             return
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -67,6 +67,7 @@
         self.framing = 'length'
         self.position = 0
         self.end = 'close'
+        self.status = '200'
         self.requests = 0
 
     async def serve(
@@ -74,7 +75,10 @@
     ) -> None:
         await reader.readuntil(b'\r\n\r\n')
         self.requests += 1
-        writer.write(whole_answer(self.framing)[: self.position])
+        answer = whole_answer(self.framing).replace(
+            b' 200 ', f' {self.status} '.encode(), 1
+        )
+        writer.write(answer[: self.position])
         await writer.drain()
         end_connection(writer, self.end)
 
@@ -164,6 +168,30 @@
                             self.assertGreater(target.requests, before, case)
                             self.check(reply, case)
 
+    async def test_status_that_http_does_not_have_reaches_no_caller(
+        self,
+    ) -> None:
+        # A caller got a status line with 0.
+        target = CuttingTarget()
+        async with (
+            cut_off_daemon() as (_, first, helper),
+            raw_server(target.serve) as address,
+        ):
+            await wait_for_budget(first)
+            helpers = first.core.exchanges.reach.paths.helpers
+            for through_helper in (False, True):
+                set_paths(first, *helpers, up=not through_helper)
+                for daemon in (first, helper):
+                    readdress(daemon, 'i0', address)
+                for status in ('000', '099', '600', '999'):
+                    target.status = status
+                    target.position = len(whole_answer('length'))
+                    before = target.requests
+                    reply = await raw_exchange(first)
+                    case = (through_helper, status)
+                    self.assertGreater(target.requests, before, case)
+                    self.check(reply, case)
+
     def check(self, reply: bytes, case: object) -> None:
         """Check that a reply is whole, and no success."""
         head, _, body = reply.partition(b'\r\n\r\n')
--- a/tests/test_platform_answer_heads.py
+++ b/tests/test_platform_answer_heads.py
@@ -74,6 +74,16 @@
             attempt = await self.send()
             self.assertIs(attempt.outcome, AttemptOutcome.unknown)
 
+    async def test_status_that_http_does_not_have_is_no_answer(self) -> None:
+        # Callers got answers of status 000, and of 600 and above.
+        head = f'{SIGNED_HEADERS}Content-Length: 2\r\n'
+        for status in ('000', '000 OK', '001 X', '099 X', '600 X', '999 X'):
+            with self.subTest(status=status):
+                self.reply = raw_answer(head, 'ok', status)
+                attempt = await self.send()
+                self.assertIs(attempt.outcome, AttemptOutcome.unknown)
+                self.assertIsNone(attempt.answer)
+
     async def test_offer_of_another_protocol_is_no_switch(self) -> None:
         head = f'{SIGNED_HEADERS}Connection: upgrade\r\nUpgrade: h2c\r\n'
         self.reply = raw_answer(f'{head}Content-Length: 2\r\n', 'ok')
