Go by what writers count where the store shows earlier rows

What callers saw: on an earlier landing, requests that only an older version of the configuration allows. Cause: two reads that are older than what was known were believed, downwards too, and so was each later read with a higher version: row versions alone told which row is later. A store that came back from an older copy gives the same versions to other rows. Mend: operators number their configurations, targets the reports of each process. Where a row has a lower version than the known one, that count decides, for 12 s; a row that the store lacks is kept for 3 s, in which its writer has written it again. A row of the leaders that is found earlier than it was known is logged (509).

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -135,6 +135,11 @@
         logbook.ERROR,
         'Terms of this daemon as leader end soon, several times in a row.',
     )
+    owners_in_doubt = (
+        461,
+        logbook.ERROR,
+        'Grants may be in force that the store has lost: keys wait for them.',
+    )
     resign_late = (
         442,
         logbook.WARNING,
@@ -234,6 +239,11 @@
         logbook.ERROR,
         'The known version of a table is above that of the store, twice.',
     )
+    writes_lost = (
+        509,
+        logbook.ERROR,
+        'The store has an earlier row than it had: it has lost writes.',
+    )
     entry_rejected = (511, logbook.WARNING, 'An entry is invalid.')
     entry_failed = (
         512,
--- a/cassialever/fleet/row_replica.py
+++ b/cassialever/fleet/row_replica.py
@@ -3,10 +3,15 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Final, NamedTuple
 
+import msgspec
+
 from cassialever.clock import SystemClock
 from cassialever.fleet.false_versions import FalseVersions
+from cassialever.fleet.held_rows import HeldRows
+from cassialever.fleet.lost_writes import LostWrites
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.version_bounds import VersionBounds
+from cassialever.platform.writer_counts import is_later
 from cassialever.types import RowVersion
 
 #: Removals remembered for each table: more than a day's worth if 1,500 targets
@@ -54,6 +59,14 @@
         self.on_newest: Callable[[str, RowVersion], None] = _ignore_newest
         #: Versions that the store does not have.
         self.false_versions = FalseVersions(clock or SystemClock())
+        #: Rows of permanent tables that the store has lost.
+        self.lost_writes = LostWrites(clock or SystemClock())
+        #: Called with such a row, and the version that the store has of it.
+        self.on_lost: Callable[[StoreRow, RowVersion], None] = (
+            self.lost_writes.note
+        )
+        #: Rows of the other tables that are later than the store shows.
+        self.held_rows = HeldRows(clock or SystemClock())
         #: Where the rows that changed last came from.
         self.newest_from = ''
         #: Of rows whose own version is the lowest that they can have.
@@ -90,18 +103,24 @@
             if self.bounds.at_most(row) > version
         ]
 
-    def restart_history(self, table: str, version: RowVersion) -> None:
-        """Forget removals because a table was read whole.
+    def restart_history(
+        self,
+        table: str,
+        version: RowVersion,
+        since: RowVersion,
+    ) -> None:
+        """Forget removals because a table was read whole at a version.
 
         Rows that were added and removed since the last read were not seen,
-        so the history of removals is complete only from this version on.
+        so the history of removals is complete only from then on, or from a
+        later version `since`.
         """
         removed = self._removed_by_table.get(table, {})
         for row in tuple(removed.values()):
             # A later one was learnt while the table was read.
             if row.version <= version:
                 removed.pop(row.name)
-        self._since_by_table[table] = version
+        self._since_by_table[table] = since
         known = self._whole_at_by_table.get(table, RowVersion(0))
         self._whole_at_by_table[table] = max(known, version)
 
@@ -172,6 +191,10 @@
         """Store rows that are newer than the known ones and return them."""
         removed = self._store_newer(whole.removals, whole.confirmed)
         newer = self._store_newer(rows, whole.confirmed)
+        for name in self.held_rows.lacking(table, self.by_table_and_name):
+            missing = StoreRow(table, name, None, version)
+            self._store(missing)
+            removed.append(missing)
         known = self.version_by_table.get(table, UNCONFIRMED)
         if removed or newer or version > known:
             self.false_versions.note_learnt(table)
@@ -186,11 +209,27 @@
         newer: list[StoreRow] = []
         for row in rows:
             # An answer may have a row and its removal.
-            if self._is_newer(row, confirmed):
+            if not self._is_newer(row, confirmed):
+                continue
+            if not self._keeps_known(row):
                 self._store(row)
                 newer.append(row)
         return newer
 
+    def _keeps_known(self, row: StoreRow) -> bool:
+        """Keep what is known of a row if that is later, as of its version."""
+        known = self.by_table_and_name.get((row.table, row.name))
+        if known is None:
+            return False
+        if row.table in self._permanent:
+            if row.version < known.version:
+                self.on_lost(known, row.version)
+            return False
+        if not self.held_rows.keeps(known, row):
+            return False
+        self._store(msgspec.structs.replace(known, version=row.version))
+        return True
+
     def _note_newest(self, table: str, newer: list[StoreRow]) -> None:
         known = self.newest_by_table.get(table, RowVersion(0))
         newest = max((row.version for row in newer), default=known)
@@ -221,7 +260,9 @@
             return row != known
         if row.content is None:
             return row.version >= known.version
-        return row.version > known.version
+        if row.version > known.version:
+            return True
+        return row.content != known.content and is_later(row, known)
 
     def _is_removed(self, row: StoreRow) -> bool:
         """Return whether an unknown row is older than its removal.
--- a/cassialever/fleet/view.py
+++ b/cassialever/fleet/view.py
@@ -5,6 +5,7 @@
 unless a whole read of the store shows that the current one is not in it.
 """
 
+import functools
 from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
@@ -88,6 +89,7 @@
         self.routes = RouteTable(())
         self.targets = TargetRegistry(clock)
         self.rows = RowReplica(clock, (OWN_TABLE,))
+        self.rows.on_lost = functools.partial(_note_lost, self)
         self.leader: tuple[Leadership, RowVersion] | None = None
         self.keys_by_service: dict[ServiceName, KeyIndex] = {}
         #: Key ranges that are being moved to another owner.
@@ -113,39 +115,34 @@
         Return False and change nothing if the table is older than the known
         one, unless such a read proves that false.
         """
+        table_rows = list(rows)
         false_versions = self.rows.false_versions
-        is_conclusive = began_at is None or false_versions.is_conclusive(
-            table, began_at
+        is_confirmed = source == STORE and (
+            began_at is None or false_versions.is_conclusive(table, began_at)
         )
-        is_confirmed = source == STORE and is_conclusive
         confirmed = version if is_confirmed else UNCONFIRMED
         known = self.rows.version_by_table.get(table, UNCONFIRMED)
         if is_confirmed and began_at is not None:
             # What was known before it began has no later version.
             known = self.rows.highest_version(table)
+        since = version
         if version < known:
-            if began_at is None or not false_versions.disproves(
-                table, version, began_at
-            ):
+            if source != STORE:
+                self.rows.note_relayed(table, version)
+                _note_lacking(self, table_rows)
+            if not _disproves(self.rows, table, (version, known), began_at):
                 return False
-            record(
-                Event.version_disproved,
-                table=table,
-                version=version,
-                known=known,
-                learned_from=self.rows.newest_from,
-            )
-            self.rows.forget_version(table)
+            # Rows may get the known versions once more.
+            since = RowVersion(known + 1)
             # All of them were known before the read began.
             confirmed = known
         elif source == STORE:
             false_versions.note_confirmed(table)
-        table_rows = list(rows)
         self.rows.forget_removals_of(table, table_rows, version)
         removals = self.rows.removals_of_missing(table, table_rows, version)
         whole = WholeTable(removals, confirmed)
         self.apply(table, table_rows, version, source, whole)
-        self.rows.restart_history(table, version)
+        self.rows.restart_history(table, version, since)
         return True
 
     def apply(
@@ -306,6 +303,52 @@
     """Ignore changes; the default until a handler is set."""
 
 
+def _note_lost(view: FleetView, lost: StoreRow, version: RowVersion) -> None:
+    """Note that the store has lost a row of leaders, and what it has."""
+    leader_id = ''
+    if lost.name == LEADER_ROW and lost.content is not None:
+        leadership = _decode_leadership(lost.content)
+        if not isinstance(leadership, Failure):
+            leader_id = leadership.instance_id
+    view.rows.lost_writes.note(lost, version, leader_id)
+
+
+def _note_lacking(view: FleetView, rows: Iterable[StoreRow]) -> None:
+    """Note the rows of an older table that a newer one has earlier."""
+    for row in rows:
+        known = view.rows.by_table_and_name.get((row.table, row.name))
+        if row.table != OWN_TABLE or known is None:
+            continue
+        if known.version < row.version and known.content != row.content:
+            _note_lost(view, row, known.version)
+
+
+def _disproves(
+    replica: RowReplica,
+    table: str,
+    versions: tuple[RowVersion, RowVersion],
+    began_at: Seconds | None,
+) -> bool:
+    """Forget the known version of a table if an older read denies it.
+
+    `versions` are that of the read and the known one.
+    """
+    version, known = versions
+    if began_at is None or not replica.false_versions.disproves(
+        table, version, began_at
+    ):
+        return False
+    record(
+        Event.version_disproved,
+        table=table,
+        version=version,
+        known=known,
+        learned_from=replica.newest_from,
+    )
+    replica.forget_version(table)
+    return True
+
+
 def _apply_own_row(row: StoreRow, view: FleetView) -> None:
     if row.content is None:
         return
