Ask for changes after what the store told, not what others did

Cause: another daemon brought a lost version back to the leader, which then asked for changes after it. The change had got that very version meanwhile. Mend: a follower of the store asks after the version that the store told it.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -9,7 +9,7 @@
 from cassialever.fleet.view import FleetView
 from cassialever.interfaces import RandomSource
 from cassialever.platform.store import LONG_POLL_WAIT, StoreClient
-from cassialever.types import Seconds
+from cassialever.types import RowVersion, Seconds
 
 #: Time from the beginning of the first failed call to the next one, with up to
 #: as much jitter; it doubles up to the maximum. Silent calls count, so that a
@@ -71,12 +71,19 @@
         random_source: RandomSource,
         tables: tuple[str, ...],
         batch_delay: Seconds = BATCH_DELAY,
+        *,
+        reads_whole: bool = False,
     ) -> None:
         """Start with no table followed.
 
-        `batch_delay` is the pause after an answer with changes.
+        `batch_delay` is the pause after an answer with changes. Tables that are
+        known are not read again unless `reads_whole` is set.
         """
         self._tables = tables
+        self._reads_whole = reads_whole
+        #: Up to which version the store has told each table. Others may know
+        #: later ones, which it has lost and gives to other rows.
+        self._told_by_table: dict[str, RowVersion] = {}
         #: Those by which requests are routed. Only leaders write the own table.
         self._routing_tables = tuple(
             table for table in tables if table in view.tables_of_other_writers
@@ -108,7 +115,7 @@
                 group.create_task(self._follow(table))
 
     async def _follow(self, table: str) -> None:
-        calls = _Calls(table not in self._view.rows.version_by_table)
+        calls = _Calls(self._is_read_first(table))
         while True:
             began_at = self._clock.boot()
             failure = await self._update_once(table, calls.is_whole)
@@ -124,36 +131,31 @@
             await asyncio.sleep(self._pause(calls.delay, began_at))
             calls.delay = min(calls.delay * 2, MAX_RETRY_DELAY)
 
+    def _is_read_first(self, table: str) -> bool:
+        is_known = table in self._view.rows.version_by_table
+        return self._reads_whole or not is_known
+
     async def _update_once(
         self, table: str, needs_snapshot: bool
     ) -> Failure | None:
         called_at = self._clock.boot()
-        after = self._view.rows.version_by_table.get(table)
+        known = self._view.rows.version_by_table.get(table)
         # It is forgotten when changes of a key map do not apply.
-        if needs_snapshot or after is None:
-            snapshot = await self._store.read_all(table)
-            if isinstance(snapshot, Failure):
-                return snapshot
-            if self._view.replace(
-                table, snapshot.rows, snapshot.version, began_at=called_at
-            ):
-                self._complete_at_by_table[table] = called_at
-                return None
-            return Failure(
-                ErrorKind.table_conflict,
-                f'the store returned outdated version {snapshot.version}',
-            )
+        if needs_snapshot or known is None:
+            return await self._read_whole(table, called_at)
+        after = min(known, self._told_by_table.get(table, known))
         wait = self._longest_wait(table)
         changed = await self._store.wait_for_changes(table, after, wait)
         if isinstance(changed, Failure):
             return changed
-        if changed.version < after:
+        if changed.version < known:
             return Failure(
                 ErrorKind.table_conflict,
-                f'the store has no version {after}, but {changed.version}',
+                f'the store has no version {known}, but {changed.version}',
             )
         self._view.rows.false_versions.note_confirmed(table)
         self._view.apply(table, changed.rows, changed.version)
+        self._told_by_table[table] = changed.version
         if changed.rows:
             self._complete_at_by_table[table] = called_at
             await asyncio.sleep(self._batch_delay)
@@ -165,6 +167,23 @@
         self._answer_time_by_table[table] = self._age_of(table)
         return None
 
+    async def _read_whole(
+        self, table: str, called_at: Seconds
+    ) -> Failure | None:
+        snapshot = await self._store.read_all(table)
+        if isinstance(snapshot, Failure):
+            return snapshot
+        if self._view.replace(
+            table, snapshot.rows, snapshot.version, began_at=called_at
+        ):
+            self._complete_at_by_table[table] = called_at
+            self._told_by_table[table] = snapshot.version
+            return None
+        return Failure(
+            ErrorKind.table_conflict,
+            f'the store returned outdated version {snapshot.version}',
+        )
+
     def _age_of(self, table: str) -> Seconds:
         complete_at = self._complete_at_by_table.get(table, -math.inf)
         return self._clock.boot() - complete_at
