Wait for the grants that a store which went back has lost

Cause: the store had lost what it had acknowledged last. The next leader did not know of the one before it, went by an earlier key map, and gave fences out again; a leader that lived met its earlier map, took it for another's, ended its term, and the next one began with that. Mend: a row of the leaders that the store has earlier than it was known is a loss, of which daemons tell each other in heartbeats. Who takes over within 15 s grants nothing until all grants that may be in force are over, those of the lost leader too, and begins above all lost fences; the lease carries both on. A leader whose row is left writes its maps again.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -17,6 +17,7 @@
 from cassialever.fleet.leading import LeaderTerm, TakeoverTimes
 from cassialever.fleet.lease_writes import commit_lease
 from cassialever.fleet.model import StoreRow
+from cassialever.fleet.owner_doubts import OwnerDoubts
 from cassialever.fleet.suspected_moves import SuspectedMoves
 from cassialever.fleet.view import (
     KEY_MAP_PREFIX,
@@ -26,7 +27,7 @@
 )
 from cassialever.platform import rows
 from cassialever.platform.store import StoreClient
-from cassialever.types import RowVersion, Seconds
+from cassialever.types import Fence, RowVersion, Seconds
 
 #: Longest time for which a candidate waits until the lease may be taken over.
 #: The holder has then missed a renewal, and connecting to it again would take
@@ -97,6 +98,8 @@
         self.failed: Attempt | None = None
         self.log = AttemptLog()
         self._sightings = _Sightings()
+        #: Leaders' writes that the store has lost.
+        self.doubts = OwnerDoubts(view)
         #: Leases that this process may have written without leading by them.
         self._unconfirmed: collections.deque[leases.Lease] = collections.deque(
             maxlen=MAX_UNCONFIRMED
@@ -221,12 +224,21 @@
         self.deference.unread = 0
         # None of them can be performed after this takeover.
         self._unconfirmed.clear()
+        # Lost writes may have been found since it was written.
+        new_lease = self.doubts.applied_to(new_lease, read.store_time)
         record(
             Event.leader_taken,
             version=term,
             earlier=new_lease.authority_until_by_id,
             store_time=read.store_time,
         )
+        if new_lease.are_owners_in_doubt:
+            record(
+                Event.owners_in_doubt,
+                term=term,
+                earlier=new_lease.authority_until_by_id,
+                min_fence=new_lease.min_fence,
+            )
         return LeaderTerm(
             self._store,
             new_lease,
@@ -242,7 +254,7 @@
         )
         own_id = self._own_hello.instance_id
         known = (lease, read.version, own_id, read.store_time)
-        return leases.Lease(
+        new_lease = leases.Lease(
             own_id,
             self._own_hello.incarnation,
             read.store_time,
@@ -250,7 +262,10 @@
             suspected_moves=moves.recent(),
             unnamed_until=leases.unnamed_until(*known),
             mapped_services=leases.mapped_services(lease, read.version),
+            are_owners_in_doubt=bool(lease and lease.are_owners_in_doubt),
+            min_fence=lease.min_fence if lease else Fence(0),
         )
+        return self.doubts.applied_to(new_lease, read.store_time)
 
     async def _commit(
         self, lease: leases.Lease, lease_version: RowVersion
@@ -272,6 +287,7 @@
         is_lease_unchanged = leases.find_lease(answer.rows)[1] == lease_version
         if not is_lease_unchanged or stored_version == leader_version:
             return answer
+        self.doubts.note_leader_row(stored_version)
         return await commit_lease(
             self._store,
             leases.takeover_transaction(
--- a/cassialever/fleet/following_leader.py
+++ b/cassialever/fleet/following_leader.py
@@ -372,6 +372,7 @@
             view.apply(message.table, message.rows, message.version, source)
         if isinstance(message, messages.Pulse):
             pulse = message
+            view.rows.lost_writes.note_told(message.losses)
         if isinstance(message, (LinkEnd, messages.Farewell)):
             return pulse
 
@@ -425,4 +426,5 @@
 
 @handle.register
 def _handle_pulse(message: messages.Pulse, link: LeaderLink) -> None:
+    link.view.rows.lost_writes.note_told(message.losses)
     link.note_heartbeat(message)
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -15,6 +15,7 @@
 from cassialever.fleet.earlier_grants import EarlierGrants
 from cassialever.fleet.lease_writes import commit_lease, release_lease
 from cassialever.fleet.mapped_services import MappedServices
+from cassialever.fleet.owner_doubts import TermDoubt
 from cassialever.fleet.store_clock import StoreClock
 from cassialever.fleet.suspected_moves import SuspectedMoves
 from cassialever.fleet.term_ends import WITHOUT_LEASE, TermEnd, TermResult
@@ -95,6 +96,10 @@
         #: The row version of the takeover, which numbers the term.
         self.term: RowVersion = committed.version
         self._lease_version = committed.version
+        #: The lowest version that the store can have, unless it lost writes.
+        self._lease_at_least = committed.lower_bound
+        #: How often the store was found to have lost writes of this term.
+        self.loss_count = 0
         self._store_clock = StoreClock(lease.renewed_at, times.read_at)
         self._store_clock.note(
             committed.store_time, times.sent_at, clock.boot()
@@ -110,6 +115,7 @@
             lambda: self._store_clock.at(clock.boot()),
         )
         self.earlier_grants = EarlierGrants(lease, times.sent_at, clock)
+        self.doubt = TermDoubt(lease, self.earlier_grants)
         self.mapped_services = MappedServices(
             lease.mapped_services, self.earlier_grants
         )
@@ -262,6 +268,7 @@
                 is_resigned=is_resigned,
                 suspected_moves=self.suspected_moves.recent(),
                 mapped_services=self.mapped_services.recorded(),
+                are_owners_in_doubt=self.doubt.is_open(),
             )
             answer = await commit_lease(
                 self._store,
@@ -275,7 +282,7 @@
             self.has_failed_write = isinstance(answer, Failure)
             if isinstance(answer, rows.Committed):
                 self._confirmed_lease = renewed
-                self._note_commit(answer.store_time, answer.version, sent_at)
+                self._note_commit(answer, sent_at)
             if not isinstance(answer, rows.Conflict):
                 return answer
             if not self._adopt_version(answer):
@@ -305,7 +312,9 @@
             return False
         if is_own:
             is_changed = version != self._lease_version
+            self.loss_count += version < self._lease_at_least
             self._lease_version = version
+            self._lease_at_least = version
             if is_changed and lease != self._confirmed_lease:
                 self._lost_answers.note_performed(self._clock.boot())
             return is_changed
@@ -319,14 +328,10 @@
         self.end(TermEnd.lease_lost, f'holder={holder_id} version={version}')
         return False
 
-    def _note_commit(
-        self,
-        store_time: Seconds,
-        version: RowVersion,
-        sent_at: Seconds,
-    ) -> None:
-        self._store_clock.note(store_time, sent_at, self._clock.boot())
-        self._lease_version = version
+    def _note_commit(self, answer: rows.Committed, sent_at: Seconds) -> None:
+        self._store_clock.note(answer.store_time, sent_at, self._clock.boot())
+        self._lease_version = answer.version
+        self._lease_at_least = answer.lower_bound
         self._confirmed_at = sent_at
         self._lost_answers.count = 0
 
--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -13,9 +13,15 @@
 from cassialever.errors import Failure
 from cassialever.fleet.model import StoreRow, SuspectedMove
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, Leadership
-from cassialever.keys.assignments import MAX_GRANT_DURATION
+from cassialever.keys.assignments import MAX_FIRST_FENCE, MAX_GRANT_DURATION
 from cassialever.platform import rows
-from cassialever.types import MS_PER_SECOND, RowVersion, Seconds, ServiceName
+from cassialever.types import (
+    MS_PER_SECOND,
+    Fence,
+    RowVersion,
+    Seconds,
+    ServiceName,
+)
 
 LEASE_TABLE: Final = 'cassialever-lease'
 LEASE_ROW: Final = 'lease'
@@ -50,6 +56,10 @@
 ]
 
 
+#: A fence that leaves room for higher ones.
+_Fence: TypeAlias = Annotated[Fence, msgspec.Meta(ge=0, le=MAX_FIRST_FENCE)]
+
+
 class Lease(msgspec.Struct, frozen=True, array_like=True):
     """The content of the lease row; times are by the store's clock.
 
@@ -57,7 +67,9 @@
     `suspected_moves` what this leader and earlier ones moved. Until
     `unnamed_until` earlier leaders may renew grants by calls that name no
     target; its default is that of builds without the field. The key maps of
-    `mapped_services` may be stored; without the field any may be.
+    `mapped_services` may be stored; without the field any may be. While
+    `are_owners_in_doubt` is set, grants may be in force that no stored key map
+    names, and fences from `min_fence` on are above those.
     """
 
     instance_id: str
@@ -68,6 +80,8 @@
     suspected_moves: tuple[SuspectedMove, ...] = ()
     unnamed_until: _StoreTime = HOLDER_UNNAMED
     mapped_services: tuple[ServiceName, ...] | None = None
+    are_owners_in_doubt: bool = False
+    min_fence: _Fence = Fence(0)
 
 
 def find_lease(
--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -14,6 +14,7 @@
 from cassialever.fleet.activity import Activity
 from cassialever.fleet.framing import decompress, read_exactly
 from cassialever.fleet.limit_reports import LimitReport
+from cassialever.fleet.lost_writes import Loss
 from cassialever.fleet.message_version import FIRST_VERSION, MessageVersion
 from cassialever.fleet.model import KEY_COUNT, KeyRange, StoreRow
 from cassialever.fleet.unknown_types import MessageDecoder, UnknownMessage
@@ -129,7 +130,8 @@
 
     `store_age` is the time since the sender's lease was last confirmed, and
     `tables_age` the time since its tables were last known to be complete.
-    `sent_at` is the sender's clock; 0 if it is not sent.
+    `sent_at` is the sender's clock; 0 if it is not sent. The store has lately
+    lost the writes of leaders in `losses`.
     """
 
     is_leader: bool
@@ -137,6 +139,7 @@
     tables_age: _Age
     message_version: MessageVersion = FIRST_VERSION
     sent_at: _Clock = 0
+    losses: tuple[Loss, ...] = ()
 
 
 class Farewell(Message, frozen=True, array_like=True, tag=True):
--- /dev/null
+++ b/cassialever/fleet/owner_doubts.py
@@ -0,0 +1,77 @@
+"""Terms of leaders that begin after the store has lost writes.
+
+Such a leader may know neither who has led before it nor which target has which
+keys, and the fences that were given are above those that it reads.
+"""
+
+import msgspec
+
+from cassialever.fleet import lease as leases
+from cassialever.fleet.earlier_grants import EarlierGrants
+from cassialever.fleet.lost_writes import MAX_LOST_VERSIONS
+from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, FleetView
+from cassialever.keys.assignments import first_fence
+from cassialever.types import RowVersion, Seconds
+
+
+class OwnerDoubts:
+    """What this daemon knows of leaders' writes that the store has lost."""
+
+    def __init__(self, view: FleetView) -> None:
+        """Go by the lost writes that a view has found."""
+        self._view = view
+        self._lost = view.rows.lost_writes
+
+    def note_leader_row(self, stored_version: RowVersion) -> None:
+        """Note the version that the store has of the leader's row."""
+        known = self._view.rows.by_table_and_name.get((OWN_TABLE, LEADER_ROW))
+        if known is not None and stored_version < known.version:
+            self._lost.note(known, stored_version, self._view.leader_id)
+
+    def applied_to(
+        self, lease: leases.Lease, store_time: Seconds
+    ) -> leases.Lease:
+        """Return a new lease with what follows from lost writes, if any were.
+
+        The lost leaders may renew grants until they learn that they were
+        replaced.
+        """
+        losses = self._lost.recent()
+        if not losses:
+            return lease
+        until = store_time + leases.AUTHORITY_TERM
+        lost_leaders = {
+            loss.leader_id: until - loss.age
+            for loss in losses
+            if loss.leader_id not in {leases.UNKNOWN_ID, lease.instance_id}
+        }
+        version = max(loss.version for loss in losses)
+        fence = first_fence(RowVersion(version + MAX_LOST_VERSIONS))
+        return msgspec.structs.replace(
+            lease,
+            authority_until_by_id={
+                **lease.authority_until_by_id,
+                **lost_leaders,
+            },
+            are_owners_in_doubt=True,
+            min_fence=max(lease.min_fence, fence),
+        )
+
+
+class TermDoubt:
+    """Whether grants may be in force that no stored key map names."""
+
+    def __init__(
+        self, lease: leases.Lease, earlier_grants: EarlierGrants
+    ) -> None:
+        """Take what the lease of a term says."""
+        self._began_in_doubt = lease.are_owners_in_doubt
+        self._earlier_grants = earlier_grants
+        #: The lowest fence that is above those which the store has lost.
+        self.min_fence = lease.min_fence
+
+    def is_open(self) -> bool:
+        """Return whether they may be: all keys wait for them."""
+        return (
+            self._began_in_doubt and not self._earlier_grants.all_have_expired()
+        )
--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -13,6 +13,7 @@
 from cassialever.fleet.connecting import is_address, split_address
 from cassialever.fleet.key_changes import KeyMapHistory
 from cassialever.fleet.limit_reports import LimitReport, ignore_reports
+from cassialever.fleet.lost_writes import LostWrites
 from cassialever.fleet.message_version import MESSAGE_VERSION
 from cassialever.fleet.model import StoreRow
 from cassialever.fleet.proof import prove_as_acceptor
@@ -263,7 +264,8 @@
         loop = asyncio.get_running_loop()
         while True:
             ages = self.ages()
-            self.broadcast(_pulse(self.is_leader, ages))
+            lost_writes = self._view.rows.lost_writes
+            self.broadcast(_pulse(self.is_leader, ages, lost_writes))
             # Followers that join together are announced together: each change
             # goes to every follower.
             addresses = self.members()
@@ -399,7 +401,9 @@
         limit_reports = self.limit_reports()
         if limit_reports:
             follower.send(messages.encode(messages.Limits(limit_reports)))
-        follower.send(messages.encode(_pulse(self.is_leader, self.ages())))
+        lost_writes = self._view.rows.lost_writes
+        pulse = _pulse(self.is_leader, self.ages(), lost_writes)
+        follower.send(messages.encode(pulse))
 
 
 def _farewell(view: FleetView, activity: Activity) -> messages.Farewell:
@@ -416,13 +420,16 @@
     return version > known
 
 
-def _pulse(is_leader: bool, ages: LeaderAges) -> messages.Pulse:
+def _pulse(
+    is_leader: bool, ages: LeaderAges, lost_writes: LostWrites
+) -> messages.Pulse:
     return messages.Pulse(
         is_leader,
         ages.store_age,
         ages.tables_age,
         MESSAGE_VERSION,
         ages.told_at,
+        lost_writes.recent(),
     )
 
 
--- a/cassialever/gateway/own_state.py
+++ b/cassialever/gateway/own_state.py
@@ -56,11 +56,13 @@
     """Return readings of the leader, and of the age of the tables."""
     contact = membership.contact
     age = contact.tables_age(membership.tables_age())
-    false_versions = membership.link.view.rows.false_versions
+    rows = membership.link.view.rows
+    false_versions = rows.false_versions
     return [
         Reading('seconds_without_leader', time_without_leader(membership)),
         Reading('tables_age_seconds', age),
         Reading('versions_disproved', false_versions.count),
+        Reading('writes_lost', rows.lost_writes.count),
         *(
             Reading('tables_age_by_way_seconds', by_way, {'way': way.value})
             for way, by_way in _age_by_way(membership).items()
--- a/cassialever/keys/mapwriter.py
+++ b/cassialever/keys/mapwriter.py
@@ -42,8 +42,12 @@
         #: The version that the row is expected to have; 0 if there is none. It
         #: may be too high: see `rows.Committed`.
         self.version = RowVersion(0)
+        #: The lowest version that it can have, unless the store lost writes.
+        self._at_least = RowVersion(0)
         #: The content of the row as it is known.
         self._known_content: bytes | None = None
+        #: Losses of the store before the last write.
+        self._loss_count = 0
         #: Contents of unanswered writes, which may have been committed.
         self._uncertain_contents: list[bytes] = []
 
@@ -51,8 +55,13 @@
         """Expect the row that is known when the term begins."""
         self._leader_term.mapped_services.note(self._service)
         self.version = row.version
+        self._at_least = row.version
         self._known_content = row.content
 
+    def may_be_lost(self) -> bool:
+        """Return whether the store may have lost the last write."""
+        return self._leader_term.loss_count != self._loss_count
+
     async def write(self, key_map: KeyMap) -> StoreRow | None:
         """Write a key map; return its row.
 
@@ -64,12 +73,15 @@
         self._leader_term.mapped_services.note(self._service)
         for _ in range(MAX_ATTEMPTS):
             expected = self.version
+            loss_count = self._leader_term.loss_count
             answer = await self._leader_term.commit(self._transaction(content))
             if isinstance(answer, Failure):
                 self._uncertain_contents.append(content)
                 return None
             if isinstance(answer, rows.Committed):
                 self._note_stored(content, answer.version)
+                self._at_least = answer.lower_bound
+                self._loss_count = loss_count
                 return self._row(content, answer.lower_bound)
             if not self._adopt(answer, content):
                 return None
@@ -93,16 +105,18 @@
     def _note_stored(self, content: bytes, version: RowVersion) -> None:
         """Note what the store has; no unanswered write can follow it."""
         self.version = version
+        self._at_least = version
         self._known_content = content
         self._uncertain_contents.clear()
 
     def _adopt(self, conflict: rows.Conflict, written: bytes) -> bool:
         """Adopt the row that a write has met; return whether to go on.
 
-        That is this writer's own, whose version was not known exactly, or one
-        that was removed, which names no owner and no fence. End the term if
-        another leader has taken over, or if the row holds another map: this
-        term's state does not match it.
+        That is this writer's own, whose version was not known exactly, an
+        earlier one to which a store that lost writes came back, or one that was
+        removed, which names no owner and no fence. End the term if another
+        leader has taken over, or if the row holds another map: this term's
+        state does not match it.
         """
         row_by_name = {row.name: row for row in conflict.rows}
         leader = row_by_name.get(LEADER_ROW)
@@ -118,7 +132,8 @@
             self._known_content = None
             return True
         own = {self._known_content, written, *self._uncertain_contents}
-        if stored.content not in own:
+        # An earlier row is one that the store came back to: nobody wrote it.
+        if stored.content not in own and stored.version >= self._at_least:
             self._leader_term.end(
                 TermEnd.key_map_changed,
                 f'row={self._name} expected={self.version} {_describe(stored)}',
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -116,6 +116,9 @@
         """Advance every assignment for which something is due."""
         if not self._knows_owners:
             return
+        # Any target may hold any keys until then.
+        if self._context.leader_term.doubt.is_open():
+            return
         for called in self._granter.addresses.claim_checks(
             {one.owner for one in self.assignments.ordered}
         ):
@@ -153,6 +156,10 @@
         if not covers_all(inherited):
             record(Event.owners_unknown, service=self.service, row=name)
             return False
+        for assignment in inherited:
+            assignment.fence = max(
+                assignment.fence, self._context.leader_term.doubt.min_fence
+            )
         self.assignments.ordered = inherited
         self._writer.start_from(row)
         return True
@@ -169,7 +176,7 @@
             return
         assignments = planning.assign_evenly(
             targets,
-            first_fence(leader_term.term),
+            max(first_fence(leader_term.term), leader_term.doubt.min_fence),
             ranges_per_target(targets, self._context.row_bytes),
         )
         for assignment in assignments:
@@ -325,9 +332,14 @@
         )
 
     def _assign_free(self, now: Seconds) -> None:
-        """Assign free keys to the least busy targets."""
+        """Assign free keys to the least busy targets.
+
+        The map is also written if the store may have lost it.
+        """
         free = self.assignments.in_state(AssignmentState.free)
-        if self._is_writing or now < self._retry_write_at or not free:
+        if self._is_writing or now < self._retry_write_at:
+            return
+        if not free and not self._writer.may_be_lost():
             return
         load_by_id = self._loads.current()
         if not load_by_id or not self._granter.has_authority():
--- a/tests/test_leader_contact.py
+++ b/tests/test_leader_contact.py
@@ -326,6 +326,7 @@
                 ('seconds_without_leader',),
                 ('tables_age_seconds',),
                 ('versions_disproved',),
+                ('writes_lost',),
                 ('tables_age_by_way_seconds', 'store'),
                 ('short_terms',),
                 ('leader_changes',),
