--- a/soak/faults.py
+++ b/soak/faults.py
@@ -146,6 +146,7 @@
             self.store_troubles.answer_newest,
             self.store_troubles.change_pace,
             self.store_troubles.follow_in_series,
+            self.store_troubles.lose_writes,
             self.hard_faults.stop_leader,
             self.hard_faults.kill_all_informed,
             self.hard_faults.silence_connections,
--- a/soak/store_troubles.py
+++ b/soak/store_troubles.py
@@ -1,11 +1,13 @@
 """Faults of the whole store: late, slow, behind, shared with other writers."""
 
 import asyncio
+import base64
 import random
 from collections.abc import Awaitable, Callable, Collection
 
 from cassialever.fleet.view import OWN_TABLE
 from soak.fleet import DaemonProcess, SoakFleet
+from standins.rowstore import RowStoreServer, StoredRow
 
 #: Range of the duration of each fault, in seconds, and the longest in a series.
 DURATIONS = (2.0, 10.0)
@@ -15,13 +17,18 @@
 SLOW_TIMES = (0.5, 0.95)
 #: How far reads of a table are behind, in seconds.
 LAGS = (0.5, 3.0)
-LAGGING_TABLES = ('op', 'servers', OWN_TABLE)
+OTHER_TABLES = ('op', 'servers')
+LAGGING_TABLES = (*OTHER_TABLES, OWN_TABLE)
 #: Parts of the transactions that others write after, and how many rows.
 SHARES = (0.2, 0.5, 1.0)
 BURSTS = (1, 1, 3)
 #: Part of these faults during which the leader is killed, and when, in seconds.
 KILLED_PART = 0.5
 KILL_TIMES = (0.2, 2.0)
+#: How much a store loses that comes back from an older copy, and the time in
+#: which other writers write it again, in seconds.
+LOST_TIMES = (0.3, 3.0)
+REWRITING_TIME = 2.0
 #: Faults in a series, and range of the pauses between them, in seconds.
 SERIES_LENGTHS = (2, 4)
 SERIES_INTERVALS = (0.0, 1.5)
@@ -46,6 +53,7 @@
         self._pacing = asyncio.Lock()
         self._sharing = asyncio.Lock()
         self._following = asyncio.Lock()
+        self._losing = asyncio.Lock()
         #: No fault lasts longer than this, by the loop's clock.
         self.ends_at = float('inf')
 
@@ -86,6 +94,38 @@
                 await fault(self._draw_duration(longest))
                 self._log_event('the store has its usual pace')
 
+    async def lose_writes(self) -> None:
+        """Lose what the store has acknowledged last, of all writers.
+
+        What is not written again by others was written by daemons.
+        """
+        if self._losing.locked():
+            return
+        async with self._losing:
+            with (
+                self._fleet.outages.lasting(),
+                self._fleet.store_disruptions.lasting(),
+            ):
+                store = self._fleet.store
+                seconds = self._random.uniform(*LOST_TIMES)
+                lost = store.rows.go_back(self._pace.lag.go_back(seconds))
+                version = store.rows.version
+                self._log_event(
+                    f'the store loses {seconds:.2f} s: it goes back to version'
+                    f' {version}, by {len(lost)} rows'
+                )
+                killing = asyncio.ensure_future(self._kill_leader())
+                latest = {(row.table, row.key): row for row in lost}
+                for row in latest.values():
+                    if row.table not in OTHER_TABLES:
+                        continue
+                    await asyncio.sleep(
+                        self._random.uniform(0, REWRITING_TIME / len(latest))
+                    )
+                    _write_again(store, row, version)
+                await killing
+                self._log_event('what others wrote is written again')
+
     async def follow_in_series(self) -> None:
         """Have several of these faults, one soon after another."""
         if self._following.locked():
@@ -131,3 +171,15 @@
         duration = min(self._random.uniform(*DURATIONS), longest)
         now = asyncio.get_running_loop().time()
         return max(min(duration, self.ends_at - now), 0)
+
+
+def _write_again(store: RowStoreServer, lost: StoredRow, version: int) -> None:
+    """Write a lost row again, unless it was written after a version."""
+    current = store.rows.row_by_name.get((lost.table, lost.key))
+    if current is not None and current.ver > version:
+        return
+    if lost.value is None:
+        store.delete(lost.table, lost.key)
+    else:
+        content = base64.b64decode(lost.value)
+        store.put_bytes(lost.table, lost.key, content)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Run a short soak test with one seed."""
 
 import asyncio
+import base64
 import os
 import pathlib
 import random
@@ -29,7 +30,7 @@
     CallOutcome,
 )
 from standins.keyed_target import Grant
-from standins.rowstore import RowStoreServer
+from standins.rowstore import RowStore, RowStoreServer
 
 #: Time in which a connection on which nothing comes is taken to be silent, in
 #: seconds.
@@ -368,6 +369,43 @@
     def test_series(self) -> None:
         self.assertGreaterEqual(len(self._run('follow_in_series')), 4)
 
+    def test_lost_writes_are_written_again_by_others(self) -> None:
+        begun, ended = self._run('lose_writes')
+        self.assertIn('goes back to version', begun[0])
+        self.assertEqual((begun[1], ended[1]), (True, True))
+
+
+class LosingStoreTest(unittest.TestCase):
+    """The stand-in store after it has lost writes."""
+
+    def test_versions_are_given_again_and_not_known(self) -> None:
+        store = RowStore()
+        store.put('op', 'config', b'1')
+        kept = store.put('servers', 't0', b'1')
+        store.put('op', 'config', b'2')
+        known = store.put('servers', 't1', b'1')
+        lost = store.go_back(kept)
+        self.assertEqual([row.key for row in lost], ['config', 't1'])
+        self.assertEqual(store.version, kept)
+        self.assertEqual(store.row_by_name['op', 'config'].ver, 1)
+        self.assertNotIn(('servers', 't1'), store.row_by_name)
+        self.assertIsNone(store.changes_after('servers', known))
+        self.assertEqual(store.changes_after('servers', kept), [])
+        self.assertEqual(store.put('op', 'config', b'3'), kept + 1)
+
+    def test_only_what_was_not_written_since_is_written_again(self) -> None:
+        server = RowStoreServer()
+        kept = server.rows.put('op', 'config', b'1')
+        server.rows.put('op', 'config', b'2')
+        server.rows.put('servers', 't0', b'2')
+        lost = server.rows.go_back(kept)
+        server.rows.put('op', 'config', b'3')
+        for row in lost:
+            store_troubles._write_again(server, row, kept)
+        value = server.rows.row_by_name['op', 'config'].value
+        self.assertEqual(base64.b64decode(value or ''), b'3')
+        self.assertIn(('servers', 't0'), server.rows.row_by_name)
+
 
 class FreePortsTest(unittest.TestCase):
     """Ports at which the paths of several daemons listen."""
