--- a/cassialever/fleet/lost_writes.py
+++ b/cassialever/fleet/lost_writes.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Annotated, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -45,6 +45,8 @@
         self._clock = clock
         #: The highest version and when it was found, by the leader it made.
         self._found_by_leader: dict[str, tuple[RowVersion, Seconds]] = {}
+        #: The version of each row that was found lost last.
+        self._lost_by_row: dict[str, RowVersion] = {}
         #: How often a row was found lost.
         self.count = 0
 
@@ -54,7 +56,13 @@
         """Note that the store has a row with an earlier version, or has none.
 
         That has to be of a read which began after the known one was learnt.
+        Each version of a row is lost once.
         """
+        if self._lost_by_row.get(known.name) == known.version:
+            return
+        self._lost_by_row.pop(known.name, None)
+        self._lost_by_row[known.name] = known.version
+        _limit(self._lost_by_row)
         self.count += 1
         record(
             Event.writes_lost,
@@ -90,5 +98,9 @@
             max(known[0], version),
             max(known[1], found_at),
         )
-        if len(self._found_by_leader) > MAX_LOSSES:
-            self._found_by_leader.pop(next(iter(self._found_by_leader)))
+        _limit(self._found_by_leader)
+
+
+def _limit(known: dict[str, Any]) -> None:
+    while len(known) > MAX_LOSSES:
+        known.pop(next(iter(known)))
