Wait once for the grants that a loss may have left

A term that began in doubt after a loss was found, and is no longer in doubt, has waited for all grants before it. The lease says when it began (doubted_at), by the store's clock.

--- a/cassialever/fleet/election.py
+++ b/cassialever/fleet/election.py
@@ -99,7 +99,7 @@
         self.log = AttemptLog()
         self._sightings = _Sightings()
         #: Leaders' writes that the store has lost.
-        self.doubts = OwnerDoubts(view)
+        self.doubts = OwnerDoubts(view, clock)
         #: Leases that this process may have written without leading by them.
         self._unconfirmed: collections.deque[leases.Lease] = collections.deque(
             maxlen=MAX_UNCONFIRMED
@@ -225,7 +225,9 @@
         # None of them can be performed after this takeover.
         self._unconfirmed.clear()
         # Lost writes may have been found since it was written.
-        new_lease = self.doubts.applied_to(new_lease, read.store_time)
+        new_lease = self.doubts.applied_to(
+            new_lease, read.store_time, read.sent_at
+        )
         record(
             Event.leader_taken,
             version=term,
@@ -233,6 +235,9 @@
             store_time=read.store_time,
         )
         if new_lease.are_owners_in_doubt:
+            new_lease = msgspec.structs.replace(
+                new_lease, doubted_at=read.store_time
+            )
             record(
                 Event.owners_in_doubt,
                 term=term,
@@ -264,8 +269,9 @@
             mapped_services=leases.mapped_services(lease, read.version),
             are_owners_in_doubt=bool(lease and lease.are_owners_in_doubt),
             min_fence=lease.min_fence if lease else Fence(0),
+            doubted_at=lease.doubted_at if lease else leases.NO_UNNAMED,
         )
-        return self.doubts.applied_to(new_lease, read.store_time)
+        return self.doubts.applied_to(new_lease, read.store_time, read.sent_at)
 
     async def _commit(
         self, lease: leases.Lease, lease_version: RowVersion
--- a/cassialever/fleet/lease.py
+++ b/cassialever/fleet/lease.py
@@ -69,7 +69,8 @@
     target; its default is that of builds without the field. The key maps of
     `mapped_services` may be stored; without the field any may be. While
     `are_owners_in_doubt` is set, grants may be in force that no stored key map
-    names, and fences from `min_fence` on are above those.
+    names, and fences from `min_fence` on are above those. The last term that
+    began in such a doubt did so at `doubted_at`.
     """
 
     instance_id: str
@@ -82,6 +83,7 @@
     mapped_services: tuple[ServiceName, ...] | None = None
     are_owners_in_doubt: bool = False
     min_fence: _Fence = Fence(0)
+    doubted_at: _StoreTime = NO_UNNAMED
 
 
 def find_lease(
--- a/cassialever/fleet/owner_doubts.py
+++ b/cassialever/fleet/owner_doubts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cassialever.clock import SystemClock
 from cassialever.fleet import lease as leases
 from cassialever.fleet.earlier_grants import EarlierGrants
 from cassialever.fleet.lost_writes import MAX_LOST_VERSIONS
@@ -17,10 +18,11 @@
 class OwnerDoubts:
     """What this daemon knows of leaders' writes that the store has lost."""
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(self, view: FleetView, clock: SystemClock) -> None:
         """Go by the lost writes that a view has found."""
         self._view = view
         self._lost = view.rows.lost_writes
+        self._clock = clock
 
     def note_leader_row(self, stored_version: RowVersion) -> None:
         """Note the version that the store has of the leader's row."""
@@ -29,14 +31,20 @@
             self._lost.note(known, stored_version, self._view.leader_id)
 
     def applied_to(
-        self, lease: leases.Lease, store_time: Seconds
+        self, lease: leases.Lease, store_time: Seconds, read_at: Seconds
     ) -> leases.Lease:
         """Return a new lease with what follows from lost writes, if any were.
 
-        The lost leaders may renew grants until they learn that they were
-        replaced.
+        `store_time` was read by a call at `read_at`. The lost leaders may renew
+        grants until they learn that they were replaced. A term that began after
+        a loss was found, in doubt, has waited for them.
         """
-        losses = self._lost.recent()
+        now = self._clock.boot()
+        losses = [
+            loss
+            for loss in self._lost.recent()
+            if store_time + now - loss.age - read_at > lease.doubted_at
+        ]
         if not losses:
             return lease
         until = store_time + leases.AUTHORITY_TERM
