--- a/tests/test_lost_writes.py
+++ b/tests/test_lost_writes.py
@@ -353,6 +353,56 @@
 
         self.play(scenario)
 
+    def test_grants_that_may_be_lost_are_waited_for_once(self) -> None:
+        """Each leader waited that had been told of the loss."""
+
+        async def scenario(world: World, lost: Daemon, then: Daemon) -> None:
+            lost.kill()
+            self.assertTrue(await then.take_over())
+            term = then.leader_term
+            assert term is not None
+            term.note_follower(lost.hello)
+            last = world.add_daemon('edge-4')
+            last.view.rows.lost_writes.note_told(
+                then.view.rows.lost_writes.recent()
+            )
+            world.publish_targets()
+            while term.doubt.is_open():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(1)
+            await term.resign()
+            then.kill()
+            self.assertTrue(await last.take_over())
+            self.assertTrue(last.view.rows.lost_writes.recent())
+            assert last.leader_term is not None
+            self.assertFalse(last.leader_term.doubt.is_open())
+            await asyncio.sleep(1)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.play(scenario)
+
+    def test_loss_that_is_found_after_a_doubt_is_waited_for(self) -> None:
+        async def scenario(world: World, lost: Daemon, then: Daemon) -> None:
+            lost.kill()
+            self.assertTrue(await then.take_over())
+            term = then.leader_term
+            assert term is not None
+            term.note_follower(lost.hello)
+            await asyncio.sleep(MAX_GRANT_DURATION + 1)
+            self.assertFalse(term.doubt.is_open())
+            last = world.add_daemon('edge-4')
+            world.publish_targets()
+            last.view.rows.lost_writes.note_told(
+                (Loss(RowVersion(9), 'edge-1', 0),)
+            )
+            await term.resign()
+            then.kill()
+            self.assertTrue(await last.take_over())
+            assert last.leader_term is not None
+            self.assertTrue(last.leader_term.doubt.is_open())
+
+        self.play(scenario)
+
     def test_fences_are_above_those_that_were_lost(self) -> None:
         async def scenario(world: World, lost: Daemon, then: Daemon) -> None:
             lost.kill()
