Count a loss found within 2 s after a doubt began as known to it

The next leader had been told of the loss a moment after the term in doubt read the store's clock, and waited anew.

--- a/cassialever/fleet/owner_doubts.py
+++ b/cassialever/fleet/owner_doubts.py
@@ -4,6 +4,8 @@
 keys, and the fences that were given are above those that it reads.
 """
 
+from typing import Final
+
 import msgspec
 
 from cassialever.clock import SystemClock
@@ -14,6 +16,10 @@
 from cassialever.keys.assignments import first_fence
 from cassialever.types import RowVersion, Seconds
 
+#: A term in doubt grants nothing for longer than this, so that no loss that is
+#: found by then is one of its owners. Daemons learn of a loss one by one.
+MIN_DOUBT_TIME: Final[Seconds] = 2.0
+
 
 class OwnerDoubts:
     """What this daemon knows of leaders' writes that the store has lost."""
@@ -40,10 +46,11 @@
         a loss was found, in doubt, has waited for them.
         """
         now = self._clock.boot()
+        known_until = lease.doubted_at + MIN_DOUBT_TIME
         losses = [
             loss
             for loss in self._lost.recent()
-            if store_time + now - loss.age - read_at > lease.doubted_at
+            if store_time + now - loss.age - read_at > known_until
         ]
         if not losses:
             return lease
--- a/tests/test_lost_writes.py
+++ b/tests/test_lost_writes.py
@@ -23,6 +23,7 @@
     LostWrites,
 )
 from cassialever.fleet.model import KeyMap, StoreRow
+from cassialever.fleet.owner_doubts import MIN_DOUBT_TIME
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, FleetView
 from cassialever.keys.assignments import MAX_GRANT_DURATION, first_fence
 from cassialever.keys.mapwriter import row_name
@@ -436,6 +437,7 @@
 
     def test_loss_counts_while_grants_may_be_in_force(self) -> None:
         self.assertGreater(MAX_LOSS_AGE, AUTHORITY_TERM + MAX_GRANT_DURATION)
+        self.assertLess(MIN_DOUBT_TIME, MAX_GRANT_DURATION)
         self.lost.note(self.row, RowVersion(40), 'edge-1')
         self.clock.now += MAX_LOSS_AGE
         self.assertEqual(len(self.lost.recent()), 1)
