--- a/tests/test_lost_writes.py
+++ b/tests/test_lost_writes.py
@@ -23,6 +23,7 @@
     LostWrites,
 )
 from cassialever.fleet.model import KeyMap, StoreRow
+from cassialever.fleet.owner_doubts import MIN_DOUBT_TIME
 from cassialever.fleet.view import LEADER_ROW, OWN_TABLE, FleetView
 from cassialever.keys.assignments import MAX_GRANT_DURATION, first_fence
 from cassialever.keys.mapwriter import row_name
@@ -353,6 +354,56 @@
 
         self.play(scenario)
 
+    def test_grants_that_may_be_lost_are_waited_for_once(self) -> None:
+        """Each leader waited that had been told of the loss."""
+
+        async def scenario(world: World, lost: Daemon, then: Daemon) -> None:
+            lost.kill()
+            self.assertTrue(await then.take_over())
+            term = then.leader_term
+            assert term is not None
+            term.note_follower(lost.hello)
+            last = world.add_daemon('edge-4')
+            last.view.rows.lost_writes.note_told(
+                then.view.rows.lost_writes.recent()
+            )
+            world.publish_targets()
+            while term.doubt.is_open():
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(1)
+            await term.resign()
+            then.kill()
+            self.assertTrue(await last.take_over())
+            self.assertTrue(last.view.rows.lost_writes.recent())
+            assert last.leader_term is not None
+            self.assertFalse(last.leader_term.doubt.is_open())
+            await asyncio.sleep(1)
+            self.assertEqual(world.unheld_count(), 0)
+
+        self.play(scenario)
+
+    def test_loss_that_is_found_after_a_doubt_is_waited_for(self) -> None:
+        async def scenario(world: World, lost: Daemon, then: Daemon) -> None:
+            lost.kill()
+            self.assertTrue(await then.take_over())
+            term = then.leader_term
+            assert term is not None
+            term.note_follower(lost.hello)
+            await asyncio.sleep(MAX_GRANT_DURATION + 1)
+            self.assertFalse(term.doubt.is_open())
+            last = world.add_daemon('edge-4')
+            world.publish_targets()
+            last.view.rows.lost_writes.note_told(
+                (Loss(RowVersion(9), 'edge-1', 0),)
+            )
+            await term.resign()
+            then.kill()
+            self.assertTrue(await last.take_over())
+            assert last.leader_term is not None
+            self.assertTrue(last.leader_term.doubt.is_open())
+
+        self.play(scenario)
+
     def test_fences_are_above_those_that_were_lost(self) -> None:
         async def scenario(world: World, lost: Daemon, then: Daemon) -> None:
             lost.kill()
@@ -386,6 +437,7 @@
 
     def test_loss_counts_while_grants_may_be_in_force(self) -> None:
         self.assertGreater(MAX_LOSS_AGE, AUTHORITY_TERM + MAX_GRANT_DURATION)
+        self.assertLess(MIN_DOUBT_TIME, MAX_GRANT_DURATION)
         self.lost.note(self.row, RowVersion(40), 'edge-1')
         self.clock.now += MAX_LOSS_AGE
         self.assertEqual(len(self.lost.recent()), 1)
@@ -416,9 +468,19 @@
 
     def test_number_of_losses_is_limited(self) -> None:
         for number in range(2 * MAX_LOSSES):
-            self.lost.note(self.row, RowVersion(40), f'edge-{number}')
+            row = StoreRow(OWN_TABLE, f'keys/{number}', b'', RowVersion(43))
+            self.lost.note(row, RowVersion(40), f'edge-{number}')
         self.assertEqual(len(self.lost.recent()), MAX_LOSSES)
 
+    def test_loss_that_is_found_again_is_no_later_one(self) -> None:
+        """Another daemon may have the lost row for long."""
+        with LoggedEvents() as logged:
+            for _ in range(4):
+                self.lost.note(self.row, RowVersion(40), 'edge-1')
+                self.clock.now += MAX_LOSS_AGE / 2
+        self.assertEqual(len(logged.fields('writes_lost')), 1)
+        self.assertEqual((self.lost.recent(), self.lost.count), ((), 1))
+
     def test_older_table_of_another_daemon_shows_a_loss(self) -> None:
         """The store has made up for the versions by then."""
         view = FleetView(self.clock)
