Write a key map again whose version was lost, and read tables whole after a loss

What callers would see, shown on the code before: after a loss that a leader lives through its next maps get versions that daemons know already. A change of a target at such a version was missed where the wait for changes outlasted the versions. Mend: the leader writes the map once more when the store has made up for them, and reads all tables whole when it finds a loss by its lease. The fakes of the store's client now take an answer below the lowest possible version for a lost one, as the client does; they hid this.

--- a/cassialever/fleet/following.py
+++ b/cassialever/fleet/following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Final
 
 from cassialever.errors import ErrorKind, Failure
@@ -72,15 +73,21 @@
         tables: tuple[str, ...],
         batch_delay: Seconds = BATCH_DELAY,
         *,
-        reads_whole: bool = False,
+        losses: Callable[[], int] | None = None,
     ) -> None:
         """Start with no table followed.
 
         `batch_delay` is the pause after an answer with changes. Tables that are
-        known are not read again unless `reads_whole` is set.
+        known are read again whenever the number of `losses` of the store has
+        risen, by default of those that the view has found.
         """
         self._tables = tables
-        self._reads_whole = reads_whole
+        lost_writes = view.rows.lost_writes
+        self._losses = losses or (lambda: lost_writes.count)
+        #: How many there were before each table was read whole.
+        self._losses_by_table = dict.fromkeys(
+            tables, 0 if losses else lost_writes.count
+        )
         #: Up to which version the store has told each table. Others may know
         #: later ones, which it has lost and gives to other rows.
         self._told_by_table: dict[str, RowVersion] = {}
@@ -115,7 +122,7 @@
                 group.create_task(self._follow(table))
 
     async def _follow(self, table: str) -> None:
-        calls = _Calls(self._is_read_first(table))
+        calls = _Calls(table not in self._view.rows.version_by_table)
         while True:
             began_at = self._clock.boot()
             failure = await self._update_once(table, calls.is_whole)
@@ -131,17 +138,13 @@
             await asyncio.sleep(self._pause(calls.delay, began_at))
             calls.delay = min(calls.delay * 2, MAX_RETRY_DELAY)
 
-    def _is_read_first(self, table: str) -> bool:
-        is_known = table in self._view.rows.version_by_table
-        return self._reads_whole or not is_known
-
     async def _update_once(
         self, table: str, needs_snapshot: bool
     ) -> Failure | None:
         called_at = self._clock.boot()
         known = self._view.rows.version_by_table.get(table)
         # It is forgotten when changes of a key map do not apply.
-        if needs_snapshot or known is None:
+        if needs_snapshot or known is None or self._may_lack_rows(table):
             return await self._read_whole(table, called_at)
         after = min(known, self._told_by_table.get(table, known))
         wait = self._longest_wait(table)
@@ -167,15 +170,21 @@
         self._answer_time_by_table[table] = self._age_of(table)
         return None
 
+    def _may_lack_rows(self, table: str) -> bool:
+        """Return whether rows may have got versions that were known."""
+        return self._losses() != self._losses_by_table[table]
+
     async def _read_whole(
         self, table: str, called_at: Seconds
     ) -> Failure | None:
+        losses = self._losses()
         snapshot = await self._store.read_all(table)
         if isinstance(snapshot, Failure):
             return snapshot
         if self._view.replace(
             table, snapshot.rows, snapshot.version, began_at=called_at
         ):
+            self._losses_by_table[table] = losses
             self._complete_at_by_table[table] = called_at
             self._told_by_table[table] = snapshot.version
             return None
--- a/cassialever/fleet/leading.py
+++ b/cassialever/fleet/leading.py
@@ -96,10 +96,9 @@
         #: The row version of the takeover, which numbers the term.
         self.term: RowVersion = committed.version
         self._lease_version = committed.version
-        #: The lowest version that the store can have, unless it lost writes.
-        self._lease_at_least = committed.lower_bound
-        #: How often the store was found to have lost writes of this term.
-        self.loss_count = 0
+        #: The lowest version that the lease can have, unless the store has lost
+        #: it. So the store's own is no lower.
+        self.lease_at_least = committed.lower_bound
         self._store_clock = StoreClock(lease.renewed_at, times.read_at)
         self._store_clock.note(
             committed.store_time, times.sent_at, clock.boot()
@@ -312,9 +311,9 @@
             return False
         if is_own:
             is_changed = version != self._lease_version
-            self.loss_count += version < self._lease_at_least
+            self.doubt.loss_count += version < self.lease_at_least
             self._lease_version = version
-            self._lease_at_least = version
+            self.lease_at_least = version
             if is_changed and lease != self._confirmed_lease:
                 self._lost_answers.note_performed(self._clock.boot())
             return is_changed
@@ -331,7 +330,7 @@
     def _note_commit(self, answer: rows.Committed, sent_at: Seconds) -> None:
         self._store_clock.note(answer.store_time, sent_at, self._clock.boot())
         self._lease_version = answer.version
-        self._lease_at_least = answer.lower_bound
+        self.lease_at_least = answer.lower_bound
         self._confirmed_at = sent_at
         self._lost_answers.count = 0
 
--- a/cassialever/fleet/membership.py
+++ b/cassialever/fleet/membership.py
@@ -327,8 +327,7 @@
             self._view,
             self._random,
             self._view.tables_of_other_writers,
-            # Versions that the store has lost tell nothing of its tables.
-            reads_whole=leader_term.doubt.is_open(),
+            losses=leader_term.doubt.losses,
         )
         self._relay.ages = lambda: LeaderAges(
             leader_term.store_age(), follower.age(), self._clock.boot()
--- a/cassialever/fleet/owner_doubts.py
+++ b/cassialever/fleet/owner_doubts.py
@@ -84,9 +84,15 @@
         self._earlier_grants = earlier_grants
         #: The lowest fence that is above those which the store has lost.
         self.min_fence = lease.min_fence
+        #: How often the store was found to have lost writes of the term.
+        self.loss_count = 0
 
     def is_open(self) -> bool:
         """Return whether they may be: all keys wait for them."""
         return (
             self._began_in_doubt and not self._earlier_grants.all_have_expired()
         )
+
+    def losses(self) -> int:
+        """Return how often the store has lost writes, as this term knows."""
+        return self.loss_count + self._began_in_doubt
--- a/cassialever/keys/mapwriter.py
+++ b/cassialever/keys/mapwriter.py
@@ -7,6 +7,7 @@
 from cassialever.errors import Failure
 from cassialever.fleet.leading import LeaderTerm
 from cassialever.fleet.model import KeyMap, StoreRow
+from cassialever.fleet.row_replica import UNCONFIRMED
 from cassialever.fleet.term_ends import TermEnd
 from cassialever.fleet.view import KEY_MAP_PREFIX, LEADER_ROW, OWN_TABLE
 from cassialever.platform import rows
@@ -44,6 +45,11 @@
         self.version = RowVersion(0)
         #: The lowest version that it can have, unless the store lost writes.
         self._at_least = RowVersion(0)
+        #: The highest version that the row had, and that at the last loss of
+        #: the store. Daemons that know it take no lower one, nor another row of
+        #: this version.
+        self._highest = RowVersion(0)
+        self._lost = UNCONFIRMED
         #: The content of the row as it is known.
         self._known_content: bytes | None = None
         #: Losses of the store before the last write.
@@ -54,13 +60,21 @@
     def start_from(self, row: StoreRow) -> None:
         """Expect the row that is known when the term begins."""
         self._leader_term.mapped_services.note(self._service)
+        self._highest = row.version
         self.version = row.version
         self._at_least = row.version
         self._known_content = row.content
 
     def may_be_lost(self) -> bool:
-        """Return whether the store may have lost the last write."""
-        return self._leader_term.loss_count != self._loss_count
+        """Return whether the store may have lost the last write.
+
+        One that got a version below those that were lost is written again once
+        the store has made up for them.
+        """
+        if self._leader_term.doubt.loss_count != self._loss_count:
+            return True
+        reached = self._leader_term.lease_at_least
+        return self._at_least <= self._lost <= reached
 
     async def write(self, key_map: KeyMap) -> StoreRow | None:
         """Write a key map; return its row.
@@ -73,15 +87,14 @@
         self._leader_term.mapped_services.note(self._service)
         for _ in range(MAX_ATTEMPTS):
             expected = self.version
-            loss_count = self._leader_term.loss_count
+            loss_count = self._leader_term.doubt.loss_count
             answer = await self._leader_term.commit(self._transaction(content))
             if isinstance(answer, Failure):
                 self._uncertain_contents.append(content)
                 return None
             if isinstance(answer, rows.Committed):
                 self._note_stored(content, answer.version)
-                self._at_least = answer.lower_bound
-                self._loss_count = loss_count
+                self._note_versions(answer.lower_bound, loss_count)
                 return self._row(content, answer.lower_bound)
             if not self._adopt(answer, content):
                 return None
@@ -109,6 +122,14 @@
         self._known_content = content
         self._uncertain_contents.clear()
 
+    def _note_versions(self, at_least: RowVersion, loss_count: int) -> None:
+        """Note the lowest version of a write, and the losses before it."""
+        self._at_least = at_least
+        if loss_count != self._loss_count:
+            self._lost = self._highest
+        self._highest = max(self._highest, at_least)
+        self._loss_count = loss_count
+
     def _adopt(self, conflict: rows.Conflict, written: bytes) -> bool:
         """Adopt the row that a write has met; return whether to go on.
 
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -46,6 +46,7 @@
 from cassialever.fleet.view import FleetView
 from cassialever.keys.heat import HEAT_UPDATE_INTERVAL
 from cassialever.platform import records, rows, store
+from cassialever.platform.newest_version import NewestVersion
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.paths import TargetPaths
 from cassialever.policy.peer_reports import Helper
@@ -293,7 +294,7 @@
         self.silent_tables: set[str] = set()
         self.calls = 0
         #: The newest version that an answer has told.
-        self._newest = 0
+        self._newest = NewestVersion()
         #: Commits that go on though their callers have gone.
         self._performing: set[asyncio.Task[Any]] = set()
 
@@ -304,7 +305,7 @@
             return refused_call()
         before, after = pace.slowness.draw(COMMIT_PATH, self._machine.name)
         before += self.commit_delay
-        at_least = RowVersion(self._newest + 1)
+        at_least = RowVersion(self._newest.told + 1)
         if not before + after and not pace.standstill.is_on:
             return self._note(await self._commit(transaction, at_least))
         task = asyncio.create_task(
@@ -322,9 +323,13 @@
 
     async def read_all(self, table: str) -> Any:
         self.calls += 1
-        return self._note(
-            await self._paced(self._read(table), READ_PATH, store.CALL_TIMEOUT)
+        told_before = self._newest.told
+        answer = await self._paced(
+            self._read(table), READ_PATH, store.CALL_TIMEOUT
         )
+        if not isinstance(answer, Failure):
+            self._newest.note_read(answer.version, told_before)
+        return answer
 
     async def wait_for_changes(
         self, table: str, after: int, wait: float = store.LONG_POLL_WAIT
@@ -395,6 +400,9 @@
             return await self._fail(store.CALL_TIMEOUT)
         version = RowVersion(self._rig.rows.version)
         if isinstance(outcome, int):
+            # The client takes a lower version for an answer that was lost.
+            if version < at_least:
+                return lost_answer()
             return rows.Committed(version, now, at_least)
         return rows.Conflict(decode(outcome), now, version)
 
@@ -454,7 +462,7 @@
     def _note(self, answer: Any) -> Any:
         """Note the version that an answer tells, as the client does."""
         if not isinstance(answer, Failure):
-            self._newest = max(self._newest, answer.version)
+            self._newest.note(answer.version)
         return answer
 
     async def _fail(self, delay: float) -> Failure:
--- a/tests/ownership_fakes.py
+++ b/tests/ownership_fakes.py
@@ -92,7 +92,10 @@
             if self.world.names_newest(transaction):
                 # Another writer commits before the answer is made.
                 outcome = self.shared.put('others', 'row', b'content')
-            self.newest = max(self.newest, outcome)
+            if outcome < at_least:
+                # The client takes this for an answer that was lost.
+                return Failure(ErrorKind.table_answer_lost, 'lower')
+            self.newest = outcome
             return rows.Committed(outcome, self.world.loop.time(), at_least)
         self.newest = self.shared.version
         answer = {
--- a/tests/test_lost_writes.py
+++ b/tests/test_lost_writes.py
@@ -209,6 +209,31 @@
 
         self.play_losing(scenario, (1,))
 
+    def test_map_that_gets_a_lost_version_reaches_all_daemons(self) -> None:
+        """They had the later version of the earlier map, for good."""
+
+        async def scenario(rig: LosingRig) -> None:
+            for _ in range(12):
+                rig.put_target(1)
+            rig.put_target(0, 'draining')
+            await asyncio.sleep(0.5)
+            rig.put_target(0)
+            rig.lose(0.55)
+            rig.put_target(0, 'draining')
+            rig.put_target(2, 'draining')
+            for _ in range(16):
+                # Others make up for the versions.
+                await asyncio.sleep(0.1)
+                rig.put_target(1)
+            await asyncio.sleep(LOSS_INTERVAL)
+            stored = rig.stored_owners()
+            self.assertFalse({'t0', 't2'} & stored)
+            for daemon in rig.daemons:
+                ranges = daemon.view.owners()[SERVICE]
+                self.assertEqual({keys.owner for keys in ranges}, stored)
+
+        self.play_losing(scenario, tuple(range(4)))
+
     def test_restarted_leader_learns_from_others_what_was_lost(self) -> None:
         """It knew nothing, and went by the earlier map at once."""
 
