Expect fences in tests of key events by the design's figure; reword comments

The expected fences came from first_fence, the function under test, since. They are the term's number times 1,024 now. Three comments say what the code does in plainer terms. No change of behaviour.

--- a/cassialever/keys/mapwriter.py
+++ b/cassialever/keys/mapwriter.py
@@ -153,7 +153,7 @@
             self._known_content = None
             return True
         own = {self._known_content, written, *self._uncertain_contents}
-        # An earlier row is one that the store came back to: nobody wrote it.
+        # A lower version shows that the store has lost a write of this term.
         if stored.content not in own and stored.version >= self._at_least:
             self._leader_term.end(
                 TermEnd.key_map_changed,
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -159,7 +159,7 @@
     def go_back(self, version: int) -> list[StoredRow]:
         """Lose all changes after a version, and return them.
 
-        The versions are given out again, and the history begins anew.
+        Later writes get the same versions again. The history is empty.
         """
         lost = [row for row in self.history if row.ver > version]
         earlier = self.as_of(version)
--- a/tests/key_logs.py
+++ b/tests/key_logs.py
@@ -5,9 +5,12 @@
 import logbook
 import msgspec
 
-from cassialever.keys.assignments import first_fence
 from tests.ownership_fakes import World, logging_daemon
 
+#: Fences that lie between two terms whose numbers follow each other, as
+#: docs/design/platform.md has it.
+FENCES_OF_A_VERSION = 1024
+
 
 class KeyLogs(logbook.Handler):  # type: ignore[misc]
     """Collects log lines in the format of daemons, with the world's time."""
@@ -29,7 +32,8 @@
 
     def first_fence(self) -> int:
         """Return the fence of the first assignment of the first term."""
-        return first_fence(self.named('keys_inherited')[0]['term'])
+        term: int = self.named('keys_inherited')[0]['term']
+        return term * FENCES_OF_A_VERSION
 
     def named(self, *names: str) -> list[dict[str, Any]]:
         """Return the fields of the lines of some events."""
--- a/tests/test_lost_writes.py
+++ b/tests/test_lost_writes.py
@@ -453,7 +453,7 @@
 
 
 class LossTest(unittest.TestCase):
-    """For how long a loss counts, and what others tell of it."""
+    """Expiry of losses, and merging those that other daemons report."""
 
     def setUp(self) -> None:
         self.clock = ManualClock()
