Admit callers of customers by key; decode uploads, limits and quotas' bounds

Cause: nothing knew the keys, tenants and quotas of the shifted deployment, and a configuration with uploads was refused whole, so that a daemon was never ready. Change: customers by the hash of their keys; 401 before the body is read, again at each choice of a target if the configuration has changed, and 503 while a newer one may be under way; targets get the customer's name in place of the key. Uploads may run once. Requests are routed before their bodies are read.

--- a/cassialever/fleet/model.py
+++ b/cassialever/fleet/model.py
@@ -3,6 +3,7 @@
 import enum
 import math
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Annotated, Final, NewType, TypeAlias
 
 import msgspec
@@ -13,6 +14,7 @@
     MAX_NAME_LENGTH,
 )
 from cassialever.types import (
+    CustomerName,
     DataCentreId,
     Fence,
     RowVersion,
@@ -27,6 +29,8 @@
 StartedAt = NewType('StartedAt', int)
 #: A key of a keyed service.
 KeyNumber = NewType('KeyNumber', int)
+#: A hash of the key by which the callers of a customer are admitted.
+CredentialHash = NewType('CredentialHash', bytes)
 
 #: Keys are whole numbers from 0 to one less than this.
 KEY_COUNT: Final = 65536
@@ -40,11 +44,13 @@
     safe = 'safe'
     download = 'download'
     unsafe = 'unsafe'
+    #: Requests with long bodies, which may run once.
+    upload = 'upload'
 
     @property
     def is_idempotent(self) -> bool:
         """Return whether a request may run more than once."""
-        return self is not RequestKind.unsafe
+        return self not in {RequestKind.unsafe, RequestKind.upload}
 
 
 class TargetState(enum.Enum):
@@ -66,7 +72,8 @@
 
     `time_limit` bounds a request from arrival to answer; `objective` is the
     latency that answers should stay within. Rank 0 is the highest.
-    `longest_attempt` bounds a single attempt within the time limit.
+    `longest_attempt` bounds a single attempt within the time limit. Callers of
+    an anonymous route need no key.
     """
 
     name: RouteName
@@ -79,6 +86,7 @@
     attempts: int
     parts: tuple[WeightedService, ...]
     longest_attempt: Seconds = math.inf
+    is_anonymous: bool = False
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -101,13 +109,46 @@
     queue_length: float = math.inf
 
 
+class Customer(msgspec.Struct, frozen=True):
+    """A customer of the deployment, whose callers are admitted by key.
+
+    All daemons together admit `rate` requests per second and `burst` more; a
+    rate of 0 is no limit. `rank` replaces that of the route unless it is None.
+    """
+
+    name: CustomerName
+    rank: int | None = None
+    rate: float = 0
+    burst: float = 0
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What callers may send, and how long they may take or stay idle.
+
+    The header limit is for all fields together. Times are in seconds.
+    """
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 0
+    header_timeout: Seconds = 10.0
+    idle_timeout: Seconds = 75.0
+
+
 class Configuration(msgspec.Struct, frozen=True):
-    """Everything that operators have configured, at one version."""
+    """Everything that operators have configured, at one version.
+
+    Without customers no request needs a key.
+    """
 
     version: ConfigurationVersion
     routes: tuple[Route, ...]
     service_by_name: Mapping[ServiceName, Service]
     max_body_bytes: int
+    limits: CallerLimits = CallerLimits()
+    customer_by_credential: Mapping[CredentialHash, Customer] = (
+        MappingProxyType({})
+    )
+    has_customers: bool = False
 
 
 def version_of(configuration: Configuration | None) -> int:
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -4,13 +4,13 @@
 from http import HTTPStatus
 from typing import Final
 
+import msgspec
 from aiohttp import web
 
 from cassialever.clock import SystemClock
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
 from cassialever.gateway.bodies import (
-    Body,
     RequestMemory,
     read_request,
     send_whole,
@@ -20,7 +20,7 @@
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.refusals import Refusal
 from cassialever.gateway.routes import split_request_target
-from cassialever.gateway.routing import DEFAULT_TIMEOUT
+from cassialever.gateway.routing import DEFAULT_TIMEOUT, RoutedRequest
 from cassialever.gateway.sender import TargetRequest
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.listening import PortUse
@@ -143,27 +143,26 @@
             request.raw_path, request.headers.get('Host', '')
         )
         metadata = wire.parse_request_metadata(request.headers)
-        body = await self._read(request, memory, metadata.timeout)
         target_request = TargetRequest(
             request_id=metadata.request_id,
             method=request.method,
             raw_path=raw_path,
             headers=request.headers,
-            body=b'' if isinstance(body, Refusal) else body,
+            body=b'',
             memory=memory,
         )
-        if isinstance(body, Refusal):
-            self._record_unrouted(target_request, host, body)
-            response = _refusal_response(body, target_request.request_id)
-            # The rest of the body must not be taken for a request.
-            response.force_close()
-            return response
         routed = await self._forwarder.router.find(
             target_request, host, received_at
         )
+        if not isinstance(routed, Refusal):
+            routed = await self._with_body(request, routed, metadata.timeout)
         if isinstance(routed, Refusal):
             self._record_unrouted(target_request, host, routed)
-            return _refusal_response(routed, target_request.request_id)
+            response = _refusal_response(routed, target_request.request_id)
+            if request.can_read_body and not request.content.is_eof():
+                # The rest of the body must not be taken for a request.
+                response.force_close()
+            return response
         answer = await self._forwarder.serve(routed)
         if isinstance(answer, Refusal):
             return _refusal_response(answer, target_request.request_id)
@@ -172,22 +171,27 @@
         )
         return await self._relay(request, target_request.request_id, answer)
 
-    async def _read(
+    async def _with_body(
         self,
         request: web.BaseRequest,
-        memory: RequestMemory,
+        routed: RoutedRequest,
         timeout: Seconds | None,
-    ) -> Body | Refusal:
-        """Read the body of a request within the limits."""
+    ) -> RoutedRequest | Refusal:
+        """Read the body of a routed request within the limits."""
         configuration = self._forwarder.router.configuration
-        return await read_request(
+        body = await read_request(
             request,
-            memory,
+            routed.request.memory,
             configuration.max_body_bytes if configuration else None,
             DEFAULT_TIMEOUT
             if timeout is None
             else min(timeout, DEFAULT_TIMEOUT),
         )
+        if isinstance(body, Refusal):
+            return body
+        return msgspec.structs.replace(
+            routed, request=msgspec.structs.replace(routed.request, body=body)
+        )
 
     async def _relay(
         self, request: web.BaseRequest, request_id: str, answer: Answer
--- a/cassialever/gateway/refusals.py
+++ b/cassialever/gateway/refusals.py
@@ -86,6 +86,16 @@
     )
 
 
+def unknown_key() -> Refusal:
+    """Refuse a request whose key no customer has, or that has none."""
+    return Refusal(
+        HTTPStatus.UNAUTHORIZED,
+        'no customer has the key',
+        cause='unknown_key',
+        kind=ErrorKind.bad_credential,
+    )
+
+
 def outdated() -> Refusal:
     """Refuse a request while newer tables than this daemon's are under way."""
     return Refusal(
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -1,22 +1,27 @@
 """Find the route of a caller's request in the configuration in force."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
 
 from cassialever.clock import SystemClock
-from cassialever.fleet.model import Configuration, Route
+from cassialever.fleet.model import (
+    Configuration,
+    Customer,
+    Route,
+)
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.refusals import (
     Refusal,
     no_configuration,
     no_route,
     outdated,
+    unknown_key,
 )
 from cassialever.gateway.sender import TargetRequest
-from cassialever.platform import wire
+from cassialever.platform import credentials, wire
 from cassialever.policy.freshness import (
     MAX_ROUTE_WAIT,
     MAX_WAIT_SHARE,
@@ -27,10 +32,13 @@
     judge,
     reason_to_wait,
 )
-from cassialever.types import Seconds
+from cassialever.policy.precedence import Precedence
+from cassialever.types import CustomerName, Seconds
 
 #: How long callers that send no deadline are assumed to wait.
 DEFAULT_TIMEOUT: Final[Seconds] = 30.0
+#: Causes of refusals that another configuration may not have.
+_FINAL_CAUSES: Final = frozenset(('no_route', 'unknown_key'))
 
 
 class RoutedRequest(msgspec.Struct, frozen=True):
@@ -47,6 +55,26 @@
     host: str = ''
     #: The configuration in which its route was found.
     configuration: Configuration | None = None
+    #: The customer of the caller's key, if the route asks for one.
+    customer: Customer | None = None
+    #: The headers as the caller sent them. The request has those for targets.
+    caller_headers: Mapping[str, str] | None = None
+
+    @property
+    def precedence(self) -> Precedence:
+        """Return the request's place among those that compete for room."""
+        rank = self.route.rank
+        name = CustomerName('')
+        if self.customer is not None:
+            name = self.customer.name
+            if self.customer.rank is not None:
+                rank = self.customer.rank
+        return Precedence(
+            rank,
+            min(self.received_at + self.route.objective, self.deadline),
+            self.deadline,
+            name,
+        )
 
 
 def route_request(
@@ -58,18 +86,23 @@
     route = view.routes.find(host, request.raw_path)
     if route is None:
         return no_route()
+    customer = _customer(view.configuration, route, request)
+    if isinstance(customer, Refusal):
+        return customer
     metadata = wire.parse_request_metadata(request.headers)
     timeout = metadata.timeout
     if timeout is None:
         timeout = DEFAULT_TIMEOUT
     return RoutedRequest(
-        request=request,
+        request=_for_targets(view.configuration, request, customer),
         route=route,
         key=metadata.key,
         received_at=received_at,
         deadline=received_at + min(timeout, route.time_limit),
         host=host,
         configuration=view.configuration,
+        customer=customer,
+        caller_headers=request.headers,
     )
 
 
@@ -132,17 +165,21 @@
         if not self.has_changed(routed):
             return routed
         return route_request(
-            self._view, routed.request, routed.host, routed.received_at
+            self._view, _as_received(routed), routed.host, routed.received_at
         )
 
     def has_changed(self, routed: RoutedRequest) -> bool:
         """Return whether a request has another route than when it was found."""
         if routed.configuration is None:
             return False
-        if self._view.configuration is routed.configuration:
+        configuration = self._view.configuration
+        if configuration is routed.configuration:
             return False
         route = self._view.routes.find(routed.host, routed.request.raw_path)
-        return route != routed.route
+        if configuration is None or route is None or route != routed.route:
+            return True
+        customer = _customer(configuration, route, _as_received(routed))
+        return customer != routed.customer
 
     def reason_to_withdraw(self, routed: RoutedRequest) -> str:
         """Return why a request may not take its route; empty if it may.
@@ -156,5 +193,41 @@
 
 
 def _is_without_route(routed: RoutedRequest | Refusal) -> bool:
-    """Return whether no route of a known configuration matches."""
-    return isinstance(routed, Refusal) and routed.cause == 'no_route'
+    """Return whether a known configuration has no route or key for it."""
+    return isinstance(routed, Refusal) and routed.cause in _FINAL_CAUSES
+
+
+def _customer(
+    configuration: Configuration, route: Route, request: TargetRequest
+) -> Customer | None | Refusal:
+    """Return the customer of a request's key; None if it needs no key."""
+    if route.is_anonymous or not configuration.has_customers:
+        return None
+    credential = credentials.credential_of(request.headers)
+    if credential is None:
+        return unknown_key()
+    customer = configuration.customer_by_credential.get(credential)
+    return unknown_key() if customer is None else customer
+
+
+def _for_targets(
+    configuration: Configuration,
+    request: TargetRequest,
+    customer: Customer | None,
+) -> TargetRequest:
+    """Return a request with the headers that targets get."""
+    if not configuration.has_customers:
+        return request
+    headers = credentials.admitted_headers(
+        request.headers, customer.name if customer else None
+    )
+    return msgspec.structs.replace(request, headers=headers)
+
+
+def _as_received(routed: RoutedRequest) -> TargetRequest:
+    """Return a request with the headers that its caller sent."""
+    if routed.caller_headers is None:
+        return routed.request
+    return msgspec.structs.replace(
+        routed.request, headers=routed.caller_headers
+    )
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -37,6 +37,8 @@
     #: system a path of its own to the targets.
     target_host: str = ''
     cores: float = 0
+    #: Descriptors that this process may open.
+    max_descriptors: int = 0
 
 
 class ListenSettings(msgspec.Struct, frozen=True):
@@ -59,6 +61,11 @@
     retry_window_s: Seconds
     retry_allowance: float
     hold_max_ms: float
+    #: The limits of customers, over all daemons: in any window of this length
+    #: the requests admitted may pass a limit by this share and this number.
+    quota_window_s: Seconds = 5.0
+    quota_overshoot: float = 0
+    quota_allowance: float = 0
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
--- a/cassialever/platform/configuration_limits.py
+++ b/cassialever/platform/configuration_limits.py
@@ -21,6 +21,9 @@
 MAX_RATE: Final = 1_000_000
 #: Highest weight of a service in a split; weights are added up.
 MAX_WEIGHT: Final = 1e9
+#: Most keys of all customers, and the longest key, in characters.
+MAX_CREDENTIALS: Final = 100_000
+MAX_CREDENTIAL_LENGTH: Final = 1024
 #: Longest name of a host, in characters.
 MAX_HOST_LENGTH: Final = 253
 
@@ -35,4 +38,7 @@
 #: Weights may all be 0: the first service gets all requests then.
 Weight: TypeAlias = Annotated[float, Meta(ge=0, le=MAX_WEIGHT)]
 ByteCount: TypeAlias = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+Credential: TypeAlias = Annotated[
+    str, Meta(min_length=1, max_length=MAX_CREDENTIAL_LENGTH)
+]
 HostName: TypeAlias = Annotated[str, Meta(max_length=MAX_HOST_LENGTH)]
--- a/cassialever/platform/records.py
+++ b/cassialever/platform/records.py
@@ -12,6 +12,7 @@
 from cassialever.errors import ErrorKind, Failure
 from cassialever.fleet.connecting import is_address
 from cassialever.fleet.model import (
+    CallerLimits,
     Configuration,
     ConfigurationVersion,
     WeightedService,
@@ -34,6 +35,7 @@
     WarmUpSeconds,
     Weight,
 )
+from cassialever.platform.customer_records import decode_customers
 from cassialever.platform.entry_limits import (
     ColdMilliseconds,
     Slots,
@@ -57,6 +59,8 @@
 
 _VERSION: Final = re.compile(r'r(\d{1,18})')
 
+_DEFAULT_LIMITS: Final = CallerLimits()
+
 _KIND_BY_ROUTE_TYPE: Final[Mapping[str, RequestKind]] = MappingProxyType(
     {kind.value: kind for kind in RequestKind},
 )
@@ -78,6 +82,7 @@
     # A route names either one service or a weighted list of them.
     upstream: str | None = None
     traffic_split: list[_Split] | None = None
+    anonymous: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -90,6 +95,20 @@
 
 class _Limits(msgspec.Struct):
     max_body_bytes: ByteCount
+    max_header_bytes: ByteCount = _DEFAULT_LIMITS.max_header_bytes
+    header_timeout_ms: Milliseconds = (
+        _DEFAULT_LIMITS.header_timeout * MS_PER_SECOND
+    )
+    idle_timeout_ms: Milliseconds = _DEFAULT_LIMITS.idle_timeout * MS_PER_SECOND
+
+    def decoded(self) -> CallerLimits:
+        """Return the limits with times in seconds."""
+        return CallerLimits(
+            max_header_bytes=self.max_header_bytes,
+            max_body_bytes=self.max_body_bytes,
+            header_timeout=self.header_timeout_ms / MS_PER_SECOND,
+            idle_timeout=self.idle_timeout_ms / MS_PER_SECOND,
+        )
 
 
 class _Configuration(msgspec.Struct):
@@ -97,6 +116,8 @@
     routes: dict[str, _Route]
     services: dict[str, _Service]
     limits: _Limits
+    # Missing unless the callers are admitted by key.
+    tenants: dict[str, msgspec.Raw] | None = None
 
 
 class _TargetInfo(msgspec.Struct):
@@ -135,6 +156,9 @@
     )
     if isinstance(routes, Failure):
         return routes
+    customers = decode_customers(wire.tenants or {})
+    if isinstance(customers, Failure):
+        return customers
     return Configuration(
         version=ConfigurationVersion(int(version.group(1))),
         routes=routes,
@@ -143,6 +167,9 @@
             for name, service in wire.services.items()
         },
         max_body_bytes=wire.limits.max_body_bytes,
+        limits=wire.limits.decoded(),
+        customer_by_credential=customers,
+        has_customers=bool(wire.tenants),
     )
 
 
@@ -212,6 +239,7 @@
         rank=wire.priority,
         attempts=wire.attempts,
         parts=_decode_parts(name, wire),
+        is_anonymous=wire.anonymous,
     )
 
 
