Place by each target's own lasting speed

Cause: latencies converged back to the usual one within 2 s, so a daemon that uses a target once in seconds forgot how fast it is; the cost was proportional to the estimated number of requests, so that stale loads outweighed speeds of 0.5 to 1.7; a report that had just been read counted less than a peer's older one.

Change: policy/speeds.py keeps a robust lasting service time for each target (without queue and reported slowdown); the cost is that time, raised by the queue; two percent of requests try slow targets that have rested; a target that needs a permit counts as fast until it is known. Uploads prefer the own data centre, as downloads do.

--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -223,11 +223,13 @@
             attempt = await exchange
         finally:
             load.record_close()
-        self._record_outcome(attempt, load, sent_at, queueing_factor)
+        usual = self._loads.usual_service_time(target.service)
+        self._record_outcome(attempt, load, sent_at, queueing_factor, usual)
         if attempt.outcome is AttemptOutcome.answered:
-            latency = self._clock.monotonic() - sent_at
+            now = self._clock.monotonic()
             self._loads.record_service_time(
-                target.service, latency / queueing_factor
+                target.service,
+                (now - sent_at) / queueing_factor / load.slowdown(now),
             )
         return attempt
 
@@ -407,10 +409,11 @@
         load: TargetLoad,
         sent_at: Seconds,
         queueing_factor: float,
+        usual: Seconds,
     ) -> None:
         now = self._clock.monotonic()
         if attempt.outcome is AttemptOutcome.answered:
-            load.record_success(now - sent_at, queueing_factor, now)
+            load.record_success(now - sent_at, queueing_factor, now, usual)
             return
         if attempt.is_helper_failure or attempt.is_own_delay:
             return
--- a/cassialever/policy/loads.py
+++ b/cassialever/policy/loads.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from cassialever.platform.wire import ReportedLoad
+from cassialever.policy.speeds import TargetSpeed
 from cassialever.types import Seconds, ServiceName, TargetId
 
 #: Time constant with which a reported load decays; targets start and end
@@ -51,8 +52,7 @@
         #: Moving average of the latency, and when it was last updated.
         self._latency: Seconds = 0
         self._answered_at: Seconds = -math.inf
-        #: Moving average of the service time, without time in the queue.
-        self._service_time: Seconds = 0
+        self.speed = TargetSpeed()
         #: Number and summed latency of answers since `take_latencies`.
         self._answer_count = 0
         self._latency_sum: Seconds = 0
@@ -66,7 +66,7 @@
         reported_others = max(
             self._reported_requests - self._own_when_reported, 0
         )
-        others = max(weight * reported_others, self.open_elsewhere)
+        others = weight * reported_others + (1 - weight) * self.open_elsewhere
         return self.open_requests + others
 
     def expected_latency(
@@ -78,7 +78,7 @@
         the service time that is assumed until this daemon knows one.
         """
         return (
-            (self._service_time or usual)
+            self.speed.expected(now, usual)
             * self.queueing_factor(slots, now)
             * self.slowdown(now)
         )
@@ -146,16 +146,18 @@
         latency: Seconds,
         queueing_factor: float,
         now: Seconds,
+        usual: Seconds = 0,
     ) -> None:
         """Count a complete answer.
 
-        `queueing_factor` is the one at the time when the request was sent.
+        `queueing_factor` is the one at the time when the request was sent;
+        `usual` the usual service time, 0 if it is not known.
         """
-        service_time = latency / queueing_factor
-        if not self._service_time:
-            self._service_time = service_time
-        self._service_time += SMOOTHING_FACTOR * (
-            service_time - self._service_time
+        self.speed.add(
+            latency / queueing_factor / self.slowdown(now),
+            usual,
+            now,
+            was_queued=queueing_factor > 1,
         )
         self._failure_rate *= 1 - SMOOTHING_FACTOR
         self.was_used = True
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -28,10 +28,12 @@
 
 #: Cost of using another data centre, in requests queued at the target.
 REMOTE_COST_REQUESTS: Final = 0.25
-#: The same for a download: sending its answer (90 kB) between data centres
-#: costs the operators half of what the answer is worth (prices of the site
-#: files).
-REMOTE_DOWNLOAD_COST_REQUESTS: Final = 5.0
+#: Kinds of requests of which a long body passes between data centres.
+LONG_BODY_KINDS: Final = frozenset((RequestKind.download, RequestKind.upload))
+#: The same for these. A link between data centres carries less than one within
+#: them, and a body of 100 kB takes it from many short requests; only under load
+#: is a distant answer better than a late one.
+REMOTE_LONG_BODY_COST_REQUESTS: Final = 5.0
 #: Cost of a target to which no idle connection is open any more. One that this
 #: daemon has not used yet costs no more than others, so that targets which have
 #: just joined get requests.
@@ -39,9 +41,11 @@
 #: Targets compared for one request. The best of this sample is about as good
 #: as the best of all, at a cost that does not grow with their number.
 SAMPLE_SIZE: Final = 16
-#: Latency assumed for targets without recent answers when the lowest latency
-#: of all is determined.
+#: Latency assumed while none of a service is known.
 DEFAULT_LATENCY: Final[Seconds] = 0.15
+#: Share of requests that go to slow targets which have rested for long, to
+#: learn whether they still are; as few as their callers bear.
+PROBE_SHARE: Final = 0.02
 #: Largest share by which a cost is raised at random, to break ties.
 COST_JITTER: Final = 0.25
 #: Requests per slot from which on a target counts as full: targets queue four
@@ -372,44 +376,60 @@
         request: PlacementRequest,
         now: Seconds,
     ) -> Target:
-        remote_cost = REMOTE_COST_REQUESTS
-        if request.kind is RequestKind.download:
-            remote_cost = REMOTE_DOWNLOAD_COST_REQUESTS
         loads = [self._loads.of(target.target_id) for target in targets]
-        usual = min(
-            load.average_latency(now, DEFAULT_LATENCY) for load in loads
+        fastest = min(
+            (load.speed.lasting for load in loads if load.was_used),
+            default=DEFAULT_LATENCY,
         )
-        # A target without a known latency counts as one of the fastest; known
-        # latencies converge to the usual one, and are below it until then.
-        fastest = min(load.average_latency(now, usual) for load in loads)
+        usual = self._loads.usual_service_time(request.service) or fastest
+        outdated = [
+            target
+            for target, load in zip(targets, loads, strict=True)
+            if load.speed.is_outdated(now, usual)
+        ]
+        if outdated and self._random.random() < PROBE_SHARE:
+            return outdated[self._random.randrange(len(outdated))]
+        # Permits for targets that have just joined should be used.
         costs = [
             self._cost(
                 target,
-                remote_cost,
-                usual if load.was_used else fastest,
+                request.kind,
+                usual if self.needed_permit(target) is None else fastest,
                 now,
             )
-            for target, load in zip(targets, loads, strict=True)
+            for target in targets
         ]
         return targets[costs.index(min(costs))]
 
     def _cost(
         self,
         target: Target,
-        remote_cost: float,
-        usual: Seconds,
+        kind: RequestKind,
+        assumed: Seconds,
         now: Seconds,
     ) -> float:
+        """Return a measure of the time to an answer, to be compared.
+
+        The estimated number of requests is seconds old, so that the service
+        time counts for as much as a full target's queue.
+        """
         load = self._loads.of(target.target_id)
         requests = load.estimated_requests(now) + 1
         if target.data_centre != self.subsets.data_centre:
-            requests += remote_cost
+            requests += _remote_cost(kind)
         if load.was_used and not self.has_connection(target.address):
             requests += NEW_CONNECTION_COST_REQUESTS
-        latency = load.slowdown(now) * load.average_latency(now, usual)
+        service_time = load.slowdown(now) * load.speed.expected(now, assumed)
         # Ties are broken at random, so that daemons choose differently.
         jitter = 1 + self._random.random() * COST_JITTER
-        return requests * latency * jitter / target.slots
+        return (1 + jitter * requests / target.slots) * service_time
+
+
+def _remote_cost(kind: RequestKind) -> float:
+    """Return the cost of another data centre, in requests at the target."""
+    if kind in LONG_BODY_KINDS:
+        return REMOTE_LONG_BODY_COST_REQUESTS
+    return REMOTE_COST_REQUESTS
 
 
 def place_of(target: Target) -> Place:
