Plan key ranges by the lasting speed of owners, hot keys one by one

Cause: capacities followed latencies, and with them queues and moments of 0.4 s, so that keys moved on without gain; hot keys could be told apart in groups of eight only, more than one owner works off; an owner whose hottest range could not move kept all others; chance in the heat of 1.25 s hid which owners have too much for good.

Change: daemons report service times beside latencies (a trailing field that an earlier build ignores); capacities are by these to the power of 1.5, as slow owners' answers take more of an objective; heat is known by single key; a second heat over 10 s finds lasting imbalance, once a second; up to four ranges of an owner are tried. Six small ranges may join in a round (before: four), as finer splits filled a map faster than it shrank.

--- a/cassialever/fleet/messages.py
+++ b/cassialever/fleet/messages.py
@@ -165,11 +165,13 @@
 class KeysAsked(Message, frozen=True, array_like=True, tag=True):
     """A follower's report of requested keys, and of latencies by target.
 
-    Latencies are given as the number of answers and their sum in seconds.
+    Latencies are given as the number of answers and their sum in seconds;
+    service times, which leave out the time in queues, likewise.
     """
 
     keys_by_service: dict[ServiceName, list[_Key]]
     times_by_target: dict[TargetId, tuple[_Answers, _Latency]]
+    service_times_by_target: dict[TargetId, tuple[_Answers, _Latency]] = {}
 
 
 class Limits(Message, frozen=True, array_like=True, tag=True):
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -229,6 +229,7 @@
             report = messages.KeysAsked(
                 {**self.forwarder.keys_asked},
                 self.loads.take_latencies(),
+                self.loads.take_service_times(),
             )
             self.forwarder.keys_asked.clear()
             if self.membership.state is MemberState.leading:
--- a/cassialever/keys/assigner.py
+++ b/cassialever/keys/assigner.py
@@ -78,12 +78,16 @@
         for service, keys in report.keys_by_service.items():
             assigner = self.assigner_by_service.get(service)
             if assigner is not None:
-                assigner.heat.count(keys)
+                assigner.heats.count(keys)
         if self._context is None:
             return
         now = self._clock.boot()
         for target_id, (count, total) in report.times_by_target.items():
             self._context.latencies.report(target_id, count, total, now)
+        for target_id, (count, total) in report.service_times_by_target.items():
+            self._context.latencies.report_service_times(
+                target_id, count, total
+            )
 
     def _tick(self, context: TermContext) -> None:
         if context.violation.error is not None:
--- a/cassialever/keys/balance.py
+++ b/cassialever/keys/balance.py
@@ -3,7 +3,6 @@
 import math
 from typing import Final
 
-from cassialever.keys.heat import HEAT_TIME_CONSTANT
 from cassialever.keys.targetloads import OwnerLoad
 from cassialever.types import Seconds, TargetId
 
@@ -49,7 +48,7 @@
 def is_underloaded(owner: OwnerLoad, mean: float) -> bool:
     """Return whether a target has no load, or less than chance explains."""
     expected = mean * owner.capacity
-    noise = NOISE_DEVIATIONS * math.sqrt(expected / HEAT_TIME_CONSTANT)
+    noise = NOISE_DEVIATIONS * math.sqrt(expected / owner.span)
     has_none = not owner.load
     return has_none or owner.load < expected * UNDERLOAD_RATIO - noise
 
@@ -59,7 +58,7 @@
     if owner.is_limited and mean < MAX_LIMIT_USAGE:
         # Callers are refused what exceeds a limit, by chance or not.
         return owner.usage > MAX_LIMIT_USAGE
-    noise = NOISE_DEVIATIONS * math.sqrt(owner.load / HEAT_TIME_CONSTANT)
+    noise = NOISE_DEVIATIONS * math.sqrt(owner.load / owner.span)
     limit = max(mean * OVERLOAD_RATIO, MIN_OVERLOAD_USAGE)
     return owner.usage > limit + noise / owner.capacity
 
--- a/cassialever/keys/joining.py
+++ b/cassialever/keys/joining.py
@@ -22,7 +22,7 @@
 from cassialever.types import Fence, TargetId
 
 #: Most ranges that begin to join in one round.
-MAX_JOINS_PER_ROUND: Final = 4
+MAX_JOINS_PER_ROUND: Final = 6
 
 
 class _Pair(NamedTuple):
--- a/cassialever/keys/planning.py
+++ b/cassialever/keys/planning.py
@@ -38,6 +38,8 @@
 MAX_MOVES_PER_ROUND: Final = 6
 #: How long keys stay with an owner before they may move again for load.
 MIN_OWNERSHIP_TIME: Final[Seconds] = 1.5
+#: Ranges of one owner that are tried for a part that can move.
+MAX_RANGES_TRIED: Final = 4
 #: A range moves whole if it has up to this multiple of the heat to move.
 WHOLE_RANGE_RATIO: Final = 1.15
 
@@ -209,17 +211,37 @@
     wanted: float,
     heat: KeyHeat,
 ) -> Assignment | None:
-    """Return a part of the hottest assignment with about the wanted heat."""
-    if not owned or wanted <= 0:
+    """Return a part of one of the hottest assignments with about that heat."""
+    if wanted <= 0:
         return None
-    hottest = max(owned, key=lambda one: heat.of(one.first, one.last))
-    if heat.of(hottest.first, hottest.last) <= wanted * WHOLE_RANGE_RATIO:
-        return hottest
-    last = heat.prefix_end(hottest.first, hottest.last, wanted)
-    if heat.of(hottest.first, last) > 2 * wanted:
-        # One bucket alone is hotter than what should move: leave it here.
-        return None
-    return assignments.split_off(hottest, hottest.first, last)
+    heated = [(heat.of(one.first, one.last), one) for one in owned]
+    heated.sort(key=_by_heat, reverse=True)
+    for load, assignment in heated[:MAX_RANGES_TRIED]:
+        if load <= wanted * WHOLE_RANGE_RATIO:
+            return assignment
+        part = _part_of(assignment, wanted, heat)
+        if part is not None:
+            return assignments.split_off(assignment, *part)
+    return None
+
+
+def _part_of(
+    assignment: Assignment, wanted: float, heat: KeyHeat
+) -> tuple[int, int] | None:
+    """Return the first and last key of a part with about the wanted heat.
+
+    If its first key alone is hotter than what should move, that key stays and
+    the keys after it may move.
+    """
+    first = assignment.first
+    for _ in range(2):
+        last = heat.prefix_end(first, assignment.last, wanted)
+        if heat.of(first, last) <= 2 * wanted:
+            return first, last
+        first += 1
+        if first > assignment.last:
+            break
+    return None
 
 
 def _hottest_up_to(
--- a/cassialever/keys/service.py
+++ b/cassialever/keys/service.py
@@ -24,7 +24,7 @@
 from cassialever.keys.granting import GRANT_RETRY_DELAY, Granter
 from cassialever.keys.heat import (
     HEAT_UPDATE_INTERVAL,
-    KeyHeat,
+    KeyHeats,
     TargetLatencies,
 )
 from cassialever.keys.joining import NeighbourJoiner
@@ -79,7 +79,8 @@
     def __init__(self, service: ServiceName, context: TermContext) -> None:
         """Start with the assignments in the store, if it has any."""
         self.service = service
-        self.heat = KeyHeat()
+        self.heats = KeyHeats()
+        self.heat = self.heats.recent
         self.assignments = Assignments(service, [])
         self._context = context
         self._granter = context.granter
@@ -217,7 +218,7 @@
         if now < self._update_heat_at:
             return
         self._update_heat_at = now + HEAT_UPDATE_INTERVAL
-        self.heat.update()
+        self.heats.update()
         # Busy owners serve the keys that could not be given to others.
         if not self._context.leader_term.has_failed_write:
             self._balance(now)
@@ -262,11 +263,17 @@
         planning_round = planning.PlanningRound(
             now, pending_owners, may_split=room.may_split
         )
-        moving = planning.choose_moves(
-            self.assignments, self._loads.current(), self.heat, planning_round
-        )
-        for assignment in moving:
-            self._reclaim(assignment, 'its owner is too busy')
+        for heat, reason in self.heats.to_plan_with():
+            moving = planning.choose_moves(
+                self.assignments,
+                self._loads.current(heat),
+                heat,
+                planning_round,
+            )
+            for assignment in moving:
+                self._reclaim(assignment, reason)
+            if moving:
+                break
         if not room.should_join:
             return
         for assignment in self._joiner.choose(planning_round):
--- a/cassialever/policy/loads.py
+++ b/cassialever/policy/loads.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from cassialever.platform.wire import ReportedLoad
-from cassialever.policy.speeds import TargetSpeed
+from cassialever.policy.speeds import ServedAnswer, TargetSpeed
 from cassialever.types import Seconds, ServiceName, TargetId
 
 #: Time constant with which a reported load decays; targets start and end
@@ -153,12 +153,10 @@
         `queueing_factor` is the one at the time when the request was sent;
         `usual` the usual service time, 0 if it is not known.
         """
-        self.speed.add(
-            latency / queueing_factor / self.slowdown(now),
-            usual,
-            now,
-            was_queued=queueing_factor > 1,
+        served = ServedAnswer(
+            latency / queueing_factor, self.slowdown(now), queueing_factor > 1
         )
+        self.speed.add(served, usual, now)
         self._failure_rate *= 1 - SMOOTHING_FACTOR
         self.was_used = True
         self._answer_count += 1
@@ -254,6 +252,14 @@
         }
         return {name: sums for name, sums in taken.items() if sums[0]}
 
+    def take_service_times(self) -> dict[TargetId, tuple[int, Seconds]]:
+        """Return count and sum of each target's service times, likewise."""
+        taken = {
+            target_id: load.speed.take()
+            for target_id, load in self._load_by_id.items()
+        }
+        return {name: sums for name, sums in taken.items() if sums[0]}
+
     def prune(self, known: Container[TargetId]) -> None:
         """Forget targets that are gone and have no open request."""
         gone = [
--- a/cassialever/policy/speeds.py
+++ b/cassialever/policy/speeds.py
@@ -9,6 +9,8 @@
 import math
 from typing import Final
 
+import msgspec
+
 from cassialever.types import Seconds
 
 #: Largest change of the logarithm of a service time that one answer can cause
@@ -31,6 +33,18 @@
 QUEUED_WEIGHT: Final = 0.3
 
 
+class ServedAnswer(msgspec.Struct, frozen=True):
+    """What an answer shows of its target's speed.
+
+    `service_time` is in seconds, without time in the queue; `slowdown` what the
+    target reports of it as a multiple of the usual one.
+    """
+
+    service_time: Seconds
+    slowdown: float
+    was_queued: bool
+
+
 class TargetSpeed:
     """The lasting service time of a target, robust against outliers.
 
@@ -48,6 +62,9 @@
         #: usual time counts as one.
         self._weight = 1.0
         self._answered_at: Seconds = -math.inf
+        #: Number and summed service time of answers since `take`.
+        self._reported_count = 0
+        self._reported_sum: Seconds = 0
 
     def expected(self, now: Seconds, usual: Seconds = 0) -> Seconds:
         """Return how long a target works on a request, without a queue.
@@ -60,29 +77,32 @@
         recent = 1 + weight * (self._recent_ratio - 1)
         return (self.lasting or usual) * recent
 
+    def take(self) -> tuple[int, Seconds]:
+        """Return count and sum of the service times since the last call."""
+        taken = (self._reported_count, self._reported_sum)
+        self._reported_count = 0
+        self._reported_sum = 0
+        return taken
+
     def is_outdated(self, now: Seconds, usual: Seconds) -> bool:
         """Return whether a target was slow long ago, and has rested since."""
         if now - self._answered_at < PROBE_PERIOD:
             return False
         return self.lasting > usual
 
-    def add(
-        self,
-        service_time: Seconds,
-        usual: Seconds,
-        now: Seconds,
-        *,
-        was_queued: bool,
-    ) -> None:
-        """Count the service time of an answer.
-
-        `usual` is the service's usual one; 0 if it is not known.
+    def add(self, answer: ServedAnswer, usual: Seconds, now: Seconds) -> None:
+        """Count an answer.
+
+        `usual` is the service's usual service time; 0 if it is not known.
         """
+        self._reported_count += 1
+        self._reported_sum += answer.service_time
+        service_time = answer.service_time / answer.slowdown
         if service_time <= 0:
             return
         if not self.lasting:
             self.lasting = usual or service_time
-        weight = QUEUED_WEIGHT if was_queued else 1
+        weight = QUEUED_WEIGHT if answer.was_queued else 1
         ratio = service_time / self.lasting
         self._recent_ratio += RECENT_WEIGHT * (ratio - self._recent_ratio)
         left = math.exp((self._answered_at - now) / FORGETTING_TIME)
