Bound the bytes of long bodies that are on their way to one target

Cause: a target holds the bodies of all requests that it runs or queues, and crashes if they exceed its memory; 89 daemons filled the queues of 13 targets by reports up to 0.9 s old.

Change: policy/upload_bytes.py assigns each of many daemons few of the targets for bodies of over 64 KiB, by its place in the list of all daemons ordered by data centre; a daemon has no more on its way to one target than its share, and one body in any case. Short bodies and small fleets place as before.

--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -225,6 +225,7 @@
                 len(self.membership.shared_peers.complete_peers())
             )
             self.forwarder.daemon_count = max(daemon_counts)
+            self._tell_daemons()
             self._prune()
             report = messages.KeysAsked(
                 {**self.forwarder.keys_asked},
@@ -238,6 +239,18 @@
             # Sent without content too, since it shows that this daemon lives.
             self.membership.link.report(report)
 
+    def _tell_daemons(self) -> None:
+        """Tell among which daemons the room for long bodies is divided."""
+        own = self._reachability.reporter.own
+        reports = self._reachability.paths.reports
+        data_centre_by_id = {
+            peer: reports.data_centre_of(peer)
+            for peer in self.membership.shared_peers.complete_peers()
+        }
+        if data_centre_by_id:
+            data_centre_by_id[own.instance_id] = own.data_centre
+        self.loads.long_bodies.divide_among(own.instance_id, data_centre_by_id)
+
     def _prune(self) -> None:
         """Forget what is known of targets and daemons that are gone."""
         known = self.view.targets.by_id
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -67,6 +67,20 @@
         A repeatable request whose path turns out to be down meanwhile is also
         passed on, if `may_duplicate` allows it, and the first answer counts.
         """
+        with self._sender.long_bodies.on_its_way(
+            target.target_id, len(request.body)
+        ):
+            return await self._send_once(
+                request, target, time_left, may_duplicate
+            )
+
+    async def _send_once(
+        self,
+        request: TargetRequest,
+        target: Target,
+        time_left: Seconds,
+        may_duplicate: MayDuplicate,
+    ) -> Attempt:
         now = self._clock.monotonic()
         attempt = not_run(
             'the target is not reached from here', ErrorKind.target_unreachable
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -258,6 +258,7 @@
             frozenset(tried),
             refused_by=frozenset(progress.refused_by),
             replaced_at=frozenset(progress.replaced_at),
+            body_bytes=len(routed.request.body),
         )
         while True:
             now = self._clock.monotonic()
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -131,6 +131,7 @@
         clock: SystemClock,
     ) -> None:
         self._loads = loads
+        self.long_bodies = loads.long_bodies
         self._paths = paths
         self._clock = clock
         self.answers = AnswerReader(loads, limits, clock)
--- a/cassialever/policy/loads.py
+++ b/cassialever/policy/loads.py
@@ -10,6 +10,7 @@
 
 from cassialever.platform.wire import ReportedLoad
 from cassialever.policy.speeds import ServedAnswer, TargetSpeed
+from cassialever.policy.upload_bytes import LongBodies
 from cassialever.types import Seconds, ServiceName, TargetId
 
 #: Time constant with which a reported load decays; targets start and end
@@ -193,6 +194,7 @@
 
     def __init__(self) -> None:
         self._load_by_id: dict[TargetId, TargetLoad] = {}
+        self.long_bodies = LongBodies()
         #: Moving average of the service time at all targets of a service.
         self._service_time_by_name: dict[ServiceName, Seconds] = {}
         #: Each peer's latest report: its open requests by target.
--- a/cassialever/policy/peer_reports.py
+++ b/cassialever/policy/peer_reports.py
@@ -68,6 +68,11 @@
         """Replace what a daemon reported before."""
         self._report_by_peer[report.helper.instance_id] = report
 
+    def data_centre_of(self, instance_id: str) -> DataCentreId:
+        """Return the data centre of a daemon; empty if it is not known."""
+        report = self._report_by_peer.get(instance_id)
+        return report.helper.data_centre if report else DataCentreId('')
+
     def record_refusal(
         self, instance_id: str, target_id: TargetId, now: Seconds
     ) -> None:
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -8,7 +8,8 @@
 
 import enum
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
+from types import MappingProxyType
 from typing import Final, TypeAlias
 
 import msgspec
@@ -20,6 +21,7 @@
 from cassialever.policy.ended_owners import EndedOwners
 from cassialever.policy.full_services import FullServices
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.memory import SHORT_BODY_BYTES
 from cassialever.policy.permits import PermitLimiter
 from cassialever.policy.reach import SoundPaths, TargetReach
 from cassialever.policy.subsets import TargetSubsets
@@ -28,12 +30,13 @@
 
 #: Cost of using another data centre, in requests queued at the target.
 REMOTE_COST_REQUESTS: Final = 0.25
-#: Kinds of requests of which a long body passes between data centres.
-LONG_BODY_KINDS: Final = frozenset((RequestKind.download, RequestKind.upload))
-#: The same for these. A link between data centres carries less than one within
-#: them, and a body of 100 kB takes it from many short requests; only under load
-#: is a distant answer better than a late one.
-REMOTE_LONG_BODY_COST_REQUESTS: Final = 5.0
+#: The same for kinds of which a long body passes between data centres. A link
+#: between them carries less than one within them, and a body of 100 kB takes it
+#: from many short requests; only under load is a distant answer better than a
+#: late one.
+REMOTE_COST_BY_KIND: Final[Mapping[RequestKind, float]] = MappingProxyType(
+    {RequestKind.download: 5.0, RequestKind.upload: 5.0}
+)
 #: Cost of a target to which no idle connection is open any more. One that this
 #: daemon has not used yet costs no more than others, so that targets which have
 #: just joined get requests.
@@ -104,6 +107,8 @@
     refused_by: frozenset[Grant] = frozenset()
     #: Places where another target has answered it.
     replaced_at: frozenset[Place] = frozenset()
+    #: Length of its body.
+    body_bytes: int = 0
 
 
 class PermitDelay(msgspec.Struct, frozen=True):
@@ -236,6 +241,11 @@
     ) -> Target | NoTargetReason:
         if self._full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
+        if request.body_bytes > SHORT_BODY_BYTES:
+            assigned = _assigned(self._view.targets, self._loads, request)
+            if not assigned:
+                return NoTargetReason.no_service
+            return self._choose_among(assigned, request, now)
         chosen = self._choose_any_now(request, now)
         if chosen is NoTargetReason.full and not request.tried:
             self._full.note(request.service, request.objective, now)
@@ -357,6 +367,11 @@
             return NoTargetReason.paused
         if _is_full(self._view, target, self._loads, request, now):
             return NoTargetReason.full
+        requests = self._loads.of(target.target_id).estimated_requests(now)
+        if not self._loads.long_bodies.has_room(
+            target.target_id, target.slots, requests, request.body_bytes
+        ):
+            return NoTargetReason.full
         reason = self.needed_permit(target)
         if reason is None or self._limiter.allows(target.target_id, now):
             return None
@@ -416,7 +431,7 @@
         load = self._loads.of(target.target_id)
         requests = load.estimated_requests(now) + 1
         if target.data_centre != self.subsets.data_centre:
-            requests += _remote_cost(kind)
+            requests += REMOTE_COST_BY_KIND.get(kind, REMOTE_COST_REQUESTS)
         if load.was_used and not self.has_connection(target.address):
             requests += NEW_CONNECTION_COST_REQUESTS
         service_time = load.slowdown(now) * load.speed.expected(now, assumed)
@@ -425,13 +440,6 @@
         return (1 + jitter * requests / target.slots) * service_time
 
 
-def _remote_cost(kind: RequestKind) -> float:
-    """Return the cost of another data centre, in requests at the target."""
-    if kind in LONG_BODY_KINDS:
-        return REMOTE_LONG_BODY_COST_REQUESTS
-    return REMOTE_COST_REQUESTS
-
-
 def place_of(target: Target) -> Place:
     """Return the life of a target and where this daemon reaches it."""
     return (target.target_id, target.started_at, target.address)
@@ -541,6 +549,15 @@
     ]
 
 
+def _assigned(
+    registry: TargetRegistry, loads: LoadTracker, request: PlacementRequest
+) -> list[Target]:
+    """Return the targets to which this daemon may send a long body."""
+    usable = _not_at(registry.usable(request.service), request.replaced_at)
+    assigned = loads.long_bodies.assigned(usable)
+    return _without(assigned, request.tried) or assigned
+
+
 def _without(
     targets: list[Target],
     tried: Collection[TargetId],
--- a/tests/uneven_helpers.py
+++ b/tests/uneven_helpers.py
@@ -107,6 +107,7 @@
 
     daemon: TargetSelector
     begun_at: Seconds
+    body_bytes: int = 0
 
 
 class UnevenFleet:
@@ -148,6 +149,11 @@
             for number in range(daemons)
         ]
         self.outcomes: Counter[str] = Counter()
+        #: Lengths of bodies, and whether daemons place by them.
+        self.body_bytes = (0, 0)
+        self.is_body_known = True
+        self.bytes_by_id: Counter[str] = Counter()
+        self.most_bytes = 0
         self.request = PlacementRequest(
             'issuance', RequestKind.unsafe, -1, objective
         )
@@ -183,14 +189,23 @@
     def _arrive(self, rate: float, ends_at: Seconds) -> None:
         if self.clockwork.now >= ends_at:
             return
-        self._place(Call(self.random.choice(self.daemons), self.clockwork.now))
+        call = Call(
+            self.random.choice(self.daemons),
+            self.clockwork.now,
+            self.random.randint(*self.body_bytes),
+        )
+        self._place(call)
         self.clockwork.after(
             self.random.expovariate(rate), self._arrive, rate, ends_at
         )
 
     def _place(self, call: Call) -> None:
         now = self.clockwork.now
-        chosen = call.daemon.choose(self.request, now)
+        request = msgspec.structs.replace(
+            self.request,
+            body_bytes=call.body_bytes if self.is_body_known else 0,
+        )
+        chosen = call.daemon.choose(request, now)
         if isinstance(chosen, Target):
             self._send(call, chosen)
             return
@@ -206,7 +221,15 @@
         sim = self.target_by_id[target.target_id]
         factor = load.queueing_factor(target.slots, sent_at)
 
+        target_id = target.target_id
+        sending = loads.long_bodies.on_its_way(target_id, call.body_bytes)
+        sending.__enter__()
+        self.bytes_by_id[target_id] += call.body_bytes
+        self.most_bytes = max(self.most_bytes, self.bytes_by_id[target_id])
+
         def done() -> None:
+            sending.__exit__(None, None, None)
+            self.bytes_by_id[target_id] -= call.body_bytes
             now = self.clockwork.now
             load.record_report(sim.report(), now)
             load.record_close()
@@ -216,6 +239,8 @@
 
         load.record_open()
         if not sim.receive(self.random, done):
+            sending.__exit__(None, None, None)
+            self.bytes_by_id[target_id] -= call.body_bytes
             load.record_close()
             load.record_failure(sent_at)
             self.outcomes['reset'] += 1
