--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -184,6 +184,9 @@
             *self._keyed_requests.readings(),
             *key_readings(self.core.key_assigner.counters),
             *hop_readings(self.core.exchanges.dispatcher.counters),
+            Reading(
+                'long_bodies_refused', self.core.loads.long_bodies.refused_count
+            ),
             *store_readings(self.core.store),
             *follow_readings(self.core.membership),
             Reading('entries_rejected', self.view.rejected_count),
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -163,7 +163,7 @@
         may_have_run = [
             outcome for outcome in outcomes if outcome not in NOT_RUN
         ]
-        if kind is RequestKind.unsafe:
+        if kind in {RequestKind.unsafe, RequestKind.upload}:
             # Nothing is sent after an attempt that may have run.
             self.assertNotIn(
                 True, [outcome not in NOT_RUN for outcome in outcomes[:-1]]
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -52,6 +52,8 @@
     async def asyncSetUp(self) -> None:
         self.reply = raw_answer(f'{SIGNED_HEADERS}Content-Length: 2\r\n', 'ok')
         self.closes_connection = False
+        self.reads_bodies = True
+        self.has_ended = asyncio.Event()
         self.resets_connection = False
         self.request_heads: list[bytes] = []
         self.connections = 0
@@ -85,6 +87,9 @@
         try:
             while True:
                 self.request_heads.append(await reader.readuntil(b'\r\n\r\n'))
+                if not self.reads_bodies:
+                    await self.has_ended.wait()
+                    break
                 writer.write(self.reply)
                 await writer.drain()
                 if self.resets_connection:
@@ -150,6 +155,17 @@
         assert attempt.answer is not None
         self.assertEqual(attempt.answer.body, b'all of it')
 
+    async def test_body_that_a_target_does_not_read_may_have_run(self) -> None:
+        """It reads the head and no more; an upload isn't sent again then."""
+        self.reads_bodies = False
+        for length in (70_000, 20_000_000):
+            request = TargetRequest('a1', 'POST', '/x', {}, bytes(length))
+            attempt = await self.sender.send(request, self.target, TIME_LIMIT)
+            with self.subTest(length=length):
+                self.assertIs(attempt.outcome, AttemptOutcome.unknown)
+        self.assertEqual(len(self.request_heads), 2)
+        self.has_ended.set()
+
     async def test_stalled_body_times_out_once(self) -> None:
         self.reply = raw_answer(f'{SIGNED_HEADERS}Content-Length: 9\r\n', 'ok')
         async with asyncio.timeout(2 * TIME_LIMIT + 1):
