--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -367,11 +367,12 @@
             return NoTargetReason.paused
         if _is_full(self._view, target, self._loads, request, now):
             return NoTargetReason.full
-        requests = self._loads.of(target.target_id).estimated_requests(now)
-        if not self._loads.long_bodies.has_room(
-            target.target_id, target.slots, requests, request.body_bytes
-        ):
-            return NoTargetReason.full
+        if request.body_bytes > SHORT_BODY_BYTES:
+            requests = self._loads.of(target.target_id).estimated_requests(now)
+            if not self._loads.long_bodies.has_room(
+                target.target_id, target.slots, requests, request.body_bytes
+            ):
+                return NoTargetReason.full
         reason = self.needed_permit(target)
         if reason is None or self._limiter.allows(target.target_id, now):
             return None
@@ -409,10 +410,12 @@
             self._cost(
                 target,
                 request.kind,
-                usual if self.needed_permit(target) is None else fastest,
+                usual
+                if load.was_used or not self.needed_permit(target)
+                else fastest,
                 now,
             )
-            for target in targets
+            for target, load in zip(targets, loads, strict=True)
         ]
         return targets[costs.index(min(costs))]
 
