--- a/cassialever/policy/loads.py
+++ b/cassialever/policy/loads.py
@@ -9,6 +9,8 @@
 from typing import Final
 
 from cassialever.platform.wire import ReportedLoad
+from cassialever.policy.speeds import ServedAnswer, TargetSpeed
+from cassialever.policy.upload_bytes import LongBodies
 from cassialever.types import Seconds, ServiceName, TargetId
 
 #: Time constant with which a reported load decays; targets start and end
@@ -51,8 +53,7 @@
         #: Moving average of the latency, and when it was last updated.
         self._latency: Seconds = 0
         self._answered_at: Seconds = -math.inf
-        #: Moving average of the service time, without time in the queue.
-        self._service_time: Seconds = 0
+        self.speed = TargetSpeed()
         #: Number and summed latency of answers since `take_latencies`.
         self._answer_count = 0
         self._latency_sum: Seconds = 0
@@ -66,7 +67,7 @@
         reported_others = max(
             self._reported_requests - self._own_when_reported, 0
         )
-        others = max(weight * reported_others, self.open_elsewhere)
+        others = weight * reported_others + (1 - weight) * self.open_elsewhere
         return self.open_requests + others
 
     def expected_latency(
@@ -78,7 +79,7 @@
         the service time that is assumed until this daemon knows one.
         """
         return (
-            (self._service_time or usual)
+            self.speed.expected(now, usual)
             * self.queueing_factor(slots, now)
             * self.slowdown(now)
         )
@@ -146,17 +147,17 @@
         latency: Seconds,
         queueing_factor: float,
         now: Seconds,
+        usual: Seconds = 0,
     ) -> None:
         """Count a complete answer.
 
-        `queueing_factor` is the one at the time when the request was sent.
+        `queueing_factor` is the one at the time when the request was sent;
+        `usual` the usual service time, 0 if it is not known.
         """
-        service_time = latency / queueing_factor
-        if not self._service_time:
-            self._service_time = service_time
-        self._service_time += SMOOTHING_FACTOR * (
-            service_time - self._service_time
+        served = ServedAnswer(
+            latency / queueing_factor, self.slowdown(now), queueing_factor > 1
         )
+        self.speed.add(served, usual, now)
         self._failure_rate *= 1 - SMOOTHING_FACTOR
         self.was_used = True
         self._answer_count += 1
@@ -193,6 +194,7 @@
 
     def __init__(self) -> None:
         self._load_by_id: dict[TargetId, TargetLoad] = {}
+        self.long_bodies = LongBodies()
         #: Moving average of the service time at all targets of a service.
         self._service_time_by_name: dict[ServiceName, Seconds] = {}
         #: Each peer's latest report: its open requests by target.
@@ -252,6 +254,14 @@
         }
         return {name: sums for name, sums in taken.items() if sums[0]}
 
+    def take_service_times(self) -> dict[TargetId, tuple[int, Seconds]]:
+        """Return count and sum of each target's service times, likewise."""
+        taken = {
+            target_id: load.speed.take()
+            for target_id, load in self._load_by_id.items()
+        }
+        return {name: sums for name, sums in taken.items() if sums[0]}
+
     def prune(self, known: Container[TargetId]) -> None:
         """Forget targets that are gone and have no open request."""
         gone = [
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -8,7 +8,8 @@
 
 import enum
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
+from types import MappingProxyType
 from typing import Final, TypeAlias
 
 import msgspec
@@ -20,6 +21,7 @@
 from cassialever.policy.ended_owners import EndedOwners
 from cassialever.policy.full_services import FullServices
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.memory import SHORT_BODY_BYTES
 from cassialever.policy.permits import PermitLimiter
 from cassialever.policy.reach import SoundPaths, TargetReach
 from cassialever.policy.subsets import TargetSubsets
@@ -28,10 +30,13 @@
 
 #: Cost of using another data centre, in requests queued at the target.
 REMOTE_COST_REQUESTS: Final = 0.25
-#: The same for a download: sending its answer (90 kB) between data centres
-#: costs the operators half of what the answer is worth (prices of the site
-#: files).
-REMOTE_DOWNLOAD_COST_REQUESTS: Final = 5.0
+#: The same for kinds of which a long body passes between data centres. A link
+#: between them carries less than one within them, and a body of 100 kB takes it
+#: from many short requests; only under load is a distant answer better than a
+#: late one.
+REMOTE_COST_BY_KIND: Final[Mapping[RequestKind, float]] = MappingProxyType(
+    {RequestKind.download: 5.0, RequestKind.upload: 5.0}
+)
 #: Cost of a target to which no idle connection is open any more. One that this
 #: daemon has not used yet costs no more than others, so that targets which have
 #: just joined get requests.
@@ -39,9 +44,11 @@
 #: Targets compared for one request. The best of this sample is about as good
 #: as the best of all, at a cost that does not grow with their number.
 SAMPLE_SIZE: Final = 16
-#: Latency assumed for targets without recent answers when the lowest latency
-#: of all is determined.
+#: Latency assumed while none of a service is known.
 DEFAULT_LATENCY: Final[Seconds] = 0.15
+#: Share of requests that go to slow targets which have rested for long, to
+#: learn whether they still are; as few as their callers bear.
+PROBE_SHARE: Final = 0.02
 #: Largest share by which a cost is raised at random, to break ties.
 COST_JITTER: Final = 0.25
 #: Requests per slot from which on a target counts as full: targets queue four
@@ -100,6 +107,8 @@
     refused_by: frozenset[Grant] = frozenset()
     #: Places where another target has answered it.
     replaced_at: frozenset[Place] = frozenset()
+    #: Length of its body.
+    body_bytes: int = 0
 
 
 class PermitDelay(msgspec.Struct, frozen=True):
@@ -232,6 +241,11 @@
     ) -> Target | NoTargetReason:
         if self._full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
+        if request.body_bytes > SHORT_BODY_BYTES:
+            assigned = _assigned(self._view.targets, self._loads, request)
+            if not assigned:
+                return NoTargetReason.no_service
+            return self._choose_among(assigned, request, now)
         chosen = self._choose_any_now(request, now)
         if chosen is NoTargetReason.full and not request.tried:
             self._full.note(request.service, request.objective, now)
@@ -353,6 +367,12 @@
             return NoTargetReason.paused
         if _is_full(self._view, target, self._loads, request, now):
             return NoTargetReason.full
+        if request.body_bytes > SHORT_BODY_BYTES:
+            requests = self._loads.of(target.target_id).estimated_requests(now)
+            if not self._loads.long_bodies.has_room(
+                target.target_id, target.slots, requests, request.body_bytes
+            ):
+                return NoTargetReason.full
         reason = self.needed_permit(target)
         if reason is None or self._limiter.allows(target.target_id, now):
             return None
@@ -372,21 +392,27 @@
         request: PlacementRequest,
         now: Seconds,
     ) -> Target:
-        remote_cost = REMOTE_COST_REQUESTS
-        if request.kind is RequestKind.download:
-            remote_cost = REMOTE_DOWNLOAD_COST_REQUESTS
         loads = [self._loads.of(target.target_id) for target in targets]
-        usual = min(
-            load.average_latency(now, DEFAULT_LATENCY) for load in loads
+        fastest = min(
+            (load.speed.lasting for load in loads if load.was_used),
+            default=DEFAULT_LATENCY,
         )
-        # A target without a known latency counts as one of the fastest; known
-        # latencies converge to the usual one, and are below it until then.
-        fastest = min(load.average_latency(now, usual) for load in loads)
+        usual = self._loads.usual_service_time(request.service) or fastest
+        outdated = [
+            target
+            for target, load in zip(targets, loads, strict=True)
+            if load.speed.is_outdated(now, usual)
+        ]
+        if outdated and self._random.random() < PROBE_SHARE:
+            return outdated[self._random.randrange(len(outdated))]
+        # Permits for targets that have just joined should be used.
         costs = [
             self._cost(
                 target,
-                remote_cost,
-                usual if load.was_used else fastest,
+                request.kind,
+                usual
+                if load.was_used or not self.needed_permit(target)
+                else fastest,
                 now,
             )
             for target, load in zip(targets, loads, strict=True)
@@ -396,20 +422,25 @@
     def _cost(
         self,
         target: Target,
-        remote_cost: float,
-        usual: Seconds,
+        kind: RequestKind,
+        assumed: Seconds,
         now: Seconds,
     ) -> float:
+        """Return a measure of the time to an answer, to be compared.
+
+        The estimated number of requests is seconds old, so that the service
+        time counts for as much as a full target's queue.
+        """
         load = self._loads.of(target.target_id)
         requests = load.estimated_requests(now) + 1
         if target.data_centre != self.subsets.data_centre:
-            requests += remote_cost
+            requests += REMOTE_COST_BY_KIND.get(kind, REMOTE_COST_REQUESTS)
         if load.was_used and not self.has_connection(target.address):
             requests += NEW_CONNECTION_COST_REQUESTS
-        latency = load.slowdown(now) * load.average_latency(now, usual)
+        service_time = load.slowdown(now) * load.speed.expected(now, assumed)
         # Ties are broken at random, so that daemons choose differently.
         jitter = 1 + self._random.random() * COST_JITTER
-        return requests * latency * jitter / target.slots
+        return (1 + jitter * requests / target.slots) * service_time
 
 
 def place_of(target: Target) -> Place:
@@ -521,6 +552,15 @@
     ]
 
 
+def _assigned(
+    registry: TargetRegistry, loads: LoadTracker, request: PlacementRequest
+) -> list[Target]:
+    """Return the targets to which this daemon may send a long body."""
+    usable = _not_at(registry.usable(request.service), request.replaced_at)
+    assigned = loads.long_bodies.assigned(usable)
+    return _without(assigned, request.tried) or assigned
+
+
 def _without(
     targets: list[Target],
     tried: Collection[TargetId],
