Hand out places at contended targets by a keeper

Cause: each daemon judges a target's room alone, by reports up to 0.9 s old (3 s with 300 daemons), so that all fill the same queues at once.

Change: while a service, or an owner of keys, is contended, a request needs a place there, which the target's keeper hands out by a datagram. Daemons tell each other what is contended in a field at the end of OpenRequests.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -105,6 +105,11 @@
         logbook.INFO,
         'A request got no memory for its body in time.',
     )
+    shares_bind = (
+        230,
+        logbook.NOTICE,
+        'Requests to a service, or to an owner of keys, need a place there.',
+    )
 
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -21,6 +21,7 @@
     CRASHES_VERSION,
     FIRST_VERSION,
     MESSAGE_VERSION,
+    PLACES_VERSION,
     MessageVersion,
 )
 from cassialever.fleet.unknown_types import (
@@ -31,7 +32,9 @@
 from cassialever.listening import PortUse, listen
 from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
 from cassialever.policy.permits import MAX_BATCH
-from cassialever.types import RowVersion, Seconds, TargetId
+from cassialever.policy.slot_keeper import MAX_PLACE_ID, MAX_WANTED
+from cassialever.policy.contention import MAX_REPORTED
+from cassialever.types import PlaceId, RowVersion, Seconds, TargetId
 
 
 #: Longest delay of a permit, and between two: at the lowest rate of a target.
@@ -62,6 +65,9 @@
 _ListedTargets: TypeAlias = Annotated[
     tuple[_Id, ...], msgspec.Meta(max_length=MAX_LISTED_TARGETS)
 ]
+#: Most places that are given back at once.
+MAX_RELEASED: Final = 64
+_Place: TypeAlias = Annotated[PlaceId, msgspec.Meta(ge=0, le=MAX_PLACE_ID)]
 
 
 class _Versioned(msgspec.Struct, frozen=True, array_like=True):
@@ -79,6 +85,8 @@
     knows of each table of other writers. An older build sends none of them and
     so has no room. `reached` lists targets that it has reached since others
     list them as unreachable; `None` is of a build that doesn't say.
+    `contended` names services and owners of keys that get requests with a
+    place only.
     """
 
     instance_id: _Id
@@ -91,6 +99,9 @@
     message_version: MessageVersion = FIRST_VERSION
     newest_by_table: _NewestByTable = {}
     reached: _ListedTargets | None = None
+    contended: Annotated[
+        tuple[_Id, ...], msgspec.Meta(max_length=MAX_REPORTED)
+    ] = ()
 
 
 class PermitRequest(_Versioned, frozen=True, array_like=True, tag=4):
@@ -137,7 +148,47 @@
     message_version: MessageVersion = FIRST_VERSION
 
 
-Datagram: TypeAlias = OpenRequests | PermitRequest | Permits | CrashReports
+class PlaceRequest(_Versioned, frozen=True, array_like=True, tag=7):
+    """Gives places at a target back to its keeper, and asks for `wanted`.
+
+    `latency` and `requests` are of the last answer: its time in seconds, 0
+    without one, and the requests running and queued that the target named,
+    -1 if none.
+    """
+
+    since: ClassVar[MessageVersion] = PLACES_VERSION
+
+    target_id: _Id
+    wanted: Annotated[int, msgspec.Meta(ge=0, le=MAX_WANTED)] = 0
+    released: Annotated[
+        tuple[_Place, ...], msgspec.Meta(max_length=MAX_RELEASED)
+    ] = ()
+    latency: _Delay = 0
+    requests: Annotated[int, msgspec.Meta(ge=-1, le=MAX_REQUESTS)] = -1
+    message_version: MessageVersion = FIRST_VERSION
+
+
+class Places(_Versioned, frozen=True, array_like=True, tag=8):
+    """A keeper's answer; without places, none is usually free for `delay`."""
+
+    since: ClassVar[MessageVersion] = PLACES_VERSION
+
+    target_id: _Id
+    places: Annotated[
+        tuple[_Place, ...], msgspec.Meta(max_length=MAX_WANTED)
+    ] = ()
+    delay: _Delay = 0
+    message_version: MessageVersion = FIRST_VERSION
+
+
+Datagram: TypeAlias = (
+    OpenRequests
+    | PermitRequest
+    | Permits
+    | CrashReports
+    | PlaceRequest
+    | Places
+)
 #: Called with a datagram and the address of its sender.
 DatagramHandler: TypeAlias = Callable[[Any, str], None]
 
--- a/cassialever/fleet/gossip.py
+++ b/cassialever/fleet/gossip.py
@@ -59,6 +59,8 @@
         #: takes those that a peer knows.
         self.newest_by_table: Callable[[], dict[str, RowVersion]] = dict
         self.on_newest: NewestHandler = _ignore_newest
+        #: Called with what a peer has met as contended.
+        self.on_contended: Callable[[tuple[str, ...]], None] = _ignore_contended
         socket.handler_by_type[OpenRequests] = self._handle_report
 
     async def run(self) -> None:
@@ -106,6 +108,8 @@
     def _handle_report(self, report: OpenRequests, _: str) -> None:
         self._received_at_by_peer[report.instance_id] = self._clock.monotonic()
         self._loads.set_peer_load(report.instance_id, report.open_by_target)
+        if report.contended:
+            self.on_contended(report.contended)
         address = self._known_by_peer.get(report.instance_id)
         if address is not None:
             self._reporter.accept(
@@ -125,3 +129,7 @@
     peer: str, newest_by_table: Mapping[str, RowVersion]
 ) -> None:
     """Ignore versions; the default until a handler is set."""
+
+
+def _ignore_contended(names: tuple[str, ...]) -> None:
+    """Ignore contention; the default until a handler is set."""
--- a/cassialever/fleet/path_reports.py
+++ b/cassialever/fleet/path_reports.py
@@ -37,6 +37,8 @@
         self.is_stopping = False
         #: Returns the number of requests that are carried for others now.
         self.count_carried: Callable[[], int] = int
+        #: Returns what this daemon has met as contended.
+        self.contended: Callable[[], tuple[str, ...]] = tuple
 
     def describe(self, open_by_target: dict[str, int]) -> OpenRequests:
         """Return the report of this daemon; no targets if it is cut off."""
@@ -56,6 +58,7 @@
             self.is_stopping,
             listed,
             reached=tuple(reached[: MAX_LISTED_TARGETS - len(listed)]),
+            contended=self.contended(),
         )
 
     def accept(
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -20,6 +20,7 @@
     store_readings,
 )
 from cassialever.gateway.own_state import follow_readings, leader_readings
+from cassialever.gateway.place_ends import place_readings
 from cassialever.gateway.settings import GatewaySettings, load_settings
 from cassialever.gateway.standstill_watch import StandstillWatch
 from cassialever.gateway.stop_limit import TIMEOUT_ANSWER_RESERVE
@@ -226,6 +227,7 @@
             Reading('bodies_refused', self.core.exchanges.memory.refused_count),
             Reading('permits_issued', self.core.permits.issuer.issued_count),
             Reading('permits_denied', self.core.permits.issuer.denied_count),
+            *place_readings(self.core.reachability.places),
             Reading('stood_still_seconds', self._standstills.total),
             Reading('exceptions_unhandled', errors_by_place.total()),
         ]
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -125,6 +125,13 @@
             self.membership.shared_peers,
             self._reachability.socket,
         )
+        shares = self.forwarder.selector.shares
+        self._exchanges.dispatcher.place_ends.connect(
+            shares, self.view, self.loads
+        )
+        self._reachability.share_places(
+            shares, self.membership.shared_peers, random_source
+        )
         self.membership.run_leader = self.key_assigner.run
         self._relay.on_keys_asked = self.key_assigner.add_report
         #: Set when a part has failed, so that the daemon has to exit.
--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -22,6 +22,7 @@
     not_run,
     withdrawn,
 )
+from cassialever.gateway.place_ends import PlaceEnds
 from cassialever.gateway.sender import TargetRequest, TargetSender
 from cassialever.interfaces import HelperDaemon
 from cassialever.policy.reach import TargetReach
@@ -54,6 +55,8 @@
         #: What is known of requests that crash targets.
         self.crashes = crashes
         self.counters = HopCounters()
+        #: Tells the shares of this daemon how requests have ended.
+        self.place_ends = PlaceEnds(clock)
 
     async def send(
         self,
@@ -67,6 +70,20 @@
         A repeatable request whose path turns out to be down meanwhile is also
         passed on, if `may_duplicate` allows it, and the first answer counts.
         """
+        with self.place_ends.ending(target, request.place) as end:
+            attempt = await self._send_on_a_path(
+                request, target, time_left, may_duplicate
+            )
+            end.attempt = attempt
+        return attempt
+
+    async def _send_on_a_path(
+        self,
+        request: TargetRequest,
+        target: Target,
+        time_left: Seconds,
+        may_duplicate: MayDuplicate,
+    ) -> Attempt:
         now = self._clock.monotonic()
         attempt = not_run(
             'the target is not reached from here', ErrorKind.target_unreachable
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -48,7 +48,7 @@
 )
 from cassialever.policy.shares import WeightedSplit
 from cassialever.telemetry.spans import Hop, HopTracer, NoopTracer
-from cassialever.types import Seconds, ServiceName, TargetId
+from cassialever.types import PlaceId, Seconds, ServiceName, TargetId
 
 #: A request with less time left than this is not retried.
 MIN_RETRY_TIME: Final[Seconds] = 0.02
@@ -65,6 +65,8 @@
     decision: Decision
     #: The request's key with its owner by the tables, if it has one.
     held: unheld_keys.HeldKey | None = None
+    #: The place at the target that it uses, if the target is contended.
+    place: PlaceId | None = None
 
 
 #: A request as it was routed last, its placement, and how it ended.
@@ -312,7 +314,8 @@
         )
         if held is not None:
             self.selector.unheld.record_tried(held, now)
-        return _Placement(target, send_before, decision, held)
+        place = self.selector.shares.take(target.target_id)
+        return _Placement(target, send_before, decision, held, place)
 
     async def _send(
         self, routed: RoutedRequest, placed: _Placement, progress: _Progress
@@ -335,6 +338,7 @@
                 or _reason_not_held(placed, self.selector.unheld)
             ),
             decision=placed.decision,
+            place=placed.place,
         )
         self.counters.sent_by_service[target.service] += 1
         sent = msgspec.structs.replace(routed, request=request)
--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -10,6 +10,8 @@
 from cassialever.fleet.gossip import LoadGossip
 from cassialever.fleet.membership import Membership
 from cassialever.fleet.path_reports import PathReporter
+from cassialever.fleet.permits import PeerList
+from cassialever.fleet.places import PlaceExchange
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.path_probe import PathProber
 from cassialever.gateway.settings import GatewaySettings
@@ -19,6 +21,7 @@
 from cassialever.policy.paths import TargetPaths
 from cassialever.policy.peer_reports import Helper
 from cassialever.policy.room import request_capacity
+from cassialever.policy.slot_shares import SlotShares
 
 
 class Reachability:
@@ -26,6 +29,8 @@
 
     #: Compares the tables with those of others; set by `compare_tables`.
     catch_up: CatchUp
+    #: Places at targets; set by `share_places`.
+    places: PlaceExchange
 
     def __init__(
         self,
@@ -109,11 +114,32 @@
         catch_up.report_now = self._gossip.report_now
         membership.own_ages = catch_up.confirmation.ages
 
+    def share_places(
+        self,
+        shares: SlotShares,
+        peers: PeerList,
+        random_source: RandomSource,
+    ) -> None:
+        """Exchange places at targets, and what is contended."""
+        self.places = PlaceExchange(
+            self._settings.instance.instance_id,
+            self._view,
+            shares,
+            peers,
+            self.socket,
+            random_source,
+        )
+        self.reporter.contended = shares.contention.reported
+        self._gossip.on_contended = lambda names: (
+            shares.contention.record_heard(names, self._clock.monotonic())
+        )
+
     def prune(self) -> None:
         """Forget targets that are gone and reports that have expired.
 
         The path to one whose address another target has leads to that one.
         """
+        self.places.update()
         targets = self._view.targets
         known = {
             target_id
--- a/cassialever/gateway/sender.py
+++ b/cassialever/gateway/sender.py
@@ -55,7 +55,7 @@
 from cassialever.policy.loads import LoadTracker, TargetLoad
 from cassialever.policy.paths import TargetPaths
 from cassialever.telemetry.spans import TRACEPARENT_HEADER
-from cassialever.types import DataCentreId, Seconds
+from cassialever.types import DataCentreId, PlaceId, Seconds
 
 #: How long an idle connection is kept; targets close theirs after 10 s.
 KEEPALIVE_TIMEOUT: Final[Seconds] = 8.0
@@ -97,6 +97,8 @@
     withdrawal_reason: Callable[[], str] = str
     #: The choice of its target; None if another daemon has made it.
     decision: Decision | None = None
+    #: The place at its target that it uses, if the target is contended.
+    place: PlaceId | None = None
     #: The memory that it holds, for its body and its answers.
     memory: RequestMemory = msgspec.field(default_factory=unlimited_memory)
 
--- a/cassialever/policy/loads.py
+++ b/cassialever/policy/loads.py
@@ -44,6 +44,8 @@
         self._reported_requests: float = 0
         self._reported_at: Seconds = 0
         self._own_when_reported = 0
+        #: When the target last reported, and the requests that it named.
+        self.last_report: tuple[Seconds, int] = (0, 0)
         self._slowdown = 1.0
         self._failure_rate: float = 0
         self._failed_at: Seconds = 0
@@ -128,6 +130,7 @@
             return
         self._reported_requests = load.running + load.queued
         self._reported_at = now
+        self.last_report = (now, load.running + load.queued)
         # The answered request is still open here but no longer at the target.
         self._own_when_reported = max(self.open_requests - 1, 0)
         self._slowdown = load.slowdown
--- a/cassialever/policy/permits.py
+++ b/cassialever/policy/permits.py
@@ -160,7 +160,7 @@
         """Return a target's keeper; None if unknown or changed just now."""
         if target_id not in self._keeper_by_id:
             lists = [self._daemons, *(names for names, _ in self._former)]
-            keepers = {_highest(target_id, names) for names in lists}
+            keepers = {highest(target_id, names) for names in lists}
             self._keeper_by_id[target_id] = (
                 keepers.pop() if len(keepers) == 1 else None
             )
@@ -288,7 +288,7 @@
         return self._permits_by_id.setdefault(target_id, _TargetPermits())
 
 
-def _highest(target_id: TargetId, daemons: Collection[str]) -> str | None:
+def highest(target_id: TargetId, daemons: Collection[str]) -> str | None:
     """Return the daemon whose hash with the target is highest."""
     return max(
         daemons,
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -21,7 +21,9 @@
 from cassialever.policy.full_services import FullServices
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.permits import PermitLimiter
+from cassialever.policy.place_seeking import PlaceSeeker
 from cassialever.policy.reach import SoundPaths, TargetReach
+from cassialever.policy.slot_shares import SlotShares
 from cassialever.policy.subsets import TargetSubsets
 from cassialever.policy.unheld_keys import Grant, UnheldKeys, held_key
 from cassialever.types import Seconds, ServiceName, TargetId
@@ -143,6 +145,10 @@
         self.ended_owners = EndedOwners()
         #: Number of requests that wait for a target.
         self.waiting_by_service: Counter[ServiceName] = Counter()
+        #: This daemon's places at targets that are contended.
+        self.shares = SlotShares(random_source)
+        self.shares.waiting_by_service = self.waiting_by_service
+        self._seeker = PlaceSeeker(view, loads, self.shares, random_source)
 
     def choose(
         self,
@@ -223,6 +229,8 @@
         rejection = self._rejection(target, request, now)
         if rejection in NEEDS_PERMIT:
             self._limiter.request(target.target_id, now)
+        if rejection is NoTargetReason.full:
+            self._seeker.ask(target, now)
         return rejection or target
 
     def _choose_any(
@@ -230,6 +238,15 @@
         request: PlacementRequest,
         now: Seconds,
     ) -> Target | NoTargetReason:
+        if self.shares.is_contended(request.service, now):
+            held = self._seeker.held(request.service, request.tried, now)
+            chosen = self._choose_among(held, request, now)
+            if isinstance(chosen, Target):
+                return chosen
+            sample = self._seeker.sample(request, self.reach, now)
+            if sample:
+                best = self._least_loaded(sample, request, now)
+                self._seeker.ask(best, now)
         if self._full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
         chosen = self._choose_any_now(request, now)
@@ -351,9 +368,12 @@
         """Return why a target can't take a request, or None if it can."""
         if self._view.targets.pause_left(target):
             return NoTargetReason.paused
+        reason = self.needed_permit(target)
+        if reason is None and self.shares.needs_place(target, now):
+            has_place = self.shares.holds(target.target_id, now)
+            return None if has_place else NoTargetReason.full
         if _is_full(self._view, target, self._loads, request, now):
             return NoTargetReason.full
-        reason = self.needed_permit(target)
         if reason is None or self._limiter.allows(target.target_id, now):
             return None
         return reason
--- a/cassialever/types.py
+++ b/cassialever/types.py
@@ -18,6 +18,7 @@
 Fence = NewType('Fence', int)
 CatalogueVersion = NewType('CatalogueVersion', int)
 RowVersion = NewType('RowVersion', int)
+PlaceId = NewType('PlaceId', int)
 
 # Durations and monotonic times are in seconds, as in the standard library.
 Seconds: TypeAlias = float
