--- a/cassialever/fleet/places.py
+++ b/cassialever/fleet/places.py
@@ -74,11 +74,15 @@
             self._addresses = keepers
             self._keeper_by_id.clear()
 
-    def _send(self, target_id: TargetId, report: PlaceReport) -> None:
-        """Send a report to the keeper of a target."""
+    def keeper_of(self, target_id: TargetId) -> str | None:
+        """Return the daemon that hands out a target's places, if known."""
         if target_id not in self._keeper_by_id:
             self._keeper_by_id[target_id] = highest(target_id, self._addresses)
-        keeper = self._keeper_by_id[target_id]
+        return self._keeper_by_id[target_id]
+
+    def _send(self, target_id: TargetId, report: PlaceReport) -> None:
+        """Send a report to the keeper of a target."""
+        keeper = self.keeper_of(target_id)
         request = PlaceRequest(
             target_id,
             report.wanted,
--- a/cassialever/policy/contention.py
+++ b/cassialever/policy/contention.py
@@ -43,10 +43,13 @@
         """Return whether a service or a target is contended."""
         return now < self._until_by_name.get(name, 0)
 
-    def record_sign(self, name: str, now: Seconds) -> None:
-        """Note that a request has met a queue, or was turned away."""
+    def record_sign(self, name: str, weight: float, now: Seconds) -> None:
+        """Note that a request has met a queue, or was turned away.
+
+        A queue weighs as many times as it is longer than one that counts.
+        """
         signs, last_at = self._signs_by_name.pop(name, (0, now))
-        signs = 1 + signs * math.exp((last_at - now) / SIGNS_PERIOD)
+        signs = weight + signs * math.exp((last_at - now) / SIGNS_PERIOD)
         _make_room(self._signs_by_name)
         self._signs_by_name[name] = (signs, now)
         if signs > MIN_SIGNS:
--- a/cassialever/policy/slot_shares.py
+++ b/cassialever/policy/slot_shares.py
@@ -149,8 +149,9 @@
 
         `name` is what is contended: the service, or an owner of keys.
         """
-        if end.is_shed or end.requests >= CONTENDED_PER_SLOT * target.slots:
-            self.contention.record_sign(name, now)
+        weight = end.requests / (CONTENDED_PER_SLOT * target.slots)
+        if end.is_shed or weight >= 1:
+            self.contention.record_sign(name, max(weight, 1), now)
         if end.place is not None:
             self.send(
                 target.target_id,
