Refuse at once what a daemon short of processor would make late

Cause: a daemon of a third of a core whose loop is late makes all requests late. Change: the lateness of the loop decides on a request before its body is read, and the room that a daemon reports to others.

--- a/cassialever/fleet/path_reports.py
+++ b/cassialever/fleet/path_reports.py
@@ -37,6 +37,8 @@
         self.is_stopping = False
         #: Returns the number of requests that are carried for others now.
         self.count_carried: Callable[[], int] = int
+        #: Returns whether this daemon is short of processor time.
+        self.is_strained: Callable[[], bool] = bool
         #: Returns what this daemon has met as contended.
         self.contended: Callable[[], tuple[str, ...]] = tuple
 
@@ -45,6 +47,8 @@
         now = self._clock.monotonic()
         own_requests = sum(open_by_target.values())
         room = self._capacity - own_requests - self.count_carried()
+        if self.is_strained():
+            room = 0
         is_cut_off = bool(self._paths.failed_without_answer(now))
         down = [] if is_cut_off else self._paths.direct.down(now)
         listed = tuple(down[:MAX_LISTED_TARGETS])
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -62,6 +62,8 @@
         self.core.forwarder.on_end = self._keyed_requests.note
         self._metrics = MetricsServer(settings, self._readings)
         self._standstills = StandstillWatch(self.core.clock)
+        router = self.core.forwarder.router
+        self._standstills.on_lag = router.strain.record_lag
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
 
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -125,6 +125,8 @@
             self.membership.shared_peers,
             self._reachability.socket,
         )
+        strain = self.forwarder.router.strain
+        self._reachability.reporter.is_strained = strain.is_short
         shares = self.forwarder.selector.shares
         self._exchanges.dispatcher.place_ends.connect(
             shares, self.view, self.loads
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -18,7 +18,7 @@
 from cassialever.gateway.connections import CallerListener, RequestHandler
 from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
-from cassialever.gateway.refusals import Refusal
+from cassialever.gateway.refusals import STRAINED_CAUSE, Refusal
 from cassialever.gateway.routes import split_request_target
 from cassialever.gateway.routing import DEFAULT_TIMEOUT, RoutedRequest
 from cassialever.gateway.sender import TargetRequest
@@ -159,8 +159,10 @@
         if isinstance(routed, Refusal):
             self._record_unrouted(target_request, host, routed)
             response = _refusal_response(routed, target_request.request_id)
-            if request.can_read_body and not request.content.is_eof():
-                # The rest of the body must not be taken for a request.
+            has_rest = request.can_read_body and not request.content.is_eof()
+            if has_rest or routed.cause == STRAINED_CAUSE:
+                # The rest of the body must not be taken for a request, and
+                # the next try may reach another daemon.
                 response.force_close()
             return response
         answer = await self._forwarder.serve(routed)
--- a/cassialever/gateway/refusals.py
+++ b/cassialever/gateway/refusals.py
@@ -1,6 +1,7 @@
 """The answers that a daemon gives in place of a target's."""
 
 from http import HTTPStatus
+from typing import Final
 
 import msgspec
 
@@ -16,6 +17,11 @@
 from cassialever.types import Seconds, TargetId
 
 
+#: The cause of refusals that close their connection, so that the caller's
+#: next try may reach another daemon.
+STRAINED_CAUSE: Final = 'strained'
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """An answer by this daemon instead of a target.
 
@@ -107,6 +113,17 @@
     )
 
 
+def strained() -> Refusal:
+    """Refuse a request that this daemon itself would make late."""
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'this daemon is short of processor time',
+        refusal.FixedRetryAfter.strained.value,
+        STRAINED_CAUSE,
+        ErrorKind.caller_over_limit,
+    )
+
+
 def no_target(
     decision: refusal.Refuse, sentence: str, owner: Target | None
 ) -> Refusal:
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -19,6 +19,7 @@
     no_route,
     outdated,
     unknown_key,
+    strained,
 )
 from cassialever.gateway.sender import TargetRequest
 from cassialever.platform import credentials, wire
@@ -33,6 +34,7 @@
     reason_to_wait,
 )
 from cassialever.policy.precedence import Precedence
+from cassialever.policy.strain import Strain
 from cassialever.types import CustomerName, Seconds
 
 #: How long callers that send no deadline are assumed to wait.
@@ -118,6 +120,8 @@
         self._clock = clock
         #: Returns what is known of the age of this daemon's tables.
         self.knowledge: Callable[[], Knowledge] = Knowledge
+        #: How late this daemon itself makes requests.
+        self.strain = Strain()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -141,6 +145,10 @@
                 return outdated()
             await asyncio.sleep(POLL_INTERVAL)
             routed = route_request(self._view, request, host, received_at)
+        if isinstance(routed, Refusal):
+            return routed
+        if not self.strain.carries_in_time(routed.route.objective):
+            return strained()
         return routed
 
     async def find_again(
--- a/cassialever/gateway/standstill_watch.py
+++ b/cassialever/gateway/standstill_watch.py
@@ -1,6 +1,7 @@
 """Log for how long the event loop of this process did not run."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from cassialever.clock import SystemClock
@@ -24,6 +25,8 @@
         self._clock = clock
         #: How long the loop has stood still since the process started.
         self.total: Seconds = 0
+        #: Called with how late the loop is, every CHECK_INTERVAL.
+        self.on_lag: Callable[[Seconds], None] = _ignore
 
     async def run(self) -> None:
         """Log each standstill when it ends, until cancelled."""
@@ -32,6 +35,7 @@
             processor_time = self._clock.processor()
             await asyncio.sleep(CHECK_INTERVAL)
             late_by = self._clock.boot() - due_at
+            self.on_lag(max(late_by, 0))
             if late_by < MIN_LOGGED:
                 continue
             self.total += late_by
@@ -41,3 +45,7 @@
                 lasted=round(late_by, 3),
                 busy_for=round(busy_for, 3),
             )
+
+
+def _ignore(lag: Seconds) -> None:
+    """Take no note; the default until an observer is set."""
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -147,6 +147,7 @@
 
     default = 0.5
     stopping = 0.1
+    strained = 0.15
     outdated = 0.3
 
 
