--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -23,7 +23,9 @@
 from cassialever.policy.loads import LoadTracker
 from cassialever.policy.memory import SHORT_BODY_BYTES
 from cassialever.policy.permits import PermitLimiter
+from cassialever.policy.place_seeking import PlaceSeeker
 from cassialever.policy.reach import SoundPaths, TargetReach
+from cassialever.policy.slot_shares import SlotShares
 from cassialever.policy.subsets import TargetSubsets
 from cassialever.policy.unheld_keys import Grant, UnheldKeys, held_key
 from cassialever.types import Seconds, ServiceName, TargetId
@@ -152,6 +154,10 @@
         self.ended_owners = EndedOwners()
         #: Number of requests that wait for a target.
         self.waiting_by_service: Counter[ServiceName] = Counter()
+        #: This daemon's places at targets that are contended.
+        self.shares = SlotShares(random_source)
+        self.shares.waiting_by_service = self.waiting_by_service
+        self._seeker = PlaceSeeker(view, loads, self.shares, random_source)
 
     def choose(
         self,
@@ -232,6 +238,8 @@
         rejection = self._rejection(target, request, now)
         if rejection in NEEDS_PERMIT:
             self._limiter.request(target.target_id, now)
+        if rejection is NoTargetReason.full:
+            self._seeker.ask(target, now)
         return rejection or target
 
     def _choose_any(
@@ -239,6 +247,15 @@
         request: PlacementRequest,
         now: Seconds,
     ) -> Target | NoTargetReason:
+        if self.shares.is_contended(request.service, now):
+            held = self._seeker.held(request.service, request.tried, now)
+            chosen = self._choose_among(held, request, now)
+            if isinstance(chosen, Target):
+                return chosen
+            sample = self._seeker.sample(request, self.reach, now)
+            if sample:
+                best = self._least_loaded(sample, request, now)
+                self._seeker.ask(best, now)
         if self._full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
         if request.body_bytes > SHORT_BODY_BYTES:
@@ -365,19 +382,29 @@
         """Return why a target can't take a request, or None if it can."""
         if self._view.targets.pause_left(target):
             return NoTargetReason.paused
-        if _is_full(self._view, target, self._loads, request, now):
+        if not self._has_room_for_body(target, request, now):
             return NoTargetReason.full
-        if request.body_bytes > SHORT_BODY_BYTES:
-            requests = self._loads.of(target.target_id).estimated_requests(now)
-            if not self._loads.long_bodies.has_room(
-                target.target_id, target.slots, requests, request.body_bytes
-            ):
-                return NoTargetReason.full
         reason = self.needed_permit(target)
+        if reason is None and self.shares.needs_place(target, now):
+            has_place = self.shares.holds(target.target_id, now)
+            return None if has_place else NoTargetReason.full
+        if _is_full(self._view, target, self._loads, request, now):
+            return NoTargetReason.full
         if reason is None or self._limiter.allows(target.target_id, now):
             return None
         return reason
 
+    def _has_room_for_body(
+        self, target: Target, request: PlacementRequest, now: Seconds
+    ) -> bool:
+        """Return whether a target has room for a long body, if it is one."""
+        if request.body_bytes <= SHORT_BODY_BYTES:
+            return True
+        requests = self._loads.of(target.target_id).estimated_requests(now)
+        return self._loads.long_bodies.has_room(
+            target.target_id, target.slots, requests, request.body_bytes
+        )
+
     def _not_failing(self, targets: list[Target], now: Seconds) -> list[Target]:
         healthy = [
             target
