--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -382,7 +382,7 @@
         """Return why a target can't take a request, or None if it can."""
         if self._view.targets.pause_left(target):
             return NoTargetReason.paused
-        if not self._has_room_for_body(target, request, now):
+        if not _has_room_for_body(target, self._loads, request, now):
             return NoTargetReason.full
         reason = self.needed_permit(target)
         if reason is None and self.shares.needs_place(target, now):
@@ -394,17 +394,6 @@
             return None
         return reason
 
-    def _has_room_for_body(
-        self, target: Target, request: PlacementRequest, now: Seconds
-    ) -> bool:
-        """Return whether a target has room for a long body, if it is one."""
-        if request.body_bytes <= SHORT_BODY_BYTES:
-            return True
-        requests = self._loads.of(target.target_id).estimated_requests(now)
-        return self._loads.long_bodies.has_room(
-            target.target_id, target.slots, requests, request.body_bytes
-        )
-
     def _not_failing(self, targets: list[Target], now: Seconds) -> list[Target]:
         healthy = [
             target
@@ -475,6 +464,18 @@
     return (target.target_id, target.started_at, target.address)
 
 
+def _has_room_for_body(
+    target: Target, loads: LoadTracker, request: PlacementRequest, now: Seconds
+) -> bool:
+    """Return whether a target has room for a long body, if it is one."""
+    if request.body_bytes <= SHORT_BODY_BYTES:
+        return True
+    requests = loads.of(target.target_id).estimated_requests(now)
+    return loads.long_bodies.has_room(
+        target.target_id, target.slots, requests, request.body_bytes
+    )
+
+
 def _is_full(
     view: FleetView,
     target: Target,
