Keep the limits of customers over all daemons by tokens of keepers

Cause: nothing limited the requests of a customer. Change: three keepers a customer by rendezvous hashing, each with a third of the rate and burst, issue tokens by each daemon's demand; daemons that are cut off use their part of the rate. 429 with the cause over_quota and a spread Retry-After; a repeat of a request that may have run takes a token of its own; a refused key is logged once a second.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -95,6 +95,16 @@
         logbook.INFO,
         'A request is sent long after it came, or by old tables.',
     )
+    quota_passed = (
+        213,
+        logbook.INFO,
+        'Requests of a customer over its limit are refused.',
+    )
+    key_refused = (
+        214,
+        logbook.INFO,
+        'Requests without the key of a customer are refused.',
+    )
     answer_unsent = (
         220,
         logbook.INFO,
@@ -119,6 +129,11 @@
         logbook.NOTICE,
         'A peer runs a build with another version of the messages, or did.',
     )
+    quota_keepers_changed = (
+        311,
+        logbook.INFO,
+        'The daemons among which the keepers of customers are chosen changed.',
+    )
     link_out_of_step = (
         308,
         logbook.WARNING,
--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -21,6 +21,7 @@
     CRASHES_VERSION,
     FIRST_VERSION,
     MESSAGE_VERSION,
+    QUOTAS_VERSION,
     MessageVersion,
 )
 from cassialever.fleet.unknown_types import (
@@ -31,7 +32,8 @@
 from cassialever.listening import PortUse, listen
 from cassialever.policy.peer_reports import MAX_LISTED_TARGETS
 from cassialever.policy.permits import MAX_BATCH
-from cassialever.types import RowVersion, Seconds, TargetId
+from cassialever.policy.quotas import LANE_COUNT, MAX_PORTION
+from cassialever.types import CustomerName, RowVersion, Seconds, TargetId
 
 
 #: Longest delay of a permit, and between two: at the lowest rate of a target.
@@ -54,6 +56,9 @@
 _Delay: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY)]
 _Moment: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 _Requests: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_REQUESTS)]
+_Tokens: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORTION)]
+_Lane: TypeAlias = Annotated[int, msgspec.Meta(ge=0, lt=LANE_COUNT)]
+_Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
 _Id: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_ID_LENGTH)]
 _NewestByTable: TypeAlias = Annotated[
     dict[_Id, Annotated[RowVersion, msgspec.Meta(ge=0)]],
@@ -91,6 +96,8 @@
     message_version: MessageVersion = FIRST_VERSION
     newest_by_table: _NewestByTable = {}
     reached: _ListedTargets | None = None
+    #: Tells by which list of daemons its sender chooses keepers of customers.
+    list_digest: _Count = 0
 
 
 class PermitRequest(_Versioned, frozen=True, array_like=True, tag=4):
@@ -137,7 +144,51 @@
     message_version: MessageVersion = FIRST_VERSION
 
 
-Datagram: TypeAlias = OpenRequests | PermitRequest | Permits | CrashReports
+class QuotaRequest(_Versioned, frozen=True, array_like=True, tag=7):
+    """Asks the keeper of a customer's lane for tokens.
+
+    The numbers are those of `policy.quotas.QuotaAsk`. It was sent at `asked_at`
+    by the sender's clock, whose list of daemons has the digest.
+    """
+
+    since: ClassVar[MessageVersion] = QUOTAS_VERSION
+
+    instance_id: _Id
+    customer: Annotated[CustomerName, msgspec.Meta(max_length=MAX_ID_LENGTH)]
+    lane: _Lane
+    needed: _Tokens
+    ahead: _Tokens
+    used: _Tokens
+    held: _Tokens
+    serial: _Count
+    list_digest: _Count
+    asked_at: _Moment
+    message_version: MessageVersion = FIRST_VERSION
+
+
+class QuotaTokens(_Versioned, frozen=True, array_like=True, tag=8):
+    """A keeper's answer, with the time of the question that it answers."""
+
+    since: ClassVar[MessageVersion] = QUOTAS_VERSION
+
+    customer: Annotated[CustomerName, msgspec.Meta(max_length=MAX_ID_LENGTH)]
+    lane: _Lane
+    needed: _Tokens
+    ahead: _Tokens
+    serial: _Count
+    pause: _Delay
+    asked_at: _Moment
+    message_version: MessageVersion = FIRST_VERSION
+
+
+Datagram: TypeAlias = (
+    OpenRequests
+    | PermitRequest
+    | Permits
+    | CrashReports
+    | QuotaRequest
+    | QuotaTokens
+)
 #: Called with a datagram and the address of its sender.
 DatagramHandler: TypeAlias = Callable[[Any, str], None]
 
@@ -168,6 +219,8 @@
         self.unsent_count = 0
         self._skip_log = SkipLog()
         self._message_version_by_address: dict[str, MessageVersion] = {}
+        #: Until when datagrams are read as they arrive, by the loop's time.
+        self._expected_until: Seconds = 0
 
     async def start(self, address: str) -> None:
         """Listen on the address at which other daemons reach this one."""
@@ -196,6 +249,17 @@
             # it with an address that is none: as if it were lost.
             self.unsent_count += 1
 
+    def expect_answer(self, max_wait: Seconds) -> None:
+        """Read datagrams as they arrive for a time, since callers wait."""
+        if self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._expected_until = loop.time() + max_wait
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+            self._await_datagrams()
+
     def can_read(self, address: str, kind: type[_Versioned]) -> bool:
         """Return whether the daemon at an address knows a type of datagram.
 
@@ -246,14 +310,18 @@
             self._look_again()
 
     def _look_again(self) -> None:
-        """Read again after READ_INTERVAL."""
-        if self._socket is not None:
-            self._timer = asyncio.get_running_loop().call_later(
-                READ_INTERVAL, self._read_later
-            )
+        """Read again after READ_INTERVAL, or at once if callers wait."""
+        if self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._expected_until:
+            self._await_datagrams()
+            return
+        self._timer = loop.call_later(READ_INTERVAL, self._read_later)
 
     def _read_later(self) -> None:
         """Read what has arrived since, or wait until something arrives."""
+        self._timer = None
         if self._socket is None:
             return
         poller = select.poll()
--- a/cassialever/fleet/gossip.py
+++ b/cassialever/fleet/gossip.py
@@ -59,6 +59,10 @@
         #: takes those that a peer knows.
         self.newest_by_table: Callable[[], dict[str, RowVersion]] = dict
         self.on_newest: NewestHandler = _ignore_newest
+        #: Returns the digest of the list of daemons by which this daemon
+        #: chooses keepers of customers, and takes that of a peer.
+        self.list_digest: Callable[[], int] = int
+        self.on_digest: Callable[[str, int], None] = _ignore_digest
         socket.handler_by_type[OpenRequests] = self._handle_report
 
     async def run(self) -> None:
@@ -95,7 +99,9 @@
         report = self._reporter.describe(self._loads.open_by_target())
         datagram = encode(
             msgspec.structs.replace(
-                report, newest_by_table=self.newest_by_table()
+                report,
+                newest_by_table=self.newest_by_table(),
+                list_digest=self.list_digest(),
             )
         )
         for peer, address in addresses_by_peer.items():
@@ -106,6 +112,7 @@
     def _handle_report(self, report: OpenRequests, _: str) -> None:
         self._received_at_by_peer[report.instance_id] = self._clock.monotonic()
         self._loads.set_peer_load(report.instance_id, report.open_by_target)
+        self.on_digest(report.instance_id, report.list_digest)
         address = self._known_by_peer.get(report.instance_id)
         if address is not None:
             self._reporter.accept(
@@ -125,3 +132,7 @@
     peer: str, newest_by_table: Mapping[str, RowVersion]
 ) -> None:
     """Ignore versions; the default until a handler is set."""
+
+
+def _ignore_digest(peer: str, digest: int) -> None:
+    """Ignore the list of a peer; the default until a handler is set."""
--- a/cassialever/fleet/message_version.py
+++ b/cassialever/fleet/message_version.py
@@ -12,6 +12,8 @@
 FIRST_VERSION: Final = MessageVersion(0)
 #: The first version that reads reports of crashes.
 CRASHES_VERSION: Final = MessageVersion(2)
+#: The first version that reads requests for tokens of customers.
+QUOTAS_VERSION: Final = MessageVersion(3)
 #: The version that this build writes. It rises with each type that the build
 #: before doesn't know; a field at the end of a type needs no new version.
-MESSAGE_VERSION: Final = MessageVersion(2)
+MESSAGE_VERSION: Final = MessageVersion(3)
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -185,6 +185,7 @@
             *key_readings(self.core.key_assigner.counters),
             *hop_readings(self.core.exchanges.dispatcher.counters),
             *store_readings(self.core.store),
+            *self.core.shared_limits.readings(),
             *follow_readings(self.core.membership),
             Reading('entries_rejected', self.view.rejected_count),
             Reading('entries_failed', self.view.faults.failed_count),
@@ -224,8 +225,6 @@
             ),
             Reading('body_bytes_held', self.core.exchanges.memory.held),
             Reading('bodies_refused', self.core.exchanges.memory.refused_count),
-            Reading('permits_issued', self.core.permits.issuer.issued_count),
-            Reading('permits_denied', self.core.permits.issuer.denied_count),
             Reading('stood_still_seconds', self._standstills.total),
             Reading('exceptions_unhandled', errors_by_place.total()),
         ]
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -16,7 +16,6 @@
     election_delay,
 )
 from cassialever.fleet.operator_rows import OperatorRowHandler
-from cassialever.fleet.permits import PermitExchange
 from cassialever.fleet.relay import Relay
 from cassialever.fleet.view import FleetView
 from cassialever.gateway.exchanges import TargetExchanges
@@ -24,6 +23,7 @@
 from cassialever.gateway.own_state import activity_of, greeting, tables_state
 from cassialever.gateway.reachability import Reachability
 from cassialever.gateway.settings import GatewaySettings
+from cassialever.gateway.shared_limits import SharedLimits
 from cassialever.keys.assigner import KeyAssigner
 from cassialever.keys.heat import HEAT_UPDATE_INTERVAL
 from cassialever.platform.store import StoreClient
@@ -117,13 +117,13 @@
             self.membership.link,
             self.clock,
         )
-        self._permits = PermitExchange(
-            settings.instance.instance_id,
+        self._shared_limits = SharedLimits(
+            settings,
             self.view,
-            self.forwarder.limiter,
-            self.clock,
+            self.forwarder,
+            self._reachability,
             self.membership.shared_peers,
-            self._reachability.socket,
+            random_source,
         )
         self.membership.run_leader = self.key_assigner.run
         self._relay.on_keys_asked = self.key_assigner.add_report
@@ -137,9 +137,9 @@
         return self._exchanges
 
     @property
-    def permits(self) -> PermitExchange:
-        """Return the exchange of permits with other daemons."""
-        return self._permits
+    def shared_limits(self) -> SharedLimits:
+        """Return the limits that all daemons keep together."""
+        return self._shared_limits
 
     @property
     def reachability(self) -> Reachability:
@@ -243,7 +243,7 @@
         self.loads.prune(known)
         self._prune_selector()
         self.view.targets.limits.prune(known)
-        self._permits.prune()
+        self._shared_limits.prune()
         self._exchanges.crash_evidence.check_entries()
         self._exchanges.crashes.prune()
         self._reachability.prune()
--- a/cassialever/gateway/counters.py
+++ b/cassialever/gateway/counters.py
@@ -14,6 +14,9 @@
 _HIGHEST_MS: Final = 60000
 _SIGNIFICANT_DIGITS: Final = 2
 
+#: Shortest time between two events of refusals of one kind.
+EVENT_INTERVAL: Final[Seconds] = 1.0
+
 _Name = TypeVar('_Name', bound=str)
 
 
@@ -64,6 +67,25 @@
             self.refused_by_target[attempt.refusal, service] += 1
 
 
+class RefusalCount:
+    """Refusals of one kind, of which there is an event once in a time."""
+
+    def __init__(self) -> None:
+        """Start without refusals."""
+        self._count = 0
+        self._next_event_at: Seconds = 0
+
+    def note(self, now: Seconds) -> int:
+        """Count a refusal; return how many an event tells of, if it is due."""
+        self._count += 1
+        if now < self._next_event_at:
+            return 0
+        self._next_event_at = now + EVENT_INTERVAL
+        count = self._count
+        self._count = 0
+        return count
+
+
 @contextmanager
 def counted(counter: Counter[_Name], name: _Name) -> Iterator[None]:
     """Count something under a name for as long as it lasts."""
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -90,6 +90,7 @@
         self.refused_by: set[unheld_keys.Grant] = set()
         #: Places where another target has answered.
         self.replaced_at: set[Place] = set()
+        self.undo_admission: Callable[[], None] = _ignore
         #: Attempts begun, also the second one at the same target.
         self.count = 0
 
@@ -152,7 +153,14 @@
 
     async def serve(self, routed: RoutedRequest) -> Answer | Refusal:
         """Send a request, with retries, and return its final answer."""
+        admitted = await self.router.admit(routed)
+        if isinstance(admitted, Refusal):
+            self.counters.record_refusal(admitted.cause)
+            waited = self._clock.monotonic() - routed.received_at
+            _record_refusal(routed, admitted, waited, self.tables())
+            return admitted
         progress = _Progress(self._choose_service(routed))
+        progress.undo_admission = admitted
         while True:
             sent = await self._place_and_send(routed, progress)
             if isinstance(sent, Refusal):
@@ -376,6 +384,8 @@
             return False
         if not self._spend_attempt(routed, target.service, progress):
             return False
+        if not self.router.quotas.admit_repeat(routed.customer):
+            return False
         progress.count += 1
         return True
 
@@ -388,7 +398,13 @@
                 return False
             if self._sender.crashes.is_suspected(routed.request):
                 return False
-        return self._spend_attempt(routed, progress.service, progress)
+        if not self._spend_attempt(routed, progress.service, progress):
+            return False
+        # One that has not run needs no other token.
+        return (
+            last.outcome is AttemptOutcome.not_run
+            or self.router.quotas.admit_repeat(routed.customer)
+        )
 
     def _spend_attempt(
         self, routed: RoutedRequest, service: ServiceName, progress: _Progress
@@ -412,20 +428,12 @@
         self.on_end(progress.service, routed.key, answer, progress.failed)
         if isinstance(answer, Answer):
             return answer
+        if answer.retry_after is not None:
+            # It has not run.
+            progress.undo_admission()
         self.counters.record_refusal(answer.cause)
-        record(
-            Event.request_refused,
-            request=routed.request.request_id,
-            route=routed.route.name,
-            key=routed.key,
-            target=answer.target_id,
-            status=answer.status,
-            reason=answer.sentence,
-            waited=round(self._clock.monotonic() - routed.received_at, 3),
-            retry_after=answer.retry_after,
-            fingerprint=answer.fingerprint,
-            **self.tables().fields(),
-        )
+        waited = self._clock.monotonic() - routed.received_at
+        _record_refusal(routed, answer, waited, self.tables())
         return answer
 
     def _budget(self, name: ServiceName) -> RetryBudget:
@@ -532,6 +540,27 @@
     return no_target(decision, sentence, owner)
 
 
+def _record_refusal(
+    routed: RoutedRequest,
+    answer: Refusal,
+    waited: Seconds,
+    tables: TablesState,
+) -> None:
+    record(
+        Event.request_refused,
+        request=routed.request.request_id,
+        route=routed.route.name,
+        key=routed.key,
+        target=answer.target_id,
+        status=answer.status,
+        reason=answer.sentence,
+        waited=round(waited, 3),
+        retry_after=answer.retry_after,
+        fingerprint=answer.fingerprint,
+        **tables.fields(),
+    )
+
+
 def _record_failed_attempt(
     routed: RoutedRequest,
     placed: _Placement,
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from cassialever.clock import SystemClock
+from cassialever.errors import ErrorKind
 from cassialever.events import Event, record
 from cassialever.fleet.connecting import split_address
 from cassialever.gateway.bodies import (
@@ -16,6 +17,7 @@
     send_whole,
 )
 from cassialever.gateway.connections import CallerListener, RequestHandler
+from cassialever.gateway.counters import RefusalCount
 from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
 from cassialever.gateway.refusals import Refusal
@@ -69,6 +71,7 @@
         self.is_ready = False
         self.is_stopping = False
         self.open_requests = 0
+        self._refused_keys = RefusalCount()
         self._failed_checks = 0
         self._last_check_at: Seconds = 0
 
@@ -219,12 +222,21 @@
         refusal: Refusal,
     ) -> None:
         self._forwarder.counters.record_refusal(refusal.cause)
+        event = Event.request_refused
+        count = 1
+        if refusal.kind is ErrorKind.bad_credential:
+            # Callers without a key may send very many.
+            event = Event.key_refused
+            count = self._refused_keys.note(self._clock.monotonic())
+        if not count:
+            return
         record(
-            Event.request_refused,
+            event,
             request=request.request_id,
             host=host,
             path=request.raw_path,
             status=refusal.status,
+            count=count,
             reason=refusal.sentence,
             **self._forwarder.tables().fields(),
         )
--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -109,6 +109,13 @@
         catch_up.report_now = self._gossip.report_now
         membership.own_ages = catch_up.confirmation.ages
 
+    def show_list(
+        self, digest: Callable[[], int], on_digest: Callable[[str, int], None]
+    ) -> None:
+        """Tell by which list of daemons keepers of customers are chosen."""
+        self._gossip.list_digest = digest
+        self._gossip.on_digest = on_digest
+
     def prune(self) -> None:
         """Forget targets that are gone and reports that have expired.
 
--- a/cassialever/gateway/refusals.py
+++ b/cassialever/gateway/refusals.py
@@ -96,6 +96,17 @@
     )
 
 
+def over_quota(sentence: str, retry_after: Seconds) -> Refusal:
+    """Refuse a request of a customer over its limit."""
+    return Refusal(
+        HTTPStatus.TOO_MANY_REQUESTS,
+        sentence,
+        retry_after,
+        'over_quota',
+        ErrorKind.caller_over_limit,
+    )
+
+
 def outdated() -> Refusal:
     """Refuse a request while newer tables than this daemon's are under way."""
     return Refusal(
--- a/cassialever/gateway/routing.py
+++ b/cassialever/gateway/routing.py
@@ -13,6 +13,11 @@
     Route,
 )
 from cassialever.fleet.view import FleetView
+from cassialever.gateway.admission import (
+    Admitter,
+    AdmitAll,
+    UndoAdmission,
+)
 from cassialever.gateway.refusals import (
     Refusal,
     no_configuration,
@@ -37,6 +42,8 @@
 
 #: How long callers that send no deadline are assumed to wait.
 DEFAULT_TIMEOUT: Final[Seconds] = 30.0
+#: Share of the objective that a request may wait for a token of its customer.
+MAX_ADMISSION_SHARE: Final = 0.5
 #: Causes of refusals that another configuration may not have.
 _FINAL_CAUSES: Final = frozenset(('no_route', 'unknown_key'))
 
@@ -118,6 +125,8 @@
         self._clock = clock
         #: Returns what is known of the age of this daemon's tables.
         self.knowledge: Callable[[], Knowledge] = Knowledge
+        #: Admits the requests of customers with a limit.
+        self.quotas: Admitter = AdmitAll()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -143,6 +152,12 @@
             routed = route_request(self._view, request, host, received_at)
         return routed
 
+    async def admit(self, routed: RoutedRequest) -> UndoAdmission | Refusal:
+        """Admit a routed request within its customer's limit."""
+        left = routed.deadline - self._clock.monotonic()
+        max_wait = routed.route.objective * MAX_ADMISSION_SHARE
+        return await self.quotas.admit(routed.customer, min(max_wait, left))
+
     async def find_again(
         self, routed: RoutedRequest
     ) -> RoutedRequest | Refusal:
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -11,6 +11,7 @@
 from cassialever.errors import Failure
 from cassialever.exceptions import SettingsError
 from cassialever.platform.entry_limits import DEFAULT_ROW_BYTES
+from cassialever.policy.quotas import QuotaTerms
 from cassialever.types import DataCentreId, InstanceId, Seconds
 
 #: The environment variable with the path of the settings file.
@@ -67,6 +68,13 @@
     quota_overshoot: float = 0
     quota_allowance: float = 0
 
+    @property
+    def quota_terms(self) -> QuotaTerms:
+        """Return by how much requests may pass the limit of a customer."""
+        return QuotaTerms(
+            self.quota_window_s, self.quota_overshoot, self.quota_allowance
+        )
+
 
 class GatewaySettings(msgspec.Struct, frozen=True):
     """All settings of one daemon."""
--- a/cassialever/tool/request_timeline.py
+++ b/cassialever/tool/request_timeline.py
@@ -136,6 +136,10 @@
             ' {waited} s, Retry-After {retry_after} s, configuration'
             ' {configuration})'
         ),
+        'key_refused': (
+            'request {request} was answered {status}: {reason} (one of {count}'
+            ' in the second before)'
+        ),
         'attempt_failed': (
             'target {target} did not serve request {request} ({end}:'
             ' {reason}), {after} s after arrival'
