--- a/cassialever/fleet/gossip.py
+++ b/cassialever/fleet/gossip.py
@@ -61,6 +61,10 @@
         self.on_newest: NewestHandler = _ignore_newest
         #: Called with what a peer has met as contended.
         self.on_contended: Callable[[tuple[str, ...]], None] = _ignore_contended
+        #: Returns the digest of the list of daemons by which this daemon
+        #: chooses keepers of customers, and takes that of a peer.
+        self.list_digest: Callable[[], int] = int
+        self.on_digest: Callable[[str, int], None] = _ignore_digest
         socket.handler_by_type[OpenRequests] = self._handle_report
 
     async def run(self) -> None:
@@ -97,7 +101,9 @@
         report = self._reporter.describe(self._loads.open_by_target())
         datagram = encode(
             msgspec.structs.replace(
-                report, newest_by_table=self.newest_by_table()
+                report,
+                newest_by_table=self.newest_by_table(),
+                list_digest=self.list_digest(),
             )
         )
         for peer, address in addresses_by_peer.items():
@@ -110,6 +116,7 @@
         self._loads.set_peer_load(report.instance_id, report.open_by_target)
         if report.contended:
             self.on_contended(report.contended)
+        self.on_digest(report.instance_id, report.list_digest)
         address = self._known_by_peer.get(report.instance_id)
         if address is not None:
             self._reporter.accept(
@@ -133,3 +140,7 @@
 
 def _ignore_contended(names: tuple[str, ...]) -> None:
     """Ignore contention; the default until a handler is set."""
+
+
+def _ignore_digest(peer: str, digest: int) -> None:
+    """Ignore the list of a peer; the default until a handler is set."""
--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -134,6 +134,13 @@
             shares.contention.record_heard(names, self._clock.monotonic())
         )
 
+    def show_list(
+        self, digest: Callable[[], int], on_digest: Callable[[str, int], None]
+    ) -> None:
+        """Tell by which list of daemons keepers of customers are chosen."""
+        self._gossip.list_digest = digest
+        self._gossip.on_digest = on_digest
+
     def prune(self) -> None:
         """Forget targets that are gone and reports that have expired.
 
