Let requests that find every target full wait in one order; refuse the others

Cause: each waiting request looked for a target by itself, so that rank and time left decided nothing; work queued past its use and was served late to all. Change: one queue a service or owner of keys, by rank, then end; only its first looks at the targets. Who can't be served in time at the rate of places is refused at once, and told to return after those before it. The less urgent ranks of a service fill targets to 2 requests a slot, the most urgent to 3; beyond 1.5 answers are expected within 0.85 of the useful time left.

--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -95,6 +95,11 @@
         logbook.INFO,
         'A request is sent long after it came, or by old tables.',
     )
+    room_short = (
+        213,
+        logbook.NOTICE,
+        'Requests are refused since a service has too little room for them.',
+    )
     answer_unsent = (
         220,
         logbook.INFO,
--- a/cassialever/gateway/counters.py
+++ b/cassialever/gateway/counters.py
@@ -1,7 +1,7 @@
 """Count the outcomes of requests for the metrics."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Final, TypeVar
 
@@ -29,11 +29,30 @@
         self.refusals_by_kind: Counter[str] = Counter()
 
 
+class WaitingCounters:
+    """Requests that found every target full."""
+
+    def __init__(self) -> None:
+        #: Returns the number of those that wait, by rank.
+        self.count_by_rank: Callable[[], Counter[int]] = Counter
+        #: Refused as soon as they came, or while they waited.
+        self.refused_at_once = 0
+        self.put_out = 0
+
+    def record_out(self, *, was_queued: bool) -> None:
+        """Count a request that can't be served in time."""
+        if was_queued:
+            self.put_out += 1
+        else:
+            self.refused_at_once += 1
+
+
 class Counters:
     """The outcomes of this daemon's requests since its start."""
 
     def __init__(self) -> None:
         self.served = 0
+        self.waiting = WaitingCounters()
         self.refused_by_reason: Counter[str] = Counter()
         self.failed_by_outcome: Counter[str] = Counter()
         #: Attempts that targets have refused, by why and service.
--- a/cassialever/gateway/forwarder.py
+++ b/cassialever/gateway/forwarder.py
@@ -1,6 +1,5 @@
 """Serve one request: route it, choose a target, send it, retry it."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
@@ -31,6 +30,7 @@
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.stop_limit import StopLimit
 from cassialever.gateway.tables_state import TablesState
+from cassialever.gateway.waiting_lines import WaitingLines
 from cassialever.interfaces import RandomSource
 from cassialever.policy import refusal, subsets, unheld_keys
 from cassialever.policy.budget import RetryBudget
@@ -138,8 +138,16 @@
             ),
             random_source,
         )
-        self.router = Router(view, clock)
         self.counters = Counters()
+        self._waiting = WaitingLines(
+            view,
+            self.selector,
+            loads,
+            self.counters.waiting,
+            clock,
+            random_source,
+        )
+        self.router = Router(view, clock)
         self.tracing: HopTracer = NoopTracer()
         #: Number of daemons among which retry budgets are divided; 0 while it
         #: is not known.
@@ -247,48 +255,57 @@
 
         Return None if the request's route has changed meanwhile.
         """
-        service = progress.service
-        tried = progress.tried
-        started = self._clock.monotonic()
         placement = PlacementRequest(
-            service,
+            progress.service,
             routed.route.kind,
             routed.key,
             routed.route.objective,
-            frozenset(tried),
+            frozenset(progress.tried),
             refused_by=frozenset(progress.refused_by),
             replaced_at=frozenset(progress.replaced_at),
+            max_per_slot=self._waiting.max_per_slot(routed, progress.service),
         )
-        while True:
-            now = self._clock.monotonic()
-            if self._time_left(routed) <= 0:
-                # A time limit of 0 or less would be none.
-                return attempts_failed('no time was left')
-            chosen = self.selector.choose(placement, now)
-            if isinstance(chosen, Target):
-                return self._use(routed, chosen, placement, now)
-            since = started if tried else routed.received_at
-            timing = refusal.RequestTiming(
-                waited=now - since,
-                remaining=self._time_left(routed),
-                objective=routed.route.objective,
-                expected_latency=0,
-                permit=_permit_delay(self.selector, chosen, placement, now),
-                pause=_pause_left(chosen, self._view, self.selector, placement),
-                waiting=self.selector.waiting_by_service.total(),
-                cores=self._settings.instance.cores,
-                has_leader=_has_leader(chosen, self.tables),
-                ended_for=_ended_for(chosen, self.selector, placement, now),
-            )
-            decision = refusal.decide(chosen, timing, self._random)
-            if isinstance(decision, refusal.Refuse):
-                return _no_target(
-                    decision, placement, self._view, self.selector
+        started = self._clock.monotonic()
+        since = started if progress.tried else routed.received_at
+        with self._waiting.turn(routed, placement) as turn:
+            while True:
+                now = self._clock.monotonic()
+                if self._time_left(routed) <= 0:
+                    # A time limit of 0 or less would be none.
+                    return attempts_failed('no time was left')
+                chosen = turn.choose(now)
+                if isinstance(chosen, Target):
+                    return self._use(routed, chosen, placement, now)
+                timing = refusal.RequestTiming(
+                    waited=now - since,
+                    remaining=self._time_left(routed),
+                    objective=routed.route.objective,
+                    expected_latency=0,
+                    permit=_permit_delay(self.selector, chosen, placement, now),
+                    pause=_pause_left(
+                        chosen, self._view, self.selector, placement
+                    ),
+                    cores=self._settings.instance.cores,
+                    has_leader=_has_leader(chosen, self.tables),
+                    ended_for=_ended_for(chosen, self.selector, placement, now),
+                    is_hopeless=turn.is_out(chosen, now),
+                    waiting=self._waiting.looking_count(),
+                )
+                decision = turn.book_return(
+                    refusal.decide(chosen, timing, self._random),
+                    timing.remaining,
+                    now,
                 )
-            with counted(self.selector.waiting_by_service, service):
-                await asyncio.sleep(decision.pause)
-            if self.router.has_changed(routed):
-                return None
+                if isinstance(decision, refusal.Refuse):
+                    return _no_target(
+                        decision, placement, self._view, self.selector
+                    )
+                with counted(
+                    self.selector.waiting_by_service, placement.service
+                ):
+                    await turn.wait(decision.pause)
+                if self.router.has_changed(routed):
+                    return None
 
     def _use(
         self,
@@ -356,7 +373,10 @@
             min(self._time_left(routed), routed.route.longest_attempt),
             lambda: self._may_duplicate(routed, target, progress),
         )
-        return await self.stop_limit.apply(attempt)
+        with counted(self._waiting.open_by_service, target.service):
+            ended = await self.stop_limit.apply(attempt)
+        self._waiting.wake(target)
+        return ended
 
     def _time_left(self, routed: RoutedRequest) -> Seconds:
         """Return the time until the caller or a stop waits no longer."""
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -6,13 +6,18 @@
 
 import asyncio
 import functools
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Final, TypeAlias
 
 import msgspec
 from aiohttp import web
 
-from cassialever.gateway.counters import Counters, HopCounters
+from cassialever.gateway.counters import (
+    Counters,
+    HopCounters,
+    WaitingCounters,
+)
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.keys.key_events import KeyCounters
 from cassialever.listening import PortUse, listen, stop_sites
@@ -25,6 +30,8 @@
 METRICS_PATH: Final = '/metrics'
 #: Percentiles of the latency that are exported.
 PERCENTILES: Final = (50, 90, 99, 99.9)
+#: Ranks from this on share a label.
+MAX_RANK_LABEL: Final = 3
 #: How long an open request may take when the server stops; aiohttp waits twice
 #: as long, within what a stop reserves for closing connections.
 SHUTDOWN_TIMEOUT: Final[Seconds] = 0.1
@@ -164,6 +171,7 @@
     for (refusal, service), count in counters.refused_by_target.items():
         labels = {'refusal': refusal.value, 'service': service}
         readings.append(Reading('refused_by_target', count, labels))
+    readings.extend(_waiting_readings(counters.waiting))
     for percentile in PERCENTILES:
         latency = counters.latency_ms.get_value_at_percentile(percentile)
         readings.append(
@@ -176,6 +184,21 @@
     return readings
 
 
+def _waiting_readings(counters: WaitingCounters) -> list[Reading]:
+    """Return readings of the requests that found every target full."""
+    waiting: Counter[str] = Counter()
+    for rank, number in counters.count_by_rank().items():
+        waiting[str(min(rank, MAX_RANK_LABEL))] += number
+    return [
+        Reading('refused_at_once', counters.refused_at_once),
+        Reading('put_out_of_queues', counters.put_out),
+        *(
+            Reading('requests_waiting', count, {'rank': label})
+            for label, count in waiting.items()
+        ),
+    ]
+
+
 def key_readings(counters: KeyCounters) -> list[Reading]:
     """Return readings of the keys that a daemon freed as leader."""
     readings = [
--- a/cassialever/policy/full_services.py
+++ b/cassialever/policy/full_services.py
@@ -26,6 +26,8 @@
     def __init__(self) -> None:
         """Start without any."""
         self._until: dict[tuple[ServiceName, Seconds], Seconds] = {}
+        #: Looks that count up to then no longer do, by service.
+        self._void_until: dict[ServiceName, Seconds] = {}
 
     def note(
         self, service: ServiceName, objective: Seconds, now: Seconds
@@ -33,10 +35,17 @@
         """Note that all targets were full for requests with an objective."""
         if len(self._until) >= MAX_ENTRIES:
             self._until.clear()
+            self._void_until.clear()
         self._until[service, objective] = now + FULL_PERIOD
 
     def is_full(
         self, service: ServiceName, objective: Seconds, now: Seconds
     ) -> bool:
         """Return whether a look at the targets now would find the same."""
-        return now < self._until.get((service, objective), 0)
+        until = self._until.get((service, objective), 0)
+        return now < until and until > self._void_until.get(service, 0)
+
+    def forget(self, service: ServiceName, now: Seconds) -> None:
+        """Forget what was seen of a service, since it has room again."""
+        if self._until:
+            self._void_until[service] = now + FULL_PERIOD
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -48,9 +48,12 @@
 #: requests per slot and reset the connections of any more.
 MAX_REQUESTS_PER_SLOT: Final = 3.0
 #: A queue also counts as full if a request would take more than this share of
-#: its objective: late answers for all are worth less than answers in time for
-#: some.
+#: the time for which its answer is useful: late answers for all are worth less
+#: than answers in time for some.
 MAX_OBJECTIVE_SHARE: Final = 1.1
+#: The same where other requests are queued before it: expectations are off by
+#: some of it, as service times vary and reports are old.
+QUEUED_OBJECTIVE_SHARE: Final = 0.85
 #: Requests per slot up to which the objectives of other routes don't bound a
 #: queue. In a shorter one slots would stand idle until the next request comes.
 MIN_REQUESTS_PER_SLOT: Final = 1.5
@@ -100,6 +103,8 @@
     refused_by: frozenset[Grant] = frozenset()
     #: Places where another target has answered it.
     replaced_at: frozenset[Place] = frozenset()
+    #: Requests a slot up to which it may fill a target.
+    max_per_slot: float = MAX_REQUESTS_PER_SLOT
 
 
 class PermitDelay(msgspec.Struct, frozen=True):
@@ -133,7 +138,8 @@
         self._limiter = limiter
         self.subsets = subsets
         self._random = random_source
-        self._full = FullServices()
+        #: The services whose targets were all full a moment ago.
+        self.full = FullServices()
         #: Returns whether an idle connection to an address is open.
         self.has_connection: Callable[[str], bool] = _always
         self.reach = TargetReach(loads, SoundPaths())
@@ -230,11 +236,11 @@
         request: PlacementRequest,
         now: Seconds,
     ) -> Target | NoTargetReason:
-        if self._full.is_full(request.service, request.objective, now):
+        if self.full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
         chosen = self._choose_any_now(request, now)
         if chosen is NoTargetReason.full and not request.tried:
-            self._full.note(request.service, request.objective, now)
+            self.full.note(request.service, request.objective, now)
         return chosen
 
     def _choose_any_now(
@@ -433,16 +439,19 @@
     requests = load.estimated_requests(now)
     if requests >= _max_requests(view, target):
         return True
+    if requests + 1 > request.max_per_slot * target.slots:
+        return True
     # The objective only matters if the request would be queued.
     if requests < target.slots:
         return False
-    objective = request.objective
+    max_latency = MAX_OBJECTIVE_SHARE * request.objective
     if load.queueing_factor(target.slots, now) > MIN_REQUESTS_PER_SLOT:
         shortest = view.routes.shortest_objective(request.service)
-        objective = min(objective, shortest)
+        useful = min(request.objective, shortest)
+        max_latency = QUEUED_OBJECTIVE_SHARE * useful
     usual = loads.usual_service_time(target.service)
     latency = load.expected_latency(target.slots, now, usual)
-    return latency > MAX_OBJECTIVE_SHARE * objective
+    return latency > max_latency
 
 
 def _max_requests(view: FleetView, target: Target) -> float:
--- a/cassialever/policy/refusal.py
+++ b/cassialever/policy/refusal.py
@@ -77,6 +77,8 @@
     has_leader: bool = True
     #: Time since the end of the key's owner was learned, if it has ended.
     ended_for: Seconds = 0
+    #: Whether others are served first, until it would be too late.
+    is_hopeless: bool = False
 
 
 #: Share of the objective that a request may wait, by reason. A wait of up to
@@ -111,6 +113,13 @@
         NoTargetReason.paused: 0.3,
     },
 )
+#: Share of the time that they have left for which callers wait before they
+#: retry.
+HEEDED_SHARE: Final = 1 / 3
+#: Shortest and longest time until room is expected: a caller is not back
+#: sooner, and rates change before.
+MIN_RETRY_AFTER: Final[Seconds] = 0.05
+MAX_RETRY_AFTER: Final[Seconds] = 2.0
 #: How long after the end of an owner was learned requests wait as for moving
 #: keys. A leader that can write has moved them by then.
 MAX_MOVE_TIME: Final[Seconds] = 0.6
@@ -133,7 +142,10 @@
         max_wait += MAX_BOOKING_DELAY
     interval = _poll_interval(timing)
     pause = max(interval, timing.permit.delay)
-    still_useful = timing.remaining - pause > timing.expected_latency
+    still_useful = (
+        not timing.is_hopeless
+        and timing.remaining - pause > timing.expected_latency
+    )
     if timing.waited + pause <= max_wait and still_useful:
         return Wait(interval)
     # Spread between the expected time and twice that.
@@ -142,6 +154,62 @@
     return Refuse(reason, retry_after)
 
 
+class ExpectedRoom(msgspec.Struct, frozen=True):
+    """When a request that is refused now may find room.
+
+    `places` are those a second that this daemon's requests get, for which
+    `waiting` others wait. Its caller stops waiting after `time_left`.
+    """
+
+    waiting: int
+    places: float
+    time_left: Seconds
+
+    @property
+    def earliest(self) -> Seconds:
+        """Return the time until those that wait have their places."""
+        return (self.waiting + 1) / self.places
+
+    @property
+    def latest(self) -> Seconds:
+        """Return up to when callers heed a time to retry after."""
+        return self.time_left * HEEDED_SHARE
+
+
+class ReturnTimes:
+    """When the callers that one queue has refused come back.
+
+    They return one after another at the rate of places, each after those as
+    urgent or more. Where that would be too late for a caller, it returns at a
+    random time until which it waits.
+    """
+
+    def __init__(self, random_source: RandomSource) -> None:
+        """Start without any."""
+        self._random = random_source
+        #: When the last caller of a rank was told to return.
+        self._booked_by_rank: dict[int, Seconds] = {}
+
+    def book(self, rank: int, room: ExpectedRoom, now: Seconds) -> Seconds:
+        """Return the time to retry after, and remember it."""
+        earliest = max(min(room.earliest, MAX_RETRY_AFTER), MIN_RETRY_AFTER)
+        last = max(
+            (
+                booked
+                for other, booked in self._booked_by_rank.items()
+                if other <= rank
+            ),
+            default=now,
+        )
+        interval = (1 + self._random.random()) / room.places
+        delay = max(last - now, earliest) + interval
+        if delay <= room.latest:
+            self._booked_by_rank[rank] = now + delay
+            return delay
+        spare = max(room.latest - earliest, earliest)
+        return earliest + spare * self._random.random()
+
+
 class FixedRetryAfter(enum.Enum):
     """Times to retry after, for refusals without a `NoTargetReason`."""
 
