--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -105,6 +105,11 @@
         logbook.INFO,
         'Requests without the key of a customer are refused.',
     )
+    room_short = (
+        215,
+        logbook.NOTICE,
+        'Requests are refused since a service has too little room for them.',
+    )
     answer_unsent = (
         220,
         logbook.INFO,
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -57,9 +57,12 @@
 #: requests per slot and reset the connections of any more.
 MAX_REQUESTS_PER_SLOT: Final = 3.0
 #: A queue also counts as full if a request would take more than this share of
-#: its objective: late answers for all are worth less than answers in time for
-#: some.
+#: the time for which its answer is useful: late answers for all are worth less
+#: than answers in time for some.
 MAX_OBJECTIVE_SHARE: Final = 1.1
+#: The same where other requests are queued before it: expectations are off by
+#: some of it, as service times vary and reports are old.
+QUEUED_OBJECTIVE_SHARE: Final = 0.85
 #: Requests per slot up to which the objectives of other routes don't bound a
 #: queue. In a shorter one slots would stand idle until the next request comes.
 MIN_REQUESTS_PER_SLOT: Final = 1.5
@@ -111,6 +114,8 @@
     replaced_at: frozenset[Place] = frozenset()
     #: Length of its body.
     body_bytes: int = 0
+    #: Requests a slot up to which it may fill a target.
+    max_per_slot: float = MAX_REQUESTS_PER_SLOT
 
 
 class PermitDelay(msgspec.Struct, frozen=True):
@@ -144,7 +149,8 @@
         self._limiter = limiter
         self.subsets = subsets
         self._random = random_source
-        self._full = FullServices()
+        #: The services whose targets were all full a moment ago.
+        self.full = FullServices()
         #: Returns whether an idle connection to an address is open.
         self.has_connection: Callable[[str], bool] = _always
         self.reach = TargetReach(loads, SoundPaths())
@@ -256,7 +262,7 @@
             if sample:
                 best = self._least_loaded(sample, request, now)
                 self._seeker.ask(best, now)
-        if self._full.is_full(request.service, request.objective, now):
+        if self.full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
         if request.body_bytes > SHORT_BODY_BYTES:
             assigned = _assigned(self._view.targets, self._loads, request)
@@ -265,7 +271,7 @@
             return self._choose_among(assigned, request, now)
         chosen = self._choose_any_now(request, now)
         if chosen is NoTargetReason.full and not request.tried:
-            self._full.note(request.service, request.objective, now)
+            self.full.note(request.service, request.objective, now)
         return chosen
 
     def _choose_any_now(
@@ -382,8 +388,6 @@
         """Return why a target can't take a request, or None if it can."""
         if self._view.targets.pause_left(target):
             return NoTargetReason.paused
-        if not _has_room_for_body(target, self._loads, request, now):
-            return NoTargetReason.full
         reason = self.needed_permit(target)
         if reason is None and self.shares.needs_place(target, now):
             has_place = self.shares.holds(target.target_id, now)
@@ -464,18 +468,6 @@
     return (target.target_id, target.started_at, target.address)
 
 
-def _has_room_for_body(
-    target: Target, loads: LoadTracker, request: PlacementRequest, now: Seconds
-) -> bool:
-    """Return whether a target has room for a long body, if it is one."""
-    if request.body_bytes <= SHORT_BODY_BYTES:
-        return True
-    requests = loads.of(target.target_id).estimated_requests(now)
-    return loads.long_bodies.has_room(
-        target.target_id, target.slots, requests, request.body_bytes
-    )
-
-
 def _is_full(
     view: FleetView,
     target: Target,
@@ -492,16 +484,23 @@
     requests = load.estimated_requests(now)
     if requests >= _max_requests(view, target):
         return True
+    if not loads.long_bodies.has_room(
+        target.target_id, target.slots, requests, request.body_bytes
+    ):
+        return True
+    if requests + 1 > request.max_per_slot * target.slots:
+        return True
     # The objective only matters if the request would be queued.
     if requests < target.slots:
         return False
-    objective = request.objective
+    max_latency = MAX_OBJECTIVE_SHARE * request.objective
     if load.queueing_factor(target.slots, now) > MIN_REQUESTS_PER_SLOT:
         shortest = view.routes.shortest_objective(request.service)
-        objective = min(objective, shortest)
+        useful = min(request.objective, shortest)
+        max_latency = QUEUED_OBJECTIVE_SHARE * useful
     usual = loads.usual_service_time(target.service)
     latency = load.expected_latency(target.slots, now, usual)
-    return latency > MAX_OBJECTIVE_SHARE * objective
+    return latency > max_latency
 
 
 def _max_requests(view: FleetView, target: Target) -> float:
