--- a/cassialever/events.py
+++ b/cassialever/events.py
@@ -106,6 +106,12 @@
         'A request got no memory for its body in time.',
     )
 
+    connections_closed = (
+        241,
+        logbook.WARNING,
+        'Connections of callers were closed: too many, too slow or too large.',
+    )
+
     # Links between daemons.
     link_refused = (302, logbook.ERROR, 'A peer failed authentication.')
     link_rubbish = (303, logbook.ERROR, 'A peer sent an invalid message.')
--- a/cassialever/gateway/application.py
+++ b/cassialever/gateway/application.py
@@ -14,6 +14,7 @@
 from cassialever.gateway.metrics import (
     MetricsServer,
     Reading,
+    connection_readings,
     counter_readings,
     hop_readings,
     key_readings,
@@ -54,12 +55,15 @@
             self.core.forwarder,
             self.core.clock,
             self.core.exchanges.memory,
+            self.core.exchanges.guard,
         )
         self._keyed_requests = KeyedRequests(
             self.view, self.core.clock, self.core.forwarder.tables
         )
         self.core.forwarder.on_end = self._keyed_requests.note
-        self._metrics = MetricsServer(settings, self._readings)
+        self._metrics = MetricsServer(
+            settings, self._readings, self.core.exchanges.guard
+        )
         self._standstills = StandstillWatch(self.core.clock)
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
@@ -185,6 +189,7 @@
             *key_readings(self.core.key_assigner.counters),
             *hop_readings(self.core.exchanges.dispatcher.counters),
             *store_readings(self.core.store),
+            *connection_readings(self.core.exchanges.guard),
             *follow_readings(self.core.membership),
             Reading('entries_rejected', self.view.rejected_count),
             Reading('entries_failed', self.view.faults.failed_count),
--- a/cassialever/gateway/bodies.py
+++ b/cassialever/gateway/bodies.py
@@ -12,7 +12,8 @@
 from aiohttp.abc import AbstractStreamWriter
 
 from cassialever.events import Event, record
-from cassialever.gateway.connections import STALL_TIMEOUT, count_unsent_bytes
+from cassialever.gateway.connection_guard import STALL_TIMEOUT
+from cassialever.gateway.connections import count_unsent_bytes
 from cassialever.gateway.refusals import (
     Refusal,
     body_late,
--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -17,12 +17,23 @@
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from cassialever.decoding import shortened
 from cassialever.events import Event, record
+from cassialever.gateway.connection_guard import (
+    NO_DESCRIPTORS,
+    STALL_TIMEOUT,
+    CloseCause,
+    ConnectionGuard,
+)
+from cassialever.gateway.gated_connection import GatedConnection
 from cassialever.listening import PortUse, listen
-from cassialever.policy.memory import READ_AHEAD_BYTES
+from cassialever.policy.connection_limits import (
+    ConnectionLimits,
+    Stage,
+    least_progressed,
+)
+from cassialever.policy.memory import READ_BYTES
 from cassialever.types import Seconds
 
 #: Connections that may wait to be accepted; the load balancer opens as many
@@ -31,8 +42,6 @@
 #: Pause before connections are accepted again after a failure to do so, which
 #: is usually a lack of descriptors.
 ACCEPT_RETRY_DELAY: Final[Seconds] = 0.1
-#: How long a peer may go on without receiving more of what was sent.
-STALL_TIMEOUT: Final[Seconds] = 5.0
 #: How long a peer that has received everything may take to close.
 LINGER_TIME: Final[Seconds] = 1.0
 #: Time between two checks of a connection that is being closed.
@@ -45,8 +54,6 @@
 MIN_LATE_LOOKS: Final = 3
 #: How long cancelled requests may take to end.
 CANCEL_TIMEOUT: Final[Seconds] = 0.1
-#: What the head of a request ends with.
-HEAD_END: Final = b'\r\n\r\n'
 _INT: Final = struct.Struct('i')
 
 RequestHandler: TypeAlias = Callable[
@@ -135,62 +142,39 @@
         self._protocol.connection_lost(exc)
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(GatedConnection):
     """The connection of one caller."""
 
-    __slots__ = (
-        '_awaits_rest',
-        '_connections',
-        '_last_bytes',
-        '_plain_transport',
-    )
+    __slots__ = ('_connections', '_unsent')
 
     def __init__(
         self,
         server: web.Server,
         connections: set['CallerConnection'],
+        guard: ConnectionGuard,
         **options: Any,
     ) -> None:
         """Create a connection that is in `connections` while it is open."""
-        super().__init__(server, loop=asyncio.get_running_loop(), **options)
+        super().__init__(server, guard, **options)
         self._connections = connections
-        self._plain_transport: asyncio.Transport | None = None
-        #: Whether a part of a request has been received.
-        self._awaits_rest = False
-        self._last_bytes = b''
+        #: Unsent bytes, and since when there are as many.
+        self._unsent: tuple[int | None, Seconds] = (0, 0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to the open ones."""
         plain_transport = cast(asyncio.Transport, transport)
+        plain_transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         self._plain_transport = plain_transport
         self._connections.add(self)
+        self._guard.add(self)
         super().connection_made(
             cast(asyncio.Transport, LingeringTransport(plain_transport))
         )
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
-        received_before = self._request_count
-        super().data_received(data)
-        if not self._buffer_paused and self._is_far_ahead():
-            self._pause_reading_for_buffer()
-        last_bytes = self._last_bytes + data[-len(HEAD_END) :]
-        self._last_bytes = last_bytes[-len(HEAD_END) :]
-        if self._request_count > received_before:
-            payload = self._messages[-1][1]
-            # Where a body ends, and what follows it, is not known here.
-            self._awaits_rest = (
-                payload is EMPTY_PAYLOAD and self._last_bytes != HEAD_END
-            )
-        elif not self._awaits_request():
-            return
-        elif data.strip():
-            # Blank lines may stand before a request.
-            self._awaits_rest = True
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Remove the connection from the open ones."""
         self._connections.discard(self)
+        self._guard.remove(self)
         super().connection_lost(exc)
 
     def log_exception(self, *arguments: Any, **options: Any) -> None:
@@ -202,6 +186,37 @@
             return
         super().log_exception(*arguments, **options)
 
+    def stalled_for(self, now: Seconds) -> Seconds:
+        """Return for how long the peer has received no more of an answer."""
+        transport = self._plain_transport
+        if transport is None or not transport.get_write_buffer_size():
+            self._unsent = (0, now)
+            return 0
+        unsent = count_unsent_bytes(transport)
+        if unsent != self._unsent[0]:
+            self._unsent = (unsent, now)
+        return now - self._unsent[1]
+
+    def end(self, cause: CloseCause) -> None:
+        """Refuse a request that is not there whole, and close at once.
+
+        Requests behind one that is there whole are dropped; its answer closes
+        the connection.
+        """
+        self._received.clear()
+        transport = self._plain_transport
+        if transport is None or transport.is_closing():
+            return
+        if cause.status and self.stage is Stage.whole:
+            self.close()
+            return
+        if cause.status and self.stage is not Stage.idle:
+            transport.write(
+                b'HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n'
+                b'\r\n' % cause.status
+            )
+        transport.abort()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has arrived or begun to.
 
@@ -210,7 +225,9 @@
         repeat it.
         """
         transport = self._plain_transport
-        if transport is None or transport.is_closing() or self._awaits_rest:
+        if transport is None or transport.is_closing():
+            return
+        if self._is_in_body() or self._received.has_begun:
             return
         if self._awaits_request() and not _is_readable(transport):
             if count_unsent_bytes(transport) == 0:
@@ -223,35 +240,56 @@
         if self._plain_transport is not None:
             self._plain_transport.abort()
 
-    def _resume_reading_if_drained(self) -> None:
-        """Resume reading unless bodies of later requests have to wait."""
-        if not self._is_far_ahead():
-            super()._resume_reading_if_drained()
 
-    def _is_far_ahead(self) -> bool:
-        """Return whether the requests behind this one have long bodies.
+class GuardedServer(web.Server):
+    """A server of aiohttp with few connections, which a guard watches."""
 
-        Each body has a limit of its own, and there may be many of them.
-        """
-        queued = (payload for _, payload in self._messages)
-        sizes = (
-            payload.total_bytes
-            for payload in queued
-            if isinstance(payload, StreamReader)
-        )
-        return sum(sizes) > READ_AHEAD_BYTES
+    def __init__(
+        self,
+        request_handler: RequestHandler,
+        guard: ConnectionGuard,
+        max_connections: int,
+        **options: Any,
+    ) -> None:
+        """Set the server up; options are those of aiohttp's server."""
+        super().__init__(request_handler, **options)
+        self._guard = guard
+        self._max_connections = max_connections
+        self._open: set[CallerConnection] = set()
+        self._options = options
 
-    def _awaits_request(self) -> bool:
-        """Return whether no request has been received completely."""
-        return self._waiter is not None and not self._waiter.done()
+    def __call__(self) -> web.RequestHandler:
+        """Return a new connection; close another if there are too many."""
+        if len(self._open) >= self._max_connections:
+            connection = least_progressed(self._open)
+            if connection is not None:
+                self._guard.end(connection, NO_DESCRIPTORS)
+        return CallerConnection(self, self._open, self._guard, **self._options)
 
 
 class CallerListener:
     """Accepts the connections of callers and serves them."""
 
-    def __init__(self, request_handler: RequestHandler, **options: Any) -> None:
-        """Set the listener up; options are those of aiohttp's server."""
+    def __init__(
+        self,
+        request_handler: RequestHandler,
+        guard: ConnectionGuard | None = None,
+        *,
+        max_connections: int | None = None,
+        spares_used: bool = False,
+        **options: Any,
+    ) -> None:
+        """Set the listener up; options are those of aiohttp's server.
+
+        Beyond `max_connections` it closes the ones that have made least
+        progress; idle ones that were used are spared on request.
+        """
         self._request_handler = request_handler
+        self._guard = guard or ConnectionGuard(ConnectionLimits())
+        self._max_connections = max_connections or (
+            self._guard.limits.connections
+        )
+        self._spares_used = spares_used
         self._options = options
         self._server: web.Server | None = None
         self._socket: socket.socket | None = None
@@ -334,6 +372,23 @@
             self._close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
 
+    def _has_room(self) -> bool:
+        """Close a connection if there are too many; return false if none can.
+
+        None that has just been accepted is closed.
+        """
+        count = len(self.connections) + len(self._accepting)
+        if count < self._max_connections:
+            return True
+        connection = least_progressed(
+            self.connections, spares_used=self._spares_used
+        )
+        if connection is None:
+            return False
+        self._guard.end(connection, NO_DESCRIPTORS)
+        self.connections.discard(connection)
+        return True
+
     def _close_idle(self) -> None:
         for connection in list(self.connections):
             connection.close_if_idle()
@@ -347,6 +402,9 @@
     def _accept(self, listening: socket.socket) -> bool:
         """Accept every connection that waits; return false on a failure."""
         while True:
+            if not self._has_room():
+                self._accept_later()
+                return False
             try:
                 accepted = listening.accept()[0]
             except BlockingIOError:
@@ -364,6 +422,9 @@
 
     def _retry_accepting(self, error: OSError) -> None:
         record(Event.accept_failed, reason=repr(error))
+        self._accept_later()
+
+    def _accept_later(self) -> None:
         loop = asyncio.get_running_loop()
         if self._socket is not None:
             loop.remove_reader(self._socket)
@@ -381,7 +442,9 @@
     def _make_connection(self) -> CallerConnection:
         if self._server is None:
             raise RuntimeError('the listener has not been started')
-        return CallerConnection(self._server, self.connections, **self._options)
+        return CallerConnection(
+            self._server, self.connections, self._guard, **self._options
+        )
 
 
 async def _listen(host: str, port: int) -> socket.socket:
--- a/cassialever/gateway/exchanges.py
+++ b/cassialever/gateway/exchanges.py
@@ -5,6 +5,10 @@
 
 from cassialever.clock import SystemClock
 from cassialever.fleet.view import FleetView
+from cassialever.gateway.connection_guard import (
+    ConnectionGuard,
+    usual_limits,
+)
 from cassialever.gateway.carrying import CarryingPolicy
 from cassialever.gateway.crash_evidence import CrashEvidence
 from cassialever.gateway.crash_exchange import CrashExchange
@@ -17,6 +21,7 @@
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.gateway.tables_state import TablesState
 from cassialever.policy.loads import LoadTracker
+from cassialever.policy.connection_limits import connection_limits
 from cassialever.policy.memory import MemoryBudget
 from cassialever.policy.placing import withdrawal_reason
 from cassialever.policy.reach import TargetReach
@@ -38,6 +43,17 @@
         #: Returns the state of this daemon's tables.
         self.tables: Callable[[], TablesState] = TablesState
         self.memory = MemoryBudget(settings.instance.memory_mb)
+        self._guard = ConnectionGuard(
+            connection_limits(
+                settings.instance.memory_mb, settings.instance.max_descriptors
+            ),
+            lambda: (
+                view.configuration.limits
+                if view.configuration
+                else usual_limits()
+            ),
+            self.memory,
+        )
         self.reach = TargetReach(loads, reachability.paths)
         self._sender = TargetSender(
             loads, view.targets.limits, reachability.paths, clock
@@ -80,13 +96,22 @@
         # It is set later than this.
         self.carrying.tables = lambda: self.tables()  # noqa: WPS506
         self.hop_server = HopServer(
-            settings, self.carrying, self._sender, self.crashes, self.memory
+            settings,
+            self.carrying,
+            self._sender,
+            self.crashes,
+            self._guard,
         )
         self.has_connection = self._sender.has_connection
         reachability.prober.on_down = self._sender.close_idle
         reachability.prober.connecting = self._sender.connecting
         reachability.reporter.count_carried = self.carrying.count_open
 
+    @property
+    def guard(self) -> ConnectionGuard:
+        """Return what watches the connections of callers and daemons."""
+        return self._guard
+
     async def start(self) -> None:
         """Open the connection pools and listen for other daemons."""
         for part in (self._sender, self._hops, self.hop_server):
--- a/cassialever/gateway/front.py
+++ b/cassialever/gateway/front.py
@@ -15,6 +15,7 @@
     read_request,
     send_whole,
 )
+from cassialever.gateway.connection_guard import ConnectionGuard
 from cassialever.gateway.connections import CallerListener, RequestHandler
 from cassialever.gateway.forwarder import Forwarder
 from cassialever.gateway.outcomes import Answer
@@ -25,6 +26,7 @@
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.listening import PortUse
 from cassialever.platform import wire
+from cassialever.policy.connection_limits import SIDE_CONNECTIONS
 from cassialever.policy.memory import (
     SHORT_BODY_BYTES,
     MemoryBudget,
@@ -59,13 +61,16 @@
         forwarder: Forwarder,
         clock: SystemClock,
         memory: MemoryBudget,
+        guard: ConnectionGuard,
     ) -> None:
         self._settings = settings
         self._memory = memory
         self._forwarder = forwarder
         self._clock = clock
-        self._callers = _listener(self._handle)
-        self._readiness = _listener(self._handle_readiness)
+        self._callers = _listener(self._handle, guard)
+        self._readiness = _listener(
+            self._handle_readiness, guard, SIDE_CONNECTIONS
+        )
         self.is_ready = False
         self.is_stopping = False
         self.open_requests = 0
@@ -230,9 +235,15 @@
         )
 
 
-def _listener(request_handler: RequestHandler) -> CallerListener:
+def _listener(
+    request_handler: RequestHandler,
+    guard: ConnectionGuard,
+    max_connections: int | None = None,
+) -> CallerListener:
     return CallerListener(
         request_handler,
+        guard,
+        max_connections=max_connections,
         access_log=None,
         keepalive_timeout=KEEPALIVE_TIMEOUT,
         max_line_size=MAX_FIELD_BYTES,
--- a/cassialever/gateway/hop_server.py
+++ b/cassialever/gateway/hop_server.py
@@ -25,6 +25,7 @@
     read_request,
 )
 from cassialever.gateway.carrying import CarryingPolicy
+from cassialever.gateway.connection_guard import ConnectionGuard
 from cassialever.gateway.connections import CallerListener
 from cassialever.gateway.crash_guard import CrashGuard
 from cassialever.gateway.hop_messages import (
@@ -49,7 +50,6 @@
 from cassialever.listening import PortUse
 from cassialever.platform import wire
 from cassialever.platform.sessions import close_connection
-from cassialever.policy.memory import MemoryBudget
 from cassialever.types import Seconds
 
 #: Longest header field that is read. Callers' fields may have 16384 bytes.
@@ -78,16 +78,19 @@
         policy: CarryingPolicy,
         sender: TargetSender,
         crashes: CrashGuard,
-        memory: MemoryBudget,
+        guard: ConnectionGuard,
     ) -> None:
         self._settings = settings
-        self._memory = memory
+        self._memory = guard.memory
         self._policy = policy
         self._sender = sender
         self._crashes = crashes
         self._clock = policy.clock
         self._listener = CallerListener(
             self._handle,
+            guard,
+            max_connections=guard.limits.hop_connections,
+            spares_used=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_TIMEOUT,
             max_line_size=MAX_FIELD_BYTES,
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -12,11 +12,17 @@
 import msgspec
 from aiohttp import web
 
+from cassialever.gateway.connection_guard import ConnectionGuard
+from cassialever.gateway.connections import GuardedServer
 from cassialever.gateway.counters import Counters, HopCounters
 from cassialever.gateway.settings import GatewaySettings
 from cassialever.keys.key_events import KeyCounters
 from cassialever.listening import PortUse, listen, stop_sites
 from cassialever.platform.store import StoreClient
+from cassialever.policy.connection_limits import (
+    SIDE_CONNECTIONS,
+    ConnectionLimits,
+)
 from cassialever.types import Seconds
 
 if TYPE_CHECKING:
@@ -45,9 +51,13 @@
     """The HTTP server for the metrics of one daemon."""
 
     def __init__(
-        self, settings: GatewaySettings, readings: ReadingsCallback
+        self,
+        settings: GatewaySettings,
+        readings: ReadingsCallback,
+        guard: ConnectionGuard | None = None,
     ) -> None:
         self._settings = settings
+        self._guard = guard or ConnectionGuard(ConnectionLimits())
         self._readings = readings
         self._known: set[str] = set()
         self._runner: web.ServerRunner | None = None
@@ -75,7 +85,9 @@
 
     async def _listen(self, address: str, port: int) -> web.ServerRunner:
         runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None),
+            GuardedServer(
+                self._handle, self._guard, SIDE_CONNECTIONS, access_log=None
+            ),
             shutdown_timeout=SHUTDOWN_TIMEOUT,
         )
         await runner.setup()
@@ -200,6 +212,18 @@
     return readings
 
 
+def connection_readings(guard: ConnectionGuard) -> list[Reading]:
+    """Return readings of the connections of callers and other daemons."""
+    return [
+        Reading('connections_open', len(guard.connections)),
+        Reading('connection_bytes_held', guard.held),
+        *(
+            Reading('connections_closed', count, {'cause': cause})
+            for cause, count in guard.closed_by_cause.items()
+        ),
+    ]
+
+
 def store_readings(store: StoreClient) -> list[Reading]:
     """Return readings of the calls to the store."""
     return [
--- a/cassialever/policy/memory.py
+++ b/cassialever/policy/memory.py
@@ -26,9 +26,9 @@
 #: the other requests waiting.
 SHORT_BODIES_SHARE: Final = 0.125
 #: Bytes that a connection has read ahead when its reading is paused, the most
-#: that asyncio reads then, and what waits to be written when writers wait.
+#: that is read at once then, and what waits to be written when writers wait.
 READ_AHEAD_BYTES: Final = 131072
-READ_BYTES: Final = 262144
+READ_BYTES: Final = 65536
 WRITE_BUFFER_BYTES: Final = 65536
 #: Bytes that a connection holds while a body goes through it.
 CONNECTION_BYTES: Final = READ_AHEAD_BYTES + READ_BYTES + WRITE_BUFFER_BYTES
