--- a/cassialever/fleet/relay.py
+++ b/cassialever/fleet/relay.py
@@ -26,6 +26,10 @@
 HEARTBEAT_INTERVAL: Final[Seconds] = 0.25
 #: Time limit for the first message after the proof.
 HELLO_TIMEOUT: Final[Seconds] = 1.0
+#: Longest first message: it has the versions of a few tables.
+MAX_HELLO_BYTES: Final = 65536
+#: Links that have not been greeted on, unless the settings allow fewer.
+MAX_GREETINGS: Final = 1024
 #: How long the followers of a former leader take to find a new one, which they
 #: seek before its lease may be taken over. Until then its list of daemons is
 #: not complete.
@@ -135,6 +139,7 @@
         own_hello: messages.Hello,
         fleet_key: str = '',
         activity: Callable[[], Activity] = unknown_activity,
+        max_greetings: int = MAX_GREETINGS,
     ) -> None:
         """Start without followers; an empty key disables authentication.
 
@@ -146,6 +151,9 @@
         self._own_hello = own_hello
         self._server: asyncio.Server | None = None
         self.follower_by_id: dict[str, Follower] = {}
+        self._max_greetings = max_greetings
+        #: Connections that have not been greeted on, the oldest first.
+        self._greeting: dict[asyncio.StreamWriter, None] = {}
         self.is_leader = False
         self._leads_since: Seconds = 0
         #: The members that followers were last told of.
@@ -287,6 +295,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self._greeting[writer] = None
+        if len(self._greeting) > self._max_greetings:
+            # Its peer has had most time to say who it is.
+            oldest = next(iter(self._greeting))
+            self._greeting.pop(oldest)
+            oldest.transport.abort()
         try:
             await self._serve_link(reader, writer)
         except (msgspec.DecodeError, asyncio.TimeoutError) as error:
@@ -295,6 +309,7 @@
             # The follower has gone; `_listen` has removed it.
             return
         finally:
+            self._greeting.pop(writer, None)
             writer.close()
 
     async def _serve_link(
@@ -311,7 +326,8 @@
                 record(Event.link_refused, reason=failure.reason)
                 return
         async with asyncio.timeout(HELLO_TIMEOUT):
-            hello = await messages.receive(reader)
+            hello = await messages.receive(reader, MAX_HELLO_BYTES)
+        self._greeting.pop(writer, None)
         if isinstance(hello, messages.Deposed):
             self.on_deposed(hello.term)
             return
--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -241,6 +241,13 @@
             self._plain_transport.abort()
 
 
+class _SideConnection(CallerConnection):
+    """A connection whose faults aiohttp logs."""
+
+    def log_exception(self, *arguments: Any, **options: Any) -> None:
+        self.logger.exception(*arguments, **options)
+
+
 class GuardedServer(web.Server):
     """A server of aiohttp with few connections, which a guard watches."""
 
@@ -264,7 +271,7 @@
             connection = least_progressed(self._open)
             if connection is not None:
                 self._guard.end(connection, NO_DESCRIPTORS)
-        return CallerConnection(self, self._open, self._guard, **self._options)
+        return _SideConnection(self, self._open, self._guard, **self._options)
 
 
 class CallerListener:
--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -80,6 +80,7 @@
             own,
             settings.fleet_key,
             lambda: activity_of(self.membership, self.clock.monotonic()),
+            self._exchanges.guard.limits.greetings,
         )
         self.membership = Membership(
             self.store,
--- a/cassialever/policy/connection_limits.py
+++ b/cassialever/policy/connection_limits.py
@@ -32,6 +32,10 @@
 #: Connections of other daemons that pass requests on, as a share of those of
 #: callers.
 HOPS_SHARE: Final = 0.25
+#: Links of other daemons that have not said who they are, as a share of all
+#: descriptors, and their number if that is not known.
+GREETINGS_SHARE: Final = 0.25
+DEFAULT_GREETINGS: Final = 1024
 #: Connections for readiness checks, and for metrics.
 SIDE_CONNECTIONS: Final = 32
 #: Memory of one parsed header field, with its copies on the way to a target.
@@ -88,6 +92,7 @@
     """The most that all connections of callers may hold together."""
 
     connections: int = DEFAULT_CONNECTIONS
+    greetings: int = DEFAULT_GREETINGS
     buffer_bytes: float = DEFAULT_MEMORY_MB * BYTES_PER_MB * BUFFER_SHARE
     long_heads_bytes: float = (
         DEFAULT_MEMORY_MB * BYTES_PER_MB * LONG_HEADS_SHARE
@@ -105,13 +110,15 @@
     """Return the limits of a process; figures of 0 are unknown."""
     memory = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
     connections = DEFAULT_CONNECTIONS
+    greetings = DEFAULT_GREETINGS
     if max_descriptors:
         reserved = min(
             RESERVED_DESCRIPTORS, max_descriptors * MAX_RESERVED_SHARE
         )
         connections = int((max_descriptors - reserved) * CALLERS_SHARE)
+        greetings = int(max_descriptors * GREETINGS_SHARE)
     return ConnectionLimits(
-        connections, memory * BUFFER_SHARE, memory * LONG_HEADS_SHARE
+        connections, greetings, memory * BUFFER_SHARE, memory * LONG_HEADS_SHARE
     )
 
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -20,6 +20,8 @@
 #: Test modules that run at the same time, each in a process of its own. Most
 #: of their time passes in waits.
 PARALLEL_MODULES = 4
+#: Modules that run after the others, one at a time: they measure memory.
+ALONE_PREFIX = 'tests.test_crowds_'
 #: Longest time for one module, in seconds.
 MODULE_TIMEOUT = 400
 #: The last line that a run of a module prints.
@@ -127,9 +129,13 @@
         reverse=True,
     )
     modules = [f'tests.{path.stem}' for path in paths]
+    alone = [one for one in modules if one.startswith(ALONE_PREFIX)]
+    beside = [one for one in modules if one not in alone]
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_MODULES) as pool:
-        for module, output in zip(modules, pool.map(_run_module, modules)):
+        for module, output in zip(beside, pool.map(_run_module, beside)):
             _add_counts(module, output)
+    for module in alone:
+        _add_counts(module, _run_module(module))
 
 
 def _run_module(module: str) -> str:
