--- a/cassialever/gateway/connections.py
+++ b/cassialever/gateway/connections.py
@@ -271,6 +271,7 @@
             connection = least_progressed(self._open)
             if connection is not None:
                 self._guard.end(connection, NO_DESCRIPTORS)
+                self._open.discard(connection)
         return _SideConnection(self, self._open, self._guard, **self._options)
 
 
--- a/cassialever/gateway/metrics.py
+++ b/cassialever/gateway/metrics.py
@@ -31,6 +31,8 @@
 METRICS_PATH: Final = '/metrics'
 #: Percentiles of the latency that are exported.
 PERCENTILES: Final = (50, 90, 99, 99.9)
+#: Connections that may wait to be accepted, all of which are at once.
+BACKLOG: Final = 8
 #: How long an open request may take when the server stops; aiohttp waits twice
 #: as long, within what a stop reserves for closing connections.
 SHUTDOWN_TIMEOUT: Final[Seconds] = 0.1
@@ -92,7 +94,7 @@
         )
         await runner.setup()
         try:
-            await web.TCPSite(runner, address, port).start()
+            await web.TCPSite(runner, address, port, backlog=BACKLOG).start()
         except OSError:
             await runner.cleanup()
             raise
