Send long bodies elsewhere if their targets can't serve them

Cause: with more daemons than bodies fit, a daemon sends long bodies to few targets, down to one. If that one was failing, paused, unreachable or tried already, it was chosen again or the body was refused, while others had room.

Change: others are used then, with the same bound for each; a target that is full is still waited for.

--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -242,10 +242,7 @@
         if self._full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
         if request.body_bytes > SHORT_BODY_BYTES:
-            assigned = _assigned(self._view.targets, self._loads, request)
-            if not assigned:
-                return NoTargetReason.no_service
-            return self._choose_among(assigned, request, now)
+            return self._choose_for_long_body(request, now)
         chosen = self._choose_any_now(request, now)
         if chosen is NoTargetReason.full and not request.tried:
             self._full.note(request.service, request.objective, now)
@@ -277,6 +274,32 @@
                 return chosen
         return self._choose_among(untried, request, now)
 
+    def _choose_for_long_body(
+        self,
+        request: PlacementRequest,
+        now: Seconds,
+    ) -> Target | NoTargetReason:
+        """Choose among the targets for this daemon's long bodies.
+
+        Others are used if none of these is left for another reason than load.
+        """
+        usable = self._view.targets.usable(request.service)
+        usable = _not_at(usable, request.replaced_at)
+        if not usable:
+            return NoTargetReason.no_service
+        assigned = self._loads.long_bodies.assigned(usable)
+        few = [
+            target
+            for target in _without(assigned, request.tried)
+            if not self._loads.of(target.target_id).is_failing(now)
+        ]
+        if few:
+            chosen = self._choose_among(few, request, now)
+            if isinstance(chosen, Target) or chosen is NoTargetReason.full:
+                return chosen
+        untried = _without(usable, request.tried) or usable
+        return self._choose_among(untried, request, now)
+
     def _choose_among(
         self,
         targets: list[Target],
@@ -552,15 +575,6 @@
     ]
 
 
-def _assigned(
-    registry: TargetRegistry, loads: LoadTracker, request: PlacementRequest
-) -> list[Target]:
-    """Return the targets to which this daemon may send a long body."""
-    usable = _not_at(registry.usable(request.service), request.replaced_at)
-    assigned = loads.long_bodies.assigned(usable)
-    return _without(assigned, request.tried) or assigned
-
-
 def _without(
     targets: list[Target],
     tried: Collection[TargetId],
--- a/tests/test_policy_upload_bytes.py
+++ b/tests/test_policy_upload_bytes.py
@@ -2,8 +2,13 @@
 
 import unittest
 from collections import Counter
+from typing import Any
 
+import msgspec
+
+from cassialever.fleet.model import RequestKind
 from cassialever.policy.memory import SHORT_BODY_BYTES
+from cassialever.policy.placing import NoTargetReason, PlacementRequest
 from cassialever.policy.upload_bytes import BYTES_PER_SLOT, LongBodies
 from tests.uneven_helpers import SLOTS, UnevenFleet
 
@@ -75,6 +80,46 @@
         self.assertFalse(self.has_room(360_000, requests=3 * SLOTS))
 
 
+class AssignedTargetsTest(unittest.TestCase):
+    """Long bodies whose assigned targets can't serve them."""
+
+    def setUp(self) -> None:
+        self.selector = UnevenFleet(1, 13).daemons[0]
+        self.loads = self.selector._loads
+        self.loads.long_bodies.divide_among('d0', _daemons(89))
+        self.request = PlacementRequest(
+            'issuance', RequestKind.upload, -1, 1.7, body_bytes=360_000
+        )
+        self.assigned = self.choose().target_id
+
+    def choose(self, tried: frozenset[str] = frozenset()) -> Any:
+        request = msgspec.structs.replace(self.request, tried=tried)
+        return self.selector.choose(request, 10)
+
+    def test_failing_target_is_left_for_others(self) -> None:
+        for _ in range(3):
+            self.loads.of(self.assigned).record_failure(10)
+        self.assertNotEqual(self.choose().target_id, self.assigned)
+
+    def test_unreachable_target_is_left_for_others(self) -> None:
+        self.loads.of(self.assigned).record_unreachable(10)
+        self.assertNotEqual(self.choose().target_id, self.assigned)
+
+    def test_paused_target_is_left_for_others(self) -> None:
+        targets = self.selector._view.targets
+        target = targets.by_id[self.assigned]
+        targets.limits.pauses.record(target, 5.0, targets.clock.boot())
+        self.assertNotEqual(self.choose().target_id, self.assigned)
+
+    def test_tried_target_is_left_for_others(self) -> None:
+        chosen = self.choose(frozenset({self.assigned}))
+        self.assertNotEqual(chosen.target_id, self.assigned)
+
+    def test_full_target_is_waited_for(self) -> None:
+        with self.loads.long_bodies.on_its_way(self.assigned, 360_000):
+            self.assertIs(self.choose(), NoTargetReason.full)
+
+
 class UploadsTest(unittest.TestCase):
     """Bodies of 60 to 360 kB for 13 targets from 89 daemons, at a burst."""
 
