Forget speeds of earlier lives; bound probes and searches of keys

Cause: speeds stayed with a target's id when it started again, in the leader also after it was gone. A reported slowdown of 0 was divided by. A target that answers no more got each probe, as did others with a request open. An answer without a duration made its speed 0, and the target the cheapest. The search of a prefix asked for each bucket's range.

Change: daemons and the leader compare the start of each target and forget; slowdowns count as 0.1 at least; a target with an open request isn't probed, and slow ones are looked for only when a request probes; the search reads the buckets.

--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -255,6 +255,7 @@
         """Forget what is known of targets and daemons that are gone."""
         known = self.view.targets.by_id
         self.loads.prune(known)
+        self.loads.note_lives(known.values())
         self._prune_selector()
         self.view.targets.limits.prune(known)
         self._permits.prune()
--- a/cassialever/keys/assigner.py
+++ b/cassialever/keys/assigner.py
@@ -96,6 +96,7 @@
         if configuration is None:
             return
         now = self._clock.boot()
+        context.latencies.note_lives(self._view.targets.by_id)
         for service in configuration.service_by_name.values():
             if not service.is_keyed:
                 continue
--- a/cassialever/keys/heat.py
+++ b/cassialever/keys/heat.py
@@ -5,9 +5,10 @@
 
 from array import array
 from collections import Counter
+from collections.abc import Mapping
 from typing import Final
 
-from cassialever.fleet.model import KEY_COUNT
+from cassialever.fleet.model import KEY_COUNT, StartedAt, Target
 from cassialever.types import Seconds, TargetId
 
 #: Neighbouring keys that share one counter.
@@ -105,13 +106,16 @@
         is `last` if the whole range has no more heat than that.
         """
         heat: float = 0
+        baseline = self._baseline_per_key()
         key = first
         while key < last:
             step = _step(key, last)
-            added = self.of(key, key + step - 1)
-            if heat + added >= wanted and step > 1:
+            added = step * baseline
+            if step > 1:
+                added += self._heat[key // KEYS_PER_BUCKET]
+            if step == 1 or heat + added >= wanted:
                 step = 1
-                added = self.of(key, key)
+                added = self._heat_by_key.get(key, 0) + baseline
             if heat + added >= wanted:
                 is_nearer_without = wanted - heat < heat + added - wanted
                 return key - (is_nearer_without and key > first)
@@ -173,6 +177,22 @@
         self._answers_by_id: Counter[TargetId] = Counter()
         self._latency_by_id: dict[TargetId, Seconds] = {}
         self._answered_at_by_id: dict[TargetId, Seconds] = {}
+        self._started_at_by_id: dict[TargetId, StartedAt] = {}
+
+    def note_lives(self, targets: Mapping[TargetId, Target]) -> None:
+        """Forget targets that are gone, and speeds of earlier lives."""
+        started_at_by_id = {
+            target_id: target.started_at
+            for target_id, target in targets.items()
+        }
+        if started_at_by_id == self._started_at_by_id:
+            return
+        for target_id in list(self._latency_by_id):
+            started_at = started_at_by_id.get(target_id)
+            known = self._started_at_by_id.get(target_id, started_at)
+            if started_at is None or started_at != known:
+                self._forget(target_id)
+        self._started_at_by_id = started_at_by_id
 
     def report(
         self,
@@ -206,7 +226,8 @@
     def service_time_of(self, target_id: TargetId) -> Seconds:
         """Return a target's lasting service time; 0 if none is known.
 
-        Time in the queue and slowdowns that the target reports are left out.
+        Time in the queue is left out; the slowdowns that the target reports
+        are part of it.
         """
         return self._service_time_by_id.get(target_id, 0)
 
@@ -217,3 +238,9 @@
     def of(self, target_id: TargetId) -> Seconds:
         """Return a target's average latency; 0 if none is known."""
         return self._latency_by_id.get(target_id, 0)
+
+    def _forget(self, target_id: TargetId) -> None:
+        self._service_time_by_id.pop(target_id, None)
+        self._answers_by_id.pop(target_id, None)
+        self._latency_by_id.pop(target_id, None)
+        self._answered_at_by_id.pop(target_id, None)
--- a/cassialever/policy/loads.py
+++ b/cassialever/policy/loads.py
@@ -5,9 +5,10 @@
 """
 
 import math
-from collections.abc import Container, Mapping
+from collections.abc import Container, Iterable, Mapping
 from typing import Final
 
+from cassialever.fleet.model import StartedAt, Target
 from cassialever.platform.wire import ReportedLoad
 from cassialever.policy.speeds import ServedAnswer, TargetSpeed
 from cassialever.policy.upload_bytes import LongBodies
@@ -22,6 +23,9 @@
 #: Time constant with which a target's latency returns to the usual one;
 #: slow phases of targets last about 5 s.
 LATENCY_TIME_CONSTANT: Final[Seconds] = 2.0
+#: Least slowdown that a report is taken to show: service times are divided by
+#: it, and some reports say 0.
+MIN_SLOWDOWN: Final = 0.1
 #: How long a target is avoided after a connection to it failed.
 UNREACHABLE_PERIOD: Final[Seconds] = 1.0
 #: Failure rate above which a target is avoided if others are below it.
@@ -54,6 +58,8 @@
         self._latency: Seconds = 0
         self._answered_at: Seconds = -math.inf
         self.speed = TargetSpeed()
+        #: When the life began that has this speed; `None` if not known.
+        self.started_at: StartedAt | None = None
         #: Number and summed latency of answers since `take_latencies`.
         self._answer_count = 0
         self._latency_sum: Seconds = 0
@@ -131,7 +137,7 @@
         self._reported_at = now
         # The answered request is still open here but no longer at the target.
         self._own_when_reported = max(self.open_requests - 1, 0)
-        self._slowdown = load.slowdown
+        self._slowdown = max(load.slowdown, MIN_SLOWDOWN)
 
     def average_latency(self, now: Seconds, usual: Seconds) -> Seconds:
         """Return the moving average of the latency of answers.
@@ -262,6 +268,16 @@
         }
         return {name: sums for name, sums in taken.items() if sums[0]}
 
+    def note_lives(self, targets: Iterable[Target]) -> None:
+        """Forget the speeds of targets that have started again."""
+        for target in targets:
+            load = self._load_by_id.get(target.target_id)
+            if load is None or load.started_at == target.started_at:
+                continue
+            if load.started_at is not None:
+                load.speed = TargetSpeed()
+            load.started_at = target.started_at
+
     def prune(self, known: Container[TargetId]) -> None:
         """Forget targets that are gone and have no open request."""
         gone = [
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -288,11 +288,8 @@
         if not usable:
             return NoTargetReason.no_service
         assigned = self._loads.long_bodies.assigned(usable)
-        few = [
-            target
-            for target in _without(assigned, request.tried)
-            if not self._loads.of(target.target_id).is_failing(now)
-        ]
+        few = _without(assigned, request.tried)
+        few = _not_failing(few, self._loads, now)
         if few:
             chosen = self._choose_among(few, request, now)
             if isinstance(chosen, Target) or chosen is NoTargetReason.full:
@@ -355,7 +352,7 @@
         if not available:
             return refusal
         return self._least_loaded(
-            self._not_failing(available, now), request, now
+            _not_failing(available, self._loads, now) or available, request, now
         )
 
     def _request_permit(
@@ -401,14 +398,6 @@
             return None
         return reason
 
-    def _not_failing(self, targets: list[Target], now: Seconds) -> list[Target]:
-        healthy = [
-            target
-            for target in targets
-            if not self._loads.of(target.target_id).is_failing(now)
-        ]
-        return healthy or targets
-
     def _least_loaded(
         self,
         targets: list[Target],
@@ -417,17 +406,18 @@
     ) -> Target:
         loads = [self._loads.of(target.target_id) for target in targets]
         fastest = min(
-            (load.speed.lasting for load in loads if load.was_used),
+            (load.speed.lasting for load in loads if load.speed.lasting),
             default=DEFAULT_LATENCY,
         )
         usual = self._loads.usual_service_time(request.service) or fastest
-        outdated = [
-            target
-            for target, load in zip(targets, loads, strict=True)
-            if load.speed.is_outdated(now, usual)
-        ]
-        if outdated and self._random.random() < PROBE_SHARE:
-            return outdated[self._random.randrange(len(outdated))]
+        if self._random.random() < PROBE_SHARE:
+            outdated = [
+                target
+                for target, load in zip(targets, loads, strict=True)
+                if not load.open_requests and load.speed.is_outdated(now, usual)
+            ]
+            if outdated:
+                return outdated[self._random.randrange(len(outdated))]
         # Permits for targets that have just joined should be used.
         costs = [
             self._cost(
@@ -575,6 +565,16 @@
     ]
 
 
+def _not_failing(
+    targets: list[Target], loads: LoadTracker, now: Seconds
+) -> list[Target]:
+    return [
+        target
+        for target in targets
+        if not loads.of(target.target_id).is_failing(now)
+    ]
+
+
 def _without(
     targets: list[Target],
     tried: Collection[TargetId],
--- a/tests/test_keys_planning.py
+++ b/tests/test_keys_planning.py
@@ -3,6 +3,9 @@
 import itertools
 import random
 import unittest
+import unittest.mock
+
+import msgspec
 
 from cassialever.fleet.model import KEY_COUNT, Target, TargetState
 from cassialever.keys import planning
@@ -306,3 +309,34 @@
         for share, last in ((0.4, 99), (0.6, 100)):
             split_at = heat.prefix_end(0, KEY_COUNT - 1, heat.total * share)
             self.assertEqual(split_at, last)
+
+    def test_search_of_all_keys_takes_little_time(self) -> None:
+        """A leader with few owners has ranges of thousands of buckets."""
+        heat = KeyHeat()
+        heat.count(list(range(0, KEY_COUNT, 7)))
+        heat.update()
+        with unittest.mock.patch.object(heat, 'of', wraps=heat.of) as of_range:
+            heat.prefix_end(1, KEY_COUNT - 1, heat.total)
+        self.assertLess(of_range.call_count, 20)
+
+
+class LatenciesTest(unittest.TestCase):
+    """What the leader knows of targets' latencies."""
+
+    def test_what_is_known_ends_with_the_life_of_a_target(self) -> None:
+        targets = {target.target_id: target for target in _targets(2)}
+        latencies = TargetLatencies()
+        latencies.note_lives(targets)
+        for target_id in targets:
+            latencies.report(target_id, 9, 9)
+            latencies.report_service_times(target_id, 9, 9)
+        latencies.note_lives(targets)
+        self.assertEqual(latencies.service_time_of('t0'), 1)
+        targets['t0'] = msgspec.structs.replace(targets['t0'], started_at=1001)
+        latencies.note_lives(targets)
+        self.assertEqual(latencies.service_time_of('t0'), 0)
+        self.assertEqual(latencies.of('t0'), 0)
+        self.assertEqual(latencies.of('t1'), 1)
+        targets.pop('t1')
+        latencies.note_lives(targets)
+        self.assertEqual(latencies.of('t1'), 0)
--- a/tests/test_policy_speeds.py
+++ b/tests/test_policy_speeds.py
@@ -3,12 +3,18 @@
 import random
 import unittest
 
+import msgspec
+
+from cassialever.fleet.model import RequestKind
+from cassialever.platform.wire import ReportedLoad
 from cassialever.policy.loads import TargetLoad
+from cassialever.policy.placing import PlacementRequest
 from cassialever.policy.speeds import ServedAnswer, TargetSpeed
 from cassialever.types import Seconds
-from tests.uneven_helpers import UnevenFleet
+from tests.uneven_helpers import SLOTS, UnevenFleet
 
 USUAL: Seconds = 0.3
+REQUEST = PlacementRequest('issuance', RequestKind.unsafe, -1, 1.2)
 
 
 class ServiceTimeTest(unittest.TestCase):
@@ -52,6 +58,57 @@
         self.assertLess(load.speed.expected(130, USUAL), 1.2 * USUAL)
 
 
+class LoadTest(unittest.TestCase):
+    """What a daemon knows of one target."""
+
+    def setUp(self) -> None:
+        self.selector = UnevenFleet(1, 4).daemons[0]
+        self.targets = self.selector._view.targets
+        self.loads = self.selector._loads
+
+    def test_speed_ends_with_the_life_of_a_target(self) -> None:
+        target = self.targets.by_id['t0']
+        load = self.loads.of('t0')
+        self.loads.note_lives([target])
+        load.record_success(5 * USUAL, 1, 1, USUAL)
+        self.loads.note_lives([target])
+        self.assertGreater(load.speed.lasting, USUAL)
+        later = msgspec.structs.replace(
+            target, started_at=target.started_at + 1
+        )
+        self.loads.note_lives([later])
+        self.assertEqual(load.speed.expected(2, USUAL), USUAL)
+
+    def test_reported_slowdown_of_nothing(self) -> None:
+        load = self.loads.of('t0')
+        load.record_report(ReportedLoad(1, 0, SLOTS, 0), 1)
+        load.record_success(USUAL, 1, 1, USUAL)
+        self.assertGreater(load.slowdown(1), 0)
+        self.assertLess(load.speed.expected(10, USUAL), 2 * USUAL)
+
+    def test_one_request_at_a_time_probes_a_target(self) -> None:
+        """A target that answers no more is not probed by all requests."""
+        load = self.loads.of('t0')
+        load.record_success(5 * USUAL, 1, 1, USUAL)
+        self.loads.record_service_time('issuance', USUAL)
+        sent = 0
+        for number in range(1000):
+            chosen = self.selector.choose(REQUEST, 30 + number / 1000)
+            if chosen.target_id == 't0':
+                sent += 1
+                load.record_open()
+        self.assertEqual(sent, 1)
+
+    def test_answer_without_a_duration(self) -> None:
+        self.loads.of('t0').record_success(0, 1, 1)
+        chosen = {
+            self.selector.choose(REQUEST, 2 + number).target_id
+            for number in range(40)
+        }
+        # Both in this data centre.
+        self.assertEqual(chosen, {'t0', 't3'})
+
+
 class UnevenTargetsTest(unittest.TestCase):
     """Speeds of 0.5 to 1.7, and a fifth of the targets slow at a time."""
 
