Send one long body at a time while no list of daemons is known

Change: its share is nothing until it has had a list, so that one body goes at a time.

Measured: the new case fails before and passes now.

--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -67,7 +67,7 @@
         A repeatable request whose path turns out to be down meanwhile is also
         passed on, if `may_duplicate` allows it, and the first answer counts.
         """
-        with self._sender.long_bodies.on_its_way(
+        with self._sender.long_bodies.counted(
             target.target_id, len(request.body)
         ):
             return await self._send_once(
--- a/cassialever/policy/upload_bytes.py
+++ b/cassialever/policy/upload_bytes.py
@@ -1,4 +1,4 @@
-"""Bound the bytes of long bodies that are on their way to one target.
+"""Bound the bytes of long bodies that are being sent to one target.
 
 Load pattern handled: many daemons that get bodies of some hundred kB for a few
 targets. A target holds the bodies of all requests that it runs or queues, and
@@ -7,7 +7,7 @@
 What daemons report of their requests is too old for that. So each of many
 daemons sends long bodies to a few of the targets only, by its place in the list
 of all daemons, in the same order of data centres as the targets; each target
-has about as many daemons. A daemon has no more on its way to one target than
+has about as many daemons. A daemon sends no more to one target at a time than
 its share of the total, and one body in any case. So the sum over all daemons
 stays under the total, but for the moments in which their lists differ, and for
 bodies that are longer than LONGEST_BODY. Of targets that own keys this limits
@@ -29,12 +29,12 @@
 #: Length of a body that each daemon of a target may send to it.
 LONGEST_BODY: Final = 512_000
 #: Requests per slot from which on a target gets no long body: its queue holds
-#: what waits, while in a daemon the caller can be told to come back.
+#: what waits, while a daemon can refuse it and name a time to come back.
 MAX_REQUESTS_PER_SLOT: Final = 2.0
 
 
 class LongBodies:
-    """The long bodies that this daemon has on their way, by target."""
+    """The long bodies that this daemon is sending, by target."""
 
     def __init__(self) -> None:
         #: Choices of targets that found one without room for a long body.
@@ -79,7 +79,9 @@
         if size <= SHORT_BODY_BYTES:
             return True
         held = self.held_by(target_id)
-        share = BYTES_PER_SLOT * slots / max(self._daemons, 1)
+        share: float = 0
+        if self._daemons:
+            share = BYTES_PER_SLOT * slots / self._daemons
         is_within_share = not held or held + size <= share
         if is_within_share and requests < MAX_REQUESTS_PER_SLOT * slots:
             return True
@@ -91,7 +93,7 @@
         return self._bytes_by_id[target_id]
 
     @contextmanager
-    def on_its_way(self, target_id: TargetId, size: int) -> Iterator[None]:
+    def counted(self, target_id: TargetId, size: int) -> Iterator[None]:
         """Count a body until its request has ended, whatever its outcome."""
         if size <= SHORT_BODY_BYTES:
             yield
--- a/tests/test_policy_upload_bytes.py
+++ b/tests/test_policy_upload_bytes.py
@@ -1,4 +1,4 @@
-"""Tests of the bytes that are on their way to one target."""
+"""Tests of the bytes that are being sent to one target."""
 
 import unittest
 from collections import Counter
@@ -29,13 +29,13 @@
 
     def test_short_bodies_always_have_room(self) -> None:
         self.bodies.divide_among('d0', _daemons(89))
-        with self.bodies.on_its_way('t0', 10 * BYTES_PER_SLOT):
+        with self.bodies.counted('t0', 10 * BYTES_PER_SLOT):
             self.assertTrue(self.has_room(SHORT_BODY_BYTES, requests=11))
 
     def test_one_body_has_room_whatever_its_length(self) -> None:
         self.bodies.divide_among('d0', _daemons(89))
         self.assertTrue(self.has_room(360_000))
-        with self.bodies.on_its_way('t0', 360_000):
+        with self.bodies.counted('t0', 360_000):
             self.assertFalse(self.has_room(100_000))
             self.assertEqual(self.bodies.refused_count, 1)
         self.assertTrue(self.has_room(100_000))
@@ -44,13 +44,18 @@
     def test_share_of_few_daemons_is_used(self) -> None:
         self.bodies.divide_among('d0', _daemons(2))
         share = BYTES_PER_SLOT * SLOTS // 2
-        with self.bodies.on_its_way('t0', share - 100_000):
+        with self.bodies.counted('t0', share - 100_000):
             self.assertTrue(self.has_room(100_000))
             self.assertFalse(self.has_room(100_001))
 
+    def test_daemon_without_a_list_sends_one_body_at_a_time(self) -> None:
+        self.assertTrue(self.has_room(360_000))
+        with self.bodies.counted('t0', 360_000):
+            self.assertFalse(self.has_room(100_000))
+
     def test_body_that_fails_is_counted_no_longer(self) -> None:
         with self.assertRaises(ValueError):
-            with self.bodies.on_its_way('t0', 360_000):
+            with self.bodies.counted('t0', 360_000):
                 raise ValueError
         self.assertEqual(self.bodies.held_by('t0'), 0)
 
@@ -116,7 +121,7 @@
         self.assertNotEqual(chosen.target_id, self.assigned)
 
     def test_full_target_is_waited_for(self) -> None:
-        with self.loads.long_bodies.on_its_way(self.assigned, 360_000):
+        with self.loads.long_bodies.counted(self.assigned, 360_000):
             self.assertIs(self.choose(), NoTargetReason.full)
 
 
--- a/tests/uneven_helpers.py
+++ b/tests/uneven_helpers.py
@@ -34,7 +34,7 @@
 #: Requests that a target queues; it resets the connections of any more.
 QUEUE = 16
 SPEEDS = (0.5, 1.0, 1.0, 1.7)
-#: A fifth of the targets is slower by this factor, drawn anew each time.
+#: A fifth of the targets is slower by this factor, drawn again each time.
 NOISE_SHARE = 0.2
 NOISE_FACTOR = 3.0
 NOISE_PERIOD: Seconds = 0.4
@@ -222,7 +222,7 @@
         factor = load.queueing_factor(target.slots, sent_at)
 
         target_id = target.target_id
-        sending = loads.long_bodies.on_its_way(target_id, call.body_bytes)
+        sending = loads.long_bodies.counted(target_id, call.body_bytes)
         sending.__enter__()
         self.bytes_by_id[target_id] += call.body_bytes
         self.most_bytes = max(self.most_bytes, self.bytes_by_id[target_id])
