--- a/cassialever/gateway/dispatcher.py
+++ b/cassialever/gateway/dispatcher.py
@@ -73,7 +73,7 @@
         long_bodies = self._sender.long_bodies
         with (
             self.place_ends.ending(target, request.place) as end,
-            long_bodies.on_its_way(target.target_id, len(request.body)),
+            long_bodies.counted(target.target_id, len(request.body)),
         ):
             attempt = await self._send_on_a_path(
                 request, target, time_left, may_duplicate
--- a/cassialever/policy/placing.py
+++ b/cassialever/policy/placing.py
@@ -265,10 +265,7 @@
         if self.full.is_full(request.service, request.objective, now):
             return NoTargetReason.full
         if request.body_bytes > SHORT_BODY_BYTES:
-            assigned = _assigned(self._view.targets, self._loads, request)
-            if not assigned:
-                return NoTargetReason.no_service
-            return self._choose_among(assigned, request, now)
+            return self._choose_for_long_body(request, now)
         chosen = self._choose_any_now(request, now)
         if chosen is NoTargetReason.full and not request.tried:
             self.full.note(request.service, request.objective, now)
@@ -300,6 +297,29 @@
                 return chosen
         return self._choose_among(untried, request, now)
 
+    def _choose_for_long_body(
+        self,
+        request: PlacementRequest,
+        now: Seconds,
+    ) -> Target | NoTargetReason:
+        """Choose among the targets for this daemon's long bodies.
+
+        Others are used if none of these is left for another reason than load.
+        """
+        usable = self._view.targets.usable(request.service)
+        usable = _not_at(usable, request.replaced_at)
+        if not usable:
+            return NoTargetReason.no_service
+        assigned = self._loads.long_bodies.assigned(usable)
+        few = _without(assigned, request.tried)
+        few = _not_failing(few, self._loads, now)
+        if few:
+            chosen = self._choose_among(few, request, now)
+            if isinstance(chosen, Target) or chosen is NoTargetReason.full:
+                return chosen
+        untried = _without(usable, request.tried) or usable
+        return self._choose_among(untried, request, now)
+
     def _choose_among(
         self,
         targets: list[Target],
@@ -355,7 +375,7 @@
         if not available:
             return refusal
         return self._least_loaded(
-            self._not_failing(available, now), request, now
+            _not_failing(available, self._loads, now) or available, request, now
         )
 
     def _request_permit(
@@ -398,14 +418,6 @@
             return None
         return reason
 
-    def _not_failing(self, targets: list[Target], now: Seconds) -> list[Target]:
-        healthy = [
-            target
-            for target in targets
-            if not self._loads.of(target.target_id).is_failing(now)
-        ]
-        return healthy or targets
-
     def _least_loaded(
         self,
         targets: list[Target],
@@ -414,17 +426,18 @@
     ) -> Target:
         loads = [self._loads.of(target.target_id) for target in targets]
         fastest = min(
-            (load.speed.lasting for load in loads if load.was_used),
+            (load.speed.lasting for load in loads if load.speed.lasting),
             default=DEFAULT_LATENCY,
         )
         usual = self._loads.usual_service_time(request.service) or fastest
-        outdated = [
-            target
-            for target, load in zip(targets, loads, strict=True)
-            if load.speed.is_outdated(now, usual)
-        ]
-        if outdated and self._random.random() < PROBE_SHARE:
-            return outdated[self._random.randrange(len(outdated))]
+        if self._random.random() < PROBE_SHARE:
+            outdated = [
+                target
+                for target, load in zip(targets, loads, strict=True)
+                if not load.open_requests and load.speed.is_outdated(now, usual)
+            ]
+            if outdated:
+                return outdated[self._random.randrange(len(outdated))]
         # Permits for targets that have just joined should be used.
         costs = [
             self._cost(
@@ -579,13 +592,14 @@
     ]
 
 
-def _assigned(
-    registry: TargetRegistry, loads: LoadTracker, request: PlacementRequest
+def _not_failing(
+    targets: list[Target], loads: LoadTracker, now: Seconds
 ) -> list[Target]:
-    """Return the targets to which this daemon may send a long body."""
-    usable = _not_at(registry.usable(request.service), request.replaced_at)
-    assigned = loads.long_bodies.assigned(usable)
-    return _without(assigned, request.tried) or assigned
+    return [
+        target
+        for target in targets
+        if not loads.of(target.target_id).is_failing(now)
+    ]
 
 
 def _without(
