Use tags and a version of their own for places

Cause: tags 7 and 8 and version 3 are used by tokens of customers. Change: PlaceRequest and Places have tags 9 and 10, from version 4 on.

--- a/cassialever/fleet/datagrams.py
+++ b/cassialever/fleet/datagrams.py
@@ -148,7 +148,7 @@
     message_version: MessageVersion = FIRST_VERSION
 
 
-class PlaceRequest(_Versioned, frozen=True, array_like=True, tag=7):
+class PlaceRequest(_Versioned, frozen=True, array_like=True, tag=9):
     """Gives places at a target back to its keeper, and asks for `wanted`.
 
     `latency` and `requests` are of the last answer: its time in seconds, 0
@@ -168,7 +168,7 @@
     message_version: MessageVersion = FIRST_VERSION
 
 
-class Places(_Versioned, frozen=True, array_like=True, tag=8):
+class Places(_Versioned, frozen=True, array_like=True, tag=10):
     """A keeper's answer; without places, none is usually free for `delay`."""
 
     since: ClassVar[MessageVersion] = PLACES_VERSION
--- a/cassialever/fleet/message_version.py
+++ b/cassialever/fleet/message_version.py
@@ -13,7 +13,7 @@
 #: The first version that reads reports of crashes.
 CRASHES_VERSION: Final = MessageVersion(2)
 #: The first version that hands out places at targets.
-PLACES_VERSION: Final = MessageVersion(3)
+PLACES_VERSION: Final = MessageVersion(4)
 #: The version that this build writes. It rises with each type that the build
 #: before doesn't know; a field at the end of a type needs no new version.
-MESSAGE_VERSION: Final = MessageVersion(3)
+MESSAGE_VERSION: Final = MessageVersion(4)
