--- a/cassialever/gateway/place_ends.py
+++ b/cassialever/gateway/place_ends.py
@@ -1,4 +1,4 @@
-"""Tell how requests at targets have ended, and give their places back."""
+"""Note the ends of requests at targets, and give their places back."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
