Count a keeper's answers from where it counts

Cause: a daemon kept the highest number of an answer. A keeper that is new, or that has forgotten a daemon after two seconds without a question, counts from one, so that what the daemon told of used and unused tokens was ignored until the numbers met: unused tokens never went back.

Change: the number of the answer to the last question is taken as it is.

--- a/cassialever/policy/quota_accounts.py
+++ b/cassialever/policy/quota_accounts.py
@@ -114,6 +114,8 @@
     def add(self, portion: QuotaPortion, asked_at: Seconds) -> None:
         self.serial = max(self.serial, portion.serial)
         if asked_at == self.asked_at:
+            # Another keeper counts its answers from the beginning.
+            self.serial = portion.serial
             self.is_asked = False
             self.is_silent = False
             self.used -= self.last_ask.used
--- a/tests/test_policy_quotas.py
+++ b/tests/test_policy_quotas.py
@@ -35,6 +35,16 @@
 SETTLING_TIME = 4.0
 LANE = LaneId('l')
 
+
+def exchange(
+    keeper: QuotaKeeper, ask: QuotaAsk, now: float, asker: str = 'd1'
+) -> QuotaPortion:
+    """Ask the keeper of one lane for tokens."""
+    quota = Quota(30, 30, TERMS)
+    keeper.fill(LANE, quota, 0, 1, now)
+    return keeper.answer(LANE, asker, ask, quota, now)
+
+
 _Fault = Callable[[QuotaFleet], Awaitable[None]]
 
 
@@ -346,6 +356,28 @@
         told = self.account.returns(5 + AHEAD_LIFETIME)
         self.assertEqual([one.ask.wants_tokens for one in told], [False])
 
+    def test_tokens_go_back_to_a_keeper_that_has_forgotten(self) -> None:
+        """A pause of three seconds, after which the keeper counts from one."""
+        keeper = QuotaKeeper()
+
+        def ask(waiting: int, now: float) -> None:
+            keeper.prune([LANE], now)
+            due = self.account.plan(waiting, now)
+            assert due is not None
+            portion = exchange(keeper, due.ask, now)
+            self.account.add(due.lane, portion, due.asked_at, now)
+
+        for now in (1.0, 1.1, 1.2, 1.3, 5.0):
+            ask(1, now)
+            self.assertIsNotNone(self.account.take(now))
+        exchange(keeper, QuotaAsk(0), 7)
+        ask(3, 7)
+        level = keeper.level_of(LANE)
+        for told in self.account.returns(7 + NEEDED_LIFETIME):
+            exchange(keeper, told.ask, 7)
+        assert level is not None
+        self.assertEqual(keeper.level_of(LANE), level + 3)
+
     def test_silent_and_denying_keepers_are_left_out(self) -> None:
         first = self.account.plan(1, 5)
         assert first is not None
