Stop a daemon that is cut off for long from issuing its part

A cut of 30 s under ten times the rate passed the limit.

Change: a daemon whose list has not been current for 16 s issues and uses nothing, unless all of its list are heard with the same list. What is known of daemons that left the list is forgotten.

--- a/cassialever/fleet/quota_keeping.py
+++ b/cassialever/fleet/quota_keeping.py
@@ -108,7 +108,7 @@
         """Return the share of a rate that this daemon uses by itself."""
         if now - self._checked_at > LIST_CHECK_INTERVAL:
             self.check_list()
-        return self.fleet.own_factor()
+        return self.fleet.own_factor(now)
 
     def check_list(self) -> Mapping[str, str]:
         """Take over the present list of daemons; return their addresses."""
--- a/cassialever/policy/quotas.py
+++ b/cassialever/policy/quotas.py
@@ -10,6 +10,7 @@
 a window.
 """
 
+import math
 from collections import deque
 from collections.abc import Collection
 from typing import Final, NewType
@@ -52,6 +53,9 @@
 #: How long a daemon that was dropped from the list may go on by itself. So long
 #: its part of the rate is left to it.
 DROPPED_TIME: Final[Seconds] = 20.0
+#: The part of it after which a daemon without a current list issues and uses
+#: nothing: its clock may be slower, and it learns late that it is cut off.
+ALONE_SHARE: Final = 0.8
 #: How long a daemon counts as heard.
 HEARD_TIME: Final[Seconds] = 1.0
 #: Parts of the rate of a daemon whose list of daemons is not current: what it
@@ -329,6 +333,7 @@
         self._dropped_by_name: dict[str, Seconds] = {}
         self._heard: dict[str, tuple[int, Seconds]] = {}
         self._is_current = False
+        self._current_at: Seconds = -math.inf
         #: The digest of the list; 0 without one.
         self.digest = 0
         self.changed_at: Seconds = 0
@@ -348,6 +353,8 @@
     ) -> None:
         """Set the list of daemons, and whether no later one can be known."""
         self._is_current = is_current
+        if self.is_current or math.isinf(self._current_at):
+            self._current_at = now
         self._drop(now)
         if self._names == names:
             return
@@ -356,6 +363,11 @@
         for known in names:
             self._dropped_by_name.pop(known, None)
         self._names = frozenset(names)
+        self._heard = {
+            peer: heard
+            for peer, heard in self._heard.items()
+            if peer in self._names
+        }
         self.changed_at = now
         self.digest = list_digest(names)
 
@@ -374,23 +386,39 @@
             return 0
         if self.is_current and is_settled:
             return len(self._names) / self.daemon_count
-        heard = sum(
-            digest == self.digest and now - heard_at < self._heard_time
-            for digest, heard_at in self._heard.values()
-        )
-        return (heard + 1) * LENT_SHARE / self.daemon_count
+        if self._is_too_old(now):
+            return 0
+        return self._count_alike(now) * LENT_SHARE / self.daemon_count
 
     def phase_of(self, customer: CustomerName) -> float:
         """Return where between 0 and 1 this daemon's own tokens begin."""
         named = f'{customer}\0{self._instance_id}'.encode()
         return xxhash.xxh32_intdigest(named) / (1 << _HASH_BITS)
 
-    def own_factor(self) -> float:
+    def own_factor(self, now: Seconds) -> float:
         """Return the part of a rate that this daemon may use by itself."""
         if self.is_current or not self.daemon_count:
             return 0
+        if self._is_too_old(now):
+            return 0
         return OWN_SHARE / self.daemon_count
 
+    def _count_alike(self, now: Seconds) -> int:
+        """Return how many daemons, with this one, have the same list."""
+        return 1 + sum(
+            digest == self.digest and now - heard_at < self._heard_time
+            for digest, heard_at in self._heard.values()
+        )
+
+    def _is_too_old(self, now: Seconds) -> bool:
+        """Return whether others may issue this daemon's part by now.
+
+        They don't as long as all daemons have the same list.
+        """
+        if now - self._current_at < DROPPED_TIME * ALONE_SHARE:
+            return False
+        return self._count_alike(now) < len(self._names)
+
     @property
     def _heard_time(self) -> Seconds:
         """Return how long a report counts: they come rarely in large fleets."""
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -118,7 +118,7 @@
             self.start(name, addresses)
 
     def start(self, name: str, addresses: dict[str, str]) -> None:
-        """Start a daemon anew, with a clock of its own."""
+        """Start a daemon with a clock of its own."""
         self.ended.discard(name)
         rng = self.random
         self.clocks[name] = DriftingClock(
--- a/tests/test_policy_quotas.py
+++ b/tests/test_policy_quotas.py
@@ -175,6 +175,21 @@
                         usual = min(factor, 1) * one.rate * 18
                         self.assertGreater(served, 0.5 * usual, one.name)
 
+    def test_long_cut_passes_no_limit(self) -> None:
+        """It lasts until the part of the daemons cut off is issued."""
+
+        async def cut(fleet: QuotaFleet) -> None:
+            await asyncio.sleep(2)
+            fleet.cut(fleet.names[len(fleet.names) // 3 :])
+            await asyncio.sleep(DROPPED_TIME + 8)
+            fleet.mend()
+
+        fleet = play(12, 10, 12, DROPPED_TIME + 12, cut)
+        self.check_bound(fleet)
+        for one in CUSTOMERS:
+            served = len(fleet.admitted_at[one.name])
+            self.assertGreater(served, 0.5 * one.rate * DROPPED_TIME)
+
     def test_fleet_without_a_leader_goes_on(self) -> None:
         """No list is confirmed, as while another leader is elected."""
 
@@ -328,16 +343,32 @@
         fleet.hear('c', fleet.digest + 1, 0)
         fleet.hear('x', fleet.digest, 0)
         self.assertEqual(fleet.factor(0), LENT_SHARE * 2 / 4)
-        self.assertEqual(fleet.factor(60), LENT_SHARE / 4)
+        self.assertEqual(fleet.factor(10), LENT_SHARE / 4)
 
     def test_daemon_off_the_list_has_its_own_part_only(self) -> None:
         fleet = FleetShare('a')
-        self.assertEqual((fleet.factor(0), fleet.own_factor()), (0, 0))
+        self.assertEqual((fleet.factor(0), fleet.own_factor(0)), (0, 0))
         fleet.update('abcd', 0, is_current=True)
-        self.assertEqual(fleet.own_factor(), 0)
+        self.assertEqual(fleet.own_factor(0), 0)
         fleet.update('bcd', 0, is_current=True)
-        self.assertGreater(fleet.own_factor(), 0)
-        self.assertLessEqual(fleet.own_factor() + LENT_SHARE / 4, 1 / 4)
+        self.assertGreater(fleet.own_factor(0), 0)
+        self.assertLessEqual(fleet.own_factor(0) + LENT_SHARE / 4, 1 / 4)
+
+    def test_daemon_cut_off_for_long_leaves_its_part_to_others(self) -> None:
+        fleet = FleetShare('a')
+        fleet.update('abcd', 0, is_current=True)
+        ends_at = DROPPED_TIME * 0.9
+        for now in (1, ends_at):
+            fleet.update('abcd', now, is_current=False)
+            fleet.hear('b', fleet.digest, now)
+            fleet.hear('c', fleet.digest, now)
+            is_in_time = now == 1
+            self.assertEqual(bool(fleet.factor(now)), is_in_time)
+            self.assertEqual(bool(fleet.own_factor(now)), is_in_time)
+        # All have the same list: none can issue the parts of others.
+        fleet.hear('d', fleet.digest, ends_at)
+        self.assertGreater(fleet.factor(ends_at), 0)
+        self.assertGreater(fleet.own_factor(ends_at), 0)
 
 
 class AccountTest(unittest.TestCase):
