Take an answer of a keeper once, and only to a question

Cause: an answer was taken whatever question it named. One that came twice gave its tokens twice and made the count of used tokens negative, which keepers refuse to read; one with a time to come gave tokens without an end.

Change: answers to questions that were not asked, and second answers to the last one, are ignored.

--- a/cassialever/policy/quota_accounts.py
+++ b/cassialever/policy/quota_accounts.py
@@ -68,6 +68,7 @@
         self.asked_at: Seconds = -math.inf
         self.last_ask = QuotaAsk(0)
         self.is_asked = False
+        self.is_answered = False
         #: Whether the last question had no answer in time.
         self.is_silent = False
         self.ahead_after: Seconds = -math.inf
@@ -111,12 +112,19 @@
         )
         return self.last_ask
 
+    def is_expected(self, asked_at: Seconds) -> bool:
+        """Return whether an answer is of a question, and no second one."""
+        if asked_at == self.asked_at:
+            return not self.is_answered
+        return asked_at < self.asked_at
+
     def add(self, portion: QuotaPortion, asked_at: Seconds) -> None:
         self.serial = max(self.serial, portion.serial)
         if asked_at == self.asked_at:
             # Another keeper counts its answers from the beginning.
             self.serial = portion.serial
             self.is_asked = False
+            self.is_answered = True
             self.is_silent = False
             self.used -= self.last_ask.used
         self.unused += portion.needed + portion.ahead
@@ -268,6 +276,7 @@
         ask = lane.ask(min(needed, MAX_PORTION), ahead, now)
         lane.asked_at = now
         lane.is_asked = True
+        lane.is_answered = False
         return LaneAsk(chosen, ask, now)
 
     def add(
@@ -279,6 +288,8 @@
     ) -> None:
         """Add the answer of a keeper, which was asked at that time."""
         asked = self._lanes[lane]
+        if not asked.is_expected(asked_at):
+            return
         asked.add(portion, asked_at)
         if portion.pause:
             asked.paused_until = now + portion.pause
--- a/tests/test_policy_quotas.py
+++ b/tests/test_policy_quotas.py
@@ -409,6 +409,15 @@
         assert level is not None
         self.assertEqual(keeper.level_of(LANE), level + 3)
 
+    def test_answers_to_no_question_are_ignored(self) -> None:
+        due = self.account.plan(1, 5)
+        assert due is not None
+        for asked_at in (5.0, 5.0, 6.0, 1e300, float('inf')):
+            portion = QuotaPortion(1, 1, 1)
+            self.account.add(due.lane, portion, asked_at, 5.1)
+        self.assertEqual(self.account.held(5.1), 2)
+        self.assertEqual(self.account.held(7), 0)
+
     def test_silent_and_denying_keepers_are_left_out(self) -> None:
         first = self.account.plan(1, 5)
         assert first is not None
