Admit what waits while a limit is new, removed or left by its caller

Cause: a keeper without a customer's limit did not answer, so that daemons which knew a new limit before it, or an old one after it, refused all. A request that waited while its limit was removed got 429. A token given to a request that was cancelled at that moment was lost.

Change: a keeper that knows the customer without a limit issues what is asked; waiting requests of such a customer are admitted; the token is given back.

Measured: three tests in virtual time failed before, all pass.

--- a/cassialever/fleet/quota_keeping.py
+++ b/cassialever/fleet/quota_keeping.py
@@ -40,6 +40,11 @@
         self._terms = terms
         self._configuration: Configuration | None = None
         self._by_name: dict[CustomerName, Customer] = {}
+        self._names: frozenset[CustomerName] = frozenset()
+
+    def is_unlimited(self, name: CustomerName) -> bool:
+        """Return whether a customer is known to have no limit."""
+        return name not in self.by_name and name in self._names
 
     @property
     def by_name(self) -> Mapping[CustomerName, Customer]:
@@ -53,6 +58,7 @@
                 else ()
             )
             self._by_name = {one.name: one for one in customers if one.rate}
+            self._names = frozenset(one.name for one in customers)
         return self._by_name
 
     def quota_of(self, customer: Customer) -> Quota:
@@ -156,14 +162,7 @@
 
     def _handle_request(self, request: QuotaRequest, sender: str) -> None:
         self.check_list()
-        customer = self._customers.by_name.get(request.customer)
-        if customer is None:
-            return
         self.hear(request.instance_id, request.list_digest)
-        lane_id = lanes_of(customer.name)[request.lane]
-        if self.keeper_of(lane_id) != self.instance_id:
-            # Its list of daemons is another one; in a moment they agree.
-            return
         ask = QuotaAsk(
             request.needed,
             request.ahead,
@@ -171,20 +170,33 @@
             request.held,
             request.serial,
         )
-        portion = self.issue(
-            lane_id,
-            request.instance_id,
-            ask,
-            self._customers.quota_of(customer),
+        portion = self._portion_of(request, ask)
+        if portion is None or not ask.wants_tokens:
+            return
+        tokens = QuotaTokens(
+            request.customer,
+            request.lane,
+            portion.needed,
+            portion.ahead,
+            portion.serial,
+            portion.pause,
+            request.asked_at,
         )
-        if ask.wants_tokens:
-            tokens = QuotaTokens(
-                customer.name,
-                request.lane,
-                portion.needed,
-                portion.ahead,
-                portion.serial,
-                portion.pause,
-                request.asked_at,
-            )
-            self._socket.send(sender, encode(tokens))
+        self._socket.send(sender, encode(tokens))
+
+    def _portion_of(
+        self, request: QuotaRequest, ask: QuotaAsk
+    ) -> QuotaPortion | None:
+        """Issue tokens for a question; None if this daemon can't answer it."""
+        lane_id = lanes_of(request.customer)[request.lane]
+        if self.keeper_of(lane_id) != self.instance_id:
+            # Its list of daemons is another one; in a moment they agree.
+            return None
+        if self._customers.is_unlimited(request.customer):
+            # One of both daemons knows an older configuration.
+            return QuotaPortion(ask.needed, ask.ahead, ask.serial)
+        customer = self._customers.by_name.get(request.customer)
+        if customer is None:
+            return None
+        quota = self._customers.quota_of(customer)
+        return self.issue(lane_id, request.instance_id, ask, quota)
--- a/cassialever/fleet/quotas.py
+++ b/cassialever/fleet/quotas.py
@@ -178,11 +178,19 @@
                 known.wake(now)
                 if answered.done():
                     return answered.result()
+                if name not in self._customers.by_name:
+                    # Its limit was removed meanwhile.
+                    return now
                 pause = min(waits_until - now, ANSWER_TIMEOUT)
                 if pause <= 0:
                     return None
                 self._socket.expect_answer(pause)
                 await asyncio.wait((answered,), timeout=pause)
+        except asyncio.CancelledError:
+            ends_at = answered.result() if answered.done() else None
+            if ends_at is not None:
+                known.account.give_back(ends_at, self._clock.monotonic())
+            raise
         finally:
             if not answered.done():
                 known.waiting.remove(answered)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -111,7 +111,7 @@
         self.peers: dict[str, KnownPeers] = {}
         self.views: dict[str, FleetView] = {}
         self.exchanges: dict[str, QuotaExchange] = {}
-        self._sockets: dict[str, FakeSocket] = {}
+        self.sockets: dict[str, FakeSocket] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         addresses = {name: name for name in self.names}
         for name in self.names:
@@ -126,14 +126,14 @@
         )
         self.peers[name] = KnownPeers(addresses)
         self.views[name] = view_of(self.customers)
-        self._sockets[name] = FakeSocket(self, name)
+        self.sockets[name] = FakeSocket(self, name)
         self.exchanges[name] = QuotaExchange(
             name,
             self.views[name],
             TERMS,
             self.clocks[name],
             self.peers[name],
-            self._sockets[name],
+            self.sockets[name],
         )
         self.spawn(self._keep_house(name))
 
@@ -153,7 +153,7 @@
         if address in self.ended or not self.is_linked(sender, address):
             return
         host_port = (sender, 0)
-        socket = self._sockets[address]
+        socket = self.sockets[address]
         known = socket.handler_by_type
         # Addresses in this fleet are names without a port.
         decoded = decode(datagram)
--- a/tests/test_policy_quotas.py
+++ b/tests/test_policy_quotas.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from cassialever.fleet.datagrams import QuotaTokens
 from cassialever.fleet.model import Customer
 from cassialever.policy.quota_accounts import OwnShare, QuotaAccount
 from cassialever.policy.quotas import (
@@ -29,6 +30,7 @@
 
 #: A small and a large customer: requests a second, and its burst.
 CUSTOMERS = (Customer('small', None, 8, 8), Customer('large', None, 60, 40))
+UNLIMITED = tuple(Customer(one.name) for one in CUSTOMERS)
 #: What customers send in calm times, as a share of their limit.
 USUAL = 0.62
 #: Until a fleet that has started knows that no other list is in use.
@@ -262,6 +264,64 @@
                 self.check_bound(play(60, factor, 14, 12, step))
 
 
+class ChangeTest(unittest.TestCase):
+    """Requests of a customer that wait while something changes."""
+
+    def play(self, change: Callable[[QuotaFleet], Awaitable[None]]) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = QuotaFleet(loop, 12, list(CUSTOMERS))
+            await asyncio.sleep(SETTLING_TIME)
+            await change(fleet)
+            fleet.stop()
+
+        with logbook.NullHandler().applicationbound():
+            run_virtually(main)
+
+    def test_request_is_admitted_whose_limit_is_removed(self) -> None:
+        async def change(fleet: QuotaFleet) -> None:
+            fleet.loss = 1
+            apply_customers(fleet.views['d0'], CUSTOMERS[:1], 2)
+            for view in fleet.views.values():
+                asyncio.get_running_loop().call_later(
+                    0.05, apply_customers, view, UNLIMITED, 3
+                )
+            await fleet.request(CUSTOMERS[0], 'd0')
+            self.assertEqual(len(fleet.admitted_at['small']), 1)
+
+        self.play(change)
+
+    def test_new_limit_is_known_to_some_daemons_first(self) -> None:
+        async def change(fleet: QuotaFleet) -> None:
+            for name in fleet.names[1:]:
+                apply_customers(fleet.views[name], UNLIMITED, 2)
+            for _ in range(20):
+                await fleet.request(CUSTOMERS[1], 'd0')
+            self.assertEqual(len(fleet.admitted_at['large']), 20)
+
+        self.play(change)
+
+    def test_token_of_a_request_that_is_cancelled_is_used_again(self) -> None:
+        async def change(fleet: QuotaFleet) -> None:
+            exchange = fleet.exchanges['d0']
+            waiting = asyncio.create_task(exchange.admit(CUSTOMERS[0], 0.3))
+            handlers = fleet.sockets['d0'].handler_by_type
+            handle = handlers[QuotaTokens]
+
+            def cancel(tokens: QuotaTokens, sender: str) -> None:
+                handle(tokens, sender)
+                waiting.cancel()
+
+            handlers[QuotaTokens] = cancel
+            await asyncio.wait((waiting,))
+            self.assertTrue(waiting.cancelled())
+            account = exchange.accounts()[CUSTOMERS[0].name]
+            self.assertEqual(account.admitted_count, 1)
+            now = fleet.clocks['d0'].monotonic()
+            self.assertIsNotNone(account.take(now))
+
+        self.play(change)
+
+
 class QuotaTest(unittest.TestCase):
     """The parts of the sum that is allowed in a window."""
 
