--- a/cassialever/fleet/quotas.py
+++ b/cassialever/fleet/quotas.py
@@ -172,20 +172,7 @@
         answered: _Answered = asyncio.get_running_loop().create_future()
         known.waiting.append(answered)
         try:
-            while True:
-                now = self._clock.monotonic()
-                self._ask(name, known, now)
-                known.wake(now)
-                if answered.done():
-                    return answered.result()
-                if name not in self._customers.by_name:
-                    # Its limit was removed meanwhile.
-                    return now
-                pause = min(waits_until - now, ANSWER_TIMEOUT)
-                if pause <= 0:
-                    return None
-                self._socket.expect_answer(pause)
-                await asyncio.wait((answered,), timeout=pause)
+            return await self._wait_for(answered, name, known, waits_until)
         except asyncio.CancelledError:
             ends_at = answered.result() if answered.done() else None
             if ends_at is not None:
@@ -195,6 +182,28 @@
             if not answered.done():
                 known.waiting.remove(answered)
 
+    async def _wait_for(
+        self,
+        answered: _Answered,
+        name: CustomerName,
+        known: _Customer,
+        waits_until: Seconds,
+    ) -> Seconds | None:
+        while True:
+            now = self._clock.monotonic()
+            self._ask(name, known, now)
+            known.wake(now)
+            if answered.done():
+                return answered.result()
+            if name not in self._customers.by_name:
+                # Its limit was removed meanwhile.
+                return now
+            pause = min(waits_until - now, ANSWER_TIMEOUT)
+            if pause <= 0:
+                return None
+            self._socket.expect_answer(pause)
+            await asyncio.wait((answered,), timeout=pause)
+
     def _ask(self, name: CustomerName, known: _Customer, now: Seconds) -> None:
         """Ask keepers for tokens as far as some are lacking."""
         account = known.account
--- a/cassialever/policy/quota_accounts.py
+++ b/cassialever/policy/quota_accounts.py
@@ -5,6 +5,7 @@
 refused without asking for each; keepers that do not answer.
 """
 
+import enum
 import math
 from collections import deque
 from collections.abc import Sequence
@@ -58,6 +59,14 @@
     count: int
 
 
+class _Question(enum.Enum):
+    """What became of the last question to a keeper."""
+
+    asked = enum.auto()
+    answered = enum.auto()
+    given_up = enum.auto()
+
+
 class _LaneTokens:
     """The tokens of one lane that this daemon holds."""
 
@@ -67,8 +76,7 @@
         self.serial = 0
         self.asked_at: Seconds = -math.inf
         self.last_ask = QuotaAsk(0)
-        self.is_asked = False
-        self.is_answered = False
+        self.question = _Question.given_up
         #: Whether the last question had no answer in time.
         self.is_silent = False
         self.ahead_after: Seconds = -math.inf
@@ -76,6 +84,11 @@
         #: Tokens that the keeper counts as issued, and that were not used.
         self.unused = 0
 
+    @property
+    def is_asked(self) -> bool:
+        """Return whether an answer is waited for."""
+        return self.question is _Question.asked
+
     def held(self, now: Seconds) -> int:
         """Return the number of valid tokens, and drop the others."""
         while self.tokens and (
@@ -87,7 +100,7 @@
     def waited_for(self, now: Seconds) -> int | None:
         """Return the requests that wait for an answer; None without one."""
         if self.is_asked and now - self.asked_at >= ANSWER_TIMEOUT:
-            self.is_asked = False
+            self.question = _Question.given_up
             if self.is_silent:
                 self.paused_until = self.asked_at + SILENT_PAUSE
             self.is_silent = True
@@ -115,7 +128,7 @@
     def is_expected(self, asked_at: Seconds) -> bool:
         """Return whether an answer is of a question, and no second one."""
         if asked_at == self.asked_at:
-            return not self.is_answered
+            return self.question is not _Question.answered
         return asked_at < self.asked_at
 
     def add(self, portion: QuotaPortion, asked_at: Seconds) -> None:
@@ -123,8 +136,7 @@
         if asked_at == self.asked_at:
             # Another keeper counts its answers from the beginning.
             self.serial = portion.serial
-            self.is_asked = False
-            self.is_answered = True
+            self.question = _Question.answered
             self.is_silent = False
             self.used -= self.last_ask.used
         self.unused += portion.needed + portion.ahead
@@ -275,8 +287,7 @@
             return None
         ask = lane.ask(min(needed, MAX_PORTION), ahead, now)
         lane.asked_at = now
-        lane.is_asked = True
-        lane.is_answered = False
+        lane.question = _Question.asked
         return LaneAsk(chosen, ask, now)
 
     def add(
@@ -298,7 +309,7 @@
 
     def pause_lane(self, lane: int, pause: Seconds, now: Seconds) -> None:
         """Leave out a lane for a time, since its keeper can't be asked."""
-        self._lanes[lane].is_asked = False
+        self._lanes[lane].question = _Question.given_up
         self._lanes[lane].paused_until = now + pause
 
     def is_waited_for(self, now: Seconds) -> bool:
