--- a/cassialever/gateway/reachability.py
+++ b/cassialever/gateway/reachability.py
@@ -129,6 +129,9 @@
             self.socket,
             random_source,
         )
+        shares.is_enabled = self._settings.share_slots
+        if not shares.is_enabled:
+            return
         self.reporter.contended = shares.contention.reported
         self._gossip.on_contended = lambda names: (
             shares.contention.record_heard(names, self._clock.monotonic())
--- a/cassialever/gateway/settings.py
+++ b/cassialever/gateway/settings.py
@@ -91,6 +91,8 @@
     store_row_bytes: Annotated[int, msgspec.Meta(ge=MIN_ROW_BYTES)] = (
         DEFAULT_ROW_BYTES
     )
+    #: Whether daemons share the slots of contended targets by places.
+    share_slots: bool = False
 
     @property
     def internal_address(self) -> str:
--- a/cassialever/policy/slot_shares.py
+++ b/cassialever/policy/slot_shares.py
@@ -115,6 +115,8 @@
         self._random = random_source
         self._share_by_id: dict[TargetId, _Share] = {}
         self.contention = Contention()
+        #: Whether shares may bind at all, by the settings.
+        self.is_enabled = True
         #: Number of daemons; 0 while it is not known. One alone is not bound.
         self.daemon_count = 1
         self.staleness = ReportStaleness()
@@ -142,7 +144,7 @@
 
         Otherwise the loads that daemons tell each other suffice.
         """
-        if self.daemon_count == 1:
+        if self.daemon_count == 1 or not self.is_enabled:
             return False
         return self.staleness.is_stale(service)
 
