--- a/cassialever/gateway/counters.py
+++ b/cassialever/gateway/counters.py
@@ -95,7 +95,7 @@
         self._next_event_at: Seconds = 0
 
     def note(self, now: Seconds) -> int:
-        """Count a refusal; return how many an event tells of, if it is due."""
+        """Count a refusal; return how many an event reports, if it is due."""
         self._count += 1
         if now < self._next_event_at:
             return 0
--- a/cassialever/policy/waiting.py
+++ b/cassialever/policy/waiting.py
@@ -1,4 +1,4 @@
-"""Order the requests that wait for the same targets, and tell who must not.
+"""Order the requests that wait for the same targets, and refuse the hopeless.
 
 Load patterns handled: bursts of one kind of request by 1.7 to 2.5 times beside
 a more urgent kind, callers that retry at once, one customer that sends many
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -39,7 +39,7 @@
 
 LOOKUP = 'GET /lookup/7 HTTP/1.1\r\nHost: registry.example\r\n'
 ISSUE = 'POST /issue/7 HTTP/1.1\r\nHost: issuance.example\r\n'
-NO_ROUTE = 'POST /nowhere/7 HTTP/1.1\r\nHost: nobody.example\r\n'
+NO_ROUTE = 'POST /nowhere/7 HTTP/1.1\r\nHost: elsewhere.example\r\n'
 READYZ = 'POST /cassialever/readyz HTTP/1.1\r\nHost: edge\r\n'
 METRICS = 'POST /metrics HTTP/1.1\r\nHost: edge\r\n'
 HOP = 'POST /lookup/7 HTTP/1.1\r\nHost: registry.example\r\n'
--- a/tests/test_crowds_routes.py
+++ b/tests/test_crowds_routes.py
@@ -25,7 +25,7 @@
     unfinished,
 )
 
-#: An answer that is longer than the sockets on its way hold.
+#: An answer that is longer than what sockets hold.
 LONG_ANSWER = b'z' * 4_000_000
 #: One that isn't long for the daemon.
 SHORT_ANSWER = b'z' * 60_000
