Refuse nothing for lateness in a fleet of one; send more than one long body without a list

Change: strain counts only where another daemon is known; without a list the total of a target is halved.

--- a/cassialever/gateway/core.py
+++ b/cassialever/gateway/core.py
@@ -236,6 +236,8 @@
             )
             self.forwarder.daemon_count = max(daemon_counts)
             self._tell_daemons()
+            strain = self.forwarder.router.strain
+            strain.is_alone = self.forwarder.daemon_count <= 1
             self._prune()
             report = messages.KeysAsked(
                 {**self.forwarder.keys_asked},
--- a/cassialever/policy/strain.py
+++ b/cassialever/policy/strain.py
@@ -41,6 +41,8 @@
         self._lag: Seconds = 0
         self._late_count = 0
         self._wary_left = 0
+        #: Whether a refused request would find no other daemon.
+        self.is_alone = False
 
     def record_lag(self, lag: Seconds) -> None:
         """Record how late a timer of the loop has run."""
@@ -56,6 +58,8 @@
 
         One of ADMITTED_OF that it would is let in.
         """
+        if self.is_alone:
+            return True
         if TURNS_PER_REQUEST * self._lag <= MAX_OWN_SHARE * objective:
             return True
         self._late_count += 1
--- a/cassialever/policy/upload_bytes.py
+++ b/cassialever/policy/upload_bytes.py
@@ -28,6 +28,8 @@
 BYTES_PER_SLOT: Final = 1_000_000
 #: Length of a body that each daemon of a target may send to it.
 LONGEST_BODY: Final = 512_000
+#: Daemons among which the total is divided while their number is not known.
+ASSUMED_DAEMONS: Final = 2
 #: Requests per slot from which on a target gets no long body: its queue holds
 #: what waits, while a daemon can refuse it and name a time to come back.
 MAX_REQUESTS_PER_SLOT: Final = 2.0
@@ -79,9 +81,7 @@
         if size <= SHORT_BODY_BYTES:
             return True
         held = self.held_by(target_id)
-        share: float = 0
-        if self._daemons:
-            share = BYTES_PER_SLOT * slots / self._daemons
+        share = BYTES_PER_SLOT * slots / (self._daemons or ASSUMED_DAEMONS)
         is_within_share = not held or held + size <= share
         if is_within_share and requests < MAX_REQUESTS_PER_SLOT * slots:
             return True
--- a/tests/test_policy_strain.py
+++ b/tests/test_policy_strain.py
@@ -119,3 +119,17 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class LonelyTest(unittest.TestCase):
+    """A late daemon whose callers would find no other one."""
+
+    def test_it_refuses_nothing(self) -> None:
+        strain = Strain()
+        for _ in range(20):
+            strain.record_lag(2.0)
+        admitted = [strain.carries_in_time(OBJECTIVE) for _ in range(5)]
+        self.assertEqual(admitted, [False] * 5)
+        strain.is_alone = True
+        admitted = [strain.carries_in_time(OBJECTIVE) for _ in range(5)]
+        self.assertEqual(admitted, [True] * 5)
