Cases 6 to 9: read TROUBLE in the case, and tell errors from broken rules

Cause: only the shared module read TROUBLE, and Python's own exit status 1, after an error or without the build, counted as a broken rule.

--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -25,8 +25,9 @@
 
 HOST = '127.0.0.1'
 ZONE = 'astana-a'
-#: Exit status of a case: the rule held, was broken, or was not tried.
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+#: Exit status of a case: the rule held, was broken, or the case could not run.
+#: `run.sh` makes 1 of BROKEN: Python itself exits with 1 after any error.
+HELD, BROKEN, NOT_RUN = 0, 11, 2
 
 
 class Record:
@@ -319,7 +320,8 @@
         """Prepare a case; `case` is the path of its script."""
         self.folder = pathlib.Path(case).resolve().parent
         self.record = Record(self.folder)
-        self.has_trouble = os.environ.get('TROUBLE', '1') != '0'
+        #: Whether the disruption is played; `run.sh` passes TROUBLE on.
+        self.has_trouble = sys.argv[1:] != ['0']
         self.store = RowStoreServer()
         self.targets: list[Target] = []
         self.daemons: list[Daemon] = []
